Serve a request from caller to engine and back through separate processes

A first thin path: object API and machine list stand-ins, engine and service stand-ins, fault proxy, router node, operator's command line, demo, integration tests with real processes.

Cause: nothing existed. Conclusion: the path stands; membership, claims, configuration relay and policies grow on it.

--- /dev/null
+++ b/apps/calicodrift-bench.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/src/bench/placeholder.cc
@@ -0,0 +1,1 @@
+namespace calicodrift {}
--- /dev/null
+++ b/src/ctl/program.cc
@@ -0,0 +1,66 @@
+#include "ctl/program.h"
+
+#include <iostream>
+
+#include "ctl/bundle_commands.h"
+#include "settings/table.h"
+
+namespace calicodrift::ctl {
+namespace {
+
+constexpr std::string_view kSummary =
+    "Operator's command line of calicodrift. Commands: "
+    "key make | bundle check FILE | bundle sign FILE | bundle submit FILE | bundle status";
+
+settings::SettingsTable<CtlSettings> ctlTable() {
+  return {
+      {{"object-api", "", 0, 0, "", "address of the platform's object API"},
+       &CtlSettings::objectApi},
+      {{"routers", "", 0, 0, "", "addresses of routers, separated by commas"},
+       &CtlSettings::routers},
+      {{"signer", "", 0, 0, "", "name of the person who signs"}, &CtlSettings::signer},
+      {{"key-file", "", 0, 0, "", "file with the private key"}, &CtlSettings::keyFile},
+      {{"output", "", 0, 0, "", "file to write; the input where absent"}, &CtlSettings::output},
+      {{"json", "false", 0, 0, "", "print JSON in place of tables"}, &CtlSettings::json},
+  };
+}
+
+Result<std::string> runCommand(const CtlSettings& settings, const std::vector<std::string>& words) {
+  const std::string group = words.empty() ? "" : words[0];
+  const std::string action = words.size() > 1 ? words[1] : "";
+  const std::string file = words.size() > 2 ? words[2] : "";
+  if (group == "key" && action == "make") {
+    return makeKey(settings);
+  }
+  if (group == "bundle" && action == "status") {
+    return bundleStatus(settings);
+  }
+  const bool known = action == "check" || action == "sign" || action == "submit";
+  if (group != "bundle" || !known) {
+    return fail(ErrorKind::kSettingsInvalid, "unknown command; see --help");
+  }
+  if (file.empty()) {
+    return fail(ErrorKind::kSettingsInvalid, "name the bundle's file");
+  }
+  if (action == "check") {
+    return checkBundle(file);
+  }
+  return action == "sign" ? signBundle(settings, file) : submitBundle(settings, file);
+}
+
+}  // namespace
+
+int runCtl(int argc, const char* const* argv) {
+  const auto loaded = settings::loadOrExit(argc, argv, std::string(kSummary), ctlTable(),
+                                           settings::WordsAllowed::kYes);
+  const Result<std::string> outcome = runCommand(loaded.settings, loaded.words);
+  if (outcome) {
+    std::cout << outcome.value();
+    return settings::kExitSuccess;
+  }
+  const ErrorRow& row = errorRow(outcome.error().kind);
+  std::cerr << row.name << ": " << outcome.error().detail << "\n  remedy: " << row.remedy << "\n";
+  return row.kind == ErrorKind::kSettingsInvalid ? settings::kExitUsage : settings::kExitFailure;
+}
+
+}  // namespace calicodrift::ctl
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,234 @@
+#include "http/client.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+
+namespace calicodrift::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using asio::awaitable;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMaxIdleConnections = 64;
+constexpr std::size_t kBodyPieceBytes = 16'384;
+
+/// An idle connection that the other side has closed, or that holds unasked bytes, is readable.
+bool stillUsable(Tcp::socket& socket) {
+  char byte = 0;
+  const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+using StreamPointer = std::shared_ptr<beast::tcp_stream>;
+
+/// Pool of idle connections; outlives the client while responses are being read.
+struct ClientState {
+  explicit ClientState(asio::any_io_executor executor) : executor(std::move(executor)) {}
+
+  StreamPointer takeIdle(const Endpoint& endpoint) {
+    std::vector<StreamPointer>& connections = idle[endpoint];
+    while (!connections.empty()) {
+      StreamPointer stream = connections.back();
+      connections.pop_back();
+      if (stillUsable(stream->socket())) {
+        return stream;
+      }
+    }
+    return nullptr;
+  }
+
+  void giveBack(const Endpoint& endpoint, StreamPointer stream) {
+    std::vector<StreamPointer>& connections = idle[endpoint];
+    if (connections.size() < kMaxIdleConnections) {
+      stream->expires_never();
+      connections.push_back(std::move(stream));
+    }
+  }
+
+  asio::any_io_executor executor;
+  std::map<Endpoint, std::vector<StreamPointer>> idle;
+};
+
+namespace {
+
+class StreamImpl : public ResponseStream {
+ public:
+  StreamImpl(std::shared_ptr<ClientState> state, Endpoint endpoint, StreamPointer stream,
+             ExchangeOptions options)
+      : state_(std::move(state)),
+        endpoint_(std::move(endpoint)),
+        stream_(std::move(stream)),
+        options_(options) {
+    parser_.body_limit(options.maxBodyBytes);
+  }
+
+  ~StreamImpl() override {
+    if (!finished_) {
+      stream_->close();
+    }
+  }
+  StreamImpl(const StreamImpl&) = delete;
+  StreamImpl& operator=(const StreamImpl&) = delete;
+
+  awaitable<Result<void>> readHead() {
+    auto [code, bytes] = co_await bhttp::async_read_header(*stream_, buffer_, parser_, kAwait);
+    if (code == beast::error::timeout) {
+      co_return fail(ErrorKind::kDeadlineExceeded,
+                     "no answer from " + endpoint_.toString() + " in time");
+    }
+    if (code) {
+      co_return fail(ErrorKind::kOutcomeUnknown,
+                     "no answer from " + endpoint_.toString() + ": " + code.message());
+    }
+    head_.status = parser_.get().result_int();
+    for (const auto& field : parser_.get()) {
+      head_.headers.set(std::string(field.name_string()), std::string(field.value()));
+    }
+    co_return boost::outcome_v2::success();
+  }
+
+  const Response& head() const override { return head_; }
+
+  awaitable<Result<std::string>> read() override {
+    while (!parser_.is_done()) {
+      parser_.get().body().data = piece_.data();
+      parser_.get().body().size = piece_.size();
+      stream_->expires_after(options_.bodyTimeout);
+      auto [code, bytes] = co_await bhttp::async_read_some(*stream_, buffer_, parser_, kAwait);
+      if (code == beast::error::timeout) {
+        co_return fail(ErrorKind::kDeadlineExceeded,
+                       "the answer of " + endpoint_.toString() + " paused for too long");
+      }
+      if (code && code != bhttp::error::need_buffer) {
+        co_return fail(ErrorKind::kStreamBroken,
+                       "the answer of " + endpoint_.toString() + " broke off: " + code.message());
+      }
+      const std::size_t length = piece_.size() - parser_.get().body().size;
+      if (length > 0) {
+        co_return std::string(piece_.data(), length);
+      }
+    }
+    finish();
+    co_return std::string();
+  }
+
+  void cancel() override { stream_->close(); }
+
+ private:
+  void finish() {
+    if (finished_) {
+      return;
+    }
+    finished_ = true;
+    if (parser_.get().keep_alive() && buffer_.size() == 0) {
+      state_->giveBack(endpoint_, stream_);
+    } else {
+      stream_->close();
+    }
+  }
+
+  std::shared_ptr<ClientState> state_;
+  Endpoint endpoint_;
+  StreamPointer stream_;
+  ExchangeOptions options_;
+  bhttp::response_parser<bhttp::buffer_body> parser_;
+  beast::flat_buffer buffer_;
+  std::array<char, kBodyPieceBytes> piece_{};
+  Response head_;
+  bool finished_ = false;
+};
+
+awaitable<Result<StreamPointer>> connect(std::shared_ptr<ClientState> state, Endpoint endpoint,
+                                         Milliseconds timeout) {
+  auto stream = std::make_shared<beast::tcp_stream>(state->executor);
+  const Tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+  stream->expires_after(timeout);
+  auto [code] = co_await stream->async_connect(address, kAwait);
+  if (code) {
+    co_return fail(ErrorKind::kConnectFailed,
+                   "cannot connect to " + endpoint.toString() + ": " + code.message());
+  }
+  beast::error_code ignored;
+  stream->socket().set_option(Tcp::no_delay(true), ignored);
+  co_return stream;
+}
+
+bhttp::request<bhttp::string_body> toBeast(const Endpoint& endpoint, Request&& request) {
+  bhttp::request<bhttp::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(bhttp::field::host, endpoint.toString());
+  for (const Header& header : request.headers.all()) {
+    message.set(header.name, header.value);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+Client::Client(asio::any_io_executor executor)
+    : state_(std::make_shared<ClientState>(std::move(executor))) {}
+
+awaitable<Result<std::unique_ptr<ResponseStream>>> Client::open(Endpoint endpoint, Request request,
+                                                                ExchangeOptions options) {
+  const std::shared_ptr<ClientState> state = state_;
+  StreamPointer stream;
+  if (options.connection == ConnectionUse::kPooled) {
+    stream = state->takeIdle(endpoint);
+  }
+  if (!stream) {
+    Result<StreamPointer> connected = co_await connect(state, endpoint, options.connectTimeout);
+    if (!connected) {
+      co_return connected.error();
+    }
+    stream = connected.value();
+  }
+  const auto message = toBeast(endpoint, std::move(request));
+  stream->expires_after(options.headerTimeout);
+  auto [code, bytes] = co_await bhttp::async_write(*stream, message, kAwait);
+  if (code) {
+    co_return fail(ErrorKind::kOutcomeUnknown,
+                   "sending to " + endpoint.toString() + " broke off: " + code.message());
+  }
+  auto response = std::make_unique<StreamImpl>(state, endpoint, stream, options);
+  Result<void> head = co_await response->readHead();
+  if (!head) {
+    co_return head.error();
+  }
+  co_return std::unique_ptr<ResponseStream>(std::move(response));
+}
+
+awaitable<Result<Response>> Client::exchange(Endpoint endpoint, Request request,
+                                             ExchangeOptions options) {
+  auto opened = co_await open(std::move(endpoint), std::move(request), options);
+  if (!opened) {
+    co_return opened.error();
+  }
+  ResponseStream& stream = *opened.value();
+  Response response = stream.head();
+  for (;;) {
+    Result<std::string> piece = co_await stream.read();
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (piece.value().empty()) {
+      co_return response;
+    }
+    response.body += piece.value();
+  }
+}
+
+}  // namespace calicodrift::http
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <string>
+
+#include "common/clock.h"
+#include "common/endpoint.h"
+#include "common/error.h"
+#include "http/message.h"
+
+namespace calicodrift::http {
+
+struct ClientState;
+
+/// Whether a request may go over a connection that was used before. A reused one may turn out to be
+/// closed after the request was written; for a request that must not run twice, only a fresh one
+/// makes a failed connect prove that nothing was sent.
+enum class ConnectionUse { kPooled, kFresh };
+
+struct ExchangeOptions {
+  ConnectionUse connection = ConnectionUse::kPooled;
+  Milliseconds connectTimeout{1000};
+  /// For the response header, from the start of the exchange.
+  Milliseconds headerTimeout{60000};
+  /// Between two pieces of the body.
+  Milliseconds bodyTimeout{60000};
+  std::size_t maxBodyBytes = 67'108'864;
+};
+
+/// A response whose body is still arriving.
+class ResponseStream {
+ public:
+  virtual ~ResponseStream() = default;
+  /// Status and headers; the body is empty.
+  virtual const Response& head() const = 0;
+  /// The next bytes of the body; an empty text is its end. A connection that breaks before the end
+  /// fails with kStreamBroken, a pause longer than bodyTimeout with kDeadlineExceeded.
+  virtual boost::asio::awaitable<Result<std::string>> read() = 0;
+  /// Closes the connection; a pending read() fails. Safe at any time.
+  virtual void cancel() = 0;
+};
+
+/// HTTP/1.1 client with a pool of idle connections for each endpoint. Used on one thread.
+/// Errors: kConnectFailed means that no byte of the request left; kOutcomeUnknown that it may have;
+/// kDeadlineExceeded that the answer's header did not come in time.
+class Client {
+ public:
+  explicit Client(boost::asio::any_io_executor executor);
+
+  /// Sends a request and reads the whole response.
+  boost::asio::awaitable<Result<Response>> exchange(Endpoint endpoint, Request request,
+                                                    ExchangeOptions options = {});
+  /// Sends a request and reads the response's header.
+  boost::asio::awaitable<Result<std::unique_ptr<ResponseStream>>> open(
+      Endpoint endpoint, Request request, ExchangeOptions options = {});
+
+ private:
+  std::shared_ptr<ClientState> state_;
+};
+
+}  // namespace calicodrift::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "common/clock.h"
+#include "common/endpoint.h"
+#include "common/error.h"
+#include "http/message.h"
+
+namespace calicodrift::http {
+
+/// Bounds that keep one caller from harming the process.
+struct ServerLimits {
+  std::size_t maxHeaderBytes = 16'384;
+  std::size_t maxBodyBytes = 8'388'608;
+  std::size_t maxConnections = 10000;
+  /// For the whole request once its first byte has come.
+  Milliseconds readTimeout{30000};
+  /// Between requests on one connection.
+  Milliseconds idleTimeout{60000};
+  /// For each write; a caller that reads more slowly is cut off.
+  Milliseconds writeTimeout{30000};
+};
+
+/// The answering side of one request. A handler calls either send() once, or startStream(),
+/// writeChunk() any number of times and endStream(). All of them fail with kCallerGone after the
+/// caller has left.
+class ResponseWriter {
+ public:
+  virtual ~ResponseWriter() = default;
+  virtual boost::asio::awaitable<Result<void>> send(Response response) = 0;
+  /// Sends status and headers; the body follows in chunks. `response.body` is ignored.
+  virtual boost::asio::awaitable<Result<void>> startStream(Response response) = 0;
+  /// Returns once the socket has taken the bytes, so that a slow caller slows its back end.
+  virtual boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) = 0;
+  virtual boost::asio::awaitable<Result<void>> endStream() = 0;
+  /// Closes the connection without an end mark, so that the caller sees an incomplete body.
+  virtual void abort() = 0;
+  /// Called at most once, when the caller closes its connection before the answer is complete.
+  virtual void onCallerGone(std::function<void()> callback) = 0;
+  virtual bool callerGone() const = 0;
+  virtual bool streamStarted() const = 0;
+};
+
+/// Writes the last chunk and the end mark, for a caller who may have gone meanwhile.
+boost::asio::awaitable<void> closeStream(ResponseWriter& writer, std::string lastChunk);
+
+/// Sends a whole response. A caller that has gone needs no answer, so nothing is reported back.
+boost::asio::awaitable<void> respond(ResponseWriter& writer, Response response);
+
+using Handler = std::function<boost::asio::awaitable<void>(Request&, ResponseWriter&)>;
+
+struct ServerState;
+
+/// HTTP/1.1 server on one executor; a coroutine per connection. All members are called on the
+/// executor's one thread.
+class Server {
+ public:
+  Server(const boost::asio::any_io_executor& executor, ServerLimits limits, Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// Starts to accept; port 0 lets the system choose. Fails with kSettingsInvalid where the address
+  /// can't be bound.
+  Result<Endpoint> listen(const Endpoint& endpoint);
+  /// Stops accepting. Open connections go on, and close after their next answer.
+  void stopAccepting();
+  /// Requests that a handler is working on.
+  std::size_t activeRequests() const;
+  std::size_t openConnections() const;
+
+ private:
+  std::shared_ptr<ServerState> state_;
+};
+
+}  // namespace calicodrift::http
--- /dev/null
+++ b/src/router/backend_table.cc
@@ -0,0 +1,149 @@
+#include "router/backend_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace calicodrift::router {
+
+std::string_view toString(BackendLoss loss) {
+  switch (loss) {
+    case BackendLoss::kRemoved:
+      return "removed";
+    case BackendLoss::kLeaving:
+      return "leaving";
+    case BackendLoss::kUnreachable:
+      return "unreachable";
+    case BackendLoss::kRestarted:
+      return "restarted";
+  }
+  return "unreachable";
+}
+
+void BackendTable::applyMachineList(const std::vector<platform::Machine>& machines) {
+  std::set<BackendId> listed;
+  for (const platform::Machine& machine : machines) {
+    listed.insert(machine.id);
+    Backend& backend = backends_[machine.id];
+    const bool wasLeaving = backend.machine.terminating;
+    if (backend.machine.endpoint != machine.endpoint) {
+      // Another process: nothing is known of it until it was probed.
+      backend.alive = false;
+    }
+    backend.machine = machine;
+    if (machine.terminating && !wasLeaving) {
+      listener_(machine.id, BackendLoss::kLeaving);
+    }
+  }
+  std::vector<BackendId> removed;
+  for (const auto& entry : backends_) {
+    if (!listed.contains(entry.first)) {
+      removed.push_back(entry.first);
+    }
+  }
+  for (const BackendId& id : removed) {
+    backends_.erase(id);
+    listener_(id, BackendLoss::kRemoved);
+  }
+}
+
+void BackendTable::applyProbe(const BackendId& id, const ProbeResult& result) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return;
+  }
+  Backend& backend = found->second;
+  const bool known = backend.incarnation != Incarnation();
+  if (known && backend.incarnation != result.incarnation) {
+    listener_(id, BackendLoss::kRestarted);
+  }
+  backend.incarnation = result.incarnation;
+  backend.weights = result.weights;
+  backend.reportedRequests = result.reportedRequests;
+  backend.alive = true;
+}
+
+void BackendTable::applyProbeFailure(const BackendId& id) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.alive) {
+    found->second.alive = false;
+    listener_(id, BackendLoss::kUnreachable);
+  }
+}
+
+std::vector<platform::Machine> BackendTable::machines() const {
+  std::vector<platform::Machine> all;
+  all.reserve(backends_.size());
+  for (const auto& entry : backends_) {
+    all.push_back(entry.second.machine);
+  }
+  return all;
+}
+
+routing::Candidates BackendTable::engines(const ModelId& model, WeightsVersion weights) const {
+  routing::Candidates candidates;
+  for (const auto& entry : backends_) {
+    const Backend& backend = entry.second;
+    if (usable(backend) && backend.machine.kind == platform::MachineKind::kEngine &&
+        backend.machine.serves == model.value() && backend.weights == weights) {
+      candidates.push_back(toCandidate(backend));
+    }
+  }
+  return candidates;
+}
+
+routing::Candidates BackendTable::services(std::string_view service) const {
+  routing::Candidates candidates;
+  for (const auto& entry : backends_) {
+    const Backend& backend = entry.second;
+    if (usable(backend) && backend.machine.kind == platform::MachineKind::kService &&
+        backend.machine.serves == service) {
+      candidates.push_back(toCandidate(backend));
+    }
+  }
+  return candidates;
+}
+
+std::optional<Endpoint> BackendTable::endpointOf(const BackendId& id) const {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return std::nullopt;
+  }
+  return found->second.machine.endpoint;
+}
+
+void BackendTable::addOutstanding(const BackendId& id, std::size_t tokens) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    ++found->second.outstanding;
+    found->second.outstandingTokens += tokens;
+  }
+}
+
+void BackendTable::removeOutstanding(const BackendId& id, std::size_t tokens) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.outstanding > 0) {
+    --found->second.outstanding;
+    found->second.outstandingTokens -= std::min(found->second.outstandingTokens, tokens);
+  }
+}
+
+bool BackendTable::usable(const Backend& backend) {
+  return backend.alive && backend.machine.ready && backend.machine.serving &&
+         !backend.machine.terminating;
+}
+
+routing::Candidate BackendTable::toCandidate(const Backend& backend) const {
+  return {backend.machine.id,  backend.incarnation,       backend.weights,
+          backend.outstanding, backend.outstandingTokens, backend.reportedRequests};
+}
+
+OutstandingGuard::OutstandingGuard(BackendTable& table, BackendId id, std::size_t tokens)
+    : table_(table), id_(std::move(id)), tokens_(tokens) {
+  table_.addOutstanding(id_, tokens_);
+}
+
+OutstandingGuard::~OutstandingGuard() {
+  table_.removeOutstanding(id_, tokens_);
+}
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/backend_table.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/ids.h"
+#include "platform/machine.h"
+#include "routing/policy.h"
+
+namespace calicodrift::router {
+
+/// What a probe of a back end found.
+struct ProbeResult {
+  Incarnation incarnation;
+  WeightsVersion weights;
+  std::size_t reportedRequests = 0;
+};
+
+/// Why a back end stopped being usable.
+enum class BackendLoss { kRemoved, kLeaving, kUnreachable, kRestarted };
+std::string_view toString(BackendLoss loss);
+
+/// The back ends that this node knows, from the lagging machine list, its own probes and what its
+/// requests met. A back end is usable while every source agrees; whichever source first says that
+/// it is leaving or gone takes it out of the candidates.
+class BackendTable {
+ public:
+  using LossListener = std::function<void(const BackendId&, BackendLoss)>;
+
+  /// @param listener called once for each loss, before any later choice of a candidate.
+  explicit BackendTable(LossListener listener) : listener_(std::move(listener)) {}
+
+  void applyMachineList(const std::vector<platform::Machine>& machines);
+  /// Invariant: beliefs never outlive an incarnation, as a change of it is reported as a loss.
+  void applyProbe(const BackendId& id, const ProbeResult& result);
+  void applyProbeFailure(const BackendId& id);
+  /// A request found that nothing listens there; the next good probe brings it back.
+  void markUnreachable(const BackendId& id) { applyProbeFailure(id); }
+
+  /// Every machine to probe, usable or not.
+  std::vector<platform::Machine> machines() const;
+  /// Usable engines of the model whose weights are at `weights`.
+  routing::Candidates engines(const ModelId& model, WeightsVersion weights) const;
+  /// Usable back ends of an ordinary service.
+  routing::Candidates services(std::string_view service) const;
+  std::optional<Endpoint> endpointOf(const BackendId& id) const;
+
+  void addOutstanding(const BackendId& id, std::size_t tokens);
+  void removeOutstanding(const BackendId& id, std::size_t tokens);
+
+ private:
+  struct Backend {
+    platform::Machine machine;
+    Incarnation incarnation;
+    WeightsVersion weights;
+    bool alive = false;
+    std::size_t outstanding = 0;
+    std::size_t outstandingTokens = 0;
+    std::size_t reportedRequests = 0;
+  };
+
+  static bool usable(const Backend& backend);
+  routing::Candidate toCandidate(const Backend& backend) const;
+
+  LossListener listener_;
+  std::map<BackendId, Backend> backends_;
+};
+
+/// Counts a dispatch as outstanding for as long as it lives.
+class OutstandingGuard {
+ public:
+  OutstandingGuard(BackendTable& table, BackendId id, std::size_t tokens);
+  ~OutstandingGuard();
+  OutstandingGuard(const OutstandingGuard&) = delete;
+  OutstandingGuard& operator=(const OutstandingGuard&) = delete;
+
+ private:
+  BackendTable& table_;
+  BackendId id_;
+  std::size_t tokens_;
+};
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/completion_handler.cc
@@ -0,0 +1,190 @@
+#include "router/completion_handler.h"
+
+#include <algorithm>
+
+namespace calicodrift::router {
+namespace {
+
+using boost::asio::awaitable;
+
+std::string pathOf(openai::CompletionKind kind) {
+  return kind == openai::CompletionKind::kChat ? "/v1/chat/completions" : "/v1/completions";
+}
+
+routing::RouteRequest toRouteRequest(const Caller& caller, const bundle::Model& model,
+                                     const openai::CompletionRequest& completion) {
+  constexpr std::size_t kBytesPerToken = 4;
+  routing::RouteRequest request;
+  request.tenant = caller.tenant->id;
+  request.model = model.id;
+  request.priority = caller.priority;
+  const CacheScope scope{caller.tenant->id, model.id, model.weights, completion.adapter};
+  request.blocks =
+      chainHashes(scope, completion.prompt, static_cast<std::size_t>(model.blockBytes));
+  request.promptTokens = completion.prompt.size() / kBytesPerToken;
+  request.outputTokens = completion.maxTokens;
+  return request;
+}
+
+Result<const bundle::Model*> findModel(const bundle::Bundle& bundle,
+                                       const openai::CompletionRequest& completion) {
+  const bundle::Model* model = bundle.findModel(completion.model);
+  if (model == nullptr) {
+    return fail(ErrorKind::kUnknownModel, "no model '" + completion.model.value() + "'");
+  }
+  if (completion.prompt.size() > static_cast<std::size_t>(model->maxPromptBytes)) {
+    return fail(ErrorKind::kPromptTooLong,
+                "the prompt has " + std::to_string(completion.prompt.size()) +
+                    " bytes; the model takes " + std::to_string(model->maxPromptBytes));
+  }
+  return model;
+}
+
+}  // namespace
+
+struct CompletionHandler::Job {
+  Job(const Caller& caller, const openai::CompletionRequest& completion, const bundle::Model& model,
+      const http::Request& request, http::ResponseWriter& writer)
+      : caller(caller),
+        request(request),
+        path(pathOf(completion.kind)),
+        writer(writer),
+        route(toRouteRequest(caller, model, completion)),
+        weights(model.weights),
+        sink(caller, completion, writer) {}
+
+  const Caller& caller;
+  const http::Request& request;
+  std::string path;
+  http::ResponseWriter& writer;
+  routing::RouteRequest route;
+  WeightsVersion weights;
+  AnswerSink sink;
+  std::uint32_t attempts = 0;
+  std::string policyName;
+  /// Back ends that already failed this request.
+  std::vector<BackendId> avoided;
+};
+
+awaitable<void> CompletionHandler::handle(std::shared_ptr<const bundle::Bundle> bundle,
+                                          openai::CompletionKind kind, const http::Request& request,
+                                          http::ResponseWriter& writer) {
+  Result<Caller> caller = readCaller(*bundle, request, context_.settings.defaultDeadline);
+  if (!caller) {
+    context_.metrics.countError(caller.error().kind);
+    co_await http::respond(writer, http::errorResponse(caller.error()));
+    co_return;
+  }
+  Result<openai::CompletionRequest> completion = openai::parseCompletion(kind, request.body);
+  Result<const bundle::Model*> model =
+      completion ? findModel(*bundle, completion.value()) : completion.error();
+  if (!model) {
+    context_.metrics.countError(model.error().kind);
+    http::Response response = http::errorResponse(model.error());
+    response.headers.set(http::kRequestIdHeader, caller.value().requestId.value());
+    co_await http::respond(writer, std::move(response));
+    co_return;
+  }
+  context_.metrics.countRequest(caller.value().tenant->id.value(), caller.value().priority);
+  Job job(caller.value(), completion.value(), *model.value(), request, writer);
+  job.policyName = context_.policies.policyFor(*bundle, job.route).name();
+  Result<void> done = co_await dispatchUntilDone(job);
+  if (done) {
+    done = co_await job.sink.finish();
+    recordCompletion(job);
+  }
+  if (!done) {
+    context_.metrics.countError(done.error().kind);
+    co_await job.sink.finishWithError(done.error());
+  }
+}
+
+awaitable<Result<void>> CompletionHandler::dispatchUntilDone(Job& job) {
+  for (;;) {
+    const bool resumed = job.sink.hasTokens();
+    Result<void> outcome = co_await dispatchOnce(job);
+    if (outcome || !mayRetry(job, outcome.error())) {
+      co_return outcome;
+    }
+    context_.metrics.countRetry(errorRow(outcome.error().kind).name);
+    if (job.sink.hasTokens() && !resumed) {
+      context_.metrics.countResume();
+    }
+  }
+}
+
+awaitable<Result<void>> CompletionHandler::dispatchOnce(Job& job) {
+  routing::Candidates candidates = context_.backends.engines(job.route.model, job.weights);
+  const auto wasTried = [&job](const routing::Candidate& candidate) {
+    return std::find(job.avoided.begin(), job.avoided.end(), candidate.id) != job.avoided.end();
+  };
+  if (!std::all_of(candidates.begin(), candidates.end(), wasTried)) {
+    std::erase_if(candidates, wasTried);
+  }
+  if (candidates.empty()) {
+    co_return fail(ErrorKind::kNoBackend, "no usable engine has this model and version");
+  }
+  routing::Policy& policy = context_.policies.policyNamed(job.policyName);
+  const routing::Choice choice = policy.choose(job.route, candidates, monotonicNow());
+  const routing::Candidate& backend = candidates[choice.index];
+  const std::optional<Endpoint> endpoint = context_.backends.endpointOf(backend.id);
+  if (!endpoint) {
+    co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
+  }
+  ++job.attempts;
+  job.avoided.push_back(backend.id);
+  policy.onDispatched(job.route, backend, monotonicNow());
+  context_.metrics.countDispatch(job.policyName);
+
+  const EngineDispatch dispatch{job.caller,     job.path,  job.request.body,
+                                backend,        *endpoint, Attempt(job.attempts),
+                                optionsFor(job)};
+  const OutstandingGuard outstanding(context_.backends, backend.id,
+                                     job.route.promptTokens + job.route.outputTokens);
+  auto attempt = std::make_shared<EngineAttempt>(context_.client, job.sink);
+  job.writer.onCallerGone([attempt] { attempt->cancel(); });
+  Result<void> outcome = co_await attempt->run(dispatch);
+  job.writer.onCallerGone(nullptr);
+  if (job.writer.callerGone()) {
+    co_return fail(ErrorKind::kCallerGone, "the caller left");
+  }
+  if (!outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
+    context_.backends.markUnreachable(backend.id);
+  }
+  co_return outcome;
+}
+
+bool CompletionHandler::mayRetry(const Job& job, const Error& error) const {
+  if (error.kind == ErrorKind::kCallerGone || error.kind == ErrorKind::kNoBackend) {
+    return false;
+  }
+  const bool attemptsLeft = job.attempts < context_.settings.maxAttempts;
+  const bool timeLeft = monotonicNow() < job.caller.deadline;
+  const bool harmless = !job.caller.notRepeatable || errorRow(error.kind).run == RunStatement::kNo;
+  return attemptsLeft && timeLeft && harmless;
+}
+
+http::ExchangeOptions CompletionHandler::optionsFor(const Job& job) const {
+  const auto left = std::chrono::duration_cast<Milliseconds>(job.caller.deadline - monotonicNow());
+  const Milliseconds bounded = std::max(left, Milliseconds(1));
+  http::ExchangeOptions options;
+  options.connection =
+      job.caller.notRepeatable ? http::ConnectionUse::kFresh : http::ConnectionUse::kPooled;
+  options.connectTimeout = std::min(context_.settings.connectTimeout, bounded);
+  options.headerTimeout = std::min(context_.settings.engineHeaderTimeout, bounded);
+  options.bodyTimeout = std::min(context_.settings.engineTokenTimeout, bounded);
+  return options;
+}
+
+void CompletionHandler::recordCompletion(const Job& job) {
+  const openai::Usage& usage = job.sink.usage();
+  context_.metrics.countTokens(job.policyName, usage.promptTokens, usage.cachedTokens,
+                               usage.completionTokens);
+  if (const auto firstToken = job.sink.firstTokenTime()) {
+    const std::chrono::duration<double> delay = *firstToken - job.caller.received;
+    context_.metrics.observeFirstToken(job.caller.tenant->id.value(), job.caller.priority,
+                                       delay.count());
+  }
+}
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/completion_handler.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+#include "http/server.h"
+#include "openai/completion.h"
+#include "router/answer_sink.h"
+#include "router/caller.h"
+#include "router/engine_attempt.h"
+#include "router/route_context.h"
+
+namespace calicodrift::router {
+
+/// Serves completions: checks the request, chooses an engine, and tries again elsewhere, from the
+/// next token, when an engine fails.
+class CompletionHandler {
+ public:
+  explicit CompletionHandler(RouteContext& context) : context_(context) {}
+
+  /// Answers the request, in every case.
+  /// @param bundle stays in force for this request even when a newer one is adopted meanwhile.
+  boost::asio::awaitable<void> handle(std::shared_ptr<const bundle::Bundle> bundle,
+                                      openai::CompletionKind kind, const http::Request& request,
+                                      http::ResponseWriter& writer);
+
+ private:
+  /// State of one request over its attempts.
+  struct Job;
+
+  boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
+  boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  bool mayRetry(const Job& job, const Error& error) const;
+  http::ExchangeOptions optionsFor(const Job& job) const;
+  void recordCompletion(const Job& job);
+
+  RouteContext& context_;
+};
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/discovery.cc
@@ -0,0 +1,108 @@
+#include "router/discovery.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+namespace calicodrift::router {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::awaitable;
+
+std::uint64_t numberAt(const json::object& object, std::string_view key) {
+  const json::value* value = object.if_contains(key);
+  if (value == nullptr) {
+    return 0;
+  }
+  return value->is_uint64()  ? value->get_uint64()
+         : value->is_int64() ? static_cast<std::uint64_t>(value->get_int64())
+                             : 0;
+}
+
+Result<ProbeResult> parseProbe(const http::Response& response) {
+  json::error_code code;
+  const json::value document = json::parse(response.body, code);
+  if (response.status != 200 || code || !document.is_object()) {
+    return fail(ErrorKind::kProtocolViolation, "the probe's answer is no health report");
+  }
+  const json::object& object = document.get_object();
+  ProbeResult result;
+  result.incarnation = Incarnation(numberAt(object, "incarnation"));
+  result.weights = WeightsVersion(numberAt(object, "weights_version"));
+  result.reportedRequests = numberAt(object, "waiting") + numberAt(object, "running");
+  return result;
+}
+
+awaitable<void> pause(Milliseconds duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace
+
+Discovery::Discovery(asio::any_io_executor executor, const NodeSettings& settings,
+                     http::Client& client, BackendTable& table)
+    : executor_(std::move(executor)), settings_(settings), client_(client), table_(table) {}
+
+void Discovery::start() {
+  asio::co_spawn(executor_, readMachineLists(), asio::detached);
+  asio::co_spawn(executor_, probeAll(), asio::detached);
+}
+
+awaitable<void> Discovery::readMachineLists() {
+  http::ExchangeOptions options;
+  options.connectTimeout = settings_.connectTimeout;
+  options.headerTimeout = settings_.machineListInterval + settings_.probeTimeout;
+  for (;;) {
+    for (const Endpoint& endpoint : settings_.machineList) {
+      http::Request request;
+      request.target = "/machines";
+      Result<http::Response> response = co_await client_.exchange(endpoint, request, options);
+      if (!response || response.value().status != 200) {
+        continue;
+      }
+      Result<std::vector<platform::Machine>> machines =
+          platform::machinesFromJson(response.value().body);
+      if (machines) {
+        table_.applyMachineList(machines.value());
+        break;
+      }
+    }
+    co_await pause(settings_.machineListInterval);
+  }
+}
+
+awaitable<void> Discovery::probeAll() {
+  for (;;) {
+    for (const platform::Machine& machine : table_.machines()) {
+      if (probing_.insert(machine.id).second) {
+        asio::co_spawn(executor_, probe(machine), asio::detached);
+      }
+    }
+    co_await pause(settings_.probeInterval);
+  }
+}
+
+awaitable<void> Discovery::probe(platform::Machine machine) {
+  http::Request request;
+  request.target = "/health";
+  http::ExchangeOptions options;
+  options.connectTimeout = settings_.probeTimeout;
+  options.headerTimeout = settings_.probeTimeout;
+  options.bodyTimeout = settings_.probeTimeout;
+  Result<http::Response> response = co_await client_.exchange(machine.endpoint, request, options);
+  probing_.erase(machine.id);
+  if (!response) {
+    table_.applyProbeFailure(machine.id);
+    co_return;
+  }
+  const Result<ProbeResult> result = parseProbe(response.value());
+  if (result) {
+    table_.applyProbe(machine.id, result.value());
+  } else {
+    table_.applyProbeFailure(machine.id);
+  }
+}
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/node.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "peer/udp_transport.h"
+#include "router/backend_table.h"
+#include "router/bundle_holder.h"
+#include "router/completion_handler.h"
+#include "router/discovery.h"
+#include "router/metrics.h"
+#include "router/node_settings.h"
+#include "router/policy_set.h"
+#include "router/route_context.h"
+#include "router/service_handler.h"
+
+namespace calicodrift::router {
+
+/// One router node: wires the parts together and answers every path. Everything runs on the one
+/// thread of `context`, so that no part needs a lock.
+class Node {
+ public:
+  Node(boost::asio::io_context& context, NodeSettings settings, bundle::SigningRule signingRule);
+
+  /// Starts to serve. Fails with kSettingsInvalid where the address can't be bound.
+  Result<Endpoint> start();
+  /// UDP address of the peer transport; valid after start().
+  const Endpoint& peerEndpoint() const { return peerEndpoint_; }
+  /// Planned stop: refuses new work at once, lets running requests end, then stops the context.
+  void drain();
+
+ private:
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<void> handleWork(http::Request& request, http::ResponseWriter& writer);
+  /// Health, readiness, metrics and status.
+  http::Response handleAdmin(const http::Request& request);
+  http::Response readiness() const;
+  http::Response bundleStatus() const;
+  http::Response listModels() const;
+  boost::asio::awaitable<void> pollStore();
+  boost::asio::awaitable<void> waitForLastRequest();
+  void onBundleAdopted(const bundle::Bundle& bundle);
+  void onBackendLost(const BackendId& backend, BackendLoss loss);
+
+  boost::asio::io_context& context_;
+  NodeSettings settings_;
+  prometheus::Registry registry_;
+  RouterMetrics metrics_;
+  http::Client client_;
+  peer::UdpTransport peers_;
+  Endpoint peerEndpoint_;
+  PolicySet policies_;
+  BackendTable backends_;
+  BundleHolder bundle_;
+  Discovery discovery_;
+  RouteContext route_;
+  CompletionHandler completions_;
+  ServiceHandler services_;
+  http::Server server_;
+  bool draining_ = false;
+};
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/node_settings.cc
@@ -0,0 +1,68 @@
+#include "router/node_settings.h"
+
+namespace calicodrift::router {
+namespace {
+
+constexpr std::int64_t kMinuteMs = 60'000;
+constexpr std::int64_t kHourMs = 60 * kMinuteMs;
+constexpr std::int64_t kGigabyte = 1'000'000'000;
+
+}  // namespace
+
+const settings::SettingsTable<NodeSettings>& nodeSettingsTable() {
+  using N = NodeSettings;
+  static const settings::SettingsTable<NodeSettings> table{
+      {{"node-id", "router-1", 0, 0, "", "name of this node; the same after a restart"},
+       &N::nodeId},
+      {{"zone", "z1", 0, 0, "", "zone that this node stands in"}, &N::zone},
+      {{"region", "r1", 0, 0, "", "region that the zone belongs to"}, &N::region},
+      {{"listen", "127.0.0.1:8080", 0, 0, "", "address for callers; port 0 lets the system choose"},
+       &N::listen},
+      {{"peer-listen", "127.0.0.1:0", 0, 0, "",
+        "UDP address for other nodes; port 0: system's choice"},
+       &N::peerListen},
+      {{"seeds", "", 0, 0, "", "UDP addresses of some other nodes, to join the fleet by"},
+       &N::seeds},
+      {{"object-api", "", 0, 0, "", "address of the platform's object API"}, &N::objectApi},
+      {{"machine-list", "", 0, 0, "", "address of the platform's machine list"}, &N::machineList},
+      {{"trusted-signers", "", 0, 0, "", "NAME=PUBLIC_KEY_HEX of each person who may sign bundles"},
+       &N::trustedSigners},
+      {{"required-signatures", "2", 1, 16, "count", "different trusted signers a bundle needs"},
+       &N::requiredSignatures},
+      {{"store-poll-interval-ms", "1000", 10, kMinuteMs, "ms", "pause between reads of the store"},
+       &N::storePollInterval},
+      {{"machine-list-interval-ms", "500", 10, kMinuteMs, "ms", "pause between list reads"},
+       &N::machineListInterval},
+      {{"probe-interval-ms", "250", 10, kMinuteMs, "ms", "pause between probes of a back end"},
+       &N::probeInterval},
+      {{"probe-timeout-ms", "500", 10, kMinuteMs, "ms", "a probe without answer fails after this"},
+       &N::probeTimeout},
+      {{"connect-timeout-ms", "1000", 10, kMinuteMs, "ms", "for a connection to a back end"},
+       &N::connectTimeout},
+      {{"engine-header-timeout-ms", "60000", 10, kHourMs, "ms", "for the header of an answer"},
+       &N::engineHeaderTimeout},
+      {{"engine-token-timeout-ms", "30000", 10, kHourMs, "ms", "between two tokens of an engine"},
+       &N::engineTokenTimeout},
+      {{"default-deadline-ms", "300000", 10, kHourMs, "ms",
+        "deadline of a request that names none"},
+       &N::defaultDeadline},
+      {{"max-attempts", "3", 1, 10, "count", "dispatches of one repeatable request"},
+       &N::maxAttempts},
+      {{"max-body-bytes", "8388608", 1024, kGigabyte, "bytes", "largest request body"},
+       &N::maxBodyBytes},
+      {{"max-header-bytes", "16384", 1024, 1'048'576, "bytes", "largest request header"},
+       &N::maxHeaderBytes},
+      {{"max-connections", "10000", 1, 1'000'000, "count", "open caller connections"},
+       &N::maxConnections},
+      {{"read-timeout-ms", "30000", 10, kHourMs, "ms", "for a whole request to arrive"},
+       &N::readTimeout},
+      {{"idle-timeout-ms", "60000", 10, kHourMs, "ms", "between requests of a connection"},
+       &N::idleTimeout},
+      {{"write-timeout-ms", "30000", 10, kHourMs, "ms", "for a slow caller to take bytes"},
+       &N::writeTimeout},
+      {{"drain-timeout-ms", "600000", 10, kHourMs, "ms", "longest planned stop"}, &N::drainTimeout},
+  };
+  return table;
+}
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/router/service_handler.cc
@@ -0,0 +1,124 @@
+#include "router/service_handler.h"
+
+#include <algorithm>
+
+#include "routing/least_outstanding.h"
+
+namespace calicodrift::router {
+namespace {
+
+using boost::asio::awaitable;
+
+bool readOnly(const http::Request& request) {
+  return request.method == "GET" || request.method == "HEAD";
+}
+
+http::Request toServiceRequest(const Caller& caller, const http::Request& request,
+                               Attempt attempt) {
+  http::Request forwarded = request;
+  forwarded.headers = {};
+  for (const http::Header& header : request.headers.all()) {
+    // Hop-by-hop fields and the caller's key stay here.
+    const bool kept = header.name != "Authorization" && header.name != "Connection" &&
+                      header.name != "Transfer-Encoding" && header.name != "Content-Length" &&
+                      header.name != "Host" && header.name != "Expect";
+    if (kept) {
+      forwarded.headers.set(header.name, header.value);
+    }
+  }
+  forwarded.headers.set(http::kRequestIdHeader, caller.requestId.value());
+  forwarded.headers.set(http::kAttemptHeader, std::to_string(attempt.value()));
+  forwarded.headers.set("X-Tenant", caller.tenant->id.value());
+  return forwarded;
+}
+
+}  // namespace
+
+awaitable<void> ServiceHandler::handle(std::shared_ptr<const bundle::Bundle> bundle,
+                                       const bundle::Service& service, const http::Request& request,
+                                       http::ResponseWriter& writer) {
+  Result<Caller> caller = readCaller(*bundle, request, context_.settings.defaultDeadline);
+  if (!caller) {
+    context_.metrics.countError(caller.error().kind);
+    co_await http::respond(writer, http::errorResponse(caller.error()));
+    co_return;
+  }
+  if (!request.headers.find(http::kNotRepeatableHeader)) {
+    caller.value().notRepeatable = !readOnly(request);
+  }
+  context_.metrics.countRequest(caller.value().tenant->id.value(), caller.value().priority);
+  Result<http::Response> answer = co_await dispatchUntilDone(service, caller.value(), request);
+  http::Response response =
+      answer ? std::move(answer.value()) : http::errorResponse(answer.error());
+  if (!answer) {
+    context_.metrics.countError(answer.error().kind);
+  }
+  response.headers.set(http::kRequestIdHeader, caller.value().requestId.value());
+  co_await http::respond(writer, std::move(response));
+}
+
+awaitable<Result<http::Response>> ServiceHandler::dispatchUntilDone(const bundle::Service& service,
+                                                                    const Caller& caller,
+                                                                    const http::Request& request) {
+  routing::Policy& policy =
+      context_.policies.policyNamed(std::string(routing::LeastOutstanding::kName));
+  for (std::uint32_t attempt = 1;; ++attempt) {
+    const routing::Candidates candidates = context_.backends.services(service.name);
+    if (candidates.empty()) {
+      co_return fail(ErrorKind::kNoBackend, "no usable server of '" + service.name + "'");
+    }
+    const routing::Choice choice = policy.choose({}, candidates, monotonicNow());
+    Result<http::Response> answer =
+        co_await dispatchOnce(candidates[choice.index], caller, request, Attempt(attempt));
+    if (answer) {
+      co_return answer;
+    }
+    const bool harmless =
+        !caller.notRepeatable || errorRow(answer.error().kind).run == RunStatement::kNo;
+    const bool timeLeft = monotonicNow() < caller.deadline;
+    if (!harmless || !timeLeft || attempt >= context_.settings.maxAttempts) {
+      co_return answer;
+    }
+    context_.metrics.countRetry(errorRow(answer.error().kind).name);
+  }
+}
+
+awaitable<Result<http::Response>> ServiceHandler::dispatchOnce(const routing::Candidate& backend,
+                                                               const Caller& caller,
+                                                               const http::Request& request,
+                                                               Attempt attempt) {
+  const std::optional<Endpoint> endpoint = context_.backends.endpointOf(backend.id);
+  if (!endpoint) {
+    co_return fail(ErrorKind::kNoBackend, "the chosen server has left");
+  }
+  const auto left = std::chrono::duration_cast<Milliseconds>(caller.deadline - monotonicNow());
+  const Milliseconds bounded = std::max(left, Milliseconds(1));
+  http::ExchangeOptions options;
+  options.connection =
+      caller.notRepeatable ? http::ConnectionUse::kFresh : http::ConnectionUse::kPooled;
+  options.connectTimeout = std::min(context_.settings.connectTimeout, bounded);
+  options.headerTimeout = bounded;
+  options.bodyTimeout = bounded;
+  const OutstandingGuard outstanding(context_.backends, backend.id, 1);
+  http::Request forwarded = toServiceRequest(caller, request, attempt);
+  Result<http::Response> answer =
+      co_await context_.client.exchange(*endpoint, std::move(forwarded), options);
+  if (!answer) {
+    if (answer.error().kind == ErrorKind::kConnectFailed) {
+      context_.backends.markUnreachable(backend.id);
+    }
+    co_return answer.error();
+  }
+  const http::HeaderList& headers = answer.value().headers;
+  if (headers.get(http::kRequestIdHeader) != caller.requestId.value() ||
+      headers.get(http::kAttemptHeader) != std::to_string(attempt.value())) {
+    co_return fail(ErrorKind::kProtocolViolation, "the answer belongs to another request");
+  }
+  http::Response response{answer.value().status, {}, std::move(answer.value().body)};
+  response.headers.set("Content-Type", headers.get("Content-Type"));
+  response.headers.set(http::kBackendHeader, backend.id.value());
+  response.headers.set(http::kRunHeader, std::string(toString(RunStatement::kYes)));
+  co_return response;
+}
+
+}  // namespace calicodrift::router
--- /dev/null
+++ b/src/routing/least_outstanding.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "routing/policy.h"
+
+namespace calicodrift::routing {
+
+/// Takes the back end with the fewest outstanding tokens of this router and, among equals, the
+/// fewest reported requests; ties are broken at random so that routers don't move together.
+class LeastOutstanding : public Policy {
+ public:
+  static constexpr std::string_view kName = "LeastOutstanding";
+  explicit LeastOutstanding(std::uint64_t seed) : random_(seed) {}
+  std::string_view name() const override { return kName; }
+  Choice choose(const RouteRequest& request, const Candidates& candidates,
+                MonotonicTime now) override;
+
+ private:
+  Random random_;
+};
+
+}  // namespace calicodrift::routing
--- /dev/null
+++ b/src/routing/round_robin.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "routing/policy.h"
+
+namespace calicodrift::routing {
+
+/// Takes the back ends in turn, without regard to load or cache. The baseline.
+class RoundRobin : public Policy {
+ public:
+  static constexpr std::string_view kName = "RoundRobin";
+  std::string_view name() const override { return kName; }
+  Choice choose(const RouteRequest& request, const Candidates& candidates,
+                MonotonicTime now) override;
+
+ private:
+  std::size_t next_ = 0;
+};
+
+}  // namespace calicodrift::routing
--- /dev/null
+++ b/src/sim/engine_server.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "http/server.h"
+#include "openai/completion.h"
+#include "sim/engine_model.h"
+
+namespace calicodrift::sim {
+
+struct EngineServerSettings {
+  BackendId id;
+  ModelId model;
+  WeightsVersion weights{1};
+  Incarnation incarnation;
+  std::size_t blockBytes = 2048;
+  std::size_t bytesPerToken = 4;
+  EngineModelSettings cost;
+};
+
+/// Stand-in of a model engine behind HTTP: the engine model in wall-clock time.
+/// POST /v1/chat/completions and /v1/completions generate; GET /health reports state and load.
+class EngineServer {
+ public:
+  EngineServer(boost::asio::io_context& context, EngineServerSettings settings);
+  Result<Endpoint> listen(const Endpoint& endpoint);
+
+ private:
+  /// Tokens on their way from the step loop to the handler of one request.
+  struct Generation {
+    explicit Generation(boost::asio::io_context& context) : wake(context) {}
+    boost::asio::steady_timer wake;
+    std::deque<TokenEvent> tokens;
+    bool callerGone = false;
+  };
+
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<void> complete(openai::CompletionKind kind, http::Request& request,
+                                        http::ResponseWriter& writer);
+  boost::asio::awaitable<void> generate(const openai::CompletionRequest& completion,
+                                        const http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<TokenEvent> nextToken(Generation& generation);
+  boost::asio::awaitable<void> runSteps();
+  void deliver(const std::vector<TokenEvent>& tokens);
+  EngineRequest toEngineRequest(const openai::CompletionRequest& completion,
+                                const http::Request& request);
+  /// Refuses a request that was routed by outdated beliefs; nothing ran.
+  Result<void> checkExpectations(const openai::CompletionRequest& completion,
+                                 const http::Request& request) const;
+  http::Response withIdentity(http::Response response, const http::Request& request) const;
+  http::Response health() const;
+
+  boost::asio::io_context& context_;
+  EngineServerSettings settings_;
+  EngineModel model_;
+  http::Server server_;
+  boost::asio::steady_timer workArrived_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Generation>> generations_;
+  std::uint64_t lastId_ = 0;
+};
+
+}  // namespace calicodrift::sim
