--- a/src/settings/setting.cc
+++ b/src/settings/setting.cc
@@ -179,7 +179,8 @@
   }
   for (const auto& entry : document.get_object()) {
     const std::string name(entry.key());
-    const std::string source = path + ": $." + name;
+    std::string source = path;
+    source.append(": $.").append(name);
     const std::optional<std::string> value = scalarText(entry.value());
     if (value) {
       given.push_back({name, *value, source});
