Bench: overhead of a router and many streams at once, with the role table

The router's /metrics gains process_resident_memory_bytes and calicodrift_active_requests. Ruled out: reading /proc/PID from the bench, as that works on one machine only.

--- a/src/bench/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace calicodrift {}
--- /dev/null
+++ b/src/bench/programs.cc
@@ -0,0 +1,45 @@
+#include "bench/programs.h"
+
+#include <array>
+#include <iostream>
+#include <string_view>
+
+#include "settings/command_line.h"
+
+namespace calicodrift::bench {
+namespace {
+
+/// One role: its word on the command line and its entry point.
+struct Role {
+  std::string_view name;
+  std::string_view summary;
+  int (*run)(int argc, const char* const* argv);
+};
+
+constexpr std::array kRoles{
+    Role{"overhead", "latency that a router adds to a call of an engine", runOverhead},
+    Role{"streams", "many streams at once through one router", runStreams},
+};
+
+void printUsage(std::ostream& output) {
+  output << "usage: calicodrift-bench ROLE [flags]; each role has its own --help\n";
+  for (const Role& role : kRoles) {
+    output << "  " << role.name << ": " << role.summary << "\n";
+  }
+}
+
+}  // namespace
+
+int runBench(int argc, const char* const* argv) {
+  const std::string_view word = argc > 1 ? argv[1] : "";
+  for (const Role& role : kRoles) {
+    if (role.name == word) {
+      return role.run(argc - 1, argv + 1);
+    }
+  }
+  const bool help = word == "--help";
+  printUsage(help ? std::cout : std::cerr);
+  return help ? settings::kExitSuccess : settings::kExitUsage;
+}
+
+}  // namespace calicodrift::bench
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -1,5 +1,7 @@
 #include "router/metrics.h"
 
+#include "metrics/process.h"
+
 namespace calicodrift::router {
 namespace {
 
@@ -9,6 +11,11 @@
   return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Gauge& gauge(prometheus::Registry& registry, const std::string& name,
+                         const std::string& help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
 }  // namespace
 
 RouterMetrics::RouterMetrics(prometheus::Registry& registry)
@@ -32,7 +39,16 @@
                          .Register(registry)
                          .Add({})),
       backendChanges_(counterFamily(registry, "calicodrift_backend_changes_total",
-                                    "Back ends that came, left, failed, restarted")) {}
+                                    "Back ends that came, left, failed, restarted")),
+      residentMemory_(
+          gauge(registry, "process_resident_memory_bytes", "Resident memory of this process")),
+      activeRequests_(gauge(registry, "calicodrift_active_requests",
+                            "Requests being handled, this one included")) {}
+
+void RouterMetrics::updateProcess(std::size_t activeRequests) {
+  residentMemory_.Set(metrics::residentMemoryBytes());
+  activeRequests_.Set(static_cast<double>(activeRequests));
+}
 
 void RouterMetrics::countError(ErrorKind kind) {
   errors_.Add({{"kind", std::string(errorRow(kind).name)}}).Increment();
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -24,6 +24,8 @@
   void countResume() { resumes_.Increment(); }
   void countBundleAdopted(double version);
   void countBackendChange(std::string_view change);
+  /// Brings the gauges of the process up to date, before the page is rendered.
+  void updateProcess(std::size_t activeRequests);
 
  private:
   prometheus::Family<prometheus::Counter>& errors_;
@@ -35,6 +37,8 @@
   prometheus::Counter& resumes_;
   prometheus::Gauge& bundleVersion_;
   prometheus::Family<prometheus::Counter>& backendChanges_;
+  prometheus::Gauge& residentMemory_;
+  prometheus::Gauge& activeRequests_;
 };
 
 }  // namespace calicodrift::router
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -139,6 +139,7 @@
 
 http::Response Node::handleAdmin(const http::Request& request) {
   if (request.path() == "/metrics") {
+    metrics_.updateProcess(server_.activeRequests());
     return http::textResponse(200, metrics::renderText(registry_));
   }
   if (request.path() == "/healthz") {
