Membership: members of a zone probe each other, zones are compared by digests

Cause: the router nodes did not know one another, so claims, configuration relay and limits had no peers to work with. Ruled out: pinging the own zone only, as the loss of a whole zone would never be noticed.

--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -5,6 +5,7 @@
 
 #include "log/log.h"
 #include "platform/object_api.h"
+#include "router/member_status.h"
 
 namespace calicodrift::router {
 namespace {
@@ -35,6 +36,7 @@
       metrics_(registry_),
       client_(context.get_executor()),
       peers_(context),
+      membershipMetrics_(registry_),
       policies_(hashBytes(settings_.nodeId)),
       backends_([this](const BackendId& id, BackendLoss loss) { onBackendLost(id, loss); }),
       bundle_(std::move(signingRule),
@@ -54,6 +56,7 @@
     return peerEndpoint.error();
   }
   peerEndpoint_ = peerEndpoint.value();
+  startControl();
   Result<Endpoint> endpoint = server_.listen(settings_.listen);
   if (endpoint) {
     discovery_.start();
@@ -62,11 +65,28 @@
   return endpoint;
 }
 
+void Node::startControl() {
+  control_ = std::make_unique<control::ControlPlane>(controlPlaneSettings(settings_, peerEndpoint_),
+                                                     peers_, monotonicNow);
+  control_->membership().addListener(logMemberChange);
+  asio::co_spawn(context_, runControl(), asio::detached);
+}
+
+awaitable<void> Node::runControl() {
+  asio::steady_timer timer(context_);
+  for (;;) {
+    control_->tick();
+    timer.expires_after(control_->tickInterval());
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 void Node::drain() {
   if (draining_) {
     return;
   }
   draining_ = true;
+  control_->leave();
   log::write(log::Level::kInfo, "draining",
              {{"active_requests", std::to_string(server_.activeRequests())}});
   asio::co_spawn(context_, waitForLastRequest(), asio::detached);
@@ -140,6 +160,8 @@
 http::Response Node::handleAdmin(const http::Request& request) {
   if (request.path() == "/metrics") {
     metrics_.updateProcess(server_.activeRequests());
+    const membership::Membership& members = control_->membership();
+    membershipMetrics_.update(members.counters(), members.table().presentCount());
     return http::textResponse(200, metrics::renderText(registry_));
   }
   if (request.path() == "/healthz") {
@@ -151,6 +173,9 @@
   if (request.path() == "/admin/bundle") {
     return bundleStatus();
   }
+  if (request.path() == "/admin/members") {
+    return memberStatus(control_->membership());
+  }
   return http::errorResponse(fail(ErrorKind::kUnknownRoute, "unknown admin path"));
 }
 
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "control/control_plane.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "peer/udp_transport.h"
@@ -40,6 +41,9 @@
   http::Response readiness() const;
   http::Response bundleStatus() const;
   http::Response listModels() const;
+  /// Starts membership once the peer endpoint is known.
+  void startControl();
+  boost::asio::awaitable<void> runControl();
   boost::asio::awaitable<void> pollStore();
   boost::asio::awaitable<void> waitForLastRequest();
   void onBundleAdopted(const bundle::Bundle& bundle);
@@ -52,6 +56,8 @@
   http::Client client_;
   peer::UdpTransport peers_;
   Endpoint peerEndpoint_;
+  membership::MembershipMetrics membershipMetrics_;
+  std::unique_ptr<control::ControlPlane> control_;
   PolicySet policies_;
   BackendTable backends_;
   BundleHolder bundle_;
--- a/src/router/node_settings.cc
+++ b/src/router/node_settings.cc
@@ -1,5 +1,7 @@
 #include "router/node_settings.h"
 
+#include "common/hashing.h"
+
 namespace calicodrift::router {
 namespace {
 
@@ -61,8 +63,45 @@
       {{"write-timeout-ms", "30000", 10, kHourMs, "ms", "for a slow caller to take bytes"},
        &N::writeTimeout},
       {{"drain-timeout-ms", "600000", 10, kHourMs, "ms", "longest planned stop"}, &N::drainTimeout},
+      {{"member-probe-interval-ms", "1000", 20, kMinuteMs, "ms",
+        "a member of the zone and one of another are pinged in this period; same on all nodes"},
+       &N::memberProbeInterval},
+      {{"member-probe-timeout-ms", "300", 5, kMinuteMs, "ms",
+        "others are asked to ping a member that has not answered; below the interval"},
+       &N::memberProbeTimeout},
+      {{"member-indirect-probes", "3", 0, 10, "count", "how many others are asked"},
+       &N::memberIndirectProbes},
+      {{"member-suspicion-timeout-ms", "3000", 50, kHourMs, "ms",
+        "time to contradict a suspicion among 10 nodes; times log10 of their number"},
+       &N::memberSuspicionTimeout},
+      {{"member-tombstone-retention-ms", "7200000", 1000, 24 * kHourMs, "ms",
+        "how long gone members are remembered and dead ones tried again"},
+       &N::memberTombstoneRetention},
+      {{"member-join-retry-ms", "500", 10, kMinuteMs, "ms",
+        "first pause between requests to seeds; doubles up to 16 times"},
+       &N::memberJoinRetry},
   };
   return table;
 }
 
+control::ControlPlaneSettings controlPlaneSettings(const NodeSettings& settings,
+                                                   const Endpoint& peerEndpoint) {
+  const auto started = std::chrono::duration_cast<Microseconds>(wallNow().time_since_epoch());
+  control::ControlPlaneSettings control;
+  control.self.id = NodeId(settings.nodeId);
+  control.self.incarnation = Incarnation(static_cast<std::uint64_t>(started.count()));
+  control.self.zone = ZoneId(settings.zone);
+  control.self.region = RegionId(settings.region);
+  control.self.endpoint = peerEndpoint;
+  control.seed = hashPair(hashBytes(settings.nodeId), control.self.incarnation.value());
+  control.membership.seeds = settings.seeds;
+  control.membership.probeInterval = settings.memberProbeInterval;
+  control.membership.probeTimeout = settings.memberProbeTimeout;
+  control.membership.indirectProbes = static_cast<std::size_t>(settings.memberIndirectProbes);
+  control.membership.suspicionTimeout = settings.memberSuspicionTimeout;
+  control.membership.tombstoneRetention = settings.memberTombstoneRetention;
+  control.membership.joinRetry = settings.memberJoinRetry;
+  return control;
+}
+
 }  // namespace calicodrift::router
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/endpoint.h"
+#include "control/control_plane.h"
 #include "settings/table.h"
 
 namespace calicodrift::router {
@@ -39,8 +40,18 @@
   Milliseconds idleTimeout{0};
   Milliseconds writeTimeout{0};
   Milliseconds drainTimeout{0};
+  Milliseconds memberProbeInterval{0};
+  Milliseconds memberProbeTimeout{0};
+  std::int64_t memberIndirectProbes = 0;
+  Milliseconds memberSuspicionTimeout{0};
+  Milliseconds memberTombstoneRetention{0};
+  Milliseconds memberJoinRetry{0};
 };
 
 const settings::SettingsTable<NodeSettings>& nodeSettingsTable();
 
+/// Settings of a node's control side that starts now.
+control::ControlPlaneSettings controlPlaneSettings(const NodeSettings& settings,
+                                                   const Endpoint& peerEndpoint);
+
 }  // namespace calicodrift::router
