--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -155,9 +155,8 @@
     return differing;
   }
   for (const auto& [key, zone] : zones_) {
-    const bool known = std::any_of(others.begin(), others.end(), [key = key](const auto& other) {
-      return other.zone == key;
-    });
+    const bool known = std::any_of(others.begin(), others.end(),
+                                   [key = key](const auto& other) { return other.zone == key; });
     if (!known) {
       differing.push_back(key);
     }
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -18,7 +18,8 @@
 Membership::Membership(MembershipSettings settings, const peer::PeerInfo& self,
                        peer::Transport& transport, std::uint64_t seed)
     : context_(std::move(settings), MemberRecord{self, 0, MemberState::kAlive}, transport, seed),
-      detector_(context_, [this](const MemberRecord& record) { apply(record, now_, Spread::kYes); }),
+      detector_(context_,
+                [this](const MemberRecord& record) { apply(record, now_, Spread::kYes); }),
       synchronizer_(context_),
       joiner_(context_) {
   context_.messenger.news().add(context_.table.selfKey());
@@ -26,13 +27,8 @@
 
 void Membership::tick(MonotonicTime now) {
   now_ = now;
-  const auto sinceLast = std::chrono::duration_cast<Milliseconds>(now - lastTick_);
-  const bool first = lastTick_ == MonotonicTime{};
+  noticePause(now);
   lastTick_ = now;
-  if (!first && sinceLast > context_.settings.probeInterval) {
-    ++context_.counters.pauses;
-    detector_.forgivePause(sinceLast);
-  }
   if (left_) {
     spreadLeave();
     return;
@@ -45,8 +41,32 @@
   }
 }
 
+void Membership::noticePause(MonotonicTime now) {
+  const auto pause = std::chrono::duration_cast<Milliseconds>(now - lastTick_);
+  if (lastTick_ == MonotonicTime{} || pause <= context_.settings.probeInterval) {
+    return;
+  }
+  lastTick_ = now;
+  ++context_.counters.pauses;
+  detector_.forgivePause(pause);
+  if (pause >= context_.settings.suspicionTimeout && !left_) {
+    rejoin(context_.table.self(), now);
+  }
+}
+
+void Membership::rejoin(const MemberRecord& believed, MonotonicTime now) {
+  MemberRecord contradiction = context_.table.self();
+  contradiction.refutations = believed.refutations + 1;
+  MemberRecord death = believed;
+  death.state = MemberState::kDead;
+  ++context_.counters.declaredDead;
+  store(contradiction, now, Spread::kYes);
+  notify(death, MemberChange::kDied);
+}
+
 void Membership::receive(MonotonicTime now, const Endpoint& from, std::string_view payload) {
   now_ = now;
+  noticePause(now);
   const Result<Envelope> decoded = peer::decode<Envelope>(payload);
   if (!decoded) {
     ++context_.counters.malformed;
@@ -122,6 +142,7 @@
   if (left_ || !record.supersedes(own)) {
     return;
   }
+  ++context_.counters.refutations;
   MemberRecord contradiction = own;
   if (record.info.incarnation > own.info.incarnation) {
     // Either this node's clock was set back between its last start and this one, or another
@@ -133,13 +154,11 @@
     ++context_.counters.nameConflicts;
     contradiction.info.incarnation = Incarnation(record.info.incarnation.value() + 1);
     contradiction.refutations = 0;
-  } else {
+  } else if (record.present()) {
     contradiction.refutations = record.refutations + 1;
-  }
-  ++context_.counters.refutations;
-  if (!record.present()) {
-    ++context_.counters.declaredDead;
-    notify(record, MemberChange::kDied);
+  } else {
+    rejoin(record, now);
+    return;
   }
   store(contradiction, now, Spread::kYes);
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -57,6 +57,11 @@
   void count(MemberChange change);
   void notify(const MemberRecord& record, MemberChange change);
   void spreadLeave();
+  /// Called before anything else is done, so that a process that was stopped and goes on takes
+  /// nothing for others' silence and knows that it may have been declared dead.
+  void noticePause(MonotonicTime now);
+  /// Comes back after a death that others believe in, or that the own pause makes likely.
+  void rejoin(const MemberRecord& believed, MonotonicTime now);
 
   MembershipContext context_;
   FailureDetector detector_;
--- a/src/membership/metrics.cc
+++ b/src/membership/metrics.cc
@@ -6,7 +6,7 @@
 namespace {
 
 struct CounterName {
-  std::uint64_t MembershipCounters::* field;
+  std::uint64_t MembershipCounters::*field;
   const char* event;
 };
 
--- a/src/membership/metrics.h
+++ b/src/membership/metrics.h
@@ -42,7 +42,7 @@
 
  private:
   struct Row {
-    std::uint64_t MembershipCounters::* field;
+    std::uint64_t MembershipCounters::*field;
     prometheus::Counter* counter;
   };
   std::vector<Row> rows_;
