--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -25,8 +25,8 @@
 
 void FailureDetector::forgivePause(Milliseconds pause) {
   probes_.clear();
-  for (auto& [member, suspicion] : suspicions_) {
-    suspicion.deadline += pause;
+  for (auto& [member, deadline] : suspicions_) {
+    deadline += pause;
   }
 }
 
@@ -38,7 +38,7 @@
     }
   }
   std::size_t extra = 0;
-  for (const auto& [member, suspicion] : suspicions_) {
+  for (const auto& [member, deadline] : suspicions_) {
     if (++extra > kSuspectsPerRound) {
       break;
     }
@@ -101,13 +101,8 @@
 
 void FailureDetector::checkSuspicions(MonotonicTime now) {
   std::vector<MemberKey> expired;
-  for (auto& [member, suspicion] : suspicions_) {
-    if (now < suspicion.deadline) {
-      continue;
-    }
-    if (suspicion.answered) {
-      suspicion = Suspicion{now + suspicionTime(), false};
-    } else {
+  for (const auto& [member, deadline] : suspicions_) {
+    if (now >= deadline) {
       expired.push_back(member);
     }
   }
@@ -134,7 +129,7 @@
 
 void FailureDetector::onChange(MemberKey member, MemberChange change, MonotonicTime now) {
   if (change == MemberChange::kSuspected) {
-    suspicions_.insert_or_assign(member, Suspicion{now + suspicionTime(), false});
+    suspicions_.insert_or_assign(member, now + suspicionTime());
   } else {
     suspicions_.erase(member);
   }
@@ -181,13 +176,8 @@
 void FailureDetector::confirm(std::uint32_t sequence, MemberKey sender) {
   const auto probe = probes_.find(sequence);
   // Another node may answer at the address of a gone one; that proves nothing of the target.
-  if (probe == probes_.end() || probe->second.target != sender) {
-    return;
-  }
-  probes_.erase(probe);
-  const auto suspicion = suspicions_.find(sender);
-  if (suspicion != suspicions_.end()) {
-    suspicion->second.answered = true;
+  if (probe != probes_.end() && probe->second.target == sender) {
+    probes_.erase(probe);
   }
 }
 
--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -9,9 +9,9 @@
 
 /// Finds failed members: direct ping, pings through others, suspicion, death.
 ///
-/// A member is called dead only after it had the suspicion time to contradict, and not while this
-/// node itself still gets its Acks. One member of the own zone and one of another zone is pinged a
-/// period; the second kind finds the loss of whole zones, which have nobody left to report it.
+/// A member is called dead only after it had the suspicion time to contradict. One member of the
+/// own zone and one of another zone is pinged a period; the second kind finds the loss of whole
+/// zones, which have nobody left to report it.
 class FailureDetector {
  public:
   /// Called with a record that says suspect or dead.
@@ -44,11 +44,6 @@
     std::uint32_t sequence = 0;
     MonotonicTime expires;
   };
-  struct Suspicion {
-    MonotonicTime deadline;
-    /// An Ack has come since the deadline was set.
-    bool answered = false;
-  };
 
   void checkProbes(MonotonicTime now);
   void checkSuspicions(MonotonicTime now);
@@ -64,7 +59,8 @@
   Reporter report_;
   std::map<std::uint32_t, Probe> probes_;
   std::map<std::uint32_t, Relay> relays_;
-  std::map<MemberKey, Suspicion> suspicions_;
+  /// Until when each suspected member may contradict.
+  std::map<MemberKey, MonotonicTime> suspicions_;
   std::uint32_t nextSequence_ = 1;
   std::uint64_t rounds_ = 0;
   MonotonicTime nextRound_{};
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -47,7 +47,7 @@
   return "unknown";
 }
 
-MemberTable::MemberTable(MemberRecord self) : selfKey_(keyOf(self.info.id)) {
+MemberTable::MemberTable(const MemberRecord& self) : selfKey_(keyOf(self.info.id)) {
   apply(self, MonotonicTime{});
 }
 
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -30,7 +30,7 @@
 /// tombstones for a while, so that late news of their life is recognized as old.
 class MemberTable {
  public:
-  explicit MemberTable(MemberRecord self);
+  explicit MemberTable(const MemberRecord& self);
 
   const MemberRecord& self() const { return members_.at(selfKey_).record; }
   MemberKey selfKey() const { return selfKey_; }
--- a/tests/integration/membership_test.cc
+++ b/tests/integration/membership_test.cc
@@ -42,6 +42,7 @@
   }
   std::vector<std::string> ids() const {
     std::vector<std::string> all;
+    all.reserve(routers.size());
     for (const auto& [id, router] : routers) {
       all.push_back(id);
     }
