--- a/src/bundle/bundle.cc
+++ b/src/bundle/bundle.cc
@@ -120,6 +120,8 @@
 constexpr std::int64_t kMaxRate = 10'000'000;
 constexpr std::int64_t kMaxBytes = 1'000'000'000;
 constexpr std::int64_t kFullShare = 100;
+constexpr std::int64_t kMaxTargetMs = 3'600'000;
+constexpr std::int64_t kMaxMicrosecondsPerToken = 1'000'000;
 
 Tenant readTenant(ObjectReader& reader) {
   Tenant tenant;
@@ -145,6 +147,11 @@
       WeightsVersion(static_cast<std::uint64_t>(reader.number("weights_version", 1, largest, 1)));
   model.blockBytes = reader.number("block_bytes", 16, kMaxBytes, model.blockBytes);
   model.maxPromptBytes = reader.number("max_prompt_bytes", 1, kMaxBytes, model.maxPromptBytes);
+  model.firstTokenTarget = Milliseconds(
+      reader.number("first_token_target_ms", 1, kMaxTargetMs, model.firstTokenTarget.count()));
+  model.firstTokenPerPromptToken =
+      Microseconds(reader.number("first_token_us_per_prompt_token", 0, kMaxMicrosecondsPerToken,
+                                 model.firstTokenPerPromptToken.count()));
   return model;
 }
 
--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "common/clock.h"
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/priority.h"
@@ -31,6 +32,10 @@
   /// Bytes of prompt text in one cached block, as the engine's block hash counts them.
   std::int64_t blockBytes = 2048;
   std::int64_t maxPromptBytes = 4'194'304;
+  /// A first token counts as late after firstTokenTarget + prompt tokens x
+  /// firstTokenPerPromptToken; routers admit less when many come late.
+  Milliseconds firstTokenTarget{880};
+  Microseconds firstTokenPerPromptToken{250};
 };
 
 /// An ordinary HTTP service whose requests pass through.
--- /dev/null
+++ b/src/limits/model_admission.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <map>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/ids.h"
+#include "common/priority.h"
+#include "limits/load_window.h"
+#include "limits/rate_estimate.h"
+
+namespace calicodrift::limits {
+
+/// What admission needs to know of one generation.
+struct Work {
+  TenantId tenant;
+  /// The tenant's share under overload, relative to the others.
+  double weight = 1;
+  Priority priority = Priority::kNormal;
+  double promptTokens = 0;
+  /// Tokens to generate at most.
+  double outputTokens = 0;
+  /// Usable engines of the model.
+  std::size_t engines = 0;
+  MonotonicTime deadline = MonotonicTime::max();
+  /// Continues a stream that was admitted before; it is not refused for load.
+  bool resumed = false;
+
+  double tokens() const { return promptTokens + outputTokens; }
+};
+
+/// When the first token of a model counts as late.
+struct FirstTokenTarget {
+  Milliseconds base{880};
+  Microseconds perPromptToken{250};
+};
+
+/// Admission of one model's generations on one router: admitted, or refused at once.
+///
+/// While less than kSharedPart of the window is outstanding everybody is admitted, higher
+/// priorities up to a higher mark. Above it, up to kReservedPart, only
+/// - tenants whose admitted work is below their weighted fair share of the model's throughput, or
+/// - a priority that is owed a turn: of a tenant's admitted requests at least one in kLowTurn is of
+///   low and one in kNormalTurn of normal priority where it asks for them, so none starves.
+class ModelAdmission {
+ public:
+  /// Counts the work as outstanding, or fails with kOverloaded or kDeadlineUnreachable and the time
+  /// after which capacity is expected.
+  Result<void> admit(const Work& work, MonotonicTime now);
+  /// @return whether the window shrank.
+  bool onFirstToken(const Work& work, const FirstTokenTarget& target, MonotonicTime dispatched,
+                    MonotonicTime now);
+  /// The work ended, in whatever way.
+  /// @param generated tokens that came after the first; 0 where there was none.
+  void onFinished(const Work& work, std::size_t generated, Milliseconds generating,
+                  MonotonicTime now);
+  double outstanding() const { return outstanding_; }
+  const LoadWindow& window() const { return window_; }
+
+  static constexpr double kSharedPart = 0.9;
+  static constexpr double kReservedPart = 1.25;
+  static constexpr std::size_t kNormalTurn = 5;
+  static constexpr std::size_t kLowTurn = 20;
+
+ private:
+  static constexpr std::size_t kPriorities = 3;
+  static constexpr Milliseconds kRateWindow{5000};
+
+  struct TenantLoad {
+    double weight = 1;
+    RateEstimate asked{kRateWindow};
+    RateEstimate admitted{kRateWindow};
+    /// The tenant's admissions since the last one of each priority.
+    std::array<std::size_t, kPriorities> sinceTurn{};
+  };
+
+  bool fits(const Work& work, const TenantLoad& tenant, MonotonicTime now);
+  bool withinFairShare(const Work& work, const TenantLoad& tenant, MonotonicTime now) const;
+  static bool owedTurn(const Work& work, const TenantLoad& tenant);
+  bool canMeetDeadline(const Work& work, MonotonicTime now) const;
+  Error refusal(ErrorKind kind, const Work& work, MonotonicTime now);
+  Milliseconds timeToDrain(const Work& work, MonotonicTime now) const;
+  void countAdmitted(const Work& work, TenantLoad& tenant, MonotonicTime now);
+
+  LoadWindow window_;
+  double outstanding_ = 0;
+  std::map<TenantId, TenantLoad> tenants_;
+  /// Tokens a second.
+  RateEstimate finished_{kRateWindow};
+  RateEstimate refused_{kRateWindow};
+  /// Milliseconds to the first token, by priority, as engines serve by priority too.
+  std::array<SampleAverage, kPriorities> firstTokenMs_{SampleAverage(0.1), SampleAverage(0.1),
+                                                       SampleAverage(0.1)};
+  SampleAverage msPerToken_{0.1};
+  SampleAverage outputTokens_{0.1};
+};
+
+}  // namespace calicodrift::limits
--- /dev/null
+++ b/src/limits/rate_shares.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "bundle/bundle.h"
+#include "limits/metrics.h"
+#include "limits/owner_view.h"
+#include "limits/rate_estimate.h"
+#include "limits/tenant_shares.h"
+#include "limits/token_bucket.h"
+#include "peer/directory.h"
+#include "peer/transport.h"
+
+namespace calicodrift::limits {
+
+using Clock = std::function<MonotonicTime()>;
+
+/// Tenant rates shared over all nodes. Each node leases a share of a tenant's rate from the
+/// tenant's owner, as long as requests of the tenant arrive here, and needs no store for it.
+///
+/// Bound, with n nodes that agree on the owner within kViewSkew: the rates in use add up to at most
+/// limit x (1 + k/n), where k is the number of nodes that get requests of the tenant and hold no
+/// lease (just started, or the owner can't be reached); such a node uses the even part limit/n.
+/// Where the fleet is cut into parts that each see themselves only, each part uses
+/// limit x min(1, its nodes / expectedNodes), so with the fleet's size given the sum stays.
+class RateShares {
+ public:
+  /// @param expectedNodes nodes of the whole fleet; 1 takes those that are seen alive.
+  RateShares(peer::Transport& transport, const peer::PeerDirectory& directory, Clock clock,
+             std::size_t expectedNodes, LimitsMetrics& metrics);
+
+  /// Takes over the limits of a newly adopted bundle.
+  void applyBundle(const bundle::Bundle& bundle);
+  /// Notes that a request of the tenant came. None where the rate allows it; else the time after
+  /// which to come back.
+  std::optional<Milliseconds> refusal(const bundle::Tenant& tenant, MonotonicTime now);
+  /// Takes an admitted request out of the rate; to be called right after refusal() allowed it.
+  void take(const bundle::Tenant& tenant, MonotonicTime now);
+  /// Renews leases; to be called every kTickInterval or so.
+  void tick(MonotonicTime now);
+  /// Requests a second that this node allows the tenant now.
+  double rateOf(const TenantId& tenant, MonotonicTime now);
+  /// Whether it holds a lease (as against the even part).
+  bool holdsLease(const TenantId& tenant, MonotonicTime now) const;
+
+  static constexpr Milliseconds kTickInterval{100};
+  /// Lease requests that one node sends in a second at most, over all tenants.
+  static constexpr double kRequestsPerSecond = 10;
+
+ private:
+  /// This node's part in one tenant's rate.
+  struct Lease {
+    explicit Lease(std::uint64_t hash) : tenant(hash) {}
+
+    std::uint64_t tenant;
+    std::uint32_t number = 0;
+    MonotonicTime sent{};
+    std::uint32_t heldNumber = 0;
+    double rate = 0;
+    MonotonicTime expiry{};
+    MonotonicTime renewAt{};
+    RateEstimate demand{Milliseconds(2000)};
+    TokenBucket bucket;
+  };
+
+  Lease& leaseOf(const TenantId& tenant);
+  void updateBucket(Lease& lease, MonotonicTime now);
+  double limitOf(std::uint64_t tenant) const;
+  void refreshView(MonotonicTime now);
+  bool wantsRenewal(const Lease& lease, MonotonicTime now) const;
+  void sendRequest(Lease& lease, MonotonicTime now);
+  void receive(const Endpoint& from, std::string_view payload);
+  /// Answers as owner; none where this node is not the owner in its own view.
+  std::optional<ShareGrant> onRequest(const ShareRequest& request, MonotonicTime now);
+  void onGrant(const ShareGrant& grant, MonotonicTime now);
+
+  peer::Transport& transport_;
+  const peer::PeerDirectory& directory_;
+  Clock clock_;
+  std::size_t expectedNodes_;
+  LimitsMetrics& metrics_;
+  OwnerView view_;
+  MonotonicTime viewRead_{};
+  bool viewKnown_ = false;
+  /// Requests a second of every limited tenant of the bundle.
+  std::unordered_map<std::uint64_t, double> limits_;
+  std::map<TenantId, Lease> leases_;
+  std::unordered_map<std::uint64_t, Lease*> leaseByHash_;
+  /// Where this node is the owner.
+  std::unordered_map<std::uint64_t, TenantShares> owned_;
+  TokenBucket requestBudget_;
+};
+
+}  // namespace calicodrift::limits
--- /dev/null
+++ b/src/limits/tenant_shares.cc
@@ -0,0 +1,101 @@
+#include "limits/tenant_shares.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "limits/water_fill.h"
+
+namespace calicodrift::limits {
+namespace {
+
+/// Demand comes in bursts; a share somewhat above its average lets them through.
+constexpr double kDemandHeadroom = 1.25;
+/// Part of the unwanted rate that is handed out ahead of demand; the rest waits for newcomers.
+constexpr double kSparePart = 0.5;
+
+Milliseconds renewalFor(std::size_t holders) {
+  constexpr double kMsPerSecond = 1000.0;
+  const double spread = static_cast<double>(holders) / kRenewalsPerSecond * kMsPerSecond;
+  return std::max(kShortestRenewal, Milliseconds(static_cast<std::int64_t>(spread)));
+}
+
+}  // namespace
+
+std::optional<ShareGrant> TenantShares::grant(const ShareRequest& request, double limit,
+                                              MonotonicTime now) {
+  dropExpired(now);
+  Holder& holder = holders_[request.node];
+  const double available = std::max(0.0, limit - (countedAt(now) - holder.counted));
+  if (!readHeld(request, holder, available, now)) {
+    return std::nullopt;
+  }
+  const double target =
+      frozenAt(now) ? std::min(holder.counted, available) : fairShare(holder, limit);
+  const Milliseconds renewal = renewalFor(holders_.size());
+  const Milliseconds term = renewal * kRenewalsPerTerm;
+  // Rounded to what the message carries, so that both sides count the same.
+  const auto rate = static_cast<float>(std::min(target, available));
+  holder.number = request.number;
+  holder.granted = std::min(static_cast<double>(rate), available);
+  holder.counted = std::max(holder.counted, holder.granted);
+  holder.expiry = std::max(holder.expiry, now + term);
+  ShareGrant answer;
+  answer.tenant = request.tenant;
+  answer.number = request.number;
+  answer.rate = rate;
+  answer.waiting = frozenAt(now) && rate == 0;
+  answer.termMs = static_cast<std::uint32_t>(term.count());
+  answer.renewMs = static_cast<std::uint32_t>(renewal.count());
+  return answer;
+}
+
+double TenantShares::countedAt(MonotonicTime now) const {
+  double sum = 0;
+  for (const auto& entry : holders_) {
+    sum += entry.second.expiry > now ? entry.second.counted : 0;
+  }
+  return sum;
+}
+
+void TenantShares::dropExpired(MonotonicTime now) {
+  std::erase_if(holders_, [now](const auto& entry) { return entry.second.expiry <= now; });
+}
+
+bool TenantShares::readHeld(const ShareRequest& request, Holder& holder, double available,
+                            MonotonicTime now) {
+  const bool known = holder.number != 0;
+  if (known && (request.incarnation < holder.incarnation ||
+                (request.incarnation == holder.incarnation && request.number <= holder.number))) {
+    return false;
+  }
+  if (request.incarnation != holder.incarnation) {
+    // The process that held the old share has ended.
+    holder = Holder{};
+    holder.incarnation = request.incarnation;
+  }
+  holder.demand = request.demand;
+  if (holder.number != 0 && request.heldNumber == holder.number) {
+    holder.counted = holder.granted;
+  } else if (holder.number == 0 && request.heldRate > 0 && frozenAt(now)) {
+    holder.counted = std::min(static_cast<double>(request.heldRate), available);
+    // Other shares of the same predecessor may run as long as this one.
+    grantFrom_ = std::max(grantFrom_, now + Milliseconds(request.heldMs));
+  }
+  return true;
+}
+
+double TenantShares::fairShare(const Holder& holder, double limit) const {
+  std::vector<Demand> demands;
+  double wanted = 0;
+  for (const auto& entry : holders_) {
+    const double amount = entry.second.demand * kDemandHeadroom;
+    demands.push_back({amount, 1});
+    wanted += amount;
+  }
+  const double spare = std::max(0.0, limit - wanted) * kSparePart;
+  const double level = fairLevel(std::move(demands), limit);
+  return std::min(holder.demand * kDemandHeadroom, level) +
+         spare / static_cast<double>(holders_.size());
+}
+
+}  // namespace calicodrift::limits
--- /dev/null
+++ b/src/limits/tenant_shares.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "common/clock.h"
+#include "limits/lease_messages.h"
+
+namespace calicodrift::limits {
+
+/// Shortest lease and its renewal. With more holders both grow, so that one owner answers at most
+/// kRenewalsPerSecond.
+inline constexpr Milliseconds kShortestRenewal{1000};
+inline constexpr double kRenewalsPerSecond = 10;
+inline constexpr std::int64_t kRenewalsPerTerm = 4;
+inline constexpr Milliseconds kShortestTerm = kShortestRenewal * kRenewalsPerTerm;
+/// Nodes learn of a change of the fleet within this time of each other, and clocks of two nodes
+/// drift apart by less than this in one term.
+inline constexpr Milliseconds kViewSkew{2000};
+
+/// The owner's ledger of one tenant's rate: who holds which share until when.
+///
+/// Invariant: the counted shares never add up to more than the limit. A share counts until its
+/// holder has confirmed a smaller one or until it has expired here; the holder counts the term from
+/// when it sent the request, so it stops using the share no later than the owner stops counting it.
+///
+/// A new owner does not know what its predecessor granted. Until `grantFrom` it grants nothing new,
+/// only confirms the shares that their holders still have, which add up to no more than the limit.
+class TenantShares {
+ public:
+  explicit TenantShares(MonotonicTime grantFrom) : grantFrom_(grantFrom) {}
+
+  /// The grant for a request; none for one that is older than another of the same node.
+  std::optional<ShareGrant> grant(const ShareRequest& request, double limit, MonotonicTime now);
+  /// Sum of the shares that may be in use at `now`.
+  double countedAt(MonotonicTime now) const;
+  std::size_t holders() const { return holders_.size(); }
+  bool frozenAt(MonotonicTime now) const { return now < grantFrom_; }
+
+ private:
+  struct Holder {
+    std::uint64_t incarnation = 0;
+    std::uint32_t number = 0;
+    double demand = 0;
+    double granted = 0;
+    /// The largest share that the node may be using.
+    double counted = 0;
+    MonotonicTime expiry{};
+  };
+
+  void dropExpired(MonotonicTime now);
+  /// Reads what the node holds; false for a late or doubled request.
+  bool readHeld(const ShareRequest& request, Holder& holder, double available, MonotonicTime now);
+  /// What `holder` should get: its fair part by demand, and a part of what nobody asks for.
+  double fairShare(const Holder& holder, double limit) const;
+
+  MonotonicTime grantFrom_;
+  std::unordered_map<std::uint64_t, Holder> holders_;
+};
+
+}  // namespace calicodrift::limits
