--- a/src/limits/rate_shares.cc
+++ b/src/limits/rate_shares.cc
@@ -178,16 +178,21 @@
   // older than that.
   const MonotonicTime grantFrom = view_.changed() + kShortestTerm + kViewSkew;
   TenantShares& shares = owned_.try_emplace(request.tenant, grantFrom).first->second;
-  // A part of the fleet that is cut off hands out its own part of the limit only.
-  const double alive = static_cast<double>(view_.aliveNodes());
-  const double part = std::min(1.0, alive / static_cast<double>(expectedNodes_));
-  const std::optional<ShareGrant> grant = shares.grant(request, limit * part, now);
+  const std::optional<ShareGrant> grant = shares.grant(request, limit * visiblePart(), now);
   if (grant) {
     metrics_.countGrant();
   }
   return grant;
 }
 
+double RateShares::visiblePart() const {
+  const std::size_t alive = view_.aliveNodes();
+  if (alive * 2 > expectedNodes_) {
+    return 1;
+  }
+  return static_cast<double>(alive) / static_cast<double>(expectedNodes_);
+}
+
 void RateShares::onGrant(const ShareGrant& grant, MonotonicTime now) {
   const auto found = leaseByHash_.find(grant.tenant);
   if (found == leaseByHash_.end() || grant.number != found->second->number) {
--- a/src/limits/rate_shares.h
+++ b/src/limits/rate_shares.h
@@ -23,14 +23,15 @@
 /// Tenant rates shared over all nodes. Each node leases a share of a tenant's rate from the
 /// tenant's owner, as long as requests of the tenant arrive here, and needs no store for it.
 ///
-/// Bound, with n nodes that agree on the owner within kViewSkew: the rates in use add up to at most
-/// limit x (1 + k/n), where k is the number of nodes that get requests of the tenant and hold no
-/// lease (just started, or the owner can't be reached); such a node uses the even part limit/n.
-/// Where the fleet is cut into parts that each see themselves only, each part uses
-/// limit x min(1, its nodes / expectedNodes), so with the fleet's size given the sum stays.
+/// Bound, with n nodes in the fleet that agree on the owner within kViewSkew: the rates in use add
+/// up to at most limit x (1 + k/n), where k is the number of nodes that get requests of the tenant
+/// and hold no lease (just started, or the owner can't be reached); such a node uses the even part
+/// limit/n. A cut-off minority of the fleet uses its part of the limit beside the majority's whole.
+/// A node can't know n before it has met its peers, unless it was given.
 class RateShares {
  public:
-  /// @param expectedNodes nodes of the whole fleet; 1 takes those that are seen alive.
+  /// @param expectedNodes nodes of the whole fleet, which is n even where fewer are seen; 1 takes
+  /// those that are seen alive.
   RateShares(peer::Transport& transport, const peer::PeerDirectory& directory, Clock clock,
              std::size_t expectedNodes, LimitsMetrics& metrics);
 
@@ -77,6 +78,8 @@
   void receive(const Endpoint& from, std::string_view payload);
   /// Answers as owner; none where this node is not the owner in its own view.
   std::optional<ShareGrant> onRequest(const ShareRequest& request, MonotonicTime now);
+  /// Part of the limit that this node may hand out as owner: all of it with a majority in sight.
+  double visiblePart() const;
   void onGrant(const ShareGrant& grant, MonotonicTime now);
 
   peer::Transport& transport_;
