--- a/src/bench/overload.cc
+++ b/src/bench/overload.cc
@@ -35,12 +35,14 @@
 /// Part of the completed tokens that weighted max-min fairness would give each tenant.
 std::vector<double> fairShares(const OverloadResult& result) {
   std::vector<limits::Demand> demands;
+  demands.reserve(result.tenants.size());
   for (const GroupResult& tenant : result.tenants) {
     demands.push_back({tenant.offeredTokens, tenant.weight});
   }
   const double total = result.all.completedTokens;
   const double level = limits::fairLevel(demands, total);
   std::vector<double> shares;
+  shares.reserve(demands.size());
   for (const limits::Demand& demand : demands) {
     shares.push_back(total > 0 ? std::min(demand.amount, level * demand.weight) / total : 0);
   }
--- a/src/bench/overload_simulation.cc
+++ b/src/bench/overload_simulation.cc
@@ -242,7 +242,7 @@
   }
 
   void dispatch(SimulatedRouter& router, const std::shared_ptr<Call>& call,
-                std::shared_ptr<limits::AdmittedWork> work) {
+                const std::shared_ptr<limits::AdmittedWork>& work) {
     const MonotonicTime begin = time_.now();
     const std::size_t index = router.policy.choose(call->route, router.candidates, begin).index;
     const std::uint64_t id = ++lastId_;
