--- a/src/limits/load_window.cc
+++ b/src/limits/load_window.cc
@@ -7,8 +7,8 @@
 
 constexpr std::size_t kRoundSamples = 8;
 constexpr Milliseconds kShortestRound{250};
-constexpr double kCut = 0.88;
-constexpr double kHardCut = 0.7;
+constexpr double kCut = 0.92;
+constexpr double kHardCut = 0.8;
 constexpr double kHardLatePart = 0.5;
 constexpr double kGrowth = 1.03;
 
