--- a/src/bench/overload_simulation.cc
+++ b/src/bench/overload_simulation.cc
@@ -8,6 +8,7 @@
 
 #include "bench/simulated_engine.h"
 #include "limits/limiter.h"
+#include "peer/lone_directory.h"
 #include "routing/prefix_hash_bounded_load.h"
 
 namespace calicodrift::bench {
@@ -42,12 +43,6 @@
   void setReceiver(peer::Channel /*channel*/, Receiver /*receiver*/) override {}
 };
 
-struct LoneDirectory : peer::PeerDirectory {
-  const peer::PeerInfo& self() const override { return info; }
-  std::vector<peer::PeerInfo> alivePeers() const override { return {}; }
-  peer::PeerInfo info;
-};
-
 /// A router: the live policy, limits and outstanding counts.
 struct SimulatedRouter {
   SimulatedRouter(VirtualTime& time, std::size_t engines)
@@ -60,7 +55,7 @@
     }
   }
   NoTransport transport;
-  LoneDirectory directory;
+  peer::LoneDirectory directory{{}};
   prometheus::Registry registry;
   limits::LimitsMetrics metrics{registry};
   limits::Limiter limiter;
@@ -266,7 +261,7 @@
                        changeOutstanding(router, index, *call, -1);
                        engines_[index]->cancel(id);
                        if (const auto admitted = weak.lock()) {
-                         admitted->onDeadlineExceeded();
+                         admitted->onFailed(ErrorKind::kDeadlineExceeded);
                        }
                        onTimeout(call);
                      }
--- a/src/limits/limiter.cc
+++ b/src/limits/limiter.cc
@@ -49,7 +49,10 @@
                                model.outstanding());
 }
 
-void AdmittedWork::onDeadlineExceeded() {
+void AdmittedWork::onFailed(ErrorKind kind) {
+  if (kind != ErrorKind::kDeadlineExceeded) {
+    return;
+  }
   limiter_->models_[model_].onDeadlineExceeded(work_, dispatched_, clock_());
 }
 
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -37,8 +37,8 @@
   void onFirstToken();
   /// @param tokens generated in all.
   void onCompleted(std::size_t tokens) { tokens_ = tokens; }
-  /// The deadline came first.
-  void onDeadlineExceeded();
+  /// It ended without an answer.
+  void onFailed(ErrorKind kind);
 
  private:
   Limiter* limiter_;
--- a/src/limits/model_admission.cc
+++ b/src/limits/model_admission.cc
@@ -73,7 +73,8 @@
   const double window = window_.tokens(work.engines);
   const double after = outstanding_ + work.tokens();
   const double shared = window * kSharedPart * kSharedPartOf.at(indexOf(work.priority));
-  if (outstanding_ == 0 || after <= shared) {
+  // Without an engine the request goes on and meets kNoBackend.
+  if (work.engines == 0 || outstanding_ == 0 || after <= shared) {
     return true;
   }
   window_.onPressed();
--- a/src/router/answer_sink.cc
+++ b/src/router/answer_sink.cc
@@ -33,6 +33,9 @@
   ++nextIndex_;
   if (!firstTokenTime_) {
     firstTokenTime_ = monotonicNow();
+    if (firstTokenListener_) {
+      firstTokenListener_();
+    }
   }
 }
 
--- a/src/router/answer_sink.h
+++ b/src/router/answer_sink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -31,6 +32,8 @@
   void takeUsage(const openai::Usage& usage);
   /// The answer is complete. Fails with kCallerGone.
   boost::asio::awaitable<Result<void>> finish();
+  /// Called once, when the first token comes.
+  void onFirstToken(std::function<void()> listener) { firstTokenListener_ = std::move(listener); }
   /// No engine can complete the answer: an error answer, or an error event in a begun stream.
   boost::asio::awaitable<void> finishWithError(const Error& error);
   const openai::Usage& usage() const { return usage_; }
@@ -50,6 +53,7 @@
   std::string text_;
   openai::Usage usage_;
   std::optional<MonotonicTime> firstTokenTime_;
+  std::function<void()> firstTokenListener_;
 };
 
 }  // namespace calicodrift::router
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -62,6 +62,7 @@
   AnswerSink sink;
   std::uint32_t attempts = 0;
   std::string policyName;
+  std::optional<limits::AdmittedWork> admitted;
   /// Back ends that already failed this request.
   std::vector<BackendId> avoided;
 };
@@ -88,17 +89,41 @@
   context_.metrics.countRequest(caller.value().tenant->id.value(), caller.value().priority);
   Job job(caller.value(), completion.value(), *model.value(), request, writer);
   job.policyName = context_.policies.policyFor(*bundle, job.route).name();
-  Result<void> done = co_await dispatchUntilDone(job);
+  Result<void> done = admit(job, *model.value());
+  if (done) {
+    done = co_await dispatchUntilDone(job);
+  }
   if (done) {
     done = co_await job.sink.finish();
     recordCompletion(job);
   }
   if (!done) {
+    if (job.admitted) {
+      job.admitted->onFailed(done.error().kind);
+    }
     context_.metrics.countError(done.error().kind);
     co_await job.sink.finishWithError(done.error());
   }
 }
 
+Result<void> CompletionHandler::admit(Job& job, const bundle::Model& model) {
+  limits::Work work;
+  work.priority = job.caller.priority;
+  work.promptTokens = static_cast<double>(job.route.promptTokens);
+  work.outputTokens = static_cast<double>(job.route.outputTokens);
+  work.engines = context_.backends.engines(model.id, job.weights).size();
+  work.deadline = job.caller.deadline;
+  work.resumed = job.caller.resumeFrom > 0;
+  Result<limits::AdmittedWork> admitted =
+      context_.limits->admitWork(*job.caller.tenant, model, std::move(work));
+  if (!admitted) {
+    return admitted.error();
+  }
+  job.admitted.emplace(std::move(admitted.value()));
+  job.sink.onFirstToken([&job] { job.admitted->onFirstToken(); });
+  return boost::outcome_v2::success();
+}
+
 awaitable<Result<void>> CompletionHandler::dispatchUntilDone(Job& job) {
   for (;;) {
     const bool resumed = job.sink.hasTokens();
@@ -135,6 +160,7 @@
   job.avoided.push_back(backend.id);
   policy.onDispatched(job.route, backend, monotonicNow());
   context_.metrics.countDispatch(job.policyName);
+  job.admitted->onDispatched();
 
   const EngineDispatch dispatch{job.caller,     job.path,  job.request.body,
                                 backend,        *endpoint, Attempt(job.attempts),
@@ -161,7 +187,8 @@
   const bool attemptsLeft = job.attempts < context_.settings.maxAttempts;
   const bool timeLeft = monotonicNow() < job.caller.deadline;
   const bool harmless = !job.caller.notRepeatable || errorRow(error.kind).run == RunStatement::kNo;
-  return attemptsLeft && timeLeft && harmless;
+  return attemptsLeft && timeLeft && harmless &&
+         context_.limits->allowRetry(error.kind, job.sink.hasTokens());
 }
 
 http::ExchangeOptions CompletionHandler::optionsFor(const Job& job) const {
@@ -176,8 +203,9 @@
   return options;
 }
 
-void CompletionHandler::recordCompletion(const Job& job) {
+void CompletionHandler::recordCompletion(Job& job) {
   const openai::Usage& usage = job.sink.usage();
+  job.admitted->onCompleted(usage.completionTokens);
   context_.metrics.countTokens(job.policyName, usage.promptTokens, usage.cachedTokens,
                                usage.completionTokens);
   if (const auto firstToken = job.sink.firstTokenTime()) {
--- a/src/router/completion_handler.h
+++ b/src/router/completion_handler.h
@@ -28,11 +28,13 @@
   /// State of one request over its attempts.
   struct Job;
 
+  /// Asks the limits; the request is refused at once where they don't allow it.
+  Result<void> admit(Job& job, const bundle::Model& model);
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
   bool mayRetry(const Job& job, const Error& error) const;
   http::ExchangeOptions optionsFor(const Job& job) const;
-  void recordCompletion(const Job& job);
+  void recordCompletion(Job& job);
 
   RouteContext& context_;
 };
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -37,12 +37,13 @@
       client_(context.get_executor()),
       peers_(context),
       membershipMetrics_(registry_),
+      limitsMetrics_(registry_),
       policies_(hashBytes(settings_.nodeId)),
       backends_([this](const BackendId& id, BackendLoss loss) { onBackendLost(id, loss); }),
       bundle_(std::move(signingRule),
               [this](const bundle::Bundle& bundle) { onBundleAdopted(bundle); }),
       discovery_(context.get_executor(), settings_, client_, backends_),
-      route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_},
+      route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_, nullptr},
       completions_(route_),
       services_(route_),
       server_(context.get_executor(), serverLimits(settings_),
@@ -57,6 +58,7 @@
   }
   peerEndpoint_ = peerEndpoint.value();
   startControl();
+  startLimits();
   Result<Endpoint> endpoint = server_.listen(settings_.listen);
   if (endpoint) {
     discovery_.start();
@@ -81,6 +83,26 @@
   }
 }
 
+void Node::startLimits() {
+  constexpr double kPercent = 100;
+  limits::LimiterSettings limits;
+  limits.fleetNodes = static_cast<std::size_t>(settings_.fleetNodes);
+  limits.retryFraction = static_cast<double>(settings_.retryBudgetPercent) / kPercent;
+  limiter_ =
+      std::make_unique<limits::Limiter>(peers_, control_->membership(), monotonicNow, limits, limitsMetrics_);
+  route_.limits = limiter_.get();
+  asio::co_spawn(context_, runLimits(), asio::detached);
+}
+
+awaitable<void> Node::runLimits() {
+  asio::steady_timer timer(context_);
+  for (;;) {
+    limiter_->tick(monotonicNow());
+    timer.expires_after(limits::RateShares::kTickInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 void Node::drain() {
   if (draining_) {
     return;
@@ -230,6 +252,7 @@
 }
 
 void Node::onBundleAdopted(const bundle::Bundle& bundle) {
+  limiter_->applyBundle(bundle);
   metrics_.countBundleAdopted(static_cast<double>(bundle.version.value()));
   log::write(log::Level::kInfo, "bundle_adopted",
              {{"version", std::to_string(bundle.version.value())}});
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -7,6 +7,7 @@
 #include "control/control_plane.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "limits/limiter.h"
 #include "peer/udp_transport.h"
 #include "router/backend_table.h"
 #include "router/bundle_holder.h"
@@ -44,6 +45,9 @@
   /// Starts membership once the peer endpoint is known.
   void startControl();
   boost::asio::awaitable<void> runControl();
+  /// Starts the tenant limits once the peer endpoint is known.
+  void startLimits();
+  boost::asio::awaitable<void> runLimits();
   boost::asio::awaitable<void> pollStore();
   boost::asio::awaitable<void> waitForLastRequest();
   void onBundleAdopted(const bundle::Bundle& bundle);
@@ -58,6 +62,8 @@
   Endpoint peerEndpoint_;
   membership::MembershipMetrics membershipMetrics_;
   std::unique_ptr<control::ControlPlane> control_;
+  limits::LimitsMetrics limitsMetrics_;
+  std::unique_ptr<limits::Limiter> limiter_;
   PolicySet policies_;
   BackendTable backends_;
   BundleHolder bundle_;
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -33,6 +33,8 @@
   Milliseconds engineTokenTimeout{0};
   Milliseconds defaultDeadline{0};
   std::int64_t maxAttempts = 0;
+  std::int64_t retryBudgetPercent = 0;
+  std::int64_t fleetNodes = 0;
   std::int64_t maxBodyBytes = 0;
   std::int64_t maxHeaderBytes = 0;
   std::int64_t maxConnections = 0;
--- a/src/router/route_context.h
+++ b/src/router/route_context.h
@@ -6,6 +6,7 @@
 
 #include "bundle/bundle.h"
 #include "http/client.h"
+#include "limits/limiter.h"
 #include "router/backend_table.h"
 #include "router/metrics.h"
 #include "router/node_settings.h"
@@ -21,6 +22,8 @@
   BackendTable& backends;
   PolicySet& policies;
   RouterMetrics& metrics;
+  /// Set before the node serves.
+  limits::Limiter* limits = nullptr;
 };
 
 }  // namespace calicodrift::router
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -47,7 +47,14 @@
     caller.value().notRepeatable = !readOnly(request);
   }
   context_.metrics.countRequest(caller.value().tenant->id.value(), caller.value().priority);
-  Result<http::Response> answer = co_await dispatchUntilDone(service, caller.value(), request);
+  const Result<void> admitted =
+      context_.limits->admitRequest(*caller.value().tenant, caller.value().priority);
+  Result<http::Response> answer = fail(ErrorKind::kInternal, "no answer");
+  if (admitted) {
+    answer = co_await dispatchUntilDone(service, caller.value(), request);
+  } else {
+    answer = admitted.error();
+  }
   http::Response response =
       answer ? std::move(answer.value()) : http::errorResponse(answer.error());
   if (!answer) {
@@ -76,7 +83,8 @@
     const bool harmless =
         !caller.notRepeatable || errorRow(answer.error().kind).run == RunStatement::kNo;
     const bool timeLeft = monotonicNow() < caller.deadline;
-    if (!harmless || !timeLeft || attempt >= context_.settings.maxAttempts) {
+    const bool mayRetry = harmless && timeLeft && attempt < context_.settings.maxAttempts;
+    if (!mayRetry || !context_.limits->allowRetry(answer.error().kind, false)) {
       co_return answer;
     }
     context_.metrics.countRetry(errorRow(answer.error().kind).name);
