--- a/src/limits/limiter.cc
+++ b/src/limits/limiter.cc
@@ -60,7 +60,7 @@
                  LimiterSettings settings, LimitsMetrics& metrics)
     : clock_(clock),
       metrics_(metrics),
-      rates_(transport, directory, std::move(clock), settings.fleetNodes, metrics),
+      rates_(transport, directory, std::move(clock), settings.lease, metrics),
       retries_(settings.retryFraction) {}
 
 void Limiter::tick(MonotonicTime now) {
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -14,8 +14,7 @@
 namespace calicodrift::limits {
 
 struct LimiterSettings {
-  /// Nodes of the whole fleet; 1 takes those that are seen alive.
-  std::size_t fleetNodes = 1;
+  LeaseSettings lease;
   /// Retries that one request earns.
   double retryFraction = 0.1;
 };
--- a/src/limits/rate_shares.cc
+++ b/src/limits/rate_shares.cc
@@ -9,19 +9,17 @@
 namespace {
 
 constexpr Milliseconds kViewInterval{500};
-/// An unanswered request is repeated after this.
-constexpr Milliseconds kAnswerTimeout{1000};
 /// Below this many requests a second a tenant is quiet here and its lease is left to lapse.
 constexpr double kQuietDemand = 0.02;
 
 }  // namespace
 
 RateShares::RateShares(peer::Transport& transport, const peer::PeerDirectory& directory,
-                       Clock clock, std::size_t expectedNodes, LimitsMetrics& metrics)
+                       Clock clock, LeaseSettings settings, LimitsMetrics& metrics)
     : transport_(transport),
       directory_(directory),
       clock_(std::move(clock)),
-      expectedNodes_(expectedNodes),
+      settings_(settings),
       metrics_(metrics) {
   transport_.setReceiver(
       peer::Channel::kLimits,
@@ -96,7 +94,7 @@
 }
 
 void RateShares::updateBucket(Lease& lease, MonotonicTime now) {
-  const auto nodes = static_cast<double>(std::max(expectedNodes_, view_.aliveNodes()));
+  const auto nodes = static_cast<double>(std::max(settings_.fleetNodes, view_.aliveNodes()));
   const double limit = limitOf(lease.tenant);
   lease.bucket.setRate(lease.heldAt(now) ? std::min(lease.rate, limit) : limit / nodes, now);
 }
@@ -119,7 +117,7 @@
 }
 
 bool RateShares::wantsRenewal(const Lease& lease, MonotonicTime now) const {
-  const bool unanswered = lease.number > 0 && now - lease.sent < kAnswerTimeout;
+  const bool unanswered = lease.number > 0 && now - lease.sent < settings_.renewal();
   return now >= lease.renewAt && !unanswered && lease.demand.perSecond(now) > kQuietDemand;
 }
 
@@ -173,8 +171,9 @@
   }
   // Nobody else has been the owner since the fleet last changed, so shares of a predecessor are
   // older than that.
-  const MonotonicTime grantFrom = view_.changed() + kShortestTerm + kViewSkew;
-  TenantShares& shares = owned_.try_emplace(request.tenant, grantFrom).first->second;
+  const MonotonicTime grantFrom = view_.changed() + settings_.term + settings_.viewSkew();
+  TenantShares& shares =
+      owned_.try_emplace(request.tenant, settings_.renewal(), grantFrom).first->second;
   const std::optional<ShareGrant> grant = shares.grant(request, limit * visiblePart(), now);
   if (grant) {
     metrics_.countGrant();
@@ -184,10 +183,10 @@
 
 double RateShares::visiblePart() const {
   const std::size_t alive = view_.aliveNodes();
-  if (alive * 2 > expectedNodes_) {
+  if (alive * 2 > settings_.fleetNodes) {
     return 1;
   }
-  return static_cast<double>(alive) / static_cast<double>(expectedNodes_);
+  return static_cast<double>(alive) / static_cast<double>(settings_.fleetNodes);
 }
 
 void RateShares::onGrant(const ShareGrant& grant, MonotonicTime now) {
--- a/src/limits/rate_shares.h
+++ b/src/limits/rate_shares.h
@@ -23,17 +23,16 @@
 /// Tenant rates shared over all nodes. Each node leases a share of a tenant's rate from the
 /// tenant's owner, as long as requests of the tenant arrive here, and needs no store for it.
 ///
-/// Bound, with n nodes in the fleet that agree on the owner within kViewSkew: the rates in use add
-/// up to at most limit x (1 + k/n), where k is the number of nodes that get requests of the tenant
-/// and hold no lease (just started, or the owner can't be reached); such a node uses the even part
-/// limit/n. A cut-off minority of the fleet uses its part of the limit beside the majority's whole.
-/// A node can't know n before it has met its peers, unless it was given.
+/// Bound, with n nodes in the fleet that agree on the owner within LeaseSettings::viewSkew(): the
+/// rates in use add up to at most limit x (1 + k/n), where k is the number of nodes that get
+/// requests of the tenant and hold no lease (just started, or the owner can't be reached); such a
+/// node uses the even part limit/n. A cut-off minority of the fleet uses its part of the limit
+/// beside the majority's whole. A node can't know n before it has met its peers, unless it was
+/// given.
 class RateShares {
  public:
-  /// @param expectedNodes nodes of the whole fleet, which is n even where fewer are seen; 1 takes
-  /// those that are seen alive.
   RateShares(peer::Transport& transport, const peer::PeerDirectory& directory, Clock clock,
-             std::size_t expectedNodes, LimitsMetrics& metrics);
+             LeaseSettings settings, LimitsMetrics& metrics);
 
   /// Takes over the limits of a newly adopted bundle.
   void applyBundle(const bundle::Bundle& bundle);
@@ -88,7 +87,7 @@
   peer::Transport& transport_;
   const peer::PeerDirectory& directory_;
   Clock clock_;
-  std::size_t expectedNodes_;
+  LeaseSettings settings_;
   LimitsMetrics& metrics_;
   OwnerView view_;
   MonotonicTime viewRead_{};
--- a/src/limits/tenant_shares.cc
+++ b/src/limits/tenant_shares.cc
@@ -13,12 +13,6 @@
 /// Part of the unwanted rate that is handed out ahead of demand; the rest waits for newcomers.
 constexpr double kSparePart = 0.5;
 
-Milliseconds renewalFor(std::size_t holders) {
-  constexpr double kMsPerSecond = 1000.0;
-  const double spread = static_cast<double>(holders) / kRenewalsPerSecond * kMsPerSecond;
-  return std::max(kShortestRenewal, Milliseconds(static_cast<std::int64_t>(spread)));
-}
-
 }  // namespace
 
 std::optional<ShareGrant> TenantShares::grant(const ShareRequest& request, double limit,
@@ -42,8 +36,7 @@
   // Rounded to what the message carries, so that both sides count the same.
   const auto rate = static_cast<float>(std::min(target, available));
   holder.counted = std::max(held, static_cast<double>(rate));
-  const Milliseconds renewal = renewalFor(holders_.size());
-  const Milliseconds term = renewal * kRenewalsPerTerm;
+  const Milliseconds term = renewal() * LeaseSettings::kRenewalsPerTerm;
   holder.expiry = std::max(holder.expiry, now + term);
   ShareGrant answer;
   answer.tenant = request.tenant;
@@ -51,7 +44,7 @@
   answer.rate = rate;
   answer.waiting = frozenAt(now) && rate == 0;
   answer.termMs = static_cast<std::uint32_t>(term.count());
-  answer.renewMs = static_cast<std::uint32_t>(renewal.count());
+  answer.renewMs = static_cast<std::uint32_t>(renewal().count());
   return answer;
 }
 
@@ -74,6 +67,12 @@
   return request.number > holder.number;
 }
 
+Milliseconds TenantShares::renewal() const {
+  constexpr double kMsPerSecond = 1000.0;
+  const double spread = static_cast<double>(holders_.size()) / kRenewalsPerSecond * kMsPerSecond;
+  return std::max(shortestRenewal_, Milliseconds(static_cast<std::int64_t>(spread)));
+}
+
 double TenantShares::fairShare(const Holder& holder, double limit) const {
   std::vector<Demand> demands;
   double wanted = 0;
--- a/src/limits/tenant_shares.h
+++ b/src/limits/tenant_shares.h
@@ -9,15 +9,23 @@
 
 namespace calicodrift::limits {
 
-/// Shortest lease and its renewal. With more holders both grow, so that one owner answers at most
-/// kRenewalsPerSecond.
-inline constexpr Milliseconds kShortestRenewal{1000};
+/// Lease renewals that one owner answers in a second at most; with more holders than that needs,
+/// leases and their renewals grow longer.
 inline constexpr double kRenewalsPerSecond = 10;
-inline constexpr std::int64_t kRenewalsPerTerm = 4;
-inline constexpr Milliseconds kShortestTerm = kShortestRenewal * kRenewalsPerTerm;
-/// Nodes learn of a change of the fleet within this time of each other, and clocks of two nodes
-/// drift apart by less than this in one term.
-inline constexpr Milliseconds kViewSkew{2000};
+
+/// Times of the leases; the same on all nodes.
+struct LeaseSettings {
+  /// A lease runs this long at least. Shares outlive their owner where its death is noticed sooner.
+  Milliseconds term{10'000};
+  /// Nodes of the whole fleet, which is n even where fewer are seen; 1 takes those seen alive.
+  std::size_t fleetNodes = 1;
+
+  static constexpr std::int64_t kRenewalsPerTerm = 10;
+  Milliseconds renewal() const { return term / kRenewalsPerTerm; }
+  /// Nodes learn of a change of the fleet within this time of each other, and clocks of two nodes
+  /// drift apart by less than this in one term.
+  Milliseconds viewSkew() const { return term * 3 / kRenewalsPerTerm; }
+};
 
 /// The owner's ledger of one tenant's rate: who holds which share until when.
 ///
@@ -30,7 +38,8 @@
 /// only confirms the shares that their holders still have, which add up to no more than the limit.
 class TenantShares {
  public:
-  explicit TenantShares(MonotonicTime grantFrom) : grantFrom_(grantFrom) {}
+  TenantShares(Milliseconds shortestRenewal, MonotonicTime grantFrom)
+      : shortestRenewal_(shortestRenewal), grantFrom_(grantFrom) {}
 
   /// The grant for a request; none for one that is older than another of the same node.
   std::optional<ShareGrant> grant(const ShareRequest& request, double limit, MonotonicTime now);
@@ -55,6 +64,10 @@
   /// What `holder` should get: its fair part by demand, and a part of what nobody asks for.
   double fairShare(const Holder& holder, double limit) const;
 
+  /// Grows with the number of holders.
+  Milliseconds renewal() const;
+
+  Milliseconds shortestRenewal_;
   MonotonicTime grantFrom_;
   std::unordered_map<std::uint64_t, Holder> holders_;
 };
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -86,7 +86,8 @@
 void Node::startLimits() {
   constexpr double kPercent = 100;
   limits::LimiterSettings limits;
-  limits.fleetNodes = static_cast<std::size_t>(settings_.fleetNodes);
+  limits.lease.term = settings_.limitLease;
+  limits.lease.fleetNodes = static_cast<std::size_t>(settings_.fleetNodes);
   limits.retryFraction = static_cast<double>(settings_.retryBudgetPercent) / kPercent;
   limiter_ =
       std::make_unique<limits::Limiter>(peers_, control_->membership(), monotonicNow, limits, limitsMetrics_);
--- a/src/router/node_settings.cc
+++ b/src/router/node_settings.cc
@@ -55,6 +55,10 @@
       {{"fleet-nodes", "1", 1, 1'000'000, "count",
         "router nodes that share tenant limits; 1 counts those that are seen"},
        &N::fleetNodes},
+      {{"limit-lease-ms", "10000", 200, kHourMs, "ms",
+        "lease of a share of a tenant's rate; longer than a dead node goes unnoticed; same on all "
+        "nodes"},
+       &N::limitLease},
       {{"max-body-bytes", "8388608", 1024, kGigabyte, "bytes", "largest request body"},
        &N::maxBodyBytes},
       {{"max-header-bytes", "16384", 1024, 1'048'576, "bytes", "largest request header"},
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -35,6 +35,7 @@
   std::int64_t maxAttempts = 0;
   std::int64_t retryBudgetPercent = 0;
   std::int64_t fleetNodes = 0;
+  Milliseconds limitLease{0};
   std::int64_t maxBodyBytes = 0;
   std::int64_t maxHeaderBytes = 0;
   std::int64_t maxConnections = 0;
--- a/tests/limits/rate_shares_test.cc
+++ b/tests/limits/rate_shares_test.cc
@@ -16,6 +16,8 @@
 
 constexpr double kLimit = 50;
 constexpr Milliseconds kStep{10};
+constexpr Milliseconds kTerm{4000};
+constexpr Milliseconds kSkew{1200};
 
 struct FixedDirectory : peer::PeerDirectory {
   const peer::PeerInfo& self() const override { return info; }
@@ -59,7 +61,8 @@
       : metrics(registry), transport(network.attach(info.endpoint)) {
     directory.info = std::move(info);
     shares = std::make_unique<RateShares>(
-        transport, directory, [&network] { return network.now(); }, fleetNodes, metrics);
+        transport, directory, [&network] { return network.now(); },
+        LeaseSettings{kTerm, fleetNodes}, metrics);
     shares->applyBundle(bundle);
   }
   prometheus::Registry registry;
@@ -236,7 +239,7 @@
     for (int round = 0; round < 3; ++round) {
       const std::size_t owner = fleet.ownerIndex();
       fleet.kill(owner);
-      fleet.seeWithin(Milliseconds(1500));
+      fleet.seeWithin(kSkew);
       fleet.run(Milliseconds(1000 + static_cast<std::int64_t>(fleet.network.random()() % 9000)));
       for (auto& node : fleet.nodes) {
         if (node) {
@@ -245,7 +248,7 @@
       }
       fleet.start(owner);
       fleet.nodes[owner]->demand = 30;
-      fleet.seeWithin(Milliseconds(1500));
+      fleet.seeWithin(kSkew);
       fleet.run(Milliseconds(1000 + static_cast<std::int64_t>(fleet.network.random()() % 9000)));
     }
     worstExcess = std::max(worstExcess, fleet.worstExcess);
@@ -262,7 +265,7 @@
   fleet.run(Milliseconds(15'000));
   BOOST_TEST(fleet.rateAt(holder) > 40);
   fleet.kill(owner);
-  fleet.seeWithin(Milliseconds(1500));
+  fleet.seeWithin(kSkew);
   double least = kLimit;
   for (int step = 0; step < 100; ++step) {
     fleet.run(Milliseconds(100));
