--- a/src/bench/overload.cc
+++ b/src/bench/overload.cc
@@ -1,10 +1,11 @@
+#include <algorithm>
 #include <boost/json.hpp>
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 
 #include "bench/overload_simulation.h"
 #include "bench/programs.h"
+#include "bench/report.h"
 #include "limits/water_fill.h"
 #include "settings/table.h"
 
@@ -52,12 +53,13 @@
 json::object toJson(const GroupResult& group) {
   constexpr double kMedian = 0.5;
   constexpr double kTail = 0.99;
+  std::vector<double> samples = group.firstTokenMs;
   return {{"offered", group.offered},
           {"completed", group.completed},
           {"refusals", group.refusals},
           {"timeouts", group.timeouts},
-          {"ttft_p50_ms", quantile(group.firstTokenMs, kMedian)},
-          {"ttft_p99_ms", quantile(group.firstTokenMs, kTail)}};
+          {"ttft_p50_ms", percentile(samples, kMedian)},
+          {"ttft_p99_ms", percentile(samples, kTail)}};
 }
 
 json::object toJson(const OverloadScenario& scenario, double factor, const OverloadResult& result) {
@@ -147,15 +149,7 @@
                               {"engines", given.engines},
                               {"capacity_per_second", capacity},
                               {"runs", runs}};
-  if (!given.jsonFile.empty()) {
-    std::ofstream file(given.jsonFile);
-    file << json::serialize(document) << "\n";
-    if (!file.flush()) {
-      std::cerr << "cannot write " << given.jsonFile << "\n";
-      return settings::kExitFailure;
-    }
-  }
-  return settings::kExitSuccess;
+  return writeReport(document, given.jsonFile) ? settings::kExitSuccess : settings::kExitFailure;
 }
 
 }  // namespace calicodrift::bench
--- a/src/bench/overload_simulation.cc
+++ b/src/bench/overload_simulation.cc
@@ -1,9 +1,6 @@
 #include "bench/overload_simulation.h"
 
-#include <algorithm>
-#include <cmath>
 #include <memory>
-#include <optional>
 #include <random>
 
 #include "bench/simulated_engine.h"
@@ -354,14 +351,4 @@
   return Simulation(scenario).runClosedLoop();
 }
 
-double quantile(std::vector<double> samples, double part) {
-  if (samples.empty()) {
-    return 0;
-  }
-  const double last = static_cast<double>(samples.size() - 1);
-  const auto position = static_cast<std::ptrdiff_t>(std::llround(last * part));
-  std::nth_element(samples.begin(), samples.begin() + position, samples.end());
-  return samples[static_cast<std::size_t>(position)];
-}
-
 }  // namespace calicodrift::bench
--- a/src/bench/overload_simulation.h
+++ b/src/bench/overload_simulation.h
@@ -53,7 +53,4 @@
 /// Completions a second of a closed loop that keeps every batch full: the 1x of this scenario.
 double measureCapacity(const OverloadScenario& scenario);
 
-/// Value below which a part (0 to 1) of the samples lies; 0 without samples.
-double quantile(std::vector<double> samples, double part);
-
 }  // namespace calicodrift::bench
