--- a/src/limits/token_bucket.cc
+++ b/src/limits/token_bucket.cc
@@ -11,12 +11,12 @@
 }  // namespace
 
 void TokenBucket::setRate(double perSecond, MonotonicTime now) {
-  content_ = contentAt(now);
-  updated_ = now;
-  started_ = true;
+  const double content = contentAt(now);
   rate_ = perSecond;
   burst_ = std::max(1.0, perSecond * toMilliseconds(kBurstTime) / kMsPerSecond);
-  content_ = std::min(content_, burst_);
+  content_ = started_ ? std::min(content, burst_) : burst_;
+  updated_ = now;
+  started_ = true;
 }
 
 bool TokenBucket::tryTake(MonotonicTime now) {
@@ -40,7 +40,7 @@
 }
 
 double TokenBucket::contentAt(MonotonicTime now) const {
-  if (!started_ || now <= updated_) {
+  if (now <= updated_) {
     return content_;
   }
   const double refill = rate_ * toMilliseconds(now - updated_) / kMsPerSecond;
--- a/src/limits/token_bucket.h
+++ b/src/limits/token_bucket.h
@@ -7,7 +7,8 @@
 /// Allows `rate` units a second on average and at most `burst` units at once. The rate may change
 /// at any time.
 /// Invariant: what is taken in any window is at most the rate integrated over it, plus the content
-/// at its start, as content arises from refill only (apart from the one unit of a new bucket).
+/// at its start, as content arises from refill only. A new bucket is full, so that a restarted node
+/// serves at once.
 class TokenBucket {
  public:
   /// @param perSecond units a second, not negative. The burst is the refill of kBurstTime, and one
@@ -27,8 +28,7 @@
 
   double rate_ = 0;
   double burst_ = 1;
-  /// A new bucket lets one request pass, so that a restarted node serves at once.
-  double content_ = 1;
+  double content_ = 0;
   MonotonicTime updated_{};
   bool started_ = false;
 };
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -89,8 +89,8 @@
   limits.lease.term = settings_.limitLease;
   limits.lease.fleetNodes = static_cast<std::size_t>(settings_.fleetNodes);
   limits.retryFraction = static_cast<double>(settings_.retryBudgetPercent) / kPercent;
-  limiter_ =
-      std::make_unique<limits::Limiter>(peers_, control_->membership(), monotonicNow, limits, limitsMetrics_);
+  limiter_ = std::make_unique<limits::Limiter>(peers_, control_->membership(), monotonicNow, limits,
+                                               limitsMetrics_);
   route_.limits = limiter_.get();
   asio::co_spawn(context_, runLimits(), asio::detached);
 }
