Roll out weights by fenced orders of a lease holder

Cause: nothing sent orders to engines; a change of a model's weights version in the bundle made every request fail with no_backend until each engine had been restarted by hand.

Ruled out: serving the old weights during a load (one accelerator has no room for two sets); recording progress in the store (a second truth beside the engines).

--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -39,6 +39,10 @@
   Milliseconds idleTimeout{0};
   Milliseconds writeTimeout{0};
   Milliseconds drainTimeout{0};
+  Milliseconds orderLeaseDuration{0};
+  Milliseconds orderLeaseRenewInterval{0};
+  Milliseconds orderInterval{0};
+  Milliseconds weightsLoadTimeout{0};
 };
 
 const settings::SettingsTable<NodeSettings>& nodeSettingsTable();
