--- a/src/bundle/bundle.cc
+++ b/src/bundle/bundle.cc
@@ -122,6 +122,7 @@
 constexpr std::int64_t kFullShare = 100;
 constexpr std::int64_t kMaxTargetMs = 3'600'000;
 constexpr std::int64_t kMaxMicrosecondsPerToken = 1'000'000;
+constexpr std::int64_t kMaxLoads = 10'000;
 
 Tenant readTenant(ObjectReader& reader) {
   Tenant tenant;
@@ -152,6 +153,8 @@
   model.firstTokenPerPromptToken =
       Microseconds(reader.number("first_token_us_per_prompt_token", 0, kMaxMicrosecondsPerToken,
                                  model.firstTokenPerPromptToken.count()));
+  model.minUsablePercent =
+      reader.number("min_usable_percent", 0, kFullShare, model.minUsablePercent);
   return model;
 }
 
@@ -248,6 +251,8 @@
   bundle.models = readList<Model>(reader, "models", readModel);
   bundle.services = readList<Service>(reader, "services", readService);
   bundle.policies = readList<PolicyRule>(reader, "policies", readRule);
+  bundle.maxConcurrentLoads =
+      reader.number("max_concurrent_loads", 1, kMaxLoads, bundle.maxConcurrentLoads);
   reader.finish();
   checkUnique(
       bundle.tenants, "tenants", [](const Tenant& item) { return item.id.value(); }, problems);
