Roll out weights by fenced orders of a lease holder

Cause: nothing sent orders to engines; a change of a model's weights version in the bundle made every request fail with no_backend until each engine had been restarted by hand.

Change: - src/lease: one lease over the object API by conditional writes. The core has no I/O; a holder counts its lease from before the renewing write left, a candidate waits for the whole duration and a drift margin on its own clock, lost answers are settled by reading back, and the fencing token rises with each change of holder. - src/orders: the lease holder surveys the engines with fenced orders, plans loads under the bundle's max_concurrent_loads and each model's min_usable_percent, and keeps nothing: a successor reads where the roll-out stands from the engines. - src/router: during a roll-out the version rule serves from whichever version has usable engines; a stream stays on the version of its first token; answers name their weights version. - src/sim: engines take fenced orders, drain, load from a rate-limited weight store and swap; cache events late and with gaps; KV export and import; lagging load report; answers depend on weights. - POST /admin/drain and GET /admin/orders on a router.

Ruled out: serving the old weights during a load (one accelerator has no room for two sets); recording progress in the store (a second truth beside the engines).

--- a/src/bundle/bundle.cc
+++ b/src/bundle/bundle.cc
@@ -120,6 +120,7 @@
 constexpr std::int64_t kMaxRate = 10'000'000;
 constexpr std::int64_t kMaxBytes = 1'000'000'000;
 constexpr std::int64_t kFullShare = 100;
+constexpr std::int64_t kMaxLoads = 10'000;
 
 Tenant readTenant(ObjectReader& reader) {
   Tenant tenant;
@@ -145,6 +146,8 @@
       WeightsVersion(static_cast<std::uint64_t>(reader.number("weights_version", 1, largest, 1)));
   model.blockBytes = reader.number("block_bytes", 16, kMaxBytes, model.blockBytes);
   model.maxPromptBytes = reader.number("max_prompt_bytes", 1, kMaxBytes, model.maxPromptBytes);
+  model.minUsablePercent =
+      reader.number("min_usable_percent", 0, kFullShare, model.minUsablePercent);
   return model;
 }
 
@@ -241,6 +244,8 @@
   bundle.models = readList<Model>(reader, "models", readModel);
   bundle.services = readList<Service>(reader, "services", readService);
   bundle.policies = readList<PolicyRule>(reader, "policies", readRule);
+  bundle.maxConcurrentLoads =
+      reader.number("max_concurrent_loads", 1, kMaxLoads, bundle.maxConcurrentLoads);
   reader.finish();
   checkUnique(
       bundle.tenants, "tenants", [](const Tenant& item) { return item.id.value(); }, problems);
--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -31,6 +31,9 @@
   /// Bytes of prompt text in one cached block, as the engine's block hash counts them.
   std::int64_t blockBytes = 2048;
   std::int64_t maxPromptBytes = 4'194'304;
+  /// Share of the model's engines, in percent, that stays usable while others load other weights;
+  /// also the share that is enough to carry the model's traffic.
+  std::int64_t minUsablePercent = 50;
 };
 
 /// An ordinary HTTP service whose requests pass through.
@@ -61,6 +64,8 @@
   std::vector<Model> models;
   std::vector<Service> services;
   std::vector<PolicyRule> policies;
+  /// Engines that load weights at once, over all models: what the weight store bears.
+  std::int64_t maxConcurrentLoads = 2;
 
   const Tenant* findTenantByKeyHash(std::string_view keyHash) const;
   const Model* findModel(const ModelId& id) const;
--- /dev/null
+++ b/src/lease/lease_record.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/ids.h"
+#include "platform/object_api.h"
+
+/// Leases over the platform's object API: at most one node at a time may act for the fleet.
+namespace calicodrift::lease {
+
+/// A lease as it is stored. Its fields follow the usual lease object (holderIdentity,
+/// leaseDurationMs, leaseTransitions); no time of day is stored, as nobody compares clocks.
+struct LeaseRecord {
+  /// Unique for each start of a process; empty after the holder gave the lease back.
+  std::string holder;
+  /// How long each renewal is valid, from before it was sent.
+  Milliseconds duration{0};
+  /// Rises with each change of holder.
+  FencingToken token;
+  /// Number of the holder's write, by which it recognises a write whose answer was lost.
+  std::uint64_t renewal = 0;
+
+  auto operator<=>(const LeaseRecord&) const = default;
+};
+
+std::string toJson(const LeaseRecord& record);
+/// Fails with kProtocolViolation.
+Result<LeaseRecord> leaseRecordFromJson(std::string_view text);
+
+/// What the store held at one moment. Version 0: no lease object exists.
+struct ObservedLease {
+  platform::ResourceVersion version;
+  LeaseRecord record;
+};
+
+}  // namespace calicodrift::lease
--- /dev/null
+++ b/src/orders/order_driver.cc
@@ -0,0 +1,206 @@
+#include "orders/order_driver.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+namespace calicodrift::orders {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::awaitable;
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusPreconditionFailed = 412;
+constexpr Milliseconds kOrderTimeout{1000};
+
+http::ExchangeOptions orderOptions() {
+  http::ExchangeOptions options;
+  options.connectTimeout = kOrderTimeout;
+  options.headerTimeout = kOrderTimeout;
+  options.bodyTimeout = kOrderTimeout;
+  return options;
+}
+
+std::string_view nameOf(OrderKind kind) {
+  return kind == OrderKind::kLoadVersion ? "load_version" : "observe";
+}
+
+/// Whether any engine is known to be at another version than the bundle's.
+bool rolloutNeeded(const bundle::Bundle& bundle, const std::vector<KnownEngine>& engines) {
+  return std::any_of(engines.begin(), engines.end(), [&bundle](const KnownEngine& engine) {
+    const bundle::Model* model = bundle.findModel(ModelId(engine.machine.serves));
+    const bool known = engine.weights.value() != 0;
+    return model != nullptr && known && engine.weights != model->weights;
+  });
+}
+
+}  // namespace
+
+/// The answers of one survey as they come in.
+struct OrderDriver::Survey {
+  explicit Survey(const asio::any_io_executor& executor) : finished(executor) {}
+  std::vector<SurveyedEngine> engines;
+  std::size_t outstanding = 0;
+  asio::steady_timer finished;
+};
+
+OrderDriver::OrderDriver(asio::any_io_executor executor, http::Client& client,
+                         lease::LeaseKeeper& lease, OrderSources sources, OrderMetrics& metrics,
+                         RolloutSettings rollout, Milliseconds interval)
+    : executor_(std::move(executor)),
+      client_(client),
+      lease_(lease),
+      sources_(std::move(sources)),
+      metrics_(metrics),
+      planner_(rollout),
+      interval_(interval) {}
+
+void OrderDriver::start() {
+  asio::co_spawn(executor_, run(), asio::detached);
+}
+
+awaitable<void> OrderDriver::run() {
+  asio::steady_timer timer(executor_);
+  for (;;) {
+    co_await round();
+    timer.expires_after(interval_);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> OrderDriver::round() {
+  const std::optional<FencingToken> token = lease_.token();
+  const std::shared_ptr<const bundle::Bundle> bundle = sources_.bundle();
+  metrics_.setLeaseHeld(token.has_value());
+  if (!token || !bundle) {
+    co_return;
+  }
+  if (*token != tenure_) {
+    tenure_ = *token;
+    planner_.beginTenure();
+    metrics_.countTenure();
+  }
+  std::vector<KnownEngine> known = sources_.engines();
+  if (!rolloutNeeded(*bundle, known)) {
+    co_return;
+  }
+  std::map<BackendId, Endpoint> endpoints;
+  for (const KnownEngine& engine : known) {
+    endpoints[engine.machine.id] = engine.machine.endpoint;
+  }
+  const std::vector<SurveyedEngine> engines = co_await survey(bundle, std::move(known));
+  if (lease_.token() != tenure_) {
+    co_return;
+  }
+  const std::vector<LoadOrder> orders = planner_.plan(*bundle, engines, monotonicNow());
+  for (const LoadOrder& order : orders) {
+    co_await sendLoad(order, endpoints[order.engine], bundle->version);
+  }
+  const RolloutProgress& progress = planner_.progress();
+  metrics_.setEngines("at_desired", progress.atDesired);
+  metrics_.setEngines("waiting", progress.waiting);
+  metrics_.setEngines("loading", progress.loading);
+  metrics_.setEngines("unreachable", progress.unreachable);
+  metrics_.setEngines("held_for_capacity", progress.heldForCapacity);
+}
+
+awaitable<std::vector<SurveyedEngine>> OrderDriver::survey(
+    std::shared_ptr<const bundle::Bundle> bundle, std::vector<KnownEngine> engines) {
+  auto state = std::make_shared<Survey>(executor_);
+  state->finished.expires_at(MonotonicTime::max());
+  for (const KnownEngine& engine : engines) {
+    const ModelId model(engine.machine.serves);
+    if (bundle->findModel(model) != nullptr) {
+      state->engines.push_back({engine.machine.id, model, engine.machine.terminating, {}});
+      ++state->outstanding;
+      const std::size_t index = state->engines.size() - 1;
+      asio::co_spawn(executor_, surveyOne(state, index, engine.machine.endpoint, bundle->version),
+                     asio::detached);
+    }
+  }
+  while (state->outstanding > 0) {
+    co_await state->finished.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return state->engines;
+}
+
+awaitable<void> OrderDriver::surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
+                                       Endpoint endpoint, BundleVersion bundle) {
+  EngineOrder order;
+  order.kind = OrderKind::kObserve;
+  order.bundle = bundle;
+  Result<EngineReport> report = co_await send(std::move(endpoint), std::move(order));
+  if (report) {
+    survey->engines[index].report = report.value();
+  }
+  --survey->outstanding;
+  survey->finished.cancel();
+}
+
+awaitable<void> OrderDriver::sendLoad(LoadOrder load, Endpoint endpoint, BundleVersion bundle) {
+  EngineOrder order;
+  order.kind = OrderKind::kLoadVersion;
+  order.bundle = bundle;
+  order.incarnation = load.incarnation;
+  order.weights = load.weights;
+  Result<EngineReport> report = co_await send(std::move(endpoint), std::move(order));
+  const bool lost = !report && report.error().kind == ErrorKind::kOutcomeUnknown;
+  if (!lost) {
+    planner_.onOrderAnswered(load.engine);
+  }
+}
+
+awaitable<Result<EngineReport>> OrderDriver::send(Endpoint endpoint, EngineOrder order) {
+  const std::optional<FencingToken> token = lease_.token();
+  if (!token || *token != tenure_) {
+    metrics_.countOrder(nameOf(order.kind), "lease_ended");
+    co_return fail(ErrorKind::kFenced, "the lease has ended");
+  }
+  order.token = *token;
+  http::Request request;
+  request.method = "POST";
+  request.target = std::string(kOrderPath);
+  request.body = toJson(order);
+  Result<http::Response> response =
+      co_await client_.exchange(std::move(endpoint), std::move(request), orderOptions());
+  if (!response) {
+    metrics_.countOrder(nameOf(order.kind), "lost");
+    const bool notSent = response.error().kind == ErrorKind::kConnectFailed;
+    co_return fail(notSent ? ErrorKind::kConnectFailed : ErrorKind::kOutcomeUnknown,
+                   response.error().detail);
+  }
+  if (response.value().status != kStatusOk) {
+    noteRefusal(response.value(), order);
+    co_return fail(ErrorKind::kFenced, "the engine refused the order");
+  }
+  metrics_.countOrder(nameOf(order.kind), "accepted");
+  co_return engineReportFromJson(response.value().body);
+}
+
+void OrderDriver::noteRefusal(const http::Response& response, const EngineOrder& order) {
+  const bool fenced = response.status == kStatusPreconditionFailed;
+  metrics_.countOrder(nameOf(order.kind), fenced ? "fenced" : "refused");
+  const Result<EngineReport> report = engineReportFromJson(response.body);
+  if (fenced && report && report.value().highestToken > order.token) {
+    lease_.onFenced(report.value().highestToken);
+  }
+}
+
+std::string OrderDriver::statusJson() const {
+  const std::optional<FencingToken> token = lease_.token();
+  const RolloutProgress& progress = planner_.progress();
+  json::object status{{"holds_lease", token.has_value()},
+                      {"token", token ? token->value() : 0},
+                      {"at_desired", progress.atDesired},
+                      {"waiting", progress.waiting},
+                      {"loading", progress.loading},
+                      {"unreachable", progress.unreachable},
+                      {"held_for_capacity", progress.heldForCapacity}};
+  if (const std::optional<lease::ObservedLease>& observed = lease_.observed()) {
+    status["last_seen_holder"] = observed->record.holder;
+  }
+  return json::serialize(status);
+}
+
+}  // namespace calicodrift::orders
--- a/src/router/answer_sink.cc
+++ b/src/router/answer_sink.cc
@@ -90,6 +90,7 @@
   }
   if (response.status == 200) {
     response.headers.set(http::kRunHeader, std::string(toString(RunStatement::kYes)));
+    response.headers.set(http::kWeightsHeader, std::to_string(weights_.value()));
   }
   return response;
 }
--- a/src/router/answer_sink.h
+++ b/src/router/answer_sink.h
@@ -25,6 +25,8 @@
   /// Whether a token was taken from any engine.
   bool hasTokens() const { return nextIndex_ > caller_.resumeFrom; }
   void setBackend(const BackendId& backend) { backend_ = backend; }
+  /// Version that the answer's head names to the caller.
+  void setWeights(WeightsVersion weights) { weights_ = weights; }
 
   /// Takes the token at expectedIndex(). Fails with kCallerGone.
   boost::asio::awaitable<Result<void>> takeToken(const std::string& data);
@@ -46,6 +48,7 @@
   const openai::CompletionRequest& completion_;
   http::ResponseWriter& writer_;
   BackendId backend_;
+  WeightsVersion weights_;
   std::size_t nextIndex_;
   std::string text_;
   openai::Usage usage_;
--- a/src/router/backend_table.cc
+++ b/src/router/backend_table.cc
@@ -15,6 +15,8 @@
       return "unreachable";
     case BackendLoss::kRestarted:
       return "restarted";
+    case BackendLoss::kReloaded:
+      return "reloaded";
   }
   return "unreachable";
 }
@@ -55,10 +57,13 @@
   const bool known = backend.incarnation != Incarnation();
   if (known && backend.incarnation != result.incarnation) {
     listener_(id, BackendLoss::kRestarted);
+  } else if (known && backend.weights != result.weights) {
+    listener_(id, BackendLoss::kReloaded);
   }
   backend.incarnation = result.incarnation;
   backend.weights = result.weights;
   backend.reportedRequests = result.reportedRequests;
+  backend.accepting = result.accepting;
   backend.alive = true;
 }
 
@@ -70,6 +75,13 @@
   }
 }
 
+void BackendTable::markOutdated(const BackendId& id) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    found->second.accepting = false;
+  }
+}
+
 std::vector<platform::Machine> BackendTable::machines() const {
   std::vector<platform::Machine> all;
   all.reserve(backends_.size());
@@ -91,6 +103,24 @@
   return candidates;
 }
 
+std::map<WeightsVersion, std::size_t> BackendTable::engineVersions(const ModelId& model) const {
+  std::map<WeightsVersion, std::size_t> versions;
+  for (const auto& entry : backends_) {
+    const Backend& backend = entry.second;
+    if (usable(backend) && backend.machine.kind == platform::MachineKind::kEngine &&
+        backend.machine.serves == model.value()) {
+      ++versions[backend.weights];
+    }
+  }
+  return versions;
+}
+
+WeightsVersion BackendTable::weightsOf(const BackendId& id) const {
+  const auto found = backends_.find(id);
+  const bool alive = found != backends_.end() && found->second.alive;
+  return alive ? found->second.weights : WeightsVersion();
+}
+
 routing::Candidates BackendTable::services(std::string_view service) const {
   routing::Candidates candidates;
   for (const auto& entry : backends_) {
@@ -128,7 +158,7 @@
 }
 
 bool BackendTable::usable(const Backend& backend) {
-  return backend.alive && backend.machine.ready && backend.machine.serving &&
+  return backend.alive && backend.accepting && backend.machine.ready && backend.machine.serving &&
          !backend.machine.terminating;
 }
 
--- a/src/router/backend_table.h
+++ b/src/router/backend_table.h
@@ -19,10 +19,12 @@
   Incarnation incarnation;
   WeightsVersion weights;
   std::size_t reportedRequests = 0;
+  /// False while the back end refuses new work for a time, as an engine that loads weights.
+  bool accepting = true;
 };
 
 /// Why a back end stopped being usable.
-enum class BackendLoss { kRemoved, kLeaving, kUnreachable, kRestarted };
+enum class BackendLoss { kRemoved, kLeaving, kUnreachable, kRestarted, kReloaded };
 std::string_view toString(BackendLoss loss);
 
 /// The back ends that this node knows, from the lagging machine list, its own probes and what its
@@ -42,10 +44,18 @@
   /// A request found that nothing listens there; the next good probe brings it back.
   void markUnreachable(const BackendId& id) { applyProbeFailure(id); }
 
+  /// A request was refused as the back end is another incarnation, has other weights or loads them:
+  /// what is known of it is outdated, so it gets nothing until the next good probe.
+  void markOutdated(const BackendId& id);
+
   /// Every machine to probe, usable or not.
   std::vector<platform::Machine> machines() const;
   /// Usable engines of the model whose weights are at `weights`.
   routing::Candidates engines(const ModelId& model, WeightsVersion weights) const;
+  /// Usable engines of the model by the version of their weights.
+  std::map<WeightsVersion, std::size_t> engineVersions(const ModelId& model) const;
+  /// Version that a back end was last found at; 0 where it is not alive.
+  WeightsVersion weightsOf(const BackendId& id) const;
   /// Usable back ends of an ordinary service.
   routing::Candidates services(std::string_view service) const;
   std::optional<Endpoint> endpointOf(const BackendId& id) const;
@@ -59,6 +69,7 @@
     Incarnation incarnation;
     WeightsVersion weights;
     bool alive = false;
+    bool accepting = true;
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
     std::size_t reportedRequests = 0;
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "router/version_rule.h"
+
 namespace calicodrift::router {
 namespace {
 
@@ -12,13 +14,14 @@
 }
 
 routing::RouteRequest toRouteRequest(const Caller& caller, const bundle::Model& model,
-                                     const openai::CompletionRequest& completion) {
+                                     const openai::CompletionRequest& completion,
+                                     WeightsVersion weights) {
   constexpr std::size_t kBytesPerToken = 4;
   routing::RouteRequest request;
   request.tenant = caller.tenant->id;
   request.model = model.id;
   request.priority = caller.priority;
-  const CacheScope scope{caller.tenant->id, model.id, model.weights, completion.adapter};
+  const CacheScope scope{caller.tenant->id, model.id, weights, completion.adapter};
   request.blocks =
       chainHashes(scope, completion.prompt, static_cast<std::size_t>(model.blockBytes));
   request.promptTokens = completion.prompt.size() / kBytesPerToken;
@@ -46,18 +49,24 @@
   Job(const Caller& caller, const openai::CompletionRequest& completion, const bundle::Model& model,
       const http::Request& request, http::ResponseWriter& writer)
       : caller(caller),
+        completion(completion),
+        model(model),
         request(request),
         path(pathOf(completion.kind)),
         writer(writer),
-        route(toRouteRequest(caller, model, completion)),
+        route(toRouteRequest(caller, model, completion, model.weights)),
         weights(model.weights),
         sink(caller, completion, writer) {}
 
   const Caller& caller;
+  const openai::CompletionRequest& completion;
+  const bundle::Model& model;
   const http::Request& request;
   std::string path;
   http::ResponseWriter& writer;
   routing::RouteRequest route;
+  /// Version of the engines that may serve the next attempt; fixed once a token was taken, so that
+  /// no answer mixes versions.
   WeightsVersion weights;
   AnswerSink sink;
   std::uint32_t attempts = 0;
@@ -114,6 +123,9 @@
 }
 
 awaitable<Result<void>> CompletionHandler::dispatchOnce(Job& job) {
+  if (!job.sink.hasTokens()) {
+    selectWeights(job);
+  }
   routing::Candidates candidates = context_.backends.engines(job.route.model, job.weights);
   const auto wasTried = [&job](const routing::Candidate& candidate) {
     return std::find(job.avoided.begin(), job.avoided.end(), candidate.id) != job.avoided.end();
@@ -133,6 +145,7 @@
   }
   ++job.attempts;
   job.avoided.push_back(backend.id);
+  job.sink.setWeights(backend.weights);
   policy.onDispatched(job.route, backend, monotonicNow());
   context_.metrics.countDispatch(job.policyName);
 
@@ -151,9 +164,24 @@
   if (!outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
     context_.backends.markUnreachable(backend.id);
   }
+  if (!outcome && outcome.error().kind == ErrorKind::kFenced) {
+    context_.backends.markOutdated(backend.id);
+  }
   co_return outcome;
 }
 
+void CompletionHandler::selectWeights(Job& job) const {
+  const VersionQuery query = readVersionQuery(job.request, job.completion.prompt, job.model.weights,
+                                              job.model.minUsablePercent);
+  const WeightsVersion chosen =
+      chooseWeights(context_.backends.engineVersions(job.model.id), query);
+  if (chosen != job.weights) {
+    job.weights = chosen;
+    // Block hashes cover the version, so that no policy relies on other weights' cache.
+    job.route = toRouteRequest(job.caller, job.model, job.completion, chosen);
+  }
+}
+
 bool CompletionHandler::mayRetry(const Job& job, const Error& error) const {
   if (error.kind == ErrorKind::kCallerGone || error.kind == ErrorKind::kNoBackend) {
     return false;
--- a/src/router/completion_handler.h
+++ b/src/router/completion_handler.h
@@ -30,6 +30,8 @@
 
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  /// Chooses the weights version that the next attempt goes to.
+  void selectWeights(Job& job) const;
   bool mayRetry(const Job& job, const Error& error) const;
   http::ExchangeOptions optionsFor(const Job& job) const;
   void recordCompletion(const Job& job);
--- a/src/router/discovery.cc
+++ b/src/router/discovery.cc
@@ -31,6 +31,8 @@
   result.incarnation = Incarnation(numberAt(object, "incarnation"));
   result.weights = WeightsVersion(numberAt(object, "weights_version"));
   result.reportedRequests = numberAt(object, "waiting") + numberAt(object, "running");
+  const json::value* accepting = object.if_contains("accepting");
+  result.accepting = accepting == nullptr || !accepting->is_bool() || accepting->get_bool();
   return result;
 }
 
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -28,6 +28,24 @@
   return limits;
 }
 
+lease::LeaseSettings orderLeaseSettings(const NodeSettings& settings) {
+  lease::LeaseSettings lease;
+  // The time of the start makes each start another holder: a restarted node has forgotten its
+  // renewals and must not go on under an old token.
+  const auto started = std::chrono::duration_cast<Microseconds>(wallNow().time_since_epoch());
+  lease.holder = settings.nodeId + "#" + std::to_string(started.count());
+  lease.duration = settings.orderLeaseDuration;
+  lease.renewInterval = settings.orderLeaseRenewInterval;
+  lease.retryInterval = settings.orderLeaseRenewInterval / 4;
+  return lease;
+}
+
+orders::RolloutSettings rolloutSettings(const NodeSettings& settings) {
+  orders::RolloutSettings rollout;
+  rollout.loadTimeout = settings.weightsLoadTimeout;
+  return rollout;
+}
+
 }  // namespace
 
 Node::Node(asio::io_context& context, NodeSettings settings, bundle::SigningRule signingRule)
@@ -45,6 +63,11 @@
       route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_},
       completions_(route_),
       services_(route_),
+      orderLease_(context.get_executor(), client_, settings_.objectApi, "orders",
+                  orderLeaseSettings(settings_), [this] { return !draining_; }),
+      orderMetrics_(registry_),
+      orders_(context.get_executor(), client_, orderLease_, orderSources(), orderMetrics_,
+              rolloutSettings(settings_), settings_.orderInterval),
       server_(context.get_executor(), serverLimits(settings_),
               [this](http::Request& request, http::ResponseWriter& writer) {
                 return handle(request, writer);
@@ -61,6 +84,8 @@
   if (endpoint) {
     discovery_.start();
     asio::co_spawn(context_, pollStore(), asio::detached);
+    orderLease_.start();
+    orders_.start();
   }
   return endpoint;
 }
@@ -89,6 +114,7 @@
   control_->leave();
   log::write(log::Level::kInfo, "draining",
              {{"active_requests", std::to_string(server_.activeRequests())}});
+  asio::co_spawn(context_, orderLease_.release(), asio::detached);
   asio::co_spawn(context_, waitForLastRequest(), asio::detached);
 }
 
@@ -176,9 +202,24 @@
   if (request.path() == "/admin/members") {
     return memberStatus(control_->membership());
   }
+  if (request.path() == "/admin/orders") {
+    return http::jsonResponse(200, orders_.statusJson());
+  }
+  if (request.path() == "/admin/drain") {
+    return drainOnRequest(request);
+  }
   return http::errorResponse(fail(ErrorKind::kUnknownRoute, "unknown admin path"));
 }
 
+http::Response Node::drainOnRequest(const http::Request& request) {
+  if (request.method != "POST") {
+    return http::errorResponse(fail(ErrorKind::kMethodNotAllowed, "use POST /admin/drain"));
+  }
+  drain();
+  const json::object body{{"node", settings_.nodeId}, {"draining", true}};
+  return http::jsonResponse(200, json::serialize(body));
+}
+
 http::Response Node::readiness() const {
   if (draining_) {
     return http::textResponse(kStatusUnavailable, "draining\n");
@@ -229,6 +270,19 @@
   }
 }
 
+orders::OrderSources Node::orderSources() {
+  const auto engines = [this] {
+    std::vector<orders::KnownEngine> known;
+    for (const platform::Machine& machine : backends_.machines()) {
+      if (machine.kind == platform::MachineKind::kEngine) {
+        known.push_back({machine, backends_.weightsOf(machine.id)});
+      }
+    }
+    return known;
+  };
+  return {[this] { return bundle_.current(); }, engines};
+}
+
 void Node::onBundleAdopted(const bundle::Bundle& bundle) {
   metrics_.countBundleAdopted(static_cast<double>(bundle.version.value()));
   log::write(log::Level::kInfo, "bundle_adopted",
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -7,6 +7,8 @@
 #include "control/control_plane.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "lease/lease_keeper.h"
+#include "orders/order_driver.h"
 #include "peer/udp_transport.h"
 #include "router/backend_table.h"
 #include "router/bundle_holder.h"
@@ -38,6 +40,7 @@
   boost::asio::awaitable<void> handleWork(http::Request& request, http::ResponseWriter& writer);
   /// Health, readiness, metrics and status.
   http::Response handleAdmin(const http::Request& request);
+  http::Response drainOnRequest(const http::Request& request);
   http::Response readiness() const;
   http::Response bundleStatus() const;
   http::Response listModels() const;
@@ -46,6 +49,7 @@
   boost::asio::awaitable<void> runControl();
   boost::asio::awaitable<void> pollStore();
   boost::asio::awaitable<void> waitForLastRequest();
+  orders::OrderSources orderSources();
   void onBundleAdopted(const bundle::Bundle& bundle);
   void onBackendLost(const BackendId& backend, BackendLoss loss);
 
@@ -65,6 +69,9 @@
   RouteContext route_;
   CompletionHandler completions_;
   ServiceHandler services_;
+  lease::LeaseKeeper orderLease_;
+  orders::OrderMetrics orderMetrics_;
+  orders::OrderDriver orders_;
   http::Server server_;
   bool draining_ = false;
 };
--- a/src/router/node_settings.cc
+++ b/src/router/node_settings.cc
@@ -80,6 +80,16 @@
       {{"member-join-retry-ms", "500", 10, kMinuteMs, "ms",
         "first pause between requests to seeds; doubles up to 16 times"},
        &N::memberJoinRetry},
+      {{"order-lease-duration-ms", "6000", 100, kHourMs, "ms",
+        "lease of the node that sends orders"},
+       &N::orderLeaseDuration},
+      {{"order-lease-renew-ms", "2000", 10, kHourMs, "ms", "pause between renewals of that lease"},
+       &N::orderLeaseRenewInterval},
+      {{"order-interval-ms", "200", 10, kMinuteMs, "ms", "pause between steps of a roll-out"},
+       &N::orderInterval},
+      {{"weights-load-timeout-ms", "10000", 10, kHourMs, "ms",
+        "a silent engine counts as loading so long"},
+       &N::weightsLoadTimeout},
   };
   return table;
 }
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -46,6 +46,10 @@
   Milliseconds memberSuspicionTimeout{0};
   Milliseconds memberTombstoneRetention{0};
   Milliseconds memberJoinRetry{0};
+  Milliseconds orderLeaseDuration{0};
+  Milliseconds orderLeaseRenewInterval{0};
+  Milliseconds orderInterval{0};
+  Milliseconds weightsLoadTimeout{0};
 };
 
 const settings::SettingsTable<NodeSettings>& nodeSettingsTable();
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -5,6 +5,7 @@
 
 #include "http/sse.h"
 #include "sim/answer_text.h"
+#include "sim/engine_cache_api.h"
 
 namespace calicodrift::sim {
 namespace {
@@ -28,6 +29,14 @@
     : context_(context),
       settings_(std::move(settings)),
       model_(settings_.cost),
+      control_(context, settings_.identity,
+               {[this] { return generations_.size(); },
+                [this] {
+                  model_.clearCache();
+                  cacheFeed_.clear();
+                }}),
+      cacheFeed_(settings_.cacheFeed, settings_.identity.incarnation.value()),
+      load_(settings_.loadReportLag),
       server_(context.get_executor(), http::ServerLimits{},
               [this](http::Request& request, http::ResponseWriter& writer) {
                 return handle(request, writer);
@@ -48,11 +57,28 @@
     co_await complete(openai::CompletionKind::kText, request, writer);
     co_return;
   }
-  http::Response response =
-      request.path() == "/health"
-          ? health()
-          : http::errorResponse(fail(ErrorKind::kUnknownRoute, "no such path"));
-  co_await http::respond(writer, std::move(response));
+  co_await http::respond(writer, control(request));
+}
+
+http::Response EngineServer::control(const http::Request& request) {
+  const std::string_view path = request.path();
+  if (path == "/health") {
+    return health();
+  }
+  if (path == orders::kOrderPath) {
+    return control_.handleOrder(request.body);
+  }
+  if (path == "/cache/events") {
+    return cacheEventsResponse(request, cacheFeed_, control_.incarnation(), control_.weights(),
+                               monotonicNow());
+  }
+  if (path == "/kv/export") {
+    return kvExportResponse(request, model_, control_.weights());
+  }
+  if (path == "/kv/import") {
+    return kvImportResponse(request, model_, control_.weights());
+  }
+  return http::errorResponse(fail(ErrorKind::kUnknownRoute, "no such path"));
 }
 
 awaitable<void> EngineServer::complete(openai::CompletionKind kind, http::Request& request,
@@ -82,6 +108,7 @@
   });
   generations_[id] = generation;
   model_.submit(engineRequest);
+  recordLoad();
   workArrived_.cancel();
 
   if (completion.stream) {
@@ -91,7 +118,7 @@
         co_await writer.startStream(withIdentity(std::move(head), request));
     generation->callerGone = !started;
   }
-  const std::uint64_t promptHash = answerPromptHash(completion.prompt);
+  const std::uint64_t promptHash = answerPromptHash(completion.prompt, control_.weights());
   openai::Usage usage{promptTokensOf(completion, settings_.bytesPerToken), 0, 0};
   std::string text;
   bool finished = completion.resumeFrom >= completion.maxTokens;
@@ -155,9 +182,15 @@
     stepTimer.expires_after(model_.planStep());
     co_await stepTimer.async_wait(kAwait);
     deliver(model_.finishStep());
+    cacheFeed_.publish(model_.takeCacheEvents(), monotonicNow());
+    recordLoad();
   }
 }
 
+void EngineServer::recordLoad() {
+  load_.record({model_.waitingRequests(), model_.runningRequests()}, monotonicNow());
+}
+
 void EngineServer::deliver(const std::vector<TokenEvent>& tokens) {
   for (const TokenEvent& token : tokens) {
     const auto found = generations_.find(token.id);
@@ -170,8 +203,8 @@
 
 EngineRequest EngineServer::toEngineRequest(const openai::CompletionRequest& completion,
                                             const http::Request& request) {
-  const CacheScope scope{TenantId(request.headers.get(http::kCacheSaltHeader)), settings_.model,
-                         settings_.weights, completion.adapter};
+  const CacheScope scope{TenantId(request.headers.get(http::kCacheSaltHeader)), control_.model(),
+                         control_.weights(), completion.adapter};
   EngineRequest engineRequest;
   engineRequest.id = ++lastId_;
   engineRequest.blocks = chainHashes(scope, completion.prompt, settings_.blockBytes);
@@ -185,15 +218,18 @@
 
 Result<void> EngineServer::checkExpectations(const openai::CompletionRequest& completion,
                                              const http::Request& request) const {
-  if (completion.model != settings_.model) {
-    return fail(ErrorKind::kUnknownModel, "this engine serves '" + settings_.model.value() + "'");
+  if (completion.model != control_.model()) {
+    return fail(ErrorKind::kUnknownModel, "this engine serves '" + control_.model().value() + "'");
+  }
+  if (!control_.accepting()) {
+    return fail(ErrorKind::kFenced, "this engine is loading other weights");
   }
   const auto incarnation = request.headers.find(http::kExpectedIncarnationHeader);
-  if (incarnation && *incarnation != std::to_string(settings_.incarnation.value())) {
+  if (incarnation && *incarnation != std::to_string(control_.incarnation().value())) {
     return fail(ErrorKind::kFenced, "this engine is another incarnation");
   }
   const auto weights = request.headers.find(http::kExpectedWeightsHeader);
-  if (weights && *weights != std::to_string(settings_.weights.value())) {
+  if (weights && *weights != std::to_string(control_.weights().value())) {
     return fail(ErrorKind::kFenced, "this engine has other weights");
   }
   return boost::outcome_v2::success();
@@ -201,21 +237,22 @@
 
 http::Response EngineServer::withIdentity(http::Response response,
                                           const http::Request& request) const {
-  response.headers.set(http::kIncarnationHeader, std::to_string(settings_.incarnation.value()));
-  response.headers.set(http::kWeightsHeader, std::to_string(settings_.weights.value()));
+  response.headers.set(http::kIncarnationHeader, std::to_string(control_.incarnation().value()));
+  response.headers.set(http::kWeightsHeader, std::to_string(control_.weights().value()));
   response.headers.set(http::kRequestIdHeader, request.headers.get(http::kRequestIdHeader));
   response.headers.set(http::kAttemptHeader, request.headers.get(http::kAttemptHeader));
   return response;
 }
 
 http::Response EngineServer::health() const {
-  const boost::json::object body{{"id", settings_.id.value()},
-                                 {"model", settings_.model.value()},
-                                 {"incarnation", settings_.incarnation.value()},
-                                 {"weights_version", settings_.weights.value()},
-                                 {"waiting", model_.waitingRequests()},
-                                 {"running", model_.runningRequests()},
-                                 {"cached_blocks", model_.cachedBlocks()}};
+  const LaggingLoad::Sample load = load_.report(monotonicNow());
+  boost::json::object body = boost::json::parse(orders::toJson(control_.report())).as_object();
+  body["waiting"] = load.waiting;
+  body["running"] = load.running;
+  body["cached_blocks"] = model_.cachedBlocks();
+  body["refused_orders"] = control_.refusedOrders();
+  body["completed_loads"] = control_.completedLoads();
+  body["failed_loads"] = control_.failedLoads();
   return http::jsonResponse(200, boost::json::serialize(body));
 }
 
--- a/src/sim/engine_server.h
+++ b/src/sim/engine_server.h
@@ -11,22 +11,25 @@
 
 #include "http/server.h"
 #include "openai/completion.h"
+#include "sim/engine_cache_feed.h"
+#include "sim/engine_control.h"
 #include "sim/engine_model.h"
 
 namespace calicodrift::sim {
 
 struct EngineServerSettings {
-  BackendId id;
-  ModelId model;
-  WeightsVersion weights{1};
-  Incarnation incarnation;
+  EngineControlSettings identity;
+  CacheFeedSettings cacheFeed;
+  Milliseconds loadReportLag{0};
   std::size_t blockBytes = 2048;
   std::size_t bytesPerToken = 4;
   EngineModelSettings cost;
 };
 
 /// Stand-in of a model engine behind HTTP: the engine model in wall-clock time.
-/// POST /v1/chat/completions and /v1/completions generate; GET /health reports state and load.
+/// POST /v1/chat/completions and /v1/completions generate; GET /health reports state and load;
+/// POST /admin/orders takes fenced orders; /cache/events, /kv/export and /kv/import serve the
+/// cache.
 class EngineServer {
  public:
   EngineServer(boost::asio::io_context& context, EngineServerSettings settings);
@@ -56,10 +59,16 @@
                                  const http::Request& request) const;
   http::Response withIdentity(http::Response response, const http::Request& request) const;
   http::Response health() const;
+  /// Every path but those of completions.
+  http::Response control(const http::Request& request);
+  void recordLoad();
 
   boost::asio::io_context& context_;
   EngineServerSettings settings_;
   EngineModel model_;
+  EngineControl control_;
+  EngineCacheFeed cacheFeed_;
+  LaggingLoad load_;
   http::Server server_;
   boost::asio::steady_timer workArrived_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Generation>> generations_;
--- a/src/sim/programs.cc
+++ b/src/sim/programs.cc
@@ -12,6 +12,7 @@
 #include "sim/machine_list_server.h"
 #include "sim/object_api_server.h"
 #include "sim/service_server.h"
+#include "sim/weight_store_server.h"
 
 namespace calicodrift::sim {
 namespace {
@@ -51,6 +52,11 @@
   std::int64_t maxBatch = 0;
   std::int64_t cacheBlocks = 0;
   std::int64_t blockBytes = 0;
+  std::vector<Endpoint> weightStore;
+  Milliseconds loadTime{0};
+  Milliseconds loadReportLag{0};
+  Milliseconds cacheEventDelay{0};
+  std::int64_t cacheEventLossPercent = 0;
 };
 
 SettingsTable<EngineSettings> engineTable() {
@@ -70,6 +76,16 @@
        &EngineSettings::cacheBlocks},
       {{"block-bytes", "2048", 16, kMillion, "bytes", "prompt text in one block"},
        &EngineSettings::blockBytes},
+      {{"weight-store", "", 0, 0, "", "address that weights are fetched from"},
+       &EngineSettings::weightStore},
+      {{"load-time-ms", "500", 0, kMinute, "ms", "time of a load where no weight store is given"},
+       &EngineSettings::loadTime},
+      {{"load-report-lag-ms", "0", 0, kMinute, "ms", "how far the reported load lags"},
+       &EngineSettings::loadReportLag},
+      {{"cache-event-delay-ms", "0", 0, kMinute, "ms", "how late cache events can be read"},
+       &EngineSettings::cacheEventDelay},
+      {{"cache-event-loss-percent", "0", 0, 100, "percent", "cache events that are lost"},
+       &EngineSettings::cacheEventLossPercent},
   };
   table.insert(table.end(), own.begin(), own.end());
   return table;
@@ -86,6 +102,24 @@
   return table;
 }
 
+struct WeightStoreProgramSettings {
+  Endpoint listen;
+  Milliseconds loadTime{0};
+  std::int64_t fullSpeedLoads = 0;
+  std::int64_t failLoads = 0;
+};
+
+SettingsTable<WeightStoreProgramSettings> weightStoreTable() {
+  using W = WeightStoreProgramSettings;
+  return {
+      {{"listen", "127.0.0.1:0", 0, 0, "", "address to serve on"}, &W::listen},
+      {{"load-time-ms", "500", 0, kMinute, "ms", "time of one load at full speed"}, &W::loadTime},
+      {{"full-speed-loads", "3", 1, 10'000, "count", "loads at once that don't slow each other"},
+       &W::fullSpeedLoads},
+      {{"fail-loads", "0", 0, kMillion, "count", "so many first loads are refused"}, &W::failLoads},
+  };
+}
+
 struct PlatformSettings {
   Endpoint objectApiListen;
   Endpoint machineListListen;
@@ -171,11 +205,18 @@
       settings::loadOrExit(argc, argv, "Stand-in of a model engine", engineTable()).settings;
   constexpr double kMsPerSecond = 1000.0;
   EngineServerSettings server;
-  server.id = BackendId(given.id);
-  server.model = ModelId(given.serves);
-  server.weights = WeightsVersion(static_cast<std::uint64_t>(given.weightsVersion));
+  server.identity.id = BackendId(given.id);
+  server.identity.model = ModelId(given.serves);
+  server.identity.weights = WeightsVersion(static_cast<std::uint64_t>(given.weightsVersion));
+  server.identity.loadTime = given.loadTime;
+  if (!given.weightStore.empty()) {
+    server.identity.weightStore = given.weightStore.front();
+  }
+  server.loadReportLag = given.loadReportLag;
+  server.cacheFeed.delay = given.cacheEventDelay;
+  server.cacheFeed.lossPercent = given.cacheEventLossPercent;
   const auto started = std::chrono::duration_cast<Microseconds>(wallNow().time_since_epoch());
-  server.incarnation = Incarnation(static_cast<std::uint64_t>(started.count()));
+  server.identity.incarnation = Incarnation(static_cast<std::uint64_t>(started.count()));
   server.blockBytes = static_cast<std::size_t>(given.blockBytes);
   server.cost.prefillTokensPerMs = static_cast<double>(given.prefillTokensPerSecond) / kMsPerSecond;
   server.cost.stepBase = Microseconds(given.stepBaseMicroseconds);
@@ -201,6 +242,18 @@
   return settings::kExitSuccess;
 }
 
+int runWeightStore(int argc, const char* const* argv) {
+  const WeightStoreProgramSettings given =
+      settings::loadOrExit(argc, argv, "Stand-in of the weight store", weightStoreTable()).settings;
+  asio::io_context context(1);
+  WeightStoreServer store(
+      context.get_executor(),
+      {given.loadTime, static_cast<std::size_t>(given.fullSpeedLoads), given.failLoads});
+  announceOrExit("weight-store", store.listen(given.listen));
+  runUntilSignal(context);
+  return settings::kExitSuccess;
+}
+
 int runPlatform(int argc, const char* const* argv) {
   const PlatformSettings given =
       settings::loadOrExit(argc, argv, "Stand-ins of the platform's object API and machine list",
@@ -234,13 +287,16 @@
   if (role == "service") {
     return runService(argc - 1, argv + 1);
   }
+  if (role == "weight-store") {
+    return runWeightStore(argc - 1, argv + 1);
+  }
   if (role == "platform") {
     return runPlatform(argc - 1, argv + 1);
   }
   if (role == "proxy") {
     return runProxy(argc - 1, argv + 1);
   }
-  std::cerr << "usage: calicodrift-sim engine|service|platform|proxy [flags]; "
+  std::cerr << "usage: calicodrift-sim engine|service|weight-store|platform|proxy [flags]; "
                "each role has its own --help\n";
   return role == "--help" ? settings::kExitSuccess : settings::kExitUsage;
 }
--- a/src/sim/programs.h
+++ b/src/sim/programs.h
@@ -6,6 +6,7 @@
 
 int runEngine(int argc, const char* const* argv);
 int runService(int argc, const char* const* argv);
+int runWeightStore(int argc, const char* const* argv);
 int runPlatform(int argc, const char* const* argv);
 int runProxy(int argc, const char* const* argv);
 
--- /dev/null
+++ b/tests/lease/lease_core_test.cc
@@ -0,0 +1,263 @@
+#include "lease/lease_core.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "support/simulated_network.h"
+
+namespace calicodrift::lease {
+namespace {
+
+constexpr double kDrift = 0.05;
+constexpr Milliseconds kOperationTimeout{400};
+
+/// A store in virtual time: each operation takes effect at one moment, its answer may be lost.
+struct Store {
+  ObservedLease current;
+  std::uint64_t lastVersion = 0;
+  std::uint64_t takeovers = 0;
+
+  bool put(const ObservedLease& write) {
+    if (current.version != write.version) {
+      return false;
+    }
+    takeovers += write.record.holder == current.record.holder ? 0 : 1;
+    current = {platform::ResourceVersion(++lastVersion), write.record};
+    return true;
+  }
+};
+
+/// A candidate whose clock runs at its own rate, which sleeps through pauses.
+class Candidate {
+ public:
+  Candidate(testing::SimulatedNetwork& time, Store& store, const std::string& name, double rate)
+      : time_(time),
+        store_(store),
+        rate_(rate),
+        core_(
+            LeaseSettings{name, Milliseconds(1000), Milliseconds(300), Milliseconds(50), kDrift}) {
+    step();
+  }
+
+  MonotonicTime clock() const {
+    const auto elapsed = std::chrono::duration<double>(time_.now() - MonotonicTime{}) * rate_;
+    return MonotonicTime{} + std::chrono::duration_cast<MonotonicTime::duration>(elapsed);
+  }
+  std::optional<FencingToken> token() const { return core_.token(clock()); }
+  void pause(Milliseconds duration) { pausedUntil_ = time_.now() + duration; }
+
+ private:
+  void step() {
+    constexpr Milliseconds kStep{10};
+    time_.schedule(kStep, [this] { step(); });
+    if (busy_ || time_.now() < pausedUntil_) {
+      return;
+    }
+    const LeaseAction action = core_.next(clock());
+    if (action.step != LeaseStep::kWait) {
+      begin(action);
+    }
+  }
+
+  void begin(const LeaseAction& action) {
+    busy_ = true;
+    const std::uint64_t operation = ++operation_;
+    time_.schedule(delay(), [this, action, operation] { reach(action, operation); });
+    time_.schedule(kOperationTimeout, [this, action, operation] { giveUp(action, operation); });
+  }
+
+  /// The operation takes effect at the store, perhaps after its sender gave it up.
+  void reach(const LeaseAction& action, std::uint64_t operation) {
+    const bool wrote = action.step == LeaseStep::kWrite && store_.put(action.write);
+    const ObservedLease seen = store_.current;
+    if (chance(0.1)) {
+      return;
+    }
+    time_.schedule(delay(), [=, this] { answer(action, operation, wrote, seen); });
+  }
+
+  void answer(const LeaseAction& action, std::uint64_t operation, bool wrote, ObservedLease seen) {
+    if (time_.now() < pausedUntil_) {
+      time_.schedule(Milliseconds(7), [=, this] { answer(action, operation, wrote, seen); });
+      return;
+    }
+    if (operation != operation_ || !busy_) {
+      return;
+    }
+    busy_ = false;
+    if (action.step == LeaseStep::kRead) {
+      core_.onRead(seen, clock());
+    } else if (wrote) {
+      core_.onWritten(action.write, seen.version, clock());
+    } else {
+      core_.onWriteFailed(clock());
+    }
+  }
+
+  void giveUp(const LeaseAction& action, std::uint64_t operation) {
+    if (operation != operation_ || !busy_ || time_.now() < pausedUntil_) {
+      if (operation == operation_ && busy_) {
+        time_.schedule(Milliseconds(7), [=, this] { giveUp(action, operation); });
+      }
+      return;
+    }
+    busy_ = false;
+    if (action.step == LeaseStep::kRead) {
+      core_.onReadFailed(clock());
+    } else {
+      core_.onWriteFailed(clock());
+    }
+  }
+
+  bool chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(time_.random()) < probability;
+  }
+  Milliseconds delay() {
+    const int longest = chance(0.05) ? 1500 : 40;
+    return Milliseconds(std::uniform_int_distribution<int>(1, longest)(time_.random()));
+  }
+
+  testing::SimulatedNetwork& time_;
+  Store& store_;
+  double rate_;
+  LeaseCore core_;
+  MonotonicTime pausedUntil_{};
+  std::uint64_t operation_ = 0;
+  bool busy_ = false;
+};
+
+struct Outcome {
+  std::uint64_t takeovers = 0;
+  std::uint64_t heldSamples = 0;
+  std::uint64_t doubleHeldSamples = 0;
+  bool tokensRise = true;
+};
+
+/// Half a virtual minute of four candidates under random delays, pauses and lost answers.
+Outcome runSchedule(std::uint64_t seed) {
+  constexpr int kCandidates = 4;
+  constexpr int kSamples = 30'000;
+  testing::SimulatedNetwork time(seed);
+  Store store;
+  std::vector<std::unique_ptr<Candidate>> candidates;
+  for (int index = 0; index < kCandidates; ++index) {
+    // Both extremes of the stated bound take part in every schedule.
+    const double rate = index % 2 == 0 ? 1 - kDrift : 1 + kDrift;
+    candidates.push_back(
+        std::make_unique<Candidate>(time, store, "n" + std::to_string(index), rate));
+  }
+  Outcome outcome;
+  FencingToken highest;
+  std::optional<std::size_t> lastHolder;
+  for (int sample = 0; sample < kSamples; ++sample) {
+    time.run(Milliseconds(1));
+    std::size_t holders = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+      const std::optional<FencingToken> token = candidates[index]->token();
+      if (!token) {
+        continue;
+      }
+      ++holders;
+      const bool otherHolder = lastHolder && *lastHolder != index;
+      outcome.tokensRise =
+          outcome.tokensRise && (otherHolder ? *token > highest : *token >= highest);
+      highest = *token;
+      lastHolder = index;
+    }
+    outcome.heldSamples += holders > 0 ? 1 : 0;
+    outcome.doubleHeldSamples += holders > 1 ? 1 : 0;
+    if (sample % 1500 == 0) {
+      std::uniform_int_distribution<std::size_t> which(0, candidates.size() - 1);
+      std::uniform_int_distribution<int> length(100, 3000);
+      candidates[which(time.random())]->pause(Milliseconds(length(time.random())));
+    }
+  }
+  outcome.takeovers = store.takeovers;
+  return outcome;
+}
+
+BOOST_AUTO_TEST_CASE(neverTwoHoldersUnderDelaysPausesLostAnswersAndDrift) {
+  constexpr std::uint64_t kSchedules = 60;
+  Outcome total;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    const Outcome outcome = runSchedule(seed);
+    total.takeovers += outcome.takeovers;
+    total.heldSamples += outcome.heldSamples;
+    total.doubleHeldSamples += outcome.doubleHeldSamples;
+    total.tokensRise = total.tokensRise && outcome.tokensRise;
+  }
+  BOOST_TEST_MESSAGE("takeovers " << total.takeovers << ", held ms " << total.heldSamples
+                                  << ", held by two ms " << total.doubleHeldSamples);
+  BOOST_TEST(total.doubleHeldSamples == 0U);
+  BOOST_TEST(total.tokensRise);
+  // A run without changes of holder, or without a holder at all, would prove nothing.
+  BOOST_TEST(total.takeovers > kSchedules);
+  BOOST_TEST(total.heldSamples > kSchedules * 10'000);
+}
+
+struct OneHolder {
+  MonotonicTime now{};
+  LeaseCore core{LeaseSettings{"a#1", Milliseconds(1000), Milliseconds(300), Milliseconds(50)}};
+
+  LeaseAction acquire() {
+    core.next(now);
+    core.onRead({}, now);
+    LeaseAction action = core.next(now);
+    BOOST_REQUIRE((action.step == LeaseStep::kWrite));
+    return action;
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(theLeaseCountsFromBeforeTheWriteWasSent, OneHolder) {
+  const LeaseAction action = acquire();
+  core.onWritten(action.write, platform::ResourceVersion(1), now + Milliseconds(900));
+  BOOST_TEST(core.token(now + Milliseconds(999)).has_value());
+  BOOST_TEST(!core.token(now + Milliseconds(1000)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(aLostAnswerIsSettledByReadingBack, OneHolder) {
+  const LeaseAction action = acquire();
+  core.onWriteFailed(now + Milliseconds(100));
+  BOOST_TEST(!core.token(now + Milliseconds(100)).has_value());
+  BOOST_TEST((core.next(now + Milliseconds(100)).step == LeaseStep::kRead));
+  core.onRead({platform::ResourceVersion(1), action.write.record}, now + Milliseconds(200));
+  BOOST_TEST(core.token(now + Milliseconds(200)).has_value());
+  BOOST_TEST(!core.token(now + Milliseconds(1000)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(aFencedHolderStopsAndGoesOnOnlyUnderAHigherToken, OneHolder) {
+  const LeaseAction action = acquire();
+  core.onWritten(action.write, platform::ResourceVersion(1), now);
+  core.onFenced(FencingToken(9));
+  BOOST_TEST(!core.token(now).has_value());
+  BOOST_TEST((core.next(now).step == LeaseStep::kRead));
+  core.onRead({platform::ResourceVersion(1), action.write.record}, now);
+  BOOST_TEST(!core.token(now).has_value());
+  const LeaseAction raised = core.next(now);
+  BOOST_REQUIRE((raised.step == LeaseStep::kWrite));
+  BOOST_TEST(raised.write.record.token.value() == 10U);
+}
+
+BOOST_FIXTURE_TEST_CASE(aReleasedLeaseIsFreeAtOnceAndNeverHeldAgainByItsGiver, OneHolder) {
+  const LeaseAction action = acquire();
+  core.onWritten(action.write, platform::ResourceVersion(1), now);
+  const std::optional<ObservedLease> released = core.release(now);
+  BOOST_REQUIRE(released.has_value());
+  BOOST_TEST(!core.token(now).has_value());
+  LeaseCore successor(LeaseSettings{"b#1", Milliseconds(1000), Milliseconds(300)});
+  successor.onRead({platform::ResourceVersion(2), released->record}, now);
+  const LeaseAction taken = successor.next(now);
+  BOOST_REQUIRE((taken.step == LeaseStep::kWrite));
+  BOOST_TEST(taken.write.record.token.value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aNodeThatIsNoCandidateNeverTouchesTheStore) {
+  LeaseCore core(LeaseSettings{"c#1"});
+  BOOST_TEST((core.next(MonotonicTime{}, false).step == LeaseStep::kWait));
+}
+
+}  // namespace
+}  // namespace calicodrift::lease
