Operator commands for weights roll-outs and planned stops

Cause: a weights change needed hand-made JSON, and a planned stop a signal on the machine itself. Change: 'engine load-version' prints the next bundle with the model's new version, unsigned, so that a roll-out passes review like any change; 'node drain' starts a router's planned stop. Ruled out: an order straight to the engine; it would bypass the two signatures and be undone by the lease holder.

--- a/src/ctl/bundle_commands.cc
+++ b/src/ctl/bundle_commands.cc
@@ -2,57 +2,19 @@
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
-#include <fstream>
-#include <functional>
-#include <iterator>
 
 #include "bundle/signature.h"
+#include "ctl/command_support.h"
 #include "http/client.h"
 #include "platform/object_api.h"
 
 namespace calicodrift::ctl {
 namespace {
 
-namespace asio = boost::asio;
-using asio::awaitable;
+using boost::asio::awaitable;
 constexpr std::string_view kBundleKind = "bundles";
 constexpr std::string_view kBundleName = "current";
 
-Result<std::string> readFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return fail(ErrorKind::kNotFound, "cannot open '" + path + "'");
-  }
-  return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-}
-
-Result<std::string> writeFile(const std::string& path, const std::string& text) {
-  std::ofstream file(path);
-  file << text;
-  file.close();
-  if (!file) {
-    return fail(ErrorKind::kInternal, "cannot write '" + path + "'");
-  }
-  return "wrote " + path + "\n";
-}
-
-/// Runs one coroutine to its end on a context of its own.
-Result<std::string> runToEnd(
-    const std::function<awaitable<Result<std::string>>(http::Client&)>& command) {
-  asio::io_context context(1);
-  http::Client client(context.get_executor());
-  Result<std::string> outcome = fail(ErrorKind::kInternal, "the command did not finish");
-  asio::co_spawn(
-      context,
-      [&]() -> awaitable<void> {
-        outcome = co_await command(client);
-        context.stop();
-      },
-      asio::detached);
-  context.run();
-  return outcome;
-}
-
 /// A file with a signed bundle, or with a plain one, which then has no signatures.
 Result<bundle::SignedBundle> readBundleFile(const std::string& file) {
   Result<std::string> text = readFile(file);
--- a/src/ctl/bundle_commands.h
+++ b/src/ctl/bundle_commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
   std::string signer;
   std::string keyFile;
   std::string output;
+  std::string model;
+  std::int64_t weightsVersion = 0;
   bool json = false;
 };
 
--- a/src/ctl/program.cc
+++ b/src/ctl/program.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "ctl/bundle_commands.h"
+#include "ctl/fleet_commands.h"
 #include "settings/table.h"
 
 namespace calicodrift::ctl {
@@ -10,7 +11,10 @@
 
 constexpr std::string_view kSummary =
     "Operator's command line of calicodrift. Commands: "
-    "key make | bundle check FILE | bundle sign FILE | bundle submit FILE | bundle status";
+    "key make | bundle check FILE | bundle sign FILE | bundle submit FILE | bundle status | "
+    "engine load-version FILE | node drain";
+
+constexpr std::int64_t kLargestVersion = 1'000'000'000'000;
 
 settings::SettingsTable<CtlSettings> ctlTable() {
   return {
@@ -21,6 +25,9 @@
       {{"signer", "", 0, 0, "", "name of the person who signs"}, &CtlSettings::signer},
       {{"key-file", "", 0, 0, "", "file with the private key"}, &CtlSettings::keyFile},
       {{"output", "", 0, 0, "", "file to write; the input where absent"}, &CtlSettings::output},
+      {{"model", "", 0, 0, "", "model whose weights change"}, &CtlSettings::model},
+      {{"weights-version", "0", 0, kLargestVersion, "", "version that the model is to load"},
+       &CtlSettings::weightsVersion},
       {{"json", "false", 0, 0, "", "print JSON in place of tables"}, &CtlSettings::json},
   };
 }
@@ -35,6 +42,12 @@
   if (group == "bundle" && action == "status") {
     return bundleStatus(settings);
   }
+  if (group == "node" && action == "drain") {
+    return drainNode(settings);
+  }
+  if (group == "engine" && action == "load-version") {
+    return proposeWeights(settings, file);
+  }
   const bool known = action == "check" || action == "sign" || action == "submit";
   if (group != "bundle" || !known) {
     return fail(ErrorKind::kSettingsInvalid, "unknown command; see --help");
--- a/src/orders/rollout_planner.h
+++ b/src/orders/rollout_planner.h
@@ -71,7 +71,8 @@
     std::optional<MonotonicTime> orderedAt;
     LoadOrder order;
     /// Its last report in this tenure showed no load, and no order was sent since. As earlier
-    /// holders' orders are refused from that report on, it can't be loading even where it is silent.
+    /// holders' orders are refused from that report on, it can't be loading even where it is
+    /// silent.
     bool knownIdle = false;
     /// The engine's reports show what came of the order, or it can't take effect any more.
     bool orderSettled = true;
--- a/tests/integration/rollout_test.cc
+++ b/tests/integration/rollout_test.cc
@@ -160,5 +160,18 @@
   BOOST_TEST(RolloutFleet::number(rollout.health(0), "highest_token") > oldToken);
 }
 
+BOOST_AUTO_TEST_CASE(aDrainedHolderGivesTheLeaseBackAndEndsByItself) {
+  const RolloutFleet rollout(1, 100);
+  const auto first = rollout.fleet.startRouter("r1", {"--order-lease-duration-ms", "600000"});
+  BOOST_REQUIRE(eventually([&] { return RolloutFleet::holdsLease(*first); }));
+  const auto second = rollout.startRouter("r2");
+  Process drain("calicodriftctl",
+                {"node", "drain", "--routers", first->endpoint("router").toString()});
+  BOOST_TEST(drain.wait() == 0);
+  BOOST_TEST(first->wait() == 0);
+  // Without the release the successor would wait for ten minutes.
+  BOOST_TEST(eventually([&] { return RolloutFleet::holdsLease(*second); }));
+}
+
 }  // namespace
 }  // namespace calicodrift::testing
--- a/tests/lease/lease_core_test.cc
+++ b/tests/lease/lease_core_test.cc
@@ -79,7 +79,8 @@
     time_.schedule(delay(), [=, this] { answer(action, operation, wrote, seen); });
   }
 
-  void answer(const LeaseAction& action, std::uint64_t operation, bool wrote, ObservedLease seen) {
+  void answer(const LeaseAction& action, std::uint64_t operation, bool wrote,
+              const ObservedLease& seen) {
     if (time_.now() < pausedUntil_) {
       time_.schedule(Milliseconds(7), [=, this] { answer(action, operation, wrote, seen); });
       return;
