Roll-out: a broken stream never continues on other weights

Cause: a caller that resumes names no version, so its rest could come from other weights; and the tests' streams were shorter than a load, so that an engine without draining passed them. Change: a resumed request that names X-Seen-Weights is served by that version or refused; streams in the traffic test outlast a load; the planner's simulation has late orders; a virtual roll-out of 18 engines counts conversations that go back.

--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -173,8 +173,11 @@
 void CompletionHandler::selectWeights(Job& job) const {
   const VersionQuery query = readVersionQuery(job.request, job.completion.prompt, job.model.weights,
                                               job.model.minUsablePercent);
+  // The rest of an answer comes from the weights of its beginning, or not at all.
+  const bool restOfAnswer = job.caller.resumeFrom > 0 && query.seen.value() != 0;
   const WeightsVersion chosen =
-      chooseWeights(context_.backends.engineVersions(job.model.id), query);
+      restOfAnswer ? query.seen
+                   : chooseWeights(context_.backends.engineVersions(job.model.id), query);
   if (chosen != job.weights) {
     job.weights = chosen;
     // Block hashes cover the version, so that no policy relies on other weights' cache.
--- a/tests/integration/rollout_traffic_test.cc
+++ b/tests/integration/rollout_traffic_test.cc
@@ -12,7 +12,8 @@
 namespace calicodrift::testing {
 namespace {
 
-constexpr int kTokens = 12;
+// Streams last longer than a load, so that they overlap the change of weights.
+constexpr int kTokens = 100;
 
 /// What the callers saw, over all conversations.
 struct Tally {
@@ -28,6 +29,7 @@
   std::string text;
   std::size_t cachedTokens = 0;
   bool done = false;
+  bool errorEvent = false;
 };
 
 StreamedAnswer readStream(const std::string& body) {
@@ -39,6 +41,10 @@
       answer.done = true;
       continue;
     }
+    if (event->event == "error") {
+      answer.errorEvent = true;
+      continue;
+    }
     const auto content = openai::parseChunk(event->data);
     if (content && content.value().hasUsage) {
       answer.cachedTokens = content.value().usage.cachedTokens;
@@ -82,7 +88,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(trafficDuringARollOutFailsNothingAndMixesNothing) {
-  const RolloutFleet rollout(6, 300);
+  const RolloutFleet rollout(6, 100);
   std::vector<std::unique_ptr<Process>> routers;
   for (int index = 0; index < 2; ++index) {
     routers.push_back(rollout.startRouter("r" + std::to_string(index)));
@@ -119,5 +125,54 @@
   BOOST_TEST(rollout.storeCount("peak") == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(aBrokenStreamNeverContinuesOnOtherWeights) {
+  RolloutFleet rollout(0, 50);
+  const auto serving = rollout.startEngine("e1");
+  const auto router = rollout.startRouter("r1");
+  BOOST_REQUIRE(waitUntilServing(router->endpoint("router")));
+  const std::string prompt(100, 's');
+  constexpr int kLongAnswer = 5000;
+  Result<http::Response> response = fail(ErrorKind::kInternal, "no answer yet");
+  std::thread caller([&] {
+    response =
+        exchange(router->endpoint("router"),
+                 authorized("POST", "/v1/completions", completionBody(prompt, kLongAnswer, true)));
+  });
+  const bool running = eventually([&] {
+    return RolloutFleet::number(RolloutFleet::json(serving->endpoint("engine"), "/health"),
+                                "running") > 0;
+  });
+  rollout.engines.push_back(rollout.startEngine("e0"));
+  rollout.rollOut(2, 2);
+  // The router knows of the reloaded engine once it serves from it.
+  const bool reloaded = eventually([&] {
+    const auto other =
+        exchange(router->endpoint("router"),
+                 authorized("POST", "/v1/completions", completionBody("x", 1, false)));
+    return other && other.value().headers.get(http::kWeightsHeader) == "2";
+  });
+  serving->killAtOnce();
+  caller.join();
+  BOOST_REQUIRE((running && reloaded));
+  BOOST_REQUIRE(response.has_value());
+  const StreamedAnswer answer = readStream(response.value().body);
+  BOOST_TEST(!answer.done);
+  BOOST_TEST(answer.errorEvent);
+  const std::string whole = sim::answerText(prompt, 0, kLongAnswer);
+  BOOST_TEST(!answer.text.empty());
+  BOOST_TEST_MESSAGE("kept " << answer.text.size() << " bytes of text");
+  BOOST_TEST(whole.starts_with(answer.text));
+  // Nor does the caller's own attempt to go on, once it names the weights that it has seen.
+  http::Request rest =
+      authorized("POST", "/v1/completions", completionBody(prompt, kLongAnswer, true));
+  rest.headers.set(http::kRequestIdHeader, "broken-one");
+  rest.headers.set(http::kLastEventIdHeader, "broken-one/7");
+  rest.headers.set("X-Seen-Weights", "1");
+  const auto refused = exchange(router->endpoint("router"), rest);
+  BOOST_REQUIRE(refused.has_value());
+  BOOST_TEST(refused.value().headers.get(http::kErrorKindHeader) == "no_backend");
+  BOOST_TEST(refused.value().headers.get(http::kRunHeader) == "no");
+}
+
 }  // namespace
 }  // namespace calicodrift::testing
--- a/tests/orders/rollout_planner_test.cc
+++ b/tests/orders/rollout_planner_test.cc
@@ -23,14 +23,20 @@
   return bundle;
 }
 
-/// Engines in virtual time. Answers to orders may be lost and loads may fail; until `kQuiet`,
-/// engines may also restart with the old weights or be cut off for a while.
+/// Engines in virtual time. Orders may be late, their answers may be lost, loads may fail; until
+/// `kQuiet`, engines may also restart with the old weights or be cut off for a while.
 class SimulatedEngines {
  public:
   explicit SimulatedEngines(std::uint64_t seed) : random_(seed), engines_(kEngines) {}
 
   void advance(MonotonicTime now) {
     now_ = now;
+    std::erase_if(late_, [this](const LateOrder& late) {
+      if (late.arrival <= now_) {
+        apply(late.order, late.tenure);
+      }
+      return late.arrival <= now_;
+    });
     for (Engine& engine : engines_) {
       if (engine.loading && now >= engine.loadEnd) {
         engine.weights = chance(0.1) ? engine.weights : *engine.loading;
@@ -40,13 +46,21 @@
         continue;
       }
       if (chance(0.002)) {
-        engine = Engine{engine.incarnation + 1, 1, {}, {}, now + Milliseconds(500)};
+        engine = Engine{engine.incarnation + 1, 1, {}, {}, now + Milliseconds(500), 0};
       } else if (chance(0.002)) {
         engine.cutUntil = now + Milliseconds(3000);
       }
     }
   }
 
+  /// Engines that answer refuse orders of earlier tenures from then on.
+  std::vector<SurveyedEngine> observe(int tenure) {
+    for (Engine& engine : engines_) {
+      engine.tenure = now_ >= engine.cutUntil ? tenure : engine.tenure;
+    }
+    return survey();
+  }
+
   std::vector<SurveyedEngine> survey() const {
     std::vector<SurveyedEngine> found;
     for (std::size_t index = 0; index < engines_.size(); ++index) {
@@ -60,14 +74,14 @@
   }
 
   /// @return whether the answer arrived.
-  bool order(const LoadOrder& order) {
-    Engine& engine = engines_.at(std::stoul(order.engine.value().substr(1)));
-    const bool arrived = now_ >= engine.cutUntil && !chance(0.05);
-    if (arrived && Incarnation(engine.incarnation) == order.incarnation && !engine.loading) {
-      engine.loading = order.weights.value();
-      engine.loadEnd = now_ + Milliseconds(std::uniform_int_distribution<int>(100, 900)(random_));
+  bool order(const LoadOrder& order, int tenure) {
+    if (chance(0.1)) {
+      const Milliseconds delay(std::uniform_int_distribution<int>(50, 1500)(random_));
+      late_.push_back({now_ + delay, order, tenure});
+      return false;
     }
-    return arrived && !chance(0.1);
+    apply(order, tenure);
+    return !chance(0.1);
   }
 
   std::size_t loading() const {
@@ -86,7 +100,25 @@
     std::optional<std::uint64_t> loading;
     MonotonicTime loadEnd{};
     MonotonicTime cutUntil{};
+    int tenure = 0;
   };
+  struct LateOrder {
+    MonotonicTime arrival;
+    LoadOrder order;
+    int tenure = 0;
+  };
+
+  void apply(const LoadOrder& order, int tenure) {
+    Engine& engine = engines_.at(std::stoul(order.engine.value().substr(1)));
+    const bool taken = now_ >= engine.cutUntil && tenure >= engine.tenure &&
+                       Incarnation(engine.incarnation) == order.incarnation &&
+                       engine.weights != order.weights.value() && !engine.loading;
+    if (taken) {
+      engine.tenure = tenure;
+      engine.loading = order.weights.value();
+      engine.loadEnd = now_ + Milliseconds(std::uniform_int_distribution<int>(100, 900)(random_));
+    }
+  }
 
   static EngineReport report(const Engine& engine, const BackendId& id) {
     EngineReport report;
@@ -106,6 +138,7 @@
 
   std::mt19937_64 random_;
   std::vector<Engine> engines_;
+  std::vector<LateOrder> late_;
   MonotonicTime now_{};
 };
 
@@ -137,9 +170,11 @@
     if (step % 100 == 0) {
       planner.beginTenure();
     }
-    const std::size_t before = usablePercent(engines.survey());
-    for (const LoadOrder& order : planner.plan(bundle, engines.survey(), now)) {
-      if (engines.order(order)) {
+    const int tenure = step / 100;
+    const std::vector<SurveyedEngine> observed = engines.observe(tenure);
+    const std::size_t before = usablePercent(observed);
+    for (const LoadOrder& order : planner.plan(bundle, observed, now)) {
+      if (engines.order(order, tenure)) {
         planner.onOrderAnswered(order.engine);
       }
     }
--- a/tests/router/version_rule_test.cc
+++ b/tests/router/version_rule_test.cc
@@ -48,6 +48,37 @@
   }
 }
 
+/// Engines of one model that load new weights a few at a time, as in a roll-out.
+VersionCounts countsAfter(std::size_t engines, std::size_t loads, std::size_t batches) {
+  const std::size_t ready = std::min(engines, loads * batches);
+  const std::size_t loading = std::min(loads, engines - ready);
+  return {{kOld, engines - ready - loading}, {kNew, ready}};
+}
+
+BOOST_AUTO_TEST_CASE(noConversationGoesBackDuringARollOut) {
+  constexpr std::size_t kEngines = 18;
+  constexpr std::size_t kLoads = 3;
+  constexpr std::size_t kTurnsPerBatch = 5;
+  constexpr std::uint64_t kConversations = 1000;
+  std::size_t movedEarly = 0;
+  std::size_t wentBack = 0;
+  for (std::uint64_t number = 0; number < kConversations; ++number) {
+    bool sawNew = false;
+    for (std::size_t turn = 0; turn < kTurnsPerBatch * kEngines / kLoads; ++turn) {
+      const VersionCounts usable = countsAfter(kEngines, kLoads, turn / kTurnsPerBatch);
+      const bool served = chooseWeights(usable, queryFor(number)) == kNew;
+      wentBack += sawNew && !served ? 1 : 0;
+      sawNew = sawNew || served;
+      movedEarly += served && turn / kTurnsPerBatch == 1 ? 1 : 0;
+    }
+  }
+  BOOST_TEST_MESSAGE("turns by new weights in the second batch " << movedEarly << ", went back "
+                                                                 << wentBack);
+  BOOST_TEST(movedEarly > 0U);
+  BOOST_TEST(movedEarly < kConversations * kTurnsPerBatch);
+  BOOST_TEST(wentBack == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(aCallerWhoNamesTheNewVersionKeepsItWhileOneEngineHasIt) {
   for (std::uint64_t number = 0; number < 200; ++number) {
     BOOST_REQUIRE((chooseWeights({{kOld, 19}, {kNew, 1}}, queryFor(number, 2)) == kNew));
