--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -7,6 +7,13 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
+namespace {
+
+/// How often the core is asked between two renewals.
+constexpr int kStepsPerRenewal = 10;
+
+}  // namespace
+
 LeaseKeeper::LeaseKeeper(asio::any_io_executor executor, http::Client& client,
                          std::vector<Endpoint> stores, std::string name, LeaseSettings settings,
                          std::function<bool()> mayAcquire)
@@ -14,6 +21,7 @@
       client_(client),
       stores_(std::move(stores)),
       name_(std::move(name)),
+      pause_(settings.renewInterval / kStepsPerRenewal),
       core_(std::move(settings)),
       mayAcquire_(std::move(mayAcquire)) {}
 
@@ -24,7 +32,6 @@
 }
 
 awaitable<void> LeaseKeeper::run() {
-  constexpr Milliseconds kIdlePause{20};
   asio::steady_timer timer(executor_);
   while (!stopped_) {
     const LeaseAction action = core_.next(monotonicNow(), mayAcquire_());
@@ -33,7 +40,7 @@
     } else if (action.step == LeaseStep::kWrite) {
       co_await write(action.write);
     }
-    timer.expires_after(kIdlePause);
+    timer.expires_after(pause_);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -41,6 +41,7 @@
   std::vector<Endpoint> stores_;
   std::size_t storeIndex_ = 0;
   std::string name_;
+  Milliseconds pause_;
   LeaseCore core_;
   std::function<bool()> mayAcquire_;
   bool stopped_ = false;
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -15,6 +15,7 @@
 using asio::awaitable;
 constexpr std::string_view kBundleKind = "bundles";
 constexpr std::string_view kBundleName = "current";
+constexpr std::string_view kOrderLease = "orders";
 constexpr unsigned kStatusUnavailable = 503;
 
 http::ServerLimits serverLimits(const NodeSettings& settings) {
@@ -63,8 +64,8 @@
       route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_},
       completions_(route_),
       services_(route_),
-      orderLease_(context.get_executor(), client_, settings_.objectApi, "orders",
-                  orderLeaseSettings(settings_), [this] { return !draining_; }),
+      orderLease_(context.get_executor(), client_, settings_.objectApi, std::string(kOrderLease),
+                  orderLeaseSettings(settings_), [this] { return mayAcquireOrderLease(); }),
       orderMetrics_(registry_),
       orders_(context.get_executor(), client_, orderLease_, orderSources(), orderMetrics_,
               rolloutSettings(settings_), settings_.orderInterval),
@@ -94,6 +95,8 @@
   control_ = std::make_unique<control::ControlPlane>(controlPlaneSettings(settings_, peerEndpoint_),
                                                      peers_, monotonicNow);
   control_->membership().addListener(logMemberChange);
+  orderCandidacy_.emplace(control_->membership(), std::string(kOrderLease),
+                          static_cast<std::size_t>(settings_.orderLeaseCandidates));
   asio::co_spawn(context_, runControl(), asio::detached);
 }
 
@@ -270,6 +273,10 @@
   }
 }
 
+bool Node::mayAcquireOrderLease() {
+  return !draining_ && orderCandidacy_ && orderCandidacy_->check(monotonicNow());
+}
+
 orders::OrderSources Node::orderSources() {
   const auto engines = [this] {
     std::vector<orders::KnownEngine> known;
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -3,10 +3,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 
 #include "control/control_plane.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "lease/candidates.h"
 #include "lease/lease_keeper.h"
 #include "orders/order_driver.h"
 #include "peer/udp_transport.h"
@@ -49,6 +51,7 @@
   boost::asio::awaitable<void> runControl();
   boost::asio::awaitable<void> pollStore();
   boost::asio::awaitable<void> waitForLastRequest();
+  bool mayAcquireOrderLease();
   orders::OrderSources orderSources();
   void onBundleAdopted(const bundle::Bundle& bundle);
   void onBackendLost(const BackendId& backend, BackendLoss loss);
@@ -69,6 +72,7 @@
   RouteContext route_;
   CompletionHandler completions_;
   ServiceHandler services_;
+  std::optional<lease::Candidacy> orderCandidacy_;
   lease::LeaseKeeper orderLease_;
   orders::OrderMetrics orderMetrics_;
   orders::OrderDriver orders_;
--- a/src/router/node_settings.cc
+++ b/src/router/node_settings.cc
@@ -80,6 +80,8 @@
       {{"member-join-retry-ms", "500", 10, kMinuteMs, "ms",
         "first pause between requests to seeds; doubles up to 16 times"},
        &N::memberJoinRetry},
+      {{"order-lease-candidates", "3", 1, 100, "count", "nodes that read the order lease"},
+       &N::orderLeaseCandidates},
       {{"order-lease-duration-ms", "6000", 100, kHourMs, "ms",
         "lease of the node that sends orders"},
        &N::orderLeaseDuration},
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -46,6 +46,7 @@
   Milliseconds memberSuspicionTimeout{0};
   Milliseconds memberTombstoneRetention{0};
   Milliseconds memberJoinRetry{0};
+  std::int64_t orderLeaseCandidates = 0;
   Milliseconds orderLeaseDuration{0};
   Milliseconds orderLeaseRenewInterval{0};
   Milliseconds orderInterval{0};
--- a/tests/integration/rollout_test.cc
+++ b/tests/integration/rollout_test.cc
@@ -160,6 +160,19 @@
   BOOST_TEST(RolloutFleet::number(rollout.health(0), "highest_token") > oldToken);
 }
 
+BOOST_AUTO_TEST_CASE(aHolderBelowTheEnginesTokenRaisesItsOwnAndGoesOn) {
+  // As after a loss of the lease object: the lease begins anew at token 1.
+  const RolloutFleet rollout(2, 50);
+  orders::EngineOrder observe;
+  observe.token = FencingToken(40);
+  BOOST_REQUIRE(sendOrder(rollout.engines[1]->endpoint("engine"), observe).value().status == 200U);
+  const auto router = rollout.startRouter("r1");
+  BOOST_REQUIRE(waitUntilServing(router->endpoint("router")));
+  rollout.rollOut(2, 2);
+  BOOST_TEST(eventually([&] { return rollout.allAt(2); }));
+  BOOST_TEST(RolloutFleet::number(rollout.health(1), "highest_token") > 40U);
+}
+
 BOOST_AUTO_TEST_CASE(aDrainedHolderGivesTheLeaseBackAndEndsByItself) {
   const RolloutFleet rollout(1, 100);
   const auto first = rollout.fleet.startRouter("r1", {"--order-lease-duration-ms", "600000"});
