Replay traces in virtual time against the routing policies; add two policies

Cause: users want evidence about policies, and there was neither a replay nor a policy that knows caches. Policies now see a CandidateSet, which ranks by affinity without a scan, and get hooks for answers and cache events. The replay runs the same Policy classes in several virtual routers over the engine model. The engine model now evicts the end of a prompt before its beginning, as engines that free a sequence's blocks from the last one do; before, the first block went first and made the others useless.

--- a/src/bench/programs.cc
+++ b/src/bench/programs.cc
@@ -17,6 +17,9 @@
 };
 
 constexpr std::array kRoles{
+    Role{"decide", "time of one routing decision in a large fleet", runDecide},
+    Role{"make-trace", "a trace for the replay", runMakeTrace},
+    Role{"replay", "a trace against routing policies, in virtual time", runReplay},
     Role{"overhead", "latency that a router adds to a call of an engine", runOverhead},
     Role{"streams", "many streams at once through one router", runStreams},
 };
--- a/src/bench/programs.h
+++ b/src/bench/programs.h
@@ -4,6 +4,9 @@
 /// is given (it starts no process), prints its result and writes it to the file of --json.
 namespace calicodrift::bench {
 
+int runDecide(int argc, const char* const* argv);
+int runMakeTrace(int argc, const char* const* argv);
+int runReplay(int argc, const char* const* argv);
 int runOverhead(int argc, const char* const* argv);
 int runStreams(int argc, const char* const* argv);
 
--- a/src/router/backend_table.cc
+++ b/src/router/backend_table.cc
@@ -59,6 +59,8 @@
   backend.incarnation = result.incarnation;
   backend.weights = result.weights;
   backend.reportedRequests = result.reportedRequests;
+  backend.reportedPrefillTokens = result.reportedPrefillTokens;
+  backend.sentPrefillTokens = 0;
   backend.alive = true;
 }
 
@@ -79,25 +81,25 @@
   return all;
 }
 
-routing::Candidates BackendTable::engines(const ModelId& model, WeightsVersion weights) const {
-  routing::Candidates candidates;
+routing::CandidateSet BackendTable::engines(const ModelId& model, WeightsVersion weights) const {
+  routing::CandidateSet candidates;
   for (const auto& entry : backends_) {
     const Backend& backend = entry.second;
     if (usable(backend) && backend.machine.kind == platform::MachineKind::kEngine &&
         backend.machine.serves == model.value() && backend.weights == weights) {
-      candidates.push_back(toCandidate(backend));
+      candidates.put(toCandidate(backend));
     }
   }
   return candidates;
 }
 
-routing::Candidates BackendTable::services(std::string_view service) const {
-  routing::Candidates candidates;
+routing::CandidateSet BackendTable::services(std::string_view service) const {
+  routing::CandidateSet candidates;
   for (const auto& entry : backends_) {
     const Backend& backend = entry.second;
     if (usable(backend) && backend.machine.kind == platform::MachineKind::kService &&
         backend.machine.serves == service) {
-      candidates.push_back(toCandidate(backend));
+      candidates.put(toCandidate(backend));
     }
   }
   return candidates;
@@ -119,6 +121,13 @@
   }
 }
 
+void BackendTable::addPrefill(const BackendId& id, std::size_t tokens) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    found->second.sentPrefillTokens += tokens;
+  }
+}
+
 void BackendTable::removeOutstanding(const BackendId& id, std::size_t tokens) {
   const auto found = backends_.find(id);
   if (found != backends_.end() && found->second.outstanding > 0) {
@@ -133,8 +142,16 @@
 }
 
 routing::Candidate BackendTable::toCandidate(const Backend& backend) const {
-  return {backend.machine.id,  backend.incarnation,       backend.weights,
-          backend.outstanding, backend.outstandingTokens, backend.reportedRequests};
+  routing::Candidate candidate;
+  candidate.id = backend.machine.id;
+  candidate.incarnation = backend.incarnation;
+  candidate.weights = backend.weights;
+  candidate.outstanding = backend.outstanding;
+  candidate.outstandingTokens = backend.outstandingTokens;
+  candidate.reportedRequests = backend.reportedRequests;
+  candidate.reportedPrefillTokens = backend.reportedPrefillTokens;
+  candidate.sentPrefillTokens = backend.sentPrefillTokens;
+  return candidate;
 }
 
 OutstandingGuard::OutstandingGuard(BackendTable& table, BackendId id, std::size_t tokens)
--- a/src/router/backend_table.h
+++ b/src/router/backend_table.h
@@ -19,6 +19,8 @@
   Incarnation incarnation;
   WeightsVersion weights;
   std::size_t reportedRequests = 0;
+  /// Prompt tokens that it has yet to prefill.
+  std::size_t reportedPrefillTokens = 0;
 };
 
 /// Why a back end stopped being usable.
@@ -45,12 +47,14 @@
   /// Every machine to probe, usable or not.
   std::vector<platform::Machine> machines() const;
   /// Usable engines of the model whose weights are at `weights`.
-  routing::Candidates engines(const ModelId& model, WeightsVersion weights) const;
+  routing::CandidateSet engines(const ModelId& model, WeightsVersion weights) const;
   /// Usable back ends of an ordinary service.
-  routing::Candidates services(std::string_view service) const;
+  routing::CandidateSet services(std::string_view service) const;
   std::optional<Endpoint> endpointOf(const BackendId& id) const;
 
   void addOutstanding(const BackendId& id, std::size_t tokens);
+  /// Counts prompt tokens that the back end will prefill, until its next report covers them.
+  void addPrefill(const BackendId& id, std::size_t tokens);
   void removeOutstanding(const BackendId& id, std::size_t tokens);
 
  private:
@@ -62,6 +66,8 @@
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
     std::size_t reportedRequests = 0;
+    std::size_t reportedPrefillTokens = 0;
+    std::size_t sentPrefillTokens = 0;
   };
 
   static bool usable(const Backend& backend);
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/cost.h"
+
 namespace calicodrift::router {
 namespace {
 
@@ -23,6 +25,7 @@
       chainHashes(scope, completion.prompt, static_cast<std::size_t>(model.blockBytes));
   request.promptTokens = completion.prompt.size() / kBytesPerToken;
   request.outputTokens = completion.maxTokens;
+  request.blockTokens = static_cast<std::size_t>(model.blockBytes) / kBytesPerToken;
   return request;
 }
 
@@ -62,8 +65,6 @@
   AnswerSink sink;
   std::uint32_t attempts = 0;
   std::string policyName;
-  /// Back ends that already failed this request.
-  std::vector<BackendId> avoided;
 };
 
 awaitable<void> CompletionHandler::handle(std::shared_ptr<const bundle::Bundle> bundle,
@@ -114,13 +115,7 @@
 }
 
 awaitable<Result<void>> CompletionHandler::dispatchOnce(Job& job) {
-  routing::Candidates candidates = context_.backends.engines(job.route.model, job.weights);
-  const auto wasTried = [&job](const routing::Candidate& candidate) {
-    return std::find(job.avoided.begin(), job.avoided.end(), candidate.id) != job.avoided.end();
-  };
-  if (!std::all_of(candidates.begin(), candidates.end(), wasTried)) {
-    std::erase_if(candidates, wasTried);
-  }
+  const routing::CandidateSet candidates = context_.backends.engines(job.route.model, job.weights);
   if (candidates.empty()) {
     co_return fail(ErrorKind::kNoBackend, "no usable engine has this model and version");
   }
@@ -132,8 +127,10 @@
     co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
   }
   ++job.attempts;
-  job.avoided.push_back(backend.id);
+  job.route.avoided.push_back(backend.id);
   policy.onDispatched(job.route, backend, monotonicNow());
+  context_.backends.addPrefill(backend.id,
+                               routing::uncachedTokens(job.route, choice.expectedCachedBlocks));
   context_.metrics.countDispatch(job.policyName);
 
   const EngineDispatch dispatch{job.caller,     job.path,  job.request.body,
@@ -151,6 +148,9 @@
   if (!outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
     context_.backends.markUnreachable(backend.id);
   }
+  if (outcome) {
+    policy.onCompleted(job.route, backend, job.sink.usage().cachedTokens, monotonicNow());
+  }
   co_return outcome;
 }
 
--- a/src/router/discovery.cc
+++ b/src/router/discovery.cc
@@ -31,6 +31,7 @@
   result.incarnation = Incarnation(numberAt(object, "incarnation"));
   result.weights = WeightsVersion(numberAt(object, "weights_version"));
   result.reportedRequests = numberAt(object, "waiting") + numberAt(object, "running");
+  result.reportedPrefillTokens = numberAt(object, "prefill_tokens");
   return result;
 }
 
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -63,7 +63,7 @@
   routing::Policy& policy =
       context_.policies.policyNamed(std::string(routing::LeastOutstanding::kName));
   for (std::uint32_t attempt = 1;; ++attempt) {
-    const routing::Candidates candidates = context_.backends.services(service.name);
+    const routing::CandidateSet candidates = context_.backends.services(service.name);
     if (candidates.empty()) {
       co_return fail(ErrorKind::kNoBackend, "no usable server of '" + service.name + "'");
     }
--- /dev/null
+++ b/src/routing/candidate_set.cc
@@ -0,0 +1,130 @@
+#include "routing/candidate_set.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+
+namespace calicodrift::routing {
+
+std::size_t requestsAt(const Candidate& candidate) {
+  return std::max(candidate.outstanding, candidate.reportedRequests);
+}
+
+std::optional<std::size_t> CandidateSet::find(const BackendId& id) const {
+  const auto found = positions_.find(id);
+  if (found == positions_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void CandidateSet::put(Candidate candidate) {
+  totalRequests_ += requestsAt(candidate);
+  if (const auto position = find(candidate.id)) {
+    Candidate& old = candidates_[*position];
+    totalRequests_ -= requestsAt(old);
+    old = std::move(candidate);
+    return;
+  }
+  const std::size_t position = candidates_.size();
+  const std::uint64_t hash = hashBytes(candidate.id.value());
+  positions_[candidate.id] = position;
+  idHashes_.push_back(hash);
+  candidates_.push_back(std::move(candidate));
+  const auto place = std::upper_bound(
+      ring_.begin(), ring_.end(), hash,
+      [](std::uint64_t left, const RingPoint& point) { return left < point.hash; });
+  ring_.insert(place, {hash, position});
+}
+
+void CandidateSet::erase(const BackendId& id) {
+  const auto found = positions_.find(id);
+  if (found == positions_.end()) {
+    return;
+  }
+  const std::size_t position = found->second;
+  const std::size_t last = candidates_.size() - 1;
+  totalRequests_ -= requestsAt(candidates_[position]);
+  ring_.erase(ringPointOf(position));
+  positions_.erase(found);
+  if (position != last) {
+    ringPointOf(last)->position = position;
+    candidates_[position] = std::move(candidates_[last]);
+    idHashes_[position] = idHashes_[last];
+    positions_[candidates_[position].id] = position;
+  }
+  candidates_.pop_back();
+  idHashes_.pop_back();
+}
+
+std::vector<CandidateSet::RingPoint>::iterator CandidateSet::ringPointOf(std::size_t position) {
+  auto point =
+      std::lower_bound(ring_.begin(), ring_.end(), idHashes_[position],
+                       [](const RingPoint& left, std::uint64_t hash) { return left.hash < hash; });
+  while (point->position != position) {
+    ++point;
+  }
+  return point;
+}
+
+std::vector<std::size_t> CandidateSet::inAffinityOrder(std::uint64_t key, std::size_t count) const {
+  std::vector<Ranked> ranked = size() <= kSmall ? rankAll(key) : rankByProbes(key, count);
+  const std::size_t wanted = std::min(count, ranked.size());
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(wanted);
+  std::partial_sort(ranked.begin(), end, ranked.end(), [](const Ranked& left, const Ranked& right) {
+    return left.order < right.order;
+  });
+  std::vector<std::size_t> positions;
+  positions.reserve(wanted);
+  for (std::size_t index = 0; index < wanted; ++index) {
+    positions.push_back(ranked[index].position);
+  }
+  return positions;
+}
+
+void CandidateSet::sortByAffinity(std::vector<std::size_t>& positions, std::size_t count,
+                                  std::uint64_t key) const {
+  const auto end = positions.begin() + static_cast<std::ptrdiff_t>(count);
+  std::sort(positions.begin(), end, [&](std::size_t left, std::size_t right) {
+    return hashPair(idHashes_[left], key) < hashPair(idHashes_[right], key);
+  });
+}
+
+std::vector<CandidateSet::Ranked> CandidateSet::rankAll(std::uint64_t key) const {
+  std::vector<Ranked> ranked;
+  ranked.reserve(size());
+  for (std::size_t position = 0; position < size(); ++position) {
+    ranked.push_back({hashPair(idHashes_[position], key), position});
+  }
+  return ranked;
+}
+
+std::vector<CandidateSet::Ranked> CandidateSet::rankByProbes(std::uint64_t key,
+                                                             std::size_t count) const {
+  // More probes than places: the nearest points of many probes are spread far more evenly over the
+  // candidates than the arcs of one probe.
+  constexpr std::size_t kProbesAPlace = 4;
+  std::vector<Ranked> ranked;
+  ranked.reserve(count * kProbesAPlace);
+  for (std::size_t probe = 0; probe < count * kProbesAPlace; ++probe) {
+    const std::uint64_t hash = hashPair(key, probe);
+    auto point = std::lower_bound(
+        ring_.begin(), ring_.end(), hash,
+        [](const RingPoint& left, std::uint64_t target) { return left.hash < target; });
+    if (point == ring_.end()) {
+      point = ring_.begin();
+    }
+    const Ranked found{point->hash - hash, point->position};
+    const auto same = std::find_if(ranked.begin(), ranked.end(), [&found](const Ranked& other) {
+      return other.position == found.position;
+    });
+    if (same == ranked.end()) {
+      ranked.push_back(found);
+    } else {
+      same->order = std::min(same->order, found.order);
+    }
+  }
+  return ranked;
+}
+
+}  // namespace calicodrift::routing
--- /dev/null
+++ b/src/routing/candidate_set.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/ids.h"
+
+namespace calicodrift::routing {
+
+/// What a router believes of one usable back end at this moment.
+struct Candidate {
+  BackendId id;
+  /// Beliefs about its cache hold for this incarnation only.
+  Incarnation incarnation;
+  WeightsVersion weights;
+  /// Requests that this router has dispatched and not yet seen the end of.
+  std::size_t outstanding = 0;
+  /// Prompt and output tokens of those requests.
+  std::size_t outstandingTokens = 0;
+  /// Requests waiting or running there by its own report, which lags.
+  std::size_t reportedRequests = 0;
+  /// Prompt tokens that it has yet to prefill, by the same report.
+  std::size_t reportedPrefillTokens = 0;
+  /// Prompt tokens to prefill that this router sent there since that report.
+  std::size_t sentPrefillTokens = 0;
+  /// Prompt tokens that it prefills in a millisecond.
+  double prefillTokensPerMs = kDefaultPrefillTokensPerMs;
+
+  static constexpr double kDefaultPrefillTokensPerMs = 8.0;
+};
+
+/// The usable back ends of one model and weights version (or one service). Kept up to date by
+/// small changes, so that no request pays for the number of back ends; a decision looks at a few of
+/// them only. Positions change when a candidate leaves; they hold within one decision.
+class CandidateSet {
+ public:
+  bool empty() const { return candidates_.empty(); }
+  std::size_t size() const { return candidates_.size(); }
+  const Candidate& operator[](std::size_t position) const { return candidates_[position]; }
+  std::optional<std::size_t> find(const BackendId& id) const;
+
+  /// Adds a candidate or replaces the one of the same id.
+  void put(Candidate candidate);
+  void erase(const BackendId& id);
+
+  /// Up to `count` positions in the order of affinity to `key`. The order depends on the key and
+  /// the ids alone, so all routers agree, and a change of one back end moves only its own keys.
+  /// Small sets are ranked by rendezvous hashing, large ones by multi-probe consistent hashing in
+  /// O(count log n).
+  std::vector<std::size_t> inAffinityOrder(std::uint64_t key, std::size_t count) const;
+  /// Sorts the first `count` of the positions by affinity to `key`.
+  void sortByAffinity(std::vector<std::size_t>& positions, std::size_t count,
+                      std::uint64_t key) const;
+  /// Sum of max(outstanding, reportedRequests) over all candidates.
+  std::size_t totalRequests() const { return totalRequests_; }
+
+  /// Sets up to this size are ranked or scanned as a whole.
+  static constexpr std::size_t kSmall = 64;
+
+ private:
+  struct RingPoint {
+    std::uint64_t hash = 0;
+    std::size_t position = 0;
+  };
+  struct Ranked {
+    std::uint64_t order = 0;
+    std::size_t position = 0;
+  };
+
+  std::vector<Ranked> rankAll(std::uint64_t key) const;
+  std::vector<Ranked> rankByProbes(std::uint64_t key, std::size_t count) const;
+  std::vector<RingPoint>::iterator ringPointOf(std::size_t position);
+
+  std::vector<Candidate> candidates_;
+  std::vector<std::uint64_t> idHashes_;
+  std::unordered_map<BackendId, std::size_t> positions_;
+  /// One point a candidate, sorted by hash.
+  std::vector<RingPoint> ring_;
+  std::size_t totalRequests_ = 0;
+};
+
+/// The requests that a candidate has, by this router's count or its report, whichever is more.
+std::size_t requestsAt(const Candidate& candidate);
+
+}  // namespace calicodrift::routing
--- /dev/null
+++ b/src/routing/cost.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "routing/policy.h"
+
+/// Estimates, in milliseconds, of what makes a caller wait for the first token.
+namespace calicodrift::routing {
+
+/// Time until the engine has prefilled what waits there: its lagging report and what this router
+/// has sent since. Each request beside adds a little for its decode work.
+double queueDelayMs(const Candidate& candidate);
+
+/// Time to prefill the prompt where `cachedBlocks` of it are cached.
+double prefillMs(const RouteRequest& request, const Candidate& candidate, std::size_t cachedBlocks);
+
+/// Prompt tokens that are not covered by `cachedBlocks`.
+std::size_t uncachedTokens(const RouteRequest& request, std::size_t cachedBlocks);
+
+}  // namespace calicodrift::routing
--- a/src/routing/least_outstanding.cc
+++ b/src/routing/least_outstanding.cc
@@ -5,23 +5,26 @@
 
 namespace calicodrift::routing {
 
-Choice LeastOutstanding::choose(const RouteRequest& /*request*/, const Candidates& candidates,
+Choice LeastOutstanding::choose(const RouteRequest& request, const CandidateSet& candidates,
                                 MonotonicTime /*now*/) {
-  const auto load = [](const Candidate& candidate) {
+  const auto load = [&candidates](std::size_t position) {
+    const Candidate& candidate = candidates[position];
     return std::tuple(candidate.outstandingTokens, candidate.reportedRequests);
   };
-  std::size_t best = 0;
-  std::size_t equals = 1;
-  for (std::size_t index = 1; index < candidates.size(); ++index) {
-    const auto order = load(candidates[index]) <=> load(candidates[best]);
+  const std::vector<std::size_t> positions =
+      withoutAvoided(request, candidates, sampledPositions(candidates, random_));
+  std::size_t best = positions.front();
+  std::size_t equals = 0;
+  for (const std::size_t position : positions) {
+    const auto order = load(position) <=> load(best);
     if (std::is_lt(order)) {
-      best = index;
+      best = position;
       equals = 1;
     } else if (std::is_eq(order)) {
       ++equals;
       // Each of the equals is kept with the same chance.
       if (std::uniform_int_distribution<std::size_t>(1, equals)(random_) == 1) {
-        best = index;
+        best = position;
       }
     }
   }
--- a/src/routing/least_outstanding.h
+++ b/src/routing/least_outstanding.h
@@ -5,13 +5,14 @@
 namespace calicodrift::routing {
 
 /// Takes the back end with the fewest outstanding tokens of this router and, among equals, the
-/// fewest reported requests; ties are broken at random so that routers don't move together.
+/// fewest reported requests; ties are broken at random so that routers don't move together. Of a
+/// large set it weighs a random sample (the power of a few choices).
 class LeastOutstanding : public Policy {
  public:
   static constexpr std::string_view kName = "LeastOutstanding";
   explicit LeastOutstanding(std::uint64_t seed) : random_(seed) {}
   std::string_view name() const override { return kName; }
-  Choice choose(const RouteRequest& request, const Candidates& candidates,
+  Choice choose(const RouteRequest& request, const CandidateSet& candidates,
                 MonotonicTime now) override;
 
  private:
--- /dev/null
+++ b/src/routing/nested_prefix_affinity.cc
@@ -0,0 +1,133 @@
+#include "routing/nested_prefix_affinity.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "routing/cost.h"
+
+namespace calicodrift::routing {
+namespace {
+
+constexpr std::size_t kHeatPrefixes = 8192;
+constexpr Milliseconds kHeatHalfLife{15'000};
+/// Room above the measured share, so that the engines of a home are not full all the time.
+constexpr double kSlack = 1.5;
+/// Homes wider than this are not narrowed yet: their prefix is on most engines anyway.
+constexpr std::size_t kWidestHome = 16;
+/// Engines after the home that help out.
+constexpr std::size_t kHelpers = 2;
+/// What the second copy of a prefix costs the fleet, relative to its prefill.
+constexpr double kCopyCost = 0.5;
+
+std::uint64_t keyOf(const RouteRequest& request) {
+  return request.blocks.empty() ? hashBytes(request.tenant.value()) : request.blocks.back().value();
+}
+
+}  // namespace
+
+NestedPrefixAffinity::NestedPrefixAffinity(std::uint64_t seed)
+    : random_(seed), beliefs_(kBeliefBudget, kBeliefTerm), heat_(kHeatPrefixes, kHeatHalfLife) {}
+
+Choice NestedPrefixAffinity::choose(const RouteRequest& request, const CandidateSet& candidates,
+                                    MonotonicTime now) {
+  measure(request, candidates.size(), now);
+  Home home = homeOf(request, candidates, now);
+  const std::vector<PrefixHolder> holders = beliefs_.holders(request, candidates, now);
+  std::vector<std::size_t> positions = home.positions;
+  for (const PrefixHolder& holder : holders) {
+    positions.push_back(holder.position);
+  }
+  constexpr std::size_t kRandomOnes = 2;
+  std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+  for (std::size_t sample = 0; sample < kRandomOnes; ++sample) {
+    positions.push_back(any(random_));
+  }
+  const auto homeEnd = home.positions.begin() + static_cast<std::ptrdiff_t>(home.width);
+  Choice best;
+  double bestMs = std::numeric_limits<double>::infinity();
+  for (const std::size_t position : withoutAvoided(request, candidates, std::move(positions))) {
+    const std::size_t cached = cachedBlocksAt(holders, position);
+    const Candidate& candidate = candidates[position];
+    const bool atHome = std::find(home.positions.begin(), homeEnd, position) != homeEnd;
+    const double prefill = prefillMs(request, candidate, cached);
+    const double ms = queueDelayMs(candidate) + prefill * (atHome ? 1.0 : 1.0 + kCopyCost);
+    if (ms < bestMs) {
+      bestMs = ms;
+      best = {position, cached,
+              cached > 0 ? "prefix believed cached"
+              : atHome   ? "home of the prefix"
+                         : "home of the prefix is busy"};
+    }
+  }
+  return best;
+}
+
+NestedPrefixAffinity::Home NestedPrefixAffinity::homeOf(const RouteRequest& request,
+                                                        const CandidateSet& candidates,
+                                                        MonotonicTime now) {
+  const std::size_t engines = candidates.size();
+  Home home;
+  bool narrowed = false;
+  for (const BlockHash prefix : request.blocks) {
+    const std::size_t width = widthOf(prefix, engines, now);
+    if (width > std::min(kWidestHome, engines)) {
+      continue;
+    }
+    if (!narrowed) {
+      home.positions = candidates.inAffinityOrder(prefix.value(), width + kHelpers);
+    } else if (width < home.width) {
+      candidates.sortByAffinity(home.positions, home.width, prefix.value());
+    }
+    if (!narrowed || width < home.width) {
+      home.width = std::min(width, home.positions.size());
+    }
+    narrowed = true;
+    if (width <= 1) {
+      return home;
+    }
+  }
+  if (!narrowed) {
+    home.positions = candidates.inAffinityOrder(keyOf(request), 1 + kHelpers);
+    home.width = home.positions.size();
+  }
+  return home;
+}
+
+std::size_t NestedPrefixAffinity::widthOf(BlockHash prefix, std::size_t engines,
+                                          MonotonicTime now) const {
+  const double needed = heat_.shareOf(prefix, now) * static_cast<double>(engines) * kSlack;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(needed)));
+}
+
+void NestedPrefixAffinity::measure(const RouteRequest& request, std::size_t engines,
+                                   MonotonicTime now) {
+  heat_.countTotal(1, now);
+  for (const BlockHash prefix : request.blocks) {
+    heat_.count(prefix, 1, now);
+    if (widthOf(prefix, engines, now) <= 1) {
+      // Deeper prefixes can't be hotter.
+      return;
+    }
+  }
+}
+
+void NestedPrefixAffinity::onDispatched(const RouteRequest& request, const Candidate& backend,
+                                        MonotonicTime now) {
+  beliefs_.cached(request, backend, now);
+}
+
+void NestedPrefixAffinity::onCompleted(const RouteRequest& request, const Candidate& backend,
+                                       std::size_t /*cachedTokens*/, MonotonicTime now) {
+  beliefs_.cached(request, backend, now);
+}
+
+void NestedPrefixAffinity::onCacheEvents(const CacheEventBatch& batch, MonotonicTime now) {
+  beliefs_.applyEvents(batch, now);
+}
+
+void NestedPrefixAffinity::onBackendLost(const BackendId& backend) {
+  beliefs_.forget(backend);
+}
+
+}  // namespace calicodrift::routing
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -13,6 +13,7 @@
 #include "common/hashing.h"
 #include "common/ids.h"
 #include "common/priority.h"
+#include "routing/candidate_set.h"
 
 /// Routing policies: which back end serves a request. The same code runs in the live router and in
 /// the virtual-time replay; nothing here reads a clock or does I/O.
@@ -27,23 +28,29 @@
   std::vector<BlockHash> blocks;
   std::size_t promptTokens = 0;
   std::size_t outputTokens = 0;
+  /// Prompt tokens in one block.
+  std::size_t blockTokens = kDefaultBlockTokens;
+  /// Back ends that already failed this request; used again only where there is no other.
+  std::vector<BackendId> avoided;
+
+  static constexpr std::size_t kDefaultBlockTokens = 512;
+};
+
+/// A change of an engine's cache as the engine published it.
+struct CacheEvent {
+  bool stored = true;
+  BlockHash block;
 };
 
-/// What a router believes of one usable back end at this moment.
-struct Candidate {
-  BackendId id;
-  /// Beliefs about its cache hold for this incarnation only.
+/// Consecutive cache events of one engine. Batches come late and some never come.
+struct CacheEventBatch {
+  BackendId backend;
   Incarnation incarnation;
-  WeightsVersion weights;
-  /// Requests that this router has dispatched and not yet seen the end of.
-  std::size_t outstanding = 0;
-  /// Prompt and output tokens of those requests.
-  std::size_t outstandingTokens = 0;
-  /// Requests waiting or running there by its own report, which lags.
-  std::size_t reportedRequests = 0;
+  /// Number of the first event; a step over more than the last batch's events is a gap.
+  std::uint64_t firstSequence = 0;
+  std::vector<CacheEvent> events;
 };
 
-using Candidates = std::vector<Candidate>;
 using Random = std::mt19937_64;
 
 /// A policy's decision.
@@ -63,15 +70,26 @@
   /// The class's name, as in the bundle.
   virtual std::string_view name() const = 0;
   /// @param candidates usable back ends of the request's model; never empty.
-  virtual Choice choose(const RouteRequest& request, const Candidates& candidates,
+  virtual Choice choose(const RouteRequest& request, const CandidateSet& candidates,
                         MonotonicTime now) = 0;
   /// The request left for the chosen back end.
   virtual void onDispatched(const RouteRequest& /*request*/, const Candidate& /*backend*/,
                             MonotonicTime /*now*/) {}
+  /// The back end answered; `cachedTokens` of the prompt came from its cache.
+  virtual void onCompleted(const RouteRequest& /*request*/, const Candidate& /*backend*/,
+                           std::size_t /*cachedTokens*/, MonotonicTime /*now*/) {}
+  virtual void onCacheEvents(const CacheEventBatch& /*batch*/, MonotonicTime /*now*/) {}
   /// The back end is gone or came back as another incarnation; every belief about it is void.
   virtual void onBackendLost(const BackendId& /*backend*/) {}
 };
 
+/// Positions to weigh where no order is asked for: all of a small set, a random few of a large one.
+std::vector<std::size_t> sampledPositions(const CandidateSet& candidates, Random& random);
+
+/// The positions without those that already failed this request; all of them where none is left.
+std::vector<std::size_t> withoutAvoided(const RouteRequest& request, const CandidateSet& candidates,
+                                        std::vector<std::size_t> positions);
+
 /// Makes a policy by its name, or null for an unknown one.
 /// @param seed for the policies that draw random numbers; equal seeds give equal decisions.
 std::unique_ptr<Policy> makePolicy(std::string_view name, std::uint64_t seed);
--- a/src/routing/policy_registry.cc
+++ b/src/routing/policy_registry.cc
@@ -1,6 +1,8 @@
 #include "routing/least_outstanding.h"
+#include "routing/nested_prefix_affinity.h"
 #include "routing/policy.h"
 #include "routing/prefix_hash_bounded_load.h"
+#include "routing/prefix_index_with_load.h"
 #include "routing/round_robin.h"
 
 namespace calicodrift::routing {
@@ -15,12 +17,19 @@
   if (name == PrefixHashBoundedLoad::kName) {
     return std::make_unique<PrefixHashBoundedLoad>();
   }
+  if (name == PrefixIndexWithLoad::kName) {
+    return std::make_unique<PrefixIndexWithLoad>(seed);
+  }
+  if (name == NestedPrefixAffinity::kName) {
+    return std::make_unique<NestedPrefixAffinity>(seed);
+  }
   return nullptr;
 }
 
 const std::vector<std::string_view>& policyNames() {
-  static const std::vector<std::string_view> names{RoundRobin::kName, LeastOutstanding::kName,
-                                                   PrefixHashBoundedLoad::kName};
+  static const std::vector<std::string_view> names{
+      RoundRobin::kName, LeastOutstanding::kName, PrefixHashBoundedLoad::kName,
+      PrefixIndexWithLoad::kName, NestedPrefixAffinity::kName};
   return names;
 }
 
--- a/src/routing/prefix_hash_bounded_load.cc
+++ b/src/routing/prefix_hash_bounded_load.cc
@@ -5,10 +5,6 @@
 namespace calicodrift::routing {
 namespace {
 
-std::size_t loadOf(const Candidate& candidate) {
-  return std::max(candidate.outstanding, candidate.reportedRequests);
-}
-
 std::uint64_t affinityKey(const RouteRequest& request, std::size_t blocks) {
   const std::size_t count = std::min(blocks, request.blocks.size());
   if (count == 0) {
@@ -19,29 +15,29 @@
 
 }  // namespace
 
-Choice PrefixHashBoundedLoad::choose(const RouteRequest& request, const Candidates& candidates,
+Choice PrefixHashBoundedLoad::choose(const RouteRequest& request, const CandidateSet& candidates,
                                      MonotonicTime /*now*/) {
-  std::size_t totalLoad = 0;
-  for (const Candidate& candidate : candidates) {
-    totalLoad += loadOf(candidate);
-  }
-  const double mean = static_cast<double>(totalLoad + 1) / static_cast<double>(candidates.size());
+  const double mean =
+      static_cast<double>(candidates.totalRequests() + 1) / static_cast<double>(candidates.size());
   const double bound = std::max(1.0, mean * kLoadFactor);
   const std::uint64_t key = affinityKey(request, kAffinityBlocks);
-  std::size_t best = candidates.size();
-  std::uint64_t bestRank = 0;
-  for (std::size_t index = 0; index < candidates.size(); ++index) {
-    if (static_cast<double>(loadOf(candidates[index])) >= bound) {
-      continue;
+  // The load bound is above the mean, so a small set always holds a candidate below it. In a large
+  // set all places are above it only when most of the fleet is; then the least loaded is taken.
+  const std::size_t places =
+      candidates.size() <= CandidateSet::kSmall ? candidates.size() : kPlaces;
+  const std::vector<std::size_t> positions =
+      withoutAvoided(request, candidates, candidates.inAffinityOrder(key, places));
+  std::size_t best = positions.front();
+  for (const std::size_t position : positions) {
+    const std::size_t requests = requestsAt(candidates[position]);
+    if (static_cast<double>(requests) < bound) {
+      return {position, 0, "first in prefix order below the load bound"};
     }
-    const std::uint64_t rank = hashBytes(candidates[index].id.value(), key);
-    if (best == candidates.size() || rank > bestRank) {
-      best = index;
-      bestRank = rank;
+    if (requests < requestsAt(candidates[best])) {
+      best = position;
     }
   }
-  // The load bound is above the mean, so at least one candidate is below it.
-  return {std::min(best, candidates.size() - 1), 0, "first in prefix order below the load bound"};
+  return {best, 0, "least loaded of the first in prefix order"};
 }
 
 }  // namespace calicodrift::routing
--- a/src/routing/round_robin.h
+++ b/src/routing/round_robin.h
@@ -9,7 +9,7 @@
  public:
   static constexpr std::string_view kName = "RoundRobin";
   std::string_view name() const override { return kName; }
-  Choice choose(const RouteRequest& request, const Candidates& candidates,
+  Choice choose(const RouteRequest& request, const CandidateSet& candidates,
                 MonotonicTime now) override;
 
  private:
--- a/src/sim/engine_model.cc
+++ b/src/sim/engine_model.cc
@@ -45,9 +45,7 @@
       if (sequence.prefillLeft > 0) {
         continue;
       }
-      for (const BlockHash block : sequence.request.blocks) {
-        storeBlock(block);
-      }
+      storeFromTheEnd(sequence.request.blocks);
       // The step that ends the prefill also gives the first token.
     }
     const bool last = sequence.nextToken + 1 >= sequence.request.outputTokens;
@@ -60,14 +58,25 @@
   return tokens;
 }
 
+std::size_t EngineModel::pendingPrefillTokens() const {
+  std::size_t tokens = 0;
+  for (const Sequence& sequence : running_) {
+    tokens += sequence.prefillLeft;
+  }
+  for (const auto& entry : waiting_) {
+    const EngineRequest& request = entry.second;
+    const std::size_t cached = longestCachedPrefix(request.blocks) * settings_.blockTokens;
+    tokens += request.promptTokens - std::min(request.promptTokens, cached);
+  }
+  return tokens;
+}
+
 std::vector<CacheEvent> EngineModel::takeCacheEvents() {
   return std::exchange(events_, {});
 }
 
 void EngineModel::importBlocks(const std::vector<BlockHash>& blocks) {
-  for (const BlockHash block : blocks) {
-    storeBlock(block);
-  }
+  storeFromTheEnd(blocks);
 }
 
 void EngineModel::clearCache() {
@@ -87,8 +96,10 @@
 EngineModel::Sequence EngineModel::admitted(EngineRequest request) {
   Sequence sequence;
   const std::size_t cachedBlocks = longestCachedPrefix(request.blocks);
-  for (std::size_t index = 0; index < cachedBlocks; ++index) {
-    touchBlock(request.blocks[index]);
+  // The deepest block first: the first block of a prompt, which its others are useless without, is
+  // the most recently used and so the last of them to be evicted.
+  for (std::size_t index = cachedBlocks; index > 0; --index) {
+    touchBlock(request.blocks[index - 1]);
   }
   sequence.cachedTokens = std::min(cachedBlocks * settings_.blockTokens, request.promptTokens);
   // At least one token is always computed, as the first output needs its logits.
@@ -99,6 +110,12 @@
   return sequence;
 }
 
+void EngineModel::storeFromTheEnd(const std::vector<BlockHash>& blocks) {
+  for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+    storeBlock(*block);
+  }
+}
+
 void EngineModel::storeBlock(BlockHash block) {
   if (cacheEntries_.contains(block.value())) {
     touchBlock(block);
--- a/src/sim/engine_model.h
+++ b/src/sim/engine_model.h
@@ -78,6 +78,8 @@
   /// Tokens that the planned step generated.
   std::vector<TokenEvent> finishStep();
 
+  /// Prompt tokens of waiting requests and those that running ones have yet to prefill.
+  std::size_t pendingPrefillTokens() const;
   std::size_t waitingRequests() const { return waiting_.size(); }
   std::size_t runningRequests() const { return running_.size(); }
   std::size_t cachedBlocks() const { return cacheEntries_.size(); }
@@ -102,6 +104,7 @@
 
   void admitWaiting();
   Sequence admitted(EngineRequest request);
+  void storeFromTheEnd(const std::vector<BlockHash>& blocks);
   void storeBlock(BlockHash block);
   void touchBlock(BlockHash block);
   std::size_t longestCachedPrefix(const std::vector<BlockHash>& blocks) const;
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -215,6 +215,7 @@
                                  {"weights_version", settings_.weights.value()},
                                  {"waiting", model_.waitingRequests()},
                                  {"running", model_.runningRequests()},
+                                 {"prefill_tokens", model_.pendingPrefillTokens()},
                                  {"cached_blocks", model_.cachedBlocks()}};
   return http::jsonResponse(200, boost::json::serialize(body));
 }
