--- a/src/bench/replay.cc
+++ b/src/bench/replay.cc
@@ -20,7 +20,7 @@
   std::int64_t seed = 0;
   Milliseconds eventDelay{0};
   std::int64_t eventLossPercent = 0;
-  bool cacheEvents = true;
+  std::string index;
   std::int64_t crashes = 0;
   std::int64_t loadFactorPercent = 0;
   std::string json;
@@ -40,8 +40,8 @@
        &ReplayFlags::eventDelay},
       {{"event-loss", "0", 0, 100, "percent", "cache events that never arrive"},
        &ReplayFlags::eventLossPercent},
-      {{"cache-events", "true", 0, 0, "", "whether routers receive cache events at all"},
-       &ReplayFlags::cacheEvents},
+      {{"index", "broadcast", 0, 0, "", "who hears cache events: broadcast, local or sharded"},
+       &ReplayFlags::index},
       {{"crashes", "0", 0, kMillion, "count", "engine crashes in the course of the trace"},
        &ReplayFlags::crashes},
       {{"load-factor", "100", 1, 10000, "percent", "speed of arrivals relative to the trace"},
@@ -78,7 +78,7 @@
   settings.seed = static_cast<std::uint64_t>(flags.seed);
   settings.eventDelay = flags.eventDelay;
   settings.eventLoss = static_cast<double>(flags.eventLossPercent) / kPercent;
-  settings.cacheEvents = flags.cacheEvents;
+  settings.index = replay::parseIndexPlacement(flags.index).value();
   settings.crashes = static_cast<std::size_t>(flags.crashes);
   settings.loadFactor = static_cast<double>(flags.loadFactorPercent) / kPercent;
   return settings;
@@ -108,6 +108,9 @@
   if (!deployment) {
     return failUsage("--deployment must be tatra or trinacria");
   }
+  if (!replay::parseIndexPlacement(flags.index)) {
+    return failUsage("--index must be broadcast, local or sharded");
+  }
   const std::vector<std::string> policies = wantedPolicies(flags);
   for (const std::string& name : policies) {
     if (!routing::makePolicy(name, 0)) {
--- a/src/replay/measures.h
+++ b/src/replay/measures.h
@@ -33,6 +33,8 @@
   std::uint64_t cachedTokens = 0;
   std::uint64_t prefilledTokens = 0;
   std::uint64_t wastedTokens = 0;
+  /// Cache events that reached a router, over all routers.
+  std::uint64_t eventsReceived = 0;
   double oracleHitRate = 0;
   /// Share of the engines' full-batch throughput that the work took.
   double engineLoad = 0;
--- a/src/replay/result_json.cc
+++ b/src/replay/result_json.cc
@@ -37,6 +37,7 @@
           {"completed", measures.completed},
           {"refused", measures.refused},
           {"retries", measures.retries},
+          {"events_received", measures.eventsReceived},
           {"engine_load", measures.engineLoad},
           {"by_tenant", std::move(byTenant)},
           {"by_priority", std::move(byPriority)}};
@@ -51,7 +52,7 @@
   }
   const json::object faults{{"event_delay_ms", settings.eventDelay.count()},
                             {"event_loss", settings.eventLoss},
-                            {"cache_events", settings.cacheEvents},
+                            {"index", toString(settings.index)},
                             {"crashes", settings.crashes}};
   const json::object document{{"seed", settings.seed},
                               {"deployment", settings.deployment.name},
--- a/src/replay/simulation.cc
+++ b/src/replay/simulation.cc
@@ -1,6 +1,7 @@
 #include "replay/simulation.h"
 
 #include <algorithm>
+#include <array>
 
 #include "common/hashing.h"
 #include "replay/lru_cache.h"
@@ -16,8 +17,34 @@
   return Microseconds(static_cast<std::int64_t>(value * kMicrosecondsPerMs));
 }
 
+struct PlacementName {
+  IndexPlacement placement;
+  std::string_view name;
+};
+constexpr std::array kPlacements{PlacementName{IndexPlacement::kBroadcast, "broadcast"},
+                                 PlacementName{IndexPlacement::kLocal, "local"},
+                                 PlacementName{IndexPlacement::kSharded, "sharded"}};
+
 }  // namespace
 
+std::optional<IndexPlacement> parseIndexPlacement(std::string_view text) {
+  for (const PlacementName& row : kPlacements) {
+    if (row.name == text) {
+      return row.placement;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string_view toString(IndexPlacement placement) {
+  for (const PlacementName& row : kPlacements) {
+    if (row.placement == placement) {
+      return row.name;
+    }
+  }
+  return "";
+}
+
 Simulation::Simulation(const ReplaySettings& settings, const Trace& trace, std::string_view policy)
     : settings_(settings),
       trace_(trace),
@@ -128,14 +155,40 @@
   job.route.promptTokens = job.request->inputLength;
   job.route.outputTokens = job.request->outputLength;
   job.route.blockTokens = kTraceBlockTokens;
-  dispatch(index);
+  job.decider = job.router;
+  if (settings_.index == IndexPlacement::kSharded) {
+    job.decider = ownerOf(job.route.blocks);
+    job.route.decidedHereOnly = true;
+    for (const BlockHash block : job.route.blocks) {
+      owners_[block] = job.decider;
+    }
+  }
+  queue_.schedule(decisionDelay(job), [this, index] { dispatch(index); });
+}
+
+std::size_t Simulation::ownerOf(const std::vector<BlockHash>& blocks) const {
+  // Deep enough that a large tenant's prompts have many owners.
+  constexpr std::size_t kOwnerBlocks = 4;
+  if (blocks.empty()) {
+    return 0;
+  }
+  const BlockHash root = blocks[std::min(kOwnerBlocks, blocks.size()) - 1];
+  return hashPair(root.value(), settings_.seed) % routers_.size();
+}
+
+Microseconds Simulation::decisionDelay(const Job& job) const {
+  if (job.decider == job.router) {
+    return Microseconds(0);
+  }
+  return 2 *
+         settings_.deployment.latency(routers_[job.router]->zone(), routers_[job.decider]->zone());
 }
 
 void Simulation::dispatch(std::size_t index) {
   Job& job = jobs_[index];
   std::optional<routing::Candidate> chosen;
   if (job.attempts < kMaxAttempts) {
-    chosen = routers_[job.router]->dispatch(job.route, queue_.now());
+    chosen = routers_[job.decider]->dispatch(job.route, queue_.now());
   }
   if (!chosen) {
     ++measures_.refused;
@@ -219,7 +272,7 @@
 
 void Simulation::onCompleted(std::size_t index) {
   const Job& job = jobs_[index];
-  routers_[job.router]->completed(job.route, job.backend, job.cachedTokens, queue_.now());
+  routers_[job.decider]->completed(job.route, job.backend, job.cachedTokens, queue_.now());
   ++measures_.completed;
   --unfinished_;
   measures_.promptTokens += job.route.promptTokens;
@@ -231,35 +284,45 @@
   if (job.attempts != attempt) {
     return;
   }
-  routers_[job.router]->attemptEnded(job.route, job.backend.id);
-  routers_[job.router]->engineLost(job.backend.id);
+  routers_[job.decider]->attemptEnded(job.route, job.backend.id);
+  routers_[job.decider]->engineLost(job.backend.id);
   dispatch(index);
 }
 
 void Simulation::onCacheEvents(std::size_t engine, const std::vector<sim::CacheEvent>& events) {
-  if (!settings_.cacheEvents) {
+  if (settings_.index == IndexPlacement::kLocal) {
     return;
   }
   constexpr Milliseconds kLongestJitter{50};
   const VirtualEngine& from = *engines_[engine];
-  auto batch = std::make_shared<routing::CacheEventBatch>();
-  batch->backend = from.id();
-  batch->incarnation = from.incarnation();
-  batch->firstSequence = events.front().sequence;
-  for (const sim::CacheEvent& event : events) {
-    batch->events.push_back({event.stored, event.block});
-  }
   std::uniform_real_distribution<double> chance(0, 1);
   std::uniform_int_distribution<std::int64_t> jitter(0, kLongestJitter.count());
-  for (const auto& router : routers_) {
+  for (std::size_t router = 0; router < routers_.size(); ++router) {
+    routing::CacheEventBatch batch{from.id(), from.incarnation(), events.front().sequence, {}};
+    for (const sim::CacheEvent& event : events) {
+      if (receivesEvent(router, event.block)) {
+        batch.events.push_back({event.stored, event.block});
+      }
+    }
     const bool lost = chance(random_) < settings_.eventLoss;
     const Milliseconds delay = settings_.eventDelay + Milliseconds(jitter(random_));
-    if (!lost) {
-      queue_.schedule(
-          delay + settings_.deployment.latency(from.zone(), router->zone()),
-          [this, to = router.get(), batch] { to->applyCacheEvents(*batch, queue_.now()); });
+    if (lost || batch.events.empty()) {
+      continue;
     }
+    VirtualRouter* to = routers_[router].get();
+    measures_.eventsReceived += batch.events.size();
+    queue_.schedule(
+        delay + settings_.deployment.latency(from.zone(), to->zone()),
+        [this, to, batch = std::move(batch)] { to->applyCacheEvents(batch, queue_.now()); });
+  }
+}
+
+bool Simulation::receivesEvent(std::size_t router, BlockHash block) const {
+  if (settings_.index == IndexPlacement::kBroadcast) {
+    return true;
   }
+  const auto owner = owners_.find(block);
+  return owner != owners_.end() && owner->second == router;
 }
 
 void Simulation::crash(std::size_t engine) {
--- a/src/replay/simulation.h
+++ b/src/replay/simulation.h
@@ -5,6 +5,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "replay/deployment.h"
@@ -16,6 +17,19 @@
 
 namespace calicodrift::replay {
 
+/// Where the knowledge about caches is.
+enum class IndexPlacement {
+  /// Every router receives every cache event.
+  kBroadcast,
+  /// Every router knows what itself has sent and what came back; no cache events.
+  kLocal,
+  /// The router that owns a prompt's first blocks decides, at the price of a hop there and back. It
+  /// sees every request for them and receives the cache events of them alone.
+  kSharded,
+};
+std::optional<IndexPlacement> parseIndexPlacement(std::string_view text);
+std::string_view toString(IndexPlacement placement);
+
 struct ReplaySettings {
   Deployment deployment;
   std::size_t routers = 4;
@@ -24,8 +38,7 @@
   Milliseconds eventDelay{0};
   /// Probability that a batch of cache events never reaches a router.
   double eventLoss = 0;
-  /// Routers receive cache events at all.
-  bool cacheEvents = true;
+  IndexPlacement index = IndexPlacement::kBroadcast;
   /// Engines that crash in the course of the trace; each comes back empty after kDownTime.
   std::size_t crashes = 0;
   /// Arrivals come this much faster than the trace says.
@@ -48,6 +61,8 @@
     const TraceRequest* request = nullptr;
     routing::RouteRequest route;
     std::size_t router = 0;
+    /// The router whose policy decides.
+    std::size_t decider = 0;
     MonotonicTime received;
     std::uint32_t attempts = 0;
     std::size_t tokens = 0;
@@ -64,6 +79,8 @@
   void startReports();
   void sendReports();
   void arrive(std::size_t index);
+  std::size_t ownerOf(const std::vector<BlockHash>& blocks) const;
+  Microseconds decisionDelay(const Job& job) const;
   void dispatch(std::size_t index);
   void submit(std::size_t index, std::uint32_t attempt);
   void noteHolders(Job& job);
@@ -72,6 +89,7 @@
   void onCompleted(std::size_t index);
   void onAttemptLost(std::size_t index, std::uint32_t attempt);
   void onCacheEvents(std::size_t engine, const std::vector<sim::CacheEvent>& events);
+  bool receivesEvent(std::size_t router, BlockHash block) const;
   void crash(std::size_t engine);
   Microseconds latencyOf(const Job& job) const;
   void addWork(const Job& job);
@@ -83,6 +101,8 @@
   std::vector<std::unique_ptr<VirtualEngine>> engines_;
   std::vector<std::unique_ptr<VirtualRouter>> routers_;
   std::vector<Job> jobs_;
+  /// The router that owns a block's prefix; filled for a sharded index only.
+  std::unordered_map<BlockHash, std::size_t> owners_;
   std::size_t unfinished_ = 0;
   double workMs_ = 0;
   Measures measures_;
--- a/src/routing/nested_prefix_affinity.cc
+++ b/src/routing/nested_prefix_affinity.cc
@@ -10,15 +10,19 @@
 namespace {
 
 constexpr std::size_t kHeatPrefixes = 8192;
-constexpr Milliseconds kHeatHalfLife{15'000};
+constexpr Milliseconds kHeatHalfLife{60'000};
 /// Room above the measured share, so that the engines of a home are not full all the time.
 constexpr double kSlack = 1.5;
 /// Homes wider than this are not narrowed yet: their prefix is on most engines anyway.
-constexpr std::size_t kWidestHome = 16;
+constexpr std::size_t kWidestHome = 2;
 /// Engines after the home that help out.
 constexpr std::size_t kHelpers = 2;
-/// What the second copy of a prefix costs the fleet, relative to its prefill.
+/// Without cache events for so long, beliefs cover only what this router sent itself.
+constexpr Milliseconds kEventsExpected{10'000};
+/// What the second copy of a prefix costs the fleet, relative to its prefill; more where it is only
+/// presumed that another engine holds the first, as then the router can't find the copy again.
 constexpr double kCopyCost = 0.5;
+constexpr double kBlindCopyCost = 1.0;
 
 std::uint64_t keyOf(const RouteRequest& request) {
   return request.blocks.empty() ? hashBytes(request.tenant.value()) : request.blocks.back().value();
@@ -32,7 +36,7 @@
 Choice NestedPrefixAffinity::choose(const RouteRequest& request, const CandidateSet& candidates,
                                     MonotonicTime now) {
   measure(request, candidates.size(), now);
-  Home home = homeOf(request, candidates, now);
+  const Home home = homeOf(request, candidates, now);
   const std::vector<PrefixHolder> holders = beliefs_.holders(request, candidates, now);
   std::vector<std::size_t> positions = home.positions;
   for (const PrefixHolder& holder : holders) {
@@ -43,26 +47,54 @@
   for (std::size_t sample = 0; sample < kRandomOnes; ++sample) {
     positions.push_back(any(random_));
   }
+  const Knowledge knowledge = knowledgeOf(request, holders, now);
   const auto homeEnd = home.positions.begin() + static_cast<std::ptrdiff_t>(home.width);
   Choice best;
   double bestMs = std::numeric_limits<double>::infinity();
   for (const std::size_t position : withoutAvoided(request, candidates, std::move(positions))) {
-    const std::size_t cached = cachedBlocksAt(holders, position);
-    const Candidate& candidate = candidates[position];
     const bool atHome = std::find(home.positions.begin(), homeEnd, position) != homeEnd;
-    const double prefill = prefillMs(request, candidate, cached);
-    const double ms = queueDelayMs(candidate) + prefill * (atHome ? 1.0 : 1.0 + kCopyCost);
+    const std::size_t believed = cachedBlocksAt(holders, position);
+    const std::size_t cached =
+        atHome && !knowledge.informed ? knowledge.mostCachedBlocks : believed;
+    const Candidate& candidate = candidates[position];
+    const double ms = queueDelayMs(candidate) + prefillMs(request, candidate, cached) +
+                      copyMs(request, candidate, cached, knowledge, atHome);
     if (ms < bestMs) {
       bestMs = ms;
       best = {position, cached,
-              cached > 0 ? "prefix believed cached"
-              : atHome   ? "home of the prefix"
-                         : "home of the prefix is busy"};
+              believed > 0 ? "prefix believed cached"
+              : atHome     ? "home of the prefix"
+                           : "home of the prefix is busy"};
     }
   }
   return best;
 }
 
+NestedPrefixAffinity::Knowledge NestedPrefixAffinity::knowledgeOf(
+    const RouteRequest& request, const std::vector<PrefixHolder>& holders,
+    MonotonicTime now) const {
+  Knowledge knowledge;
+  const bool eventsArrive = lastEvents_ && now - *lastEvents_ < kEventsExpected;
+  knowledge.informed = request.decidedHereOnly || eventsArrive;
+  for (const PrefixHolder& holder : holders) {
+    knowledge.mostCachedBlocks = std::max(knowledge.mostCachedBlocks, holder.cachedBlocks);
+  }
+  return knowledge;
+}
+
+double NestedPrefixAffinity::copyMs(const RouteRequest& request, const Candidate& candidate,
+                                    std::size_t cached, const Knowledge& knowledge, bool atHome) {
+  if (!knowledge.informed && !atHome) {
+    // Other routers may have sent the prefix home.
+    return kBlindCopyCost * prefillMs(request, candidate, cached);
+  }
+  if (cached >= knowledge.mostCachedBlocks) {
+    return 0;
+  }
+  return kCopyCost * (prefillMs(request, candidate, cached) -
+                      prefillMs(request, candidate, knowledge.mostCachedBlocks));
+}
+
 NestedPrefixAffinity::Home NestedPrefixAffinity::homeOf(const RouteRequest& request,
                                                         const CandidateSet& candidates,
                                                         MonotonicTime now) {
@@ -123,6 +155,7 @@
 }
 
 void NestedPrefixAffinity::onCacheEvents(const CacheEventBatch& batch, MonotonicTime now) {
+  lastEvents_ = now;
   beliefs_.applyEvents(batch, now);
 }
 
--- a/src/routing/nested_prefix_affinity.h
+++ b/src/routing/nested_prefix_affinity.h
@@ -39,6 +39,18 @@
   Home homeOf(const RouteRequest& request, const CandidateSet& candidates, MonotonicTime now);
 
  private:
+  /// What is known of all holders of a prompt together.
+  struct Knowledge {
+    /// Other routers' dispatches are known too, by cache events, or there are none.
+    bool informed = false;
+    /// The longest prefix that any engine is believed to hold.
+    std::size_t mostCachedBlocks = 0;
+  };
+  Knowledge knowledgeOf(const RouteRequest& request, const std::vector<PrefixHolder>& holders,
+                        MonotonicTime now) const;
+  /// What another copy of blocks that are cached elsewhere costs the fleet.
+  static double copyMs(const RouteRequest& request, const Candidate& candidate, std::size_t cached,
+                       const Knowledge& knowledge, bool atHome);
   /// Engines that the prefix's share of the load needs.
   std::size_t widthOf(BlockHash prefix, std::size_t engines, MonotonicTime now) const;
   void measure(const RouteRequest& request, std::size_t engines, MonotonicTime now);
@@ -46,6 +58,7 @@
   Random random_;
   CacheBeliefs beliefs_;
   PrefixHeat heat_;
+  std::optional<MonotonicTime> lastEvents_;
 };
 
 }  // namespace calicodrift::routing
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -32,6 +32,9 @@
   std::size_t blockTokens = kDefaultBlockTokens;
   /// Back ends that already failed this request; used again only where there is no other.
   std::vector<BackendId> avoided;
+  /// This router decides for every request that shares the prompt's first blocks, so it knows of
+  /// all that was sent. Otherwise other routers' dispatches are known by cache events only.
+  bool decidedHereOnly = false;
 
   static constexpr std::size_t kDefaultBlockTokens = 512;
 };
