Engine model: admit a request when its prefill can begin

Cause: the model admitted up to 32 requests at once and looked up the cache for each at that moment, so requests for one prefix that waited behind each other all recomputed it, and a low-priority prefill went before a later high-priority one. Engines with chunked prefill admit while the step has prefill tokens left. Change: admission stops when the admitted prefill fills the next step's chunk.

--- a/src/sim/engine_model.cc
+++ b/src/sim/engine_model.cc
@@ -86,9 +86,15 @@
 }
 
 void EngineModel::admitWaiting() {
-  while (!waiting_.empty() && running_.size() < settings_.maxBatch) {
+  std::size_t prefillTokens = 0;
+  for (const Sequence& sequence : running_) {
+    prefillTokens += sequence.prefillLeft;
+  }
+  while (!waiting_.empty() && running_.size() < settings_.maxBatch &&
+         prefillTokens < settings_.prefillChunkTokens) {
     auto first = waiting_.begin();
     running_.push_back(admitted(std::move(first->second)));
+    prefillTokens += running_.back().prefillLeft;
     waiting_.erase(first);
   }
 }
--- a/src/sim/engine_model.h
+++ b/src/sim/engine_model.h
@@ -102,6 +102,9 @@
     std::size_t plannedPrefill = 0;
   };
 
+  /// Admits requests while the next step has room to prefill for them, as engines with chunked
+  /// prefill do: a request looks up the cache when its own prefill can begin, and so finds what
+  /// others have computed meanwhile.
   void admitWaiting();
   Sequence admitted(EngineRequest request);
   void storeFromTheEnd(const std::vector<BlockHash>& blocks);
