--- a/src/index/prefix_index.cc
+++ b/src/index/prefix_index.cc
@@ -1,7 +1,6 @@
 #include "index/prefix_index.h"
 
 #include <algorithm>
-#include <bit>
 #include <limits>
 
 namespace calicodrift::index {
@@ -16,6 +15,13 @@
   return fingerprint == 0 ? 1 : fingerprint;
 }
 
+/// Maps the lower half of the hash evenly onto the sets.
+std::size_t setNumber(BlockHash block, std::size_t sets) {
+  constexpr unsigned kHalf = 32;
+  const std::uint64_t lower = block.value() & 0xFFFFFFFFU;
+  return static_cast<std::size_t>((lower * sets) >> kHalf);
+}
+
 std::uint16_t ticksOf(MonotonicTime::duration duration, Milliseconds tick) {
   return static_cast<std::uint16_t>(duration / tick);
 }
@@ -23,8 +29,8 @@
 }  // namespace
 
 PrefixIndex::PrefixIndex(std::size_t beliefBudget, Milliseconds term)
-    : entries_(std::bit_ceil(std::max(beliefBudget, kWays))),
-      setMask_(entries_.size() / kWays - 1),
+    : entries_((beliefBudget / kWays + 1) * kWays),
+      sets_(entries_.size() / kWays),
       termTicks_(ticksOf(term, kTick)) {}
 
 std::optional<EngineSlot> PrefixIndex::slotOf(const BackendId& backend, Incarnation incarnation) {
@@ -128,11 +134,11 @@
 }
 
 PrefixIndex::Entry* PrefixIndex::setOf(BlockHash block) {
-  return &entries_[(block.value() & setMask_) * kWays];
+  return &entries_[setNumber(block, sets_) * kWays];
 }
 
 const PrefixIndex::Entry* PrefixIndex::setOf(BlockHash block) const {
-  return &entries_[(block.value() & setMask_) * kWays];
+  return &entries_[setNumber(block, sets_) * kWays];
 }
 
 bool PrefixIndex::valid(const Entry& entry, std::uint16_t tick) const {
@@ -141,7 +147,7 @@
 }
 
 void PrefixIndex::sweepOneSet(std::uint16_t tick) {
-  sweepPosition_ = (sweepPosition_ + 1) & setMask_;
+  sweepPosition_ = (sweepPosition_ + 1) % sets_;
   Entry* set = &entries_[sweepPosition_ * kWays];
   for (std::size_t way = 0; way < kWays; ++way) {
     if (set[way].fingerprint != 0 && !valid(set[way], tick)) {
--- a/src/index/prefix_index.h
+++ b/src/index/prefix_index.h
@@ -31,7 +31,7 @@
   /// Beliefs in one set: at most so many holders of one block are known.
   static constexpr std::size_t kWays = 16;
 
-  /// @param beliefBudget beliefs that the table holds at most; rounded up to a power of two.
+  /// @param beliefBudget beliefs that the table holds at most; rounded up to whole sets.
   /// @param term how long an unconfirmed belief lasts.
   PrefixIndex(std::size_t beliefBudget, Milliseconds term);
 
@@ -78,7 +78,7 @@
   void sweepOneSet(std::uint16_t tick);
 
   std::vector<Entry> entries_;
-  std::size_t setMask_;
+  std::size_t sets_;
   std::uint16_t termTicks_;
   std::size_t sweepPosition_ = 0;
   std::vector<Owner> owners_;
--- a/src/routing/cache_beliefs.h
+++ b/src/routing/cache_beliefs.h
@@ -18,8 +18,9 @@
 /// Blocks that the holder at `position` is believed to have; 0 where it is none of them.
 std::size_t cachedBlocksAt(const std::vector<PrefixHolder>& holders, std::size_t position);
 
-/// Beliefs of one policy on one router: 8 MiB.
-inline constexpr std::size_t kBeliefBudget = 1U << 20U;
+/// Beliefs of one policy on one router, 10 MB: a million, and room so that few are pushed out of a
+/// full set before that.
+inline constexpr std::size_t kBeliefBudget = 1'250'000;
 /// How long a belief lasts that nothing confirms. Engines evict within seconds to minutes.
 inline constexpr Milliseconds kBeliefTerm{900'000};
 
