--- a/src/routing/candidate_set.cc
+++ b/src/routing/candidate_set.cc
@@ -11,6 +11,10 @@
   return std::max(candidate.outstanding, candidate.reportedRequests);
 }
 
+std::size_t prefillTokensAt(const Candidate& candidate) {
+  return candidate.reportedPrefillTokens + candidate.sentPrefillTokens;
+}
+
 std::optional<std::size_t> CandidateSet::find(const BackendId& id) const {
   const auto found = positions_.find(id);
   if (found == positions_.end()) {
@@ -21,9 +25,11 @@
 
 void CandidateSet::put(Candidate candidate) {
   totalRequests_ += requestsAt(candidate);
+  totalPrefillTokens_ += prefillTokensAt(candidate);
   if (const auto position = find(candidate.id)) {
     Candidate& old = candidates_[*position];
     totalRequests_ -= requestsAt(old);
+    totalPrefillTokens_ -= prefillTokensAt(old);
     old = std::move(candidate);
     return;
   }
@@ -45,6 +51,7 @@
   const std::size_t position = found->second;
   const std::size_t last = candidates_.size() - 1;
   totalRequests_ -= requestsAt(candidates_[position]);
+  totalPrefillTokens_ -= prefillTokensAt(candidates_[position]);
   ring_.erase(ring_.begin() + (&ringPointOf(position) - ring_.data()));
   rebuildStarts();
   positions_.erase(found);
--- a/src/routing/candidate_set.h
+++ b/src/routing/candidate_set.h
@@ -58,6 +58,8 @@
                       std::uint64_t key) const;
   /// Sum of max(outstanding, reportedRequests) over all candidates.
   std::size_t totalRequests() const { return totalRequests_; }
+  /// Prompt tokens that all candidates have yet to prefill.
+  std::size_t totalPrefillTokens() const { return totalPrefillTokens_; }
 
   /// Sets up to this size are ranked or scanned as a whole.
   static constexpr std::size_t kSmall = 64;
@@ -90,8 +92,12 @@
   std::vector<std::uint32_t> starts_;
   unsigned startsShift_ = 0;
   std::size_t totalRequests_ = 0;
+  std::size_t totalPrefillTokens_ = 0;
 };
 
+/// Prompt tokens that wait there: the report, and what this router has sent since.
+std::size_t prefillTokensAt(const Candidate& candidate);
+
 /// The requests that a candidate has, by this router's count or its report, whichever is more.
 std::size_t requestsAt(const Candidate& candidate);
 
--- a/src/routing/cost.h
+++ b/src/routing/cost.h
@@ -9,6 +9,9 @@
 /// has sent since. Each request beside adds a little for its decode work.
 double queueDelayMs(const Candidate& candidate);
 
+/// Mean over all candidates of the time until what waits there is prefilled.
+double meanQueueMs(const CandidateSet& candidates);
+
 /// Time to prefill the prompt where `cachedBlocks` of it are cached.
 double prefillMs(const RouteRequest& request, const Candidate& candidate, std::size_t cachedBlocks);
 
--- a/src/routing/nested_prefix_affinity.cc
+++ b/src/routing/nested_prefix_affinity.cc
@@ -23,6 +23,8 @@
 /// presumed that another engine holds the first, as then the router can't find the copy again.
 constexpr double kCopyCost = 0.5;
 constexpr double kBlindCopyCost = 1.0;
+/// Mean queue at which the cost of a copy has grown by its whole prefill.
+constexpr double kCrowdedQueueMs = 500;
 
 /// Prefixes whose heat is measured: every few blocks, as most blocks in a row belong to one text.
 std::vector<BlockHash> levelsOf(const RouteRequest& request) {
@@ -59,7 +61,8 @@
   for (std::size_t sample = 0; sample < kRandomOnes; ++sample) {
     positions.push_back(any(random_));
   }
-  const Knowledge knowledge = knowledgeOf(request, holders, now);
+  Knowledge knowledge = knowledgeOf(request, holders, now);
+  knowledge.meanQueueMs = meanQueueMs(candidates);
   const auto homeEnd = home.positions.begin() + static_cast<std::ptrdiff_t>(home.width);
   Choice best;
   double bestMs = std::numeric_limits<double>::infinity();
@@ -96,15 +99,17 @@
 
 double NestedPrefixAffinity::copyMs(const RouteRequest& request, const Candidate& candidate,
                                     std::size_t cached, const Knowledge& knowledge, bool atHome) {
+  // Where work waits everywhere, what is recomputed here delays all that comes after it.
+  const double crowding = knowledge.meanQueueMs / kCrowdedQueueMs;
   if (!knowledge.informed && !atHome) {
     // Other routers may have sent the prefix home.
-    return kBlindCopyCost * prefillMs(request, candidate, cached);
+    return (kBlindCopyCost + crowding) * prefillMs(request, candidate, cached);
   }
   if (cached >= knowledge.mostCachedBlocks) {
     return 0;
   }
-  return kCopyCost * (prefillMs(request, candidate, cached) -
-                      prefillMs(request, candidate, knowledge.mostCachedBlocks));
+  return (kCopyCost + crowding) * (prefillMs(request, candidate, cached) -
+                                   prefillMs(request, candidate, knowledge.mostCachedBlocks));
 }
 
 NestedPrefixAffinity::Home NestedPrefixAffinity::homeOf(const RouteRequest& request,
--- a/src/routing/nested_prefix_affinity.h
+++ b/src/routing/nested_prefix_affinity.h
@@ -46,6 +46,8 @@
     bool informed = false;
     /// The longest prefix that any engine is believed to hold.
     std::size_t mostCachedBlocks = 0;
+    /// Of all candidates.
+    double meanQueueMs = 0;
   };
   Knowledge knowledgeOf(const RouteRequest& request, const std::vector<PrefixHolder>& holders,
                         MonotonicTime now) const;
