--- a/src/routing/nested_prefix_affinity.cc
+++ b/src/routing/nested_prefix_affinity.cc
@@ -116,6 +116,8 @@
                                                         const CandidateSet& candidates,
                                                         MonotonicTime now) {
   const std::size_t widest = std::min(kWidestHome, candidates.size());
+  // Those that failed already are left out afterwards.
+  const std::size_t helpers = kHelpers + request.avoided.size();
   Home home;
   bool narrowed = false;
   heat_.countTotal(1, now);
@@ -126,7 +128,7 @@
       continue;
     }
     if (!narrowed) {
-      home.positions = candidates.inAffinityOrder(prefix.value(), width + kHelpers);
+      home.positions = candidates.inAffinityOrder(prefix.value(), width + helpers);
     } else if (width < home.width) {
       candidates.sortByAffinity(home.positions, home.width, prefix.value());
     }
@@ -140,7 +142,7 @@
     }
   }
   if (!narrowed) {
-    home.positions = candidates.inAffinityOrder(keyOf(request), widest);
+    home.positions = candidates.inAffinityOrder(keyOf(request), widest + request.avoided.size());
     home.width = home.positions.size();
   }
   return home;
