--- a/src/bench/overload_simulation.cc
+++ b/src/bench/overload_simulation.cc
@@ -48,7 +48,7 @@
     for (std::size_t index = 0; index < engines; ++index) {
       routing::Candidate candidate;
       candidate.id = BackendId("engine-" + std::to_string(index));
-      candidates.push_back(candidate);
+      candidates.put(candidate);
     }
   }
   NoTransport transport;
@@ -57,7 +57,7 @@
   limits::LimitsMetrics metrics{registry};
   limits::Limiter limiter;
   routing::PrefixHashBoundedLoad policy;
-  routing::Candidates candidates;
+  routing::CandidateSet candidates;
 };
 
 /// One caller's request over its attempts.
@@ -123,7 +123,9 @@
   void probe() {
     for (auto& router : routers_) {
       for (std::size_t index = 0; index < engines_.size(); ++index) {
-        router->candidates[index].reportedRequests = engines_[index]->load();
+        routing::Candidate candidate = router->candidates[index];
+        candidate.reportedRequests = engines_[index]->load();
+        router->candidates.put(candidate);
       }
     }
     time_.schedule(kProbeInterval, [this] { probe(); });
@@ -277,7 +279,7 @@
 
   static void changeOutstanding(SimulatedRouter& router, std::size_t index, const Call& call,
                                 int change) {
-    routing::Candidate& candidate = router.candidates[index];
+    routing::Candidate candidate = router.candidates[index];
     const std::size_t tokens = call.route.promptTokens + call.route.outputTokens;
     if (change > 0) {
       ++candidate.outstanding;
@@ -286,6 +288,7 @@
       --candidate.outstanding;
       candidate.outstandingTokens -= tokens;
     }
+    router.candidates.put(candidate);
   }
 
   void onFirstToken(const Call& call, limits::AdmittedWork* work, MonotonicTime begin) {
--- a/src/bench/programs.h
+++ b/src/bench/programs.h
@@ -5,6 +5,9 @@
 /// and start none.
 namespace calicodrift::bench {
 
+int runDecide(int argc, const char* const* argv);
+int runMakeTrace(int argc, const char* const* argv);
+int runReplay(int argc, const char* const* argv);
 int runOverhead(int argc, const char* const* argv);
 int runStreams(int argc, const char* const* argv);
 int runOverload(int argc, const char* const* argv);
--- a/src/router/backend_table.h
+++ b/src/router/backend_table.h
@@ -21,6 +21,8 @@
   std::size_t reportedRequests = 0;
   /// False while the back end refuses new work for a time, as an engine that loads weights.
   bool accepting = true;
+  /// Prompt tokens that it has yet to prefill.
+  std::size_t reportedPrefillTokens = 0;
 };
 
 /// Why a back end stopped being usable.
@@ -51,16 +53,18 @@
   /// Every machine to probe, usable or not.
   std::vector<platform::Machine> machines() const;
   /// Usable engines of the model whose weights are at `weights`.
-  routing::Candidates engines(const ModelId& model, WeightsVersion weights) const;
+  routing::CandidateSet engines(const ModelId& model, WeightsVersion weights) const;
   /// Usable engines of the model by the version of their weights.
   std::map<WeightsVersion, std::size_t> engineVersions(const ModelId& model) const;
   /// Version that a back end was last found at; 0 where it is not alive.
   WeightsVersion weightsOf(const BackendId& id) const;
   /// Usable back ends of an ordinary service.
-  routing::Candidates services(std::string_view service) const;
+  routing::CandidateSet services(std::string_view service) const;
   std::optional<Endpoint> endpointOf(const BackendId& id) const;
 
   void addOutstanding(const BackendId& id, std::size_t tokens);
+  /// Counts prompt tokens that the back end will prefill, until its next report covers them.
+  void addPrefill(const BackendId& id, std::size_t tokens);
   void removeOutstanding(const BackendId& id, std::size_t tokens);
 
  private:
@@ -73,6 +77,8 @@
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
     std::size_t reportedRequests = 0;
+    std::size_t reportedPrefillTokens = 0;
+    std::size_t sentPrefillTokens = 0;
   };
 
   static bool usable(const Backend& backend);
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "router/version_rule.h"
+#include "routing/cost.h"
 
 namespace calicodrift::router {
 namespace {
@@ -26,6 +27,7 @@
       chainHashes(scope, completion.prompt, static_cast<std::size_t>(model.blockBytes));
   request.promptTokens = completion.prompt.size() / kBytesPerToken;
   request.outputTokens = completion.maxTokens;
+  request.blockTokens = static_cast<std::size_t>(model.blockBytes) / kBytesPerToken;
   return request;
 }
 
@@ -72,8 +74,6 @@
   std::uint32_t attempts = 0;
   std::string policyName;
   std::optional<limits::AdmittedWork> admitted;
-  /// Back ends that already failed this request.
-  std::vector<BackendId> avoided;
 };
 
 awaitable<void> CompletionHandler::handle(std::shared_ptr<const bundle::Bundle> bundle,
@@ -151,13 +151,7 @@
   if (!job.sink.hasTokens()) {
     selectWeights(job);
   }
-  routing::Candidates candidates = context_.backends.engines(job.route.model, job.weights);
-  const auto wasTried = [&job](const routing::Candidate& candidate) {
-    return std::find(job.avoided.begin(), job.avoided.end(), candidate.id) != job.avoided.end();
-  };
-  if (!std::all_of(candidates.begin(), candidates.end(), wasTried)) {
-    std::erase_if(candidates, wasTried);
-  }
+  const routing::CandidateSet candidates = context_.backends.engines(job.route.model, job.weights);
   if (candidates.empty()) {
     co_return fail(ErrorKind::kNoBackend, "no usable engine has this model and version");
   }
@@ -169,9 +163,11 @@
     co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
   }
   ++job.attempts;
-  job.avoided.push_back(backend.id);
+  job.route.avoided.push_back(backend.id);
   job.sink.setWeights(backend.weights);
   policy.onDispatched(job.route, backend, monotonicNow());
+  context_.backends.addPrefill(backend.id,
+                               routing::uncachedTokens(job.route, choice.expectedCachedBlocks));
   context_.metrics.countDispatch(job.policyName);
   job.admitted->onDispatched();
 
@@ -193,6 +189,9 @@
   if (!outcome && outcome.error().kind == ErrorKind::kFenced) {
     context_.backends.markOutdated(backend.id);
   }
+  if (outcome) {
+    policy.onCompleted(job.route, backend, job.sink.usage().cachedTokens, monotonicNow());
+  }
   co_return outcome;
 }
 
@@ -207,7 +206,9 @@
   if (chosen != job.weights) {
     job.weights = chosen;
     // Block hashes cover the version, so that no policy relies on other weights' cache.
+    std::vector<BackendId> avoided = std::move(job.route.avoided);
     job.route = toRouteRequest(job.caller, job.model, job.completion, chosen);
+    job.route.avoided = std::move(avoided);
   }
 }
 
--- a/src/router/discovery.cc
+++ b/src/router/discovery.cc
@@ -33,6 +33,7 @@
   result.reportedRequests = numberAt(object, "waiting") + numberAt(object, "running");
   const json::value* accepting = object.if_contains("accepting");
   result.accepting = accepting == nullptr || !accepting->is_bool() || accepting->get_bool();
+  result.reportedPrefillTokens = numberAt(object, "prefill_tokens");
   return result;
 }
 
--- a/src/sim/engine_model.h
+++ b/src/sim/engine_model.h
@@ -78,6 +78,8 @@
   /// Tokens that the planned step generated.
   std::vector<TokenEvent> finishStep();
 
+  /// Prompt tokens of waiting requests and those that running ones have yet to prefill.
+  std::size_t pendingPrefillTokens() const;
   std::size_t waitingRequests() const { return waiting_.size(); }
   std::size_t runningRequests() const { return running_.size(); }
   std::size_t cachedBlocks() const { return cacheEntries_.size(); }
@@ -100,8 +102,12 @@
     std::size_t plannedPrefill = 0;
   };
 
+  /// Admits requests while the next step has room to prefill for them, as engines with chunked
+  /// prefill do: a request looks up the cache when its own prefill can begin, and so finds what
+  /// others have computed meanwhile.
   void admitWaiting();
   Sequence admitted(EngineRequest request);
+  void storeFromTheEnd(const std::vector<BlockHash>& blocks);
   void storeBlock(BlockHash block);
   void touchBlock(BlockHash block);
   std::size_t longestCachedPrefix(const std::vector<BlockHash>& blocks) const;
