Hollow nodes and calicodrift-bench scale: first version

One process runs many nodes' control::ControlPlane over UDP sockets of their own; the bench runs several sizes in turn and fits slopes.

--- a/src/bench/programs.h
+++ b/src/bench/programs.h
@@ -8,6 +8,7 @@
 int runOverhead(int argc, const char* const* argv);
 int runStreams(int argc, const char* const* argv);
 int runOverload(int argc, const char* const* argv);
+int runScale(int argc, const char* const* argv);
 
 /// Chooses the role by the first word.
 int runBench(int argc, const char* const* argv);
--- /dev/null
+++ b/src/bench/scale_run.cc
@@ -0,0 +1,166 @@
+#include "bench/scale_run.h"
+
+#include <malloc.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <map>
+
+#include "bench/report.h"
+
+namespace calicodrift::bench {
+namespace {
+
+using hollow::HollowFleet;
+using membership::MemberChange;
+
+constexpr Milliseconds kPollInterval{100};
+
+double secondsSince(MonotonicTime begin) {
+  return std::chrono::duration<double>(monotonicNow() - begin).count();
+}
+
+double toSeconds(const timeval& time) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_usec) / kMicrosecondsPerSecond;
+}
+
+/// Processor time of this process so far, user and system.
+double processorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return toSeconds(usage.ru_utime) + toSeconds(usage.ru_stime);
+}
+
+/// Resident memory, after what was freed has gone back to the system.
+double residentBytes() {
+  malloc_trim(0);
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+std::string channelName(peer::Channel channel) {
+  switch (channel) {
+    case peer::Channel::kMembership:
+      return "membership";
+    case peer::Channel::kConfig:
+      return "config";
+    case peer::Channel::kClaims:
+      return "claims";
+    case peer::Channel::kLimits:
+      return "limits";
+    case peer::Channel::kIndex:
+      return "index";
+  }
+  return "other";
+}
+
+bool waitForJoin(HollowFleet& fleet, const ScaleRunSettings& settings) {
+  const MonotonicTime begin = monotonicNow();
+  while (monotonicNow() - begin < settings.joinBound) {
+    if (fleet.countBelieving(settings.fleet.nodes) == settings.fleet.nodes) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+void measureSteady(HollowFleet& fleet, const ScaleRunSettings& settings, ScaleResult& result) {
+  std::this_thread::sleep_for(settings.settleTime);
+  const auto trafficBefore = fleet.traffic();
+  const membership::MembershipCounters countersBefore = fleet.counters();
+  const double processorBefore = processorSeconds();
+  const MonotonicTime begin = monotonicNow();
+  std::this_thread::sleep_for(settings.steadyTime);
+  const double perNodeSecond = 1 / (secondsSince(begin) * static_cast<double>(result.nodes));
+  constexpr double kPercent = 100;
+  result.cpuPercent = kPercent * (processorSeconds() - processorBefore) * perNodeSecond;
+  auto traffic = fleet.traffic();
+  for (const auto& [channel, after] : traffic) {
+    const auto found = trafficBefore.find(channel);
+    const peer::ChannelTraffic before =
+        found == trafficBefore.end() ? peer::ChannelTraffic{} : found->second;
+    ChannelRate rate{channelName(channel), 0, 0};
+    rate.bytesPerSecond = static_cast<double>(after.sentBytes - before.sentBytes) * perNodeSecond;
+    rate.messagesPerSecond =
+        static_cast<double>(after.sentMessages - before.sentMessages) * perNodeSecond;
+    result.bytesPerSecond += rate.bytesPerSecond;
+    result.messagesPerSecond += rate.messagesPerSecond;
+    result.channels.push_back(rate);
+  }
+  const membership::MembershipCounters counters = fleet.counters();
+  result.falseDeaths = counters.deaths - countersBefore.deaths;
+  result.suspicions = counters.suspicions - countersBefore.suspicions;
+}
+
+/// Lets `act` happen to the nodes `first` to `last` and waits until all that go on have seen
+/// `change` of each.
+/// @param gone nodes that are down already.
+NoticeTimes measureNotice(HollowFleet& fleet, const ScaleRunSettings& settings, std::size_t first,
+                          std::size_t last, MemberChange change,
+                          const std::function<void(std::size_t)>& act) {
+  fleet.takeObservations();
+  fleet.record(true);
+  std::map<std::string, MonotonicTime> begins;
+  for (std::size_t index = first; index < last; ++index) {
+    begins[fleet.nameOf(index)] = monotonicNow();
+    act(index);
+  }
+  // Those before `first` are down, those from `first` to `last` are the events.
+  const std::size_t observers = settings.fleet.nodes - last;
+  const std::size_t expected = observers * (last - first);
+  std::vector<double> samples;
+  const MonotonicTime begin = monotonicNow();
+  while (samples.size() < expected && monotonicNow() - begin < settings.noticeBound) {
+    std::this_thread::sleep_for(kPollInterval);
+    for (const hollow::Observation& seen : fleet.takeObservations()) {
+      const auto event = begins.find(seen.subject);
+      if (event != begins.end() && seen.change == change && seen.observer >= last) {
+        samples.push_back(toMilliseconds(seen.time - event->second));
+      }
+    }
+  }
+  fleet.record(false);
+  NoticeTimes times;
+  times.missed = expected - std::min(expected, samples.size());
+  constexpr double kMedian = 0.5;
+  constexpr double kTail = 0.99;
+  times.p50Ms = percentile(samples, kMedian);
+  times.p99Ms = percentile(samples, kTail);
+  times.lastMs = percentile(samples, 1);
+  return times;
+}
+
+}  // namespace
+
+Result<ScaleResult> runScaleSize(const ScaleRunSettings& settings) {
+  ScaleResult result;
+  result.nodes = settings.fleet.nodes;
+  const double residentBefore = residentBytes();
+  HollowFleet fleet(settings.fleet);
+  const MonotonicTime begin = monotonicNow();
+  const Result<void> started = fleet.start();
+  if (!started) {
+    return started.error();
+  }
+  result.joined = waitForJoin(fleet, settings);
+  result.joinSeconds = secondsSince(begin);
+  measureSteady(fleet, settings, result);
+  result.residentBytes =
+      (residentBytes() - residentBefore) / static_cast<double>(settings.fleet.nodes);
+  const std::size_t failed = settings.failures;
+  const std::size_t gone = failed + settings.leaves;
+  result.failure = measureNotice(fleet, settings, 0, failed, MemberChange::kDied,
+                                 [&fleet](std::size_t index) { fleet.fail(index); });
+  result.leave = measureNotice(fleet, settings, failed, gone, MemberChange::kLeft,
+                               [&fleet](std::size_t index) { fleet.leave(index); });
+  return result;
+}
+
+}  // namespace calicodrift::bench
--- a/src/sim/programs.cc
+++ b/src/sim/programs.cc
@@ -240,7 +240,10 @@
   if (role == "proxy") {
     return runProxy(argc - 1, argv + 1);
   }
-  std::cerr << "usage: calicodrift-sim engine|service|platform|proxy [flags]; "
+  if (role == "hollow") {
+    return runHollow(argc - 1, argv + 1);
+  }
+  std::cerr << "usage: calicodrift-sim engine|service|platform|proxy|hollow [flags]; "
                "each role has its own --help\n";
   return role == "--help" ? settings::kExitSuccess : settings::kExitUsage;
 }
--- a/src/sim/programs.h
+++ b/src/sim/programs.h
@@ -8,6 +8,7 @@
 int runService(int argc, const char* const* argv);
 int runPlatform(int argc, const char* const* argv);
 int runProxy(int argc, const char* const* argv);
+int runHollow(int argc, const char* const* argv);
 
 /// Chooses the role by the first word.
 int runSim(int argc, const char* const* argv);
