--- a/src/sim/programs.h
+++ b/src/sim/programs.h
@@ -9,6 +9,7 @@
 int runWeightStore(int argc, const char* const* argv);
 int runPlatform(int argc, const char* const* argv);
 int runProxy(int argc, const char* const* argv);
+int runHollow(int argc, const char* const* argv);
 
 /// Chooses the role by the first word.
 int runSim(int argc, const char* const* argv);
