--- a/src/common/error.cc
+++ b/src/common/error.cc
@@ -109,4 +109,14 @@
   return "never";
 }
 
+std::string errorReferenceTable() {
+  std::string table = "| kind | status | run | retry | what to do |\n|---|---|---|---|---|\n";
+  for (const ErrorRow& row : kErrorTable) {
+    table += "| `" + std::string(row.name) + "` | " + std::to_string(row.httpStatus) + " | ";
+    table += std::string(toString(row.run)) + " | " + std::string(toString(row.retry)) + " | ";
+    table += std::string(row.remedy) + " |\n";
+  }
+  return table;
+}
+
 }  // namespace calicodrift
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -72,6 +72,9 @@
 std::string_view toString(RunStatement run);
 std::string_view toString(RetryAdvice advice);
 
+/// A Markdown table of every kind with its answer and what to do, for the reference page.
+std::string errorReferenceTable();
+
 /// A failure with its kind and a detail for people. `retryAfter` is set where the time is known.
 struct Error {
   ErrorKind kind = ErrorKind::kInternal;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -18,6 +18,8 @@
 using asio::awaitable;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdleConnections = 64;
+constexpr std::chrono::seconds kIdleLifetime{30};
+constexpr std::chrono::seconds kSweepInterval{5};
 constexpr std::size_t kBodyPieceBytes = 16'384;
 
 /// An idle connection that the other side has closed, or that holds unasked bytes, is readable.
@@ -33,12 +35,17 @@
 
 /// Pool of idle connections; outlives the client while responses are being read.
 struct ClientState {
+  struct IdleConnection {
+    StreamPointer stream;
+    MonotonicTime since;
+  };
+
   explicit ClientState(asio::any_io_executor executor) : executor(std::move(executor)) {}
 
   StreamPointer takeIdle(const Endpoint& endpoint) {
-    std::vector<StreamPointer>& connections = idle[endpoint];
+    std::vector<IdleConnection>& connections = idle[endpoint];
     while (!connections.empty()) {
-      StreamPointer stream = connections.back();
+      StreamPointer stream = connections.back().stream;
       connections.pop_back();
       if (stillUsable(stream->socket())) {
         return stream;
@@ -48,15 +55,31 @@
   }
 
   void giveBack(const Endpoint& endpoint, StreamPointer stream) {
-    std::vector<StreamPointer>& connections = idle[endpoint];
+    const MonotonicTime now = monotonicNow();
+    if (now - lastSweep > kSweepInterval) {
+      lastSweep = now;
+      sweep(now);
+    }
+    std::vector<IdleConnection>& connections = idle[endpoint];
     if (connections.size() < kMaxIdleConnections) {
       stream->expires_never();
-      connections.push_back(std::move(stream));
+      connections.push_back({std::move(stream), now});
+    }
+  }
+
+  /// Closes what nobody has used for long, so that servers that left hold no descriptors here.
+  void sweep(MonotonicTime now) {
+    for (auto& entry : idle) {
+      std::erase_if(entry.second, [now](const IdleConnection& connection) {
+        return now - connection.since > kIdleLifetime || !stillUsable(connection.stream->socket());
+      });
     }
+    std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
   }
 
   asio::any_io_executor executor;
-  std::map<Endpoint, std::vector<StreamPointer>> idle;
+  std::map<Endpoint, std::vector<IdleConnection>> idle;
+  MonotonicTime lastSweep{};
 };
 
 namespace {
@@ -64,12 +87,13 @@
 class StreamImpl : public ResponseStream {
  public:
   StreamImpl(std::shared_ptr<ClientState> state, Endpoint endpoint, StreamPointer stream,
-             ExchangeOptions options)
+             ExchangeOptions options, bool headOnly)
       : state_(std::move(state)),
         endpoint_(std::move(endpoint)),
         stream_(std::move(stream)),
         options_(options) {
     parser_.body_limit(options.maxBodyBytes);
+    parser_.skip(headOnly);
   }
 
   ~StreamImpl() override {
@@ -122,6 +146,8 @@
     co_return std::string();
   }
 
+  void setBodyTimeout(Milliseconds timeout) override { options_.bodyTimeout = timeout; }
+
   void cancel() override { stream_->close(); }
 
  private:
@@ -148,11 +174,22 @@
   bool finished_ = false;
 };
 
+void attachTo(ExchangeCanceller* canceller, const StreamPointer& stream) {
+  if (canceller != nullptr) {
+    canceller->attach([weak = std::weak_ptr(stream)] {
+      if (const StreamPointer open = weak.lock()) {
+        open->close();
+      }
+    });
+  }
+}
+
 awaitable<Result<StreamPointer>> connect(std::shared_ptr<ClientState> state, Endpoint endpoint,
-                                         Milliseconds timeout) {
+                                         ExchangeOptions options) {
   auto stream = std::make_shared<beast::tcp_stream>(state->executor);
+  attachTo(options.canceller, stream);
   const Tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
-  stream->expires_after(timeout);
+  stream->expires_after(options.connectTimeout);
   auto [code] = co_await stream->async_connect(address, kAwait);
   if (code) {
     co_return fail(ErrorKind::kConnectFailed,
@@ -179,6 +216,22 @@
 
 }  // namespace
 
+void ExchangeCanceller::cancel() {
+  cancelled_ = true;
+  if (close_) {
+    const auto close = std::exchange(close_, nullptr);
+    close();
+  }
+}
+
+void ExchangeCanceller::attach(std::function<void()> close) {
+  if (cancelled_) {
+    close();
+    return;
+  }
+  close_ = std::move(close);
+}
+
 Client::Client(asio::any_io_executor executor)
     : state_(std::make_shared<ClientState>(std::move(executor))) {}
 
@@ -190,12 +243,18 @@
     stream = state->takeIdle(endpoint);
   }
   if (!stream) {
-    Result<StreamPointer> connected = co_await connect(state, endpoint, options.connectTimeout);
+    Result<StreamPointer> connected = co_await connect(state, endpoint, options);
     if (!connected) {
       co_return connected.error();
     }
     stream = connected.value();
+    if (options.canceller != nullptr && options.canceller->cancelled()) {
+      co_return fail(ErrorKind::kConnectFailed, "given up before the request was sent");
+    }
+  } else {
+    attachTo(options.canceller, stream);
   }
+  const bool headOnly = request.method == "HEAD";
   const auto message = toBeast(endpoint, std::move(request));
   stream->expires_after(options.headerTimeout);
   auto [code, bytes] = co_await bhttp::async_write(*stream, message, kAwait);
@@ -203,7 +262,7 @@
     co_return fail(ErrorKind::kOutcomeUnknown,
                    "sending to " + endpoint.toString() + " broke off: " + code.message());
   }
-  auto response = std::make_unique<StreamImpl>(state, endpoint, stream, options);
+  auto response = std::make_unique<StreamImpl>(state, endpoint, stream, options, headOnly);
   Result<void> head = co_await response->readHead();
   if (!head) {
     co_return head.error();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -19,6 +20,21 @@
 /// makes a failed connect prove that nothing was sent.
 enum class ConnectionUse { kPooled, kFresh };
 
+/// Ends an exchange from outside, at any point of it: also while it connects or waits for the
+/// header. Must outlive the call of Client::open() or exchange() that it is given to.
+class ExchangeCanceller {
+ public:
+  /// Closes the connection; the exchange fails. Safe at any time.
+  void cancel();
+  bool cancelled() const { return cancelled_; }
+  /// For the client: how to close the connection now in use.
+  void attach(std::function<void()> close);
+
+ private:
+  std::function<void()> close_;
+  bool cancelled_ = false;
+};
+
 struct ExchangeOptions {
   ConnectionUse connection = ConnectionUse::kPooled;
   Milliseconds connectTimeout{1000};
@@ -27,6 +43,8 @@
   /// Between two pieces of the body.
   Milliseconds bodyTimeout{60000};
   std::size_t maxBodyBytes = 67'108'864;
+  /// A plain pointer, as g++ 12 mishandles temporaries of aggregates with destructors in coroutines.
+  ExchangeCanceller* canceller = nullptr;
 };
 
 /// A response whose body is still arriving.
@@ -38,6 +56,8 @@
   /// The next bytes of the body; an empty text is its end. A connection that breaks before the end
   /// fails with kStreamBroken, a pause longer than bodyTimeout with kDeadlineExceeded.
   virtual boost::asio::awaitable<Result<std::string>> read() = 0;
+  /// Replaces ExchangeOptions::bodyTimeout for the next calls of read().
+  virtual void setBodyTimeout(Milliseconds timeout) = 0;
   /// Closes the connection; a pending read() fails. Safe at any time.
   virtual void cancel() = 0;
 };
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -69,22 +69,41 @@
   const ServerLimits limits;
   const Handler handler;
   std::size_t active = 0;
+  std::size_t busy = 0;
   std::size_t connections = 0;
+  /// Connections close after their next answer.
+  bool closing = false;
   bool stopping = false;
 };
 
 namespace {
 
+constexpr std::size_t kFirstReadBytes = 4096;
+constexpr Milliseconds kLingerTime{1000};
+constexpr std::size_t kLingerBytes = 67'108'864;
+constexpr std::size_t kLingerPieceBytes = 65'536;
+using RequestParser = bhttp::request_parser<bhttp::string_body>;
+
+/// Counts one for as long as it lives.
+class CountGuard {
+ public:
+  explicit CountGuard(std::size_t& count) : count_(count) { ++count_; }
+  ~CountGuard() { --count_; }
+  CountGuard(const CountGuard&) = delete;
+  CountGuard& operator=(const CountGuard&) = delete;
+
+ private:
+  std::size_t& count_;
+};
+
 /// One connection: reads requests in turn and runs the handler on each.
 class Connection : public ResponseWriter, public std::enable_shared_from_this<Connection> {
  public:
-  Connection(Tcp::socket socket, const ServerLimits& limits, const Handler& handler,
-             std::size_t& active, const bool& stopping)
+  Connection(Tcp::socket socket, std::shared_ptr<ServerState> server)
       : stream_(std::move(socket)),
-        limits_(limits),
-        handler_(handler),
-        active_(active),
-        stopping_(stopping) {
+        server_(std::move(server)),
+        limits_(server_->limits),
+        readTimer_(stream_.get_executor()) {
     beast::error_code ignored;
     stream_.socket().set_option(Tcp::no_delay(true), ignored);
   }
@@ -94,8 +113,6 @@
     while (more) {
       more = co_await serveOne();
     }
-    beast::error_code ignored;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
   }
 
   awaitable<void> refuse(const Error& error) {
@@ -104,13 +121,36 @@
     co_await http::respond(*this, std::move(response));
   }
 
+  /// Ends the connection so that the last answer arrives: closing a socket that still holds unread
+  /// bytes resets the connection, and the reset may overtake the answer. So what the caller still
+  /// sends is read and dropped, for a bounded time and size, until the caller closes.
+  awaitable<void> linger() {
+    beast::error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream_.expires_after(kLingerTime);
+    std::size_t dropped = 0;
+    while (dropped < kLingerBytes) {
+      buffer_.clear();
+      auto [code, count] =
+          co_await stream_.async_read_some(buffer_.prepare(kLingerPieceBytes), kAwait);
+      if (code) {
+        co_return;
+      }
+      dropped += count;
+    }
+  }
+
   awaitable<Result<void>> send(Response response) override {
     answered_ = true;
     bhttp::response<bhttp::string_body> message{static_cast<bhttp::status>(response.status), 11};
     copyHeaders(response, message);
     message.body() = std::move(response.body);
-    message.keep_alive(keepAlive_ && !stopping_);
+    message.keep_alive(keepsAlive());
     message.prepare_payload();
+    if (headOnly_) {
+      // The length stays, as it is what GET would give.
+      message.body().clear();
+    }
     stream_.expires_after(limits_.writeTimeout);
     auto [code, bytes] = co_await bhttp::async_write(stream_, message, kAwait);
     co_return outcomeOfWrite(code);
@@ -121,7 +161,7 @@
     streamStarted_ = true;
     bhttp::response<bhttp::empty_body> message{static_cast<bhttp::status>(response.status), 11};
     copyHeaders(response, message);
-    message.keep_alive(keepAlive_ && !stopping_);
+    message.keep_alive(keepsAlive());
     message.chunked(true);
     bhttp::response_serializer<bhttp::empty_body> serializer{message};
     stream_.expires_after(limits_.writeTimeout);
@@ -150,38 +190,101 @@
 
   void onCallerGone(std::function<void()> callback) override {
     goneCallback_ = std::move(callback);
+    if (gone_ && goneCallback_) {
+      const auto callNow = std::exchange(goneCallback_, nullptr);
+      callNow();
+    }
   }
   bool callerGone() const override { return gone_; }
   bool streamStarted() const override { return streamStarted_; }
 
  private:
+  /// Whether the connection may serve another request; false once an answer has said that it won't.
+  bool keepsAlive() {
+    keepAlive_ = keepAlive_ && !server_->closing;
+    return keepAlive_;
+  }
+
   awaitable<bool> serveOne() {
-    bhttp::request_parser<bhttp::string_body> parser;
+    const bool arrived = co_await waitForFirstByte();
+    if (!arrived) {
+      co_return false;
+    }
+    const CountGuard busy(server_->busy);
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
     parser.body_limit(limits_.maxBodyBytes);
-    if (buffer_.size() == 0) {
-      stream_.expires_after(limits_.idleTimeout);
-      auto [idleCode, count] =
-          co_await stream_.async_read_some(buffer_.prepare(kFirstReadBytes), kAwait);
-      if (idleCode) {
-        co_return false;
-      }
-      buffer_.commit(count);
-    }
-    stream_.expires_after(limits_.readTimeout);
-    auto [code, bytes] = co_await bhttp::async_read(stream_, buffer_, parser, kAwait);
+    const beast::error_code code = co_await readRequest(parser);
     if (code) {
       if (!connectionLost(code)) {
         const Error error = readError(code);
         co_await refuse(error);
+        co_await linger();
       }
       co_return false;
     }
     keepAlive_ = parser.get().keep_alive();
+    headOnly_ = parser.get().method() == bhttp::verb::head;
     Request request = toRequest(parser.release());
-    stream_.expires_never();
     co_await handle(request);
-    co_return keepAlive_ && !gone_ && !stopping_;
+    const bool more = keepAlive_ && !gone_;
+    if (!more && !gone_) {
+      co_await linger();
+    }
+    co_return more;
+  }
+
+  awaitable<bool> waitForFirstByte() {
+    if (buffer_.size() > 0) {
+      co_return true;
+    }
+    stream_.expires_after(limits_.idleTimeout);
+    auto [code, count] = co_await stream_.async_read_some(buffer_.prepare(kFirstReadBytes), kAwait);
+    if (code) {
+      co_return false;
+    }
+    buffer_.commit(count);
+    co_return true;
+  }
+
+  /// Reads header and body within the read timeout. The timeout stops the reading only, where the
+  /// stream's own would close the connection and leave no way to answer.
+  awaitable<beast::error_code> readRequest(RequestParser& parser) {
+    stream_.expires_never();
+    timedOut_ = false;
+    readTimer_.expires_after(limits_.readTimeout);
+    readTimer_.async_wait([self = shared_from_this()](beast::error_code code) {
+      if (!code && self->reading_) {
+        self->timedOut_ = true;
+        self->stream_.cancel();
+      }
+    });
+    reading_ = true;
+    beast::error_code code = co_await readHeaderAndBody(parser);
+    reading_ = false;
+    readTimer_.cancel();
+    if (timedOut_) {
+      code = beast::error::timeout;
+    }
+    co_return code;
+  }
+
+  awaitable<beast::error_code> readHeaderAndBody(RequestParser& parser) {
+    auto [headerCode, headerBytes] =
+        co_await bhttp::async_read_header(stream_, buffer_, parser, kAwait);
+    if (headerCode) {
+      co_return headerCode;
+    }
+    if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue") && !parser.is_done()) {
+      static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      auto [writeCode, written] =
+          co_await asio::async_write(stream_, asio::buffer(kContinue), kAwait);
+      if (writeCode) {
+        co_return writeCode;
+      }
+    }
+    auto [bodyCode, bodyBytes] = co_await bhttp::async_read(stream_, buffer_, parser, kAwait);
+    co_return bodyCode;
   }
 
   awaitable<void> handle(Request& request) {
@@ -189,33 +292,30 @@
     streamStarted_ = false;
     goneCallback_ = nullptr;
     watchForDisconnect();
-    ++active_;
-    try {
-      co_await handler_(request, *this);
-    } catch (const std::exception& exception) {
-      internalDetail_ = exception.what();
-    }
-    if (!answered_) {
-      const Error error = fail(ErrorKind::kInternal, "no answer was made: " + internalDetail_);
-      co_await refuse(error);
+    {
+      const CountGuard active(server_->active);
+      try {
+        co_await server_->handler(request, *this);
+      } catch (const std::exception& exception) {
+        internalDetail_ = exception.what();
+      }
+      if (!answered_) {
+        const Error error = fail(ErrorKind::kInternal, "no answer was made: " + internalDetail_);
+        co_await refuse(error);
+      }
     }
-    --active_;
     goneCallback_ = nullptr;
+    ++watchNumber_;
     disconnectWatch_.emit(asio::cancellation_type::terminal);
   }
 
-  /// Waits until the socket is readable while the handler runs: readable without a byte means that
-  /// the caller has closed. A byte means a pipelined request; then the watch ends.
+  /// Waits until the socket is readable while the handler runs. A wait whose number is outdated
+  /// belongs to an earlier request and does nothing.
   void watchForDisconnect() {
-    auto onReadable = [self = shared_from_this()](beast::error_code code) {
-      if (code) {
-        return;
-      }
-      char byte = 0;
-      const auto count =
-          ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-      if (count <= 0) {
-        self->markGone();
+    const std::uint64_t number = ++watchNumber_;
+    auto onReadable = [self = shared_from_this(), number](beast::error_code code) {
+      if (!code && number == self->watchNumber_) {
+        self->takeEarlyBytes();
       }
     };
     stream_.socket().async_wait(
@@ -223,6 +323,24 @@
         asio::bind_cancellation_slot(disconnectWatch_.slot(), std::move(onReadable)));
   }
 
+  /// Readable without a byte means that the caller has closed. Bytes are of a pipelined request
+  /// and are kept for it; the watch ends when they are more than a header may have.
+  void takeEarlyBytes() {
+    if (buffer_.size() >= limits_.maxHeaderBytes) {
+      return;
+    }
+    const auto space = buffer_.prepare(kFirstReadBytes);
+    const auto count =
+        ::recv(stream_.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    const bool nothingYet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (count <= 0 && !nothingYet) {
+      markGone();
+      return;
+    }
+    buffer_.commit(count > 0 ? static_cast<std::size_t>(count) : 0);
+    watchForDisconnect();
+  }
+
   void markGone() {
     if (gone_) {
       return;
@@ -243,39 +361,54 @@
     return boost::outcome_v2::success();
   }
 
-  static constexpr std::size_t kFirstReadBytes = 4096;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  const std::shared_ptr<ServerState> server_;
   const ServerLimits& limits_;
-  const Handler& handler_;
-  std::size_t& active_;
-  const bool& stopping_;
+  asio::steady_timer readTimer_;
   asio::cancellation_signal disconnectWatch_;
+  std::uint64_t watchNumber_ = 0;
   std::function<void()> goneCallback_;
   std::string internalDetail_;
+  bool reading_ = false;
+  bool timedOut_ = false;
   bool keepAlive_ = true;
+  bool headOnly_ = false;
   bool gone_ = false;
   bool answered_ = false;
   bool streamStarted_ = false;
 };
 
 awaitable<void> runConnection(Tcp::socket socket, std::shared_ptr<ServerState> server) {
-  ++server->connections;
-  auto connection = std::make_shared<Connection>(std::move(socket), server->limits, server->handler,
-                                                 server->active, server->stopping);
+  const CountGuard counted(server->connections);
+  auto connection = std::make_shared<Connection>(std::move(socket), server);
   if (server->connections > server->limits.maxConnections) {
     const Error error = fail(ErrorKind::kTooManyConnections, "the connection limit is reached");
     co_await connection->refuse(error);
+    co_await connection->linger();
   } else {
     co_await connection->run();
   }
-  --server->connections;
+}
+
+/// Takes the connections that the system has already accepted, which closing would reset.
+void acceptPending(const std::shared_ptr<ServerState>& server) {
+  beast::error_code code;
+  server->acceptor.non_blocking(true, code);
+  while (!code) {
+    Tcp::socket socket(server->acceptor.get_executor());
+    server->acceptor.accept(socket, code);
+    if (!code) {
+      const auto executor = server->acceptor.get_executor();
+      asio::co_spawn(executor, runConnection(std::move(socket), server), asio::detached);
+    }
+  }
 }
 
 awaitable<void> acceptLoop(std::shared_ptr<ServerState> server) {
   while (!server->stopping) {
     auto [code, socket] = co_await server->acceptor.async_accept(kAwait);
-    if (server->stopping || code == asio::error::operation_aborted) {
+    if (code && !server->acceptor.is_open()) {
       co_return;
     }
     if (code) {
@@ -310,7 +443,9 @@
     : state_(std::make_shared<ServerState>(executor, limits, std::move(handler))) {}
 
 Server::~Server() {
-  stopAccepting();
+  state_->stopping = true;
+  beast::error_code ignored;
+  state_->acceptor.close(ignored);
 }
 
 Result<Endpoint> Server::listen(const Endpoint& endpoint) {
@@ -334,8 +469,16 @@
   return Endpoint{endpoint.address, state_->acceptor.local_endpoint().port()};
 }
 
+void Server::closeAfterAnswers() {
+  state_->closing = true;
+}
+
 void Server::stopAccepting() {
+  state_->closing = true;
   state_->stopping = true;
+  if (state_->acceptor.is_open()) {
+    acceptPending(state_);
+  }
   beast::error_code ignored;
   state_->acceptor.close(ignored);
 }
@@ -343,6 +486,9 @@
 std::size_t Server::activeRequests() const {
   return state_->active;
 }
+std::size_t Server::busyConnections() const {
+  return state_->busy;
+}
 std::size_t Server::openConnections() const {
   return state_->connections;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,7 +40,8 @@
   virtual boost::asio::awaitable<Result<void>> endStream() = 0;
   /// Closes the connection without an end mark, so that the caller sees an incomplete body.
   virtual void abort() = 0;
-  /// Called at most once, when the caller closes its connection before the answer is complete.
+  /// Called at most once, when the caller closes its connection before the answer is complete; at
+  /// once if it already has.
   virtual void onCallerGone(std::function<void()> callback) = 0;
   virtual bool callerGone() const = 0;
   virtual bool streamStarted() const = 0;
@@ -68,10 +69,15 @@
   /// Starts to accept; port 0 lets the system choose. Fails with kSettingsInvalid where the address
   /// can't be bound.
   Result<Endpoint> listen(const Endpoint& endpoint);
-  /// Stops accepting. Open connections go on, and close after their next answer.
+  /// Goes on serving, but every connection closes after its next answer and says so in it.
+  void closeAfterAnswers();
+  /// Stops accepting, after taking what the system has accepted already. Open connections go on,
+  /// and close after their next answer.
   void stopAccepting();
   /// Requests that a handler is working on.
   std::size_t activeRequests() const;
+  /// Connections that are within a request: from its first byte until the answer is delivered.
+  std::size_t busyConnections() const;
   std::size_t openConnections() const;
 
  private:
--- a/src/http/sse.cc
+++ b/src/http/sse.cc
@@ -12,7 +12,7 @@
   return line;
 }
 
-void applyLine(std::string_view line, SseEvent& event) {
+void applyLine(std::string_view line, SseEvent& event, bool& hasData) {
   const std::size_t colon = std::min(line.find(':'), line.size());
   const std::string_view field = line.substr(0, colon);
   std::string_view value = line.substr(std::min(colon + 1, line.size()));
@@ -24,7 +24,8 @@
   } else if (field == "event") {
     event.event = value;
   } else if (field == "data") {
-    event.data += (event.data.empty() ? "" : "\n") + std::string(value);
+    event.data += (hasData ? "\n" : "") + std::string(value);
+    hasData = true;
   }
 }
 
@@ -32,6 +33,7 @@
 
 std::optional<SseEvent> SseReader::next() {
   SseEvent event;
+  bool hasData = false;
   std::size_t begin = 0;
   for (;;) {
     const std::size_t end = buffer_.find('\n', begin);
@@ -42,13 +44,16 @@
         withoutCarriageReturn(std::string_view(buffer_).substr(begin, end - begin));
     begin = end + 1;
     if (!line.empty()) {
-      applyLine(line, event);
+      applyLine(line, event, hasData);
       continue;
     }
-    if (!event.data.empty() || !event.event.empty()) {
-      buffer_.erase(0, begin);
+    buffer_.erase(0, begin);
+    if (hasData) {
       return event;
     }
+    // Nothing to dispatch: an id or a comment alone says nothing of the next event.
+    event = {};
+    begin = 0;
   }
 }
 
--- a/src/http/sse.h
+++ b/src/http/sse.h
@@ -11,6 +11,8 @@
   std::string id;
   std::string event;
   std::string data;
+
+  bool operator==(const SseEvent&) const = default;
 };
 
 /// Cuts a byte stream into server-sent events as the bytes arrive. Events are separated by an empty
--- a/src/router/answer_sink.cc
+++ b/src/router/answer_sink.cc
@@ -68,7 +68,13 @@
     co_await http::respond(writer_, withIdentity(http::errorResponse(error)));
     co_return;
   }
-  const std::string event = http::formatSse({"", "error", http::errorBody(error)});
+  // The caller holds tokens, so it did run; what is missing can be resumed.
+  Error truthful = error;
+  if (errorRow(error.kind).run == RunStatement::kNo || error.kind == ErrorKind::kOutcomeUnknown) {
+    truthful = fail(ErrorKind::kStreamBroken, error.detail);
+    truthful.retryAfter = error.retryAfter;
+  }
+  const std::string event = http::formatSse({"", "error", http::errorBody(truthful)});
   co_await http::closeStream(writer_, event);
 }
 
--- a/src/router/backend_table.cc
+++ b/src/router/backend_table.cc
@@ -15,6 +15,8 @@
       return "unreachable";
     case BackendLoss::kRestarted:
       return "restarted";
+    case BackendLoss::kEjected:
+      return "ejected";
   }
   return "unreachable";
 }
@@ -27,7 +29,7 @@
     const bool wasLeaving = backend.machine.terminating;
     if (backend.machine.endpoint != machine.endpoint) {
       // Another process: nothing is known of it until it was probed.
-      backend.alive = false;
+      backend.health.forget();
     }
     backend.machine = machine;
     if (machine.terminating && !wasLeaving) {
@@ -46,30 +48,66 @@
   }
 }
 
-void BackendTable::applyProbe(const BackendId& id, const ProbeResult& result) {
+void BackendTable::applyProbe(const BackendId& id, const ProbeResult& result, MonotonicTime now) {
+  if (result.id != id) {
+    // Another process has this address: the one that was meant is gone.
+    applyProbeFailure(id, now);
+    return;
+  }
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
     return;
   }
   Backend& backend = found->second;
-  const bool known = backend.incarnation != Incarnation();
-  if (known && backend.incarnation != result.incarnation) {
-    listener_(id, BackendLoss::kRestarted);
-  }
-  backend.incarnation = result.incarnation;
-  backend.weights = result.weights;
+  setIdentity(backend, result.incarnation, result.weights);
   backend.reportedRequests = result.reportedRequests;
-  backend.alive = true;
+  if (result.draining && !backend.draining) {
+    listener_(id, BackendLoss::kLeaving);
+  }
+  backend.draining = result.draining;
+  backend.health.probeSucceeded(now);
 }
 
-void BackendTable::applyProbeFailure(const BackendId& id) {
+void BackendTable::applyProbeFailure(const BackendId& id, MonotonicTime now) {
   const auto found = backends_.find(id);
-  if (found != backends_.end() && found->second.alive) {
-    found->second.alive = false;
+  if (found != backends_.end() && found->second.health.becameUnreachable(now)) {
     listener_(id, BackendLoss::kUnreachable);
   }
 }
 
+void BackendTable::applyAnswer(const BackendId& id, Incarnation incarnation,
+                               WeightsVersion weights) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    setIdentity(found->second, incarnation, weights);
+  }
+}
+
+void BackendTable::setIdentity(Backend& backend, Incarnation incarnation, WeightsVersion weights) {
+  const bool known = backend.incarnation != Incarnation();
+  const bool restarted = known && backend.incarnation != incarnation;
+  backend.incarnation = incarnation;
+  backend.weights = weights;
+  if (restarted) {
+    backend.health.restarted();
+    listener_(backend.machine.id, BackendLoss::kRestarted);
+  }
+}
+
+void BackendTable::recordSuccess(const BackendId& id) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    found->second.health.requestSucceeded();
+  }
+}
+
+void BackendTable::recordFailure(const BackendId& id, MonotonicTime now) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.health.requestFailed(now)) {
+    listener_(id, BackendLoss::kEjected);
+  }
+}
+
 std::vector<platform::Machine> BackendTable::machines() const {
   std::vector<platform::Machine> all;
   all.reserve(backends_.size());
@@ -79,25 +117,40 @@
   return all;
 }
 
-routing::Candidates BackendTable::engines(const ModelId& model, WeightsVersion weights) const {
-  routing::Candidates candidates;
+routing::Candidates BackendTable::engines(const ModelId& model, WeightsVersion weights,
+                                          MonotonicTime now) const {
+  std::vector<const Backend*> engines;
   for (const auto& entry : backends_) {
     const Backend& backend = entry.second;
     if (usable(backend) && backend.machine.kind == platform::MachineKind::kEngine &&
         backend.machine.serves == model.value() && backend.weights == weights) {
-      candidates.push_back(toCandidate(backend));
+      engines.push_back(&backend);
     }
   }
-  return candidates;
+  return withoutEjected(engines, now);
 }
 
-routing::Candidates BackendTable::services(std::string_view service) const {
-  routing::Candidates candidates;
+routing::Candidates BackendTable::services(std::string_view service, MonotonicTime now) const {
+  std::vector<const Backend*> servers;
   for (const auto& entry : backends_) {
     const Backend& backend = entry.second;
     if (usable(backend) && backend.machine.kind == platform::MachineKind::kService &&
         backend.machine.serves == service) {
-      candidates.push_back(toCandidate(backend));
+      servers.push_back(&backend);
+    }
+  }
+  return withoutEjected(servers, now);
+}
+
+routing::Candidates BackendTable::withoutEjected(const std::vector<const Backend*>& usable,
+                                                 MonotonicTime now) const {
+  const bool allEjected = std::all_of(usable.begin(), usable.end(), [now](const Backend* backend) {
+    return backend->health.ejected(now);
+  });
+  routing::Candidates candidates;
+  for (const Backend* backend : usable) {
+    if (allEjected || !backend->health.ejected(now)) {
+      candidates.push_back(toCandidate(*backend));
     }
   }
   return candidates;
@@ -127,9 +180,17 @@
   }
 }
 
+std::size_t BackendTable::outstanding() const {
+  std::size_t sum = 0;
+  for (const auto& entry : backends_) {
+    sum += entry.second.outstanding;
+  }
+  return sum;
+}
+
 bool BackendTable::usable(const Backend& backend) {
-  return backend.alive && backend.machine.ready && backend.machine.serving &&
-         !backend.machine.terminating;
+  return backend.health.reachable() && backend.machine.ready && backend.machine.serving &&
+         !backend.machine.terminating && !backend.draining;
 }
 
 routing::Candidate BackendTable::toCandidate(const Backend& backend) const {
--- a/src/router/backend_table.h
+++ b/src/router/backend_table.h
@@ -10,19 +10,25 @@
 
 #include "common/ids.h"
 #include "platform/machine.h"
+#include "router/backend_health.h"
 #include "routing/policy.h"
 
 namespace calicodrift::router {
 
 /// What a probe of a back end found.
 struct ProbeResult {
+  /// The name that the answering process gives itself. An address may have passed to another one
+  /// since the list was written.
+  BackendId id;
   Incarnation incarnation;
   WeightsVersion weights;
   std::size_t reportedRequests = 0;
+  /// It says itself that it is leaving.
+  bool draining = false;
 };
 
 /// Why a back end stopped being usable.
-enum class BackendLoss { kRemoved, kLeaving, kUnreachable, kRestarted };
+enum class BackendLoss { kRemoved, kLeaving, kUnreachable, kRestarted, kEjected };
 std::string_view toString(BackendLoss loss);
 
 /// The back ends that this node knows, from the lagging machine list, its own probes and what its
@@ -37,28 +43,42 @@
 
   void applyMachineList(const std::vector<platform::Machine>& machines);
   /// Invariant: beliefs never outlive an incarnation, as a change of it is reported as a loss.
-  void applyProbe(const BackendId& id, const ProbeResult& result);
-  void applyProbeFailure(const BackendId& id);
-  /// A request found that nothing listens there; the next good probe brings it back.
-  void markUnreachable(const BackendId& id) { applyProbeFailure(id); }
+  void applyProbe(const BackendId& id, const ProbeResult& result,
+                  MonotonicTime now = monotonicNow());
+  void applyProbeFailure(const BackendId& id, MonotonicTime now = monotonicNow());
+  /// A request found that nothing listens there; a later good probe brings it back.
+  void markUnreachable(const BackendId& id, MonotonicTime now = monotonicNow()) {
+    applyProbeFailure(id, now);
+  }
+  /// An answer to a request told who the engine is now, sooner than the next probe would.
+  void applyAnswer(const BackendId& id, Incarnation incarnation, WeightsVersion weights);
+  /// A request to it was answered in whole.
+  void recordSuccess(const BackendId& id);
+  /// A request broke there after it was connected.
+  void recordFailure(const BackendId& id, MonotonicTime now = monotonicNow());
 
   /// Every machine to probe, usable or not.
   std::vector<platform::Machine> machines() const;
   /// Usable engines of the model whose weights are at `weights`.
-  routing::Candidates engines(const ModelId& model, WeightsVersion weights) const;
+  routing::Candidates engines(const ModelId& model, WeightsVersion weights,
+                              MonotonicTime now = monotonicNow()) const;
   /// Usable back ends of an ordinary service.
-  routing::Candidates services(std::string_view service) const;
+  routing::Candidates services(std::string_view service,
+                               MonotonicTime now = monotonicNow()) const;
   std::optional<Endpoint> endpointOf(const BackendId& id) const;
 
   void addOutstanding(const BackendId& id, std::size_t tokens);
   void removeOutstanding(const BackendId& id, std::size_t tokens);
+  /// Dispatches to all listed back ends whose end was not seen yet.
+  std::size_t outstanding() const;
 
  private:
   struct Backend {
     platform::Machine machine;
     Incarnation incarnation;
     WeightsVersion weights;
-    bool alive = false;
+    BackendHealth health;
+    bool draining = false;
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
     std::size_t reportedRequests = 0;
@@ -66,6 +86,10 @@
 
   static bool usable(const Backend& backend);
   routing::Candidate toCandidate(const Backend& backend) const;
+  void setIdentity(Backend& backend, Incarnation incarnation, WeightsVersion weights);
+  /// The candidates among `usable`: those not ejected, or all where every one is.
+  routing::Candidates withoutEjected(const std::vector<const Backend*>& usable,
+                                     MonotonicTime now) const;
 
   LossListener listener_;
   std::map<BackendId, Backend> backends_;
--- a/src/router/caller.cc
+++ b/src/router/caller.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "common/hashing.h"
+#include "openai/completion.h"
 
 namespace calicodrift::router {
 namespace {
@@ -58,7 +59,9 @@
     const std::optional<std::int64_t> index =
         slash == std::string::npos ? std::nullopt
                                    : parseNumber(std::string_view(lastEvent).substr(slash + 1));
-    if (!index || *index < 0) {
+    const bool inBounds =
+        index && *index >= 0 && *index < static_cast<std::int64_t>(openai::kMaxTokensBound);
+    if (!inBounds || slash > kLongestIdentifier) {
       return badHeader(http::kLastEventIdHeader, "REQUEST_ID/INDEX as sent in the stream");
     }
     caller.requestId = RequestId(lastEvent.substr(0, slash));
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "router/dispatch_id.h"
+
 namespace calicodrift::router {
 namespace {
 
@@ -61,6 +63,10 @@
   WeightsVersion weights;
   AnswerSink sink;
   std::uint32_t attempts = 0;
+  /// Attempts since a token last came; a long answer may outlive several engines.
+  std::uint32_t attemptsInVain = 0;
+  /// Whether any attempt may have run.
+  bool mayHaveRun = false;
   std::string policyName;
   /// Back ends that already failed this request.
   std::vector<BackendId> avoided;
@@ -101,19 +107,26 @@
 
 awaitable<Result<void>> CompletionHandler::dispatchUntilDone(Job& job) {
   for (;;) {
-    const bool resumed = job.sink.hasTokens();
     Result<void> outcome = co_await dispatchOnce(job);
-    if (outcome || !mayRetry(job, outcome.error())) {
+    if (outcome) {
       co_return outcome;
     }
+    const Error error = overAllAttempts(outcome.error(), job.mayHaveRun);
+    if (!mayRetry(job, outcome.error())) {
+      co_return error;
+    }
+    job.mayHaveRun = job.mayHaveRun || errorRow(error.kind).run != RunStatement::kNo;
     context_.metrics.countRetry(errorRow(outcome.error().kind).name);
-    if (job.sink.hasTokens() && !resumed) {
+    if (job.sink.hasTokens()) {
       context_.metrics.countResume();
     }
   }
 }
 
 awaitable<Result<void>> CompletionHandler::dispatchOnce(Job& job) {
+  if (job.writer.callerGone()) {
+    co_return fail(ErrorKind::kCallerGone, "the caller left");
+  }
   routing::Candidates candidates = context_.backends.engines(job.route.model, job.weights);
   const auto wasTried = [&job](const routing::Candidate& candidate) {
     return std::find(job.avoided.begin(), job.avoided.end(), candidate.id) != job.avoided.end();
@@ -126,39 +139,72 @@
   }
   routing::Policy& policy = context_.policies.policyNamed(job.policyName);
   const routing::Choice choice = policy.choose(job.route, candidates, monotonicNow());
-  const routing::Candidate& backend = candidates[choice.index];
+  const routing::Candidate backend = candidates[choice.index];
   const std::optional<Endpoint> endpoint = context_.backends.endpointOf(backend.id);
   if (!endpoint) {
     co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
   }
-  ++job.attempts;
   job.avoided.push_back(backend.id);
   policy.onDispatched(job.route, backend, monotonicNow());
   context_.metrics.countDispatch(job.policyName);
+  co_return co_await attemptOn(job, backend, *endpoint);
+}
 
-  const EngineDispatch dispatch{job.caller,     job.path,  job.request.body,
-                                backend,        *endpoint, Attempt(job.attempts),
-                                optionsFor(job)};
+awaitable<Result<void>> CompletionHandler::attemptOn(Job& job, const routing::Candidate& backend,
+                                                     Endpoint endpoint) {
+  ++job.attempts;
+  ++job.attemptsInVain;
+  const EngineDispatch dispatch{job.caller,
+                                job.path,
+                                job.request.body,
+                                backend,
+                                std::move(endpoint),
+                                makeDispatchId(Attempt(job.attempts)),
+                                optionsFor(job),
+                                context_.settings.engineHeaderTimeout,
+                                context_.settings.engineTokenTimeout};
   const OutstandingGuard outstanding(context_.backends, backend.id,
                                      job.route.promptTokens + job.route.outputTokens);
   auto attempt = std::make_shared<EngineAttempt>(context_.client, job.sink);
   job.writer.onCallerGone([attempt] { attempt->cancel(); });
+  const std::size_t before = job.sink.expectedIndex();
   Result<void> outcome = co_await attempt->run(dispatch);
   job.writer.onCallerGone(nullptr);
+  if (job.sink.expectedIndex() > before) {
+    job.attemptsInVain = 0;
+  }
   if (job.writer.callerGone()) {
     co_return fail(ErrorKind::kCallerGone, "the caller left");
   }
-  if (!outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
-    context_.backends.markUnreachable(backend.id);
-  }
+  learnFrom(*attempt, backend.id, outcome);
   co_return outcome;
 }
 
+void CompletionHandler::learnFrom(const EngineAttempt& attempt, const BackendId& backend,
+                                  const Result<void>& outcome) {
+  if (attempt.identity()) {
+    context_.backends.applyAnswer(backend, attempt.identity()->incarnation,
+                                  attempt.identity()->weights);
+  }
+  if (outcome) {
+    context_.backends.recordSuccess(backend);
+    return;
+  }
+  const ErrorKind kind = outcome.error().kind;
+  if (kind == ErrorKind::kConnectFailed) {
+    context_.backends.markUnreachable(backend);
+  }
+  if (kind == ErrorKind::kStreamBroken || kind == ErrorKind::kOutcomeUnknown ||
+      kind == ErrorKind::kProtocolViolation) {
+    context_.backends.recordFailure(backend);
+  }
+}
+
 bool CompletionHandler::mayRetry(const Job& job, const Error& error) const {
   if (error.kind == ErrorKind::kCallerGone || error.kind == ErrorKind::kNoBackend) {
     return false;
   }
-  const bool attemptsLeft = job.attempts < context_.settings.maxAttempts;
+  const bool attemptsLeft = job.attemptsInVain < context_.settings.maxAttempts;
   const bool timeLeft = monotonicNow() < job.caller.deadline;
   const bool harmless = !job.caller.notRepeatable || errorRow(error.kind).run == RunStatement::kNo;
   return attemptsLeft && timeLeft && harmless;
--- a/src/router/completion_handler.h
+++ b/src/router/completion_handler.h
@@ -31,6 +31,11 @@
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
   bool mayRetry(const Job& job, const Error& error) const;
+  /// Sends the job to `backend` and learns from how it went.
+  boost::asio::awaitable<Result<void>> attemptOn(Job& job, const routing::Candidate& backend,
+                                                 Endpoint endpoint);
+  void learnFrom(const EngineAttempt& attempt, const BackendId& backend,
+                 const Result<void>& outcome);
   http::ExchangeOptions optionsFor(const Job& job) const;
   void recordCompletion(const Job& job);
 
--- a/src/router/discovery.cc
+++ b/src/router/discovery.cc
@@ -27,7 +27,11 @@
     return fail(ErrorKind::kProtocolViolation, "the probe's answer is no health report");
   }
   const json::object& object = document.get_object();
+  const json::value* id = object.if_contains("id");
+  const json::value* draining = object.if_contains("draining");
   ProbeResult result;
+  result.id = BackendId(id != nullptr && id->is_string() ? std::string(id->get_string()) : "");
+  result.draining = draining != nullptr && draining->is_bool() && draining->get_bool();
   result.incarnation = Incarnation(numberAt(object, "incarnation"));
   result.weights = WeightsVersion(numberAt(object, "weights_version"));
   result.reportedRequests = numberAt(object, "waiting") + numberAt(object, "running");
@@ -66,24 +70,49 @@
           platform::machinesFromJson(response.value().body);
       if (machines) {
         table_.applyMachineList(machines.value());
+        probeNew();
         break;
       }
     }
-    co_await pause(settings_.machineListInterval);
+    co_await pause(jittered(settings_.machineListInterval));
   }
 }
 
+void Discovery::probeNew() {
+  const std::vector<platform::Machine> machines = table_.machines();
+  std::map<BackendId, Endpoint> listed;
+  for (const platform::Machine& machine : machines) {
+    listed[machine.id] = machine.endpoint;
+    const auto known = listed_.find(machine.id);
+    if (known == listed_.end() || known->second != machine.endpoint) {
+      startProbe(machine);
+    }
+  }
+  listed_ = std::move(listed);
+}
+
 awaitable<void> Discovery::probeAll() {
   for (;;) {
     for (const platform::Machine& machine : table_.machines()) {
-      if (probing_.insert(machine.id).second) {
-        asio::co_spawn(executor_, probe(machine), asio::detached);
-      }
+      startProbe(machine);
     }
-    co_await pause(settings_.probeInterval);
+    co_await pause(jittered(settings_.probeInterval));
+  }
+}
+
+void Discovery::startProbe(const platform::Machine& machine) {
+  if (probing_.insert(machine.id).second) {
+    asio::co_spawn(executor_, probe(machine), asio::detached);
   }
 }
 
+Milliseconds Discovery::jittered(Milliseconds interval) {
+  constexpr std::int64_t kTenth = 10;
+  const std::int64_t spread = interval.count() / kTenth;
+  std::uniform_int_distribution<std::int64_t> distribution(-spread, spread);
+  return interval + Milliseconds(distribution(random_));
+}
+
 awaitable<void> Discovery::probe(platform::Machine machine) {
   http::Request request;
   request.target = "/health";
@@ -93,6 +122,10 @@
   options.bodyTimeout = settings_.probeTimeout;
   Result<http::Response> response = co_await client_.exchange(machine.endpoint, request, options);
   probing_.erase(machine.id);
+  if (table_.endpointOf(machine.id) != machine.endpoint) {
+    // The machine moved while the probe was under way; the answer is the old process's.
+    co_return;
+  }
   if (!response) {
     table_.applyProbeFailure(machine.id);
     co_return;
--- a/src/router/discovery.h
+++ b/src/router/discovery.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 #include "http/client.h"
@@ -23,6 +25,11 @@
   boost::asio::awaitable<void> readMachineLists();
   boost::asio::awaitable<void> probeAll();
   boost::asio::awaitable<void> probe(platform::Machine machine);
+  /// Probes at once what the list newly names, so that a fresh node serves after one round trip.
+  void probeNew();
+  void startProbe(const platform::Machine& machine);
+  /// The interval give or take a tenth, so that nodes which started together drift apart.
+  Milliseconds jittered(Milliseconds interval);
 
   boost::asio::any_io_executor executor_;
   const NodeSettings& settings_;
@@ -30,6 +37,9 @@
   BackendTable& table_;
   /// Back ends whose probe has not been answered yet; no second one is sent meanwhile.
   std::set<BackendId> probing_;
+  /// Addresses of the last list that was read.
+  std::map<BackendId, Endpoint> listed_;
+  std::mt19937_64 random_{std::random_device{}()};
 };
 
 }  // namespace calicodrift::router
--- a/src/router/engine_attempt.cc
+++ b/src/router/engine_attempt.cc
@@ -1,5 +1,10 @@
 #include "router/engine_attempt.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <charconv>
+
 namespace calicodrift::router {
 namespace {
 
@@ -8,6 +13,8 @@
 constexpr unsigned kStatusPreconditionFailed = 412;
 constexpr unsigned kStatusTooManyRequests = 429;
 constexpr unsigned kStatusUnavailable = 503;
+/// An engine sends one token in an event; much more without an event's end is no such stream.
+constexpr std::size_t kMaxEventBytes = 1'048'576;
 
 http::Request toEngineRequest(const EngineDispatch& dispatch, std::size_t resumeFrom,
                               std::string_view path) {
@@ -16,7 +23,7 @@
   request.target = std::string(path);
   request.headers.set("Content-Type", "application/json");
   request.headers.set(http::kRequestIdHeader, dispatch.caller.requestId.value());
-  request.headers.set(http::kAttemptHeader, std::to_string(dispatch.attempt.value()));
+  request.headers.set(http::kAttemptHeader, dispatch.dispatchId);
   request.headers.set(http::kPriorityHeader, std::string(toString(dispatch.caller.priority)));
   request.headers.set(http::kCacheSaltHeader, dispatch.caller.tenant->id.value());
   request.headers.set(http::kExpectedIncarnationHeader,
@@ -30,13 +37,13 @@
 /// An answer that belongs to another request or attempt is never given to this caller.
 bool belongsTo(const http::Response& head, const EngineDispatch& dispatch) {
   return head.headers.get(http::kRequestIdHeader) == dispatch.caller.requestId.value() &&
-         head.headers.get(http::kAttemptHeader) == std::to_string(dispatch.attempt.value());
+         head.headers.get(http::kAttemptHeader) == dispatch.dispatchId;
 }
 
 Error refusalError(unsigned status, const BackendId& backend) {
   const std::string detail = "engine '" + backend.value() + "' answered " + std::to_string(status);
   if (status == kStatusPreconditionFailed) {
-    return fail(ErrorKind::kFenced, detail);
+    return fail(ErrorKind::kBackendRefused, detail + ": it is another incarnation or version");
   }
   if (status == kStatusUnavailable || status == kStatusTooManyRequests) {
     return fail(ErrorKind::kBackendRefused, detail);
@@ -44,21 +51,52 @@
   return fail(ErrorKind::kProtocolViolation, detail);
 }
 
+std::uint64_t numberIn(const http::HeaderList& headers, std::string_view name) {
+  const std::string text = headers.get(name);
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+/// The longest wait for the next bytes: `timeout`, or less where the deadline is nearer.
+Milliseconds boundedWait(Milliseconds timeout, MonotonicTime deadline) {
+  const auto left = std::chrono::duration_cast<Milliseconds>(deadline - monotonicNow());
+  return std::max(std::min(timeout, left), Milliseconds(1));
+}
+
+/// A pause beyond the token timeout is this engine's failure, one beyond the deadline is not.
+Error readError(const Error& error, MonotonicTime deadline) {
+  if (error.kind == ErrorKind::kDeadlineExceeded && monotonicNow() < deadline) {
+    return fail(ErrorKind::kStreamBroken, error.detail);
+  }
+  return error;
+}
+
+/// Reads the end of a body that is complete for the caller already, so that its connection can be
+/// used again. Anything else than the end closes it.
+awaitable<void> readEnd(std::unique_ptr<http::ResponseStream> stream) {
+  constexpr Milliseconds kEndTimeout{1000};
+  stream->setBodyTimeout(kEndTimeout);
+  const Result<std::string> end = co_await stream->read();
+  static_cast<void>(end);
+}
+
 }  // namespace
 
 awaitable<Result<void>> EngineAttempt::run(const EngineDispatch& dispatch) {
-  http::Request request = toEngineRequest(dispatch, sink_.expectedIndex(), dispatch.path);
-  auto opened = co_await client_.open(dispatch.endpoint, std::move(request), dispatch.options);
+  firstIndex_ = sink_.expectedIndex();
+  http::Request request = toEngineRequest(dispatch, firstIndex_, dispatch.path);
+  http::ExchangeOptions options = dispatch.options;
+  options.canceller = &canceller_;
+  auto opened = co_await client_.open(dispatch.endpoint, std::move(request), options);
   if (!opened) {
-    co_return opened.error();
+    co_return readError(opened.error(), dispatch.caller.deadline);
   }
   stream_ = std::move(opened.value());
-  if (cancelled_) {
-    co_return fail(ErrorKind::kCallerGone, "the caller left before the engine answered");
-  }
   if (!belongsTo(stream_->head(), dispatch)) {
     co_return fail(ErrorKind::kProtocolViolation, "the answer belongs to another request");
   }
+  readIdentity();
   if (stream_->head().status != kStatusOk) {
     co_return refusalError(stream_->head().status, dispatch.backend.id);
   }
@@ -66,19 +104,23 @@
   co_return co_await readAnswer(dispatch);
 }
 
-void EngineAttempt::cancel() {
-  cancelled_ = true;
-  if (stream_) {
-    stream_->cancel();
+void EngineAttempt::readIdentity() {
+  const http::HeaderList& headers = stream_->head().headers;
+  if (headers.find(http::kIncarnationHeader)) {
+    identity_ = EngineIdentity{Incarnation(numberIn(headers, http::kIncarnationHeader)),
+                               WeightsVersion(numberIn(headers, http::kWeightsHeader))};
   }
 }
 
 awaitable<Result<void>> EngineAttempt::readAnswer(const EngineDispatch& dispatch) {
   http::SseReader reader;
   for (;;) {
+    const bool first = sink_.expectedIndex() == firstIndex_;
+    const Milliseconds timeout = first ? dispatch.firstTokenTimeout : dispatch.tokenTimeout;
+    stream_->setBodyTimeout(boundedWait(timeout, dispatch.caller.deadline));
     Result<std::string> bytes = co_await stream_->read();
     if (!bytes) {
-      co_return bytes.error();
+      co_return readError(bytes.error(), dispatch.caller.deadline);
     }
     if (bytes.value().empty()) {
       co_return fail(ErrorKind::kStreamBroken,
@@ -91,18 +133,27 @@
         co_return closed.error();
       }
       if (closed.value()) {
-        // Reads the end mark too, so that the connection can be used again.
-        const Result<std::string> end = co_await stream_->read();
-        static_cast<void>(end);
+        const auto executor = co_await boost::asio::this_coro::executor;
+        boost::asio::co_spawn(executor, readEnd(std::move(stream_)), boost::asio::detached);
         co_return boost::outcome_v2::success();
       }
     }
+    if (reader.pendingBytes() > kMaxEventBytes) {
+      co_return fail(ErrorKind::kProtocolViolation, "the engine sent an event without end");
+    }
+    if (monotonicNow() >= dispatch.caller.deadline) {
+      co_return fail(ErrorKind::kDeadlineExceeded, "the answer was not complete at the deadline");
+    }
   }
 }
 
 awaitable<Result<bool>> EngineAttempt::takeEvent(const EngineDispatch& dispatch,
                                                  const http::SseEvent& event) {
   if (event.data == http::kSseDone) {
+    const Result<void> complete = checkClosingCount();
+    if (!complete) {
+      co_return complete.error();
+    }
     co_return true;
   }
   if (event.id.empty()) {
@@ -111,12 +162,12 @@
       co_return content.error();
     }
     if (content.value().hasUsage) {
+      closingCount_ = content.value().usage.completionTokens;
       sink_.takeUsage(content.value().usage);
     }
     co_return false;
   }
-  const std::string expected = dispatch.caller.requestId.value() + "/" +
-                               std::to_string(dispatch.attempt.value()) + "/" +
+  const std::string expected = dispatch.caller.requestId.value() + "/" + dispatch.dispatchId + "/" +
                                std::to_string(sink_.expectedIndex());
   if (event.id != expected) {
     co_return fail(ErrorKind::kProtocolViolation,
@@ -129,4 +180,16 @@
   co_return false;
 }
 
+Result<void> EngineAttempt::checkClosingCount() const {
+  const std::size_t came = sink_.expectedIndex() - firstIndex_;
+  if (!closingCount_) {
+    return fail(ErrorKind::kStreamBroken, "the engine closed without a count of its tokens");
+  }
+  if (*closingCount_ != came) {
+    return fail(ErrorKind::kStreamBroken, "the engine counted " + std::to_string(*closingCount_) +
+                                              " tokens and " + std::to_string(came) + " came");
+  }
+  return boost::outcome_v2::success();
+}
+
 }  // namespace calicodrift::router
--- a/src/router/engine_attempt.h
+++ b/src/router/engine_attempt.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http/client.h"
@@ -19,12 +20,24 @@
   const std::string& body;
   const routing::Candidate& backend;
   Endpoint endpoint;
-  Attempt attempt;
+  /// From makeDispatchId().
+  std::string dispatchId;
   http::ExchangeOptions options;
+  /// Longest wait for the first token; prefill and queueing take their time.
+  Milliseconds firstTokenTimeout;
+  /// Longest wait between two tokens.
+  Milliseconds tokenTimeout;
+};
+
+/// Who an engine said it was when it answered.
+struct EngineIdentity {
+  Incarnation incarnation;
+  WeightsVersion weights;
 };
 
 /// One dispatch of a completion to an engine: sends it with the expected incarnation and weights,
-/// and feeds the answer's tokens into a sink. Each token is matched by request, attempt and index.
+/// and feeds the answer's tokens into a sink. Each token is matched by request, dispatch and index,
+/// and the engine's closing count must equal the tokens that came.
 class EngineAttempt {
  public:
   EngineAttempt(http::Client& client, AnswerSink& sink) : client_(client), sink_(sink) {}
@@ -33,18 +46,26 @@
   /// that nobody waits any more; all others that it may have run there.
   boost::asio::awaitable<Result<void>> run(const EngineDispatch& dispatch);
   /// Closes the exchange: the engine stops generating. Safe at any time.
-  void cancel();
+  void cancel() { canceller_.cancel(); }
+  /// The identity that the engine's answer gave; nothing if no answer came.
+  const std::optional<EngineIdentity>& identity() const { return identity_; }
 
  private:
   boost::asio::awaitable<Result<void>> readAnswer(const EngineDispatch& dispatch);
   /// True once the closing event came.
   boost::asio::awaitable<Result<bool>> takeEvent(const EngineDispatch& dispatch,
                                                  const http::SseEvent& event);
+  Result<void> checkClosingCount() const;
+  void readIdentity();
 
   http::Client& client_;
   AnswerSink& sink_;
   std::unique_ptr<http::ResponseStream> stream_;
-  bool cancelled_ = false;
+  http::ExchangeCanceller canceller_;
+  std::optional<EngineIdentity> identity_;
+  /// Index of the first token that this attempt asks for.
+  std::size_t firstIndex_ = 0;
+  std::optional<std::size_t> closingCount_;
 };
 
 }  // namespace calicodrift::router
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -39,11 +39,13 @@
                          .Register(registry)
                          .Add({})),
       backendChanges_(counterFamily(registry, "calicodrift_backend_changes_total",
-                                    "Back ends that came, left, failed, restarted")),
+                                    "Back ends that left, failed, restarted, were ejected")),
       residentMemory_(
           gauge(registry, "process_resident_memory_bytes", "Resident memory of this process")),
       activeRequests_(gauge(registry, "calicodrift_active_requests",
-                            "Requests being handled, this one included")) {}
+                            "Requests being handled, this one included")),
+      outstanding_(gauge(registry, "calicodrift_outstanding_dispatches",
+                         "Dispatches to back ends that have not ended")) {}
 
 void RouterMetrics::updateProcess(std::size_t activeRequests) {
   residentMemory_.Set(metrics::residentMemoryBytes());
@@ -88,6 +90,10 @@
   bundleVersion_.Set(version);
 }
 
+void RouterMetrics::setOutstanding(std::size_t dispatches) {
+  outstanding_.Set(static_cast<double>(dispatches));
+}
+
 void RouterMetrics::countBackendChange(std::string_view change) {
   backendChanges_.Add({{"change", std::string(change)}}).Increment();
 }
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -26,6 +26,8 @@
   void countBackendChange(std::string_view change);
   /// Brings the gauges of the process up to date, before the page is rendered.
   void updateProcess(std::size_t activeRequests);
+  /// Dispatches whose end this node has not seen, at the time of a read of /metrics.
+  void setOutstanding(std::size_t dispatches);
 
  private:
   prometheus::Family<prometheus::Counter>& errors_;
@@ -39,6 +41,7 @@
   prometheus::Family<prometheus::Counter>& backendChanges_;
   prometheus::Gauge& residentMemory_;
   prometheus::Gauge& activeRequests_;
+  prometheus::Gauge& outstanding_;
 };
 
 }  // namespace calicodrift::router
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -87,27 +87,36 @@
   }
   draining_ = true;
   control_->leave();
+  server_.closeAfterAnswers();
   log::write(log::Level::kInfo, "draining",
              {{"active_requests", std::to_string(server_.activeRequests())}});
   asio::co_spawn(context_, waitForLastRequest(), asio::detached);
 }
 
 awaitable<void> Node::waitForLastRequest() {
-  constexpr Milliseconds kCheckInterval{20};
   // Callers that have not yet seen the readiness go off are answered meanwhile, not cut off.
   constexpr Milliseconds kGrace{500};
+  // After the listening socket is closed, for requests that were under way to it.
+  constexpr Milliseconds kSettle{100};
+  const MonotonicTime end = monotonicNow() + settings_.drainTimeout;
+  co_await waitUntilQuiet(kGrace, end);
+  server_.stopAccepting();
+  co_await waitUntilQuiet(kSettle, end);
+  log::write(log::Level::kInfo, "stopped",
+             {{"cut_requests", std::to_string(server_.busyConnections())}});
+  context_.stop();
+}
+
+awaitable<void> Node::waitUntilQuiet(Milliseconds atLeast, MonotonicTime end) {
+  constexpr Milliseconds kCheckInterval{20};
   const MonotonicTime begin = monotonicNow();
   asio::steady_timer timer(context_);
-  while (monotonicNow() - begin < settings_.drainTimeout) {
+  bool quiet = false;
+  while (!quiet && monotonicNow() < end) {
     timer.expires_after(kCheckInterval);
     co_await timer.async_wait(asio::use_awaitable);
-    if (server_.activeRequests() == 0 && monotonicNow() - begin > kGrace) {
-      break;
-    }
+    quiet = server_.busyConnections() == 0 && monotonicNow() - begin > atLeast;
   }
-  log::write(log::Level::kInfo, "stopped",
-             {{"cut_requests", std::to_string(server_.activeRequests())}});
-  context_.stop();
 }
 
 awaitable<void> Node::handle(http::Request& request, http::ResponseWriter& writer) {
@@ -162,6 +171,7 @@
     metrics_.updateProcess(server_.activeRequests());
     const membership::Membership& members = control_->membership();
     membershipMetrics_.update(members.counters(), members.table().presentCount());
+    metrics_.setOutstanding(backends_.outstanding());
     return http::textResponse(200, metrics::renderText(registry_));
   }
   if (request.path() == "/healthz") {
@@ -236,7 +246,9 @@
 }
 
 void Node::onBackendLost(const BackendId& backend, BackendLoss loss) {
-  policies_.backendLost(backend);
+  if (loss != BackendLoss::kEjected) {
+    policies_.backendLost(backend);
+  }
   metrics_.countBackendChange(toString(loss));
   log::write(log::Level::kWarning, "backend_lost",
              {{"backend", backend.value()}, {"cause", std::string(toString(loss))}});
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -46,6 +46,8 @@
   boost::asio::awaitable<void> runControl();
   boost::asio::awaitable<void> pollStore();
   boost::asio::awaitable<void> waitForLastRequest();
+  /// Until no connection is within a request, but `atLeast` and never beyond `end`.
+  boost::asio::awaitable<void> waitUntilQuiet(Milliseconds atLeast, MonotonicTime end);
   void onBundleAdopted(const bundle::Bundle& bundle);
   void onBackendLost(const BackendId& backend, BackendLoss loss);
 
--- a/src/router/program.cc
+++ b/src/router/program.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <csignal>
 #include <iostream>
+#include <string_view>
 
 #include "log/log.h"
 #include "router/node.h"
@@ -25,8 +26,13 @@
 }  // namespace
 
 int runNode(int argc, const char* const* argv) {
+  if (argc == 2 && std::string_view(argv[1]) == "--error-reference") {
+    std::cout << errorReferenceTable();
+    return settings::kExitSuccess;
+  }
   const NodeSettings given =
-      settings::loadOrExit(argc, argv, "Router node for language-model traffic",
+      settings::loadOrExit(argc, argv, "Router node for language-model traffic; --error-reference prints the "
+                           "table of error kinds",
                            nodeSettingsTable())
           .settings;
   const auto signers = bundle::parseTrustedSigners(given.trustedSigners);
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "router/dispatch_id.h"
 #include "routing/least_outstanding.h"
 
 namespace calicodrift::router {
@@ -14,7 +15,7 @@
 }
 
 http::Request toServiceRequest(const Caller& caller, const http::Request& request,
-                               Attempt attempt) {
+                               const std::string& dispatchId) {
   http::Request forwarded = request;
   forwarded.headers = {};
   for (const http::Header& header : request.headers.all()) {
@@ -27,7 +28,7 @@
     }
   }
   forwarded.headers.set(http::kRequestIdHeader, caller.requestId.value());
-  forwarded.headers.set(http::kAttemptHeader, std::to_string(attempt.value()));
+  forwarded.headers.set(http::kAttemptHeader, dispatchId);
   forwarded.headers.set("X-Tenant", caller.tenant->id.value());
   return forwarded;
 }
@@ -62,10 +63,13 @@
                                                                     const http::Request& request) {
   routing::Policy& policy =
       context_.policies.policyNamed(std::string(routing::LeastOutstanding::kName));
+  bool mayHaveRun = false;
   for (std::uint32_t attempt = 1;; ++attempt) {
     const routing::Candidates candidates = context_.backends.services(service.name);
     if (candidates.empty()) {
-      co_return fail(ErrorKind::kNoBackend, "no usable server of '" + service.name + "'");
+      const Error error =
+          fail(ErrorKind::kNoBackend, "no usable server of '" + service.name + "'");
+      co_return overAllAttempts(error, mayHaveRun);
     }
     const routing::Choice choice = policy.choose({}, candidates, monotonicNow());
     Result<http::Response> answer =
@@ -77,8 +81,9 @@
         !caller.notRepeatable || errorRow(answer.error().kind).run == RunStatement::kNo;
     const bool timeLeft = monotonicNow() < caller.deadline;
     if (!harmless || !timeLeft || attempt >= context_.settings.maxAttempts) {
-      co_return answer;
+      co_return overAllAttempts(answer.error(), mayHaveRun);
     }
+    mayHaveRun = mayHaveRun || errorRow(answer.error().kind).run != RunStatement::kNo;
     context_.metrics.countRetry(errorRow(answer.error().kind).name);
   }
 }
@@ -100,20 +105,25 @@
   options.headerTimeout = bounded;
   options.bodyTimeout = bounded;
   const OutstandingGuard outstanding(context_.backends, backend.id, 1);
-  http::Request forwarded = toServiceRequest(caller, request, attempt);
+  const std::string dispatchId = makeDispatchId(attempt);
+  http::Request forwarded = toServiceRequest(caller, request, dispatchId);
   Result<http::Response> answer =
       co_await context_.client.exchange(*endpoint, std::move(forwarded), options);
   if (!answer) {
     if (answer.error().kind == ErrorKind::kConnectFailed) {
       context_.backends.markUnreachable(backend.id);
+    } else {
+      context_.backends.recordFailure(backend.id);
     }
     co_return answer.error();
   }
   const http::HeaderList& headers = answer.value().headers;
   if (headers.get(http::kRequestIdHeader) != caller.requestId.value() ||
-      headers.get(http::kAttemptHeader) != std::to_string(attempt.value())) {
+      headers.get(http::kAttemptHeader) != dispatchId) {
+    context_.backends.recordFailure(backend.id);
     co_return fail(ErrorKind::kProtocolViolation, "the answer belongs to another request");
   }
+  context_.backends.recordSuccess(backend.id);
   http::Response response{answer.value().status, {}, std::move(answer.value().body)};
   response.headers.set("Content-Type", headers.get("Content-Type"));
   response.headers.set(http::kBackendHeader, backend.id.value());
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -48,10 +48,14 @@
     co_await complete(openai::CompletionKind::kText, request, writer);
     co_return;
   }
-  http::Response response =
-      request.path() == "/health"
-          ? health()
-          : http::errorResponse(fail(ErrorKind::kUnknownRoute, "no such path"));
+  http::Response response = http::errorResponse(fail(ErrorKind::kUnknownRoute, "no such path"));
+  if (request.path() == "/health") {
+    ++probes_;
+    response = health();
+  } else if (request.path() == "/admin/drain" && request.method == "POST") {
+    draining_ = true;
+    response = health();
+  }
   co_await http::respond(writer, std::move(response));
 }
 
@@ -72,6 +76,7 @@
 
 awaitable<void> EngineServer::generate(const openai::CompletionRequest& completion,
                                        const http::Request& request, http::ResponseWriter& writer) {
+  ++accepted_;
   const EngineRequest engineRequest = toEngineRequest(completion, request);
   const std::uint64_t id = engineRequest.id;
   const RequestId requestId(request.headers.get(http::kRequestIdHeader));
@@ -103,6 +108,9 @@
     finished = token.last;
     usage.cachedTokens = token.cachedTokens;
     ++usage.completionTokens;
+    if (token.index + settings_.loseLastTokens >= completion.maxTokens) {
+      continue;
+    }
     const std::string word = answerToken(promptHash, token.index);
     if (!completion.stream) {
       text += word;
@@ -215,6 +223,9 @@
                                  {"weights_version", settings_.weights.value()},
                                  {"waiting", model_.waitingRequests()},
                                  {"running", model_.runningRequests()},
+                                 {"draining", draining_},
+                                 {"accepted", accepted_},
+                                 {"probes", probes_},
                                  {"cached_blocks", model_.cachedBlocks()}};
   return http::jsonResponse(200, boost::json::serialize(body));
 }
--- a/src/sim/engine_server.h
+++ b/src/sim/engine_server.h
@@ -23,10 +23,14 @@
   std::size_t blockBytes = 2048;
   std::size_t bytesPerToken = 4;
   EngineModelSettings cost;
+  /// Fault: so many last tokens of each answer are lost, though the closing count has them.
+  std::size_t loseLastTokens = 0;
 };
 
 /// Stand-in of a model engine behind HTTP: the engine model in wall-clock time.
-/// POST /v1/chat/completions and /v1/completions generate; GET /health reports state and load.
+/// POST /v1/chat/completions and /v1/completions generate; GET /health reports state and load;
+/// POST /admin/drain makes it report that it is leaving. It still takes work, so that a test can
+/// count what routers send to a leaving engine.
 class EngineServer {
  public:
   EngineServer(boost::asio::io_context& context, EngineServerSettings settings);
@@ -64,6 +68,10 @@
   boost::asio::steady_timer workArrived_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Generation>> generations_;
   std::uint64_t lastId_ = 0;
+  bool draining_ = false;
+  /// Completions and health reports asked for since the start.
+  std::uint64_t accepted_ = 0;
+  std::uint64_t probes_ = 0;
 };
 
 }  // namespace calicodrift::sim
--- a/src/sim/fault_proxy.cc
+++ b/src/sim/fault_proxy.cc
@@ -163,6 +163,16 @@
     }
     Tcp::socket& receiver =
         connection->answerGoesTo ? connection->answerGoesTo->caller : connection->caller;
+    const bool twice = faults_.duplicateAnswers > 0;
+    if (twice) {
+      --faults_.duplicateAnswers;
+      ++duplicated_;
+      auto [firstCode, firstWritten] =
+          co_await asio::async_write(receiver, asio::buffer(piece.data(), count), kAwait);
+      if (firstCode) {
+        break;
+      }
+    }
     auto [writeCode, written] =
         co_await asio::async_write(receiver, asio::buffer(piece.data(), count), kAwait);
     if (writeCode) {
@@ -232,6 +242,7 @@
   faults_.dropAnswers = numberAt(object, "drop_answers");
   faults_.cutAfterBytes = numberAt(object, "cut_after_bytes");
   faults_.crossAnswers = numberAt(object, "cross_answers");
+  faults_.duplicateAnswers = numberAt(object, "duplicate_answers");
   if (!faults_.refuse) {
     return;
   }
@@ -249,6 +260,7 @@
                                       {"dropped", dropped_},
                                       {"cut", cut_},
                                       {"crossed", crossed_},
+                                      {"duplicated", duplicated_},
                                       {"swallowed_bytes", swallowedBytes_}});
 }
 
--- a/src/sim/fault_proxy.h
+++ b/src/sim/fault_proxy.h
@@ -33,6 +33,8 @@
   std::int64_t cutAfterBytes = 0;
   /// `cross_answers`: so many next pairs of connections get each other's answers.
   std::int64_t crossAnswers = 0;
+  /// `duplicate_answers`: so many next pieces of answers are sent twice.
+  std::int64_t duplicateAnswers = 0;
 };
 
 struct ProxyConnection;
@@ -71,6 +73,7 @@
   std::uint64_t dropped_ = 0;
   std::uint64_t cut_ = 0;
   std::uint64_t crossed_ = 0;
+  std::uint64_t duplicated_ = 0;
   std::uint64_t swallowedBytes_ = 0;
   std::uint64_t accepted_ = 0;
 };
--- a/src/sim/programs.cc
+++ b/src/sim/programs.cc
@@ -51,6 +51,7 @@
   std::int64_t maxBatch = 0;
   std::int64_t cacheBlocks = 0;
   std::int64_t blockBytes = 0;
+  std::int64_t loseLastTokens = 0;
 };
 
 SettingsTable<EngineSettings> engineTable() {
@@ -70,6 +71,8 @@
        &EngineSettings::cacheBlocks},
       {{"block-bytes", "2048", 16, kMillion, "bytes", "prompt text in one block"},
        &EngineSettings::blockBytes},
+      {{"lose-last-tokens", "0", 0, kMillion, "count", "fault: tokens lost at each answer's end"},
+       &EngineSettings::loseLastTokens},
   };
   table.insert(table.end(), own.begin(), own.end());
   return table;
@@ -177,6 +180,7 @@
   const auto started = std::chrono::duration_cast<Microseconds>(wallNow().time_since_epoch());
   server.incarnation = Incarnation(static_cast<std::uint64_t>(started.count()));
   server.blockBytes = static_cast<std::size_t>(given.blockBytes);
+  server.loseLastTokens = static_cast<std::size_t>(given.loseLastTokens);
   server.cost.prefillTokensPerMs = static_cast<double>(given.prefillTokensPerSecond) / kMsPerSecond;
   server.cost.stepBase = Microseconds(given.stepBaseMicroseconds);
   server.cost.stepPerSequence = Microseconds(given.stepPerSequenceMicroseconds);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,8 +58,7 @@
                                  "50",
                                  "--probe-interval-ms",
                                  "50"};
-    all.insert(all.end(), flags.begin(), flags.end());
-    return std::make_unique<Process>("calicodrift", all, 2);
+    return std::make_unique<Process>("calicodrift", overridden(std::move(all), flags), 2);
   }
 
   /// Puts a back end into the machine list at another address than its own (a proxy's).
@@ -117,8 +117,21 @@
     if (enterList) {
       arguments.insert(arguments.end(), {"--machine-list", machineList().toString()});
     }
-    arguments.insert(arguments.end(), flags.begin(), flags.end());
-    return std::make_unique<Process>("calicodrift-sim", arguments, 1);
+    return std::make_unique<Process>("calicodrift-sim", overridden(std::move(arguments), flags), 1);
+  }
+
+  /// `defaults` (pairs of flag and value, maybe after a role) with `flags` in their place; a flag
+  /// given twice is refused by the programs.
+  static std::vector<std::string> overridden(std::vector<std::string> defaults,
+                                             const std::vector<std::string>& flags) {
+    for (std::size_t index = 0; index < flags.size(); index += 2) {
+      const auto found = std::find(defaults.begin(), defaults.end(), flags[index]);
+      if (found != defaults.end()) {
+        defaults.erase(found, found + 2);
+      }
+    }
+    defaults.insert(defaults.end(), flags.begin(), flags.end());
+    return defaults;
   }
 };
 
