--- a/src/router/completion_handler.h
+++ b/src/router/completion_handler.h
@@ -35,6 +35,11 @@
   /// Chooses the weights version that the next attempt goes to.
   void selectWeights(Job& job) const;
   bool mayRetry(const Job& job, const Error& error) const;
+  /// Sends the job to `backend` and learns from how it went.
+  boost::asio::awaitable<Result<void>> attemptOn(Job& job, const routing::Candidate& backend,
+                                                 Endpoint endpoint);
+  void learnFrom(const EngineAttempt& attempt, const BackendId& backend,
+                 const Result<void>& outcome);
   http::ExchangeOptions optionsFor(const Job& job) const;
   void recordCompletion(Job& job);
 
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -63,6 +63,11 @@
 http::Response EngineServer::control(const http::Request& request) {
   const std::string_view path = request.path();
   if (path == "/health") {
+    ++probes_;
+    return health();
+  }
+  if (path == "/admin/drain" && request.method == "POST") {
+    draining_ = true;
     return health();
   }
   if (path == orders::kOrderPath) {
@@ -98,6 +103,7 @@
 
 awaitable<void> EngineServer::generate(const openai::CompletionRequest& completion,
                                        const http::Request& request, http::ResponseWriter& writer) {
+  ++accepted_;
   const EngineRequest engineRequest = toEngineRequest(completion, request);
   const std::uint64_t id = engineRequest.id;
   const RequestId requestId(request.headers.get(http::kRequestIdHeader));
@@ -130,6 +136,9 @@
     finished = token.last;
     usage.cachedTokens = token.cachedTokens;
     ++usage.completionTokens;
+    if (token.index + settings_.loseLastTokens >= completion.maxTokens) {
+      continue;
+    }
     const std::string word = answerToken(promptHash, token.index);
     if (!completion.stream) {
       text += word;
@@ -244,12 +253,17 @@
   return response;
 }
 
-http::Response EngineServer::health() const {
+http::Response EngineServer::health() {
+  // Also between steps: a cancelled generation leaves at once.
+  recordLoad();
   const LaggingLoad::Sample load = load_.report(monotonicNow());
   boost::json::object body = boost::json::parse(orders::toJson(control_.report())).as_object();
   body["waiting"] = load.waiting;
   body["running"] = load.running;
   body["prefill_tokens"] = model_.pendingPrefillTokens();
+  body["draining"] = draining_;
+  body["accepted"] = accepted_;
+  body["probes"] = probes_;
   body["cached_blocks"] = model_.cachedBlocks();
   body["refused_orders"] = control_.refusedOrders();
   body["completed_loads"] = control_.completedLoads();
--- a/src/sim/programs.cc
+++ b/src/sim/programs.cc
@@ -57,6 +57,7 @@
   Milliseconds loadReportLag{0};
   Milliseconds cacheEventDelay{0};
   std::int64_t cacheEventLossPercent = 0;
+  std::int64_t loseLastTokens = 0;
 };
 
 SettingsTable<EngineSettings> engineTable() {
@@ -86,6 +87,8 @@
        &EngineSettings::cacheEventDelay},
       {{"cache-event-loss-percent", "0", 0, 100, "percent", "cache events that are lost"},
        &EngineSettings::cacheEventLossPercent},
+      {{"lose-last-tokens", "0", 0, kMillion, "count", "fault: tokens lost at each answer's end"},
+       &EngineSettings::loseLastTokens},
   };
   table.insert(table.end(), own.begin(), own.end());
   return table;
@@ -218,6 +221,7 @@
   const auto started = std::chrono::duration_cast<Microseconds>(wallNow().time_since_epoch());
   server.identity.incarnation = Incarnation(static_cast<std::uint64_t>(started.count()));
   server.blockBytes = static_cast<std::size_t>(given.blockBytes);
+  server.loseLastTokens = static_cast<std::size_t>(given.loseLastTokens);
   server.cost.prefillTokensPerMs = static_cast<double>(given.prefillTokensPerSecond) / kMsPerSecond;
   server.cost.stepBase = Microseconds(given.stepBaseMicroseconds);
   server.cost.stepPerSequence = Microseconds(given.stepPerSequenceMicroseconds);
