Admission during a roll-out counts the engines of all versions

Cause: the engines of the bundle's version alone were counted, before the version rule had chosen one; at the start of a roll-out that is none, which switches the admission window off, and later a part of those that carry the outstanding work, which refuses too early. Change: the version is chosen before admission, and all usable engines of the model count. The refusal itself was not brought about by a test.

--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -97,6 +97,7 @@
   }
   context_.metrics.countRequest(caller.value().tenant->id.value(), caller.value().priority);
   Job job(caller.value(), completion.value(), *model.value(), request, writer);
+  selectWeights(job);
   job.policyName = context_.policies.policyFor(*bundle, job.route).name();
   Result<void> done = admit(job, *model.value());
   if (done) {
@@ -120,7 +121,10 @@
   work.priority = job.caller.priority;
   work.promptTokens = static_cast<double>(job.route.promptTokens);
   work.outputTokens = static_cast<double>(job.route.outputTokens);
-  work.engines = context_.backends.engines(model.id, job.weights).size();
+  // Outstanding work is counted over all versions of the model, and so are its engines.
+  for (const auto& [version, engines] : context_.backends.engineVersions(model.id)) {
+    work.engines += engines;
+  }
   work.deadline = job.caller.deadline;
   work.resumed = job.caller.resumeFrom > 0;
   Result<limits::AdmittedWork> admitted =
