--- a/tests/integration/rollout_test.cc
+++ b/tests/integration/rollout_test.cc
@@ -173,6 +173,26 @@
   BOOST_TEST(RolloutFleet::number(rollout.health(1), "highest_token") > 40U);
 }
 
+BOOST_AUTO_TEST_CASE(failedLoadsLostLeaseAnswersAndADeadEngineDelayTheRollOutOnly) {
+  RolloutFleet rollout(5, 200, 2);
+  const auto first = rollout.startRouter("r1");
+  const auto second = rollout.startRouter("r2");
+  BOOST_REQUIRE(waitUntilServing(first->endpoint("router")));
+  BOOST_REQUIRE(waitUntilServing(second->endpoint("router")));
+  rollout.engines.back()->killAtOnce();
+  rollout.engines.pop_back();
+  rollout.rollOut(2, 2);
+  // Only the lease is written from now on.
+  post(rollout.fleet.store(), "/faults", R"({"lose_answers":4})").value();
+  BOOST_TEST(eventually([&] { return rollout.allAt(2); }));
+  std::uint64_t failedLoads = 0;
+  for (std::size_t index = 0; index < rollout.engines.size(); ++index) {
+    failedLoads += RolloutFleet::number(rollout.health(index), "failed_loads");
+  }
+  BOOST_TEST(failedLoads == 2U);
+  BOOST_TEST(rollout.storeCount("peak") <= 2U);
+}
+
 BOOST_AUTO_TEST_CASE(aDrainedHolderGivesTheLeaseBackAndEndsByItself) {
   const RolloutFleet rollout(1, 100);
   const auto first = rollout.fleet.startRouter("r1", {"--order-lease-duration-ms", "600000"});
--- a/tests/support/rollout_fleet.h
+++ b/tests/support/rollout_fleet.h
@@ -11,10 +11,10 @@
 
 /// A fleet whose engines fetch weights from one weight store, with short leases.
 struct RolloutFleet {
-  explicit RolloutFleet(std::size_t engineCount, int loadTimeMs)
+  RolloutFleet(std::size_t engineCount, int loadTimeMs, int failLoads = 0)
       : weightStore("calicodrift-sim",
                     {"weight-store", "--full-speed-loads", "2", "--load-time-ms",
-                     std::to_string(loadTimeMs)},
+                     std::to_string(loadTimeMs), "--fail-loads", std::to_string(failLoads)},
                     1) {
     fleet.submitBundle(Fleet::bundleText(1));
     for (std::size_t index = 0; index < engineCount; ++index) {
