Orders: a survey asks at most 500 engines a second

Cause: with 300 engines of one model the holder asked 1,300 engines a second during a roll-out. Change: the pause between rounds grows with the number of engines; below 100 engines nothing changes at the default interval.

--- a/src/orders/order_driver.cc
+++ b/src/orders/order_driver.cc
@@ -13,6 +13,8 @@
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusPreconditionFailed = 412;
 constexpr Milliseconds kOrderTimeout{1000};
+/// Bounds what a roll-out of a large model costs the holder.
+constexpr std::size_t kSurveyedPerSecond = 500;
 
 http::ExchangeOptions orderOptions() {
   http::ExchangeOptions options;
@@ -63,18 +65,19 @@
 awaitable<void> OrderDriver::run() {
   asio::steady_timer timer(executor_);
   for (;;) {
-    co_await round();
-    timer.expires_after(interval_);
+    const std::size_t surveyed = co_await round();
+    const Milliseconds spacing(surveyed * 1000 / kSurveyedPerSecond);
+    timer.expires_after(std::max(interval_, spacing));
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
-awaitable<void> OrderDriver::round() {
+awaitable<std::size_t> OrderDriver::round() {
   const std::optional<FencingToken> token = lease_.token();
   const std::shared_ptr<const bundle::Bundle> bundle = sources_.bundle();
   metrics_.setLeaseHeld(token.has_value());
   if (!token || !bundle) {
-    co_return;
+    co_return 0;
   }
   if (*token != tenure_) {
     tenure_ = *token;
@@ -83,7 +86,7 @@
   }
   std::vector<KnownEngine> known = sources_.engines();
   if (!rolloutNeeded(*bundle, known)) {
-    co_return;
+    co_return 0;
   }
   std::map<BackendId, Endpoint> endpoints;
   for (const KnownEngine& engine : known) {
@@ -91,7 +94,7 @@
   }
   const std::vector<SurveyedEngine> engines = co_await survey(bundle, std::move(known));
   if (lease_.token() != tenure_) {
-    co_return;
+    co_return engines.size();
   }
   const std::vector<LoadOrder> orders = planner_.plan(*bundle, engines, monotonicNow());
   for (const LoadOrder& order : orders) {
@@ -103,6 +106,7 @@
   metrics_.setEngines("loading", progress.loading);
   metrics_.setEngines("unreachable", progress.unreachable);
   metrics_.setEngines("held_for_capacity", progress.heldForCapacity);
+  co_return engines.size();
 }
 
 awaitable<std::vector<SurveyedEngine>> OrderDriver::survey(
--- a/src/orders/order_driver.h
+++ b/src/orders/order_driver.h
@@ -47,7 +47,8 @@
   struct Survey;
 
   boost::asio::awaitable<void> run();
-  boost::asio::awaitable<void> round();
+  /// @return how many engines were asked.
+  boost::asio::awaitable<std::size_t> round();
   boost::asio::awaitable<std::vector<SurveyedEngine>> survey(
       std::shared_ptr<const bundle::Bundle> bundle, std::vector<KnownEngine> engines);
   boost::asio::awaitable<void> surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
