--- a/src/limits/rate_shares.cc
+++ b/src/limits/rate_shares.cc
@@ -172,15 +172,25 @@
   // Nobody else has been the owner since the fleet last changed, so shares of a predecessor are
   // older than that.
   const MonotonicTime grantFrom = view_.changed() + settings_.term + settings_.viewSkew();
-  TenantShares& shares =
-      owned_.try_emplace(request.tenant, settings_.renewal(), grantFrom).first->second;
-  const std::optional<ShareGrant> grant = shares.grant(request, limit * visiblePart(), now);
+  TenantShares& shares = owned_.try_emplace(request.tenant, grantFrom).first->second;
+  const std::optional<ShareGrant> grant =
+      shares.grant(request, limit * visiblePart(), renewal(), now);
   if (grant) {
     metrics_.countGrant();
   }
   return grant;
 }
 
+Milliseconds RateShares::renewal() const {
+  std::size_t holders = 0;
+  for (const auto& entry : owned_) {
+    holders += entry.second.holders();
+  }
+  constexpr double kMsPerSecond = 1000.0;
+  const double spread = static_cast<double>(holders) / kRenewalsPerSecond * kMsPerSecond;
+  return std::max(settings_.renewal(), Milliseconds(static_cast<std::int64_t>(spread)));
+}
+
 double RateShares::visiblePart() const {
   const std::size_t alive = view_.aliveNodes();
   if (alive * 2 > settings_.fleetNodes) {
--- a/src/limits/rate_shares.h
+++ b/src/limits/rate_shares.h
@@ -51,6 +51,9 @@
   static constexpr Milliseconds kTickInterval{100};
   /// Lease requests that one node sends in a second at most, over all tenants.
   static constexpr double kRequestsPerSecond = 10;
+  /// Renewals that one node answers in a second; with more holders of the tenants that it owns,
+  /// their leases grow longer.
+  static constexpr double kRenewalsPerSecond = 10;
 
  private:
   /// This node's part in one tenant's rate.
@@ -80,6 +83,8 @@
   void receive(const Endpoint& from, std::string_view payload);
   /// Answers as owner; none where this node is not the owner in its own view.
   std::optional<ShareGrant> onRequest(const ShareRequest& request, MonotonicTime now);
+  /// Until the next renewal by a holder of a tenant that this node owns.
+  Milliseconds renewal() const;
   /// Part of the limit that this node may hand out as owner: all of it with a majority in sight.
   double visiblePart() const;
   void onGrant(const ShareGrant& grant, MonotonicTime now);
--- a/src/limits/tenant_shares.cc
+++ b/src/limits/tenant_shares.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 std::optional<ShareGrant> TenantShares::grant(const ShareRequest& request, double limit,
-                                              MonotonicTime now) {
+                                              Milliseconds renewal, MonotonicTime now) {
   dropExpired(now);
   Holder& holder = holders_[request.node];
   if (!isNewer(request, holder)) {
@@ -36,7 +36,7 @@
   // Rounded to what the message carries, so that both sides count the same.
   const auto rate = static_cast<float>(std::min(target, available));
   holder.counted = std::max(held, static_cast<double>(rate));
-  const Milliseconds term = renewal() * LeaseSettings::kRenewalsPerTerm;
+  const Milliseconds term = renewal * LeaseSettings::kRenewalsPerTerm;
   holder.expiry = std::max(holder.expiry, now + term);
   ShareGrant answer;
   answer.tenant = request.tenant;
@@ -44,7 +44,7 @@
   answer.rate = rate;
   answer.waiting = frozenAt(now) && rate == 0;
   answer.termMs = static_cast<std::uint32_t>(term.count());
-  answer.renewMs = static_cast<std::uint32_t>(renewal().count());
+  answer.renewMs = static_cast<std::uint32_t>(renewal.count());
   return answer;
 }
 
@@ -67,12 +67,6 @@
   return request.number > holder.number;
 }
 
-Milliseconds TenantShares::renewal() const {
-  constexpr double kMsPerSecond = 1000.0;
-  const double spread = static_cast<double>(holders_.size()) / kRenewalsPerSecond * kMsPerSecond;
-  return std::max(shortestRenewal_, Milliseconds(static_cast<std::int64_t>(spread)));
-}
-
 double TenantShares::fairShare(const Holder& holder, double limit) const {
   std::vector<Demand> demands;
   double wanted = 0;
--- a/src/limits/tenant_shares.h
+++ b/src/limits/tenant_shares.h
@@ -9,10 +9,6 @@
 
 namespace calicodrift::limits {
 
-/// Lease renewals that one owner answers in a second at most; with more holders than that needs,
-/// leases and their renewals grow longer.
-inline constexpr double kRenewalsPerSecond = 10;
-
 /// Times of the leases; the same on all nodes.
 struct LeaseSettings {
   /// A lease runs this long at least. Shares outlive their owner where its death is noticed sooner.
@@ -38,11 +34,12 @@
 /// only confirms the shares that their holders still have, which add up to no more than the limit.
 class TenantShares {
  public:
-  TenantShares(Milliseconds shortestRenewal, MonotonicTime grantFrom)
-      : shortestRenewal_(shortestRenewal), grantFrom_(grantFrom) {}
+  explicit TenantShares(MonotonicTime grantFrom) : grantFrom_(grantFrom) {}
 
   /// The grant for a request; none for one that is older than another of the same node.
-  std::optional<ShareGrant> grant(const ShareRequest& request, double limit, MonotonicTime now);
+  /// @param renewal after which the holder is to ask again; the lease is kRenewalsPerTerm of it.
+  std::optional<ShareGrant> grant(const ShareRequest& request, double limit, Milliseconds renewal,
+                                  MonotonicTime now);
   /// Sum of the shares that may be in use at `now`.
   double countedAt(MonotonicTime now) const;
   std::size_t holders() const { return holders_.size(); }
@@ -64,10 +61,6 @@
   /// What `holder` should get: its fair part by demand, and a part of what nobody asks for.
   double fairShare(const Holder& holder, double limit) const;
 
-  /// Grows with the number of holders.
-  Milliseconds renewal() const;
-
-  Milliseconds shortestRenewal_;
   MonotonicTime grantFrom_;
   std::unordered_map<std::uint64_t, Holder> holders_;
 };
