--- a/src/bench/replay.cc
+++ b/src/bench/replay.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 
 #include "bench/programs.h"
+#include "replay/report.h"
 #include "replay/result_json.h"
 #include "settings/table.h"
 
@@ -24,6 +26,7 @@
   std::int64_t crashes = 0;
   std::int64_t loadFactorPercent = 0;
   std::string json;
+  std::string report;
 };
 
 settings::SettingsTable<ReplayFlags> replayTable() {
@@ -47,6 +50,7 @@
       {{"load-factor", "100", 1, 10000, "percent", "speed of arrivals relative to the trace"},
        &ReplayFlags::loadFactorPercent},
       {{"json", "", 0, 0, "", "file for the result"}, &ReplayFlags::json},
+      {{"report", "", 0, 0, "", "folder for the page index.html with plots"}, &ReplayFlags::report},
   };
 }
 
@@ -135,6 +139,15 @@
     std::cerr << "replay: cannot write '" << flags.json << "'\n";
     return settings::kExitFailure;
   }
+  if (!flags.report.empty()) {
+    std::error_code ignored;
+    std::filesystem::create_directories(flags.report, ignored);
+    const std::string path = flags.report + "/index.html";
+    if (!writeFile(path, replay::reportPage(settings, flags.trace, results))) {
+      std::cerr << "replay: cannot write '" << path << "'\n";
+      return settings::kExitFailure;
+    }
+  }
   return settings::kExitSuccess;
 }
 
