Router: keep the candidate sets up to date in place of building them per request

Cause: each request built its candidates from all back ends, a cost that grows with the fleet; at 10,000 engines a decision must stay below 20 us. Change: the backend table keeps one set for each model and weights version and changes it with each probe, dispatch and answer. engines() gives a reference.

--- a/src/router/backend_table.cc
+++ b/src/router/backend_table.cc
@@ -32,6 +32,7 @@
       backend.alive = false;
     }
     backend.machine = machine;
+    refresh(backend);
     if (machine.terminating && !wasLeaving) {
       listener_(machine.id, BackendLoss::kLeaving);
     }
@@ -43,6 +44,7 @@
     }
   }
   for (const BackendId& id : removed) {
+    unlist(backends_[id]);
     backends_.erase(id);
     listener_(id, BackendLoss::kRemoved);
   }
@@ -67,12 +69,14 @@
   backend.reportedPrefillTokens = result.reportedPrefillTokens;
   backend.sentPrefillTokens = 0;
   backend.alive = true;
+  refresh(backend);
 }
 
 void BackendTable::applyProbeFailure(const BackendId& id) {
   const auto found = backends_.find(id);
   if (found != backends_.end() && found->second.alive) {
     found->second.alive = false;
+    refresh(found->second);
     listener_(id, BackendLoss::kUnreachable);
   }
 }
@@ -81,6 +85,7 @@
   const auto found = backends_.find(id);
   if (found != backends_.end()) {
     found->second.accepting = false;
+    refresh(found->second);
   }
 }
 
@@ -93,25 +98,17 @@
   return all;
 }
 
-routing::CandidateSet BackendTable::engines(const ModelId& model, WeightsVersion weights) const {
-  routing::CandidateSet candidates;
-  for (const auto& entry : backends_) {
-    const Backend& backend = entry.second;
-    if (usable(backend) && backend.machine.kind == platform::MachineKind::kEngine &&
-        backend.machine.serves == model.value() && backend.weights == weights) {
-      candidates.put(toCandidate(backend));
-    }
-  }
-  return candidates;
+const routing::CandidateSet& BackendTable::engines(const ModelId& model,
+                                                   WeightsVersion weights) const {
+  return findSet({platform::MachineKind::kEngine, model.value(), weights});
 }
 
 std::map<WeightsVersion, std::size_t> BackendTable::engineVersions(const ModelId& model) const {
   std::map<WeightsVersion, std::size_t> versions;
-  for (const auto& entry : backends_) {
-    const Backend& backend = entry.second;
-    if (usable(backend) && backend.machine.kind == platform::MachineKind::kEngine &&
-        backend.machine.serves == model.value()) {
-      ++versions[backend.weights];
+  for (const auto& [key, candidates] : sets_) {
+    const auto& [kind, serves, weights] = key;
+    if (kind == platform::MachineKind::kEngine && serves == model.value() && !candidates.empty()) {
+      versions[weights] = candidates.size();
     }
   }
   return versions;
@@ -123,16 +120,44 @@
   return alive ? found->second.weights : WeightsVersion();
 }
 
-routing::CandidateSet BackendTable::services(std::string_view service) const {
-  routing::CandidateSet candidates;
-  for (const auto& entry : backends_) {
-    const Backend& backend = entry.second;
-    if (usable(backend) && backend.machine.kind == platform::MachineKind::kService &&
-        backend.machine.serves == service) {
-      candidates.put(toCandidate(backend));
-    }
+const routing::CandidateSet& BackendTable::services(std::string_view service) const {
+  return findSet({platform::MachineKind::kService, std::string(service), WeightsVersion()});
+}
+
+const routing::CandidateSet& BackendTable::findSet(const SetKey& key) const {
+  static const routing::CandidateSet kNone;
+  const auto found = sets_.find(key);
+  return found == sets_.end() ? kNone : found->second;
+}
+
+void BackendTable::refresh(Backend& backend) {
+  const bool listed = usable(backend);
+  const SetKey key = keyOf(backend);
+  if (backend.listedIn && (!listed || *backend.listedIn != key)) {
+    unlist(backend);
+  }
+  if (listed) {
+    sets_[key].put(toCandidate(backend));
+    backend.listedIn = key;
   }
-  return candidates;
+}
+
+void BackendTable::unlist(Backend& backend) {
+  if (!backend.listedIn) {
+    return;
+  }
+  const auto found = sets_.find(*backend.listedIn);
+  found->second.erase(backend.machine.id);
+  if (found->second.empty()) {
+    sets_.erase(found);
+  }
+  backend.listedIn.reset();
+}
+
+BackendTable::SetKey BackendTable::keyOf(const Backend& backend) {
+  const bool engine = backend.machine.kind == platform::MachineKind::kEngine;
+  return {backend.machine.kind, backend.machine.serves,
+          engine ? backend.weights : WeightsVersion()};
 }
 
 std::optional<Endpoint> BackendTable::endpointOf(const BackendId& id) const {
@@ -148,6 +173,7 @@
   if (found != backends_.end()) {
     ++found->second.outstanding;
     found->second.outstandingTokens += tokens;
+    refresh(found->second);
   }
 }
 
@@ -155,6 +181,7 @@
   const auto found = backends_.find(id);
   if (found != backends_.end()) {
     found->second.sentPrefillTokens += tokens;
+    refresh(found->second);
   }
 }
 
@@ -163,6 +190,7 @@
   if (found != backends_.end() && found->second.outstanding > 0) {
     --found->second.outstanding;
     found->second.outstandingTokens -= std::min(found->second.outstandingTokens, tokens);
+    refresh(found->second);
   }
 }
 
@@ -171,7 +199,7 @@
          !backend.machine.terminating;
 }
 
-routing::Candidate BackendTable::toCandidate(const Backend& backend) const {
+routing::Candidate BackendTable::toCandidate(const Backend& backend) {
   routing::Candidate candidate;
   candidate.id = backend.machine.id;
   candidate.incarnation = backend.incarnation;
--- a/src/router/backend_table.h
+++ b/src/router/backend_table.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "common/ids.h"
@@ -52,14 +53,16 @@
 
   /// Every machine to probe, usable or not.
   std::vector<platform::Machine> machines() const;
-  /// Usable engines of the model whose weights are at `weights`.
-  routing::CandidateSet engines(const ModelId& model, WeightsVersion weights) const;
+  /// Usable engines of the model whose weights are at `weights`. Kept up to date by small changes,
+  /// so that no request pays for their number. The reference holds, and the positions in it, until
+  /// the next change of the table: not over a `co_await`.
+  const routing::CandidateSet& engines(const ModelId& model, WeightsVersion weights) const;
   /// Usable engines of the model by the version of their weights.
   std::map<WeightsVersion, std::size_t> engineVersions(const ModelId& model) const;
   /// Version that a back end was last found at; 0 where it is not alive.
   WeightsVersion weightsOf(const BackendId& id) const;
   /// Usable back ends of an ordinary service.
-  routing::CandidateSet services(std::string_view service) const;
+  const routing::CandidateSet& services(std::string_view service) const;
   std::optional<Endpoint> endpointOf(const BackendId& id) const;
 
   void addOutstanding(const BackendId& id, std::size_t tokens);
@@ -68,6 +71,8 @@
   void removeOutstanding(const BackendId& id, std::size_t tokens);
 
  private:
+  /// Which requests a back end can serve: kind, model or service, weights (0 for a service).
+  using SetKey = std::tuple<platform::MachineKind, std::string, WeightsVersion>;
   struct Backend {
     platform::Machine machine;
     Incarnation incarnation;
@@ -79,13 +84,22 @@
     std::size_t reportedRequests = 0;
     std::size_t reportedPrefillTokens = 0;
     std::size_t sentPrefillTokens = 0;
+    /// The candidate set that it is in.
+    std::optional<SetKey> listedIn;
   };
 
   static bool usable(const Backend& backend);
-  routing::Candidate toCandidate(const Backend& backend) const;
+  static routing::Candidate toCandidate(const Backend& backend);
+  static SetKey keyOf(const Backend& backend);
+  /// Brings the candidate sets in line with the back end. Called after each change of one.
+  void refresh(Backend& backend);
+  void unlist(Backend& backend);
+  const routing::CandidateSet& findSet(const SetKey& key) const;
 
   LossListener listener_;
   std::map<BackendId, Backend> backends_;
+  /// Invariant: holds exactly the usable back ends, with their present state.
+  std::map<SetKey, routing::CandidateSet> sets_;
 };
 
 /// Counts a dispatch as outstanding for as long as it lives.
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -151,13 +151,14 @@
   if (!job.sink.hasTokens()) {
     selectWeights(job);
   }
-  const routing::CandidateSet candidates = context_.backends.engines(job.route.model, job.weights);
+  const routing::CandidateSet& candidates = context_.backends.engines(job.route.model, job.weights);
   if (candidates.empty()) {
     co_return fail(ErrorKind::kNoBackend, "no usable engine has this model and version");
   }
   routing::Policy& policy = context_.policies.policyNamed(job.policyName);
   const routing::Choice choice = policy.choose(job.route, candidates, monotonicNow());
-  const routing::Candidate& backend = candidates[choice.index];
+  // A copy, as the set changes while the answer is awaited.
+  const routing::Candidate backend = candidates[choice.index];
   const std::optional<Endpoint> endpoint = context_.backends.endpointOf(backend.id);
   if (!endpoint) {
     co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -70,13 +70,15 @@
   routing::Policy& policy =
       context_.policies.policyNamed(std::string(routing::LeastOutstanding::kName));
   for (std::uint32_t attempt = 1;; ++attempt) {
-    const routing::CandidateSet candidates = context_.backends.services(service.name);
+    const routing::CandidateSet& candidates = context_.backends.services(service.name);
     if (candidates.empty()) {
       co_return fail(ErrorKind::kNoBackend, "no usable server of '" + service.name + "'");
     }
     const routing::Choice choice = policy.choose({}, candidates, monotonicNow());
+    // A copy, as the set changes while the answer is awaited.
+    const routing::Candidate backend = candidates[choice.index];
     Result<http::Response> answer =
-        co_await dispatchOnce(candidates[choice.index], caller, request, Attempt(attempt));
+        co_await dispatchOnce(backend, caller, request, Attempt(attempt));
     if (answer) {
       co_return answer;
     }
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -188,7 +188,8 @@
 }
 
 void EngineServer::recordLoad() {
-  load_.record({model_.waitingRequests(), model_.runningRequests()}, monotonicNow());
+  load_.record({model_.waitingRequests(), model_.runningRequests(), model_.pendingPrefillTokens()},
+               monotonicNow());
 }
 
 void EngineServer::deliver(const std::vector<TokenEvent>& tokens) {
