--- a/src/sim/engine_cache_feed.h
+++ b/src/sim/engine_cache_feed.h
@@ -48,6 +48,7 @@
   struct Sample {
     std::size_t waiting = 0;
     std::size_t running = 0;
+    std::size_t prefillTokens = 0;
   };
 
   explicit LaggingLoad(Milliseconds lag) : lag_(lag) {}
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -250,7 +250,7 @@
   boost::json::object body = boost::json::parse(orders::toJson(control_.report())).as_object();
   body["waiting"] = load.waiting;
   body["running"] = load.running;
-  body["prefill_tokens"] = model_.pendingPrefillTokens();
+  body["prefill_tokens"] = load.prefillTokens;
   body["cached_blocks"] = model_.cachedBlocks();
   body["refused_orders"] = control_.refusedOrders();
   body["completed_loads"] = control_.completedLoads();
