Operators see the arms of live traffic and why a request went where it went

Cause: counters by policy existed, but neither a comparison with its uncertainty nor an answer to 'why this engine'. Routers keep running means and variances by arm and a ring of decisions; calicodriftctl policy report and explain read them.

--- a/src/ctl/program.cc
+++ b/src/ctl/program.cc
@@ -4,6 +4,7 @@
 
 #include "ctl/bundle_commands.h"
 #include "ctl/fleet_commands.h"
+#include "ctl/policy_commands.h"
 #include "settings/table.h"
 
 namespace calicodrift::ctl {
@@ -12,7 +13,7 @@
 constexpr std::string_view kSummary =
     "Operator's command line of calicodrift. Commands: "
     "key make | bundle check FILE | bundle sign FILE | bundle submit FILE | bundle status | "
-    "engine load-version FILE | node drain";
+    "engine load-version FILE | node drain | policy report | explain REQUEST_ID";
 
 constexpr std::int64_t kLargestVersion = 1'000'000'000'000;
 
@@ -42,6 +43,12 @@
   if (group == "bundle" && action == "status") {
     return bundleStatus(settings);
   }
+  if (group == "policy" && action == "report") {
+    return policyReport(settings);
+  }
+  if (group == "explain") {
+    return explainRequest(settings, action);
+  }
   if (group == "node" && action == "drain") {
     return drainNode(settings);
   }
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -170,6 +170,9 @@
   context_.backends.addPrefill(backend.id,
                                routing::uncachedTokens(job.route, choice.expectedCachedBlocks));
   context_.metrics.countDispatch(job.policyName);
+  context_.policies.decisions().record(
+      {job.caller.requestId, Attempt(job.attempts), job.policyName, std::string(choice.reason),
+       backend, job.route.blocks.size(), choice.expectedCachedBlocks, candidates.size()});
   job.admitted->onDispatched();
 
   const EngineDispatch dispatch{job.caller,     job.path,  job.request.body,
@@ -241,11 +244,15 @@
   job.admitted->onCompleted(usage.completionTokens);
   context_.metrics.countTokens(job.policyName, usage.promptTokens, usage.cachedTokens,
                                usage.completionTokens);
+  double firstTokenMs = -1;
   if (const auto firstToken = job.sink.firstTokenTime()) {
     const std::chrono::duration<double> delay = *firstToken - job.caller.received;
     context_.metrics.observeFirstToken(job.caller.tenant->id.value(), job.caller.priority,
                                        delay.count());
+    firstTokenMs = toMilliseconds(delay);
   }
+  context_.policies.arms().add(job.policyName, usage.promptTokens, usage.cachedTokens,
+                               firstTokenMs);
 }
 
 }  // namespace calicodrift::router
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -231,6 +231,13 @@
   if (request.path() == "/admin/orders") {
     return http::jsonResponse(200, orders_.statusJson());
   }
+  if (request.path() == "/admin/policies") {
+    return http::jsonResponse(200, policies_.arms().toJson());
+  }
+  if (request.path() == "/admin/explain") {
+    const RequestId id(request.queryValue("id"));
+    return http::jsonResponse(200, policies_.decisions().explain(id));
+  }
   if (request.path() == "/admin/drain") {
     return drainOnRequest(request);
   }
--- a/src/router/policy_set.h
+++ b/src/router/policy_set.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "bundle/bundle.h"
+#include "router/decision_log.h"
 #include "routing/policy.h"
 
 namespace calicodrift::router {
@@ -22,10 +23,14 @@
   routing::Policy& policyNamed(const std::string& name);
   /// Tells every policy that a back end's cache can't be relied on any more.
   void backendLost(const BackendId& backend);
+  DecisionLog& decisions() { return decisions_; }
+  ArmStatistics& arms() { return arms_; }
 
  private:
   std::uint64_t seed_;
   std::map<std::string, std::unique_ptr<routing::Policy>> policies_;
+  DecisionLog decisions_;
+  ArmStatistics arms_;
 };
 
 }  // namespace calicodrift::router
