--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -167,12 +167,13 @@
   if (!job.sink.hasTokens()) {
     selectWeights(job);
   }
-  const routing::CandidateSet candidates = context_.backends.engines(job.route.model, job.weights);
+  const routing::CandidateSet& candidates = context_.backends.engines(job.route.model, job.weights);
   if (candidates.empty()) {
     co_return fail(ErrorKind::kNoBackend, "no usable engine has this model and version");
   }
   routing::Policy& policy = context_.policies.policyNamed(job.policyName);
   const routing::Choice choice = policy.choose(job.route, candidates, monotonicNow());
+  // A copy, as the set changes while the answer is awaited.
   const routing::Candidate backend = candidates[choice.index];
   const std::optional<Endpoint> endpoint = context_.backends.endpointOf(backend.id);
   if (!endpoint) {
@@ -184,6 +185,9 @@
   context_.backends.addPrefill(backend.id,
                                routing::uncachedTokens(job.route, choice.expectedCachedBlocks));
   context_.metrics.countDispatch(job.policyName);
+  context_.policies.decisions().record(
+      {job.caller.requestId, Attempt(job.attempts), job.policyName, std::string(choice.reason),
+       backend, job.route.blocks.size(), choice.expectedCachedBlocks, candidates.size()});
   job.admitted->onDispatched();
   Result<void> outcome = co_await attemptOn(job, backend, *endpoint);
   if (outcome) {
@@ -290,11 +294,15 @@
   job.admitted->onCompleted(usage.completionTokens);
   context_.metrics.countTokens(job.policyName, usage.promptTokens, usage.cachedTokens,
                                usage.completionTokens);
+  double firstTokenMs = -1;
   if (const auto firstToken = job.sink.firstTokenTime()) {
     const std::chrono::duration<double> delay = *firstToken - job.caller.received;
     context_.metrics.observeFirstToken(job.caller.tenant->id.value(), job.caller.priority,
                                        delay.count());
+    firstTokenMs = toMilliseconds(delay);
   }
+  context_.policies.arms().add(job.policyName, usage.promptTokens, usage.cachedTokens,
+                               firstTokenMs);
 }
 
 }  // namespace calicodrift::router
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -72,14 +72,16 @@
       context_.policies.policyNamed(std::string(routing::LeastOutstanding::kName));
   bool mayHaveRun = false;
   for (std::uint32_t attempt = 1;; ++attempt) {
-    const routing::CandidateSet candidates = context_.backends.services(service.name);
+    const routing::CandidateSet& candidates = context_.backends.services(service.name);
     if (candidates.empty()) {
       const Error error = fail(ErrorKind::kNoBackend, "no usable server of '" + service.name + "'");
       co_return overAllAttempts(error, mayHaveRun);
     }
     const routing::Choice choice = policy.choose({}, candidates, monotonicNow());
+    // A copy, as the set changes while the answer is awaited.
+    const routing::Candidate backend = candidates[choice.index];
     Result<http::Response> answer =
-        co_await dispatchOnce(candidates[choice.index], caller, request, Attempt(attempt));
+        co_await dispatchOnce(backend, caller, request, Attempt(attempt));
     if (answer) {
       co_return answer;
     }
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -197,7 +197,8 @@
 }
 
 void EngineServer::recordLoad() {
-  load_.record({model_.waitingRequests(), model_.runningRequests()}, monotonicNow());
+  load_.record({model_.waitingRequests(), model_.runningRequests(), model_.pendingPrefillTokens()},
+               monotonicNow());
 }
 
 void EngineServer::deliver(const std::vector<TokenEvent>& tokens) {
@@ -260,7 +261,7 @@
   boost::json::object body = boost::json::parse(orders::toJson(control_.report())).as_object();
   body["waiting"] = load.waiting;
   body["running"] = load.running;
-  body["prefill_tokens"] = model_.pendingPrefillTokens();
+  body["prefill_tokens"] = load.prefillTokens;
   body["draining"] = draining_;
   body["accepted"] = accepted_;
   body["probes"] = probes_;
--- a/tests/router/backend_health_test.cc
+++ b/tests/router/backend_health_test.cc
@@ -65,9 +65,7 @@
         BackendId(id),
         {BackendId(id), Incarnation(incarnation), WeightsVersion(weights), 0, draining}, kStart);
   }
-  std::size_t usable(MonotonicTime now = kStart) const {
-    return table.engines(ModelId("m"), WeightsVersion(1), now).size();
-  }
+  std::size_t usable() const { return table.engines(ModelId("m"), WeightsVersion(1)).size(); }
 
   std::vector<platform::Machine> machines;
   std::vector<BackendLoss> losses;
