--- /dev/null
+++ b/src/claims/claim_node.cc
@@ -0,0 +1,135 @@
+#include "claims/claim_node.h"
+
+#include <utility>
+
+namespace calicodrift::claims {
+namespace {
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+}  // namespace
+
+ClaimNode::ClaimNode(const ClaimSettings& settings, peer::Transport& transport,
+                     const peer::PeerDirectory& directory, ViewStore& store, ClaimMetrics& metrics,
+                     Clock clock, std::uint64_t seed)
+    : settings_(settings),
+      transport_(transport),
+      directory_(directory),
+      metrics_(metrics),
+      clock_(std::move(clock)),
+      replica_(settings_),
+      views_(
+          settings_, directory, store,
+          [this](const Endpoint& to, const ClaimMessage& message) { send(to, message); },
+          [this](std::size_t group, ClaimTime now) { replica_.startMemory(group, now.wall); }),
+      proposer_(
+          settings_, views_,
+          [this](const Endpoint& to, const ClaimMessage& message) { send(to, message); }, seed) {
+  transport_.setReceiver(
+      peer::Channel::kClaims,
+      [this](const Endpoint& from, std::string_view payload) { receive(from, payload); });
+}
+
+void ClaimNode::tick() {
+  const ClaimTime now = clock_();
+  views_.tick(now);
+  proposer_.tick(now);
+  replica_.prune(now.wall);
+  deliverLocal();
+  metrics_.setState(view().epoch, votingGroups(), records());
+}
+
+void ClaimNode::claim(const ClaimKey& key, ClaimProposer::Done done) {
+  auto counted = [this, done = std::move(done)](const ClaimResult& result) {
+    metrics_.countVerdict(result.verdict);
+    done(result);
+  };
+  proposer_.claim(key, clock_(), std::move(counted));
+  deliverLocal();
+}
+
+void ClaimNode::complete(const ClaimKey& key, AttemptToken token, StoredOutcome outcome) {
+  proposer_.complete(key, token, std::move(outcome), clock_());
+  deliverLocal();
+}
+
+void ClaimNode::release(const ClaimKey& key, AttemptToken token) {
+  proposer_.release(key, token, clock_());
+  deliverLocal();
+}
+
+void ClaimNode::send(const Endpoint& to, const ClaimMessage& message) {
+  if (to == directory_.self().endpoint) {
+    local_.push_back(message);
+    return;
+  }
+  transport_.send(to, peer::Channel::kClaims, peer::encode(message));
+}
+
+void ClaimNode::receive(const Endpoint& from, std::string_view payload) {
+  const Result<ClaimMessage> message = peer::decode<ClaimMessage>(payload);
+  if (!message) {
+    metrics_.countMalformed();
+    return;
+  }
+  dispatch(from, message.value());
+  deliverLocal();
+}
+
+void ClaimNode::deliverLocal() {
+  if (delivering_) {
+    return;
+  }
+  delivering_ = true;
+  while (!local_.empty()) {
+    const ClaimMessage message = std::move(local_.front());
+    local_.pop_front();
+    dispatch(directory_.self().endpoint, message);
+  }
+  delivering_ = false;
+}
+
+void ClaimNode::dispatch(const Endpoint& from, const ClaimMessage& message) {
+  const ClaimTime now = clock_();
+  const Overloaded handlers{
+      [&](const ClaimRequest& request) {
+        views_.noticeEpoch(from, request.epoch);
+        const ClaimReply reply = voteOn(request);
+        metrics_.countVote(reply.vote);
+        send(from, reply);
+      },
+      [&](const ClaimReply& reply) {
+        views_.noticeEpoch(from, reply.epoch);
+        proposer_.handle(reply, now);
+      },
+      [&](const ReleaseNotice& notice) { replica_.release(notice); },
+      [&](const CompletedNotice& notice) { replica_.complete(notice, now.wall); },
+      [&](const ViewRequest& request) { views_.handle(from, request); },
+      [&](const ViewNotice& notice) { views_.handle(from, notice, now); },
+      [&](const JoinRequest& request) { views_.handle(from, request); },
+      [&](const JoinReply& reply) { views_.handle(from, reply, now); },
+  };
+  std::visit(handlers, message);
+}
+
+ClaimReply ClaimNode::voteOn(const ClaimRequest& request) {
+  ClaimReply reply;
+  reply.key = request.key;
+  reply.token = request.token;
+  const bool otherEpoch = request.epoch != views_.epoch() && settings_.rules.checkEpoch;
+  if (otherEpoch) {
+    reply.vote = Vote::kOtherEpoch;
+  } else if (!views_.votes(request.key.group())) {
+    reply.vote = Vote::kAbstained;
+  } else {
+    reply = replica_.vote(request, clock_().wall);
+  }
+  reply.epoch = views_.epoch();
+  reply.replica = directory_.self().id;
+  return reply;
+}
+
+}  // namespace calicodrift::claims
--- /dev/null
+++ b/src/claims/claim_proposer.cc
@@ -0,0 +1,217 @@
+#include "claims/claim_proposer.h"
+
+#include <algorithm>
+
+namespace calicodrift::claims {
+namespace {
+
+constexpr int kNoticeRepeats = 3;
+
+bool undecided(Vote vote) {
+  return vote == Vote::kOtherEpoch;
+}
+
+}  // namespace
+
+std::string_view toString(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kGranted:
+      return "granted";
+    case ClaimVerdict::kInProgress:
+      return "in_progress";
+    case ClaimVerdict::kCompleted:
+      return "completed";
+    case ClaimVerdict::kKeyTooOld:
+      return "key_too_old";
+    case ClaimVerdict::kKeyFromFuture:
+      return "key_from_future";
+    case ClaimVerdict::kMemoryFull:
+      return "memory_full";
+    case ClaimVerdict::kUnavailable:
+      return "unavailable";
+  }
+  return "unavailable";
+}
+
+ClaimProposer::ClaimProposer(const ClaimSettings& settings, const ViewAgent& views, Sender sender,
+                             std::uint64_t seed)
+    : settings_(settings), views_(views), sender_(std::move(sender)), random_(seed) {}
+
+void ClaimProposer::claim(const ClaimKey& key, ClaimTime now, Done done) {
+  const auto bound = static_cast<WallMilliseconds>(settings_.clockBound.count());
+  const auto retention = static_cast<WallMilliseconds>(settings_.retention.count());
+  ClaimResult refusal;
+  if (key.time() + retention <= now.wall) {
+    refusal.verdict = ClaimVerdict::kKeyTooOld;
+    done(refusal);
+    return;
+  }
+  // A replica accepts a lead of one bound over its clock, which may lead ours by another.
+  if (key.time() > now.wall + 2 * bound) {
+    refusal.verdict = ClaimVerdict::kKeyFromFuture;
+    done(refusal);
+    return;
+  }
+  const AttemptToken token{now.wall, random_()};
+  AttemptState& attempt = attempts_[token];
+  attempt.key = key;
+  attempt.begin = now.monotonic;
+  attempt.done = std::move(done);
+  send(token, attempt, now);
+}
+
+void ClaimProposer::send(const AttemptToken& token, AttemptState& attempt, ClaimTime now) {
+  attempt.lastSent = now.monotonic;
+  if (attempt.epoch != views_.epoch()) {
+    // Votes of different epochs never add up.
+    attempt.votes.clear();
+    attempt.epoch = views_.epoch();
+  }
+  const ClaimRequest request{attempt.epoch, attempt.key, token};
+  for (const std::size_t index : views_.replicas(attempt.key.group())) {
+    const ViewMember& member = views_.view().members[index];
+    const auto vote = attempt.votes.find(member.id);
+    if (vote == attempt.votes.end() || vote->second.vote != Vote::kAccepted) {
+      sender_(views_.endpointOf(member), request);
+    }
+  }
+}
+
+void ClaimProposer::handle(const ClaimReply& reply, ClaimTime now) {
+  const auto attempt = attempts_.find(reply.token);
+  const bool counts = attempt != attempts_.end() && attempt->second.key == reply.key &&
+                      (reply.epoch == attempt->second.epoch || !settings_.rules.checkEpoch);
+  if (!counts) {
+    return;
+  }
+  attempt->second.votes[reply.replica] = reply;
+  if (const auto verdict = decide(tally(reply.token, attempt->second))) {
+    finish(attempt, *verdict, now);
+  }
+}
+
+ClaimProposer::Tally ClaimProposer::tally(const AttemptToken& token,
+                                          const AttemptState& attempt) const {
+  Tally tally;
+  if (attempt.epoch != views_.epoch()) {
+    // The replica set of these votes is no longer at hand: wait for the next round.
+    tally.majority = kReplicasOfGroup;
+    tally.undecided = kReplicasOfGroup;
+    return tally;
+  }
+  const ReplicaSet& replicas = views_.replicas(attempt.key.group());
+  tally.majority = majorityOf(replicas.size());
+  for (const std::size_t index : replicas) {
+    const auto found = attempt.votes.find(views_.view().members[index].id);
+    if (found == attempt.votes.end() || undecided(found->second.vote)) {
+      ++tally.undecided;
+      continue;
+    }
+    const ClaimReply& reply = found->second;
+    tally.accepted += reply.vote == Vote::kAccepted ? 1 : 0;
+    tally.full += reply.vote == Vote::kFull ? 1 : 0;
+    tally.tooOld = tally.tooOld || reply.vote == Vote::kKeyTooOld;
+    if (reply.vote == Vote::kHeldByOther) {
+      tally.held = true;
+      tally.heldByEarlier = tally.heldByEarlier || reply.holder < token;
+    }
+    if (reply.vote == Vote::kCompleted) {
+      tally.completed = &reply;
+    }
+  }
+  return tally;
+}
+
+std::optional<ClaimVerdict> ClaimProposer::decide(const Tally& tally) const {
+  if (tally.accepted >= tally.majority) {
+    return ClaimVerdict::kGranted;
+  }
+  if (tally.completed != nullptr) {
+    return ClaimVerdict::kCompleted;
+  }
+  if (tally.tooOld) {
+    return ClaimVerdict::kKeyTooOld;
+  }
+  const bool majorityPossible = tally.accepted + tally.undecided >= tally.majority;
+  // The earlier of two attempts that split the votes waits for the other one's release.
+  const bool waitsForRelease = tally.held && !tally.heldByEarlier;
+  if (majorityPossible || waitsForRelease) {
+    return std::nullopt;
+  }
+  return verdictAtEnd(tally);
+}
+
+ClaimVerdict ClaimProposer::verdictAtEnd(const Tally& tally) const {
+  if (tally.held) {
+    return ClaimVerdict::kInProgress;
+  }
+  if (tally.full > 0 && tally.accepted + tally.full >= tally.majority) {
+    return ClaimVerdict::kMemoryFull;
+  }
+  return ClaimVerdict::kUnavailable;
+}
+
+void ClaimProposer::finish(Attempts::iterator attempt, ClaimVerdict verdict, ClaimTime now) {
+  const AttemptState state = std::move(attempt->second);
+  ClaimResult result{verdict, attempt->first, std::nullopt};
+  attempts_.erase(attempt);
+  if (verdict == ClaimVerdict::kCompleted) {
+    for (const auto& entry : state.votes) {
+      if (entry.second.vote == Vote::kCompleted) {
+        result.outcome = entry.second.outcome;
+      }
+    }
+  }
+  if (verdict != ClaimVerdict::kGranted) {
+    release(state.key, result.token, now);
+  }
+  state.done(result);
+}
+
+void ClaimProposer::complete(const ClaimKey& key, AttemptToken token, StoredOutcome outcome,
+                             ClaimTime now) {
+  notify(CompletedNotice{key, token, std::move(outcome)}, key, now);
+}
+
+void ClaimProposer::release(const ClaimKey& key, AttemptToken token, ClaimTime now) {
+  notify(ReleaseNotice{key, token}, key, now);
+}
+
+void ClaimProposer::notify(const ClaimMessage& message, const ClaimKey& key, ClaimTime now) {
+  sendToReplicas(message, key);
+  notices_.push_back({message, key, kNoticeRepeats - 1, now.monotonic + settings_.claimRetransmit});
+}
+
+void ClaimProposer::sendToReplicas(const ClaimMessage& message, const ClaimKey& key) {
+  for (const std::size_t index : views_.replicas(key.group())) {
+    sender_(views_.endpointOf(views_.view().members[index]), message);
+  }
+}
+
+void ClaimProposer::tick(ClaimTime now) {
+  for (auto attempt = attempts_.begin(); attempt != attempts_.end();) {
+    const auto next = std::next(attempt);
+    AttemptState& state = attempt->second;
+    const Tally votes = tally(attempt->first, state);
+    if (now.monotonic - state.begin >= settings_.claimTimeout) {
+      finish(attempt, verdictAtEnd(votes), now);
+    } else if (now.monotonic - state.lastSent >= settings_.claimRetransmit) {
+      if (votes.heldByEarlier) {
+        finish(attempt, ClaimVerdict::kInProgress, now);
+      } else {
+        send(attempt->first, state, now);
+      }
+    }
+    attempt = next;
+  }
+  for (RepeatedNotice& notice : notices_) {
+    if (now.monotonic >= notice.nextTime) {
+      sendToReplicas(notice.message, notice.key);
+      --notice.timesLeft;
+      notice.nextTime = now.monotonic + settings_.claimRetransmit;
+    }
+  }
+  std::erase_if(notices_, [](const RepeatedNotice& notice) { return notice.timesLeft <= 0; });
+}
+
+}  // namespace calicodrift::claims
--- /dev/null
+++ b/src/claims/claim_replica.cc
@@ -0,0 +1,118 @@
+#include "claims/claim_replica.h"
+
+#include <algorithm>
+
+namespace calicodrift::claims {
+namespace {
+
+WallMilliseconds wallOf(Milliseconds duration) {
+  return static_cast<WallMilliseconds>(duration.count());
+}
+
+}  // namespace
+
+void ClaimReplica::startMemory(std::size_t group, WallMilliseconds now) {
+  memoryStart_.at(group) = advance(now);
+}
+
+ClaimReply ClaimReplica::vote(const ClaimRequest& request, WallMilliseconds now) {
+  const WallMilliseconds time = advance(now);
+  ClaimReply reply;
+  reply.key = request.key;
+  reply.token = request.token;
+  if (tooOld(request.key, time)) {
+    reply.vote = Vote::kKeyTooOld;
+    return reply;
+  }
+  const auto found = records_.find(request.key);
+  if (found == records_.end()) {
+    reply.vote = voteOnNewAttempt(request, time);
+    return reply;
+  }
+  Record& record = found->second;
+  reply.holder = record.holder;
+  if (record.holder == request.token) {
+    reply.vote = voteAgain(request.key, record);
+    return reply;
+  }
+  switch (record.state) {
+    case State::kCompleted:
+      reply.vote = Vote::kCompleted;
+      reply.outcome = *record.outcome;
+      return reply;
+    case State::kHeld:
+      reply.vote = Vote::kHeldByOther;
+      return reply;
+    case State::kReleased:
+      reply.vote = voteOnNewAttempt(request, time);
+      return reply;
+  }
+  return reply;
+}
+
+Vote ClaimReplica::voteAgain(const ClaimKey& key, const Record& record) const {
+  if (record.state == State::kReleased) {
+    return Vote::kGivenUp;
+  }
+  // A vote from before the memory began belongs to an epoch whose other votes are not known here.
+  const bool stale = settings_.rules.abstainAfterRestart && beforeMemory(key);
+  return stale ? Vote::kAbstained : Vote::kAccepted;
+}
+
+Vote ClaimReplica::voteOnNewAttempt(const ClaimRequest& request, WallMilliseconds now) {
+  if (request.key.time() > now + wallOf(settings_.clockBound)) {
+    return Vote::kKeyFromFuture;
+  }
+  if (settings_.rules.abstainAfterRestart && beforeMemory(request.key)) {
+    return Vote::kAbstained;
+  }
+  const bool known = records_.contains(request.key);
+  if (!known && records_.size() >= settings_.maxRecords) {
+    return Vote::kFull;
+  }
+  records_[request.key] = Record{request.token, State::kHeld, nullptr};
+  return Vote::kAccepted;
+}
+
+void ClaimReplica::release(const ReleaseNotice& notice) {
+  const auto found = records_.find(notice.key);
+  if (found != records_.end() && found->second.holder == notice.token &&
+      found->second.state == State::kHeld) {
+    found->second.state = State::kReleased;
+  }
+}
+
+void ClaimReplica::complete(const CompletedNotice& notice, WallMilliseconds now) {
+  const WallMilliseconds time = advance(now);
+  const bool known = records_.contains(notice.key);
+  const bool room = known || records_.size() < settings_.maxRecords;
+  if (tooOld(notice.key, time) || !room) {
+    return;
+  }
+  Record& record = records_[notice.key];
+  record.holder = notice.token;
+  record.state = State::kCompleted;
+  record.outcome = std::make_unique<StoredOutcome>(notice.outcome);
+}
+
+void ClaimReplica::prune(WallMilliseconds now) {
+  const WallMilliseconds time = advance(now);
+  while (!records_.empty() && tooOld(records_.begin()->first, time)) {
+    records_.erase(records_.begin());
+  }
+}
+
+WallMilliseconds ClaimReplica::advance(WallMilliseconds now) {
+  latest_ = std::max(latest_, now);
+  return latest_;
+}
+
+bool ClaimReplica::tooOld(const ClaimKey& key, WallMilliseconds now) const {
+  return key.time() + wallOf(settings_.retention) <= now;
+}
+
+bool ClaimReplica::beforeMemory(const ClaimKey& key) const {
+  return key.time() <= memoryStart_.at(key.group()) + 2 * wallOf(settings_.clockBound);
+}
+
+}  // namespace calicodrift::claims
