--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -104,7 +104,9 @@
   done
 done
 echo "not-repeatable call:"
-key=$(cat /proc/sys/kernel/random/uuid)
+# A UUIDv7: the time in milliseconds, then random digits.
+random=$(tr -d - </proc/sys/kernel/random/uuid)
+key=$(printf '%012x' "$(date +%s%3N)" | sed -E 's/^(.{8})(.{4})$/\1-\2/')-7${random:0:3}-8${random:3:3}-${random:6:12}
 curl -sf -X POST -H "Authorization: Bearer $api_key" -H "Idempotency-Key: $key" \
   -d '{"package":"libfoo","version":"1.2.3"}' "http://$router1/registry/downloads"
 echo
--- a/src/claims/claim_messages.h
+++ b/src/claims/claim_messages.h
@@ -125,31 +125,32 @@
 struct JoinRequest {
   Epoch epoch;
   NodeId node;
-  Incarnation incarnation;
+  /// Life of the sending process: its wall clock time at the start.
+  Incarnation life;
   /// The sender could not read the object API since its start.
   bool wantsVouch = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(epoch, node, incarnation, wantsVouch);
+    archive(epoch, node, life, wantsVouch);
   }
 };
 
 struct JoinReply {
   Epoch epoch;
   NodeId node;
-  Incarnation incarnation;
-  /// Incarnation of the node that asked.
+  Incarnation life;
+  /// Life of the node that asked.
   Incarnation asked;
   bool established = false;
   /// Bit g is set where the node votes in group g at `epoch`.
   std::uint64_t voterGroups = 0;
-  /// Incarnations that the node has ever vouched for; older ones' replies are void.
+  /// Lives that the node has ever vouched for; replies of older ones are void.
   std::vector<std::pair<NodeId, Incarnation>> vouched;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(epoch, node, incarnation, asked, established, voterGroups, vouched);
+    archive(epoch, node, life, asked, established, voterGroups, vouched);
   }
 };
 
--- a/src/claims/claim_node.cc
+++ b/src/claims/claim_node.cc
@@ -9,6 +9,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 }  // namespace
 
@@ -24,7 +26,8 @@
       views_(
           settings_, directory, store,
           [this](const Endpoint& to, const ClaimMessage& message) { send(to, message); },
-          [this](std::size_t group, ClaimTime now) { replica_.startMemory(group, now.wall); }),
+          [this](std::size_t group, ClaimTime now) { replica_.startMemory(group, now.wall); },
+          clock_()),
       proposer_(
           settings_, views_,
           [this](const Endpoint& to, const ClaimMessage& message) { send(to, message); }, seed) {
@@ -39,7 +42,7 @@
   proposer_.tick(now);
   replica_.prune(now.wall);
   deliverLocal();
-  metrics_.setState(view().epoch, votingGroups(), records());
+  metrics_.setState(view(), votingGroups(), records());
 }
 
 void ClaimNode::claim(const ClaimKey& key, ClaimProposer::Done done) {
@@ -109,7 +112,7 @@
       [&](const CompletedNotice& notice) { replica_.complete(notice, now.wall); },
       [&](const ViewRequest& request) { views_.handle(from, request); },
       [&](const ViewNotice& notice) { views_.handle(from, notice, now); },
-      [&](const JoinRequest& request) { views_.handle(from, request); },
+      [&](const JoinRequest& request) { views_.handle(from, request, now); },
       [&](const JoinReply& reply) { views_.handle(from, reply, now); },
   };
   std::visit(handlers, message);
--- a/src/claims/metrics.cc
+++ b/src/claims/metrics.cc
@@ -25,6 +25,9 @@
                      .Register(registry)
                      .Add({})),
       epoch_(gauge(registry, "calicodrift_claim_epoch", "Epoch of the claim view; 0 for none")),
+      members_(gauge(registry, "calicodrift_claim_members", "Nodes in the claim view")),
+      established_(gauge(registry, "calicodrift_claim_established",
+                         "1 once no earlier claim epoch can form a majority")),
       votingGroups_(gauge(registry, "calicodrift_claim_voting_groups",
                           "Claim groups in which this node votes")),
       records_(gauge(registry, "calicodrift_claim_records", "Claims that this node remembers")) {}
@@ -37,8 +40,10 @@
   votes_.Add({{"vote", std::string(toString(vote))}}).Increment();
 }
 
-void ClaimMetrics::setState(Epoch epoch, std::size_t votingGroups, std::size_t records) {
-  epoch_.Set(static_cast<double>(epoch.value()));
+void ClaimMetrics::setState(const ClaimView& view, std::size_t votingGroups, std::size_t records) {
+  epoch_.Set(static_cast<double>(view.epoch.value()));
+  members_.Set(static_cast<double>(view.members.size()));
+  established_.Set(view.established ? 1 : 0);
   votingGroups_.Set(static_cast<double>(votingGroups));
   records_.Set(static_cast<double>(records));
 }
--- a/src/claims/metrics.h
+++ b/src/claims/metrics.h
@@ -19,13 +19,15 @@
   /// This node's replica voted.
   void countVote(Vote vote);
   void countMalformed() { malformed_.Increment(); }
-  void setState(Epoch epoch, std::size_t votingGroups, std::size_t records);
+  void setState(const ClaimView& view, std::size_t votingGroups, std::size_t records);
 
  private:
   prometheus::Family<prometheus::Counter>& verdicts_;
   prometheus::Family<prometheus::Counter>& votes_;
   prometheus::Counter& malformed_;
   prometheus::Gauge& epoch_;
+  prometheus::Gauge& members_;
+  prometheus::Gauge& established_;
   prometheus::Gauge& votingGroups_;
   prometheus::Gauge& records_;
 };
--- a/src/claims/view_agent.cc
+++ b/src/claims/view_agent.cc
@@ -33,8 +33,11 @@
 }  // namespace
 
 ViewAgent::ViewAgent(const ClaimSettings& settings, const peer::PeerDirectory& directory,
-                     ViewStore& store, Sender sender, MemoryStarted memoryStarted)
+                     ViewStore& store, Sender sender, MemoryStarted memoryStarted,
+                     ClaimTime started)
     : settings_(settings),
+      started_(started),
+      life_(started.wall),
       directory_(directory),
       store_(store),
       sender_(std::move(sender)),
@@ -75,13 +78,18 @@
   adopt(notice.view, now);
 }
 
-void ViewAgent::handle(const Endpoint& from, const JoinRequest& request) {
+void ViewAgent::handle(const Endpoint& from, const JoinRequest& request, ClaimTime now) {
   noticeEpoch(from, request.epoch);
+  // A node that has answered has lived for longer than clocks differ: any later life of its name
+  // starts at a later wall clock time, on whichever machine, and so has a greater number.
+  if (now.monotonic - started_.monotonic <= settings_.clockBound) {
+    return;
+  }
   JoinReply reply;
   reply.epoch = view_.epoch;
   reply.node = directory_.self().id;
-  reply.incarnation = directory_.self().incarnation;
-  reply.asked = request.incarnation;
+  reply.life = life_;
+  reply.asked = request.life;
   reply.established = view_.established;
   const bool sameEpoch = request.epoch == view_.epoch;
   if (!request.wantsVouch || (sameEpoch && vouchFor(request))) {
@@ -93,32 +101,32 @@
 
 bool ViewAgent::vouchFor(const JoinRequest& request) {
   const auto latest = latestVouched_.find(request.node);
-  const bool superseded = latest != latestVouched_.end() && latest->second > request.incarnation;
+  const bool superseded = latest != latestVouched_.end() && latest->second > request.life;
   const bool room = vouched_.contains(request.node) || vouched_.size() < kMaxVouches;
   if (voter_.none() || superseded || !room) {
     return false;
   }
-  vouched_[request.node] = request.incarnation;
-  learnVouch(request.node, request.incarnation);
+  vouched_[request.node] = request.life;
+  learnVouch(request.node, request.life);
   return true;
 }
 
-void ViewAgent::learnVouch(const NodeId& node, Incarnation incarnation) {
+void ViewAgent::learnVouch(const NodeId& node, Incarnation life) {
   Incarnation& latest = latestVouched_[node];
-  latest = std::max(latest, incarnation);
+  latest = std::max(latest, life);
 }
 
 void ViewAgent::handle(const Endpoint& from, const JoinReply& reply, ClaimTime now) {
-  if (reply.asked != directory_.self().incarnation) {
+  if (reply.asked != life_) {
     return;
   }
   noticeEpoch(from, reply.epoch);
-  for (const auto& [node, incarnation] : reply.vouched) {
-    learnVouch(node, incarnation);
+  for (const auto& [node, life] : reply.vouched) {
+    learnVouch(node, life);
   }
+  heardAt_[reply.node] = now.monotonic;
   JoinReply& known = replies_[reply.node];
-  const bool newer =
-      std::pair(reply.incarnation, reply.epoch) >= std::pair(known.incarnation, known.epoch);
+  const bool newer = std::pair(reply.life, reply.epoch) >= std::pair(known.life, known.epoch);
   if (newer) {
     known = reply;
   }
@@ -170,6 +178,10 @@
     return false;
   }
   const bool member = selfIndex().has_value();
+  if (coordinator_ && wanted_ != view_.members) {
+    // Asks the members that would be dropped whether they are there after all.
+    return true;
+  }
   if (!view_.established) {
     return member || coordinator_;
   }
@@ -193,7 +205,7 @@
 }
 
 void ViewAgent::askToJoin(ClaimTime now) {
-  const bool eager = now.monotonic - adoptedAt_ < kEagerJoinTime;
+  const bool eager = now.monotonic - adoptedAt_ < kEagerJoinTime || wanted_ != view_.members;
   const Milliseconds interval = settings_.joinInterval * (eager ? 1 : kPatientJoinFactor);
   if (lastJoin_ && now.monotonic - *lastJoin_ < interval) {
     return;
@@ -202,7 +214,7 @@
   const peer::PeerInfo& self = directory_.self();
   for (const ViewMember& member : membersOfBothViews()) {
     if (member.id != self.id) {
-      sender_(endpointOf(member), JoinRequest{view_.epoch, self.id, self.incarnation, !storeRead_});
+      sender_(endpointOf(member), JoinRequest{view_.epoch, self.id, life_, !storeRead_});
     }
   }
 }
@@ -265,7 +277,7 @@
 
 bool ViewAgent::replyIsVoid(const JoinReply& reply) const {
   const auto vouched = latestVouched_.find(reply.node);
-  return vouched != latestVouched_.end() && vouched->second > reply.incarnation;
+  return vouched != latestVouched_.end() && vouched->second > reply.life;
 }
 
 bool ViewAgent::everyGroupHasVoters() const {
@@ -281,11 +293,36 @@
   return true;
 }
 
+std::vector<peer::PeerInfo> ViewAgent::aliveNodes(ClaimTime now) const {
+  std::map<NodeId, peer::PeerInfo> alive;
+  for (const ViewMember& member : view_.members) {
+    const auto heard = heardAt_.find(member.id);
+    const bool answers =
+        heard != heardAt_.end() && now.monotonic - heard->second < settings_.viewChangeDelay;
+    if (answers) {
+      alive[member.id] = {member.id, Incarnation(), member.zone, RegionId(), member.endpoint};
+    }
+  }
+  std::vector<peer::PeerInfo> peers = directory_.alivePeers();
+  peers.push_back(directory_.self());
+  for (const peer::PeerInfo& peer : peers) {
+    peer::PeerInfo& known = alive[peer.id];
+    if (peer.incarnation >= known.incarnation) {
+      known = peer;
+    }
+  }
+  std::vector<peer::PeerInfo> nodes;
+  nodes.reserve(alive.size());
+  for (const auto& entry : alive) {
+    nodes.push_back(entry.second);
+  }
+  return nodes;
+}
+
 void ViewAgent::lookAround(ClaimTime now) {
-  std::vector<peer::PeerInfo> alive = directory_.alivePeers();
-  alive.push_back(directory_.self());
-  endpoints_.clear();
+  const std::vector<peer::PeerInfo> alive = aliveNodes(now);
   const std::vector<ViewMember> known = membersOfBothViews();
+  endpoints_.clear();
   coordinator_ = true;
   for (const peer::PeerInfo& node : alive) {
     coordinator_ = coordinator_ && directory_.self().id <= node.id;
--- a/src/claims/view_agent.h
+++ b/src/claims/view_agent.h
@@ -38,7 +38,7 @@
   using MemoryStarted = std::function<void(std::size_t group, ClaimTime now)>;
 
   ViewAgent(const ClaimSettings& settings, const peer::PeerDirectory& directory, ViewStore& store,
-            Sender sender, MemoryStarted memoryStarted);
+            Sender sender, MemoryStarted memoryStarted, ClaimTime started);
   ~ViewAgent();
   ViewAgent(const ViewAgent&) = delete;
   ViewAgent& operator=(const ViewAgent&) = delete;
@@ -48,7 +48,7 @@
   void noticeEpoch(const Endpoint& from, Epoch epoch);
   void handle(const Endpoint& from, const ViewRequest& request);
   void handle(const Endpoint& from, const ViewNotice& notice, ClaimTime now);
-  void handle(const Endpoint& from, const JoinRequest& request);
+  void handle(const Endpoint& from, const JoinRequest& request, ClaimTime now);
   void handle(const Endpoint& from, const JoinReply& reply, ClaimTime now);
 
   /// Epoch 0 while no view is known.
@@ -77,12 +77,15 @@
   bool replyIsVoid(const JoinReply& reply) const;
   bool leftEarlierEpoch(const ViewMember& member) const;
   bool knownToVote(const ViewMember& member, std::size_t group) const;
-  void learnVouch(const NodeId& node, Incarnation incarnation);
+  void learnVouch(const NodeId& node, Incarnation life);
   /// Records the vouch; false where there is no room, or the node has restarted again meanwhile.
   bool vouchFor(const JoinRequest& request);
   std::vector<ViewMember> membersOfBothViews() const;
   bool everyGroupHasVoters() const;
 
+  /// Whom the directory believes alive, and members that answer, each once. A directory that knows
+  /// of nobody yet, or errs, so drops no member.
+  std::vector<peer::PeerInfo> aliveNodes(ClaimTime now) const;
   void lookAround(ClaimTime now);
   bool newViewDue() const;
   void useStore(ClaimTime now);
@@ -91,6 +94,9 @@
   void write(const VersionedView& next);
 
   const ClaimSettings& settings_;
+  const ClaimTime started_;
+  /// Numbers this process's life; greater in a later life of the same name.
+  const Incarnation life_;
   const peer::PeerDirectory& directory_;
   ViewStore& store_;
   Sender sender_;
@@ -103,9 +109,11 @@
   bool storeRead_ = false;
   /// The latest reply of each node, of this process's life only.
   std::map<NodeId, JoinReply> replies_;
+  /// When each node last answered.
+  std::map<NodeId, MonotonicTime> heardAt_;
   /// Whom this node vouched for, at any time.
   std::map<NodeId, Incarnation> vouched_;
-  /// The latest vouched incarnation of each node, by whomever; replies of earlier ones are void.
+  /// The latest vouched life of each node, by whomever; replies of earlier ones are void.
   std::map<NodeId, Incarnation> latestVouched_;
   std::optional<MonotonicTime> lastJoin_;
   std::size_t peersAsked_ = 0;
--- a/src/common/error.cc
+++ b/src/common/error.cc
@@ -8,6 +8,7 @@
 using enum ErrorKind;
 constexpr auto kNoRun = RunStatement::kNo;
 constexpr auto kMayRun = RunStatement::kMaybe;
+constexpr auto kDidRun = RunStatement::kYes;
 constexpr auto kNever = RetryAdvice::kNever;
 constexpr auto kLater = RetryAdvice::kAfterDelay;
 constexpr auto kSameKey = RetryAdvice::kWithSameKey;
@@ -46,8 +47,10 @@
      "look up whether the earlier attempt took effect"},
     {kDuplicateRequest, "duplicate_request", 409, kMayRun, kNever,
      "another attempt with this key holds the claim; look up its effect"},
-    {kClaimUnavailable, "claim_unavailable", 503, kNoRun, kSameKey,
-     "try again with the same key after Retry-After"},
+    {kAlreadyCompleted, "already_completed", 409, kDidRun, kNever,
+     "none: the request ran; look up its effect if the answer is needed"},
+    {kClaimUnavailable, "claim_unavailable", 503, kMayRun, kSameKey,
+     "this attempt did not run, an earlier one may have; try the same key after Retry-After"},
     {kOutcomeUnknown, "outcome_unknown", 502, kMayRun, kSameKey,
      "the request may have run; repeat only with the same key"},
     {kDeadlineExceeded, "deadline_exceeded", 504, kMayRun, kSameKey,
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -33,6 +33,7 @@
   kIdempotencyKeyInvalid,
   kIdempotencyKeyTooOld,
   kDuplicateRequest,
+  kAlreadyCompleted,
   kClaimUnavailable,
   kOutcomeUnknown,
   kDeadlineExceeded,
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -57,6 +57,8 @@
 inline constexpr std::string_view kDeadlineHeader = "X-Deadline-Ms";
 inline constexpr std::string_view kNotRepeatableHeader = "X-Not-Repeatable";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
+/// "true" on an answer that an earlier attempt with the same Idempotency-Key got.
+inline constexpr std::string_view kReplayHeader = "X-Replay";
 inline constexpr std::string_view kLastEventIdHeader = "Last-Event-ID";
 inline constexpr std::string_view kExpectedIncarnationHeader = "X-Engine-Expected-Incarnation";
 inline constexpr std::string_view kExpectedWeightsHeader = "X-Engine-Expected-Weights";
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -100,7 +100,7 @@
   job.policyName = context_.policies.policyFor(*bundle, job.route).name();
   Result<void> done = admit(job, *model.value());
   if (done) {
-    done = co_await dispatchUntilDone(job);
+    done = co_await dispatchClaimed(job);
   }
   if (done) {
     done = co_await job.sink.finish();
@@ -133,6 +133,30 @@
   return boost::outcome_v2::success();
 }
 
+awaitable<Result<void>> CompletionHandler::dispatchClaimed(Job& job) {
+  if (!job.caller.notRepeatable) {
+    co_return co_await dispatchUntilDone(job);
+  }
+  const Result<ClaimGrant> grant =
+      co_await context_.claims.claim(job.caller.tenant->id, job.caller.idempotencyKey);
+  if (!grant) {
+    co_return grant.error();
+  }
+  if (grant.value().replay) {
+    // Only services' answers are kept; the key was used for one of their requests.
+    co_return fail(ErrorKind::kAlreadyCompleted, "the Idempotency-Key was used before");
+  }
+  Result<void> done = co_await dispatchUntilDone(job);
+  if (!done) {
+    const Error error = inDoubt(done.error());
+    context_.claims.fail(grant.value(), error);
+    co_return error;
+  }
+  // Completions are too long to keep: only the fact is recorded.
+  context_.claims.complete(grant.value(), http::Response{}, KeepBody::kNo);
+  co_return done;
+}
+
 awaitable<Result<void>> CompletionHandler::dispatchUntilDone(Job& job) {
   for (;;) {
     const bool resumed = job.sink.hasTokens();
--- a/src/router/completion_handler.h
+++ b/src/router/completion_handler.h
@@ -30,6 +30,8 @@
 
   /// Asks the limits; the request is refused at once where they don't allow it.
   Result<void> admit(Job& job, const bundle::Model& model);
+  /// Claims a not-repeatable request, dispatches it and records how it ended.
+  boost::asio::awaitable<Result<void>> dispatchClaimed(Job& job);
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
   /// Chooses the weights version that the next attempt goes to.
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -61,8 +61,9 @@
       backends_([this](const BackendId& id, BackendLoss loss) { onBackendLost(id, loss); }),
       bundle_(std::move(signingRule),
               [this](const bundle::Bundle& bundle) { onBundleAdopted(bundle); }),
+      claims_(context.get_executor(), settings_, client_, peers_, registry_),
       discovery_(context.get_executor(), settings_, client_, backends_),
-      route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_, nullptr},
+      route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_, claims_},
       completions_(route_),
       services_(route_),
       orderLease_(context.get_executor(), client_, settings_.objectApi, std::string(kOrderLease),
@@ -86,6 +87,7 @@
   Result<Endpoint> endpoint = server_.listen(settings_.listen);
   if (endpoint) {
     discovery_.start();
+    claims_.start(control_->membership());
     asio::co_spawn(context_, pollStore(), asio::detached);
     orderLease_.start();
     orders_.start();
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -15,6 +15,7 @@
 #include "peer/udp_transport.h"
 #include "router/backend_table.h"
 #include "router/bundle_holder.h"
+#include "router/claim_gate.h"
 #include "router/completion_handler.h"
 #include "router/discovery.h"
 #include "router/metrics.h"
@@ -74,6 +75,7 @@
   PolicySet policies_;
   BackendTable backends_;
   BundleHolder bundle_;
+  ClaimGate claims_;
   Discovery discovery_;
   RouteContext route_;
   CompletionHandler completions_;
--- a/src/router/node_settings.cc
+++ b/src/router/node_settings.cc
@@ -101,6 +101,21 @@
       {{"weights-load-timeout-ms", "10000", 10, kHourMs, "ms",
         "a silent engine counts as loading so long"},
        &N::weightsLoadTimeout},
+      {{"claim-clock-bound-ms", "500", 1, kMinuteMs, "ms",
+        "most that any two clocks, of callers too, differ; the same on all nodes"},
+       &N::claimClockBound},
+      {{"claim-retention-ms", "600000", 1000, kHourMs, "ms",
+        "for how long an Idempotency-Key is known; the same on all nodes"},
+       &N::claimRetention},
+      {{"claim-timeout-ms", "300", 10, kMinuteMs, "ms",
+        "longest wait of a not-repeatable request for its claim"},
+       &N::claimTimeout},
+      {{"claim-max-records", "200000", 1, 10'000'000, "count",
+        "claims that a node remembers; more are refused"},
+       &N::claimMaxRecords},
+      {{"claim-view-delay-ms", "3000", 50, kHourMs, "ms",
+        "for how long nodes must be gone or new before the claim replicas change"},
+       &N::claimViewChangeDelay},
   };
   return table;
 }
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -54,6 +54,11 @@
   Milliseconds orderLeaseRenewInterval{0};
   Milliseconds orderInterval{0};
   Milliseconds weightsLoadTimeout{0};
+  Milliseconds claimClockBound{0};
+  Milliseconds claimRetention{0};
+  Milliseconds claimTimeout{0};
+  std::int64_t claimMaxRecords = 0;
+  Milliseconds claimViewChangeDelay{0};
 };
 
 const settings::SettingsTable<NodeSettings>& nodeSettingsTable();
--- a/src/router/route_context.h
+++ b/src/router/route_context.h
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "limits/limiter.h"
 #include "router/backend_table.h"
+#include "router/claim_gate.h"
 #include "router/metrics.h"
 #include "router/node_settings.h"
 #include "router/policy_set.h"
@@ -22,6 +23,7 @@
   BackendTable& backends;
   PolicySet& policies;
   RouterMetrics& metrics;
+  ClaimGate& claims;
   /// Set before the node serves.
   limits::Limiter* limits = nullptr;
 };
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -29,6 +29,9 @@
   forwarded.headers.set(http::kRequestIdHeader, caller.requestId.value());
   forwarded.headers.set(http::kAttemptHeader, std::to_string(attempt.value()));
   forwarded.headers.set("X-Tenant", caller.tenant->id.value());
+  if (!caller.idempotencyKey.empty()) {
+    forwarded.headers.set(http::kIdempotencyKeyHeader, caller.idempotencyKey);
+  }
   return forwarded;
 }
 
@@ -51,7 +54,7 @@
       context_.limits->admitRequest(*caller.value().tenant, caller.value().priority);
   Result<http::Response> answer = fail(ErrorKind::kInternal, "no answer");
   if (admitted) {
-    answer = co_await dispatchUntilDone(service, caller.value(), request);
+    answer = co_await dispatchClaimed(service, caller.value(), request);
   } else {
     answer = admitted.error();
   }
@@ -64,6 +67,34 @@
   co_await http::respond(writer, std::move(response));
 }
 
+awaitable<Result<http::Response>> ServiceHandler::dispatchClaimed(const bundle::Service& service,
+                                                                  const Caller& caller,
+                                                                  const http::Request& request) {
+  if (!caller.notRepeatable) {
+    co_return co_await dispatchUntilDone(service, caller, request);
+  }
+  const Result<ClaimGrant> grant =
+      co_await context_.claims.claim(caller.tenant->id, caller.idempotencyKey);
+  if (!grant) {
+    co_return grant.error();
+  }
+  if (grant.value().replay) {
+    co_return replayResponse(*grant.value().replay);
+  }
+  Caller keyed = caller;
+  if (keyed.idempotencyKey.empty()) {
+    keyed.idempotencyKey = context_.claims.makeKey();
+  }
+  Result<http::Response> answer = co_await dispatchUntilDone(service, keyed, request);
+  if (!answer) {
+    const Error error = inDoubt(answer.error());
+    context_.claims.fail(grant.value(), error);
+    co_return error;
+  }
+  context_.claims.complete(grant.value(), answer.value());
+  co_return answer;
+}
+
 awaitable<Result<http::Response>> ServiceHandler::dispatchUntilDone(const bundle::Service& service,
                                                                     const Caller& caller,
                                                                     const http::Request& request) {
--- a/src/router/service_handler.h
+++ b/src/router/service_handler.h
@@ -21,6 +21,10 @@
                                       http::ResponseWriter& writer);
 
  private:
+  /// Claims a not-repeatable request, dispatches it and records how it ended.
+  boost::asio::awaitable<Result<http::Response>> dispatchClaimed(const bundle::Service& service,
+                                                                 const Caller& caller,
+                                                                 const http::Request& request);
   boost::asio::awaitable<Result<http::Response>> dispatchUntilDone(const bundle::Service& service,
                                                                    const Caller& caller,
                                                                    const http::Request& request);
--- a/tests/claims/claim_view_test.cc
+++ b/tests/claims/claim_view_test.cc
@@ -164,6 +164,7 @@
 BOOST_AUTO_TEST_CASE(aViewSurvivesTheStoreAndSpreadsReplicasOverZones) {
   std::vector<peer::PeerInfo> alive;
   constexpr int kNodes = 20;
+  alive.reserve(kNodes);
   for (int index = 0; index < kNodes; ++index) {
     alive.push_back({NodeId("n" + std::to_string(index)),
                      Incarnation(1),
