Claims tests: read the gauges by whole lines, quicker membership

Cause: the wait for an established view matched the gauge's help text, so a test could stop a replica while the view of three routers was not yet sealed; then 2 of 2 old replicas are needed and claims are rightly refused (seen once in 3 runs of the paused replica test). Change: match whole lines; membership times of 100 ms, so that death is seen early.

--- a/src/claims/metrics.cc
+++ b/src/claims/metrics.cc
@@ -27,7 +27,7 @@
       epoch_(gauge(registry, "calicodrift_claim_epoch", "Epoch of the claim view; 0 for none")),
       members_(gauge(registry, "calicodrift_claim_members", "Nodes in the claim view")),
       established_(gauge(registry, "calicodrift_claim_established",
-                         "1 once no earlier claim epoch can form a majority")),
+                         "Whether no earlier claim epoch can form a majority: 1, or may: 0")),
       votingGroups_(gauge(registry, "calicodrift_claim_voting_groups",
                           "Claim groups in which this node votes")),
       records_(gauge(registry, "calicodrift_claim_records", "Claims that this node remembers")) {}
--- a/tests/integration/claims_test.cc
+++ b/tests/integration/claims_test.cc
@@ -30,9 +30,14 @@
   }
 
   void start(std::size_t index) {
-    std::vector<std::string> flags{
-        "--claim-view-delay-ms",       "300",    "--claim-clock-bound-ms",
-        std::to_string(kClockBoundMs), "--zone", "z" + std::to_string(index)};
+    std::vector<std::string> flags{"--zone", "z" + std::to_string(index)};
+    const std::vector<std::pair<std::string, int>> times{
+        {"--claim-view-delay-ms", 300},         {"--claim-clock-bound-ms", kClockBoundMs},
+        {"--member-probe-interval-ms", 100},    {"--member-probe-timeout-ms", 40},
+        {"--member-suspicion-timeout-ms", 500}, {"--member-join-retry-ms", 50}};
+    for (const auto& [flag, milliseconds] : times) {
+      flags.insert(flags.end(), {flag, std::to_string(milliseconds)});
+    }
     std::string seeds;
     for (const auto& router : routers) {
       if (router && router->running()) {
@@ -66,12 +71,13 @@
   }
   /// All routers are in one established view and a new key is granted through each.
   void waitUntilClaiming() const {
-    const std::string members = "calicodrift_claim_members " + std::to_string(routers.size());
+    const std::string members =
+        "\ncalicodrift_claim_members " + std::to_string(routers.size()) + "\n";
     for (std::size_t index = 0; index < routers.size(); ++index) {
       BOOST_REQUIRE(eventually([&] {
         const std::string page = get(at(index), "/metrics").value().body;
         return page.find(members) != std::string::npos &&
-               page.find("calicodrift_claim_established 1") != std::string::npos;
+               page.find("\ncalicodrift_claim_established 1\n") != std::string::npos;
       }));
       BOOST_REQUIRE(eventually([&] { return download(index, newKey()).status == 200U; }));
     }
@@ -167,7 +173,7 @@
   claims.start(2);
   BOOST_REQUIRE(eventually([&] {
     const std::string page = get(claims.at(2), "/metrics").value().body;
-    return page.find("calicodrift_claim_voting_groups 64") != std::string::npos;
+    return page.find("\ncalicodrift_claim_voting_groups 64\n") != std::string::npos;
   }));
   claims.routers[1]->killAtOnce();
   BOOST_TEST(eventually([&] { return claims.download(0, newKey()).status == 200U; }));
