--- a/src/bench/programs.cc
+++ b/src/bench/programs.cc
@@ -24,6 +24,7 @@
     Role{"streams", "many streams at once through one router", runStreams},
     Role{"overload", "admission and fairness at 1x, 1.5x and 3x of capacity, in virtual time",
          runOverload},
+    Role{"claims", "cost of claims for not-repeatable requests", runClaims},
     Role{"scale", "cost and speed of the control side over the number of nodes", runScale},
 };
 
--- a/src/bench/programs.h
+++ b/src/bench/programs.h
@@ -11,6 +11,7 @@
 int runOverhead(int argc, const char* const* argv);
 int runStreams(int argc, const char* const* argv);
 int runOverload(int argc, const char* const* argv);
+int runClaims(int argc, const char* const* argv);
 int runScale(int argc, const char* const* argv);
 
 /// Chooses the role by the first word.
--- a/src/claims/view_agent.cc
+++ b/src/claims/view_agent.cc
@@ -357,7 +357,9 @@
   const bool urgent = mustProve || mayEstablish || mayReplace;
   const Milliseconds pause = settings_.storePause * (urgent ? 1 : kPatientStoreFactor);
   const bool paused = lastStoreUse_ && now.monotonic - *lastStoreUse_ < pause;
-  if (storeBusy_ || paused || (!urgent && !first)) {
+  // An operator may have declared the earlier epoch's replicas gone.
+  const bool mayHaveBeenSettled = coordinator_ && !view_.established;
+  if (storeBusy_ || paused || (!urgent && !first && !mayHaveBeenSettled)) {
     return;
   }
   storeBusy_ = true;
--- a/tests/claims/claim_view_test.cc
+++ b/tests/claims/claim_view_test.cc
@@ -89,6 +89,25 @@
   BOOST_TEST((fleet.lastVerdict[later] == ClaimVerdict::kGranted));
 }
 
+BOOST_AUTO_TEST_CASE(anOperatorCanDeclareLostReplicasGone) {
+  SimulatedFleet fleet(4, 3, quickSettings());
+  fleet.network.run(kSettle);
+  fleet.stop(1);
+  fleet.stop(2);
+  fleet.network.run(kSettle);
+  const auto verdictOfNewKey = [&fleet] {
+    const ClaimKey key = fleet.makeKey(0);
+    fleet.request(0, key, Milliseconds(10));
+    fleet.network.run(Milliseconds(1000));
+    return fleet.lastVerdict[key];
+  };
+  BOOST_TEST(!fleet.node(0).view().established);
+  BOOST_TEST((verdictOfNewKey() == ClaimVerdict::kUnavailable));
+  fleet.storedView()->view.established = true;
+  fleet.network.run(kSettle);
+  BOOST_TEST((verdictOfNewKey() == ClaimVerdict::kGranted));
+}
+
 BOOST_AUTO_TEST_CASE(oneOfTwoRoutersThatAskAtOnceWins) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     SimulatedFleet fleet(seed, 2 + seed % 3, quickSettings());
--- a/tests/claims/simulated_fleet.h
+++ b/tests/claims/simulated_fleet.h
@@ -127,6 +127,8 @@
   ClaimNode& node(std::size_t index) { return *nodes_[index].claims; }
   SimulatedDirectory& directory(std::size_t index) { return *nodes_[index].directory; }
   SimulatedStore& store(std::size_t index) { return *stores_[index]; }
+  /// What the object API holds.
+  SimulatedStore::Stored& storedView() { return stored_; }
   Endpoint endpoint(std::size_t index) const { return {"10.0.0." + std::to_string(index), 1}; }
 
   void stop(std::size_t index) {
