Configuration: watch the store by two nodes a zone, relay deltas and confirmations to the rest

Each node polled the object API. Now the first two nodes of each zone's rendezvous order watch it (src/config/store_watcher) and the others learn by announcements and delta transfers over UDP (src/config/relay); confirmations of the store travel with their age (src/config/vouching), and a node whose newest one is older than config-vouch-term-ms says so in its answers, or refuses. The object API stand-in gets watches with bookmarks and 410, and counts them.

Ruled out: pushing whole bundles (bytes), signing entry digests in place of the text (a second canonical form to keep right; the text patch is checked by the signature over the text itself).

--- /dev/null
+++ b/src/config/download.cc
@@ -0,0 +1,96 @@
+#include "config/download.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace calicodrift::config {
+
+Download::Download(BundleVersion version, BundleDigest target, BundleDigest base,
+                   const Endpoint& source)
+    : version_(version), target_(target), base_(base), sources_{source} {}
+
+void Download::addSource(const Endpoint& source) {
+  const bool known = std::find(sources_.begin(), sources_.end(), source) != sources_.end();
+  if (!known && sources_.size() < kMaxSources) {
+    sources_.push_back(source);
+  }
+}
+
+void Download::take(const Piece& piece) {
+  const bool usable = piece.target == target_ && piece.index < piece.count &&
+                      piece.count <= kMaxPieces && (piece.base == base_ || piece.base.value() == 0);
+  if (!usable) {
+    return;
+  }
+  if (piece.base != base_) {
+    restartWhole();
+  }
+  if (pieces_.empty()) {
+    pieces_.resize(piece.count);
+  }
+  if (pieces_.size() != piece.count || pieces_[piece.index]) {
+    return;
+  }
+  pieces_[piece.index] = piece.bytes;
+  tries_ = 0;
+}
+
+bool Download::complete() const {
+  return !pieces_.empty() && missing().empty();
+}
+
+std::string Download::bytes() const {
+  std::string all;
+  for (const std::optional<std::string>& piece : pieces_) {
+    all += *piece;
+  }
+  return all;
+}
+
+void Download::restartWhole() {
+  base_ = BundleDigest();
+  pieces_.clear();
+  asked_.clear();
+}
+
+std::vector<std::uint16_t> Download::missing() const {
+  std::vector<std::uint16_t> indexes;
+  if (pieces_.empty()) {
+    indexes.resize(kWindow);
+    std::iota(indexes.begin(), indexes.end(), std::uint16_t{0});
+    return indexes;
+  }
+  for (std::size_t index = 0; index < pieces_.size() && indexes.size() < kWindow; ++index) {
+    if (!pieces_[index]) {
+      indexes.push_back(static_cast<std::uint16_t>(index));
+    }
+  }
+  return indexes;
+}
+
+bool Download::windowArrived() const {
+  return std::all_of(asked_.begin(), asked_.end(), [this](std::uint16_t index) {
+    return !pieces_.empty() && (index >= pieces_.size() || pieces_[index]);
+  });
+}
+
+std::optional<Download::Request> Download::nextRequest(MonotonicTime now) {
+  const bool waiting = !asked_.empty() && !windowArrived();
+  if (waiting) {
+    if (now - askedAt_ < kAnswerTimeout * (1 << tries_)) {
+      return std::nullopt;
+    }
+    if (++tries_ >= kTriesPerSource) {
+      sources_.pop_front();
+      tries_ = 0;
+    }
+  }
+  if (sources_.empty()) {
+    return std::nullopt;
+  }
+  asked_ = missing();
+  askedAt_ = now;
+  return Request{sources_.front(), PieceRequest{target_, base_, asked_}};
+}
+
+}  // namespace calicodrift::config
--- /dev/null
+++ b/src/config/store_watcher.cc
@@ -0,0 +1,156 @@
+#include "config/store_watcher.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace calicodrift::config {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+constexpr std::string_view kBundleKind = "bundles";
+constexpr std::string_view kBundleName = "current";
+/// For the directory to fill after a start.
+constexpr Milliseconds kShortestStartPause{500};
+constexpr Milliseconds kLongestStartPause{1500};
+constexpr Milliseconds kFirstBackoff{100};
+constexpr Milliseconds kLongestBackoff{4000};
+constexpr std::size_t kMaxBackoffDoublings = 6;
+/// Between two looks at the roster by a node that is no watcher.
+constexpr Milliseconds kRosterPause{250};
+
+}  // namespace
+
+StoreWatcher::StoreWatcher(asio::any_io_executor executor, StoreWatcherSettings settings,
+                           http::Client& client, Roster& roster, BundleHolder& holder,
+                           Vouching& vouching, ConfigMetrics& metrics,
+                           std::function<void()> onAdopted)
+    : executor_(std::move(executor)),
+      settings_(std::move(settings)),
+      client_(client),
+      roster_(roster),
+      holder_(holder),
+      vouching_(vouching),
+      metrics_(metrics),
+      onAdopted_(std::move(onAdopted)),
+      random_(settings_.seed) {}
+
+void StoreWatcher::start() {
+  if (!settings_.objectApi.empty()) {
+    asio::co_spawn(executor_, run(), asio::detached);
+  }
+}
+
+awaitable<void> StoreWatcher::run() {
+  if (settings_.joinsPeers) {
+    co_await pause(kShortestStartPause, kLongestStartPause);
+  }
+  for (;;) {
+    roster_.refresh(monotonicNow());
+    metrics_.setWatcher(roster_.isWatcher());
+    if (!roster_.isWatcher()) {
+      seen_ = platform::ResourceVersion();
+      co_await pause(kRosterPause, kRosterPause);
+      continue;
+    }
+    const bool answered = co_await watchOnce();
+    if (answered) {
+      failures_ = 0;
+      continue;
+    }
+    const std::size_t doublings = std::min(failures_, kMaxBackoffDoublings);
+    ++failures_;
+    const Milliseconds longest = std::min(kFirstBackoff * (1 << doublings), kLongestBackoff);
+    co_await pause(longest / 2, longest);
+  }
+}
+
+awaitable<void> StoreWatcher::pause(Milliseconds shortest, Milliseconds longest) {
+  std::uniform_int_distribution<std::int64_t> length(shortest.count(), longest.count());
+  asio::steady_timer timer(executor_, Milliseconds(length(random_)));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+const Endpoint& StoreWatcher::endpoint() const {
+  return settings_.objectApi[failures_ % settings_.objectApi.size()];
+}
+
+awaitable<bool> StoreWatcher::watchOnce() {
+  const MonotonicTime readAt = monotonicNow();
+  const BundleVersion versionThen = holder_.version();
+  platform::ObjectApiClient store(client_, endpoint());
+  auto watch = co_await store.watch(std::string(kBundleKind), std::string(kBundleName), seen_,
+                                    settings_.watchDuration);
+  if (!watch) {
+    const bool compacted = watch.error().kind == ErrorKind::kVersionConflict;
+    metrics_.countStoreRead(compacted ? "compacted" : "unavailable");
+    seen_ = platform::ResourceVersion();
+    // The next watch starts from the object as it is now.
+    co_return compacted;
+  }
+  metrics_.countStoreRead("ok");
+  for (;;) {
+    auto event = co_await watch.value()->next();
+    if (!event) {
+      metrics_.countStoreRead("unavailable");
+      co_return false;
+    }
+    if (!event.value()) {
+      co_return true;
+    }
+    const platform::WatchEvent& content = *event.value();
+    seen_ = content.object.version;
+    if (content.kind == platform::WatchEvent::Kind::kModified) {
+      takeObject(content.object);
+    } else {
+      takeBookmark(readAt, versionThen);
+    }
+  }
+}
+
+void StoreWatcher::takeObject(const platform::StoredObject& object) {
+  storeDigest_ = BundleDigest();
+  const Result<bundle::SignedBundle> signedBundle = bundle::signedBundleFromJson(object.spec);
+  if (!signedBundle) {
+    metrics_.countRejected(BundleSource::kStore, signedBundle.error().kind);
+    return;
+  }
+  const BundleDigest before = holder_.digest();
+  const Result<void> adopted = holder_.adopt(signedBundle.value());
+  if (adopted) {
+    storeVersion_ = holder_.version();
+    storeDigest_ = holder_.digest();
+    if (storeDigest_ != before) {
+      metrics_.countAdopted(BundleSource::kStore);
+      onAdopted_();
+    }
+    return;
+  }
+  if (adopted.error().kind != ErrorKind::kVersionConflict) {
+    metrics_.countRejected(BundleSource::kStore, adopted.error().kind);
+    return;
+  }
+  const Result<bundle::Bundle> older = bundle::parseBundle(signedBundle.value().text);
+  if (older) {
+    storeVersion_ = older.value().version;
+    storeDigest_ = digestOf(signedBundle.value().text);
+  }
+}
+
+void StoreWatcher::takeBookmark(MonotonicTime readAt, BundleVersion versionThen) {
+  if (storeDigest_.value() == 0) {
+    return;
+  }
+  if (storeVersion_ < versionThen) {
+    // Versions never go back; the store was restored to an older state. Nothing is confirmed then.
+    metrics_.countStoreBehind();
+    return;
+  }
+  if (holder_.contradicts(storeVersion_, storeDigest_)) {
+    metrics_.countContradiction();
+    return;
+  }
+  vouching_.confirm(storeVersion_, storeDigest_, readAt);
+}
+
+}  // namespace calicodrift::config
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -62,6 +62,8 @@
 inline constexpr std::string_view kExpectedWeightsHeader = "X-Engine-Expected-Weights";
 inline constexpr std::string_view kIncarnationHeader = "X-Engine-Incarnation";
 inline constexpr std::string_view kWeightsHeader = "X-Engine-Weights";
+inline constexpr std::string_view kConfigVersionHeader = "X-Config-Version";
+inline constexpr std::string_view kConfigVouchedHeader = "X-Config-Vouched";
 inline constexpr std::string_view kCacheSaltHeader = "X-Engine-Cache-Salt";
 
 Response jsonResponse(unsigned status, std::string body);
--- a/src/platform/object_api.cc
+++ b/src/platform/object_api.cc
@@ -22,24 +22,62 @@
   const std::string detail = "the object API answered " + std::to_string(response.status);
   constexpr unsigned kNotFoundStatus = 404;
   constexpr unsigned kConflictStatus = 409;
+  constexpr unsigned kGoneStatus = 410;
   if (response.status == kNotFoundStatus) {
     return fail(ErrorKind::kNotFound, detail);
   }
   if (response.status == kConflictStatus) {
     return fail(ErrorKind::kVersionConflict, "the stored version is another one: " + response.body);
   }
+  if (response.status == kGoneStatus) {
+    return fail(ErrorKind::kVersionConflict, "the store's history no longer reaches back so far");
+  }
   return fail(ErrorKind::kStoreUnavailable, detail);
 }
 
+json::object toObject(const StoredObject& object) {
+  json::object metadata{{"name", object.name},
+                        {"resourceVersion", std::to_string(object.version.value())}};
+  return json::object{{"kind", object.kind}, {"metadata", metadata}, {"spec", object.spec}};
+}
+
+constexpr std::string_view kModifiedType = "MODIFIED";
+constexpr std::string_view kBookmarkType = "BOOKMARK";
+
 }  // namespace
 
 std::string toJson(const StoredObject& object) {
-  json::object metadata{{"name", object.name},
-                        {"resourceVersion", std::to_string(object.version.value())}};
-  json::object document{{"kind", object.kind}, {"metadata", metadata}, {"spec", object.spec}};
+  return json::serialize(toObject(object));
+}
+
+std::string toJson(const WatchEvent& event) {
+  const bool modified = event.kind == WatchEvent::Kind::kModified;
+  const json::object document{{"type", modified ? kModifiedType : kBookmarkType},
+                              {"object", toObject(event.object)}};
   return json::serialize(document);
 }
 
+Result<WatchEvent> watchEventFromJson(std::string_view text) {
+  json::error_code code;
+  const json::value document = json::parse(text, code);
+  const json::object* fields = code ? nullptr : document.if_object();
+  const json::value* type = fields == nullptr ? nullptr : fields->if_contains("type");
+  const json::value* object = fields == nullptr ? nullptr : fields->if_contains("object");
+  const bool known =
+      type != nullptr && type->is_string() &&
+      (type->get_string() == kModifiedType || type->get_string() == kBookmarkType);
+  if (!known || object == nullptr) {
+    return fail(ErrorKind::kProtocolViolation, "a watch event lacks its type or object");
+  }
+  Result<StoredObject> stored = storedObjectFromJson(json::serialize(*object));
+  if (!stored) {
+    return stored.error();
+  }
+  const bool modified = type->get_string() == kModifiedType;
+  return WatchEvent{modified ? WatchEvent::Kind::kModified : WatchEvent::Kind::kBookmark,
+                    std::move(stored.value())};
+}
+
 Result<StoredObject> storedObjectFromJson(std::string_view text) {
   json::error_code code;
   const json::value document = json::parse(text, code);
@@ -94,4 +132,45 @@
   co_return storedObjectFromJson(response.value().body);
 }
 
+boost::asio::awaitable<Result<std::unique_ptr<ObjectWatch>>> ObjectApiClient::watch(
+    std::string kind, std::string name, ResourceVersion since, Milliseconds duration) {
+  http::Request request;
+  request.target = objectPath(kind, name) +
+                   "?watch=1&resourceVersion=" + std::to_string(since.value()) +
+                   "&timeoutMs=" + std::to_string(duration.count());
+  http::ExchangeOptions options = storeOptions();
+  options.bodyTimeout = duration + options.headerTimeout;
+  auto opened = co_await client_.open(endpoint_, request, options);
+  if (!opened) {
+    co_return fail(ErrorKind::kStoreUnavailable, opened.error().detail);
+  }
+  if (opened.value()->head().status != 200) {
+    co_return storeError(opened.value()->head());
+  }
+  co_return std::make_unique<ObjectWatch>(std::move(opened.value()));
+}
+
+boost::asio::awaitable<Result<std::optional<WatchEvent>>> ObjectWatch::next() {
+  for (;;) {
+    const std::size_t end = buffer_.find('\n');
+    if (end != std::string::npos) {
+      const std::string line = buffer_.substr(0, end);
+      buffer_.erase(0, end + 1);
+      Result<WatchEvent> event = watchEventFromJson(line);
+      if (!event) {
+        co_return event.error();
+      }
+      co_return std::optional<WatchEvent>(std::move(event.value()));
+    }
+    Result<std::string> piece = co_await stream_->read();
+    if (!piece) {
+      co_return fail(ErrorKind::kStoreUnavailable, piece.error().detail);
+    }
+    if (piece.value().empty()) {
+      co_return std::optional<WatchEvent>();
+    }
+    buffer_ += piece.value();
+  }
+}
+
 }  // namespace calicodrift::platform
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -4,7 +4,7 @@
 #include <boost/json.hpp>
 
 #include "log/log.h"
-#include "platform/object_api.h"
+#include "router/config_header_writer.h"
 #include "router/member_status.h"
 
 namespace calicodrift::router {
@@ -13,8 +13,6 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 using asio::awaitable;
-constexpr std::string_view kBundleKind = "bundles";
-constexpr std::string_view kBundleName = "current";
 constexpr std::string_view kOrderLease = "orders";
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -47,6 +45,20 @@
   return rollout;
 }
 
+config::ConfigurationSettings configurationSettings(const NodeSettings& settings) {
+  config::ConfigurationSettings configuration;
+  configuration.store.objectApi = settings.objectApi;
+  configuration.store.watchDuration = settings.storePollInterval;
+  configuration.store.joinsPeers = !settings.seeds.empty();
+  configuration.store.seed =
+      hashPair(hashBytes(settings.nodeId),
+               static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count()));
+  configuration.vouchTerm = settings.configVouchTerm;
+  const auto action = config::parseUnvouchedAction(settings.configUnvouchedAction);
+  configuration.unvouchedAction = action ? action.value() : config::UnvouchedAction::kServe;
+  return configuration;
+}
+
 }  // namespace
 
 Node::Node(asio::io_context& context, NodeSettings settings, bundle::SigningRule signingRule)
@@ -59,8 +71,7 @@
       limitsMetrics_(registry_),
       policies_(hashBytes(settings_.nodeId)),
       backends_([this](const BackendId& id, BackendLoss loss) { onBackendLost(id, loss); }),
-      bundle_(std::move(signingRule),
-              [this](const bundle::Bundle& bundle) { onBundleAdopted(bundle); }),
+      signingRule_(std::move(signingRule)),
       discovery_(context.get_executor(), settings_, client_, backends_),
       route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_, nullptr},
       completions_(route_),
@@ -86,7 +97,6 @@
   Result<Endpoint> endpoint = server_.listen(settings_.listen);
   if (endpoint) {
     discovery_.start();
-    asio::co_spawn(context_, pollStore(), asio::detached);
     orderLease_.start();
     orders_.start();
   }
@@ -100,6 +110,11 @@
   orderCandidacy_.emplace(control_->membership(), std::string(kOrderLease),
                           static_cast<std::size_t>(settings_.orderLeaseCandidates));
   asio::co_spawn(context_, runControl(), asio::detached);
+  configuration_ = std::make_unique<config::Configuration>(
+      context_.get_executor(), configurationSettings(settings_), signingRule_, peers_,
+      control_->membership(), client_, registry_,
+      [this](const bundle::Bundle& bundle) { onBundleAdopted(bundle); });
+  configuration_->start();
 }
 
 awaitable<void> Node::runControl() {
@@ -170,22 +185,21 @@
     co_await http::respond(writer, handleAdmin(request));
     co_return;
   }
-  std::optional<Error> refusal;
+  ConfigHeaderWriter marking(writer, *configuration_);
+  std::optional<Error> refusal = configuration_->refusal();
   if (draining_) {
     refusal = fail(ErrorKind::kDraining, "this router is stopping");
-  } else if (!bundle_.current()) {
-    refusal = fail(ErrorKind::kNoConfiguration, "no signed bundle has arrived yet");
   }
   if (refusal) {
     metrics_.countError(refusal->kind);
-    co_await http::respond(writer, http::errorResponse(*refusal));
+    co_await http::respond(marking, http::errorResponse(*refusal));
     co_return;
   }
-  co_await handleWork(request, writer);
+  co_await handleWork(request, marking);
 }
 
 awaitable<void> Node::handleWork(http::Request& request, http::ResponseWriter& writer) {
-  const std::shared_ptr<const bundle::Bundle> bundle = bundle_.current();
+  const std::shared_ptr<const bundle::Bundle> bundle = configuration_->current();
   const std::string path(request.path());
   if (path == "/v1/models" && request.method == "GET") {
     co_await http::respond(writer, listModels());
@@ -223,7 +237,8 @@
     return readiness();
   }
   if (request.path() == "/admin/bundle") {
-    return bundleStatus();
+    return http::jsonResponse(200,
+                              configuration_->statusJson(settings_.nodeId, settings_.zone));
   }
   if (request.path() == "/admin/members") {
     return memberStatus(control_->membership());
@@ -250,52 +265,21 @@
   if (draining_) {
     return http::textResponse(kStatusUnavailable, "draining\n");
   }
-  if (!bundle_.current()) {
-    return http::textResponse(kStatusUnavailable, "no bundle yet\n");
+  if (const std::optional<Error> refusal = configuration_->refusal()) {
+    return http::textResponse(kStatusUnavailable, refusal->detail + "\n");
   }
   return http::textResponse(200, "ready\n");
 }
 
-http::Response Node::bundleStatus() const {
-  const std::uint64_t version = bundle_.current() ? bundle_.current()->version.value() : 0;
-  const json::object status{
-      {"node", settings_.nodeId}, {"zone", settings_.zone}, {"bundle_version", version}};
-  return http::jsonResponse(200, json::serialize(status));
-}
-
 http::Response Node::listModels() const {
   json::array models;
-  for (const bundle::Model& model : bundle_.current()->models) {
+  for (const bundle::Model& model : configuration_->current()->models) {
     models.push_back(json::object{{"id", model.id.value()}, {"object", "model"}});
   }
   const json::object body{{"object", "list"}, {"data", models}};
   return http::jsonResponse(200, json::serialize(body));
 }
 
-awaitable<void> Node::pollStore() {
-  asio::steady_timer timer(context_);
-  for (;;) {
-    for (const Endpoint& endpoint : settings_.objectApi) {
-      platform::ObjectApiClient store(client_, endpoint);
-      Result<platform::StoredObject> object =
-          co_await store.get(std::string(kBundleKind), std::string(kBundleName));
-      if (!object) {
-        continue;
-      }
-      Result<bundle::SignedBundle> signedBundle = bundle::signedBundleFromJson(object.value().spec);
-      if (signedBundle) {
-        const Result<void> adopted = bundle_.adopt(signedBundle.value());
-        if (!adopted && adopted.error().kind != ErrorKind::kVersionConflict) {
-          metrics_.countError(adopted.error().kind);
-        }
-      }
-      break;
-    }
-    timer.expires_after(settings_.storePollInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-}
-
 bool Node::mayAcquireOrderLease() {
   return !draining_ && orderCandidacy_ && orderCandidacy_->check(monotonicNow());
 }
@@ -310,7 +294,7 @@
     }
     return known;
   };
-  return {[this] { return bundle_.current(); }, engines};
+  return {[this] { return configuration_->current(); }, engines};
 }
 
 void Node::onBundleAdopted(const bundle::Bundle& bundle) {
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 
+#include "config/configuration.h"
 #include "control/control_plane.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -14,7 +15,6 @@
 #include "orders/order_driver.h"
 #include "peer/udp_transport.h"
 #include "router/backend_table.h"
-#include "router/bundle_holder.h"
 #include "router/completion_handler.h"
 #include "router/discovery.h"
 #include "router/metrics.h"
@@ -45,15 +45,13 @@
   http::Response handleAdmin(const http::Request& request);
   http::Response drainOnRequest(const http::Request& request);
   http::Response readiness() const;
-  http::Response bundleStatus() const;
   http::Response listModels() const;
-  /// Starts membership once the peer endpoint is known.
+  /// Starts membership and configuration once the peer endpoint is known.
   void startControl();
   boost::asio::awaitable<void> runControl();
   /// Starts the tenant limits once the peer endpoint is known.
   void startLimits();
   boost::asio::awaitable<void> runLimits();
-  boost::asio::awaitable<void> pollStore();
   boost::asio::awaitable<void> waitForLastRequest();
   bool mayAcquireOrderLease();
   orders::OrderSources orderSources();
@@ -73,7 +71,9 @@
   std::unique_ptr<limits::Limiter> limiter_;
   PolicySet policies_;
   BackendTable backends_;
-  BundleHolder bundle_;
+  bundle::SigningRule signingRule_;
+  /// Made by start(), as it needs the membership.
+  std::unique_ptr<config::Configuration> configuration_;
   Discovery discovery_;
   RouteContext route_;
   CompletionHandler completions_;
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -25,6 +25,9 @@
   std::vector<std::string> trustedSigners;
   std::int64_t requiredSignatures = 0;
   Milliseconds storePollInterval{0};
+  Milliseconds configVouchTerm{0};
+  /// "serve" or "refuse".
+  std::string configUnvouchedAction;
   Milliseconds machineListInterval{0};
   Milliseconds probeInterval{0};
   Milliseconds probeTimeout{0};
--- a/src/router/program.cc
+++ b/src/router/program.cc
@@ -34,6 +34,11 @@
     std::cerr << signers.error().detail << "\n";
     return settings::kExitUsage;
   }
+  const auto action = config::parseUnvouchedAction(given.configUnvouchedAction);
+  if (!action) {
+    std::cerr << action.error().detail << "\n";
+    return settings::kExitUsage;
+  }
   log::initialize(given.nodeId);
   asio::io_context context(1);
   const bundle::SigningRule rule{signers.value(),
--- a/src/sim/object_api_server.h
+++ b/src/sim/object_api_server.h
@@ -2,8 +2,11 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 #include "common/clock.h"
@@ -21,10 +24,18 @@
   std::int64_t loseAnswers = 0;
 };
 
-/// Stand-in of the platform's object API: objects with versions, conditional writes, and faults.
+/// Stand-in of the platform's object API: objects with versions, conditional writes, watches, and
+/// faults. Reads are linearizable: an answer shows every write that was answered before the request.
+///
+/// `GET /api/KIND/NAME?watch=1&resourceVersion=N&timeoutMs=T` answers with JSON lines: the object as
+/// it is now if it changed after N, then a bookmark with the store's version at that moment, then
+/// each change, until T ms have passed. 410 where N is older than the history; N = 0 starts from
+/// the object as it is now, and counts as a read.
 class ObjectApiServer {
  public:
-  ObjectApiServer(const boost::asio::any_io_executor& executor, http::ServerLimits limits);
+  /// @param historyBound how many last changes a watch may resume from.
+  ObjectApiServer(const boost::asio::any_io_executor& executor, http::ServerLimits limits,
+                  std::size_t historyBound);
   Result<Endpoint> listen(const Endpoint& endpoint) { return server_.listen(endpoint); }
 
  private:
@@ -32,11 +43,24 @@
   http::Response getObject(const std::string& key);
   http::Response putObject(const std::string& key, const std::string& body);
   http::Response setFaults(const std::string& body);
+  http::Response stats() const;
+  boost::asio::awaitable<void> serveWatch(http::Request& request, http::ResponseWriter& writer,
+                                          std::string key);
+  /// The line that a watch owes after `seen`, or an empty text.
+  std::string changeAfter(const std::string& key, platform::ResourceVersion seen) const;
+  void wakeWatches();
 
   boost::asio::any_io_executor executor_;
   http::Server server_;
   std::map<std::string, platform::StoredObject> objects_;
   std::uint64_t lastVersion_ = 0;
+  std::size_t historyBound_;
+  /// Versions of the last changes, oldest first.
+  std::deque<std::uint64_t> history_;
+  /// Newest version that the history has lost.
+  std::uint64_t compactedVersion_ = 0;
+  std::set<boost::asio::steady_timer*> watches_;
+  std::uint64_t watchesOpened_ = 0;
   std::uint64_t reads_ = 0;
   std::uint64_t writes_ = 0;
   StoreFaults faults_;
--- a/src/sim/programs.cc
+++ b/src/sim/programs.cc
@@ -124,6 +124,7 @@
   Endpoint objectApiListen;
   Endpoint machineListListen;
   Milliseconds machineListLag{0};
+  std::int64_t objectApiHistory = 0;
 };
 
 SettingsTable<PlatformSettings> platformTable() {
@@ -134,6 +135,9 @@
        &PlatformSettings::machineListListen},
       {{"machine-list-lag-ms", "0", 0, kMinute, "ms", "how far the machine list lags"},
        &PlatformSettings::machineListLag},
+      {{"object-api-history", "1024", 1, kMillion, "count",
+        "last changes that a watch may resume from; older ones are compacted (410)"},
+       &PlatformSettings::objectApiHistory},
   };
 }
 
@@ -260,7 +264,8 @@
                            platformTable())
           .settings;
   asio::io_context context(1);
-  ObjectApiServer objectApi(context.get_executor(), http::ServerLimits{});
+  ObjectApiServer objectApi(context.get_executor(), http::ServerLimits{},
+                            static_cast<std::size_t>(given.objectApiHistory));
   MachineListServer machineList(context.get_executor(), http::ServerLimits{}, given.machineListLag);
   announceOrExit("object-api", objectApi.listen(given.objectApiListen));
   announceOrExit("machine-list", machineList.listen(given.machineListListen));
