--- a/src/config/bundle_holder.cc
+++ b/src/config/bundle_holder.cc
@@ -38,9 +38,8 @@
 }
 
 const std::string* BundleHolder::earlierText(BundleDigest digest) const {
-  const auto found = std::find_if(earlier_.begin(), earlier_.end(), [digest](const Earlier& item) {
-    return item.digest == digest;
-  });
+  const auto found = std::find_if(earlier_.begin(), earlier_.end(),
+                                  [digest](const Earlier& item) { return item.digest == digest; });
   return found == earlier_.end() ? nullptr : &found->text;
 }
 
--- a/src/config/download.cc
+++ b/src/config/download.cc
@@ -11,11 +11,20 @@
 
 void Download::addSource(const Endpoint& source) {
   const bool known = std::find(sources_.begin(), sources_.end(), source) != sources_.end();
-  if (!known && sources_.size() < kMaxSources) {
-    sources_.push_back(source);
+  if (known) {
+    return;
+  }
+  sources_.push_front(source);
+  if (sources_.size() > kMaxSources) {
+    sources_.pop_back();
   }
 }
 
+void Download::dropSource() {
+  sources_.pop_front();
+  tries_ = 0;
+}
+
 void Download::take(const Piece& piece) {
   const bool usable = piece.target == target_ && piece.index < piece.count &&
                       piece.count <= kMaxPieces && (piece.base == base_ || piece.base.value() == 0);
@@ -80,9 +89,9 @@
     if (now - askedAt_ < kAnswerTimeout * (1 << tries_)) {
       return std::nullopt;
     }
-    if (++tries_ >= kTriesPerSource) {
-      sources_.pop_front();
-      tries_ = 0;
+    ++tries_;
+    if (sources_.size() > 1 || tries_ >= kTriesOfLastSource) {
+      dropSource();
     }
   }
   if (sources_.empty()) {
--- a/src/config/download.h
+++ b/src/config/download.h
@@ -23,7 +23,8 @@
   BundleVersion version() const { return version_; }
   BundleDigest target() const { return target_; }
   BundleDigest base() const { return base_; }
-  /// Another peer that has the target in force.
+  /// Another peer that has the target in force; the one heard of last is asked first, as it is
+  /// the most likely to be alive.
   void addSource(const Endpoint& source);
   /// Takes a piece of this transfer; others are ignored.
   void take(const Piece& piece);
@@ -32,6 +33,9 @@
   std::string bytes() const;
   /// Starts anew for the whole text: the delta was of no use.
   void restartWhole();
+  /// The peer that is asked now.
+  const Endpoint& source() const { return sources_.front(); }
+  void dropSource();
 
   struct Request {
     Endpoint to;
@@ -50,9 +54,9 @@
   static constexpr std::size_t kWindow = 16;
   static constexpr std::size_t kMaxSources = 8;
   static constexpr std::size_t kMaxPieces = kMaxTextBytes / kPieceBytes;
-  /// Unanswered requests to one source before the next is asked.
-  static constexpr int kTriesPerSource = 3;
-  /// First wait for an answer; doubles with each try.
+  /// Unanswered requests to the last source left; the others are given up after one.
+  static constexpr int kTriesOfLastSource = 3;
+  /// First wait for an answer; doubles with each try of the same source.
   static constexpr Milliseconds kAnswerTimeout{250};
 
   BundleVersion version_;
--- a/src/config/relay.cc
+++ b/src/config/relay.cc
@@ -15,7 +15,7 @@
 constexpr Milliseconds kLongestAnswer{5000};
 /// A node without a bundle asks so many peers at once.
 constexpr std::size_t kFreshNodeQuestions = 3;
-constexpr Milliseconds kRefusedFor{60'000};
+constexpr Milliseconds kRefusedFor{10'000};
 constexpr std::size_t kMaxRefused = 64;
 constexpr std::array<std::string_view, 5> kMessageNames{"query", "reply", "announcement", "request",
                                                         "piece"};
@@ -67,8 +67,8 @@
   }
   roster_.refresh(now);
   const Announcement announcement{holder_.version(), holder_.digest()};
-  for (const Endpoint& peer : roster_.chooseAnnounced(settings_.announcedInZone,
-                                                      settings_.announcedElsewhere, random_)) {
+  for (const Endpoint& peer :
+       roster_.chooseAnnounced(settings_.announcedInZone, settings_.announcedElsewhere, random_)) {
     send(peer, announcement);
   }
 }
@@ -144,7 +144,7 @@
     }
     return;
   }
-  const auto refused = refused_.find(digest);
+  const auto refused = refused_.find({digest, from});
   if (refused != refused_.end() && now < refused->second) {
     return;
   }
@@ -272,8 +272,10 @@
   if (refused_.size() >= kMaxRefused) {
     refused_.clear();
   }
-  refused_[download_->target()] = now + kRefusedFor;
-  download_.reset();
+  refused_[{download_->target(), download_->source()}] = now + kRefusedFor;
+  download_->dropSource();
+  download_->restartWhole();
+  continueDownload(now);
 }
 
 }  // namespace calicodrift::config
--- a/src/config/relay.h
+++ b/src/config/relay.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "common/clock.h"
 #include "config/bundle_holder.h"
@@ -75,8 +76,9 @@
   std::mt19937_64 random_;
   BundleDigest announced_;
   std::optional<Download> download_;
-  /// Whole texts that failed the verification, and until when they are not fetched again.
-  std::map<BundleDigest, MonotonicTime> refused_;
+  /// Peers whose text under a digest failed the verification, and until when it is not fetched
+  /// from them again. Others may have the same text with better signatures.
+  std::map<std::pair<BundleDigest, Endpoint>, MonotonicTime> refused_;
   std::map<BundleDigest, std::string> transfers_;
   std::unordered_map<std::uint64_t, MonotonicTime> askedAt_;
   MonotonicTime nextQuery_{};
--- /dev/null
+++ b/src/config/store_view.cc
@@ -0,0 +1,54 @@
+#include "config/store_view.h"
+
+namespace calicodrift::config {
+
+StoreView::StoreView(BundleHolder& holder, Vouching& vouching, ConfigMetrics& metrics,
+                     Listener onAdopted)
+    : holder_(holder), vouching_(vouching), metrics_(metrics), onAdopted_(std::move(onAdopted)) {}
+
+void StoreView::takeObject(const platform::StoredObject& object) {
+  storeDigest_ = BundleDigest();
+  const Result<bundle::SignedBundle> signedBundle = bundle::signedBundleFromJson(object.spec);
+  if (!signedBundle) {
+    metrics_.countRejected(BundleSource::kStore, signedBundle.error().kind);
+    return;
+  }
+  const BundleDigest before = holder_.digest();
+  const Result<void> adopted = holder_.adopt(signedBundle.value());
+  if (adopted) {
+    storeVersion_ = holder_.version();
+    storeDigest_ = holder_.digest();
+    if (storeDigest_ != before) {
+      metrics_.countAdopted(BundleSource::kStore);
+      onAdopted_();
+    }
+    return;
+  }
+  if (adopted.error().kind != ErrorKind::kVersionConflict) {
+    metrics_.countRejected(BundleSource::kStore, adopted.error().kind);
+    return;
+  }
+  const Result<bundle::Bundle> older = bundle::parseBundle(signedBundle.value().text);
+  if (older) {
+    storeVersion_ = older.value().version;
+    storeDigest_ = digestOf(signedBundle.value().text);
+  }
+}
+
+void StoreView::takeBookmark(MonotonicTime readAt, BundleVersion versionThen) {
+  if (storeDigest_.value() == 0) {
+    return;
+  }
+  if (storeVersion_ < versionThen) {
+    // Versions never go back; the store was restored to an older state. Nothing is confirmed then.
+    metrics_.countStoreBehind();
+    return;
+  }
+  if (holder_.contradicts(storeVersion_, storeDigest_)) {
+    metrics_.countContradiction();
+    return;
+  }
+  vouching_.confirm(storeVersion_, storeDigest_, readAt);
+}
+
+}  // namespace calicodrift::config
--- a/src/config/store_watcher.cc
+++ b/src/config/store_watcher.cc
@@ -24,15 +24,14 @@
 StoreWatcher::StoreWatcher(asio::any_io_executor executor, StoreWatcherSettings settings,
                            http::Client& client, Roster& roster, BundleHolder& holder,
                            Vouching& vouching, ConfigMetrics& metrics,
-                           std::function<void()> onAdopted)
+                           StoreView::Listener onAdopted)
     : executor_(std::move(executor)),
       settings_(std::move(settings)),
       client_(client),
       roster_(roster),
       holder_(holder),
-      vouching_(vouching),
       metrics_(metrics),
-      onAdopted_(std::move(onAdopted)),
+      view_(holder, vouching, metrics, std::move(onAdopted)),
       random_(settings_.seed) {}
 
 void StoreWatcher::start() {
@@ -101,56 +100,11 @@
     const platform::WatchEvent& content = *event.value();
     seen_ = content.object.version;
     if (content.kind == platform::WatchEvent::Kind::kModified) {
-      takeObject(content.object);
+      view_.takeObject(content.object);
     } else {
-      takeBookmark(readAt, versionThen);
+      view_.takeBookmark(readAt, versionThen);
     }
   }
 }
 
-void StoreWatcher::takeObject(const platform::StoredObject& object) {
-  storeDigest_ = BundleDigest();
-  const Result<bundle::SignedBundle> signedBundle = bundle::signedBundleFromJson(object.spec);
-  if (!signedBundle) {
-    metrics_.countRejected(BundleSource::kStore, signedBundle.error().kind);
-    return;
-  }
-  const BundleDigest before = holder_.digest();
-  const Result<void> adopted = holder_.adopt(signedBundle.value());
-  if (adopted) {
-    storeVersion_ = holder_.version();
-    storeDigest_ = holder_.digest();
-    if (storeDigest_ != before) {
-      metrics_.countAdopted(BundleSource::kStore);
-      onAdopted_();
-    }
-    return;
-  }
-  if (adopted.error().kind != ErrorKind::kVersionConflict) {
-    metrics_.countRejected(BundleSource::kStore, adopted.error().kind);
-    return;
-  }
-  const Result<bundle::Bundle> older = bundle::parseBundle(signedBundle.value().text);
-  if (older) {
-    storeVersion_ = older.value().version;
-    storeDigest_ = digestOf(signedBundle.value().text);
-  }
-}
-
-void StoreWatcher::takeBookmark(MonotonicTime readAt, BundleVersion versionThen) {
-  if (storeDigest_.value() == 0) {
-    return;
-  }
-  if (storeVersion_ < versionThen) {
-    // Versions never go back; the store was restored to an older state. Nothing is confirmed then.
-    metrics_.countStoreBehind();
-    return;
-  }
-  if (holder_.contradicts(storeVersion_, storeDigest_)) {
-    metrics_.countContradiction();
-    return;
-  }
-  vouching_.confirm(storeVersion_, storeDigest_, readAt);
-}
-
 }  // namespace calicodrift::config
--- a/src/config/store_watcher.h
+++ b/src/config/store_watcher.h
@@ -3,13 +3,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
-#include <functional>
 #include <random>
 #include <vector>
 
 #include "config/bundle_holder.h"
 #include "config/metrics.h"
 #include "config/roster.h"
+#include "config/store_view.h"
 #include "config/vouching.h"
 #include "http/client.h"
 #include "platform/object_api.h"
@@ -32,7 +32,7 @@
  public:
   StoreWatcher(boost::asio::any_io_executor executor, StoreWatcherSettings settings,
                http::Client& client, Roster& roster, BundleHolder& holder, Vouching& vouching,
-               ConfigMetrics& metrics, std::function<void()> onAdopted);
+               ConfigMetrics& metrics, StoreView::Listener onAdopted);
 
   void start();
 
@@ -41,9 +41,6 @@
   boost::asio::awaitable<void> pause(Milliseconds shortest, Milliseconds longest);
   /// One watch until its end; false where the store failed.
   boost::asio::awaitable<bool> watchOnce();
-  void takeObject(const platform::StoredObject& object);
-  /// The store's state as of `readAt` is known; `versionThen` was in force here at that moment.
-  void takeBookmark(MonotonicTime readAt, BundleVersion versionThen);
   const Endpoint& endpoint() const;
 
   boost::asio::any_io_executor executor_;
@@ -51,16 +48,12 @@
   http::Client& client_;
   Roster& roster_;
   BundleHolder& holder_;
-  Vouching& vouching_;
   ConfigMetrics& metrics_;
-  std::function<void()> onAdopted_;
+  StoreView view_;
   std::mt19937_64 random_;
   std::size_t failures_ = 0;
   /// How far the store's changes were seen; 0 before the first read.
   platform::ResourceVersion seen_;
-  /// What the store holds; digest 0 where that is no valid bundle.
-  BundleVersion storeVersion_;
-  BundleDigest storeDigest_;
 };
 
 }  // namespace calicodrift::config
--- a/src/platform/object_api.cc
+++ b/src/platform/object_api.cc
@@ -63,9 +63,8 @@
   const json::object* fields = code ? nullptr : document.if_object();
   const json::value* type = fields == nullptr ? nullptr : fields->if_contains("type");
   const json::value* object = fields == nullptr ? nullptr : fields->if_contains("object");
-  const bool known =
-      type != nullptr && type->is_string() &&
-      (type->get_string() == kModifiedType || type->get_string() == kBookmarkType);
+  const bool known = type != nullptr && type->is_string() &&
+                     (type->get_string() == kModifiedType || type->get_string() == kBookmarkType);
   if (!known || object == nullptr) {
     return fail(ErrorKind::kProtocolViolation, "a watch event lacks its type or object");
   }
--- a/src/sim/object_api_server.cc
+++ b/src/sim/object_api_server.cc
@@ -32,9 +32,10 @@
 ObjectApiServer::ObjectApiServer(const boost::asio::any_io_executor& executor,
                                  http::ServerLimits limits, std::size_t historyBound)
     : executor_(executor),
-      server_(executor, limits, [this](http::Request& request, http::ResponseWriter& writer) {
-        return handle(request, writer);
-      }),
+      server_(executor, limits,
+              [this](http::Request& request, http::ResponseWriter& writer) {
+                return handle(request, writer);
+              }),
       historyBound_(historyBound) {}
 
 boost::asio::awaitable<void> ObjectApiServer::handle(http::Request& request,
@@ -120,8 +121,8 @@
   if (found == objects_.end() || found->second.version <= seen) {
     return "";
   }
-  return platform::toJson(platform::WatchEvent{platform::WatchEvent::Kind::kModified,
-                                               found->second}) +
+  return platform::toJson(
+             platform::WatchEvent{platform::WatchEvent::Kind::kModified, found->second}) +
          "\n";
 }
 
--- a/src/sim/object_api_server.h
+++ b/src/sim/object_api_server.h
@@ -25,12 +25,13 @@
 };
 
 /// Stand-in of the platform's object API: objects with versions, conditional writes, watches, and
-/// faults. Reads are linearizable: an answer shows every write that was answered before the request.
+/// faults. Reads are linearizable: an answer shows every write that was answered before the
+/// request.
 ///
-/// `GET /api/KIND/NAME?watch=1&resourceVersion=N&timeoutMs=T` answers with JSON lines: the object as
-/// it is now if it changed after N, then a bookmark with the store's version at that moment, then
-/// each change, until T ms have passed. 410 where N is older than the history; N = 0 starts from
-/// the object as it is now, and counts as a read.
+/// `GET /api/KIND/NAME?watch=1&resourceVersion=N&timeoutMs=T` answers with JSON lines: the object
+/// as it is now if it changed after N, then a bookmark with the store's version at that moment,
+/// then each change, until T ms have passed. 410 where N is older than the history; N = 0 starts
+/// from the object as it is now, and counts as a read.
 class ObjectApiServer {
  public:
   /// @param historyBound how many last changes a watch may resume from.
--- /dev/null
+++ b/tests/config/relay_test.cc
@@ -0,0 +1,241 @@
+#include "config/relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "config/simulated_fleet.h"
+#include "peer/codec.h"
+
+namespace calicodrift::testing {
+namespace {
+
+constexpr std::size_t kNodes = 200;
+constexpr std::size_t kZones = 9;
+constexpr Milliseconds kBound{7000};
+const NetworkFaults kLossy{0.05, 0.02, Milliseconds(1), Milliseconds(40)};
+
+/// 200 nodes in 9 zones that all have version 1 in force and vouch for it.
+struct RunningFleet : SimulatedFleet {
+  RunningFleet() : SimulatedFleet(1, kNodes, kZones, kLossy) {
+    submitVersion(1);
+    BOOST_REQUIRE(runUntilInForce(1, Milliseconds(20'000)) < Milliseconds(20'000));
+    network().run(Milliseconds(10'000));
+    BOOST_REQUIRE_EQUAL(countVouched(), kNodes);
+  }
+  ~RunningFleet() {
+    BOOST_TEST(reverts == 0U);
+    BOOST_TEST(unsignedTexts == 0U);
+    BOOST_TEST(wrongVouches == 0U);
+  }
+  void submitVersion(std::uint64_t version) {
+    submit(signers.sign(largeBundleText(version)), version);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(changesReachEveryNodeAsDeltasDespiteLoss, RunningFleet) {
+  constexpr std::uint64_t kChanges = 10;
+  const std::uint64_t idleBytes = sentBytes;
+  network().run(Milliseconds(10'000));
+  const double idlePerNodeSecond = static_cast<double>(sentBytes - idleBytes) / kNodes / 10;
+  Milliseconds slowest{0};
+  double bytes = 0;
+  double messages = 0;
+  for (std::uint64_t version = 2; version < 2 + kChanges; ++version) {
+    const std::uint64_t bytesBefore = sentBytes;
+    const std::uint64_t messagesBefore = sentMessages;
+    submitVersion(version);
+    const Milliseconds took = runUntilInForce(version, kBound);
+    slowest = std::max(slowest, took);
+    bytes += static_cast<double>(sentBytes - bytesBefore) -
+             idlePerNodeSecond * kNodes * static_cast<double>(took.count()) / 1000;
+    messages += static_cast<double>(sentMessages - messagesBefore);
+    network().run(Milliseconds(3600));
+  }
+  BOOST_TEST_MESSAGE("slowest change: " << slowest.count() << " ms; bytes per change and node: "
+                                        << bytes / kNodes / kChanges
+                                        << "; messages: " << messages / kNodes / kChanges
+                                        << "; idle bytes a second and node: " << idlePerNodeSecond
+                                        << "; whole text: " << largeBundleText(2).size());
+  BOOST_TEST(slowest.count() < 3000);
+  BOOST_TEST(bytes / kNodes / kChanges < 2000);
+  BOOST_TEST(idlePerNodeSecond < 500);
+  // Changes every 3.6 s leave every node's confirmation within the term.
+  BOOST_TEST(countVouched() == kNodes);
+}
+
+BOOST_FIXTURE_TEST_CASE(theDeathOfEveryWatcherDuringAChangeDelaysNobodyBeyondTheBound,
+                        RunningFleet) {
+  const std::vector<std::size_t> dying = watchers();
+  BOOST_REQUIRE_EQUAL(dying.size(), kZones * Roster::kWatchersPerZone);
+  submitVersion(2);
+  for (const std::size_t index : dying) {
+    stop(index);
+  }
+  const Milliseconds took = runUntilInForce(2, kBound);
+  BOOST_TEST_MESSAGE("in force after the watchers' death: " << took.count() << " ms");
+  BOOST_TEST(took.count() < kBound.count());
+  network().run(Milliseconds(10'000));
+  BOOST_TEST(watchers().size() == kZones * Roster::kWatchersPerZone);
+  BOOST_TEST(countVouched() == running());
+}
+
+BOOST_FIXTURE_TEST_CASE(zonesThatAreCutOffStopVouchingAndCatchUpWhenHealed, RunningFleet) {
+  const std::vector<std::size_t> apart{0, 1, 2};
+  cutZones(apart);
+  for (const std::size_t zone : apart) {
+    cutStore(zone);
+  }
+  submitVersion(2);
+  network().run(kTerm + Milliseconds(500));
+  const std::size_t cutOff = kNodes - countInForce(2);
+  BOOST_TEST(cutOff == 68U);
+  BOOST_TEST(countVouched() == kNodes - cutOff);
+  network().healAll();
+  healStore();
+  const Milliseconds took = runUntilInForce(2, kBound);
+  BOOST_TEST_MESSAGE("in force after the cut healed: " << took.count() << " ms");
+  BOOST_TEST(took.count() < kBound.count());
+  network().run(kTerm);
+  BOOST_TEST(countVouched() == kNodes);
+}
+
+BOOST_FIXTURE_TEST_CASE(aHerdRestartWithTheStoreDownTakesTheNewestBundleFromTheSurvivor,
+                        RunningFleet) {
+  submitVersion(2);
+  runUntilInForce(2, kBound);
+  setStoreUp(false);
+  for (std::size_t index = 1; index < kNodes; ++index) {
+    stop(index);
+    start(index);
+  }
+  const Milliseconds took = runUntilInForce(2, Milliseconds(20'000));
+  BOOST_TEST_MESSAGE("in force after 199 of 200 restarted, store down: " << took.count() << " ms");
+  BOOST_TEST(took.count() < kBound.count());
+  network().run(kTerm + Milliseconds(5000));
+  BOOST_TEST(countVouched() == 0U);
+  // The honest limit: when nobody is left who holds a bundle, there is none.
+  for (std::size_t index = 0; index < kNodes; ++index) {
+    stop(index);
+    start(index);
+  }
+  network().run(Milliseconds(5000));
+  BOOST_TEST(countInForce(0) == kNodes);
+  setStoreUp(true);
+  BOOST_TEST(runUntilInForce(2, kBound).count() < kBound.count());
+}
+
+/// A peer that offers a text under a version and digest of its own choice.
+class HostilePeer {
+ public:
+  HostilePeer(SimulatedFleet& fleet, BundleVersion claimed, bundle::SignedBundle offered)
+      : claimed_(claimed), offered_(std::move(offered)) {
+    transport_ = fleet.network().attach(Endpoint{"10.0.0.9", 1});
+    transport_->setReceiver(
+        peer::Channel::kConfig,
+        [this](const Endpoint& from, std::string_view payload) { answer(from, payload); });
+  }
+  void announceTo(const Endpoint& to) { send(to, Announcement{claimed_, digestOf(offered_.text)}); }
+
+ private:
+  void send(const Endpoint& to, const RelayMessage& message) {
+    transport_->send(to, peer::Channel::kConfig, peer::encode(message));
+  }
+  void answer(const Endpoint& from, std::string_view payload) {
+    const auto message = peer::decode<RelayMessage>(payload);
+    const auto* request = message ? std::get_if<PieceRequest>(&message.value()) : nullptr;
+    if (request == nullptr) {
+      return;
+    }
+    Transfer transfer;
+    for (const bundle::Signature& signature : offered_.signatures) {
+      transfer.signatures.push_back({signature.signer, signature.signatureHex});
+    }
+    transfer.patch = makePatch("", offered_.text);
+    const std::string bytes = peer::encode(transfer);
+    const auto count = static_cast<std::uint16_t>((bytes.size() + kPieceBytes - 1) / kPieceBytes);
+    for (const std::uint16_t index : request->indexes) {
+      if (index < count) {
+        send(
+            from,
+            Piece{
+                request->target, {}, index, count, bytes.substr(index * kPieceBytes, kPieceBytes)});
+      }
+    }
+  }
+
+  BundleVersion claimed_;
+  bundle::SignedBundle offered_;
+  std::unique_ptr<peer::Transport> transport_;
+};
+
+/// A run of random changes, restarts, cuts, restored backups and hostile offers. Gives the number
+/// of violations.
+std::uint64_t violationsOf(std::uint64_t seed) {
+  constexpr std::size_t kFew = 12;
+  constexpr std::size_t kFewTenants = 20;
+  SimulatedFleet fleet(seed, kFew, 3, NetworkFaults{0.1, 0.1, Milliseconds(1), Milliseconds(300)});
+  std::vector<bundle::SignedBundle> accepted;
+  const auto submitNext = [&] {
+    const std::uint64_t version = accepted.size() + 1;
+    accepted.push_back(fleet.signers.sign(largeBundleText(version, kFewTenants)));
+    fleet.submit(accepted.back(), version);
+  };
+  submitNext();
+  std::mt19937_64 random(seed);
+  for (int step = 0; step < 40; ++step) {
+    const std::size_t node = random() % kFew;
+    const std::size_t chosen = random() % accepted.size();
+    bundle::SignedBundle offered = accepted[chosen];
+    switch (random() % 8) {
+      case 0:
+      case 1:
+        submitNext();
+        break;
+      case 2:
+        fleet.stop(node);
+        fleet.start(node);
+        break;
+      case 3:
+        fleet.cutZones({random() % 3});
+        break;
+      case 4:
+        fleet.network().healAll();
+        break;
+      case 5:
+        fleet.setStore(accepted[chosen]);
+        break;
+      case 6: {
+        HostilePeer peer(fleet, BundleVersion(accepted.size() + 1), accepted[chosen]);
+        peer.announceTo(fleet.endpointOf(node));
+        fleet.network().run(Milliseconds(3000));
+        break;
+      }
+      default: {
+        offered.text = largeBundleText(accepted.size() + 1, kFewTenants);
+        HostilePeer peer(fleet, BundleVersion(accepted.size() + 1), offered);
+        peer.announceTo(fleet.endpointOf(node));
+        fleet.network().run(Milliseconds(3000));
+        break;
+      }
+    }
+    fleet.network().run(Milliseconds(random() % 2000));
+  }
+  fleet.network().healAll();
+  fleet.setStore(accepted.back());
+  const bool reached =
+      fleet.runUntilInForce(accepted.size(), Milliseconds(20'000)) < Milliseconds(20'000);
+  return fleet.reverts + fleet.unsignedTexts + (reached ? 0 : 1);
+}
+
+BOOST_AUTO_TEST_CASE(noScheduleMakesANodeRevertOrAdoptAnUnsignedBundle) {
+  constexpr std::uint64_t kSchedules = 150;
+  std::uint64_t violations = 0;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    const std::uint64_t found = violationsOf(seed);
+    BOOST_TEST(found == 0U, "seed " << seed << ": " << found << " violations");
+    violations += found;
+  }
+  BOOST_TEST_MESSAGE(kSchedules << " random schedules, violations: " << violations);
+}
+
+}  // namespace
+}  // namespace calicodrift::testing
