Configuration: successors read the store while the watchers' deaths are not yet noticed

With a membership that takes 8 s to notice a death, the watchers' successors would have come too late. Now the next four of a zone's order read the store, one after another, once no confirmation has come for half of the vouch term.

--- a/src/config/configuration.cc
+++ b/src/config/configuration.cc
@@ -35,7 +35,7 @@
       metrics_(registry),
       holder_(std::move(rule), std::move(listener)),
       vouching_(settings.vouchTerm, holder_),
-      roster_(directory),
+      roster_(directory, settings.watchersPerZone),
       relay_(settings.relay, transport, roster_, holder_, vouching_, metrics_, settings.store.seed),
       watcher_(executor_, settings.store, client, roster_, holder_, vouching_, metrics_,
                [this] { relay_.announceIfNew(monotonicNow()); }) {}
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -26,6 +26,7 @@
 struct ConfigurationSettings {
   StoreWatcherSettings store;
   RelaySettings relay;
+  std::size_t watchersPerZone = 2;
   /// How old the store's newest confirmation may be.
   Milliseconds vouchTerm{7000};
   UnvouchedAction unvouchedAction = UnvouchedAction::kServe;
--- a/src/config/roster.cc
+++ b/src/config/roster.cc
@@ -74,7 +74,7 @@
       rank_ = static_cast<std::size_t>(
           std::distance(nodes.begin(), std::lower_bound(nodes.begin(), nodes.end(), own)));
     } else {
-      const std::size_t kept = std::min(kWatchersPerZone, nodes.size());
+      const std::size_t kept = std::min(watchersPerZone_, nodes.size());
       std::partial_sort(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(kept),
                         nodes.end());
       nodes.resize(kept);
@@ -92,7 +92,7 @@
     return foreignWatchers_[randomIndex(foreignWatchers_.size(), random)];
   }
   const std::size_t ahead =
-      std::clamp(rank_ / kTreeFanout, std::min(kWatchersPerZone, zone_.size()), zone_.size());
+      std::clamp(rank_ / kTreeFanout, std::min(watchersPerZone_, zone_.size()), zone_.size());
   if (ahead == 0) {
     return std::nullopt;
   }
--- a/src/config/roster.h
+++ b/src/config/roster.h
@@ -13,20 +13,21 @@
 /// The fleet as the relay needs it: this node's zone in rendezvous order, and the others. Read from
 /// the directory once a second, as its answer is long at thousands of nodes.
 ///
-/// The first kWatchersPerZone nodes of the order read the store. Nodes whose beliefs about who is
-/// alive differ may both read it, which does no harm; when a watcher dies, the next in the order
-/// takes over as soon as it believes so. The rest take confirmations from nodes ahead of them in
-/// the order, so that these travel down a tree that heals by itself.
+/// The first few nodes of the order read the store (see StoreView::shouldRead). Nodes whose beliefs
+/// about who is alive differ may both read it, which does no harm. The rest take confirmations from
+/// nodes ahead of them in the order, so that these travel down a tree that heals by itself.
 class Roster {
  public:
-  static constexpr std::size_t kWatchersPerZone = 2;
-
-  explicit Roster(const peer::PeerDirectory& directory) : directory_(directory) {}
+  /// @param watchersPerZone how many nodes of each zone read the store; the same on every node.
+  Roster(const peer::PeerDirectory& directory, std::size_t watchersPerZone)
+      : directory_(directory), watchersPerZone_(watchersPerZone) {}
 
   /// Reads the directory where the last reading is too old.
   void refresh(MonotonicTime now);
-  bool isWatcher() const { return rank_ < kWatchersPerZone; }
-  bool alone() const { return peers_.empty(); }
+  bool isWatcher() const { return rank_ < watchersPerZone_; }
+  /// How many nodes stand between the watchers and this one; 0 for a watcher and for the first
+  /// successor.
+  std::size_t successorRank() const { return isWatcher() ? 0 : rank_ - watchersPerZone_; }
 
   /// A node to take confirmations from: one ahead in the zone's order, or for the watchers and for
   /// a small share of the time a watcher of another zone.
@@ -39,6 +40,7 @@
 
  private:
   const peer::PeerDirectory& directory_;
+  std::size_t watchersPerZone_;
   std::optional<MonotonicTime> readAt_;
   /// Number of nodes of this zone before this one in the order.
   std::size_t rank_ = 0;
--- a/src/config/store_view.cc
+++ b/src/config/store_view.cc
@@ -2,9 +2,27 @@
 
 namespace calicodrift::config {
 
-StoreView::StoreView(BundleHolder& holder, Vouching& vouching, ConfigMetrics& metrics,
-                     Listener onAdopted)
-    : holder_(holder), vouching_(vouching), metrics_(metrics), onAdopted_(std::move(onAdopted)) {}
+StoreView::StoreView(const Roster& roster, BundleHolder& holder, Vouching& vouching,
+                     ConfigMetrics& metrics, Listener onAdopted)
+    : roster_(roster),
+      holder_(holder),
+      vouching_(vouching),
+      metrics_(metrics),
+      onAdopted_(std::move(onAdopted)) {}
+
+bool StoreView::shouldRead(MonotonicTime now) {
+  if (!firstAsked_) {
+    firstAsked_ = now;
+  }
+  if (roster_.isWatcher()) {
+    return true;
+  }
+  const std::size_t rank = roster_.successorRank();
+  const Milliseconds silence =
+      vouching_.age(now).value_or(std::chrono::floor<Milliseconds>(now - *firstAsked_));
+  return rank < kSuccessors &&
+         silence > vouching_.term() / 2 + kSuccessorStep * static_cast<std::int64_t>(rank);
+}
 
 void StoreView::takeObject(const platform::StoredObject& object) {
   storeDigest_ = BundleDigest();
--- a/src/config/store_watcher.cc
+++ b/src/config/store_watcher.cc
@@ -31,7 +31,7 @@
       roster_(roster),
       holder_(holder),
       metrics_(metrics),
-      view_(holder, vouching, metrics, std::move(onAdopted)),
+      view_(roster, holder, vouching, metrics, std::move(onAdopted)),
       random_(settings_.seed) {}
 
 void StoreWatcher::start() {
@@ -46,8 +46,9 @@
   }
   for (;;) {
     roster_.refresh(monotonicNow());
-    metrics_.setWatcher(roster_.isWatcher());
-    if (!roster_.isWatcher()) {
+    const bool reads = view_.shouldRead(monotonicNow());
+    metrics_.setWatcher(reads);
+    if (!reads) {
       seen_ = platform::ResourceVersion();
       co_await pause(kRosterPause, kRosterPause);
       continue;
--- a/src/config/store_watcher.h
+++ b/src/config/store_watcher.h
@@ -26,7 +26,7 @@
   std::uint64_t seed = 0;
 };
 
-/// Watches the bundle in the store while the roster makes this node a watcher of its zone. Writes
+/// Watches the bundle in the store while StoreView::shouldRead() says so. Writes
 /// nothing, so that two nodes that both believe to be the watcher do no harm.
 class StoreWatcher {
  public:
--- a/src/config/vouching.h
+++ b/src/config/vouching.h
@@ -26,6 +26,7 @@
   /// A newer bundle is in force, so a confirmation that waited for it may count.
   void onAdopted();
 
+  Milliseconds term() const { return term_; }
   bool vouched(MonotonicTime now) const;
   /// Age of the newest confirmation, or nothing where there was none.
   std::optional<Milliseconds> age(MonotonicTime now) const;
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -53,6 +53,7 @@
   configuration.store.seed =
       hashPair(hashBytes(settings.nodeId),
                static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count()));
+  configuration.watchersPerZone = static_cast<std::size_t>(settings.configWatchersPerZone);
   configuration.vouchTerm = settings.configVouchTerm;
   const auto action = config::parseUnvouchedAction(settings.configUnvouchedAction);
   configuration.unvouchedAction = action ? action.value() : config::UnvouchedAction::kServe;
--- a/src/router/node_settings.h
+++ b/src/router/node_settings.h
@@ -25,6 +25,7 @@
   std::vector<std::string> trustedSigners;
   std::int64_t requiredSignatures = 0;
   Milliseconds storePollInterval{0};
+  std::int64_t configWatchersPerZone = 0;
   Milliseconds configVouchTerm{0};
   /// "serve" or "refuse".
   std::string configUnvouchedAction;
--- a/tests/config/relay_test.cc
+++ b/tests/config/relay_test.cc
@@ -65,7 +65,7 @@
 BOOST_FIXTURE_TEST_CASE(theDeathOfEveryWatcherDuringAChangeDelaysNobodyBeyondTheBound,
                         RunningFleet) {
   const std::vector<std::size_t> dying = watchers();
-  BOOST_REQUIRE_EQUAL(dying.size(), kZones * Roster::kWatchersPerZone);
+  BOOST_REQUIRE_EQUAL(dying.size(), kZones * SimulatedFleet::kWatchersPerZone);
   submitVersion(2);
   for (const std::size_t index : dying) {
     stop(index);
@@ -74,7 +74,7 @@
   BOOST_TEST_MESSAGE("in force after the watchers' death: " << took.count() << " ms");
   BOOST_TEST(took.count() < kBound.count());
   network().run(Milliseconds(10'000));
-  BOOST_TEST(watchers().size() == kZones * Roster::kWatchersPerZone);
+  BOOST_TEST(watchers().size() == kZones * SimulatedFleet::kWatchersPerZone);
   BOOST_TEST(countVouched() == running());
 }
 
--- a/tests/config/simulated_fleet.h
+++ b/tests/config/simulated_fleet.h
@@ -24,7 +24,8 @@
   static constexpr Milliseconds kTick{100};
   static constexpr Milliseconds kWatch{1000};
   /// How long the membership takes to notice a death.
-  static constexpr Milliseconds kDetection{2000};
+  static constexpr Milliseconds kDetection{8000};
+  static constexpr std::size_t kWatchersPerZone = 2;
 
   SimulatedFleet(std::uint64_t seed, std::size_t nodes, std::size_t zones, NetworkFaults faults)
       : network_(seed), zones_(zones) {
@@ -184,9 +185,9 @@
                    fleet.noteAdoption(*this, adopted);
                  }),
           vouching(kTerm, holder),
-          roster(directory),
+          roster(directory, kWatchersPerZone),
           relay({}, transport, roster, holder, vouching, metrics, fleet.network_.random()()),
-          view(holder, vouching, metrics,
+          view(roster, holder, vouching, metrics,
                [this, &fleet] { relay.announceIfNew(fleet.network_.now()); }) {
       transport.setReceiver(peer::Channel::kConfig,
                             [this, &fleet](const Endpoint& from, std::string_view payload) {
@@ -247,7 +248,7 @@
 
   void watchNow(std::size_t index) {
     const Slot& slot = slots_[index];
-    const bool reads = storeUp_ && slot.node && slot.node->roster.isWatcher() &&
+    const bool reads = storeUp_ && slot.node && slot.node->view.shouldRead(network_.now()) &&
                        !cutFromStore_.contains(index % zones_) && store_.version.value() > 0;
     if (!reads) {
       return;
