--- a/src/bundle/bundle.cc
+++ b/src/bundle/bundle.cc
@@ -235,15 +235,17 @@
   return found == services.end() ? nullptr : &*found;
 }
 
-Result<Bundle> parseBundle(std::string_view text) {
+BundleReading readBundle(std::string_view text) {
+  BundleReading reading;
   json::error_code code;
   const json::value document = json::parse(text, code);
   if (code) {
-    return fail(ErrorKind::kBundleInvalid, "the bundle is not JSON: " + code.message());
+    reading.problems.push_back("$ is not JSON: " + code.message());
+    return reading;
   }
-  std::vector<std::string> problems;
+  std::vector<std::string>& problems = reading.problems;
   ObjectReader reader(document, "$", problems);
-  Bundle bundle;
+  Bundle& bundle = reading.bundle;
   const std::int64_t largest = std::numeric_limits<std::int64_t>::max();
   bundle.version =
       BundleVersion(static_cast<std::uint64_t>(reader.number("version", 1, largest, {})));
@@ -260,11 +262,16 @@
       bundle.models, "models", [](const Model& item) { return item.id.value(); }, problems);
   checkUnique(
       bundle.services, "services", [](const Service& item) { return item.name; }, problems);
-  if (problems.empty()) {
-    return bundle;
+  return reading;
+}
+
+Result<Bundle> parseBundle(std::string_view text) {
+  BundleReading reading = readBundle(text);
+  if (reading.problems.empty()) {
+    return std::move(reading.bundle);
   }
   std::string detail;
-  for (const std::string& problem : problems) {
+  for (const std::string& problem : reading.problems) {
     detail += (detail.empty() ? "" : "\n") + problem;
   }
   return fail(ErrorKind::kBundleInvalid, detail);
--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -77,6 +77,15 @@
   const Service* findService(std::string_view path) const;
 };
 
+/// A bundle with everything that is wrong with its text, each with its JSON path; the parts that
+/// are wrong hold defaults.
+struct BundleReading {
+  Bundle bundle;
+  std::vector<std::string> problems;
+};
+
+BundleReading readBundle(std::string_view text);
+
 /// Parses and checks the JSON text of a bundle. Fails with kBundleInvalid; the detail names every
 /// wrong place by its JSON path, one a line, with what belongs there.
 Result<Bundle> parseBundle(std::string_view text);
--- a/src/bundle/signature.h
+++ b/src/bundle/signature.h
@@ -10,6 +10,10 @@
 
 namespace calicodrift::bundle {
 
+/// Kind and name of the object in the platform's store that holds the accepted bundle.
+inline constexpr std::string_view kStoreKind = "bundles";
+inline constexpr std::string_view kStoreName = "current";
+
 /// One signer's Ed25519 signature over the bundle's exact text.
 struct Signature {
   std::string signer;
--- a/src/config/relay.cc
+++ b/src/config/relay.cc
@@ -85,6 +85,11 @@
   unanswered_ = repeat ? unanswered_ + 1 : 0;
   nextQuery_ = now + (repeat ? kRepeatInterval : settings_.queryInterval);
   if (!holder_.current()) {
+    if (roster_.alone()) {
+      // The first peer is asked as soon as it is known.
+      nextQuery_ = now;
+      unanswered_ = 0;
+    }
     for (const Endpoint& peer : roster_.chooseAny(kFreshNodeQuestions, random_)) {
       sendQuery(peer, now);
     }
--- a/src/config/roster.cc
+++ b/src/config/roster.cc
@@ -47,7 +47,8 @@
 }  // namespace
 
 void Roster::refresh(MonotonicTime now) {
-  if (readAt_ && now - *readAt_ < kReadInterval) {
+  // A node that has just started learns of its peers at any moment.
+  if (readAt_ && now - *readAt_ < kReadInterval && !peers_.empty()) {
     return;
   }
   readAt_ = now;
--- a/src/config/roster.h
+++ b/src/config/roster.h
@@ -25,6 +25,8 @@
   /// Reads the directory where the last reading is too old.
   void refresh(MonotonicTime now);
   bool isWatcher() const { return rank_ < watchersPerZone_; }
+  /// No peer is known.
+  bool alone() const { return peers_.empty(); }
   /// How many nodes stand between the watchers and this one; 0 for a watcher and for the first
   /// successor.
   std::size_t successorRank() const { return isWatcher() ? 0 : rank_ - watchersPerZone_; }
--- a/src/config/store_watcher.cc
+++ b/src/config/store_watcher.cc
@@ -8,8 +8,6 @@
 
 namespace asio = boost::asio;
 using asio::awaitable;
-constexpr std::string_view kBundleKind = "bundles";
-constexpr std::string_view kBundleName = "current";
 /// For the directory to fill after a start.
 constexpr Milliseconds kShortestStartPause{500};
 constexpr Milliseconds kLongestStartPause{1500};
@@ -79,8 +77,9 @@
   const MonotonicTime readAt = monotonicNow();
   const BundleVersion versionThen = holder_.version();
   platform::ObjectApiClient store(client_, endpoint());
-  auto watch = co_await store.watch(std::string(kBundleKind), std::string(kBundleName), seen_,
-                                    settings_.watchDuration);
+  auto watch =
+      co_await store.watch(std::string(bundle::kStoreKind), std::string(bundle::kStoreName), seen_,
+                           settings_.watchDuration);
   if (!watch) {
     const bool compacted = watch.error().kind == ErrorKind::kVersionConflict;
     metrics_.countStoreRead(compacted ? "compacted" : "unavailable");
--- a/src/ctl/bundle_commands.cc
+++ b/src/ctl/bundle_commands.cc
@@ -1,20 +1,19 @@
 #include "ctl/bundle_commands.h"
 
-#include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <set>
 
+#include "bundle/difference.h"
+#include "bundle/review.h"
 #include "bundle/signature.h"
+#include "ctl/bundle_status.h"
+#include "ctl/bundle_submit.h"
 #include "ctl/command_support.h"
-#include "http/client.h"
-#include "platform/object_api.h"
+#include "routing/policy.h"
 
 namespace calicodrift::ctl {
 namespace {
 
-using boost::asio::awaitable;
-constexpr std::string_view kBundleKind = "bundles";
-constexpr std::string_view kBundleName = "current";
-
 /// A file with a signed bundle, or with a plain one, which then has no signatures.
 Result<bundle::SignedBundle> readBundleFile(const std::string& file) {
   Result<std::string> text = readFile(file);
@@ -28,71 +27,47 @@
   return bundle::SignedBundle{text.value(), {}};
 }
 
-awaitable<Result<std::string>> submit(http::Client& client, Endpoint endpoint,
-                                      bundle::SignedBundle signedBundle, bundle::Bundle parsed) {
-  platform::ObjectApiClient store(client, endpoint);
-  const std::string kind(kBundleKind);
-  const std::string name(kBundleName);
-  Result<platform::StoredObject> current = co_await store.get(kind, name);
-  if (!current && current.error().kind != ErrorKind::kNotFound) {
-    co_return current.error();
-  }
-  platform::StoredObject object{kind, name, {}, bundle::toJson(signedBundle)};
-  if (current) {
-    object.version = current.value().version;
-    Result<bundle::SignedBundle> stored = bundle::signedBundleFromJson(current.value().spec);
-    Result<bundle::Bundle> storedBundle =
-        stored ? bundle::parseBundle(stored.value().text) : stored.error();
-    if (storedBundle && storedBundle.value().version >= parsed.version) {
-      co_return fail(ErrorKind::kVersionConflict,
-                     "version " + std::to_string(storedBundle.value().version.value()) +
-                         " is stored already; base the change on it and raise the version");
-    }
-  }
-  const std::string accepted = "accepted version " + std::to_string(parsed.version.value()) + "\n";
-  Result<platform::StoredObject> written = co_await store.put(object);
-  if (written) {
-    co_return accepted;
-  }
-  if (written.error().kind != ErrorKind::kOutcomeUnknown) {
-    co_return written.error();
-  }
-  // The answer was lost: what the store holds now tells whether the write took effect.
-  Result<platform::StoredObject> readBack = co_await store.get(kind, name);
-  if (!readBack) {
-    co_return written.error();
-  }
-  if (readBack.value().spec == object.spec) {
-    co_return accepted;
-  }
-  co_return fail(ErrorKind::kVersionConflict, "the write did not take effect; another one did");
+/// The bundle of a text that has no problem, neither for a node nor for a reviewer.
+Result<bundle::Bundle> checkText(const std::string& text) {
+  const bundle::BundleReading reading = bundle::readBundle(text);
+  std::vector<std::string> problems = reading.problems;
+  const std::vector<std::string> review =
+      bundle::reviewBundle(reading.bundle, routing::policyNames());
+  problems.insert(problems.end(), review.begin(), review.end());
+  if (problems.empty()) {
+    return reading.bundle;
+  }
+  std::string detail;
+  for (const std::string& problem : problems) {
+    detail += (detail.empty() ? "" : "\n") + problem;
+  }
+  return fail(ErrorKind::kBundleInvalid, detail);
 }
 
-awaitable<Result<std::string>> status(http::Client& client, const CtlSettings& settings) {
-  std::string table = "router                 bundle version\n";
-  boost::json::array rows;
-  for (const Endpoint& router : settings.routers) {
-    http::Request request;
-    request.target = "/admin/bundle";
-    http::ExchangeOptions options;
-    options.headerTimeout = Milliseconds(3000);
-    Result<http::Response> response = co_await client.exchange(router, request, options);
-    std::string version = "unreachable";
-    if (response && response.value().status == 200) {
-      const boost::json::value body = boost::json::parse(response.value().body);
-      version = boost::json::serialize(body.at("bundle_version"));
+/// Checks the signatures against the trusted signers, or only counts them where none are given.
+Result<void> checkSignatures(const CtlSettings& settings,
+                             const bundle::SignedBundle& signedBundle) {
+  const auto required = static_cast<std::size_t>(settings.requiredSignatures);
+  if (!settings.trustedSigners.empty()) {
+    Result<std::vector<bundle::TrustedSigner>> signers =
+        bundle::parseTrustedSigners(settings.trustedSigners);
+    if (!signers) {
+      return signers.error();
     }
-    rows.push_back(boost::json::object{{"router", router.toString()}, {"version", version}});
-    table += router.toString() + "  " + version + "\n";
+    const Result<bundle::Bundle> verified =
+        bundle::verify(signedBundle, {signers.value(), required});
+    return verified ? Result<void>(boost::outcome_v2::success()) : verified.error();
   }
-  co_return settings.json ? boost::json::serialize(rows) + "\n" : table;
-}
-
-Result<Endpoint> storeOf(const CtlSettings& settings) {
-  if (settings.objectApi.empty()) {
-    return fail(ErrorKind::kSettingsInvalid, "give --object-api ADDRESS:PORT");
+  std::set<std::string> names;
+  for (const bundle::Signature& signature : signedBundle.signatures) {
+    names.insert(signature.signer);
   }
-  return settings.objectApi.front();
+  if (names.size() < required) {
+    return fail(ErrorKind::kSignatureInvalid,
+                std::to_string(names.size()) + " of " + std::to_string(required) +
+                    " required signatures are there; use 'bundle sign'");
+  }
+  return boost::outcome_v2::success();
 }
 
 }  // namespace
@@ -102,13 +77,39 @@
   if (!signedBundle) {
     return signedBundle.error();
   }
-  Result<bundle::Bundle> parsed = bundle::parseBundle(signedBundle.value().text);
+  Result<bundle::Bundle> parsed = checkText(signedBundle.value().text);
   if (!parsed) {
     return parsed.error();
   }
   return "version " + std::to_string(parsed.value().version.value()) + " is valid\n";
 }
 
+Result<std::string> diffBundles(const CtlSettings& settings, const std::string& before,
+                                const std::string& after) {
+  Result<bundle::SignedBundle> first = readBundleFile(before);
+  Result<bundle::SignedBundle> second = readBundleFile(after);
+  if (!first || !second) {
+    return first ? second.error() : first.error();
+  }
+  const auto differences = bundle::findDifferences(first.value().text, second.value().text);
+  if (!differences) {
+    return differences.error();
+  }
+  boost::json::array items;
+  std::string lines;
+  for (const bundle::Difference& difference : differences.value()) {
+    const bool added = difference.before.empty();
+    const bool removed = difference.after.empty();
+    const std::string sign = added ? "+ " : (removed ? "- " : "~ ");
+    const std::string change = added || removed ? difference.before + difference.after
+                                                : difference.before + " -> " + difference.after;
+    lines += sign + difference.path + ": " + change + "\n";
+    items.push_back(boost::json::object{
+        {"path", difference.path}, {"before", difference.before}, {"after", difference.after}});
+  }
+  return settings.json ? boost::json::serialize(items) + "\n" : lines;
+}
+
 Result<std::string> makeKey(const CtlSettings& settings) {
   if (settings.keyFile.empty()) {
     return fail(ErrorKind::kSettingsInvalid, "give --key-file FILE for the private key");
@@ -130,7 +131,7 @@
   if (!signedBundle || !key) {
     return signedBundle ? key.error() : signedBundle.error();
   }
-  Result<bundle::Bundle> parsed = bundle::parseBundle(signedBundle.value().text);
+  Result<bundle::Bundle> parsed = checkText(signedBundle.value().text);
   if (!parsed) {
     return parsed.error();
   }
@@ -146,21 +147,28 @@
 }
 
 Result<std::string> submitBundle(const CtlSettings& settings, const std::string& file) {
-  Result<Endpoint> store = storeOf(settings);
   Result<bundle::SignedBundle> signedBundle = readBundleFile(file);
-  if (!store || !signedBundle) {
-    return store ? signedBundle.error() : store.error();
+  if (settings.objectApi.empty() || !signedBundle) {
+    return signedBundle ? fail(ErrorKind::kSettingsInvalid, "give --object-api ADDRESS:PORT")
+                        : signedBundle.error();
   }
-  Result<bundle::Bundle> parsed = bundle::parseBundle(signedBundle.value().text);
+  Result<bundle::Bundle> parsed = checkText(signedBundle.value().text);
   if (!parsed) {
     return parsed.error();
   }
+  const Result<void> signedWell = checkSignatures(settings, signedBundle.value());
+  if (!signedWell) {
+    return signedWell.error();
+  }
   return runToEnd([&](http::Client& client) {
-    return submit(client, store.value(), signedBundle.value(), parsed.value());
+    return submit(client, settings, signedBundle.value(), parsed.value().version);
   });
 }
 
 Result<std::string> bundleStatus(const CtlSettings& settings) {
+  if (settings.routers.empty()) {
+    return fail(ErrorKind::kSettingsInvalid, "give --routers ADDRESS:PORT,...");
+  }
   return runToEnd([&](http::Client& client) { return status(client, settings); });
 }
 
--- a/src/ctl/bundle_commands.h
+++ b/src/ctl/bundle_commands.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "common/clock.h"
 #include "common/endpoint.h"
 #include "common/error.h"
 
@@ -17,11 +18,21 @@
   std::string output;
   std::string model;
   std::int64_t weightsVersion = 0;
+  std::vector<std::string> trustedSigners;
+  std::int64_t requiredSignatures = 0;
+  /// 0: don't wait.
+  std::int64_t waitVersion = 0;
+  Milliseconds timeout{0};
   bool json = false;
 };
 
 /// Each command returns the text to print. Errors carry the remedy.
+
+/// Names everything wrong with a bundle by its JSON path.
 Result<std::string> checkBundle(const std::string& file);
+/// What changes from one bundle to the other.
+Result<std::string> diffBundles(const CtlSettings& settings, const std::string& before,
+                                const std::string& after);
 /// Makes a key pair: the private key goes into `settings.keyFile`, the public one is printed.
 Result<std::string> makeKey(const CtlSettings& settings);
 /// Adds a signature by `settings.signer`; `file` holds a bundle or a signed bundle.
--- a/src/ctl/command_support.cc
+++ b/src/ctl/command_support.cc
@@ -42,4 +42,10 @@
   return outcome;
 }
 
+asio::awaitable<void> pauseFor(Milliseconds duration) {
+  const auto executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
 }  // namespace calicodrift::ctl
--- a/src/ctl/command_support.h
+++ b/src/ctl/command_support.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include "common/clock.h"
 #include "common/error.h"
 #include "http/client.h"
 
@@ -19,4 +20,6 @@
 Result<std::string> runToEnd(
     const std::function<boost::asio::awaitable<Result<std::string>>(http::Client&)>& command);
 
+boost::asio::awaitable<void> pauseFor(Milliseconds duration);
+
 }  // namespace calicodrift::ctl
--- a/src/ctl/program.cc
+++ b/src/ctl/program.cc
@@ -11,7 +11,8 @@
 
 constexpr std::string_view kSummary =
     "Operator's command line of calicodrift. Commands: "
-    "key make | bundle check FILE | bundle sign FILE | bundle submit FILE | bundle status | "
+    "key make | bundle check FILE | bundle diff FILE FILE | bundle sign FILE | "
+    "bundle submit FILE | bundle status | "
     "engine load-version FILE | node drain";
 
 constexpr std::int64_t kLargestVersion = 1'000'000'000'000;
@@ -28,6 +29,15 @@
       {{"model", "", 0, 0, "", "model whose weights change"}, &CtlSettings::model},
       {{"weights-version", "0", 0, kLargestVersion, "", "version that the model is to load"},
        &CtlSettings::weightsVersion},
+      {{"trusted-signers", "", 0, 0, "",
+        "NAME=PUBLIC_KEY_HEX of each person who may sign; submit verifies with them"},
+       &CtlSettings::trustedSigners},
+      {{"required-signatures", "2", 1, 16, "count", "different signers that submit asks for"},
+       &CtlSettings::requiredSignatures},
+      {{"wait-version", "0", 0, kLargestVersion, "version",
+        "bundle status: wait until it is in force on all routers; 0: don't wait"},
+       &CtlSettings::waitVersion},
+      {{"timeout-ms", "10000", 1, 3'600'000, "ms", "longest wait"}, &CtlSettings::timeout},
       {{"json", "false", 0, 0, "", "print JSON in place of tables"}, &CtlSettings::json},
   };
 }
@@ -48,13 +58,18 @@
   if (group == "engine" && action == "load-version") {
     return proposeWeights(settings, file);
   }
-  const bool known = action == "check" || action == "sign" || action == "submit";
+  const bool known =
+      action == "check" || action == "diff" || action == "sign" || action == "submit";
   if (group != "bundle" || !known) {
     return fail(ErrorKind::kSettingsInvalid, "unknown command; see --help");
   }
   if (file.empty()) {
     return fail(ErrorKind::kSettingsInvalid, "name the bundle's file");
   }
+  if (action == "diff") {
+    const std::string other = words.size() > 3 ? words[3] : "";
+    return diffBundles(settings, file, other);
+  }
   if (action == "check") {
     return checkBundle(file);
   }
