--- a/src/bundle/review.cc
+++ b/src/bundle/review.cc
@@ -29,10 +29,13 @@
                 const std::vector<std::string_view>& policies, std::vector<std::string>& problems) {
   for (std::size_t index = 0; index < rule.arms.size(); ++index) {
     const std::string& name = rule.arms[index].policy;
-    if (std::find(policies.begin(), policies.end(), name) == policies.end()) {
-      problems.push_back(path + ".arms[" + std::to_string(index) + "].policy names '" + name +
-                         "', which is no policy; the policies are " + joined(policies));
+    if (std::find(policies.begin(), policies.end(), name) != policies.end()) {
+      continue;
     }
+    std::string problem = path + ".arms[" + std::to_string(index) + "].policy names '";
+    problem += name + "', which is no policy; the policies are ";
+    problem += joined(policies);
+    problems.push_back(problem);
   }
 }
 
--- a/src/ctl/bundle_commands.cc
+++ b/src/ctl/bundle_commands.cc
@@ -103,7 +103,9 @@
     const std::string sign = added ? "+ " : (removed ? "- " : "~ ");
     const std::string change = added || removed ? difference.before + difference.after
                                                 : difference.before + " -> " + difference.after;
-    lines += sign + difference.path + ": " + change + "\n";
+    lines += sign;
+    lines += difference.path + ": ";
+    lines += change + "\n";
     items.push_back(boost::json::object{
         {"path", difference.path}, {"before", difference.before}, {"after", difference.after}});
   }
