--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -238,8 +238,7 @@
     return readiness();
   }
   if (request.path() == "/admin/bundle") {
-    return http::jsonResponse(200,
-                              configuration_->statusJson(settings_.nodeId, settings_.zone));
+    return http::jsonResponse(200, configuration_->statusJson(settings_.nodeId, settings_.zone));
   }
   if (request.path() == "/admin/members") {
     return memberStatus(control_->membership());
