--- a/tests/config/relay_test.cc
+++ b/tests/config/relay_test.cc
@@ -268,8 +268,7 @@
   }
   fleet.network().healAll();
   fleet.setStore(accepted.back());
-  const bool reached =
-      fleet.runUntilInForce(accepted.size(), Milliseconds(20'000)) < Milliseconds(20'000);
+  const bool reached = fleet.runUntilInForce(accepted.size(), kBound) < kBound;
   return fleet.reverts + fleet.unacceptedTexts + (reached ? 0 : 1);
 }
 
