--- a/tests/integration/limits_test.cc
+++ b/tests/integration/limits_test.cc
@@ -7,6 +7,7 @@
 #include "limits/owner_view.h"
 #include "peer/directory.h"
 #include "support/fleet.h"
+#include "support/repeated_calls.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -28,51 +29,11 @@
   std::vector<peer::PeerInfo> nodes;
 };
 
-/// What the callers of one tenant met.
-struct Tally {
-  std::size_t accepted = 0;
-  std::size_t refused = 0;
-  /// Neither accepted nor refused by the rate limit in due form.
-  std::size_t wrong = 0;
-  std::vector<double> refusalMs;
-  double seconds = 0;
-
-  void add(const Result<http::Response>& answer, double milliseconds) {
-    if (answer && answer.value().status == 200U) {
-      ++accepted;
-      return;
-    }
-    const bool limited = answer && answer.value().status == 429U &&
-                         answer.value().headers.get(http::kErrorKindHeader) == "rate_limited" &&
-                         answer.value().headers.get(http::kRunHeader) == "no" &&
-                         !answer.value().headers.get("Retry-After").empty();
-    if (limited) {
-      ++refused;
-      refusalMs.push_back(milliseconds);
-    } else {
-      ++wrong;
-    }
-  }
-  double refusalAt(double part) {
-    std::sort(refusalMs.begin(), refusalMs.end());
-    return refusalMs.at(static_cast<std::size_t>(static_cast<double>(refusalMs.size() - 1) * part));
-  }
-};
-
-/// One caller that asks again and again with a pause, whatever the answers.
-asio::awaitable<void> callRepeatedly(http::Client& client, Endpoint router, std::string key,
-                                     Milliseconds pause, MonotonicTime end, Tally& tally) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  while (monotonicNow() < end) {
-    http::Request request;
-    request.target = "/registry/package";
-    request.headers.set("Authorization", "Bearer " + key);
-    const MonotonicTime sent = monotonicNow();
-    const Result<http::Response> answer = co_await client.exchange(router, request);
-    tally.add(answer, toMilliseconds(monotonicNow() - sent));
-    timer.expires_after(pause);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
+http::Request readBy(const std::string& key) {
+  http::Request request;
+  request.target = "/registry/package";
+  request.headers.set("Authorization", "Bearer " + key);
+  return request;
 }
 
 struct LimitedFleet {
@@ -123,16 +84,14 @@
   }
 
   static unsigned ask(const Process& router, const std::string& key) {
-    http::Request request;
-    request.target = "/registry/package";
-    request.headers.set("Authorization", "Bearer " + key);
-    const auto answer = exchange(router.endpoint("router"), request);
+    const auto answer = exchange(router.endpoint("router"), readBy(key));
     return answer ? answer.value().status : 0;
   }
 
   /// The large tenant asks about five times its limit through every live router, the small one a
   /// few times a second.
-  void hammer(Milliseconds duration, Tally& large, Tally& small) {
+  /// @return seconds that it took.
+  double hammer(Milliseconds duration, Tally& large, Tally& small) {
     asio::io_context context(1);
     http::Client client(context.get_executor());
     const MonotonicTime begin = monotonicNow();
@@ -144,16 +103,18 @@
       const Endpoint endpoint = router->endpoint("router");
       for (int caller = 0; caller < 3; ++caller) {
         asio::co_spawn(context,
-                       callRepeatedly(client, endpoint, kLargeKey, Milliseconds(30), end, large),
+                       callRepeatedly(client, endpoint, readBy(kLargeKey), Milliseconds(30), begin,
+                                      end, large),
                        asio::detached);
       }
-      asio::co_spawn(context,
-                     callRepeatedly(client, endpoint, kSmallKey, Milliseconds(100), end, small),
-                     asio::detached);
+      asio::co_spawn(
+          context,
+          callRepeatedly(client, endpoint, readBy(kSmallKey), Milliseconds(100), begin, end, small),
+          asio::detached);
     }
     context.run();
     constexpr double kMsPerSecond = 1000.0;
-    large.seconds = toMilliseconds(monotonicNow() - begin) / kMsPerSecond;
+    return toMilliseconds(monotonicNow() - begin) / kMsPerSecond;
   }
 
   Process& ownerOfLarge() {
@@ -181,45 +142,46 @@
 };
 
 /// Checks one phase against the stated bound: limit x (1 + k/n) over its time, and the burst.
-void checkPhase(const std::string& name, Tally& large, const Tally& small, double withoutLease) {
+void checkPhase(const std::string& name, double seconds, const Tally& large, const Tally& small,
+                double withoutLease) {
   const double nodes = kRouters;
-  const double bound = kLimit * (1 + withoutLease / nodes) * large.seconds + kBurst;
-  BOOST_REQUIRE(!large.refusalMs.empty());
-  BOOST_TEST_MESSAGE(name << ": accepted " << large.accepted << " in " << large.seconds
-                          << " s (bound " << bound << "), refused " << large.refused
-                          << ", refusal ms p50 " << large.refusalAt(0.5) << " p99 "
-                          << large.refusalAt(0.99) << "; small accepted " << small.accepted
-                          << ", refused " << small.refused);
-  BOOST_TEST(static_cast<double>(large.accepted) <= bound);
-  const auto asked = static_cast<double>(large.accepted + large.refused);
-  BOOST_TEST(static_cast<double>(large.accepted) > std::min(kLimit * large.seconds, asked) / 2);
+  const double bound = kLimit * (1 + withoutLease / nodes) * seconds + kBurst;
+  BOOST_REQUIRE(!large.refusedMs.empty());
+  BOOST_TEST_MESSAGE(name << ": accepted " << large.completed << " in " << seconds << " s (bound "
+                          << bound << "), refused " << large.refused << ", refusal ms p50 "
+                          << sampleAt(large.refusedMs, 0.5) << " p99 "
+                          << sampleAt(large.refusedMs, 0.99) << "; small accepted "
+                          << small.completed << ", refused " << small.refused);
+  BOOST_TEST(static_cast<double>(large.completed) <= bound);
+  const auto asked = static_cast<double>(large.completed + large.refused);
+  BOOST_TEST(static_cast<double>(large.completed) > std::min(kLimit * seconds, asked) / 2);
   BOOST_TEST(large.wrong == 0U);
   // A few ms here; the bound leaves room for a busy machine, far from any deadline.
   constexpr double kAtOnceMs = 100;
-  BOOST_TEST(large.refusalAt(0.5) < kAtOnceMs);
+  BOOST_TEST(sampleAt(large.refusedMs, 0.5) < kAtOnceMs);
   BOOST_TEST(small.refused + small.wrong == 0U);
-  BOOST_TEST(small.accepted > 0U);
+  BOOST_TEST(small.completed > 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(aTenantLimitHoldsOverThreeRoutersAndTheDeathOfItsOwner, LimitedFleet) {
   Tally large;
   Tally small;
-  hammer(Milliseconds(8000), large, small);
-  checkPhase("three routers", large, small, 0);
+  double seconds = hammer(Milliseconds(8000), large, small);
+  checkPhase("three routers", seconds, large, small, 0);
 
   ownerOfLarge().killAtOnce();
   Tally largeAfter;
   Tally smallAfter;
-  hammer(Milliseconds(8000), largeAfter, smallAfter);
+  seconds = hammer(Milliseconds(8000), largeAfter, smallAfter);
   // On a busy machine one of the two may lose its lease before the death is noticed.
-  checkPhase("owner killed", largeAfter, smallAfter, 1);
+  checkPhase("owner killed", seconds, largeAfter, smallAfter, 1);
 
   // What the dead node held is handed out again.
   Tally largeLater;
   Tally smallLater;
-  hammer(Milliseconds(4000), largeLater, smallLater);
-  checkPhase("later", largeLater, smallLater, 1);
-  BOOST_TEST(static_cast<double>(largeLater.accepted) > kLimit * largeLater.seconds * 0.7);
+  seconds = hammer(Milliseconds(4000), largeLater, smallLater);
+  checkPhase("later", seconds, largeLater, smallLater, 1);
+  BOOST_TEST(static_cast<double>(largeLater.completed) > kLimit * seconds * 0.7);
 }
 
 }  // namespace
--- a/tests/integration/overload_test.cc
+++ b/tests/integration/overload_test.cc
@@ -1,8 +1,8 @@
-#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "support/fleet.h"
+#include "support/repeated_calls.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -11,55 +11,13 @@
 
 const std::string kLargeKey = "large-key";
 const std::string kSmallKey = "small-key";
+constexpr double kMedian = 0.5;
 
-/// What the callers of one tenant met.
-struct Tally {
-  std::size_t completed = 0;
-  std::size_t refused = 0;
-  /// Answers that are neither complete nor a refusal in due form.
-  std::size_t wrong = 0;
-  std::vector<double> refusalMs;
-  std::vector<double> completedMs;
-
-  void add(const Result<http::Response>& answer, double milliseconds) {
-    if (answer && answer.value().status == 200U) {
-      ++completed;
-      completedMs.push_back(milliseconds);
-      return;
-    }
-    const std::string kind = answer ? answer.value().headers.get(http::kErrorKindHeader) : "";
-    const bool dueForm = (kind == "overloaded" || kind == "deadline_unreachable") &&
-                         answer.value().headers.get(http::kRunHeader) == "no" &&
-                         !answer.value().headers.get("Retry-After").empty();
-    if (dueForm) {
-      ++refused;
-      refusalMs.push_back(milliseconds);
-    } else {
-      ++wrong;
-    }
-  }
-};
-
-double median(std::vector<double>& samples) {
-  std::sort(samples.begin(), samples.end());
-  return samples.empty() ? 0 : samples[samples.size() / 2];
-}
-
-asio::awaitable<void> askRepeatedly(http::Client& client, Endpoint router, std::string key,
-                                    Milliseconds pause, MonotonicTime begin, MonotonicTime end,
-                                    Tally& tally) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  while (monotonicNow() < end) {
-    http::Request request = authorized("POST", "/v1/completions", completionBody("hi", 20, false));
-    request.headers.set("Authorization", "Bearer " + key);
-    const MonotonicTime sent = monotonicNow();
-    const Result<http::Response> answer = co_await client.exchange(router, request);
-    if (sent >= begin) {
-      tally.add(answer, toMilliseconds(monotonicNow() - sent));
-    }
-    timer.expires_after(pause);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
+http::Request completionBy(const std::string& key, int maxTokens) {
+  http::Request request =
+      authorized("POST", "/v1/completions", completionBody("hi", maxTokens, false));
+  request.headers.set("Authorization", "Bearer " + key);
+  return request;
 }
 
 std::string overloadBundle() {
@@ -82,42 +40,43 @@
       fleet.startEngine("e1", {"--max-batch", "4", "--step-per-sequence-us", "5000"});
   const auto first = fleet.startRouter("r1");
   const auto second = fleet.startRouter("r2");
-  asio::io_context context(1);
-  http::Client client(context.get_executor());
-  for (const auto* router : {first.get(), second.get()}) {
-    BOOST_REQUIRE(eventually([router] {
-      http::Request request = authorized("POST", "/v1/completions", completionBody("x", 1, false));
-      request.headers.set("Authorization", "Bearer " + kSmallKey);
-      const auto answer = exchange(router->endpoint("router"), request);
+  const std::vector<Endpoint> routers{first->endpoint("router"), second->endpoint("router")};
+  for (const Endpoint& router : routers) {
+    BOOST_REQUIRE(eventually([&router] {
+      const auto answer = exchange(router, completionBy(kSmallKey, 1));
       return answer && answer.value().status == 200U;
     }));
   }
+  asio::io_context context(1);
+  http::Client client(context.get_executor());
   Tally large;
   Tally small;
   // Fresh routers take what comes, so the engine's queue is long until they have seen it.
   const MonotonicTime begin = monotonicNow() + Milliseconds(8000);
   const MonotonicTime end = begin + Milliseconds(8000);
-  for (const auto* router : {first.get(), second.get()}) {
-    const Endpoint endpoint = router->endpoint("router");
-    for (int caller = 0; caller < 30; ++caller) {
-      asio::co_spawn(
-          context, askRepeatedly(client, endpoint, kLargeKey, Milliseconds(300), begin, end, large),
-          asio::detached);
-    }
+  const auto call = [&](const Endpoint& router, const std::string& key, Milliseconds pause,
+                        Tally& tally) {
     asio::co_spawn(context,
-                   askRepeatedly(client, endpoint, kSmallKey, Milliseconds(500), begin, end, small),
+                   callRepeatedly(client, router, completionBy(key, 20), pause, begin, end, tally),
                    asio::detached);
+  };
+  for (const Endpoint& router : routers) {
+    for (int caller = 0; caller < 30; ++caller) {
+      call(router, kLargeKey, Milliseconds(300), large);
+    }
+    call(router, kSmallKey, Milliseconds(500), small);
   }
   context.run();
-  BOOST_TEST_MESSAGE("large completed " << large.completed << " in ms " << median(large.completedMs)
-                                        << ", refused " << large.refused << " in ms "
-                                        << median(large.refusalMs) << "; small completed "
-                                        << small.completed << " in ms " << median(small.completedMs)
-                                        << ", refused " << small.refused);
+  BOOST_TEST_MESSAGE("large completed "
+                     << large.completed << " in ms " << sampleAt(large.completedMs, kMedian)
+                     << ", refused " << large.refused << " in ms "
+                     << sampleAt(large.refusedMs, kMedian) << "; small completed "
+                     << small.completed << " in ms " << sampleAt(small.completedMs, kMedian)
+                     << ", refused " << small.refused);
   BOOST_TEST(large.wrong + small.wrong == 0U);
   BOOST_TEST(large.refused > large.completed);
   constexpr double kAtOnceMs = 100;
-  BOOST_TEST(median(large.refusalMs) < kAtOnceMs);
+  BOOST_TEST(sampleAt(large.refusedMs, kMedian) < kAtOnceMs);
   BOOST_TEST(large.completed > 0U);
   BOOST_TEST(small.completed > small.refused);
 }
