Demo: share the stand-ins' script, wait until claims are established

Cause: the demo's not-repeatable call failed in 2 of 3 runs (claim_unavailable): its two routers had no seeds, and its key was older than the replicas' memory, so it could never be claimed. Ruled out: a retry with the same key, which stays refused as it must.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,50 +2,11 @@
 # Starts a platform, two engines of different speed, one ordinary service and two routers on
 # loopback, rolls out a signed bundle, sends requests that share a prefix, and ends by itself.
 set -euo pipefail
-bin=${1:-build/bin}
-work=$(mktemp -d)
-pids=()
-stop_all() {
-  kill "${pids[@]}" 2>/dev/null || true
-  wait "${pids[@]}" 2>/dev/null || true
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-# start NAME PROGRAM ARGUMENT...: runs it in the background with its output in $work/NAME.out.
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.out" 2>"$work/$name.log" &
-  pids+=($!)
-}
+cd "$(dirname "$0")/.."
+BIN=${1:-build/bin}
+source scripts/stand-ins.sh
 
-# address NAME PORT_NAME: waits for the line "listening PORT_NAME ADDRESS" and prints the address.
-address() {
-  for _ in $(seq 200); do
-    if grep -q "^listening $2 " "$work/$1.out"; then
-      sed -n "s/^listening $2 //p" "$work/$1.out"
-      return
-    fi
-    sleep 0.05
-  done
-  echo "$1 did not start" >&2
-  cat "$work/$1.log" >&2
-  exit 1
-}
-
-wait_for() {
-  for _ in $(seq 200); do
-    "$@" >/dev/null 2>&1 && return
-    sleep 0.05
-  done
-  echo "timed out: $*" >&2
-  exit 1
-}
-
-start platform "$bin/calicodrift-sim" platform
-store=$(address platform object-api)
-list=$(address platform machine-list)
+start_platform
 start engine-fast "$bin/calicodrift-sim" engine --id engine-fast --block-bytes 256 \
   --step-base-us 5000 --machine-list "$list"
 start engine-slow "$bin/calicodrift-sim" engine --id engine-slow --block-bytes 256 \
@@ -53,23 +14,17 @@
 start registry "$bin/calicodrift-sim" service --id registry-1 --serves registry \
   --machine-list "$list"
 
-alice=$("$bin/calicodriftctl" key make --key-file "$work/alice.key")
-bob=$("$bin/calicodriftctl" key make --key-file "$work/bob.key")
-for node in 1 2; do
-  start "router-$node" "$bin/calicodrift" --node-id "router-$node" --listen 127.0.0.1:0 \
-    --object-api "$store" --machine-list "$list" --store-poll-interval-ms 100 \
-    --machine-list-interval-ms 100 --trusted-signers "alice=$alice,bob=$bob"
-done
+make_signers
+start_router router-1 --machine-list-interval-ms 100 --claim-view-delay-ms 300
+start_router router-2 --machine-list-interval-ms 100 --claim-view-delay-ms 300 \
+  --seeds "$(address router-1 peer)"
 router1=$(address router-1 router)
 router2=$(address router-2 router)
 
 api_key=demo-key
-key_hash=$(printf '%s' "$api_key" | sha256sum | cut -d' ' -f1)
-sed "s/DEMO_KEY_HASH/$key_hash/" examples/demo-bundle.json >"$work/bundle.json"
+sed "s/DEMO_KEY_HASH/$(key_hash "$api_key")/" examples/demo-bundle.json >"$work/bundle.json"
 "$bin/calicodriftctl" bundle check "$work/bundle.json"
-"$bin/calicodriftctl" bundle sign --signer alice --key-file "$work/alice.key" "$work/bundle.json" >/dev/null
-"$bin/calicodriftctl" bundle sign --signer bob --key-file "$work/bob.key" "$work/bundle.json" >/dev/null
-"$bin/calicodriftctl" bundle submit --object-api "$store" "$work/bundle.json"
+sign_and_submit "$work/bundle.json"
 for router in "$router1" "$router2"; do
   wait_for curl -sf "http://$router/readyz"
 done
@@ -103,6 +58,18 @@
     echo "request $number stream=$stream: $(answer "$work/headers" "$work/answer")"
   done
 done
+# The first start of a fleet: both routers must have agreed that they keep the claims together.
+claims_ready() {
+  local metrics
+  metrics=$(curl -sf "http://$1/metrics")
+  grep -qx 'calicodrift_claim_members 2' <<<"$metrics" &&
+    grep -qx 'calicodrift_claim_voting_groups 64' <<<"$metrics"
+}
+for router in "$router1" "$router2"; do
+  wait_for claims_ready "$router"
+done
+# Keys must be later than the start of the replicas' memory by two clock bounds.
+sleep 1.1
 echo "not-repeatable call:"
 # A UUIDv7: the time in milliseconds, then random digits.
 random=$(tr -d - </proc/sys/kernel/random/uuid)
--- a/scripts/stand-ins.sh
+++ b/scripts/stand-ins.sh
@@ -48,26 +48,38 @@
   list=$(address platform machine-list)
 }
 
+# make_signers: makes the keys of two signers; sets $signers for the routers.
+make_signers() {
+  signers="alice=$("$bin/calicodriftctl" key make --key-file "$work/alice.key")"
+  signers+=",bob=$("$bin/calicodriftctl" key make --key-file "$work/bob.key")"
+}
+
+# sign_and_submit FILE: has both signers sign the bundle and stores it.
+sign_and_submit() {
+  local signer
+  for signer in alice bob; do
+    "$bin/calicodriftctl" bundle sign --signer "$signer" --key-file "$work/$signer.key" "$1" \
+      >/dev/null
+  done
+  "$bin/calicodriftctl" bundle submit --object-api "$store" "$1"
+}
+
+# key_hash API_KEY: the hash that a bundle holds in place of the key.
+key_hash() {
+  printf '%s' "$1" | sha256sum | cut -d' ' -f1
+}
+
 # submit_bundle API_KEY: signs and stores a bundle with tenant t, model m and service registry;
 # sets $signers for the routers.
 submit_bundle() {
-  local alice bob key_hash
-  alice=$("$bin/calicodriftctl" key make --key-file "$work/alice.key")
-  bob=$("$bin/calicodriftctl" key make --key-file "$work/bob.key")
-  signers="alice=$alice,bob=$bob"
-  key_hash=$(printf '%s' "$1" | sha256sum | cut -d' ' -f1)
+  make_signers
   cat >"$work/bundle.json" <<END
-{"version":1,"tenants":[{"id":"t","api_key_sha256":["$key_hash"]}],
+{"version":1,"tenants":[{"id":"t","api_key_sha256":["$(key_hash "$1")"]}],
 "models":[{"id":"m","weights_version":1,"block_bytes":256}],
 "services":[{"name":"registry","path_prefix":"/registry/"}],
 "policies":[{"arms":[{"policy":"PrefixHashBoundedLoad","share":100}]}]}
 END
-  local signer
-  for signer in alice bob; do
-    "$bin/calicodriftctl" bundle sign --signer "$signer" --key-file "$work/$signer.key" \
-      "$work/bundle.json" >/dev/null
-  done
-  "$bin/calicodriftctl" bundle submit --object-api "$store" "$work/bundle.json" >/dev/null
+  sign_and_submit "$work/bundle.json" >/dev/null
 }
 
 # start_router NAME FLAG...: starts a router; its address is `address NAME router`.
