Soak: seeded faults on a whole deployment, judged by a checker

The engine stand-in's /health tells when it last accepted work. Ruled out: linking the load into the test program, as starting a process blocks and would hold the callers up; killing services, as their counts of runs are the checker's evidence: their proxies are cut instead.

--- a/src/bench/programs.cc
+++ b/src/bench/programs.cc
@@ -26,6 +26,7 @@
          runOverload},
     Role{"claims", "cost of claims for not-repeatable requests", runClaims},
     Role{"scale", "cost and speed of the control side over the number of nodes", runScale},
+    Role{"soak", "requests under seeded faults, judged by a checker", runSoak},
 };
 
 void printUsage(std::ostream& output) {
--- a/src/bench/programs.h
+++ b/src/bench/programs.h
@@ -13,6 +13,7 @@
 int runOverload(int argc, const char* const* argv);
 int runClaims(int argc, const char* const* argv);
 int runScale(int argc, const char* const* argv);
+int runSoak(int argc, const char* const* argv);
 
 /// Chooses the role by the first word.
 int runBench(int argc, const char* const* argv);
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -115,6 +115,7 @@
   generations_[id] = generation;
   model_.submit(engineRequest);
   recordLoad();
+  lastAccepted_ = std::chrono::duration_cast<Milliseconds>(wallNow().time_since_epoch());
   workArrived_.cancel();
 
   if (completion.stream) {
@@ -269,6 +270,7 @@
   body["refused_orders"] = control_.refusedOrders();
   body["completed_loads"] = control_.completedLoads();
   body["failed_loads"] = control_.failedLoads();
+  body["last_accepted_unix_ms"] = lastAccepted_.count();
   return http::jsonResponse(200, boost::json::serialize(body));
 }
 
--- a/src/sim/engine_server.h
+++ b/src/sim/engine_server.h
@@ -81,6 +81,8 @@
   /// Completions and health reports asked for since the start.
   std::uint64_t accepted_ = 0;
   std::uint64_t probes_ = 0;
+  /// Time of day when work was last accepted, since 1970; 0 for never.
+  Milliseconds lastAccepted_{0};
 };
 
 }  // namespace calicodrift::sim
