Soak: judge each try's "not run" by what its server ran

Cause: a false "not run" showed only where every try with a key was answered so; a later honest answer hid it. Change: each try has its own request id, the service stand-in counts runs by request id too, and the checker compares the two. Ruled out: comparing times of runs and tries, as clocks and delays blur them.

--- a/src/bench/soak.cc
+++ b/src/bench/soak.cc
@@ -126,8 +126,15 @@
   run.counts.configStaleNodes = static_cast<std::uint64_t>(stale());
 }
 
-awaitable<RunsByKey> readRuns(Soak& soak, SoakRun& run) {
-  RunsByKey runs;
+void addCounts(const json::object& stats, std::string_view key,
+               std::unordered_map<std::string, std::uint64_t>& sums) {
+  for (const auto& entry : stats.at(key).as_object()) {
+    sums[std::string(entry.key())] += entry.value().to_number<std::uint64_t>();
+  }
+}
+
+awaitable<ServiceRuns> readRuns(Soak& soak, SoakRun& run) {
+  ServiceRuns runs;
   for (const FleetMember& service : run.fleet.services) {
     const Result<json::object> stats = co_await getObject(soak.client, service.endpoint, "/stats");
     if (!stats) {
@@ -135,24 +142,29 @@
       run.remarks.push_back("no counts from " + service.id + ": " + stats.error().detail);
       continue;
     }
-    for (const auto& entry : stats.value().at("runs").as_object()) {
-      runs[std::string(entry.key())] += entry.value().to_number<std::uint64_t>();
-    }
+    addCounts(stats.value(), "runs", runs.byKey);
+    addCounts(stats.value(), "runs_by_request", runs.byRequest);
   }
   co_return runs;
 }
 
-void judge(SoakRun& run, const RunsByKey& runs, const FaultRunner& faults) {
+std::string describe(const OneTimeRecord& record, const ServiceRuns& runs) {
+  const auto found = runs.byKey.find(record.key);
+  std::string text = "key " + record.key + " ran " +
+                     std::to_string(found == runs.byKey.end() ? 0 : found->second) + " times; told";
+  for (const OneTimeTry& attempt : record.tries) {
+    text += " " + std::string(attempt.told ? toString(*attempt.told) : "nothing");
+    text += runs.byRequest.contains(attempt.requestId) ? "(ran)" : "";
+  }
+  return text;
+}
+
+void judge(SoakRun& run, const ServiceRuns& runs, const FaultRunner& faults) {
   for (const OneTimeRecord& record : run.oneTime) {
     const SoakCounts before = run.counts;
     checkOneTime(record, runs, run.counts);
     if (run.counts.violations() > before.violations()) {
-      const auto found = runs.find(record.key);
-      run.remarks.push_back(
-          "key " + record.key + ": " + std::to_string(found == runs.end() ? 0 : found->second) +
-          " runs, " + std::to_string(record.tries) + " tries, " +
-          std::to_string(record.answersRun) + " answers run, " +
-          std::to_string(record.answersNotRun) + " not run, of " + std::to_string(record.answers));
+      run.remarks.push_back(describe(record, runs));
     }
   }
   const std::vector<BrokenTry> cut = cutByStops(run.broken, faults.stops());
@@ -230,7 +242,7 @@
     co_await pause(kCheckInterval);
   }
   co_await awaitVersionInForce(soak, run, faults.acceptedVersion());
-  const RunsByKey runs = co_await readRuns(soak, run);
+  const ServiceRuns runs = co_await readRuns(soak, run);
   judge(run, runs, faults);
   const Result<std::string> strikes = co_await soak.control.strikes();
   soak.result = toReport(soak, run, faults, strikes ? strikes.value() : "null");
--- a/src/bench/soak_checker.cc
+++ b/src/bench/soak_checker.cc
@@ -14,13 +14,25 @@
   return whole.starts_with(text) ? TextCheck::kIncomplete : TextCheck::kMixed;
 }
 
-void OneTimeRecord::countAnswer(std::string_view runHeader) {
-  ++answers;
-  if (runHeader == toString(RunStatement::kNo)) {
-    ++answersNotRun;
-  } else if (runHeader == toString(RunStatement::kYes)) {
-    ++answersRun;
+std::size_t OneTimeRecord::told(RunStatement statement) const {
+  return static_cast<std::size_t>(
+      std::count_if(tries.begin(), tries.end(),
+                    [statement](const OneTimeTry& attempt) { return attempt.told == statement; }));
+}
+
+std::size_t OneTimeRecord::answered() const {
+  return static_cast<std::size_t>(
+      std::count_if(tries.begin(), tries.end(),
+                    [](const OneTimeTry& attempt) { return attempt.told.has_value(); }));
+}
+
+RunStatement parseRunStatement(std::string_view header) {
+  for (const RunStatement statement : {RunStatement::kNo, RunStatement::kYes}) {
+    if (header == toString(statement)) {
+      return statement;
+    }
   }
+  return RunStatement::kMaybe;
 }
 
 std::uint64_t SoakCounts::violations() const {
@@ -36,20 +48,23 @@
   }
 }
 
-void checkOneTime(const OneTimeRecord& record, const RunsByKey& runs, SoakCounts& counts) {
-  const auto found = runs.find(record.key);
-  const std::uint64_t ran = found == runs.end() ? 0 : found->second;
+void checkOneTime(const OneTimeRecord& record, const ServiceRuns& runs, SoakCounts& counts) {
+  const auto found = runs.byKey.find(record.key);
+  const std::uint64_t ran = found == runs.byKey.end() ? 0 : found->second;
   if (ran > 1) {
     ++counts.doubled;
   }
-  const bool toldNotRun = record.answers == record.tries && record.answersNotRun == record.tries;
-  if (toldNotRun && ran > 0) {
+  const auto falselyDenied = [&runs](const OneTimeTry& attempt) {
+    return attempt.told == RunStatement::kNo && runs.byRequest.contains(attempt.requestId);
+  };
+  if (std::any_of(record.tries.begin(), record.tries.end(), falselyDenied)) {
     ++counts.falseNotRun;
   }
-  if (record.answers == 0 || (record.answersRun > 0 && ran == 0)) {
+  const bool toldRun = record.told(RunStatement::kYes) > 0;
+  if (record.answered() == 0 || (toldRun && ran == 0)) {
     ++counts.lost;
   }
-  if (record.answersRun == 0) {
+  if (!toldRun) {
     ++counts.unconfirmed;
   }
 }
--- a/src/bench/soak_checker.h
+++ b/src/bench/soak_checker.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,17 +22,26 @@
 /// anything else that differs holds foreign text.
 TextCheck checkText(std::string_view prompt, std::size_t maxTokens, std::string_view text);
 
-/// What a caller was told, over all tries with one idempotency key.
+/// One try of a request that must run at most once, and what its caller was told.
+struct OneTimeTry {
+  std::string requestId;
+  /// No value where no answer came.
+  std::optional<RunStatement> told;
+};
+
+/// All tries with one idempotency key.
 struct OneTimeRecord {
   std::string key;
-  std::size_t tries = 0;
-  std::size_t answers = 0;
-  std::size_t answersNotRun = 0;
-  std::size_t answersRun = 0;
+  std::vector<OneTimeTry> tries;
 
-  void countAnswer(std::string_view runHeader);
+  /// How many tries were answered with `statement`.
+  std::size_t told(RunStatement statement) const;
+  std::size_t answered() const;
 };
 
+/// The statement of an X-Run header; anything unknown promises nothing.
+RunStatement parseRunStatement(std::string_view header);
+
 /// Violations of one run; the run passes where all are zero (and newWorkAfterLeave is in bounds).
 struct SoakCounts {
   std::uint64_t requests = 0;
@@ -57,12 +67,15 @@
   void countText(TextCheck check);
 };
 
-/// How often each key ran, over all servers of the service.
-using RunsByKey = std::unordered_map<std::string, std::uint64_t>;
+/// What ran, over all servers of the service.
+struct ServiceRuns {
+  std::unordered_map<std::string, std::uint64_t> byKey;
+  std::unordered_map<std::string, std::uint64_t> byRequest;
+};
 
-/// Adds what `record` shows: doubled (ran more than once), false not run (every try was answered
-/// "not run" and yet it ran), lost (told that it ran and it did not, or never answered).
-void checkOneTime(const OneTimeRecord& record, const RunsByKey& runs, SoakCounts& counts);
+/// Adds what `record` shows: doubled (ran more than once), false not run (a try that was answered
+/// "not run" and yet ran), lost (told that it ran and it did not, or never answered).
+void checkOneTime(const OneTimeRecord& record, const ServiceRuns& runs, SoakCounts& counts);
 
 /// Versions of the bundle in force as each node reported them. 0 is "none", which a node may report
 /// after a restart and which reverts nothing.
--- a/src/bench/soak_load.cc
+++ b/src/bench/soak_load.cc
@@ -220,7 +220,7 @@
   const MonotonicTime begin = monotonicNow();
   for (;;) {
     const bool again = co_await submitTry(record, body, nextRouter());
-    const bool triesLeft = record.tries < kMostOneTimeTries || record.answers == 0;
+    const bool triesLeft = record.tries.size() < kMostOneTimeTries || record.answered() == 0;
     if (!again || !triesLeft || !patienceLeft(begin)) {
       ++run_.counts.completed;
       co_return;
@@ -235,12 +235,15 @@
   request.headers.set(http::kIdempotencyKeyHeader, record.key);
   request.headers.set(http::kNotRepeatableHeader, "true");
   request.body = body;
-  ++record.tries;
+  // An id for each try shows which of them ran.
+  const std::size_t number = record.tries.size();
+  record.tries.push_back({record.key + "-" + std::to_string(number), std::nullopt});
+  request.headers.set(http::kRequestIdHeader, record.tries.back().requestId);
   const Result<http::Response> response = co_await exchange(router, std::move(request));
   if (!response) {
     co_return true;
   }
-  record.countAnswer(response.value().headers.get(http::kRunHeader));
+  record.tries[number].told = parseRunStatement(response.value().headers.get(http::kRunHeader));
   if (response.value().status != 200) {
     co_return mayTryAgain(response.value().headers.get(http::kErrorKindHeader));
   }
--- a/src/sim/service_server.cc
+++ b/src/sim/service_server.cc
@@ -30,6 +30,7 @@
   std::uint64_t runs = 0;
   if (request.method != "GET") {
     runs = ++runsByKey_[request.headers.get(http::kIdempotencyKeyHeader)];
+    ++runsByRequest_[request.headers.get(http::kRequestIdHeader)];
   }
   boost::asio::steady_timer timer(executor_, workTime_);
   co_await timer.async_wait(boost::asio::use_awaitable);
@@ -45,11 +46,16 @@
 }
 
 http::Response ServiceServer::stats() const {
-  boost::json::object runs;
-  for (const auto& [key, count] : runsByKey_) {
-    runs[key] = count;
-  }
-  return http::jsonResponse(200, boost::json::serialize(boost::json::object{{"runs", runs}}));
+  const auto toObject = [](const std::unordered_map<std::string, std::uint64_t>& counts) {
+    boost::json::object object;
+    for (const auto& [name, count] : counts) {
+      object[name] = count;
+    }
+    return object;
+  };
+  const boost::json::object body{{"runs", toObject(runsByKey_)},
+                                 {"runs_by_request", toObject(runsByRequest_)}};
+  return http::jsonResponse(200, boost::json::serialize(body));
 }
 
 }  // namespace calicodrift::sim
--- a/src/sim/service_server.h
+++ b/src/sim/service_server.h
@@ -28,6 +28,7 @@
   BackendId id_;
   Milliseconds workTime_;
   std::unordered_map<std::string, std::uint64_t> runsByKey_;
+  std::unordered_map<std::string, std::uint64_t> runsByRequest_;
   http::Server server_;
 };
 
--- a/tests/bench/soak_checker_test.cc
+++ b/tests/bench/soak_checker_test.cc
@@ -15,29 +15,43 @@
   BOOST_TEST((checkText("mine", 5, own + sim::answerText("mine", 4, 5)) == TextCheck::kMixed));
 }
 
-SoakCounts judgeOne(std::size_t tries, const std::vector<std::string>& answers,
-                    std::uint64_t runs) {
+/// One try as its caller and its server saw it; an empty `told` is no answer.
+struct SeenTry {
+  std::string told;
+  bool ran = false;
+};
+
+SoakCounts judgeOne(const std::vector<SeenTry>& seen) {
   OneTimeRecord record;
   record.key = "k";
-  record.tries = tries;
-  for (const std::string& answer : answers) {
-    record.countAnswer(answer);
+  ServiceRuns runs;
+  for (const SeenTry& attempt : seen) {
+    const std::string id = "k-" + std::to_string(record.tries.size());
+    record.tries.push_back({id, std::nullopt});
+    if (!attempt.told.empty()) {
+      record.tries.back().told = parseRunStatement(attempt.told);
+    }
+    if (attempt.ran) {
+      ++runs.byKey["k"];
+      ++runs.byRequest[id];
+    }
   }
   SoakCounts counts;
-  checkOneTime(record, runs == 0 ? RunsByKey{} : RunsByKey{{"k", runs}}, counts);
+  checkOneTime(record, runs, counts);
   return counts;
 }
 
 BOOST_AUTO_TEST_CASE(oneTimeRequestsAreJudgedByWhatRan) {
-  BOOST_TEST(judgeOne(1, {"yes"}, 1).violations() == 0U);
-  BOOST_TEST(judgeOne(2, {"yes"}, 2).doubled == 1U);
-  BOOST_TEST(judgeOne(2, {"no", "no"}, 1).falseNotRun == 1U);
-  BOOST_TEST(judgeOne(2, {"no", "no"}, 0).violations() == 0U);
+  BOOST_TEST(judgeOne({{"yes", true}}).violations() == 0U);
+  BOOST_TEST(judgeOne({{"", true}, {"yes", true}}).doubled == 1U);
+  BOOST_TEST(judgeOne({{"no", true}, {"no", false}}).falseNotRun == 1U);
+  BOOST_TEST(judgeOne({{"no", true}, {"maybe", false}}).falseNotRun == 1U);
+  BOOST_TEST(judgeOne({{"no", false}, {"no", false}}).violations() == 0U);
   // A try without an answer may have run: nothing was promised.
-  BOOST_TEST(judgeOne(2, {"no"}, 1).violations() == 0U);
-  BOOST_TEST(judgeOne(2, {"no", "maybe"}, 1).violations() == 0U);
-  BOOST_TEST(judgeOne(1, {"yes"}, 0).lost == 1U);
-  BOOST_TEST(judgeOne(3, {}, 0).lost == 1U);
+  BOOST_TEST(judgeOne({{"", true}, {"no", false}}).violations() == 0U);
+  BOOST_TEST(judgeOne({{"maybe", true}, {"no", false}}).violations() == 0U);
+  BOOST_TEST(judgeOne({{"yes", false}}).lost == 1U);
+  BOOST_TEST(judgeOne({{"", false}, {"", false}}).lost == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(aVersionRevertsWhenItFallsButNotWhenThereIsNone) {
