Replay: a store of kept cache, imported where that is quicker than prefilling

Cause: the sites keep KV cache in a store, and the wasted tokens are to count what it holds; the replay knew no store.

--- a/src/bench/replay.cc
+++ b/src/bench/replay.cc
@@ -25,6 +25,8 @@
   std::string index;
   std::int64_t crashes = 0;
   std::int64_t loadFactorPercent = 0;
+  std::int64_t keptBlocks = 0;
+  std::int64_t importTokensPerMs = 0;
   std::string json;
   std::string report;
 };
@@ -49,6 +51,11 @@
        &ReplayFlags::crashes},
       {{"load-factor", "100", 1, 10000, "percent", "speed of arrivals relative to the trace"},
        &ReplayFlags::loadFactorPercent},
+      {{"kept-cache-blocks", "0", 0, 1000 * kMillion, "count",
+        "blocks in the store of kept KV cache; 0 for no store"},
+       &ReplayFlags::keptBlocks},
+      {{"import-tokens-per-ms", "32", 1, kMillion, "tokens", "speed of imports from the store"},
+       &ReplayFlags::importTokensPerMs},
       {{"json", "", 0, 0, "", "file for the result"}, &ReplayFlags::json},
       {{"report", "", 0, 0, "", "folder for the page index.html with plots"}, &ReplayFlags::report},
   };
@@ -85,6 +92,8 @@
   settings.index = replay::parseIndexPlacement(flags.index).value();
   settings.crashes = static_cast<std::size_t>(flags.crashes);
   settings.loadFactor = static_cast<double>(flags.loadFactorPercent) / kPercent;
+  settings.keptBlocks = static_cast<std::size_t>(flags.keptBlocks);
+  settings.importTokensPerMs = static_cast<double>(flags.importTokensPerMs);
   return settings;
 }
 
--- a/src/replay/lru_cache.cc
+++ b/src/replay/lru_cache.cc
@@ -4,11 +4,16 @@
 
 namespace calicodrift::replay {
 
-std::size_t LruCache::lookUpAndStore(const std::vector<BlockHash>& blocks) {
+std::size_t LruCache::longestPrefix(const std::vector<BlockHash>& blocks) const {
   std::size_t cached = 0;
-  while (cached < blocks.size() && entries_.contains(blocks[cached])) {
+  while (cached < blocks.size() && holds(blocks[cached])) {
     ++cached;
   }
+  return cached;
+}
+
+std::size_t LruCache::lookUpAndStore(const std::vector<BlockHash>& blocks) {
+  const std::size_t cached = longestPrefix(blocks);
   // The deepest block first, as the engines do it: the first blocks are evicted last.
   for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
     const auto found = entries_.find(*block);
--- a/src/replay/lru_cache.h
+++ b/src/replay/lru_cache.h
@@ -16,6 +16,8 @@
 
   /// Blocks at the start of the prompt that are cached; all of the prompt is cached afterwards.
   std::size_t lookUpAndStore(const std::vector<BlockHash>& blocks);
+  std::size_t longestPrefix(const std::vector<BlockHash>& blocks) const;
+  bool holds(BlockHash block) const { return entries_.contains(block); }
 
  private:
   std::size_t capacity_;
--- a/src/replay/measures.h
+++ b/src/replay/measures.h
@@ -32,6 +32,8 @@
   std::uint64_t promptTokens = 0;
   std::uint64_t cachedTokens = 0;
   std::uint64_t prefilledTokens = 0;
+  /// Of completed requests, from the store of kept cache; not among the cached ones.
+  std::uint64_t importedTokens = 0;
   std::uint64_t wastedTokens = 0;
   /// Cache events that reached a router, over all routers.
   std::uint64_t eventsReceived = 0;
--- a/src/replay/result_json.cc
+++ b/src/replay/result_json.cc
@@ -34,6 +34,7 @@
           {"ttft_p99_ms", measures.firstToken.percentile(kFarTail)},
           {"wasted_recompute_tokens", measures.wastedTokens},
           {"prefilled_tokens", measures.prefilledTokens},
+          {"imported_tokens", measures.importedTokens},
           {"completed", measures.completed},
           {"refused", measures.refused},
           {"retries", measures.retries},
@@ -53,7 +54,8 @@
   const json::object faults{{"event_delay_ms", settings.eventDelay.count()},
                             {"event_loss", settings.eventLoss},
                             {"index", toString(settings.index)},
-                            {"crashes", settings.crashes}};
+                            {"crashes", settings.crashes},
+                            {"kept_cache_blocks", settings.keptBlocks}};
   const json::object document{{"seed", settings.seed},
                               {"deployment", settings.deployment.name},
                               {"routers", settings.routers},
--- a/src/replay/simulation.cc
+++ b/src/replay/simulation.cc
@@ -4,7 +4,6 @@
 #include <array>
 
 #include "common/hashing.h"
-#include "replay/lru_cache.h"
 
 namespace calicodrift::replay {
 namespace {
@@ -50,7 +49,8 @@
       trace_(trace),
       random_(settings.seed),
       jobs_(trace.size()),
-      unfinished_(trace.size()) {
+      unfinished_(trace.size()),
+      kept_(settings.keptBlocks) {
   const Deployment& deployment = settings_.deployment;
   for (std::size_t engine = 0; engine < deployment.engines; ++engine) {
     VirtualEngine::Callbacks callbacks{
@@ -206,7 +206,46 @@
   }
   noteHolders(job);
   queue_.schedule(latencyOf(job),
-                  [this, index, attempt = job.attempts] { submit(index, attempt); });
+                  [this, index, attempt = job.attempts] { importThenSubmit(index, attempt); });
+}
+
+std::vector<BlockHash> Simulation::blocksToImport(const Job& job) const {
+  if (settings_.keptBlocks == 0) {
+    return {};
+  }
+  const std::vector<BlockHash>& blocks = job.route.blocks;
+  const std::size_t cached = engines_[job.engine]->cachedPrefix(blocks);
+  const std::size_t kept = kept_.longestPrefix(blocks);
+  if (kept <= cached) {
+    return {};
+  }
+  const auto tokens = static_cast<double>((kept - cached) * kTraceBlockTokens);
+  const double importMs =
+      toMilliseconds(ReplaySettings::kImportDelay) + tokens / settings_.importTokensPerMs;
+  if (importMs >= tokens / settings_.deployment.engine.prefillTokensPerMs) {
+    return {};
+  }
+  return {blocks.begin(), blocks.begin() + static_cast<std::ptrdiff_t>(kept)};
+}
+
+void Simulation::importThenSubmit(std::size_t index, std::uint32_t attempt) {
+  Job& job = jobs_[index];
+  std::vector<BlockHash> blocks = blocksToImport(job);
+  const std::size_t cached = engines_[job.engine]->cachedPrefix(job.route.blocks);
+  job.importedTokens = blocks.empty() ? 0 : (blocks.size() - cached) * kTraceBlockTokens;
+  if (blocks.empty()) {
+    submit(index, attempt);
+    return;
+  }
+  const double transferMs = static_cast<double>(job.importedTokens) / settings_.importTokensPerMs;
+  queue_.schedule(ReplaySettings::kImportDelay + milliseconds(transferMs),
+                  [this, index, attempt, blocks = std::move(blocks)] {
+                    VirtualEngine& engine = *engines_[jobs_[index].engine];
+                    if (engine.alive()) {
+                      engine.importBlocks(blocks);
+                    }
+                    submit(index, attempt);
+                  });
 }
 
 void Simulation::noteHolders(Job& job) {
@@ -218,6 +257,9 @@
         break;
       }
     }
+    if (kept_.holds(job.route.blocks[block])) {
+      job.heldElsewhere[block] = true;
+    }
   }
 }
 
@@ -258,6 +300,9 @@
        ++block) {
     measures_.wastedTokens += job.heldElsewhere[block] ? kTraceBlockTokens : 0;
   }
+  if (settings_.keptBlocks > 0) {
+    kept_.lookUpAndStore(job.route.blocks);
+  }
   addWork(job);
 }
 
@@ -276,7 +321,10 @@
   ++measures_.completed;
   --unfinished_;
   measures_.promptTokens += job.route.promptTokens;
-  measures_.cachedTokens += job.cachedTokens;
+  // An import is a transfer, not a hit. The engine may have evicted a part of it again.
+  const std::size_t imported = std::min(job.importedTokens, job.cachedTokens);
+  measures_.cachedTokens += job.cachedTokens - imported;
+  measures_.importedTokens += imported;
 }
 
 void Simulation::onAttemptLost(std::size_t index, std::uint32_t attempt) {
--- a/src/replay/simulation.h
+++ b/src/replay/simulation.h
@@ -10,6 +10,7 @@
 
 #include "replay/deployment.h"
 #include "replay/event_queue.h"
+#include "replay/lru_cache.h"
 #include "replay/measures.h"
 #include "replay/trace.h"
 #include "replay/virtual_engine.h"
@@ -41,12 +42,21 @@
   IndexPlacement index = IndexPlacement::kBroadcast;
   /// Engines that crash in the course of the trace; each comes back empty after kDownTime.
   std::size_t crashes = 0;
+  /// Blocks in the store of kept KV cache; 0 for no store. It keeps every prompt that was
+  /// prefilled.
+  std::size_t keptBlocks = 0;
+  /// Prompt tokens whose cache an engine imports from the store in one millisecond, after
+  /// kImportDelay. An import happens where it is quicker than prefilling.
+  double importTokensPerMs = kDefaultImportTokensPerMs;
   /// Arrivals come this much faster than the trace says.
   double loadFactor = 1;
 
   static constexpr Milliseconds kDownTime{3000};
   static constexpr Milliseconds kReportInterval{200};
   static constexpr Milliseconds kReportLag{100};
+  static constexpr Milliseconds kImportDelay{5};
+  /// Four times the prefill speed, a round number.
+  static constexpr double kDefaultImportTokensPerMs = 32;
 };
 
 /// One run of one policy over one trace. Equal arguments give an equal result.
@@ -67,6 +77,8 @@
     std::uint32_t attempts = 0;
     std::size_t tokens = 0;
     std::size_t cachedTokens = 0;
+    /// Of the cached tokens, those imported for this request.
+    std::size_t importedTokens = 0;
     std::size_t engine = 0;
     routing::Candidate backend;
     /// For each block: another engine held it when the request was dispatched.
@@ -83,6 +95,9 @@
   Microseconds decisionDelay(const Job& job) const;
   void dispatch(std::size_t index);
   void submit(std::size_t index, std::uint32_t attempt);
+  /// Blocks of the prompt that are quicker imported from the store than prefilled; empty for none.
+  std::vector<BlockHash> blocksToImport(const Job& job) const;
+  void importThenSubmit(std::size_t index, std::uint32_t attempt);
   void noteHolders(Job& job);
   void onToken(std::size_t engine, const sim::TokenEvent& token);
   void onFirstToken(Job& job, const sim::TokenEvent& token);
@@ -105,6 +120,7 @@
   std::unordered_map<BlockHash, std::size_t> owners_;
   std::size_t unfinished_ = 0;
   double workMs_ = 0;
+  LruCache kept_;
   Measures measures_;
 };
 
--- a/src/replay/virtual_engine.cc
+++ b/src/replay/virtual_engine.cc
@@ -19,6 +19,14 @@
           model_.pendingPrefillTokens()};
 }
 
+std::size_t VirtualEngine::cachedPrefix(const std::vector<BlockHash>& blocks) const {
+  std::size_t count = 0;
+  while (count < blocks.size() && holds(blocks[count])) {
+    ++count;
+  }
+  return count;
+}
+
 bool VirtualEngine::submit(const sim::EngineRequest& request, Incarnation expected) {
   if (!alive_ || expected != incarnation_) {
     return false;
--- a/src/replay/virtual_engine.h
+++ b/src/replay/virtual_engine.h
@@ -38,6 +38,9 @@
   bool alive() const { return alive_; }
   bool holds(BlockHash block) const { return alive_ && model_.holds(block); }
   LoadReport report() const;
+  /// Blocks at the start of the prompt that the engine's cache holds.
+  std::size_t cachedPrefix(const std::vector<BlockHash>& blocks) const;
+  void importBlocks(const std::vector<BlockHash>& blocks) { model_.importBlocks(blocks); }
 
   /// False where the engine is down or is another incarnation than the one expected: not run.
   bool submit(const sim::EngineRequest& request, Incarnation expected);
--- a/tests/replay/simulation_test.cc
+++ b/tests/replay/simulation_test.cc
@@ -81,6 +81,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(keptCacheIsImportedWhereThatIsQuickerAndIsNoHit) {
+  const Trace trace = makeTrace("tatra", 25, 1'500);
+  ReplaySettings settings = settingsFor("tatra");
+  const Measures without = Simulation(settings, trace, "RoundRobin").run();
+  settings.keptBlocks = 100'000;
+  const Measures quick = Simulation(settings, trace, "RoundRobin").run();
+  BOOST_TEST(without.importedTokens == 0U);
+  BOOST_TEST(quick.importedTokens > 0U);
+  BOOST_TEST(quick.prefilledTokens * 2 < without.prefilledTokens);
+  BOOST_TEST(quick.wastedTokens * 10 < without.wastedTokens);
+  BOOST_TEST(quick.prefixHitRate() <= quick.oracleHitRate);
+  // Slower than prefilling: the store is left alone, and what it holds is recomputed in vain.
+  settings.importTokensPerMs = settings.deployment.engine.prefillTokensPerMs / 2;
+  const Measures slow = Simulation(settings, trace, "RoundRobin").run();
+  BOOST_TEST(slow.importedTokens == 0U);
+  BOOST_TEST(slow.wastedTokens > without.wastedTokens);
+}
+
 BOOST_AUTO_TEST_CASE(decisionsAtThePrefixOwnerNeedNoCacheEvents) {
   const Trace trace = makeTrace("tatra", 24, 2'000);
   ReplaySettings settings = settingsFor("tatra");
