Decision log: number the attempt that is about to start; read the set before it changes

Cause: since attempts are counted where they begin, 'explain' showed attempt 0. And the candidates were counted after the table was told of the dispatch, which may drop the set that the reference names when an ejection ends just then. The integration test now checks the number: with the old line it fails, as the answer has "attempt":0.

--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -179,15 +179,16 @@
   if (!endpoint) {
     co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
   }
+  // Before the table is told of the dispatch: that may move an engine to another set.
+  context_.policies.decisions().record(
+      {job.caller.requestId, Attempt(job.attempts + 1), job.policyName, std::string(choice.reason),
+       backend, job.route.blocks.size(), choice.expectedCachedBlocks, candidates.size()});
   job.route.avoided.push_back(backend.id);
   job.sink.setWeights(backend.weights);
   policy.onDispatched(job.route, backend, monotonicNow());
   context_.backends.addPrefill(backend.id,
                                routing::uncachedTokens(job.route, choice.expectedCachedBlocks));
   context_.metrics.countDispatch(job.policyName);
-  context_.policies.decisions().record(
-      {job.caller.requestId, Attempt(job.attempts), job.policyName, std::string(choice.reason),
-       backend, job.route.blocks.size(), choice.expectedCachedBlocks, candidates.size()});
   job.admitted->onDispatched();
   Result<void> outcome = co_await attemptOn(job, backend, *endpoint);
   if (outcome) {
--- a/tests/integration/policy_commands_test.cc
+++ b/tests/integration/policy_commands_test.cc
@@ -28,6 +28,7 @@
   BOOST_TEST(explained.find(R"("reason":"prefix believed cached")") != std::string::npos);
   BOOST_TEST(explained.find(R"("expected_cached_blocks":10)") != std::string::npos);
   BOOST_TEST(explained.find(R"("backend":"e1")") != std::string::npos);
+  BOOST_TEST(explained.find(R"("attempt":1)") != std::string::npos);
   const std::string report = outputOf({"--routers", endpoint.toString(), "policy", "report"});
   BOOST_TEST(report.find("NestedPrefixAffinity") != std::string::npos);
   BOOST_TEST(outputOf({"--routers", endpoint.toString(), "explain", "unknown"}).empty());
