Configuration: a restored store is noticed by its version numbers; reads counted by object

A watcher that lost and regained its role read the whole object again, and a store whose versions went back was taken as unchanged. Now a watch goes on from where it was, and starts anew where the store's version is below what was seen (aStoreThatLostItsLastChangesMakesNoRouterRevert).

--- a/src/config/metrics.h
+++ b/src/config/metrics.h
@@ -21,7 +21,7 @@
   void countAdopted(BundleSource source);
   /// A bundle that was offered and not adopted. One that is merely not newer doesn't count.
   void countRejected(BundleSource source, ErrorKind kind);
-  /// A read or watch of the store: "ok", "absent", "compacted", "unavailable".
+  /// A read or watch of the store: "ok", "compacted", "restored", "unavailable".
   void countStoreRead(std::string_view outcome);
   /// The store held an older version than this node had before it asked.
   void countStoreBehind() { storeBehind_.Increment(); }
--- a/src/config/store_watcher.cc
+++ b/src/config/store_watcher.cc
@@ -47,7 +47,6 @@
     const bool reads = view_.shouldRead(monotonicNow());
     metrics_.setWatcher(reads);
     if (!reads) {
-      seen_ = platform::ResourceVersion();
       co_await pause(kRosterPause, kRosterPause);
       continue;
     }
@@ -83,8 +82,10 @@
   if (!watch) {
     const bool compacted = watch.error().kind == ErrorKind::kVersionConflict;
     metrics_.countStoreRead(compacted ? "compacted" : "unavailable");
-    seen_ = platform::ResourceVersion();
-    // The next watch starts from the object as it is now.
+    if (compacted) {
+      // The next watch starts from the object as it is now.
+      seen_ = platform::ResourceVersion();
+    }
     co_return compacted;
   }
   metrics_.countStoreRead("ok");
@@ -99,6 +100,12 @@
       co_return true;
     }
     const platform::WatchEvent& content = *event.value();
+    if (content.object.version < seen_) {
+      // The whole store was restored to an earlier state: what was seen of it no longer holds.
+      metrics_.countStoreRead("restored");
+      seen_ = platform::ResourceVersion();
+      co_return true;
+    }
     seen_ = content.object.version;
     if (content.kind == platform::WatchEvent::Kind::kModified) {
       view_.takeObject(content.object);
--- a/src/sim/object_api_server.cc
+++ b/src/sim/object_api_server.cc
@@ -78,7 +78,7 @@
 }
 
 http::Response ObjectApiServer::getObject(const std::string& key) {
-  ++reads_;
+  countRead(key);
   const auto found = objects_.find(key);
   if (found == objects_.end() || found->second.version.value() == 0) {
     return http::errorResponse(fail(ErrorKind::kNotFound, "no object '" + key + "'"));
@@ -107,8 +107,18 @@
   return http::jsonResponse(200, platform::toJson(current));
 }
 
+void ObjectApiServer::countRead(const std::string& key) {
+  ++reads_;
+  ++readsOf_[key];
+}
+
 http::Response ObjectApiServer::stats() const {
+  json::object readsOf;
+  for (const auto& [key, reads] : readsOf_) {
+    readsOf[key] = reads;
+  }
   const json::object stats{{"reads", reads_},
+                           {"reads_of", readsOf},
                            {"writes", writes_},
                            {"watches_opened", watchesOpened_},
                            {"watches_open", watches_.size()}};
@@ -137,7 +147,9 @@
                                                          std::string key) {
   platform::ResourceVersion seen(queryNumber(request, "resourceVersion"));
   const bool fromNow = seen.value() == 0;
-  reads_ += fromNow ? 1 : 0;
+  if (fromNow) {
+    countRead(key);
+  }
   if (!fromNow && seen.value() < compactedVersion_) {
     co_await http::respond(writer, http::textResponse(410, "this version is compacted\n"));
     co_return;
--- a/src/sim/object_api_server.h
+++ b/src/sim/object_api_server.h
@@ -45,6 +45,7 @@
   http::Response putObject(const std::string& key, const std::string& body);
   http::Response setFaults(const std::string& body);
   http::Response stats() const;
+  void countRead(const std::string& key);
   boost::asio::awaitable<void> serveWatch(http::Request& request, http::ResponseWriter& writer,
                                           std::string key);
   /// The line that a watch owes after `seen`, or an empty text.
@@ -63,6 +64,8 @@
   std::set<boost::asio::steady_timer*> watches_;
   std::uint64_t watchesOpened_ = 0;
   std::uint64_t reads_ = 0;
+  /// Reads by KIND/NAME.
+  std::map<std::string, std::uint64_t> readsOf_;
   std::uint64_t writes_ = 0;
   StoreFaults faults_;
 };
--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -65,6 +65,9 @@
   std::int64_t storeStat(const std::string& name) const {
     return jsonAt(store(), "/stats").at(name).as_int64();
   }
+  std::int64_t bundleReads() const {
+    return jsonAt(store(), "/stats").at("reads_of").at("bundles/current").as_int64();
+  }
   /// Value of a counter without labels.
   double counter(std::size_t index, const std::string& name) const {
     const std::string page = get(routers[index]->endpoint("router"), "/metrics").value().body;
@@ -131,12 +134,12 @@
 
 BOOST_FIXTURE_TEST_CASE(oneRouterOfEachZoneReadsTheStore, ConfiguredFleet) {
   constexpr std::int64_t kChanges = 10;
-  const std::int64_t readsBefore = storeStat("reads");
+  const std::int64_t readsBefore = bundleReads();
   for (std::uint64_t version = 2; version < 2 + kChanges; ++version) {
     submitBundle(bundleText(version));
     BOOST_TEST(eventually([&] { return inForce(version) == kRouters; }));
   }
-  const std::int64_t reads = storeStat("reads") - readsBefore;
+  const std::int64_t reads = bundleReads() - readsBefore;
   BOOST_TEST_MESSAGE("reads of the whole object at the start of "
                      << kRouters << " routers: " << readsBefore << ", over " << kChanges
                      << " changes: " << reads);
@@ -200,6 +203,29 @@
   BOOST_TEST(late.errors().find("set \"version\" to 3") != std::string::npos);
 }
 
+BOOST_FIXTURE_TEST_CASE(aStoreThatLostItsLastChangesMakesNoRouterRevert, ConfiguredFleet) {
+  submitBundle(bundleText(2));
+  submitBundle(bundleText(3));
+  BOOST_REQUIRE(eventually([&] { return inForce(3) == kRouters; }));
+  const Endpoint sameAddress = store();
+  platform->killAtOnce();
+  platform = std::make_unique<Process>(
+      "calicodrift-sim",
+      std::vector<std::string>{"platform", "--object-api-listen", sameAddress.toString()}, 2);
+  storeAtOnce(bundleText(2));
+  const std::vector<std::size_t> reading = watchers();
+  BOOST_REQUIRE(!reading.empty());
+  std::size_t lowest = kRouters;
+  BOOST_TEST(eventually([&] {
+    lowest = std::min(lowest, inForce(3));
+    return counter(reading[0], "calicodrift_config_store_behind_total") >= 1;
+  }));
+  BOOST_TEST(lowest == kRouters);
+  // The store is followed again once it holds a higher version.
+  storeAtOnce(bundleText(4));
+  BOOST_TEST(eventually([&] { return inForce(4) == kRouters; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(aPausedRouterCatchesUpAtOnce, ConfiguredFleet) {
   const std::vector<std::size_t> reading = watchers();
   const std::set<std::size_t> watching(reading.begin(), reading.end());
