--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -71,19 +71,10 @@
 # Keys must be later than the start of the replicas' memory by two clock bounds.
 sleep 1.1
 echo "not-repeatable call:"
-# The replicas of the claims abstain for a second after their start; an attempt refused by them has
-# not run, so the next one may use a new key.
-download() {
-  # A UUIDv7: the time in milliseconds, then random digits.
-  local random key
-  random=$(tr -d - </proc/sys/kernel/random/uuid)
-  key=$(printf '%012x' "$(date +%s%3N)" | sed -E 's/^(.{8})(.{4})$/\1-\2/')
-  key=$key-7${random:0:3}-8${random:3:3}-${random:6:12}
-  curl -sf -o "$work/download" -X POST -H "Authorization: Bearer $api_key" \
-    -H "Idempotency-Key: $key" -d '{"package":"libfoo","version":"1.2.3"}' \
-    "http://$router1/registry/downloads"
-}
-wait_for download
-cat "$work/download"
+# A UUIDv7: the time in milliseconds, then random digits.
+random=$(tr -d - </proc/sys/kernel/random/uuid)
+key=$(printf '%012x' "$(date +%s%3N)" | sed -E 's/^(.{8})(.{4})$/\1-\2/')-7${random:0:3}-8${random:3:3}-${random:6:12}
+curl -sf -X POST -H "Authorization: Bearer $api_key" -H "Idempotency-Key: $key" \
+  -d '{"package":"libfoo","version":"1.2.3"}' "http://$router1/registry/downloads"
 echo
 echo "demo: done"
