--- /dev/null
+++ b/src/http/server_connection.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/server.h"
+
+// Internal to src/http: only server*.cc include this file.
+namespace calicodrift::http {
+
+/// Shared by the server and its coroutines, which may outlive it.
+struct ServerState {
+  ServerState(const boost::asio::any_io_executor& executor, ServerLimits limits, Handler handler)
+      : acceptor(executor), limits(limits), handler(std::move(handler)) {}
+
+  boost::asio::ip::tcp::acceptor acceptor;
+  const ServerLimits limits;
+  const Handler handler;
+  /// Requests within the handler.
+  std::size_t active = 0;
+  /// Connections from a request's first byte until its answer is delivered.
+  std::size_t busy = 0;
+  std::size_t connections = 0;
+  /// Connections close after their next answer.
+  bool closing = false;
+  bool stopping = false;
+};
+
+/// Counts one for as long as it lives.
+class CountGuard {
+ public:
+  explicit CountGuard(std::size_t& count) : count_(count) { ++count_; }
+  ~CountGuard() { --count_; }
+  CountGuard(const CountGuard&) = delete;
+  CountGuard& operator=(const CountGuard&) = delete;
+
+ private:
+  std::size_t& count_;
+};
+
+/// One connection: reads requests in turn and runs the handler on each.
+class Connection : public ResponseWriter, public std::enable_shared_from_this<Connection> {
+ public:
+  using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  Connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server);
+  /// Serves requests until either side ends the connection.
+  boost::asio::awaitable<void> run();
+  /// Answers with an error and keeps the connection for no other request.
+  boost::asio::awaitable<void> refuse(const Error& error);
+  /// Ends the connection so that the last answer arrives: closing a socket that still holds unread
+  /// bytes resets the connection, and the reset may overtake the answer. So what the caller still
+  /// sends is read and dropped, for a bounded time and size, until the caller closes.
+  boost::asio::awaitable<void> linger();
+  boost::asio::awaitable<Result<void>> send(Response response) override;
+  boost::asio::awaitable<Result<void>> startStream(Response response) override;
+  boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) override;
+  boost::asio::awaitable<Result<void>> endStream() override;
+  void abort() override;
+  void onCallerGone(std::function<void()> callback) override;
+  bool callerGone() const override { return gone_; }
+  bool streamStarted() const override { return streamStarted_; }
+
+ private:
+  /// Whether the connection may serve another request; false once an answer has said that it won't.
+  bool keepsAlive();
+  /// True if another request may follow.
+  boost::asio::awaitable<bool> serveOne();
+  /// False if none came within the idle timeout, or the caller closed.
+  boost::asio::awaitable<bool> waitForFirstByte();
+  /// Reads header and body within the read timeout. The timeout stops the reading only, where the
+  /// stream's own would close the connection and leave no way to answer.
+  boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser& parser);
+  boost::asio::awaitable<boost::beast::error_code> readHeaderAndBody(RequestParser& parser);
+  boost::asio::awaitable<void> handle(Request& request);
+
+  /// Waits until the socket is readable while the handler runs. A wait whose number is outdated
+  /// belongs to an earlier request and does nothing.
+  void watchForDisconnect();
+  /// Readable without a byte means that the caller has closed. Bytes are of a pipelined request
+  /// and are kept for it; the watch ends when they are more than a header may have.
+  void takeEarlyBytes();
+  void markGone();
+  Result<void> outcomeOfWrite(boost::beast::error_code code);
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  const std::shared_ptr<ServerState> server_;
+  const ServerLimits& limits_;
+  boost::asio::steady_timer readTimer_;
+  boost::asio::cancellation_signal disconnectWatch_;
+  std::uint64_t watchNumber_ = 0;
+  std::function<void()> goneCallback_;
+  std::string internalDetail_;
+  bool reading_ = false;
+  bool timedOut_ = false;
+  bool keepAlive_ = true;
+  bool headOnly_ = false;
+  bool gone_ = false;
+  bool answered_ = false;
+  bool streamStarted_ = false;
+};
+
+}  // namespace calicodrift::http
--- a/src/sim/engine_server.cc
+++ b/src/sim/engine_server.cc
@@ -96,14 +96,37 @@
         co_await writer.startStream(withIdentity(std::move(head), request));
     generation->callerGone = !started;
   }
-  const std::uint64_t promptHash = answerPromptHash(completion.prompt);
   openai::Usage usage{promptTokensOf(completion, settings_.bytesPerToken), 0, 0};
   std::string text;
+  co_await sendTokens(completion, request, writer, *generation, usage, text);
+  generations_.erase(id);
+  model_.cancel(id);
+  if (generation->callerGone) {
+    co_return;
+  }
+  if (!completion.stream) {
+    const std::string body =
+        openai::completionBody(completion.kind, requestId, completion.model, text, usage);
+    co_await http::respond(writer, withIdentity(http::jsonResponse(200, body), request));
+    co_return;
+  }
+  const std::string closing =
+      http::formatSse({"", "", openai::usageBody(requestId, completion.model, usage)}) +
+      http::formatSse({"", "", std::string(http::kSseDone)});
+  co_await http::closeStream(writer, closing);
+}
+
+awaitable<void> EngineServer::sendTokens(const openai::CompletionRequest& completion,
+                                         const http::Request& request, http::ResponseWriter& writer,
+                                         Generation& generation, openai::Usage& usage,
+                                         std::string& text) {
+  const RequestId requestId(request.headers.get(http::kRequestIdHeader));
+  const std::uint64_t promptHash = answerPromptHash(completion.prompt);
   bool finished = completion.resumeFrom >= completion.maxTokens;
-  while (!finished && !generation->callerGone) {
-    const TokenEvent token = co_await nextToken(*generation);
-    if (generation->callerGone) {
-      break;
+  while (!finished && !generation.callerGone) {
+    const TokenEvent token = co_await nextToken(generation);
+    if (generation.callerGone) {
+      co_return;
     }
     finished = token.last;
     usage.cachedTokens = token.cachedTokens;
@@ -121,23 +144,8 @@
         openai::chunkBody(completion.kind, requestId, completion.model, word, token.last)};
     const std::string bytes = http::formatSse(event);
     const Result<void> written = co_await writer.writeChunk(bytes);
-    generation->callerGone = generation->callerGone || !written;
+    generation.callerGone = generation.callerGone || !written;
   }
-  generations_.erase(id);
-  model_.cancel(id);
-  if (generation->callerGone) {
-    co_return;
-  }
-  if (!completion.stream) {
-    const std::string body =
-        openai::completionBody(completion.kind, requestId, completion.model, text, usage);
-    co_await http::respond(writer, withIdentity(http::jsonResponse(200, body), request));
-    co_return;
-  }
-  const std::string closing =
-      http::formatSse({"", "", openai::usageBody(requestId, completion.model, usage)}) +
-      http::formatSse({"", "", std::string(http::kSseDone)});
-  co_await http::closeStream(writer, closing);
 }
 
 awaitable<TokenEvent> EngineServer::nextToken(Generation& generation) {
--- a/src/sim/engine_server.h
+++ b/src/sim/engine_server.h
@@ -50,6 +50,11 @@
                                         http::ResponseWriter& writer);
   boost::asio::awaitable<void> generate(const openai::CompletionRequest& completion,
                                         const http::Request& request, http::ResponseWriter& writer);
+  /// Sends (or collects in `text`) the tokens of one answer until the last one or the caller's end.
+  boost::asio::awaitable<void> sendTokens(const openai::CompletionRequest& completion,
+                                          const http::Request& request,
+                                          http::ResponseWriter& writer, Generation& generation,
+                                          openai::Usage& usage, std::string& text);
   boost::asio::awaitable<TokenEvent> nextToken(Generation& generation);
   boost::asio::awaitable<void> runSteps();
   void deliver(const std::vector<TokenEvent>& tokens);
