--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -198,14 +198,16 @@
   routing::Policy& policy = context_.policies.policyNamed(job.policyName);
   const routing::Choice choice = policy.choose(job.route, candidates, monotonicNow());
   // A copy, as the set changes while the answer is awaited.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
   const routing::Candidate backend = candidates[choice.index];
   const std::optional<Endpoint> endpoint = context_.backends.endpointOf(backend.id);
   if (!endpoint) {
     co_return fail(ErrorKind::kNoBackend, "the chosen engine has left");
   }
+  ++job.attempts;
   // Before the table is told of the dispatch: that may move an engine to another set.
   context_.policies.decisions().record(
-      {job.caller.requestId, Attempt(job.attempts + 1), job.policyName, std::string(choice.reason),
+      {job.caller.requestId, Attempt(job.attempts), job.policyName, std::string(choice.reason),
        backend, job.route.blocks.size(), choice.expectedCachedBlocks, candidates.size()});
   job.route.avoided.push_back(backend.id);
   job.sink.setWeights(backend.weights);
@@ -223,7 +225,6 @@
 
 awaitable<Result<void>> CompletionHandler::attemptOn(Job& job, const routing::Candidate& backend,
                                                      Endpoint endpoint) {
-  ++job.attempts;
   ++job.attemptsInVain;
   const EngineDispatch dispatch{job.caller,
                                 job.path,
@@ -247,30 +248,31 @@
   if (job.writer.callerGone()) {
     co_return fail(ErrorKind::kCallerGone, "the caller left");
   }
-  learnFrom(*attempt, backend.id, outcome);
+  learnFrom(*attempt, backend, outcome);
   co_return outcome;
 }
 
-void CompletionHandler::learnFrom(const EngineAttempt& attempt, const BackendId& backend,
+void CompletionHandler::learnFrom(const EngineAttempt& attempt, const routing::Candidate& backend,
                                   const Result<void>& outcome) {
   if (attempt.identity()) {
-    context_.backends.applyAnswer(backend, attempt.identity()->incarnation,
+    context_.backends.applyAnswer(backend.id, attempt.identity()->incarnation,
                                   attempt.identity()->weights);
   }
   if (outcome) {
-    context_.backends.recordSuccess(backend);
+    context_.backends.recordSuccess(backend.id);
     return;
   }
   const ErrorKind kind = outcome.error().kind;
   if (kind == ErrorKind::kConnectFailed) {
-    context_.backends.markUnreachable(backend);
+    context_.backends.markUnreachable(backend.id);
   }
-  if (kind == ErrorKind::kFenced) {
-    context_.backends.markOutdated(backend);
+  if (kind == ErrorKind::kFenced && attempt.isAsExpected(backend)) {
+    // It is who it was, and still refuses: it loads weights.
+    context_.backends.markOutdated(backend.id);
   }
   if (kind == ErrorKind::kStreamBroken || kind == ErrorKind::kOutcomeUnknown ||
       kind == ErrorKind::kProtocolViolation) {
-    context_.backends.recordFailure(backend);
+    context_.backends.recordFailure(backend.id);
   }
 }
 
--- a/src/router/completion_handler.h
+++ b/src/router/completion_handler.h
@@ -40,7 +40,7 @@
   /// Sends the job to `backend` and learns from how it went.
   boost::asio::awaitable<Result<void>> attemptOn(Job& job, const routing::Candidate& backend,
                                                  Endpoint endpoint);
-  void learnFrom(const EngineAttempt& attempt, const BackendId& backend,
+  void learnFrom(const EngineAttempt& attempt, const routing::Candidate& backend,
                  const Result<void>& outcome);
   http::ExchangeOptions optionsFor(const Job& job) const;
   void recordCompletion(Job& job);
--- a/src/router/dispatch_id.cc
+++ b/src/router/dispatch_id.cc
@@ -15,6 +15,10 @@
 }
 
 Error overAllAttempts(const Error& last, bool mayHaveRun) {
+  if (last.kind == ErrorKind::kFenced && !mayHaveRun) {
+    // Fencing is between router and engine; to the caller it is a refusal like others.
+    return fail(ErrorKind::kBackendRefused, last.detail);
+  }
   if (!mayHaveRun || errorRow(last.kind).run != RunStatement::kNo) {
     return last;
   }
--- a/src/router/engine_attempt.h
+++ b/src/router/engine_attempt.h
@@ -49,6 +49,11 @@
   void cancel() { canceller_.cancel(); }
   /// The identity that the engine's answer gave; nothing if no answer came.
   const std::optional<EngineIdentity>& identity() const { return identity_; }
+  /// Whether the engine that answered has the incarnation and weights that it was chosen for.
+  bool isAsExpected(const routing::Candidate& backend) const {
+    return identity_ && identity_->incarnation == backend.incarnation &&
+           identity_->weights == backend.weights;
+  }
 
  private:
   boost::asio::awaitable<Result<void>> readAnswer(const EngineDispatch& dispatch);
--- a/tests/integration/backend_health_test.cc
+++ b/tests/integration/backend_health_test.cc
@@ -166,7 +166,7 @@
 
 BOOST_FIXTURE_TEST_CASE(restartedEngineRefusesTheOldIncarnationAndServesTheRetry,
                         OneEngineUnprobed) {
-  const std::string fresh = "calicodrift_retries_total{cause=\"backend_refused\"}";
+  const std::string fresh = "calicodrift_retries_total{cause=\"fenced\"}";
   BOOST_TEST(streamOne(endpoint, streamRequest(prompt, 4)).cachedTokens == 0U);
   BOOST_TEST(streamOne(endpoint, streamRequest(prompt, 4)).cachedTokens == 160U);
   engine = restarted(fleet, std::move(engine));
@@ -190,6 +190,14 @@
   BOOST_TEST(numberFrom(engine->endpoint("engine"), "/health", "accepted") == 1);
   const std::string newText = sim::answerToken(sim::answerPromptHash(prompt, WeightsVersion(2)), 0);
   BOOST_TEST(answer.value().body.find(newText) != std::string::npos);
+  // Rest of an answer that version 1 began: from version 1, or not at all.
+  http::Request rest = streamRequest(prompt, 4);
+  rest.headers.set(http::kLastEventIdHeader, "begun-by-version-1/1");
+  rest.headers.set("X-Seen-Weights", "1");
+  const StreamAnswer refused = streamOne(endpoint, rest);
+  BOOST_TEST(refused.status == 503U);
+  BOOST_TEST(refused.error.find(R"("run":"no")") != std::string::npos);
+  BOOST_TEST(numberFrom(engine->endpoint("engine"), "/health", "accepted") == 1);
 }
 
 BOOST_FIXTURE_TEST_CASE(anotherTenantsCacheIsNeverUsed, OneEngineUnprobed) {
--- a/tests/support/stream_client.cc
+++ b/tests/support/stream_client.cc
@@ -36,6 +36,7 @@
   http::ResponseStream& stream = *opened.value();
   answer.status = stream.head().status;
   answer.backend = stream.head().headers.get(http::kBackendHeader);
+  answer.weights = stream.head().headers.get(http::kWeightsHeader);
   answer.requestId = stream.head().headers.get(http::kRequestIdHeader);
   http::SseReader reader;
   for (;;) {
