Control plane: membership and configuration together, measured by calicodrift-bench scale

Cause: the time for a change to be in force on all nodes could not be measured. Change: control::ControlPlane holds membership and config::Configuration on one peer transport; the router and the hollow nodes run the same class. The bench runs the object API's stand-in on a thread of its own and publishes signed bundles of 340 tenants and 34 models. Ruled out: hollow nodes that only run the relay's state machine; the reading of the store is part of the cost and of the delay, so the whole config::Configuration runs.

--- a/src/bench/scale.cc
+++ b/src/bench/scale.cc
@@ -9,6 +9,7 @@
 #include "bench/programs.h"
 #include "bench/report.h"
 #include "bench/scale_run.h"
+#include "log/log.h"
 #include "settings/table.h"
 
 namespace calicodrift::bench {
@@ -21,6 +22,9 @@
   std::int64_t zones = 0;
   std::int64_t threads = 0;
   std::int64_t seed = 0;
+  std::int64_t tenants = 0;
+  std::int64_t models = 0;
+  std::int64_t changes = 0;
   std::int64_t failures = 0;
   std::int64_t leaves = 0;
   std::int64_t extrapolateTo = 0;
@@ -43,6 +47,9 @@
       {{"zones", "27", 1, 1000, "count", "zones that the nodes are spread over"}, &S::zones},
       {{"threads", "4", 1, 64, "count", "threads that run the hollow nodes"}, &S::threads},
       {{"seed", "1", 0, kMost, "", "of the nodes' random choices"}, &S::seed},
+      {{"tenants", "340", 1, kMost, "count", "tenants of the configuration"}, &S::tenants},
+      {{"models", "34", 1, kMost, "count", "models of the configuration"}, &S::models},
+      {{"changes", "5", 1, 1000, "count", "changes of configuration, one in 3.6 s"}, &S::changes},
       {{"failures", "5", 1, 100, "count", "nodes that fail at once"}, &S::failures},
       {{"leaves", "3", 1, 100, "count", "nodes that leave at once, after the failures"},
        &S::leaves},
@@ -82,6 +89,9 @@
     Metric{"join_s", [](const ScaleResult& result) { return result.joinSeconds; }},
     Metric{"join_bytes_per_node_s",
            [](const ScaleResult& result) { return result.joinBytesPerSecond; }},
+    Metric{"change_p50_ms", [](const ScaleResult& result) { return result.change.p50Ms; }},
+    Metric{"change_p99_ms", [](const ScaleResult& result) { return result.change.p99Ms; }},
+    Metric{"change_last_ms", [](const ScaleResult& result) { return result.change.lastMs; }},
     Metric{"failure_p50_ms", [](const ScaleResult& result) { return result.failure.p50Ms; }},
     Metric{"failure_p99_ms", [](const ScaleResult& result) { return result.failure.p99Ms; }},
     Metric{"failure_last_ms", [](const ScaleResult& result) { return result.failure.lastMs; }},
@@ -121,6 +131,9 @@
   run.settleBound = given.settleBound;
   run.steadyTime = given.steadyTime;
   run.noticeBound = given.noticeBound;
+  run.bundle.tenants = static_cast<std::size_t>(given.tenants);
+  run.bundle.models = static_cast<std::size_t>(given.models);
+  run.changes = static_cast<std::size_t>(given.changes);
   run.failures = static_cast<std::size_t>(given.failures);
   run.leaves = static_cast<std::size_t>(given.leaves);
   return run;
@@ -140,6 +153,8 @@
   object["channels"] = std::move(channels);
   object["suspicions_without_cause"] = result.suspicions;
   object["deaths_without_cause"] = result.falseDeaths;
+  object["bundle_bytes"] = result.bundleBytes;
+  object["change_not_in_force"] = result.change.missed;
   object["failure_not_noticed"] = result.failure.missed;
   object["leave_not_noticed"] = result.leave.missed;
   return object;
@@ -201,6 +216,7 @@
     std::cerr << sizes.error().detail << "\n";
     return settings::kExitUsage;
   }
+  log::silence();
   std::vector<ScaleResult> results;
   json::array rows;
   bool complete = true;
@@ -212,8 +228,8 @@
     }
     results.push_back(result.value());
     rows.push_back(toJson(results.back()));
-    complete = complete && results.back().joined && results.back().failure.missed == 0 &&
-               results.back().leave.missed == 0;
+    complete = complete && results.back().joined && results.back().change.missed == 0 &&
+               results.back().failure.missed == 0 && results.back().leave.missed == 0;
   }
   printTable(results);
   const json::object report{{"sizes", std::move(rows)},
--- a/src/bench/scale_run.cc
+++ b/src/bench/scale_run.cc
@@ -1,7 +1,6 @@
 #include "bench/scale_run.h"
 
 #include <malloc.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -16,24 +15,13 @@
 using membership::MemberChange;
 
 constexpr Milliseconds kPollInterval{100};
+/// The letter's 24,000 changes a day come one in 3.6 s on average.
+constexpr Milliseconds kChangeInterval{3600};
 
 double secondsSince(MonotonicTime begin) {
   return std::chrono::duration<double>(monotonicNow() - begin).count();
 }
 
-double toSeconds(const timeval& time) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_usec) / kMicrosecondsPerSecond;
-}
-
-/// Processor time of this process so far, user and system.
-double processorSeconds() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  return toSeconds(usage.ru_utime) + toSeconds(usage.ru_stime);
-}
-
 /// Resident memory, after what was freed has gone back to the system.
 double residentBytes() {
   malloc_trim(0);
@@ -94,12 +82,12 @@
 void measureSteady(HollowFleet& fleet, const ScaleRunSettings& settings, ScaleResult& result) {
   const auto trafficBefore = fleet.traffic();
   const membership::MembershipCounters countersBefore = fleet.counters();
-  const double processorBefore = processorSeconds();
+  const double processorBefore = fleet.processorSeconds();
   const MonotonicTime begin = monotonicNow();
   std::this_thread::sleep_for(settings.steadyTime);
   const double perNodeSecond = 1 / (secondsSince(begin) * static_cast<double>(result.nodes));
   constexpr double kPercent = 100;
-  result.cpuPercent = kPercent * (processorSeconds() - processorBefore) * perNodeSecond;
+  result.cpuPercent = kPercent * (fleet.processorSeconds() - processorBefore) * perNodeSecond;
   auto traffic = fleet.traffic();
   for (const auto& [channel, after] : traffic) {
     const auto found = trafficBefore.find(channel);
@@ -118,6 +106,17 @@
   result.suspicions = counters.suspicions - countersBefore.suspicions;
 }
 
+NoticeTimes summarize(std::vector<double>& samples, std::size_t expected) {
+  constexpr double kMedian = 0.5;
+  constexpr double kTail = 0.99;
+  NoticeTimes times;
+  times.missed = expected - std::min(expected, samples.size());
+  times.p50Ms = percentile(samples, kMedian);
+  times.p99Ms = percentile(samples, kTail);
+  times.lastMs = percentile(samples, 1);
+  return times;
+}
+
 /// Lets `act` happen to the nodes `first` to `last` and waits until all that go on have seen
 /// `change` of each.
 /// @param gone nodes that are down already.
@@ -146,14 +145,43 @@
     }
   }
   fleet.record(false);
-  NoticeTimes times;
-  times.missed = expected - std::min(expected, samples.size());
-  constexpr double kMedian = 0.5;
-  constexpr double kTail = 0.99;
-  times.p50Ms = percentile(samples, kMedian);
-  times.p99Ms = percentile(samples, kTail);
-  times.lastMs = percentile(samples, 1);
-  return times;
+  return summarize(samples, expected);
+}
+
+/// Publishes a bundle and adds to `samples` how long each node took to have it in force.
+Result<void> publishAndWait(HollowFleet& fleet, ScaleStore& store, const ScaleRunSettings& settings,
+                            std::vector<double>& samples) {
+  fleet.takeAdoptions();
+  const Result<MonotonicTime> begin = store.publishNext();
+  if (!begin) {
+    return begin.error();
+  }
+  std::size_t adopted = 0;
+  waitUntil(
+      [&] {
+        for (const hollow::Adoption& adoption : fleet.takeAdoptions()) {
+          if (adoption.version == store.version()) {
+            ++adopted;
+            samples.push_back(toMilliseconds(adoption.time - begin.value()));
+          }
+        }
+        return adopted >= settings.fleet.nodes;
+      },
+      settings.noticeBound);
+  return boost::outcome_v2::success();
+}
+
+Result<NoticeTimes> measureChanges(HollowFleet& fleet, ScaleStore& store,
+                                   const ScaleRunSettings& settings) {
+  std::vector<double> samples;
+  for (std::size_t change = 0; change < settings.changes; ++change) {
+    const Result<void> published = publishAndWait(fleet, store, settings, samples);
+    if (!published) {
+      return published.error();
+    }
+    std::this_thread::sleep_for(kChangeInterval);
+  }
+  return summarize(samples, settings.changes * settings.fleet.nodes);
 }
 
 }  // namespace
@@ -161,16 +189,35 @@
 Result<ScaleResult> runScaleSize(const ScaleRunSettings& settings) {
   ScaleResult result;
   result.nodes = settings.fleet.nodes;
+  ScaleStore store(settings.bundle);
+  const Result<Endpoint> storeEndpoint = store.start();
+  if (!storeEndpoint) {
+    return storeEndpoint.error();
+  }
+  hollow::HollowFleetSettings fleetSettings = settings.fleet;
+  fleetSettings.configuration.store.objectApi = {storeEndpoint.value()};
+  fleetSettings.signingRule = store.signingRule();
   const double residentBefore = residentBytes();
-  HollowFleet fleet(settings.fleet);
+  HollowFleet fleet(fleetSettings);
   const Result<void> started = fleet.start();
   if (!started) {
     return started.error();
   }
   measureJoin(fleet, settings, result);
+  std::vector<double> ignored;
+  const Result<void> published = publishAndWait(fleet, store, settings, ignored);
+  if (!published) {
+    return published.error();
+  }
+  result.bundleBytes = store.bundleBytes();
   measureSteady(fleet, settings, result);
   result.residentBytes =
       (residentBytes() - residentBefore) / static_cast<double>(settings.fleet.nodes);
+  const Result<NoticeTimes> change = measureChanges(fleet, store, settings);
+  if (!change) {
+    return change.error();
+  }
+  result.change = change.value();
   const std::size_t failed = settings.failures;
   const std::size_t gone = failed + settings.leaves;
   result.failure = measureNotice(fleet, settings, 0, failed, MemberChange::kDied,
--- a/src/bench/scale_run.h
+++ b/src/bench/scale_run.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "bench/scale_store.h"
 #include "common/clock.h"
 #include "hollow/hollow_fleet.h"
 
@@ -20,6 +21,9 @@
   Milliseconds steadyTime{0};
   /// Longest wait for all nodes to notice a failure or a leave.
   Milliseconds noticeBound{0};
+  /// Configuration that is published, and how often it changes after the steady window.
+  ScaleBundle bundle;
+  std::size_t changes = 0;
   /// Nodes that fail at once, and that leave at once afterwards.
   std::size_t failures = 0;
   std::size_t leaves = 0;
@@ -49,6 +53,7 @@
   double joinBytesPerSecond = 0;
   /// No node spread a change any more when the steady window began.
   bool settled = false;
+  std::size_t bundleBytes = 0;
   double cpuPercent = 0;
   double residentBytes = 0;
   /// Payload that was sent, without UDP and IP headers.
@@ -58,6 +63,8 @@
   /// In the steady window, where no node failed.
   std::uint64_t falseDeaths = 0;
   std::uint64_t suspicions = 0;
+  /// From the begin of the write to the store until a change was in force.
+  NoticeTimes change;
   NoticeTimes failure;
   NoticeTimes leave;
 };
--- a/src/control/control_plane.h
+++ b/src/control/control_plane.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
-#include <functional>
 
+#include "bundle/signature.h"
+#include "config/configuration.h"
+#include "http/client.h"
 #include "membership/membership.h"
 #include "peer/transport.h"
 
@@ -11,30 +14,46 @@
 struct ControlPlaneSettings {
   peer::PeerInfo self;
   membership::MembershipSettings membership;
+  config::ConfigurationSettings configuration;
+  bundle::SigningRule signingRule;
   /// Of random choices; different on each node.
   std::uint64_t seed = 0;
 };
 
-/// A node's control side on one peer transport: what the real router and the hollow nodes of the
-/// capacity measurement both run. Without I/O of its own: the owner calls tick() once in
-/// tickInterval().
+/// What a control plane works with; all must outlive it.
+struct ControlPlaneEnvironment {
+  boost::asio::any_io_executor executor;
+  peer::Transport& transport;
+  http::Client& client;
+  prometheus::Registry& registry;
+};
+
+/// A node's control side on one peer transport: membership and configuration. The real router and
+/// the hollow nodes of the capacity measurement both run it. Everything happens on the executor's
+/// one thread.
 class ControlPlane {
  public:
-  using Clock = std::function<MonotonicTime()>;
+  /// @param onBundle called with each bundle that comes into force.
+  ControlPlane(ControlPlaneSettings settings, const ControlPlaneEnvironment& environment,
+               config::BundleHolder::Listener onBundle);
 
-  ControlPlane(ControlPlaneSettings settings, peer::Transport& transport, Clock clock);
-
-  void tick();
-  Milliseconds tickInterval() const { return membership_.settings().tickInterval(); }
+  /// Starts to act; runs until the executor's context stops.
+  void start();
   /// Planned stop.
-  void leave() { membership_.leave(clock_()); }
+  void leave();
 
   membership::Membership& membership() { return membership_; }
   const membership::Membership& membership() const { return membership_; }
+  config::Configuration& configuration() { return configuration_; }
+  const config::Configuration& configuration() const { return configuration_; }
 
  private:
-  Clock clock_;
+  boost::asio::awaitable<void> tickForever();
+
+  boost::asio::any_io_executor executor_;
+  peer::Transport& transport_;
   membership::Membership membership_;
+  config::Configuration configuration_;
 };
 
 }  // namespace calicodrift::control
--- a/src/hollow/hollow_fleet.cc
+++ b/src/hollow/hollow_fleet.cc
@@ -1,5 +1,7 @@
 #include "hollow/hollow_fleet.h"
 
+#include <time.h>
+
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <future>
@@ -67,8 +69,14 @@
   control.self.region = RegionId("region-1");
   control.membership = settings_.membership;
   control.seed = hashPair(settings_.seed, index);
-  node(index).start(std::move(control));
+  control.configuration = settings_.configuration;
+  control.configuration.store.seed = hashPair(control.seed, 1);
+  control.configuration.store.joinsPeers = true;
+  control.signingRule = settings_.signingRule;
   Worker& worker = workerOf(index);
+  node(index).start(std::move(control), [&worker, index](const bundle::Bundle& bundle) {
+    worker.adoptions.push_back({index, bundle.version, monotonicNow()});
+  });
   node(index).control().membership().addListener(
       [&worker, index](const membership::MemberRecord& record, membership::MemberChange change) {
         if (worker.recording) {
@@ -131,6 +139,31 @@
   return all;
 }
 
+std::vector<Adoption> HollowFleet::takeAdoptions() {
+  std::vector<Adoption> all;
+  for (const auto& worker : workers_) {
+    runOn(*worker, [&worker, &all] {
+      all.insert(all.end(), worker->adoptions.begin(), worker->adoptions.end());
+      worker->adoptions.clear();
+    });
+  }
+  return all;
+}
+
+double HollowFleet::processorSeconds() {
+  constexpr double kNanosecondsPerSecond = 1e9;
+  double total = 0;
+  for (const auto& worker : workers_) {
+    runOn(*worker, [&total] {
+      timespec used{};
+      clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+      total += static_cast<double>(used.tv_sec) +
+               static_cast<double>(used.tv_nsec) / kNanosecondsPerSecond;
+    });
+  }
+  return total;
+}
+
 std::size_t HollowFleet::countBelieving(std::size_t present) {
   std::size_t count = 0;
   forEachRunning([&count, present](HollowNode& node) {
--- a/src/hollow/hollow_fleet.h
+++ b/src/hollow/hollow_fleet.h
@@ -21,6 +21,8 @@
   std::string address = "127.0.0.1";
   /// `seeds` in it are of other processes; some of the own nodes are added.
   membership::MembershipSettings membership;
+  config::ConfigurationSettings configuration;
+  bundle::SigningRule signingRule;
   std::uint64_t seed = 1;
 };
 
@@ -33,6 +35,13 @@
   MonotonicTime time;
 };
 
+/// A bundle that came into force on a node.
+struct Adoption {
+  std::size_t observer = 0;
+  BundleVersion version;
+  MonotonicTime time;
+};
+
 /// Hollow nodes spread over a few threads, each with an io_context of its own. Every method runs
 /// its work on the nodes' threads and waits for it; call them from one other thread.
 class HollowFleet {
@@ -54,6 +63,10 @@
   void record(bool on);
   /// What was recorded since the last call.
   std::vector<Observation> takeObservations();
+  /// Which bundles came into force since the last call.
+  std::vector<Adoption> takeAdoptions();
+  /// Processor time that the nodes' threads have used, user and system.
+  double processorSeconds();
   /// Running nodes that believe in exactly `present` members.
   std::size_t countBelieving(std::size_t present);
   /// Running nodes that still spread changes.
@@ -67,6 +80,7 @@
     boost::asio::io_context context{1};
     std::vector<std::unique_ptr<HollowNode>> nodes;
     std::vector<Observation> observations;
+    std::vector<Adoption> adoptions;
     bool recording = false;
     std::thread thread;
   };
--- a/src/hollow/hollow_node.cc
+++ b/src/hollow/hollow_node.cc
@@ -4,7 +4,23 @@
 
 namespace calicodrift::hollow {
 
-HollowNode::HollowNode(boost::asio::io_context& context) : transport_(context), timer_(context) {}
+void SilenceableTransport::send(const Endpoint& to, peer::Channel channel, std::string payload) {
+  if (!silent_) {
+    inner_.send(to, channel, std::move(payload));
+  }
+}
+
+void SilenceableTransport::setReceiver(peer::Channel channel, Receiver receiver) {
+  inner_.setReceiver(channel, [this, receiver = std::move(receiver)](const Endpoint& from,
+                                                                     std::string_view payload) {
+    if (!silent_) {
+      receiver(from, payload);
+    }
+  });
+}
+
+HollowNode::HollowNode(boost::asio::io_context& context)
+    : context_(context), transport_(context), client_(context.get_executor()) {}
 
 Result<Endpoint> HollowNode::listen(const std::string& address) {
   Result<Endpoint> endpoint = transport_.listen({address, 0});
@@ -14,30 +30,20 @@
   return endpoint;
 }
 
-void HollowNode::start(control::ControlPlaneSettings settings) {
+void HollowNode::start(control::ControlPlaneSettings settings,
+                       config::BundleHolder::Listener onBundle) {
   settings.self.endpoint = endpoint_;
-  control_ = std::make_unique<control::ControlPlane>(std::move(settings), transport_, monotonicNow);
-  tickNext();
+  const control::ControlPlaneEnvironment environment{context_.get_executor(), transport_, client_,
+                                                     registry_};
+  control_ = std::make_unique<control::ControlPlane>(std::move(settings), environment,
+                                                     std::move(onBundle));
+  control_->start();
+  running_ = true;
 }
 
 void HollowNode::fail() {
-  timer_.cancel();
-  // The socket stays open, so that no other process gets its port; what arrives is dropped.
-  using enum peer::Channel;
-  for (const peer::Channel channel : {kMembership, kConfig, kClaims, kLimits, kIndex}) {
-    transport_.setReceiver(channel, [](const Endpoint&, std::string_view) {});
-  }
-  control_.reset();
-}
-
-void HollowNode::tickNext() {
-  control_->tick();
-  timer_.expires_after(control_->tickInterval());
-  timer_.async_wait([this](boost::system::error_code code) {
-    if (!code && running()) {
-      tickNext();
-    }
-  });
+  transport_.silence();
+  running_ = false;
 }
 
 }  // namespace calicodrift::hollow
--- a/src/log/log.cc
+++ b/src/log/log.cc
@@ -14,7 +14,7 @@
 namespace {
 
 namespace expressions = boost::log::expressions;
-using Logger = boost::log::sources::severity_logger<Level>;
+using Logger = boost::log::sources::severity_logger_mt<Level>;
 
 Logger& logger() {
   static Logger instance;
@@ -46,6 +46,10 @@
 
 }  // namespace
 
+void silence() {
+  boost::log::core::get()->set_logging_enabled(false);
+}
+
 void initialize(std::string_view process) {
   boost::log::add_common_attributes();
   boost::log::core::get()->add_global_attribute(
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -20,6 +20,9 @@
 /// @param process name that stands in each line, as the node's id.
 void initialize(std::string_view process);
 
+/// Drops all lines, for programs that run very many nodes.
+void silence();
+
 /// Writes one line. `event` is a stable snake_case name such as `backend_left`.
 void write(Level level, std::string_view event, const std::vector<Field>& fields);
 
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -107,26 +107,19 @@
 }
 
 void Node::startControl() {
-  control_ = std::make_unique<control::ControlPlane>(controlPlaneSettings(settings_, peerEndpoint_),
-                                                     peers_, monotonicNow);
+  control::ControlPlaneSettings control = controlPlaneSettings(settings_, peerEndpoint_);
+  control.configuration = configurationSettings(settings_);
+  control.signingRule = signingRule_;
+  const control::ControlPlaneEnvironment environment{context_.get_executor(), peers_, client_,
+                                                     registry_};
+  control_ = std::make_unique<control::ControlPlane>(
+      std::move(control), environment,
+      [this](const bundle::Bundle& bundle) { onBundleAdopted(bundle); });
+  configuration_ = &control_->configuration();
   control_->membership().addListener(logMemberChange);
   orderCandidacy_.emplace(control_->membership(), std::string(kOrderLease),
                           static_cast<std::size_t>(settings_.orderLeaseCandidates));
-  asio::co_spawn(context_, runControl(), asio::detached);
-  configuration_ = std::make_unique<config::Configuration>(
-      context_.get_executor(), configurationSettings(settings_), signingRule_, peers_,
-      control_->membership(), client_, registry_,
-      [this](const bundle::Bundle& bundle) { onBundleAdopted(bundle); });
-  configuration_->start();
-}
-
-awaitable<void> Node::runControl() {
-  asio::steady_timer timer(context_);
-  for (;;) {
-    control_->tick();
-    timer.expires_after(control_->tickInterval());
-    co_await timer.async_wait(asio::use_awaitable);
-  }
+  control_->start();
 }
 
 void Node::startLimits() {
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -49,7 +49,6 @@
   http::Response listModels() const;
   /// Starts membership and configuration once the peer endpoint is known.
   void startControl();
-  boost::asio::awaitable<void> runControl();
   /// Starts the tenant limits once the peer endpoint is known.
   void startLimits();
   boost::asio::awaitable<void> runLimits();
@@ -75,8 +74,8 @@
   PolicySet policies_;
   BackendTable backends_;
   bundle::SigningRule signingRule_;
-  /// Made by start(), as it needs the membership.
-  std::unique_ptr<config::Configuration> configuration_;
+  /// Part of `control_`; null until start().
+  config::Configuration* configuration_ = nullptr;
   ClaimGate claims_;
   Discovery discovery_;
   RouteContext route_;
--- a/src/sim/hollow.cc
+++ b/src/sim/hollow.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "hollow/hollow_fleet.h"
+#include "log/log.h"
 #include "settings/table.h"
 #include "sim/programs.h"
 
@@ -14,6 +15,9 @@
   std::int64_t threads = 0;
   std::string namePrefix;
   std::vector<Endpoint> seeds;
+  std::vector<Endpoint> objectApi;
+  std::vector<std::string> trustedSigners;
+  std::int64_t requiredSignatures = 0;
   Milliseconds probeInterval{0};
   Milliseconds probeTimeout{0};
   Milliseconds suspicionTimeout{0};
@@ -29,6 +33,11 @@
       {{"name-prefix", "hollow", 0, 0, "", "their names are PREFIX-0, PREFIX-1, ..."},
        &S::namePrefix},
       {{"seeds", "", 0, 0, "", "peer addresses of nodes in other processes"}, &S::seeds},
+      {{"object-api", "", 0, 0, "", "address of the platform's object API"}, &S::objectApi},
+      {{"trusted-signers", "", 0, 0, "", "NAME=PUBLIC_KEY_HEX of each person who may sign bundles"},
+       &S::trustedSigners},
+      {{"required-signatures", "2", 1, 16, "count", "different trusted signers a bundle needs"},
+       &S::requiredSignatures},
       {{"member-probe-interval-ms", "1000", 20, kMinute, "ms", "as of the router"},
        &S::probeInterval},
       {{"member-probe-timeout-ms", "300", 5, kMinute, "ms", "as of the router"}, &S::probeTimeout},
@@ -43,7 +52,15 @@
   const HollowSettings given =
       settings::loadOrExit(argc, argv, "Many nodes' control sides in one process", hollowTable())
           .settings;
+  const auto signers = bundle::parseTrustedSigners(given.trustedSigners);
+  if (!signers) {
+    std::cerr << signers.error().detail << "\n";
+    return settings::kExitUsage;
+  }
+  log::silence();
   hollow::HollowFleetSettings fleetSettings;
+  fleetSettings.configuration.store.objectApi = given.objectApi;
+  fleetSettings.signingRule = {signers.value(), static_cast<std::size_t>(given.requiredSignatures)};
   fleetSettings.nodes = static_cast<std::size_t>(given.nodes);
   fleetSettings.zones = static_cast<std::size_t>(given.zones);
   fleetSettings.threads = static_cast<std::size_t>(given.threads);
--- a/tests/integration/hollow_test.cc
+++ b/tests/integration/hollow_test.cc
@@ -32,10 +32,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(scaleBenchReportsEverySizeAndItsFits) {
-  Process bench("calicodrift-bench",
-                {"scale", "--nodes", "10,20", "--zones", "3", "--threads", "2", "--failures", "1",
-                 "--leaves", "1", "--steady-ms", "500", "--member-probe-interval-ms", "200",
-                 "--member-probe-timeout-ms", "60", "--member-suspicion-timeout-ms", "600"});
+  Process bench("calicodrift-bench", {"scale", "--nodes",
+                                      "10,20", "--zones",
+                                      "3",     "--threads",
+                                      "2",     "--changes",
+                                      "1",     "--failures",
+                                      "1",     "--leaves",
+                                      "1",     "--steady-ms",
+                                      "500",   "--member-probe-interval-ms",
+                                      "200",   "--member-probe-timeout-ms",
+                                      "60",    "--member-suspicion-timeout-ms",
+                                      "600"});
   const std::string output = bench.remainingOutput();
   BOOST_TEST(bench.wait() == 0);
   const std::size_t begin = output.find('{');
@@ -47,6 +54,7 @@
     BOOST_TEST(size.at("sent_bytes_per_node_s").to_number<double>() > 0);
     BOOST_TEST(size.at("failure_last_ms").to_number<double>() >=
                size.at("failure_p50_ms").to_number<double>());
+    BOOST_TEST(size.at("change_last_ms").to_number<double>() > 0);
     BOOST_TEST(size.at("channels").as_object().contains("membership"));
   }
   BOOST_TEST(report.at("fits").as_object().contains("failure_last_ms"));
