Streams: the event id names the weights that began the answer

Cause: a caller that resumed through Last-Event-ID without X-Seen-Weights could get the rest of its answer from other weights during a roll-out. Ruled out: keeping the version on the routers, as a resume must work after all of them restarted. Ids without weights are still taken.

--- a/src/router/answer_sink.cc
+++ b/src/router/answer_sink.cc
@@ -23,7 +23,7 @@
     co_return started.error();
   }
   const std::string event =
-      http::formatSse({callerEventId(caller_.requestId, nextIndex_), "", data});
+      http::formatSse({callerEventId(caller_.requestId, weights_, nextIndex_), "", data});
   Result<void> written = co_await writer_.writeChunk(event);
   countToken();
   co_return written;
--- a/src/router/caller.cc
+++ b/src/router/caller.cc
@@ -47,6 +47,39 @@
   return tenant;
 }
 
+/// Reads "REQUEST_ID/wWEIGHTS/INDEX" or, from a caller that leaves out the weights,
+/// "REQUEST_ID/INDEX".
+Result<void> readLastEventId(std::string_view text, Caller& caller) {
+  const Error malformed =
+      badHeader(http::kLastEventIdHeader, "REQUEST_ID/wWEIGHTS/INDEX as sent in the stream");
+  const std::size_t slash = text.rfind('/');
+  if (slash == std::string_view::npos) {
+    return malformed;
+  }
+  const std::optional<std::int64_t> index = parseNumber(text.substr(slash + 1));
+  if (!index || *index < 0 || *index >= static_cast<std::int64_t>(openai::kMaxTokensBound)) {
+    return malformed;
+  }
+  std::string_view id = text.substr(0, slash);
+  const std::size_t weightsSlash = id.find('/');
+  if (weightsSlash != std::string_view::npos) {
+    const std::string_view weights = id.substr(weightsSlash + 1);
+    const std::optional<std::int64_t> version =
+        weights.starts_with('w') ? parseNumber(weights.substr(1)) : std::nullopt;
+    if (!version || *version < 1) {
+      return malformed;
+    }
+    caller.resumeWeights = WeightsVersion(static_cast<std::uint64_t>(*version));
+    id = id.substr(0, weightsSlash);
+  }
+  if (id.size() > kLongestIdentifier) {
+    return malformed;
+  }
+  caller.requestId = RequestId(std::string(id));
+  caller.resumeFrom = static_cast<std::size_t>(*index) + 1;
+  return boost::outcome_v2::success();
+}
+
 Result<void> readIdentity(const http::Request& request, Caller& caller) {
   caller.requestId = RequestId(request.headers.get(http::kRequestIdHeader));
   const std::string& id = caller.requestId.value();
@@ -55,17 +88,7 @@
   }
   const std::string lastEvent = request.headers.get(http::kLastEventIdHeader);
   if (!lastEvent.empty()) {
-    const std::size_t slash = lastEvent.rfind('/');
-    const std::optional<std::int64_t> index =
-        slash == std::string::npos ? std::nullopt
-                                   : parseNumber(std::string_view(lastEvent).substr(slash + 1));
-    const bool inBounds =
-        index && *index >= 0 && *index < static_cast<std::int64_t>(openai::kMaxTokensBound);
-    if (!inBounds || slash > kLongestIdentifier) {
-      return badHeader(http::kLastEventIdHeader, "REQUEST_ID/INDEX as sent in the stream");
-    }
-    caller.requestId = RequestId(lastEvent.substr(0, slash));
-    caller.resumeFrom = static_cast<std::size_t>(*index) + 1;
+    BOOST_OUTCOME_TRY(readLastEventId(lastEvent, caller));
   }
   if (caller.requestId.value().empty()) {
     caller.requestId = RequestId(randomId());
@@ -121,8 +144,8 @@
   return caller;
 }
 
-std::string callerEventId(const RequestId& id, std::size_t index) {
-  return id.value() + "/" + std::to_string(index);
+std::string callerEventId(const RequestId& id, WeightsVersion weights, std::size_t index) {
+  return id.value() + "/w" + std::to_string(weights.value()) + "/" + std::to_string(index);
 }
 
 }  // namespace calicodrift::router
--- a/src/router/caller.h
+++ b/src/router/caller.h
@@ -24,6 +24,8 @@
   std::string idempotencyKey;
   /// First token index that the caller lacks, from Last-Event-ID.
   std::size_t resumeFrom = 0;
+  /// Weights that began the answer to be resumed, from Last-Event-ID; 0 where it names none.
+  WeightsVersion resumeWeights;
 };
 
 /// Identifies the tenant by its API key and reads the request's headers.
@@ -31,7 +33,8 @@
 Result<Caller> readCaller(const bundle::Bundle& bundle, const http::Request& request,
                           Milliseconds defaultDeadline);
 
-/// "REQUEST_ID/INDEX": the id of one stream event that callers send back as Last-Event-ID.
-std::string callerEventId(const RequestId& id, std::size_t index);
+/// "REQUEST_ID/wWEIGHTS/INDEX": the id of one stream event that callers send back as Last-Event-ID.
+/// It names the weights, so that no router continues the answer by other ones.
+std::string callerEventId(const RequestId& id, WeightsVersion weights, std::size_t index);
 
 }  // namespace calicodrift::router
--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -277,8 +277,11 @@
 }
 
 void CompletionHandler::selectWeights(Job& job) const {
-  const VersionQuery query = readVersionQuery(job.request, job.completion.prompt, job.model.weights,
-                                              job.model.minUsablePercent);
+  VersionQuery query = readVersionQuery(job.request, job.completion.prompt, job.model.weights,
+                                        job.model.minUsablePercent);
+  if (job.caller.resumeWeights.value() != 0) {
+    query.seen = job.caller.resumeWeights;
+  }
   // The rest of an answer comes from the weights of its beginning, or not at all.
   const bool restOfAnswer = job.caller.resumeFrom > 0 && query.seen.value() != 0;
   const WeightsVersion chosen =
--- a/tests/integration/backend_health_test.cc
+++ b/tests/integration/backend_health_test.cc
@@ -192,8 +192,7 @@
   BOOST_TEST(answer.value().body.find(newText) != std::string::npos);
   // Rest of an answer that version 1 began: from version 1, or not at all.
   http::Request rest = streamRequest(prompt, 4);
-  rest.headers.set(http::kLastEventIdHeader, "begun-by-version-1/1");
-  rest.headers.set("X-Seen-Weights", "1");
+  rest.headers.set(http::kLastEventIdHeader, "begun-by-version-1/w1/1");
   const StreamAnswer refused = streamOne(endpoint, rest);
   BOOST_TEST(refused.status == 503U);
   BOOST_TEST(refused.error.find(R"("run":"no")") != std::string::npos);
--- a/tests/integration/streams_test.cc
+++ b/tests/integration/streams_test.cc
@@ -181,7 +181,8 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(lastEventIdsThatNoStreamSentAreRefused, TwoEngines) {
-  for (const std::string id : {"x", "x/", "x/-1", "x/100000", "x/9223372036854775807"}) {
+  for (const std::string id : {"x", "x/", "x/-1", "x/100000", "x/9223372036854775807", "x/y/3",
+                               "x/w/3", "x/w0/3", "x/w1/y/3"}) {
     http::Request request = streamRequest(kPrompt, kTokens);
     request.headers.set(http::kLastEventIdHeader, id);
     BOOST_TEST(streamOne(endpoint, request).status == 400U, "Last-Event-ID " << id);
--- a/tests/support/stream_client.h
+++ b/tests/support/stream_client.h
@@ -34,7 +34,7 @@
   bool isWhole(const std::string& prompt, std::size_t from, std::size_t to) const {
     bool inOrder = ids.size() == to - from;
     for (std::size_t index = 0; inOrder && index < ids.size(); ++index) {
-      inOrder = ids[index] == requestId + "/" + std::to_string(from + index);
+      inOrder = ids[index] == requestId + "/w" + weights + "/" + std::to_string(from + index);
     }
     return status == 200 && done && ended && inOrder && text == sim::answerText(prompt, from, to);
   }
