--- a/src/router/node_settings.cc
+++ b/src/router/node_settings.cc
@@ -11,9 +11,14 @@
 
 }  // namespace
 
-const settings::SettingsTable<NodeSettings>& nodeSettingsTable() {
-  using N = NodeSettings;
-  static const settings::SettingsTable<NodeSettings> table{
+namespace {
+
+using Rows = settings::SettingsTable<NodeSettings>;
+using N = NodeSettings;
+
+/// Where the node stands and whom it talks to.
+Rows placeRows() {
+  return {
       {{"node-id", "router-1", 0, 0, "", "name of this node; the same after a restart"},
        &N::nodeId},
       {{"zone", "z1", 0, 0, "", "zone that this node stands in"}, &N::zone},
@@ -27,22 +32,36 @@
        &N::seeds},
       {{"object-api", "", 0, 0, "", "address of the platform's object API"}, &N::objectApi},
       {{"machine-list", "", 0, 0, "", "address of the platform's machine list"}, &N::machineList},
-      {{"trusted-signers", "", 0, 0, "", "NAME=PUBLIC_KEY_HEX of each person who may sign bundles"},
-       &N::trustedSigners},
-      {{"required-signatures", "2", 1, 16, "count", "different trusted signers a bundle needs"},
-       &N::requiredSignatures},
+  };
+}
+
+/// Bounds towards callers.
+Rows callerRows() {
+  return {
+      {{"max-attempts", "3", 1, 10, "count", "dispatches of one repeatable request"},
+       &N::maxAttempts},
+      {{"max-body-bytes", "8388608", 1024, kGigabyte, "bytes", "largest request body"},
+       &N::maxBodyBytes},
+      {{"max-header-bytes", "16384", 1024, 1'048'576, "bytes", "largest request header"},
+       &N::maxHeaderBytes},
+      {{"max-connections", "10000", 1, 1'000'000, "count", "open caller connections"},
+       &N::maxConnections},
+      {{"read-timeout-ms", "30000", 10, kHourMs, "ms", "for a whole request to arrive"},
+       &N::readTimeout},
+      {{"idle-timeout-ms", "60000", 10, kHourMs, "ms", "between requests of a connection"},
+       &N::idleTimeout},
+      {{"write-timeout-ms", "30000", 10, kHourMs, "ms", "for a slow caller to take bytes"},
+       &N::writeTimeout},
+      {{"drain-timeout-ms", "600000", 10, kHourMs, "ms", "longest planned stop"}, &N::drainTimeout},
+  };
+}
+
+/// Discovery, probes and dispatches.
+Rows backendRows() {
+  return {
       {{"store-poll-interval-ms", "1000", 10, kMinuteMs, "ms",
         "length of one watch of the store by a zone's watchers; each confirms the version"},
        &N::storePollInterval},
-      {{"config-watchers-per-zone", "2", 1, 16, "count",
-        "nodes of a zone that watch the store; the same on all nodes"},
-       &N::configWatchersPerZone},
-      {{"config-vouch-term-ms", "7000", 100, kHourMs, "ms",
-        "age of the store's confirmation after which the node stops vouching for its version"},
-       &N::configVouchTerm},
-      {{"config-unvouched-action", "serve", 0, 0, "",
-        "serve or refuse requests while not vouching for the configuration"},
-       &N::configUnvouchedAction},
       {{"machine-list-interval-ms", "500", 10, kMinuteMs, "ms", "pause between list reads"},
        &N::machineListInterval},
       {{"probe-interval-ms", "250", 10, kMinuteMs, "ms", "pause between probes of a back end"},
@@ -59,8 +78,25 @@
       {{"default-deadline-ms", "300000", 10, kHourMs, "ms",
         "deadline of a request that names none"},
        &N::defaultDeadline},
-      {{"max-attempts", "3", 1, 10, "count", "dispatches of one repeatable request"},
-       &N::maxAttempts},
+  };
+}
+
+/// What the nodes do together: configuration, limits, membership.
+Rows controlRows() {
+  return {
+      {{"trusted-signers", "", 0, 0, "", "NAME=PUBLIC_KEY_HEX of each person who may sign bundles"},
+       &N::trustedSigners},
+      {{"required-signatures", "2", 1, 16, "count", "different trusted signers a bundle needs"},
+       &N::requiredSignatures},
+      {{"config-watchers-per-zone", "2", 1, 16, "count",
+        "nodes of a zone that watch the store; the same on all nodes"},
+       &N::configWatchersPerZone},
+      {{"config-vouch-term-ms", "7000", 100, kHourMs, "ms",
+        "age of the store's confirmation after which the node stops vouching for its version"},
+       &N::configVouchTerm},
+      {{"config-unvouched-action", "serve", 0, 0, "",
+        "serve or refuse requests while not vouching for the configuration"},
+       &N::configUnvouchedAction},
       {{"retry-budget-percent", "10", 0, 100, "percent", "retries that recent requests allow"},
        &N::retryBudgetPercent},
       {{"fleet-nodes", "1", 1, 1'000'000, "count",
@@ -70,19 +106,6 @@
         "lease of a share of a tenant's rate; longer than a dead node goes unnoticed; same on all "
         "nodes"},
        &N::limitLease},
-      {{"max-body-bytes", "8388608", 1024, kGigabyte, "bytes", "largest request body"},
-       &N::maxBodyBytes},
-      {{"max-header-bytes", "16384", 1024, 1'048'576, "bytes", "largest request header"},
-       &N::maxHeaderBytes},
-      {{"max-connections", "10000", 1, 1'000'000, "count", "open caller connections"},
-       &N::maxConnections},
-      {{"read-timeout-ms", "30000", 10, kHourMs, "ms", "for a whole request to arrive"},
-       &N::readTimeout},
-      {{"idle-timeout-ms", "60000", 10, kHourMs, "ms", "between requests of a connection"},
-       &N::idleTimeout},
-      {{"write-timeout-ms", "30000", 10, kHourMs, "ms", "for a slow caller to take bytes"},
-       &N::writeTimeout},
-      {{"drain-timeout-ms", "600000", 10, kHourMs, "ms", "longest planned stop"}, &N::drainTimeout},
       {{"member-probe-interval-ms", "1000", 20, kMinuteMs, "ms",
         "a member of the zone and one of another are pinged in this period; same on all nodes"},
        &N::memberProbeInterval},
@@ -100,6 +123,12 @@
       {{"member-join-retry-ms", "500", 10, kMinuteMs, "ms",
         "first pause between requests to seeds; doubles up to 16 times"},
        &N::memberJoinRetry},
+  };
+}
+
+/// Claims of not-repeatable requests, and orders to engines.
+Rows claimAndOrderRows() {
+  return {
       {{"order-lease-candidates", "3", 1, 100, "count", "nodes that read the order lease"},
        &N::orderLeaseCandidates},
       {{"order-lease-duration-ms", "6000", 100, kHourMs, "ms",
@@ -128,6 +157,19 @@
         "for how long nodes must be gone or new before the claim replicas change"},
        &N::claimViewChangeDelay},
   };
+}
+
+}  // namespace
+
+const settings::SettingsTable<NodeSettings>& nodeSettingsTable() {
+  static const Rows table = [] {
+    Rows all;
+    for (const Rows& part :
+         {placeRows(), callerRows(), backendRows(), controlRows(), claimAndOrderRows()}) {
+      all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+  }();
   return table;
 }
 
