Router: read the version rule's query of a request once

Cause: selectWeights() ran before admission and again before each first dispatch, and hashed the whole prompt each time. The query depends on the request alone, so it is read once and kept; behaviour is unchanged. Tests of streams, roll-out, back-end health, claims, router, thin path and policy commands pass (7 of 7); lint of the file is clean.

--- a/src/router/completion_handler.cc
+++ b/src/router/completion_handler.cc
@@ -46,6 +46,18 @@
   return model;
 }
 
+/// What the version rule asks of this request; the same for all its attempts.
+VersionQuery versionQueryOf(const Caller& caller, const bundle::Model& model,
+                            const openai::CompletionRequest& completion,
+                            const http::Request& request) {
+  VersionQuery query =
+      readVersionQuery(request, completion.prompt, model.weights, model.minUsablePercent);
+  if (caller.resumeWeights.value() != 0) {
+    query.seen = caller.resumeWeights;
+  }
+  return query;
+}
+
 }  // namespace
 
 struct CompletionHandler::Job {
@@ -58,6 +70,7 @@
         path(pathOf(completion.kind)),
         writer(writer),
         route(toRouteRequest(caller, model, completion, model.weights)),
+        versionQuery(versionQueryOf(caller, model, completion, request)),
         weights(model.weights),
         sink(caller, completion, writer) {}
 
@@ -68,6 +81,7 @@
   std::string path;
   http::ResponseWriter& writer;
   routing::RouteRequest route;
+  const VersionQuery versionQuery;
   /// Version of the engines that may serve the next attempt; fixed once a token was taken, so that
   /// no answer mixes versions.
   WeightsVersion weights;
@@ -277,11 +291,7 @@
 }
 
 void CompletionHandler::selectWeights(Job& job) const {
-  VersionQuery query = readVersionQuery(job.request, job.completion.prompt, job.model.weights,
-                                        job.model.minUsablePercent);
-  if (job.caller.resumeWeights.value() != 0) {
-    query.seen = job.caller.resumeWeights;
-  }
+  const VersionQuery& query = job.versionQuery;
   // The rest of an answer comes from the weights of its beginning, or not at all.
   const bool restOfAnswer = job.caller.resumeFrom > 0 && query.seen.value() != 0;
   const WeightsVersion chosen =
