--- a/src/bench/claims.cc
+++ b/src/bench/claims.cc
@@ -112,7 +112,7 @@
  public:
   explicit MemoryViewStore(claims::ClaimView view) : view_(std::move(view)) {}
   void read(ReadDone done) override {
-    done(claims::VersionedView{platform::ResourceVersion(1), view_});
+    done(claims::VersionedView{object_api::ResourceVersion(1), view_});
   }
   void write(const claims::VersionedView& /*view*/, std::function<void()> done) override { done(); }
 
--- a/src/bench/scale_store.cc
+++ b/src/bench/scale_store.cc
@@ -82,10 +82,10 @@
     }
     signedBundle.signatures.push_back(signature.value());
   }
-  platform::StoredObject object{std::string(bundle::kStoreKind), std::string(bundle::kStoreName),
-                                stored_, bundle::toJson(signedBundle)};
+  object_api::StoredObject object{std::string(bundle::kStoreKind), std::string(bundle::kStoreName),
+                                  stored_, bundle::toJson(signedBundle)};
   const MonotonicTime begin = monotonicNow();
-  const Result<platform::StoredObject> stored = write(std::move(object));
+  const Result<object_api::StoredObject> stored = write(std::move(object));
   if (!stored) {
     return stored.error();
   }
@@ -93,9 +93,9 @@
   return begin;
 }
 
-Result<platform::StoredObject> ScaleStore::write(platform::StoredObject object) {
-  platform::ObjectApiClient api(client_, endpoint_);
-  std::promise<Result<platform::StoredObject>> answer;
+Result<object_api::StoredObject> ScaleStore::write(object_api::StoredObject object) {
+  object_api::ObjectApiClient api(client_, endpoint_);
+  std::promise<Result<object_api::StoredObject>> answer;
   asio::co_spawn(
       context_,
       [&]() -> asio::awaitable<void> { answer.set_value(co_await api.put(std::move(object))); },
--- a/src/bench/scale_store.h
+++ b/src/bench/scale_store.h
@@ -6,7 +6,7 @@
 
 #include "bundle/signature.h"
 #include "http/client.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 #include "sim/object_api_server.h"
 
 namespace calicodrift::bench {
@@ -36,7 +36,7 @@
 
  private:
   std::string bundleText() const;
-  Result<platform::StoredObject> write(platform::StoredObject object);
+  Result<object_api::StoredObject> write(object_api::StoredObject object);
 
   ScaleBundle size_;
   boost::asio::io_context context_{1};
@@ -46,7 +46,7 @@
   bundle::KeyPair first_;
   bundle::KeyPair second_;
   BundleVersion version_;
-  platform::ResourceVersion stored_;
+  object_api::ResourceVersion stored_;
   std::size_t bundleBytes_ = 0;
   std::thread thread_;
 };
--- a/src/claims/object_view_store.cc
+++ b/src/claims/object_view_store.cc
@@ -9,7 +9,7 @@
 constexpr std::string_view kViewKind = "claimviews";
 constexpr std::string_view kViewName = "current";
 
-Result<VersionedView> toView(const Result<platform::StoredObject>& object) {
+Result<VersionedView> toView(const Result<object_api::StoredObject>& object) {
   if (!object) {
     return object.error();
   }
@@ -37,8 +37,8 @@
 asio::awaitable<void> ObjectViewStore::readAny(ReadDone done) {
   Result<VersionedView> view = fail(ErrorKind::kStoreUnavailable, "no object API is set");
   for (const Endpoint& endpoint : objectApi_) {
-    platform::ObjectApiClient store(client_, endpoint);
-    const Result<platform::StoredObject> object =
+    object_api::ObjectApiClient store(client_, endpoint);
+    const Result<object_api::StoredObject> object =
         co_await store.get(std::string(kViewKind), std::string(kViewName));
     view = toView(object);
     if (view || view.error().kind != ErrorKind::kStoreUnavailable) {
@@ -49,11 +49,11 @@
 }
 
 asio::awaitable<void> ObjectViewStore::writeAny(VersionedView view, std::function<void()> done) {
-  const platform::StoredObject object{std::string(kViewKind), std::string(kViewName), view.version,
-                                      toJson(view.view)};
+  const object_api::StoredObject object{std::string(kViewKind), std::string(kViewName),
+                                        view.version, toJson(view.view)};
   for (const Endpoint& endpoint : objectApi_) {
-    platform::ObjectApiClient store(client_, endpoint);
-    const Result<platform::StoredObject> written = co_await store.put(object);
+    object_api::ObjectApiClient store(client_, endpoint);
+    const Result<object_api::StoredObject> written = co_await store.put(object);
     if (written || written.error().kind != ErrorKind::kStoreUnavailable) {
       break;
     }
--- a/src/claims/view_store.h
+++ b/src/claims/view_store.h
@@ -5,13 +5,13 @@
 
 #include "claims/claim_view.h"
 #include "common/error.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 namespace calicodrift::claims {
 
 /// A view with the version under which the object API keeps it.
 struct VersionedView {
-  platform::ResourceVersion version;
+  object_api::ResourceVersion version;
   ClaimView view;
 };
 
--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -23,6 +23,8 @@
 /// Changes whenever a process restarts; greater is later on the same machine.
 using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
 using WeightsVersion = StrongType<struct WeightsVersionTag, std::uint64_t>;
+/// Version of the routes, tenants and limits that requests are served by.
+using ConfigVersion = StrongType<struct ConfigVersionTag, std::uint64_t>;
 using BundleVersion = StrongType<struct BundleVersionTag, std::uint64_t>;
 using Epoch = StrongType<struct EpochTag, std::uint64_t>;
 /// Rises with every holder of a lease; the receiver of an order refuses a lower one.
--- a/src/config/store_view.cc
+++ b/src/config/store_view.cc
@@ -24,7 +24,7 @@
          silence > vouching_.term() / 2 + kSuccessorStep * static_cast<std::int64_t>(rank);
 }
 
-void StoreView::takeObject(const platform::StoredObject& object) {
+void StoreView::takeObject(const object_api::StoredObject& object) {
   storeDigest_ = BundleDigest();
   const Result<bundle::SignedBundle> signedBundle = bundle::signedBundleFromJson(object.spec);
   if (!signedBundle) {
--- a/src/config/store_view.h
+++ b/src/config/store_view.h
@@ -9,7 +9,7 @@
 #include "config/metrics.h"
 #include "config/roster.h"
 #include "config/vouching.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 namespace calicodrift::config {
 
@@ -28,7 +28,7 @@
   /// watchers are still believed alive; each successor waits a little longer than the one before,
   /// so that the first one's confirmations keep the others from reading.
   bool shouldRead(MonotonicTime now);
-  void takeObject(const platform::StoredObject& object);
+  void takeObject(const object_api::StoredObject& object);
   /// The store's state as of `readAt` is known; `versionThen` was in force here at that moment.
   void takeBookmark(MonotonicTime readAt, BundleVersion versionThen);
 
--- a/src/config/store_watcher.cc
+++ b/src/config/store_watcher.cc
@@ -75,7 +75,7 @@
 awaitable<bool> StoreWatcher::watchOnce() {
   const MonotonicTime readAt = monotonicNow();
   const BundleVersion versionThen = holder_.version();
-  platform::ObjectApiClient store(client_, endpoint());
+  object_api::ObjectApiClient store(client_, endpoint());
   auto watch =
       co_await store.watch(std::string(bundle::kStoreKind), std::string(bundle::kStoreName), seen_,
                            settings_.watchDuration);
@@ -84,7 +84,7 @@
     metrics_.countStoreRead(compacted ? "compacted" : "unavailable");
     if (compacted) {
       // The next watch starts from the object as it is now.
-      seen_ = platform::ResourceVersion();
+      seen_ = object_api::ResourceVersion();
     }
     co_return compacted;
   }
@@ -99,15 +99,15 @@
     if (!event.value()) {
       co_return true;
     }
-    const platform::WatchEvent& content = *event.value();
+    const object_api::WatchEvent& content = *event.value();
     if (content.object.version < seen_) {
       // The whole store was restored to an earlier state: what was seen of it no longer holds.
       metrics_.countStoreRead("restored");
-      seen_ = platform::ResourceVersion();
+      seen_ = object_api::ResourceVersion();
       co_return true;
     }
     seen_ = content.object.version;
-    if (content.kind == platform::WatchEvent::Kind::kModified) {
+    if (content.kind == object_api::WatchEvent::Kind::kModified) {
       view_.takeObject(content.object);
       if (current) {
         // This watch began before the change; the next one confirms it without delay.
--- a/src/config/store_watcher.h
+++ b/src/config/store_watcher.h
@@ -12,7 +12,7 @@
 #include "config/store_view.h"
 #include "config/vouching.h"
 #include "http/client.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 namespace calicodrift::config {
 
@@ -53,7 +53,7 @@
   std::mt19937_64 random_;
   std::size_t failures_ = 0;
   /// How far the store's changes were seen; 0 before the first read.
-  platform::ResourceVersion seen_;
+  object_api::ResourceVersion seen_;
 };
 
 }  // namespace calicodrift::config
--- a/src/ctl/bundle_submit.cc
+++ b/src/ctl/bundle_submit.cc
@@ -4,7 +4,7 @@
 
 #include "ctl/bundle_status.h"
 #include "ctl/command_support.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 namespace calicodrift::ctl {
 namespace {
@@ -15,7 +15,7 @@
 
 /// Whether the store's content settles the matter: accepted, or lost to another bundle. Nothing
 /// where ours may still be written.
-std::optional<Result<std::string>> settle(const platform::StoredObject& stored,
+std::optional<Result<std::string>> settle(const object_api::StoredObject& stored,
                                           const bundle::SignedBundle& ours, BundleVersion version,
                                           bool answerLost) {
   const Result<bundle::SignedBundle> current = bundle::signedBundleFromJson(stored.spec);
@@ -46,7 +46,8 @@
 /// Fails with kVersionConflict where a router has this version or a later one in force although the
 /// store holds an earlier one: it was restored to an older state, and routers never go back.
 awaitable<Result<void>> checkRouters(http::Client& client, const CtlSettings& settings,
-                                     const platform::StoredObject& stored, BundleVersion version) {
+                                     const object_api::StoredObject& stored,
+                                     BundleVersion version) {
   const Result<bundle::SignedBundle> current = bundle::signedBundleFromJson(stored.spec);
   const Result<bundle::Bundle> parsed =
       current ? bundle::parseBundle(current.value().text) : current.error();
@@ -68,23 +69,23 @@
 
 awaitable<Result<std::string>> submit(http::Client& client, CtlSettings settings,
                                       bundle::SignedBundle signedBundle, BundleVersion version) {
-  platform::ObjectApiClient store(client, settings.objectApi.front());
+  object_api::ObjectApiClient store(client, settings.objectApi.front());
   const std::string kind(bundle::kStoreKind);
   const std::string name(bundle::kStoreName);
-  platform::StoredObject object{kind, name, {}, bundle::toJson(signedBundle)};
+  object_api::StoredObject object{kind, name, {}, bundle::toJson(signedBundle)};
   bool answerLost = false;
   Error lastError;
   for (int attempt = 0; attempt < kAttempts; ++attempt) {
     if (attempt > 0) {
       co_await pauseFor(kFirstPause * (1 << (attempt - 1)));
     }
-    Result<platform::StoredObject> current = co_await store.get(kind, name);
+    Result<object_api::StoredObject> current = co_await store.get(kind, name);
     const bool absent = !current && current.error().kind == ErrorKind::kNotFound;
     if (!current && !absent) {
       lastError = current.error();
       continue;
     }
-    object.version = absent ? platform::ResourceVersion() : current.value().version;
+    object.version = absent ? object_api::ResourceVersion() : current.value().version;
     if (!absent) {
       const auto settled = settle(current.value(), signedBundle, version, answerLost);
       if (settled) {
@@ -96,7 +97,7 @@
         co_return routersAgree.error();
       }
     }
-    Result<platform::StoredObject> written = co_await store.put(object);
+    Result<object_api::StoredObject> written = co_await store.put(object);
     if (written) {
       co_return "accepted version " + std::to_string(version.value()) + "\n";
     }
--- a/src/router/backend_health.cc
+++ b/src/fleet/backend_health.cc
@@ -1,8 +1,8 @@
-#include "router/backend_health.h"
+#include "fleet/backend_health.h"
 
 #include <algorithm>
 
-namespace calicodrift::router {
+namespace calicodrift::fleet {
 namespace {
 
 /// `first` doubled `times` times, up to the longest.
@@ -61,4 +61,4 @@
   return true;
 }
 
-}  // namespace calicodrift::router
+}  // namespace calicodrift::fleet
--- a/src/router/backend_health.h
+++ b/src/fleet/backend_health.h
@@ -4,7 +4,7 @@
 
 #include "common/clock.h"
 
-namespace calicodrift::router {
+namespace calicodrift::fleet {
 
 /// Health of one back end as this node sees it, from its own probes and from the outcomes of the
 /// requests that it sent there. No I/O and no clock: every call is told the time.
@@ -26,6 +26,7 @@
 
   bool reachable() const { return reachable_; }
   bool ejected(MonotonicTime now) const { return now < ejectedUntil_; }
+  MonotonicTime ejectedUntil() const { return ejectedUntil_; }
 
   /// A probe was answered well.
   void probeSucceeded(MonotonicTime now);
@@ -50,4 +51,4 @@
   MonotonicTime ejectedUntil_{};
 };
 
-}  // namespace calicodrift::router
+}  // namespace calicodrift::fleet
--- /dev/null
+++ b/src/fleet/server_pool.cc
@@ -0,0 +1,300 @@
+#include "fleet/server_pool.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+
+namespace calicodrift::fleet {
+
+std::string_view toString(ServerLoss loss) {
+  switch (loss) {
+    case ServerLoss::kRemoved:
+      return "removed";
+    case ServerLoss::kDraining:
+      return "draining";
+    case ServerLoss::kUnreachable:
+      return "unreachable";
+    case ServerLoss::kEjected:
+      return "ejected";
+    case ServerLoss::kReloaded:
+      return "reloaded";
+  }
+  return "removed";
+}
+
+void ServerPool::applyListing(const std::vector<Server>& servers, MonotonicTime now) {
+  std::set<BackendId> listed;
+  for (const Server& server : servers) {
+    listed.insert(server.id);
+    apply(server, now);
+  }
+  std::vector<BackendId> gone;
+  for (const auto& [id, entry] : servers_) {
+    if (!listed.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const BackendId& id : gone) {
+    remove(id);
+  }
+}
+
+void ServerPool::apply(const Server& server, MonotonicTime now) {
+  const bool known = servers_.contains(server.id);
+  Entry& entry = servers_[server.id];
+  const bool startsDraining = server.draining && known && !entry.server.draining;
+  const bool reloaded = known && entry.server.models != server.models;
+  if (!known) {
+    // A listed server is taken for reachable until something fails there.
+    entry.health.probeSucceeded(now);
+  }
+  entry.server = server;
+  refresh(entry, now);
+  if (reloaded) {
+    listener_(server, ServerLoss::kReloaded);
+  }
+  if (startsDraining) {
+    listener_(server, ServerLoss::kDraining);
+  }
+}
+
+void ServerPool::remove(const BackendId& id) {
+  Entry* entry = entryOf(id);
+  if (entry == nullptr) {
+    return;
+  }
+  unlist(*entry);
+  const Server server = entry->server;
+  servers_.erase(id);
+  listener_(server, ServerLoss::kRemoved);
+}
+
+void ServerPool::setLeastWeights(const ModelId& model, WeightsVersion least, MonotonicTime now) {
+  WeightsVersion& known = leastWeights_[model];
+  if (known == least) {
+    return;
+  }
+  known = least;
+  for (auto& [id, entry] : servers_) {
+    refresh(entry, now);
+  }
+}
+
+void ServerPool::applyWeights(const BackendId& id, const ModelId& model, WeightsVersion weights,
+                              MonotonicTime now) {
+  Entry* entry = entryOf(id);
+  if (entry == nullptr) {
+    return;
+  }
+  for (LoadedModel& loaded : entry->server.models) {
+    // The list lags behind answers, never the other way round.
+    if (loaded.model == model && loaded.weights < weights) {
+      loaded.weights = weights;
+      refresh(*entry, now);
+      listener_(entry->server, ServerLoss::kReloaded);
+      return;
+    }
+  }
+}
+
+void ServerPool::markUnreachable(const BackendId& id, MonotonicTime now) {
+  Entry* entry = entryOf(id);
+  if (entry != nullptr && entry->health.becameUnreachable(now)) {
+    refresh(*entry, now);
+    listener_(entry->server, ServerLoss::kUnreachable);
+  }
+}
+
+void ServerPool::probeSucceeded(const BackendId& id, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    entry->health.probeSucceeded(now);
+    refresh(*entry, now);
+  }
+}
+
+void ServerPool::pause(const BackendId& id, MonotonicTime until, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    entry->pausedUntil = std::max(entry->pausedUntil, until);
+    pauseEnds_.emplace(until, id);
+    refresh(*entry, now);
+  }
+}
+
+void ServerPool::recordSuccess(const BackendId& id) {
+  if (Entry* entry = entryOf(id)) {
+    entry->health.requestSucceeded();
+  }
+}
+
+void ServerPool::recordFailure(const BackendId& id, MonotonicTime now) {
+  Entry* entry = entryOf(id);
+  if (entry == nullptr || !entry->health.requestFailed(now)) {
+    return;
+  }
+  // Comes back by itself: the failures of requests, not of probes, told of it.
+  pauseEnds_.emplace(entry->health.ejectedUntil(), id);
+  refresh(*entry, now);
+  listener_(entry->server, ServerLoss::kEjected);
+}
+
+const routing::CandidateSet& ServerPool::candidates(std::string_view service, const ModelId& model,
+                                                    MonotonicTime now) {
+  static const routing::CandidateSet kNone;
+  endPauses(now);
+  const auto found = sets_.find(SetKey{std::string(service), model});
+  if (found == sets_.end()) {
+    return kNone;
+  }
+  const CandidateSets& sets = found->second;
+  return sets.preferred.empty() ? sets.passedOver : sets.preferred;
+}
+
+const Server* ServerPool::find(const BackendId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second.server;
+}
+
+std::vector<Server> ServerPool::servers() const {
+  std::vector<Server> all;
+  all.reserve(servers_.size());
+  for (const auto& [id, entry] : servers_) {
+    all.push_back(entry.server);
+  }
+  return all;
+}
+
+std::vector<Server> ServerPool::unreachable() const {
+  std::vector<Server> found;
+  for (const auto& [id, entry] : servers_) {
+    if (!entry.health.reachable()) {
+      found.push_back(entry.server);
+    }
+  }
+  return found;
+}
+
+void ServerPool::addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    ++entry->outstanding;
+    entry->outstandingTokens += load.tokens;
+    entry->prefillTokens += load.prefillTokens;
+    refresh(*entry, now);
+  }
+}
+
+void ServerPool::endPrefill(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    entry->prefillTokens -= std::min(entry->prefillTokens, load.prefillTokens);
+    refresh(*entry, now);
+  }
+}
+
+void ServerPool::removeLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    entry->outstanding -= std::min<std::size_t>(entry->outstanding, 1);
+    entry->outstandingTokens -= std::min(entry->outstandingTokens, load.tokens);
+    refresh(*entry, now);
+  }
+}
+
+ServerPool::Entry* ServerPool::entryOf(const BackendId& id) {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+bool ServerPool::usable(const Entry& entry) const {
+  return !entry.server.draining && entry.health.reachable();
+}
+
+bool ServerPool::allowedVersion(const LoadedModel& loaded) const {
+  const auto least = leastWeights_.find(loaded.model);
+  return least == leastWeights_.end() || loaded.weights >= least->second;
+}
+
+std::vector<ServerPool::SetKey> ServerPool::keysOf(const Entry& entry) const {
+  std::vector<SetKey> keys;
+  if (!usable(entry)) {
+    return keys;
+  }
+  if (entry.server.models.empty()) {
+    keys.push_back({entry.server.service, ModelId()});
+  }
+  for (const LoadedModel& loaded : entry.server.models) {
+    if (allowedVersion(loaded)) {
+      keys.push_back({entry.server.service, loaded.model});
+    }
+  }
+  return keys;
+}
+
+routing::Candidate ServerPool::toCandidate(const Entry& entry) const {
+  routing::Candidate candidate;
+  candidate.id = entry.server.id;
+  candidate.incarnation = Incarnation(hashBytes(entry.server.id.value()));
+  candidate.outstanding = entry.outstanding;
+  candidate.outstandingTokens = entry.outstandingTokens;
+  candidate.sentPrefillTokens = entry.prefillTokens;
+  candidate.prefillTokensPerMs = prefillTokensPerMs_;
+  return candidate;
+}
+
+void ServerPool::refresh(Entry& entry, MonotonicTime now) {
+  std::vector<SetKey> keys = keysOf(entry);
+  if (keys != entry.listedIn) {
+    unlist(entry);
+  }
+  const bool passedOver = entry.health.ejected(now) || now < entry.pausedUntil;
+  for (const SetKey& key : keys) {
+    CandidateSets& sets = sets_[key];
+    (passedOver ? sets.preferred : sets.passedOver).erase(entry.server.id);
+    routing::Candidate candidate = toCandidate(entry);
+    for (const LoadedModel& loaded : entry.server.models) {
+      if (loaded.model == key.model) {
+        candidate.weights = loaded.weights;
+      }
+    }
+    (passedOver ? sets.passedOver : sets.preferred).put(std::move(candidate));
+  }
+  entry.listedIn = std::move(keys);
+}
+
+void ServerPool::unlist(Entry& entry) {
+  for (const SetKey& key : entry.listedIn) {
+    const auto found = sets_.find(key);
+    found->second.preferred.erase(entry.server.id);
+    found->second.passedOver.erase(entry.server.id);
+    if (found->second.preferred.empty() && found->second.passedOver.empty()) {
+      sets_.erase(found);
+    }
+  }
+  entry.listedIn.clear();
+}
+
+void ServerPool::endPauses(MonotonicTime now) {
+  while (!pauseEnds_.empty() && pauseEnds_.begin()->first <= now) {
+    const BackendId id = pauseEnds_.begin()->second;
+    pauseEnds_.erase(pauseEnds_.begin());
+    if (Entry* entry = entryOf(id)) {
+      refresh(*entry, now);
+    }
+  }
+}
+
+LoadGuard::LoadGuard(ServerPool& pool, BackendId id, DispatchLoad load)
+    : pool_(pool), id_(std::move(id)), load_(load) {
+  pool_.addLoad(id_, load_, monotonicNow());
+}
+
+LoadGuard::~LoadGuard() {
+  endPrefill();
+  pool_.removeLoad(id_, load_, monotonicNow());
+}
+
+void LoadGuard::endPrefill() {
+  if (prefilling_) {
+    prefilling_ = false;
+    pool_.endPrefill(id_, load_, monotonicNow());
+  }
+}
+
+}  // namespace calicodrift::fleet
--- /dev/null
+++ b/src/fleet/server_pool.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/clock.h"
+#include "fleet/backend_health.h"
+#include "fleet/server.h"
+#include "routing/candidate_set.h"
+
+namespace calicodrift::fleet {
+
+/// Why a server gets no new work, for logs and counters.
+enum class ServerLoss { kRemoved, kDraining, kUnreachable, kEjected, kReloaded };
+std::string_view toString(ServerLoss loss);
+
+/// One dispatch's share of a server's load.
+struct DispatchLoad {
+  std::size_t tokens = 0;
+  /// Prompt tokens to prefill before the first token.
+  std::size_t prefillTokens = 0;
+};
+
+/// All listed servers with their health and this node's own load on them, and for each service and
+/// model the set of those that may get new work. Sets change by small steps, so that no request
+/// pays for the number of servers. No I/O; calls are told the time.
+///
+/// Invariant: a server that is draining, gone from the list or older than the least allowed weights
+/// is in no set. It holds because every change of a server ends in refresh().
+class ServerPool {
+ public:
+  using LossListener = std::function<void(const Server&, ServerLoss)>;
+
+  /// @param prefillTokensPerMs what a model server prefills in a millisecond.
+  ServerPool(double prefillTokensPerMs, LossListener listener)
+      : prefillTokensPerMs_(prefillTokensPerMs), listener_(std::move(listener)) {}
+
+  /// Replaces the list.
+  void applyListing(const std::vector<Server>& servers, MonotonicTime now);
+  /// One server appeared or changed.
+  void apply(const Server& server, MonotonicTime now);
+  void remove(const BackendId& id);
+  /// Servers of the model below this version get no new work from now on.
+  void setLeastWeights(const ModelId& model, WeightsVersion least, MonotonicTime now);
+  /// An answer told the version that the server has now, sooner than the list would.
+  void applyWeights(const BackendId& id, const ModelId& model, WeightsVersion weights,
+                    MonotonicTime now);
+
+  /// Nothing could be sent to it: out until probeSucceeded().
+  void markUnreachable(const BackendId& id, MonotonicTime now);
+  void probeSucceeded(const BackendId& id, MonotonicTime now);
+  /// It refused without running the request: passed over until `until` where others are left.
+  void pause(const BackendId& id, MonotonicTime until, MonotonicTime now);
+  void recordSuccess(const BackendId& id);
+  void recordFailure(const BackendId& id, MonotonicTime now);
+
+  /// Servers of the service (and model, for model servers) that may get work now. The reference
+  /// holds until the next change of the pool: not over a `co_await`.
+  const routing::CandidateSet& candidates(std::string_view service, const ModelId& model,
+                                          MonotonicTime now);
+  /// Null where it is not listed.
+  const Server* find(const BackendId& id) const;
+  std::vector<Server> servers() const;
+  std::vector<Server> unreachable() const;
+  std::size_t size() const { return servers_.size(); }
+
+  void addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
+  /// The first token came: nothing is left to prefill.
+  void endPrefill(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
+  void removeLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
+
+ private:
+  struct SetKey {
+    std::string service;
+    ModelId model;
+    auto operator<=>(const SetKey&) const = default;
+  };
+  /// Those that are passed over are used where no other is left.
+  struct CandidateSets {
+    routing::CandidateSet preferred;
+    routing::CandidateSet passedOver;
+  };
+  struct Entry {
+    Server server;
+    BackendHealth health;
+    MonotonicTime pausedUntil{};
+    std::size_t outstanding = 0;
+    std::size_t outstandingTokens = 0;
+    std::size_t prefillTokens = 0;
+    /// The sets that it stands in.
+    std::vector<SetKey> listedIn;
+  };
+
+  Entry* entryOf(const BackendId& id);
+  bool usable(const Entry& entry) const;
+  bool allowedVersion(const LoadedModel& loaded) const;
+  std::vector<SetKey> keysOf(const Entry& entry) const;
+  routing::Candidate toCandidate(const Entry& entry) const;
+  /// Brings the sets in line with the entry. Called after each change of one.
+  void refresh(Entry& entry, MonotonicTime now);
+  void unlist(Entry& entry);
+  /// Takes back in what was passed over until now.
+  void endPauses(MonotonicTime now);
+
+  double prefillTokensPerMs_;
+  LossListener listener_;
+  std::map<BackendId, Entry> servers_;
+  std::map<ModelId, WeightsVersion> leastWeights_;
+  std::map<SetKey, CandidateSets> sets_;
+  std::multimap<MonotonicTime, BackendId> pauseEnds_;
+};
+
+/// Counts a dispatch on its server for as long as it lives.
+class LoadGuard {
+ public:
+  LoadGuard(ServerPool& pool, BackendId id, DispatchLoad load);
+  ~LoadGuard();
+  LoadGuard(const LoadGuard&) = delete;
+  LoadGuard& operator=(const LoadGuard&) = delete;
+  /// The first token came.
+  void endPrefill();
+
+ private:
+  ServerPool& pool_;
+  BackendId id_;
+  DispatchLoad load_;
+  bool prefilling_ = true;
+};
+
+}  // namespace calicodrift::fleet
--- /dev/null
+++ b/src/forward/answer_relay.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+#include "forward/event_stream.h"
+#include "http/server.h"
+
+namespace calicodrift::forward {
+
+/// The caller's side of one answer, over all servers that work on it. Bytes of a stream are passed
+/// on as whole events, in order and once each: what a broken server sent of an event is dropped,
+/// and the next server goes on behind the last whole one under the head of the first.
+class AnswerRelay {
+ public:
+  /// @param resumeAfter last event that the caller has already.
+  AnswerRelay(http::ResponseWriter& writer, std::optional<EventNumber> resumeAfter);
+
+  /// Whether the caller has got the head of a stream.
+  bool begun() const { return begun_; }
+  /// Whether the caller has got all.
+  bool finished() const { return finished_; }
+  /// Where another server would go on.
+  std::optional<EventNumber> lastEvent() const { return cutter_.lastEvent(); }
+  std::size_t eventBytes() const { return eventBytes_; }
+  std::optional<MonotonicTime> firstEventTime() const { return firstEventTime_; }
+
+  /// A whole answer. Fails with kCallerGone.
+  boost::asio::awaitable<Result<void>> deliver(http::Response response);
+  /// The head of a server's stream; passed on once.
+  boost::asio::awaitable<Result<void>> begin(http::Response head);
+  /// Bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation where the
+  /// events don't follow those before.
+  boost::asio::awaitable<Result<void>> take(std::string_view bytes);
+  /// The server's stream is complete.
+  boost::asio::awaitable<Result<void>> finish();
+  /// A server's stream broke off: its part of an event is dropped.
+  void dropPartialEvent();
+  /// No server completes the stream: the caller's connection is closed, so that the answer does not
+  /// look complete.
+  void abort() { writer_.abort(); }
+
+ private:
+  http::ResponseWriter& writer_;
+  EventCutter cutter_;
+  std::optional<MonotonicTime> firstEventTime_;
+  std::size_t eventBytes_ = 0;
+  bool begun_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/forward_settings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+#include "common/clock.h"
+
+namespace calicodrift::forward {
+
+/// How requests are sent to servers.
+struct ForwardSettings {
+  /// Name of the routing policy for requests with a model, and for others.
+  std::string modelPolicy;
+  std::string servicePolicy;
+  Milliseconds connectTimeout{300};
+  /// Written bytes that a server doesn't acknowledge for so long break the connection.
+  Milliseconds unacknowledgedTimeout{1000};
+  /// An idempotent request moves on where nothing of its answer has come within so many times its
+  /// target latency.
+  double patienceTargets = 2.0;
+  /// Longest pause between two events of a stream that can go on elsewhere.
+  Milliseconds eventTimeout{1500};
+  /// A server that refused gets nothing for so long.
+  Milliseconds refusalPause{250};
+  /// When a refused caller should come back.
+  Milliseconds retryAfter{300};
+  /// Second dispatches that one request earns, and those of a quiet node a second and at once.
+  double retryFraction = 0.15;
+  double retryFloorPerSecond = 0.3;
+  double retryFloorBurst = 3;
+};
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/forwarder.cc
@@ -0,0 +1,378 @@
+#include "forward/forwarder.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "forward/answer_relay.h"
+#include "forward/prompt_blocks.h"
+#include "forward/server_attempt.h"
+#include "log/log.h"
+#include "routing/cost.h"
+
+namespace calicodrift::forward {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+Milliseconds until(MonotonicTime end) {
+  const auto left = std::chrono::duration_cast<Milliseconds>(end - monotonicNow());
+  return std::max(left, Milliseconds(1));
+}
+
+std::string_view nameOf(routes::RouteKind kind) {
+  switch (kind) {
+    case routes::RouteKind::kSafe:
+      return "safe";
+    case routes::RouteKind::kUnsafe:
+      return "unsafe";
+    case routes::RouteKind::kStreaming:
+      return "streaming";
+  }
+  return "unsafe";
+}
+
+/// Names the cached prompt parts that a request may use at a server.
+std::string cacheScope(const Grant& grant, WeightsVersion weights) {
+  std::string scope = "w" + std::to_string(weights.value());
+  if (grant.tenant != nullptr && grant.tenant->isolated) {
+    scope += "/" + grant.tenant->id.value();
+  }
+  return scope;
+}
+
+/// What the caller is told after the last dispatch: a promise that the request has not run only
+/// where that holds for all dispatches together.
+ErrorKind finalKind(ErrorKind last, const AttemptCount& attempts) {
+  if (attempts.mayHaveRun > 0) {
+    return errorRow(last).run == RunStatement::kNo ? ErrorKind::kOutcomeUnknown : last;
+  }
+  if (last == ErrorKind::kDeadlineExceeded) {
+    return ErrorKind::kOverloaded;
+  }
+  return provesNotRun(last) ? ErrorKind::kNoBackend : last;
+}
+
+}  // namespace
+
+/// One request over its dispatches. Shared with the timer and the caller's connection, which may
+/// end it from outside.
+struct Forwarder::Job {
+  Job(Request givenRequest, Grant givenGrant, http::ResponseWriter& writer,
+      const asio::any_io_executor& executor)
+      : request(std::move(givenRequest)),
+        grant(std::move(givenGrant)),
+        writer(writer),
+        relay(writer, request.resumeAfter),
+        routeRequest(toRouteRequest(request, grant)),
+        timer(executor) {
+    const Milliseconds allowed =
+        std::min(grant.route->timeout, request.patience.value_or(grant.route->timeout));
+    end = request.received + allowed;
+  }
+
+  bool streaming() const { return grant.route->kind == routes::RouteKind::kStreaming; }
+  /// Ends the dispatch that is under way.
+  void cancelAttempt() {
+    if (attempt) {
+      attempt->cancel();
+    }
+  }
+
+  Request request;
+  Grant grant;
+  http::ResponseWriter& writer;
+  AnswerRelay relay;
+  routing::RouteRequest routeRequest;
+  std::string service;
+  MonotonicTime end;
+  asio::steady_timer timer;
+  bool expired = false;
+  AttemptCount attempts;
+  std::shared_ptr<ServerAttempt> attempt;
+  /// A server's own failure, delivered where no other server does better.
+  std::optional<http::Response> keptFailure;
+  BackendId lastServer;
+  unsigned status = 0;
+};
+
+Forwarder::Forwarder(ForwardContext context, ForwardSettings settings, GateSettings gate,
+                     std::uint64_t seed)
+    : context_(std::move(context)),
+      settings_(std::move(settings)),
+      gate_(gate),
+      modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
+      servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)) {}
+
+void Forwarder::onServerLost(const BackendId& server) {
+  modelPolicy_->onBackendLost(server);
+  servicePolicy_->onBackendLost(server);
+}
+
+awaitable<void> Forwarder::handle(http::Request& message, http::ResponseWriter& writer) {
+  Result<Request> request = context_.callers.read(std::move(message));
+  if (!request) {
+    co_await refuse(writer, request.error(), "");
+    co_return;
+  }
+  const ConfigurationView view = context_.configuration();
+  Result<Grant> grant = gate_.check(request.value(), view, monotonicNow());
+  if (!grant) {
+    co_await refuse(writer, grant.error(), request.value().id.value());
+    co_return;
+  }
+  auto job = std::make_shared<Job>(std::move(request.value()), std::move(grant.value()), writer,
+                                   context_.executor);
+  co_await serve(std::move(job));
+}
+
+awaitable<void> Forwarder::serve(std::shared_ptr<Job> job) {
+  job->service = weights_.choose(*job->grant.route);
+  context_.metrics.countRequest(nameOf(job->grant.route->kind));
+  budgetOf(job->service).onRequest(monotonicNow());
+  job->timer.expires_at(job->end);
+  job->timer.async_wait([job](boost::system::error_code code) {
+    if (!code) {
+      job->expired = true;
+      job->cancelAttempt();
+    }
+  });
+  job->writer.onCallerGone([weak = std::weak_ptr(job)] {
+    if (const auto held = weak.lock()) {
+      held->cancelAttempt();
+    }
+  });
+  Result<void> done = co_await dispatchUntilDone(*job);
+  job->timer.cancel();
+  job->attempt.reset();
+  if (!done) {
+    co_await answerError(*job, done.error());
+  }
+  job->writer.onCallerGone(nullptr);
+  const double seconds = toMilliseconds(monotonicNow() - job->request.received) / 1000;
+  context_.metrics.countAnswer(done ? job->status : 0);
+  context_.metrics.observeWhole(seconds);
+  if (const auto first = job->relay.firstEventTime()) {
+    context_.metrics.observeFirstByte(toMilliseconds(*first - job->request.received) / 1000);
+  }
+  if (done) {
+    log::write(log::Level::kInfo, "request_answered",
+               {{"id", job->request.id.value()},
+                {"status", std::to_string(job->status)},
+                {"server", job->lastServer.value()},
+                {"sent", std::to_string(job->attempts.sent)},
+                {"ms", std::to_string(static_cast<int>(seconds * 1000))}});
+  }
+}
+
+awaitable<Result<void>> Forwarder::dispatchUntilDone(Job& job) {
+  for (;;) {
+    Result<void> outcome = co_await dispatchOnce(job);
+    if (outcome) {
+      co_return outcome;
+    }
+    const ErrorKind failure = outcome.error().kind;
+    if (job.writer.callerGone()) {
+      co_return fail(ErrorKind::kCallerGone, "the caller left");
+    }
+    if (job.expired) {
+      co_return fail(ErrorKind::kDeadlineExceeded, "the time of the request is over");
+    }
+    if (!takeRetry(job, failure)) {
+      co_return outcome;
+    }
+    context_.metrics.countRetry(errorRow(failure).name);
+    log::write(log::Level::kInfo, "request_retried",
+               {{"id", job.request.id.value()},
+                {"server", job.lastServer.value()},
+                {"cause", std::string(errorRow(failure).name)},
+                {"detail", outcome.error().detail}});
+  }
+}
+
+awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
+  const MonotonicTime now = monotonicNow();
+  const routing::CandidateSet& candidates =
+      context_.pool.candidates(job.service, job.request.model, now);
+  if (candidates.empty()) {
+    co_return fail(ErrorKind::kNoBackend, "no usable server of '" + job.service + "'");
+  }
+  routing::Policy& policy = policyFor(job);
+  const routing::Choice choice = policy.choose(job.routeRequest, candidates, now);
+  // A copy, as the set changes while the answer is awaited.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
+  const routing::Candidate candidate = candidates[choice.index];
+  const fleet::Server* listed = context_.pool.find(candidate.id);
+  if (listed == nullptr) {
+    co_return fail(ErrorKind::kNoBackend, "the chosen server has left");
+  }
+  const fleet::Server server = *listed;
+  job.routeRequest.avoided.push_back(server.id);
+  job.lastServer = server.id;
+  ++job.attempts.sent;
+  context_.metrics.countDispatch();
+  policy.onDispatched(job.routeRequest, candidate, now);
+  const std::size_t uncached =
+      routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
+  fleet::LoadGuard load(context_.pool, server.id,
+                        {job.request.promptTokens + job.request.outputTokens, uncached});
+  log::write(log::Level::kInfo, "request_dispatched",
+             {{"id", job.request.id.value()},
+              {"server", server.id.value()},
+              {"reason", std::string(choice.reason)},
+              {"route", job.grant.route->name},
+              {"config", std::to_string(job.grant.table->version().value())},
+              {"weights", std::to_string(candidate.weights.value())},
+              {"candidates", std::to_string(candidates.size())}});
+  const Dispatch dispatch{server,
+                          until(job.end),
+                          job.grant.tenant,
+                          job.grant.priority(),
+                          cacheScope(job.grant, candidate.weights),
+                          job.relay.lastEvent()};
+  const bool mayMoveOn =
+      job.grant.route->idempotent() && job.attempts.mayHaveRun + 1 < job.grant.route->maxAttempts;
+  auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
+  job.attempt = attempt;
+  attempt->onFirstBytes([&load] { load.endPrefill(); });
+  const AttemptBounds bounds = boundsOf(job);
+  Result<void> outcome =
+      co_await attempt->run(job.request, dispatch, bounds, job.streaming(),
+                            mayMoveOn ? FailureUse::kKeep : FailureUse::kDeliver);
+  attempt->onFirstBytes(nullptr);
+  job.attempt.reset();
+  job.status = attempt->status();
+  if (attempt->keptFailure()) {
+    job.keptFailure = std::move(attempt->keptFailure());
+  }
+  if (!outcome && !provesNotRun(outcome.error().kind)) {
+    ++job.attempts.mayHaveRun;
+  }
+  if (!job.expired && !job.writer.callerGone()) {
+    learnFrom(job, server, outcome, attempt->weights());
+  }
+  if (outcome) {
+    policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
+  }
+  co_return outcome;
+}
+
+void Forwarder::learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
+                          std::optional<WeightsVersion> weights) {
+  const MonotonicTime now = monotonicNow();
+  if (weights) {
+    context_.pool.applyWeights(server.id, job.request.model, *weights, now);
+  }
+  if (outcome) {
+    context_.pool.recordSuccess(server.id);
+    return;
+  }
+  switch (outcome.error().kind) {
+    case ErrorKind::kConnectFailed:
+    case ErrorKind::kFenced:
+      context_.pool.markUnreachable(server.id, now);
+      break;
+    case ErrorKind::kBackendRefused:
+      context_.pool.pause(server.id, now + settings_.refusalPause, now);
+      break;
+    case ErrorKind::kOutcomeUnknown:
+    case ErrorKind::kStreamBroken:
+    case ErrorKind::kProtocolViolation:
+    case ErrorKind::kDeadlineExceeded:
+      context_.pool.recordFailure(server.id, now);
+      break;
+    default:
+      break;
+  }
+}
+
+bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
+  const RetryDecision decision = mayRetry(*job.grant.route, failure, job.attempts);
+  if (decision != RetryDecision::kBudgeted) {
+    return decision == RetryDecision::kFree;
+  }
+  const bool allowed = budgetOf(job.service).tryTake(monotonicNow());
+  if (!allowed) {
+    context_.metrics.countRetryDenied();
+  }
+  return allowed;
+}
+
+AttemptBounds Forwarder::boundsOf(const Job& job) const {
+  const Milliseconds left = until(job.end);
+  AttemptBounds bounds;
+  bounds.connectTimeout = std::min(settings_.connectTimeout, left);
+  bounds.unacknowledgedTimeout = settings_.unacknowledgedTimeout;
+  bounds.headTimeout = left;
+  bounds.firstEventTimeout = left;
+  bounds.eventTimeout = left;
+  const bool mayMoveOn =
+      job.grant.route->idempotent() && job.attempts.mayHaveRun + 1 < job.grant.route->maxAttempts;
+  if (mayMoveOn) {
+    const Milliseconds patience(static_cast<std::int64_t>(
+        settings_.patienceTargets * static_cast<double>(job.grant.route->targetLatency.count())));
+    bounds.headTimeout = std::min(left, patience);
+    bounds.firstEventTimeout = bounds.headTimeout;
+    bounds.eventTimeout = std::min(left, settings_.eventTimeout);
+  }
+  return bounds;
+}
+
+awaitable<void> Forwarder::answerError(Job& job, Error error) {
+  if (error.kind == ErrorKind::kCallerGone) {
+    log::write(log::Level::kInfo, "request_cancelled", {{"id", job.request.id.value()}});
+    job.writer.abort();
+    co_return;
+  }
+  if (job.relay.begun()) {
+    context_.metrics.countError(errorRow(error.kind).name);
+    log::write(log::Level::kWarning, "request_broken",
+               {{"id", job.request.id.value()},
+                {"server", job.lastServer.value()},
+                {"cause", std::string(errorRow(error.kind).name)},
+                {"detail", error.detail}});
+    job.relay.abort();
+    co_return;
+  }
+  if (job.keptFailure) {
+    job.status = job.keptFailure->status;
+    const Result<void> delivered = co_await job.relay.deliver(std::move(*job.keptFailure));
+    static_cast<void>(delivered);
+    co_return;
+  }
+  error.kind = finalKind(error.kind, job.attempts);
+  co_await refuse(job.writer, std::move(error), job.request.id.value());
+}
+
+awaitable<void> Forwarder::refuse(http::ResponseWriter& writer, Error error,
+                                  const std::string& requestId) {
+  context_.metrics.countError(errorRow(error.kind).name);
+  log::write(log::Level::kWarning, "request_refused",
+             {{"id", requestId},
+              {"cause", std::string(errorRow(error.kind).name)},
+              {"detail", error.detail}});
+  if (errorRow(error.kind).retry == RetryAdvice::kAfterDelay && !error.retryAfter) {
+    error.retryAfter = settings_.retryAfter;
+  }
+  http::Response response = context_.callers.refuse(error);
+  if (!requestId.empty()) {
+    response.headers.set(http::kRequestIdHeader, requestId);
+  }
+  co_await http::respond(writer, std::move(response));
+}
+
+routing::Policy& Forwarder::policyFor(const Job& job) {
+  return job.request.prompt.empty() ? *servicePolicy_ : *modelPolicy_;
+}
+
+limits::RetryBudget& Forwarder::budgetOf(const std::string& service) {
+  const auto found = budgets_.find(service);
+  if (found != budgets_.end()) {
+    return found->second;
+  }
+  const limits::RetryBudget fresh(settings_.retryFraction, settings_.retryFloorPerSecond,
+                                  settings_.retryFloorBurst);
+  return budgets_.emplace(service, fresh).first->second;
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/forwarder.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fleet/server_pool.h"
+#include "forward/forward_settings.h"
+#include "forward/metrics.h"
+#include "forward/protocol.h"
+#include "forward/request_gate.h"
+#include "forward/retry_rules.h"
+#include "forward/server_attempt.h"
+#include "forward/weighted_choice.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "limits/retry_budget.h"
+#include "routing/policy.h"
+
+namespace calicodrift::forward {
+
+/// What the data path needs of the node. All of it outlives the forwarder, on one thread.
+struct ForwardContext {
+  boost::asio::any_io_executor executor;
+  http::Client& client;
+  fleet::ServerPool& pool;
+  const CallerProtocol& callers;
+  const ServerProtocol& servers;
+  ForwardMetrics& metrics;
+  /// The configuration in force now.
+  std::function<ConfigurationView()> configuration;
+};
+
+/// Serves requests: checks them, chooses a server, and tries again elsewhere where that is allowed.
+class Forwarder {
+ public:
+  Forwarder(ForwardContext context, ForwardSettings settings, GateSettings gate,
+            std::uint64_t seed);
+
+  /// Answers the request, in every case.
+  boost::asio::awaitable<void> handle(http::Request& message, http::ResponseWriter& writer);
+  /// Beliefs about the server's cache are void.
+  void onServerLost(const BackendId& server);
+
+ private:
+  struct Job;
+
+  boost::asio::awaitable<void> serve(std::shared_ptr<Job> job);
+  /// Ends with success once the caller has its answer, else with why no server gave one.
+  boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
+  boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
+                 std::optional<WeightsVersion> weights);
+  /// Whether the job goes on at another server; takes from the budget if so.
+  bool takeRetry(Job& job, ErrorKind failure);
+  AttemptBounds boundsOf(const Job& job) const;
+  boost::asio::awaitable<void> answerError(Job& job, Error error);
+  boost::asio::awaitable<void> refuse(http::ResponseWriter& writer, Error error,
+                                      const std::string& requestId);
+  routing::Policy& policyFor(const Job& job);
+  limits::RetryBudget& budgetOf(const std::string& service);
+
+  ForwardContext context_;
+  ForwardSettings settings_;
+  RequestGate gate_;
+  WeightedChoice weights_;
+  std::unique_ptr<routing::Policy> modelPolicy_;
+  std::unique_ptr<routing::Policy> servicePolicy_;
+  std::map<std::string, limits::RetryBudget> budgets_;
+};
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/metrics.cc
@@ -0,0 +1,89 @@
+#include "forward/metrics.h"
+
+namespace calicodrift::forward {
+namespace {
+
+prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& registry, const char* name,
+                                                  const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Histogram& histogram(prometheus::Registry& registry, const char* name,
+                                 const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
+      {}, metrics::latencyBuckets());
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}  // namespace
+
+ForwardMetrics::ForwardMetrics(prometheus::Registry& registry)
+    : requests_(counters(registry, "calicodrift_forward_requests_total",
+                         "requests of callers, by kind of route")),
+      answers_(counters(registry, "calicodrift_forward_answers_total",
+                        "answers to callers, by status; 0 is a broken one")),
+      errors_(counters(registry, "calicodrift_forward_errors_total",
+                       "requests that ended in an error of this node, by kind")),
+      retries_(counters(registry, "calicodrift_forward_retries_total",
+                        "requests sent to a further server, by the cause")),
+      losses_(counters(registry, "calicodrift_forward_server_losses_total",
+                       "servers that stopped getting work, by cause")),
+      dispatches_(
+          counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
+              .Add({})),
+      retriesDenied_(counters(registry, "calicodrift_forward_retries_denied_total",
+                              "retries that the budget did not allow")
+                         .Add({})),
+      firstByte_(histogram(registry, "calicodrift_forward_first_byte_seconds",
+                           "from the request to the first byte of the answer")),
+      whole_(histogram(registry, "calicodrift_forward_whole_seconds",
+                       "from the request to the end of the answer")),
+      configVersion_(gauge(registry, "calicodrift_forward_config_version",
+                           "version of the configuration in force here")),
+      servers_(gauge(registry, "calicodrift_forward_servers", "listed servers")) {}
+
+void ForwardMetrics::countRequest(std::string_view kind) {
+  requests_.Add({{"kind", std::string(kind)}}).Increment();
+}
+
+void ForwardMetrics::countAnswer(unsigned status) {
+  answers_.Add({{"status", std::to_string(status)}}).Increment();
+}
+
+void ForwardMetrics::countError(std::string_view errorKind) {
+  errors_.Add({{"kind", std::string(errorKind)}}).Increment();
+}
+
+void ForwardMetrics::countDispatch() {
+  dispatches_.Increment();
+}
+
+void ForwardMetrics::countRetry(std::string_view cause) {
+  retries_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
+void ForwardMetrics::countRetryDenied() {
+  retriesDenied_.Increment();
+}
+
+void ForwardMetrics::countServerLoss(std::string_view cause) {
+  losses_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
+void ForwardMetrics::observeFirstByte(double seconds) {
+  firstByte_.Observe(seconds);
+}
+void ForwardMetrics::observeWhole(double seconds) {
+  whole_.Observe(seconds);
+}
+void ForwardMetrics::setConfigVersion(double version) {
+  configVersion_.Set(version);
+}
+void ForwardMetrics::setServers(double count) {
+  servers_.Set(count);
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/metrics.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "metrics/metrics.h"
+
+namespace calicodrift::forward {
+
+/// Counters of the data path; all are declared here.
+class ForwardMetrics {
+ public:
+  explicit ForwardMetrics(prometheus::Registry& registry);
+
+  void countRequest(std::string_view kind);
+  /// @param status of the answer that the caller got; 0 where none was complete.
+  void countAnswer(unsigned status);
+  void countError(std::string_view errorKind);
+  void countDispatch();
+  void countRetry(std::string_view cause);
+  void countRetryDenied();
+  void countServerLoss(std::string_view cause);
+  void observeFirstByte(double seconds);
+  void observeWhole(double seconds);
+  void setConfigVersion(double version);
+  void setServers(double count);
+
+ private:
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& answers_;
+  prometheus::Family<prometheus::Counter>& errors_;
+  prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& losses_;
+  prometheus::Counter& dispatches_;
+  prometheus::Counter& retriesDenied_;
+  prometheus::Histogram& firstByte_;
+  prometheus::Histogram& whole_;
+  prometheus::Gauge& configVersion_;
+  prometheus::Gauge& servers_;
+};
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/prompt_blocks.cc
@@ -0,0 +1,54 @@
+#include "forward/prompt_blocks.h"
+
+#include "common/hashing.h"
+
+namespace calicodrift::forward {
+namespace {
+
+/// Parts this long at least get a block of their own; a shorter one joins the next.
+constexpr std::size_t kLeastBlockTokens = 16;
+
+Priority toPriority(unsigned rank) {
+  if (rank == 0) {
+    return Priority::kHigh;
+  }
+  return rank == 1 ? Priority::kNormal : Priority::kLow;
+}
+
+std::vector<BlockHash> chainOf(const std::vector<PromptPart>& prompt, std::uint64_t seed) {
+  std::vector<BlockHash> blocks;
+  std::uint64_t chain = seed;
+  for (const PromptPart& part : prompt) {
+    const std::uint64_t partHash = hashBytes(part.id);
+    std::size_t left = part.tokens;
+    std::uint64_t index = 0;
+    chain = hashPair(chain, partHash);
+    while (left >= kLeastBlockTokens) {
+      chain = hashPair(chain, index);
+      blocks.emplace_back(chain);
+      left -= std::min(left, kRoutingBlockTokens);
+      ++index;
+    }
+  }
+  return blocks;
+}
+
+}  // namespace
+
+routing::RouteRequest toRouteRequest(const Request& request, const Grant& grant) {
+  routing::RouteRequest route;
+  const bool isolated = grant.tenant != nullptr && grant.tenant->isolated;
+  if (grant.tenant != nullptr) {
+    route.tenant = grant.tenant->id;
+  }
+  route.model = request.model;
+  route.priority = toPriority(grant.priority());
+  const std::uint64_t seed = isolated ? hashBytes(grant.tenant->id.value()) : 0;
+  route.blocks = chainOf(request.prompt, seed);
+  route.promptTokens = request.promptTokens;
+  route.outputTokens = request.outputTokens;
+  route.blockTokens = kRoutingBlockTokens;
+  return route;
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/request_gate.cc
@@ -0,0 +1,37 @@
+#include "forward/request_gate.h"
+
+namespace calicodrift::forward {
+
+Result<Grant> RequestGate::check(const Request& request, const ConfigurationView& view,
+                                 MonotonicTime now) const {
+  if (!view.table) {
+    return fail(ErrorKind::kNoConfiguration, "no configuration has been read yet");
+  }
+  Grant grant;
+  grant.table = view.table;
+  grant.route = view.table->findRoute(request.host, request.message.path());
+  if (grant.route == nullptr) {
+    return absence(view, now, ErrorKind::kUnknownRoute, "no route for this host and path");
+  }
+  if (grant.route->isPublic || !view.table->needsKeys()) {
+    return grant;
+  }
+  if (!servesKeys(view, now)) {
+    return fail(ErrorKind::kNoConfiguration, "the configuration is not proven to be the newest");
+  }
+  grant.tenant = view.table->findTenant(request.apiKey);
+  if (grant.tenant == nullptr) {
+    return absence(view, now, ErrorKind::kUnauthenticated, "no tenant holds this key");
+  }
+  return grant;
+}
+
+Error RequestGate::absence(const ConfigurationView& view, MonotonicTime now, ErrorKind kind,
+                           std::string detail) const {
+  if (now - view.provenAt > settings_.absenceProofAge) {
+    return fail(ErrorKind::kNoConfiguration, std::move(detail) + " in an unproven configuration");
+  }
+  return fail(kind, std::move(detail));
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/retry_rules.cc
@@ -0,0 +1,36 @@
+#include "forward/retry_rules.h"
+
+namespace calicodrift::forward {
+namespace {
+
+/// Dispatches beyond the route's number of servers, for servers that refused or could not be
+/// reached.
+constexpr std::size_t kExtraDispatches = 2;
+
+}  // namespace
+
+bool provesNotRun(ErrorKind kind) {
+  return kind == ErrorKind::kConnectFailed || kind == ErrorKind::kBackendRefused ||
+         kind == ErrorKind::kFenced;
+}
+
+RetryDecision mayRetry(const routes::Route& route, ErrorKind failure,
+                       const AttemptCount& attempts) {
+  if (attempts.sent >= route.maxAttempts + kExtraDispatches) {
+    return RetryDecision::kNo;
+  }
+  if (failure == ErrorKind::kConnectFailed) {
+    return RetryDecision::kFree;
+  }
+  if (provesNotRun(failure)) {
+    return RetryDecision::kBudgeted;
+  }
+  const bool failedThere =
+      failure == ErrorKind::kOutcomeUnknown || failure == ErrorKind::kStreamBroken ||
+      failure == ErrorKind::kProtocolViolation || failure == ErrorKind::kDeadlineExceeded;
+  const bool serversLeft = attempts.mayHaveRun < route.maxAttempts;
+  return failedThere && route.idempotent() && serversLeft ? RetryDecision::kBudgeted
+                                                          : RetryDecision::kNo;
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/server_attempt.cc
@@ -0,0 +1,134 @@
+#include "forward/server_attempt.h"
+
+namespace calicodrift::forward {
+namespace {
+
+using boost::asio::awaitable;
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kFirstServerFailure = 500;
+
+/// The server's head without what belongs to the connection it came over.
+http::Response endToEnd(const http::Response& head) {
+  http::Response response;
+  response.status = head.status;
+  for (const http::Header& header : head.headers.all()) {
+    if (!http::isHopByHop(header.name)) {
+      response.headers.add(header.name, header.value);
+    }
+  }
+  // The length is set anew for what is sent.
+  response.headers.erase("Content-Length");
+  return response;
+}
+
+Error notRunError(AnswerKind kind, const fleet::Server& server, unsigned status) {
+  const std::string detail =
+      "server '" + server.id.value() + "' answered " + std::to_string(status) + " without running";
+  return fail(kind == AnswerKind::kAnotherServer ? ErrorKind::kFenced : ErrorKind::kBackendRefused,
+              detail);
+}
+
+}  // namespace
+
+awaitable<Result<void>> ServerAttempt::run(const Request& request, const Dispatch& dispatch,
+                                           const AttemptBounds& bounds, bool streaming,
+                                           FailureUse failureUse) {
+  http::ExchangeOptions options;
+  options.connectTimeout = bounds.connectTimeout;
+  options.headerTimeout = bounds.headTimeout;
+  options.bodyTimeout = bounds.headTimeout;
+  options.unacknowledgedTimeout = bounds.unacknowledgedTimeout;
+  options.canceller = &canceller_;
+  http::Request message = protocol_.encode(request, dispatch);
+  auto opened = co_await client_.open(dispatch.server.endpoint, std::move(message), options);
+  if (!opened) {
+    co_return opened.error();
+  }
+  http::ResponseStream& stream = *opened.value();
+  status_ = stream.head().status;
+  const AnswerKind kind = protocol_.classify(request, stream.head());
+  weights_ = protocol_.weightsOf(stream.head());
+  if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
+    // Reads the rest, so that the connection can serve again.
+    const Result<std::string> rest = co_await stream.read();
+    if (rest && !rest.value().empty()) {
+      const Result<std::string> end = co_await stream.read();
+      static_cast<void>(end);
+    }
+    co_return notRunError(kind, dispatch.server, status_);
+  }
+  if (kind == AnswerKind::kUnproven) {
+    co_return fail(ErrorKind::kProtocolViolation, "server '" + dispatch.server.id.value() +
+                                                      "' gave no valid answer to the request");
+  }
+  if (streaming && status_ == kStatusOk) {
+    co_return co_await relayEvents(stream, bounds);
+  }
+  co_return co_await relayWhole(stream, failureUse);
+}
+
+awaitable<Result<void>> ServerAttempt::relayWhole(http::ResponseStream& stream,
+                                                  FailureUse failureUse) {
+  http::Response response = endToEnd(stream.head());
+  for (;;) {
+    Result<std::string> piece = co_await stream.read();
+    if (!piece) {
+      co_return piece.error();
+    }
+    noteFirstBytes();
+    if (piece.value().empty()) {
+      break;
+    }
+    response.body += piece.value();
+  }
+  if (relay_.begun()) {
+    // A stream that the caller has begun to read can't turn into another answer.
+    co_return fail(ErrorKind::kStreamBroken, "a server answered the rest of a stream with status " +
+                                                 std::to_string(response.status));
+  }
+  if (response.status >= kFirstServerFailure && failureUse == FailureUse::kKeep) {
+    keptFailure_ = std::move(response);
+    co_return fail(ErrorKind::kOutcomeUnknown, "the server failed");
+  }
+  co_return co_await relay_.deliver(std::move(response));
+}
+
+awaitable<Result<void>> ServerAttempt::relayEvents(http::ResponseStream& stream,
+                                                   const AttemptBounds& bounds) {
+  http::Response head = endToEnd(stream.head());
+  stream.setBodyTimeout(bounds.firstEventTimeout);
+  bool first = true;
+  for (;;) {
+    Result<std::string> bytes = co_await stream.read();
+    if (!bytes) {
+      relay_.dropPartialEvent();
+      co_return bytes.error();
+    }
+    if (first) {
+      first = false;
+      noteFirstBytes();
+      stream.setBodyTimeout(bounds.eventTimeout);
+      // Only now, so that another server can still answer in whole where this one sends nothing.
+      Result<void> begun = co_await relay_.begin(std::move(head));
+      if (!begun) {
+        co_return begun;
+      }
+    }
+    if (bytes.value().empty()) {
+      co_return co_await relay_.finish();
+    }
+    Result<void> taken = co_await relay_.take(bytes.value());
+    if (!taken) {
+      co_return taken;
+    }
+  }
+}
+
+void ServerAttempt::noteFirstBytes() {
+  if (firstBytesListener_) {
+    const auto listener = std::exchange(firstBytesListener_, nullptr);
+    listener();
+  }
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/server_attempt.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+#include "forward/answer_relay.h"
+#include "forward/protocol.h"
+#include "http/client.h"
+
+namespace calicodrift::forward {
+
+/// Time bounds of one dispatch.
+struct AttemptBounds {
+  Milliseconds connectTimeout{0};
+  Milliseconds unacknowledgedTimeout{0};
+  /// For the head of the answer.
+  Milliseconds headTimeout{0};
+  /// For the first event of a stream, and between two later ones.
+  Milliseconds firstEventTimeout{0};
+  Milliseconds eventTimeout{0};
+};
+
+/// Whether a server's own failure (a 5xx that it vouches for) is passed on, or kept for the case
+/// that no other server does better.
+enum class FailureUse { kDeliver, kKeep };
+
+/// One dispatch of a request to one server, with its answer relayed to the caller.
+class ServerAttempt {
+ public:
+  ServerAttempt(http::Client& client, const ServerProtocol& protocol, AnswerRelay& relay)
+      : client_(client), protocol_(protocol), relay_(relay) {}
+
+  /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
+  /// mean that this server has not run the request; kCallerGone that the caller left; others that
+  /// it may have run. After a failure that is kept, kOutcomeUnknown.
+  boost::asio::awaitable<Result<void>> run(const Request& request, const Dispatch& dispatch,
+                                           const AttemptBounds& bounds, bool streaming,
+                                           FailureUse failureUse);
+  /// Closes the connection to the server, which so stops its work. Safe at any time.
+  void cancel() { canceller_.cancel(); }
+  /// Called once, when the first bytes of the answer's body came.
+  void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
+  std::optional<WeightsVersion> weights() const { return weights_; }
+  unsigned status() const { return status_; }
+  /// The server's failure that was kept.
+  std::optional<http::Response>& keptFailure() { return keptFailure_; }
+
+ private:
+  boost::asio::awaitable<Result<void>> relayWhole(http::ResponseStream& stream,
+                                                  FailureUse failureUse);
+  boost::asio::awaitable<Result<void>> relayEvents(http::ResponseStream& stream,
+                                                   const AttemptBounds& bounds);
+  void noteFirstBytes();
+
+  http::Client& client_;
+  const ServerProtocol& protocol_;
+  AnswerRelay& relay_;
+  http::ExchangeCanceller canceller_;
+  std::function<void()> firstBytesListener_;
+  std::optional<WeightsVersion> weights_;
+  std::optional<http::Response> keptFailure_;
+  unsigned status_ = 0;
+};
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/gateway/gateway_node.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "fleet/server_pool.h"
+#include "forward/forwarder.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/server_prober.h"
+#include "gateway/store_schema.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "lease/lease_keeper.h"
+#include "lease/shared_store_lease.h"
+#include "orders/order_metrics.h"
+#include "rollout/weights_rollout.h"
+#include "rollout/weights_targets.h"
+#include "store/kind_watcher.h"
+
+/// A router node whose callers, servers and store speak whatever its ports translate.
+namespace calicodrift::gateway {
+
+/// The implementations of the ports; they outlive the node.
+struct GatewayPorts {
+  store::ObjectStore& store;
+  const StoreSchema& schema;
+  const forward::CallerProtocol& callers;
+  const forward::ServerProtocol& servers;
+};
+
+/// One node: keeps views of the store, serves callers and takes part in roll-outs. Everything runs
+/// on the one thread of `context`, so that no part needs a lock. It keeps nothing that must last.
+class GatewayNode {
+ public:
+  GatewayNode(boost::asio::io_context& context, http::Client& client, GatewayPorts ports,
+              GatewaySettings settings);
+
+  /// Starts to serve. Fails with kSettingsInvalid where an address can't be bound.
+  Result<void> start();
+  /// Planned stop: says that it isn't ready, serves what still comes, then stops the context.
+  void drain();
+  bool ready() const;
+
+ private:
+  void startWatchers();
+  store::KindWatcherSettings watcherSettings(std::string kind, Milliseconds wait) const;
+  void logReachable(const std::string& kind, bool reachable, const std::string& cause);
+  void applyConfiguration(const store::Object& object);
+  void applyServer(const store::Object& object);
+  void applyServers(const store::Listing& listing);
+  void applyWeights(const store::Object& object, MonotonicTime since);
+  void refreshLeastWeights();
+  boost::asio::awaitable<void> keepLeastWeights();
+  void onServerLost(const fleet::Server& server, fleet::ServerLoss loss);
+  boost::asio::awaitable<void> answerReady(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<void> answerMetrics(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<void> finishDrain();
+  forward::ConfigurationView configuration() const;
+
+  boost::asio::io_context& context_;
+  http::Client& client_;
+  GatewayPorts ports_;
+  GatewaySettings settings_;
+  prometheus::Registry registry_;
+  forward::ForwardMetrics metrics_;
+  orders::OrderMetrics orderMetrics_;
+  std::shared_ptr<const routes::RouteTable> table_;
+  fleet::ServerPool pool_;
+  forward::RequestGate gate_;
+  forward::Forwarder forwarder_;
+  rollout::WeightsTargets targets_;
+  std::unique_ptr<store::KindWatcher> configWatcher_;
+  std::unique_ptr<store::KindWatcher> serverWatcher_;
+  std::unique_ptr<store::KindWatcher> weightsWatcher_;
+  lease::SharedStoreLease leaseStore_;
+  lease::LeaseKeeper lease_;
+  rollout::WeightsRollout rollout_;
+  ServerProber prober_;
+  http::Server front_;
+  http::Server readyServer_;
+  http::Server metricsServer_;
+  bool draining_ = false;
+};
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cc
@@ -0,0 +1,111 @@
+#include "gateway/gateway_settings.h"
+
+namespace calicodrift::gateway {
+namespace {
+
+using Rows = settings::SettingsTable<GatewaySettings>;
+using G = GatewaySettings;
+constexpr std::int64_t kMinuteMs = 60'000;
+
+/// Where the node stands and whom it talks to.
+Rows placeRows() {
+  return {
+      {{"node-id", "gateway-1", 0, 0, "", "name of this node; the same after a restart"},
+       &G::nodeId},
+      {{"zone", "z1", 0, 0, "", "zone that this node stands in"}, &G::zone},
+      {{"listen", "127.0.0.1:8080", 0, 0, "", "address for callers"}, &G::listen},
+      {{"ready-listen", "127.0.0.1:8081", 0, 0, "", "address that tells whether callers may come"},
+       &G::readyListen},
+      {{"metrics-listen", "127.0.0.1:0", 0, 0, "", "address of the metrics; port 0 for none"},
+       &G::metricsListen},
+      {{"store", "127.0.0.1:8090", 0, 0, "", "address of the store that outlives the nodes"},
+       &G::store},
+  };
+}
+
+/// How requests are sent to servers.
+Rows forwardRows() {
+  return {
+      {{"model-policy", "NestedPrefixAffinity", 0, 0, "", "routing policy for model requests"},
+       &G::modelPolicy},
+      {{"service-policy", "LeastOutstanding", 0, 0, "", "routing policy for other requests"},
+       &G::servicePolicy},
+      {{"prefill-tokens-per-ms", "40", 1, 10'000, "count", "what a model server prefills"},
+       &G::prefillTokensPerMs},
+      {{"connect-timeout-ms", "300", 10, kMinuteMs, "ms", "for a connection to a server"},
+       &G::connectTimeout},
+      {{"unacknowledged-timeout-ms", "1000", 0, kMinuteMs, "ms",
+        "sent bytes without acknowledgement break a connection to a server; 0 leaves it to the "
+        "system"},
+       &G::unacknowledgedTimeout},
+      {{"refusal-pause-ms", "250", 0, kMinuteMs, "ms",
+        "a server that refused gets nothing so long"},
+       &G::refusalPause},
+      {{"retry-after-ms", "300", 1, kMinuteMs, "ms", "when a refused caller should come back"},
+       &G::retryAfter},
+      {{"retry-percent", "15", 0, 100, "percent", "second dispatches that requests earn"},
+       &G::retryPercent},
+      {{"retry-floor", "3", 0, 1000, "count",
+        "second dispatches that a quiet node has in ten seconds"},
+       &G::retryFloor},
+  };
+}
+
+/// The store's views, the lease and roll-outs.
+Rows controlRows() {
+  return {
+      {{"config-watch-ms", "1500", 10, 30'000, "ms", "longest watch of the configuration"},
+       &G::configWatch},
+      {{"config-proof-age-ms", "2400", 10, kMinuteMs, "ms",
+        "watches are made shorter where the configuration's proof would grow older"},
+       &G::configProofAge},
+      {{"server-watch-ms", "1500", 10, 30'000, "ms", "longest watch of the list of servers"},
+       &G::serverWatch},
+      {{"weights-watch-ms", "2500", 10, 30'000, "ms", "longest watch of the named weights"},
+       &G::weightsWatch},
+      {{"key-proof-age-ms", "3000", 10, kMinuteMs, "ms",
+        "requests with keys are refused where the configuration's proof is older"},
+       &G::keyProofAge},
+      {{"absence-proof-age-ms", "2000", 10, kMinuteMs, "ms",
+        "an unknown route or key is final only where the proof is newer"},
+       &G::absenceProofAge},
+      {{"weights-term-ms", "7000", 10, kMinuteMs, "ms",
+        "requests may begin on older weights so long after newer ones are known"},
+       &G::weightsTerm},
+      {{"max-concurrent-loads", "2", 1, 1000, "count", "servers that load weights at once"},
+       &G::maxConcurrentLoads},
+      {{"lease-duration-ms", "2500", 100, kMinuteMs, "ms", "how long a renewal of the lease holds"},
+       &G::leaseDuration},
+      {{"lease-renew-interval-ms", "800", 10, kMinuteMs, "ms", "pause between renewals"},
+       &G::leaseRenewInterval},
+  };
+}
+
+/// Bounds towards callers and the planned stop.
+Rows callerRows() {
+  return {
+      {{"max-connections", "3000", 1, 1'000'000, "count", "open caller connections"},
+       &G::maxConnections},
+      {{"write-timeout-ms", "10000", 10, kMinuteMs, "ms", "for a slow caller to take bytes"},
+       &G::writeTimeout},
+      {{"drain-accept-ms", "2500", 0, kMinuteMs, "ms",
+        "a planned stop goes on to accept so long, until callers have learnt of it"},
+       &G::drainAccept},
+      {{"drain-timeout-ms", "7000", 10, kMinuteMs, "ms", "longest planned stop"}, &G::drainTimeout},
+  };
+}
+
+}  // namespace
+
+const settings::SettingsTable<GatewaySettings>& gatewaySettingsTable() {
+  static const Rows kTable = [] {
+    Rows all;
+    for (const Rows& part : {placeRows(), forwardRows(), controlRows(), callerRows()}) {
+      all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+  }();
+  return kTable;
+}
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "common/clock.h"
+#include "common/endpoint.h"
+#include "settings/table.h"
+
+namespace calicodrift::gateway {
+
+/// Everything that a gateway is told at its start. The table in the .cc drives --help, the check
+/// and the reference page.
+struct GatewaySettings {
+  std::string nodeId;
+  std::string zone;
+  Endpoint listen;
+  Endpoint readyListen;
+  /// Port 0: none.
+  Endpoint metricsListen;
+  Endpoint store;
+  std::string modelPolicy;
+  std::string servicePolicy;
+  std::int64_t prefillTokensPerMs = 0;
+  Milliseconds configWatch{0};
+  Milliseconds configProofAge{0};
+  Milliseconds serverWatch{0};
+  Milliseconds weightsWatch{0};
+  Milliseconds keyProofAge{0};
+  Milliseconds absenceProofAge{0};
+  Milliseconds connectTimeout{0};
+  Milliseconds unacknowledgedTimeout{0};
+  Milliseconds refusalPause{0};
+  Milliseconds retryAfter{0};
+  std::int64_t retryPercent = 0;
+  std::int64_t retryFloor = 0;
+  Milliseconds weightsTerm{0};
+  std::int64_t maxConcurrentLoads = 0;
+  Milliseconds leaseDuration{0};
+  Milliseconds leaseRenewInterval{0};
+  Milliseconds drainAccept{0};
+  Milliseconds drainTimeout{0};
+  std::int64_t maxConnections = 0;
+  Milliseconds writeTimeout{0};
+};
+
+const settings::SettingsTable<GatewaySettings>& gatewaySettingsTable();
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/program.cc
@@ -0,0 +1,51 @@
+#include "gateway/program.h"
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "log/log.h"
+
+namespace calicodrift::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+void watchSignals(asio::signal_set& signals, GatewayNode& node) {
+  signals.async_wait([&](boost::system::error_code code, int number) {
+    if (code) {
+      return;
+    }
+    if (number == SIGHUP) {
+      // Every setting is of the start; what changes at run time comes from the store.
+      log::write(log::Level::kInfo, "settings_changed", {{"effect", "at the next start"}});
+    } else {
+      node.drain();
+    }
+    watchSignals(signals, node);
+  });
+}
+
+}  // namespace
+
+int runGateway(int argc, const char* const* argv, PortFactory& ports) {
+  const GatewaySettings settings =
+      settings::loadOrExit(argc, argv, "Router node on a platform with a store of its own",
+                           gatewaySettingsTable())
+          .settings;
+  log::initialize(settings.nodeId);
+  asio::io_context context(1);
+  http::Client client(context.get_executor());
+  GatewayNode node(context, client, ports.make(client, settings), settings);
+  const Result<void> started = node.start();
+  if (!started) {
+    std::cerr << started.error().detail << "\n";
+    return settings::kExitFailure;
+  }
+  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  watchSignals(signals, node);
+  context.run();
+  return settings::kExitSuccess;
+}
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/server_prober.cc
@@ -0,0 +1,61 @@
+#include "gateway/server_prober.h"
+
+#include <boost/asio.hpp>
+
+namespace calicodrift::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr Milliseconds kProbeInterval{400};
+constexpr Milliseconds kProbeTimeout{350};
+
+}  // namespace
+
+ServerProber::ServerProber(asio::any_io_executor executor, http::Client& client,
+                           const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
+                           TableSource table)
+    : executor_(std::move(executor)),
+      client_(client),
+      protocol_(protocol),
+      pool_(pool),
+      table_(std::move(table)) {}
+
+void ServerProber::start() {
+  asio::co_spawn(executor_, run(), asio::detached);
+}
+
+awaitable<void> ServerProber::run() {
+  asio::steady_timer timer(executor_);
+  for (;;) {
+    for (const fleet::Server& server : pool_.unreachable()) {
+      if (probing_.insert(server.id).second) {
+        asio::co_spawn(executor_, probe(server), asio::detached);
+      }
+    }
+    timer.expires_after(kProbeInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> ServerProber::probe(fleet::Server server) {
+  const std::shared_ptr<const routes::RouteTable> table = table_();
+  const routes::Service* service = table ? table->findService(server.service) : nullptr;
+  if (service != nullptr) {
+    http::Request query = protocol_.healthQuery(*service);
+    http::ExchangeOptions options;
+    options.connectTimeout = kProbeTimeout;
+    options.headerTimeout = kProbeTimeout;
+    options.bodyTimeout = kProbeTimeout;
+    Result<http::Response> answer =
+        co_await client_.exchange(server.endpoint, std::move(query), options);
+    if (answer && protocol_.isHealthy(server, answer.value())) {
+      pool_.probeSucceeded(server.id, monotonicNow());
+    }
+  }
+  probing_.erase(server.id);
+}
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/server_prober.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "fleet/server_pool.h"
+#include "forward/protocol.h"
+#include "http/client.h"
+
+namespace calicodrift::gateway {
+
+/// Asks servers that could not be reached for their health until they answer; reachable ones are
+/// never asked, as requests tell of them.
+class ServerProber {
+ public:
+  using TableSource = std::function<std::shared_ptr<const routes::RouteTable>()>;
+
+  ServerProber(boost::asio::any_io_executor executor, http::Client& client,
+               const forward::ServerProtocol& protocol, fleet::ServerPool& pool, TableSource table);
+  void start();
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> probe(fleet::Server server);
+
+  boost::asio::any_io_executor executor_;
+  http::Client& client_;
+  const forward::ServerProtocol& protocol_;
+  fleet::ServerPool& pool_;
+  TableSource table_;
+  /// Servers whose probe is under way.
+  std::set<BackendId> probing_;
+};
+
+}  // namespace calicodrift::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,11 +1,13 @@
 #include "http/client.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 
 namespace calicodrift::http {
@@ -21,6 +23,25 @@
 constexpr std::chrono::seconds kIdleLifetime{30};
 constexpr std::chrono::seconds kSweepInterval{5};
 constexpr std::size_t kBodyPieceBytes = 16'384;
+/// A connection is not used so shortly before the other side closes it: the request would cross the
+/// close.
+constexpr Milliseconds kCloseMargin{500};
+
+/// For how long an idle connection is kept: what its last answer promised, less a margin.
+Milliseconds idleLifetime(std::string_view keepAlive) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t found = keepAlive.find(kTimeout);
+  int seconds = 0;
+  if (found == std::string_view::npos) {
+    return kIdleLifetime;
+  }
+  const std::string_view text = keepAlive.substr(found + kTimeout.size());
+  const auto parsed = std::from_chars(text.begin(), text.end(), seconds);
+  if (parsed.ec != std::errc{}) {
+    return kIdleLifetime;
+  }
+  return std::max(Milliseconds(0), Milliseconds(std::chrono::seconds(seconds)) - kCloseMargin);
+}
 
 /// An idle connection that the other side has closed, or that holds unasked bytes, is readable.
 bool stillUsable(Tcp::socket& socket) {
@@ -37,7 +58,7 @@
 struct ClientState {
   struct IdleConnection {
     StreamPointer stream;
-    MonotonicTime since;
+    MonotonicTime usableUntil;
   };
 
   explicit ClientState(asio::any_io_executor executor) : executor(std::move(executor)) {}
@@ -45,16 +66,17 @@
   StreamPointer takeIdle(const Endpoint& endpoint) {
     std::vector<IdleConnection>& connections = idle[endpoint];
     while (!connections.empty()) {
-      StreamPointer stream = connections.back().stream;
+      const IdleConnection connection = std::move(connections.back());
       connections.pop_back();
-      if (stillUsable(stream->socket())) {
-        return stream;
+      const bool fresh = monotonicNow() < connection.usableUntil;
+      if (fresh && stillUsable(connection.stream->socket())) {
+        return connection.stream;
       }
     }
     return nullptr;
   }
 
-  void giveBack(const Endpoint& endpoint, StreamPointer stream) {
+  void giveBack(const Endpoint& endpoint, StreamPointer stream, Milliseconds lifetime) {
     const MonotonicTime now = monotonicNow();
     if (now - lastSweep > kSweepInterval) {
       lastSweep = now;
@@ -63,7 +85,7 @@
     std::vector<IdleConnection>& connections = idle[endpoint];
     if (connections.size() < kMaxIdleConnections) {
       stream->expires_never();
-      connections.push_back({std::move(stream), now});
+      connections.push_back({std::move(stream), now + lifetime});
     }
   }
 
@@ -71,7 +93,7 @@
   void sweep(MonotonicTime now) {
     for (auto& entry : idle) {
       std::erase_if(entry.second, [now](const IdleConnection& connection) {
-        return now - connection.since > kIdleLifetime || !stillUsable(connection.stream->socket());
+        return now > connection.usableUntil || !stillUsable(connection.stream->socket());
       });
     }
     std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
@@ -116,7 +138,7 @@
     }
     head_.status = parser_.get().result_int();
     for (const auto& field : parser_.get()) {
-      head_.headers.set(std::string(field.name_string()), std::string(field.value()));
+      head_.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     co_return boost::outcome_v2::success();
   }
@@ -159,7 +181,7 @@
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
     if (pooled && parser_.get().keep_alive() && buffer_.size() == 0) {
-      state_->giveBack(endpoint_, stream_);
+      state_->giveBack(endpoint_, stream_, idleLifetime(head_.headers.get("Keep-Alive")));
     } else {
       stream_->close();
     }
@@ -199,6 +221,11 @@
   }
   beast::error_code ignored;
   stream->socket().set_option(Tcp::no_delay(true), ignored);
+  if (options.unacknowledgedTimeout.count() > 0) {
+    const auto timeout = static_cast<unsigned>(options.unacknowledgedTimeout.count());
+    ::setsockopt(stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                 sizeof timeout);
+  }
   co_return stream;
 }
 
@@ -207,9 +234,11 @@
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
-  message.set(bhttp::field::host, endpoint.toString());
+  if (!request.headers.find("Host")) {
+    message.set(bhttp::field::host, endpoint.toString());
+  }
   for (const Header& header : request.headers.all()) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.body() = std::move(request.body);
   message.prepare_payload();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -43,6 +43,9 @@
   /// Between two pieces of the body.
   Milliseconds bodyTimeout{60000};
   std::size_t maxBodyBytes = 67'108'864;
+  /// Written bytes that are not acknowledged for so long end the connection, so that a peer without
+  /// power is noticed before any answer is due. 0 leaves it to the system.
+  Milliseconds unacknowledgedTimeout{0};
   /// A plain pointer, as g++ 12 mishandles temporaries of aggregates with destructors in
   /// coroutines.
   ExchangeCanceller* canceller = nullptr;
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -1,6 +1,7 @@
 #include "http/message.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/json.hpp>
 
@@ -29,6 +30,14 @@
   headers_.push_back({std::string(name), std::move(value)});
 }
 
+void HeaderList::add(std::string name, std::string value) {
+  headers_.push_back({std::move(name), std::move(value)});
+}
+
+void HeaderList::erase(std::string_view name) {
+  std::erase_if(headers_, [name](const Header& header) { return sameName(header.name, name); });
+}
+
 std::optional<std::string> HeaderList::find(std::string_view name) const {
   for (const Header& header : headers_) {
     if (sameName(header.name, name)) {
@@ -60,6 +69,21 @@
   return "";
 }
 
+bool isHopByHop(std::string_view name) {
+  static constexpr std::array<std::string_view, 10> kNames = {"Connection",
+                                                              "Keep-Alive",
+                                                              "Proxy-Connection",
+                                                              "Proxy-Authenticate",
+                                                              "Proxy-Authorization",
+                                                              "TE",
+                                                              "Trailer",
+                                                              "Transfer-Encoding",
+                                                              "Upgrade",
+                                                              "Expect"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [name](std::string_view known) { return sameName(name, known); });
+}
+
 Response jsonResponse(unsigned status, std::string body) {
   Response response{status, {}, std::move(body)};
   response.headers.set("Content-Type", "application/json");
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -20,6 +20,9 @@
  public:
   /// Replaces the field if it is there.
   void set(std::string_view name, std::string value);
+  /// Adds a field behind those of the same name, as some may occur several times.
+  void add(std::string name, std::string value);
+  void erase(std::string_view name);
   std::optional<std::string> find(std::string_view name) const;
   /// Value of the field, or an empty text.
   std::string get(std::string_view name) const;
@@ -68,6 +71,9 @@
 inline constexpr std::string_view kConfigVouchedHeader = "X-Config-Vouched";
 inline constexpr std::string_view kCacheSaltHeader = "X-Engine-Cache-Salt";
 
+/// Whether a field speaks of one connection only, so that no proxy passes it on.
+bool isHopByHop(std::string_view name);
+
 Response jsonResponse(unsigned status, std::string body);
 Response textResponse(unsigned status, std::string body);
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -101,6 +101,10 @@
   return Endpoint{endpoint.address, state_->acceptor.local_endpoint().port()};
 }
 
+void Server::setLimits(const ServerLimits& limits) {
+  state_->limits = limits;
+}
+
 void Server::closeAfterAnswers() {
   state_->closing = true;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -69,6 +69,8 @@
   /// Starts to accept; port 0 lets the system choose. Fails with kSettingsInvalid where the address
   /// can't be bound.
   Result<Endpoint> listen(const Endpoint& endpoint);
+  /// Replaces the limits, for requests that begin from now on.
+  void setLimits(const ServerLimits& limits);
   /// Goes on serving, but every connection closes after its next answer and says so in it.
   void closeAfterAnswers();
   /// Stops accepting, after taking what the system has accepted already. Open connections go on,
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -26,7 +26,7 @@
 template <typename BeastMessage>
 void copyHeaders(const Response& response, BeastMessage& message) {
   for (const Header& header : response.headers.all()) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
 }
 
@@ -35,7 +35,7 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   for (const auto& field : message) {
-    request.headers.set(std::string(field.name_string()), std::string(field.value()));
+    request.headers.add(std::string(field.name_string()), std::string(field.value()));
   }
   request.body = std::move(message.body());
   return request;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -18,7 +18,7 @@
       : acceptor(executor), limits(limits), handler(std::move(handler)) {}
 
   boost::asio::ip::tcp::acceptor acceptor;
-  const ServerLimits limits;
+  ServerLimits limits;
   const Handler handler;
   /// Requests within the handler.
   std::size_t active = 0;
--- a/src/lease/lease_core.cc
+++ b/src/lease/lease_core.cc
@@ -73,7 +73,7 @@
   nextAttempt_ = now + settings_.retryInterval;
 }
 
-void LeaseCore::onWritten(const ObservedLease& written, platform::ResourceVersion version,
+void LeaseCore::onWritten(const ObservedLease& written, object_api::ResourceVersion version,
                           MonotonicTime now) {
   onRead({version, written.record}, now);
 }
--- a/src/lease/lease_core.h
+++ b/src/lease/lease_core.h
@@ -55,7 +55,7 @@
   void onRead(const ObservedLease& observed, MonotonicTime now);
   void onReadFailed(MonotonicTime now);
   /// The write of `written` took effect and got `version`.
-  void onWritten(const ObservedLease& written, platform::ResourceVersion version,
+  void onWritten(const ObservedLease& written, object_api::ResourceVersion version,
                  MonotonicTime now);
   /// Refused, or its outcome is unknown: the lease is read before anything else is done.
   void onWriteFailed(MonotonicTime now);
--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -14,21 +14,17 @@
 
 }  // namespace
 
-LeaseKeeper::LeaseKeeper(asio::any_io_executor executor, http::Client& client,
-                         std::vector<Endpoint> stores, std::string name, LeaseSettings settings,
-                         std::function<bool()> mayAcquire)
+LeaseKeeper::LeaseKeeper(asio::any_io_executor executor, LeaseStore& store, std::string name,
+                         LeaseSettings settings, std::function<bool()> mayAcquire)
     : executor_(std::move(executor)),
-      client_(client),
-      stores_(std::move(stores)),
+      store_(store),
       name_(std::move(name)),
       pause_(settings.renewInterval / kStepsPerRenewal),
       core_(std::move(settings)),
       mayAcquire_(std::move(mayAcquire)) {}
 
 void LeaseKeeper::start() {
-  if (!stores_.empty()) {
-    asio::co_spawn(executor_, run(), asio::detached);
-  }
+  asio::co_spawn(executor_, run(), asio::detached);
 }
 
 awaitable<void> LeaseKeeper::run() {
@@ -46,29 +42,18 @@
 }
 
 awaitable<void> LeaseKeeper::read() {
-  platform::ObjectApiClient api(client_, store());
-  Result<platform::StoredObject> object = co_await api.get(std::string(kLeaseKind), name_);
-  if (object) {
-    Result<LeaseRecord> record = leaseRecordFromJson(object.value().spec);
-    if (record) {
-      core_.onRead({object.value().version, record.value()}, monotonicNow());
-      co_return;
-    }
-  } else if (object.error().kind == ErrorKind::kNotFound) {
-    core_.onRead({}, monotonicNow());
-    co_return;
+  Result<ObservedLease> observed = co_await store_.read(name_);
+  if (observed) {
+    core_.onRead(observed.value(), monotonicNow());
+  } else {
+    core_.onReadFailed(monotonicNow());
   }
-  ++storeIndex_;
-  core_.onReadFailed(monotonicNow());
 }
 
 awaitable<void> LeaseKeeper::write(ObservedLease lease) {
-  platform::ObjectApiClient api(client_, store());
-  platform::StoredObject object{std::string(kLeaseKind), name_, lease.version,
-                                toJson(lease.record)};
-  Result<platform::StoredObject> written = co_await api.put(std::move(object));
+  Result<object_api::ResourceVersion> written = co_await store_.write(name_, lease);
   if (written) {
-    core_.onWritten(lease, written.value().version, monotonicNow());
+    core_.onWritten(lease, written.value(), monotonicNow());
   } else {
     core_.onWriteFailed(monotonicNow());
   }
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -4,24 +4,18 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <string>
-#include <vector>
 
-#include "http/client.h"
 #include "lease/lease_core.h"
+#include "lease/lease_store.h"
 
 namespace calicodrift::lease {
 
-/// Kind of the lease objects in the store.
-inline constexpr std::string_view kLeaseKind = "leases";
-
-/// Drives one lease against the object API, in the background on one thread.
+/// Drives one lease against a store, in the background on one thread.
 class LeaseKeeper {
  public:
-  /// @param stores addresses of the one object API; the next one is used after a failure.
   /// @param mayAcquire asked before each step: whether this node is a candidate.
-  LeaseKeeper(boost::asio::any_io_executor executor, http::Client& client,
-              std::vector<Endpoint> stores, std::string name, LeaseSettings settings,
-              std::function<bool()> mayAcquire);
+  LeaseKeeper(boost::asio::any_io_executor executor, LeaseStore& store, std::string name,
+              LeaseSettings settings, std::function<bool()> mayAcquire);
 
   void start();
   std::optional<FencingToken> token() const { return core_.token(monotonicNow()); }
@@ -34,12 +28,9 @@
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> read();
   boost::asio::awaitable<void> write(ObservedLease lease);
-  const Endpoint& store() const { return stores_[storeIndex_ % stores_.size()]; }
 
   boost::asio::any_io_executor executor_;
-  http::Client& client_;
-  std::vector<Endpoint> stores_;
-  std::size_t storeIndex_ = 0;
+  LeaseStore& store_;
   std::string name_;
   Milliseconds pause_;
   LeaseCore core_;
--- a/src/lease/lease_record.h
+++ b/src/lease/lease_record.h
@@ -7,7 +7,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "common/ids.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 /// Leases over the platform's object API: at most one node at a time may act for the fleet.
 namespace calicodrift::lease {
@@ -33,7 +33,7 @@
 
 /// What the store held at one moment. Version 0: no lease object exists.
 struct ObservedLease {
-  platform::ResourceVersion version;
+  object_api::ResourceVersion version;
   LeaseRecord record;
 };
 
--- /dev/null
+++ b/src/lease/shared_store_lease.cc
@@ -0,0 +1,38 @@
+#include "lease/shared_store_lease.h"
+
+#include <boost/json.hpp>
+
+namespace calicodrift::lease {
+
+using boost::asio::awaitable;
+
+awaitable<Result<ObservedLease>> SharedStoreLease::read(std::string name) {
+  Result<store::Object> object = co_await store_.get(kind_, std::move(name));
+  if (!object) {
+    if (object.error().kind == ErrorKind::kNotFound) {
+      co_return ObservedLease{};
+    }
+    co_return object.error();
+  }
+  Result<LeaseRecord> record = leaseRecordFromJson(boost::json::serialize(object.value().spec));
+  if (!record) {
+    co_return record.error();
+  }
+  co_return ObservedLease{object_api::ResourceVersion(object.value().revision.value()),
+                          record.value()};
+}
+
+awaitable<Result<object_api::ResourceVersion>> SharedStoreLease::write(std::string name,
+                                                                       ObservedLease lease) {
+  store::Object object;
+  object.name = std::move(name);
+  object.revision = store::Revision(lease.version.value());
+  object.spec = boost::json::parse(toJson(lease.record));
+  Result<store::Revision> written = co_await store_.put(kind_, std::move(object));
+  if (!written) {
+    co_return written.error();
+  }
+  co_return object_api::ResourceVersion(written.value().value());
+}
+
+}  // namespace calicodrift::lease
--- /dev/null
+++ b/src/lease/shared_store_lease.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "lease/lease_store.h"
+#include "store/object_store.h"
+
+namespace calicodrift::lease {
+
+/// Leases kept in the store that outlives the nodes.
+class SharedStoreLease : public LeaseStore {
+ public:
+  /// @param kind of the lease objects; the product's own.
+  SharedStoreLease(store::ObjectStore& store, std::string kind)
+      : store_(store), kind_(std::move(kind)) {}
+
+  boost::asio::awaitable<Result<ObservedLease>> read(std::string name) override;
+  boost::asio::awaitable<Result<object_api::ResourceVersion>> write(std::string name,
+                                                                    ObservedLease lease) override;
+
+ private:
+  store::ObjectStore& store_;
+  std::string kind_;
+};
+
+}  // namespace calicodrift::lease
--- a/src/limits/retry_budget.cc
+++ b/src/limits/retry_budget.cc
@@ -32,7 +32,7 @@
   const double seconds = std::max(0.0, toMilliseconds(now - updated_) / kMsPerSecond);
   // What is not used is forgotten with the requests that earned it.
   earned_ *= std::exp(-seconds / kEarnedSeconds);
-  floor_ = std::min(kFloorBurst, floor_ + seconds * kFloorPerSecond);
+  floor_ = std::min(floorBurst_, floor_ + seconds * floorPerSecond_);
   updated_ = std::max(updated_, now);
 }
 
--- a/src/limits/retry_budget.h
+++ b/src/limits/retry_budget.h
@@ -11,7 +11,13 @@
 class RetryBudget {
  public:
   /// @param fraction retries that one request earns, as 0.1.
-  explicit RetryBudget(double fraction) : fraction_(fraction) {}
+  /// @param floorPerSecond, floorBurst what a quiet node has, by the second and at once.
+  explicit RetryBudget(double fraction, double floorPerSecond = kFloorPerSecond,
+                       double floorBurst = kFloorBurst)
+      : fraction_(fraction),
+        floorPerSecond_(floorPerSecond),
+        floorBurst_(floorBurst),
+        floor_(floorBurst) {}
 
   void onRequest(MonotonicTime now);
   /// Takes one retry if the budget has it.
@@ -29,8 +35,10 @@
   void refill(MonotonicTime now);
 
   double fraction_;
+  double floorPerSecond_;
+  double floorBurst_;
   double earned_ = 0;
-  double floor_ = kFloorBurst;
+  double floor_;
   MonotonicTime updated_{};
 };
 
--- a/src/platform/machine.cc
+++ b/src/object_api/machine.cc
@@ -1,8 +1,8 @@
-#include "platform/machine.h"
+#include "object_api/machine.h"
 
 #include <boost/json.hpp>
 
-namespace calicodrift::platform {
+namespace calicodrift::object_api {
 namespace {
 
 namespace json = boost::json;
@@ -95,4 +95,4 @@
   return machines;
 }
 
-}  // namespace calicodrift::platform
+}  // namespace calicodrift::object_api
--- a/src/platform/machine.h
+++ b/src/object_api/machine.h
@@ -8,7 +8,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 
-namespace calicodrift::platform {
+namespace calicodrift::object_api {
 
 enum class MachineKind { kEngine, kService };
 
@@ -32,4 +32,4 @@
 Result<Machine> machineFromJson(std::string_view text);
 Result<std::vector<Machine>> machinesFromJson(std::string_view text);
 
-}  // namespace calicodrift::platform
+}  // namespace calicodrift::object_api
--- a/src/platform/object_api.cc
+++ b/src/object_api/object_api.cc
@@ -1,8 +1,8 @@
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 #include <boost/json.hpp>
 
-namespace calicodrift::platform {
+namespace calicodrift::object_api {
 namespace {
 
 namespace json = boost::json;
@@ -172,4 +172,4 @@
   }
 }
 
-}  // namespace calicodrift::platform
+}  // namespace calicodrift::object_api
--- a/src/platform/object_api.h
+++ b/src/object_api/object_api.h
@@ -12,7 +12,7 @@
 #include "common/strong_type.h"
 #include "http/client.h"
 
-namespace calicodrift::platform {
+namespace calicodrift::object_api {
 
 /// Version of an object in the platform's store; 0 names an object that does not exist.
 using ResourceVersion = StrongType<struct ResourceVersionTag, std::uint64_t>;
@@ -85,4 +85,4 @@
   Endpoint endpoint_;
 };
 
-}  // namespace calicodrift::platform
+}  // namespace calicodrift::object_api
--- a/src/orders/order_driver.h
+++ b/src/orders/order_driver.h
@@ -10,15 +10,15 @@
 #include "bundle/bundle.h"
 #include "http/client.h"
 #include "lease/lease_keeper.h"
+#include "object_api/machine.h"
 #include "orders/order_metrics.h"
 #include "orders/rollout_planner.h"
-#include "platform/machine.h"
 
 namespace calicodrift::orders {
 
 /// An engine as the node's own tables know it.
 struct KnownEngine {
-  platform::Machine machine;
+  object_api::Machine machine;
   /// From the last probe; 0 where none was answered.
   WeightsVersion weights;
 };
--- a/src/orders/rollout_planner.cc
+++ b/src/orders/rollout_planner.cc
@@ -12,18 +12,27 @@
   return (total * static_cast<std::size_t>(percent) + kPercent - 1) / kPercent;
 }
 
-bool counted(const SurveyedEngine& engine, const bundle::Model& model) {
+bool counted(const SurveyedEngine& engine, const RolloutGoal::Model& model) {
   return engine.model == model.id && !engine.leaving && engine.report.has_value();
 }
 
 }  // namespace
 
+RolloutGoal goalOf(const bundle::Bundle& bundle) {
+  RolloutGoal goal;
+  goal.maxConcurrentLoads = bundle.maxConcurrentLoads;
+  for (const bundle::Model& model : bundle.models) {
+    goal.models.push_back({model.id, model.weights, model.minUsablePercent});
+  }
+  return goal;
+}
+
 void RolloutPlanner::beginTenure() {
   memory_.clear();
   progress_ = {};
 }
 
-std::vector<LoadOrder> RolloutPlanner::plan(const bundle::Bundle& bundle,
+std::vector<LoadOrder> RolloutPlanner::plan(const RolloutGoal& goal,
                                             const std::vector<SurveyedEngine>& engines,
                                             MonotonicTime now) {
   progress_ = {};
@@ -33,10 +42,10 @@
     progress_.unreachable += engine.report ? 0 : 1;
     progress_.loading += maybeLoading(engine, now) ? 1 : 0;
   }
-  const auto cap = static_cast<std::size_t>(bundle.maxConcurrentLoads);
+  const auto cap = static_cast<std::size_t>(goal.maxConcurrentLoads);
   std::size_t budget = cap - std::min(cap, progress_.loading);
   std::vector<LoadOrder> orders;
-  for (const bundle::Model& model : bundle.models) {
+  for (const RolloutGoal::Model& model : goal.models) {
     planModel(model, engines, budget, now, orders);
   }
   return orders;
@@ -84,7 +93,7 @@
          !maybeLoading(engine, now) && !recent;
 }
 
-void RolloutPlanner::planModel(const bundle::Model& model,
+void RolloutPlanner::planModel(const RolloutGoal::Model& model,
                                const std::vector<SurveyedEngine>& engines, std::size_t& budget,
                                MonotonicTime now, std::vector<LoadOrder>& orders) {
   std::size_t total = 0;
--- a/src/orders/rollout_planner.h
+++ b/src/orders/rollout_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -28,6 +29,20 @@
   std::optional<EngineReport> report;
 };
 
+/// What the fleet's engines should hold, and how fast they get there.
+struct RolloutGoal {
+  struct Model {
+    ModelId id;
+    WeightsVersion weights;
+    /// Share of the model's engines that must accept requests meanwhile.
+    std::int64_t minUsablePercent = 0;
+  };
+  std::int64_t maxConcurrentLoads = 1;
+  std::vector<Model> models;
+};
+
+RolloutGoal goalOf(const bundle::Bundle& bundle);
+
 struct LoadOrder {
   BackendId engine;
   Incarnation incarnation;
@@ -57,9 +72,13 @@
 
   /// A new lease tenure: what an earlier one knew is forgotten.
   void beginTenure();
-  /// @param engines all engines of the bundle's models, each asked in this tenure.
+  /// @param engines all engines of the goal's models, each asked in this tenure.
+  std::vector<LoadOrder> plan(const RolloutGoal& goal, const std::vector<SurveyedEngine>& engines,
+                              MonotonicTime now);
   std::vector<LoadOrder> plan(const bundle::Bundle& bundle,
-                              const std::vector<SurveyedEngine>& engines, MonotonicTime now);
+                              const std::vector<SurveyedEngine>& engines, MonotonicTime now) {
+    return plan(goalOf(bundle), engines, now);
+  }
   /// The engine answered the order, whatever it said; later reports show what came of it.
   void onOrderAnswered(const BackendId& engine);
   const RolloutProgress& progress() const { return progress_; }
@@ -82,7 +101,7 @@
   void observe(const SurveyedEngine& engine, MonotonicTime now);
   bool maybeLoading(const SurveyedEngine& engine, MonotonicTime now) const;
   bool mayOrder(const SurveyedEngine& engine, WeightsVersion desired, MonotonicTime now) const;
-  void planModel(const bundle::Model& model, const std::vector<SurveyedEngine>& engines,
+  void planModel(const RolloutGoal::Model& model, const std::vector<SurveyedEngine>& engines,
                  std::size_t& budget, MonotonicTime now, std::vector<LoadOrder>& orders);
 
   RolloutSettings settings_;
--- /dev/null
+++ b/src/rollout/weights_rollout.cc
@@ -0,0 +1,264 @@
+#include "rollout/weights_rollout.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "common/hashing.h"
+#include "log/log.h"
+
+namespace calicodrift::rollout {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+Incarnation incarnationOf(const fleet::Server& server) {
+  return Incarnation(hashBytes(server.id.value()));
+}
+
+http::ExchangeOptions callOptions(Milliseconds timeout) {
+  http::ExchangeOptions options;
+  options.connectTimeout = timeout;
+  options.headerTimeout = timeout;
+  options.bodyTimeout = timeout;
+  return options;
+}
+
+std::string_view nameOf(forward::OrderOutcome outcome) {
+  switch (outcome) {
+    case forward::OrderOutcome::kTaken:
+      return "taken";
+    case forward::OrderOutcome::kAlreadyHolds:
+      return "already_holds";
+    case forward::OrderOutcome::kConflict:
+      return "conflict";
+    case forward::OrderOutcome::kFenced:
+      return "fenced";
+    case forward::OrderOutcome::kRefused:
+      return "refused";
+  }
+  return "refused";
+}
+
+}  // namespace
+
+/// The answers of one survey as they come in.
+struct WeightsRollout::Survey {
+  explicit Survey(const asio::any_io_executor& executor) : finished(executor) {}
+  std::vector<orders::SurveyedEngine> engines;
+  std::size_t outstanding = 0;
+  asio::steady_timer finished;
+};
+
+WeightsRollout::WeightsRollout(asio::any_io_executor executor, http::Client& client,
+                               const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
+                               const WeightsTargets& targets, lease::LeaseKeeper& lease,
+                               orders::OrderMetrics& metrics, WeightsRolloutSettings settings)
+    : executor_(std::move(executor)),
+      client_(client),
+      protocol_(protocol),
+      pool_(pool),
+      targets_(targets),
+      lease_(lease),
+      metrics_(metrics),
+      settings_(std::move(settings)),
+      planner_(settings_.planner) {}
+
+void WeightsRollout::start() {
+  asio::co_spawn(executor_, run(), asio::detached);
+}
+
+bool WeightsRollout::behind(const fleet::Server& server) const {
+  return !server.draining && std::any_of(server.models.begin(), server.models.end(),
+                                         [this](const fleet::LoadedModel& loaded) {
+                                           const auto newest = targets_.newest(loaded.model);
+                                           return newest && loaded.weights < *newest;
+                                         });
+}
+
+bool WeightsRollout::needed() const {
+  const std::vector<fleet::Server> servers = pool_.servers();
+  return std::any_of(servers.begin(), servers.end(),
+                     [this](const fleet::Server& server) { return behind(server); });
+}
+
+awaitable<void> WeightsRollout::run() {
+  asio::steady_timer timer(executor_);
+  for (;;) {
+    const std::optional<FencingToken> token = lease_.token();
+    metrics_.setLeaseHeld(token.has_value());
+    if (token && needed()) {
+      co_await round(*token);
+    }
+    timer.expires_after(settings_.interval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> WeightsRollout::round(FencingToken token) {
+  if (token != tenure_) {
+    tenure_ = token;
+    planner_.beginTenure();
+    ordered_.clear();
+    orderCounts_.clear();
+    metrics_.countTenure();
+    log::write(log::Level::kInfo, "lease_acquired", {{"token", std::to_string(token.value())}});
+  }
+  const std::vector<orders::SurveyedEngine> engines = co_await survey();
+  if (lease_.token() != tenure_) {
+    co_return;
+  }
+  for (const orders::LoadOrder& order : planner_.plan(goal(), engines, monotonicNow())) {
+    const fleet::Server* server = pool_.find(order.engine);
+    if (server == nullptr) {
+      planner_.onOrderAnswered(order.engine);
+      continue;
+    }
+    ordered_.insert(order.engine);
+    asio::co_spawn(executor_, sendOrder(order, *server, token), asio::detached);
+  }
+}
+
+orders::RolloutGoal WeightsRollout::goal() const {
+  orders::RolloutGoal goal;
+  goal.maxConcurrentLoads = settings_.maxConcurrentLoads;
+  for (const ModelId& model : targets_.models()) {
+    goal.models.push_back({model, *targets_.newest(model), 0});
+  }
+  return goal;
+}
+
+std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
+  std::set<BackendId> unreachable;
+  for (const fleet::Server& server : pool_.unreachable()) {
+    unreachable.insert(server.id);
+  }
+  std::vector<fleet::Server> ordered;
+  std::vector<fleet::Server> next;
+  std::vector<fleet::Server> last;
+  for (fleet::Server& server : pool_.servers()) {
+    if (ordered_.contains(server.id)) {
+      ordered.push_back(std::move(server));
+    } else if (behind(server)) {
+      (unreachable.contains(server.id) ? last : next).push_back(std::move(server));
+    }
+  }
+  const auto room = static_cast<std::size_t>(settings_.maxConcurrentLoads);
+  for (const std::vector<fleet::Server>* group : {&next, &last}) {
+    for (const fleet::Server& server : *group) {
+      if (ordered.size() < ordered_.size() + room) {
+        ordered.push_back(server);
+      }
+    }
+  }
+  return ordered;
+}
+
+awaitable<std::vector<orders::SurveyedEngine>> WeightsRollout::survey() {
+  auto state = std::make_shared<Survey>(executor_);
+  state->finished.expires_at(MonotonicTime::max());
+  for (const fleet::Server& server : serversToAsk()) {
+    for (const fleet::LoadedModel& loaded : server.models) {
+      state->engines.push_back({server.id, loaded.model, server.draining, {}});
+    }
+    if (server.models.empty()) {
+      continue;
+    }
+    ++state->outstanding;
+    asio::co_spawn(executor_,
+                   surveyOne(state, state->engines.size() - server.models.size(), server),
+                   asio::detached);
+  }
+  while (state->outstanding > 0) {
+    co_await state->finished.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return state->engines;
+}
+
+awaitable<void> WeightsRollout::surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
+                                          fleet::Server server) {
+  http::Request query = protocol_.reportQuery(server);
+  const http::ExchangeOptions options = callOptions(settings_.callTimeout);
+  Result<http::Response> answer =
+      co_await client_.exchange(server.endpoint, std::move(query), options);
+  Result<forward::ServerReport> report =
+      answer ? protocol_.readReport(answer.value()) : answer.error();
+  if (report) {
+    orderCounts_[server.id] = report.value().orderCount;
+    bool behindStill = false;
+    for (const fleet::LoadedModel& loaded : report.value().models) {
+      pool_.applyWeights(server.id, loaded.model, loaded.weights, monotonicNow());
+      const auto newest = targets_.newest(loaded.model);
+      behindStill = behindStill || (newest && loaded.weights < *newest);
+      for (std::size_t at = index; at < index + server.models.size(); ++at) {
+        orders::SurveyedEngine& engine = survey->engines[at];
+        if (engine.model == loaded.model) {
+          orders::EngineReport found;
+          found.id = server.id;
+          found.model = loaded.model;
+          found.incarnation = incarnationOf(server);
+          found.weights = loaded.weights;
+          found.accepting = !report.value().busy;
+          if (report.value().busy) {
+            found.loading = newest;
+          }
+          engine.report = found;
+        }
+      }
+    }
+    if (!behindStill) {
+      ordered_.erase(server.id);
+    }
+  } else if (pool_.find(server.id) == nullptr) {
+    ordered_.erase(server.id);
+  }
+  --survey->outstanding;
+  survey->finished.cancel();
+}
+
+awaitable<void> WeightsRollout::sendOrder(orders::LoadOrder order, fleet::Server server,
+                                          FencingToken token) {
+  forward::WeightsOrder message;
+  message.server = server.id;
+  for (const fleet::LoadedModel& loaded : server.models) {
+    const auto newest = targets_.newest(loaded.model);
+    if (newest && *newest == order.weights && loaded.weights < *newest) {
+      message.model = loaded.model;
+    }
+  }
+  message.weights = order.weights;
+  message.holder = settings_.holder;
+  message.fence = token;
+  message.expectedOrders = orderCounts_[server.id];
+  if (lease_.token() != token) {
+    co_return;
+  }
+  http::Request request = protocol_.encodeOrder(message);
+  const http::ExchangeOptions options = callOptions(settings_.callTimeout);
+  Result<http::Response> answer =
+      co_await client_.exchange(server.endpoint, std::move(request), options);
+  std::string outcome = "lost";
+  if (answer) {
+    const forward::OrderOutcome read = protocol_.readOrderAnswer(answer.value());
+    outcome = nameOf(read);
+    if (read != forward::OrderOutcome::kTaken) {
+      planner_.onOrderAnswered(order.engine);
+    }
+    if (read == forward::OrderOutcome::kFenced) {
+      lease_.onFenced(token);
+    }
+  } else if (answer.error().kind == ErrorKind::kConnectFailed) {
+    outcome = "not_sent";
+    planner_.onOrderAnswered(order.engine);
+  }
+  metrics_.countOrder("load_version", outcome);
+  log::write(log::Level::kInfo, "weights_ordered",
+             {{"server", server.id.value()},
+              {"model", message.model.value()},
+              {"weights", std::to_string(order.weights.value())},
+              {"token", std::to_string(token.value())},
+              {"expected_orders", std::to_string(message.expectedOrders)},
+              {"outcome", outcome}});
+}
+
+}  // namespace calicodrift::rollout
--- /dev/null
+++ b/src/rollout/weights_rollout.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "fleet/server_pool.h"
+#include "forward/protocol.h"
+#include "http/client.h"
+#include "lease/lease_keeper.h"
+#include "orders/order_metrics.h"
+#include "orders/rollout_planner.h"
+#include "rollout/weights_targets.h"
+
+namespace calicodrift::rollout {
+
+struct WeightsRolloutSettings {
+  /// Name under which this process gives orders; each start has another.
+  std::string holder;
+  std::int64_t maxConcurrentLoads = 2;
+  /// Pause between two rounds.
+  Milliseconds interval{120};
+  Milliseconds callTimeout{400};
+  orders::RolloutSettings planner;
+};
+
+/// Gives orders to load the newest weights, while this node holds the lease. Only servers that load
+/// or are next are asked for their state, so that a round costs a few calls whatever the fleet's
+/// size; the list tells of the others.
+class WeightsRollout {
+ public:
+  WeightsRollout(boost::asio::any_io_executor executor, http::Client& client,
+                 const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
+                 const WeightsTargets& targets, lease::LeaseKeeper& lease,
+                 orders::OrderMetrics& metrics, WeightsRolloutSettings settings);
+
+  void start();
+  /// Whether any server is behind the weights that were named for its model.
+  bool needed() const;
+
+ private:
+  struct Survey;
+
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> round(FencingToken token);
+  boost::asio::awaitable<std::vector<orders::SurveyedEngine>> survey();
+  boost::asio::awaitable<void> surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
+                                         fleet::Server server);
+  boost::asio::awaitable<void> sendOrder(orders::LoadOrder order, fleet::Server server,
+                                         FencingToken token);
+  orders::RolloutGoal goal() const;
+  /// Servers to ask: those with an order under way, then some that are behind.
+  std::vector<fleet::Server> serversToAsk() const;
+  bool behind(const fleet::Server& server) const;
+
+  boost::asio::any_io_executor executor_;
+  http::Client& client_;
+  const forward::ServerProtocol& protocol_;
+  fleet::ServerPool& pool_;
+  const WeightsTargets& targets_;
+  lease::LeaseKeeper& lease_;
+  orders::OrderMetrics& metrics_;
+  WeightsRolloutSettings settings_;
+  orders::RolloutPlanner planner_;
+  FencingToken tenure_;
+  /// Servers that were ordered to load in this tenure and have not shown the result.
+  std::set<BackendId> ordered_;
+  /// Orders taken by each server at its last report.
+  std::map<BackendId, std::uint64_t> orderCounts_;
+};
+
+}  // namespace calicodrift::rollout
--- /dev/null
+++ b/src/rollout/weights_targets.cc
@@ -0,0 +1,40 @@
+#include "rollout/weights_targets.h"
+
+namespace calicodrift::rollout {
+
+void WeightsTargets::name(const ModelId& model, WeightsVersion version, MonotonicTime since) {
+  // Known versions keep the time at which they were first heard of.
+  namedSince_[model].emplace(version, since);
+}
+
+std::optional<WeightsVersion> WeightsTargets::newest(const ModelId& model) const {
+  const auto found = namedSince_.find(model);
+  if (found == namedSince_.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  return found->second.rbegin()->first;
+}
+
+WeightsVersion WeightsTargets::least(const ModelId& model, MonotonicTime now) const {
+  const auto found = namedSince_.find(model);
+  if (found == namedSince_.end()) {
+    return {};
+  }
+  WeightsVersion least;
+  for (const auto& [version, since] : found->second) {
+    if (now - since >= term_) {
+      least = version;
+    }
+  }
+  return least;
+}
+
+std::vector<ModelId> WeightsTargets::models() const {
+  std::vector<ModelId> all;
+  for (const auto& [model, versions] : namedSince_) {
+    all.push_back(model);
+  }
+  return all;
+}
+
+}  // namespace calicodrift::rollout
--- /dev/null
+++ b/src/rollout/weights_targets.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/ids.h"
+
+/// Bringing model servers to the weights that operators name.
+namespace calicodrift::rollout {
+
+/// The weights that were named for each model, and since when each older version is outdated.
+///
+/// Invariant: least() of a model is at least every version that was known for longer than the term,
+/// so that no request begins on a version whose successor is older than that.
+class WeightsTargets {
+ public:
+  /// @param term how long requests may begin on an older version after a newer one is known.
+  explicit WeightsTargets(Milliseconds term) : term_(term) {}
+
+  /// @param since when the version was named at the latest.
+  void name(const ModelId& model, WeightsVersion version, MonotonicTime since);
+  /// Newest version of the model; nothing where none was named.
+  std::optional<WeightsVersion> newest(const ModelId& model) const;
+  /// Least version on which a request may begin now.
+  WeightsVersion least(const ModelId& model, MonotonicTime now) const;
+  std::vector<ModelId> models() const;
+
+ private:
+  Milliseconds term_;
+  std::map<ModelId, std::map<WeightsVersion, MonotonicTime>> namedSince_;
+};
+
+}  // namespace calicodrift::rollout
--- a/src/router/backend_table.cc
+++ b/src/router/backend_table.cc
@@ -23,9 +23,9 @@
   return "unreachable";
 }
 
-void BackendTable::applyMachineList(const std::vector<platform::Machine>& machines) {
+void BackendTable::applyMachineList(const std::vector<object_api::Machine>& machines) {
   std::set<BackendId> listed;
-  for (const platform::Machine& machine : machines) {
+  for (const object_api::Machine& machine : machines) {
     listed.insert(machine.id);
     Backend& backend = backends_[machine.id];
     const bool wasLeaving = backend.machine.terminating;
@@ -130,8 +130,8 @@
   }
 }
 
-std::vector<platform::Machine> BackendTable::machines() const {
-  std::vector<platform::Machine> all;
+std::vector<object_api::Machine> BackendTable::machines() const {
+  std::vector<object_api::Machine> all;
   all.reserve(backends_.size());
   for (const auto& entry : backends_) {
     all.push_back(entry.second.machine);
@@ -141,13 +141,13 @@
 
 const routing::CandidateSet& BackendTable::engines(const ModelId& model,
                                                    WeightsVersion weights) const {
-  return findSet({platform::MachineKind::kEngine, model.value(), weights});
+  return findSet({object_api::MachineKind::kEngine, model.value(), weights});
 }
 
 std::map<WeightsVersion, std::size_t> BackendTable::engineVersions(const ModelId& model) const {
   std::map<WeightsVersion, std::size_t> versions;
   for (const auto& [key, sets] : sets_) {
-    if (key.kind == platform::MachineKind::kEngine && key.serves == model.value()) {
+    if (key.kind == object_api::MachineKind::kEngine && key.serves == model.value()) {
       versions[key.weights] = sets.healthy.size() + sets.ejected.size();
     }
   }
@@ -161,7 +161,7 @@
 }
 
 const routing::CandidateSet& BackendTable::services(std::string_view service) const {
-  return findSet({platform::MachineKind::kService, std::string(service), WeightsVersion()});
+  return findSet({object_api::MachineKind::kService, std::string(service), WeightsVersion()});
 }
 
 const routing::CandidateSet& BackendTable::findSet(const SetKey& key) const {
@@ -201,7 +201,7 @@
 }
 
 BackendTable::SetKey BackendTable::keyOf(const Backend& backend) {
-  const bool engine = backend.machine.kind == platform::MachineKind::kEngine;
+  const bool engine = backend.machine.kind == object_api::MachineKind::kEngine;
   return {backend.machine.kind, backend.machine.serves,
           engine ? backend.weights : WeightsVersion()};
 }
--- a/src/router/backend_table.h
+++ b/src/router/backend_table.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "common/ids.h"
-#include "platform/machine.h"
-#include "router/backend_health.h"
+#include "fleet/backend_health.h"
+#include "object_api/machine.h"
 #include "routing/policy.h"
 
 namespace calicodrift::router {
@@ -46,7 +46,7 @@
   /// @param listener called once for each loss, before any later choice of a candidate.
   explicit BackendTable(LossListener listener) : listener_(std::move(listener)) {}
 
-  void applyMachineList(const std::vector<platform::Machine>& machines);
+  void applyMachineList(const std::vector<object_api::Machine>& machines);
   /// Invariant: beliefs never outlive an incarnation, as a change of it is reported as a loss.
   void applyProbe(const BackendId& id, const ProbeResult& result,
                   MonotonicTime now = monotonicNow());
@@ -67,7 +67,7 @@
   void markOutdated(const BackendId& id);
 
   /// Every machine to probe, usable or not.
-  std::vector<platform::Machine> machines() const;
+  std::vector<object_api::Machine> machines() const;
   /// Usable engines of the model whose weights are at `weights`. Kept up to date by small changes,
   /// so that no request pays for their number. The reference holds, and the positions in it, until
   /// the next change of the table: not over a `co_await`.
@@ -90,7 +90,7 @@
  private:
   /// Which requests a back end can serve.
   struct SetKey {
-    platform::MachineKind kind = platform::MachineKind::kEngine;
+    object_api::MachineKind kind = object_api::MachineKind::kEngine;
     /// Model or name of the service.
     std::string serves;
     /// 0 for a service.
@@ -110,11 +110,11 @@
     bool operator==(const Listing&) const = default;
   };
   struct Backend {
-    platform::Machine machine;
+    object_api::Machine machine;
     Incarnation incarnation;
     WeightsVersion weights;
     bool accepting = true;
-    BackendHealth health;
+    fleet::BackendHealth health;
     bool draining = false;
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
--- a/src/router/discovery.cc
+++ b/src/router/discovery.cc
@@ -69,8 +69,8 @@
       if (!response || response.value().status != 200) {
         continue;
       }
-      Result<std::vector<platform::Machine>> machines =
-          platform::machinesFromJson(response.value().body);
+      Result<std::vector<object_api::Machine>> machines =
+          object_api::machinesFromJson(response.value().body);
       if (machines) {
         table_.applyMachineList(machines.value());
         probeNew();
@@ -82,9 +82,9 @@
 }
 
 void Discovery::probeNew() {
-  const std::vector<platform::Machine> machines = table_.machines();
+  const std::vector<object_api::Machine> machines = table_.machines();
   std::map<BackendId, Endpoint> listed;
-  for (const platform::Machine& machine : machines) {
+  for (const object_api::Machine& machine : machines) {
     listed[machine.id] = machine.endpoint;
     const auto known = listed_.find(machine.id);
     if (known == listed_.end() || known->second != machine.endpoint) {
@@ -96,14 +96,14 @@
 
 awaitable<void> Discovery::probeAll() {
   for (;;) {
-    for (const platform::Machine& machine : table_.machines()) {
+    for (const object_api::Machine& machine : table_.machines()) {
       startProbe(machine);
     }
     co_await pause(jittered(settings_.probeInterval));
   }
 }
 
-void Discovery::startProbe(const platform::Machine& machine) {
+void Discovery::startProbe(const object_api::Machine& machine) {
   if (probing_.insert(machine.id).second) {
     asio::co_spawn(executor_, probe(machine), asio::detached);
   }
@@ -116,7 +116,7 @@
   return interval + Milliseconds(distribution(random_));
 }
 
-awaitable<void> Discovery::probe(platform::Machine machine) {
+awaitable<void> Discovery::probe(object_api::Machine machine) {
   http::Request request;
   request.target = "/health";
   http::ExchangeOptions options;
--- a/src/router/discovery.h
+++ b/src/router/discovery.h
@@ -24,10 +24,10 @@
  private:
   boost::asio::awaitable<void> readMachineLists();
   boost::asio::awaitable<void> probeAll();
-  boost::asio::awaitable<void> probe(platform::Machine machine);
+  boost::asio::awaitable<void> probe(object_api::Machine machine);
   /// Probes at once what the list newly names, so that a fresh node serves after one round trip.
   void probeNew();
-  void startProbe(const platform::Machine& machine);
+  void startProbe(const object_api::Machine& machine);
   /// The interval give or take a tenth, so that nodes which started together drift apart.
   Milliseconds jittered(Milliseconds interval);
 
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -78,7 +78,8 @@
       route_{settings_, context.get_executor(), client_, backends_, policies_, metrics_, claims_},
       completions_(route_),
       services_(route_),
-      orderLease_(context.get_executor(), client_, settings_.objectApi, std::string(kOrderLease),
+      leaseStore_(client_, settings_.objectApi),
+      orderLease_(context.get_executor(), leaseStore_, std::string(kOrderLease),
                   orderLeaseSettings(settings_), [this] { return mayAcquireOrderLease(); }),
       orderMetrics_(registry_),
       orders_(context.get_executor(), client_, orderLease_, orderSources(), orderMetrics_,
@@ -100,7 +101,9 @@
   if (endpoint) {
     discovery_.start();
     claims_.start(control_->membership());
-    orderLease_.start();
+    if (!settings_.objectApi.empty()) {
+      orderLease_.start();
+    }
     orders_.start();
   }
   return endpoint;
@@ -299,8 +302,8 @@
 orders::OrderSources Node::orderSources() {
   const auto engines = [this] {
     std::vector<orders::KnownEngine> known;
-    for (const platform::Machine& machine : backends_.machines()) {
-      if (machine.kind == platform::MachineKind::kEngine) {
+    for (const object_api::Machine& machine : backends_.machines()) {
+      if (machine.kind == object_api::MachineKind::kEngine) {
         known.push_back({machine, backends_.weightsOf(machine.id)});
       }
     }
--- a/src/router/node.h
+++ b/src/router/node.h
@@ -11,6 +11,7 @@
 #include "http/server.h"
 #include "lease/candidates.h"
 #include "lease/lease_keeper.h"
+#include "lease/object_api_lease_store.h"
 #include "limits/limiter.h"
 #include "orders/order_driver.h"
 #include "peer/udp_transport.h"
@@ -82,6 +83,7 @@
   CompletionHandler completions_;
   ServiceHandler services_;
   std::optional<lease::Candidacy> orderCandidacy_;
+  lease::ObjectApiLeaseStore leaseStore_;
   lease::LeaseKeeper orderLease_;
   orders::OrderMetrics orderMetrics_;
   orders::OrderDriver orders_;
--- /dev/null
+++ b/src/routes/route_table.cc
@@ -0,0 +1,45 @@
+#include "routes/route_table.h"
+
+namespace calicodrift::routes {
+
+RouteTable::RouteTable(RouteTableContent content) : content_(std::move(content)) {
+  for (const Route& route : content_.routes) {
+    routesByHost_[route.host][route.pathPrefix] = &route;
+  }
+  for (const Tenant& tenant : content_.tenants) {
+    for (const std::string& key : tenant.apiKeys) {
+      tenantsByKey_[key] = &tenant;
+    }
+  }
+  for (const Service& service : content_.services) {
+    servicesByName_[service.name] = &service;
+  }
+}
+
+const Route* RouteTable::findRoute(std::string_view host, std::string_view path) const {
+  const auto ofHost = routesByHost_.find(host);
+  if (ofHost == routesByHost_.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only the path's own slashes can end one: longest first.
+  for (std::size_t end = path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+    const auto found = ofHost->second.find(path.substr(0, end + 1));
+    if (found != ofHost->second.end()) {
+      return found->second;
+    }
+  }
+  return nullptr;
+}
+
+const Tenant* RouteTable::findTenant(std::string_view apiKey) const {
+  const auto found = tenantsByKey_.find(apiKey);
+  return found == tenantsByKey_.end() ? nullptr : found->second;
+}
+
+const Service* RouteTable::findService(std::string_view name) const {
+  const auto found = servicesByName_.find(name);
+  return found == servicesByName_.end() ? nullptr : found->second;
+}
+
+}  // namespace calicodrift::routes
--- a/src/sim/machine_list_server.cc
+++ b/src/sim/machine_list_server.cc
@@ -18,7 +18,7 @@
                                                        http::ResponseWriter& writer) {
   http::Response response;
   if (request.path() == "/machines") {
-    response = http::jsonResponse(200, platform::toJson(laggedList()));
+    response = http::jsonResponse(200, object_api::toJson(laggedList()));
   } else if (request.path().starts_with(kMachinePrefix)) {
     response = change(request);
   } else {
@@ -34,13 +34,13 @@
     recordSnapshot();
     return http::jsonResponse(200, "{}");
   }
-  Result<platform::Machine> machine = platform::machineFromJson(request.body);
+  Result<object_api::Machine> machine = object_api::machineFromJson(request.body);
   if (!machine) {
     return http::errorResponse(fail(ErrorKind::kMalformedRequest, machine.error().detail));
   }
   machines_[name] = machine.value();
   recordSnapshot();
-  return http::jsonResponse(200, platform::toJson(machine.value()));
+  return http::jsonResponse(200, object_api::toJson(machine.value()));
 }
 
 void MachineListServer::recordSnapshot() {
@@ -51,7 +51,7 @@
   history_.push_back(std::move(snapshot));
 }
 
-std::vector<platform::Machine> MachineListServer::laggedList() {
+std::vector<object_api::Machine> MachineListServer::laggedList() {
   const MonotonicTime shown = monotonicNow() - lag_;
   while (history_.size() > 1 && history_[1].since <= shown) {
     history_.pop_front();
--- a/src/sim/machine_list_server.h
+++ b/src/sim/machine_list_server.h
@@ -9,7 +9,7 @@
 
 #include "common/clock.h"
 #include "http/server.h"
-#include "platform/machine.h"
+#include "object_api/machine.h"
 
 namespace calicodrift::sim {
 
@@ -25,16 +25,16 @@
   /// The whole list as it was from one moment on.
   struct Snapshot {
     MonotonicTime since;
-    std::vector<platform::Machine> machines;
+    std::vector<object_api::Machine> machines;
   };
 
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   http::Response change(const http::Request& request);
-  std::vector<platform::Machine> laggedList();
+  std::vector<object_api::Machine> laggedList();
   void recordSnapshot();
 
   Milliseconds lag_;
-  std::map<std::string, platform::Machine> machines_;
+  std::map<std::string, object_api::Machine> machines_;
   std::deque<Snapshot> history_;
   http::Server server_;
 };
--- a/src/sim/object_api_server.cc
+++ b/src/sim/object_api_server.cc
@@ -11,8 +11,8 @@
 namespace json = boost::json;
 constexpr std::string_view kObjectPrefix = "/api/";
 
-http::Response conflict(const platform::StoredObject& current) {
-  return http::jsonResponse(409, platform::toJson(current));
+http::Response conflict(const object_api::StoredObject& current) {
+  return http::jsonResponse(409, object_api::toJson(current));
 }
 
 std::int64_t numberAt(const json::object& object, std::string_view key, std::int64_t absent) {
@@ -83,28 +83,28 @@
   if (found == objects_.end() || found->second.version.value() == 0) {
     return http::errorResponse(fail(ErrorKind::kNotFound, "no object '" + key + "'"));
   }
-  return http::jsonResponse(200, platform::toJson(found->second));
+  return http::jsonResponse(200, object_api::toJson(found->second));
 }
 
 http::Response ObjectApiServer::putObject(const std::string& key, const std::string& body) {
   ++writes_;
-  Result<platform::StoredObject> object = platform::storedObjectFromJson(body);
+  Result<object_api::StoredObject> object = object_api::storedObjectFromJson(body);
   if (!object) {
     return http::errorResponse(fail(ErrorKind::kMalformedRequest, object.error().detail));
   }
-  platform::StoredObject& current = objects_[key];
+  object_api::StoredObject& current = objects_[key];
   if (current.version != object.value().version) {
     return conflict(current);
   }
   current = object.value();
-  current.version = platform::ResourceVersion(++lastVersion_);
+  current.version = object_api::ResourceVersion(++lastVersion_);
   history_.push_back(lastVersion_);
   if (history_.size() > historyBound_) {
     compactedVersion_ = history_.front();
     history_.pop_front();
   }
   wakeWatches();
-  return http::jsonResponse(200, platform::toJson(current));
+  return http::jsonResponse(200, object_api::toJson(current));
 }
 
 void ObjectApiServer::countRead(const std::string& key) {
@@ -126,13 +126,13 @@
 }
 
 std::string ObjectApiServer::changeAfter(const std::string& key,
-                                         platform::ResourceVersion seen) const {
+                                         object_api::ResourceVersion seen) const {
   const auto found = objects_.find(key);
   if (found == objects_.end() || found->second.version <= seen) {
     return "";
   }
-  return platform::toJson(
-             platform::WatchEvent{platform::WatchEvent::Kind::kModified, found->second}) +
+  return object_api::toJson(
+             object_api::WatchEvent{object_api::WatchEvent::Kind::kModified, found->second}) +
          "\n";
 }
 
@@ -145,7 +145,7 @@
 boost::asio::awaitable<void> ObjectApiServer::serveWatch(http::Request& request,
                                                          http::ResponseWriter& writer,
                                                          std::string key) {
-  platform::ResourceVersion seen(queryNumber(request, "resourceVersion"));
+  object_api::ResourceVersion seen(queryNumber(request, "resourceVersion"));
   const bool fromNow = seen.value() == 0;
   if (fromNow) {
     countRead(key);
@@ -162,12 +162,12 @@
   const MonotonicTime end = monotonicNow() + duration;
   writer.onCallerGone([&timer] { timer.cancel(); });
   Result<void> written = co_await writer.startStream(http::jsonResponse(200, ""));
-  platform::WatchEvent bookmark;
-  bookmark.object.version = platform::ResourceVersion(lastVersion_);
-  std::string lines = changeAfter(key, seen) + platform::toJson(bookmark) + "\n";
+  object_api::WatchEvent bookmark;
+  bookmark.object.version = object_api::ResourceVersion(lastVersion_);
+  std::string lines = changeAfter(key, seen) + object_api::toJson(bookmark) + "\n";
   while (written) {
     // Nothing is awaited between reading the state and noting how far it was read.
-    seen = platform::ResourceVersion(lastVersion_);
+    seen = object_api::ResourceVersion(lastVersion_);
     if (!lines.empty()) {
       written = co_await writer.writeChunk(lines);
     }
--- a/src/sim/object_api_server.h
+++ b/src/sim/object_api_server.h
@@ -11,7 +11,7 @@
 
 #include "common/clock.h"
 #include "http/server.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 
 namespace calicodrift::sim {
 
@@ -49,12 +49,12 @@
   boost::asio::awaitable<void> serveWatch(http::Request& request, http::ResponseWriter& writer,
                                           std::string key);
   /// The line that a watch owes after `seen`, or an empty text.
-  std::string changeAfter(const std::string& key, platform::ResourceVersion seen) const;
+  std::string changeAfter(const std::string& key, object_api::ResourceVersion seen) const;
   void wakeWatches();
 
   boost::asio::any_io_executor executor_;
   http::Server server_;
-  std::map<std::string, platform::StoredObject> objects_;
+  std::map<std::string, object_api::StoredObject> objects_;
   std::uint64_t lastVersion_ = 0;
   std::size_t historyBound_;
   /// Versions of the last changes, oldest first.
--- a/src/sim/programs.cc
+++ b/src/sim/programs.cc
@@ -5,7 +5,7 @@
 #include <string_view>
 
 #include "http/client.h"
-#include "platform/machine.h"
+#include "object_api/machine.h"
 #include "settings/table.h"
 #include "sim/engine_server.h"
 #include "sim/fault_proxy.h"
@@ -178,11 +178,11 @@
 }
 
 asio::awaitable<void> enterMachineList(http::Client& client, Endpoint machineList,
-                                       platform::Machine machine) {
+                                       object_api::Machine machine) {
   http::Request request;
   request.method = "PUT";
   request.target = "/machines/" + machine.id.value();
-  request.body = platform::toJson(machine);
+  request.body = object_api::toJson(machine);
   const Result<http::Response> response = co_await client.exchange(machineList, request);
   if (!response) {
     std::cerr << "cannot enter the machine list: " << response.error().detail << "\n";
@@ -191,9 +191,9 @@
 
 /// Runs a back end that is listening, after it has entered the machine lists.
 void runBackend(asio::io_context& context, const BackendSettings& settings,
-                platform::MachineKind kind, const Endpoint& endpoint) {
+                object_api::MachineKind kind, const Endpoint& endpoint) {
   http::Client client(context.get_executor());
-  platform::Machine machine;
+  object_api::Machine machine;
   machine.id = BackendId(settings.id);
   machine.kind = kind;
   machine.serves = settings.serves;
@@ -235,7 +235,7 @@
   asio::io_context context(1);
   EngineServer engine(context, server);
   const Endpoint endpoint = announceOrExit("engine", engine.listen(given.listen));
-  runBackend(context, given, platform::MachineKind::kEngine, endpoint);
+  runBackend(context, given, object_api::MachineKind::kEngine, endpoint);
   return settings::kExitSuccess;
 }
 
@@ -246,7 +246,7 @@
   asio::io_context context(1);
   ServiceServer service(context.get_executor(), BackendId(given.id), given.workTime);
   const Endpoint endpoint = announceOrExit("service", service.listen(given.listen));
-  runBackend(context, given, platform::MachineKind::kService, endpoint);
+  runBackend(context, given, object_api::MachineKind::kService, endpoint);
   return settings::kExitSuccess;
 }
 
--- /dev/null
+++ b/src/store/kind_watcher.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <random>
+#include <string>
+
+#include "store/object_store.h"
+
+namespace calicodrift::store {
+
+struct KindWatcherSettings {
+  std::string kind;
+  /// Longest time that one watch waits. Each one that returns proves how new the view is.
+  Milliseconds wait{1500};
+  /// A watch is made shorter where the proof would otherwise grow older than this.
+  Milliseconds proofAge{2400};
+  Milliseconds shortestWait{200};
+  /// First pause after a failed call; doubles up to the longest, with jitter.
+  Milliseconds firstPause{50};
+  Milliseconds longestPause{400};
+  std::uint64_t seed = 0;
+};
+
+/// What a watcher tells its owner.
+struct KindListener {
+  /// Replaces all that was known of the kind.
+  std::function<void(const Listing&)> onListing;
+  std::function<void(const ChangeBatch&)> onChanges;
+  /// The store was lost or regained; for logs.
+  std::function<void(bool reachable, const std::string& cause)> onReachable;
+};
+
+/// Keeps a view of one kind up to date: one listing, then watches, and another listing where the
+/// store has forgotten what came between. Runs on one thread.
+///
+/// provenAt() is a time at which the view was the newest state for certain: a listing proves the
+/// moment at which it was asked for. A watch that returns nothing proves the end of its wait, as
+/// the store would have returned earlier otherwise; one that returns changes proves only the moment
+/// at which it was asked for, as its answer may have been under way for long.
+class KindWatcher {
+ public:
+  KindWatcher(boost::asio::any_io_executor executor, ObjectStore& store,
+              KindWatcherSettings settings, KindListener listener);
+
+  void start();
+  /// Nothing was ever read where this is the epoch of the clock.
+  MonotonicTime provenAt() const { return provenAt_; }
+  bool synchronized() const { return synchronized_; }
+  Revision revision() const { return revision_; }
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<Result<void>> list();
+  boost::asio::awaitable<Result<void>> watch();
+  Milliseconds nextWait(MonotonicTime now) const;
+  Milliseconds pauseAfterFailure();
+  void noteReachable(bool reachable, const std::string& cause);
+
+  boost::asio::any_io_executor executor_;
+  ObjectStore& store_;
+  KindWatcherSettings settings_;
+  KindListener listener_;
+  std::mt19937_64 random_;
+  Revision revision_;
+  bool synchronized_ = false;
+  bool mustList_ = true;
+  bool reachable_ = true;
+  unsigned failures_ = 0;
+  MonotonicTime provenAt_{};
+};
+
+}  // namespace calicodrift::store
--- a/tests/claims/simulated_fleet.h
+++ b/tests/claims/simulated_fleet.h
@@ -35,10 +35,10 @@
   }
   void write(const VersionedView& view, std::function<void()> done) override {
     network_.schedule(delay(), [this, view, done] {
-      const auto current = stored_ ? stored_->version : platform::ResourceVersion();
+      const auto current = stored_ ? stored_->version : object_api::ResourceVersion();
       if (!down_ && current == view.version) {
         stored_ = view;
-        stored_->version = platform::ResourceVersion(current.value() + 1);
+        stored_->version = object_api::ResourceVersion(current.value() + 1);
       }
       network_.schedule(delay(), done);
     });
--- a/tests/config/simulated_fleet.h
+++ b/tests/config/simulated_fleet.h
@@ -53,7 +53,7 @@
   /// Puts an object into the store without its being accepted, as a restored backup does.
   void setStore(const bundle::SignedBundle& signedBundle) {
     store_.spec = bundle::toJson(signedBundle);
-    store_.version = platform::ResourceVersion(store_.version.value() + 1);
+    store_.version = object_api::ResourceVersion(store_.version.value() + 1);
   }
   void setStoreUp(bool up) { storeUp_ = up; }
   /// A zone that can't reach the store.
@@ -205,7 +205,7 @@
     Roster roster;
     Relay relay;
     StoreView view;
-    platform::ResourceVersion seen;
+    object_api::ResourceVersion seen;
     std::uint64_t highest = 0;
   };
 
@@ -283,7 +283,7 @@
   std::size_t zones_;
   std::map<Endpoint, peer::PeerInfo> members_;
   std::vector<Slot> slots_;
-  platform::StoredObject store_{"bundles", "current", {}, ""};
+  object_api::StoredObject store_{"bundles", "current", {}, ""};
   bool storeUp_ = true;
   std::set<std::size_t> cutFromStore_;
   std::set<BundleDigest> acceptedTexts_;
--- a/tests/lease/lease_core_test.cc
+++ b/tests/lease/lease_core_test.cc
@@ -25,7 +25,7 @@
       return false;
     }
     takeovers += write.record.holder == current.record.holder ? 0 : 1;
-    current = {platform::ResourceVersion(++lastVersion), write.record};
+    current = {object_api::ResourceVersion(++lastVersion), write.record};
     return true;
   }
 };
@@ -214,7 +214,7 @@
 
 BOOST_FIXTURE_TEST_CASE(theLeaseCountsFromBeforeTheWriteWasSent, OneHolder) {
   const LeaseAction action = acquire();
-  core.onWritten(action.write, platform::ResourceVersion(1), now + Milliseconds(900));
+  core.onWritten(action.write, object_api::ResourceVersion(1), now + Milliseconds(900));
   BOOST_TEST(core.token(now + Milliseconds(999)).has_value());
   BOOST_TEST(!core.token(now + Milliseconds(1000)).has_value());
 }
@@ -224,18 +224,18 @@
   core.onWriteFailed(now + Milliseconds(100));
   BOOST_TEST(!core.token(now + Milliseconds(100)).has_value());
   BOOST_TEST((core.next(now + Milliseconds(100)).step == LeaseStep::kRead));
-  core.onRead({platform::ResourceVersion(1), action.write.record}, now + Milliseconds(200));
+  core.onRead({object_api::ResourceVersion(1), action.write.record}, now + Milliseconds(200));
   BOOST_TEST(core.token(now + Milliseconds(200)).has_value());
   BOOST_TEST(!core.token(now + Milliseconds(1000)).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(aFencedHolderStopsAndGoesOnOnlyUnderAHigherToken, OneHolder) {
   const LeaseAction action = acquire();
-  core.onWritten(action.write, platform::ResourceVersion(1), now);
+  core.onWritten(action.write, object_api::ResourceVersion(1), now);
   core.onFenced(FencingToken(9));
   BOOST_TEST(!core.token(now).has_value());
   BOOST_TEST((core.next(now).step == LeaseStep::kRead));
-  core.onRead({platform::ResourceVersion(1), action.write.record}, now);
+  core.onRead({object_api::ResourceVersion(1), action.write.record}, now);
   BOOST_TEST(!core.token(now).has_value());
   const LeaseAction raised = core.next(now);
   BOOST_REQUIRE((raised.step == LeaseStep::kWrite));
@@ -244,12 +244,12 @@
 
 BOOST_FIXTURE_TEST_CASE(aReleasedLeaseIsFreeAtOnceAndNeverHeldAgainByItsGiver, OneHolder) {
   const LeaseAction action = acquire();
-  core.onWritten(action.write, platform::ResourceVersion(1), now);
+  core.onWritten(action.write, object_api::ResourceVersion(1), now);
   const std::optional<ObservedLease> released = core.release(now);
   BOOST_REQUIRE(released.has_value());
   BOOST_TEST(!core.token(now).has_value());
   LeaseCore successor(LeaseSettings{"b#1", Milliseconds(1000), Milliseconds(300)});
-  successor.onRead({platform::ResourceVersion(2), released->record}, now);
+  successor.onRead({object_api::ResourceVersion(2), released->record}, now);
   const LeaseAction taken = successor.next(now);
   BOOST_REQUIRE((taken.step == LeaseStep::kWrite));
   BOOST_TEST(taken.write.record.token.value() == 2U);
--- a/tests/router/backend_health_test.cc
+++ b/tests/router/backend_health_test.cc
@@ -1,4 +1,4 @@
-#include "router/backend_health.h"
+#include "fleet/backend_health.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,7 +7,7 @@
 namespace calicodrift::testing {
 namespace {
 
-using router::BackendHealth;
+using fleet::BackendHealth;
 using router::BackendLoss;
 using router::BackendTable;
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
@@ -49,7 +49,7 @@
 struct Table {
   Table() {
     for (const char* id : {"e1", "e2"}) {
-      platform::Machine machine;
+      object_api::Machine machine;
       machine.id = BackendId(id);
       machine.serves = "m";
       machine.endpoint = Endpoint{"127.0.0.1", 1};
@@ -67,7 +67,7 @@
   }
   std::size_t usable() const { return table.engines(ModelId("m"), WeightsVersion(1)).size(); }
 
-  std::vector<platform::Machine> machines;
+  std::vector<object_api::Machine> machines;
   std::vector<BackendLoss> losses;
   BackendTable table{[this](const BackendId&, BackendLoss loss) { losses.push_back(loss); }};
 };
--- a/tests/router/backend_table_test.cc
+++ b/tests/router/backend_table_test.cc
@@ -8,10 +8,10 @@
 
 const ModelId kModel("m");
 
-platform::Machine engineMachine(const std::string& id) {
-  platform::Machine machine;
+object_api::Machine engineMachine(const std::string& id) {
+  object_api::Machine machine;
   machine.id = BackendId(id);
-  machine.kind = platform::MachineKind::kEngine;
+  machine.kind = object_api::MachineKind::kEngine;
   machine.serves = kModel.value();
   machine.endpoint = {"127.0.0.1", 1};
   return machine;
@@ -59,7 +59,7 @@
   table.markUnreachable(first);
   BOOST_TEST(usable(2) == 0U);
 
-  platform::Machine leaving = engineMachine("e2");
+  object_api::Machine leaving = engineMachine("e2");
   leaving.terminating = true;
   table.applyMachineList({leaving});
   BOOST_TEST(usable(1) == 0U);
--- a/tests/sim/object_api_test.cc
+++ b/tests/sim/object_api_test.cc
@@ -8,8 +8,8 @@
 namespace {
 
 namespace asio = boost::asio;
-using platform::ResourceVersion;
-using platform::WatchEvent;
+using object_api::ResourceVersion;
+using object_api::WatchEvent;
 constexpr Milliseconds kNoWait{0};
 
 /// A store that remembers the last four changes, in the test's own thread.
@@ -20,7 +20,7 @@
     asio::co_spawn(
         context,
         [this, body]() -> asio::awaitable<void> {
-          platform::ObjectApiClient api(client, endpoint);
+          object_api::ObjectApiClient api(client, endpoint);
           co_await body(api);
           context.stop();
         },
@@ -28,14 +28,14 @@
     context.restart();
     context.run();
   }
-  static asio::awaitable<std::uint64_t> write(platform::ObjectApiClient& api, std::string spec,
+  static asio::awaitable<std::uint64_t> write(object_api::ObjectApiClient& api, std::string spec,
                                               std::uint64_t over) {
-    platform::StoredObject object{"bundles", "current", ResourceVersion(over), std::move(spec)};
-    const Result<platform::StoredObject> written = co_await api.put(object);
+    object_api::StoredObject object{"bundles", "current", ResourceVersion(over), std::move(spec)};
+    const Result<object_api::StoredObject> written = co_await api.put(object);
     co_return written.value().version.value();
   }
   /// Texts of all changes until the watch ends; bookmarks as "#VERSION".
-  static asio::awaitable<std::vector<std::string>> watch(platform::ObjectApiClient& api,
+  static asio::awaitable<std::vector<std::string>> watch(object_api::ObjectApiClient& api,
                                                          std::uint64_t since,
                                                          Milliseconds duration) {
     std::vector<std::string> events;
@@ -66,7 +66,7 @@
 using Texts = std::vector<std::string>;
 
 BOOST_FIXTURE_TEST_CASE(aWatchStartsFromTheObjectAndGoesOnFromItsBookmark, Store) {
-  run([](platform::ObjectApiClient& api) -> asio::awaitable<void> {
+  run([](object_api::ObjectApiClient& api) -> asio::awaitable<void> {
     const Texts empty = co_await watch(api, 0, kNoWait);
     BOOST_TEST(empty == (Texts{"#0", "end"}), boost::test_tools::per_element());
     const std::uint64_t version = co_await write(api, "one", 0);
@@ -78,7 +78,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(anOpenWatchDeliversAChangeAtOnce, Store) {
-  run([this](platform::ObjectApiClient& api) -> asio::awaitable<void> {
+  run([this](object_api::ObjectApiClient& api) -> asio::awaitable<void> {
     auto opened =
         co_await api.watch("bundles", "current", ResourceVersion(0), Milliseconds(60'000));
     auto bookmark = co_await opened.value()->next();
@@ -92,7 +92,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(aCompactedVersionIsRefusedAndTheObjectCanBeReadAnew, Store) {
-  run([](platform::ObjectApiClient& api) -> asio::awaitable<void> {
+  run([](object_api::ObjectApiClient& api) -> asio::awaitable<void> {
     std::uint64_t version = 0;
     for (int change = 0; change < 6; ++change) {
       version = co_await write(api, std::to_string(change), version);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -9,7 +9,7 @@
 
 #include "bench/fault_schedule.h"
 #include "http/server.h"
-#include "platform/machine.h"
+#include "object_api/machine.h"
 #include "support/fleet.h"
 
 namespace calicodrift::testing {
@@ -73,7 +73,7 @@
  private:
   struct Backend {
     std::string id;
-    platform::MachineKind kind;
+    object_api::MachineKind kind;
     std::string zone;
     Endpoint endpoint;
     std::unique_ptr<Process> process;
@@ -102,7 +102,7 @@
     for (std::size_t number = 0; number < shape_.engines + shape_.services; ++number) {
       Backend backend;
       const bool engine = number < shape_.engines;
-      backend.kind = engine ? platform::MachineKind::kEngine : platform::MachineKind::kService;
+      backend.kind = engine ? object_api::MachineKind::kEngine : object_api::MachineKind::kService;
       const std::size_t index = engine ? number : number - shape_.engines;
       backend.id = (engine ? "e" : "s") + std::to_string(index + 1);
       backend.zone = zoneOf(index);
@@ -116,7 +116,7 @@
 
   /// Starts the process at its earlier address where it has one.
   void startBackend(Backend& backend) const {
-    const bool engine = backend.kind == platform::MachineKind::kEngine;
+    const bool engine = backend.kind == object_api::MachineKind::kEngine;
     std::vector<std::string> flags{"--listen", backend.endpoint.toString()};
     if (engine) {
       flags.insert(flags.end(), {"--prefill-tokens-per-second", "100000"});
@@ -127,17 +127,17 @@
   }
 
   void list(const Backend& backend, bool terminating) const {
-    platform::Machine machine;
+    object_api::Machine machine;
     machine.id = BackendId(backend.id);
     machine.kind = backend.kind;
-    machine.serves = backend.kind == platform::MachineKind::kEngine ? "m" : shape_.service;
+    machine.serves = backend.kind == object_api::MachineKind::kEngine ? "m" : shape_.service;
     machine.zone = ZoneId(backend.zone);
     machine.endpoint = backend.proxy->endpoint();
     machine.terminating = terminating;
     http::Request request;
     request.method = "PUT";
     request.target = "/machines/" + backend.id;
-    request.body = platform::toJson(machine);
+    request.body = object_api::toJson(machine);
     exchange(fleet_.machineList(), request).value();
   }
 
@@ -266,7 +266,7 @@
     }
   }
 
-  static std::string proxyFaults(bench::FaultKind kind, platform::MachineKind backend) {
+  static std::string proxyFaults(bench::FaultKind kind, object_api::MachineKind backend) {
     switch (kind) {
       case bench::FaultKind::kCutBackend:
         return R"({"refuse":true})";
@@ -284,8 +284,8 @@
         return R"({"cross_answers":4})";
       default:
         // Within the stream of an engine; within the one answer of a service.
-        return backend == platform::MachineKind::kEngine ? R"({"cut_after_bytes":1500})"
-                                                         : R"({"cut_after_bytes":300})";
+        return backend == object_api::MachineKind::kEngine ? R"({"cut_after_bytes":1500})"
+                                                           : R"({"cut_after_bytes":300})";
     }
   }
 
@@ -303,21 +303,21 @@
   /// Operators who write at once on the same base; the store takes one of them. A lost answer is
   /// settled by reading back. @return the highest version that was seen to be stored.
   boost::asio::awaitable<std::uint64_t> submitBundles(std::size_t writers) {
-    platform::ObjectApiClient store(client_, fleet_.store());
-    Result<platform::StoredObject> base = co_await store.get("bundles", "current");
+    object_api::ObjectApiClient store(client_, fleet_.store());
+    Result<object_api::StoredObject> base = co_await store.get("bundles", "current");
     if (!base) {
       co_return accepted_;
     }
     std::vector<std::string> texts;
     for (std::size_t writer = 0; writer < writers; ++writer) {
-      platform::StoredObject object = base.value();
+      object_api::StoredObject object = base.value();
       const std::string text = bundleText(++lastVersion_);
       object.spec = bundle::toJson(fleet_.signBoth(text));
       texts.push_back(text);
-      const Result<platform::StoredObject> written = co_await store.put(object);
+      const Result<object_api::StoredObject> written = co_await store.put(object);
       static_cast<void>(written);
     }
-    Result<platform::StoredObject> stored = co_await store.get("bundles", "current");
+    Result<object_api::StoredObject> stored = co_await store.get("bundles", "current");
     if (stored) {
       const auto signedBundle = bundle::signedBundleFromJson(stored.value().spec);
       const auto bundle = bundle::parseBundle(signedBundle.value().text);
@@ -339,7 +339,7 @@
     boost::json::array engines;
     boost::json::array services;
     for (const Backend& backend : backends_) {
-      const bool engine = backend.kind == platform::MachineKind::kEngine;
+      const bool engine = backend.kind == object_api::MachineKind::kEngine;
       (engine ? engines : services)
           .push_back(
               boost::json::object{{"id", backend.id}, {"endpoint", backend.endpoint.toString()}});
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -8,7 +8,7 @@
 
 #include "bundle/signature.h"
 #include "common/hashing.h"
-#include "platform/object_api.h"
+#include "object_api/object_api.h"
 #include "support/blocking_client.h"
 #include "support/process.h"
 
@@ -96,11 +96,11 @@
   /// Stores a bundle whatever version the store holds.
   void submitBundle(const std::string& text) const {
     const std::string spec = bundle::toJson(signBoth(text));
-    runBlocking<Result<platform::StoredObject>>(
-        [&](http::Client& client) -> boost::asio::awaitable<Result<platform::StoredObject>> {
-          platform::ObjectApiClient api(client, store());
-          Result<platform::StoredObject> current = co_await api.get("bundles", "current");
-          platform::StoredObject object{"bundles", "current", {}, spec};
+    runBlocking<Result<object_api::StoredObject>>(
+        [&](http::Client& client) -> boost::asio::awaitable<Result<object_api::StoredObject>> {
+          object_api::ObjectApiClient api(client, store());
+          Result<object_api::StoredObject> current = co_await api.get("bundles", "current");
+          object_api::StoredObject object{"bundles", "current", {}, spec};
           if (current) {
             object.version = current.value().version;
           }
