Gateway: prefix homes, cache fetched and saved, fast roll-outs, quiet stop

Change: policy PrefixHome; X-cache moves from the home or the kept-cache store, only while no newer weights can have been named unseen; orders retain runs, oldest weights first, one load for six servers, done by the list's word; connections close after a stream that outlasts the stop; weights term 6 s.

--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "common/clock.h"
+#include "forward/cache_moves.h"
 
 namespace calicodrift::forward {
 
@@ -27,6 +28,7 @@
   double retryFraction = 0.15;
   double retryFloorPerSecond = 0.3;
   double retryFloorBurst = 3;
+  CacheMoveSettings cacheMoves;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -101,6 +101,7 @@
     : context_(std::move(context)),
       settings_(std::move(settings)),
       gate_(gate),
+      cacheMoves_(settings_.cacheMoves),
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)) {}
 
@@ -207,6 +208,10 @@
     co_return fail(ErrorKind::kNoBackend, "the chosen server has left");
   }
   const fleet::Server server = *listed;
+  std::optional<routing::Candidate> holder;
+  if (choice.holder) {
+    holder = candidates[*choice.holder];
+  }
   job.routeRequest.avoided.push_back(server.id);
   job.lastServer = server.id;
   ++job.attempts.sent;
@@ -224,12 +229,16 @@
               {"config", std::to_string(job.grant.table->version().value())},
               {"weights", std::to_string(candidate.weights.value())},
               {"candidates", std::to_string(candidates.size())}});
-  const Dispatch dispatch{server,
-                          until(job.end),
-                          job.grant.tenant,
-                          job.grant.priority(),
-                          cacheScope(job.grant, candidate.weights),
-                          job.relay.lastEvent()};
+  Dispatch dispatch(server);
+  dispatch.timeLeft = until(job.end);
+  dispatch.tenant = job.grant.tenant;
+  dispatch.priority = job.grant.priority();
+  dispatch.resumeAfter = job.relay.lastEvent();
+  if (!job.request.model.value().empty()) {
+    dispatch.weights = candidate.weights;
+    dispatch.cacheScope = cacheScope(job.grant, candidate.weights);
+    moveCache(job, candidate, holder, dispatch);
+  }
   const bool mayMoveOn =
       job.grant.route->idempotent() && job.attempts.mayHaveRun + 1 < job.grant.route->maxAttempts;
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
@@ -257,6 +266,25 @@
   co_return outcome;
 }
 
+void Forwarder::moveCache(const Job& job, const routing::Candidate& chosen,
+                          const std::optional<routing::Candidate>& holder, Dispatch& dispatch) {
+  const WeightsView view = context_.weights(job.request.model);
+  CacheMoveQuery query;
+  query.serverWeights = chosen.weights;
+  query.newestWeights = view.newest;
+  query.weightsProvenAt = view.provenAt;
+  query.store = context_.cacheStore();
+  const fleet::Server* holding = holder ? context_.pool.find(holder->id) : nullptr;
+  if (holding != nullptr) {
+    query.holder = holding->endpoint;
+    query.holderWeights = holder->weights;
+  }
+  query.sharesPrompt = job.routeRequest.sharedBlocks > 0;
+  const CacheMove move = cacheMoves_.decide(query, monotonicNow());
+  dispatch.fetchCacheFrom = move.fetchFrom;
+  dispatch.saveCacheTo = move.saveTo;
+}
+
 void Forwarder::learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
                           std::optional<WeightsVersion> weights) {
   const MonotonicTime now = monotonicNow();
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "fleet/server_pool.h"
+#include "forward/cache_moves.h"
 #include "forward/forward_settings.h"
 #include "forward/metrics.h"
 #include "forward/protocol.h"
@@ -22,6 +23,14 @@
 
 namespace calicodrift::forward {
 
+/// What is known of the weights that servers should have.
+struct WeightsView {
+  /// Newest version of the model; nothing where none was named.
+  std::optional<WeightsVersion> newest;
+  /// No newer one was named before this time for certain.
+  MonotonicTime provenAt{};
+};
+
 /// What the data path needs of the node. All of it outlives the forwarder, on one thread.
 struct ForwardContext {
   boost::asio::any_io_executor executor;
@@ -32,6 +41,9 @@
   ForwardMetrics& metrics;
   /// The configuration in force now.
   std::function<ConfigurationView()> configuration;
+  std::function<WeightsView(const ModelId&)> weights;
+  /// The store of kept cache, where there is one that answers.
+  std::function<std::optional<Endpoint>()> cacheStore;
 };
 
 /// Serves requests: checks them, chooses a server, and tries again elsewhere where that is allowed.
@@ -52,6 +64,9 @@
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  /// Sets which cache the dispatch moves.
+  void moveCache(const Job& job, const routing::Candidate& chosen,
+                 const std::optional<routing::Candidate>& holder, Dispatch& dispatch);
   void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
   /// Whether the job goes on at another server; takes from the budget if so.
@@ -67,6 +82,7 @@
   ForwardSettings settings_;
   RequestGate gate_;
   WeightedChoice weights_;
+  CacheMoves cacheMoves_;
   std::unique_ptr<routing::Policy> modelPolicy_;
   std::unique_ptr<routing::Policy> servicePolicy_;
   std::map<std::string, limits::RetryBudget> budgets_;
--- a/src/forward/prompt_blocks.cc
+++ b/src/forward/prompt_blocks.cc
@@ -15,22 +15,23 @@
   return rank == 1 ? Priority::kNormal : Priority::kLow;
 }
 
-std::vector<BlockHash> chainOf(const std::vector<PromptPart>& prompt, std::uint64_t seed) {
-  std::vector<BlockHash> blocks;
+/// The chain of a prompt's blocks. The last part is the request's own.
+void chainPrompt(const std::vector<PromptPart>& prompt, std::uint64_t seed,
+                 routing::RouteRequest& route) {
   std::uint64_t chain = seed;
   for (const PromptPart& part : prompt) {
+    route.sharedBlocks = route.blocks.size();
     const std::uint64_t partHash = hashBytes(part.id);
     std::size_t left = part.tokens;
     std::uint64_t index = 0;
     chain = hashPair(chain, partHash);
     while (left >= kLeastBlockTokens) {
       chain = hashPair(chain, index);
-      blocks.emplace_back(chain);
+      route.blocks.emplace_back(chain);
       left -= std::min(left, kRoutingBlockTokens);
       ++index;
     }
   }
-  return blocks;
 }
 
 }  // namespace
@@ -44,7 +45,7 @@
   route.model = request.model;
   route.priority = toPriority(grant.priority());
   const std::uint64_t seed = isolated ? hashBytes(grant.tenant->id.value()) : 0;
-  route.blocks = chainOf(request.prompt, seed);
+  chainPrompt(request.prompt, seed, route);
   route.promptTokens = request.promptTokens;
   route.outputTokens = request.outputTokens;
   route.blockTokens = kRoutingBlockTokens;
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -19,6 +19,8 @@
 
 /// One dispatch of a request to a server.
 struct Dispatch {
+  explicit Dispatch(const fleet::Server& target) : server(target) {}
+
   const fleet::Server& server;
   /// What is left of the caller's time, computed for this dispatch.
   Milliseconds timeLeft{0};
@@ -27,6 +29,11 @@
   /// Names what cached prompt parts the request may use: the weights version, and the tenant where
   /// it is isolated. Requests with different scopes never share cache.
   std::string cacheScope;
+  /// Weights that the server must have to run the request; nothing for requests without a model.
+  std::optional<WeightsVersion> weights;
+  /// Where the server gets what it lacks of the prompt's cache, and where it saves it.
+  std::optional<Endpoint> fetchCacheFrom;
+  std::optional<Endpoint> saveCacheTo;
   /// Where the stream goes on; nothing for its beginning.
   std::optional<EventNumber> resumeAfter;
 };
@@ -74,6 +81,13 @@
   kRefused,
 };
 
+/// Where a store of kept cache stands in the history of its changes.
+struct CacheStoreState {
+  /// Changes when the store restarts empty.
+  std::uint64_t epoch = 0;
+  std::uint64_t nextEvent = 0;
+};
+
 /// What servers speak.
 class ServerProtocol {
  public:
@@ -87,6 +101,11 @@
   virtual http::Request reportQuery(const fleet::Server& server) const = 0;
   /// Fails with kProtocolViolation.
   virtual Result<ServerReport> readReport(const http::Response& answer) const = 0;
+  /// Waits for a change behind `since`, up to `wait`: whether the store answers tells that it
+  /// lives.
+  virtual http::Request cacheStoreQuery(const CacheStoreState& since, Milliseconds wait) const = 0;
+  /// Nothing where the store only says that it is asked by too many.
+  virtual std::optional<CacheStoreState> readCacheStore(const http::Response& answer) const = 0;
   virtual http::Request encodeOrder(const WeightsOrder& order) const = 0;
   virtual OrderOutcome readOrderAnswer(const http::Response& answer) const = 0;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -86,9 +86,12 @@
             [this](const fleet::Server& server, fleet::ServerLoss loss) {
               onServerLost(server, loss);
             }),
+      cacheStore_(context.get_executor(), client_, ports_.servers, [this] { return table_; }),
       gate_({settings_.keyProofAge, settings_.absenceProofAge}),
       forwarder_({context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
-                  [this] { return configuration(); }},
+                  [this] { return configuration(); },
+                  [this](const ModelId& model) { return weights(model); },
+                  [this] { return cacheStore_.endpoint(); }},
                  forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
                  hashBytes(settings_.nodeId)),
       targets_(settings_.weightsTerm),
@@ -121,6 +124,7 @@
   lease_.start();
   rollout_.start();
   prober_.start();
+  cacheStore_.start();
   asio::co_spawn(context_, keepLeastWeights(), asio::detached);
   log::write(log::Level::kInfo, "started",
              {{"listen", settings_.listen.toString()}, {"store", settings_.store.toString()}});
@@ -204,6 +208,10 @@
   return {table_, configWatcher_ ? configWatcher_->provenAt() : MonotonicTime{}};
 }
 
+forward::WeightsView GatewayNode::weights(const ModelId& model) const {
+  return {targets_.newest(model), weightsWatcher_ ? weightsWatcher_->provenAt() : MonotonicTime{}};
+}
+
 void GatewayNode::applyConfiguration(const store::Object& object) {
   if (!ports_.schema.isConfiguration(object)) {
     return;
@@ -342,6 +350,7 @@
   // Callers that have not yet learnt of the stop are served meanwhile.
   timer.expires_at(std::min(begin + settings_.drainAccept, end));
   co_await timer.async_wait(asio::use_awaitable);
+  front_.closeIdle();
   front_.stopAccepting();
   MonotonicTime busyAt = monotonicNow();
   while (monotonicNow() < end && monotonicNow() - busyAt < kQuiet) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -6,6 +6,7 @@
 
 #include "fleet/server_pool.h"
 #include "forward/forwarder.h"
+#include "gateway/cache_store_monitor.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/server_prober.h"
 #include "gateway/store_schema.h"
@@ -57,6 +58,7 @@
   boost::asio::awaitable<void> answerMetrics(http::Request& request, http::ResponseWriter& writer);
   boost::asio::awaitable<void> finishDrain();
   forward::ConfigurationView configuration() const;
+  forward::WeightsView weights(const ModelId& model) const;
 
   boost::asio::io_context& context_;
   http::Client& client_;
@@ -67,6 +69,7 @@
   orders::OrderMetrics orderMetrics_;
   std::shared_ptr<const routes::RouteTable> table_;
   fleet::ServerPool pool_;
+  CacheStoreMonitor cacheStore_;
   forward::RequestGate gate_;
   forward::Forwarder forwarder_;
   rollout::WeightsTargets targets_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -26,7 +26,7 @@
 /// How requests are sent to servers.
 Rows forwardRows() {
   return {
-      {{"model-policy", "NestedPrefixAffinity", 0, 0, "", "routing policy for model requests"},
+      {{"model-policy", "PrefixHome", 0, 0, "", "routing policy for model requests"},
        &G::modelPolicy},
       {{"service-policy", "LeastOutstanding", 0, 0, "", "routing policy for other requests"},
        &G::servicePolicy},
@@ -61,7 +61,7 @@
        &G::configProofAge},
       {{"server-watch-ms", "1500", 10, 30'000, "ms", "longest watch of the list of servers"},
        &G::serverWatch},
-      {{"weights-watch-ms", "2500", 10, 30'000, "ms", "longest watch of the named weights"},
+      {{"weights-watch-ms", "800", 10, 30'000, "ms", "longest watch of the named weights"},
        &G::weightsWatch},
       {{"key-proof-age-ms", "3000", 10, kMinuteMs, "ms",
         "requests with keys are refused where the configuration's proof is older"},
@@ -69,7 +69,7 @@
       {{"absence-proof-age-ms", "2000", 10, kMinuteMs, "ms",
         "an unknown route or key is final only where the proof is newer"},
        &G::absenceProofAge},
-      {{"weights-term-ms", "7000", 10, kMinuteMs, "ms",
+      {{"weights-term-ms", "6000", 10, kMinuteMs, "ms",
         "requests may begin on older weights so long after newer ones are known"},
        &G::weightsTerm},
       {{"max-concurrent-loads", "2", 1, 1000, "count", "servers that load weights at once"},
@@ -91,7 +91,7 @@
       {{"drain-accept-ms", "2500", 0, kMinuteMs, "ms",
         "a planned stop goes on to accept so long, until callers have learnt of it"},
        &G::drainAccept},
-      {{"drain-timeout-ms", "7000", 10, kMinuteMs, "ms", "longest planned stop"}, &G::drainTimeout},
+      {{"drain-timeout-ms", "7700", 10, kMinuteMs, "ms", "longest planned stop"}, &G::drainTimeout},
   };
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -109,6 +109,13 @@
   state_->closing = true;
 }
 
+void Server::closeIdle() {
+  const std::set<Connection*> idle = state_->idle;
+  for (Connection* connection : idle) {
+    connection->endIdleWait();
+  }
+}
+
 void Server::stopAccepting() {
   state_->closing = true;
   state_->stopping = true;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -73,6 +73,8 @@
   void setLimits(const ServerLimits& limits);
   /// Goes on serving, but every connection closes after its next answer and says so in it.
   void closeAfterAnswers();
+  /// Closes the connections on which no request has begun.
+  void closeIdle();
   /// Stops accepting, after taking what the system has accepted already. Open connections go on,
   /// and close after their next answer.
   void stopAccepting();
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -163,7 +163,9 @@
 }
 
 awaitable<bool> Connection::serveOne() {
-  const bool arrived = co_await waitForFirstByte();
+  // A stream whose head promised to keep the connection may end after the server began to stop.
+  const bool ended = server_->stopping && served_ > 0 && buffer_.size() == 0;
+  const bool arrived = !ended && co_await waitForFirstByte();
   if (!arrived) {
     co_return false;
   }
@@ -180,6 +182,7 @@
     }
     co_return false;
   }
+  ++served_;
   keepAlive_ = parser.get().keep_alive();
   headOnly_ = parser.get().method() == bhttp::verb::head;
   Request request = toRequest(parser.release());
@@ -196,7 +199,9 @@
     co_return true;
   }
   stream_.expires_after(limits_.idleTimeout);
+  server_->idle.insert(this);
   auto [code, count] = co_await stream_.async_read_some(buffer_.prepare(kFirstReadBytes), kAwait);
+  server_->idle.erase(this);
   if (code) {
     co_return false;
   }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "http/server.h"
@@ -12,6 +13,8 @@
 // Internal to src/http: only server*.cc include this file.
 namespace calicodrift::http {
 
+class Connection;
+
 /// Shared by the server and its coroutines, which may outlive it.
 struct ServerState {
   ServerState(const boost::asio::any_io_executor& executor, ServerLimits limits, Handler handler)
@@ -25,6 +28,8 @@
   /// Connections from a request's first byte until its answer is delivered.
   std::size_t busy = 0;
   std::size_t connections = 0;
+  /// Connections that wait for a request's first byte.
+  std::set<Connection*> idle;
   /// Connections close after their next answer.
   bool closing = false;
   bool stopping = false;
@@ -50,6 +55,8 @@
   Connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server);
   /// Serves requests until either side ends the connection.
   boost::asio::awaitable<void> run();
+  /// Ends the wait for a request's first byte, and so the connection.
+  void endIdleWait() { stream_.cancel(); }
   /// Answers with an error and keeps the connection for no other request.
   boost::asio::awaitable<void> refuse(const Error& error);
   /// Ends the connection so that the last answer arrives: closing a socket that still holds unread
@@ -94,6 +101,8 @@
   boost::asio::steady_timer readTimer_;
   boost::asio::cancellation_signal disconnectWatch_;
   std::uint64_t watchNumber_ = 0;
+  /// Requests that were read.
+  std::size_t served_ = 0;
   std::function<void()> goneCallback_;
   std::string internalDetail_;
   bool reading_ = false;
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -24,6 +24,14 @@
   return options;
 }
 
+WeightsVersion oldestWeights(const fleet::Server& server) {
+  WeightsVersion oldest = server.models.front().weights;
+  for (const fleet::LoadedModel& loaded : server.models) {
+    oldest = std::min(oldest, loaded.weights);
+  }
+  return oldest;
+}
+
 std::string_view nameOf(forward::OrderOutcome outcome) {
   switch (outcome) {
     case forward::OrderOutcome::kTaken:
@@ -76,6 +84,14 @@
                                          });
 }
 
+bool WeightsRollout::settled() const {
+  const MonotonicTime now = monotonicNow();
+  const std::vector<ModelId> models = targets_.models();
+  return std::all_of(models.begin(), models.end(), [this, now](const ModelId& model) {
+    return now - targets_.newestSince(model) >= settings_.settleTime;
+  });
+}
+
 bool WeightsRollout::needed() const {
   const std::vector<fleet::Server> servers = pool_.servers();
   return std::any_of(servers.begin(), servers.end(),
@@ -87,7 +103,7 @@
   for (;;) {
     const std::optional<FencingToken> token = lease_.token();
     metrics_.setLeaseHeld(token.has_value());
-    if (token && needed()) {
+    if (token && needed() && settled()) {
       co_await round(*token);
     }
     timer.expires_after(settings_.interval);
@@ -104,6 +120,11 @@
     metrics_.countTenure();
     log::write(log::Level::kInfo, "lease_acquired", {{"token", std::to_string(token.value())}});
   }
+  // The list shows what an order has come to sooner than the lagging report.
+  std::erase_if(ordered_, [this](const BackendId& id) {
+    const fleet::Server* server = pool_.find(id);
+    return server == nullptr || !behind(*server);
+  });
   const std::vector<orders::SurveyedEngine> engines = co_await survey();
   if (lease_.token() != tenure_) {
     co_return;
@@ -121,13 +142,21 @@
 
 orders::RolloutGoal WeightsRollout::goal() const {
   orders::RolloutGoal goal;
-  goal.maxConcurrentLoads = settings_.maxConcurrentLoads;
+  goal.maxConcurrentLoads = maxConcurrentLoads();
   for (const ModelId& model : targets_.models()) {
     goal.models.push_back({model, *targets_.newest(model), 0});
   }
   return goal;
 }
 
+std::int64_t WeightsRollout::maxConcurrentLoads() const {
+  std::int64_t servers = 0;
+  for (const fleet::Server& server : pool_.servers()) {
+    servers += server.models.empty() ? 0 : 1;
+  }
+  return std::max(settings_.maxConcurrentLoads, servers / settings_.serversPerLoad);
+}
+
 std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
   std::set<BackendId> unreachable;
   for (const fleet::Server& server : pool_.unreachable()) {
@@ -137,13 +166,18 @@
   std::vector<fleet::Server> next;
   std::vector<fleet::Server> last;
   for (fleet::Server& server : pool_.servers()) {
-    if (ordered_.contains(server.id)) {
+    if (ordered_.contains(server.id) && behind(server)) {
       ordered.push_back(std::move(server));
     } else if (behind(server)) {
       (unreachable.contains(server.id) ? last : next).push_back(std::move(server));
     }
   }
-  const auto room = static_cast<std::size_t>(settings_.maxConcurrentLoads);
+  // The oldest first: a server that holds a version in between may wait while others hold none.
+  std::stable_sort(next.begin(), next.end(),
+                   [](const fleet::Server& one, const fleet::Server& two) {
+                     return oldestWeights(one) < oldestWeights(two);
+                   });
+  const auto room = static_cast<std::size_t>(maxConcurrentLoads());
   for (const std::vector<fleet::Server>* group : {&next, &last}) {
     for (const fleet::Server& server : *group) {
       if (ordered.size() < ordered_.size() + room) {
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -20,7 +20,11 @@
 struct WeightsRolloutSettings {
   /// Name under which this process gives orders; each start has another.
   std::string holder;
+  /// At least, and one more for each so many servers that have models.
   std::int64_t maxConcurrentLoads = 2;
+  std::int64_t serversPerLoad = 6;
+  /// Orders wait so long after weights are named, until no node moves cache of older ones.
+  Milliseconds settleTime{1500};
   /// Pause between two rounds.
   Milliseconds interval{120};
   Milliseconds callTimeout{400};
@@ -55,6 +59,9 @@
   /// Servers to ask: those with an order under way, then some that are behind.
   std::vector<fleet::Server> serversToAsk() const;
   bool behind(const fleet::Server& server) const;
+  /// Whether the newest weights were named long enough ago for orders.
+  bool settled() const;
+  std::int64_t maxConcurrentLoads() const;
 
   boost::asio::any_io_executor executor_;
   http::Client& client_;
--- a/src/rollout/weights_targets.cc
+++ b/src/rollout/weights_targets.cc
@@ -29,6 +29,12 @@
   return least;
 }
 
+MonotonicTime WeightsTargets::newestSince(const ModelId& model) const {
+  const auto found = namedSince_.find(model);
+  return found == namedSince_.end() || found->second.empty() ? MonotonicTime{}
+                                                             : found->second.rbegin()->second;
+}
+
 std::vector<ModelId> WeightsTargets::models() const {
   std::vector<ModelId> all;
   for (const auto& [model, versions] : namedSince_) {
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -26,6 +26,8 @@
   /// Least version on which a request may begin now.
   WeightsVersion least(const ModelId& model, MonotonicTime now) const;
   std::vector<ModelId> models() const;
+  /// When the newest version of the model was named; the epoch of the clock for none.
+  MonotonicTime newestSince(const ModelId& model) const;
 
  private:
   Milliseconds term_;
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -42,4 +42,13 @@
   return found == servicesByName_.end() ? nullptr : found->second;
 }
 
+const CacheStore* RouteTable::cacheStore() const {
+  for (const Service& service : content_.services) {
+    if (service.cacheStore) {
+      return &*service.cacheStore;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace calicodrift::routes
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "common/ids.h"
 
 /// The configuration that requests are served by: routes, services, tenants and limits. A table is
@@ -65,12 +66,20 @@
   std::vector<ModelId> models;
 };
 
+/// A store of kept cache that model servers can save to and fetch from.
+struct CacheStore {
+  Endpoint endpoint;
+  ZoneId zone;
+};
+
 struct Service {
   std::string name;
   std::string healthPath;
   std::size_t maxConnections = 0;
   /// Set for services of model servers.
   std::optional<EngineTraits> engine;
+  /// Set for a store of kept cache; no request is routed to it.
+  std::optional<CacheStore> cacheStore;
 };
 
 struct Tenant {
@@ -115,6 +124,8 @@
   bool needsKeys() const { return !content_.tenants.empty(); }
   const CallerLimits& limits() const { return content_.limits; }
   const std::vector<Service>& services() const { return content_.services; }
+  /// The first store of kept cache, or null.
+  const CacheStore* cacheStore() const;
   std::size_t routeCount() const { return content_.routes.size(); }
 
  private:
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -32,6 +32,8 @@
   std::size_t blockTokens = kDefaultBlockTokens;
   /// Back ends that already failed this request; used again only where there is no other.
   std::vector<BackendId> avoided;
+  /// Leading blocks that other requests may share; the rest is the request's own.
+  std::size_t sharedBlocks = 0;
   /// This router decides for every request that shares the prompt's first blocks, so it knows of
   /// all that was sent. Otherwise other routers' dispatches are known by cache events only.
   bool decidedHereOnly = false;
@@ -64,6 +66,8 @@
   std::size_t expectedCachedBlocks = 0;
   /// For `explain`: why this one.
   std::string_view reason;
+  /// Position of another candidate that is believed to hold more of the prompt.
+  std::optional<std::size_t> holder = std::nullopt;
 };
 
 /// Chooses a back end for a request. One policy a file; the bundle names it by its class's name.
--- /dev/null
+++ b/src/routing/prefix_home.cc
@@ -0,0 +1,57 @@
+#include "routing/prefix_home.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "routing/cost.h"
+
+namespace calicodrift::routing {
+namespace {
+
+/// Places in the order of affinity that a decision looks at.
+constexpr std::size_t kPlaces = 3;
+/// What leaving the home costs beside the move: another copy that pushes others out.
+constexpr double kLeaveMs = 40;
+/// Time to move one token of the common part, as a fraction of the time to prefill it.
+constexpr double kMoveShare = 0.25;
+
+std::size_t sharedBlocksOf(const RouteRequest& request) {
+  const std::size_t shared = std::min(request.sharedBlocks, request.blocks.size());
+  return shared > 0 ? shared : request.blocks.size();
+}
+
+std::uint64_t keyOf(const RouteRequest& request) {
+  const std::size_t shared = sharedBlocksOf(request);
+  return shared > 0 ? request.blocks[shared - 1].value() : hashBytes(request.tenant.value());
+}
+
+}  // namespace
+
+Choice PrefixHome::choose(const RouteRequest& request, const CandidateSet& candidates,
+                          MonotonicTime /*now*/) {
+  const std::vector<std::size_t> order =
+      candidates.inAffinityOrder(keyOf(request), kPlaces + request.avoided.size());
+  const std::size_t home = order.front();
+  const std::size_t shared = std::min(request.sharedBlocks, request.blocks.size());
+  Choice best;
+  double bestMs = std::numeric_limits<double>::infinity();
+  for (const std::size_t position : withoutAvoided(request, candidates, order)) {
+    const Candidate& candidate = candidates[position];
+    const double sharedMs =
+        prefillMs(request, candidate, 0) - prefillMs(request, candidate, shared);
+    const double leaveMs = position == home ? 0 : kLeaveMs + kMoveShare * sharedMs;
+    const double ms = queueDelayMs(candidate) + leaveMs;
+    if (ms < bestMs) {
+      bestMs = ms;
+      best.index = position;
+    }
+  }
+  best.expectedCachedBlocks = shared;
+  best.reason = best.index == home ? "home of the prefix" : "the home of the prefix is busier";
+  if (best.index != home && shared > 0) {
+    best.holder = home;
+  }
+  return best;
+}
+
+}  // namespace calicodrift::routing
