Tests of the gateway before stand-ins of the platform, and of its modules

19 cases run the gateway in-process against a store and servers that are stand-ins (tests/platform); the rest test gate, retry rules, event cutting, cache moves, routes, pool, watcher and prefix homes alone.

--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 	@scripts/lint.sh $(BUILD) $$(git diff --name-only --diff-filter=d $(BASE) -- '*.cc'; git ls-files -o --exclude-standard -- '*.cc')
 
 format:
-	@find src apps tests -name '*.cc' -o -name '*.h' | xargs clang-format -i
+	@find src apps platform tests -name '*.cc' -o -name '*.h' | xargs clang-format -i
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,8 +5,8 @@
 build=${1:-build}
 shift || true
 jobs=${JOBS:-$(nproc)}
-mapfile -t sources < <(find src apps tests -name '*.cc' | sort)
-mapfile -t headers < <(find src apps tests -name '*.h' | sort)
+mapfile -t sources < <(find src apps platform tests -name '*.cc' | sort)
+mapfile -t headers < <(find src apps platform tests -name '*.h' | sort)
 clang-format --dry-run -Werror "${sources[@]}" "${headers[@]}"
 if [ $# -gt 0 ]; then
   sources=("$@")
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -115,7 +115,7 @@
                      }) {}
 
 Result<void> GatewayNode::start() {
-  BOOST_OUTCOME_TRY(front_.listen(settings_.listen));
+  BOOST_OUTCOME_TRY(endpoint_, front_.listen(settings_.listen));
   BOOST_OUTCOME_TRY(readyServer_.listen(settings_.readyListen));
   if (settings_.metricsListen.port != 0) {
     BOOST_OUTCOME_TRY(metricsServer_.listen(settings_.metricsListen));
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -42,6 +42,8 @@
   /// Planned stop: says that it isn't ready, serves what still comes, then stops the context.
   void drain();
   bool ready() const;
+  /// Where callers are served; valid after start().
+  const Endpoint& endpoint() const { return endpoint_; }
 
  private:
   void startWatchers();
@@ -83,6 +85,7 @@
   http::Server front_;
   http::Server readyServer_;
   http::Server metricsServer_;
+  Endpoint endpoint_;
   bool draining_ = false;
 };
 
--- /dev/null
+++ b/tests/fleet/server_pool_test.cc
@@ -0,0 +1,95 @@
+#include "fleet/server_pool.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::fleet {
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+const ModelId kModel("m");
+
+Server makeServer(const std::string& id, std::uint64_t weights) {
+  Server server;
+  server.id = BackendId(id);
+  server.service = "llm";
+  server.endpoint = {"10.0.0.1", 80};
+  server.models = {{kModel, WeightsVersion(weights)}};
+  return server;
+}
+
+struct PoolFixture {
+  std::vector<ServerLoss> losses;
+  ServerPool pool{40, [this](const Server&, ServerLoss loss) { losses.push_back(loss); }};
+  std::size_t usable(MonotonicTime now = kStart) {
+    return pool.candidates("llm", kModel, now).size();
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_pool, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(drainingAndRemovedServersAreNoCandidates) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1), makeServer("c", 1)}, kStart);
+  BOOST_TEST(usable() == 3U);
+  Server draining = makeServer("a", 1);
+  draining.draining = true;
+  pool.apply(draining, kStart);
+  BOOST_TEST(usable() == 2U);
+  pool.applyListing({draining, makeServer("b", 1)}, kStart);
+  BOOST_TEST(usable() == 1U);
+  BOOST_TEST((losses == std::vector{ServerLoss::kDraining, ServerLoss::kRemoved}));
+}
+
+BOOST_AUTO_TEST_CASE(serversBelowTheLeastWeightsAreNoCandidates) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 2)}, kStart);
+  pool.setLeastWeights(kModel, WeightsVersion(2), kStart);
+  BOOST_TEST(usable() == 1U);
+  pool.applyWeights(BackendId("a"), kModel, WeightsVersion(2), kStart);
+  BOOST_TEST(usable() == 2U);
+  // What the list says late does not take a version back that an answer has shown.
+  pool.applyWeights(BackendId("a"), kModel, WeightsVersion(1), kStart);
+  BOOST_TEST(usable() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(pausedServersAreUsedOnlyWhereNoOtherIsLeft) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  pool.pause(BackendId("a"), kStart + Milliseconds(100), kStart);
+  BOOST_TEST(usable() == 1U);
+  pool.pause(BackendId("b"), kStart + Milliseconds(100), kStart);
+  BOOST_TEST(usable() == 2U);
+  BOOST_TEST(usable(kStart + Milliseconds(100)) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableServersComeBackByAProbe) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  pool.markUnreachable(BackendId("a"), kStart);
+  BOOST_TEST(usable() == 1U);
+  BOOST_TEST(pool.unreachable().size() == 1U);
+  pool.probeSucceeded(BackendId("a"), kStart + Milliseconds(10));
+  BOOST_TEST(usable() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ejectedServersComeBackByThemselves) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  for (std::size_t failure = 0; failure < BackendHealth::kFailuresToEject; ++failure) {
+    pool.recordFailure(BackendId("a"), kStart);
+  }
+  BOOST_TEST(usable() == 1U);
+  BOOST_TEST(usable(kStart + BackendHealth::kFirstEjection) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(loadIsCountedAndTakenBack) {
+  pool.applyListing({makeServer("a", 1)}, kStart);
+  const DispatchLoad load{1000, 800};
+  pool.addLoad(BackendId("a"), load, kStart);
+  BOOST_TEST(pool.candidates("llm", kModel, kStart)[0].sentPrefillTokens == 800U);
+  pool.endPrefill(BackendId("a"), load, kStart);
+  BOOST_TEST(pool.candidates("llm", kModel, kStart)[0].sentPrefillTokens == 0U);
+  BOOST_TEST(pool.candidates("llm", kModel, kStart)[0].outstanding == 1U);
+  pool.removeLoad(BackendId("a"), load, kStart);
+  BOOST_TEST(pool.candidates("llm", kModel, kStart)[0].outstanding == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::fleet
--- /dev/null
+++ b/tests/forward/forward_test.cc
@@ -0,0 +1,175 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "forward/cache_moves.h"
+#include "forward/event_stream.h"
+#include "forward/prompt_blocks.h"
+#include "forward/request_gate.h"
+#include "forward/retry_rules.h"
+#include "forward/weighted_choice.h"
+
+namespace calicodrift::forward {
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+
+routes::Route makeRoute(routes::RouteKind kind, bool resumable, std::size_t maxAttempts) {
+  routes::Route route;
+  route.name = "r";
+  route.host = "h";
+  route.pathPrefix = "/a/";
+  route.kind = kind;
+  route.resumable = resumable;
+  route.maxAttempts = maxAttempts;
+  route.services = {{"app", 1}};
+  return route;
+}
+
+ConfigurationView viewOf(std::vector<routes::Route> routes, MonotonicTime provenAt) {
+  routes::RouteTableContent content;
+  content.version = ConfigVersion(1);
+  content.routes = std::move(routes);
+  routes::Tenant tenant;
+  tenant.id = TenantId("t");
+  tenant.apiKeys = {"key"};
+  content.tenants = {tenant};
+  return {std::make_shared<const routes::RouteTable>(std::move(content)), provenAt};
+}
+
+Request makeRequest(const std::string& target, const std::string& key) {
+  Request request;
+  request.host = "h";
+  request.message.target = target;
+  request.apiKey = key;
+  return request;
+}
+
+BOOST_AUTO_TEST_CASE(gateServesKeysOnlyByAProvenConfiguration) {
+  const RequestGate gate({Milliseconds(3000), Milliseconds(2000)});
+  const ConfigurationView view = viewOf({makeRoute(routes::RouteKind::kSafe, false, 1)}, kStart);
+  const Request good = makeRequest("/a/x", "key");
+  BOOST_TEST(gate.check(good, view, kStart + Milliseconds(3000)).has_value());
+  BOOST_TEST((gate.check(good, view, kStart + Milliseconds(3001)).error().kind ==
+              ErrorKind::kNoConfiguration));
+  BOOST_TEST((gate.check(good, {}, kStart).error().kind == ErrorKind::kNoConfiguration));
+}
+
+BOOST_AUTO_TEST_CASE(gateTellsAbsenceForGoodOnlyByAProvenConfiguration) {
+  const RequestGate gate({Milliseconds(3000), Milliseconds(2000)});
+  const ConfigurationView view = viewOf({makeRoute(routes::RouteKind::kSafe, false, 1)}, kStart);
+  const Request noKey = makeRequest("/a/x", "other");
+  const Request noRoute = makeRequest("/b/x", "key");
+  const MonotonicTime later = kStart + Milliseconds(2001);
+  BOOST_TEST((gate.check(noKey, view, kStart).error().kind == ErrorKind::kUnauthenticated));
+  BOOST_TEST((gate.check(noRoute, view, kStart).error().kind == ErrorKind::kUnknownRoute));
+  BOOST_TEST((gate.check(noKey, view, later).error().kind == ErrorKind::kNoConfiguration));
+  BOOST_TEST((gate.check(noRoute, view, later).error().kind == ErrorKind::kNoConfiguration));
+}
+
+BOOST_AUTO_TEST_CASE(whatRunsOnceIsRepeatedOnlyAfterProof) {
+  const routes::Route once = makeRoute(routes::RouteKind::kUnsafe, false, 3);
+  const routes::Route stream = makeRoute(routes::RouteKind::kStreaming, false, 3);
+  for (const ErrorKind kind : {ErrorKind::kOutcomeUnknown, ErrorKind::kDeadlineExceeded,
+                               ErrorKind::kStreamBroken, ErrorKind::kProtocolViolation}) {
+    BOOST_TEST((mayRetry(once, kind, {1, 1}) == RetryDecision::kNo));
+    BOOST_TEST((mayRetry(stream, kind, {1, 1}) == RetryDecision::kNo));
+  }
+  BOOST_TEST((mayRetry(once, ErrorKind::kBackendRefused, {1, 0}) == RetryDecision::kBudgeted));
+  BOOST_TEST((mayRetry(once, ErrorKind::kConnectFailed, {1, 0}) == RetryDecision::kFree));
+}
+
+BOOST_AUTO_TEST_CASE(idempotentRequestRunsOnNoMoreServersThanItsRouteAllows) {
+  const routes::Route safe = makeRoute(routes::RouteKind::kSafe, false, 2);
+  BOOST_TEST((mayRetry(safe, ErrorKind::kOutcomeUnknown, {1, 1}) == RetryDecision::kBudgeted));
+  BOOST_TEST((mayRetry(safe, ErrorKind::kOutcomeUnknown, {2, 2}) == RetryDecision::kNo));
+  const routes::Route resumable = makeRoute(routes::RouteKind::kStreaming, true, 2);
+  BOOST_TEST((mayRetry(resumable, ErrorKind::kStreamBroken, {1, 1}) == RetryDecision::kBudgeted));
+  BOOST_TEST((mayRetry(safe, ErrorKind::kConnectFailed, {4, 0}) == RetryDecision::kNo));
+}
+
+BOOST_AUTO_TEST_CASE(cutterGivesWholeEventsHoweverTheBytesCome) {
+  const std::string stream = "id: 1\ndata: a\n\nid: 4\r\ndata: b\r\n\r\nid: 7\ndata: c\n\n";
+  for (std::size_t piece = 1; piece < stream.size(); ++piece) {
+    EventCutter cutter;
+    std::string out;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+      cutter.feed(std::string_view(stream).substr(at, piece));
+      out += cutter.takeWholeEvents();
+    }
+    BOOST_TEST(out == stream);
+    BOOST_TEST(cutter.rest().empty());
+    BOOST_TEST((cutter.lastEvent() == EventNumber(7)));
+    BOOST_TEST(cutter.inOrder());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(cutterNoticesRepeatedEvents) {
+  EventCutter cutter;
+  cutter.startAfter(EventNumber(3));
+  cutter.feed("id: 3\ndata: a\n\n");
+  BOOST_TEST(!cutter.takeWholeEvents().empty());
+  BOOST_TEST(!cutter.inOrder());
+}
+
+BOOST_AUTO_TEST_CASE(weightsDivideEvenShortSpans) {
+  routes::Route route = makeRoute(routes::RouteKind::kSafe, false, 1);
+  route.services = {{"a", 90}, {"b", 10}};
+  WeightedChoice choice;
+  std::map<std::string, int> counts;
+  for (int number = 0; number < 20; ++number) {
+    ++counts[choice.choose(route)];
+  }
+  BOOST_TEST(counts["a"] == 18);
+  BOOST_TEST(counts["b"] == 2);
+}
+
+CacheMoveQuery settledQuery() {
+  CacheMoveQuery query;
+  query.serverWeights = WeightsVersion(2);
+  query.newestWeights = WeightsVersion(2);
+  query.weightsProvenAt = kStart;
+  query.store = Endpoint{"10.0.0.1", 80};
+  query.holder = Endpoint{"10.0.0.2", 80};
+  query.holderWeights = WeightsVersion(2);
+  query.sharesPrompt = true;
+  return query;
+}
+
+BOOST_AUTO_TEST_CASE(cacheMovesFromAHolderOfTheSameWeights) {
+  const CacheMoves moves({Milliseconds(1200)});
+  BOOST_TEST((moves.decide(settledQuery(), kStart).fetchFrom == Endpoint{"10.0.0.2", 80}));
+  CacheMoveQuery older = settledQuery();
+  older.holderWeights = WeightsVersion(1);
+  BOOST_TEST((moves.decide(older, kStart).fetchFrom == older.store));
+}
+
+BOOST_AUTO_TEST_CASE(noCacheMovesWhereNewerWeightsMayHaveBeenNamed) {
+  const CacheMoves moves({Milliseconds(1200)});
+  CacheMoveQuery named = settledQuery();
+  named.newestWeights = WeightsVersion(3);
+  const CacheMove whileRollingOut = moves.decide(named, kStart);
+  BOOST_TEST((!whileRollingOut.fetchFrom && !whileRollingOut.saveTo));
+  const CacheMove unproven = moves.decide(settledQuery(), kStart + Milliseconds(1201));
+  BOOST_TEST((!unproven.fetchFrom && !unproven.saveTo));
+}
+
+BOOST_AUTO_TEST_CASE(isolatedTenantsShareNoBlocks) {
+  const routes::Route route = makeRoute(routes::RouteKind::kStreaming, true, 2);
+  routes::Tenant open;
+  open.id = TenantId("open");
+  routes::Tenant isolated;
+  isolated.id = TenantId("isolated");
+  isolated.isolated = true;
+  Request request;
+  request.prompt = {{"aa", 600}, {"bb", 300}, {"cc", 100}};
+  const routing::RouteRequest shared = toRouteRequest(request, {nullptr, &route, &open});
+  const routing::RouteRequest alone = toRouteRequest(request, {nullptr, &route, &isolated});
+  BOOST_TEST(shared.blocks.size() == 6U);
+  BOOST_TEST(shared.sharedBlocks == 5U);
+  for (std::size_t block = 0; block < shared.blocks.size(); ++block) {
+    BOOST_TEST((shared.blocks[block] != alone.blocks[block]));
+  }
+}
+
+}  // namespace
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/tests/platform/server_stand_in.cc
@@ -0,0 +1,143 @@
+#include "server_stand_in.h"
+
+#include "names.h"
+
+namespace calicodrift::testing {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::awaitable;
+constexpr Milliseconds kLoadTime{30};
+
+}  // namespace
+
+ServerStandIn::ServerStandIn(asio::io_context& context, std::string id, std::string service,
+                             std::string model)
+    : context_(context),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      model_(std::move(model)),
+      server_(context.get_executor(), http::ServerLimits{},
+              [this](http::Request& request, http::ResponseWriter& writer) {
+                return handle(request, writer);
+              }) {
+  endpoint_ = server_.listen({"127.0.0.1", 0}).value();
+}
+
+json::value ServerStandIn::entry(const std::string& state) const {
+  json::array models;
+  if (!model_.empty()) {
+    models.push_back(
+        json::object{{"name", model_}, {"version", weights_}, {"adapters", json::array{}}});
+  }
+  return json::object{{"service", service_},
+                      {"address", endpoint_.toString()},
+                      {"zone", "z1"},
+                      {"version", "v1"},
+                      {"slots", 8},
+                      {"state", state},
+                      {"cold_remaining_ms", 0},
+                      {"models", models},
+                      {"call_seq", orderCount_}};
+}
+
+http::Response ServerStandIn::sealed(const http::Request& request, unsigned status,
+                                     std::string body) {
+  http::Response response = http::textResponse(status, std::move(body));
+  response.headers.set(platform::kRequestId, request.headers.get(platform::kRequestId));
+  response.headers.set(platform::kSeal, "seal");
+  return response;
+}
+
+http::Response ServerStandIn::notExecuted(const http::Request& request) {
+  http::Response response = http::textResponse(503, "");
+  response.headers.set(platform::kRequestId, request.headers.get(platform::kRequestId));
+  response.headers.set(platform::kNotExecuted, "1");
+  return response;
+}
+
+awaitable<void> ServerStandIn::streamEvents(const http::Request& request,
+                                            http::ResponseWriter& writer, unsigned first,
+                                            unsigned last) {
+  if (!writer.streamStarted()) {
+    http::Response head = sealed(request, 200, "");
+    head.headers.set("Content-Type", "text/event-stream");
+    const Result<void> started = co_await writer.startStream(std::move(head));
+    static_cast<void>(started);
+  }
+  for (unsigned number = first; number <= last; ++number) {
+    const std::string event =
+        "id: " + std::to_string(number) + "\ndata: " + std::to_string(number) + "\n\n";
+    const Result<void> written = co_await writer.writeChunk(event);
+    static_cast<void>(written);
+  }
+}
+
+awaitable<void> ServerStandIn::handle(http::Request& request, http::ResponseWriter& writer) {
+  if (request.path() == "/health") {
+    http::Response answer = http::textResponse(healthy ? 200 : 503, "");
+    answer.headers.set(platform::kInstance, id_);
+    co_await http::respond(writer, std::move(answer));
+    co_return;
+  }
+  const std::string expected = request.headers.get(platform::kExpectInstance);
+  if (!expected.empty() && expected != id_) {
+    co_await http::respond(writer, http::textResponse(421, ""));
+    co_return;
+  }
+  if (request.path() == platform::kReportPath) {
+    const json::object report{{"stage", "combined"},
+                              {"models", entry().at("models")},
+                              {"busy", busy_},
+                              {"call_seq", orderCount_}};
+    co_await http::respond(writer, http::jsonResponse(200, json::serialize(report)));
+    co_return;
+  }
+  if (request.path() == platform::kOrderPath) {
+    co_await takeOrder(request, writer);
+    co_return;
+  }
+  arrivals_.push_back(request);
+  if (behaviour_) {
+    co_await behaviour_(request, writer);
+    co_return;
+  }
+  co_await http::respond(writer, sealed(request, 200, "from " + id_));
+}
+
+awaitable<void> ServerStandIn::takeOrder(const http::Request& request,
+                                         http::ResponseWriter& writer) {
+  const json::value order = json::parse(request.body);
+  orders_.push_back(order);
+  const auto fence = order.at("fence").to_number<std::uint64_t>();
+  unsigned status = 202;
+  if (fence < highestFence_) {
+    status = 412;
+  } else if (busy_ || order.at("expected").to_number<std::uint64_t>() != orderCount_) {
+    status = 409;
+  }
+  highestFence_ = std::max(highestFence_, fence);
+  if (status == 202) {
+    ++orderCount_;
+    busy_ = true;
+    auto timer = std::make_shared<asio::steady_timer>(context_, kLoadTime);
+    timer->async_wait([this, timer, weights = order.at("version").to_number<std::uint64_t>()](
+                          boost::system::error_code) { finishLoad(weights); });
+  }
+  if (std::exchange(losesOrderAnswer_, false)) {
+    writer.abort();
+    co_return;
+  }
+  co_await http::respond(writer, http::textResponse(status, ""));
+}
+
+void ServerStandIn::finishLoad(std::uint64_t weights) {
+  busy_ = false;
+  weights_ = weights;
+  if (loadedListener_) {
+    loadedListener_();
+  }
+}
+
+}  // namespace calicodrift::testing
--- /dev/null
+++ b/tests/platform/server_stand_in.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+
+namespace calicodrift::testing {
+
+/// Stand-in of one of the platform's servers: runs requests with a seal, streams events, reports,
+/// and takes fenced orders. What it does with a request can be replaced by a test.
+class ServerStandIn {
+ public:
+  using Behaviour = std::function<boost::asio::awaitable<void>(const http::Request& request,
+                                                               http::ResponseWriter& writer)>;
+
+  /// @param model empty for a server without one.
+  ServerStandIn(boost::asio::io_context& context, std::string id, std::string service,
+                std::string model = "");
+
+  const std::string& id() const { return id_; }
+  const Endpoint& endpoint() const { return endpoint_; }
+  /// The server's own entry in the store.
+  boost::json::value entry(const std::string& state = "ready") const;
+  void setBehaviour(Behaviour behaviour) { behaviour_ = std::move(behaviour); }
+
+  /// A whole answer that carries the seal.
+  static http::Response sealed(const http::Request& request, unsigned status, std::string body);
+  /// Proof that the request was not run.
+  static http::Response notExecuted(const http::Request& request);
+  /// Sends events FIRST to LAST, each with its number as id and data.
+  static boost::asio::awaitable<void> streamEvents(const http::Request& request,
+                                                   http::ResponseWriter& writer, unsigned first,
+                                                   unsigned last);
+
+  /// Requests of callers that came, orders and questions left out.
+  const std::vector<http::Request>& arrivals() const { return arrivals_; }
+  const std::vector<boost::json::value>& orders() const { return orders_; }
+  std::uint64_t weights() const { return weights_; }
+  /// Called when weights were loaded, to write the entry anew.
+  void onLoaded(std::function<void()> listener) { loadedListener_ = std::move(listener); }
+  /// The next order's answer is lost, after it was taken.
+  void loseNextOrderAnswer() { losesOrderAnswer_ = true; }
+  bool healthy = true;
+
+ private:
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<void> takeOrder(const http::Request& request,
+                                         http::ResponseWriter& writer);
+  void finishLoad(std::uint64_t weights);
+
+  boost::asio::io_context& context_;
+  std::string id_;
+  std::string service_;
+  std::string model_;
+  Behaviour behaviour_;
+  std::vector<http::Request> arrivals_;
+  std::vector<boost::json::value> orders_;
+  std::function<void()> loadedListener_;
+  std::uint64_t weights_ = 1;
+  std::uint64_t orderCount_ = 0;
+  std::uint64_t highestFence_ = 0;
+  bool busy_ = false;
+  bool losesOrderAnswer_ = false;
+  http::Server server_;
+  Endpoint endpoint_;
+};
+
+}  // namespace calicodrift::testing
--- /dev/null
+++ b/tests/platform/store_stand_in.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+
+namespace calicodrift::testing {
+
+/// Stand-in of the platform's metadata store: objects by kind and name with one revision counter,
+/// conditional writes, watches, and the ways in which the store fails.
+class StoreStandIn {
+ public:
+  enum class Mode {
+    kUp,
+    /// Answers 503 without doing anything.
+    kBusy,
+    /// Takes requests and never answers.
+    kSilent,
+    /// Does writes and closes the connection without an answer.
+    kLosesWrites,
+  };
+
+  explicit StoreStandIn(boost::asio::io_context& context);
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  /// Writes as the operator does.
+  void put(const std::string& kind, const std::string& name, boost::json::value spec);
+  void remove(const std::string& kind, const std::string& name);
+  /// Forgets the history: watches from before get 410.
+  void compact();
+  void setMode(Mode mode) { mode_ = mode; }
+  boost::json::value specOf(const std::string& kind, const std::string& name) const;
+  std::size_t calls() const { return calls_; }
+
+ private:
+  struct Entry {
+    boost::json::value spec;
+    std::uint64_t revision = 0;
+  };
+  struct Event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    std::string name;
+    bool gone = false;
+    boost::json::value spec;
+  };
+  using Kind = std::map<std::string, Entry>;
+
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<http::Response> watch(std::string kind, std::uint64_t since,
+                                               Milliseconds wait);
+  http::Response list(const std::string& kind) const;
+  http::Response write(const std::string& method, const std::string& kind,
+                       const http::Request& request);
+  void record(const std::string& kind, const std::string& name, bool gone, boost::json::value spec);
+  static boost::json::object objectJson(const std::string& name, std::uint64_t revision,
+                                        const boost::json::value& spec);
+
+  boost::asio::io_context& context_;
+  std::map<std::string, Kind> kinds_;
+  std::deque<Event> history_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t compactedBelow_ = 0;
+  Mode mode_ = Mode::kUp;
+  std::size_t calls_ = 0;
+  boost::asio::steady_timer changed_;
+  http::Server server_;
+  Endpoint endpoint_;
+};
+
+}  // namespace calicodrift::testing
--- /dev/null
+++ b/tests/routes/route_table_test.cc
@@ -0,0 +1,46 @@
+#include "routes/route_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::routes {
+namespace {
+
+Route routeAt(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.pathPrefix = prefix;
+  route.services = {{"s", 1}};
+  return route;
+}
+
+RouteTable makeTable() {
+  RouteTableContent content;
+  content.routes = {routeAt("h", "/a/"), routeAt("h", "/a/b/"), routeAt("g", "/")};
+  Tenant tenant;
+  tenant.id = TenantId("t");
+  tenant.apiKeys = {"k1", "k2"};
+  content.tenants = {tenant};
+  return RouteTable(std::move(content));
+}
+
+BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins) {
+  const RouteTable table = makeTable();
+  BOOST_TEST(table.findRoute("h", "/a/b/c")->name == "h/a/b/");
+  BOOST_TEST(table.findRoute("h", "/a/b")->name == "h/a/");
+  BOOST_TEST(table.findRoute("h", "/a/")->name == "h/a/");
+  BOOST_TEST(table.findRoute("g", "/x/y")->name == "g/");
+  BOOST_TEST((table.findRoute("h", "/b/") == nullptr));
+  BOOST_TEST((table.findRoute("h", "/ab/") == nullptr));
+  BOOST_TEST((table.findRoute("f", "/a/") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(tenantsAreFoundByAnyOfTheirKeys) {
+  const RouteTable table = makeTable();
+  BOOST_TEST(table.findTenant("k2")->id.value() == "t");
+  BOOST_TEST((table.findTenant("k3") == nullptr));
+  BOOST_TEST((table.findTenant("") == nullptr));
+}
+
+}  // namespace
+}  // namespace calicodrift::routes
--- /dev/null
+++ b/tests/routing/prefix_home_test.cc
@@ -0,0 +1,58 @@
+#include "routing/prefix_home.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::routing {
+namespace {
+
+constexpr MonotonicTime kNow{std::chrono::hours(1)};
+
+CandidateSet makeCandidates(std::size_t count) {
+  CandidateSet candidates;
+  for (std::size_t index = 0; index < count; ++index) {
+    Candidate candidate;
+    candidate.id = BackendId("e" + std::to_string(index));
+    candidate.prefillTokensPerMs = 40;
+    candidates.put(candidate);
+  }
+  return candidates;
+}
+
+RouteRequest makeRequest(std::uint64_t sharedPart, std::uint64_t ownPart) {
+  RouteRequest request;
+  for (std::uint64_t block = 0; block < 10; ++block) {
+    request.blocks.push_back(BlockHash(hashPair(sharedPart, block)));
+  }
+  request.sharedBlocks = request.blocks.size();
+  request.blocks.push_back(BlockHash(ownPart));
+  request.blockTokens = 256;
+  request.promptTokens = 11 * 256;
+  return request;
+}
+
+BOOST_AUTO_TEST_CASE(requestsWithTheSameCommonPartGoHome) {
+  PrefixHome policy;
+  const CandidateSet candidates = makeCandidates(12);
+  const std::size_t home = policy.choose(makeRequest(7, 1), candidates, kNow).index;
+  for (std::uint64_t own = 2; own < 20; ++own) {
+    const Choice choice = policy.choose(makeRequest(7, own), candidates, kNow);
+    BOOST_TEST(choice.index == home);
+    BOOST_TEST(!choice.holder.has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(busyHomeIsLeftAndNamedAsTheHolder) {
+  PrefixHome policy;
+  CandidateSet candidates = makeCandidates(12);
+  const std::size_t home = policy.choose(makeRequest(7, 1), candidates, kNow).index;
+  Candidate busy = candidates[home];
+  busy.sentPrefillTokens = 40'000;
+  candidates.put(busy);
+  const Choice choice = policy.choose(makeRequest(7, 2), candidates, kNow);
+  BOOST_TEST(choice.index != home);
+  BOOST_TEST((choice.holder == home));
+  BOOST_TEST(choice.expectedCachedBlocks == 10U);
+}
+
+}  // namespace
+}  // namespace calicodrift::routing
