--- a/src/forward/cache_moves.cc
+++ b/src/forward/cache_moves.cc
@@ -9,7 +9,7 @@
 }  // namespace
 
 CacheMove CacheMoves::decide(const CacheMoveQuery& query, MonotonicTime now) const {
-  if (query.sharedKey == 0) {
+  if (query.sharedKey == 0 || query.sharedTokens < settings_.leastTokens) {
     return {};
   }
   const bool proven = now - query.weightsProvenAt <= settings_.weightsProofAge;
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -13,6 +14,9 @@
 struct CacheMoveSettings {
   /// A view of the named weights that is older may miss that a roll-out has begun.
   Milliseconds weightsProofAge{700};
+  /// Common parts below this are read as fast as they are moved, and their saves would fill the
+  /// store's link.
+  std::size_t leastTokens = 512;
 };
 
 /// What decides about moves for one dispatch.
@@ -29,6 +33,7 @@
   std::optional<Endpoint> store;
   /// Names the common part and its cache scope; 0 where no other request may share any part.
   std::uint64_t sharedKey = 0;
+  std::size_t sharedTokens = 0;
 };
 
 struct CacheMove {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -296,6 +296,7 @@
     query.holderWeights = holder->weights;
   }
   query.sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
+  query.sharedTokens = job.routeRequest.sharedBlocks * job.routeRequest.blockTokens;
   const CacheMove move = cacheMoves_.decide(query, monotonicNow());
   dispatch.fetchCacheFrom = move.fetchFrom;
   dispatch.saveCacheTo = move.saveTo;
--- a/tests/forward/forward_test.cc
+++ b/tests/forward/forward_test.cc
@@ -131,6 +131,7 @@
   query.holder = Endpoint{"10.0.0.2", 80};
   query.holderWeights = WeightsVersion(2);
   query.sharedKey = 7;
+  query.sharedTokens = 4096;
   return query;
 }
 
