--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -7,7 +7,6 @@
 #include "forward/answer_relay.h"
 #include "forward/prompt_blocks.h"
 #include "forward/server_attempt.h"
-#include "log/log.h"
 #include "routing/cost.h"
 
 namespace calicodrift::forward {
@@ -79,6 +78,10 @@
     end = request.received + allowed;
   }
 
+  /// Whether another server may go on where this one fails.
+  bool mayMoveOn() const {
+    return grant.route->idempotent() && attempts.mayHaveRun + 1 < grant.route->maxAttempts;
+  }
   bool streaming() const { return grant.route->kind == routes::RouteKind::kStreaming; }
   /// Ends the dispatch that is under way.
   void cancelAttempt() {
@@ -166,12 +169,8 @@
     context_.metrics.observeFirstByte(toMilliseconds(*first - job->request.received) / 1000);
   }
   if (done) {
-    log::write(log::Level::kInfo, "request_answered",
-               {{"id", job->request.id.value()},
-                {"status", std::to_string(job->status)},
-                {"server", job->lastServer.value()},
-                {"sent", std::to_string(job->attempts.sent)},
-                {"ms", std::to_string(static_cast<int>(seconds * 1000))}});
+    logAnswered(job->request.id, job->status, job->lastServer, job->attempts.sent,
+                std::chrono::duration_cast<Milliseconds>(monotonicNow() - job->request.received));
   }
 }
 
@@ -192,11 +191,7 @@
       co_return outcome;
     }
     context_.metrics.countRetry(errorRow(failure).name);
-    log::write(log::Level::kInfo, "request_retried",
-               {{"id", job.request.id.value()},
-                {"server", job.lastServer.value()},
-                {"cause", std::string(errorRow(failure).name)},
-                {"detail", outcome.error().detail}});
+    logRetried(job.request.id, job.lastServer, outcome.error());
   }
 }
 
@@ -221,6 +216,7 @@
   if (choice.holder) {
     holder = candidates[*choice.holder];
   }
+  const std::size_t candidateCount = candidates.size();
   job.routeRequest.avoided.push_back(server.id);
   job.lastServer = server.id;
   ++job.attempts.sent;
@@ -230,6 +226,23 @@
       routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
   fleet::LoadGuard load(context_.pool, server.id,
                         {job.request.promptTokens + job.request.outputTokens, uncached});
+  const Dispatch dispatch = makeDispatch(job, server, candidate, holder);
+  const std::uint64_t sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
+  logDispatched({job.request, job.grant, dispatch, candidate, choice.reason, candidateCount,
+                 job.attempts.sent, sharedKey});
+  Result<void> outcome = co_await runAttempt(job, dispatch, load);
+  if (outcome) {
+    policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
+    if (dispatch.saveCacheTo) {
+      cacheMoves_.onSaved(sharedKey, monotonicNow());
+    }
+  }
+  co_return outcome;
+}
+
+Dispatch Forwarder::makeDispatch(const Job& job, const fleet::Server& server,
+                                 const routing::Candidate& candidate,
+                                 const std::optional<routing::Candidate>& holder) {
   Dispatch dispatch(server);
   dispatch.timeLeft = until(job.end);
   dispatch.tenant = job.grant.tenant;
@@ -240,27 +253,18 @@
     dispatch.cacheScope = cacheScope(job.grant, candidate.weights);
     moveCache(job, candidate, holder, dispatch);
   }
-  log::write(log::Level::kInfo, "request_dispatched",
-             {{"id", job.request.id.value()},
-              {"server", server.id.value()},
-              {"reason", std::string(choice.reason)},
-              {"route", job.grant.route->name},
-              {"config", std::to_string(job.grant.table->version().value())},
-              {"weights", std::to_string(candidate.weights.value())},
-              {"candidates", std::to_string(candidates.size())},
-              {"outstanding", std::to_string(candidate.outstanding)},
-              {"attempt", std::to_string(job.attempts.sent)},
-              {"prefix", std::to_string(sharedKeyOf(job.routeRequest, dispatch.cacheScope))},
-              {"fetch", dispatch.fetchCacheFrom ? dispatch.fetchCacheFrom->toString() : ""}});
-  const bool mayMoveOn =
-      job.grant.route->idempotent() && job.attempts.mayHaveRun + 1 < job.grant.route->maxAttempts;
+  return dispatch;
+}
+
+awaitable<Result<void>> Forwarder::runAttempt(Job& job, const Dispatch& dispatch,
+                                              fleet::LoadGuard& load) {
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
   job.attempt = attempt;
   attempt->onFirstBytes([&load] { load.endPrefill(); });
   const AttemptBounds bounds = boundsOf(job);
+  const FailureUse failureUse = job.mayMoveOn() ? FailureUse::kKeep : FailureUse::kDeliver;
   Result<void> outcome =
-      co_await attempt->run(job.request, dispatch, bounds, job.streaming(),
-                            mayMoveOn ? FailureUse::kKeep : FailureUse::kDeliver);
+      co_await attempt->run(job.request, dispatch, bounds, job.streaming(), failureUse);
   attempt->onFirstBytes(nullptr);
   job.attempt.reset();
   job.status = attempt->status();
@@ -271,13 +275,7 @@
     ++job.attempts.mayHaveRun;
   }
   if (!job.expired && !job.writer.callerGone()) {
-    learnFrom(job, server, outcome, attempt->weights());
-  }
-  if (outcome) {
-    policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
-    if (dispatch.saveCacheTo) {
-      cacheMoves_.onSaved(sharedKeyOf(job.routeRequest, dispatch.cacheScope), monotonicNow());
-    }
+    learnFrom(job, dispatch.server, outcome, attempt->weights());
   }
   co_return outcome;
 }
@@ -351,9 +349,7 @@
   bounds.headTimeout = left;
   bounds.firstEventTimeout = left;
   bounds.eventTimeout = left;
-  const bool mayMoveOn =
-      job.grant.route->idempotent() && job.attempts.mayHaveRun + 1 < job.grant.route->maxAttempts;
-  if (mayMoveOn) {
+  if (job.mayMoveOn()) {
     const Milliseconds patience(static_cast<std::int64_t>(
         settings_.patienceTargets * static_cast<double>(job.grant.route->targetLatency.count())));
     bounds.headTimeout = std::min(left, patience);
@@ -365,17 +361,13 @@
 
 awaitable<void> Forwarder::answerError(Job& job, Error error) {
   if (error.kind == ErrorKind::kCallerGone) {
-    log::write(log::Level::kInfo, "request_cancelled", {{"id", job.request.id.value()}});
+    logCancelled(job.request.id);
     job.writer.abort();
     co_return;
   }
   if (job.relay.begun()) {
     context_.metrics.countError(errorRow(error.kind).name);
-    log::write(log::Level::kWarning, "request_broken",
-               {{"id", job.request.id.value()},
-                {"server", job.lastServer.value()},
-                {"cause", std::string(errorRow(error.kind).name)},
-                {"detail", error.detail}});
+    logBroken(job.request.id, job.lastServer, error);
     job.relay.abort();
     co_return;
   }
@@ -393,8 +385,7 @@
   co_await refuse(job.writer, std::move(error), std::move(facts));
 }
 
-Forwarder::RefusalFacts Forwarder::factsOf(const ConfigurationView& view,
-                                           const Request& request) const {
+RefusalFacts Forwarder::factsOf(const ConfigurationView& view, const Request& request) const {
   RefusalFacts facts;
   facts.requestId = request.id.value();
   if (view.table) {
@@ -409,15 +400,7 @@
     error.retryAfter = settings_.retryAfter;
   }
   context_.metrics.countError(errorRow(error.kind).name);
-  log::write(log::Level::kWarning, "request_refused",
-             {{"id", facts.requestId},
-              {"cause", std::string(errorRow(error.kind).name)},
-              {"run", std::string(toString(errorRow(error.kind).run))},
-              {"config", std::to_string(facts.config.value())},
-              {"config_proof_ms", std::to_string(facts.proofAge.count())},
-              {"sent", std::to_string(facts.attempts.sent)},
-              {"server", facts.server.value()},
-              {"detail", error.detail}});
+  logRefused(facts, error);
   http::Response response = context_.callers.refuse(error);
   if (!facts.requestId.empty()) {
     response.headers.set(http::kRequestIdHeader, facts.requestId);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -13,6 +13,7 @@
 #include "forward/metrics.h"
 #include "forward/protocol.h"
 #include "forward/request_gate.h"
+#include "forward/request_log.h"
 #include "forward/retry_rules.h"
 #include "forward/server_attempt.h"
 #include "forward/weighted_choice.h"
@@ -64,6 +65,13 @@
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  /// What the chosen server gets.
+  Dispatch makeDispatch(const Job& job, const fleet::Server& server,
+                        const routing::Candidate& candidate,
+                        const std::optional<routing::Candidate>& holder);
+  /// Sends the request and relays the answer; the job's attempt while that lasts.
+  boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
+                                                  fleet::LoadGuard& load);
   /// Sets which cache the dispatch moves.
   void moveCache(const Job& job, const routing::Candidate& chosen,
                  const std::optional<routing::Candidate>& holder, Dispatch& dispatch);
@@ -73,14 +81,6 @@
   bool takeRetry(Job& job, ErrorKind failure);
   AttemptBounds boundsOf(const Job& job) const;
   boost::asio::awaitable<void> answerError(Job& job, Error error);
-  /// What a refusal's log line tells beside the error.
-  struct RefusalFacts {
-    std::string requestId;
-    ConfigVersion config;
-    Milliseconds proofAge{0};
-    AttemptCount attempts;
-    BackendId server;
-  };
   boost::asio::awaitable<void> refuse(http::ResponseWriter& writer, Error error,
                                       RefusalFacts facts);
   RefusalFacts factsOf(const ConfigurationView& view, const Request& request) const;
--- /dev/null
+++ b/src/forward/request_log.cc
@@ -0,0 +1,72 @@
+#include "forward/request_log.h"
+
+#include "log/log.h"
+
+namespace calicodrift::forward {
+namespace {
+
+std::string nameOf(const Error& error) {
+  return std::string(errorRow(error.kind).name);
+}
+
+}  // namespace
+
+void logDispatched(const DispatchFacts& facts) {
+  const std::optional<Endpoint>& source = facts.dispatch.fetchCacheFrom;
+  log::write(log::Level::kInfo, "request_dispatched",
+             {{"id", facts.request.id.value()},
+              {"server", facts.dispatch.server.id.value()},
+              {"reason", std::string(facts.reason)},
+              {"route", facts.grant.route->name},
+              {"config", std::to_string(facts.grant.table->version().value())},
+              {"weights", std::to_string(facts.candidate.weights.value())},
+              {"candidates", std::to_string(facts.candidates)},
+              {"outstanding", std::to_string(facts.candidate.outstanding)},
+              {"attempt", std::to_string(facts.attempt)},
+              {"prefix", std::to_string(facts.prefix)},
+              {"fetch", source ? source->toString() : ""}});
+}
+
+void logRetried(const RequestId& id, const BackendId& server, const Error& cause) {
+  log::write(log::Level::kInfo, "request_retried",
+             {{"id", id.value()},
+              {"server", server.value()},
+              {"cause", nameOf(cause)},
+              {"detail", cause.detail}});
+}
+
+void logAnswered(const RequestId& id, unsigned status, const BackendId& server, std::size_t sent,
+                 Milliseconds duration) {
+  log::write(log::Level::kInfo, "request_answered",
+             {{"id", id.value()},
+              {"status", std::to_string(status)},
+              {"server", server.value()},
+              {"sent", std::to_string(sent)},
+              {"ms", std::to_string(duration.count())}});
+}
+
+void logRefused(const RefusalFacts& facts, const Error& error) {
+  log::write(log::Level::kWarning, "request_refused",
+             {{"id", facts.requestId},
+              {"cause", nameOf(error)},
+              {"run", std::string(toString(errorRow(error.kind).run))},
+              {"config", std::to_string(facts.config.value())},
+              {"config_proof_ms", std::to_string(facts.proofAge.count())},
+              {"sent", std::to_string(facts.attempts.sent)},
+              {"server", facts.server.value()},
+              {"detail", error.detail}});
+}
+
+void logBroken(const RequestId& id, const BackendId& server, const Error& error) {
+  log::write(log::Level::kWarning, "request_broken",
+             {{"id", id.value()},
+              {"server", server.value()},
+              {"cause", nameOf(error)},
+              {"detail", error.detail}});
+}
+
+void logCancelled(const RequestId& id) {
+  log::write(log::Level::kInfo, "request_cancelled", {{"id", id.value()}});
+}
+
+}  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/request_log.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "common/error.h"
+#include "forward/protocol.h"
+#include "forward/retry_rules.h"
+#include "routing/policy.h"
+
+/// The log lines that name a request, all in one place; docs/operations/gateway.md lists them.
+namespace calicodrift::forward {
+
+/// What a refusal's line tells beside the error.
+struct RefusalFacts {
+  std::string requestId;
+  ConfigVersion config;
+  /// Age of the proof that it was the newest.
+  Milliseconds proofAge{0};
+  AttemptCount attempts;
+  BackendId server;
+};
+
+/// A server was chosen.
+struct DispatchFacts {
+  const Request& request;
+  const Grant& grant;
+  const Dispatch& dispatch;
+  const routing::Candidate& candidate;
+  std::string_view reason;
+  std::size_t candidates = 0;
+  std::size_t attempt = 0;
+  /// Names the prompt's common part under its cache scope.
+  std::uint64_t prefix = 0;
+};
+
+void logDispatched(const DispatchFacts& facts);
+void logRetried(const RequestId& id, const BackendId& server, const Error& cause);
+void logAnswered(const RequestId& id, unsigned status, const BackendId& server, std::size_t sent,
+                 Milliseconds duration);
+void logRefused(const RefusalFacts& facts, const Error& error);
+void logBroken(const RequestId& id, const BackendId& server, const Error& error);
+void logCancelled(const RequestId& id);
+
+}  // namespace calicodrift::forward
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -86,22 +86,27 @@
             [this](const fleet::Server& server, fleet::ServerLoss loss) {
               onServerLost(server, loss);
             }),
-      cacheStore_(context.get_executor(), client_, ports_.servers, [this] { return table_; }),
-      gate_({settings_.keyProofAge, settings_.absenceProofAge}),
-      forwarder_(
-          {context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
-           [this] { return configuration(); },
-           [this](const ModelId& model, WeightsVersion version) { return weights(model, version); },
-           [this] { return cacheStore_.endpoint(); }},
-          forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
-          hashBytes(settings_.nodeId)),
+      cacheStore_(context.get_executor(), client_, ports_.servers,
+                  [this] { return views_.table(); }),
       targets_(settings_.weightsTerm),
+      views_(context.get_executor(), ports_.store, ports_.schema, settings_, pool_, targets_,
+             [this](const routes::RouteTable& table) { onTable(table); }),
+      gate_({settings_.keyProofAge, settings_.absenceProofAge}),
+      forwarder_({context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
+                  [this] { return views_.configuration(); },
+                  [this](const ModelId& model, WeightsVersion version) {
+                    return views_.weights(model, version);
+                  },
+                  [this] { return cacheStore_.endpoint(); }},
+                 forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
+                 hashBytes(settings_.nodeId)),
       leaseStore_(ports_.store, std::string(kLeaseKind)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_), [this] { return !draining_ && rollout_.needed(); }),
       rollout_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
                orderMetrics_, rolloutSettings(settings_)),
-      prober_(context.get_executor(), client_, ports_.servers, pool_, [this] { return table_; }),
+      prober_(context.get_executor(), client_, ports_.servers, pool_,
+              [this] { return views_.table(); }),
       front_(context.get_executor(), frontLimits(settings_, routes::CallerLimits{}),
              [this](http::Request& request, http::ResponseWriter& writer) {
                return forwarder_.handle(request, writer);
@@ -121,187 +126,19 @@
   if (settings_.metricsListen.port != 0) {
     BOOST_OUTCOME_TRY(metricsServer_.listen(settings_.metricsListen));
   }
-  startWatchers();
+  views_.start();
   lease_.start();
   rollout_.start();
   prober_.start();
   cacheStore_.start();
-  asio::co_spawn(context_, keepLeastWeights(), asio::detached);
   log::write(log::Level::kInfo, "started",
              {{"listen", settings_.listen.toString()}, {"store", settings_.store.toString()}});
   return boost::outcome_v2::success();
 }
 
-store::KindWatcherSettings GatewayNode::watcherSettings(std::string kind, Milliseconds wait) const {
-  store::KindWatcherSettings watcher;
-  watcher.seed = hashBytes(settings_.nodeId + kind);
-  watcher.kind = std::move(kind);
-  watcher.wait = wait;
-  watcher.proofAge = settings_.configProofAge;
-  return watcher;
-}
-
-void GatewayNode::startWatchers() {
-  const auto executor = context_.get_executor();
-  const auto reachable = [this](std::string kind) {
-    return [this, kind = std::move(kind)](bool ok, const std::string& cause) {
-      logReachable(kind, ok, cause);
-    };
-  };
-  const std::string configKind = ports_.schema.configurationKind();
-  configWatcher_ = std::make_unique<store::KindWatcher>(
-      executor, ports_.store, watcherSettings(configKind, settings_.configWatch),
-      store::KindListener{[this](const store::Listing& listing) {
-                            for (const store::Object& object : listing.objects) {
-                              applyConfiguration(object);
-                            }
-                          },
-                          [this](const store::ChangeBatch& batch) {
-                            for (const store::Change& change : batch.changes) {
-                              if (!change.removed) {
-                                applyConfiguration(change.object);
-                              }
-                            }
-                          },
-                          reachable(configKind)});
-  const std::string serverKind = ports_.schema.serverKind();
-  serverWatcher_ = std::make_unique<store::KindWatcher>(
-      executor, ports_.store, watcherSettings(serverKind, settings_.serverWatch),
-      store::KindListener{[this](const store::Listing& listing) { applyServers(listing); },
-                          [this](const store::ChangeBatch& batch) {
-                            for (const store::Change& change : batch.changes) {
-                              if (change.removed) {
-                                pool_.remove(BackendId(change.object.name));
-                              } else {
-                                applyServer(change.object);
-                              }
-                            }
-                            metrics_.setServers(static_cast<double>(pool_.size()));
-                          },
-                          reachable(serverKind)});
-  const std::string weightsKind = ports_.schema.weightsKind();
-  weightsWatcher_ = std::make_unique<store::KindWatcher>(
-      executor, ports_.store, watcherSettings(weightsKind, settings_.weightsWatch),
-      store::KindListener{[this](const store::Listing& listing) {
-                            // What a first listing shows may have been named long ago.
-                            const MonotonicTime since = monotonicNow() - settings_.weightsTerm / 2;
-                            for (const store::Object& object : listing.objects) {
-                              applyWeights(object, since);
-                            }
-                          },
-                          [this](const store::ChangeBatch& batch) {
-                            for (const store::Change& change : batch.changes) {
-                              applyWeights(change.object, monotonicNow());
-                            }
-                          },
-                          reachable(weightsKind)});
-  configWatcher_->start();
-  serverWatcher_->start();
-  weightsWatcher_->start();
-}
-
-void GatewayNode::logReachable(const std::string& kind, bool reachable, const std::string& cause) {
-  log::write(reachable ? log::Level::kInfo : log::Level::kWarning,
-             reachable ? "store_regained" : "store_lost", {{"kind", kind}, {"cause", cause}});
-}
-
-forward::ConfigurationView GatewayNode::configuration() const {
-  return {table_, configWatcher_ ? configWatcher_->provenAt() : MonotonicTime{}};
-}
-
-forward::WeightsView GatewayNode::weights(const ModelId& model, WeightsVersion version) const {
-  return {targets_.outdatedSince(model, version),
-          weightsWatcher_ ? weightsWatcher_->provenAt() : MonotonicTime{}};
-}
-
-void GatewayNode::applyConfiguration(const store::Object& object) {
-  if (!ports_.schema.isConfiguration(object)) {
-    return;
-  }
-  Result<routes::RouteTableContent> content = ports_.schema.readConfiguration(object);
-  if (!content) {
-    log::write(log::Level::kError, "configuration_unreadable",
-               {{"detail", content.error().detail}});
-    return;
-  }
-  // Versions only rise: what was read before stays in force against an older one.
-  if (table_ && content.value().version <= table_->version()) {
-    return;
-  }
-  table_ = std::make_shared<const routes::RouteTable>(std::move(content.value()));
-  front_.setLimits(frontLimits(settings_, table_->limits()));
-  metrics_.setConfigVersion(static_cast<double>(table_->version().value()));
-  log::write(log::Level::kInfo, "configuration_adopted",
-             {{"version", std::to_string(table_->version().value())},
-              {"revision", std::to_string(object.revision.value())},
-              {"routes", std::to_string(table_->routeCount())}});
-}
-
-void GatewayNode::applyServer(const store::Object& object) {
-  Result<fleet::Server> server = ports_.schema.readServer(object);
-  if (!server) {
-    log::write(log::Level::kWarning, "server_unreadable", {{"detail", server.error().detail}});
-    return;
-  }
-  const fleet::Server* known = pool_.find(server.value().id);
-  if (known == nullptr || *known != server.value()) {
-    log::write(log::Level::kInfo, "server_listed",
-               {{"server", server.value().id.value()},
-                {"service", server.value().service},
-                {"address", server.value().endpoint.toString()},
-                {"draining", server.value().draining ? "true" : "false"},
-                {"revision", std::to_string(object.revision.value())}});
-  }
-  pool_.apply(server.value(), monotonicNow());
-}
-
-void GatewayNode::applyServers(const store::Listing& listing) {
-  std::vector<fleet::Server> servers;
-  for (const store::Object& object : listing.objects) {
-    Result<fleet::Server> server = ports_.schema.readServer(object);
-    if (server) {
-      servers.push_back(std::move(server.value()));
-    }
-  }
-  pool_.applyListing(servers, monotonicNow());
-  metrics_.setServers(static_cast<double>(pool_.size()));
-  log::write(log::Level::kInfo, "servers_listed",
-             {{"count", std::to_string(servers.size())},
-              {"revision", std::to_string(listing.revision.value())}});
-}
-
-void GatewayNode::applyWeights(const store::Object& object, MonotonicTime since) {
-  Result<fleet::LoadedModel> named = ports_.schema.readWeights(object);
-  if (!named) {
-    return;
-  }
-  const auto known = targets_.newest(named.value().model);
-  if (known && *known >= named.value().weights) {
-    return;
-  }
-  // The first version of a model has no predecessor that requests might begin on.
-  targets_.name(named.value().model, named.value().weights, since);
-  log::write(log::Level::kInfo, "weights_named",
-             {{"model", named.value().model.value()},
-              {"weights", std::to_string(named.value().weights.value())}});
-  refreshLeastWeights();
-}
-
-void GatewayNode::refreshLeastWeights() {
-  const MonotonicTime now = monotonicNow();
-  for (const ModelId& model : targets_.models()) {
-    pool_.setLeastWeights(model, targets_.least(model, now), now);
-  }
-}
-
-awaitable<void> GatewayNode::keepLeastWeights() {
-  constexpr Milliseconds kInterval{250};
-  asio::steady_timer timer(context_);
-  for (;;) {
-    refreshLeastWeights();
-    timer.expires_after(kInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
+void GatewayNode::onTable(const routes::RouteTable& table) {
+  front_.setLimits(frontLimits(settings_, table.limits()));
+  metrics_.setConfigVersion(static_cast<double>(table.version().value()));
 }
 
 void GatewayNode::onServerLost(const fleet::Server& server, fleet::ServerLoss loss) {
@@ -319,8 +156,8 @@
 }
 
 bool GatewayNode::ready() const {
-  return !draining_ && serverWatcher_ && serverWatcher_->synchronized() &&
-         gate_.servesKeys(configuration(), monotonicNow());
+  return !draining_ && views_.hasServers() &&
+         gate_.servesKeys(views_.configuration(), monotonicNow());
 }
 
 awaitable<void> GatewayNode::answerReady(http::Request& /*request*/, http::ResponseWriter& writer) {
@@ -331,6 +168,7 @@
 
 awaitable<void> GatewayNode::answerMetrics(http::Request& /*request*/,
                                            http::ResponseWriter& writer) {
+  metrics_.setServers(static_cast<double>(pool_.size()));
   co_await http::respond(writer, http::textResponse(kStatusOk, metrics::renderText(registry_)));
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/server_prober.h"
 #include "gateway/store_schema.h"
+#include "gateway/store_views.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "lease/lease_keeper.h"
@@ -17,7 +18,6 @@
 #include "orders/order_metrics.h"
 #include "rollout/weights_rollout.h"
 #include "rollout/weights_targets.h"
-#include "store/kind_watcher.h"
 
 /// A router node whose callers, servers and store speak whatever its ports translate.
 namespace calicodrift::gateway {
@@ -46,21 +46,11 @@
   const Endpoint& endpoint() const { return endpoint_; }
 
  private:
-  void startWatchers();
-  store::KindWatcherSettings watcherSettings(std::string kind, Milliseconds wait) const;
-  void logReachable(const std::string& kind, bool reachable, const std::string& cause);
-  void applyConfiguration(const store::Object& object);
-  void applyServer(const store::Object& object);
-  void applyServers(const store::Listing& listing);
-  void applyWeights(const store::Object& object, MonotonicTime since);
-  void refreshLeastWeights();
-  boost::asio::awaitable<void> keepLeastWeights();
+  void onTable(const routes::RouteTable& table);
   void onServerLost(const fleet::Server& server, fleet::ServerLoss loss);
   boost::asio::awaitable<void> answerReady(http::Request& request, http::ResponseWriter& writer);
   boost::asio::awaitable<void> answerMetrics(http::Request& request, http::ResponseWriter& writer);
   boost::asio::awaitable<void> finishDrain();
-  forward::ConfigurationView configuration() const;
-  forward::WeightsView weights(const ModelId& model, WeightsVersion version) const;
 
   boost::asio::io_context& context_;
   http::Client& client_;
@@ -69,15 +59,12 @@
   prometheus::Registry registry_;
   forward::ForwardMetrics metrics_;
   orders::OrderMetrics orderMetrics_;
-  std::shared_ptr<const routes::RouteTable> table_;
   fleet::ServerPool pool_;
   CacheStoreMonitor cacheStore_;
+  rollout::WeightsTargets targets_;
+  StoreViews views_;
   forward::RequestGate gate_;
   forward::Forwarder forwarder_;
-  rollout::WeightsTargets targets_;
-  std::unique_ptr<store::KindWatcher> configWatcher_;
-  std::unique_ptr<store::KindWatcher> serverWatcher_;
-  std::unique_ptr<store::KindWatcher> weightsWatcher_;
   lease::SharedStoreLease leaseStore_;
   lease::LeaseKeeper lease_;
   rollout::WeightsRollout rollout_;
--- /dev/null
+++ b/src/gateway/store_views.cc
@@ -0,0 +1,200 @@
+#include "gateway/store_views.h"
+
+#include <boost/asio.hpp>
+
+#include "common/hashing.h"
+#include "log/log.h"
+
+namespace calicodrift::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+/// Tells in the log when the store is lost or regained for a kind.
+std::function<void(bool, const std::string&)> reachableLogger(const std::string& kind) {
+  return [kind](bool reachable, const std::string& cause) {
+    log::write(reachable ? log::Level::kInfo : log::Level::kWarning,
+               reachable ? "store_regained" : "store_lost", {{"kind", kind}, {"cause", cause}});
+  };
+}
+
+}  // namespace
+
+StoreViews::StoreViews(asio::any_io_executor executor, store::ObjectStore& store,
+                       const StoreSchema& schema, const GatewaySettings& settings,
+                       fleet::ServerPool& pool, rollout::WeightsTargets& targets,
+                       TableListener onTable)
+    : executor_(std::move(executor)),
+      schema_(schema),
+      settings_(settings),
+      pool_(pool),
+      targets_(targets),
+      onTable_(std::move(onTable)),
+      configWatcher_(executor_, store,
+                     watcherSettings(schema.configurationKind(), settings.configWatch),
+                     configListener()),
+      serverWatcher_(executor_, store, watcherSettings(schema.serverKind(), settings.serverWatch),
+                     serverListener()),
+      weightsWatcher_(executor_, store,
+                      watcherSettings(schema.weightsKind(), settings.weightsWatch),
+                      weightsListener()) {}
+
+void StoreViews::start() {
+  configWatcher_.start();
+  serverWatcher_.start();
+  weightsWatcher_.start();
+  asio::co_spawn(executor_, keepLeastWeights(), asio::detached);
+}
+
+store::KindListener StoreViews::configListener() {
+  store::KindListener listener;
+  listener.onListing = [this](const store::Listing& listing) {
+    for (const store::Object& object : listing.objects) {
+      applyConfiguration(object);
+    }
+  };
+  listener.onChanges = [this](const store::ChangeBatch& batch) {
+    for (const store::Change& change : batch.changes) {
+      if (!change.removed) {
+        applyConfiguration(change.object);
+      }
+    }
+  };
+  listener.onReachable = reachableLogger(schema_.configurationKind());
+  return listener;
+}
+
+store::KindListener StoreViews::serverListener() {
+  store::KindListener listener;
+  listener.onListing = [this](const store::Listing& listing) { applyServers(listing); };
+  listener.onChanges = [this](const store::ChangeBatch& batch) {
+    for (const store::Change& change : batch.changes) {
+      if (change.removed) {
+        pool_.remove(BackendId(change.object.name));
+      } else {
+        applyServer(change.object);
+      }
+    }
+  };
+  listener.onReachable = reachableLogger(schema_.serverKind());
+  return listener;
+}
+
+store::KindListener StoreViews::weightsListener() {
+  store::KindListener listener;
+  listener.onListing = [this](const store::Listing& listing) {
+    // What a first listing shows may have been named long ago.
+    const MonotonicTime since = monotonicNow() - settings_.weightsTerm / 2;
+    for (const store::Object& object : listing.objects) {
+      applyWeights(object, since);
+    }
+  };
+  listener.onChanges = [this](const store::ChangeBatch& batch) {
+    for (const store::Change& change : batch.changes) {
+      applyWeights(change.object, monotonicNow());
+    }
+  };
+  listener.onReachable = reachableLogger(schema_.weightsKind());
+  return listener;
+}
+
+store::KindWatcherSettings StoreViews::watcherSettings(std::string kind, Milliseconds wait) const {
+  store::KindWatcherSettings watcher;
+  watcher.seed = hashBytes(settings_.nodeId + kind);
+  watcher.kind = std::move(kind);
+  watcher.wait = wait;
+  watcher.proofAge = settings_.configProofAge;
+  return watcher;
+}
+
+void StoreViews::applyConfiguration(const store::Object& object) {
+  if (!schema_.isConfiguration(object)) {
+    return;
+  }
+  Result<routes::RouteTableContent> content = schema_.readConfiguration(object);
+  if (!content) {
+    log::write(log::Level::kError, "configuration_unreadable",
+               {{"detail", content.error().detail}});
+    return;
+  }
+  // Versions only rise: what was read before stays in force against an older one.
+  if (table_ && content.value().version <= table_->version()) {
+    return;
+  }
+  table_ = std::make_shared<const routes::RouteTable>(std::move(content.value()));
+  onTable_(*table_);
+  log::write(log::Level::kInfo, "configuration_adopted",
+             {{"version", std::to_string(table_->version().value())},
+              {"revision", std::to_string(object.revision.value())},
+              {"routes", std::to_string(table_->routeCount())}});
+}
+
+void StoreViews::applyServer(const store::Object& object) {
+  Result<fleet::Server> server = schema_.readServer(object);
+  if (!server) {
+    log::write(log::Level::kWarning, "server_unreadable", {{"detail", server.error().detail}});
+    return;
+  }
+  const fleet::Server* known = pool_.find(server.value().id);
+  if (known == nullptr || *known != server.value()) {
+    log::write(log::Level::kInfo, "server_listed",
+               {{"server", server.value().id.value()},
+                {"service", server.value().service},
+                {"address", server.value().endpoint.toString()},
+                {"draining", server.value().draining ? "true" : "false"},
+                {"revision", std::to_string(object.revision.value())}});
+  }
+  pool_.apply(server.value(), monotonicNow());
+}
+
+void StoreViews::applyServers(const store::Listing& listing) {
+  std::vector<fleet::Server> servers;
+  for (const store::Object& object : listing.objects) {
+    Result<fleet::Server> server = schema_.readServer(object);
+    if (server) {
+      servers.push_back(std::move(server.value()));
+    }
+  }
+  pool_.applyListing(servers, monotonicNow());
+  log::write(log::Level::kInfo, "servers_listed",
+             {{"count", std::to_string(servers.size())},
+              {"revision", std::to_string(listing.revision.value())}});
+}
+
+void StoreViews::applyWeights(const store::Object& object, MonotonicTime since) {
+  Result<fleet::LoadedModel> named = schema_.readWeights(object);
+  if (!named) {
+    return;
+  }
+  const auto known = targets_.newest(named.value().model);
+  if (known && *known >= named.value().weights) {
+    return;
+  }
+  // The first version of a model has no predecessor that requests might begin on.
+  targets_.name(named.value().model, named.value().weights, since);
+  log::write(log::Level::kInfo, "weights_named",
+             {{"model", named.value().model.value()},
+              {"weights", std::to_string(named.value().weights.value())}});
+  refreshLeastWeights();
+}
+
+void StoreViews::refreshLeastWeights() {
+  const MonotonicTime now = monotonicNow();
+  for (const ModelId& model : targets_.models()) {
+    pool_.setLeastWeights(model, targets_.least(model, now), now);
+  }
+}
+
+awaitable<void> StoreViews::keepLeastWeights() {
+  constexpr Milliseconds kInterval{250};
+  asio::steady_timer timer(executor_);
+  for (;;) {
+    refreshLeastWeights();
+    timer.expires_after(kInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/store_views.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "fleet/server_pool.h"
+#include "forward/forwarder.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/store_schema.h"
+#include "rollout/weights_targets.h"
+#include "store/kind_watcher.h"
+
+namespace calicodrift::gateway {
+
+/// What a node knows from the store: the configuration in force, the list of servers and the
+/// weights that were named. Keeps the pool and the targets in line with it.
+///
+/// Invariant: the configuration's version never falls while the process runs, as an object with a
+/// version that is not above the one in force is not adopted.
+class StoreViews {
+ public:
+  using TableListener = std::function<void(const routes::RouteTable&)>;
+
+  StoreViews(boost::asio::any_io_executor executor, store::ObjectStore& store,
+             const StoreSchema& schema, const GatewaySettings& settings, fleet::ServerPool& pool,
+             rollout::WeightsTargets& targets, TableListener onTable);
+
+  void start();
+  forward::ConfigurationView configuration() const { return {table_, configWatcher_.provenAt()}; }
+  /// Null until the first configuration was read.
+  std::shared_ptr<const routes::RouteTable> table() const { return table_; }
+  forward::WeightsView weights(const ModelId& model, WeightsVersion version) const {
+    return {targets_.outdatedSince(model, version), weightsWatcher_.provenAt()};
+  }
+  /// Whether the list of servers was read.
+  bool hasServers() const { return serverWatcher_.synchronized(); }
+
+ private:
+  store::KindWatcherSettings watcherSettings(std::string kind, Milliseconds wait) const;
+  store::KindListener configListener();
+  store::KindListener serverListener();
+  store::KindListener weightsListener();
+  void applyConfiguration(const store::Object& object);
+  void applyServer(const store::Object& object);
+  void applyServers(const store::Listing& listing);
+  void applyWeights(const store::Object& object, MonotonicTime since);
+  void refreshLeastWeights();
+  /// Older weights run out by time alone.
+  boost::asio::awaitable<void> keepLeastWeights();
+
+  boost::asio::any_io_executor executor_;
+  const StoreSchema& schema_;
+  const GatewaySettings& settings_;
+  fleet::ServerPool& pool_;
+  rollout::WeightsTargets& targets_;
+  TableListener onTable_;
+  std::shared_ptr<const routes::RouteTable> table_;
+  store::KindWatcher configWatcher_;
+  store::KindWatcher serverWatcher_;
+  store::KindWatcher weightsWatcher_;
+};
+
+}  // namespace calicodrift::gateway
