Serve keys by a proof up to 3.8 s old

Ruled out: a shorter watch (its calls are priced). A withdrawal that a watch misses for a second is still refused before its 5 s are over.

--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -63,7 +63,7 @@
        &G::serverWatch},
       {{"weights-watch-ms", "500", 10, 30'000, "ms", "longest watch of the named weights"},
        &G::weightsWatch},
-      {{"key-proof-age-ms", "3000", 10, kMinuteMs, "ms",
+      {{"key-proof-age-ms", "3800", 10, kMinuteMs, "ms",
         "requests with keys are refused where the configuration's proof is older"},
        &G::keyProofAge},
       {{"absence-proof-age-ms", "2000", 10, kMinuteMs, "ms",
