After reading the change: no copy of the server list, one name a process, kept failures logged

Found by reading. The list of servers was copied every 80 ms on each node and every 120 ms on the order giver to ask whether any is behind; it is now visited in place. A process held its lease and gave its orders under two names, microseconds apart; now one. A server's failure that was kept and delivered after no other did better had no closing line and was counted as a broken answer; it is now both logged and counted as the answer it is. Code without use is gone (newestSince, eventBytes, finished).

The whole test suite was not run again.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -163,6 +163,14 @@
   return all;
 }
 
+std::size_t ServerPool::countIf(const std::function<bool(const Server&)>& predicate) const {
+  std::size_t count = 0;
+  for (const auto& [id, entry] : servers_) {
+    count += predicate(entry.server) ? 1 : 0;
+  }
+  return count;
+}
+
 std::vector<Server> ServerPool::unreachable() const {
   std::vector<Server> found;
   for (const auto& [id, entry] : servers_) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -66,6 +66,8 @@
   /// Null where it is not listed.
   const Server* find(const BackendId& id) const;
   std::vector<Server> servers() const;
+  /// Counts the listed servers for which `predicate` holds, without copying the list.
+  std::size_t countIf(const std::function<bool(const Server&)>& predicate) const;
   std::vector<Server> unreachable() const;
   std::size_t size() const { return servers_.size(); }
 
--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -10,7 +10,6 @@
 }
 
 awaitable<Result<void>> AnswerRelay::deliver(http::Response response) {
-  finished_ = true;
   co_return co_await writer_.send(std::move(response));
 }
 
@@ -34,7 +33,6 @@
   if (!firstEventTime_) {
     firstEventTime_ = monotonicNow();
   }
-  eventBytes_ += events.size();
   co_return co_await writer_.writeChunk(events);
 }
 
@@ -46,7 +44,6 @@
       co_return written;
     }
   }
-  finished_ = true;
   co_return co_await writer_.endStream();
 }
 
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -18,11 +18,8 @@
 
   /// Whether the caller has got the head of a stream.
   bool begun() const { return begun_; }
-  /// Whether the caller has got all.
-  bool finished() const { return finished_; }
   /// Where another server would go on.
   std::optional<EventNumber> lastEvent() const { return cutter_.lastEvent(); }
-  std::size_t eventBytes() const { return eventBytes_; }
   std::optional<MonotonicTime> firstEventTime() const { return firstEventTime_; }
 
   /// A whole answer. Fails with kCallerGone.
@@ -44,9 +41,7 @@
   http::ResponseWriter& writer_;
   EventCutter cutter_;
   std::optional<MonotonicTime> firstEventTime_;
-  std::size_t eventBytes_ = 0;
   bool begun_ = false;
-  bool finished_ = false;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -158,6 +158,12 @@
   Result<void> done = co_await dispatchUntilDone(*job);
   job->timer.cancel();
   job->attempt.reset();
+  const bool left = !done && done.error().kind == ErrorKind::kCallerGone;
+  if (!done && !left && job->keptFailure && !job->relay.begun()) {
+    // No other server did better: the failure of the server that ran it is the answer.
+    job->status = job->keptFailure->status;
+    done = co_await job->relay.deliver(std::move(*job->keptFailure));
+  }
   if (!done) {
     co_await answerError(*job, done.error());
   }
@@ -371,12 +377,6 @@
     job.relay.abort();
     co_return;
   }
-  if (job.keptFailure) {
-    job.status = job.keptFailure->status;
-    const Result<void> delivered = co_await job.relay.deliver(std::move(*job.keptFailure));
-    static_cast<void>(delivered);
-    co_return;
-  }
   error.kind = finalKind(error.kind, job.attempts);
   RefusalFacts facts = factsOf(context_.configuration(), job.request);
   facts.config = job.grant.table->version();
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -23,10 +23,10 @@
   return settings.nodeId + "#" + std::to_string(started.count());
 }
 
-lease::LeaseSettings leaseSettings(const GatewaySettings& settings) {
+lease::LeaseSettings leaseSettings(const GatewaySettings& settings, std::string holder) {
   constexpr int kRetriesPerRenewal = 4;
   lease::LeaseSettings lease;
-  lease.holder = processName(settings);
+  lease.holder = std::move(holder);
   lease.duration = settings.leaseDuration;
   lease.renewInterval = settings.leaseRenewInterval;
   lease.retryInterval = settings.leaseRenewInterval / kRetriesPerRenewal;
@@ -61,11 +61,12 @@
   return server;
 }
 
-rollout::WeightsRolloutSettings rolloutSettings(const GatewaySettings& settings) {
+rollout::WeightsRolloutSettings rolloutSettings(const GatewaySettings& settings,
+                                                std::string holder) {
   constexpr Milliseconds kLoadTimeout{1500};
   constexpr Milliseconds kOrderRetry{150};
   rollout::WeightsRolloutSettings rollout;
-  rollout.holder = processName(settings);
+  rollout.holder = std::move(holder);
   rollout.maxConcurrentLoads = settings.maxConcurrentLoads;
   rollout.planner.loadTimeout = kLoadTimeout;
   rollout.planner.retryInterval = kOrderRetry;
@@ -80,6 +81,7 @@
       client_(client),
       ports_(ports),
       settings_(std::move(settings)),
+      processName_(processName(settings_)),
       metrics_(registry_),
       orderMetrics_(registry_),
       pool_(static_cast<double>(settings_.prefillTokensPerMs),
@@ -102,9 +104,10 @@
                  hashBytes(settings_.nodeId)),
       leaseStore_(ports_.store, std::string(kLeaseKind)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
-             leaseSettings(settings_), [this] { return !draining_ && rollout_.needed(); }),
+             leaseSettings(settings_, processName_),
+             [this] { return !draining_ && rollout_.needed(); }),
       rollout_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
-               orderMetrics_, rolloutSettings(settings_)),
+               orderMetrics_, rolloutSettings(settings_, processName_)),
       prober_(context.get_executor(), client_, ports_.servers, pool_,
               [this] { return views_.table(); }),
       front_(context.get_executor(), frontLimits(settings_, routes::CallerLimits{}),
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -56,6 +56,8 @@
   http::Client& client_;
   GatewayPorts ports_;
   GatewaySettings settings_;
+  /// Under which this start holds the lease and gives orders.
+  std::string processName_;
   prometheus::Registry registry_;
   forward::ForwardMetrics metrics_;
   orders::OrderMetrics orderMetrics_;
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -96,9 +96,7 @@
 }
 
 bool WeightsRollout::needed() const {
-  const std::vector<fleet::Server> servers = pool_.servers();
-  return std::any_of(servers.begin(), servers.end(),
-                     [this](const fleet::Server& server) { return behind(server); });
+  return pool_.countIf([this](const fleet::Server& server) { return behind(server); }) > 0;
 }
 
 awaitable<void> WeightsRollout::run() {
@@ -156,11 +154,10 @@
 }
 
 std::int64_t WeightsRollout::maxConcurrentLoads() const {
-  std::int64_t servers = 0;
-  for (const fleet::Server& server : pool_.servers()) {
-    servers += server.models.empty() ? 0 : 1;
-  }
-  return std::max(settings_.maxConcurrentLoads, servers / settings_.serversPerLoad);
+  const std::size_t servers =
+      pool_.countIf([](const fleet::Server& server) { return !server.models.empty(); });
+  return std::max(settings_.maxConcurrentLoads,
+                  static_cast<std::int64_t>(servers) / settings_.serversPerLoad);
 }
 
 std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
--- a/src/rollout/weights_targets.cc
+++ b/src/rollout/weights_targets.cc
@@ -39,12 +39,6 @@
   return successor == found->second.end() ? std::nullopt : std::optional(successor->second);
 }
 
-MonotonicTime WeightsTargets::newestSince(const ModelId& model) const {
-  const auto found = namedSince_.find(model);
-  return found == namedSince_.end() || found->second.empty() ? MonotonicTime{}
-                                                             : found->second.rbegin()->second;
-}
-
 std::vector<ModelId> WeightsTargets::models() const {
   std::vector<ModelId> all;
   all.reserve(namedSince_.size());
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -28,8 +28,6 @@
   /// Since when a version newer than `version` is known; nothing where it is the newest.
   std::optional<MonotonicTime> outdatedSince(const ModelId& model, WeightsVersion version) const;
   std::vector<ModelId> models() const;
-  /// When the newest version of the model was named; the epoch of the clock for none.
-  MonotonicTime newestSince(const ModelId& model) const;
 
  private:
   Milliseconds term_;
