Read the store through relays of the zone

Cause: every node kept three watches of its own. Ruled out: longer watches alone (the withdrawal of keys and moves of cache need proofs below 0.7 to 3 s); stale reads (they prove nothing); a lease for relays (nothing depends on who relays, so a list is enough). Change: src/relay. In each zone a node or two read the store and answer the others, which ask by long poll over HTTP with cereal bodies. Revisions are the store's own, so a follower goes on anywhere; ages hold without a common clock. A relay without fresh proof sends its followers away; a follower that loses its relay reads the store within the same call and another node takes the place. Only nodes that read the store compete for the order lease. Watches of servers pause 100 ms after changes.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -61,6 +61,16 @@
   return server;
 }
 
+relay::RelaySettings relaySettings(const GatewaySettings& settings) {
+  relay::RelaySettings relay;
+  relay.node = NodeId(settings.nodeId);
+  relay.zone = ZoneId(settings.zone);
+  relay.endpoint = settings.relayListen;
+  relay.maxFollowers = static_cast<std::size_t>(settings.relayMaxFollowers);
+  relay.proofAge = settings.relayProofAge;
+  return relay;
+}
+
 rollout::WeightsRolloutSettings rolloutSettings(const GatewaySettings& settings,
                                                 std::string holder) {
   constexpr Milliseconds kLoadTimeout{1500};
@@ -90,8 +100,9 @@
             }),
       cacheStore_(context.get_executor(), client_, ports_.servers,
                   [this] { return views_.table(); }),
+      relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
       targets_(settings_.weightsTerm),
-      views_(context.get_executor(), ports_.store, ports_.schema, settings_, pool_, targets_,
+      views_(context.get_executor(), relay_.store(), ports_.schema, settings_, pool_, targets_,
              [this](const routes::RouteTable& table) { onTable(table); }),
       gate_({settings_.keyProofAge, settings_.absenceProofAge}),
       forwarder_({context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
@@ -105,7 +116,7 @@
       leaseStore_(ports_.store, std::string(kLeaseKind)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
-             [this] { return !draining_ && rollout_.needed(); }),
+             [this] { return !draining_ && relay_.readsStore() && rollout_.needed(); }),
       rollout_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
                orderMetrics_, rolloutSettings(settings_, processName_)),
       prober_(context.get_executor(), client_, ports_.servers, pool_,
@@ -129,6 +140,7 @@
   if (settings_.metricsListen.port != 0) {
     BOOST_OUTCOME_TRY(metricsServer_.listen(settings_.metricsListen));
   }
+  BOOST_OUTCOME_TRY(relay_.start());
   views_.start();
   lease_.start();
   rollout_.start();
@@ -184,6 +196,7 @@
   log::write(log::Level::kInfo, "draining",
              {{"active_requests", std::to_string(front_.activeRequests())}});
   asio::co_spawn(context_, lease_.release(), asio::detached);
+  asio::co_spawn(context_, relay_.stop(), asio::detached);
   asio::co_spawn(context_, finishDrain(), asio::detached);
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -16,6 +16,7 @@
 #include "lease/lease_keeper.h"
 #include "lease/shared_store_lease.h"
 #include "orders/order_metrics.h"
+#include "relay/relay_node.h"
 #include "rollout/weights_rollout.h"
 #include "rollout/weights_targets.h"
 
@@ -63,6 +64,7 @@
   orders::OrderMetrics orderMetrics_;
   fleet::ServerPool pool_;
   CacheStoreMonitor cacheStore_;
+  relay::RelayNode relay_;
   rollout::WeightsTargets targets_;
   StoreViews views_;
   forward::RequestGate gate_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -20,6 +20,16 @@
        &G::metricsListen},
       {{"store", "127.0.0.1:8090", 0, 0, "", "address of the store that outlives the nodes"},
        &G::store},
+      {{"relay-listen", "127.0.0.1:0", 0, 0, "",
+        "address for nodes that read the store through this one; port 0: each node reads it "
+        "itself"},
+       &G::relayListen},
+      {{"relay-max-followers", "16", 1, 1000, "count",
+        "nodes that read the store through this one"},
+       &G::relayMaxFollowers},
+      {{"relay-proof-age-ms", "1300", 10, kMinuteMs, "ms",
+        "a node that has not heard from the store for so long sends its followers away"},
+       &G::relayProofAge},
   };
 }
 
@@ -54,13 +64,16 @@
 /// The store's views, the lease and roll-outs.
 Rows controlRows() {
   return {
-      {{"config-watch-ms", "1500", 10, 30'000, "ms", "longest watch of the configuration"},
+      {{"config-watch-ms", "1000", 10, 30'000, "ms", "longest watch of the configuration"},
        &G::configWatch},
-      {{"config-proof-age-ms", "2400", 10, kMinuteMs, "ms",
+      {{"config-proof-age-ms", "1000", 10, kMinuteMs, "ms",
         "watches are made shorter where the configuration's proof would grow older"},
        &G::configProofAge},
-      {{"server-watch-ms", "1500", 10, 30'000, "ms", "longest watch of the list of servers"},
+      {{"server-watch-ms", "800", 10, 30'000, "ms", "longest watch of the list of servers"},
        &G::serverWatch},
+      {{"server-change-pause-ms", "100", 0, kMinuteMs, "ms",
+        "pause after a change of the list of servers, so that several come together"},
+       &G::serverChangePause},
       {{"weights-watch-ms", "500", 10, 30'000, "ms", "longest watch of the named weights"},
        &G::weightsWatch},
       {{"key-proof-age-ms", "3800", 10, kMinuteMs, "ms",
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -19,12 +19,17 @@
   /// Port 0: none.
   Endpoint metricsListen;
   Endpoint store;
+  /// Port 0: the node reads the store itself.
+  Endpoint relayListen;
+  std::int64_t relayMaxFollowers = 0;
+  Milliseconds relayProofAge{0};
   std::string modelPolicy;
   std::string servicePolicy;
   std::int64_t prefillTokensPerMs = 0;
   Milliseconds configWatch{0};
   Milliseconds configProofAge{0};
   Milliseconds serverWatch{0};
+  Milliseconds serverChangePause{0};
   Milliseconds weightsWatch{0};
   Milliseconds keyProofAge{0};
   Milliseconds absenceProofAge{0};
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -35,8 +35,7 @@
       configWatcher_(executor_, store,
                      watcherSettings(schema.configurationKind(), settings.configWatch),
                      configListener()),
-      serverWatcher_(executor_, store, watcherSettings(schema.serverKind(), settings.serverWatch),
-                     serverListener()),
+      serverWatcher_(executor_, store, serverWatcherSettings(), serverListener()),
       weightsWatcher_(executor_, store,
                       watcherSettings(schema.weightsKind(), settings.weightsWatch),
                       weightsListener()) {}
@@ -109,6 +108,12 @@
   return watcher;
 }
 
+store::KindWatcherSettings StoreViews::serverWatcherSettings() const {
+  store::KindWatcherSettings watcher = watcherSettings(schema_.serverKind(), settings_.serverWatch);
+  watcher.changePause = settings_.serverChangePause;
+  return watcher;
+}
+
 void StoreViews::applyConfiguration(const store::Object& object) {
   if (!schema_.isConfiguration(object)) {
     return;
--- /dev/null
+++ b/src/relay/messages.cc
@@ -0,0 +1,30 @@
+#include "relay/messages.h"
+
+#include <boost/json.hpp>
+
+namespace calicodrift::relay {
+
+ViewObject toMessage(const store::Object& object, bool removed) {
+  ViewObject message;
+  message.name = object.name;
+  message.revision = object.revision.value();
+  message.deleting = object.deleting;
+  message.removed = removed;
+  message.spec = boost::json::serialize(object.spec);
+  return message;
+}
+
+Result<store::Object> toObject(const ViewObject& object) {
+  boost::system::error_code code;
+  store::Object read;
+  read.spec = boost::json::parse(object.spec, code);
+  if (code) {
+    return fail(ErrorKind::kProtocolViolation, "a relayed object is not JSON");
+  }
+  read.name = object.name;
+  read.revision = store::Revision(object.revision);
+  read.deleting = object.deleting;
+  return read;
+}
+
+}  // namespace calicodrift::relay
--- /dev/null
+++ b/src/relay/relay_client.cc
@@ -0,0 +1,100 @@
+#include "relay/relay_client.h"
+
+#include "peer/codec.h"
+
+namespace calicodrift::relay {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// The relay's own watch ends a little later than the wait that both use; its proof is worth that.
+constexpr Milliseconds kExtraWait{150};
+
+Result<void> checkOutcome(ViewOutcome outcome) {
+  switch (outcome) {
+    case ViewOutcome::kServed:
+      return boost::outcome_v2::success();
+    case ViewOutcome::kForgotten:
+      return fail(ErrorKind::kVersionConflict, "the relay has forgotten the changes since then");
+    case ViewOutcome::kFull:
+      return fail(ErrorKind::kOverloaded, "the relay serves as many nodes as it may");
+    case ViewOutcome::kNotServing:
+      break;
+  }
+  return fail(ErrorKind::kStoreUnavailable, "the relay does not serve");
+}
+
+}  // namespace
+
+awaitable<Result<store::Listing>> RelayClient::list(Endpoint relay, std::string kind) {
+  ViewQuery query;
+  query.kind = std::move(kind);
+  query.listing = true;
+  Result<ViewReply> reply = co_await ask(std::move(relay), std::move(query));
+  if (!reply) {
+    co_return reply.error();
+  }
+  store::Listing listing;
+  listing.revision = store::Revision(reply.value().revision);
+  listing.provenAfterAsked = Milliseconds(reply.value().provenAfterMs);
+  for (const ViewObject& object : reply.value().objects) {
+    Result<store::Object> read = toObject(object);
+    if (!read) {
+      co_return read.error();
+    }
+    listing.objects.push_back(std::move(read.value()));
+  }
+  co_return listing;
+}
+
+awaitable<Result<store::ChangeBatch>> RelayClient::watch(Endpoint relay, std::string kind,
+                                                         store::Revision since, Milliseconds wait) {
+  ViewQuery query;
+  query.kind = std::move(kind);
+  query.since = since.value();
+  query.waitMs = static_cast<std::uint32_t>((wait + kExtraWait).count());
+  Result<ViewReply> reply = co_await ask(std::move(relay), std::move(query));
+  if (!reply) {
+    co_return reply.error();
+  }
+  store::ChangeBatch batch;
+  batch.revision = store::Revision(reply.value().revision);
+  batch.provenAfterAsked = Milliseconds(reply.value().provenAfterMs);
+  for (const ViewObject& object : reply.value().objects) {
+    Result<store::Object> read = toObject(object);
+    if (!read) {
+      co_return read.error();
+    }
+    batch.changes.push_back({std::move(read.value()), object.removed});
+  }
+  co_return batch;
+}
+
+awaitable<Result<ViewReply>> RelayClient::ask(Endpoint relay, ViewQuery query) {
+  http::ExchangeOptions options;
+  options.connectTimeout = settings_.callTimeout;
+  options.headerTimeout = Milliseconds(query.waitMs) + settings_.callTimeout;
+  options.bodyTimeout = settings_.callTimeout;
+  options.unacknowledgedTimeout = settings_.callTimeout;
+  query.follower = settings_.node.value();
+  http::Request request;
+  request.method = "POST";
+  request.target = std::string(kViewPath);
+  request.body = peer::encode(query);
+  Result<http::Response> answer = co_await client_.exchange(relay, std::move(request), options);
+  if (!answer) {
+    co_return fail(ErrorKind::kStoreUnavailable, answer.error().detail);
+  }
+  Result<ViewReply> reply = peer::decode<ViewReply>(answer.value().body);
+  if (!reply) {
+    co_return fail(ErrorKind::kStoreUnavailable, reply.error().detail);
+  }
+  const Result<void> served = checkOutcome(reply.value().outcome);
+  if (!served) {
+    co_return served.error();
+  }
+  co_return std::move(reply.value());
+}
+
+}  // namespace calicodrift::relay
--- /dev/null
+++ b/src/relay/relay_node.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
+#include <random>
+
+#include "relay/relay_list.h"
+#include "relay/relay_server.h"
+#include "relay/relayed_store.h"
+
+namespace calicodrift::relay {
+
+/// Decides whether this node reads the store itself and serves followers, or follows a relay of its
+/// zone. A node that has no relay reads the store itself meanwhile, so that the decision is never
+/// waited for.
+class RelayNode {
+ public:
+  RelayNode(boost::asio::any_io_executor executor, store::ObjectStore& direct, http::Client& client,
+            RelaySettings settings);
+
+  /// Fails with kSettingsInvalid where the address can't be bound.
+  Result<void> start();
+  /// Sends followers away and takes this node off the list.
+  boost::asio::awaitable<void> stop();
+  store::ObjectStore& store() { return store_; }
+  /// Whether this node reads the store itself now.
+  bool readsStore() const { return !store_.relay().has_value(); }
+  /// Whether this node is, or wants to be, a relay.
+  bool isRelay() const { return role_ == Role::kRelay; }
+
+ private:
+  enum class Role { kUndecided, kFollower, kRelay };
+
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> decide();
+  /// Adds this node to the list as it was read.
+  boost::asio::awaitable<void> claim(RelayList list);
+  /// As a relay: whether it is still needed.
+  boost::asio::awaitable<void> review();
+  boost::asio::awaitable<void> pause(Milliseconds time);
+  void becomeRelay();
+  void follow(const Endpoint& relay);
+  void onRelayFailed(const Endpoint& relay, const Error& cause);
+  /// A listed relay that has not failed lately.
+  std::optional<Endpoint> usableRelay(const RelayList& list) const;
+  Milliseconds randomDelay(Milliseconds longest);
+
+  struct Failure {
+    MonotonicTime at{};
+    /// It serves, but not this node.
+    bool full = false;
+  };
+
+  boost::asio::any_io_executor executor_;
+  RelaySettings settings_;
+  RelayedStore store_;
+  RelayServer server_;
+  RelayListStore lists_;
+  boost::asio::steady_timer timer_;
+  std::mt19937_64 random_;
+  Role role_ = Role::kUndecided;
+  bool stopped_ = false;
+  /// Whether the delay before a claim has passed in this search.
+  bool delayed_ = false;
+  std::map<Endpoint, Failure> failures_;
+};
+
+}  // namespace calicodrift::relay
--- /dev/null
+++ b/src/relay/relay_server.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "http/server.h"
+#include "relay/messages.h"
+#include "relay/relay_settings.h"
+#include "relay/watch_cache.h"
+
+namespace calicodrift::relay {
+
+/// Answers followers from what this node reads of the store.
+///
+/// Invariant: no node that follows another serves, so that views don't go round in circles; and
+/// none whose own proof is older than `proofAge`, so that a node that lost the store loses its
+/// followers too.
+class RelayServer {
+ public:
+  /// The cache of a kind; null for kinds that are not watched.
+  using CacheSource = std::function<WatchCache*(const std::string& kind)>;
+
+  RelayServer(const boost::asio::any_io_executor& executor, const RelaySettings& settings,
+              CacheSource caches);
+
+  /// Fails with kSettingsInvalid where the address can't be bound.
+  Result<Endpoint> listen(const Endpoint& endpoint) { return server_.listen(endpoint); }
+  /// Whether this node reads the store itself. Followers are told at their next question.
+  void setServing(bool serving) { serving_ = serving; }
+  /// Nodes that have asked lately.
+  std::size_t followers(MonotonicTime now) const;
+
+ private:
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<ViewReply> answer(ViewQuery query);
+  /// Why the query is not served now; kServed where it is.
+  ViewOutcome refusalOf(const ViewQuery& query, const WatchCache* cache, MonotonicTime now) const;
+  static ViewReply read(const WatchCache& cache, const ViewQuery& query, MonotonicTime arrived);
+
+  const RelaySettings& settings_;
+  CacheSource caches_;
+  bool serving_ = false;
+  std::map<std::string, MonotonicTime> askedAt_;
+  http::Server server_;
+};
+
+}  // namespace calicodrift::relay
--- a/src/store/kind_watcher.cc
+++ b/src/store/kind_watcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <utility>
 
 namespace calicodrift::store {
 
@@ -29,14 +30,16 @@
     } else {
       done = co_await watch();
     }
+    noteReachable(static_cast<bool>(done), done ? "" : done.error().detail);
     if (done) {
       failures_ = 0;
-      noteReachable(true, "");
-      continue;
+    } else {
+      pause_ = pauseAfterFailure();
+    }
+    if (pause_ > Milliseconds(0)) {
+      timer.expires_after(std::exchange(pause_, Milliseconds(0)));
+      co_await timer.async_wait(asio::use_awaitable);
     }
-    noteReachable(false, done.error().detail);
-    timer.expires_after(pauseAfterFailure());
-    co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
@@ -46,10 +49,13 @@
   if (!listing) {
     co_return listing.error();
   }
+  if (listing.value().revision < revision_) {
+    co_return fail(ErrorKind::kStoreUnavailable, "a listing older than the known state");
+  }
   revision_ = listing.value().revision;
   mustList_ = false;
   synchronized_ = true;
-  provenAt_ = std::max(provenAt_, asked);
+  provenAt_ = std::max(provenAt_, asked + listing.value().provenAfterAsked);
   listener_.onListing(listing.value());
   co_return boost::outcome_v2::success();
 }
@@ -64,10 +70,10 @@
     co_return batch.error();
   }
   revision_ = std::max(revision_, batch.value().revision);
-  const bool quiet = batch.value().changes.empty();
-  provenAt_ = std::max(provenAt_, quiet ? std::min(asked + wait, monotonicNow()) : asked);
-  if (!quiet) {
+  provenAt_ = std::max(provenAt_, store::provenAt(batch.value(), asked, wait, monotonicNow()));
+  if (!batch.value().changes.empty()) {
     listener_.onChanges(batch.value());
+    pause_ = settings_.changePause;
   }
   co_return boost::outcome_v2::success();
 }
--- a/src/store/kind_watcher.h
+++ b/src/store/kind_watcher.h
@@ -16,6 +16,9 @@
   /// A watch is made shorter where the proof would otherwise grow older than this.
   Milliseconds proofAge{2400};
   Milliseconds shortestWait{200};
+  /// Before the next watch after one that returned changes, so that those that come close together
+  /// cost one call.
+  Milliseconds changePause{0};
   /// First pause after a failed call; doubles up to the longest, with jitter.
   Milliseconds firstPause{50};
   Milliseconds longestPause{400};
@@ -34,17 +37,16 @@
 /// Keeps a view of one kind up to date: one listing, then watches, and another listing where the
 /// store has forgotten what came between. Runs on one thread.
 ///
-/// provenAt() is a time at which the view was the newest state for certain: a listing proves the
-/// moment at which it was asked for. A watch that returns nothing proves the end of its wait, as
-/// the store would have returned earlier otherwise; one that returns changes proves only the moment
-/// at which it was asked for, as its answer may have been under way for long.
+/// Invariant: the view never goes back, as a listing at an older revision than the known one is
+/// refused.
 class KindWatcher {
  public:
   KindWatcher(boost::asio::any_io_executor executor, ObjectStore& store,
               KindWatcherSettings settings, KindListener listener);
 
   void start();
-  /// Nothing was ever read where this is the epoch of the clock.
+  /// The view was the newest state at this time for certain; nothing was ever read where this is
+  /// the epoch of the clock.
   MonotonicTime provenAt() const { return provenAt_; }
   bool synchronized() const { return synchronized_; }
   Revision revision() const { return revision_; }
@@ -67,6 +69,7 @@
   bool mustList_ = true;
   bool reachable_ = true;
   unsigned failures_ = 0;
+  Milliseconds pause_{0};
   MonotonicTime provenAt_{};
 };
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
 struct Listing {
   std::vector<Object> objects;
   Revision revision;
+  /// It was the newest state so long after it was asked for; below 0 where another node read it
+  /// from the store before.
+  Milliseconds provenAfterAsked{0};
 };
 
 struct Change {
@@ -41,8 +45,17 @@
 struct ChangeBatch {
   std::vector<Change> changes;
   Revision revision;
+  /// As of a listing, where the source knows it better than provenAt() does.
+  std::optional<Milliseconds> provenAfterAsked;
 };
 
+/// When the state that `batch` leads to was the newest for certain. A watch that returned nothing
+/// proves the end of its wait, as the store would have returned earlier otherwise; one that
+/// returned changes proves only the moment at which it was asked for, as its answer may have been
+/// under way for long.
+MonotonicTime provenAt(const ChangeBatch& batch, MonotonicTime asked, Milliseconds wait,
+                       MonotonicTime now);
+
 /// Errors of all calls: kStoreUnavailable (nothing was done), kOutcomeUnknown (a write may have
 /// been done, or may be done later) and kProtocolViolation; others are named at the call.
 class ObjectStore {
--- /dev/null
+++ b/tests/relay/relay_node_test.cc
@@ -0,0 +1,261 @@
+#include "relay/relay_node.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <vector>
+
+#include "fake_store.h"
+#include "log/log.h"
+#include "store/kind_watcher.h"
+
+namespace calicodrift::relay {
+namespace {
+
+namespace asio = boost::asio;
+constexpr Milliseconds kWatch{60};
+
+/// A port that is free now.
+std::uint16_t freePort(asio::io_context& context) {
+  asio::ip::tcp::acceptor acceptor(context,
+                                   asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint().port();
+}
+
+/// One node that watches a kind through its relay. Its path to the store can be cut alone.
+struct TestNode {
+  TestNode(asio::io_context& context, FakeStore& shared, http::Client& client,
+           RelaySettings settings)
+      : path(shared),
+        relay(context.get_executor(), path, client, settings),
+        watcher(context.get_executor(), relay.store(), watcherSettings(),
+                store::KindListener{[this](const store::Listing& listing) {
+                                      for (const store::Object& object : listing.objects) {
+                                        seen[object.name] = object.spec;
+                                      }
+                                    },
+                                    [this](const store::ChangeBatch& batch) {
+                                      for (const store::Change& change : batch.changes) {
+                                        if (change.removed) {
+                                          seen.erase(change.object.name);
+                                        } else {
+                                          seen[change.object.name] = change.object.spec;
+                                        }
+                                      }
+                                    },
+                                    nullptr}) {
+    BOOST_REQUIRE(relay.start());
+    watcher.start();
+  }
+
+  static store::KindWatcherSettings watcherSettings() {
+    store::KindWatcherSettings watcher;
+    watcher.kind = "k";
+    watcher.wait = kWatch;
+    watcher.shortestWait = Milliseconds(20);
+    watcher.proofAge = kWatch;
+    watcher.firstPause = Milliseconds(5);
+    return watcher;
+  }
+
+  /// This node's own path to the store.
+  struct Path : store::ObjectStore {
+    explicit Path(FakeStore& shared) : shared(shared) {}
+    asio::awaitable<Result<store::Listing>> list(std::string kind) override {
+      if (cut) {
+        co_return fail(ErrorKind::kStoreUnavailable, "cut");
+      }
+      ++reads;
+      co_return co_await shared.list(std::move(kind));
+    }
+    asio::awaitable<Result<store::ChangeBatch>> watch(std::string kind, store::Revision since,
+                                                      Milliseconds wait) override {
+      if (cut) {
+        co_return fail(ErrorKind::kStoreUnavailable, "cut");
+      }
+      ++reads;
+      Result<store::ChangeBatch> batch = co_await shared.watch(std::move(kind), since, wait);
+      if (cut) {
+        co_return fail(ErrorKind::kStoreUnavailable, "cut");
+      }
+      co_return batch;
+    }
+    asio::awaitable<Result<store::Object>> get(std::string kind, std::string name) override {
+      if (cut) {
+        co_return fail(ErrorKind::kStoreUnavailable, "cut");
+      }
+      co_return co_await shared.get(std::move(kind), std::move(name));
+    }
+    asio::awaitable<Result<store::Revision>> put(std::string kind, store::Object object) override {
+      if (cut) {
+        co_return fail(ErrorKind::kStoreUnavailable, "cut");
+      }
+      co_return co_await shared.put(std::move(kind), std::move(object));
+    }
+    FakeStore& shared;
+    bool cut = false;
+    std::size_t reads = 0;
+  };
+
+  Path path;
+  RelayNode relay;
+  store::KindWatcher watcher;
+  std::map<std::string, boost::json::value> seen;
+};
+
+struct RelayFixture {
+  asio::io_context context;
+  FakeStore shared{context};
+  http::Client client{context.get_executor()};
+  std::vector<std::unique_ptr<TestNode>> nodes;
+  RelaySettings settings;
+
+  RelayFixture() {
+    log::silence();
+    settings.zone = ZoneId("z1");
+    settings.proofAge = Milliseconds(200);
+    settings.claimDelay = Milliseconds(60);
+    settings.callTimeout = Milliseconds(150);
+    settings.reviewInterval = Milliseconds(200);
+    settings.followerTerm = Milliseconds(300);
+    shared.set("k", "a", "1");
+  }
+  /// The loop must not hold what is gone.
+  ~RelayFixture() { context.stop(); }
+
+  TestNode& addNode() {
+    settings.node = NodeId("n" + std::to_string(nodes.size()));
+    settings.endpoint = {"127.0.0.1", freePort(context)};
+    nodes.push_back(std::make_unique<TestNode>(context, shared, client, settings));
+    return *nodes.back();
+  }
+  void run(Milliseconds time) {
+    context.restart();
+    context.run_for(time);
+  }
+  std::vector<TestNode*> relays() {
+    std::vector<TestNode*> found;
+    for (const auto& node : nodes) {
+      if (node->relay.isRelay()) {
+        found.push_back(node.get());
+      }
+    }
+    return found;
+  }
+  std::size_t readers() const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [](const auto& node) { return node->relay.readsStore(); }));
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(relay_node, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(oneOfManyNodesReadsTheStore) {
+  for (int count = 0; count < 8; ++count) {
+    addNode();
+  }
+  run(Milliseconds(600));
+  BOOST_TEST(relays().size() == 1U);
+  BOOST_TEST(readers() == 1U);
+  shared.set("k", "b", "2");
+  shared.remove("k", "a");
+  run(Milliseconds(100));
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->seen.contains("b"));
+    BOOST_TEST(!node->seen.contains("a"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(followersProveTheAgeOfTheirViews) {
+  for (int count = 0; count < 4; ++count) {
+    addNode();
+  }
+  run(Milliseconds(600));
+  for (const auto& node : nodes) {
+    BOOST_TEST((monotonicNow() - node->watcher.provenAt() < 3 * kWatch));
+    BOOST_TEST((node->watcher.provenAt() <= monotonicNow()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(relayThatLosesTheStoreLosesItsFollowersToo) {
+  for (int count = 0; count < 4; ++count) {
+    addNode();
+  }
+  run(Milliseconds(600));
+  BOOST_REQUIRE(relays().size() == 1U);
+  TestNode& lost = *relays()[0];
+  lost.path.cut = true;
+  shared.set("k", "new", "3");
+  run(settings.proofAge + Milliseconds(150));
+  for (const auto& node : nodes) {
+    BOOST_TEST((node.get() == &lost || node->seen.contains("new")));
+  }
+  run(Milliseconds(600));
+  // One of the others has taken its place.
+  BOOST_TEST(relays().size() == 2U);
+  BOOST_TEST(readers() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(followersOutliveTheirRelay) {
+  for (int count = 0; count < 4; ++count) {
+    addNode();
+  }
+  run(Milliseconds(600));
+  BOOST_REQUIRE(relays().size() == 1U);
+  asio::co_spawn(context, relays()[0]->relay.stop(), asio::detached);
+  shared.set("k", "new", "3");
+  run(Milliseconds(150));
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->seen.contains("new"));
+  }
+  run(Milliseconds(600));
+  // The stopped node goes on to read for itself, and a new relay for the others.
+  BOOST_TEST(readers() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(fullRelayIsJoinedByAnother) {
+  settings.maxFollowers = 2;
+  for (int count = 0; count < 6; ++count) {
+    addNode();
+  }
+  run(Milliseconds(1500));
+  BOOST_TEST(relays().size() == 2U);
+  BOOST_TEST(readers() == 2U);
+  shared.set("k", "b", "2");
+  run(Milliseconds(100));
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->seen.contains("b"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(nodeThatIsTurnedAwayByTheStoreIsServedByItsRelay) {
+  for (int count = 0; count < 3; ++count) {
+    addNode();
+  }
+  run(Milliseconds(600));
+  BOOST_REQUIRE(relays().size() == 1U);
+  for (const auto& node : nodes) {
+    node->path.cut = !node->relay.isRelay();
+  }
+  shared.set("k", "b", "2");
+  run(Milliseconds(150));
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->seen.contains("b"));
+    BOOST_TEST((monotonicNow() - node->watcher.provenAt() < settings.proofAge));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(withoutAnAddressTheNodeReadsTheStoreItself) {
+  settings.node = NodeId("alone");
+  nodes.push_back(std::make_unique<TestNode>(context, shared, client, settings));
+  run(Milliseconds(200));
+  BOOST_TEST(nodes[0]->relay.readsStore());
+  BOOST_TEST(!nodes[0]->relay.isRelay());
+  BOOST_TEST(nodes[0]->seen.contains("a"));
+  BOOST_TEST(shared.objects("calicodrift-relays").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::relay
--- /dev/null
+++ b/tests/relay/watch_cache_test.cc
@@ -0,0 +1,103 @@
+#include "relay/watch_cache.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::relay {
+namespace {
+
+namespace asio = boost::asio;
+
+store::Object objectAt(const std::string& name, std::uint64_t revision) {
+  store::Object object;
+  object.name = name;
+  object.revision = store::Revision(revision);
+  return object;
+}
+
+store::ChangeBatch batchOf(std::vector<store::Change> changes, std::uint64_t revision) {
+  store::ChangeBatch batch;
+  batch.changes = std::move(changes);
+  batch.revision = store::Revision(revision);
+  return batch;
+}
+
+struct CacheFixture {
+  asio::io_context context;
+  WatchCache cache{context.get_executor()};
+  const MonotonicTime begin = monotonicNow();
+
+  CacheFixture() {
+    store::Listing listing;
+    listing.revision = store::Revision(10);
+    listing.objects = {objectAt("a", 4), objectAt("b", 9)};
+    cache.applyListing(listing, begin);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(watch_cache, CacheFixture)
+
+BOOST_AUTO_TEST_CASE(tellsWhatCameSinceARevision) {
+  cache.applyChanges(batchOf({{objectAt("c", 12), false}, {objectAt("a", 13), true}}, 14), begin);
+  const auto all = cache.changesSince(store::Revision(10));
+  BOOST_REQUIRE(all);
+  BOOST_TEST(all.value().changes.size() == 2U);
+  BOOST_TEST((all.value().revision == store::Revision(14)));
+  const auto late = cache.changesSince(store::Revision(14));
+  BOOST_TEST(late.value().changes.empty());
+  BOOST_TEST(cache.listing().objects.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(changeThatTheFollowerKnowsIsNotRepeated) {
+  cache.applyChanges(batchOf({{objectAt("c", 12), false}, {objectAt("d", 14), false}}, 14), begin);
+  const auto changes = cache.changesSince(store::Revision(12));
+  BOOST_REQUIRE(changes);
+  BOOST_REQUIRE(changes.value().changes.size() == 1U);
+  BOOST_TEST(changes.value().changes[0].object.name == "d");
+}
+
+BOOST_AUTO_TEST_CASE(forgottenHistoryIsSaid) {
+  const auto changes = cache.changesSince(store::Revision(9));
+  BOOST_REQUIRE(!changes);
+  BOOST_TEST((changes.error().kind == ErrorKind::kVersionConflict));
+}
+
+BOOST_AUTO_TEST_CASE(historyIsBounded) {
+  for (std::uint64_t revision = 11; revision <= 2010; ++revision) {
+    cache.applyChanges(batchOf({{objectAt("a", revision), false}}, revision), begin);
+  }
+  BOOST_TEST(!cache.changesSince(store::Revision(500)));
+  const auto recent = cache.changesSince(store::Revision(1500));
+  BOOST_REQUIRE(recent);
+  BOOST_TEST(recent.value().changes.size() == 510U);
+}
+
+BOOST_AUTO_TEST_CASE(followerThatIsAheadKeepsItsRevision) {
+  const auto changes = cache.changesSince(store::Revision(20));
+  BOOST_REQUIRE(changes);
+  BOOST_TEST(changes.value().changes.empty());
+  BOOST_TEST((changes.value().revision == store::Revision(20)));
+}
+
+BOOST_AUTO_TEST_CASE(newsEndTheWait) {
+  bool woken = false;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        co_await cache.waitForNews(begin + std::chrono::seconds(20));
+        woken = true;
+      },
+      asio::detached);
+  context.run_for(Milliseconds(10));
+  BOOST_TEST(!woken);
+  cache.applyChanges(batchOf({}, 10), begin + Milliseconds(5));
+  context.restart();
+  context.run_for(Milliseconds(10));
+  BOOST_TEST(woken);
+  BOOST_TEST((cache.provenAt() == begin + Milliseconds(5)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::relay
--- a/tests/store/kind_watcher_test.cc
+++ b/tests/store/kind_watcher_test.cc
@@ -121,6 +121,36 @@
   BOOST_TEST(changes == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(olderListingThanTheKnownStateIsRefused) {
+  store.answers = {batchAt(40, 1), fail(ErrorKind::kVersionConflict, "gone"), batchAt(50, 1)};
+  const auto watcher = run(Milliseconds(300));
+  // Listings are at 10, 20, 30 and so on: only from 40 on they tell no older state.
+  BOOST_TEST(store.lists == 4U);
+  BOOST_TEST(listings == 2U);
+  BOOST_TEST((watcher->revision() >= Revision(40)));
+}
+
+BOOST_AUTO_TEST_CASE(pausesAfterChangesSoThatOthersComeAlong) {
+  settings.changePause = Milliseconds(80);
+  store.delay = Milliseconds(0);
+  store.answers = {batchAt(11, 1)};
+  const auto watcher = run(Milliseconds(50));
+  BOOST_TEST(store.waits.size() == 1U);
+  context.run_for(Milliseconds(100));
+  BOOST_TEST(store.waits.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(sourceMayTellTheAgeOfItsAnswer) {
+  ChangeBatch batch = batchAt(11, 1);
+  batch.provenAfterAsked = Milliseconds(-30);
+  store.answers = {batch};
+  const MonotonicTime begin = monotonicNow();
+  const auto watcher = run(Milliseconds(40));
+  BOOST_TEST(changes == 1U);
+  const MonotonicTime asked = begin + Milliseconds(20);
+  BOOST_TEST((provenAt(batch, asked, settings.wait, asked) == asked - Milliseconds(30)));
+}
+
 BOOST_AUTO_TEST_CASE(lostStoreIsToldOnceAndItsReturnToo) {
   store.answers = {fail(ErrorKind::kStoreUnavailable, "down"),
                    fail(ErrorKind::kStoreUnavailable, "down"), batchAt(11, 1)};
