Use every store of kept cache, several homes for short common parts

The deployment has three stores of kept cache; the gateway used the first alone, whose room (5.3 M tokens) and link don't hold what 100 requests a second save. Short parts also counted as 512 tokens and were moved. Ruled out: unproven weights as the main cause (fetches are named for most first reads after the roll-out). Change: CacheStores gives each key to one of the stores that answer, by rendezvous hashing; a save is trusted for its own store only and no longer once that store restarted, which was a hole in the argument of CacheMoves. Sets up to 256 are ranked whole. Parts below 1,024 tokens have up to 8 homes; moves go by the tokens of the parts.

--- a/src/forward/cache_moves.cc
+++ b/src/forward/cache_moves.cc
@@ -19,18 +19,26 @@
     return {fromHolder ? query.holder : query.store, query.store};
   }
   const MonotonicTime cleanUntil = query.outdatedSince.value_or(query.weightsProvenAt);
-  const auto saved = savedAt_.find(query.sharedKey);
-  if (saved != savedAt_.end() && saved->second < cleanUntil) {
+  const auto saved = saves_.find(query.sharedKey);
+  if (saved != saves_.end() && saved->second.store == query.store &&
+      saved->second.at < cleanUntil) {
     return {query.store, std::nullopt};
   }
   return {};
 }
 
-void CacheMoves::onSaved(std::uint64_t sharedKey, MonotonicTime now) {
-  if (savedAt_.size() >= kRememberedSaves) {
-    savedAt_.clear();
+void CacheMoves::onSaved(std::uint64_t sharedKey, const Endpoint& store, MonotonicTime now) {
+  if (saves_.size() >= kRememberedSaves) {
+    saves_.clear();
   }
-  savedAt_.emplace(sharedKey, now);
+  const auto known = saves_.find(sharedKey);
+  if (known == saves_.end() || known->second.store != store) {
+    saves_.insert_or_assign(sharedKey, Save{store, now});
+  }
+}
+
+void CacheMoves::onStoreLost(const Endpoint& store) {
+  std::erase_if(saves_, [&store](const auto& save) { return save.second.store == store; });
 }
 
 }  // namespace calicodrift::forward
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -29,7 +29,7 @@
   /// A server that is believed to hold the common part, with its weights.
   std::optional<Endpoint> holder;
   WeightsVersion holderWeights;
-  /// The store of kept cache, if it answers.
+  /// The store of kept cache for the common part, if one answers.
   std::optional<Endpoint> store;
   /// Names the common part and its cache scope; 0 where no other request may share any part.
   std::uint64_t sharedKey = 0;
@@ -57,12 +57,18 @@
 
   CacheMove decide(const CacheMoveQuery& query, MonotonicTime now) const;
   /// A request that named the store to save to was answered in whole: its common part lies there.
-  void onSaved(std::uint64_t sharedKey, MonotonicTime now);
+  void onSaved(std::uint64_t sharedKey, const Endpoint& store, MonotonicTime now);
+  /// The store may have restarted empty: what it gets from now on is kept as first made anew.
+  void onStoreLost(const Endpoint& store);
 
  private:
   CacheMoveSettings settings_;
-  /// When each common part was first known to be saved.
-  std::unordered_map<std::uint64_t, MonotonicTime> savedAt_;
+  struct Save {
+    Endpoint store;
+    MonotonicTime at{};
+  };
+  /// Where and when each common part was first known to be saved.
+  std::unordered_map<std::uint64_t, Save> saves_;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -240,7 +240,7 @@
   if (outcome) {
     policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
     if (dispatch.saveCacheTo) {
-      cacheMoves_.onSaved(sharedKey, monotonicNow());
+      cacheMoves_.onSaved(sharedKey, *dispatch.saveCacheTo, monotonicNow());
     }
   }
   co_return outcome;
@@ -293,14 +293,14 @@
   query.serverWeights = chosen.weights;
   query.outdatedSince = view.outdatedSince;
   query.weightsProvenAt = view.provenAt;
-  query.store = context_.cacheStore();
   const fleet::Server* holding = holder ? context_.pool.find(holder->id) : nullptr;
   if (holding != nullptr) {
     query.holder = holding->endpoint;
     query.holderWeights = holder->weights;
   }
   query.sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
-  query.sharedTokens = job.routeRequest.sharedBlocks * job.routeRequest.blockTokens;
+  query.store = context_.cacheStore(query.sharedKey);
+  query.sharedTokens = job.routeRequest.sharedTokens;
   const CacheMove move = cacheMoves_.decide(query, monotonicNow());
   dispatch.fetchCacheFrom = move.fetchFrom;
   dispatch.saveCacheTo = move.saveTo;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -43,8 +43,8 @@
   /// The configuration in force now.
   std::function<ConfigurationView()> configuration;
   std::function<WeightsView(const ModelId&, WeightsVersion)> weights;
-  /// The store of kept cache, where there is one that answers.
-  std::function<std::optional<Endpoint>()> cacheStore;
+  /// The store of kept cache for a key, where there is one that answers.
+  std::function<std::optional<Endpoint>(std::uint64_t key)> cacheStore;
 };
 
 /// Serves requests: checks them, chooses a server, and tries again elsewhere where that is allowed.
@@ -57,6 +57,8 @@
   boost::asio::awaitable<void> handle(http::Request& message, http::ResponseWriter& writer);
   /// Beliefs about the server's cache are void.
   void onServerLost(const BackendId& server);
+  /// What the store kept may be gone.
+  void onCacheStoreLost(const Endpoint& store) { cacheMoves_.onStoreLost(store); }
 
  private:
   struct Job;
--- a/src/forward/prompt_blocks.cc
+++ b/src/forward/prompt_blocks.cc
@@ -19,8 +19,11 @@
 void chainPrompt(const std::vector<PromptPart>& prompt, std::uint64_t seed,
                  routing::RouteRequest& route) {
   std::uint64_t chain = seed;
+  std::size_t tokens = 0;
   for (const PromptPart& part : prompt) {
     route.sharedBlocks = route.blocks.size();
+    route.sharedTokens = tokens;
+    tokens += part.tokens;
     const std::uint64_t partHash = hashBytes(part.id);
     std::size_t left = part.tokens;
     std::uint64_t index = 0;
--- /dev/null
+++ b/src/gateway/cache_stores.cc
@@ -0,0 +1,124 @@
+#include "gateway/cache_stores.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "common/hashing.h"
+#include "log/log.h"
+
+namespace calicodrift::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr Milliseconds kWait{1000};
+constexpr Milliseconds kCallTimeout{300};
+/// Between two calls to one store, as many nodes ask it.
+constexpr Milliseconds kPause{700};
+constexpr Milliseconds kTableInterval{250};
+
+}  // namespace
+
+CacheStores::CacheStores(asio::any_io_executor executor, http::Client& client,
+                         const forward::ServerProtocol& protocol, TableSource table,
+                         LossListener onLost)
+    : executor_(std::move(executor)),
+      client_(client),
+      protocol_(protocol),
+      table_(std::move(table)),
+      onLost_(std::move(onLost)) {}
+
+void CacheStores::start() {
+  asio::co_spawn(executor_, run(), asio::detached);
+}
+
+std::optional<Endpoint> CacheStores::storeFor(std::uint64_t key) const {
+  std::optional<Endpoint> best;
+  std::uint64_t bestRank = 0;
+  for (const auto& [endpoint, store] : stores_) {
+    const std::uint64_t rank = hashPair(key, hashBytes(endpoint.toString()));
+    if (store.alive && (!best || rank > bestRank)) {
+      best = endpoint;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+awaitable<void> CacheStores::run() {
+  asio::steady_timer timer(executor_);
+  for (;;) {
+    if (const std::shared_ptr<const routes::RouteTable> table = table_()) {
+      for (const routes::CacheStore* store : table->cacheStores()) {
+        if (!stores_.contains(store->endpoint)) {
+          stores_.emplace(store->endpoint, Store{});
+          asio::co_spawn(executor_, watch(store->endpoint), asio::detached);
+        }
+      }
+    }
+    timer.expires_after(kTableInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> CacheStores::watch(Endpoint endpoint) {
+  asio::steady_timer timer(executor_);
+  while (configured(endpoint)) {
+    co_await ask(endpoint);
+    timer.expires_after(kPause);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  stores_.erase(endpoint);
+}
+
+bool CacheStores::configured(const Endpoint& endpoint) const {
+  const std::shared_ptr<const routes::RouteTable> table = table_();
+  const std::vector<const routes::CacheStore*> stores = table->cacheStores();
+  return std::any_of(stores.begin(), stores.end(), [&endpoint](const routes::CacheStore* store) {
+    return store->endpoint == endpoint;
+  });
+}
+
+awaitable<void> CacheStores::ask(Endpoint endpoint) {
+  Store& store = stores_.at(endpoint);
+  http::Request query = protocol_.cacheStoreQuery(store.state, kWait);
+  http::ExchangeOptions options;
+  options.connectTimeout = kCallTimeout;
+  options.headerTimeout = kWait + kCallTimeout;
+  options.bodyTimeout = kCallTimeout;
+  options.unacknowledgedTimeout = kCallTimeout;
+  Result<http::Response> answer = co_await client_.exchange(endpoint, std::move(query), options);
+  if (answer) {
+    noteAnswer(endpoint, store, protocol_.readCacheStore(answer.value()));
+  } else {
+    noteSilence(endpoint, store);
+  }
+}
+
+void CacheStores::noteAnswer(const Endpoint& endpoint, Store& store,
+                             const std::optional<forward::CacheStoreState>& state) {
+  if (state) {
+    const bool restarted = store.answered && store.state.epoch != state->epoch;
+    if (restarted) {
+      onLost_(endpoint);
+    }
+    store.state = *state;
+    store.answered = true;
+  }
+  if (!store.alive) {
+    store.alive = true;
+    log::write(log::Level::kInfo, "cache_store_regained", {{"address", endpoint.toString()}});
+  }
+}
+
+void CacheStores::noteSilence(const Endpoint& endpoint, Store& store) {
+  if (store.alive) {
+    store.alive = false;
+    onLost_(endpoint);
+    log::write(log::Level::kWarning, "cache_store_lost", {{"address", endpoint.toString()}});
+  }
+}
+
+}  // namespace calicodrift::gateway
--- /dev/null
+++ b/src/gateway/cache_stores.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "forward/protocol.h"
+#include "http/client.h"
+
+namespace calicodrift::gateway {
+
+/// The stores of kept cache: which of them answer, and which one keeps a key. A server that fetches
+/// from a store without power waits in vain, so that only those that answer are named to servers.
+///
+/// Every node gives a key to the same store, by rendezvous hashing over those that answer, so that
+/// together they keep as much as all of them have room for, over the links of all.
+class CacheStores {
+ public:
+  using TableSource = std::function<std::shared_ptr<const routes::RouteTable>()>;
+  /// What the store kept may be gone.
+  using LossListener = std::function<void(const Endpoint&)>;
+
+  CacheStores(boost::asio::any_io_executor executor, http::Client& client,
+              const forward::ServerProtocol& protocol, TableSource table, LossListener onLost);
+  void start();
+  /// The store for a key; nothing where none is configured or answers.
+  std::optional<Endpoint> storeFor(std::uint64_t key) const;
+
+ private:
+  struct Store {
+    forward::CacheStoreState state;
+    bool answered = false;
+    bool alive = false;
+  };
+
+  /// Follows the configuration's list of stores.
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> watch(Endpoint endpoint);
+  /// Whether the configuration still has the store.
+  bool configured(const Endpoint& endpoint) const;
+  boost::asio::awaitable<void> ask(Endpoint endpoint);
+  void noteAnswer(const Endpoint& endpoint, Store& store,
+                  const std::optional<forward::CacheStoreState>& state);
+  void noteSilence(const Endpoint& endpoint, Store& store);
+
+  boost::asio::any_io_executor executor_;
+  http::Client& client_;
+  const forward::ServerProtocol& protocol_;
+  TableSource table_;
+  LossListener onLost_;
+  std::map<Endpoint, Store> stores_;
+};
+
+}  // namespace calicodrift::gateway
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -98,8 +98,9 @@
             [this](const fleet::Server& server, fleet::ServerLoss loss) {
               onServerLost(server, loss);
             }),
-      cacheStore_(context.get_executor(), client_, ports_.servers,
-                  [this] { return views_.table(); }),
+      cacheStores_(
+          context.get_executor(), client_, ports_.servers, [this] { return views_.table(); },
+          [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
       relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
       targets_(settings_.weightsTerm),
       views_(context.get_executor(), relay_.store(), ports_.schema, settings_, pool_, targets_,
@@ -110,7 +111,7 @@
                   [this](const ModelId& model, WeightsVersion version) {
                     return views_.weights(model, version);
                   },
-                  [this] { return cacheStore_.endpoint(); }},
+                  [this](std::uint64_t key) { return cacheStores_.storeFor(key); }},
                  forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
                  hashBytes(settings_.nodeId)),
       leaseStore_(ports_.store, std::string(kLeaseKind)),
@@ -145,7 +146,7 @@
   lease_.start();
   rollout_.start();
   prober_.start();
-  cacheStore_.start();
+  cacheStores_.start();
   log::write(log::Level::kInfo, "started",
              {{"listen", settings_.listen.toString()}, {"store", settings_.store.toString()}});
   return boost::outcome_v2::success();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -6,7 +6,7 @@
 
 #include "fleet/server_pool.h"
 #include "forward/forwarder.h"
-#include "gateway/cache_store_monitor.h"
+#include "gateway/cache_stores.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/server_prober.h"
 #include "gateway/store_schema.h"
@@ -63,7 +63,7 @@
   forward::ForwardMetrics metrics_;
   orders::OrderMetrics orderMetrics_;
   fleet::ServerPool pool_;
-  CacheStoreMonitor cacheStore_;
+  CacheStores cacheStores_;
   relay::RelayNode relay_;
   rollout::WeightsTargets targets_;
   StoreViews views_;
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -42,13 +42,14 @@
   return found == servicesByName_.end() ? nullptr : found->second;
 }
 
-const CacheStore* RouteTable::cacheStore() const {
+std::vector<const CacheStore*> RouteTable::cacheStores() const {
+  std::vector<const CacheStore*> stores;
   for (const Service& service : content_.services) {
     if (service.cacheStore) {
-      return &*service.cacheStore;
+      stores.push_back(&*service.cacheStore);
     }
   }
-  return nullptr;
+  return stores;
 }
 
 }  // namespace calicodrift::routes
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -124,8 +124,8 @@
   bool needsKeys() const { return !content_.tenants.empty(); }
   const CallerLimits& limits() const { return content_.limits; }
   const std::vector<Service>& services() const { return content_.services; }
-  /// The first store of kept cache, or null.
-  const CacheStore* cacheStore() const;
+  /// The stores of kept cache.
+  std::vector<const CacheStore*> cacheStores() const;
   std::size_t routeCount() const { return content_.routes.size(); }
 
  private:
--- a/src/routing/candidate_set.h
+++ b/src/routing/candidate_set.h
@@ -62,7 +62,7 @@
   std::size_t totalPrefillTokens() const { return totalPrefillTokens_; }
 
   /// Sets up to this size are ranked or scanned as a whole.
-  static constexpr std::size_t kSmall = 64;
+  static constexpr std::size_t kSmall = 256;
 
  private:
   struct RingPoint {
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -34,6 +34,8 @@
   std::vector<BackendId> avoided;
   /// Leading blocks that other requests may share; the rest is the request's own.
   std::size_t sharedBlocks = 0;
+  /// Prompt tokens in those blocks; 0 where it is not known.
+  std::size_t sharedTokens = 0;
   /// This router decides for every request that shares the prompt's first blocks, so it knows of
   /// all that was sent. Otherwise other routers' dispatches are known by cache events only.
   bool decidedHereOnly = false;
--- a/tests/forward/forward_test.cc
+++ b/tests/forward/forward_test.cc
@@ -155,10 +155,11 @@
 
 BOOST_AUTO_TEST_CASE(whatWasSavedBeforeNewerWeightsWereNamedIsFetchedLater) {
   CacheMoves moves({Milliseconds(1200)});
-  moves.onSaved(7, kStart);
+  const Endpoint store = *settledQuery().store;
+  moves.onSaved(7, store, kStart);
   // What is saved again later does not make the first save newer.
-  moves.onSaved(7, kStart + Milliseconds(50));
-  moves.onSaved(8, kStart + Milliseconds(20));
+  moves.onSaved(7, store, kStart + Milliseconds(50));
+  moves.onSaved(8, store, kStart + Milliseconds(20));
   CacheMoveQuery named = settledQuery();
   named.outdatedSince = kStart + Milliseconds(10);
   const CacheMove saved = moves.decide(named, kStart + Milliseconds(100));
@@ -168,6 +169,26 @@
   BOOST_TEST(!moves.decide(named, kStart + Milliseconds(100)).fetchFrom.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(saveToOneStoreProvesNothingOfAnother) {
+  CacheMoves moves({Milliseconds(1200)});
+  moves.onSaved(7, Endpoint{"10.0.0.9", 1}, kStart);
+  CacheMoveQuery named = settledQuery();
+  named.outdatedSince = kStart + Milliseconds(10);
+  BOOST_TEST(!moves.decide(named, kStart + Milliseconds(100)).fetchFrom.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(storeThatRestartedIsNotTrustedWithEarlierSaves) {
+  CacheMoves moves({Milliseconds(1200)});
+  const Endpoint store = *settledQuery().store;
+  moves.onSaved(7, store, kStart);
+  // What it gets anew may have been made by newer weights.
+  moves.onStoreLost(store);
+  moves.onSaved(7, store, kStart + Milliseconds(20));
+  CacheMoveQuery named = settledQuery();
+  named.outdatedSince = kStart + Milliseconds(10);
+  BOOST_TEST(!moves.decide(named, kStart + Milliseconds(100)).fetchFrom.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(isolatedTenantsShareNoBlocks) {
   const routes::Route route = makeRoute(routes::RouteKind::kStreaming, true, 2);
   routes::Tenant open;
--- a/tests/routing/prefix_home_test.cc
+++ b/tests/routing/prefix_home_test.cc
@@ -1,6 +1,7 @@
 #include "routing/prefix_home.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 namespace calicodrift::routing {
 namespace {
@@ -41,6 +42,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(shortCommonPartHasSeveralHomes) {
+  PrefixHome policy;
+  const CandidateSet candidates = makeCandidates(80);
+  std::set<std::size_t> homes;
+  std::set<std::size_t> homesOfLong;
+  for (std::uint64_t own = 1; own < 200; ++own) {
+    RouteRequest request = makeRequest(7, own);
+    request.sharedTokens = 90;
+    homes.insert(policy.choose(request, candidates, kNow).index);
+    request.sharedTokens = 2560;
+    homesOfLong.insert(policy.choose(request, candidates, kNow).index);
+  }
+  BOOST_TEST(homes.size() == 8U);
+  BOOST_TEST(homesOfLong.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(busyHomeIsLeftAndNamedAsTheHolder) {
   PrefixHome policy;
   CandidateSet candidates = makeCandidates(12);
