Nodes tell each other their load on servers and what they saved

Each request saved its own part to the kept-cache stores (1.2 GB each, as much as one store's link), and a node knew nothing of the saves of others, so that it could not fetch during roll-outs. Change: src/exchange. A node reports its load on each server to its relay four times a second and gets the others' sum; relays swap sums; the same messages tell which parts were saved to which store. The choice counts slots, memory and the others' requests; a part that lies in a store is not saved again for 15 s; leaving a home costs about what reading costs; a server is left for silence only after 3.5 aims. Servers that two others can't reach are passed over for 0.6 s. The test safeRequestMovesOn... sends five at once and now sets the floor that this needs; its checks are the same.

--- /dev/null
+++ b/src/exchange/messages.cc
@@ -0,0 +1,43 @@
+#include "exchange/messages.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace calicodrift::exchange {
+namespace {
+
+template <typename Field>
+Field capped(std::size_t value) {
+  return static_cast<Field>(std::min<std::size_t>(value, std::numeric_limits<Field>::max()));
+}
+
+}  // namespace
+
+std::vector<LoadEntry> toEntries(const fleet::ServerLoads& loads) {
+  std::vector<LoadEntry> entries;
+  entries.reserve(loads.size());
+  for (const auto& [server, load] : loads) {
+    if (load == fleet::ServerLoad{}) {
+      continue;
+    }
+    LoadEntry entry;
+    entry.server = server.value();
+    entry.requests = capped<std::uint16_t>(load.requests);
+    entry.unreachableFrom = capped<std::uint16_t>(load.unreachableFrom);
+    entry.tokens = capped<std::uint32_t>(load.tokens);
+    entry.prefillTokens = capped<std::uint32_t>(load.prefillTokens);
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+fleet::ServerLoads toLoads(const std::vector<LoadEntry>& entries) {
+  fleet::ServerLoads loads;
+  for (const LoadEntry& entry : entries) {
+    loads[fleet::ServerKey(entry.server)] +=
+        fleet::ServerLoad{entry.requests, entry.tokens, entry.prefillTokens, entry.unreachableFrom};
+  }
+  return loads;
+}
+
+}  // namespace calicodrift::exchange
--- /dev/null
+++ b/src/exchange/messages.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fleet/server_load.h"
+
+/// What nodes tell each other: the load that they have on servers, and cache that was saved.
+namespace calicodrift::exchange {
+
+struct LoadEntry {
+  std::uint64_t server = 0;
+  std::uint16_t requests = 0;
+  std::uint16_t unreachableFrom = 0;
+  std::uint32_t tokens = 0;
+  std::uint32_t prefillTokens = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(server, requests, unreachableFrom, tokens, prefillTokens);
+  }
+};
+
+/// A cached prompt part (with its cache scope) that was saved to a store of kept cache; both by
+/// their hashes.
+struct SavedPart {
+  std::uint64_t part = 0;
+  std::uint64_t store = 0;
+
+  bool operator==(const SavedPart&) const = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(part, store);
+  }
+};
+
+/// Sent by a node to its relay with its own load, and by a relay to another with its group's.
+/// The answer is one too: all others' load to a node, the other group's to a relay. Each carries
+/// the saves that its receiver has not been told yet.
+struct ExchangeReport {
+  /// The node, or the relay whose group it is.
+  std::string sender;
+  /// Whether `entries` are of a relay's whole group.
+  bool group = false;
+  std::vector<LoadEntry> entries;
+  std::vector<SavedPart> saves;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, group, entries, saves);
+  }
+};
+
+/// Only servers with anything to tell are listed; values beyond a field's range are capped.
+std::vector<LoadEntry> toEntries(const fleet::ServerLoads& loads);
+fleet::ServerLoads toLoads(const std::vector<LoadEntry>& entries);
+
+}  // namespace calicodrift::exchange
--- /dev/null
+++ b/src/exchange/node_exchange.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/endpoint.h"
+#include "exchange/load_table.h"
+#include "exchange/messages.h"
+#include "exchange/save_log.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace calicodrift::exchange {
+
+inline constexpr std::string_view kExchangePath = "/exchange";
+
+struct NodeExchangeSettings {
+  std::string node;
+  /// Where this node is reached as a relay.
+  Endpoint endpoint;
+  Milliseconds interval{250};
+  /// Reports that are not renewed for so long count no longer.
+  Milliseconds term{1000};
+  Milliseconds callTimeout{400};
+};
+
+/// What the exchange needs of the node; outlives it.
+struct NodeExchangeContext {
+  boost::asio::any_io_executor executor;
+  http::Client& client;
+  /// The relay that this node follows.
+  std::function<std::optional<Endpoint>()> relay;
+  /// Whether this node is a relay.
+  std::function<bool()> isRelay;
+  /// All relays but this node.
+  std::function<std::vector<Endpoint>()> otherRelays;
+  /// This node's own load.
+  std::function<fleet::ServerLoads()> own;
+  /// All others' load, as far as it is known. Called in each interval.
+  std::function<void(const fleet::ServerLoads&)> onOthers;
+  /// What this node's requests have saved since the last call.
+  std::function<std::vector<SavedPart>()> takeSaves;
+  /// What others' requests have saved.
+  std::function<void(const std::vector<SavedPart>&)> onSaves;
+};
+
+/// Tells each node what the others have under way at each server, some hundred milliseconds old: a
+/// node tells its relay its own load and gets the sum of the others', relays swap the sums of their
+/// groups. A node sends and receives one report an interval whatever the number of nodes; a relay
+/// one for each follower and each other relay.
+///
+/// Nothing depends on what is told but the choice among servers and of moves of cache, so that any
+/// of it may be missing.
+class NodeExchange {
+ public:
+  NodeExchange(NodeExchangeContext context, NodeExchangeSettings settings);
+
+  void start();
+  /// Answers another node's report.
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> reportTo(Endpoint relay);
+  boost::asio::awaitable<void> swapWith(Endpoint relay);
+  boost::asio::awaitable<Result<ExchangeReport>> send(Endpoint relay, ExchangeReport report);
+  /// Own load and the followers', without `except`.
+  fleet::ServerLoads group(const std::string& except) const;
+  /// What a relay's group has saved.
+  void learnSaves(const std::vector<SavedPart>& saves, bool ownGroup);
+  ExchangeReport answerTo(const ExchangeReport& report);
+
+  NodeExchangeContext context_;
+  NodeExchangeSettings settings_;
+  LoadTable table_;
+  SaveLog saves_;
+};
+
+}  // namespace calicodrift::exchange
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -5,6 +5,14 @@
 #include "common/hashing.h"
 
 namespace calicodrift::fleet {
+namespace {
+
+/// A single node that can't reach a server may itself be cut off.
+constexpr std::size_t kPeersToPassOver = 2;
+/// A little more than the pause between two reports of the others.
+constexpr Milliseconds kPeerSuspicion{600};
+
+}  // namespace
 
 std::string_view toString(ServerLoss loss) {
   switch (loss) {
@@ -49,6 +57,7 @@
     entry.health.probeSucceeded(now);
   }
   entry.server = server;
+  entry.key = ServerKey(hashBytes(server.id.value()));
   refresh(entry, now);
   if (reloaded) {
     listener_(server, ServerLoss::kReloaded);
@@ -181,6 +190,40 @@
   return found;
 }
 
+ServerLoads ServerPool::ownLoads() const {
+  ServerLoads loads;
+  for (const auto& [id, entry] : servers_) {
+    loads[entry.key] = {entry.outstanding, entry.outstandingTokens, entry.prefillTokens,
+                        entry.health.reachable() ? std::size_t{0} : std::size_t{1}};
+  }
+  return loads;
+}
+
+void ServerPool::setPeerLoads(const ServerLoads& loads, MonotonicTime now) {
+  for (auto& [id, entry] : servers_) {
+    const auto found = loads.find(entry.key);
+    const ServerLoad peers = found == loads.end() ? ServerLoad{} : found->second;
+    if (peers.unreachableFrom >= kPeersToPassOver) {
+      pause(id, now + kPeerSuspicion, now);
+    }
+    if (peers != entry.peers) {
+      entry.peers = peers;
+      refresh(entry, now);
+    }
+  }
+}
+
+void ServerPool::setMemory(const std::string& service, std::size_t tokens, MonotonicTime now) {
+  std::size_t& known = memoryTokens_[service];
+  if (known == tokens) {
+    return;
+  }
+  known = tokens;
+  for (auto& [id, entry] : servers_) {
+    refresh(entry, now);
+  }
+}
+
 void ServerPool::addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
   if (Entry* entry = entryOf(id)) {
     ++entry->outstanding;
@@ -243,6 +286,12 @@
   candidate.outstandingTokens = entry.outstandingTokens;
   candidate.sentPrefillTokens = entry.prefillTokens;
   candidate.prefillTokensPerMs = prefillTokensPerMs_;
+  candidate.slots = entry.server.slots;
+  const auto memory = memoryTokens_.find(entry.server.service);
+  candidate.memoryTokens = memory == memoryTokens_.end() ? 0 : memory->second;
+  candidate.peerRequests = entry.peers.requests;
+  candidate.peerTokens = entry.peers.tokens;
+  candidate.peerPrefillTokens = entry.peers.prefillTokens;
   return candidate;
 }
 
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "fleet/backend_health.h"
 #include "fleet/server.h"
+#include "fleet/server_load.h"
 #include "routing/candidate_set.h"
 
 namespace calicodrift::fleet {
@@ -71,6 +72,14 @@
   std::vector<Server> unreachable() const;
   std::size_t size() const { return servers_.size(); }
 
+  /// What this node has under way at each server, and which it can't reach.
+  ServerLoads ownLoads() const;
+  /// What the other nodes have under way. A server that several of them can't reach is passed over
+  /// for a time.
+  void setPeerLoads(const ServerLoads& loads, MonotonicTime now);
+  /// Room for cached and running prompts of each server of a service; 0: not known.
+  void setMemory(const std::string& service, std::size_t tokens, MonotonicTime now);
+
   void addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
   /// The first token came: nothing is left to prefill.
   void endPrefill(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
@@ -94,6 +103,8 @@
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
     std::size_t prefillTokens = 0;
+    ServerKey key;
+    ServerLoad peers;
     /// The sets that it stands in.
     std::vector<SetKey> listedIn;
   };
@@ -113,6 +124,7 @@
   LossListener listener_;
   std::map<BackendId, Entry> servers_;
   std::map<ModelId, WeightsVersion> leastWeights_;
+  std::map<std::string, std::size_t> memoryTokens_;
   std::map<SetKey, CandidateSets> sets_;
   std::multimap<MonotonicTime, BackendId> pauseEnds_;
 };
--- a/src/forward/cache_moves.cc
+++ b/src/forward/cache_moves.cc
@@ -1,44 +1,76 @@
 #include "forward/cache_moves.h"
 
+#include "common/hashing.h"
+
 namespace calicodrift::forward {
 namespace {
 
 /// Common parts whose save is remembered; all are forgotten beyond.
 constexpr std::size_t kRememberedSaves = 16'384;
+/// Saves that wait to be told to other nodes; others are not told.
+constexpr std::size_t kMostUntold = 1024;
 
 }  // namespace
 
+std::uint64_t storeKeyOf(const Endpoint& store) {
+  return hashBytes(store.toString());
+}
+
 CacheMove CacheMoves::decide(const CacheMoveQuery& query, MonotonicTime now) const {
   if (query.sharedKey == 0 || query.sharedTokens < settings_.leastTokens) {
     return {};
   }
+  const Save* save = saveOf(query.sharedKey, query.store);
   const bool proven = now - query.weightsProvenAt <= settings_.weightsProofAge;
   if (!query.outdatedSince && proven) {
     const bool fromHolder = query.holder && query.holderWeights == query.serverWeights;
-    // What the store holds already is not sent again, so that each request may save.
-    return {fromHolder ? query.holder : query.store, query.store};
+    const bool lies = save != nullptr && now - save->lastAt < settings_.saveTerm;
+    return {fromHolder ? query.holder : query.store, lies ? std::nullopt : query.store};
   }
   const MonotonicTime cleanUntil = query.outdatedSince.value_or(query.weightsProvenAt);
-  const auto saved = saves_.find(query.sharedKey);
-  if (saved != saves_.end() && saved->second.store == query.store &&
-      saved->second.at < cleanUntil) {
+  if (save != nullptr && save->firstAt < cleanUntil) {
     return {query.store, std::nullopt};
   }
   return {};
 }
 
+const CacheMoves::Save* CacheMoves::saveOf(std::uint64_t sharedKey,
+                                           const std::optional<Endpoint>& store) const {
+  const auto found = saves_.find(sharedKey);
+  const bool there = found != saves_.end() && store && found->second.storeKey == storeKeyOf(*store);
+  return there ? &found->second : nullptr;
+}
+
 void CacheMoves::onSaved(std::uint64_t sharedKey, const Endpoint& store, MonotonicTime now) {
+  const SavedCache saved{sharedKey, storeKeyOf(store)};
+  remember(saved, now);
+  if (untold_.size() < kMostUntold) {
+    untold_.push_back(saved);
+  }
+}
+
+void CacheMoves::learnSaved(const SavedCache& saved, MonotonicTime now) {
+  const auto lost = lostAt_.find(saved.storeKey);
+  if (lost == lostAt_.end() || now - lost->second >= settings_.mistrustTerm) {
+    remember(saved, now);
+  }
+}
+
+void CacheMoves::remember(const SavedCache& saved, MonotonicTime now) {
   if (saves_.size() >= kRememberedSaves) {
     saves_.clear();
   }
-  const auto known = saves_.find(sharedKey);
-  if (known == saves_.end() || known->second.store != store) {
-    saves_.insert_or_assign(sharedKey, Save{store, now});
+  const auto [known, added] = saves_.try_emplace(saved.sharedKey, Save{saved.storeKey, now, now});
+  if (!added && known->second.storeKey != saved.storeKey) {
+    known->second = Save{saved.storeKey, now, now};
   }
+  known->second.lastAt = now;
 }
 
-void CacheMoves::onStoreLost(const Endpoint& store) {
-  std::erase_if(saves_, [&store](const auto& save) { return save.second.store == store; });
+void CacheMoves::onStoreLost(const Endpoint& store, MonotonicTime now) {
+  const std::uint64_t storeKey = storeKeyOf(store);
+  lostAt_[storeKey] = now;
+  std::erase_if(saves_, [storeKey](const auto& save) { return save.second.storeKey == storeKey; });
 }
 
 }  // namespace calicodrift::forward
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/endpoint.h"
@@ -17,6 +19,11 @@
   /// Common parts below this are read as fast as they are moved, and their saves would fill the
   /// store's link.
   std::size_t leastTokens = 512;
+  /// A part that is known to lie in the store is saved again only after this, as it may have been
+  /// pushed out. Each save also brings the request's own part there, which nobody will fetch.
+  Milliseconds saveTerm{15'000};
+  /// After a store was lost, what others say of it may be from before.
+  Milliseconds mistrustTerm{3000};
 };
 
 /// What decides about moves for one dispatch.
@@ -36,6 +43,16 @@
   std::size_t sharedTokens = 0;
 };
 
+/// A common part that lies in a store of kept cache.
+struct SavedCache {
+  /// As CacheMoveQuery::sharedKey.
+  std::uint64_t sharedKey = 0;
+  std::uint64_t storeKey = 0;
+};
+
+/// Names a store of kept cache between nodes.
+std::uint64_t storeKeyOf(const Endpoint& store);
+
 struct CacheMove {
   std::optional<Endpoint> fetchFrom;
   std::optional<Endpoint> saveTo;
@@ -58,17 +75,28 @@
   CacheMove decide(const CacheMoveQuery& query, MonotonicTime now) const;
   /// A request that named the store to save to was answered in whole: its common part lies there.
   void onSaved(std::uint64_t sharedKey, const Endpoint& store, MonotonicTime now);
+  /// Another node's request did so, a short time ago.
+  void learnSaved(const SavedCache& saved, MonotonicTime now);
+  /// What this node's requests have saved since the last call.
+  std::vector<SavedCache> takeSaves() { return std::exchange(untold_, {}); }
   /// The store may have restarted empty: what it gets from now on is kept as first made anew.
-  void onStoreLost(const Endpoint& store);
+  void onStoreLost(const Endpoint& store, MonotonicTime now);
 
  private:
   CacheMoveSettings settings_;
   struct Save {
-    Endpoint store;
-    MonotonicTime at{};
+    std::uint64_t storeKey = 0;
+    MonotonicTime firstAt{};
+    MonotonicTime lastAt{};
   };
+  /// Null where the part is not known to lie in this store.
+  const Save* saveOf(std::uint64_t sharedKey, const std::optional<Endpoint>& store) const;
+  void remember(const SavedCache& saved, MonotonicTime now);
+
   /// Where and when each common part was first known to be saved.
   std::unordered_map<std::uint64_t, Save> saves_;
+  std::unordered_map<std::uint64_t, MonotonicTime> lostAt_;
+  std::vector<SavedCache> untold_;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -17,7 +17,7 @@
   Milliseconds unacknowledgedTimeout{1000};
   /// An idempotent request moves on where nothing of its answer has come within so many times its
   /// target latency.
-  double patienceTargets = 2.0;
+  double patienceTargets = 3.5;
   /// Longest pause between two events of a stream that can go on elsewhere.
   Milliseconds eventTimeout{1500};
   /// A server that refused gets nothing for so long.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -335,7 +335,23 @@
   }
 }
 
+bool Forwarder::untriedServerLeft(const Job& job) {
+  const routing::CandidateSet& candidates =
+      context_.pool.candidates(job.service, job.request.model, monotonicNow());
+  const std::vector<BackendId>& tried = job.routeRequest.avoided;
+  for (std::size_t position = 0; position < candidates.size(); ++position) {
+    if (std::find(tried.begin(), tried.end(), candidates[position].id) == tried.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
+  // A server that has just refused will not take the request a moment later.
+  if (failure == ErrorKind::kBackendRefused && !untriedServerLeft(job)) {
+    return false;
+  }
   const RetryDecision decision = mayRetry(*job.grant.route, failure, job.attempts);
   if (decision != RetryDecision::kBudgeted) {
     return decision == RetryDecision::kFree;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -58,7 +58,9 @@
   /// Beliefs about the server's cache are void.
   void onServerLost(const BackendId& server);
   /// What the store kept may be gone.
-  void onCacheStoreLost(const Endpoint& store) { cacheMoves_.onStoreLost(store); }
+  void onCacheStoreLost(const Endpoint& store) { cacheMoves_.onStoreLost(store, monotonicNow()); }
+  /// Which cache lies where; to tell other nodes and to be told by them.
+  CacheMoves& cacheMoves() { return cacheMoves_; }
 
  private:
   struct Job;
@@ -79,6 +81,8 @@
                  const std::optional<routing::Candidate>& holder, Dispatch& dispatch);
   void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
+  /// Whether a usable server has not had the request yet.
+  bool untriedServerLeft(const Job& job);
   /// Whether the job goes on at another server; takes from the budget if so.
   bool takeRetry(Job& job, ErrorKind failure);
   AttemptBounds boundsOf(const Job& job) const;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -71,6 +71,20 @@
   return relay;
 }
 
+exchange::NodeExchangeSettings exchangeSettings(const GatewaySettings& settings) {
+  exchange::NodeExchangeSettings exchange;
+  exchange.node = settings.nodeId;
+  exchange.endpoint = settings.relayListen;
+  return exchange;
+}
+
+http::ServerLimits peerLimits() {
+  constexpr std::size_t kMaxReportBytes = 1'048'576;
+  http::ServerLimits limits;
+  limits.maxBodyBytes = kMaxReportBytes;
+  return limits;
+}
+
 rollout::WeightsRolloutSettings rolloutSettings(const GatewaySettings& settings,
                                                 std::string holder) {
   constexpr Milliseconds kLoadTimeout{1500};
@@ -102,6 +116,7 @@
           context.get_executor(), client_, ports_.servers, [this] { return views_.table(); },
           [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
       relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
+      exchange_(exchangeContext(), exchangeSettings(settings_)),
       targets_(settings_.weightsTerm),
       views_(context.get_executor(), relay_.store(), ports_.schema, settings_, pool_, targets_,
              [this](const routes::RouteTable& table) { onTable(table); }),
@@ -133,7 +148,47 @@
       metricsServer_(context.get_executor(), http::ServerLimits{},
                      [this](http::Request& request, http::ResponseWriter& writer) {
                        return answerMetrics(request, writer);
-                     }) {}
+                     }),
+      peerServer_(context.get_executor(), peerLimits(),
+                  [this](http::Request& request, http::ResponseWriter& writer) {
+                    return peerPaths_.handle(request, writer);
+                  }) {
+  peerPaths_.add(std::string(relay::kViewPath),
+                 [this](http::Request& request, http::ResponseWriter& writer) {
+                   return relay_.handle(request, writer);
+                 });
+  peerPaths_.add(std::string(exchange::kExchangePath),
+                 [this](http::Request& request, http::ResponseWriter& writer) {
+                   return exchange_.handle(request, writer);
+                 });
+}
+
+exchange::NodeExchangeContext GatewayNode::exchangeContext() {
+  return {context_.get_executor(),
+          client_,
+          [this] { return relay_.relay(); },
+          [this] { return relay_.isRelay(); },
+          [this] { return relay_.otherRelays(); },
+          [this] { return pool_.ownLoads(); },
+          [this](const fleet::ServerLoads& loads) { pool_.setPeerLoads(loads, monotonicNow()); },
+          [this] { return takeSaves(); },
+          [this](const std::vector<exchange::SavedPart>& saves) { learnSaves(saves); }};
+}
+
+std::vector<exchange::SavedPart> GatewayNode::takeSaves() {
+  std::vector<exchange::SavedPart> parts;
+  for (const forward::SavedCache& saved : forwarder_.cacheMoves().takeSaves()) {
+    parts.push_back({saved.sharedKey, saved.storeKey});
+  }
+  return parts;
+}
+
+void GatewayNode::learnSaves(const std::vector<exchange::SavedPart>& saves) {
+  const MonotonicTime now = monotonicNow();
+  for (const exchange::SavedPart& saved : saves) {
+    forwarder_.cacheMoves().learnSaved({saved.part, saved.store}, now);
+  }
+}
 
 Result<void> GatewayNode::start() {
   BOOST_OUTCOME_TRY(endpoint_, front_.listen(settings_.listen));
@@ -141,7 +196,11 @@
   if (settings_.metricsListen.port != 0) {
     BOOST_OUTCOME_TRY(metricsServer_.listen(settings_.metricsListen));
   }
-  BOOST_OUTCOME_TRY(relay_.start());
+  if (settings_.relayListen.port != 0) {
+    BOOST_OUTCOME_TRY(peerServer_.listen(settings_.relayListen));
+  }
+  relay_.start();
+  exchange_.start();
   views_.start();
   lease_.start();
   rollout_.start();
@@ -154,6 +213,11 @@
 
 void GatewayNode::onTable(const routes::RouteTable& table) {
   front_.setLimits(frontLimits(settings_, table.limits()));
+  for (const routes::Service& service : table.services()) {
+    if (service.engine) {
+      pool_.setMemory(service.name, service.engine->cacheTokens, monotonicNow());
+    }
+  }
   metrics_.setConfigVersion(static_cast<double>(table.version().value()));
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "exchange/node_exchange.h"
 #include "fleet/server_pool.h"
 #include "forward/forwarder.h"
 #include "gateway/cache_stores.h"
@@ -12,6 +13,7 @@
 #include "gateway/store_schema.h"
 #include "gateway/store_views.h"
 #include "http/client.h"
+#include "http/path_handlers.h"
 #include "http/server.h"
 #include "lease/lease_keeper.h"
 #include "lease/shared_store_lease.h"
@@ -47,6 +49,9 @@
   const Endpoint& endpoint() const { return endpoint_; }
 
  private:
+  exchange::NodeExchangeContext exchangeContext();
+  std::vector<exchange::SavedPart> takeSaves();
+  void learnSaves(const std::vector<exchange::SavedPart>& saves);
   void onTable(const routes::RouteTable& table);
   void onServerLost(const fleet::Server& server, fleet::ServerLoss loss);
   boost::asio::awaitable<void> answerReady(http::Request& request, http::ResponseWriter& writer);
@@ -65,6 +70,8 @@
   fleet::ServerPool pool_;
   CacheStores cacheStores_;
   relay::RelayNode relay_;
+  exchange::NodeExchange exchange_;
+  http::PathHandlers peerPaths_;
   rollout::WeightsTargets targets_;
   StoreViews views_;
   forward::RequestGate gate_;
@@ -76,6 +83,8 @@
   http::Server front_;
   http::Server readyServer_;
   http::Server metricsServer_;
+  /// For other nodes.
+  http::Server peerServer_;
   Endpoint endpoint_;
   bool draining_ = false;
 };
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -53,9 +53,9 @@
        &G::refusalPause},
       {{"retry-after-ms", "300", 1, kMinuteMs, "ms", "when a refused caller should come back"},
        &G::retryAfter},
-      {{"retry-percent", "15", 0, 100, "percent", "second dispatches that requests earn"},
+      {{"retry-percent", "16", 0, 100, "percent", "second dispatches that requests earn"},
        &G::retryPercent},
-      {{"retry-floor", "3", 0, 1000, "count",
+      {{"retry-floor", "1", 0, 1000, "count",
         "second dispatches that a quiet node has in ten seconds"},
        &G::retryFloor},
   };
--- a/src/limits/retry_budget.h
+++ b/src/limits/retry_budget.h
@@ -29,7 +29,7 @@
   static constexpr double kFloorPerSecond = 1;
   static constexpr double kFloorBurst = 10;
   /// Requests of this long can earn retries ahead.
-  static constexpr double kEarnedSeconds = 10;
+  static constexpr double kEarnedSeconds = 2;
 
  private:
   void refill(MonotonicTime now);
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -12,6 +12,8 @@
 /// zones and not of nodes.
 namespace calicodrift::relay {
 
+inline constexpr std::string_view kViewPath = "/view";
+
 /// What a follower asks its relay for.
 struct ViewQuery {
   std::string kind;
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -9,8 +9,6 @@
 
 namespace calicodrift::relay {
 
-inline constexpr std::string_view kViewPath = "/view";
-
 /// Reads the store's kinds from a relay.
 ///
 /// Ages hold without a common clock: the reply says how long after the query's arrival its state
--- a/src/relay/relay_list.cc
+++ b/src/relay/relay_list.cc
@@ -13,6 +13,24 @@
 constexpr std::string_view kListKind = "calicodrift-relays";
 constexpr std::string_view kRelaysField = "relays";
 
+/// What is malformed in a list is left out.
+std::vector<Endpoint> relaysIn(const store::Object& list) {
+  std::vector<Endpoint> found;
+  const json::object* spec = list.spec.if_object();
+  const json::value* relays = spec == nullptr ? nullptr : spec->if_contains(kRelaysField);
+  if (relays == nullptr || !relays->is_array()) {
+    return found;
+  }
+  for (const json::value& relay : relays->get_array()) {
+    const json::string* text = relay.if_string();
+    const Result<Endpoint> endpoint = parseEndpoint(text == nullptr ? "" : std::string_view(*text));
+    if (endpoint) {
+      found.push_back(endpoint.value());
+    }
+  }
+  return found;
+}
+
 }  // namespace
 
 bool RelayList::contains(const Endpoint& relay) const {
@@ -27,21 +45,20 @@
     }
     co_return object.error();
   }
-  RelayList list;
-  list.revision = object.value().revision;
-  const json::object* spec = object.value().spec.if_object();
-  const json::value* relays = spec == nullptr ? nullptr : spec->if_contains(kRelaysField);
-  if (relays == nullptr || !relays->is_array()) {
-    co_return fail(ErrorKind::kProtocolViolation, "the list of relays is malformed");
+  co_return RelayList{object.value().revision, relaysIn(object.value())};
+}
+
+awaitable<Result<std::vector<Endpoint>>> RelayListStore::readAll() {
+  Result<store::Listing> lists = co_await store_.list(std::string(kListKind));
+  if (!lists) {
+    co_return lists.error();
   }
-  for (const json::value& relay : relays->get_array()) {
-    const json::string* text = relay.if_string();
-    const Result<Endpoint> endpoint = parseEndpoint(text == nullptr ? "" : std::string_view(*text));
-    if (endpoint) {
-      list.relays.push_back(endpoint.value());
-    }
+  std::vector<Endpoint> all;
+  for (const store::Object& list : lists.value().objects) {
+    const std::vector<Endpoint> relays = relaysIn(list);
+    all.insert(all.end(), relays.begin(), relays.end());
   }
-  co_return list;
+  co_return all;
 }
 
 awaitable<Result<void>> RelayListStore::write(RelayList list) {
--- a/src/relay/relay_list.h
+++ b/src/relay/relay_list.h
@@ -27,6 +27,8 @@
 
   /// An empty list where there is none. Fails as ObjectStore::get() does.
   boost::asio::awaitable<Result<RelayList>> read();
+  /// The relays of all zones. Fails as ObjectStore::list() does.
+  boost::asio::awaitable<Result<std::vector<Endpoint>>> readAll();
   /// Fails as ObjectStore::put() does.
   boost::asio::awaitable<Result<void>> write(RelayList list);
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -16,7 +16,7 @@
     : executor_(std::move(executor)),
       settings_(std::move(settings)),
       store_(executor_, direct, RelayClient(client, settings_)),
-      server_(executor_, settings_, [this](const std::string& kind) { return store_.cache(kind); }),
+      server_(settings_, [this](const std::string& kind) { return store_.cache(kind); }),
       lists_(direct, settings_.zone.value()),
       timer_(executor_),
       random_(hashBytes(settings_.node.value())) {
@@ -24,13 +24,10 @@
       [this](const Endpoint& relay, const Error& cause) { onRelayFailed(relay, cause); });
 }
 
-Result<void> RelayNode::start() {
-  if (settings_.endpoint.port == 0) {
-    return boost::outcome_v2::success();
+void RelayNode::start() {
+  if (settings_.endpoint.port != 0) {
+    asio::co_spawn(executor_, run(), asio::detached);
   }
-  BOOST_OUTCOME_TRY(server_.listen(settings_.endpoint));
-  asio::co_spawn(executor_, run(), asio::detached);
-  return boost::outcome_v2::success();
 }
 
 awaitable<void> RelayNode::run() {
@@ -44,8 +41,8 @@
         co_await pause(settings_.reviewInterval);
         break;
       case Role::kRelay:
-        co_await pause(settings_.reviewInterval);
         co_await review();
+        co_await pause(settings_.reviewInterval);
         break;
     }
   }
@@ -93,11 +90,13 @@
 }
 
 awaitable<void> RelayNode::review() {
-  if (stopped_ || server_.followers(monotonicNow()) > 0) {
+  Result<std::vector<Endpoint>> relays = co_await lists_.readAll();
+  if (!relays || stopped_) {
     co_return;
   }
-  Result<RelayList> list = co_await lists_.read();
-  if (list && !list.value().contains(settings_.endpoint) && !stopped_) {
+  otherRelays_ = std::move(relays.value());
+  const bool listed = std::erase(otherRelays_, settings_.endpoint) > 0;
+  if (!listed && server_.followers(monotonicNow()) == 0) {
     server_.setServing(false);
     role_ = Role::kUndecided;
   }
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -21,8 +21,11 @@
   RelayNode(boost::asio::any_io_executor executor, store::ObjectStore& direct, http::Client& client,
             RelaySettings settings);
 
-  /// Fails with kSettingsInvalid where the address can't be bound.
-  Result<void> start();
+  /// Answers followers at kViewPath of this node's address.
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer) {
+    return server_.handle(request, writer);
+  }
+  void start();
   /// Sends followers away and takes this node off the list.
   boost::asio::awaitable<void> stop();
   store::ObjectStore& store() { return store_; }
@@ -30,6 +33,10 @@
   bool readsStore() const { return !store_.relay().has_value(); }
   /// Whether this node is, or wants to be, a relay.
   bool isRelay() const { return role_ == Role::kRelay; }
+  /// The relay that this node follows.
+  const std::optional<Endpoint>& relay() const { return store_.relay(); }
+  /// As a relay: the relays of all zones, without this node, as last read.
+  const std::vector<Endpoint>& otherRelays() const { return otherRelays_; }
 
  private:
   enum class Role { kUndecided, kFollower, kRelay };
@@ -38,7 +45,7 @@
   boost::asio::awaitable<void> decide();
   /// Adds this node to the list as it was read.
   boost::asio::awaitable<void> claim(RelayList list);
-  /// As a relay: whether it is still needed.
+  /// As a relay: who the others are, and whether this one is still needed.
   boost::asio::awaitable<void> review();
   boost::asio::awaitable<void> pause(Milliseconds time);
   void becomeRelay();
@@ -66,6 +73,7 @@
   /// Whether the delay before a claim has passed in this search.
   bool delayed_ = false;
   std::map<Endpoint, Failure> failures_;
+  std::vector<Endpoint> otherRelays_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -4,7 +4,6 @@
 #include <boost/asio.hpp>
 
 #include "peer/codec.h"
-#include "relay/relay_client.h"
 
 namespace calicodrift::relay {
 
@@ -14,28 +13,12 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusBadRequest = 400;
-constexpr unsigned kStatusNotFound = 404;
-constexpr std::size_t kMaxQueryBytes = 4096;
 constexpr Milliseconds kTick{1};
 /// Bound on what a follower may make this node wait.
 constexpr Milliseconds kLongestWait{30'000};
 
-http::ServerLimits limitsOf() {
-  http::ServerLimits limits;
-  limits.maxBodyBytes = kMaxQueryBytes;
-  return limits;
-}
-
 }  // namespace
 
-RelayServer::RelayServer(const boost::asio::any_io_executor& executor,
-                         const RelaySettings& settings, CacheSource caches)
-    : settings_(settings),
-      caches_(std::move(caches)),
-      server_(executor, limitsOf(), [this](http::Request& request, http::ResponseWriter& writer) {
-        return handle(request, writer);
-      }) {}
-
 std::size_t RelayServer::followers(MonotonicTime now) const {
   return static_cast<std::size_t>(std::count_if(
       askedAt_.begin(), askedAt_.end(),
@@ -43,10 +26,6 @@
 }
 
 awaitable<void> RelayServer::handle(http::Request& request, http::ResponseWriter& writer) {
-  if (request.path() != kViewPath) {
-    co_await http::respond(writer, http::textResponse(kStatusNotFound, "no such path\n"));
-    co_return;
-  }
   Result<ViewQuery> query = peer::decode<ViewQuery>(request.body);
   if (!query) {
     http::Response refusal = http::textResponse(kStatusBadRequest, query.error().detail + "\n");
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <map>
@@ -23,18 +22,17 @@
   /// The cache of a kind; null for kinds that are not watched.
   using CacheSource = std::function<WatchCache*(const std::string& kind)>;
 
-  RelayServer(const boost::asio::any_io_executor& executor, const RelaySettings& settings,
-              CacheSource caches);
+  RelayServer(const RelaySettings& settings, CacheSource caches)
+      : settings_(settings), caches_(std::move(caches)) {}
 
-  /// Fails with kSettingsInvalid where the address can't be bound.
-  Result<Endpoint> listen(const Endpoint& endpoint) { return server_.listen(endpoint); }
+  /// Answers a follower's query.
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   /// Whether this node reads the store itself. Followers are told at their next question.
   void setServing(bool serving) { serving_ = serving; }
   /// Nodes that have asked lately.
   std::size_t followers(MonotonicTime now) const;
 
  private:
-  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   boost::asio::awaitable<ViewReply> answer(ViewQuery query);
   /// Why the query is not served now; kServed where it is.
   ViewOutcome refusalOf(const ViewQuery& query, const WatchCache* cache, MonotonicTime now) const;
@@ -44,7 +42,6 @@
   CacheSource caches_;
   bool serving_ = false;
   std::map<std::string, MonotonicTime> askedAt_;
-  http::Server server_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/routing/candidate_set.cc
+++ b/src/routing/candidate_set.cc
@@ -8,11 +8,16 @@
 namespace calicodrift::routing {
 
 std::size_t requestsAt(const Candidate& candidate) {
-  return std::max(candidate.outstanding, candidate.reportedRequests);
+  return std::max(candidate.outstanding + candidate.peerRequests, candidate.reportedRequests);
 }
 
 std::size_t prefillTokensAt(const Candidate& candidate) {
-  return candidate.reportedPrefillTokens + candidate.sentPrefillTokens;
+  return candidate.reportedPrefillTokens + candidate.sentPrefillTokens +
+         candidate.peerPrefillTokens;
+}
+
+std::size_t tokensAt(const Candidate& candidate) {
+  return candidate.outstandingTokens + candidate.peerTokens;
 }
 
 std::optional<std::size_t> CandidateSet::find(const BackendId& id) const {
--- a/src/routing/candidate_set.h
+++ b/src/routing/candidate_set.h
@@ -28,6 +28,13 @@
   std::size_t reportedPrefillTokens = 0;
   /// Prompt tokens to prefill that this router sent there since that report.
   std::size_t sentPrefillTokens = 0;
+  /// What other routers have under way there, as they said a moment ago.
+  std::size_t peerRequests = 0;
+  std::size_t peerTokens = 0;
+  std::size_t peerPrefillTokens = 0;
+  /// Requests that it runs at once, and tokens that fit into its memory; 0: not known.
+  std::size_t slots = 0;
+  std::size_t memoryTokens = 0;
   /// Prompt tokens that it prefills in a millisecond.
   double prefillTokensPerMs = kDefaultPrefillTokensPerMs;
 
@@ -98,7 +105,10 @@
 /// Prompt tokens that wait there: the report, and what this router has sent since.
 std::size_t prefillTokensAt(const Candidate& candidate);
 
-/// The requests that a candidate has, by this router's count or its report, whichever is more.
+/// The requests that a candidate has, by the routers' counts or its report, whichever is more.
 std::size_t requestsAt(const Candidate& candidate);
 
+/// Tokens of the requests that routers have under way there.
+std::size_t tokensAt(const Candidate& candidate);
+
 }  // namespace calicodrift::routing
--- a/src/routing/cost.cc
+++ b/src/routing/cost.cc
@@ -12,6 +12,27 @@
   return tokens / candidate.prefillTokensPerMs + requests * kMsARequest;
 }
 
+double admissionDelayMs(const RouteRequest& request, const Candidate& candidate) {
+  /// How long a request holds its place, roughly.
+  constexpr double kHoldMs = 800;
+  /// Part of the memory that running requests may take; the rest keeps cached prompts.
+  constexpr double kMemoryShare = 0.8;
+  constexpr double kNoRoomMs = 1000;
+  double delayMs = 0;
+  const std::size_t requests = requestsAt(candidate);
+  if (candidate.slots > 0 && requests >= candidate.slots) {
+    const auto waiting = static_cast<double>(requests - candidate.slots + 1);
+    delayMs += waiting * kHoldMs / static_cast<double>(candidate.slots);
+  }
+  const auto needed =
+      static_cast<double>(tokensAt(candidate) + request.promptTokens + request.outputTokens);
+  const double room = static_cast<double>(candidate.memoryTokens) * kMemoryShare;
+  if (candidate.memoryTokens > 0 && needed > room) {
+    delayMs += kNoRoomMs * needed / room;
+  }
+  return delayMs;
+}
+
 double meanQueueMs(const CandidateSet& candidates) {
   const auto tokens = static_cast<double>(candidates.totalPrefillTokens());
   return tokens / (static_cast<double>(candidates.size()) * Candidate::kDefaultPrefillTokensPerMs);
--- a/src/routing/cost.h
+++ b/src/routing/cost.h
@@ -9,6 +9,11 @@
 /// has sent since. Each request beside adds a little for its decode work.
 double queueDelayMs(const Candidate& candidate);
 
+/// Time that the request would wait for a place in the batch and for memory: nothing while both are
+/// free. Where memory runs out, engines break off requests and read them anew, so that a place
+/// without room is worse than any queue.
+double admissionDelayMs(const RouteRequest& request, const Candidate& candidate);
+
 /// Mean over all candidates of the time until what waits there is prefilled.
 double meanQueueMs(const CandidateSet& candidates);
 
--- a/src/routing/prefix_home.cc
+++ b/src/routing/prefix_home.cc
@@ -9,14 +9,14 @@
 namespace {
 
 /// Places in the order of affinity that a decision looks at beside the homes.
-constexpr std::size_t kOtherPlaces = 2;
+constexpr std::size_t kOtherPlaces = 4;
 /// Homes that a common part has together hold this many tokens of it at most.
 constexpr std::size_t kTokensOverHomes = 1024;
 constexpr std::size_t kMostHomes = 8;
 /// What leaving the home costs beside the move: another copy that pushes others out.
-constexpr double kLeaveMs = 40;
+constexpr double kLeaveMs = 200;
 /// Time to move one token of the common part, as a fraction of the time to prefill it.
-constexpr double kMoveShare = 0.25;
+constexpr double kMoveShare = 1.0;
 
 std::size_t sharedBlocksOf(const RouteRequest& request) {
   const std::size_t shared = std::min(request.sharedBlocks, request.blocks.size());
@@ -56,7 +56,7 @@
     const double sharedMs =
         prefillMs(request, candidate, 0) - prefillMs(request, candidate, shared);
     const double leaveMs = position == home ? 0 : kLeaveMs + kMoveShare * sharedMs;
-    const double ms = queueDelayMs(candidate) + leaveMs;
+    const double ms = queueDelayMs(candidate) + admissionDelayMs(request, candidate) + leaveMs;
     if (ms < bestMs) {
       bestMs = ms;
       best.index = position;
--- /dev/null
+++ b/tests/exchange/node_exchange_test.cc
@@ -0,0 +1,114 @@
+#include "exchange/node_exchange.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+namespace calicodrift::exchange {
+namespace {
+
+namespace asio = boost::asio;
+const fleet::ServerKey kServer{7};
+
+/// A node with a load of its own on one server.
+struct TestNode {
+  TestNode(asio::io_context& context, http::Client& client, const std::string& name,
+           std::size_t requests)
+      : server(context.get_executor(), {},
+               [this](http::Request& request, http::ResponseWriter& writer) {
+                 return exchange->handle(request, writer);
+               }) {
+    endpoint = server.listen({"127.0.0.1", 0}).value();
+    NodeExchangeSettings settings;
+    settings.node = name;
+    settings.endpoint = endpoint;
+    settings.interval = Milliseconds(20);
+    settings.term = Milliseconds(200);
+    exchange = std::make_unique<NodeExchange>(
+        NodeExchangeContext{
+            context.get_executor(), client, [this] { return relay; },
+            [this] { return !relay.has_value(); }, [this] { return otherRelays; },
+            [requests] {
+              return fleet::ServerLoads{{kServer, fleet::ServerLoad{requests, 0, 0, 0}}};
+            },
+            [this](const fleet::ServerLoads& loads) {
+              const auto found = loads.find(kServer);
+              others = found == loads.end() ? 0 : found->second.requests;
+            },
+            [this] { return std::exchange(toTell, {}); },
+            [this](const std::vector<SavedPart>& saves) {
+              told.insert(told.end(), saves.begin(), saves.end());
+            }},
+        settings);
+  }
+
+  Endpoint endpoint;
+  std::optional<Endpoint> relay;
+  std::vector<Endpoint> otherRelays;
+  std::size_t others = 0;
+  std::vector<SavedPart> toTell;
+  std::vector<SavedPart> told;
+  std::unique_ptr<NodeExchange> exchange;
+  http::Server server;
+};
+
+/// Two relays with a follower each.
+struct ExchangeFixture {
+  asio::io_context context;
+  http::Client client{context.get_executor()};
+  TestNode firstRelay{context, client, "r1", 1};
+  TestNode secondRelay{context, client, "r2", 10};
+  TestNode firstFollower{context, client, "f1", 100};
+  TestNode secondFollower{context, client, "f2", 1000};
+
+  ExchangeFixture() {
+    firstRelay.otherRelays = {secondRelay.endpoint};
+    secondRelay.otherRelays = {firstRelay.endpoint};
+    firstFollower.relay = firstRelay.endpoint;
+    secondFollower.relay = secondRelay.endpoint;
+  }
+  void start() {
+    for (TestNode* node : {&firstRelay, &secondRelay, &firstFollower, &secondFollower}) {
+      node->exchange->start();
+    }
+  }
+  void run(Milliseconds time) {
+    context.restart();
+    context.run_for(time);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(node_exchange, ExchangeFixture)
+
+BOOST_AUTO_TEST_CASE(eachNodeLearnsTheSumOfTheOthers) {
+  start();
+  run(Milliseconds(300));
+  BOOST_TEST(firstRelay.others == 1110U);
+  BOOST_TEST(secondRelay.others == 1101U);
+  BOOST_TEST(firstFollower.others == 1011U);
+  BOOST_TEST(secondFollower.others == 111U);
+}
+
+BOOST_AUTO_TEST_CASE(saveIsToldToEveryOtherNode) {
+  firstFollower.toTell = {{5, 9}};
+  start();
+  run(Milliseconds(300));
+  for (const TestNode* node : {&firstRelay, &secondRelay, &secondFollower}) {
+    BOOST_REQUIRE(node->told.size() >= 1U);
+    BOOST_TEST((node->told[0] == SavedPart{5, 9}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(loadThatIsNoLongerToldRunsOut) {
+  start();
+  run(Milliseconds(200));
+  secondFollower.relay.reset();
+  secondFollower.otherRelays.clear();
+  run(Milliseconds(500));
+  BOOST_TEST(firstFollower.others == 11U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::exchange
--- /dev/null
+++ b/tests/exchange/save_log_test.cc
@@ -0,0 +1,44 @@
+#include "exchange/save_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::exchange {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(save_log)
+
+BOOST_AUTO_TEST_CASE(eachPeerIsToldOnce) {
+  SaveLog log;
+  log.append({{1, 9}, {2, 9}}, true);
+  BOOST_TEST(log.nextFor("a", false).size() == 2U);
+  log.append({{3, 9}}, true);
+  BOOST_TEST(log.nextFor("a", false).size() == 1U);
+  BOOST_TEST(log.nextFor("b", false).size() == 3U);
+  BOOST_TEST(log.nextFor("b", false).empty());
+}
+
+BOOST_AUTO_TEST_CASE(savesOfOtherGroupsAreNotToldToRelays) {
+  SaveLog log;
+  log.append({{1, 9}}, false);
+  log.append({{2, 9}}, true);
+  const std::vector<SavedPart> told = log.nextFor("relay", true);
+  BOOST_REQUIRE(told.size() == 1U);
+  BOOST_TEST((told[0] == SavedPart{2, 9}));
+  BOOST_TEST(log.nextFor("follower", false).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(peerThatFallsBehindMissesTheOldest) {
+  SaveLog log;
+  BOOST_TEST(log.nextFor("a", false).empty());
+  for (std::uint64_t part = 0; part < 5000; ++part) {
+    log.append({{part, 9}}, true);
+  }
+  const std::vector<SavedPart> told = log.nextFor("a", false);
+  BOOST_TEST(told.size() == 4096U);
+  BOOST_TEST(told.back().part == 4999U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::exchange
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -89,6 +89,44 @@
   BOOST_TEST(pool.candidates("llm", kModel, kStart)[0].outstanding == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(loadOfPeersStandsBesideTheOwn) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  pool.setMemory("llm", 5000, kStart);
+  pool.addLoad(BackendId("a"), {1000, 800}, kStart);
+  const ServerLoads own = pool.ownLoads();
+  BOOST_TEST(own.size() == 2U);
+  ServerLoads peers;
+  for (const auto& [key, load] : own) {
+    if (load.requests == 1) {
+      peers[key] = ServerLoad{3, 900, 500, 1};
+    }
+  }
+  BOOST_REQUIRE(peers.size() == 1U);
+  pool.setPeerLoads(peers, kStart);
+  const routing::CandidateSet& candidates = pool.candidates("llm", kModel, kStart);
+  const routing::Candidate& loaded = candidates[*candidates.find(BackendId("a"))];
+  BOOST_TEST(routing::requestsAt(loaded) == 4U);
+  BOOST_TEST(routing::tokensAt(loaded) == 1900U);
+  BOOST_TEST(routing::prefillTokensAt(loaded) == 1300U);
+  BOOST_TEST(loaded.memoryTokens == 5000U);
+  pool.setPeerLoads({}, kStart);
+  BOOST_TEST(routing::requestsAt(loaded) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(serverThatSeveralPeersCannotReachIsPassedOver) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  ServerLoads peers = pool.ownLoads();
+  ServerLoad& suspect = peers.begin()->second;
+  suspect.unreachableFrom = 1;
+  pool.setPeerLoads(peers, kStart);
+  BOOST_TEST(usable() == 2U);
+  suspect.unreachableFrom = 2;
+  pool.setPeerLoads(peers, kStart);
+  BOOST_TEST(usable() == 1U);
+  // Only for a time: nobody else's word takes a server out for good.
+  BOOST_TEST(usable(kStart + std::chrono::seconds(1)) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -63,6 +63,21 @@
   context.run_for(std::chrono::seconds(10));
 }
 
+BOOST_AUTO_TEST_CASE(onlyServerThatRefusesIsNotAskedAgainAtOnce) {
+  store.put("config", "main", configuration(1));
+  ServerStandIn& only = addServer("i-1", "app");
+  only.setBehaviour(
+      [](const http::Request& request, http::ResponseWriter& writer) -> awaitable<void> {
+        co_await http::respond(writer, ServerStandIn::notExecuted(request));
+      });
+  run([&]() -> awaitable<void> {
+    const Result<http::Response> answer = co_await call(request("/safe/a"));
+    BOOST_TEST(answer.value().status == 503U);
+    BOOST_TEST(answer.value().headers.find("Retry-After").has_value());
+    BOOST_TEST(only.arrivals().size() == 1U);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(unsafeRequestIsSentAgainOnlyAfterProofThatItHasNotRun) {
   store.put("config", "main", configuration(1));
   ServerStandIn& first = addServer("i-1", "app");
@@ -99,6 +114,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(safeRequestMovesOnAndKeepsTheServersFailureForTheEnd) {
+  // Five second dispatches within a moment: what a busy node has earned.
+  settings.retryFloor = 5;
   store.put("config", "main", configuration(1));
   ServerStandIn& first = addServer("i-1", "app");
   ServerStandIn& second = addServer("i-2", "app");
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -43,8 +43,15 @@
                                         }
                                       }
                                     },
-                                    nullptr}) {
-    BOOST_REQUIRE(relay.start());
+                                    nullptr}),
+        server(context.get_executor(), {},
+               [this](http::Request& request, http::ResponseWriter& writer) {
+                 return relay.handle(request, writer);
+               }) {
+    if (settings.endpoint.port != 0) {
+      BOOST_REQUIRE(server.listen(settings.endpoint));
+    }
+    relay.start();
     watcher.start();
   }
 
@@ -101,6 +108,7 @@
   RelayNode relay;
   store::KindWatcher watcher;
   std::map<std::string, boost::json::value> seen;
+  http::Server server;
 };
 
 struct RelayFixture {
--- a/tests/routing/prefix_home_test.cc
+++ b/tests/routing/prefix_home_test.cc
@@ -71,5 +71,27 @@
   BOOST_TEST(choice.expectedCachedBlocks == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(homeThatOthersHaveFilledIsLeft) {
+  PrefixHome policy;
+  CandidateSet candidates = makeCandidates(12);
+  const std::size_t home = policy.choose(makeRequest(7, 1), candidates, kNow).index;
+  Candidate full = candidates[home];
+  full.memoryTokens = 100'000;
+  full.slots = 16;
+  full.peerRequests = 8;
+  full.peerTokens = 60'000;
+  candidates.put(full);
+  BOOST_TEST(policy.choose(makeRequest(7, 2), candidates, kNow).index == home);
+  // No room for the prompt's 2,816 tokens beside what runs.
+  full.peerTokens = 79'000;
+  candidates.put(full);
+  BOOST_TEST(policy.choose(makeRequest(7, 3), candidates, kNow).index != home);
+  // Room, but a long queue for a place in the batch.
+  full.peerTokens = 10'000;
+  full.peerRequests = 30;
+  candidates.put(full);
+  BOOST_TEST(policy.choose(makeRequest(7, 4), candidates, kNow).index != home);
+}
+
 }  // namespace
 }  // namespace calicodrift::routing
