Soak of the gateway: real processes before stand-ins, under seeded faults

Five gateway processes, proxies on each path to the store and each server, signals; judged by what callers and servers see.

--- /dev/null
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -0,0 +1,356 @@
+#include "gateway_soak.h"
+
+namespace calicodrift::testing {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::awaitable;
+constexpr unsigned kEvents = 6;
+constexpr Milliseconds kEventPause{15};
+/// The users' bound for a withdrawn key, with what a request may take on its way.
+constexpr Milliseconds kRevocation{5500};
+constexpr Milliseconds kRecovery{12'000};
+
+std::string wholeStream() {
+  std::string events;
+  for (unsigned number = 1; number <= kEvents; ++number) {
+    events += "id: " + std::to_string(number) + "\ndata: " + std::to_string(number) + "\n\n";
+  }
+  return events;
+}
+
+}  // namespace
+
+Endpoint GatewaySoak::freeEndpoint() {
+  asio::ip::tcp::acceptor acceptor(context_,
+                                   asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+GatewaySoak::Proxy GatewaySoak::makeProxy(const Endpoint& target) {
+  Proxy made;
+  made.proxy = std::make_unique<sim::FaultProxy>(context_, target);
+  made.endpoint = made.proxy->listen({"127.0.0.1", 0}).value();
+  made.control = made.proxy->listenControl({"127.0.0.1", 0}).value();
+  return made;
+}
+
+void GatewaySoak::addServer(const std::string& id, const std::string& service,
+                            const std::string& model) {
+  auto added = std::make_unique<Server>();
+  added->server = std::make_unique<ServerStandIn>(context_, id, service, model);
+  added->proxy = makeProxy(added->server->endpoint());
+  added->server->setBehaviour([this](const http::Request& request, http::ResponseWriter& writer) {
+    return runServerRequest(request, writer);
+  });
+  Server& server = *added;
+  added->server->onLoaded([this, &server] { publish(server); });
+  servers_.push_back(std::move(added));
+  publish(server);
+}
+
+void GatewaySoak::publish(const Server& server) {
+  json::value entry = server.server->entry();
+  entry.as_object()["address"] = server.proxy.endpoint.toString();
+  store_.put("servers", server.server->id(), std::move(entry));
+}
+
+void GatewaySoak::addNode(const std::string& name) {
+  auto node = std::make_unique<Node>();
+  node->name = name;
+  node->listen = freeEndpoint();
+  node->ready = freeEndpoint();
+  node->store = makeProxy(store_.endpoint());
+  node->settings = (folder_ / (name + ".json")).string();
+  std::ofstream(node->settings) << json::serialize(
+      json::object{{"node-id", name},
+                   {"zone", "z1"},
+                   {"listen", node->listen.toString()},
+                   {"ready-listen", node->ready.toString()},
+                   {"relay-listen", freeEndpoint().toString()},
+                   {"store", node->store.endpoint.toString()}});
+  startNode(*node);
+  nodes_.push_back(std::move(node));
+}
+
+void GatewaySoak::startNode(Node& node) {
+  node.process = std::make_unique<Process>("calicodrift-gateway",
+                                           std::vector<std::string>{"--settings", node.settings});
+  node.stopping = false;
+}
+
+/// Runs a request: counts it, then answers with its id, or with a stream after the given position.
+awaitable<void> GatewaySoak::runServerRequest(const http::Request& request,
+                                              http::ResponseWriter& writer) {
+  const std::string id = request.headers.get(platform::kRequestId);
+  ++runs_[id];
+  if (request.headers.find(platform::kKey)) {
+    violate("server got a key: " + id);
+  }
+  if (request.path().starts_with("/stream")) {
+    const std::string after = request.headers.get(platform::kLastEventId);
+    const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
+    for (unsigned number = first; number <= kEvents && !writer.callerGone(); ++number) {
+      co_await ServerStandIn::streamEvents(request, writer, number, number);
+      co_await pause(kEventPause);
+    }
+    const Result<void> ended = co_await writer.endStream();
+    static_cast<void>(ended);
+    co_return;
+  }
+  co_await pause(Milliseconds(10));
+  co_await http::respond(writer, ServerStandIn::sealed(request, 200, "run " + id));
+}
+
+awaitable<void> GatewaySoak::callers() {
+  constexpr Milliseconds kInterval{8};
+  const std::vector<std::string> kinds{"safe", "once", "stream"};
+  while (!ended_) {
+    // After the withdrawal the key goes on to be used.
+    const bool withdrawn = withdrawnAt_.has_value();
+    const std::string key = withdrawn && pick(4) > 0 ? "k2" : "k1";
+    asio::co_spawn(context_, call(kinds[pick(kinds.size())], key), asio::detached);
+    co_await pause(kInterval);
+  }
+}
+
+awaitable<void> GatewaySoak::call(std::string kind, std::string key) {
+  ++outstanding_;
+  const std::string id = "q" + std::to_string(++nextRequest_);
+  http::Request request = kind == "stream" ? GatewayFixture::modelRequest("/stream/a")
+                                           : GatewayFixture::request("/" + kind + "/a");
+  request.headers.set(platform::kRequestId, id);
+  request.headers.set(platform::kKey, key);
+  request.headers.set(platform::kDeadline, "3000");
+  if (kind == "once") {
+    once_.insert(id);
+  }
+  if (key == "k1" && withdrawnAt_ && monotonicNow() - *withdrawnAt_ > kRevocation) {
+    withdrawnSent_.insert(id);
+  }
+  http::ExchangeOptions options;
+  options.connection = http::ConnectionUse::kFresh;
+  options.connectTimeout = Milliseconds(500);
+  options.headerTimeout = Milliseconds(3500);
+  options.bodyTimeout = Milliseconds(3500);
+  const Endpoint target = nodes_[pick(nodes_.size())]->listen;
+  ++findings_.requests;
+  const Result<http::Response> answer =
+      co_await client_.exchange(target, std::move(request), options);
+  judge(kind, id, answer);
+  --outstanding_;
+}
+
+void GatewaySoak::judge(const std::string& kind, const std::string& id,
+                        const Result<http::Response>& answer) {
+  if (!answer) {
+    return;
+  }
+  const unsigned status = answer.value().status;
+  const bool promise = status == 503 || status == 429 || status == 408 || status == 421;
+  if (promise && kind == "once") {
+    promisedNotRun_.insert(id);
+  }
+  if (status != 200) {
+    return;
+  }
+  ++findings_.served;
+  const std::string expected = kind == "stream" ? wholeStream() : "run " + id;
+  if (answer.value().body != expected) {
+    violate(kind + " " + id + " got another body: " + answer.value().body);
+  }
+  if (answer.value().headers.get(platform::kSeal) != "seal") {
+    violate(kind + " " + id + " got a success without a seal");
+  }
+}
+
+awaitable<void> GatewaySoak::faults() {
+  while (monotonicNow() < end_) {
+    co_await pause(between(150, 500));
+    asio::co_spawn(context_, injectOne(), asio::detached);
+    if (!withdrawnAt_ && monotonicNow() > end_ - length_ / 2 - kRevocation / 2) {
+      store_.put("config", "main", GatewayFixture::configuration(++configVersion_, "k2"));
+      withdrawnAt_ = monotonicNow();
+      ++findings_.faults["key withdrawn"];
+    }
+  }
+}
+
+awaitable<void> GatewaySoak::injectOne() {
+  switch (pick(4)) {
+    case 0:
+      co_await strikeNode(*nodes_[pick(nodes_.size())]);
+      break;
+    case 1: {
+      Node& node = *nodes_[pick(nodes_.size())];
+      co_await strikeProxy("path to the store", node.store.control);
+      break;
+    }
+    case 2:
+      co_await strikeProxy("server", servers_[pick(servers_.size())]->proxy.control);
+      break;
+    default:
+      co_await strikeStore();
+      break;
+  }
+}
+
+awaitable<void> GatewaySoak::strikeNode(Node& node) {
+  if (node.stopping) {
+    co_return;
+  }
+  node.stopping = true;
+  switch (pick(3)) {
+    case 0:
+      ++findings_.faults["node killed"];
+      node.process->killAtOnce();
+      co_await pause(between(50, 400));
+      startNode(node);
+      break;
+    case 1:
+      ++findings_.faults["node paused"];
+      node.process->signal(SIGSTOP);
+      co_await pause(between(200, 2500));
+      node.process->signal(SIGCONT);
+      node.stopping = false;
+      break;
+    default:
+      ++findings_.faults["node stopped"];
+      node.process->signal(SIGTERM);
+      co_await pause(Milliseconds(8500));
+      if (node.process->running()) {
+        violate(node.name + " did not stop in time");
+        node.process->killAtOnce();
+      }
+      startNode(node);
+      break;
+  }
+}
+
+awaitable<void> GatewaySoak::setFaults(Endpoint control, json::object faults) {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/faults";
+  request.body = json::serialize(faults);
+  const http::ExchangeOptions options;
+  const Result<http::Response> answer =
+      co_await client_.exchange(std::move(control), std::move(request), options);
+  BOOST_TEST(static_cast<bool>(answer), "the proxy takes no faults");
+}
+
+awaitable<void> GatewaySoak::strikeProxy(std::string name, Endpoint control) {
+  const std::vector<json::object> choices{{{"refuse", true}},           {{"freeze", true}},
+                                          {{"swallow_requests", true}}, {{"swallow_answers", true}},
+                                          {{"delay_ms", 120}},          {{"drop_answers", 3}},
+                                          {{"cut_after_bytes", 60}},    {{"duplicate_answers", 2}}};
+  const json::object& chosen = choices[pick(choices.size())];
+  ++findings_.faults[name + ": " + std::string(chosen.begin()->key())];
+  co_await setFaults(control, chosen);
+  co_await pause(between(200, 2000));
+  co_await setFaults(control, {});
+}
+
+awaitable<void> GatewaySoak::strikeStore() {
+  const std::size_t kind = pick(5);
+  if (kind == 0) {
+    ++findings_.faults["store forgets its history"];
+    store_.compact();
+  } else if (kind == 1) {
+    ++findings_.faults["weights named"];
+    store_.put("versions", "m", json::object{{"model", "m"}, {"version", ++weights_}});
+  } else {
+    const std::vector<StoreStandIn::Mode> modes{
+        StoreStandIn::Mode::kBusy, StoreStandIn::Mode::kSilent, StoreStandIn::Mode::kLosesWrites};
+    ++findings_.faults["store fails"];
+    store_.setMode(modes[kind - 2]);
+    co_await pause(between(200, 1500));
+    store_.setMode(StoreStandIn::Mode::kUp);
+  }
+}
+
+/// After the last fault every node serves again in time.
+awaitable<void> GatewaySoak::recover() {
+  const MonotonicTime begin = monotonicNow();
+  for (const std::unique_ptr<Node>& node : nodes_) {
+    bool ready = false;
+    while (!ready && monotonicNow() - begin < kRecovery) {
+      http::Request request;
+      request.target = "/ready";
+      http::ExchangeOptions options;
+      options.connection = http::ConnectionUse::kFresh;
+      options.headerTimeout = Milliseconds(1000);
+      const Result<http::Response> answer =
+          co_await client_.exchange(node->ready, std::move(request), options);
+      ready = answer && answer.value().status == 200;
+      co_await pause(Milliseconds(50));
+    }
+    if (!ready) {
+      violate(node->name + " is not ready after the last fault");
+    }
+  }
+}
+
+awaitable<void> GatewaySoak::pause(Milliseconds time) {
+  asio::steady_timer timer(context_, time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+/// No two holders order under one fence.
+void GatewaySoak::checkOrders() {
+  std::map<std::uint64_t, std::string> holders;
+  for (const std::unique_ptr<Server>& server : servers_) {
+    for (const json::value& order : server->server->orders()) {
+      const auto fence = order.at("fence").to_number<std::uint64_t>();
+      const std::string holder(order.at("holder").as_string());
+      const auto [known, added] = holders.emplace(fence, holder);
+      if (!added && known->second != holder) {
+        violate("two holders under fence " + std::to_string(fence));
+      }
+    }
+  }
+}
+
+SoakFindings GatewaySoak::run() {
+  asio::co_spawn(
+      context_,
+      [this]() -> awaitable<void> {
+        co_await recover();
+        end_ = monotonicNow() + length_;
+        asio::co_spawn(context_, callers(), asio::detached);
+        co_await faults();
+        // Faults that are under way end by themselves within a planned stop's time.
+        co_await pause(Milliseconds(9500));
+        co_await recover();
+        ended_ = true;
+        while (outstanding_ > 0) {
+          co_await pause(Milliseconds(50));
+        }
+        context_.stop();
+      },
+      [this](const std::exception_ptr& failure) {
+        if (failure) {
+          violate("the soak itself failed");
+          context_.stop();
+        }
+      });
+  context_.run_for(length_ + std::chrono::seconds(60));
+  if (!ended_) {
+    violate("the soak did not end in time");
+  }
+  for (const auto& [id, count] : runs_) {
+    if (count > 1 && once_.contains(id)) {
+      violate("once " + id + " ran " + std::to_string(count) + " times");
+    }
+    if (promisedNotRun_.contains(id)) {
+      violate("once " + id + " ran although the answer promised that it had not");
+    }
+    if (withdrawnSent_.contains(id)) {
+      violate(id + " ran under a key that had been withdrawn");
+    }
+  }
+  checkOrders();
+  return findings_;
+}
+
+}  // namespace calicodrift::testing
--- /dev/null
+++ b/tests/gateway_soak/gateway_soak.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "../platform/gateway_fixture.h"
+#include "http/client.h"
+#include "names.h"
+#include "server_stand_in.h"
+#include "sim/fault_proxy.h"
+#include "store_stand_in.h"
+#include "support/process.h"
+
+namespace calicodrift::testing {
+
+/// What the soak found; all counts of violations must be 0.
+struct SoakFindings {
+  std::size_t requests = 0;
+  std::size_t served = 0;
+  std::map<std::string, std::size_t> faults;
+  std::vector<std::string> violations;
+};
+
+/// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
+/// outside: signals to processes, and proxies on each node's path to the store and on each
+/// server. Judges what callers and servers see. Everything but the processes runs on one thread.
+class GatewaySoak {
+ public:
+  GatewaySoak(std::uint64_t seed, Milliseconds length, std::size_t nodes)
+      : random_(seed), length_(length), store_(context_) {
+    log::silence();
+    folder_ =
+        std::filesystem::temp_directory_path() / ("gateway-soak-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder_);
+    store_.put("config", "main", GatewayFixture::configuration(1, "k1"));
+    store_.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
+    for (int number = 1; number <= 3; ++number) {
+      addServer("app-" + std::to_string(number), "app", "");
+      addServer("llm-" + std::to_string(number), "llm", "m");
+    }
+    for (std::size_t number = 0; number < nodes; ++number) {
+      addNode("n" + std::to_string(number));
+    }
+  }
+  ~GatewaySoak() {
+    nodes_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+  GatewaySoak(const GatewaySoak&) = delete;
+  GatewaySoak& operator=(const GatewaySoak&) = delete;
+
+  SoakFindings run();
+
+ private:
+  using Body = boost::asio::awaitable<void>;
+  struct Proxy {
+    std::unique_ptr<sim::FaultProxy> proxy;
+    Endpoint endpoint;
+    Endpoint control;
+  };
+  struct Node {
+    std::string name;
+    std::string settings;
+    Endpoint listen;
+    Endpoint ready;
+    Proxy store;
+    std::unique_ptr<Process> process;
+    bool stopping = false;
+  };
+  struct Server {
+    std::unique_ptr<ServerStandIn> server;
+    Proxy proxy;
+  };
+
+  Proxy makeProxy(const Endpoint& target);
+  void addServer(const std::string& id, const std::string& service, const std::string& model);
+  void publish(const Server& server);
+  void addNode(const std::string& name);
+  void startNode(Node& node);
+  Body runServerRequest(const http::Request& request, http::ResponseWriter& writer);
+  Body callers();
+  Body call(std::string kind, std::string key);
+  void judge(const std::string& kind, const std::string& id, const Result<http::Response>& answer);
+  Body faults();
+  Body injectOne();
+  Body strikeNode(Node& node);
+  Body setFaults(Endpoint control, boost::json::object faults);
+  Body strikeProxy(std::string name, Endpoint control);
+  Body strikeStore();
+  Body recover();
+  Body pause(Milliseconds time);
+  void checkOrders();
+  Endpoint freeEndpoint();
+  std::size_t pick(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+  }
+  Milliseconds between(int least, int most) {
+    return Milliseconds(std::uniform_int_distribution<int>(least, most)(random_));
+  }
+  void violate(const std::string& what) { findings_.violations.push_back(what); }
+
+  boost::asio::io_context context_;
+  std::mt19937_64 random_;
+  Milliseconds length_;
+  std::filesystem::path folder_;
+  StoreStandIn store_;
+  http::Client client_{context_.get_executor()};
+  std::vector<std::unique_ptr<Server>> servers_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  SoakFindings findings_;
+  MonotonicTime end_{};
+  bool ended_ = false;
+  std::size_t outstanding_ = 0;
+  std::uint64_t nextRequest_ = 0;
+  std::uint64_t configVersion_ = 1;
+  std::uint64_t weights_ = 1;
+  /// Runs of each request id at servers.
+  std::map<std::string, std::size_t> runs_;
+  std::set<std::string> once_;
+  std::set<std::string> promisedNotRun_;
+  std::set<std::string> withdrawnSent_;
+  /// When the key was withdrawn.
+  std::optional<MonotonicTime> withdrawnAt_;
+};
+
+}  // namespace calicodrift::testing
--- /dev/null
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -0,0 +1,39 @@
+#include "gateway_soak.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+namespace calicodrift::testing {
+namespace {
+
+std::uint64_t parameter(const char* name, std::uint64_t absent) {
+  const char* given = std::getenv(name);
+  return given == nullptr ? absent : std::stoull(given);
+}
+
+void soak(std::uint64_t seed, Milliseconds length) {
+  GatewaySoak soak(seed, length, 5);
+  const SoakFindings findings = soak.run();
+  BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
+                             << findings.served << " served");
+  for (const auto& [fault, count] : findings.faults) {
+    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
+  }
+  for (const std::string& violation : findings.violations) {
+    BOOST_ERROR("seed " << seed << ": " << violation);
+  }
+  BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
+  BOOST_TEST(findings.faults.size() >= 5U, "too few faults were injected to judge");
+}
+
+BOOST_AUTO_TEST_SUITE(gateway_soak)
+
+/// Fresh seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(promisesHoldUnderFaults) {
+  soak(parameter("SOAK_SEED", 1), std::chrono::seconds(parameter("SOAK_SECONDS", 12)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::testing
