--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -112,6 +112,7 @@
     : context_(std::move(context)),
       settings_(std::move(settings)),
       gate_(gate),
+      refusals_(context_.callers, context_.metrics, settings_.retryAfter),
       cacheMoves_(settings_.cacheMoves),
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)) {}
@@ -124,14 +125,14 @@
 awaitable<void> Forwarder::handle(http::Request& message, http::ResponseWriter& writer) {
   Result<Request> request = context_.callers.read(std::move(message));
   if (!request) {
-    co_await refuse(writer, request.error(), RefusalFacts{});
+    co_await refusals_.answer(writer, request.error(), RefusalFacts{});
     co_return;
   }
   const ConfigurationView view = context_.configuration();
   Result<Grant> grant = gate_.check(request.value(), view, monotonicNow());
   if (!grant) {
-    RefusalFacts facts = factsOf(view, request.value());
-    co_await refuse(writer, grant.error(), std::move(facts));
+    RefusalFacts facts = refusalFacts(view, request.value());
+    co_await refusals_.answer(writer, grant.error(), std::move(facts));
     co_return;
   }
   auto job = std::make_shared<Job>(std::move(request.value()), std::move(grant.value()), writer,
@@ -232,8 +233,11 @@
       routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
   fleet::LoadGuard load(context_.pool, server.id,
                         {job.request.promptTokens + job.request.outputTokens, uncached});
-  const Dispatch dispatch = makeDispatch(job, server, candidate, holder);
+  Dispatch dispatch = makeDispatch(job, server, candidate);
   const std::uint64_t sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
+  if (!job.request.model.value().empty()) {
+    moveCache(job, candidate, holder, sharedKey, dispatch);
+  }
   logDispatched({job.request, job.grant, dispatch, candidate, choice.reason, candidateCount,
                  job.attempts.sent, sharedKey});
   Result<void> outcome = co_await runAttempt(job, dispatch, load);
@@ -247,8 +251,7 @@
 }
 
 Dispatch Forwarder::makeDispatch(const Job& job, const fleet::Server& server,
-                                 const routing::Candidate& candidate,
-                                 const std::optional<routing::Candidate>& holder) {
+                                 const routing::Candidate& candidate) const {
   Dispatch dispatch(server);
   dispatch.timeLeft = until(job.end);
   dispatch.tenant = job.grant.tenant;
@@ -257,7 +260,6 @@
   if (!job.request.model.value().empty()) {
     dispatch.weights = candidate.weights;
     dispatch.cacheScope = cacheScope(job.grant, candidate.weights);
-    moveCache(job, candidate, holder, dispatch);
   }
   return dispatch;
 }
@@ -287,7 +289,8 @@
 }
 
 void Forwarder::moveCache(const Job& job, const routing::Candidate& chosen,
-                          const std::optional<routing::Candidate>& holder, Dispatch& dispatch) {
+                          const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
+                          Dispatch& dispatch) const {
   const WeightsView view = context_.weights(job.request.model, chosen.weights);
   CacheMoveQuery query;
   query.serverWeights = chosen.weights;
@@ -298,7 +301,7 @@
     query.holder = holding->endpoint;
     query.holderWeights = holder->weights;
   }
-  query.sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
+  query.sharedKey = sharedKey;
   query.store = context_.cacheStore(query.sharedKey);
   query.sharedTokens = job.routeRequest.sharedTokens;
   const CacheMove move = cacheMoves_.decide(query, monotonicNow());
@@ -394,34 +397,11 @@
     co_return;
   }
   error.kind = finalKind(error.kind, job.attempts);
-  RefusalFacts facts = factsOf(context_.configuration(), job.request);
+  RefusalFacts facts = refusalFacts(context_.configuration(), job.request);
   facts.config = job.grant.table->version();
   facts.attempts = job.attempts;
   facts.server = job.lastServer;
-  co_await refuse(job.writer, std::move(error), std::move(facts));
-}
-
-RefusalFacts Forwarder::factsOf(const ConfigurationView& view, const Request& request) const {
-  RefusalFacts facts;
-  facts.requestId = request.id.value();
-  if (view.table) {
-    facts.config = view.table->version();
-    facts.proofAge = std::chrono::duration_cast<Milliseconds>(monotonicNow() - view.provenAt);
-  }
-  return facts;
-}
-
-awaitable<void> Forwarder::refuse(http::ResponseWriter& writer, Error error, RefusalFacts facts) {
-  if (errorRow(error.kind).retry == RetryAdvice::kAfterDelay && !error.retryAfter) {
-    error.retryAfter = settings_.retryAfter;
-  }
-  context_.metrics.countError(errorRow(error.kind).name);
-  logRefused(facts, error);
-  http::Response response = context_.callers.refuse(error);
-  if (!facts.requestId.empty()) {
-    response.headers.set(http::kRequestIdHeader, facts.requestId);
-  }
-  co_await http::respond(writer, std::move(response));
+  co_await refusals_.answer(job.writer, std::move(error), std::move(facts));
 }
 
 routing::Policy& Forwarder::policyFor(const Job& job) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -12,6 +12,7 @@
 #include "forward/forward_settings.h"
 #include "forward/metrics.h"
 #include "forward/protocol.h"
+#include "forward/refusals.h"
 #include "forward/request_gate.h"
 #include "forward/request_log.h"
 #include "forward/retry_rules.h"
@@ -71,14 +72,14 @@
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
   /// What the chosen server gets.
   Dispatch makeDispatch(const Job& job, const fleet::Server& server,
-                        const routing::Candidate& candidate,
-                        const std::optional<routing::Candidate>& holder);
+                        const routing::Candidate& candidate) const;
   /// Sends the request and relays the answer; the job's attempt while that lasts.
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
                                                   fleet::LoadGuard& load);
-  /// Sets which cache the dispatch moves.
+  /// Sets which cache the dispatch moves. `sharedKey` names the prompt's common part.
   void moveCache(const Job& job, const routing::Candidate& chosen,
-                 const std::optional<routing::Candidate>& holder, Dispatch& dispatch);
+                 const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
+                 Dispatch& dispatch) const;
   void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
   /// Whether a usable server has not had the request yet.
@@ -87,15 +88,13 @@
   bool takeRetry(Job& job, ErrorKind failure);
   AttemptBounds boundsOf(const Job& job) const;
   boost::asio::awaitable<void> answerError(Job& job, Error error);
-  boost::asio::awaitable<void> refuse(http::ResponseWriter& writer, Error error,
-                                      RefusalFacts facts);
-  RefusalFacts factsOf(const ConfigurationView& view, const Request& request) const;
   routing::Policy& policyFor(const Job& job);
   limits::RetryBudget& budgetOf(const std::string& service);
 
   ForwardContext context_;
   ForwardSettings settings_;
   RequestGate gate_;
+  Refusals refusals_;
   WeightedChoice weights_;
   CacheMoves cacheMoves_;
   std::unique_ptr<routing::Policy> modelPolicy_;
--- /dev/null
+++ b/src/forward/refusals.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include "forward/metrics.h"
+#include "forward/protocol.h"
+#include "forward/request_gate.h"
+#include "forward/request_log.h"
+#include "http/server.h"
+
+namespace calicodrift::forward {
+
+/// What a refusal is logged with, of the configuration that decided it.
+RefusalFacts refusalFacts(const ConfigurationView& view, const Request& request);
+
+/// Answers callers with errors of this node: counted, logged, and with the time to come back where
+/// that may help.
+class Refusals {
+ public:
+  Refusals(const CallerProtocol& callers, ForwardMetrics& metrics, Milliseconds retryAfter)
+      : callers_(callers), metrics_(metrics), retryAfter_(retryAfter) {}
+
+  boost::asio::awaitable<void> answer(http::ResponseWriter& writer, Error error,
+                                      RefusalFacts facts) const;
+
+ private:
+  const CallerProtocol& callers_;
+  ForwardMetrics& metrics_;
+  Milliseconds retryAfter_;
+};
+
+}  // namespace calicodrift::forward
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -221,31 +221,7 @@
   Result<forward::ServerReport> report =
       answer ? protocol_.readReport(answer.value()) : answer.error();
   if (report) {
-    orderCounts_[server.id] = report.value().orderCount;
-    bool behindStill = false;
-    for (const fleet::LoadedModel& loaded : report.value().models) {
-      pool_.applyWeights(server.id, loaded.model, loaded.weights, monotonicNow());
-      const auto newest = targets_.newest(loaded.model);
-      behindStill = behindStill || (newest && loaded.weights < *newest);
-      for (std::size_t at = index; at < index + server.models.size(); ++at) {
-        orders::SurveyedEngine& engine = survey->engines[at];
-        if (engine.model == loaded.model) {
-          orders::EngineReport found;
-          found.id = server.id;
-          found.model = loaded.model;
-          found.incarnation = incarnationOf(server);
-          found.weights = loaded.weights;
-          found.accepting = !report.value().busy;
-          if (report.value().busy) {
-            found.loading = newest;
-          }
-          engine.report = found;
-        }
-      }
-    }
-    if (!behindStill) {
-      ordered_.erase(server.id);
-    }
+    noteReport(*survey, index, server, report.value());
   } else if (pool_.find(server.id) == nullptr) {
     ordered_.erase(server.id);
   }
@@ -253,6 +229,41 @@
   survey->finished.cancel();
 }
 
+void WeightsRollout::noteReport(Survey& survey, std::size_t index, const fleet::Server& server,
+                                const forward::ServerReport& report) {
+  orderCounts_[server.id] = report.orderCount;
+  bool behindStill = false;
+  for (const fleet::LoadedModel& loaded : report.models) {
+    pool_.applyWeights(server.id, loaded.model, loaded.weights, monotonicNow());
+    const auto newest = targets_.newest(loaded.model);
+    behindStill = behindStill || (newest && loaded.weights < *newest);
+    const orders::EngineReport found = engineReport(server, loaded, report.busy);
+    for (std::size_t at = index; at < index + server.models.size(); ++at) {
+      if (survey.engines[at].model == loaded.model) {
+        survey.engines[at].report = found;
+      }
+    }
+  }
+  if (!behindStill) {
+    ordered_.erase(server.id);
+  }
+}
+
+orders::EngineReport WeightsRollout::engineReport(const fleet::Server& server,
+                                                  const fleet::LoadedModel& loaded,
+                                                  bool busy) const {
+  orders::EngineReport report;
+  report.id = server.id;
+  report.model = loaded.model;
+  report.incarnation = incarnationOf(server);
+  report.weights = loaded.weights;
+  report.accepting = !busy;
+  if (busy) {
+    report.loading = targets_.newest(loaded.model);
+  }
+  return report;
+}
+
 awaitable<void> WeightsRollout::sendOrder(orders::LoadOrder order, fleet::Server server,
                                           FencingToken token) {
   forward::WeightsOrder message;
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -57,6 +57,11 @@
   boost::asio::awaitable<std::vector<orders::SurveyedEngine>> survey();
   boost::asio::awaitable<void> surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
                                          fleet::Server server);
+  /// Takes over what a server's report tells; its engines stand in the survey from `index` on.
+  void noteReport(Survey& survey, std::size_t index, const fleet::Server& server,
+                  const forward::ServerReport& report);
+  orders::EngineReport engineReport(const fleet::Server& server, const fleet::LoadedModel& loaded,
+                                    bool busy) const;
   boost::asio::awaitable<void> sendOrder(orders::LoadOrder order, fleet::Server server,
                                          FencingToken token);
   orders::RolloutGoal goal() const;
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -25,7 +25,7 @@
 /// One node that watches a kind through its relay. Its path to the store can be cut alone.
 struct TestNode {
   TestNode(asio::io_context& context, FakeStore& shared, http::Client& client,
-           RelaySettings settings)
+           const RelaySettings& settings)
       : path(shared),
         relay(context.get_executor(), path, client, settings),
         watcher(context.get_executor(), relay.store(), watcherSettings(),
