--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -6,7 +6,10 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 using asio::awaitable;
+constexpr std::string_view kStorePath = "path to the store";
 constexpr unsigned kEvents = 6;
+/// One run in so many loses its answer, or the rest of its stream.
+constexpr std::size_t kRunsALoss = 40;
 constexpr Milliseconds kEventPause{15};
 /// The users' bound for a withdrawn key, with what a request may take on its way.
 constexpr Milliseconds kRevocation{5500};
@@ -88,18 +91,30 @@
   if (request.headers.find(platform::kKey)) {
     violate("server got a key: " + id);
   }
+  const bool loses = pick(kRunsALoss) == 0;
+  if (loses) {
+    ++findings_.faults["answer lost"];
+  }
   if (request.path().starts_with("/stream")) {
     const std::string after = request.headers.get(platform::kLastEventId);
     const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
     for (unsigned number = first; number <= kEvents && !writer.callerGone(); ++number) {
       co_await ServerStandIn::streamEvents(request, writer, number, number);
       co_await pause(kEventPause);
+      if (loses && number == first + 1) {
+        writer.abort();
+        co_return;
+      }
     }
     const Result<void> ended = co_await writer.endStream();
     static_cast<void>(ended);
     co_return;
   }
   co_await pause(Milliseconds(10));
+  if (loses) {
+    writer.abort();
+    co_return;
+  }
   co_await http::respond(writer, ServerStandIn::sealed(request, 200, "run " + id));
 }
 
@@ -170,9 +185,8 @@
     co_await pause(between(150, 500));
     asio::co_spawn(context_, injectOne(), asio::detached);
     if (!withdrawnAt_ && monotonicNow() > end_ - length_ / 2 - kRevocation / 2) {
-      store_.put("config", "main", GatewayFixture::configuration(++configVersion_, "k2"));
+      asio::co_spawn(context_, withdrawKeyUnheard(), asio::detached);
       withdrawnAt_ = monotonicNow();
-      ++findings_.faults["key withdrawn"];
     }
   }
 }
@@ -184,7 +198,7 @@
       break;
     case 1: {
       Node& node = *nodes_[pick(nodes_.size())];
-      co_await strikeProxy("path to the store", node.store.control);
+      co_await strikeProxy(std::string(kStorePath), node.store.control);
       break;
     }
     case 2:
@@ -246,9 +260,17 @@
                                           {{"cut_after_bytes", 60}},    {{"duplicate_answers", 2}}};
   const json::object& chosen = choices[pick(choices.size())];
   ++findings_.faults[name + ": " + std::string(chosen.begin()->key())];
+  const bool storePath = name == kStorePath;
+  if (storePath && unheard_) {
+    co_return;
+  }
   co_await setFaults(control, chosen);
   co_await pause(between(200, 2000));
-  co_await setFaults(control, {});
+  json::object after;
+  if (storePath && unheard_) {
+    after["freeze"] = true;
+  }
+  co_await setFaults(control, after);
 }
 
 awaitable<void> GatewaySoak::strikeStore() {
@@ -269,6 +291,24 @@
   }
 }
 
+/// Withdraws the key while no node hears from the store, for longer than the key may be served.
+awaitable<void> GatewaySoak::withdrawKeyUnheard() {
+  ++findings_.faults["key withdrawn"];
+  unheard_ = true;
+  json::object frozen;
+  frozen["freeze"] = true;
+  for (const std::unique_ptr<Node>& node : nodes_) {
+    co_await setFaults(node->store.control, frozen);
+  }
+  store_.put("config", "main", GatewayFixture::configuration(++configVersion_, "k2"));
+  co_await pause(kRevocation + Milliseconds(2000));
+  unheard_ = false;
+  const json::object none;
+  for (const std::unique_ptr<Node>& node : nodes_) {
+    co_await setFaults(node->store.control, none);
+  }
+}
+
 /// After the last fault every node serves again in time.
 awaitable<void> GatewaySoak::recover() {
   const MonotonicTime begin = monotonicNow();
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -95,6 +95,7 @@
   Body setFaults(Endpoint control, boost::json::object faults);
   Body strikeProxy(std::string name, Endpoint control);
   Body strikeStore();
+  Body withdrawKeyUnheard();
   Body recover();
   Body pause(Milliseconds time);
   void checkOrders();
@@ -127,6 +128,8 @@
   std::set<std::string> once_;
   std::set<std::string> promisedNotRun_;
   std::set<std::string> withdrawnSent_;
+  /// No node hears from the store.
+  bool unheard_ = false;
   /// When the key was withdrawn.
   std::optional<MonotonicTime> withdrawnAt_;
 };
