After reading the change: one call between nodes, one type of saved part, status codes by name

Hot path: the choice of a cache store hashed every store's address for each request, and each change of a server's load hashed its id; both keep the hash. setPeerLoads refreshed a suspected server twice. Tests keep their assertions; names of a type and its fields changed in three.

--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -5,13 +5,13 @@
 
 #include "bundle/signature.h"
 #include "ctl/command_support.h"
+#include "http/status.h"
 
 namespace calicodrift::ctl {
 namespace {
 
 namespace json = boost::json;
 using boost::asio::awaitable;
-constexpr unsigned kStatusOk = 200;
 
 awaitable<Result<std::string>> postDrain(http::Client& client, Endpoint router) {
   http::Request request;
@@ -21,7 +21,7 @@
   if (!response) {
     co_return response.error();
   }
-  if (response.value().status != kStatusOk) {
+  if (response.value().status != http::kStatusOk) {
     co_return fail(ErrorKind::kBackendRefused,
                    "the router answered " + std::to_string(response.value().status));
   }
--- a/src/ctl/policy_commands.cc
+++ b/src/ctl/policy_commands.cc
@@ -8,13 +8,13 @@
 
 #include "common/running_statistics.h"
 #include "ctl/command_support.h"
+#include "http/status.h"
 
 namespace calicodrift::ctl {
 namespace {
 
 namespace json = boost::json;
 using boost::asio::awaitable;
-constexpr unsigned kStatusOk = 200;
 
 struct Arm {
   double promptTokens = 0;
@@ -80,7 +80,7 @@
   if (!response) {
     co_return response.error();
   }
-  if (response.value().status != kStatusOk) {
+  if (response.value().status != http::kStatusOk) {
     co_return fail(ErrorKind::kProtocolViolation,
                    router.toString() + " answered " + std::to_string(response.value().status));
   }
--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/saved_part.h"
 #include "fleet/server_load.h"
 
 /// What nodes tell each other: the load that they have on servers, and cache that was saved.
@@ -24,19 +25,6 @@
   }
 };
 
-/// A cached prompt part (with its cache scope) that was saved to a store of kept cache; both by
-/// their hashes.
-struct SavedPart {
-  std::uint64_t part = 0;
-  std::uint64_t store = 0;
-
-  bool operator==(const SavedPart&) const = default;
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(part, store);
-  }
-};
-
 /// Sent by a node to its relay with its own load, and by a relay to another with its group's.
 /// The answer is one too: all others' load to a node, the other group's to a relay. Each carries
 /// the saves that its receiver has not been told yet.
@@ -46,7 +34,7 @@
   /// Whether `entries` are of a relay's whole group.
   bool group = false;
   std::vector<LoadEntry> entries;
-  std::vector<SavedPart> saves;
+  std::vector<fleet::SavedPart> saves;
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -43,9 +43,9 @@
   /// All others' load, as far as it is known. Called in each interval.
   std::function<void(const fleet::ServerLoads&)> onOthers;
   /// What this node's requests have saved since the last call.
-  std::function<std::vector<SavedPart>()> takeSaves;
+  std::function<std::vector<fleet::SavedPart>()> takeSaves;
   /// What others' requests have saved.
-  std::function<void(const std::vector<SavedPart>&)> onSaves;
+  std::function<void(const std::vector<fleet::SavedPart>&)> onSaves;
 };
 
 /// Tells each node what the others have under way at each server, some hundred milliseconds old: a
@@ -65,13 +65,17 @@
 
  private:
   boost::asio::awaitable<void> run();
+  /// Starts the swaps with other relays, and tells this node of the others' load.
+  void actAsRelay();
   boost::asio::awaitable<void> reportTo(Endpoint relay);
   boost::asio::awaitable<void> swapWith(Endpoint relay);
   boost::asio::awaitable<Result<ExchangeReport>> send(Endpoint relay, ExchangeReport report);
   /// Own load and the followers', without `except`.
   fleet::ServerLoads group(const std::string& except) const;
   /// What a relay's group has saved.
-  void learnSaves(const std::vector<SavedPart>& saves, bool ownGroup);
+  void learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup);
+  /// This relay's group, for another relay.
+  ExchangeReport groupReportFor(const std::string& relay);
   ExchangeReport answerTo(const ExchangeReport& report);
 
   NodeExchangeContext context_;
--- a/src/exchange/save_log.cc
+++ b/src/exchange/save_log.cc
@@ -10,8 +10,8 @@
 
 }  // namespace
 
-void SaveLog::append(const std::vector<SavedPart>& parts, bool ownGroup) {
-  for (const SavedPart& part : parts) {
+void SaveLog::append(const std::vector<fleet::SavedPart>& parts, bool ownGroup) {
+  for (const fleet::SavedPart& part : parts) {
     entries_.push_back({part, ownGroup});
   }
   while (entries_.size() > kMostEntries) {
@@ -20,12 +20,12 @@
   }
 }
 
-std::vector<SavedPart> SaveLog::nextFor(const std::string& peer, bool ownGroupOnly) {
+std::vector<fleet::SavedPart> SaveLog::nextFor(const std::string& peer, bool ownGroupOnly) {
   if (told_.size() >= kMostPeers && !told_.contains(peer)) {
     told_.clear();
   }
   std::uint64_t& told = told_[peer];
-  std::vector<SavedPart> next;
+  std::vector<fleet::SavedPart> next;
   for (std::uint64_t number = std::max(told, begin_); number < begin_ + entries_.size(); ++number) {
     const Entry& entry = entries_[number - begin_];
     if (entry.ownGroup || !ownGroupOnly) {
--- a/src/exchange/save_log.h
+++ b/src/exchange/save_log.h
@@ -16,13 +16,13 @@
 class SaveLog {
  public:
   /// @param ownGroup whether this relay's group saved them; only those are told to other relays.
-  void append(const std::vector<SavedPart>& parts, bool ownGroup);
+  void append(const std::vector<fleet::SavedPart>& parts, bool ownGroup);
   /// What came since the last call for this peer.
-  std::vector<SavedPart> nextFor(const std::string& peer, bool ownGroupOnly);
+  std::vector<fleet::SavedPart> nextFor(const std::string& peer, bool ownGroupOnly);
 
  private:
   struct Entry {
-    SavedPart part;
+    fleet::SavedPart part;
     bool ownGroup = false;
   };
 
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -123,12 +123,16 @@
 
 void ServerPool::pause(const BackendId& id, MonotonicTime until, MonotonicTime now) {
   if (Entry* entry = entryOf(id)) {
-    entry->pausedUntil = std::max(entry->pausedUntil, until);
-    pauseEnds_.emplace(until, id);
+    passOver(*entry, until);
     refresh(*entry, now);
   }
 }
 
+void ServerPool::passOver(Entry& entry, MonotonicTime until) {
+  entry.pausedUntil = std::max(entry.pausedUntil, until);
+  pauseEnds_.emplace(until, entry.server.id);
+}
+
 void ServerPool::recordSuccess(const BackendId& id) {
   if (Entry* entry = entryOf(id)) {
     entry->health.requestSucceeded();
@@ -203,10 +207,11 @@
   for (auto& [id, entry] : servers_) {
     const auto found = loads.find(entry.key);
     const ServerLoad peers = found == loads.end() ? ServerLoad{} : found->second;
-    if (peers.unreachableFrom >= kPeersToPassOver) {
-      pause(id, now + kPeerSuspicion, now);
+    const bool suspected = peers.unreachableFrom >= kPeersToPassOver;
+    if (suspected) {
+      passOver(entry, now + kPeerSuspicion);
     }
-    if (peers != entry.peers) {
+    if (suspected || peers != entry.peers) {
       entry.peers = peers;
       refresh(entry, now);
     }
@@ -281,7 +286,7 @@
 routing::Candidate ServerPool::toCandidate(const Entry& entry) const {
   routing::Candidate candidate;
   candidate.id = entry.server.id;
-  candidate.incarnation = Incarnation(hashBytes(entry.server.id.value()));
+  candidate.incarnation = Incarnation(entry.key.value());
   candidate.outstanding = entry.outstanding;
   candidate.outstandingTokens = entry.outstandingTokens;
   candidate.sentPrefillTokens = entry.prefillTokens;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -117,6 +117,8 @@
   /// Brings the sets in line with the entry. Called after each change of one.
   void refresh(Entry& entry, MonotonicTime now);
   void unlist(Entry& entry);
+  /// Takes effect with the next refresh().
+  void passOver(Entry& entry, MonotonicTime until);
   /// Takes back in what was passed over until now.
   void endPauses(MonotonicTime now);
 
--- a/src/forward/cache_moves.cc
+++ b/src/forward/cache_moves.cc
@@ -42,27 +42,29 @@
 }
 
 void CacheMoves::onSaved(std::uint64_t sharedKey, const Endpoint& store, MonotonicTime now) {
-  const SavedCache saved{sharedKey, storeKeyOf(store)};
+  const fleet::SavedPart saved{sharedKey, storeKeyOf(store)};
   remember(saved, now);
   if (untold_.size() < kMostUntold) {
     untold_.push_back(saved);
   }
 }
 
-void CacheMoves::learnSaved(const SavedCache& saved, MonotonicTime now) {
-  const auto lost = lostAt_.find(saved.storeKey);
-  if (lost == lostAt_.end() || now - lost->second >= settings_.mistrustTerm) {
-    remember(saved, now);
+void CacheMoves::learnSaved(const std::vector<fleet::SavedPart>& saves, MonotonicTime now) {
+  for (const fleet::SavedPart& saved : saves) {
+    const auto lost = lostAt_.find(saved.store);
+    if (lost == lostAt_.end() || now - lost->second >= settings_.mistrustTerm) {
+      remember(saved, now);
+    }
   }
 }
 
-void CacheMoves::remember(const SavedCache& saved, MonotonicTime now) {
+void CacheMoves::remember(const fleet::SavedPart& saved, MonotonicTime now) {
   if (saves_.size() >= kRememberedSaves) {
     saves_.clear();
   }
-  const auto [known, added] = saves_.try_emplace(saved.sharedKey, Save{saved.storeKey, now, now});
-  if (!added && known->second.storeKey != saved.storeKey) {
-    known->second = Save{saved.storeKey, now, now};
+  const auto [known, added] = saves_.try_emplace(saved.part, Save{saved.store, now, now});
+  if (!added && known->second.storeKey != saved.store) {
+    known->second = Save{saved.store, now, now};
   }
   known->second.lastAt = now;
 }
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/endpoint.h"
 #include "common/ids.h"
+#include "fleet/saved_part.h"
 
 namespace calicodrift::forward {
 
@@ -43,13 +44,6 @@
   std::size_t sharedTokens = 0;
 };
 
-/// A common part that lies in a store of kept cache.
-struct SavedCache {
-  /// As CacheMoveQuery::sharedKey.
-  std::uint64_t sharedKey = 0;
-  std::uint64_t storeKey = 0;
-};
-
 /// Names a store of kept cache between nodes.
 std::uint64_t storeKeyOf(const Endpoint& store);
 
@@ -75,10 +69,10 @@
   CacheMove decide(const CacheMoveQuery& query, MonotonicTime now) const;
   /// A request that named the store to save to was answered in whole: its common part lies there.
   void onSaved(std::uint64_t sharedKey, const Endpoint& store, MonotonicTime now);
-  /// Another node's request did so, a short time ago.
-  void learnSaved(const SavedCache& saved, MonotonicTime now);
+  /// Other nodes' requests did so, a short time ago.
+  void learnSaved(const std::vector<fleet::SavedPart>& saves, MonotonicTime now);
   /// What this node's requests have saved since the last call.
-  std::vector<SavedCache> takeSaves() { return std::exchange(untold_, {}); }
+  std::vector<fleet::SavedPart> takeSaves() { return std::exchange(untold_, {}); }
   /// The store may have restarted empty: what it gets from now on is kept as first made anew.
   void onStoreLost(const Endpoint& store, MonotonicTime now);
 
@@ -91,12 +85,12 @@
   };
   /// Null where the part is not known to lie in this store.
   const Save* saveOf(std::uint64_t sharedKey, const std::optional<Endpoint>& store) const;
-  void remember(const SavedCache& saved, MonotonicTime now);
+  void remember(const fleet::SavedPart& saved, MonotonicTime now);
 
   /// Where and when each common part was first known to be saved.
   std::unordered_map<std::uint64_t, Save> saves_;
   std::unordered_map<std::uint64_t, MonotonicTime> lostAt_;
-  std::vector<SavedCache> untold_;
+  std::vector<fleet::SavedPart> untold_;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -1,10 +1,11 @@
 #include "forward/server_attempt.h"
 
+#include "http/status.h"
+
 namespace calicodrift::forward {
 namespace {
 
 using boost::asio::awaitable;
-constexpr unsigned kStatusOk = 200;
 constexpr unsigned kFirstServerFailure = 500;
 
 /// The server's head without what belongs to the connection it came over.
@@ -61,7 +62,7 @@
     co_return fail(ErrorKind::kProtocolViolation, "server '" + dispatch.server.id.value() +
                                                       "' gave no valid answer to the request");
   }
-  if (streaming && status_ == kStatusOk) {
+  if (streaming && status_ == http::kStatusOk) {
     co_return co_await relayEvents(stream, bounds);
   }
   co_return co_await relayWhole(stream, failureUse);
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 
 #include "common/hashing.h"
+#include "forward/cache_moves.h"
 #include "log/log.h"
 
 namespace calicodrift::gateway {
@@ -38,7 +39,7 @@
   std::optional<Endpoint> best;
   std::uint64_t bestRank = 0;
   for (const auto& [endpoint, store] : stores_) {
-    const std::uint64_t rank = hashPair(key, hashBytes(endpoint.toString()));
+    const std::uint64_t rank = hashPair(key, store.key);
     if (store.alive && (!best || rank > bestRank)) {
       best = endpoint;
       bestRank = rank;
@@ -53,7 +54,7 @@
     if (const std::shared_ptr<const routes::RouteTable> table = table_()) {
       for (const routes::CacheStore* store : table->cacheStores()) {
         if (!stores_.contains(store->endpoint)) {
-          stores_.emplace(store->endpoint, Store{});
+          stores_[store->endpoint].key = forward::storeKeyOf(store->endpoint);
           asio::co_spawn(executor_, watch(store->endpoint), asio::detached);
         }
       }
@@ -83,7 +84,8 @@
 
 awaitable<void> CacheStores::ask(Endpoint endpoint) {
   Store& store = stores_.at(endpoint);
-  http::Request query = protocol_.cacheStoreQuery(store.state, kWait);
+  http::Request query =
+      protocol_.cacheStoreQuery(store.state.value_or(forward::CacheStoreState{}), kWait);
   http::ExchangeOptions options;
   options.connectTimeout = kCallTimeout;
   options.headerTimeout = kWait + kCallTimeout;
@@ -100,12 +102,11 @@
 void CacheStores::noteAnswer(const Endpoint& endpoint, Store& store,
                              const std::optional<forward::CacheStoreState>& state) {
   if (state) {
-    const bool restarted = store.answered && store.state.epoch != state->epoch;
+    const bool restarted = store.state && store.state->epoch != state->epoch;
     if (restarted) {
       onLost_(endpoint);
     }
-    store.state = *state;
-    store.answered = true;
+    store.state = state;
   }
   if (!store.alive) {
     store.alive = true;
--- a/src/gateway/cache_stores.h
+++ b/src/gateway/cache_stores.h
@@ -32,8 +32,10 @@
 
  private:
   struct Store {
-    forward::CacheStoreState state;
-    bool answered = false;
+    /// Names it in the choice for a key.
+    std::uint64_t key = 0;
+    /// As of its last whole answer.
+    std::optional<forward::CacheStoreState> state;
     bool alive = false;
   };
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "common/hashing.h"
+#include "http/status.h"
 #include "log/log.h"
 #include "metrics/process.h"
 
@@ -13,8 +14,6 @@
 using asio::awaitable;
 constexpr std::string_view kLeaseKind = "calicodrift-leases";
 constexpr std::string_view kWeightsLease = "weights";
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusUnavailable = 503;
 
 /// Another one for each start: a restarted node has forgotten its renewals and must not go on under
 /// an old token.
@@ -171,23 +170,10 @@
           [this] { return relay_.otherRelays(); },
           [this] { return pool_.ownLoads(); },
           [this](const fleet::ServerLoads& loads) { pool_.setPeerLoads(loads, monotonicNow()); },
-          [this] { return takeSaves(); },
-          [this](const std::vector<exchange::SavedPart>& saves) { learnSaves(saves); }};
-}
-
-std::vector<exchange::SavedPart> GatewayNode::takeSaves() {
-  std::vector<exchange::SavedPart> parts;
-  for (const forward::SavedCache& saved : forwarder_.cacheMoves().takeSaves()) {
-    parts.push_back({saved.sharedKey, saved.storeKey});
-  }
-  return parts;
-}
-
-void GatewayNode::learnSaves(const std::vector<exchange::SavedPart>& saves) {
-  const MonotonicTime now = monotonicNow();
-  for (const exchange::SavedPart& saved : saves) {
-    forwarder_.cacheMoves().learnSaved({saved.part, saved.store}, now);
-  }
+          [this] { return forwarder_.cacheMoves().takeSaves(); },
+          [this](const std::vector<fleet::SavedPart>& saves) {
+            forwarder_.cacheMoves().learnSaved(saves, monotonicNow());
+          }};
 }
 
 Result<void> GatewayNode::start() {
@@ -242,14 +228,15 @@
 
 awaitable<void> GatewayNode::answerReady(http::Request& /*request*/, http::ResponseWriter& writer) {
   const bool ok = ready();
-  co_await http::respond(writer, http::textResponse(ok ? kStatusOk : kStatusUnavailable,
+  co_await http::respond(writer, http::textResponse(ok ? http::kStatusOk : http::kStatusUnavailable,
                                                     ok ? "ready\n" : "not ready\n"));
 }
 
 awaitable<void> GatewayNode::answerMetrics(http::Request& /*request*/,
                                            http::ResponseWriter& writer) {
   metrics_.setServers(static_cast<double>(pool_.size()));
-  co_await http::respond(writer, http::textResponse(kStatusOk, metrics::renderText(registry_)));
+  co_await http::respond(writer,
+                         http::textResponse(http::kStatusOk, metrics::renderText(registry_)));
 }
 
 void GatewayNode::drain() {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -50,8 +50,6 @@
 
  private:
   exchange::NodeExchangeContext exchangeContext();
-  std::vector<exchange::SavedPart> takeSaves();
-  void learnSaves(const std::vector<exchange::SavedPart>& saves);
   void onTable(const routes::RouteTable& table);
   void onServerLost(const fleet::Server& server, fleet::ServerLoss loss);
   boost::asio::awaitable<void> answerReady(http::Request& request, http::ResponseWriter& writer);
--- /dev/null
+++ b/src/http/status.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Status codes that the project's modules read or send by name.
+namespace calicodrift::http {
+
+inline constexpr unsigned kStatusOk = 200;
+inline constexpr unsigned kStatusAccepted = 202;
+inline constexpr unsigned kStatusBadRequest = 400;
+inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusConflict = 409;
+inline constexpr unsigned kStatusGone = 410;
+inline constexpr unsigned kStatusPreconditionFailed = 412;
+inline constexpr unsigned kStatusMisdirected = 421;
+inline constexpr unsigned kStatusTooManyRequests = 429;
+inline constexpr unsigned kStatusUnavailable = 503;
+
+}  // namespace calicodrift::http
--- a/src/orders/order_driver.cc
+++ b/src/orders/order_driver.cc
@@ -4,14 +4,14 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
+#include "http/status.h"
+
 namespace calicodrift::orders {
 namespace {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
 using asio::awaitable;
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusPreconditionFailed = 412;
 constexpr Milliseconds kOrderTimeout{1000};
 /// Bounds what a roll-out of a large model costs the holder.
 constexpr std::size_t kSurveyedPerSecond = 500;
@@ -174,7 +174,7 @@
     co_return fail(notSent ? ErrorKind::kConnectFailed : ErrorKind::kOutcomeUnknown,
                    response.error().detail);
   }
-  if (response.value().status != kStatusOk) {
+  if (response.value().status != http::kStatusOk) {
     noteRefusal(response.value(), order);
     co_return fail(ErrorKind::kFenced, "the engine refused the order");
   }
@@ -183,7 +183,7 @@
 }
 
 void OrderDriver::noteRefusal(const http::Response& response, const EngineOrder& order) {
-  const bool fenced = response.status == kStatusPreconditionFailed;
+  const bool fenced = response.status == http::kStatusPreconditionFailed;
   metrics_.countOrder(nameOf(order.kind), fenced ? "fenced" : "refused");
   const Result<EngineReport> report = engineReportFromJson(response.body);
   if (fenced && report && report.value().highestToken > order.token) {
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -1,6 +1,6 @@
 #include "relay/relay_client.h"
 
-#include "peer/codec.h"
+#include "peer/http_call.h"
 
 namespace calicodrift::relay {
 
@@ -72,21 +72,10 @@
 }
 
 awaitable<Result<ViewReply>> RelayClient::ask(Endpoint relay, ViewQuery query) {
-  http::ExchangeOptions options;
-  options.connectTimeout = settings_.callTimeout;
-  options.headerTimeout = Milliseconds(query.waitMs) + settings_.callTimeout;
-  options.bodyTimeout = settings_.callTimeout;
-  options.unacknowledgedTimeout = settings_.callTimeout;
   query.follower = settings_.node.value();
-  http::Request request;
-  request.method = "POST";
-  request.target = std::string(kViewPath);
-  request.body = peer::encode(query);
-  Result<http::Response> answer = co_await client_.exchange(relay, std::move(request), options);
-  if (!answer) {
-    co_return fail(ErrorKind::kStoreUnavailable, answer.error().detail);
-  }
-  Result<ViewReply> reply = peer::decode<ViewReply>(answer.value().body);
+  const Milliseconds headerTimeout = Milliseconds(query.waitMs) + settings_.callTimeout;
+  Result<ViewReply> reply = co_await peer::callPeer<ViewReply>(
+      client_, std::move(relay), kViewPath, std::move(query), settings_.callTimeout, headerTimeout);
   if (!reply) {
     co_return fail(ErrorKind::kStoreUnavailable, reply.error().detail);
   }
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
-#include "peer/codec.h"
+#include "peer/http_call.h"
 
 namespace calicodrift::relay {
 
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusBadRequest = 400;
 constexpr Milliseconds kTick{1};
 /// Bound on what a follower may make this node wait.
 constexpr Milliseconds kLongestWait{30'000};
@@ -26,17 +24,8 @@
 }
 
 awaitable<void> RelayServer::handle(http::Request& request, http::ResponseWriter& writer) {
-  Result<ViewQuery> query = peer::decode<ViewQuery>(request.body);
-  if (!query) {
-    http::Response refusal = http::textResponse(kStatusBadRequest, query.error().detail + "\n");
-    co_await http::respond(writer, std::move(refusal));
-    co_return;
-  }
-  const ViewReply reply = co_await answer(std::move(query.value()));
-  http::Response response;
-  response.status = kStatusOk;
-  response.body = peer::encode(reply);
-  co_await http::respond(writer, std::move(response));
+  co_await peer::answerPeer<ViewQuery, ViewReply>(
+      request, writer, [this](ViewQuery query) { return answer(std::move(query)); });
 }
 
 awaitable<ViewReply> RelayServer::answer(ViewQuery query) {
--- a/src/router/engine_attempt.cc
+++ b/src/router/engine_attempt.cc
@@ -5,14 +5,12 @@
 #include <boost/asio/this_coro.hpp>
 #include <charconv>
 
+#include "http/status.h"
+
 namespace calicodrift::router {
 namespace {
 
 using boost::asio::awaitable;
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusPreconditionFailed = 412;
-constexpr unsigned kStatusTooManyRequests = 429;
-constexpr unsigned kStatusUnavailable = 503;
 /// An engine sends one token in an event; much more without an event's end is no such stream.
 constexpr std::size_t kMaxEventBytes = 1'048'576;
 
@@ -42,10 +40,10 @@
 
 Error refusalError(unsigned status, const BackendId& backend) {
   const std::string detail = "engine '" + backend.value() + "' answered " + std::to_string(status);
-  if (status == kStatusPreconditionFailed) {
+  if (status == http::kStatusPreconditionFailed) {
     return fail(ErrorKind::kFenced, detail + ": another incarnation or version, or loading");
   }
-  if (status == kStatusUnavailable || status == kStatusTooManyRequests) {
+  if (status == http::kStatusUnavailable || status == http::kStatusTooManyRequests) {
     return fail(ErrorKind::kBackendRefused, detail);
   }
   return fail(ErrorKind::kProtocolViolation, detail);
@@ -97,7 +95,7 @@
     co_return fail(ErrorKind::kProtocolViolation, "the answer belongs to another request");
   }
   readIdentity();
-  if (stream_->head().status != kStatusOk) {
+  if (stream_->head().status != http::kStatusOk) {
     co_return refusalError(stream_->head().status, dispatch.backend.id);
   }
   sink_.setBackend(dispatch.backend.id);
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
+#include "http/status.h"
 #include "log/log.h"
 #include "router/config_header_writer.h"
 #include "router/member_status.h"
@@ -14,7 +15,6 @@
 namespace json = boost::json;
 using asio::awaitable;
 constexpr std::string_view kOrderLease = "orders";
-constexpr unsigned kStatusUnavailable = 503;
 
 http::ServerLimits serverLimits(const NodeSettings& settings) {
   http::ServerLimits limits;
@@ -278,10 +278,10 @@
 
 http::Response Node::readiness() const {
   if (draining_) {
-    return http::textResponse(kStatusUnavailable, "draining\n");
+    return http::textResponse(http::kStatusUnavailable, "draining\n");
   }
   if (const std::optional<Error> refusal = configuration_->refusal()) {
-    return http::textResponse(kStatusUnavailable, refusal->detail + "\n");
+    return http::textResponse(http::kStatusUnavailable, refusal->detail + "\n");
   }
   return http::textResponse(200, "ready\n");
 }
--- a/src/sim/engine_control.cc
+++ b/src/sim/engine_control.cc
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "http/status.h"
+
 namespace calicodrift::sim {
 namespace {
 
 namespace asio = boost::asio;
 using asio::awaitable;
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusConflict = 409;
-constexpr unsigned kStatusPreconditionFailed = 412;
 
 }  // namespace
 
@@ -33,11 +32,11 @@
   }
   if (fenced(order.value())) {
     ++refusedOrders_;
-    return http::jsonResponse(kStatusPreconditionFailed, orders::toJson(report_));
+    return http::jsonResponse(http::kStatusPreconditionFailed, orders::toJson(report_));
   }
   report_.highestToken = order.value().token;
   report_.highestBundle = std::max(report_.highestBundle, order.value().bundle);
-  const unsigned status = apply(order.value()) ? kStatusOk : kStatusConflict;
+  const unsigned status = apply(order.value()) ? http::kStatusOk : http::kStatusConflict;
   return http::jsonResponse(status, orders::toJson(report_));
 }
 
@@ -94,7 +93,7 @@
   request.target = "/weights/" + settings_.model.value() + "/" + std::to_string(version.value());
   const Result<http::Response> response =
       co_await client_.exchange(*settings_.weightStore, std::move(request));
-  co_return response&& response.value().status == kStatusOk;
+  co_return response&& response.value().status == http::kStatusOk;
 }
 
 }  // namespace calicodrift::sim
--- a/tests/exchange/node_exchange_test.cc
+++ b/tests/exchange/node_exchange_test.cc
@@ -36,7 +36,7 @@
               others = found == loads.end() ? 0 : found->second.requests;
             },
             [this] { return std::exchange(toTell, {}); },
-            [this](const std::vector<SavedPart>& saves) {
+            [this](const std::vector<fleet::SavedPart>& saves) {
               told.insert(told.end(), saves.begin(), saves.end());
             }},
         settings);
@@ -46,8 +46,8 @@
   std::optional<Endpoint> relay;
   std::vector<Endpoint> otherRelays;
   std::size_t others = 0;
-  std::vector<SavedPart> toTell;
-  std::vector<SavedPart> told;
+  std::vector<fleet::SavedPart> toTell;
+  std::vector<fleet::SavedPart> told;
   std::unique_ptr<NodeExchange> exchange;
   http::Server server;
 };
@@ -95,7 +95,7 @@
   run(Milliseconds(300));
   for (const TestNode* node : {&firstRelay, &secondRelay, &secondFollower}) {
     BOOST_REQUIRE(node->told.size() >= 1U);
-    BOOST_TEST((node->told[0] == SavedPart{5, 9}));
+    BOOST_TEST((node->told[0] == fleet::SavedPart{5, 9}));
   }
 }
 
--- a/tests/exchange/save_log_test.cc
+++ b/tests/exchange/save_log_test.cc
@@ -21,9 +21,9 @@
   SaveLog log;
   log.append({{1, 9}}, false);
   log.append({{2, 9}}, true);
-  const std::vector<SavedPart> told = log.nextFor("relay", true);
+  const std::vector<fleet::SavedPart> told = log.nextFor("relay", true);
   BOOST_REQUIRE(told.size() == 1U);
-  BOOST_TEST((told[0] == SavedPart{2, 9}));
+  BOOST_TEST((told[0] == fleet::SavedPart{2, 9}));
   BOOST_TEST(log.nextFor("follower", false).size() == 2U);
 }
 
@@ -33,7 +33,7 @@
   for (std::uint64_t part = 0; part < 5000; ++part) {
     log.append({{part, 9}}, true);
   }
-  const std::vector<SavedPart> told = log.nextFor("a", false);
+  const std::vector<fleet::SavedPart> told = log.nextFor("a", false);
   BOOST_TEST(told.size() == 4096U);
   BOOST_TEST(told.back().part == 4999U);
 }
--- a/tests/forward/forward_test.cc
+++ b/tests/forward/forward_test.cc
@@ -192,7 +192,7 @@
 BOOST_AUTO_TEST_CASE(partThatLiesInTheStoreIsNotSavedAgainSoon) {
   CacheMoves moves({Milliseconds(1200)});
   const Endpoint store = *settledQuery().store;
-  moves.learnSaved({7, storeKeyOf(store)}, kStart);
+  moves.learnSaved({{7, storeKeyOf(store)}}, kStart);
   CacheMoveQuery query = settledQuery();
   const CacheMove soon = moves.decide(query, kStart + Milliseconds(100));
   BOOST_TEST(!soon.saveTo.has_value());
@@ -204,13 +204,13 @@
 BOOST_AUTO_TEST_CASE(saveOfAnotherNodeIsFetchedDuringARollOut) {
   CacheMoves moves({Milliseconds(1200)});
   const Endpoint store = *settledQuery().store;
-  moves.learnSaved({7, storeKeyOf(store)}, kStart);
+  moves.learnSaved({{7, storeKeyOf(store)}}, kStart);
   CacheMoveQuery named = settledQuery();
   named.outdatedSince = kStart + Milliseconds(10);
   BOOST_TEST((moves.decide(named, kStart + Milliseconds(100)).fetchFrom == store));
   // What is heard shortly after the store was lost may be from before.
   moves.onStoreLost(store, kStart + Milliseconds(200));
-  moves.learnSaved({7, storeKeyOf(store)}, kStart + Milliseconds(300));
+  moves.learnSaved({{7, storeKeyOf(store)}}, kStart + Milliseconds(300));
   named.outdatedSince = kStart + Milliseconds(400);
   BOOST_TEST(!moves.decide(named, kStart + Milliseconds(500)).fetchFrom.has_value());
 }
@@ -218,10 +218,10 @@
 BOOST_AUTO_TEST_CASE(savesAreToldOnce) {
   CacheMoves moves({Milliseconds(1200)});
   moves.onSaved(7, *settledQuery().store, kStart);
-  moves.learnSaved({8, 1}, kStart);
-  const std::vector<SavedCache> saves = moves.takeSaves();
+  moves.learnSaved({{8, 1}}, kStart);
+  const std::vector<fleet::SavedPart> saves = moves.takeSaves();
   BOOST_REQUIRE(saves.size() == 1U);
-  BOOST_TEST(saves[0].sharedKey == 7U);
+  BOOST_TEST(saves[0].part == 7U);
   BOOST_TEST(moves.takeSaves().empty());
 }
 
