Roll-out: servers are announced to all nodes before they are ordered to load

Only the order giver knew; other nodes sent on, and as refused dispatches need the retry budget, 53 requests were refused after one dispatch (log line request_refused, sent="1"); 12 of them were never served. Ruled out: full engines (2 to 5 of 64 places taken), lost list entries (an entry changes within 2 ms of the end of a load at all nodes).

Change: LoadSchedule (rollout) announces a server 500 ms before its order, through the exchange (ServerLoad::loading); all nodes pass it over until the list shows the weights. The next are announced while others load, by the time that loads were seen to take. A server that refuses while newer weights are named is passed over for 1 s or until it shows them.

--- a/src/exchange/messages.cc
+++ b/src/exchange/messages.cc
@@ -26,6 +26,7 @@
     entry.unreachableFrom = capped<std::uint16_t>(load.unreachableFrom);
     entry.tokens = capped<std::uint32_t>(load.tokens);
     entry.prefillTokens = capped<std::uint32_t>(load.prefillTokens);
+    entry.loadingWeights = load.loading.value();
     entries.push_back(entry);
   }
   return entries;
@@ -35,7 +36,8 @@
   fleet::ServerLoads loads;
   for (const LoadEntry& entry : entries) {
     loads[fleet::ServerKey(entry.server)] +=
-        fleet::ServerLoad{entry.requests, entry.tokens, entry.prefillTokens, entry.unreachableFrom};
+        fleet::ServerLoad{entry.requests, entry.tokens, entry.prefillTokens, entry.unreachableFrom,
+                          WeightsVersion(entry.loadingWeights)};
   }
   return loads;
 }
--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -18,10 +18,11 @@
   std::uint16_t unreachableFrom = 0;
   std::uint32_t tokens = 0;
   std::uint32_t prefillTokens = 0;
+  std::uint64_t loadingWeights = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(server, requests, unreachableFrom, tokens, prefillTokens);
+    archive(server, requests, unreachableFrom, tokens, prefillTokens, loadingWeights);
   }
 };
 
--- a/src/fleet/server_load.h
+++ b/src/fleet/server_load.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 
+#include "common/ids.h"
 #include "common/strong_type.h"
 
 namespace calicodrift::fleet {
@@ -20,12 +22,15 @@
   std::size_t prefillTokens = 0;
   /// Nodes that can't reach it.
   std::size_t unreachableFrom = 0;
+  /// Weights that it is about to load or is loading, by the node that gives orders; 0: none.
+  WeightsVersion loading{};
 
   ServerLoad& operator+=(const ServerLoad& other) {
     requests += other.requests;
     tokens += other.tokens;
     prefillTokens += other.prefillTokens;
     unreachableFrom += other.unreachableFrom;
+    loading = std::max(loading, other.loading);
     return *this;
   }
   bool operator==(const ServerLoad&) const = default;
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -58,6 +58,10 @@
   }
   entry.server = server;
   entry.key = ServerKey(hashBytes(server.id.value()));
+  if (reloaded) {
+    // A pause was for the load, which is over.
+    entry.pausedUntil = {};
+  }
   refresh(entry, now);
   if (reloaded) {
     listener_(server, ServerLoss::kReloaded);
@@ -133,6 +137,18 @@
   pauseEnds_.emplace(until, entry.server.id);
 }
 
+void ServerPool::announceLoads(const std::map<BackendId, WeightsVersion>& loads,
+                               MonotonicTime now) {
+  for (auto& [id, entry] : servers_) {
+    const auto found = loads.find(id);
+    const WeightsVersion announced = found == loads.end() ? WeightsVersion() : found->second;
+    if (entry.announcedLoad != announced) {
+      entry.announcedLoad = announced;
+      refresh(entry, now);
+    }
+  }
+}
+
 void ServerPool::recordSuccess(const BackendId& id) {
   if (Entry* entry = entryOf(id)) {
     entry->health.requestSucceeded();
@@ -198,7 +214,8 @@
   ServerLoads loads;
   for (const auto& [id, entry] : servers_) {
     loads[entry.key] = {entry.outstanding, entry.outstandingTokens, entry.prefillTokens,
-                        entry.health.reachable() ? std::size_t{0} : std::size_t{1}};
+                        entry.health.reachable() ? std::size_t{0} : std::size_t{1},
+                        awaitsLoad(entry) ? entry.announcedLoad : WeightsVersion()};
   }
   return loads;
 }
@@ -267,6 +284,12 @@
   return least == leastWeights_.end() || loaded.weights >= least->second;
 }
 
+bool ServerPool::awaitsLoad(const Entry& entry) {
+  const WeightsVersion announced = std::max(entry.announcedLoad, entry.peers.loading);
+  return std::any_of(entry.server.models.begin(), entry.server.models.end(),
+                     [announced](const LoadedModel& loaded) { return loaded.weights < announced; });
+}
+
 std::vector<ServerPool::SetKey> ServerPool::keysOf(const Entry& entry) const {
   std::vector<SetKey> keys;
   if (!usable(entry)) {
@@ -305,7 +328,7 @@
   if (keys != entry.listedIn) {
     unlist(entry);
   }
-  const bool passedOver = entry.health.ejected(now) || now < entry.pausedUntil;
+  const bool passedOver = entry.health.ejected(now) || now < entry.pausedUntil || awaitsLoad(entry);
   for (const SetKey& key : keys) {
     CandidateSets& sets = sets_[key];
     (passedOver ? sets.preferred : sets.passedOver).erase(entry.server.id);
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -57,6 +57,9 @@
   void probeSucceeded(const BackendId& id, MonotonicTime now);
   /// It refused without running the request: passed over until `until` where others are left.
   void pause(const BackendId& id, MonotonicTime until, MonotonicTime now);
+  /// The servers that this node has ordered, or is about to order, to load these weights; replaces
+  /// what it announced before. All nodes pass them over until they have the weights.
+  void announceLoads(const std::map<BackendId, WeightsVersion>& loads, MonotonicTime now);
   void recordSuccess(const BackendId& id);
   void recordFailure(const BackendId& id, MonotonicTime now);
 
@@ -105,6 +108,8 @@
     std::size_t prefillTokens = 0;
     ServerKey key;
     ServerLoad peers;
+    /// What this node announced; 0: nothing.
+    WeightsVersion announcedLoad;
     /// The sets that it stands in.
     std::vector<SetKey> listedIn;
   };
@@ -112,6 +117,8 @@
   Entry* entryOf(const BackendId& id);
   bool usable(const Entry& entry) const;
   bool allowedVersion(const LoadedModel& loaded) const;
+  /// Whether weights that it does not have yet were announced for it.
+  static bool awaitsLoad(const Entry& entry);
   std::vector<SetKey> keysOf(const Entry& entry) const;
   routing::Candidate toCandidate(const Entry& entry) const;
   /// Brings the sets in line with the entry. Called after each change of one.
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -22,6 +22,9 @@
   Milliseconds eventTimeout{1500};
   /// A server that refused gets nothing for so long.
   Milliseconds refusalPause{250};
+  /// The same where newer weights than its own were named, as it may be loading them; it is used
+  /// again as soon as it shows them.
+  Milliseconds loadPause{1000};
   /// When a refused caller should come back.
   Milliseconds retryAfter{300};
   /// Second dispatches that one request earns, and those of a quiet node a second and at once.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -325,7 +325,7 @@
       context_.pool.markUnreachable(server.id, now);
       break;
     case ErrorKind::kBackendRefused:
-      context_.pool.pause(server.id, now + settings_.refusalPause, now);
+      context_.pool.pause(server.id, now + pauseAfterRefusal(job, server), now);
       break;
     case ErrorKind::kOutcomeUnknown:
     case ErrorKind::kStreamBroken:
@@ -338,6 +338,15 @@
   }
 }
 
+Milliseconds Forwarder::pauseAfterRefusal(const Job& job, const fleet::Server& server) const {
+  const bool outdated = std::any_of(
+      server.models.begin(), server.models.end(), [this, &job](const fleet::LoadedModel& loaded) {
+        return loaded.model == job.request.model &&
+               context_.weights(loaded.model, loaded.weights).outdatedSince.has_value();
+      });
+  return outdated ? settings_.loadPause : settings_.refusalPause;
+}
+
 bool Forwarder::untriedServerLeft(const Job& job) {
   const routing::CandidateSet& candidates =
       context_.pool.candidates(job.service, job.request.model, monotonicNow());
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -82,6 +82,8 @@
                  Dispatch& dispatch) const;
   void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
+  /// How long a server that refused the job gets nothing.
+  Milliseconds pauseAfterRefusal(const Job& job, const fleet::Server& server) const;
   /// Whether a usable server has not had the request yet.
   bool untriedServerLeft(const Job& job);
   /// Whether the job goes on at another server; takes from the budget if so.
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -71,7 +71,8 @@
       lease_(lease),
       metrics_(metrics),
       settings_(std::move(settings)),
-      planner_(settings_.planner) {}
+      planner_(settings_.planner),
+      schedule_(settings_.schedule) {}
 
 void WeightsRollout::start() {
   asio::co_spawn(executor_, run(), asio::detached);
@@ -85,13 +86,12 @@
                                          });
 }
 
-bool WeightsRollout::due(const fleet::Server& server) const {
-  const MonotonicTime now = monotonicNow();
+bool WeightsRollout::due(const fleet::Server& server, MonotonicTime at) const {
   return behind(server) && std::any_of(server.models.begin(), server.models.end(),
-                                       [this, now](const fleet::LoadedModel& loaded) {
+                                       [this, at](const fleet::LoadedModel& loaded) {
                                          const auto since =
                                              targets_.outdatedSince(loaded.model, loaded.weights);
-                                         return since && now - *since >= settings_.settleTime;
+                                         return since && at - *since >= settings_.settleTime;
                                        });
 }
 
@@ -105,6 +105,9 @@
     metrics_.setLeaseHeld(token.has_value());
     if (token && needed()) {
       co_await round(*token);
+    } else {
+      schedule_.clear();
+      announce();
     }
     timer_.expires_after(settings_.interval);
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -119,16 +122,13 @@
   if (token != tenure_) {
     tenure_ = token;
     planner_.beginTenure();
-    ordered_.clear();
+    schedule_.clear();
     orderCounts_.clear();
     metrics_.countTenure();
     log::write(log::Level::kInfo, "lease_acquired", {{"token", std::to_string(token.value())}});
   }
-  // The list shows what an order has come to sooner than the lagging report.
-  std::erase_if(ordered_, [this](const BackendId& id) {
-    const fleet::Server* server = pool_.find(id);
-    return server == nullptr || !behind(*server);
-  });
+  updateSchedule();
+  announce();
   const std::vector<orders::SurveyedEngine> engines = co_await survey();
   if (lease_.token() != tenure_) {
     co_return;
@@ -139,11 +139,37 @@
       planner_.onOrderAnswered(order.engine);
       continue;
     }
-    ordered_.insert(order.engine);
+    schedule_.onOrdered(order.engine, monotonicNow());
     asio::co_spawn(executor_, sendOrder(order, *server, token), asio::detached);
   }
 }
 
+void WeightsRollout::updateSchedule() {
+  const MonotonicTime now = monotonicNow();
+  // The list shows what an order has come to sooner than the lagging report.
+  for (const BackendId& id : schedule_.ordered()) {
+    const fleet::Server* server = pool_.find(id);
+    if (server == nullptr) {
+      schedule_.onGone(id);
+    } else if (!behind(*server)) {
+      schedule_.onLoaded(id, now);
+    }
+  }
+  schedule_.update(dueServers(now + settings_.schedule.lead),
+                   static_cast<std::size_t>(maxConcurrentLoads()), now);
+}
+
+void WeightsRollout::announce() {
+  std::map<BackendId, WeightsVersion> loads;
+  for (const BackendId& id : schedule_.reserved()) {
+    const fleet::Server* server = pool_.find(id);
+    if (server != nullptr && !server->models.empty()) {
+      loads[id] = targets_.newest(server->models.front().model).value_or(WeightsVersion());
+    }
+  }
+  pool_.announceLoads(loads, monotonicNow());
+}
+
 orders::RolloutGoal WeightsRollout::goal() const {
   orders::RolloutGoal goal;
   goal.maxConcurrentLoads = maxConcurrentLoads();
@@ -160,35 +186,44 @@
                   static_cast<std::int64_t>(servers) / settings_.serversPerLoad);
 }
 
-std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
+std::vector<BackendId> WeightsRollout::dueServers(MonotonicTime at) const {
   std::set<BackendId> unreachable;
   for (const fleet::Server& server : pool_.unreachable()) {
     unreachable.insert(server.id);
   }
-  std::vector<fleet::Server> ordered;
-  std::vector<fleet::Server> next;
-  std::vector<fleet::Server> last;
+  std::vector<fleet::Server> servers;
   for (fleet::Server& server : pool_.servers()) {
-    if (ordered_.contains(server.id) && behind(server)) {
-      ordered.push_back(std::move(server));
-    } else if (due(server)) {
-      (unreachable.contains(server.id) ? last : next).push_back(std::move(server));
+    if (!schedule_.isOrdered(server.id) && due(server, at)) {
+      servers.push_back(std::move(server));
     }
   }
   // The oldest first: a server that holds a version in between may wait while others hold none.
-  std::stable_sort(next.begin(), next.end(),
-                   [](const fleet::Server& one, const fleet::Server& two) {
-                     return oldestWeights(one) < oldestWeights(two);
+  // Unreachable ones last.
+  const auto rank = [&unreachable](const fleet::Server& server) {
+    return std::pair(unreachable.contains(server.id), oldestWeights(server));
+  };
+  std::stable_sort(servers.begin(), servers.end(),
+                   [&rank](const fleet::Server& one, const fleet::Server& two) {
+                     return rank(one) < rank(two);
                    });
-  const auto room = static_cast<std::size_t>(maxConcurrentLoads());
-  for (const std::vector<fleet::Server>* group : {&next, &last}) {
-    for (const fleet::Server& server : *group) {
-      if (ordered.size() < ordered_.size() + room) {
-        ordered.push_back(server);
-      }
+  std::vector<BackendId> ids;
+  ids.reserve(servers.size());
+  for (const fleet::Server& server : servers) {
+    ids.push_back(server.id);
+  }
+  return ids;
+}
+
+std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
+  const MonotonicTime now = monotonicNow();
+  std::vector<fleet::Server> servers;
+  for (const BackendId& id : schedule_.reserved()) {
+    const fleet::Server* server = pool_.find(id);
+    if (server != nullptr && (schedule_.isOrdered(id) || schedule_.mayOrder(id, now))) {
+      servers.push_back(*server);
     }
   }
-  return ordered;
+  return servers;
 }
 
 awaitable<std::vector<orders::SurveyedEngine>> WeightsRollout::survey() {
@@ -223,7 +258,7 @@
   if (report) {
     noteReport(*survey, index, server, report.value());
   } else if (pool_.find(server.id) == nullptr) {
-    ordered_.erase(server.id);
+    schedule_.onGone(server.id);
   }
   --survey->outstanding;
   survey->finished.cancel();
@@ -245,7 +280,7 @@
     }
   }
   if (!behindStill) {
-    ordered_.erase(server.id);
+    schedule_.onLoaded(server.id, monotonicNow());
   }
 }
 
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -14,6 +14,7 @@
 #include "lease/lease_keeper.h"
 #include "orders/order_metrics.h"
 #include "orders/rollout_planner.h"
+#include "rollout/load_schedule.h"
 #include "rollout/weights_targets.h"
 
 namespace calicodrift::rollout {
@@ -31,6 +32,7 @@
   Milliseconds interval{120};
   Milliseconds callTimeout{250};
   orders::RolloutSettings planner;
+  LoadScheduleSettings schedule;
 };
 
 /// Gives orders to load the newest weights, while this node holds the lease. Only servers that load
@@ -65,11 +67,17 @@
   boost::asio::awaitable<void> sendOrder(orders::LoadOrder order, fleet::Server server,
                                          FencingToken token);
   orders::RolloutGoal goal() const;
-  /// Servers to ask: those with an order under way, then some that are behind.
+  /// Takes over which servers have loaded, and decides which are announced next.
+  void updateSchedule();
+  /// Tells all nodes which servers get no new work for a load.
+  void announce();
+  /// Servers that may be ordered to load at this time, the first first.
+  std::vector<BackendId> dueServers(MonotonicTime at) const;
+  /// Servers to ask: those with an order under way, and those to order now.
   std::vector<fleet::Server> serversToAsk() const;
   bool behind(const fleet::Server& server) const;
-  /// Whether it is behind for so long that it may be ordered to load.
-  bool due(const fleet::Server& server) const;
+  /// Whether it is behind at this time for so long that it may be ordered to load.
+  bool due(const fleet::Server& server, MonotonicTime at) const;
   std::int64_t maxConcurrentLoads() const;
 
   boost::asio::any_io_executor executor_;
@@ -82,9 +90,8 @@
   orders::OrderMetrics& metrics_;
   WeightsRolloutSettings settings_;
   orders::RolloutPlanner planner_;
+  LoadSchedule schedule_;
   FencingToken tenure_;
-  /// Servers that were ordered to load in this tenure and have not shown the result.
-  std::set<BackendId> ordered_;
   /// Orders taken by each server at its last report.
   std::map<BackendId, std::uint64_t> orderCounts_;
 };
--- a/tests/exchange/load_table_test.cc
+++ b/tests/exchange/load_table_test.cc
@@ -45,6 +45,20 @@
   BOOST_TEST(toLoads(entries).at(kServer).tokens == 10'000'000U);
 }
 
+BOOST_AUTO_TEST_CASE(theNewestWeightsThatAreLoadedAreTold) {
+  fleet::ServerLoads sum;
+  fleet::ServerLoads first;
+  first[kServer].loading = WeightsVersion(3);
+  fleet::ServerLoads second;
+  second[kServer].loading = WeightsVersion(2);
+  addLoads(sum, first);
+  addLoads(sum, second);
+  // An announced server is told even where it has no load.
+  const std::vector<LoadEntry> entries = toEntries(sum);
+  BOOST_REQUIRE(entries.size() == 1U);
+  BOOST_TEST((toLoads(entries).at(kServer).loading == WeightsVersion(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -127,6 +127,43 @@
   BOOST_TEST(usable(kStart + std::chrono::seconds(1)) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(serverThatIsAboutToLoadIsPassedOverUntilItHasTheWeights) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  pool.announceLoads({{BackendId("a"), WeightsVersion(2)}}, kStart);
+  BOOST_TEST(usable() == 1U);
+  // Other nodes are told.
+  std::size_t told = 0;
+  for (const auto& [key, load] : pool.ownLoads()) {
+    told += load.loading == WeightsVersion(2) ? 1 : 0;
+  }
+  BOOST_TEST(told == 1U);
+  pool.apply(makeServer("a", 2), kStart);
+  BOOST_TEST(usable() == 2U);
+  // What was announced before says nothing of a server that has the weights.
+  for (const auto& [key, load] : pool.ownLoads()) {
+    BOOST_TEST((load.loading == WeightsVersion()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(serverThatAnotherNodeOrdersToLoadIsPassedOver) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  ServerLoads peers = pool.ownLoads();
+  peers.begin()->second.loading = WeightsVersion(2);
+  pool.setPeerLoads(peers, kStart);
+  BOOST_TEST(usable() == 1U);
+  // Taken back, as where the order giver has changed its mind or is gone.
+  pool.setPeerLoads({}, kStart);
+  BOOST_TEST(usable() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aLoadThatIsOverEndsThePauseAfterARefusal) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  pool.pause(BackendId("a"), kStart + Milliseconds(1000), kStart);
+  BOOST_TEST(usable(kStart + Milliseconds(500)) == 1U);
+  pool.apply(makeServer("a", 2), kStart + Milliseconds(500));
+  BOOST_TEST(usable(kStart + Milliseconds(500)) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/rollout/load_schedule_test.cc
@@ -0,0 +1,97 @@
+#include "rollout/load_schedule.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::rollout {
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+constexpr Milliseconds kLead{500};
+const BackendId kA("a");
+const BackendId kB("b");
+const BackendId kC("c");
+const BackendId kD("d");
+
+MonotonicTime after(int milliseconds) {
+  return kStart + Milliseconds(milliseconds);
+}
+
+struct ScheduleFixture {
+  LoadSchedule schedule{LoadScheduleSettings{kLead, Milliseconds(800)}};
+};
+
+BOOST_FIXTURE_TEST_SUITE(load_schedule, ScheduleFixture)
+
+BOOST_AUTO_TEST_CASE(aServerIsOrderedOnlyAfterTheLead) {
+  schedule.update({kA, kB, kC}, 2, kStart);
+  BOOST_TEST((schedule.reserved() == std::set{kA, kB}));
+  BOOST_TEST(!schedule.mayOrder(kA, after(499)));
+  BOOST_TEST(schedule.mayOrder(kA, after(500)));
+  // Never announced, so never ordered.
+  BOOST_TEST(!schedule.mayOrder(kC, after(5000)));
+}
+
+BOOST_AUTO_TEST_CASE(theNextAreAnnouncedWhileOthersLoadSoThatNoPlaceStaysIdle) {
+  schedule.update({kA, kB, kC, kD}, 2, kStart);
+  schedule.onOrdered(kA, after(500));
+  schedule.onOrdered(kB, after(500));
+  // A load takes 800 ms and the lead 500: a place is given on after 300.
+  schedule.update({kC, kD}, 2, after(799));
+  BOOST_TEST((schedule.reserved() == std::set{kA, kB}));
+  schedule.update({kC, kD}, 2, after(800));
+  BOOST_TEST((schedule.reserved() == std::set{kA, kB, kC, kD}));
+  BOOST_TEST(schedule.mayOrder(kC, after(1300)));
+}
+
+BOOST_AUTO_TEST_CASE(noMoreThanTheRoomAreAnnouncedAtOnce) {
+  schedule.update({kA, kB, kC, kD}, 2, kStart);
+  schedule.update({kA, kB, kC, kD}, 2, after(100));
+  BOOST_TEST(schedule.reserved().size() == 2U);
+  schedule.onOrdered(kA, after(500));
+  schedule.update({kB, kC, kD}, 2, after(600));
+  BOOST_TEST((schedule.reserved() == std::set{kA, kB}));
+}
+
+BOOST_AUTO_TEST_CASE(theTimeOfLoadsIsLearnt) {
+  for (int turn = 0; turn < 20; ++turn) {
+    const MonotonicTime begin = after(turn * 10'000);
+    schedule.onOrdered(kA, begin);
+    schedule.onLoaded(kA, begin + Milliseconds(2000));
+  }
+  BOOST_TEST(schedule.loadTime() > Milliseconds(1900));
+  BOOST_TEST(schedule.loadTime() <= Milliseconds(2000));
+  // The next server is announced as much later.
+  const MonotonicTime begin = after(300'000);
+  schedule.onOrdered(kA, begin);
+  schedule.update({kB}, 1, begin + Milliseconds(1300));
+  BOOST_TEST((schedule.reserved() == std::set{kA}));
+  schedule.update({kB}, 1, begin + Milliseconds(1500));
+  BOOST_TEST((schedule.reserved() == std::set{kA, kB}));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatIsNoLongerDueIsNoLongerAnnounced) {
+  schedule.update({kA, kB}, 2, kStart);
+  schedule.update({kB, kC}, 2, after(100));
+  BOOST_TEST((schedule.reserved() == std::set{kB, kC}));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatIsGoneGivesItsPlaceOnAndTeachesNothing) {
+  schedule.onOrdered(kA, kStart);
+  schedule.onGone(kA);
+  schedule.update({kB}, 1, after(1));
+  BOOST_TEST((schedule.reserved() == std::set{kB}));
+  BOOST_TEST(schedule.loadTime() == Milliseconds(800));
+}
+
+BOOST_AUTO_TEST_CASE(anotherOrderGiverStartsAnew) {
+  schedule.update({kA}, 2, kStart);
+  schedule.onOrdered(kB, kStart);
+  schedule.clear();
+  BOOST_TEST(schedule.reserved().empty());
+  BOOST_TEST(schedule.ordered().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::rollout
