--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -34,12 +34,14 @@
   std::string sender;
   /// Whether `entries` are of a relay's whole group.
   bool group = false;
+  /// The sender has heard nothing yet since its start: it is told all saves that are remembered.
+  bool fresh = false;
   std::vector<LoadEntry> entries;
   std::vector<fleet::SavedPart> saves;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, group, entries, saves);
+    archive(sender, group, fresh, entries, saves);
   }
 };
 
--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -38,8 +38,7 @@
   table_.expire(now);
   saves_.append(context_.takeSaves(), true);
   for (const Endpoint& other : context_.otherRelays()) {
-    // One of two relays asks, and both learn.
-    if (settings_.endpoint < other) {
+    if (mustAsk(other, now)) {
       asio::co_spawn(context_.executor, swapWith(other), asio::detached);
     }
   }
@@ -48,23 +47,42 @@
   context_.onOthers(others);
 }
 
+bool NodeExchange::mustAsk(const Endpoint& other, MonotonicTime now) const {
+  // One of two relays is enough. Where the other does not know of this one yet, it does not ask.
+  constexpr int kIntervalsOfSilence = 2;
+  const auto asked = askedAt_.find(other.toString());
+  const bool silent =
+      asked == askedAt_.end() || now - asked->second > kIntervalsOfSilence * settings_.interval;
+  return settings_.endpoint < other || silent;
+}
+
 awaitable<void> NodeExchange::reportTo(Endpoint relay) {
   ExchangeReport report;
   report.sender = settings_.node;
+  report.fresh = !heard_;
   report.entries = toEntries(context_.own());
-  report.saves = context_.takeSaves();
+  for (const fleet::SavedPart& saved : context_.takeSaves()) {
+    untoldSaves_.push_back(saved);
+  }
+  report.saves = untoldSaves_;
+  const std::size_t told = untoldSaves_.size();
   Result<ExchangeReport> answer = co_await send(std::move(relay), std::move(report));
   context_.onOthers(answer ? toLoads(answer.value().entries) : fleet::ServerLoads{});
   if (answer) {
+    heard_ = true;
+    untoldSaves_.erase(untoldSaves_.begin(),
+                       untoldSaves_.begin() + static_cast<std::ptrdiff_t>(told));
     context_.onSaves(answer.value().saves);
   }
 }
 
 awaitable<void> NodeExchange::swapWith(Endpoint relay) {
   const std::string other = relay.toString();
-  ExchangeReport report = groupReportFor(other);
+  SaveBatch batch = saves_.nextFor(other, true);
+  ExchangeReport report = groupReport(std::move(batch.parts));
   Result<ExchangeReport> answer = co_await send(std::move(relay), std::move(report));
   if (answer && answer.value().group) {
+    saves_.setTold(other, batch.end);
     table_.setGroup(other, toLoads(answer.value().entries), monotonicNow());
     learnSaves(answer.value().saves, false);
   }
@@ -85,10 +103,14 @@
 
 ExchangeReport NodeExchange::answerTo(const ExchangeReport& report) {
   const MonotonicTime now = monotonicNow();
+  if (report.fresh) {
+    saves_.forgetPeer(report.sender);
+  }
   learnSaves(report.saves, !report.group);
   if (report.group) {
+    askedAt_[report.sender] = now;
     table_.setGroup(report.sender, toLoads(report.entries), now);
-    return groupReportFor(report.sender);
+    return groupReport(takeSavesFor(report.sender, true));
   }
   table_.setNode(report.sender, toLoads(report.entries), now);
   fleet::ServerLoads others = group(report.sender);
@@ -96,16 +118,23 @@
   ExchangeReport answer;
   answer.sender = settings_.endpoint.toString();
   answer.entries = toEntries(others);
-  answer.saves = saves_.nextFor(report.sender, false);
+  answer.saves = takeSavesFor(report.sender, false);
   return answer;
 }
 
-ExchangeReport NodeExchange::groupReportFor(const std::string& relay) {
+std::vector<fleet::SavedPart> NodeExchange::takeSavesFor(const std::string& peer,
+                                                         bool ownGroupOnly) {
+  SaveBatch batch = saves_.nextFor(peer, ownGroupOnly);
+  saves_.setTold(peer, batch.end);
+  return std::move(batch.parts);
+}
+
+ExchangeReport NodeExchange::groupReport(std::vector<fleet::SavedPart> saves) const {
   ExchangeReport report;
   report.sender = settings_.endpoint.toString();
   report.group = true;
   report.entries = toEntries(group(""));
-  report.saves = saves_.nextFor(relay, true);
+  report.saves = std::move(saves);
   return report;
 }
 
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -74,14 +75,24 @@
   fleet::ServerLoads group(const std::string& except) const;
   /// What a relay's group has saved.
   void learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup);
+  /// What a peer that asks has not been told yet.
+  std::vector<fleet::SavedPart> takeSavesFor(const std::string& peer, bool ownGroupOnly);
+  /// Whether this relay asks the other one, which then learns in the same call.
+  bool mustAsk(const Endpoint& other, MonotonicTime now) const;
   /// This relay's group, for another relay.
-  ExchangeReport groupReportFor(const std::string& relay);
+  ExchangeReport groupReport(std::vector<fleet::SavedPart> saves) const;
   ExchangeReport answerTo(const ExchangeReport& report);
 
   NodeExchangeContext context_;
   NodeExchangeSettings settings_;
   LoadTable table_;
   SaveLog saves_;
+  /// This node's saves that no relay has been told of.
+  std::vector<fleet::SavedPart> untoldSaves_;
+  /// Whether an answer came since the start.
+  bool heard_ = false;
+  /// When each other relay asked this one last.
+  std::map<std::string, MonotonicTime> askedAt_;
 };
 
 }  // namespace calicodrift::exchange
--- a/src/exchange/save_log.cc
+++ b/src/exchange/save_log.cc
@@ -20,20 +20,25 @@
   }
 }
 
-std::vector<fleet::SavedPart> SaveLog::nextFor(const std::string& peer, bool ownGroupOnly) {
-  if (told_.size() >= kMostPeers && !told_.contains(peer)) {
-    told_.clear();
-  }
-  std::uint64_t& told = told_[peer];
-  std::vector<fleet::SavedPart> next;
-  for (std::uint64_t number = std::max(told, begin_); number < begin_ + entries_.size(); ++number) {
+SaveBatch SaveLog::nextFor(const std::string& peer, bool ownGroupOnly) const {
+  const auto told = told_.find(peer);
+  SaveBatch batch;
+  batch.end = begin_ + entries_.size();
+  const std::uint64_t first = told == told_.end() ? begin_ : std::max(told->second, begin_);
+  for (std::uint64_t number = first; number < batch.end; ++number) {
     const Entry& entry = entries_[number - begin_];
     if (entry.ownGroup || !ownGroupOnly) {
-      next.push_back(entry.part);
+      batch.parts.push_back(entry.part);
     }
   }
-  told = begin_ + entries_.size();
-  return next;
+  return batch;
+}
+
+void SaveLog::setTold(const std::string& peer, std::uint64_t end) {
+  if (told_.size() >= kMostPeers && !told_.contains(peer)) {
+    told_.clear();
+  }
+  told_[peer] = end;
 }
 
 }  // namespace calicodrift::exchange
--- a/src/exchange/save_log.h
+++ b/src/exchange/save_log.h
@@ -11,14 +11,25 @@
 
 namespace calicodrift::exchange {
 
+/// Saves for one peer.
+struct SaveBatch {
+  std::vector<fleet::SavedPart> parts;
+  /// Number of the first entry behind it.
+  std::uint64_t end = 0;
+};
+
 /// A relay's recent list of cached prompt parts that were saved to a store, and how far each peer
 /// has been told. Bounded: a peer that falls behind misses the oldest, which costs a second save.
 class SaveLog {
  public:
   /// @param ownGroup whether this relay's group saved them; only those are told to other relays.
   void append(const std::vector<fleet::SavedPart>& parts, bool ownGroup);
-  /// What came since the last call for this peer.
-  std::vector<fleet::SavedPart> nextFor(const std::string& peer, bool ownGroupOnly);
+  /// What this peer has not been told.
+  SaveBatch nextFor(const std::string& peer, bool ownGroupOnly) const;
+  /// The peer has restarted and knows nothing.
+  void forgetPeer(const std::string& peer) { told_.erase(peer); }
+  /// The peer has been told of all entries before `end`.
+  void setTold(const std::string& peer, std::uint64_t end);
 
  private:
   struct Entry {
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/hashing.h"
+#include "routing/cost.h"
 
 namespace calicodrift::fleet {
 namespace {
@@ -210,6 +211,19 @@
   return found;
 }
 
+Milliseconds ServerPool::longestQueue() const {
+  const routing::RouteRequest any;
+  double longestMs = 0;
+  for (const auto& [id, entry] : servers_) {
+    if (!entry.server.models.empty()) {
+      const routing::Candidate candidate = toCandidate(entry);
+      longestMs = std::max(
+          longestMs, routing::queueDelayMs(candidate) + routing::admissionDelayMs(any, candidate));
+    }
+  }
+  return Milliseconds(static_cast<std::int64_t>(longestMs));
+}
+
 ServerLoads ServerPool::ownLoads() const {
   ServerLoads loads;
   for (const auto& [id, entry] : servers_) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -73,6 +73,9 @@
   /// Counts the listed servers for which `predicate` holds, without copying the list.
   std::size_t countIf(const std::function<bool(const Server&)>& predicate) const;
   std::vector<Server> unreachable() const;
+  /// Longest time that a request waits at a model server before it runs, by what all nodes are
+  /// known to have under way.
+  Milliseconds longestQueue() const;
   std::size_t size() const { return servers_.size(); }
 
   /// What this node has under way at each server, and which it can't reach.
--- a/src/forward/cache_moves.cc
+++ b/src/forward/cache_moves.cc
@@ -23,7 +23,9 @@
   const Save* save = saveOf(query.sharedKey, query.store);
   const bool proven = now - query.weightsProvenAt <= settings_.weightsProofAge;
   if (!query.outdatedSince && proven) {
-    const bool fromHolder = query.holder && query.holderWeights == query.serverWeights;
+    // A server may have pushed the part out; a store that got it a short time ago still has it.
+    const bool fromHolder =
+        save == nullptr && query.holder && query.holderWeights == query.serverWeights;
     const bool lies = save != nullptr && now - save->lastAt < settings_.saveTerm;
     return {fromHolder ? query.holder : query.store, lies ? std::nullopt : query.store};
   }
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -22,7 +22,7 @@
   std::size_t leastTokens = 512;
   /// A part that is known to lie in the store is saved again only after this, as it may have been
   /// pushed out. Each save also brings the request's own part there, which nobody will fetch.
-  Milliseconds saveTerm{15'000};
+  Milliseconds saveTerm{60'000};
   /// After a store was lost, what others say of it may be from before.
   Milliseconds mistrustTerm{3000};
 };
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -178,7 +178,7 @@
     return;
   }
   // The first version of a model has no predecessor that requests might begin on.
-  targets_.name(named.value().model, named.value().weights, since);
+  targets_.name(named.value().model, named.value().weights, since, monotonicNow());
   log::write(log::Level::kInfo, "weights_named",
              {{"model", named.value().model.value()},
               {"weights", std::to_string(named.value().weights.value())}});
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <utility>
 
 #include "common/hashing.h"
 #include "log/log.h"
@@ -22,6 +23,7 @@
       random_(hashBytes(settings_.node.value())) {
   store_.onRelayFailed(
       [this](const Endpoint& relay, const Error& cause) { onRelayFailed(relay, cause); });
+  server_.onFollowerSentAway([this] { onFollowerSentAway(); });
 }
 
 void RelayNode::start() {
@@ -42,7 +44,7 @@
         break;
       case Role::kRelay:
         co_await review();
-        co_await pause(settings_.reviewInterval);
+        co_await awaitReview();
         break;
     }
   }
@@ -92,6 +94,8 @@
 awaitable<void> RelayNode::review() {
   Result<std::vector<Endpoint>> relays = co_await lists_.readAll();
   if (!relays || stopped_) {
+    // Another look soon, as others may have read the list meanwhile.
+    maybeReplaced_ = true;
     co_return;
   }
   otherRelays_ = std::move(relays.value());
@@ -102,6 +106,26 @@
   }
 }
 
+awaitable<void> RelayNode::awaitReview() {
+  if (role_ != Role::kRelay) {
+    co_return;
+  }
+  if (!maybeReplaced_) {
+    co_await pause(settings_.reviewInterval);
+  }
+  if (std::exchange(maybeReplaced_, false)) {
+    // By then those that were sent away count as followers no longer.
+    co_await pause(settings_.followerTerm + settings_.claimDelay);
+  }
+}
+
+void RelayNode::onFollowerSentAway() {
+  if (role_ == Role::kRelay && !maybeReplaced_) {
+    maybeReplaced_ = true;
+    timer_.cancel();
+  }
+}
+
 awaitable<void> RelayNode::pause(Milliseconds time) {
   timer_.expires_after(time);
   co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -47,6 +47,9 @@
   boost::asio::awaitable<void> claim(RelayList list);
   /// As a relay: who the others are, and whether this one is still needed.
   boost::asio::awaitable<void> review();
+  /// Until the next review is due: soon where a follower was sent away.
+  boost::asio::awaitable<void> awaitReview();
+  void onFollowerSentAway();
   boost::asio::awaitable<void> pause(Milliseconds time);
   void becomeRelay();
   void follow(const Endpoint& relay);
@@ -70,6 +73,8 @@
   std::mt19937_64 random_;
   Role role_ = Role::kUndecided;
   bool stopped_ = false;
+  /// Another relay may have taken this node's place in the list.
+  bool maybeReplaced_ = false;
   /// Whether the delay before a claim has passed in this search.
   bool delayed_ = false;
   std::map<Endpoint, Failure> failures_;
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -37,6 +37,7 @@
     WatchCache* cache = caches_(query.kind);
     refusal.outcome = refusalOf(query, cache, now);
     if (refusal.outcome != ViewOutcome::kServed) {
+      noteRefusal(refusal.outcome);
       co_return refusal;
     }
     askedAt_[query.follower] = now;
@@ -52,6 +53,12 @@
   }
 }
 
+void RelayServer::noteRefusal(ViewOutcome refusal) const {
+  if (refusal == ViewOutcome::kNotServing && serving_ && sentAway_) {
+    sentAway_();
+  }
+}
+
 ViewOutcome RelayServer::refusalOf(const ViewQuery& query, const WatchCache* cache,
                                    MonotonicTime now) const {
   if (!serving_ || cache == nullptr || now - cache->provenAt() > settings_.proofAge) {
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -29,6 +29,9 @@
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   /// Whether this node reads the store itself. Followers are told at their next question.
   void setServing(bool serving) { serving_ = serving; }
+  /// Called where a follower is sent away, as this node's proof is too old. It will find another
+  /// relay, which may take this node's place in the list.
+  void onFollowerSentAway(std::function<void()> listener) { sentAway_ = std::move(listener); }
   /// Nodes that have asked lately.
   std::size_t followers(MonotonicTime now) const;
 
@@ -38,9 +41,13 @@
   ViewOutcome refusalOf(const ViewQuery& query, const WatchCache* cache, MonotonicTime now) const;
   static ViewReply read(const WatchCache& cache, const ViewQuery& query, MonotonicTime arrived);
 
+  /// Tells that a follower is sent away, where it is.
+  void noteRefusal(ViewOutcome refusal) const;
+
   const RelaySettings& settings_;
   CacheSource caches_;
   bool serving_ = false;
+  std::function<void()> sentAway_;
   std::map<std::string, MonotonicTime> askedAt_;
 };
 
--- a/src/rollout/load_schedule.cc
+++ b/src/rollout/load_schedule.cc
@@ -5,20 +5,25 @@
 namespace calicodrift::rollout {
 
 void LoadSchedule::clear() {
-  announcedAt_.clear();
+  announced_.clear();
   orderedAt_.clear();
 }
 
-void LoadSchedule::update(const std::vector<BackendId>& due, std::size_t room, MonotonicTime now) {
-  const std::set<BackendId> wanted(due.begin(), due.end());
-  std::erase_if(announcedAt_,
+void LoadSchedule::update(const std::vector<DueServer>& due, std::size_t room, MonotonicTime now) {
+  std::set<BackendId> wanted;
+  for (const DueServer& server : due) {
+    wanted.insert(server.id);
+  }
+  std::erase_if(announced_,
                 [&wanted](const auto& announced) { return !wanted.contains(announced.first); });
   std::size_t places = freePlaces(room, now);
-  for (const BackendId& server : due) {
-    if (places == 0) {
-      break;
-    }
-    if (!orderedAt_.contains(server) && announcedAt_.emplace(server, now).second) {
+  for (const DueServer& server : due) {
+    const MonotonicTime from = server.idle ? now : now + settings_.lead;
+    const auto known = announced_.find(server.id);
+    if (known != announced_.end()) {
+      known->second = std::min(known->second, from);
+    } else if (places > 0 && !orderedAt_.contains(server.id)) {
+      announced_.emplace(server.id, from);
       --places;
     }
   }
@@ -31,17 +36,17 @@
   const auto taken = static_cast<std::size_t>(std::count_if(
       orderedAt_.begin(), orderedAt_.end(),
       [releaseAge, now](const auto& ordered) { return now - ordered.second < releaseAge; }));
-  const std::size_t busy = announcedAt_.size() + taken;
+  const std::size_t busy = announced_.size() + taken;
   return room - std::min(room, busy);
 }
 
 bool LoadSchedule::mayOrder(const BackendId& server, MonotonicTime now) const {
-  const auto announced = announcedAt_.find(server);
-  return announced != announcedAt_.end() && now - announced->second >= settings_.lead;
+  const auto announced = announced_.find(server);
+  return announced != announced_.end() && now >= announced->second;
 }
 
 void LoadSchedule::onOrdered(const BackendId& server, MonotonicTime now) {
-  announcedAt_.erase(server);
+  announced_.erase(server);
   orderedAt_[server] = now;
 }
 
@@ -68,7 +73,7 @@
 
 std::set<BackendId> LoadSchedule::reserved() const {
   std::set<BackendId> servers;
-  for (const auto& [server, at] : announcedAt_) {
+  for (const auto& [server, at] : announced_) {
     servers.insert(server);
   }
   for (const auto& [server, at] : orderedAt_) {
--- a/src/rollout/load_schedule.h
+++ b/src/rollout/load_schedule.h
@@ -17,12 +17,19 @@
   Milliseconds firstLoadTime{800};
 };
 
+/// A server that may load.
+struct DueServer {
+  BackendId id;
+  /// It gets no new work anyway, so that nobody needs to be told before its order.
+  bool idle = false;
+};
+
 /// When each server is announced and when it may be ordered to load, so that no node sends requests
 /// to a server that would refuse them. Servers are announced while others still load, early enough
 /// that the next order need not wait. No I/O; calls are told the time.
 ///
-/// Invariant: at most `room` servers are announced beside those that load, and none may be ordered
-/// sooner than the lead after its announcement.
+/// Invariant: at most `room` servers are announced beside those that load, and none that gets work
+/// may be ordered sooner than the lead after its announcement.
 class LoadSchedule {
  public:
   explicit LoadSchedule(LoadScheduleSettings settings)
@@ -32,7 +39,7 @@
   void clear();
   /// @param due the servers to load next, the first first.
   /// @param room servers that may load at once.
-  void update(const std::vector<BackendId>& due, std::size_t room, MonotonicTime now);
+  void update(const std::vector<DueServer>& due, std::size_t room, MonotonicTime now);
   bool mayOrder(const BackendId& server, MonotonicTime now) const;
   /// An order was sent.
   void onOrdered(const BackendId& server, MonotonicTime now);
@@ -54,7 +61,8 @@
 
   LoadScheduleSettings settings_;
   Milliseconds loadTime_;
-  std::map<BackendId, MonotonicTime> announcedAt_;
+  /// From when on each announced server may be ordered.
+  std::map<BackendId, MonotonicTime> announced_;
   std::map<BackendId, MonotonicTime> orderedAt_;
 };
 
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -86,13 +86,17 @@
                                          });
 }
 
-bool WeightsRollout::due(const fleet::Server& server, MonotonicTime at) const {
-  return behind(server) && std::any_of(server.models.begin(), server.models.end(),
-                                       [this, at](const fleet::LoadedModel& loaded) {
-                                         const auto since =
-                                             targets_.outdatedSince(loaded.model, loaded.weights);
-                                         return since && at - *since >= settings_.settleTime;
-                                       });
+bool WeightsRollout::due(const fleet::Server& server, MonotonicTime at, Milliseconds settle) const {
+  return behind(server) &&
+         std::any_of(server.models.begin(), server.models.end(),
+                     [this, at, settle](const fleet::LoadedModel& loaded) {
+                       const auto heardAt = targets_.successorHeardAt(loaded.model, loaded.weights);
+                       return heardAt && at - *heardAt >= settle;
+                     });
+}
+
+Milliseconds WeightsRollout::settleTime() const {
+  return std::min(settings_.settleTime + pool_.longestQueue(), settings_.longestSettleTime);
 }
 
 bool WeightsRollout::needed() const {
@@ -186,14 +190,23 @@
                   static_cast<std::int64_t>(servers) / settings_.serversPerLoad);
 }
 
-std::vector<BackendId> WeightsRollout::dueServers(MonotonicTime at) const {
+bool WeightsRollout::expired(const fleet::Server& server) const {
+  const MonotonicTime now = monotonicNow();
+  return std::all_of(server.models.begin(), server.models.end(),
+                     [this, now](const fleet::LoadedModel& loaded) {
+                       return loaded.weights < targets_.least(loaded.model, now);
+                     });
+}
+
+std::vector<DueServer> WeightsRollout::dueServers(MonotonicTime at) const {
   std::set<BackendId> unreachable;
   for (const fleet::Server& server : pool_.unreachable()) {
     unreachable.insert(server.id);
   }
+  const Milliseconds settle = settleTime();
   std::vector<fleet::Server> servers;
   for (fleet::Server& server : pool_.servers()) {
-    if (!schedule_.isOrdered(server.id) && due(server, at)) {
+    if (!schedule_.isOrdered(server.id) && due(server, at, settle)) {
       servers.push_back(std::move(server));
     }
   }
@@ -206,12 +219,12 @@
                    [&rank](const fleet::Server& one, const fleet::Server& two) {
                      return rank(one) < rank(two);
                    });
-  std::vector<BackendId> ids;
-  ids.reserve(servers.size());
+  std::vector<DueServer> dueServers;
+  dueServers.reserve(servers.size());
   for (const fleet::Server& server : servers) {
-    ids.push_back(server.id);
+    dueServers.push_back({server.id, expired(server)});
   }
-  return ids;
+  return dueServers;
 }
 
 std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -25,9 +25,13 @@
   /// At least, and one more for each so many servers that have models.
   std::int64_t maxConcurrentLoads = 2;
   std::int64_t serversPerLoad = 6;
-  /// A server is ordered so long after its weights became outdated, when no node moves cache of
-  /// them any more.
-  Milliseconds settleTime{2500};
+  /// A server is ordered so long after this node heard of newer weights, and later by the longest
+  /// queue of any server: by then no node moves cache of the older ones any more. A node moves
+  /// cache by a proof of the named weights that is CacheMoveSettings::weightsProofAge old at most,
+  /// and a move begins when the request has come through its server's queue.
+  Milliseconds settleTime{1000};
+  /// No queue delays it further: a move that would wait for more than two seconds is not begun.
+  Milliseconds longestSettleTime{2700};
   /// Pause between two rounds.
   Milliseconds interval{120};
   Milliseconds callTimeout{250};
@@ -72,12 +76,16 @@
   /// Tells all nodes which servers get no new work for a load.
   void announce();
   /// Servers that may be ordered to load at this time, the first first.
-  std::vector<BackendId> dueServers(MonotonicTime at) const;
+  std::vector<DueServer> dueServers(MonotonicTime at) const;
+  /// Whether its weights have run out, so that no node sends it requests.
+  bool expired(const fleet::Server& server) const;
   /// Servers to ask: those with an order under way, and those to order now.
   std::vector<fleet::Server> serversToAsk() const;
   bool behind(const fleet::Server& server) const;
   /// Whether it is behind at this time for so long that it may be ordered to load.
-  bool due(const fleet::Server& server, MonotonicTime at) const;
+  bool due(const fleet::Server& server, MonotonicTime at, Milliseconds settle) const;
+  /// How long moves of older cache may still be under way, by what the servers' queues are now.
+  Milliseconds settleTime() const;
   std::int64_t maxConcurrentLoads() const;
 
   boost::asio::any_io_executor executor_;
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -20,18 +20,31 @@
   explicit WeightsTargets(Milliseconds term) : term_(term) {}
 
   /// @param since when the version was named at the latest.
-  void name(const ModelId& model, WeightsVersion version, MonotonicTime since);
+  /// @param heardAt when this node heard of it.
+  void name(const ModelId& model, WeightsVersion version, MonotonicTime since,
+            MonotonicTime heardAt);
   /// Newest version of the model; nothing where none was named.
   std::optional<WeightsVersion> newest(const ModelId& model) const;
   /// Least version on which a request may begin now.
   WeightsVersion least(const ModelId& model, MonotonicTime now) const;
   /// Since when a version newer than `version` is known; nothing where it is the newest.
   std::optional<MonotonicTime> outdatedSince(const ModelId& model, WeightsVersion version) const;
+  /// When this node heard of a version newer than `version`; nothing where it is the newest.
+  std::optional<MonotonicTime> successorHeardAt(const ModelId& model, WeightsVersion version) const;
   std::vector<ModelId> models() const;
 
  private:
+  struct Naming {
+    MonotonicTime since;
+    MonotonicTime heardAt;
+  };
+  using Namings = std::map<WeightsVersion, Naming>;
+
+  /// Null where `version` is the newest.
+  const Naming* successorOf(const ModelId& model, WeightsVersion version) const;
+
   Milliseconds term_;
-  std::map<ModelId, std::map<WeightsVersion, MonotonicTime>> namedSince_;
+  std::map<ModelId, Namings> namings_;
 };
 
 }  // namespace calicodrift::rollout
--- a/src/routing/prefix_home.cc
+++ b/src/routing/prefix_home.cc
@@ -8,11 +8,8 @@
 namespace calicodrift::routing {
 namespace {
 
-/// Places in the order of affinity that a decision looks at beside the homes.
+/// Places in the order of affinity that a decision looks at beside the home.
 constexpr std::size_t kOtherPlaces = 4;
-/// Homes that a common part has together hold this many tokens of it at most.
-constexpr std::size_t kTokensOverHomes = 1024;
-constexpr std::size_t kMostHomes = 8;
 /// What leaving the home costs beside the move: another copy that pushes others out.
 constexpr double kLeaveMs = 200;
 /// Time to move one token of the common part, as a fraction of the time to prefill it.
@@ -28,27 +25,14 @@
   return shared > 0 ? request.blocks[shared - 1].value() : hashBytes(request.tenant.value());
 }
 
-std::size_t homesOf(std::size_t sharedTokens) {
-  // Where nothing is shared, or it is not known how much, one home is enough.
-  return sharedTokens == 0
-             ? 1
-             : std::clamp(kTokensOverHomes / sharedTokens, std::size_t{1}, kMostHomes);
-}
-
-/// The home of this request among those of its common part.
-std::size_t homeRankOf(const RouteRequest& request, std::size_t homes) {
-  return request.blocks.empty() ? 0 : hashPair(request.blocks.back().value(), homes) % homes;
-}
-
 }  // namespace
 
 Choice PrefixHome::choose(const RouteRequest& request, const CandidateSet& candidates,
                           MonotonicTime /*now*/) {
   const std::size_t shared = std::min(request.sharedBlocks, request.blocks.size());
-  const std::size_t homes = homesOf(request.sharedTokens);
   const std::vector<std::size_t> order =
-      candidates.inAffinityOrder(keyOf(request), homes + kOtherPlaces + request.avoided.size());
-  const std::size_t home = order[std::min(homeRankOf(request, homes), order.size() - 1)];
+      candidates.inAffinityOrder(keyOf(request), 1 + kOtherPlaces + request.avoided.size());
+  const std::size_t home = order.front();
   Choice best;
   double bestMs = std::numeric_limits<double>::infinity();
   for (const std::size_t position : withoutAvoided(request, candidates, order)) {
--- a/src/routing/prefix_home.h
+++ b/src/routing/prefix_home.h
@@ -8,9 +8,6 @@
 /// order of affinity to the last block that others may share. All routers agree on it without a
 /// message. A request leaves a home that is busier than the next ones in the order by more than it
 /// costs to move the common part there; the home is then named as the holder to move it from.
-///
-/// A short common part has several homes, as it is read again in less time than one busy home makes
-/// a request wait; requests are spread over them by the hash of their own part.
 class PrefixHome : public Policy {
  public:
   static constexpr std::string_view kName = "PrefixHome";
--- a/tests/exchange/node_exchange_test.cc
+++ b/tests/exchange/node_exchange_test.cc
@@ -108,6 +108,32 @@
   BOOST_TEST(firstFollower.others == 11U);
 }
 
+BOOST_AUTO_TEST_CASE(relayThatTheOtherDoesNotKnowYetAsksByItself) {
+  // Whichever of the two is to ask by the order of their addresses, one knows nothing of the other.
+  firstRelay.otherRelays.clear();
+  start();
+  run(Milliseconds(300));
+  BOOST_TEST(firstRelay.others == 1110U);
+  BOOST_TEST(secondRelay.others == 1101U);
+  std::swap(firstRelay.otherRelays, secondRelay.otherRelays);
+  firstRelay.otherRelays = {secondRelay.endpoint};
+  run(Milliseconds(500));
+  BOOST_TEST(firstRelay.others == 1110U);
+  BOOST_TEST(secondRelay.others == 1101U);
+}
+
+BOOST_AUTO_TEST_CASE(saveIsToldAfterARelayWasLost) {
+  firstFollower.relay = Endpoint{"127.0.0.1", 1};
+  firstFollower.toTell = {{5, 9}};
+  start();
+  run(Milliseconds(150));
+  BOOST_TEST(firstRelay.told.empty());
+  firstFollower.relay = firstRelay.endpoint;
+  run(Milliseconds(300));
+  BOOST_REQUIRE(firstRelay.told.size() == 1U);
+  BOOST_TEST((firstRelay.told[0] == fleet::SavedPart{5, 9}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -164,6 +164,24 @@
   BOOST_TEST(usable(kStart + Milliseconds(500)) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(longestQueueIsThatOfTheBusiestServerOverAllNodes) {
+  Server a = makeServer("a", 1);
+  a.slots = 2;
+  pool.applyListing({a, makeServer("b", 1)}, kStart);
+  BOOST_TEST(pool.longestQueue() == Milliseconds(0));
+  // 40 tokens are prefilled in a millisecond.
+  pool.addLoad(BackendId("b"), {8000, 8000}, kStart);
+  BOOST_TEST(pool.longestQueue() >= Milliseconds(200));
+  BOOST_TEST(pool.longestQueue() < Milliseconds(300));
+  ServerLoads peers = pool.ownLoads();
+  for (auto& [key, load] : peers) {
+    load = load.requests == 0 ? ServerLoad{10, 0, 0, 0} : ServerLoad{};
+  }
+  pool.setPeerLoads(peers, kStart);
+  // The two places of the other are taken five times over.
+  BOOST_TEST(pool.longestQueue() > Milliseconds(1000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
