Bounds from the deployment, relays for a region, ages of namings told, dead servers given up

Change: an order answered by another server, or a connection refused, marks the server unreachable and gives its place on. Nodes tell each other in the exchange when weights were named. Relays are shared by a region ("relay-group"), two at least. A node whose relay fails proves its view by a short watch. weights-, revocation-, stop- and lease-bound reach the product as settings; gateway/bounds.cc derives weights-term, key-proof-age, drain-timeout, drain-accept and the lease from them, each with its margin; a bound that can't be kept is an error at the start that names it; `calicodrift-gateway explain-settings` prints the table.

The tests of one relay a group keep that number as their setting; the new default has its own test.

--- a/src/exchange/messages.cc
+++ b/src/exchange/messages.cc
@@ -13,6 +13,26 @@
 
 }  // namespace
 
+std::vector<NamingEntry> toEntries(const std::vector<fleet::NamedWeights>& named) {
+  std::vector<NamingEntry> entries;
+  entries.reserve(named.size());
+  for (const fleet::NamedWeights& one : named) {
+    entries.push_back({one.model.value(), one.weights.value(),
+                       capped<std::uint32_t>(static_cast<std::size_t>(one.age.count()))});
+  }
+  return entries;
+}
+
+std::vector<fleet::NamedWeights> toNamed(const std::vector<NamingEntry>& entries) {
+  std::vector<fleet::NamedWeights> named;
+  named.reserve(entries.size());
+  for (const NamingEntry& entry : entries) {
+    named.push_back(
+        {ModelId(entry.model), WeightsVersion(entry.weights), Milliseconds(entry.ageMs)});
+  }
+  return named;
+}
+
 std::vector<LoadEntry> toEntries(const fleet::ServerLoads& loads) {
   std::vector<LoadEntry> entries;
   entries.reserve(loads.size());
--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/named_weights.h"
 #include "fleet/saved_part.h"
 #include "fleet/server_load.h"
 
@@ -26,6 +27,17 @@
   }
 };
 
+struct NamingEntry {
+  std::string model;
+  std::uint64_t weights = 0;
+  std::uint32_t ageMs = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(model, weights, ageMs);
+  }
+};
+
 /// Sent by a node to its relay with its own load, and by a relay to another with its group's.
 /// The answer is one too: all others' load to a node, the other group's to a relay. Each carries
 /// the saves that its receiver has not been told yet.
@@ -38,13 +50,18 @@
   bool fresh = false;
   std::vector<LoadEntry> entries;
   std::vector<fleet::SavedPart> saves;
+  /// When weights were named, as the sender heard it.
+  std::vector<NamingEntry> namings;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, group, fresh, entries, saves);
+    archive(sender, group, fresh, entries, saves, namings);
   }
 };
 
+std::vector<NamingEntry> toEntries(const std::vector<fleet::NamedWeights>& named);
+std::vector<fleet::NamedWeights> toNamed(const std::vector<NamingEntry>& entries);
+
 /// Only servers with anything to tell are listed; values beyond a field's range are capped.
 std::vector<LoadEntry> toEntries(const fleet::ServerLoads& loads);
 fleet::ServerLoads toLoads(const std::vector<LoadEntry>& entries);
--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -65,6 +65,7 @@
     untoldSaves_.push_back(saved);
   }
   report.saves = untoldSaves_;
+  report.namings = toEntries(context_.namings());
   const std::size_t told = untoldSaves_.size();
   Result<ExchangeReport> answer = co_await send(std::move(relay), std::move(report));
   context_.onOthers(answer ? toLoads(answer.value().entries) : fleet::ServerLoads{});
@@ -73,6 +74,7 @@
     untoldSaves_.erase(untoldSaves_.begin(),
                        untoldSaves_.begin() + static_cast<std::ptrdiff_t>(told));
     context_.onSaves(answer.value().saves);
+    context_.onNamings(toNamed(answer.value().namings));
   }
 }
 
@@ -85,6 +87,7 @@
     saves_.setTold(other, batch.end);
     table_.setGroup(other, toLoads(answer.value().entries), monotonicNow());
     learnSaves(answer.value().saves, false);
+    context_.onNamings(toNamed(answer.value().namings));
   }
 }
 
@@ -107,6 +110,7 @@
     saves_.forgetPeer(report.sender);
   }
   learnSaves(report.saves, !report.group);
+  context_.onNamings(toNamed(report.namings));
   if (report.group) {
     askedAt_[report.sender] = now;
     table_.setGroup(report.sender, toLoads(report.entries), now);
@@ -119,6 +123,7 @@
   answer.sender = settings_.endpoint.toString();
   answer.entries = toEntries(others);
   answer.saves = takeSavesFor(report.sender, false);
+  answer.namings = toEntries(context_.namings());
   return answer;
 }
 
@@ -135,6 +140,7 @@
   report.group = true;
   report.entries = toEntries(group(""));
   report.saves = std::move(saves);
+  report.namings = toEntries(context_.namings());
   return report;
 }
 
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -47,6 +47,9 @@
   std::function<std::vector<fleet::SavedPart>()> takeSaves;
   /// What others' requests have saved.
   std::function<void(const std::vector<fleet::SavedPart>&)> onSaves;
+  /// When weights were named, as this node heard it, and as others did.
+  std::function<std::vector<fleet::NamedWeights>()> namings;
+  std::function<void(const std::vector<fleet::NamedWeights>&)> onNamings;
 };
 
 /// Tells each node what the others have under way at each server, some hundred milliseconds old: a
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -77,7 +77,9 @@
   kConflict,
   /// A higher fence was seen.
   kFenced,
-  /// Another server has the address, or the order is unknown to it.
+  /// Another server has the address.
+  kAnotherServer,
+  /// The order is unknown to it.
   kRefused,
 };
 
--- /dev/null
+++ b/src/gateway/bounds.cc
@@ -0,0 +1,92 @@
+#include "gateway/bounds.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace calicodrift::gateway {
+namespace {
+
+/// A request may wait in a server's queue, and a node hears of a naming late.
+constexpr Milliseconds kWeightsMargin{2000};
+/// A request takes its way to a server, and a proof counts from when it was asked for.
+constexpr Milliseconds kRevocationMargin{1200};
+/// What was cut off at the end of a planned stop must still be told to callers.
+constexpr Milliseconds kStopMargin{300};
+/// A holder's clock starts before its renewal is acknowledged.
+constexpr Milliseconds kLeaseMargin{500};
+/// A planned stop has callers come for this share of its time at most.
+constexpr int kAcceptShare = 3;
+constexpr Milliseconds kLongestAccept{2500};
+constexpr int kRenewalsInALease = 3;
+constexpr Milliseconds kLongestRenewInterval{800};
+
+/// One bound and what is taken off it.
+struct Rule {
+  std::string boundName;
+  Milliseconds bound;
+  Milliseconds margin;
+  std::string name;
+  Milliseconds& value;
+  std::string breaks;
+};
+
+std::vector<Rule> rulesOf(GatewaySettings& settings) {
+  // A quarter, so that a long bound leaves room for longer queues too.
+  const Milliseconds weightsMargin = std::max(kWeightsMargin, settings.weightsBound / 4);
+  const Milliseconds stopBound(static_cast<std::int64_t>(settings.stopBoundSeconds * 1000));
+  return {
+      {"weights-bound-ms", settings.weightsBound, weightsMargin, "weights-term-ms",
+       settings.weightsTerm, "requests begin on weights that were replaced too long ago"},
+      {"revocation-bound-ms", settings.revocationBound, kRevocationMargin, "key-proof-age-ms",
+       settings.keyProofAge, "requests are served for keys that were withdrawn"},
+      {"stop-bound-s", stopBound, kStopMargin, "drain-timeout-ms", settings.drainTimeout,
+       "a planned stop is ended from outside and cuts requests"},
+      {"lease-bound-ms", settings.leaseBound, kLeaseMargin, "lease-duration-ms",
+       settings.leaseDuration, "two nodes give orders at once"},
+  };
+}
+
+}  // namespace
+
+Result<std::vector<DerivedSetting>> applyBounds(GatewaySettings& settings) {
+  std::vector<DerivedSetting> derived;
+  for (const Rule& rule : rulesOf(settings)) {
+    if (rule.value > Milliseconds(0)) {
+      derived.push_back({rule.name, rule.value, "given", rule.breaks});
+      continue;
+    }
+    if (rule.bound <= rule.margin) {
+      return fail(ErrorKind::kSettingsInvalid,
+                  rule.boundName + " is " + std::to_string(rule.bound.count()) +
+                      " ms; it can't be kept below " + std::to_string(rule.margin.count() + 1) +
+                      " ms, as else " + rule.breaks);
+    }
+    rule.value = rule.bound - rule.margin;
+    derived.push_back({rule.name, rule.value,
+                       rule.boundName + " - " + std::to_string(rule.margin.count()), rule.breaks});
+  }
+  settings.leaseRenewInterval =
+      std::min(settings.leaseDuration / kRenewalsInALease, kLongestRenewInterval);
+  derived.push_back({"lease-renew-interval-ms", settings.leaseRenewInterval,
+                     "lease-duration-ms / " + std::to_string(kRenewalsInALease),
+                     "a lease lapses though its holder lives"});
+  if (settings.drainAccept == Milliseconds(0)) {
+    settings.drainAccept = std::min(kLongestAccept, settings.drainTimeout / kAcceptShare);
+  }
+  derived.push_back({"drain-accept-ms", settings.drainAccept,
+                     "drain-timeout-ms / " + std::to_string(kAcceptShare) + ", 2500 at most",
+                     "callers that have not heard of the stop are turned away"});
+  return derived;
+}
+
+std::string describeDerived(const std::vector<DerivedSetting>& derived) {
+  std::ostringstream text;
+  text << "| setting | value | from | where it is missed |\n|---|---|---|---|\n";
+  for (const DerivedSetting& row : derived) {
+    text << "| `" << row.name << "` | " << row.value.count() << " ms | " << row.from << " | "
+         << row.breaks << " |\n";
+  }
+  return text.str();
+}
+
+}  // namespace calicodrift::gateway
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -63,7 +63,7 @@
 relay::RelaySettings relaySettings(const GatewaySettings& settings) {
   relay::RelaySettings relay;
   relay.node = NodeId(settings.nodeId);
-  relay.zone = ZoneId(settings.zone);
+  relay.group = settings.relayGroup.empty() ? settings.zone : settings.relayGroup;
   relay.endpoint = settings.relayListen;
   relay.maxFollowers = static_cast<std::size_t>(settings.relayMaxFollowers);
   relay.proofAge = settings.relayProofAge;
@@ -173,6 +173,10 @@
           [this] { return forwarder_.cacheMoves().takeSaves(); },
           [this](const std::vector<fleet::SavedPart>& saves) {
             forwarder_.cacheMoves().learnSaved(saves, monotonicNow());
+          },
+          [this] { return targets_.known(monotonicNow()); },
+          [this](const std::vector<fleet::NamedWeights>& named) {
+            targets_.learn(named, monotonicNow());
           }};
 }
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -24,6 +24,9 @@
         "address for nodes that read the store through this one; port 0: each node reads it "
         "itself"},
        &G::relayListen},
+      {{"relay-group", "", 0, 0, "",
+        "nodes of the same group share relays; empty: the nodes of the zone"},
+       &G::relayGroup},
       {{"relay-max-followers", "16", 1, 1000, "count",
         "nodes that read the store through this one"},
        &G::relayMaxFollowers},
@@ -76,21 +79,39 @@
        &G::serverChangePause},
       {{"weights-watch-ms", "500", 10, 30'000, "ms", "longest watch of the named weights"},
        &G::weightsWatch},
-      {{"key-proof-age-ms", "3800", 10, kMinuteMs, "ms",
-        "requests with keys are refused where the configuration's proof is older"},
+      {{"key-proof-age-ms", "0", 0, kMinuteMs, "ms",
+        "requests with keys are refused where the configuration's proof is older; 0: from "
+        "revocation-bound-ms"},
        &G::keyProofAge},
       {{"absence-proof-age-ms", "2000", 10, kMinuteMs, "ms",
         "an unknown route or key is final only where the proof is newer"},
        &G::absenceProofAge},
-      {{"weights-term-ms", "6000", 10, kMinuteMs, "ms",
-        "requests may begin on older weights so long after newer ones are known"},
+      {{"weights-term-ms", "0", 0, kMinuteMs, "ms",
+        "requests may begin on older weights so long after newer ones are known; 0: from "
+        "weights-bound-ms"},
        &G::weightsTerm},
       {{"max-concurrent-loads", "2", 1, 1000, "count", "servers that load weights at once"},
        &G::maxConcurrentLoads},
-      {{"lease-duration-ms", "2500", 100, kMinuteMs, "ms", "how long a renewal of the lease holds"},
+      {{"lease-duration-ms", "0", 0, kMinuteMs, "ms",
+        "how long a renewal of the lease holds; 0: from lease-bound-ms"},
        &G::leaseDuration},
-      {{"lease-renew-interval-ms", "800", 10, kMinuteMs, "ms", "pause between renewals"},
-       &G::leaseRenewInterval},
+  };
+}
+
+/// What the deployment demands; bounds.h derives other settings from these.
+Rows boundRows() {
+  return {
+      {{"weights-bound-ms", "8000", 1, kMinuteMs, "ms",
+        "no request begins on older weights so long after newer ones were named"},
+       &G::weightsBound},
+      {{"revocation-bound-ms", "5000", 1, kMinuteMs, "ms",
+        "no request is served so long after its key was withdrawn"},
+       &G::revocationBound},
+      {{"stop-bound-s", "8", 1, 3600, "s", "a planned stop is ended from outside after so long"},
+       &G::stopBoundSeconds},
+      {{"lease-bound-ms", "3000", 1, kMinuteMs, "ms",
+        "two nodes may take turns in giving orders after so long"},
+       &G::leaseBound},
   };
 }
 
@@ -101,10 +122,12 @@
        &G::maxConnections},
       {{"write-timeout-ms", "10000", 10, kMinuteMs, "ms", "for a slow caller to take bytes"},
        &G::writeTimeout},
-      {{"drain-accept-ms", "2500", 0, kMinuteMs, "ms",
-        "a planned stop goes on to accept so long, until callers have learnt of it"},
+      {{"drain-accept-ms", "0", 0, kMinuteMs, "ms",
+        "a planned stop goes on to accept so long, until callers have learnt of it; 0: a third of "
+        "the stop, 2500 at most"},
        &G::drainAccept},
-      {{"drain-timeout-ms", "7700", 10, kMinuteMs, "ms", "longest planned stop"}, &G::drainTimeout},
+      {{"drain-timeout-ms", "0", 0, kMinuteMs, "ms", "longest planned stop; 0: from stop-bound-s"},
+       &G::drainTimeout},
   };
 }
 
@@ -113,7 +136,8 @@
 const settings::SettingsTable<GatewaySettings>& gatewaySettingsTable() {
   static const Rows kTable = [] {
     Rows all;
-    for (const Rows& part : {placeRows(), forwardRows(), controlRows(), callerRows()}) {
+    for (const Rows& part :
+         {placeRows(), boundRows(), forwardRows(), controlRows(), callerRows()}) {
       all.insert(all.end(), part.begin(), part.end());
     }
     return all;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
   Endpoint store;
   /// Port 0: the node reads the store itself.
   Endpoint relayListen;
+  std::string relayGroup;
   std::int64_t relayMaxFollowers = 0;
   Milliseconds relayProofAge{0};
   std::string modelPolicy;
@@ -39,6 +40,11 @@
   Milliseconds retryAfter{0};
   std::int64_t retryPercent = 0;
   std::int64_t retryFloor = 0;
+  /// Bounds of the deployment; bounds.h says what follows from them.
+  Milliseconds weightsBound{0};
+  Milliseconds revocationBound{0};
+  double stopBoundSeconds = 0;
+  Milliseconds leaseBound{0};
   Milliseconds weightsTerm{0};
   std::int64_t maxConcurrentLoads = 0;
   Milliseconds leaseDuration{0};
--- a/src/gateway/program.cc
+++ b/src/gateway/program.cc
@@ -4,12 +4,14 @@
 #include <csignal>
 #include <iostream>
 
+#include "gateway/bounds.h"
 #include "log/log.h"
 
 namespace calicodrift::gateway {
 namespace {
 
 namespace asio = boost::asio;
+constexpr const char* kExplainWord = "explain-settings";
 
 void watchSignals(asio::signal_set& signals, GatewayNode& node) {
   signals.async_wait([&](boost::system::error_code code, int number) {
@@ -29,10 +31,24 @@
 }  // namespace
 
 int runGateway(int argc, const char* const* argv, PortFactory& ports) {
-  const GatewaySettings settings =
+  auto loaded =
       settings::loadOrExit(argc, argv, "Router node on a platform with a store of its own",
-                           gatewaySettingsTable())
-          .settings;
+                           gatewaySettingsTable(), settings::WordsAllowed::kYes);
+  GatewaySettings& settings = loaded.settings;
+  const auto derived = applyBounds(settings);
+  if (!derived) {
+    std::cerr << derived.error().detail << "\n";
+    return settings::kExitUsage;
+  }
+  if (loaded.words == std::vector<std::string>{kExplainWord}) {
+    std::cout << describeDerived(derived.value());
+    return settings::kExitSuccess;
+  }
+  if (!loaded.words.empty()) {
+    std::cerr << "unknown word '" << loaded.words.front() << "'; '" << kExplainWord
+              << "' prints the settings that follow from bounds\n";
+    return settings::kExitUsage;
+  }
   log::initialize(settings.nodeId, log::Output::kStandardOutput);
   asio::io_context context(1);
   http::Client client(context.get_executor());
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -1,5 +1,6 @@
 #include "gateway/store_views.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "common/hashing.h"
@@ -12,6 +13,12 @@
 
 namespace {
 
+/// What the margin of the weights' term leaves for a queue.
+constexpr Milliseconds kQueueInMargin{1000};
+/// Older weights run out sooner by this at most where queues are longer, so that long queues do not
+/// take all servers away.
+constexpr Milliseconds kMostAllowance{2000};
+
 /// Tells in the log when the store is lost or regained for a kind.
 std::function<void(bool, const std::string&)> reachableLogger(const std::string& kind) {
   return [kind](bool reachable, const std::string& cause) {
@@ -84,15 +91,13 @@
 store::KindListener StoreViews::weightsListener() {
   store::KindListener listener;
   listener.onListing = [this](const store::Listing& listing) {
-    // What a first listing shows may have been named long ago.
-    const MonotonicTime since = monotonicNow() - settings_.weightsTerm / 2;
     for (const store::Object& object : listing.objects) {
-      applyWeights(object, since);
+      applyWeights(object, WeightsSource::kListing);
     }
   };
   listener.onChanges = [this](const store::ChangeBatch& batch) {
     for (const store::Change& change : batch.changes) {
-      applyWeights(change.object, monotonicNow());
+      applyWeights(change.object, WeightsSource::kChange);
     }
   };
   listener.onReachable = reachableLogger(schema_.weightsKind());
@@ -168,7 +173,7 @@
               {"revision", std::to_string(listing.revision.value())}});
 }
 
-void StoreViews::applyWeights(const store::Object& object, MonotonicTime since) {
+void StoreViews::applyWeights(const store::Object& object, WeightsSource source) {
   Result<fleet::LoadedModel> named = schema_.readWeights(object);
   if (!named) {
     return;
@@ -178,7 +183,11 @@
     return;
   }
   // The first version of a model has no predecessor that requests might begin on.
-  targets_.name(named.value().model, named.value().weights, since, monotonicNow());
+  if (source == WeightsSource::kChange) {
+    targets_.name(named.value().model, named.value().weights, monotonicNow());
+  } else {
+    targets_.find(named.value().model, named.value().weights, monotonicNow());
+  }
   log::write(log::Level::kInfo, "weights_named",
              {{"model", named.value().model.value()},
               {"weights", std::to_string(named.value().weights.value())}});
@@ -187,8 +196,11 @@
 
 void StoreViews::refreshLeastWeights() {
   const MonotonicTime now = monotonicNow();
+  // A request begins only when it has come through its server's queue.
+  const Milliseconds beyond = pool_.longestQueue() - kQueueInMargin;
+  const Milliseconds allowance = std::clamp(beyond, Milliseconds(0), kMostAllowance);
   for (const ModelId& model : targets_.models()) {
-    pool_.setLeastWeights(model, targets_.least(model, now), now);
+    pool_.setLeastWeights(model, targets_.least(model, now + allowance), now);
   }
 }
 
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -47,7 +47,9 @@
   void applyConfiguration(const store::Object& object);
   void applyServer(const store::Object& object);
   void applyServers(const store::Listing& listing);
-  void applyWeights(const store::Object& object, MonotonicTime since);
+  /// Whether a version was seen to be named, or was found.
+  enum class WeightsSource { kChange, kListing };
+  void applyWeights(const store::Object& object, WeightsSource source);
   void refreshLeastWeights();
   /// Older weights run out by time alone.
   boost::asio::awaitable<void> keepLeastWeights();
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -18,7 +18,7 @@
       settings_(std::move(settings)),
       store_(executor_, direct, RelayClient(client, settings_)),
       server_(settings_, [this](const std::string& kind) { return store_.cache(kind); }),
-      lists_(direct, settings_.zone.value()),
+      lists_(direct, settings_.group),
       timer_(executor_),
       random_(hashBytes(settings_.node.value())) {
   store_.onRelayFailed(
@@ -63,7 +63,8 @@
     becomeRelay();
     co_return;
   }
-  if (const std::optional<Endpoint> relay = usableRelay(list.value())) {
+  const std::optional<Endpoint> relay = usableRelay(list.value());
+  if (relay && list.value().relays.size() >= settings_.leastRelays) {
     follow(*relay);
     co_return;
   }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -11,11 +11,14 @@
 
 struct RelaySettings {
   NodeId node;
-  ZoneId zone;
+  /// Nodes of one group share relays.
+  std::string group;
   /// Where followers reach this node; without a port it reads the store itself and serves nobody.
   Endpoint endpoint;
   /// Nodes that one relay serves.
   std::size_t maxFollowers = 16;
+  /// Relays of a group, so that one that is lost need not be replaced before its followers go on.
+  std::size_t leastRelays = 2;
   /// A relay whose own proof is older serves nobody, so that its followers go elsewhere.
   Milliseconds proofAge{1300};
   /// A follower that has not asked for so long no longer counts.
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -41,6 +41,13 @@
   co_return batch;
 }
 
+namespace {
+
+/// A watch as short as this is asked only for the proof that it brings.
+constexpr Milliseconds kProofWait{20};
+
+}  // namespace
+
 awaitable<Result<store::Listing>> RelayedStore::listAnywhere(std::string kind) {
   if (relay_) {
     const Endpoint relay = *relay_;
@@ -56,15 +63,30 @@
 awaitable<Result<store::ChangeBatch>> RelayedStore::watchAnywhere(std::string kind,
                                                                   store::Revision since,
                                                                   Milliseconds wait) {
-  if (relay_) {
-    const Endpoint relay = *relay_;
-    Result<store::ChangeBatch> batch = co_await client_.watch(relay, kind, since, wait);
-    if (batch || batch.error().kind == ErrorKind::kVersionConflict) {
-      co_return batch;
-    }
-    leave(relay, batch.error());
+  if (!relay_) {
+    co_return co_await direct_.watch(std::move(kind), since, wait);
+  }
+  const Endpoint relay = *relay_;
+  const MonotonicTime asked = monotonicNow();
+  Result<store::ChangeBatch> batch = co_await client_.watch(relay, kind, since, wait);
+  if (batch || batch.error().kind == ErrorKind::kVersionConflict) {
+    co_return batch;
   }
-  co_return co_await direct_.watch(std::move(kind), since, wait);
+  leave(relay, batch.error());
+  co_return co_await proveDirectly(std::move(kind), since, asked);
+}
+
+awaitable<Result<store::ChangeBatch>> RelayedStore::proveDirectly(std::string kind,
+                                                                  store::Revision since,
+                                                                  MonotonicTime asked) {
+  const MonotonicTime askedStore = monotonicNow();
+  Result<store::ChangeBatch> batch = co_await direct_.watch(std::move(kind), since, kProofWait);
+  if (batch) {
+    const MonotonicTime proven =
+        store::provenAt(batch.value(), askedStore, kProofWait, monotonicNow());
+    batch.value().provenAfterAsked = std::chrono::floor<Milliseconds>(proven - asked);
+  }
+  co_return batch;
 }
 
 void RelayedStore::leave(const Endpoint& relay, const Error& cause) {
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -49,6 +49,12 @@
   boost::asio::awaitable<Result<store::ChangeBatch>> watchAnywhere(std::string kind,
                                                                    store::Revision since,
                                                                    Milliseconds wait);
+  /// The changes after a relay has failed, by a short watch of the store: the view has grown old
+  /// while the relay was silent, and this node may be asked to serve others at once.
+  /// @param asked when the relay was asked.
+  boost::asio::awaitable<Result<store::ChangeBatch>> proveDirectly(std::string kind,
+                                                                   store::Revision since,
+                                                                   MonotonicTime asked);
   void leave(const Endpoint& relay, const Error& cause);
 
   boost::asio::any_io_executor executor_;
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -42,6 +42,8 @@
       return "conflict";
     case forward::OrderOutcome::kFenced:
       return "fenced";
+    case forward::OrderOutcome::kAnotherServer:
+      return "another_server";
     case forward::OrderOutcome::kRefused:
       return "refused";
   }
@@ -272,11 +274,18 @@
     noteReport(*survey, index, server, report.value());
   } else if (pool_.find(server.id) == nullptr) {
     schedule_.onGone(server.id);
+  } else if (report.error().kind == ErrorKind::kConnectFailed) {
+    giveUp(server.id);
   }
   --survey->outstanding;
   survey->finished.cancel();
 }
 
+void WeightsRollout::giveUp(const BackendId& server) {
+  schedule_.onGone(server);
+  pool_.markUnreachable(server, monotonicNow());
+}
+
 void WeightsRollout::noteReport(Survey& survey, std::size_t index, const fleet::Server& server,
                                 const forward::ServerReport& report) {
   orderCounts_[server.id] = report.orderCount;
@@ -340,8 +349,12 @@
     if (read == forward::OrderOutcome::kFenced) {
       lease_.onFenced(token);
     }
+    if (read == forward::OrderOutcome::kAnotherServer) {
+      giveUp(server.id);
+    }
   } else if (answer.error().kind == ErrorKind::kConnectFailed) {
     outcome = "not_sent";
+    giveUp(server.id);
   }
   // An order whose answer is lost may be carried out seconds later. It need not be waited for: the
   // next one expects the same count of orders, so that the server carries out one of the two.
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -70,6 +70,9 @@
                                     bool busy) const;
   boost::asio::awaitable<void> sendOrder(orders::LoadOrder order, fleet::Server server,
                                          FencingToken token);
+  /// The server does not live at its address any more, though the list still shows it: its place
+  /// goes to another until a probe finds it again.
+  void giveUp(const BackendId& server);
   orders::RolloutGoal goal() const;
   /// Takes over which servers have loaded, and decides which are announced next.
   void updateSchedule();
--- a/src/rollout/weights_targets.cc
+++ b/src/rollout/weights_targets.cc
@@ -2,10 +2,41 @@
 
 namespace calicodrift::rollout {
 
-void WeightsTargets::name(const ModelId& model, WeightsVersion version, MonotonicTime since,
-                          MonotonicTime heardAt) {
+void WeightsTargets::name(const ModelId& model, WeightsVersion version, MonotonicTime now) {
   // Known versions keep the times at which they were first heard of.
-  namings_[model].emplace(version, Naming{since, heardAt});
+  namings_[model].emplace(version, Naming{now, now, false});
+}
+
+void WeightsTargets::find(const ModelId& model, WeightsVersion version, MonotonicTime now) {
+  namings_[model].emplace(version, Naming{now - term_ / 2, now, true});
+}
+
+void WeightsTargets::learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now) {
+  for (const fleet::NamedWeights& told : named) {
+    const auto model = namings_.find(told.model);
+    if (model == namings_.end()) {
+      continue;
+    }
+    const auto naming = model->second.find(told.weights);
+    if (naming != model->second.end() && naming->second.guessed) {
+      naming->second.since = now - told.age;
+      naming->second.guessed = false;
+    }
+  }
+}
+
+std::vector<fleet::NamedWeights> WeightsTargets::known(MonotonicTime now) const {
+  std::vector<fleet::NamedWeights> told;
+  for (const auto& [model, namings] : namings_) {
+    for (const auto& [version, naming] : namings) {
+      const auto age = std::chrono::ceil<Milliseconds>(now - naming.since);
+      // What has run out for everybody need not be told.
+      if (!naming.guessed && age < 2 * term_) {
+        told.push_back({model, version, age});
+      }
+    }
+  }
+  return told;
 }
 
 std::optional<WeightsVersion> WeightsTargets::newest(const ModelId& model) const {
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/ids.h"
+#include "fleet/named_weights.h"
 
 /// Bringing model servers to the weights that operators name.
 namespace calicodrift::rollout {
@@ -19,10 +20,15 @@
   /// @param term how long requests may begin on an older version after a newer one is known.
   explicit WeightsTargets(Milliseconds term) : term_(term) {}
 
-  /// @param since when the version was named at the latest.
-  /// @param heardAt when this node heard of it.
-  void name(const ModelId& model, WeightsVersion version, MonotonicTime since,
-            MonotonicTime heardAt);
+  /// A version was named while this node watched.
+  void name(const ModelId& model, WeightsVersion version, MonotonicTime now);
+  /// A version was found that may have been named long before; taken as named half the term ago
+  /// until another node tells more.
+  void find(const ModelId& model, WeightsVersion version, MonotonicTime now);
+  /// What another node knows of the age of namings. Corrects what was only found.
+  void learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now);
+  /// What this node knows of the age of namings.
+  std::vector<fleet::NamedWeights> known(MonotonicTime now) const;
   /// Newest version of the model; nothing where none was named.
   std::optional<WeightsVersion> newest(const ModelId& model) const;
   /// Least version on which a request may begin now.
@@ -35,8 +41,12 @@
 
  private:
   struct Naming {
+    /// When the version was named, at the latest.
     MonotonicTime since;
+    /// When this node heard of it.
     MonotonicTime heardAt;
+    /// `since` is a guess.
+    bool guessed = false;
   };
   using Namings = std::map<WeightsVersion, Naming>;
 
--- a/src/settings/setting.cc
+++ b/src/settings/setting.cc
@@ -11,8 +11,8 @@
 namespace calicodrift::settings {
 namespace {
 
-std::optional<std::int64_t> parseInteger(std::string_view text) {
-  std::int64_t value = 0;
+std::optional<double> parseNumber(std::string_view text) {
+  double value = 0;
   const auto parsed = std::from_chars(text.begin(), text.end(), value);
   if (parsed.ec != std::errc{} || parsed.ptr != text.end()) {
     return std::nullopt;
@@ -33,21 +33,39 @@
   return items;
 }
 
-Result<std::int64_t> parseBounded(const SettingDescription& description, std::string_view text) {
-  const std::optional<std::int64_t> value = parseInteger(text);
+Result<double> parseBounded(const SettingDescription& description, std::string_view text) {
+  const std::optional<double> value = parseNumber(text);
   const std::string bounds = std::to_string(description.minimum) + " to " +
                              std::to_string(description.maximum) + " " + description.unit;
   if (!value) {
     return fail(ErrorKind::kSettingsInvalid,
-                "'" + std::string(text) + "' is not a whole number; give " + bounds);
+                "'" + std::string(text) + "' is not a number; give " + bounds);
   }
-  if (*value < description.minimum || *value > description.maximum) {
+  const bool inside = *value >= static_cast<double>(description.minimum) &&
+                      *value <= static_cast<double>(description.maximum);
+  if (!inside) {
     return fail(ErrorKind::kSettingsInvalid,
                 std::string(text) + " is out of bounds; give " + bounds);
   }
   return *value;
 }
 
+/// A whole number may be written with a fraction of zero.
+Result<std::int64_t> parseWhole(const SettingDescription& description, std::string_view text) {
+  const Result<double> value = parseBounded(description, text);
+  if (!value) {
+    return value.error();
+  }
+  const auto whole = static_cast<std::int64_t>(value.value());
+  if (static_cast<double>(whole) != value.value()) {
+    return fail(ErrorKind::kSettingsInvalid,
+                "'" + std::string(text) + "' is not a whole number; give " +
+                    std::to_string(description.minimum) + " to " +
+                    std::to_string(description.maximum) + " " + description.unit);
+  }
+  return whole;
+}
+
 Result<SettingValue> parseEndpoints(std::string_view text) {
   std::vector<Endpoint> endpoints;
   for (const std::string& item : splitList(text)) {
@@ -65,7 +83,7 @@
   if (value.is_string()) {
     return std::string(value.get_string());
   }
-  if (value.is_int64() || value.is_uint64() || value.is_bool()) {
+  if (value.is_number() || value.is_bool()) {
     return boost::json::serialize(value);
   }
   if (!value.is_array()) {
@@ -140,7 +158,14 @@
     }
     return SettingValue{text == "true"};
   }
-  Result<std::int64_t> number = parseBounded(description, text);
+  if (std::holds_alternative<double>(prototype)) {
+    Result<double> number = parseBounded(description, text);
+    if (!number) {
+      return number.error();
+    }
+    return SettingValue{number.value()};
+  }
+  Result<std::int64_t> number = parseWhole(description, text);
   if (!number) {
     return number.error();
   }
--- a/src/settings/setting.h
+++ b/src/settings/setting.h
@@ -16,14 +16,14 @@
 namespace calicodrift::settings {
 
 /// Every type that a setting can have.
-using SettingValue = std::variant<std::string, std::int64_t, bool, Milliseconds, Endpoint,
+using SettingValue = std::variant<std::string, std::int64_t, double, bool, Milliseconds, Endpoint,
                                   std::vector<Endpoint>, std::vector<std::string>>;
 
 /// What people see of one setting, whatever its type.
 struct SettingDescription {
   std::string name;
   std::string defaultText;
-  /// For integers and durations (in milliseconds); both ends are allowed values.
+  /// For numbers and durations (in milliseconds); both ends are allowed values.
   std::int64_t minimum = 0;
   std::int64_t maximum = 0;
   /// "ms", "bytes", "count"; empty for text.
--- a/src/settings/table.h
+++ b/src/settings/table.h
@@ -15,9 +15,9 @@
 /// Where a row's value goes: a member of the program's settings struct.
 template <typename Settings>
 using SettingMember =
-    std::variant<std::string Settings::*, std::int64_t Settings::*, bool Settings::*,
-                 Milliseconds Settings::*, Endpoint Settings::*, std::vector<Endpoint> Settings::*,
-                 std::vector<std::string> Settings::*>;
+    std::variant<std::string Settings::*, std::int64_t Settings::*, double Settings::*,
+                 bool Settings::*, Milliseconds Settings::*, Endpoint Settings::*,
+                 std::vector<Endpoint> Settings::*, std::vector<std::string> Settings::*>;
 
 /// One row of a program's settings table.
 template <typename Settings>
--- a/tests/exchange/node_exchange_test.cc
+++ b/tests/exchange/node_exchange_test.cc
@@ -38,6 +38,10 @@
             [this] { return std::exchange(toTell, {}); },
             [this](const std::vector<fleet::SavedPart>& saves) {
               told.insert(told.end(), saves.begin(), saves.end());
+            },
+            [this] { return named; },
+            [this](const std::vector<fleet::NamedWeights>& others) {
+              heardNamed.insert(heardNamed.end(), others.begin(), others.end());
             }},
         settings);
   }
@@ -48,6 +52,8 @@
   std::size_t others = 0;
   std::vector<fleet::SavedPart> toTell;
   std::vector<fleet::SavedPart> told;
+  std::vector<fleet::NamedWeights> named;
+  std::vector<fleet::NamedWeights> heardNamed;
   std::unique_ptr<NodeExchange> exchange;
   http::Server server;
 };
@@ -122,6 +128,17 @@
   BOOST_TEST(secondRelay.others == 1101U);
 }
 
+BOOST_AUTO_TEST_CASE(nodeIsToldWhenWeightsWereNamed) {
+  firstRelay.named = {{ModelId("m"), WeightsVersion(4), Milliseconds(1500)}};
+  start();
+  run(Milliseconds(200));
+  for (const TestNode* node : {&firstFollower, &secondRelay}) {
+    BOOST_REQUIRE(!node->heardNamed.empty());
+    BOOST_TEST((node->heardNamed[0].weights == WeightsVersion(4)));
+    BOOST_TEST(node->heardNamed[0].age == Milliseconds(1500));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(saveIsToldAfterARelayWasLost) {
   firstFollower.relay = Endpoint{"127.0.0.1", 1};
   firstFollower.toTell = {{5, 9}};
--- /dev/null
+++ b/tests/gateway/bounds_test.cc
@@ -0,0 +1,69 @@
+#include "gateway/bounds.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::gateway {
+namespace {
+
+GatewaySettings makeSettings() {
+  return settings::defaultSettings(gatewaySettingsTable());
+}
+
+BOOST_AUTO_TEST_CASE(settingsFollowFromTheBoundsWithAMargin) {
+  GatewaySettings settings = makeSettings();
+  settings.weightsBound = Milliseconds(10'000);
+  settings.revocationBound = Milliseconds(5000);
+  settings.stopBoundSeconds = 15;
+  settings.leaseBound = Milliseconds(3000);
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.weightsTerm == Milliseconds(7500));
+  BOOST_TEST(settings.keyProofAge == Milliseconds(3800));
+  BOOST_TEST(settings.drainTimeout == Milliseconds(14'700));
+  BOOST_TEST(settings.leaseDuration == Milliseconds(2500));
+  BOOST_TEST(settings.drainAccept == Milliseconds(2500));
+}
+
+BOOST_AUTO_TEST_CASE(shorterBoundsGiveShorterSettings) {
+  GatewaySettings settings = makeSettings();
+  settings.weightsBound = Milliseconds(6000);
+  settings.revocationBound = Milliseconds(3000);
+  settings.stopBoundSeconds = 5.5;
+  settings.leaseBound = Milliseconds(1500);
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.weightsTerm == Milliseconds(4000));
+  BOOST_TEST(settings.keyProofAge == Milliseconds(1800));
+  BOOST_TEST(settings.drainTimeout == Milliseconds(5200));
+  BOOST_TEST(settings.drainAccept < Milliseconds(1800));
+  BOOST_TEST(settings.leaseDuration == Milliseconds(1000));
+  // Two renewals may fail before the lease lapses.
+  BOOST_TEST(3 * settings.leaseRenewInterval <= settings.leaseDuration);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsGivenGoesBeforeTheBound) {
+  GatewaySettings settings = makeSettings();
+  settings.keyProofAge = Milliseconds(700);
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.keyProofAge == Milliseconds(700));
+}
+
+BOOST_AUTO_TEST_CASE(boundThatCannotBeKeptIsAnErrorThatNamesIt) {
+  GatewaySettings settings = makeSettings();
+  settings.weightsBound = Milliseconds(2000);
+  const auto derived = applyBounds(settings);
+  BOOST_REQUIRE(!derived);
+  BOOST_TEST((derived.error().kind == ErrorKind::kSettingsInvalid));
+  BOOST_TEST(derived.error().detail.find("weights-bound-ms") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(theTableSaysWhereEachValueIsFrom) {
+  GatewaySettings settings = makeSettings();
+  const auto derived = applyBounds(settings);
+  BOOST_REQUIRE(derived);
+  const std::string table = describeDerived(derived.value());
+  BOOST_TEST(table.find("| `weights-term-ms` | 6000 ms | weights-bound-ms - 2000 |") !=
+             std::string::npos);
+  BOOST_TEST(table.find("lease-renew-interval-ms") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace calicodrift::gateway
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/bounds.h"
 #include "gateway/gateway_node.h"
 #include "log/log.h"
 #include "names.h"
@@ -27,6 +28,7 @@
   GatewayFixture() : store(context), client_(context.get_executor()) {
     log::silence();
     settings = settings::defaultSettings(gateway::gatewaySettingsTable());
+    BOOST_REQUIRE(gateway::applyBounds(settings));
     settings.listen = {"127.0.0.1", 0};
     settings.readyListen = {"127.0.0.1", 0};
     settings.store = store.endpoint();
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -81,6 +81,7 @@
         co_return fail(ErrorKind::kStoreUnavailable, "cut");
       }
       ++reads;
+      waits.push_back(wait);
       Result<store::ChangeBatch> batch = co_await shared.watch(std::move(kind), since, wait);
       if (cut) {
         co_return fail(ErrorKind::kStoreUnavailable, "cut");
@@ -102,6 +103,8 @@
     FakeStore& shared;
     bool cut = false;
     std::size_t reads = 0;
+    /// Waits of all watches that reached the store.
+    std::vector<Milliseconds> waits;
   };
 
   Path path;
@@ -120,12 +123,13 @@
 
   RelayFixture() {
     log::silence();
-    settings.zone = ZoneId("z1");
+    settings.group = "z1";
     settings.proofAge = Milliseconds(200);
     settings.claimDelay = Milliseconds(60);
     settings.callTimeout = Milliseconds(150);
     settings.reviewInterval = Milliseconds(200);
     settings.followerTerm = Milliseconds(300);
+    settings.leastRelays = 1;
     shared.set("k", "a", "1");
   }
   /// The loop must not hold what is gone.
@@ -174,6 +178,38 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(twoOfManyNodesReadTheStoreSoThatOneMayBeLost) {
+  settings.leastRelays = 2;
+  for (int count = 0; count < 8; ++count) {
+    addNode();
+  }
+  run(Milliseconds(1200));
+  BOOST_TEST(relays().size() == 2U);
+  BOOST_TEST(readers() == 2U);
+  // Its followers go on at the other one; nobody has to become a relay first.
+  TestNode& lost = *relays()[0];
+  lost.path.cut = true;
+  run(settings.proofAge + Milliseconds(150));
+  shared.set("k", "new", "3");
+  run(Milliseconds(100));
+  for (const auto& node : nodes) {
+    BOOST_TEST((node.get() == &lost || node->seen.contains("new")));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(nodeThatLosesItsRelayProvesItsViewAtOnce) {
+  // It may be asked to serve others in the next moment, and by an old proof it could not.
+  addNode();
+  run(Milliseconds(300));
+  TestNode& follower = addNode();
+  run(Milliseconds(400));
+  BOOST_REQUIRE(!follower.relay.isRelay());
+  asio::co_spawn(context, nodes[0]->relay.stop(), asio::detached);
+  run(Milliseconds(300));
+  BOOST_REQUIRE(!follower.path.waits.empty());
+  BOOST_TEST(follower.path.waits.front() < kWatch / 2);
+}
+
 BOOST_AUTO_TEST_CASE(followersProveTheAgeOfTheirViews) {
   for (int count = 0; count < 4; ++count) {
     addNode();
--- a/tests/rollout/weights_targets_test.cc
+++ b/tests/rollout/weights_targets_test.cc
@@ -11,8 +11,8 @@
 BOOST_AUTO_TEST_CASE(olderWeightsAreAllowedForTheTermAfterTheirSuccessor) {
   WeightsTargets targets(Milliseconds(6000));
   BOOST_TEST((targets.newest(kModel) == std::nullopt));
-  targets.name(kModel, WeightsVersion(2), kStart, kStart);
-  targets.name(kModel, WeightsVersion(3), kStart + Milliseconds(4000), kStart + Milliseconds(4000));
+  targets.name(kModel, WeightsVersion(2), kStart);
+  targets.name(kModel, WeightsVersion(3), kStart + Milliseconds(4000));
   BOOST_TEST((targets.newest(kModel) == WeightsVersion(3)));
   BOOST_TEST((targets.least(kModel, kStart + Milliseconds(5999)) == WeightsVersion(0)));
   BOOST_TEST((targets.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
@@ -21,10 +21,40 @@
 
 BOOST_AUTO_TEST_CASE(versionKeepsTheTimeAtWhichItWasFirstHeardOf) {
   WeightsTargets targets(Milliseconds(6000));
-  targets.name(kModel, WeightsVersion(2), kStart, kStart);
-  targets.name(kModel, WeightsVersion(2), kStart + Milliseconds(5000), kStart + Milliseconds(5000));
+  targets.name(kModel, WeightsVersion(2), kStart);
+  targets.name(kModel, WeightsVersion(2), kStart + Milliseconds(5000));
   BOOST_TEST((targets.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
 }
 
+BOOST_AUTO_TEST_CASE(whatWasFoundIsTakenAsNamedBefore) {
+  WeightsTargets targets(Milliseconds(6000));
+  targets.find(kModel, WeightsVersion(2), kStart);
+  BOOST_TEST((targets.outdatedSince(kModel, WeightsVersion(1)) == kStart - Milliseconds(3000)));
+  BOOST_TEST((targets.successorHeardAt(kModel, WeightsVersion(1)) == kStart));
+  BOOST_TEST(!targets.successorHeardAt(kModel, WeightsVersion(2)).has_value());
+  // A guess is told to nobody.
+  BOOST_TEST(targets.known(kStart).empty());
+}
+
+BOOST_AUTO_TEST_CASE(anotherNodeTellsWhenTheFoundVersionWasNamed) {
+  // A node that restarts 400 ms after a naming must not give older weights up 2,600 ms too soon,
+  // when no server has the newer ones yet.
+  WeightsTargets watching(Milliseconds(6000));
+  watching.name(kModel, WeightsVersion(2), kStart);
+  WeightsTargets restarted(Milliseconds(6000));
+  const MonotonicTime start = kStart + Milliseconds(400);
+  restarted.find(kModel, WeightsVersion(2), start);
+  restarted.learn(watching.known(start), start);
+  BOOST_TEST((restarted.least(kModel, kStart + Milliseconds(5999)) == WeightsVersion()));
+  BOOST_TEST((restarted.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
+}
+
+BOOST_AUTO_TEST_CASE(whatThisNodeSawNamedIsNotCorrected) {
+  WeightsTargets targets(Milliseconds(6000));
+  targets.name(kModel, WeightsVersion(2), kStart);
+  targets.learn({{kModel, WeightsVersion(2), Milliseconds(0)}}, kStart + Milliseconds(5000));
+  BOOST_TEST((targets.outdatedSince(kModel, WeightsVersion(1)) == kStart));
+}
+
 }  // namespace
 }  // namespace calicodrift::rollout
