Admission by queues; prefill rates learnt by server

Hypothesis: before engines slower than any that we know, queues grow until every answer is late or given up; a request that can't begin in time is better refused at once, with the time to come back. Change: forward::QueueAdmission refuses a model request before its first dispatch where even the chosen server would begin later than 0.8 of the target (3 times in a burst of up to 1.5 s; 0.7 of that for lower priorities). The wait does not count the request's own prefill, so that large prompts are treated as small ones. It comes from the tokens that all nodes have waiting and from fleet::PrefillRate, learnt by server from first tokens in place of the constant 40.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -49,8 +49,9 @@
 }
 
 void ServerPool::apply(const Server& server, MonotonicTime now) {
-  const bool known = servers_.contains(server.id);
-  Entry& entry = servers_[server.id];
+  const auto [found, added] = servers_.try_emplace(server.id, prefillTokensPerMs_);
+  const bool known = !added;
+  Entry& entry = found->second;
   const bool startsDraining = server.draining && known && !entry.server.draining;
   const bool reloaded = known && entry.server.models != server.models;
   if (!known) {
@@ -269,6 +270,12 @@
   }
 }
 
+void ServerPool::observeFirstToken(const BackendId& id, std::size_t tokens, double milliseconds) {
+  if (Entry* entry = entryOf(id)) {
+    entry->prefillRate.observe(tokens, milliseconds);
+  }
+}
+
 void ServerPool::endPrefill(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
   if (Entry* entry = entryOf(id)) {
     entry->prefillTokens -= std::min(entry->prefillTokens, load.prefillTokens);
@@ -327,7 +334,7 @@
   candidate.outstanding = entry.outstanding;
   candidate.outstandingTokens = entry.outstandingTokens;
   candidate.sentPrefillTokens = entry.prefillTokens;
-  candidate.prefillTokensPerMs = prefillTokensPerMs_;
+  candidate.prefillTokensPerMs = entry.prefillRate.tokensPerMs();
   candidate.slots = entry.server.slots;
   const auto memory = memoryTokens_.find(entry.server.service);
   candidate.memoryTokens = memory == memoryTokens_.end() ? 0 : memory->second;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "fleet/backend_health.h"
+#include "fleet/prefill_rate.h"
 #include "fleet/server.h"
 #include "fleet/server_load.h"
 #include "routing/candidate_set.h"
@@ -87,6 +88,9 @@
   void setMemory(const std::string& service, std::size_t tokens, MonotonicTime now);
 
   void addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
+  /// The first token of a request came, which was sent when so many tokens waited there with its
+  /// own.
+  void observeFirstToken(const BackendId& id, std::size_t tokens, double milliseconds);
   /// The first token came: nothing is left to prefill.
   void endPrefill(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
   void removeLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
@@ -103,12 +107,15 @@
     routing::CandidateSet passedOver;
   };
   struct Entry {
+    explicit Entry(double prefillTokensPerMs) : prefillRate(prefillTokensPerMs) {}
+
     Server server;
     BackendHealth health;
     MonotonicTime pausedUntil{};
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
     std::size_t prefillTokens = 0;
+    PrefillRate prefillRate;
     ServerKey key;
     ServerLoad peers;
     /// What this node announced; 0: nothing.
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "forward/cache_moves.h"
+#include "forward/queue_admission.h"
 
 namespace calicodrift::forward {
 
@@ -32,6 +33,7 @@
   double retryFloorPerSecond = 0.3;
   double retryFloorBurst = 3;
   CacheMoveSettings cacheMoves;
+  QueueAdmissionSettings admission;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -214,6 +214,9 @@
   // A copy, as the set changes while the answer is awaited.
   // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
   const routing::Candidate candidate = candidates[choice.index];
+  if (const Result<void> admitted = admit(job, candidate, now); !admitted) {
+    co_return admitted.error();
+  }
   const fleet::Server* listed = context_.pool.find(candidate.id);
   if (listed == nullptr) {
     co_return fail(ErrorKind::kNoBackend, "the chosen server has left");
@@ -231,6 +234,7 @@
   policy.onDispatched(job.routeRequest, candidate, now);
   const std::size_t uncached =
       routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
+  const std::size_t waitingTokens = routing::prefillTokensAt(candidate) + uncached;
   fleet::LoadGuard load(context_.pool, server.id,
                         {job.request.promptTokens + job.request.outputTokens, uncached});
   Dispatch dispatch = makeDispatch(job, server, candidate);
@@ -240,7 +244,7 @@
   }
   logDispatched({job.request, job.grant, dispatch, candidate, choice.reason, candidateCount,
                  job.attempts.sent, sharedKey});
-  Result<void> outcome = co_await runAttempt(job, dispatch, load);
+  Result<void> outcome = co_await runAttempt(job, dispatch, load, waitingTokens);
   if (outcome) {
     policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
     if (dispatch.saveCacheTo) {
@@ -250,6 +254,29 @@
   co_return outcome;
 }
 
+Result<void> Forwarder::admit(const Job& job, const routing::Candidate& candidate,
+                              MonotonicTime now) {
+  // What was sent once goes on: it has waited already, and its retry is in the budget.
+  if (job.request.model.value().empty() || job.attempts.sent > 0) {
+    return boost::outcome_v2::success();
+  }
+  const routing::RouteRequest anyRequest;
+  const double waitMs =
+      routing::queueDelayMs(candidate) + routing::admissionDelayMs(anyRequest, candidate);
+  const Milliseconds wait(static_cast<std::int64_t>(waitMs));
+  const auto known = admissions_.try_emplace(job.service, settings_.admission).first;
+  const std::optional<Milliseconds> comeBack =
+      known->second.refuse(wait, job.grant.route->targetLatency, job.grant.priority(), now);
+  if (!comeBack) {
+    return boost::outcome_v2::success();
+  }
+  Error error =
+      fail(ErrorKind::kOverloaded, "a request would wait for " + std::to_string(wait.count()) +
+                                       " ms at the best server of '" + job.service + "'");
+  error.retryAfter = comeBack;
+  return error;
+}
+
 Dispatch Forwarder::makeDispatch(const Job& job, const fleet::Server& server,
                                  const routing::Candidate& candidate) const {
   Dispatch dispatch(server);
@@ -265,10 +292,17 @@
 }
 
 awaitable<Result<void>> Forwarder::runAttempt(Job& job, const Dispatch& dispatch,
-                                              fleet::LoadGuard& load) {
+                                              fleet::LoadGuard& load, std::size_t waitingTokens) {
+  const MonotonicTime sent = monotonicNow();
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
   job.attempt = attempt;
-  attempt->onFirstBytes([&load] { load.endPrefill(); });
+  attempt->onFirstBytes([this, &load, &dispatch, waitingTokens, sent] {
+    load.endPrefill();
+    if (dispatch.weights) {
+      context_.pool.observeFirstToken(dispatch.server.id, waitingTokens,
+                                      toMilliseconds(monotonicNow() - sent));
+    }
+  });
   const AttemptBounds bounds = boundsOf(job);
   const FailureUse failureUse = job.mayMoveOn() ? FailureUse::kKeep : FailureUse::kDeliver;
   Result<void> outcome =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -12,6 +12,7 @@
 #include "forward/forward_settings.h"
 #include "forward/metrics.h"
 #include "forward/protocol.h"
+#include "forward/queue_admission.h"
 #include "forward/refusals.h"
 #include "forward/request_gate.h"
 #include "forward/request_log.h"
@@ -70,12 +71,16 @@
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  /// Whether the chosen server can begin with the job in time. Fails with kOverloaded.
+  Result<void> admit(const Job& job, const routing::Candidate& candidate, MonotonicTime now);
   /// What the chosen server gets.
   Dispatch makeDispatch(const Job& job, const fleet::Server& server,
                         const routing::Candidate& candidate) const;
   /// Sends the request and relays the answer; the job's attempt while that lasts.
+  /// @param waitingTokens to prefill at the server with the request's own.
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
-                                                  fleet::LoadGuard& load);
+                                                  fleet::LoadGuard& load,
+                                                  std::size_t waitingTokens);
   /// Sets which cache the dispatch moves. `sharedKey` names the prompt's common part.
   void moveCache(const Job& job, const routing::Candidate& chosen,
                  const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
@@ -102,6 +107,7 @@
   std::unique_ptr<routing::Policy> modelPolicy_;
   std::unique_ptr<routing::Policy> servicePolicy_;
   std::map<std::string, limits::RetryBudget> budgets_;
+  std::map<std::string, QueueAdmission> admissions_;
 };
 
 }  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/queue_admission.cc
@@ -0,0 +1,31 @@
+#include "forward/queue_admission.h"
+
+#include <algorithm>
+
+namespace calicodrift::forward {
+
+std::optional<Milliseconds> QueueAdmission::refuse(Milliseconds wait, Milliseconds target,
+                                                   unsigned rank, MonotonicTime now) {
+  /// Below this part of the steady limit the queues count as short again.
+  constexpr double kRecoveredShare = 0.5;
+  const auto waitMs = static_cast<double>(wait.count());
+  const auto targetMs = static_cast<double>(std::max(target, Milliseconds(1)).count());
+  const double steadyMs = settings_.steadyTargets * targetMs;
+  if (waitMs > steadyMs) {
+    congestedSince_ = congestedSince_.value_or(now);
+  } else if (waitMs < kRecoveredShare * steadyMs) {
+    congestedSince_.reset();
+  }
+  const double share = rank == 0 ? 1 : settings_.lowerPriorityShare;
+  if (waitMs <= limitTargets(now) * share * targetMs) {
+    return std::nullopt;
+  }
+  return std::min(wait, settings_.longestRetryAfter);
+}
+
+double QueueAdmission::limitTargets(MonotonicTime now) const {
+  const bool steady = congestedSince_ && now - *congestedSince_ > settings_.burst;
+  return steady ? settings_.steadyTargets : settings_.burstTargets;
+}
+
+}  // namespace calicodrift::forward
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -182,6 +182,21 @@
   BOOST_TEST(pool.longestQueue() > Milliseconds(1000));
 }
 
+BOOST_AUTO_TEST_CASE(eachServersSpeedIsLearntByItself) {
+  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  for (int sample = 0; sample < 100; ++sample) {
+    pool.observeFirstToken(BackendId("a"), 8000, 800);
+  }
+  pool.addLoad(BackendId("a"), {1000, 1000}, kStart);
+  const routing::CandidateSet& candidates = pool.candidates("llm", kModel, kStart);
+  BOOST_TEST(candidates[*candidates.find(BackendId("a"))].prefillTokensPerMs < 11);
+  BOOST_TEST(candidates[*candidates.find(BackendId("b"))].prefillTokensPerMs == 40);
+  // Another run of the server starts from the first guess.
+  pool.remove(BackendId("a"));
+  pool.apply(makeServer("a", 1), kStart);
+  BOOST_TEST(candidates[*candidates.find(BackendId("a"))].prefillTokensPerMs == 40);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
