--- a/src/forward/cache_moves.cc
+++ b/src/forward/cache_moves.cc
@@ -17,20 +17,22 @@
 }
 
 CacheMove CacheMoves::decide(const CacheMoveQuery& query, MonotonicTime now) const {
-  if (query.sharedKey == 0 || query.sharedTokens < settings_.leastTokens) {
+  const bool tooShort = query.sharedKey == 0 || query.sharedTokens < settings_.leastTokens;
+  if (!settings_.moves || tooShort) {
     return {};
   }
-  const Save* save = saveOf(query.sharedKey, query.store);
+  const Save* known = saveOf(query.sharedKey, query.store);
   const bool proven = now - query.weightsProvenAt <= settings_.weightsProofAge;
   if (!query.outdatedSince && proven) {
     // A server may have pushed the part out; a store that got it a short time ago still has it.
     const bool fromHolder =
-        save == nullptr && query.holder && query.holderWeights == query.serverWeights;
-    const bool lies = save != nullptr && now - save->lastAt < settings_.saveTerm;
-    return {fromHolder ? query.holder : query.store, lies ? std::nullopt : query.store};
+        known == nullptr && query.holder && query.holderWeights == query.serverWeights;
+    const bool lies = known != nullptr && now - known->lastAt < settings_.saveTerm;
+    const bool save = settings_.saves && !lies;
+    return {fromHolder ? query.holder : query.store, save ? query.store : std::nullopt};
   }
   const MonotonicTime cleanUntil = query.outdatedSince.value_or(query.weightsProvenAt);
-  if (save != nullptr && save->firstAt < cleanUntil) {
+  if (known != nullptr && known->firstAt < cleanUntil) {
     return {query.store, std::nullopt};
   }
   return {};
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -25,6 +25,9 @@
   Milliseconds saveTerm{60'000};
   /// After a store was lost, what others say of it may be from before.
   Milliseconds mistrustTerm{3000};
+  /// Whether anything is moved at all, and saved.
+  bool moves = true;
+  bool saves = true;
 };
 
 /// What decides about moves for one dispatch.
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -32,6 +32,14 @@
   double retryFraction = 0.15;
   double retryFloorPerSecond = 0.3;
   double retryFloorBurst = 3;
+  /// Whether a failed request may go to another server at all.
+  bool retries = true;
+  /// Whether a request leaves a server that is silent for longer than its patience.
+  bool movesOn = true;
+  /// Whether requests that no server can begin with in time are refused.
+  bool admit = true;
+  /// Whether the speed of servers is learnt.
+  bool learnRates = true;
   CacheMoveSettings cacheMoves;
   QueueAdmissionSettings admission;
 };
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -257,7 +257,7 @@
 Result<void> Forwarder::admit(const Job& job, const routing::Candidate& candidate,
                               MonotonicTime now) {
   // What was sent once goes on: it has waited already, and its retry is in the budget.
-  if (job.request.model.value().empty() || job.attempts.sent > 0) {
+  if (!settings_.admit || job.request.model.value().empty() || job.attempts.sent > 0) {
     return boost::outcome_v2::success();
   }
   const routing::RouteRequest anyRequest;
@@ -298,7 +298,7 @@
   job.attempt = attempt;
   attempt->onFirstBytes([this, &load, &dispatch, waitingTokens, sent] {
     load.endPrefill();
-    if (dispatch.weights) {
+    if (settings_.learnRates && dispatch.weights) {
       context_.pool.observeFirstToken(dispatch.server.id, waitingTokens,
                                       toMilliseconds(monotonicNow() - sent));
     }
@@ -394,6 +394,9 @@
 }
 
 bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
+  if (!settings_.retries) {
+    return false;
+  }
   // A server that has just refused will not take the request a moment later.
   if (failure == ErrorKind::kBackendRefused && !untriedServerLeft(job)) {
     return false;
@@ -417,7 +420,7 @@
   bounds.headTimeout = left;
   bounds.firstEventTimeout = left;
   bounds.eventTimeout = left;
-  if (job.mayMoveOn()) {
+  if (settings_.movesOn && job.mayMoveOn()) {
     const Milliseconds patience(static_cast<std::int64_t>(
         settings_.patienceTargets * static_cast<double>(job.grant.route->targetLatency.count())));
     bounds.headTimeout = std::min(left, patience);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -41,6 +41,17 @@
   forward.connectTimeout = settings.connectTimeout;
   forward.unacknowledgedTimeout = settings.unacknowledgedTimeout;
   forward.refusalPause = settings.refusalPause;
+  const Mechanisms& mechanisms = settings.mechanisms;
+  if (!mechanisms.refusalPause) {
+    forward.refusalPause = Milliseconds(0);
+    forward.loadPause = Milliseconds(0);
+  }
+  forward.cacheMoves.moves = mechanisms.cacheMoves;
+  forward.cacheMoves.saves = mechanisms.cacheSaves;
+  forward.admit = mechanisms.queueAdmission;
+  forward.learnRates = mechanisms.learntRates;
+  forward.movesOn = mechanisms.patience;
+  forward.retries = mechanisms.retries;
   forward.retryAfter = settings.retryAfter;
   forward.retryFraction = static_cast<double>(settings.retryPercent) / kPercent;
   forward.retryFloorBurst = static_cast<double>(settings.retryFloor);
@@ -93,6 +104,13 @@
   rollout.maxConcurrentLoads = settings.maxConcurrentLoads;
   rollout.planner.loadTimeout = kLoadTimeout;
   rollout.planner.retryInterval = kOrderRetry;
+  if (!settings.mechanisms.loadAnnouncements) {
+    rollout.announces = false;
+    rollout.schedule.lead = Milliseconds(0);
+  }
+  if (!settings.mechanisms.settleByQueues) {
+    rollout.settleTime = rollout.longestSettleTime;
+  }
   return rollout;
 }
 
@@ -169,7 +187,11 @@
           [this] { return relay_.isRelay(); },
           [this] { return relay_.otherRelays(); },
           [this] { return pool_.ownLoads(); },
-          [this](const fleet::ServerLoads& loads) { pool_.setPeerLoads(loads, monotonicNow()); },
+          [this](const fleet::ServerLoads& loads) {
+            if (settings_.mechanisms.loadExchange) {
+              pool_.setPeerLoads(loads, monotonicNow());
+            }
+          },
           [this] { return forwarder_.cacheMoves().takeSaves(); },
           [this](const std::vector<fleet::SavedPart>& saves) {
             forwarder_.cacheMoves().learnSaved(saves, monotonicNow());
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -39,6 +39,9 @@
 /// How requests are sent to servers.
 Rows forwardRows() {
   return {
+      {{"without", "", 0, 0, "",
+        "mechanisms that are off, for experiments: names separated by commas"},
+       &G::without},
       {{"model-policy", "PrefixHome", 0, 0, "", "routing policy for model requests"},
        &G::modelPolicy},
       {{"service-policy", "LeastOutstanding", 0, 0, "", "routing policy for other requests"},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/endpoint.h"
+#include "gateway/mechanisms.h"
 #include "settings/table.h"
 
 namespace calicodrift::gateway {
@@ -24,6 +25,9 @@
   std::string relayGroup;
   std::int64_t relayMaxFollowers = 0;
   Milliseconds relayProofAge{0};
+  /// Mechanisms that are off, by name; and the same as switches.
+  std::vector<std::string> without;
+  Mechanisms mechanisms;
   std::string modelPolicy;
   std::string servicePolicy;
   std::int64_t prefillTokensPerMs = 0;
--- a/src/gateway/program.cc
+++ b/src/gateway/program.cc
@@ -35,6 +35,12 @@
       settings::loadOrExit(argc, argv, "Router node on a platform with a store of its own",
                            gatewaySettingsTable(), settings::WordsAllowed::kYes);
   GatewaySettings& settings = loaded.settings;
+  const Result<Mechanisms> mechanisms = mechanismsWithout(settings.without);
+  if (!mechanisms) {
+    std::cerr << mechanisms.error().detail << "\n";
+    return settings::kExitUsage;
+  }
+  settings.mechanisms = mechanisms.value();
   const auto derived = applyBounds(settings);
   if (!derived) {
     std::cerr << derived.error().detail << "\n";
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -166,6 +166,9 @@
 }
 
 void WeightsRollout::announce() {
+  if (!settings_.announces) {
+    return;
+  }
   std::map<BackendId, WeightsVersion> loads;
   for (const BackendId& id : schedule_.reserved()) {
     const fleet::Server* server = pool_.find(id);
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -35,6 +35,8 @@
   /// Pause between two rounds.
   Milliseconds interval{120};
   Milliseconds callTimeout{250};
+  /// Whether other nodes are told before a server is ordered.
+  bool announces = true;
   orders::RolloutSettings planner;
   LoadScheduleSettings schedule;
 };
