--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -74,6 +74,7 @@
 relay::RelaySettings relaySettings(const GatewaySettings& settings) {
   relay::RelaySettings relay;
   relay.node = NodeId(settings.nodeId);
+  relay.zone = ZoneId(settings.zone);
   relay.group = settings.relayGroup.empty() ? settings.zone : settings.relayGroup;
   relay.endpoint = settings.relayListen;
   relay.maxFollowers = static_cast<std::size_t>(settings.relayMaxFollowers);
--- a/src/relay/relay_list.cc
+++ b/src/relay/relay_list.cc
@@ -13,19 +13,29 @@
 constexpr std::string_view kListKind = "calicodrift-relays";
 constexpr std::string_view kRelaysField = "relays";
 
+constexpr std::string_view kAddressField = "address";
+constexpr std::string_view kZoneField = "zone";
+
+std::string textIn(const json::object& object, std::string_view field) {
+  const json::value* value = object.if_contains(field);
+  return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
 /// What is malformed in a list is left out.
-std::vector<Endpoint> relaysIn(const store::Object& list) {
-  std::vector<Endpoint> found;
+std::vector<Relay> relaysIn(const store::Object& list) {
+  std::vector<Relay> found;
   const json::object* spec = list.spec.if_object();
   const json::value* relays = spec == nullptr ? nullptr : spec->if_contains(kRelaysField);
   if (relays == nullptr || !relays->is_array()) {
     return found;
   }
   for (const json::value& relay : relays->get_array()) {
-    const json::string* text = relay.if_string();
-    const Result<Endpoint> endpoint = parseEndpoint(text == nullptr ? "" : std::string_view(*text));
+    if (!relay.is_object()) {
+      continue;
+    }
+    const Result<Endpoint> endpoint = parseEndpoint(textIn(relay.get_object(), kAddressField));
     if (endpoint) {
-      found.push_back(endpoint.value());
+      found.push_back({endpoint.value(), ZoneId(textIn(relay.get_object(), kZoneField))});
     }
   }
   return found;
@@ -34,11 +44,12 @@
 }  // namespace
 
 bool RelayList::contains(const Endpoint& relay) const {
-  return std::find(relays.begin(), relays.end(), relay) != relays.end();
+  return std::any_of(relays.begin(), relays.end(),
+                     [&relay](const Relay& listed) { return listed.endpoint == relay; });
 }
 
 awaitable<Result<RelayList>> RelayListStore::read() {
-  Result<store::Object> object = co_await store_.get(std::string(kListKind), zone_);
+  Result<store::Object> object = co_await store_.get(std::string(kListKind), group_);
   if (!object) {
     if (object.error().kind == ErrorKind::kNotFound) {
       co_return RelayList{};
@@ -55,19 +66,21 @@
   }
   std::vector<Endpoint> all;
   for (const store::Object& list : lists.value().objects) {
-    const std::vector<Endpoint> relays = relaysIn(list);
-    all.insert(all.end(), relays.begin(), relays.end());
+    for (const Relay& relay : relaysIn(list)) {
+      all.push_back(relay.endpoint);
+    }
   }
   co_return all;
 }
 
 awaitable<Result<void>> RelayListStore::write(RelayList list) {
   json::array relays;
-  for (const Endpoint& relay : list.relays) {
-    relays.emplace_back(relay.toString());
+  for (const Relay& relay : list.relays) {
+    relays.push_back(
+        json::object{{kAddressField, relay.endpoint.toString()}, {kZoneField, relay.zone.value()}});
   }
   store::Object object;
-  object.name = zone_;
+  object.name = group_;
   object.revision = list.revision;
   object.spec = json::object{{kRelaysField, std::move(relays)}};
   Result<store::Revision> written = co_await store_.put(std::string(kListKind), std::move(object));
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -78,11 +78,11 @@
 
 awaitable<void> RelayNode::claim(RelayList list) {
   delayed_ = false;
-  std::erase_if(list.relays, [this](const Endpoint& relay) {
-    const auto failure = failures_.find(relay);
+  std::erase_if(list.relays, [this](const Relay& relay) {
+    const auto failure = failures_.find(relay.endpoint);
     return failure != failures_.end() && !failure->second.full;
   });
-  list.relays.push_back(settings_.endpoint);
+  list.relays.push_back({settings_.endpoint, settings_.zone});
   const Result<void> written = co_await lists_.write(std::move(list));
   if (written) {
     becomeRelay();
@@ -160,16 +160,17 @@
 std::optional<Endpoint> RelayNode::usableRelay(const RelayList& list) const {
   const MonotonicTime now = monotonicNow();
   std::optional<Endpoint> best;
-  std::uint64_t bestRank = 0;
-  for (const Endpoint& relay : list.relays) {
-    const auto failure = failures_.find(relay);
+  std::pair<bool, std::uint64_t> bestRank;
+  for (const Relay& relay : list.relays) {
+    const auto failure = failures_.find(relay.endpoint);
     if (failure != failures_.end() && now - failure->second.at < settings_.failureTerm) {
       continue;
     }
-    // Spreads the followers over the relays.
-    const std::uint64_t rank = hashBytes(settings_.node.value() + relay.toString());
+    // One of the node's own zone; the hash spreads the followers over several.
+    const std::pair rank(relay.zone == settings_.zone,
+                         hashBytes(settings_.node.value() + relay.endpoint.toString()));
     if (!best || rank > bestRank) {
-      best = relay;
+      best = relay.endpoint;
       bestRank = rank;
     }
   }
@@ -188,7 +189,8 @@
     co_return;
   }
   Result<RelayList> list = co_await lists_.read();
-  if (list && std::erase(list.value().relays, settings_.endpoint) > 0) {
+  const Relay own{settings_.endpoint, settings_.zone};
+  if (list && std::erase(list.value().relays, own) > 0) {
     // A list that keeps this node costs its followers one refused connection each.
     const Result<void> written = co_await lists_.write(std::move(list.value()));
     static_cast<void>(written);
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -11,6 +11,7 @@
 
 struct RelaySettings {
   NodeId node;
+  ZoneId zone;
   /// Nodes of one group share relays.
   std::string group;
   /// Where followers reach this node; without a port it reads the store itself and serves nobody.
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -135,9 +135,13 @@
   /// The loop must not hold what is gone.
   ~RelayFixture() { context.stop(); }
 
+  /// Where each node serves.
+  std::vector<Endpoint> endpoints;
+
   TestNode& addNode() {
     settings.node = NodeId("n" + std::to_string(nodes.size()));
     settings.endpoint = {"127.0.0.1", freePort(context)};
+    endpoints.push_back(settings.endpoint);
     nodes.push_back(std::make_unique<TestNode>(context, shared, client, settings));
     return *nodes.back();
   }
@@ -197,6 +201,31 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(nodesFollowARelayOfTheirOwnZoneWhereThereIsOne) {
+  settings.leastRelays = 2;
+  settings.zone = ZoneId("z1");
+  addNode();
+  settings.zone = ZoneId("z2");
+  addNode();
+  run(Milliseconds(600));
+  BOOST_REQUIRE(relays().size() == 2U);
+  for (const char* zone : {"z1", "z2", "z1", "z2", "z3"}) {
+    settings.zone = ZoneId(zone);
+    addNode();
+  }
+  run(Milliseconds(400));
+  BOOST_TEST(relays().size() == 2U);
+  const Endpoint first = endpoints[0];
+  for (const std::size_t node : {2U, 4U}) {
+    BOOST_TEST((nodes[node]->relay.relay() == first));
+  }
+  for (const std::size_t node : {3U, 5U}) {
+    BOOST_TEST((nodes[node]->relay.relay() != first));
+  }
+  // Elsewhere any will do.
+  BOOST_TEST(nodes[6]->relay.relay().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nodeThatLosesItsRelayProvesItsViewAtOnce) {
   // It may be asked to serve others in the next moment, and by an old proof it could not.
   addNode();
