--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -16,7 +16,7 @@
   if [ "$name" = none ]; then
     cp settings.all deploy/settings.json
   else
-    sed "s/^{/{\n  \"without\": \"$name\",/" settings.all > deploy/settings.json
+    sed "1s/^{/{\n  \"without\": \"$name\",/" settings.all > deploy/settings.json
   fi
   for site in "$@"; do
     out=$(mktemp)
