--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -9,6 +9,13 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
+namespace {
+
+/// Saves that wait for a relay that answers; a part that others are not told of is saved once more.
+constexpr std::size_t kMostUntoldSaves = 4096;
+
+}  // namespace
+
 NodeExchange::NodeExchange(NodeExchangeContext context, NodeExchangeSettings settings)
     : context_(std::move(context)), settings_(std::move(settings)), table_(settings_.term) {}
 
@@ -62,7 +69,9 @@
   report.fresh = !heard_;
   report.entries = toEntries(context_.own());
   for (const fleet::SavedPart& saved : context_.takeSaves()) {
-    untoldSaves_.push_back(saved);
+    if (untoldSaves_.size() < kMostUntoldSaves) {
+      untoldSaves_.push_back(saved);
+    }
   }
   report.saves = untoldSaves_;
   report.namings = toEntries(context_.namings());
--- a/src/rollout/weights_rollout.cc
+++ b/src/rollout/weights_rollout.cc
@@ -176,7 +176,20 @@
       loads[id] = targets_.newest(server->models.front().model).value_or(WeightsVersion());
     }
   }
+  if (loads.empty() && announced_.empty()) {
+    return;
+  }
   pool_.announceLoads(loads, monotonicNow());
+  for (const auto& [id, weights] : loads) {
+    if (!announced_.contains(id)) {
+      log::write(log::Level::kInfo, "load_announced",
+                 {{"server", id.value()},
+                  {"weights", std::to_string(weights.value())},
+                  {"settle_ms", std::to_string(settleTime().count())},
+                  {"load_ms", std::to_string(schedule_.loadTime().count())}});
+    }
+  }
+  announced_ = std::move(loads);
 }
 
 orders::RolloutGoal WeightsRollout::goal() const {
--- a/src/rollout/weights_rollout.h
+++ b/src/rollout/weights_rollout.h
@@ -104,6 +104,8 @@
   WeightsRolloutSettings settings_;
   orders::RolloutPlanner planner_;
   LoadSchedule schedule_;
+  /// What was announced last.
+  std::map<BackendId, WeightsVersion> announced_;
   FencingToken tenure_;
   /// Orders taken by each server at its last report.
   std::map<BackendId, std::uint64_t> orderCounts_;
--- a/tests/rollout/load_schedule_test.cc
+++ b/tests/rollout/load_schedule_test.cc
@@ -18,6 +18,7 @@
 
 std::vector<DueServer> busy(const std::vector<BackendId>& servers) {
   std::vector<DueServer> due;
+  due.reserve(servers.size());
   for (const BackendId& server : servers) {
     due.push_back({server, false});
   }
