--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -8,8 +8,8 @@
 
 #include "store/object_store.h"
 
-/// Reading the store through another node, so that the load on the store grows with the number of
-/// zones and not of nodes.
+/// Reading the store through another node, so that the load on the store does not grow with
+/// the number of nodes as fast as they do.
 namespace calicodrift::relay {
 
 inline constexpr std::string_view kViewPath = "/view";
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -14,8 +14,8 @@
 namespace calicodrift::relay {
 
 /// Decides whether this node reads the store itself and serves followers, or follows a relay of its
-/// zone. A node that has no relay reads the store itself meanwhile, so that the decision is never
-/// waited for.
+/// group, one of its own zone where there is one. A node that has no relay reads the store itself
+/// meanwhile, so that the decision is never waited for.
 class RelayNode {
  public:
   RelayNode(boost::asio::any_io_executor executor, store::ObjectStore& direct, http::Client& client,
@@ -35,7 +35,7 @@
   bool isRelay() const { return role_ == Role::kRelay; }
   /// The relay that this node follows.
   const std::optional<Endpoint>& relay() const { return store_.relay(); }
-  /// As a relay: the relays of all zones, without this node, as last read.
+  /// As a relay: the relays of all groups, without this node, as last read.
   const std::vector<Endpoint>& otherRelays() const { return otherRelays_; }
 
  private:
