--- a/src/exchange/load_table.h
+++ b/src/exchange/load_table.h
@@ -8,7 +8,8 @@
 
 namespace calicodrift::exchange {
 
-/// A relay's latest load reports: of the nodes that follow it, and of the groups of other relays.
+/// A node's latest load reports: of its children, each with all below it, and of all nodes
+/// elsewhere, as its parent or the other roots tell it.
 /// What is not renewed within the term counts no longer, so that the load of a node that died goes
 /// with it.
 class LoadTable {
@@ -22,6 +23,8 @@
   fleet::ServerLoads followers(const std::string& except, MonotonicTime now) const;
   /// Load of the other relays' groups.
   fleet::ServerLoads groups(MonotonicTime now) const;
+  /// Forgets the group that this relay told of.
+  void forgetGroup(const std::string& relay) { groups_.erase(relay); }
   /// Forgets what has run out.
   void expire(MonotonicTime now);
 
--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -6,9 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "fleet/cache_store_report.h"
 #include "fleet/named_weights.h"
 #include "fleet/saved_part.h"
 #include "fleet/server_load.h"
+#include "peer/compact_number.h"
 
 /// What nodes tell each other: the load that they have on servers, and cache that was saved.
 namespace calicodrift::exchange {
@@ -23,7 +25,9 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(server, requests, unreachableFrom, tokens, prefillTokens, loadingWeights);
+    using peer::compact;
+    archive(server, compact(requests), compact(unreachableFrom), compact(tokens),
+            compact(prefillTokens), compact(loadingWeights));
   }
 };
 
@@ -52,10 +56,12 @@
   std::vector<fleet::SavedPart> saves;
   /// When weights were named, as the sender heard it.
   std::vector<NamingEntry> namings;
+  /// In the answer to a child: how the stores of kept cache stand.
+  std::vector<fleet::CacheStoreReport> cacheStores;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, group, fresh, entries, saves, namings);
+    archive(sender, group, fresh, entries, saves, namings, cacheStores);
   }
 };
 
--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Saves that wait for a relay that answers; a part that others are not told of is saved once more.
-constexpr std::size_t kMostUntoldSaves = 4096;
+/// Stands for whichever relay is the parent: what one parent was told, the next need not be.
+constexpr const char* kParent = "parent";
 
 }  // namespace
 
@@ -43,7 +43,8 @@
 void NodeExchange::actAsRelay() {
   const MonotonicTime now = monotonicNow();
   table_.expire(now);
-  saves_.append(context_.takeSaves(), true);
+  table_.forgetGroup(kParent);
+  collectSaves();
   for (const Endpoint& other : context_.otherRelays()) {
     if (mustAsk(other, now)) {
       asio::co_spawn(context_.executor, swapWith(other), asio::detached);
@@ -63,28 +64,29 @@
   return settings_.endpoint < other || silent;
 }
 
-awaitable<void> NodeExchange::reportTo(Endpoint relay) {
+awaitable<void> NodeExchange::reportTo(Endpoint parent) {
+  table_.expire(monotonicNow());
+  collectSaves();
+  SaveBatch batch = saves_.nextFor(kParent, true);
   ExchangeReport report;
   report.sender = settings_.node;
   report.fresh = !heard_;
-  report.entries = toEntries(context_.own());
-  for (const fleet::SavedPart& saved : context_.takeSaves()) {
-    if (untoldSaves_.size() < kMostUntoldSaves) {
-      untoldSaves_.push_back(saved);
-    }
-  }
-  report.saves = untoldSaves_;
+  report.entries = toEntries(group(""));
+  report.saves = std::move(batch.parts);
   report.namings = toEntries(context_.namings());
-  const std::size_t told = untoldSaves_.size();
-  Result<ExchangeReport> answer = co_await send(std::move(relay), std::move(report));
-  context_.onOthers(answer ? toLoads(answer.value().entries) : fleet::ServerLoads{});
+  Result<ExchangeReport> answer = co_await send(std::move(parent), std::move(report));
+  const MonotonicTime now = monotonicNow();
   if (answer) {
     heard_ = true;
-    untoldSaves_.erase(untoldSaves_.begin(),
-                       untoldSaves_.begin() + static_cast<std::ptrdiff_t>(told));
-    context_.onSaves(answer.value().saves);
+    saves_.setTold(kParent, batch.end);
+    table_.setGroup(kParent, toLoads(answer.value().entries), now);
+    learnSaves(answer.value().saves, false, kParent);
     context_.onNamings(toNamed(answer.value().namings));
+    context_.onCacheStores(answer.value().cacheStores);
   }
+  fleet::ServerLoads others = table_.followers("", now);
+  addLoads(others, table_.groups(now));
+  context_.onOthers(others);
 }
 
 awaitable<void> NodeExchange::swapWith(Endpoint relay) {
@@ -95,7 +97,7 @@
   if (answer && answer.value().group) {
     saves_.setTold(other, batch.end);
     table_.setGroup(other, toLoads(answer.value().entries), monotonicNow());
-    learnSaves(answer.value().saves, false);
+    learnSaves(answer.value().saves, false, other);
     context_.onNamings(toNamed(answer.value().namings));
   }
 }
@@ -117,8 +119,10 @@
   const MonotonicTime now = monotonicNow();
   if (report.fresh) {
     saves_.forgetPeer(report.sender);
+  } else if (!report.group) {
+    saves_.adoptPeer(report.sender);
   }
-  learnSaves(report.saves, !report.group);
+  learnSaves(report.saves, !report.group, report.sender);
   context_.onNamings(toNamed(report.namings));
   if (report.group) {
     askedAt_[report.sender] = now;
@@ -133,6 +137,7 @@
   answer.entries = toEntries(others);
   answer.saves = takeSavesFor(report.sender, false);
   answer.namings = toEntries(context_.namings());
+  answer.cacheStores = context_.cacheStores();
   return answer;
 }
 
@@ -153,8 +158,9 @@
   return report;
 }
 
-void NodeExchange::learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup) {
-  saves_.append(saves, ownGroup);
+void NodeExchange::learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup,
+                              const std::string& teller) {
+  saves_.append(saves, ownGroup, teller);
   context_.onSaves(saves);
 }
 
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -12,6 +12,7 @@
 #include "exchange/load_table.h"
 #include "exchange/messages.h"
 #include "exchange/save_log.h"
+#include "fleet/cache_store_report.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -50,12 +51,15 @@
   /// When weights were named, as this node heard it, and as others did.
   std::function<std::vector<fleet::NamedWeights>()> namings;
   std::function<void(const std::vector<fleet::NamedWeights>&)> onNamings;
+  /// How the stores of kept cache stand, which children learn from their parent.
+  std::function<std::vector<fleet::CacheStoreReport>()> cacheStores;
+  std::function<void(const std::vector<fleet::CacheStoreReport>&)> onCacheStores;
 };
 
-/// Tells each node what the others have under way at each server, some hundred milliseconds old: a
-/// node tells its relay its own load and gets the sum of the others', relays swap the sums of their
-/// groups. A node sends and receives one report an interval whatever the number of nodes; a relay
-/// one for each follower and each other relay.
+/// Tells each node what the others have under way at each server, some hundred milliseconds old,
+/// along the tree of relays: a node tells its parent the load of itself and all below it, and gets
+/// the sum of all others'; roots swap the sums of their trees. A node sends and receives one report
+/// an interval, and one for each child, whatever the number of nodes.
 ///
 /// Nothing depends on what is told but the choice among servers and of moves of cache, so that any
 /// of it may be missing.
@@ -71,13 +75,16 @@
   boost::asio::awaitable<void> run();
   /// Starts the swaps with other relays, and tells this node of the others' load.
   void actAsRelay();
-  boost::asio::awaitable<void> reportTo(Endpoint relay);
+  boost::asio::awaitable<void> reportTo(Endpoint parent);
   boost::asio::awaitable<void> swapWith(Endpoint relay);
   boost::asio::awaitable<Result<ExchangeReport>> send(Endpoint relay, ExchangeReport report);
-  /// Own load and the followers', without `except`.
+  /// Own load and the children's, without `except`.
   fleet::ServerLoads group(const std::string& except) const;
-  /// What a relay's group has saved.
-  void learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup);
+  /// What others have saved, as `teller` tells it.
+  void learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup,
+                  const std::string& teller);
+  /// What this node's requests have saved.
+  void collectSaves() { saves_.append(context_.takeSaves(), true, ""); }
   /// What a peer that asks has not been told yet.
   std::vector<fleet::SavedPart> takeSavesFor(const std::string& peer, bool ownGroupOnly);
   /// Whether this relay asks the other one, which then learns in the same call.
@@ -90,8 +97,6 @@
   NodeExchangeSettings settings_;
   LoadTable table_;
   SaveLog saves_;
-  /// This node's saves that no relay has been told of.
-  std::vector<fleet::SavedPart> untoldSaves_;
   /// Whether an answer came since the start.
   bool heard_ = false;
   /// When each other relay asked this one last.
--- /dev/null
+++ b/src/fleet/cache_store_report.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+namespace calicodrift::fleet {
+
+/// How a store of kept cache stands, as the nodes that ask it tell the others.
+struct CacheStoreReport {
+  /// Hash of its address.
+  std::uint64_t store = 0;
+  /// Changes when it restarts empty; 0 where it never answered.
+  std::uint64_t epoch = 0;
+  bool answers = false;
+
+  bool operator==(const CacheStoreReport&) const = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(store, epoch, answers);
+  }
+};
+
+}  // namespace calicodrift::fleet
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -24,11 +24,12 @@
 
 CacheStores::CacheStores(asio::any_io_executor executor, http::Client& client,
                          const forward::ServerProtocol& protocol, TableSource table,
-                         LossListener onLost)
+                         AskingSource asks, LossListener onLost)
     : executor_(std::move(executor)),
       client_(client),
       protocol_(protocol),
       table_(std::move(table)),
+      asks_(std::move(asks)),
       onLost_(std::move(onLost)) {}
 
 void CacheStores::start() {
@@ -48,6 +49,34 @@
   return best;
 }
 
+std::vector<fleet::CacheStoreReport> CacheStores::reports() const {
+  std::vector<fleet::CacheStoreReport> reports;
+  for (const auto& [endpoint, store] : stores_) {
+    reports.push_back({store.key, store.state ? store.state->epoch : 0, store.alive});
+  }
+  return reports;
+}
+
+void CacheStores::learn(const std::vector<fleet::CacheStoreReport>& reports) {
+  if (asks_()) {
+    return;
+  }
+  for (auto& [endpoint, store] : stores_) {
+    const std::uint64_t key = store.key;
+    const auto told =
+        std::find_if(reports.begin(), reports.end(),
+                     [key](const fleet::CacheStoreReport& report) { return report.store == key; });
+    if (told == reports.end()) {
+      continue;
+    }
+    if (told->answers) {
+      noteAnswer(endpoint, store, forward::CacheStoreState{told->epoch, 0});
+    } else {
+      noteSilence(endpoint, store);
+    }
+  }
+}
+
 awaitable<void> CacheStores::run() {
   asio::steady_timer timer(executor_);
   for (;;) {
@@ -67,7 +96,9 @@
 awaitable<void> CacheStores::watch(Endpoint endpoint) {
   asio::steady_timer timer(executor_);
   while (configured(endpoint)) {
-    co_await ask(endpoint);
+    if (asks_()) {
+      co_await ask(endpoint);
+    }
     timer.expires_after(kPause);
     co_await timer.async_wait(asio::use_awaitable);
   }
--- a/src/gateway/cache_stores.h
+++ b/src/gateway/cache_stores.h
@@ -7,7 +7,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
+#include "fleet/cache_store_report.h"
 #include "forward/protocol.h"
 #include "http/client.h"
 
@@ -18,17 +20,27 @@
 ///
 /// Every node gives a key to the same store, by rendezvous hashing over those that answer, so that
 /// together they keep as much as all of them have room for, over the links of all.
+///
+/// Only nodes that read the store of the platform ask the cache stores themselves; the others learn
+/// from them, so that the questions don't grow with the number of nodes.
 class CacheStores {
  public:
   using TableSource = std::function<std::shared_ptr<const routes::RouteTable>()>;
+  /// Whether this node asks the stores itself now.
+  using AskingSource = std::function<bool()>;
   /// What the store kept may be gone.
   using LossListener = std::function<void(const Endpoint&)>;
 
   CacheStores(boost::asio::any_io_executor executor, http::Client& client,
-              const forward::ServerProtocol& protocol, TableSource table, LossListener onLost);
+              const forward::ServerProtocol& protocol, TableSource table, AskingSource asks,
+              LossListener onLost);
   void start();
   /// The store for a key; nothing where none is configured or answers.
   std::optional<Endpoint> storeFor(std::uint64_t key) const;
+  /// How each store stands, for other nodes.
+  std::vector<fleet::CacheStoreReport> reports() const;
+  /// How the stores stand, as another node tells it; left aside where this node asks itself.
+  void learn(const std::vector<fleet::CacheStoreReport>& reports);
 
  private:
   struct Store {
@@ -53,6 +65,7 @@
   http::Client& client_;
   const forward::ServerProtocol& protocol_;
   TableSource table_;
+  AskingSource asks_;
   LossListener onLost_;
   std::map<Endpoint, Store> stores_;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -126,12 +126,14 @@
       processName_(processName(settings_)),
       metrics_(registry_),
       orderMetrics_(registry_),
+      lossLog_(context.get_executor()),
       pool_(static_cast<double>(settings_.prefillTokensPerMs),
             [this](const fleet::Server& server, fleet::ServerLoss loss) {
               onServerLost(server, loss);
             }),
       cacheStores_(
           context.get_executor(), client_, ports_.servers, [this] { return views_.table(); },
+          [this] { return relay_.readsStore(); },
           [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
       relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
       exchange_(exchangeContext(), exchangeSettings(settings_)),
@@ -171,10 +173,11 @@
                   [this](http::Request& request, http::ResponseWriter& writer) {
                     return peerPaths_.handle(request, writer);
                   }) {
-  peerPaths_.add(std::string(relay::kViewPath),
-                 [this](http::Request& request, http::ResponseWriter& writer) {
-                   return relay_.handle(request, writer);
-                 });
+  for (const std::string_view path : {relay::kViewPath, relay::kJoinPath}) {
+    peerPaths_.add(std::string(path), [this](http::Request& request, http::ResponseWriter& writer) {
+      return relay_.handle(request, writer);
+    });
+  }
   peerPaths_.add(std::string(exchange::kExchangePath),
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return exchange_.handle(request, writer);
@@ -182,25 +185,28 @@
 }
 
 exchange::NodeExchangeContext GatewayNode::exchangeContext() {
-  return {context_.get_executor(),
-          client_,
-          [this] { return relay_.relay(); },
-          [this] { return relay_.isRelay(); },
-          [this] { return relay_.otherRelays(); },
-          [this] { return pool_.ownLoads(); },
-          [this](const fleet::ServerLoads& loads) {
-            if (settings_.mechanisms.loadExchange) {
-              pool_.setPeerLoads(loads, monotonicNow());
-            }
-          },
-          [this] { return forwarder_.cacheMoves().takeSaves(); },
-          [this](const std::vector<fleet::SavedPart>& saves) {
-            forwarder_.cacheMoves().learnSaved(saves, monotonicNow());
-          },
-          [this] { return targets_.known(monotonicNow()); },
-          [this](const std::vector<fleet::NamedWeights>& named) {
-            targets_.learn(named, monotonicNow());
-          }};
+  return {
+      context_.get_executor(),
+      client_,
+      [this] { return relay_.relay(); },
+      [this] { return relay_.isRelay(); },
+      [this] { return relay_.otherRelays(); },
+      [this] { return pool_.ownLoads(); },
+      [this](const fleet::ServerLoads& loads) {
+        if (settings_.mechanisms.loadExchange) {
+          pool_.setPeerLoads(loads, monotonicNow());
+        }
+      },
+      [this] { return forwarder_.cacheMoves().takeSaves(); },
+      [this](const std::vector<fleet::SavedPart>& saves) {
+        forwarder_.cacheMoves().learnSaved(saves, monotonicNow());
+      },
+      [this] { return targets_.known(monotonicNow()); },
+      [this](const std::vector<fleet::NamedWeights>& named) {
+        targets_.learn(named, monotonicNow());
+      },
+      [this] { return cacheStores_.reports(); },
+      [this](const std::vector<fleet::CacheStoreReport>& reports) { cacheStores_.learn(reports); }};
 }
 
 Result<void> GatewayNode::start() {
@@ -242,10 +248,7 @@
     rollout_.wake();
   }
   metrics_.countServerLoss(toString(loss));
-  log::write(log::Level::kInfo, "server_lost",
-             {{"server", server.id.value()},
-              {"service", server.service},
-              {"cause", std::string(toString(loss))}});
+  lossLog_.note(server, loss);
 }
 
 bool GatewayNode::ready() const {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -9,6 +9,7 @@
 #include "forward/forwarder.h"
 #include "gateway/cache_stores.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/loss_log.h"
 #include "gateway/server_prober.h"
 #include "gateway/store_schema.h"
 #include "gateway/store_views.h"
@@ -65,6 +66,7 @@
   prometheus::Registry registry_;
   forward::ForwardMetrics metrics_;
   orders::OrderMetrics orderMetrics_;
+  LossLog lossLog_;
   fleet::ServerPool pool_;
   CacheStores cacheStores_;
   relay::RelayNode relay_;
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -4,15 +4,58 @@
 #include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "relay/relay_list.h"
 #include "store/object_store.h"
 
 /// Reading the store through another node, so that the load on the store does not grow with
-/// the number of nodes as fast as they do.
+/// the number of nodes. The nodes of a group form a tree: its roots read the store, every other
+/// node reads what its parent knows.
 namespace calicodrift::relay {
 
 inline constexpr std::string_view kViewPath = "/view";
+inline constexpr std::string_view kJoinPath = "/join";
+
+/// What a node asks another that it wants to follow, or follows: every heartbeat is one.
+struct JoinRequest {
+  std::string node;
+  Endpoint endpoint;
+  std::string zone;
+  /// The sender only wants to know how the other stands.
+  bool looksOnly = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(node, endpoint, zone, looksOnly);
+  }
+};
+
+enum class JoinOutcome : std::uint8_t {
+  kAccepted,
+  /// It has as many children as it may have; others may have room.
+  kFull,
+  /// It has no parent itself, or stops.
+  kNotServing,
+};
+
+struct JoinReply {
+  JoinOutcome outcome = JoinOutcome::kNotServing;
+  /// Nodes between the sender of this reply and the store.
+  std::uint32_t depth = 0;
+  /// Age of the sender's view of the store.
+  std::int64_t proofAgeMs = 0;
+  /// The list of roots, as the sender knows it.
+  RelayList roots;
+  /// Whom to ask instead: where it is full, its children; else whom to go to should it fail.
+  std::vector<Relay> others;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(outcome, depth, proofAgeMs, roots, others);
+  }
+};
 
 /// What a follower asks its relay for.
 struct ViewQuery {
@@ -22,7 +65,7 @@
   std::uint64_t since = 0;
   /// Longest time for which the relay may wait for news.
   std::uint32_t waitMs = 0;
-  /// The asking node; a relay bounds how many it serves.
+  /// The asking node, which must be a child.
   std::string follower;
 
   template <typename Archive>
@@ -35,10 +78,8 @@
   kServed,
   /// The history after `since` is gone: a listing is needed.
   kForgotten,
-  /// This node does not read the store itself, or has not heard from it lately.
+  /// This node has no parent, or does not know the asking node as its child.
   kNotServing,
-  /// It has as many followers as it may have.
-  kFull,
 };
 
 struct ViewObject {
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -19,13 +19,15 @@
   RelayClient(http::Client& client, const RelaySettings& settings)
       : client_(client), settings_(settings) {}
 
-  /// Fails with kOverloaded (it serves as many as it may) or kStoreUnavailable (any other reason to
-  /// go elsewhere).
+  /// Fails with kStoreUnavailable where the relay is silent or does not serve this node.
   boost::asio::awaitable<Result<store::Listing>> list(Endpoint relay, std::string kind);
   /// Also fails with kVersionConflict, as ObjectStore::watch() does.
   boost::asio::awaitable<Result<store::ChangeBatch>> watch(Endpoint relay, std::string kind,
                                                            store::Revision since,
                                                            Milliseconds wait);
+  /// Asks for a place as a child, renews it, or only looks how the relay stands. Fails as
+  /// peer::callPeer() does.
+  boost::asio::awaitable<Result<JoinReply>> join(Endpoint relay, bool looksOnly);
 
  private:
   boost::asio::awaitable<Result<ViewReply>> ask(Endpoint relay, ViewQuery query);
--- a/src/relay/relay_list.cc
+++ b/src/relay/relay_list.cc
@@ -59,21 +59,7 @@
   co_return RelayList{object.value().revision, relaysIn(object.value())};
 }
 
-awaitable<Result<std::vector<Endpoint>>> RelayListStore::readAll() {
-  Result<store::Listing> lists = co_await store_.list(std::string(kListKind));
-  if (!lists) {
-    co_return lists.error();
-  }
-  std::vector<Endpoint> all;
-  for (const store::Object& list : lists.value().objects) {
-    for (const Relay& relay : relaysIn(list)) {
-      all.push_back(relay.endpoint);
-    }
-  }
-  co_return all;
-}
-
-awaitable<Result<void>> RelayListStore::write(RelayList list) {
+awaitable<Result<store::Revision>> RelayListStore::write(RelayList list) {
   json::array relays;
   for (const Relay& relay : list.relays) {
     relays.push_back(
@@ -83,11 +69,7 @@
   object.name = group_;
   object.revision = list.revision;
   object.spec = json::object{{kRelaysField, std::move(relays)}};
-  Result<store::Revision> written = co_await store_.put(std::string(kListKind), std::move(object));
-  if (!written) {
-    co_return written.error();
-  }
-  co_return boost::outcome_v2::success();
+  co_return co_await store_.put(std::string(kListKind), std::move(object));
 }
 
 }  // namespace calicodrift::relay
--- a/src/relay/relay_list.h
+++ b/src/relay/relay_list.h
@@ -9,23 +9,33 @@
 
 namespace calicodrift::relay {
 
-/// A node that reads the store for others.
+/// A node that others may read the store through.
 struct Relay {
   Endpoint endpoint;
   /// Where it stands; bytes between zones cost more.
   ZoneId zone;
 
   bool operator==(const Relay&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, zone);
+  }
 };
 
-/// The relays of a group of nodes, as an object of the store names them. A hint and no more: any
-/// node that reads the store itself serves whoever asks, and nothing depends on who is listed.
+/// The roots of a group's tree, as an object of the store names them. A hint and no more: any
+/// node that has a view of the store serves whoever asks, and nothing depends on who is listed.
 struct RelayList {
   /// 0 where the object does not exist yet.
   store::Revision revision;
   std::vector<Relay> relays;
 
   bool contains(const Endpoint& relay) const;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(revision, relays);
+  }
 };
 
 /// Reads and changes the list, always on the condition that nobody else has changed it meanwhile.
@@ -37,10 +47,8 @@
 
   /// An empty list where there is none. Fails as ObjectStore::get() does.
   boost::asio::awaitable<Result<RelayList>> read();
-  /// The relays of all groups. Fails as ObjectStore::list() does.
-  boost::asio::awaitable<Result<std::vector<Endpoint>>> readAll();
-  /// Fails as ObjectStore::put() does.
-  boost::asio::awaitable<Result<void>> write(RelayList list);
+  /// Gives the list's new revision. Fails as ObjectStore::put() does.
+  boost::asio::awaitable<Result<store::Revision>> write(RelayList list);
 
  private:
   store::ObjectStore& store_;
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -3,82 +3,61 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
 #include <optional>
-#include <random>
+#include <vector>
 
+#include "relay/relay_core.h"
 #include "relay/relay_list.h"
 #include "relay/relay_server.h"
 #include "relay/relayed_store.h"
 
 namespace calicodrift::relay {
 
-/// Decides whether this node reads the store itself and serves followers, or follows a relay of its
-/// group, one of its own zone where there is one. A node that has no relay reads the store itself
-/// meanwhile, so that the decision is never waited for.
+/// Keeps this node's place in the tree of its group: carries out what the core decides, and reads
+/// the store's kinds from wherever that is. Runs on one thread.
 class RelayNode {
  public:
   RelayNode(boost::asio::any_io_executor executor, store::ObjectStore& direct, http::Client& client,
             RelaySettings settings);
 
-  /// Answers followers at kViewPath of this node's address.
-  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer) {
-    return server_.handle(request, writer);
-  }
+  /// Answers other nodes at kViewPath and kJoinPath of this node's address.
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   void start();
-  /// Sends followers away and takes this node off the list.
+  /// Sends children away and takes this node off the list of roots.
   boost::asio::awaitable<void> stop();
   store::ObjectStore& store() { return store_; }
   /// Whether this node reads the store itself now.
-  bool readsStore() const { return !store_.relay().has_value(); }
-  /// Whether this node is, or wants to be, a relay.
-  bool isRelay() const { return role_ == Role::kRelay; }
+  bool readsStore() const { return store_.readsDirectly(); }
+  /// Whether this node is a root of the tree.
+  bool isRelay() const { return !alone() && core_.role() == RelayRole::kRoot; }
   /// The relay that this node follows.
-  const std::optional<Endpoint>& relay() const { return store_.relay(); }
-  /// As a relay: the relays of all groups, without this node, as last read.
-  const std::vector<Endpoint>& otherRelays() const { return otherRelays_; }
+  std::optional<Endpoint> relay() const { return core_.parent(); }
+  /// As a root: the other ones, as last read.
+  std::vector<Endpoint> otherRelays() const;
 
  private:
-  enum class Role { kUndecided, kFollower, kRelay };
-
+  /// Whether no other node can reach this one.
+  bool alone() const { return settings_.endpoint.port == 0; }
   boost::asio::awaitable<void> run();
-  boost::asio::awaitable<void> decide();
-  /// Adds this node to the list as it was read.
-  boost::asio::awaitable<void> claim(RelayList list);
-  /// As a relay: who the others are, and whether this one is still needed.
-  boost::asio::awaitable<void> review();
-  /// Until the next review is due: soon where a follower was sent away.
-  boost::asio::awaitable<void> awaitReview();
-  void onFollowerSentAway();
-  boost::asio::awaitable<void> pause(Milliseconds time);
-  void becomeRelay();
-  void follow(const Endpoint& relay);
-  void onRelayFailed(const Endpoint& relay, const Error& cause);
-  /// A listed relay that has not failed lately.
-  std::optional<Endpoint> usableRelay(const RelayList& list) const;
-  Milliseconds randomDelay(Milliseconds longest);
-
-  struct Failure {
-    MonotonicTime at{};
-    /// It serves, but not this node.
-    bool full = false;
-  };
+  boost::asio::awaitable<void> carryOut(RelayAction action);
+  boost::asio::awaitable<void> wait(MonotonicTime until);
+  boost::asio::awaitable<void> answerJoin(http::Request& request, http::ResponseWriter& writer);
+  /// Reads views from where the core says.
+  void applyRole();
+  void onViewFailed(const Endpoint& relay, const Error& cause);
 
   boost::asio::any_io_executor executor_;
   RelaySettings settings_;
+  RelayClient client_;
   RelayedStore store_;
+  RelayCore core_;
   RelayServer server_;
   RelayListStore lists_;
   boost::asio::steady_timer timer_;
-  std::mt19937_64 random_;
-  Role role_ = Role::kUndecided;
   bool stopped_ = false;
-  /// Another relay may have taken this node's place in the list.
-  bool maybeReplaced_ = false;
-  /// Whether the delay before a claim has passed in this search.
-  bool delayed_ = false;
-  std::map<Endpoint, Failure> failures_;
-  std::vector<Endpoint> otherRelays_;
+  /// The place that was last told in the log.
+  RelayRole loggedRole_ = RelayRole::kSearching;
+  std::optional<Endpoint> loggedParent_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -11,18 +11,11 @@
 
 namespace {
 
-constexpr Milliseconds kTick{1};
 /// Bound on what a follower may make this node wait.
 constexpr Milliseconds kLongestWait{30'000};
 
 }  // namespace
 
-std::size_t RelayServer::followers(MonotonicTime now) const {
-  return static_cast<std::size_t>(std::count_if(
-      askedAt_.begin(), askedAt_.end(),
-      [this, now](const auto& asked) { return now - asked.second <= settings_.followerTerm; }));
-}
-
 awaitable<void> RelayServer::handle(http::Request& request, http::ResponseWriter& writer) {
   co_await peer::answerPeer<ViewQuery, ViewReply>(
       request, writer, [this](ViewQuery query) { return answer(std::move(query)); });
@@ -31,44 +24,19 @@
 awaitable<ViewReply> RelayServer::answer(ViewQuery query) {
   const MonotonicTime arrived = monotonicNow();
   const MonotonicTime end = arrived + std::min(Milliseconds(query.waitMs), kLongestWait);
-  ViewReply refusal;
   for (;;) {
-    const MonotonicTime now = monotonicNow();
     WatchCache* cache = caches_(query.kind);
-    refusal.outcome = refusalOf(query, cache, now);
-    if (refusal.outcome != ViewOutcome::kServed) {
-      noteRefusal(refusal.outcome);
-      co_return refusal;
+    if (cache == nullptr || !admits_(query.follower)) {
+      co_return ViewReply{};
     }
-    askedAt_[query.follower] = now;
     ViewReply reply = read(*cache, query, arrived);
     const bool news = query.listing || !reply.objects.empty() || reply.provenAfterMs > 0 ||
                       reply.outcome != ViewOutcome::kServed;
-    if (news || now >= end) {
+    if (news || monotonicNow() >= end) {
       co_return reply;
     }
-    // No longer than this node's own proof holds: a follower must not wait on a node that has lost
-    // the store.
-    co_await cache->waitForNews(std::min(end, cache->provenAt() + settings_.proofAge + kTick));
-  }
-}
-
-void RelayServer::noteRefusal(ViewOutcome refusal) const {
-  if (refusal == ViewOutcome::kNotServing && serving_ && sentAway_) {
-    sentAway_();
-  }
-}
-
-ViewOutcome RelayServer::refusalOf(const ViewQuery& query, const WatchCache* cache,
-                                   MonotonicTime now) const {
-  if (!serving_ || cache == nullptr || now - cache->provenAt() > settings_.proofAge) {
-    return ViewOutcome::kNotServing;
-  }
-  const bool known = askedAt_.contains(query.follower);
-  if (!known && followers(now) >= settings_.maxFollowers) {
-    return ViewOutcome::kFull;
+    co_await cache->waitForNews(end);
   }
-  return ViewOutcome::kServed;
 }
 
 ViewReply RelayServer::read(const WatchCache& cache, const ViewQuery& query,
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -2,53 +2,37 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
-#include <map>
 #include <string>
 
 #include "http/server.h"
 #include "relay/messages.h"
-#include "relay/relay_settings.h"
 #include "relay/watch_cache.h"
 
 namespace calicodrift::relay {
 
-/// Answers followers from what this node reads of the store.
+/// Answers children from what this node knows of the store, with the age of that.
 ///
-/// Invariant: no node that follows another serves, so that views don't go round in circles; and
-/// none whose own proof is older than `proofAge`, so that a node that lost the store loses its
-/// followers too.
+/// Invariant: no answer claims to be newer than this node's own proof. A node that has lost the
+/// store, or its parent, goes on to answer; its children judge by the age.
 class RelayServer {
  public:
   /// The cache of a kind; null for kinds that are not watched.
   using CacheSource = std::function<WatchCache*(const std::string& kind)>;
+  /// Whether the node of that name is served; asked at each question, which renews its place.
+  using Admission = std::function<bool(const std::string& node)>;
 
-  RelayServer(const RelaySettings& settings, CacheSource caches)
-      : settings_(settings), caches_(std::move(caches)) {}
+  RelayServer(CacheSource caches, Admission admits)
+      : caches_(std::move(caches)), admits_(std::move(admits)) {}
 
-  /// Answers a follower's query.
+  /// Answers a child's query.
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
-  /// Whether this node reads the store itself. Followers are told at their next question.
-  void setServing(bool serving) { serving_ = serving; }
-  /// Called where a follower is sent away, as this node's proof is too old. It will find another
-  /// relay, which may take this node's place in the list.
-  void onFollowerSentAway(std::function<void()> listener) { sentAway_ = std::move(listener); }
-  /// Nodes that have asked lately.
-  std::size_t followers(MonotonicTime now) const;
 
  private:
   boost::asio::awaitable<ViewReply> answer(ViewQuery query);
-  /// Why the query is not served now; kServed where it is.
-  ViewOutcome refusalOf(const ViewQuery& query, const WatchCache* cache, MonotonicTime now) const;
   static ViewReply read(const WatchCache& cache, const ViewQuery& query, MonotonicTime arrived);
 
-  /// Tells that a follower is sent away, where it is.
-  void noteRefusal(ViewOutcome refusal) const;
-
-  const RelaySettings& settings_;
   CacheSource caches_;
-  bool serving_ = false;
-  std::function<void()> sentAway_;
-  std::map<std::string, MonotonicTime> askedAt_;
+  Admission admits_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -12,26 +12,47 @@
 struct RelaySettings {
   NodeId node;
   ZoneId zone;
-  /// Nodes of one group share relays.
+  /// Nodes of one group form one tree.
   std::string group;
-  /// Where followers reach this node; without a port it reads the store itself and serves nobody.
+  /// Where other nodes reach this one; without a port it reads the store itself and serves nobody.
   Endpoint endpoint;
-  /// Nodes that one relay serves.
+  /// Children of one node. A tree of depth 3 holds 2 x (1 + 16 + 256) nodes with it, and depth 4
+  /// all of the largest fleet planned for.
   std::size_t maxFollowers = 16;
-  /// Relays of a group, so that one that is lost need not be replaced before its followers go on.
+  /// Roots of a group's tree, so that one that is lost need not be replaced before its children go
+  /// on.
   std::size_t leastRelays = 2;
-  /// A relay whose own proof is older serves nobody, so that its followers go elsewhere.
+  /// A root that has not heard from the store for so long looks for another; so do its children.
+  /// Longer than a watch of the store, so that it does not come up in a calm time.
   Milliseconds proofAge{1300};
-  /// A follower that has not asked for so long no longer counts.
+  /// A child that has not asked for so long no longer counts.
   Milliseconds followerTerm{3000};
-  /// A relay that failed is not tried again for so long.
-  Milliseconds failureTerm{5000};
-  /// Longest random delay before a node that finds no relay becomes one, so that one of many does.
+  /// A relay that did not answer is not asked again for so long.
+  Milliseconds failureTerm{2000};
+  /// Longest random delay before the first look at the list, so that of many nodes that start
+  /// together a few find it empty.
+  Milliseconds startDelay{200};
+  /// Longest random delay before a node takes the place of a root that does not answer.
   Milliseconds claimDelay{400};
-  /// Between two looks at the list of relays.
+  /// Between two looks of a root at the list.
   Milliseconds reviewInterval{10'000};
+  /// Between two calls of a child to its parent.
+  Milliseconds heartbeatInterval{500};
+  /// Before a relay that is not ready to serve is asked again.
+  Milliseconds joinRetry{100};
+  /// For an answer about a place. Many times the way between two zones, as a node that many others
+  /// ask at once answers late.
+  Milliseconds joinTimeout{250};
   /// Time beyond a watch's wait after which a relay counts as silent.
   Milliseconds callTimeout{400};
+  /// First and longest pause after the store did not answer; it doubles in between, with jitter.
+  Milliseconds firstStorePause{200};
+  Milliseconds longestStorePause{1600};
+  /// A node that lost its parent keeps its own children so long while it looks for another.
+  Milliseconds orphanTerm{2500};
+  /// Depth from which a node takes no children. It ends a circle of nodes that follow each other,
+  /// as the depth rises by each round in it.
+  std::uint32_t maxDepth = 8;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -1,11 +1,27 @@
 #include "relay/relayed_store.h"
 
+#include <algorithm>
+#include <boost/asio.hpp>
+
 namespace calicodrift::relay {
 
-using boost::asio::awaitable;
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
 
-RelayedStore::RelayedStore(boost::asio::any_io_executor executor, store::ObjectStore& direct,
-                           RelayClient client)
+/// Longer than a node usually looks for a parent, and well below the age at which a view counts as
+/// too old.
+constexpr Milliseconds kWaitForSource{300};
+
+Error noSource() {
+  return fail(ErrorKind::kStoreUnavailable, "no relay is followed now");
+}
+
+}  // namespace
+
+RelayedStore::RelayedStore(asio::any_io_executor executor, store::ObjectStore& direct,
+                           RelayClient& client)
     : executor_(std::move(executor)), direct_(direct), client_(client) {}
 
 WatchCache* RelayedStore::cache(const std::string& kind) {
@@ -13,7 +29,31 @@
   return found == caches_.end() ? nullptr : found->second.get();
 }
 
+MonotonicTime RelayedStore::provenAt() const {
+  if (caches_.empty()) {
+    return {};
+  }
+  MonotonicTime oldest = MonotonicTime::max();
+  for (const auto& [kind, cache] : caches_) {
+    oldest = std::min(oldest, cache->provenAt());
+  }
+  return oldest;
+}
+
+void RelayedStore::setSource(Source source, const Endpoint& relay) {
+  if (source == source_ && relay == relay_) {
+    return;
+  }
+  source_ = source;
+  relay_ = relay;
+  ++sourceNumber_;
+  for (const auto& waiter : waiting_) {
+    waiter->cancel();
+  }
+}
+
 awaitable<Result<store::Listing>> RelayedStore::list(std::string kind) {
+  co_await awaitSource();
   const MonotonicTime asked = monotonicNow();
   Result<store::Listing> listing = co_await listAnywhere(kind);
   if (listing) {
@@ -30,6 +70,7 @@
 
 awaitable<Result<store::ChangeBatch>> RelayedStore::watch(std::string kind, store::Revision since,
                                                           Milliseconds wait) {
+  co_await awaitSource();
   const MonotonicTime asked = monotonicNow();
   Result<store::ChangeBatch> batch = co_await watchAnywhere(kind, since, wait);
   if (batch) {
@@ -41,62 +82,77 @@
   co_return batch;
 }
 
-namespace {
-
-/// A watch as short as this is asked only for the proof that it brings.
-constexpr Milliseconds kProofWait{20};
-
-}  // namespace
-
 awaitable<Result<store::Listing>> RelayedStore::listAnywhere(std::string kind) {
-  if (relay_) {
-    const Endpoint relay = *relay_;
-    Result<store::Listing> listing = co_await client_.list(relay, kind);
-    if (listing) {
-      co_return listing;
-    }
-    leave(relay, listing.error());
+  if (source_ == Source::kNone) {
+    co_return noSource();
+  }
+  if (source_ == Source::kStore) {
+    co_return co_await direct_.list(std::move(kind));
   }
-  co_return co_await direct_.list(std::move(kind));
+  const Endpoint relay = relay_;
+  Result<store::Listing> listing =
+      co_await callRelay<store::Listing>(client_.list(relay, std::move(kind)));
+  if (!listing && relay == relay_ && onRelayFailed_) {
+    onRelayFailed_(relay, listing.error());
+  }
+  co_return listing;
 }
 
 awaitable<Result<store::ChangeBatch>> RelayedStore::watchAnywhere(std::string kind,
                                                                   store::Revision since,
                                                                   Milliseconds wait) {
-  if (!relay_) {
+  if (source_ == Source::kNone) {
+    co_return noSource();
+  }
+  if (source_ == Source::kStore) {
     co_return co_await direct_.watch(std::move(kind), since, wait);
   }
-  const Endpoint relay = *relay_;
-  const MonotonicTime asked = monotonicNow();
-  Result<store::ChangeBatch> batch = co_await client_.watch(relay, kind, since, wait);
-  if (batch || batch.error().kind == ErrorKind::kVersionConflict) {
-    co_return batch;
+  const Endpoint relay = relay_;
+  Result<store::ChangeBatch> batch =
+      co_await callRelay<store::ChangeBatch>(client_.watch(relay, std::move(kind), since, wait));
+  const bool failed = !batch && batch.error().kind != ErrorKind::kVersionConflict;
+  if (failed && relay == relay_ && onRelayFailed_) {
+    onRelayFailed_(relay, batch.error());
   }
-  leave(relay, batch.error());
-  co_return co_await proveDirectly(std::move(kind), since, asked);
+  co_return batch;
 }
 
-awaitable<Result<store::ChangeBatch>> RelayedStore::proveDirectly(std::string kind,
-                                                                  store::Revision since,
-                                                                  MonotonicTime asked) {
-  const MonotonicTime askedStore = monotonicNow();
-  Result<store::ChangeBatch> batch = co_await direct_.watch(std::move(kind), since, kProofWait);
-  if (batch) {
-    const MonotonicTime proven =
-        store::provenAt(batch.value(), askedStore, kProofWait, monotonicNow());
-    batch.value().provenAfterAsked = std::chrono::floor<Milliseconds>(proven - asked);
+template <typename Value>
+awaitable<Result<Value>> RelayedStore::callRelay(awaitable<Result<Value>> call) {
+  struct Outcome {
+    std::optional<Result<Value>> result;
+    std::shared_ptr<asio::steady_timer> done;
+  };
+  const auto outcome = std::make_shared<Outcome>();
+  outcome->done = std::make_shared<asio::steady_timer>(executor_, MonotonicTime::max());
+  const auto waiter = waiting_.insert(waiting_.end(), outcome->done);
+  const std::uint64_t source = sourceNumber_;
+  asio::co_spawn(
+      executor_,
+      [](awaitable<Result<Value>> pending, std::shared_ptr<Outcome> shared) -> awaitable<void> {
+        shared->result = co_await std::move(pending);
+        shared->done->cancel();
+      }(std::move(call), outcome),
+      asio::detached);
+  while (!outcome->result && source == sourceNumber_) {
+    co_await outcome->done->async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return batch;
+  waiting_.erase(waiter);
+  if (!outcome->result) {
+    co_return fail(ErrorKind::kStoreUnavailable, "the relay was left");
+  }
+  co_return std::move(*outcome->result);
 }
 
-void RelayedStore::leave(const Endpoint& relay, const Error& cause) {
-  // Another call may have left it already.
-  if (relay_ == relay) {
-    relay_.reset();
-    if (onRelayFailed_) {
-      onRelayFailed_(relay, cause);
-    }
+awaitable<void> RelayedStore::awaitSource() {
+  if (source_ != Source::kNone) {
+    co_return;
   }
+  const auto timer =
+      std::make_shared<asio::steady_timer>(executor_, monotonicNow() + kWaitForSource);
+  const auto waiter = waiting_.insert(waiting_.end(), timer);
+  co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+  waiting_.erase(waiter);
 }
 
 }  // namespace calicodrift::relay
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,17 +15,18 @@
 
 namespace calicodrift::relay {
 
-/// The store as a node reads it: kinds that it watches come from a relay while it follows one, and
-/// from the store itself else. Single objects and writes always go to the store.
+/// The store as a node reads it: kinds that it watches come from its parent, or from the store
+/// itself where the node is a root. Single objects and writes always go to the store.
 ///
-/// A relay that fails is left within the same call, so that a view is never older for it than the
-/// call's time-out.
+/// While the node has neither, reads wait a moment for one and fail then; what was read before is
+/// kept. A read under way is given up when the source changes, so that the next one goes to the new
+/// source at once.
 class RelayedStore : public store::ObjectStore {
  public:
   using FailureListener = std::function<void(const Endpoint& relay, const Error& cause)>;
 
   RelayedStore(boost::asio::any_io_executor executor, store::ObjectStore& direct,
-               RelayClient client);
+               RelayClient& client);
 
   boost::asio::awaitable<Result<store::Listing>> list(std::string kind) override;
   boost::asio::awaitable<Result<store::ChangeBatch>> watch(std::string kind, store::Revision since,
@@ -36,31 +39,44 @@
     return direct_.put(std::move(kind), std::move(object));
   }
 
-  /// Reads from this relay from now on, until it fails.
-  void follow(const Endpoint& relay) { relay_ = relay; }
-  void readDirectly() { relay_.reset(); }
-  const std::optional<Endpoint>& relay() const { return relay_; }
+  /// Reads from this relay from now on.
+  void follow(const Endpoint& relay) { setSource(Source::kRelay, relay); }
+  /// Reads the store itself from now on.
+  void readDirectly() { setSource(Source::kStore, {}); }
+  /// Reads nothing until a source is set.
+  void detach() { setSource(Source::kNone, {}); }
+  bool readsDirectly() const { return source_ == Source::kStore; }
+  /// Called where a view could not be read from the relay that is followed.
   void onRelayFailed(FailureListener listener) { onRelayFailed_ = std::move(listener); }
   /// What was read of the kind; null where it was never read.
   WatchCache* cache(const std::string& kind);
+  /// When all that was read was the newest state for certain: the oldest of the kinds' proofs. The
+  /// epoch of the clock where nothing was read.
+  MonotonicTime provenAt() const;
 
  private:
+  enum class Source { kNone, kRelay, kStore };
+
+  void setSource(Source source, const Endpoint& relay);
   boost::asio::awaitable<Result<store::Listing>> listAnywhere(std::string kind);
   boost::asio::awaitable<Result<store::ChangeBatch>> watchAnywhere(std::string kind,
                                                                    store::Revision since,
                                                                    Milliseconds wait);
-  /// The changes after a relay has failed, by a short watch of the store: the view has grown old
-  /// while the relay was silent, and this node may be asked to serve others at once.
-  /// @param asked when the relay was asked.
-  boost::asio::awaitable<Result<store::ChangeBatch>> proveDirectly(std::string kind,
-                                                                   store::Revision since,
-                                                                   MonotonicTime asked);
-  void leave(const Endpoint& relay, const Error& cause);
+  /// Runs a call to the relay until it is done or the source changes.
+  template <typename Value>
+  boost::asio::awaitable<Result<Value>> callRelay(boost::asio::awaitable<Result<Value>> call);
+  /// Waits a moment for a source where there is none.
+  boost::asio::awaitable<void> awaitSource();
 
   boost::asio::any_io_executor executor_;
   store::ObjectStore& direct_;
-  RelayClient client_;
-  std::optional<Endpoint> relay_;
+  RelayClient& client_;
+  Source source_ = Source::kNone;
+  Endpoint relay_;
+  /// Rises with each change of the source.
+  std::uint64_t sourceNumber_ = 0;
+  /// Woken at each change of the source.
+  std::list<std::shared_ptr<boost::asio::steady_timer>> waiting_;
   FailureListener onRelayFailed_;
   std::map<std::string, std::unique_ptr<WatchCache>> caches_;
 };
--- /dev/null
+++ b/tests/relay/simulated_tree.h
@@ -0,0 +1,270 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "relay/relay_core.h"
+
+namespace calicodrift::relay {
+
+/// Many RelayCores in virtual time, with a store and views that are as old as their way from it.
+/// The same seed gives the same run.
+class SimulatedTree {
+ public:
+  SimulatedTree(std::size_t nodes, std::size_t zones, std::uint64_t seed, RelaySettings settings)
+      : random_(seed), settings_(std::move(settings)), zones_(zones) {
+    for (std::size_t number = 0; number < nodes; ++number) {
+      nodes_.emplace_back();
+    }
+  }
+
+  MonotonicTime now() const { return now_; }
+  std::size_t size() const { return nodes_.size(); }
+
+  /// Starts a process of the node, `spread` at most from now.
+  void start(std::size_t number, Milliseconds spread) {
+    Node& node = nodes_[number];
+    const std::uint64_t incarnation = ++node.incarnation;
+    schedule(delay(spread), [this, number, incarnation] {
+      Node& started = nodes_[number];
+      if (started.incarnation == incarnation) {
+        RelaySettings settings = settings_;
+        settings.node = NodeId("n" + std::to_string(number));
+        settings.endpoint = endpointOf(number);
+        settings.zone = zoneOf(number);
+        started.core = std::make_unique<RelayCore>(settings, random_());
+        started.provenAt = {};
+        step(number, incarnation);
+      }
+    });
+  }
+  void startAll(Milliseconds spread) {
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+      start(number, spread);
+    }
+  }
+  /// A killed process refuses connections; one whose machine is off says nothing.
+  void kill(std::size_t number, bool powerOff) {
+    ++nodes_[number].incarnation;
+    nodes_[number].core.reset();
+    nodes_[number].off = powerOff;
+  }
+  void killAll(bool powerOff) {
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+      kill(number, powerOff);
+    }
+  }
+  /// A frozen node neither sends nor answers.
+  void setFrozen(std::size_t number, bool frozen) { nodes_[number].frozen = frozen; }
+  void setCutFromStore(std::size_t number, bool cut) { nodes_[number].cut = cut; }
+  void setStoreDown(bool down) { storeDown_ = down; }
+  /// Lost calls between nodes, from 0 to 1.
+  void setLoss(double loss) { loss_ = loss; }
+
+  void run(Milliseconds duration) {
+    const MonotonicTime end = now_ + duration;
+    while (!events_.empty() && events_.top().time <= end) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.time;
+      event.action();
+    }
+    now_ = end;
+  }
+
+  /// Calls to the store for the list of roots so far; those that were refused count too.
+  std::size_t storeCalls() const { return storeCalls_; }
+  std::vector<std::size_t> roots() const {
+    std::vector<std::size_t> found;
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+      if (nodes_[number].core && nodes_[number].core->role() == RelayRole::kRoot) {
+        found.push_back(number);
+      }
+    }
+    return found;
+  }
+  /// Live nodes whose view is older than `age`, or that have none.
+  std::size_t olderThan(Milliseconds age) {
+    std::size_t count = 0;
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+      const Node& node = nodes_[number];
+      count += node.core && !node.frozen && now_ - node.provenAt > age ? 1U : 0U;
+    }
+    return count;
+  }
+  std::uint32_t greatestDepth() const {
+    std::uint32_t depth = 0;
+    for (const Node& node : nodes_) {
+      if (node.core && node.core->role() == RelayRole::kChild) {
+        depth = std::max(depth, node.core->depth());
+      }
+    }
+    return depth;
+  }
+  std::size_t mostChildren() const {
+    std::map<Endpoint, std::size_t> children;
+    std::size_t most = 0;
+    for (const Node& node : nodes_) {
+      if (node.core && node.core->parent()) {
+        most = std::max(most, ++children[*node.core->parent()]);
+      }
+    }
+    return most;
+  }
+
+ private:
+  static constexpr Milliseconds kStoreAnswer{4};
+  static constexpr Milliseconds kHop{2};
+  static constexpr Milliseconds kStoreTimeout{1200};
+  /// How often a root's watches prove its view, and a child asks its parent for the proof.
+  static constexpr Milliseconds kProofInterval{200};
+
+  struct Node {
+    std::unique_ptr<RelayCore> core;
+    std::uint64_t incarnation = 0;
+    MonotonicTime provenAt{};
+    bool off = false;
+    bool frozen = false;
+    bool cut = false;
+  };
+  struct Event {
+    MonotonicTime time;
+    std::uint64_t sequence;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(time, sequence) > std::pair(other.time, other.sequence);
+    }
+  };
+
+  Endpoint endpointOf(std::size_t number) const {
+    return {"n" + std::to_string(number), static_cast<std::uint16_t>(1)};
+  }
+  static std::size_t numberOf(const Endpoint& endpoint) {
+    return std::stoul(endpoint.address.substr(1));
+  }
+  ZoneId zoneOf(std::size_t number) const { return ZoneId("z" + std::to_string(number % zones_)); }
+  Milliseconds delay(Milliseconds longest) {
+    return Milliseconds(std::uniform_int_distribution<std::int64_t>(0, longest.count())(random_));
+  }
+  void schedule(Milliseconds after, std::function<void()> action) {
+    events_.push({now_ + after, sequence_++, std::move(action)});
+  }
+  /// Runs `action` for the node unless it was killed meanwhile; later where it is frozen.
+  void later(std::size_t number, std::uint64_t incarnation, Milliseconds after,
+             std::function<void(Node&)> action) {
+    schedule(after, [this, number, incarnation, action = std::move(action)] {
+      Node& node = nodes_[number];
+      if (node.incarnation != incarnation || !node.core) {
+        return;
+      }
+      if (node.frozen) {
+        later(number, incarnation, Milliseconds(50), action);
+      } else {
+        action(node);
+      }
+    });
+  }
+  void stepLater(std::size_t number, std::uint64_t incarnation, Milliseconds after) {
+    later(number, incarnation, after,
+          [this, number, incarnation](Node& /*node*/) { step(number, incarnation); });
+  }
+
+  void step(std::size_t number, std::uint64_t incarnation) {
+    Node& node = nodes_[number];
+    refreshView(node);
+    const RelayAction action = node.core->next(now_, node.provenAt);
+    switch (action.step) {
+      case RelayStep::kWait: {
+        const auto wait = std::chrono::ceil<Milliseconds>(action.until - now_);
+        stepLater(number, incarnation, std::clamp(wait, Milliseconds(1), kProofInterval));
+        break;
+      }
+      case RelayStep::kReadList:
+        callStore(number, incarnation, [this](Node& asking, bool reached) {
+          asking.core->onList(
+              reached ? Result<RelayList>(list_) : fail(ErrorKind::kStoreUnavailable, "down"), now_,
+              asking.provenAt);
+        });
+        break;
+      case RelayStep::kWriteList:
+        callStore(number, incarnation, [this, list = action.list](Node& asking, bool reached) {
+          std::optional<store::Revision> written;
+          if (reached && list.revision == list_.revision) {
+            list_ = list;
+            list_.revision = store::Revision(list.revision.value() + 1);
+            written = list_.revision;
+          }
+          asking.core->onListWritten(written, now_);
+        });
+        break;
+      case RelayStep::kAsk:
+        ask(number, incarnation, action);
+        break;
+    }
+  }
+
+  void callStore(std::size_t number, std::uint64_t incarnation,
+                 std::function<void(Node&, bool)> answer) {
+    ++storeCalls_;
+    const bool reached = !storeDown_ && !nodes_[number].cut;
+    later(number, incarnation, reached ? kStoreAnswer : kStoreTimeout,
+          [this, number, incarnation, reached, answer](Node& node) {
+            answer(node, reached);
+            step(number, incarnation);
+          });
+  }
+
+  void ask(std::size_t number, std::uint64_t incarnation, const RelayAction& action) {
+    const std::size_t other = numberOf(action.relay.endpoint);
+    Node& asked = nodes_[other];
+    const bool lost = std::uniform_real_distribution<double>(0, 1)(random_) < loss_;
+    Result<JoinReply> reply = fail(ErrorKind::kConnectFailed, "refused");
+    Milliseconds time = kHop;
+    if (asked.off || asked.frozen || lost) {
+      time = settings_.joinTimeout;
+    } else if (asked.core) {
+      refreshView(asked);
+      reply = asked.core->answer({"n" + std::to_string(number), endpointOf(number),
+                                  zoneOf(number).value(), action.looksOnly},
+                                 now_, asked.provenAt);
+    }
+    later(number, incarnation, time, [this, number, incarnation, action, reply](Node& node) {
+      node.core->onReply(action, reply, now_, node.provenAt);
+      step(number, incarnation);
+    });
+  }
+
+  /// What the watches do meanwhile.
+  void refreshView(Node& node) {
+    const bool rootSees =
+        node.core->role() == RelayRole::kRoot && !storeDown_ && !node.cut && !node.frozen;
+    if (rootSees) {
+      node.provenAt = now_;
+    } else if (const auto parent = node.core->parent()) {
+      const Node& source = nodes_[numberOf(*parent)];
+      if (source.core && !source.frozen && source.core->serves(now_)) {
+        node.provenAt = std::max(node.provenAt, source.provenAt);
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  RelaySettings settings_;
+  std::size_t zones_;
+  MonotonicTime now_{Milliseconds(1'000'000)};
+  std::uint64_t sequence_ = 0;
+  std::vector<Node> nodes_;
+  std::priority_queue<Event> events_;
+  RelayList list_;
+  bool storeDown_ = false;
+  double loss_ = 0;
+  std::size_t storeCalls_ = 0;
+};
+
+}  // namespace calicodrift::relay
