Of several ages of a naming the greatest holds

Change: what was only found keeps taking greater ages. Test ofSeveralAgesToldTheGreatestHolds failed before the change.

--- a/src/rollout/weights_targets.cc
+++ b/src/rollout/weights_targets.cc
@@ -18,9 +18,14 @@
       continue;
     }
     const auto naming = model->second.find(told.weights);
-    if (naming != model->second.end() && naming->second.guessed) {
-      naming->second.since = now - told.age;
-      naming->second.guessed = false;
+    if (naming == model->second.end() || !naming->second.guessed) {
+      continue;
+    }
+    // Who was cut off counts from when it heard of the naming, so that the greatest age is right.
+    const MonotonicTime since = now - told.age;
+    if (!naming->second.told || since < naming->second.since) {
+      naming->second.since = since;
+      naming->second.told = true;
     }
   }
 }
@@ -31,7 +36,8 @@
     for (const auto& [version, naming] : namings) {
       const auto age = std::chrono::ceil<Milliseconds>(now - naming.since);
       // What has run out for everybody need not be told.
-      if (!naming.guessed && age < 2 * term_) {
+      const bool certain = !naming.guessed || naming.told;
+      if (certain && age < 2 * term_) {
         told.push_back({model, version, age});
       }
     }
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -25,7 +25,8 @@
   /// A version was found that may have been named long before; taken as named half the term ago
   /// until another node tells more.
   void find(const ModelId& model, WeightsVersion version, MonotonicTime now);
-  /// What another node knows of the age of namings. Corrects what was only found.
+  /// What another node knows of the age of namings. Corrects what was only found; of several ages
+  /// the greatest holds.
   void learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now);
   /// What this node knows of the age of namings.
   std::vector<fleet::NamedWeights> known(MonotonicTime now) const;
@@ -45,8 +46,10 @@
     MonotonicTime since;
     /// When this node heard of it.
     MonotonicTime heardAt;
-    /// `since` is a guess.
+    /// This node did not see it named, so that `since` is a guess or what others tell.
     bool guessed = false;
+    /// `since` is the greatest age that others have told.
+    bool told = false;
   };
   using Namings = std::map<WeightsVersion, Naming>;
 
--- a/tests/rollout/weights_targets_test.cc
+++ b/tests/rollout/weights_targets_test.cc
@@ -49,6 +49,22 @@
   BOOST_TEST((restarted.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
 }
 
+BOOST_AUTO_TEST_CASE(ofSeveralAgesToldTheGreatestHolds) {
+  WeightsTargets watching(Milliseconds(6000));
+  watching.name(kModel, WeightsVersion(2), kStart);
+  // This one was cut off when the version was named, and heard of it 3 s late.
+  WeightsTargets late(Milliseconds(6000));
+  late.name(kModel, WeightsVersion(2), kStart + Milliseconds(3000));
+  WeightsTargets restarted(Milliseconds(6000));
+  const MonotonicTime start = kStart + Milliseconds(4000);
+  restarted.find(kModel, WeightsVersion(2), start);
+  restarted.learn(late.known(start), start);
+  restarted.learn(watching.known(start), start);
+  restarted.learn(late.known(start), start);
+  BOOST_TEST((restarted.least(kModel, kStart + Milliseconds(5999)) == WeightsVersion()));
+  BOOST_TEST((restarted.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
+}
+
 BOOST_AUTO_TEST_CASE(whatThisNodeSawNamedIsNotCorrected) {
   WeightsTargets targets(Milliseconds(6000));
   targets.name(kModel, WeightsVersion(2), kStart);
