Children wait for their parent's first state; roots that start late keep their place; fewer children on slow links

A silent root was taken for dead after one question, while its machine was still starting, and replaced. From 3.6 s on, in a storm of configurations (12 a second of some 40 KB each), parents with links of 20 Mbit/s and 16 children were choked: 250 nodes lost their parent within a second, proofs of configurations grew up to 4 s old. Change: a parent holds the question of a child for its first state 300 ms; silence counts from two questions; relay-max-followers follows from link-mbps (a child for each 4 Mbit/s, 2 to 32); config-change-pause-ms 200. Suspected, not traced: an older route time-out from a view that was seconds old.

--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -18,6 +18,13 @@
 constexpr int kAcceptShare = 3;
 constexpr Milliseconds kLongestAccept{2500};
 constexpr int kRenewalsInALease = 3;
+/// Of the link, for a child: a configuration of 40 KB, five times a second while it changes in
+/// quick succession, is 1.6 Mbit/s; the rest is for callers.
+constexpr double kMbpsOfAFollower = 4;
+/// With fewer than two there would be a chain in place of a tree; with more than 32 a node's own
+/// processor, not its link, is what binds.
+constexpr std::int64_t kFewestFollowers = 2;
+constexpr std::int64_t kMostFollowers = 32;
 constexpr Milliseconds kLongestRenewInterval{800};
 
 /// One bound and what is taken off it.
@@ -46,13 +53,29 @@
   };
 }
 
+std::string textOf(Milliseconds time) {
+  return std::to_string(time.count()) + " ms";
+}
+
+DerivedSetting deriveMaxFollowers(GatewaySettings& settings) {
+  DerivedSetting row{"relay-max-followers", "", "given",
+                     "views reach children late when the configuration changes often"};
+  if (settings.relayMaxFollowers == 0) {
+    const auto carried = static_cast<std::int64_t>(settings.linkMbps / kMbpsOfAFollower);
+    settings.relayMaxFollowers = std::clamp(carried, kFewestFollowers, kMostFollowers);
+    row.from = "link-mbps / 4, 2 to 32";
+  }
+  row.value = std::to_string(settings.relayMaxFollowers);
+  return row;
+}
+
 }  // namespace
 
 Result<std::vector<DerivedSetting>> applyBounds(GatewaySettings& settings) {
   std::vector<DerivedSetting> derived;
   for (const Rule& rule : rulesOf(settings)) {
     if (rule.value > Milliseconds(0)) {
-      derived.push_back({rule.name, rule.value, "given", rule.breaks});
+      derived.push_back({rule.name, textOf(rule.value), "given", rule.breaks});
       continue;
     }
     if (rule.bound <= rule.margin) {
@@ -62,20 +85,21 @@
                       " ms, as else " + rule.breaks);
     }
     rule.value = rule.bound - rule.margin;
-    derived.push_back({rule.name, rule.value,
+    derived.push_back({rule.name, textOf(rule.value),
                        rule.boundName + " - " + std::to_string(rule.margin.count()), rule.breaks});
   }
   settings.leaseRenewInterval =
       std::min(settings.leaseDuration / kRenewalsInALease, kLongestRenewInterval);
-  derived.push_back({"lease-renew-interval-ms", settings.leaseRenewInterval,
+  derived.push_back({"lease-renew-interval-ms", textOf(settings.leaseRenewInterval),
                      "lease-duration-ms / " + std::to_string(kRenewalsInALease),
                      "a lease lapses though its holder lives"});
   if (settings.drainAccept == Milliseconds(0)) {
     settings.drainAccept = std::min(kLongestAccept, settings.drainTimeout / kAcceptShare);
   }
-  derived.push_back({"drain-accept-ms", settings.drainAccept,
+  derived.push_back({"drain-accept-ms", textOf(settings.drainAccept),
                      "drain-timeout-ms / " + std::to_string(kAcceptShare) + ", 2500 at most",
                      "callers that have not heard of the stop are turned away"});
+  derived.push_back(deriveMaxFollowers(settings));
   return derived;
 }
 
@@ -83,8 +107,8 @@
   std::ostringstream text;
   text << "| setting | value | from | where it is missed |\n|---|---|---|---|\n";
   for (const DerivedSetting& row : derived) {
-    text << "| `" << row.name << "` | " << row.value.count() << " ms | " << row.from << " | "
-         << row.breaks << " |\n";
+    text << "| `" << row.name << "` | " << row.value << " | " << row.from << " | " << row.breaks
+         << " |\n";
   }
   return text.str();
 }
--- a/src/gateway/bounds.h
+++ b/src/gateway/bounds.h
@@ -12,7 +12,8 @@
 /// One setting that follows from a bound of the deployment.
 struct DerivedSetting {
   std::string name;
-  Milliseconds value{0};
+  /// With its unit, for people.
+  std::string value;
   /// The bound and the margin, as "weights-bound-ms - 2000".
   std::string from;
   /// What goes wrong where the bound is missed.
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -51,6 +51,7 @@
 
 std::vector<fleet::CacheStoreReport> CacheStores::reports() const {
   std::vector<fleet::CacheStoreReport> reports;
+  reports.reserve(stores_.size());
   for (const auto& [endpoint, store] : stores_) {
     reports.push_back({store.key, store.state ? store.state->epoch : 0, store.alive});
   }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -27,8 +27,8 @@
       {{"relay-group", "", 0, 0, "",
         "nodes of the same group share relays; empty: the nodes of the zone"},
        &G::relayGroup},
-      {{"relay-max-followers", "16", 1, 1000, "count",
-        "nodes that read the store through this one"},
+      {{"relay-max-followers", "0", 0, 1000, "count",
+        "nodes that read the store through this one; 0: from link-mbps"},
        &G::relayMaxFollowers},
       {{"relay-proof-age-ms", "1300", 10, kMinuteMs, "ms",
         "a node that has not heard from the store for so long sends its followers away"},
@@ -70,6 +70,10 @@
 /// The store's views, the lease and roll-outs.
 Rows controlRows() {
   return {
+      {{"config-change-pause-ms", "200", 0, kMinuteMs, "ms",
+        "pause after a change of the configuration, so that of several in quick succession the "
+        "newest is read"},
+       &G::configChangePause},
       {{"config-watch-ms", "1000", 10, 30'000, "ms", "longest watch of the configuration"},
        &G::configWatch},
       {{"config-proof-age-ms", "1000", 10, kMinuteMs, "ms",
@@ -112,6 +116,8 @@
        &G::revocationBound},
       {{"stop-bound-s", "8", 1, 3600, "s", "a planned stop is ended from outside after so long"},
        &G::stopBoundSeconds},
+      {{"link-mbps", "1000", 1, 1'000'000, "Mbit/s", "what this machine's link carries"},
+       &G::linkMbps},
       {{"lease-bound-ms", "3000", 1, kMinuteMs, "ms",
         "two nodes may take turns in giving orders after so long"},
        &G::leaseBound},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -32,6 +32,7 @@
   std::string servicePolicy;
   std::int64_t prefillTokensPerMs = 0;
   Milliseconds configWatch{0};
+  Milliseconds configChangePause{0};
   Milliseconds configProofAge{0};
   Milliseconds serverWatch{0};
   Milliseconds serverChangePause{0};
@@ -49,6 +50,7 @@
   Milliseconds revocationBound{0};
   double stopBoundSeconds = 0;
   Milliseconds leaseBound{0};
+  double linkMbps = 0;
   Milliseconds weightsTerm{0};
   std::int64_t maxConcurrentLoads = 0;
   Milliseconds leaseDuration{0};
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -39,9 +39,7 @@
       pool_(pool),
       targets_(targets),
       onTable_(std::move(onTable)),
-      configWatcher_(executor_, store,
-                     watcherSettings(schema.configurationKind(), settings.configWatch),
-                     configListener()),
+      configWatcher_(executor_, store, configWatcherSettings(), configListener()),
       serverWatcher_(executor_, store, serverWatcherSettings(), serverListener()),
       weightsWatcher_(executor_, store,
                       watcherSettings(schema.weightsKind(), settings.weightsWatch),
@@ -113,6 +111,13 @@
   return watcher;
 }
 
+store::KindWatcherSettings StoreViews::configWatcherSettings() const {
+  store::KindWatcherSettings watcher =
+      watcherSettings(schema_.configurationKind(), settings_.configWatch);
+  watcher.changePause = settings_.configChangePause;
+  return watcher;
+}
+
 store::KindWatcherSettings StoreViews::serverWatcherSettings() const {
   store::KindWatcherSettings watcher = watcherSettings(schema_.serverKind(), settings_.serverWatch);
   watcher.changePause = settings_.serverChangePause;
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -40,6 +40,7 @@
 
  private:
   store::KindWatcherSettings watcherSettings(std::string kind, Milliseconds wait) const;
+  store::KindWatcherSettings configWatcherSettings() const;
   store::KindWatcherSettings serverWatcherSettings() const;
   store::KindListener configListener();
   store::KindListener serverListener();
--- a/src/relay/relay_core.cc
+++ b/src/relay/relay_core.cc
@@ -8,6 +8,8 @@
 
 /// A connection is refused for a moment while a node restarts.
 constexpr Milliseconds kRefusalPatience{600};
+/// A relay that says nothing is asked twice, as its machine may just be starting.
+constexpr Milliseconds kSilencePatience{200};
 /// A relay that answers without a place looks for one itself.
 constexpr Milliseconds kSearchPatience{2000};
 constexpr unsigned kMostMissedHeartbeats = 2;
@@ -397,10 +399,10 @@
     }
     return;
   }
-  // A process that restarts refuses for a moment; a machine that is gone says nothing.
+  // A process that restarts refuses for a moment; a machine that is gone, or starts, says nothing.
   const bool refused = now - askedAt_ < settings_.joinTimeout;
-  noteFailure(asked.relay.endpoint, refused ? kRefusalPatience : Milliseconds(0), now);
-  roundHasHope_ = roundHasHope_ || (refused && roots_.contains(asked.relay.endpoint));
+  noteFailure(asked.relay.endpoint, refused ? kRefusalPatience : kSilencePatience, now);
+  roundHasHope_ = roundHasHope_ || roots_.contains(asked.relay.endpoint);
   const bool otherRoot = role_ == RelayRole::kRoot && roots_.contains(asked.relay.endpoint);
   if (otherRoot && isDead(asked.relay.endpoint, now)) {
     // Once: where nothing came of that, the next review is as near as it may be.
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -11,7 +11,10 @@
 
 namespace {
 
-/// Bound on what a follower may make this node wait.
+/// For a node's own first state, while many start together; shorter than a child waits for an
+/// answer.
+constexpr Milliseconds kWaitForFirstState{300};
+/// Bound on what a child may make this node wait.
 constexpr Milliseconds kLongestWait{30'000};
 
 }  // namespace
@@ -24,11 +27,19 @@
 awaitable<ViewReply> RelayServer::answer(ViewQuery query) {
   const MonotonicTime arrived = monotonicNow();
   const MonotonicTime end = arrived + std::min(Milliseconds(query.waitMs), kLongestWait);
+  const MonotonicTime firstStateEnd = arrived + kWaitForFirstState;
   for (;;) {
     WatchCache* cache = caches_(query.kind);
     if (cache == nullptr || !admits_(query.follower)) {
       co_return ViewReply{};
     }
+    if (!cache->known()) {
+      if (monotonicNow() >= firstStateEnd) {
+        co_return ViewReply{};
+      }
+      co_await cache->waitForNews(firstStateEnd);
+      continue;
+    }
     ViewReply reply = read(*cache, query, arrived);
     const bool news = query.listing || !reply.objects.empty() || reply.provenAfterMs > 0 ||
                       reply.outcome != ViewOutcome::kServed;
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -16,8 +16,7 @@
   std::string group;
   /// Where other nodes reach this one; without a port it reads the store itself and serves nobody.
   Endpoint endpoint;
-  /// Children of one node. A tree of depth 3 holds 2 x (1 + 16 + 256) nodes with it, and depth 4
-  /// all of the largest fleet planned for.
+  /// Children of one node. A tree of depth 2 holds 2 x (1 + 16 + 256) nodes with it.
   std::size_t maxFollowers = 16;
   /// Roots of a group's tree, so that one that is lost need not be replaced before its children go
   /// on.
@@ -52,7 +51,7 @@
   Milliseconds orphanTerm{2500};
   /// Depth from which a node takes no children. It ends a circle of nodes that follow each other,
   /// as the depth rises by each round in it.
-  std::uint32_t maxDepth = 8;
+  std::uint32_t maxDepth = 12;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -53,14 +53,15 @@
 }
 
 awaitable<Result<store::Listing>> RelayedStore::list(std::string kind) {
+  // Children may wait for the first state from now on.
+  std::unique_ptr<WatchCache>& cache = caches_[kind];
+  if (!cache) {
+    cache = std::make_unique<WatchCache>(executor_);
+  }
   co_await awaitSource();
   const MonotonicTime asked = monotonicNow();
   Result<store::Listing> listing = co_await listAnywhere(kind);
   if (listing) {
-    std::unique_ptr<WatchCache>& cache = caches_[kind];
-    if (!cache) {
-      cache = std::make_unique<WatchCache>(executor_);
-    }
     if (listing.value().revision >= cache->revision()) {
       cache->applyListing(listing.value(), asked + listing.value().provenAfterAsked);
     }
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -48,7 +48,7 @@
   bool readsDirectly() const { return source_ == Source::kStore; }
   /// Called where a view could not be read from the relay that is followed.
   void onRelayFailed(FailureListener listener) { onRelayFailed_ = std::move(listener); }
-  /// What was read of the kind; null where it was never read.
+  /// What was read of the kind, and will be; null where it was never asked for.
   WatchCache* cache(const std::string& kind);
   /// When all that was read was the newest state for certain: the oldest of the kinds' proofs. The
   /// epoch of the clock where nothing was read.
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -23,6 +23,7 @@
   history_.clear();
   rememberedChanges_ = 0;
   historyStart_ = listing.revision;
+  known_ = true;
   revision_ = listing.revision;
   provenAt_ = std::max(provenAt_, provenAt);
   wakeWaiters();
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -28,6 +28,8 @@
   /// Fails with kVersionConflict where the changes after `since` are not all remembered.
   Result<store::ChangeBatch> changesSince(store::Revision since) const;
   store::Revision revision() const { return revision_; }
+  /// Whether any state was read yet.
+  bool known() const { return known_; }
   /// The state was the newest at this time for certain.
   MonotonicTime provenAt() const { return provenAt_; }
   /// Returns at the next state or proof, or at `end`.
@@ -41,6 +43,7 @@
   std::deque<store::ChangeBatch> history_;
   std::size_t rememberedChanges_ = 0;
   store::Revision historyStart_;
+  bool known_ = false;
   store::Revision revision_;
   MonotonicTime provenAt_{};
   std::list<boost::asio::steady_timer> waiters_;
--- a/tests/gateway/bounds_test.cc
+++ b/tests/gateway/bounds_test.cc
@@ -55,6 +55,22 @@
   BOOST_TEST(derived.error().detail.find("weights-bound-ms") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(slowerLinksHaveFewerFollowers) {
+  GatewaySettings settings = makeSettings();
+  settings.linkMbps = 20;
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.relayMaxFollowers == 5);
+  settings = makeSettings();
+  settings.linkMbps = 1;
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.relayMaxFollowers == 2);
+  settings = makeSettings();
+  settings.linkMbps = 20;
+  settings.relayMaxFollowers = 9;
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.relayMaxFollowers == 9);
+}
+
 BOOST_AUTO_TEST_CASE(theTableSaysWhereEachValueIsFrom) {
   GatewaySettings settings = makeSettings();
   const auto derived = applyBounds(settings);
@@ -63,6 +79,8 @@
   BOOST_TEST(table.find("| `weights-term-ms` | 6000 ms | weights-bound-ms - 2000 |") !=
              std::string::npos);
   BOOST_TEST(table.find("lease-renew-interval-ms") != std::string::npos);
+  BOOST_TEST(table.find("| `relay-max-followers` | 32 | link-mbps / 4, 2 to 32 |") !=
+             std::string::npos);
 }
 
 }  // namespace
--- a/tests/relay/fake_store.h
+++ b/tests/relay/fake_store.h
@@ -35,6 +35,10 @@
     if (down) {
       co_return fail(ErrorKind::kStoreUnavailable, "down");
     }
+    if (listDelay > Milliseconds(0)) {
+      boost::asio::steady_timer timer(context_, listDelay);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     store::Listing listing;
     listing.revision = store::Revision(revision_);
     for (const auto& [name, object] : objects_[kind]) {
@@ -90,6 +94,8 @@
   }
 
   bool down = false;
+  /// Before a listing is answered.
+  Milliseconds listDelay{0};
   std::size_t calls = 0;
 
  private:
--- a/tests/relay/relay_core_test.cc
+++ b/tests/relay/relay_core_test.cc
@@ -45,6 +45,41 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(rootsWhoseMachinesStartLaterKeepTheirPlace) {
+  // Questions to a machine that is not up yet say nothing; they must not cost a root its place.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SimulatedTree tree = settledTree(300, seed);
+    const std::vector<std::size_t> roots = tree.roots();
+    tree.killAll(true);
+    for (std::size_t number = 0; number < tree.size(); ++number) {
+      const bool root = std::find(roots.begin(), roots.end(), number) != roots.end();
+      if (!root) {
+        tree.start(number, kStartSpread);
+      }
+    }
+    tree.run(Milliseconds(400));
+    for (const std::size_t root : roots) {
+      tree.start(root, Milliseconds(0));
+    }
+    tree.run(Milliseconds(5000));
+    BOOST_TEST((tree.roots() == roots), "seed " << seed);
+    BOOST_TEST(tree.olderThan(kGoodAge) == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(treeOfNodesWithSlowLinksIsDeeperAndWhole) {
+  RelaySettings settings;
+  settings.maxFollowers = 4;
+  SimulatedTree tree(600, 5, 7, settings);
+  tree.startAll(kStartSpread);
+  tree.run(Milliseconds(3000));
+  BOOST_TEST(tree.olderThan(kGoodAge) == 0U);
+  BOOST_TEST(tree.mostChildren() <= 4U);
+  BOOST_TEST(tree.greatestDepth() <= 9U);
+  tree.run(Milliseconds(3000));
+  BOOST_TEST(tree.storeCalls() <= 600U + 170U, tree.storeCalls() << " calls");
+}
+
 BOOST_AUTO_TEST_CASE(calmTreeAsksTheStoreForReviewsAlone) {
   SimulatedTree tree = settledTree(300);
   const std::size_t before = tree.storeCalls();
@@ -89,15 +124,20 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(restartOfAllServesAtOnce) {
-  for (const std::size_t nodes : kSizes) {
-    SimulatedTree tree = settledTree(nodes);
-    const std::size_t before = tree.storeCalls();
-    tree.killAll(false);
-    tree.startAll(kStartSpread);
-    tree.run(Milliseconds(2000));
-    BOOST_TEST(tree.olderThan(kGoodAge) == 0U, nodes << " nodes");
-    BOOST_TEST(tree.storeCalls() - before <= nodes + nodes / 4 + 20);
+BOOST_AUTO_TEST_CASE(restartOfAllServesAtOnceAndKeepsItsRoots) {
+  for (const bool powerOff : {false, true}) {
+    for (const std::size_t nodes : kSizes) {
+      SimulatedTree tree = settledTree(nodes);
+      const std::vector<std::size_t> roots = tree.roots();
+      const std::size_t before = tree.storeCalls();
+      tree.killAll(powerOff);
+      tree.startAll(kStartSpread);
+      tree.run(Milliseconds(1500));
+      BOOST_TEST(tree.olderThan(kGoodAge) == 0U, nodes << " nodes");
+      BOOST_TEST(tree.storeCalls() - before <= nodes + nodes / 4 + 20);
+      tree.run(Milliseconds(3000));
+      BOOST_TEST((tree.roots() == roots), nodes << " nodes, power off " << powerOff);
+    }
   }
 }
 
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -43,7 +43,9 @@
                                         }
                                       }
                                     },
-                                    nullptr}),
+                                    [this](bool reachable, const std::string& /*cause*/) {
+                                      failedReads += reachable ? 0U : 1U;
+                                    }}),
         server(context.get_executor(), {},
                [this](http::Request& request, http::ResponseWriter& writer) {
                  return relay.handle(request, writer);
@@ -111,6 +113,8 @@
   RelayNode relay;
   store::KindWatcher watcher;
   std::map<std::string, boost::json::value> seen;
+  /// Times that reads began to fail.
+  std::size_t failedReads = 0;
   http::Server server;
 };
 
@@ -190,6 +194,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(childWaitsForItsParentsFirstState) {
+  // All start together: a child that were sent away until the root has its listing would come back
+  // after ever longer pauses.
+  shared.listDelay = Milliseconds(200);
+  settings.callTimeout = Milliseconds(400);
+  for (int count = 0; count < 6; ++count) {
+    addNode();
+  }
+  run(settings.startDelay + shared.listDelay + Milliseconds(90));
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->seen.contains("a"));
+    BOOST_TEST(node->failedReads == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(twoOfManyNodesReadTheStoreSoThatOneMayBeLost) {
   settings.leastRelays = 2;
   for (int count = 0; count < 8; ++count) {
@@ -308,6 +327,7 @@
   run(Milliseconds(600));
   BOOST_REQUIRE(relays().size() == 1U);
   std::vector<std::optional<Endpoint>> parents;
+  parents.reserve(nodes.size());
   for (const auto& node : nodes) {
     parents.push_back(node->relay.relay());
   }
--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -39,6 +39,7 @@
         settings.endpoint = endpointOf(number);
         settings.zone = zoneOf(number);
         started.core = std::make_unique<RelayCore>(settings, random_());
+        started.off = false;
         started.provenAt = {};
         step(number, incarnation);
       }
@@ -210,7 +211,7 @@
   }
 
   void callStore(std::size_t number, std::uint64_t incarnation,
-                 std::function<void(Node&, bool)> answer) {
+                 const std::function<void(Node&, bool)>& answer) {
     ++storeCalls_;
     const bool reached = !storeDown_ && !nodes_[number].cut;
     later(number, incarnation, reached ? kStoreAnswer : kStoreTimeout,
