Roots that are lost are noticed within a second, and old views are not joined

Heartbeats of 0.5 s with two questions of 250 ms, a random delay of up to 400 ms for six nodes, and watchers that pause up to 400 ms after failures took longer than the two seconds in which a configuration has to be in force. In the simulation children of roots that are both cut from the store joined the other cut root. Change: heartbeats each 300 ms, questions of 200 ms; the random delay follows from the number of siblings; children of a root with an old view ask the store as soon as that is older than 1.3 s; a node joins a relay with an old view only where nobody has a newer one; watchers try again at once when their source changes; watches of 600 ms in place of 1,000. Test smallFleetHasTheNewestStateTwoSecondsAfterItsRootsAreLost failed before (20 of 40 cases).

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -218,6 +218,7 @@
   if (settings_.relayListen.port != 0) {
     BOOST_OUTCOME_TRY(peerServer_.listen(settings_.relayListen));
   }
+  relay_.onSourceChanged([this] { views_.retryNow(); });
   relay_.start();
   exchange_.start();
   views_.start();
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -30,8 +30,9 @@
       {{"relay-max-followers", "0", 0, 1000, "count",
         "nodes that read the store through this one; 0: from link-mbps"},
        &G::relayMaxFollowers},
-      {{"relay-proof-age-ms", "1300", 10, kMinuteMs, "ms",
-        "a node that has not heard from the store for so long sends its followers away"},
+      {{"relay-proof-age-ms", "1100", 10, kMinuteMs, "ms",
+        "a root that has not heard from the store for so long looks for another one, and so do its "
+        "children"},
        &G::relayProofAge},
   };
 }
@@ -74,12 +75,12 @@
         "pause after a change of the configuration, so that of several in quick succession the "
         "newest is read"},
        &G::configChangePause},
-      {{"config-watch-ms", "1000", 10, 30'000, "ms", "longest watch of the configuration"},
+      {{"config-watch-ms", "600", 10, 30'000, "ms", "longest watch of the configuration"},
        &G::configWatch},
-      {{"config-proof-age-ms", "1000", 10, kMinuteMs, "ms",
+      {{"config-proof-age-ms", "600", 10, kMinuteMs, "ms",
         "watches are made shorter where the configuration's proof would grow older"},
        &G::configProofAge},
-      {{"server-watch-ms", "800", 10, 30'000, "ms", "longest watch of the list of servers"},
+      {{"server-watch-ms", "600", 10, 30'000, "ms", "longest watch of the list of servers"},
        &G::serverWatch},
       {{"server-change-pause-ms", "100", 0, kMinuteMs, "ms",
         "pause after a change of the list of servers, so that several come together"},
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -52,6 +52,12 @@
   asio::co_spawn(executor_, keepLeastWeights(), asio::detached);
 }
 
+void StoreViews::retryNow() {
+  configWatcher_.retryNow();
+  serverWatcher_.retryNow();
+  weightsWatcher_.retryNow();
+}
+
 store::KindListener StoreViews::configListener() {
   store::KindListener listener;
   listener.onListing = [this](const store::Listing& listing) {
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -29,6 +29,8 @@
              rollout::WeightsTargets& targets, TableListener onTable);
 
   void start();
+  /// The store is read by another way: pauses after failed calls end.
+  void retryNow();
   forward::ConfigurationView configuration() const { return {table_, configWatcher_.provenAt()}; }
   /// Null until the first configuration was read.
   std::shared_ptr<const routes::RouteTable> table() const { return table_; }
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -48,12 +48,14 @@
   std::int64_t proofAgeMs = 0;
   /// The list of roots, as the sender knows it.
   RelayList roots;
+  /// Children of the sender.
+  std::uint32_t children = 0;
   /// Whom to ask instead: where it is full, its children; else whom to go to should it fail.
   std::vector<Relay> others;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(outcome, depth, proofAgeMs, roots, others);
+    archive(outcome, depth, proofAgeMs, roots, children, others);
   }
 };
 
--- a/src/relay/relay_core.cc
+++ b/src/relay/relay_core.cc
@@ -70,13 +70,21 @@
       return ask(relay, false, now);
     }
   }
+  if (!oldRelays_.empty()) {
+    // Nobody has a newer view.
+    candidates_.assign(oldRelays_.begin(), oldRelays_.end());
+    oldRelays_.clear();
+    asked_.clear();
+    acceptsOld_ = true;
+    return search(now);
+  }
   if (std::exchange(roundHasHope_, false) && beginNextRound(now)) {
     return {RelayStep::kWait, pauseUntil_, {}, false, {}};
   }
   if (allRootsDead(now) && deadRevision_ != roots_.revision) {
     // One of the many that find this out replaces a root, and the others read of it.
     deadRevision_ = roots_.revision;
-    nextListRead_ = std::max(nextListRead_, now + randomDelay(settings_.claimDelay));
+    nextListRead_ = now + crowdDelay();
   }
   if (now < nextListRead_) {
     return {RelayStep::kWait, nextListRead_, {}, false, {}};
@@ -122,7 +130,7 @@
     return readList();
   }
   // The children of a root look out for all below them.
-  const Milliseconds bound = settings_.proofAge + settings_.heartbeatInterval;
+  const Milliseconds bound = settings_.proofAge + settings_.hopAge;
   if (depth_ > 1 || !isStale(now, provenAt, bound)) {
     staleLookAt_.reset();
     storeSeenAt_.reset();
@@ -132,7 +140,7 @@
     return *look;
   }
   if (!staleLookAt_) {
-    staleLookAt_ = now + randomDelay(settings_.proofAge);
+    staleLookAt_ = now + crowdDelay();
   }
   if (now >= *staleLookAt_ && now >= nextListRead_) {
     return readList();
@@ -230,7 +238,7 @@
     return;
   }
   deadRevision_ = roots_.revision;
-  nextListRead_ = now + randomDelay(settings_.claimDelay);
+  nextListRead_ = now + crowdDelay();
 }
 
 void RelayCore::onListAsChild(MonotonicTime now, MonotonicTime provenAt) {
@@ -244,7 +252,7 @@
   if (!storeSeenAt_) {
     // The parent may be about to see the store again as well.
     storeSeenAt_ = now;
-    nextListRead_ = now + settings_.heartbeatInterval;
+    nextListRead_ = now + settings_.hopAge;
     return;
   }
   if (roots_.contains(parent_.endpoint)) {
@@ -343,7 +351,12 @@
 void RelayCore::onReplyWhileSearching(const Relay& relay, const JoinReply& reply,
                                       MonotonicTime now) {
   if (reply.outcome == JoinOutcome::kAccepted) {
-    becomeChild(relay, reply, now);
+    const bool old = Milliseconds(reply.proofAgeMs) > settings_.proofAge + settings_.hopAge;
+    if (old && !acceptsOld_) {
+      oldRelays_.push_back(relay);
+    } else {
+      becomeChild(relay, reply, now);
+    }
     return;
   }
   const bool full = reply.outcome == JoinOutcome::kFull;
@@ -362,6 +375,7 @@
     return;
   }
   depth_ = reply.depth + 1;
+  siblings_ = reply.children;
   others_ = reply.others;
   const bool wasListed = isListed();
   learnRoots(reply.roots);
@@ -438,6 +452,7 @@
                      (role_ != RelayRole::kSearching && children_.admit(node, asking, now));
   if (child) {
     reply.outcome = JoinOutcome::kAccepted;
+    reply.children = static_cast<std::uint32_t>(children_.size(now));
     reply.others = placesAfterThis(request.endpoint);
   } else if (role_ != RelayRole::kSearching) {
     reply.outcome = JoinOutcome::kFull;
@@ -499,9 +514,12 @@
   role_ = RelayRole::kChild;
   parent_ = parent;
   depth_ = reply.depth + 1;
+  siblings_ = reply.children;
   others_ = reply.others;
   learnRoots(reply.roots);
   candidates_.clear();
+  oldRelays_.clear();
+  acceptsOld_ = false;
   attachedAt_ = now;
   missedHeartbeats_ = 0;
   nextHeartbeat_ = now + settings_.heartbeatInterval / 2 + randomDelay(settings_.heartbeatInterval);
@@ -521,9 +539,11 @@
   others_ = candidates;
   candidates_.assign(candidates.begin(), candidates.end());
   asked_.clear();
+  oldRelays_.clear();
+  acceptsOld_ = false;
   rounds_ = 0;
   roundHasHope_ = false;
-  nextListRead_ = now + settings_.claimDelay + randomDelay(settings_.claimDelay);
+  nextListRead_ = now + crowdDelay();
 }
 
 void RelayCore::noteFailure(const Endpoint& relay, Milliseconds patience, MonotonicTime now) {
@@ -545,6 +565,15 @@
   return now - std::max(provenAt, attachedAt_) > bound;
 }
 
+Milliseconds RelayCore::crowdDelay() {
+  if (siblings_ == 0) {
+    return randomDelay(settings_.claimDelay);
+  }
+  // The children of all roots look at the same time, if they are lost together.
+  const auto crowd = static_cast<std::int64_t>(siblings_ * settings_.leastRelays);
+  return randomDelay(std::min(settings_.claimDelay, crowd * settings_.claimDelayPerNode));
+}
+
 Milliseconds RelayCore::randomDelay(Milliseconds longest) {
   std::uniform_int_distribution<std::int64_t> any(0, longest.count());
   return Milliseconds(any(random_));
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -131,6 +131,8 @@
   std::vector<Relay> placesAfterThis(const Endpoint& asking) const;
   bool isListed() const { return roots_.contains(settings_.endpoint); }
   Milliseconds randomDelay(Milliseconds longest);
+  /// Random, and longer the more nodes are likely to look for a root now.
+  Milliseconds crowdDelay();
   Relay self() const { return {settings_.endpoint, settings_.zone}; }
 
   RelaySettings settings_;
@@ -152,6 +154,8 @@
 
   Relay parent_;
   std::uint32_t depth_ = 0;
+  /// Children of the parent, with this node; 0 where none was followed yet.
+  std::uint32_t siblings_ = 0;
   /// Whom to go to if the parent fails.
   std::vector<Relay> others_;
   MonotonicTime nextHeartbeat_{};
@@ -168,6 +172,9 @@
   std::optional<MonotonicTime> storeSeenAt_;
 
   std::deque<Relay> candidates_;
+  /// Would take this node, but have an old view themselves: taken where nobody has a newer one.
+  std::vector<Relay> oldRelays_;
+  bool acceptsOld_ = false;
   /// Asked in this round.
   std::set<Endpoint> asked_;
   MonotonicTime pauseUntil_{};
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -135,6 +135,9 @@
   }
   loggedRole_ = core_.role();
   loggedParent_ = parent;
+  if (onSourceChanged_) {
+    onSourceChanged_();
+  }
   log::write(log::Level::kInfo, "relay_role",
              {{"role", nameOf(loggedRole_)},
               {"parent", parent ? parent->toString() : ""},
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -26,6 +27,8 @@
   /// Sends children away and takes this node off the list of roots.
   boost::asio::awaitable<void> stop();
   store::ObjectStore& store() { return store_; }
+  /// Called when views are read from another source than before.
+  void onSourceChanged(std::function<void()> listener) { onSourceChanged_ = std::move(listener); }
   /// Whether this node reads the store itself now.
   bool readsStore() const { return store_.readsDirectly(); }
   /// Whether this node is a root of the tree.
@@ -54,6 +57,7 @@
   RelayServer server_;
   RelayListStore lists_;
   boost::asio::steady_timer timer_;
+  std::function<void()> onSourceChanged_;
   bool stopped_ = false;
   /// The place that was last told in the log.
   RelayRole loggedRole_ = RelayRole::kSearching;
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -23,7 +23,9 @@
   std::size_t leastRelays = 2;
   /// A root that has not heard from the store for so long looks for another; so do its children.
   /// Longer than a watch of the store, so that it does not come up in a calm time.
-  Milliseconds proofAge{1300};
+  Milliseconds proofAge{1100};
+  /// A view is older by so much at most at a child than at its parent, where all is well.
+  Milliseconds hopAge{200};
   /// A child that has not asked for so long no longer counts.
   Milliseconds followerTerm{3000};
   /// A relay that did not answer is not asked again for so long.
@@ -31,17 +33,20 @@
   /// Longest random delay before the first look at the list, so that of many nodes that start
   /// together a few find it empty.
   Milliseconds startDelay{200};
-  /// Longest random delay before a node takes the place of a root that does not answer.
+  /// Longest random delay before a node takes the place of a root that does not answer; less where
+  /// fewer nodes are known to look for one at the same time.
   Milliseconds claimDelay{400};
+  /// Part of that delay for each such node: the time of a reading and a writing of the list.
+  Milliseconds claimDelayPerNode{8};
   /// Between two looks of a root at the list.
   Milliseconds reviewInterval{10'000};
   /// Between two calls of a child to its parent.
-  Milliseconds heartbeatInterval{500};
+  Milliseconds heartbeatInterval{300};
   /// Before a relay that is not ready to serve is asked again.
   Milliseconds joinRetry{100};
   /// For an answer about a place. Many times the way between two zones, as a node that many others
   /// ask at once answers late.
-  Milliseconds joinTimeout{250};
+  Milliseconds joinTimeout{200};
   /// Time beyond a watch's wait after which a relay counts as silent.
   Milliseconds callTimeout{400};
   /// First and longest pause after the store did not answer; it doubles in between, with jitter.
--- a/src/store/kind_watcher.cc
+++ b/src/store/kind_watcher.cc
@@ -12,6 +12,7 @@
 KindWatcher::KindWatcher(asio::any_io_executor executor, ObjectStore& store,
                          KindWatcherSettings settings, KindListener listener)
     : executor_(std::move(executor)),
+      timer_(executor_),
       store_(store),
       settings_(std::move(settings)),
       listener_(std::move(listener)),
@@ -21,8 +22,14 @@
   asio::co_spawn(executor_, run(), asio::detached);
 }
 
+void KindWatcher::retryNow() {
+  if (failures_ > 0) {
+    failures_ = 0;
+    timer_.cancel();
+  }
+}
+
 awaitable<void> KindWatcher::run() {
-  asio::steady_timer timer(executor_);
   for (;;) {
     Result<void> done = boost::outcome_v2::success();
     if (mustList_) {
@@ -37,8 +44,8 @@
       pause_ = pauseAfterFailure();
     }
     if (pause_ > Milliseconds(0)) {
-      timer.expires_after(std::exchange(pause_, Milliseconds(0)));
-      co_await timer.async_wait(asio::use_awaitable);
+      timer_.expires_after(std::exchange(pause_, Milliseconds(0)));
+      co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
   }
 }
--- a/src/store/kind_watcher.h
+++ b/src/store/kind_watcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <random>
 #include <string>
@@ -45,6 +46,8 @@
               KindWatcherSettings settings, KindListener listener);
 
   void start();
+  /// The store may be reached again, or by another way: a pause after a failed call ends now.
+  void retryNow();
   /// The view was the newest state at this time for certain; nothing was ever read where this is
   /// the epoch of the clock.
   MonotonicTime provenAt() const { return provenAt_; }
@@ -60,6 +63,7 @@
   void noteReachable(bool reachable, const std::string& cause);
 
   boost::asio::any_io_executor executor_;
+  boost::asio::steady_timer timer_;
   ObjectStore& store_;
   KindWatcherSettings settings_;
   KindListener listener_;
--- a/tests/relay/relay_core_test.cc
+++ b/tests/relay/relay_core_test.cc
@@ -109,6 +109,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(smallFleetHasTheNewestStateTwoSecondsAfterItsRootsAreLost) {
+  // A configuration is to be in force after two seconds on the smallest deployments, also where
+  // both roots are cut off, or cannot reach the store, a moment before.
+  constexpr Milliseconds kInForce{2000};
+  for (const bool cutFromStore : {false, true}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      SimulatedTree tree = settledTree(8, seed);
+      for (const std::size_t root : tree.roots()) {
+        if (cutFromStore) {
+          tree.setCutFromStore(root, true);
+        } else {
+          tree.kill(root, true);
+        }
+      }
+      const MonotonicTime lost = tree.now();
+      tree.run(kInForce);
+      // Views of all but the lost roots are of after the loss.
+      const std::size_t lostRoots = cutFromStore ? 2 : 0;
+      const std::size_t stale = tree.olderThan(std::chrono::floor<Milliseconds>(tree.now() - lost));
+      BOOST_TEST(stale <= lostRoots, "seed " << seed << ", cut from the store " << cutFromStore);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(lossOfHalfOfTheNodesLeavesTheOthersTheirViews) {
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
     SimulatedTree tree = settledTree(300, seed);
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -53,6 +53,7 @@
     if (settings.endpoint.port != 0) {
       BOOST_REQUIRE(server.listen(settings.endpoint));
     }
+    relay.onSourceChanged([this] { watcher.retryNow(); });
     relay.start();
     watcher.start();
   }
@@ -129,6 +130,7 @@
     log::silence();
     settings.group = "z1";
     settings.proofAge = Milliseconds(200);
+    settings.hopAge = Milliseconds(50);
     settings.startDelay = Milliseconds(30);
     settings.claimDelay = Milliseconds(60);
     settings.heartbeatInterval = Milliseconds(50);
