Children of a root with an old view wake in time to look at the store

A child that waited for its moment to read the list slept until its next heartbeat, twice up to 300 ms. Change: it wakes for the reading; views are old after 1,000 ms at a root and 1,150 ms at its children. Test smallFleetHasTheNewestStateTwoSecondsAfterItsRootsAreLost, tightened from 2,000 to 1,700 ms, failed before (20 of 40 cases).

--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -30,7 +30,7 @@
       {{"relay-max-followers", "0", 0, 1000, "count",
         "nodes that read the store through this one; 0: from link-mbps"},
        &G::relayMaxFollowers},
-      {{"relay-proof-age-ms", "1100", 10, kMinuteMs, "ms",
+      {{"relay-proof-age-ms", "1000", 10, kMinuteMs, "ms",
         "a root that has not heard from the store for so long looks for another one, and so do its "
         "children"},
        &G::relayProofAge},
--- a/src/relay/relay_core.cc
+++ b/src/relay/relay_core.cc
@@ -145,7 +145,8 @@
   if (now >= *staleLookAt_ && now >= nextListRead_) {
     return readList();
   }
-  return {RelayStep::kWait, std::min(nextHeartbeat_, nextLook_), {}, false, {}};
+  const MonotonicTime nextRead = std::max(*staleLookAt_, nextListRead_);
+  return {RelayStep::kWait, std::min({nextHeartbeat_, nextLook_, nextRead}), {}, false, {}};
 }
 
 RelayAction RelayCore::serveAsRoot(MonotonicTime now, MonotonicTime provenAt) {
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -23,9 +23,9 @@
   std::size_t leastRelays = 2;
   /// A root that has not heard from the store for so long looks for another; so do its children.
   /// Longer than a watch of the store, so that it does not come up in a calm time.
-  Milliseconds proofAge{1100};
+  Milliseconds proofAge{1000};
   /// A view is older by so much at most at a child than at its parent, where all is well.
-  Milliseconds hopAge{200};
+  Milliseconds hopAge{150};
   /// A child that has not asked for so long no longer counts.
   Milliseconds followerTerm{3000};
   /// A relay that did not answer is not asked again for so long.
--- a/tests/relay/relay_core_test.cc
+++ b/tests/relay/relay_core_test.cc
@@ -112,7 +112,8 @@
 BOOST_AUTO_TEST_CASE(smallFleetHasTheNewestStateTwoSecondsAfterItsRootsAreLost) {
   // A configuration is to be in force after two seconds on the smallest deployments, also where
   // both roots are cut off, or cannot reach the store, a moment before.
-  constexpr Milliseconds kInForce{2000};
+  // What passes before the roots notice, and what a way to a server takes, is part of that.
+  constexpr Milliseconds kInForce{1700};
   for (const bool cutFromStore : {false, true}) {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       SimulatedTree tree = settledTree(8, seed);
