A relay whose view is almost old is followed only where nobody has a newer one

A child took the place of one at 3.694 s, but four others, asking both roots of the list, got an answer from the lost one first, whose view was 1.1 s old and counted as new up to 1.15 s. They followed it until that had grown old as well. Change: a view older than 750 ms is the last choice. Test relayWhoseViewIsAlmostOldIsNotFollowedWhereAnotherIsFresh failed before.

--- a/src/relay/relay_core.cc
+++ b/src/relay/relay_core.cc
@@ -352,7 +352,7 @@
 void RelayCore::onReplyWhileSearching(const Relay& relay, const JoinReply& reply,
                                       MonotonicTime now) {
   if (reply.outcome == JoinOutcome::kAccepted) {
-    const bool old = Milliseconds(reply.proofAgeMs) > settings_.proofAge + settings_.hopAge;
+    const bool old = Milliseconds(reply.proofAgeMs) > settings_.freshAge;
     if (old && !acceptsOld_) {
       oldRelays_.push_back(relay);
     } else {
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -24,6 +24,10 @@
   /// A root that has not heard from the store for so long looks for another; so do its children.
   /// Longer than a watch of the store, so that it does not come up in a calm time.
   Milliseconds proofAge{1000};
+  /// A relay with an older view is followed only where nobody has a newer one. Longer than a watch
+  /// of the store and its way down, and well below proofAge: a root that has just lost the store
+  /// must not be followed by those that leave another one for the same reason.
+  Milliseconds freshAge{750};
   /// A view is older by so much at most at a child than at its parent, where all is well.
   Milliseconds hopAge{150};
   /// A child that has not asked for so long no longer counts.
--- a/tests/relay/relay_core_test.cc
+++ b/tests/relay/relay_core_test.cc
@@ -134,6 +134,36 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(relayWhoseViewIsAlmostOldIsNotFollowedWhereAnotherIsFresh) {
+  // The other root lost the store a moment later: its view is 1,050 ms old when a child looks for a
+  // parent, and would be too old right after.
+  RelaySettings settings;
+  settings.node = NodeId("n");
+  settings.endpoint = {"n", 1};
+  RelayCore core(settings, 7);
+  const Relay lost{{"lost", 1}, ZoneId("z")};
+  const Relay fresh{{"fresh", 1}, ZoneId("z")};
+  MonotonicTime now(Milliseconds(1'000'000));
+  RelayAction action = core.next(now, {});
+  now = action.until;
+  action = core.next(now, {});
+  BOOST_REQUIRE((action.step == RelayStep::kReadList));
+  core.onList(RelayList{store::Revision(3), {lost, fresh}}, now, {});
+  for (int question = 0; question < 2; ++question) {
+    action = core.next(now, {});
+    BOOST_REQUIRE((action.step == RelayStep::kAsk));
+    JoinReply reply;
+    reply.outcome = JoinOutcome::kAccepted;
+    reply.proofAgeMs = action.relay == fresh ? 300 : 1050;
+    core.onReply(action, reply, now, {});
+    if (action.relay == fresh) {
+      break;
+    }
+    BOOST_TEST((core.role() == RelayRole::kSearching));
+  }
+  BOOST_TEST((core.parent() == fresh.endpoint));
+}
+
 BOOST_AUTO_TEST_CASE(lossOfHalfOfTheNodesLeavesTheOthersTheirViews) {
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
     SimulatedTree tree = settledTree(300, seed);
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -131,6 +131,7 @@
     settings.group = "z1";
     settings.proofAge = Milliseconds(200);
     settings.hopAge = Milliseconds(50);
+    settings.freshAge = Milliseconds(150);
     settings.startDelay = Milliseconds(30);
     settings.claimDelay = Milliseconds(60);
     settings.heartbeatInterval = Milliseconds(50);
