A watcher whose source changes proves its view at once

Change: the first watch after a change of source is 20 ms long, as it was before relays formed a tree. Test firstWatchByAnotherWayIsShort.

--- a/src/store/kind_watcher.cc
+++ b/src/store/kind_watcher.cc
@@ -9,6 +9,13 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
+namespace {
+
+/// A watch as short as this is asked only for the proof that it brings.
+constexpr Milliseconds kProofWait{20};
+
+}  // namespace
+
 KindWatcher::KindWatcher(asio::any_io_executor executor, ObjectStore& store,
                          KindWatcherSettings settings, KindListener listener)
     : executor_(std::move(executor)),
@@ -23,6 +30,7 @@
 }
 
 void KindWatcher::retryNow() {
+  provesSoon_ = true;
   if (failures_ > 0) {
     failures_ = 0;
     timer_.cancel();
@@ -76,6 +84,7 @@
     mustList_ = mustList_ || batch.error().kind == ErrorKind::kVersionConflict;
     co_return batch.error();
   }
+  provesSoon_ = false;
   revision_ = std::max(revision_, batch.value().revision);
   provenAt_ = std::max(provenAt_, store::provenAt(batch.value(), asked, wait, monotonicNow()));
   if (!batch.value().changes.empty()) {
@@ -86,6 +95,9 @@
 }
 
 Milliseconds KindWatcher::nextWait(MonotonicTime now) const {
+  if (provesSoon_) {
+    return std::min(kProofWait, settings_.wait);
+  }
   const auto left = std::chrono::duration_cast<Milliseconds>(provenAt_ + settings_.proofAge - now);
   return std::clamp(left, std::min(settings_.shortestWait, settings_.wait), settings_.wait);
 }
--- a/src/store/kind_watcher.h
+++ b/src/store/kind_watcher.h
@@ -46,7 +46,8 @@
               KindWatcherSettings settings, KindListener listener);
 
   void start();
-  /// The store may be reached again, or by another way: a pause after a failed call ends now.
+  /// The store is reached by another way from now on: a pause after a failed call ends, and the
+  /// next watch is short, as others may judge this node by the age of its view.
   void retryNow();
   /// The view was the newest state at this time for certain; nothing was ever read where this is
   /// the epoch of the clock.
@@ -74,6 +75,8 @@
   bool reachable_ = true;
   unsigned failures_ = 0;
   Milliseconds pause_{0};
+  /// The next watch is for the proof that it brings.
+  bool provesSoon_ = false;
   MonotonicTime provenAt_{};
 };
 
--- a/tests/store/kind_watcher_test.cc
+++ b/tests/store/kind_watcher_test.cc
@@ -151,6 +151,19 @@
   BOOST_TEST((provenAt(batch, asked, settings.wait, asked) == asked - Milliseconds(30)));
 }
 
+BOOST_AUTO_TEST_CASE(firstWatchByAnotherWayIsShort) {
+  store.answers.push_back(fail(ErrorKind::kStoreUnavailable, "the relay was left"));
+  store.answers.push_back(ChangeBatch{{}, Revision(10), {}});
+  const std::unique_ptr<KindWatcher> watcher = run(Milliseconds(1));
+  watcher->retryNow();
+  context.restart();
+  context.run_for(Milliseconds(60));
+  BOOST_REQUIRE(store.waits.size() == 3U);
+  BOOST_TEST(store.waits[1] == Milliseconds(20));
+  // Proven, so that the next one waits as long as ever.
+  BOOST_TEST(store.waits[2] > Milliseconds(20));
+}
+
 BOOST_AUTO_TEST_CASE(lostStoreIsToldOnceAndItsReturnToo) {
   store.answers = {fail(ErrorKind::kStoreUnavailable, "down"),
                    fail(ErrorKind::kStoreUnavailable, "down"), batchAt(11, 1)};
