Tenants' limits are kept over all nodes, by claims along the tree

Change: module quota. The roots of the relay tree mint each limit, every one its part; a node that lacks units claims them from its source, whole or not at all, many claims in one question. The excess that the deployment allows (new settings limit-window-s, limit-overshoot, limit-slack) is divided among what nodes can't know of each other. limits:: TokenBucket takes any amount with a bounded debt and serves both wings. 429 at once, with the time of the refill.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <cmath>
 
 #include "common/hashing.h"
 #include "forward/answer_relay.h"
@@ -48,6 +49,24 @@
              : hashPair(request.blocks[request.sharedBlocks - 1].value(), hashBytes(scope));
 }
 
+/// What a dispatch of the request takes out of the tenant's limit.
+double quotaUnitsOf(const Request& request, const routes::Tenant* tenant) {
+  if (tenant == nullptr || !tenant->limit) {
+    return 0;
+  }
+  if (tenant->limit->unit == routes::LimitUnit::kRequests) {
+    return 1;
+  }
+  return request.statesTokens ? static_cast<double>(request.promptTokens + request.outputTokens)
+                              : tenant->limit->unstatedTokens;
+}
+
+/// Whether the dispatch that failed so was not sent, or has not run for certain.
+bool neverRan(ErrorKind failure) {
+  return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
+         failure == ErrorKind::kOverloaded;
+}
+
 /// What the caller is told after the last dispatch: a promise that the request has not run only
 /// where that holds for all dispatches together.
 ErrorKind finalKind(ErrorKind last, const AttemptCount& attempts) {
@@ -72,6 +91,7 @@
         writer(writer),
         relay(writer, request.resumeAfter),
         routeRequest(toRouteRequest(request, grant)),
+        quotaUnits(quotaUnitsOf(request, grant.tenant)),
         timer(executor) {
     const Milliseconds allowed =
         std::min(grant.route->timeout, request.patience.value_or(grant.route->timeout));
@@ -95,6 +115,8 @@
   http::ResponseWriter& writer;
   AnswerRelay relay;
   routing::RouteRequest routeRequest;
+  /// What each dispatch takes out of the tenant's limit; 0 where it has none.
+  double quotaUnits = 0;
   std::string service;
   MonotonicTime end;
   asio::steady_timer timer;
@@ -182,12 +204,25 @@
 }
 
 awaitable<Result<void>> Forwarder::dispatchUntilDone(Job& job) {
+  Result<void> outcome = boost::outcome_v2::success();
   for (;;) {
-    Result<void> outcome = co_await dispatchOnce(job);
+    Result<void> allowed = co_await takeQuota(job);
+    if (!allowed) {
+      // A second dispatch that the limit does not cover leaves the failure of the first.
+      co_return job.attempts.sent == 0 ? allowed : outcome;
+    }
+    if (job.writer.callerGone()) {
+      giveBackQuota(job);
+      co_return fail(ErrorKind::kCallerGone, "the caller left");
+    }
+    outcome = co_await dispatchOnce(job);
     if (outcome) {
       co_return outcome;
     }
     const ErrorKind failure = outcome.error().kind;
+    if (neverRan(failure)) {
+      giveBackQuota(job);
+    }
     if (job.writer.callerGone()) {
       co_return fail(ErrorKind::kCallerGone, "the caller left");
     }
@@ -202,6 +237,29 @@
   }
 }
 
+awaitable<Result<void>> Forwarder::takeQuota(const Job& job) {
+  if (job.quotaUnits <= 0) {
+    co_return boost::outcome_v2::success();
+  }
+  const quota::QuotaVerdict verdict =
+      co_await context_.quota.take(job.grant.tenant->id, job.quotaUnits);
+  if (verdict.granted) {
+    co_return boost::outcome_v2::success();
+  }
+  const std::string units = std::to_string(std::llround(job.quotaUnits));
+  Error error = fail(ErrorKind::kRateLimited, "tenant '" + job.grant.tenant->id.value() +
+                                                  "' is over its limit with " + units + " more; " +
+                                                  verdict.facts);
+  error.retryAfter = verdict.comeBack;
+  co_return error;
+}
+
+void Forwarder::giveBackQuota(const Job& job) {
+  if (job.quotaUnits > 0) {
+    context_.quota.giveBack(job.grant.tenant->id, job.quotaUnits);
+  }
+}
+
 awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
   const MonotonicTime now = monotonicNow();
   const routing::CandidateSet& candidates =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -22,6 +22,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "limits/retry_budget.h"
+#include "quota/quota_node.h"
 #include "routing/policy.h"
 
 namespace calicodrift::forward {
@@ -47,6 +48,8 @@
   std::function<WeightsView(const ModelId&, WeightsVersion)> weights;
   /// The store of kept cache for a key, where there is one that answers.
   std::function<std::optional<Endpoint>(std::uint64_t key)> cacheStore;
+  /// Keeps the tenants' limits.
+  quota::QuotaNode& quota;
 };
 
 /// Serves requests: checks them, chooses a server, and tries again elsewhere where that is allowed.
@@ -71,6 +74,10 @@
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  /// Takes the next dispatch out of the tenant's limit. Fails with kRateLimited.
+  boost::asio::awaitable<Result<void>> takeQuota(const Job& job);
+  /// Gives back what a dispatch took that no server has run.
+  void giveBackQuota(const Job& job);
   /// Whether the chosen server can begin with the job in time. Fails with kOverloaded.
   Result<void> admit(const Job& job, const routing::Candidate& candidate, MonotonicTime now);
   /// What the chosen server gets.
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -36,6 +36,8 @@
   /// Empty for requests without a model.
   ModelId model;
   std::vector<PromptPart> prompt;
+  /// Whether the caller says how many tokens the request takes.
+  bool statesTokens = false;
   std::size_t promptTokens = 0;
   std::size_t outputTokens = 0;
   /// Last event that the caller has of the stream to go on with.
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -18,6 +18,7 @@
               {"server", facts.dispatch.server.id.value()},
               {"reason", std::string(facts.reason)},
               {"route", facts.grant.route->name},
+              {"tenant", facts.grant.tenant != nullptr ? facts.grant.tenant->id.value() : ""},
               {"config", std::to_string(facts.grant.table->version().value())},
               {"weights", std::to_string(facts.candidate.weights.value())},
               {"candidates", std::to_string(facts.candidates)},
--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -69,6 +69,25 @@
   return row;
 }
 
+/// The nodes can't know of each other at once, so that a limit without any excess can't be kept by
+/// what they have told each other; a tenth of a second's use is the least.
+Result<DerivedSetting> checkLimitBounds(const GatewaySettings& settings) {
+  const double excessSeconds = settings.limitOvershoot * settings.limitWindowSeconds;
+  constexpr double kLeastExcessSeconds = 0.1;
+  if (excessSeconds < kLeastExcessSeconds && settings.limitSlack <= 0) {
+    return fail(ErrorKind::kSettingsInvalid,
+                "limit-overshoot lets tenants' limits be passed by " +
+                    std::to_string(excessSeconds) +
+                    " s of use in limit-window-s; they can't be kept over several nodes below " +
+                    std::to_string(kLeastExcessSeconds) + " s where limit-slack is 0");
+  }
+  std::ostringstream value;
+  value << excessSeconds << " s of use + " << settings.limitSlack;
+  return DerivedSetting{"(excess over tenants' limits)", value.str(),
+                        "limit-overshoot x limit-window-s + limit-slack",
+                        "the nodes together let through more than a tenant's limit"};
+}
+
 }  // namespace
 
 Result<std::vector<DerivedSetting>> applyBounds(GatewaySettings& settings) {
@@ -100,6 +119,8 @@
                      "drain-timeout-ms / " + std::to_string(kAcceptShare) + ", 2500 at most",
                      "callers that have not heard of the stop are turned away"});
   derived.push_back(deriveMaxFollowers(settings));
+  BOOST_OUTCOME_TRY(const DerivedSetting limits, checkLimitBounds(settings));
+  derived.push_back(limits);
   return derived;
 }
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway_node.h"
 
 #include <boost/asio.hpp>
+#include <cmath>
 
 #include "common/hashing.h"
 #include "http/status.h"
@@ -89,6 +90,25 @@
   return exchange;
 }
 
+quota::QuotaBounds quotaBounds(const GatewaySettings& settings) {
+  constexpr double kMsPerSecond = 1000;
+  quota::QuotaBounds bounds;
+  bounds.window = Milliseconds(std::llround(settings.limitWindowSeconds * kMsPerSecond));
+  bounds.overshoot = settings.limitOvershoot;
+  bounds.slack = settings.limitSlack;
+  return bounds;
+}
+
+std::map<TenantId, quota::TenantLimit> limitsOf(const routes::RouteTable& table) {
+  std::map<TenantId, quota::TenantLimit> limits;
+  for (const routes::Tenant& tenant : table.tenants()) {
+    if (tenant.limit) {
+      limits[tenant.id] = {tenant.limit->unitsPerSecond, tenant.limit->burst};
+    }
+  }
+  return limits;
+}
+
 http::ServerLimits peerLimits() {
   constexpr std::size_t kMaxReportBytes = 1'048'576;
   http::ServerLimits limits;
@@ -137,6 +157,8 @@
           [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
       relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
       exchange_(exchangeContext(), exchangeSettings(settings_)),
+      quotaMetrics_(registry_),
+      quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
       targets_(settings_.weightsTerm),
       views_(context.get_executor(), relay_.store(), ports_.schema, settings_, pool_, targets_,
              [this](const routes::RouteTable& table) { onTable(table); }),
@@ -146,7 +168,7 @@
                   [this](const ModelId& model, WeightsVersion version) {
                     return views_.weights(model, version);
                   },
-                  [this](std::uint64_t key) { return cacheStores_.storeFor(key); }},
+                  [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_},
                  forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
                  hashBytes(settings_.nodeId)),
       leaseStore_(ports_.store, std::string(kLeaseKind)),
@@ -178,6 +200,10 @@
       return relay_.handle(request, writer);
     });
   }
+  peerPaths_.add(std::string(quota::kClaimPath),
+                 [this](http::Request& request, http::ResponseWriter& writer) {
+                   return quota_.handle(request, writer);
+                 });
   peerPaths_.add(std::string(exchange::kExchangePath),
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return exchange_.handle(request, writer);
@@ -209,6 +235,23 @@
       [this](const std::vector<fleet::CacheStoreReport>& reports) { cacheStores_.learn(reports); }};
 }
 
+quota::QuotaNodeContext GatewayNode::quotaContext() {
+  return {context_.get_executor(), client_, [this] { return quotaPlace(); },
+          [this] { return relay_.relay(); }, [this] { return relay_.roots(); }};
+}
+
+quota::NodePlace GatewayNode::quotaPlace() const {
+  if (relay_.isWholeTree()) {
+    return {quota::Place::kRoot, 1};
+  }
+  if (relay_.isRelay()) {
+    // While one of the two is being replaced its part is not minted, as it may live on unseen.
+    const std::size_t roots = std::max<std::size_t>(2, relay_.roots().size() + 1);
+    return {quota::Place::kRoot, 1 / static_cast<double>(roots)};
+  }
+  return {relay_.relay() ? quota::Place::kFollower : quota::Place::kIsland, 0};
+}
+
 Result<void> GatewayNode::start() {
   BOOST_OUTCOME_TRY(endpoint_, front_.listen(settings_.listen));
   BOOST_OUTCOME_TRY(readyServer_.listen(settings_.readyListen));
@@ -221,6 +264,7 @@
   relay_.onSourceChanged([this] { views_.retryNow(); });
   relay_.start();
   exchange_.start();
+  quota_.start();
   views_.start();
   lease_.start();
   rollout_.start();
@@ -238,6 +282,9 @@
       pool_.setMemory(service.name, service.engine->cacheTokens, monotonicNow());
     }
   }
+  if (settings_.mechanisms.tenantLimits) {
+    quota_.applyLimits(limitsOf(table));
+  }
   metrics_.setConfigVersion(static_cast<double>(table.version().value()));
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -19,6 +19,7 @@
 #include "lease/lease_keeper.h"
 #include "lease/shared_store_lease.h"
 #include "orders/order_metrics.h"
+#include "quota/quota_node.h"
 #include "relay/relay_node.h"
 #include "rollout/weights_rollout.h"
 #include "rollout/weights_targets.h"
@@ -51,6 +52,9 @@
 
  private:
   exchange::NodeExchangeContext exchangeContext();
+  quota::QuotaNodeContext quotaContext();
+  /// Where this node stands in the tree that keeps the tenants' limits.
+  quota::NodePlace quotaPlace() const;
   void onTable(const routes::RouteTable& table);
   void onServerLost(const fleet::Server& server, fleet::ServerLoss loss);
   boost::asio::awaitable<void> answerReady(http::Request& request, http::ResponseWriter& writer);
@@ -71,6 +75,8 @@
   CacheStores cacheStores_;
   relay::RelayNode relay_;
   exchange::NodeExchange exchange_;
+  quota::QuotaMetrics quotaMetrics_;
+  quota::QuotaNode quota_;
   http::PathHandlers peerPaths_;
   rollout::WeightsTargets targets_;
   StoreViews views_;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -51,6 +51,10 @@
   double stopBoundSeconds = 0;
   Milliseconds leaseBound{0};
   double linkMbps = 0;
+  /// How far the sum over all nodes may pass a tenant's limit.
+  double limitWindowSeconds = 0;
+  double limitOvershoot = 0;
+  double limitSlack = 0;
   Milliseconds weightsTerm{0};
   std::int64_t maxConcurrentLoads = 0;
   Milliseconds leaseDuration{0};
--- a/src/gateway/mechanisms.h
+++ b/src/gateway/mechanisms.h
@@ -30,6 +30,8 @@
   bool settleByQueues = true;
   /// Failed requests are sent to a second server.
   bool retries = true;
+  /// Tenants' limits are kept.
+  bool tenantLimits = true;
 };
 
 /// Switches the named mechanisms off. Fails with kSettingsInvalid for a name that is unknown, and
--- a/src/limits/token_bucket.cc
+++ b/src/limits/token_bucket.cc
@@ -11,26 +11,40 @@
 }  // namespace
 
 void TokenBucket::setRate(double perSecond, MonotonicTime now) {
+  const bool fresh = !started_;
+  setLimit(perSecond, std::max(1.0, perSecond * toMilliseconds(kBurstTime) / kMsPerSecond), now);
+  if (fresh) {
+    content_ = burst_;
+  }
+}
+
+void TokenBucket::setLimit(double perSecond, double burst, MonotonicTime now) {
   const double content = contentAt(now);
   rate_ = perSecond;
-  burst_ = std::max(1.0, perSecond * toMilliseconds(kBurstTime) / kMsPerSecond);
-  content_ = started_ ? std::min(content, burst_) : burst_;
+  burst_ = burst;
+  content_ = started_ ? std::min(content, burst_) : 0;
   updated_ = now;
   started_ = true;
 }
 
-bool TokenBucket::tryTake(MonotonicTime now) {
+void TokenBucket::setContent(double units, MonotonicTime now) {
+  content_ = std::min(units, burst_);
+  updated_ = now;
+}
+
+bool TokenBucket::tryTake(double units, double debt, MonotonicTime now) {
   content_ = contentAt(now);
   updated_ = now;
-  if (content_ < 1) {
+  const double least = std::min(units - debt, burst_);
+  if (content_ <= 0 || content_ < least) {
     return false;
   }
-  content_ -= 1;
+  content_ -= units;
   return true;
 }
 
-Milliseconds TokenBucket::waitForOne(MonotonicTime now) const {
-  const double missing = 1 - contentAt(now);
+Milliseconds TokenBucket::waitFor(double units, MonotonicTime now) const {
+  const double missing = std::min(units, burst_) - contentAt(now);
   if (missing <= 0) {
     return Milliseconds(0);
   }
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -77,6 +77,9 @@
   std::optional<Endpoint> parent() const;
   /// As a root: the other ones.
   std::vector<Relay> otherRoots() const;
+  /// The roots of the tree as last heard, this node too where it is one.
+  const std::vector<Relay>& roots() const { return roots_.relays; }
+  std::size_t children(MonotonicTime now) const { return children_.size(now); }
   /// Nodes between this one and the store.
   std::uint32_t depth() const { return depth_; }
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -68,6 +68,20 @@
   return endpoints;
 }
 
+std::vector<Endpoint> RelayNode::roots() const {
+  std::vector<Endpoint> endpoints;
+  for (const Relay& root : core_.roots()) {
+    if (root.endpoint != settings_.endpoint) {
+      endpoints.push_back(root.endpoint);
+    }
+  }
+  return endpoints;
+}
+
+bool RelayNode::isWholeTree() const {
+  return alone() || (isRelay() && roots().empty() && core_.children(monotonicNow()) == 0);
+}
+
 awaitable<void> RelayNode::handle(http::Request& request, http::ResponseWriter& writer) {
   if (request.target == kJoinPath) {
     co_await answerJoin(request, writer);
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -37,6 +37,11 @@
   std::optional<Endpoint> relay() const { return core_.parent(); }
   /// As a root: the other ones, as last read.
   std::vector<Endpoint> otherRelays() const;
+  /// The roots of the tree but this node, as last heard, whatever this node's place.
+  std::vector<Endpoint> roots() const;
+  /// Whether this node answers for the whole group: no other node can reach it, or it is the only
+  /// root and has no children.
+  bool isWholeTree() const;
 
  private:
   /// Whether no other node can reach this one.
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -82,12 +82,27 @@
   std::optional<CacheStore> cacheStore;
 };
 
+/// What a tenant's limit counts.
+enum class LimitUnit { kRequests, kTokens };
+
+/// A tenant's limit over all nodes together.
+struct RateLimit {
+  LimitUnit unit = LimitUnit::kRequests;
+  double unitsPerSecond = 0;
+  /// On top of that, at once.
+  double burst = 0;
+  /// In tokens: what a request counts that states none.
+  double unstatedTokens = 0;
+};
+
 struct Tenant {
   TenantId id;
   /// Goes before the route's priority where set.
   std::optional<unsigned> priority;
   /// Shares no cached prompt part with any other tenant.
   bool isolated = false;
+  /// Nothing: it has no limit.
+  std::optional<RateLimit> limit;
   std::vector<std::string> apiKeys;
 };
 
@@ -124,6 +139,7 @@
   bool needsKeys() const { return !content_.tenants.empty(); }
   const CallerLimits& limits() const { return content_.limits; }
   const std::vector<Service>& services() const { return content_.services; }
+  const std::vector<Tenant>& tenants() const { return content_.tenants; }
   /// The stores of kept cache.
   std::vector<const CacheStore*> cacheStores() const;
   std::size_t routeCount() const { return content_.routes.size(); }
--- a/tests/gateway/bounds_test.cc
+++ b/tests/gateway/bounds_test.cc
@@ -55,6 +55,17 @@
   BOOST_TEST(derived.error().detail.find("weights-bound-ms") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(limitsWithoutAnyExcessAreAnErrorThatNamesThem) {
+  GatewaySettings settings = makeSettings();
+  settings.limitOvershoot = 0;
+  const auto derived = applyBounds(settings);
+  BOOST_REQUIRE(!derived);
+  BOOST_TEST((derived.error().kind == ErrorKind::kSettingsInvalid));
+  BOOST_TEST(derived.error().detail.find("limit-overshoot") != std::string::npos);
+  settings.limitSlack = 5;
+  BOOST_TEST(applyBounds(settings).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(slowerLinksHaveFewerFollowers) {
   GatewaySettings settings = makeSettings();
   settings.linkMbps = 20;
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -15,6 +15,13 @@
 constexpr Milliseconds kRevocation{5500};
 constexpr Milliseconds kRecovery{12'000};
 
+/// About what the callers send, so that waves of them are over it. In tokens.
+constexpr double kLimitPerSecond = 45'000;
+constexpr double kLimitBurst = 45'000;
+constexpr double kPlainTokens = 200;
+constexpr double kModelTokens = 920;
+constexpr quota::QuotaBounds kLimitBounds{Milliseconds(4000), 0.1, 30'000};
+
 std::string wholeStream() {
   std::string events;
   for (unsigned number = 1; number <= kEvents; ++number) {
@@ -72,6 +79,9 @@
                    {"listen", node->listen.toString()},
                    {"ready-listen", node->ready.toString()},
                    {"relay-listen", freeEndpoint().toString()},
+                   {"limit-window-s", "4"},
+                   {"limit-overshoot", "0.1"},
+                   {"limit-slack", "30000"},
                    {"store", node->store.endpoint.toString()}});
   startNode(*node);
   nodes_.push_back(std::move(node));
@@ -88,6 +98,8 @@
                                               http::ResponseWriter& writer) {
   const std::string id = request.headers.get(platform::kRequestId);
   ++runs_[id];
+  tokensRun_.add(request.headers.find(platform::kModel) ? kModelTokens : kPlainTokens,
+                 monotonicNow());
   if (request.headers.find(platform::kKey)) {
     violate("server got a key: " + id);
   }
@@ -118,6 +130,26 @@
   co_await http::respond(writer, ServerStandIn::sealed(request, 200, "run " + id));
 }
 
+json::object GatewaySoak::limit() {
+  return {{"unit", "token_stream"},
+          {"rate_per_s", kLimitPerSecond},
+          {"burst", kLimitBurst},
+          {"plain_tokens", kPlainTokens}};
+}
+
+/// The tenant got no more in any window than its limit over all nodes allows.
+void GatewaySoak::checkLimit() {
+  constexpr double kMsPerSecond = 1000;
+  const double seconds = toMilliseconds(kLimitBounds.window) / kMsPerSecond;
+  const double allowed =
+      (kLimitPerSecond * seconds + kLimitBurst) * (1 + kLimitBounds.overshoot) + kLimitBounds.slack;
+  const double worst = tokensRun_.worst(kLimitBounds.window);
+  if (worst > allowed) {
+    violate(std::to_string(worst) + " tokens of the tenant ran in one window; allowed " +
+            std::to_string(allowed));
+  }
+}
+
 awaitable<void> GatewaySoak::callers() {
   constexpr Milliseconds kInterval{8};
   const std::vector<std::string> kinds{"safe", "once", "stream"};
@@ -300,7 +332,7 @@
   for (const std::unique_ptr<Node>& node : nodes_) {
     co_await setFaults(node->store.control, frozen);
   }
-  store_.put("config", "main", GatewayFixture::configuration(++configVersion_, "k2"));
+  store_.put("config", "main", GatewayFixture::configuration(++configVersion_, "k2", limit()));
   co_await pause(kRevocation + Milliseconds(2000));
   unheard_ = false;
   const json::object none;
@@ -390,6 +422,7 @@
     }
   }
   checkOrders();
+  checkLimit();
   return findings_;
 }
 
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "../platform/gateway_fixture.h"
+#include "../quota/simulated_fleet.h"
 #include "http/client.h"
 #include "names.h"
 #include "server_stand_in.h"
@@ -40,7 +41,7 @@
     folder_ =
         std::filesystem::temp_directory_path() / ("gateway-soak-" + std::to_string(::getpid()));
     std::filesystem::create_directories(folder_);
-    store_.put("config", "main", GatewayFixture::configuration(1, "k1"));
+    store_.put("config", "main", GatewayFixture::configuration(1, "k1", limit()));
     store_.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
     for (int number = 1; number <= 3; ++number) {
       addServer("app-" + std::to_string(number), "app", "");
@@ -80,6 +81,8 @@
     Proxy proxy;
   };
 
+  /// The tenant's limit, as the platform writes it.
+  static boost::json::object limit();
   Proxy makeProxy(const Endpoint& target);
   void addServer(const std::string& id, const std::string& service, const std::string& model);
   void publish(const Server& server);
@@ -99,6 +102,7 @@
   Body recover();
   Body pause(Milliseconds time);
   void checkOrders();
+  void checkLimit();
   Endpoint freeEndpoint();
   std::size_t pick(std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
@@ -128,6 +132,8 @@
   std::set<std::string> once_;
   std::set<std::string> promisedNotRun_;
   std::set<std::string> withdrawnSent_;
+  /// Tokens of the tenant that servers ran.
+  quota::WindowChecker tokensRun_;
   /// No node hears from the store.
   bool unheard_ = false;
   /// When the key was withdrawn.
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -39,8 +39,9 @@
   }
 
   /// Routes /safe/, /once/ (unsafe), /stream/ (resumable) and /stream-once/ of host "h", all of
-  /// tenant "t1" with key "k1"; /open/ needs no key.
-  static boost::json::value configuration(std::uint64_t version, const std::string& key = "k1") {
+  /// tenant "t1" with key "k1" and the given limit; /open/ needs no key.
+  static boost::json::value configuration(std::uint64_t version, const std::string& key = "k1",
+                                          const boost::json::object& limit = {}) {
     namespace json = boost::json;
     const auto route = [](const std::string& name, const std::string& kind,
                           const std::string& service) {
@@ -54,6 +55,10 @@
     resumable["resumable"] = true;
     json::object open = route("open", "safe", "app");
     open["public"] = true;
+    json::object tenant{{"name", "t1"}, {"api_keys", json::array{key}}, {"isolated", false}};
+    for (const auto& field : limit) {
+      tenant[field.key()] = field.value();
+    }
     const json::array services{
         json::object{{"name", "app"}, {"health_path", "/health"}, {"max_connections", 100}},
         json::object{
@@ -68,8 +73,7 @@
                                resumable, route("stream-once", "streaming", "llm"), open}},
         {"services", services},
         {"limits", json::object{}},
-        {"tenants", json::array{json::object{
-                        {"name", "t1"}, {"api_keys", json::array{key}}, {"isolated", false}}}}};
+        {"tenants", json::array{tenant}}};
   }
 
   ServerStandIn& addServer(const std::string& id, const std::string& service,
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -78,6 +78,58 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(whatIsOverATenantsLimitIsRefusedAtOnceAndHasNotRun) {
+  // A node that stands alone may begin with 1,075 tokens and 2,000 more each second.
+  settings.limitSlack = 32'000;
+  const json::object limit{
+      {"unit", "token_stream"}, {"rate_per_s", 2000}, {"burst", 4000}, {"plain_tokens", 50}};
+  store.put("config", "main", configuration(1, "k1", limit));
+  ServerStandIn& server = addServer("i-1", "llm", "m");
+  ServerStandIn& app = addServer("i-2", "app");
+  run([&]() -> awaitable<void> {
+    std::size_t served = 0;
+    Result<http::Response> last = co_await call(modelRequest("/stream/a"));
+    while (last && last.value().status == 200U && served < 20U) {
+      ++served;
+      last = co_await call(modelRequest("/stream/a"));
+    }
+    BOOST_REQUIRE(last);
+    BOOST_TEST(last.value().status == 429U);
+    BOOST_TEST(server.arrivals().size() == served);
+    // Requests without a statement of their tokens are over it as well.
+    const Result<http::Response> plain = co_await call(request("/safe/a"));
+    BOOST_TEST(plain.value().status == 429U);
+    BOOST_TEST(app.arrivals().empty());
+    const Result<http::Response> open = co_await call(request("/open/a", ""));
+    BOOST_TEST(open.value().status == 200U);
+    const double comeBack = std::stod(last.value().headers.get("Retry-After"));
+    BOOST_TEST(comeBack > 0);
+    asio::steady_timer timer(
+        context, std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(comeBack)));
+    co_await timer.async_wait(asio::use_awaitable);
+    const Result<http::Response> again = co_await call(request("/safe/a"));
+    BOOST_TEST(again.value().status == 200U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(whatAServerDidNotRunDoesNotCountAgainstTheLimit) {
+  settings.limitSlack = 3200;
+  // Begins with 101 requests and refills one a second.
+  const json::object limit{{"rate_per_s", 1}, {"burst", 200}};
+  store.put("config", "main", configuration(1, "k1", limit));
+  ServerStandIn& server = addServer("i-1", "app");
+  server.setBehaviour(
+      [](const http::Request& request, http::ResponseWriter& writer) -> awaitable<void> {
+        co_await http::respond(writer, ServerStandIn::notExecuted(request));
+      });
+  run([&]() -> awaitable<void> {
+    for (int count = 0; count < 130; ++count) {
+      const Result<http::Response> answer = co_await call(request("/safe/a"));
+      BOOST_TEST(answer.value().status == 503U);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(unsafeRequestIsSentAgainOnlyAfterProofThatItHasNotRun) {
   store.put("config", "main", configuration(1));
   ServerStandIn& first = addServer("i-1", "app");
--- /dev/null
+++ b/tests/quota/quota_fleet_test.cc
@@ -0,0 +1,291 @@
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "quota/allowance.h"
+#include "simulated_fleet.h"
+
+namespace calicodrift::quota {
+namespace {
+
+/// Units of one request: as prompts of reviews are spread, 9,000 in the middle.
+double drawUnits(std::mt19937_64& random) {
+  std::lognormal_distribution<double> any(std::log(7000.0), 0.6);
+  return std::clamp(std::round(any(random)), 200.0, 57'000.0);
+}
+
+/// Requests come to random nodes at `times` the tenant's limit.
+void sendAtRate(SimulatedFleet& fleet, const FleetOptions& options, double times,
+                Milliseconds duration) {
+  constexpr double kMeanUnits = 8400;
+  const double perSecond = options.limit.unitsPerSecond * times / kMeanUnits;
+  std::uniform_int_distribution<std::size_t> anyNode(0, options.nodes - 1);
+  for (Milliseconds passed{0}; passed < duration;) {
+    std::exponential_distribution<double> pause(perSecond / 1000);
+    const Milliseconds gap(std::max<std::int64_t>(1, std::llround(pause(fleet.random()))));
+    fleet.run(gap);
+    passed += gap;
+    fleet.request(anyNode(fleet.random()), drawUnits(fleet.random()));
+  }
+}
+
+double allowedIn(const FleetOptions& options) {
+  const double seconds = toMilliseconds(options.bounds.window) / 1000;
+  return (options.limit.unitsPerSecond * seconds + options.limit.burst) *
+             (1 + options.bounds.overshoot) +
+         options.bounds.slack;
+}
+
+/// Kills, freezes, cuts and replaces nodes at random, roots as likely as all others together.
+void strike(SimulatedFleet& fleet, const FleetOptions& options, Milliseconds spread) {
+  std::mt19937_64& random = fleet.random();
+  const auto any = [&random](std::int64_t from, std::int64_t to) {
+    return std::uniform_int_distribution<std::int64_t>(from, to)(random);
+  };
+  fleet.schedule(Milliseconds(any(0, spread.count())), [&fleet, &options, any] {
+    const std::vector<std::size_t> roots = fleet.roots();
+    const bool hitsRoot = any(0, 1) == 0 && !roots.empty();
+    const auto nodes = static_cast<std::int64_t>(options.nodes);
+    const std::size_t victim = hitsRoot ? roots[static_cast<std::size_t>(any(0, 1)) % roots.size()]
+                                        : static_cast<std::size_t>(any(0, nodes - 1));
+    const Milliseconds away(any(300, 5000));
+    switch (any(0, 2)) {
+      case 0:
+        fleet.kill(victim);
+        fleet.schedule(away, [&fleet, victim] { fleet.start(victim); });
+        break;
+      case 1:
+        fleet.freeze(victim, away);
+        break;
+      default:
+        fleet.cut(victim, true);
+        fleet.schedule(away, [&fleet, victim] { fleet.cut(victim, false); });
+        break;
+    }
+    if (hitsRoot && away > Milliseconds(1000)) {
+      // The old root, should it live, learns late that it is one no more.
+      const auto successor = static_cast<std::size_t>(any(2, nodes - 1));
+      fleet.schedule(Milliseconds(any(600, 1000)), [&fleet, victim, successor, away] {
+        if (successor != victim) {
+          fleet.replaceRoot(victim, successor, away + Milliseconds(300));
+        }
+      });
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(everythingBelowTheLimitPasses) {
+  for (const std::size_t nodes : {8UL, 79UL, 300UL}) {
+    FleetOptions options;
+    options.nodes = nodes;
+    SimulatedFleet fleet(options, 3);
+    fleet.run(Milliseconds(3000));
+    fleet.resetCounts();
+    sendAtRate(fleet, options, 0.55, Milliseconds(30'000));
+    fleet.run(Milliseconds(500));
+    const double refused = 1 - fleet.granted() / fleet.asked();
+    BOOST_TEST_MESSAGE(nodes << " nodes: refused below the limit " << refused << ", messages "
+                             << fleet.messages());
+    BOOST_TEST(refused < 0.001);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(theLimitIsUsedAndNotPassedWhereMoreIsSent) {
+  for (const std::size_t nodes : {8UL, 79UL, 300UL, 3800UL}) {
+    FleetOptions options;
+    options.nodes = nodes;
+    SimulatedFleet fleet(options, 4);
+    fleet.run(Milliseconds(3000));
+    fleet.resetCounts();
+    sendAtRate(fleet, options, 4, Milliseconds(30'000));
+    const double used = fleet.granted() / (options.limit.unitsPerSecond * 30);
+    const double worst = fleet.checker.worst(options.bounds.window);
+    BOOST_TEST_MESSAGE(nodes << " nodes: used " << used << " of the limit, worst window "
+                             << worst / allowedIn(options) << " of what is allowed");
+    BOOST_TEST(used > 0.95);
+    BOOST_TEST(worst <= allowedIn(options));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(noWindowPassesTheLimitWhateverFails) {
+  constexpr std::uint64_t kSeeds = 400;
+  double worstShare = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetOptions options;
+    options.nodes = 8 + seed % 72;
+    options.loss = seed % 3 == 0 ? 0.05 : 0;
+    if (seed % 2 == 0) {
+      options.bounds = {Milliseconds(4000), 0.1, 30'000};
+    }
+    SimulatedFleet fleet(options, seed);
+    fleet.run(Milliseconds(2000));
+    for (int count = 0; count < 6; ++count) {
+      strike(fleet, options, Milliseconds(16'000));
+    }
+    sendAtRate(fleet, options, 4, Milliseconds(20'000));
+    const double share = fleet.checker.worst(options.bounds.window) / allowedIn(options);
+    worstShare = std::max(worstShare, share);
+    BOOST_TEST(share <= 1, "seed " << seed << ": " << share << " of what is allowed");
+  }
+  BOOST_TEST_MESSAGE("worst window over " << kSeeds << " seeds: " << worstShare);
+}
+
+BOOST_AUTO_TEST_CASE(aHerdThatRestartsStaysBelowTheLimit) {
+  FleetOptions options;
+  SimulatedFleet fleet(options, 5);
+  sendAtRate(fleet, options, 4, Milliseconds(5000));
+  for (int round = 0; round < 3; ++round) {
+    for (std::size_t number = 0; number < options.nodes; ++number) {
+      fleet.start(number);
+    }
+    sendAtRate(fleet, options, 4, Milliseconds(1500));
+  }
+  BOOST_TEST(fleet.checker.worst(options.bounds.window) <= allowedIn(options));
+}
+
+BOOST_AUTO_TEST_CASE(aLowerLimitBindsAfterOneWindow) {
+  FleetOptions options;
+  SimulatedFleet fleet(options, 6);
+  sendAtRate(fleet, options, 2, Milliseconds(10'000));
+  options.limit = {30'000, 30'000};
+  fleet.setLimit(options.limit);
+  fleet.checker = WindowChecker{};
+  options.limit = {30'000, 30'000};
+  sendAtRate(fleet, options, 8, Milliseconds(12'000));
+  BOOST_TEST(fleet.checker.worst(options.bounds.window) <= allowedIn(options));
+}
+
+BOOST_AUTO_TEST_CASE(sizesAreRefusedAlike) {
+  FleetOptions options;
+  SimulatedFleet fleet(options, 8);
+  fleet.run(Milliseconds(3000));
+  double small = 0;
+  double large = 0;
+  std::uniform_int_distribution<std::size_t> anyNode(0, options.nodes - 1);
+  for (int count = 0; count < 4000; ++count) {
+    fleet.run(Milliseconds(20));
+    const bool isLarge = count % 2 == 0;
+    const double units = isLarge ? 16'000 : 2000;
+    const double before = fleet.granted();
+    fleet.request(anyNode(fleet.random()), units);
+    fleet.run(Milliseconds(10));
+    (isLarge ? large : small) += (fleet.granted() - before) / units;
+  }
+  BOOST_TEST_MESSAGE("passed of 2,000: small " << small << ", large " << large);
+  BOOST_TEST(large > 0.5 * small);
+}
+
+/// All orders in which claims, losses, restarts and late answers may follow each other in a root
+/// and two followers, to a bounded depth.
+class SmallModel {
+ public:
+  SmallModel() {
+    const QuotaBounds bounds{Milliseconds(1000), 0, kSlack};
+    for (QuotaCore* core : {&root_, &followers_[0], &followers_[1]}) {
+      *core = QuotaCore(bounds);
+      core->applyLimits({{TenantId("t"), {kNoRate, kSlack}}}, kNow);
+    }
+    root_.setPlace({Place::kRoot, 1}, kNow);
+    for (QuotaCore& follower : followers_) {
+      follower.setPlace({Place::kFollower, 0}, kNow);
+    }
+    minted_ = Allowance(bounds, {kNoRate, kSlack}).start;
+  }
+
+  /// States seen; fails where more passes than was minted.
+  static std::size_t explore(const SmallModel& state, int depth) {
+    BOOST_REQUIRE(state.passed_ <= state.minted_);
+    if (depth == 0) {
+      return 1;
+    }
+    std::size_t seen = 1;
+    for (const SmallModel& next : state.successors()) {
+      seen += explore(next, depth - 1);
+    }
+    return seen;
+  }
+
+ private:
+  static constexpr MonotonicTime kNow{std::chrono::hours(1)};
+  /// So that a root starts with three units and refills none.
+  static constexpr double kSlack = 96;
+  static constexpr double kNoRate = 1e-9;
+
+  struct Message {
+    std::size_t follower = 0;
+    unsigned incarnation = 0;
+    Claim claim;
+    /// Nothing on its way up.
+    std::optional<ClaimAnswer> answer;
+  };
+
+  std::vector<SmallModel> successors() const {
+    std::vector<SmallModel> next;
+    for (std::size_t number = 0; number < 2; ++number) {
+      if (messages_.size() < 3) {
+        SmallModel claimed = *this;
+        claimed.claim(number);
+        next.push_back(std::move(claimed));
+      }
+      SmallModel restarted = *this;
+      restarted.restart(number);
+      next.push_back(std::move(restarted));
+    }
+    for (std::size_t index = 0; index < messages_.size(); ++index) {
+      SmallModel lost = *this;
+      lost.messages_.erase(lost.messages_.begin() + static_cast<std::ptrdiff_t>(index));
+      next.push_back(std::move(lost));
+      SmallModel delivered = *this;
+      delivered.deliver(index);
+      next.push_back(std::move(delivered));
+    }
+    return next;
+  }
+
+  void claim(std::size_t number) {
+    const Decision decision = followers_[number].claim(keyOf(TenantId("t")), 1, kNow);
+    if (decision.verdict == Verdict::kGranted) {
+      passed_ += 1;
+    } else if (decision.verdict == Verdict::kAsk) {
+      const Claim claim = followers_[number].toMessage(keyOf(TenantId("t")), 1, kNow);
+      messages_.push_back({number, incarnations_[number], claim, std::nullopt});
+    }
+  }
+  void restart(std::size_t number) {
+    ++incarnations_[number];
+    followers_[number] = QuotaCore({Milliseconds(1000), 0, kSlack});
+    followers_[number].applyLimits({{TenantId("t"), {kNoRate, kSlack}}}, kNow);
+    followers_[number].setPlace({Place::kFollower, 0}, kNow);
+  }
+  void deliver(std::size_t index) {
+    Message message = messages_[index];
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(index));
+    if (!message.answer) {
+      const Decision decision = root_.claim(message.claim.tenant, message.claim.units, kNow);
+      message.answer = root_.toAnswer(message.claim, decision, kNow);
+      messages_.push_back(message);
+      return;
+    }
+    if (message.incarnation != incarnations_[message.follower]) {
+      return;
+    }
+    const Decision decision =
+        followers_[message.follower].onAnswer(message.claim, *message.answer, kNow, kNow);
+    passed_ += decision.verdict == Verdict::kGranted ? 1 : 0;
+  }
+
+  QuotaCore root_{QuotaBounds{}};
+  QuotaCore followers_[2] = {QuotaCore(QuotaBounds{}), QuotaCore(QuotaBounds{})};
+  unsigned incarnations_[2] = {0, 0};
+  std::vector<Message> messages_;
+  double passed_ = 0;
+  double minted_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(nothingPassesBeyondWhatWasMintedInAnyOrder) {
+  const std::size_t seen = SmallModel::explore(SmallModel(), 7);
+  BOOST_TEST_MESSAGE("states seen: " << seen);
+  BOOST_TEST(seen > 10'000);
+}
+
+}  // namespace
+}  // namespace calicodrift::quota
--- /dev/null
+++ b/tests/quota/simulated_fleet.h
@@ -0,0 +1,261 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "quota/quota_core.h"
+#include "support/simulated_network.h"
+
+namespace calicodrift::quota {
+
+/// Units that passed, with their time; tells the worst window. Knows nothing of the limiter.
+class WindowChecker {
+ public:
+  void add(double units, MonotonicTime at) { passed_.push_back({at, units}); }
+  /// The greatest sum over any span of that length.
+  double worst(Milliseconds window) const {
+    double worst = 0;
+    double sum = 0;
+    std::size_t first = 0;
+    for (const Passed& entry : passed_) {
+      sum += entry.units;
+      while (entry.at - passed_[first].at > window) {
+        sum -= passed_[first++].units;
+      }
+      worst = std::max(worst, sum);
+    }
+    return worst;
+  }
+
+ private:
+  struct Passed {
+    MonotonicTime at{};
+    double units = 0;
+  };
+  std::vector<Passed> passed_;
+};
+
+struct FleetOptions {
+  std::size_t nodes = 79;
+  std::size_t childrenOfANode = 16;
+  QuotaBounds bounds{Milliseconds(8000), 0.1, 110'000};
+  TenantLimit limit{124'000, 124'000};
+  /// Lost calls between nodes, from 0 to 1.
+  double loss = 0;
+};
+
+/// Many QuotaCores in a tree in virtual time, as QuotaNode runs them: a claim that a node can't
+/// decide goes to its parent, then to a root. One tenant. The same seed gives the same run.
+class SimulatedFleet {
+ public:
+  SimulatedFleet(FleetOptions options, std::uint64_t seed)
+      : clock_(seed), random_(clock_.random()), options_(options) {
+    clock_.run(Milliseconds(1'000'000));
+    for (std::size_t number = 0; number < options_.nodes; ++number) {
+      nodes_.emplace_back();
+      nodes_[number].listedRoot = number < kRoots;
+      start(number);
+      pulse(number);
+    }
+  }
+
+  MonotonicTime now() const { return clock_.now(); }
+  std::mt19937_64& random() { return random_; }
+  void run(Milliseconds duration) { clock_.run(duration); }
+  void schedule(Milliseconds after, std::function<void()> action) {
+    clock_.schedule(after, std::move(action));
+  }
+
+  /// A process begins and knows nothing.
+  void start(std::size_t number) {
+    Node& node = nodes_[number];
+    ++node.incarnation;
+    node.core.emplace(options_.bounds);
+    node.core->applyLimits({{TenantId("t"), options_.limit}}, now());
+    node.core->setPlace(placeOf(number), now());
+  }
+  void kill(std::size_t number) {
+    ++nodes_[number].incarnation;
+    nodes_[number].core.reset();
+  }
+  /// A frozen node does nothing; what was sent to it is handled when it wakes.
+  void freeze(std::size_t number, Milliseconds duration) {
+    nodes_[number].frozenUntil = now() + duration;
+  }
+  /// No call from or to the node arrives.
+  void cut(std::size_t number, bool isCut) { nodes_[number].cut = isCut; }
+  /// The list of roots names another node in the place of one; that one hears of it after `late`.
+  void replaceRoot(std::size_t old, std::size_t successor, Milliseconds late) {
+    nodes_[successor].listedRoot = true;
+    clock_.schedule(late, [this, old] { nodes_[old].listedRoot = false; });
+  }
+  void setLimit(const TenantLimit& limit) {
+    options_.limit = limit;
+    for (Node& node : nodes_) {
+      if (node.core) {
+        node.core->applyLimits({{TenantId("t"), limit}}, now());
+      }
+    }
+  }
+  std::vector<std::size_t> roots() const {
+    std::vector<std::size_t> found;
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+      if (nodes_[number].listedRoot) {
+        found.push_back(number);
+      }
+    }
+    return found;
+  }
+
+  /// A request of the tenant comes to a node.
+  void request(std::size_t number, double units) {
+    Node& node = nodes_[number];
+    if (!node.core || isFrozen(node)) {
+      return;
+    }
+    node.core->setPlace(placeOf(number), now());
+    asked_ += units;
+    claim(number, units, 0, [this, units](const Decision& decision) {
+      if (decision.verdict == Verdict::kGranted) {
+        granted_ += units;
+        checker.add(units, now());
+      }
+    });
+  }
+
+  double asked() const { return asked_; }
+  double granted() const { return granted_; }
+  std::size_t messages() const { return messages_; }
+  void resetCounts() { asked_ = granted_ = 0; }
+
+  WindowChecker checker;
+
+ private:
+  static constexpr std::size_t kRoots = 2;
+  static constexpr Milliseconds kHop{1};
+  static constexpr Milliseconds kTimeout{120};
+  static constexpr std::uint32_t kMostHops = 12;
+
+  using Answer = std::function<void(const Decision&)>;
+  struct Node {
+    std::optional<QuotaCore> core;
+    std::uint64_t incarnation = 0;
+    bool listedRoot = false;
+    bool cut = false;
+    MonotonicTime frozenUntil{};
+  };
+
+  bool isFrozen(const Node& node) const { return now() < node.frozenUntil; }
+  bool reachable(std::size_t number) {
+    const Node& node = nodes_[number];
+    const bool lost = std::uniform_real_distribution<double>(0, 1)(random_) < options_.loss;
+    return node.core && !node.cut && !isFrozen(node) && !lost;
+  }
+  std::optional<std::size_t> parentOf(std::size_t number) const {
+    if (number >= kRoots * (1 + options_.childrenOfANode)) {
+      return kRoots + (number - kRoots) / options_.childrenOfANode - kRoots;
+    }
+    const std::vector<std::size_t> all = roots();
+    return all.empty() ? std::nullopt : std::optional(all[number % all.size()]);
+  }
+  NodePlace placeOf(std::size_t number) const {
+    if (nodes_[number].listedRoot) {
+      return {Place::kRoot, 1 / static_cast<double>(std::max(kRoots, roots().size()))};
+    }
+    return {Place::kFollower, 0};
+  }
+
+  void pulse(std::size_t number) {
+    Node& node = nodes_[number];
+    if (node.core && !isFrozen(node)) {
+      node.core->setPlace(placeOf(number), now());
+    }
+    clock_.schedule(QuotaCore::kPulse, [this, number] { pulse(number); });
+  }
+
+  void claim(std::size_t number, double units, std::uint32_t hops, const Answer& answer) {
+    Node& node = nodes_[number];
+    const TenantKey key = keyOf(TenantId("t"));
+    const Decision decision = node.core->claim(key, units, now());
+    if (decision.verdict != Verdict::kAsk || hops > kMostHops) {
+      answer(decision);
+      return;
+    }
+    std::vector<std::size_t> sources;
+    const bool isRoot = node.core->place().place == Place::kRoot;
+    if (const auto parent = parentOf(number); parent && !isRoot && *parent != number) {
+      sources.push_back(*parent);
+    }
+    for (const std::size_t root : roots()) {
+      if (root != number && std::find(sources.begin(), sources.end(), root) == sources.end()) {
+        sources.push_back(root);
+      }
+    }
+    ask(number, node.core->toMessage(key, units, now()), hops, sources, answer);
+  }
+
+  void ask(std::size_t number, const Claim& message, std::uint32_t hops,
+           std::vector<std::size_t> sources, const Answer& answer) {
+    const std::uint64_t incarnation = nodes_[number].incarnation;
+    const MonotonicTime sent = now();
+    const auto finish = [this, number, incarnation, message, sent,
+                         answer](const std::optional<ClaimAnswer>& got) {
+      Node& node = nodes_[number];
+      if (node.incarnation != incarnation || !node.core) {
+        return;
+      }
+      answer(got ? node.core->onAnswer(message, *got, sent, now())
+                 : node.core->onSilence(message.tenant, message.units, now()));
+    };
+    if (sources.empty()) {
+      finish(std::nullopt);
+      return;
+    }
+    const std::size_t source = sources.front();
+    sources.erase(sources.begin());
+    ++messages_;
+    const bool fromRoot = nodes_[number].core->place().place == Place::kRoot;
+    if (nodes_[number].cut || !reachable(source)) {
+      clock_.schedule(kTimeout, [this, number, message, hops, sources, answer, incarnation] {
+        if (nodes_[number].incarnation == incarnation && nodes_[number].core) {
+          ask(number, message, hops, sources, answer);
+        }
+      });
+      return;
+    }
+    clock_.schedule(kHop, [this, number, source, message, hops, fromRoot, finish] {
+      Node& asked = nodes_[source];
+      if (!asked.core) {
+        finish(std::nullopt);
+        return;
+      }
+      asked.core->setPlace(placeOf(source), now());
+      const auto reply = [this, number, source, message, finish](const Decision& decision) {
+        if (!nodes_[source].core) {
+          return;
+        }
+        const ClaimAnswer got = nodes_[source].core->toAnswer(message, decision, now());
+        // An answer that is lost is lost to the tenant.
+        if (reachable(number)) {
+          clock_.schedule(kHop, [finish, got] { finish(got); });
+        }
+      };
+      claim(source, message.units, fromRoot ? kMostHops + 1 : hops + 1, reply);
+    });
+  }
+
+  testing::SimulatedNetwork clock_;
+  std::mt19937_64& random_;
+  FleetOptions options_;
+  std::vector<Node> nodes_;
+  double asked_ = 0;
+  double granted_ = 0;
+  std::size_t messages_ = 0;
+};
+
+}  // namespace calicodrift::quota
