Limits are divided among groups of relays; answers tell their first piece and longest pause

Cause: each group of relays would mint the whole of a tenant's limit; nothing told why short answers are late.

--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -1,5 +1,7 @@
 #include "forward/answer_relay.h"
 
+#include <algorithm>
+
 namespace calicodrift::forward {
 
 using boost::asio::awaitable;
@@ -30,9 +32,13 @@
   if (events.empty()) {
     co_return boost::outcome_v2::success();
   }
+  const MonotonicTime now = monotonicNow();
   if (!firstEventTime_) {
-    firstEventTime_ = monotonicNow();
+    firstEventTime_ = now;
+  } else {
+    longestPause_ = std::max(longestPause_, now - lastEventTime_);
   }
+  lastEventTime_ = now;
   co_return co_await writer_.writeChunk(events);
 }
 
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -21,6 +21,9 @@
   /// Where another server would go on.
   std::optional<EventNumber> lastEvent() const { return cutter_.lastEvent(); }
   std::optional<MonotonicTime> firstEventTime() const { return firstEventTime_; }
+  /// The longest time between two pieces that were passed on, which is what a caller sees stand
+  /// still.
+  MonotonicTime::duration longestPause() const { return longestPause_; }
 
   /// A whole answer. Fails with kCallerGone.
   boost::asio::awaitable<Result<void>> deliver(http::Response response);
@@ -41,6 +44,8 @@
   http::ResponseWriter& writer_;
   EventCutter cutter_;
   std::optional<MonotonicTime> firstEventTime_;
+  MonotonicTime lastEventTime_{};
+  MonotonicTime::duration longestPause_{0};
   bool begun_ = false;
 };
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -191,15 +191,24 @@
     co_await answerError(*job, done.error());
   }
   job->writer.onCallerGone(nullptr);
-  const double seconds = toMilliseconds(monotonicNow() - job->request.received) / 1000;
-  context_.metrics.countAnswer(done ? job->status : 0);
-  context_.metrics.observeWhole(seconds);
-  if (const auto first = job->relay.firstEventTime()) {
-    context_.metrics.observeFirstByte(toMilliseconds(*first - job->request.received) / 1000);
+  tellAnswer(*job, done.has_value());
+}
+
+void Forwarder::tellAnswer(const Job& job, bool done) const {
+  constexpr double kMsPerSecond = 1000;
+  const auto whole =
+      std::chrono::duration_cast<Milliseconds>(monotonicNow() - job.request.received);
+  context_.metrics.countAnswer(done ? job.status : 0);
+  context_.metrics.observeWhole(toMilliseconds(whole) / kMsPerSecond);
+  AnswerFacts facts{job.request.id, job.status, job.lastServer, job.attempts.sent, whole, {}, {}};
+  if (const auto first = job.relay.firstEventTime()) {
+    facts.firstPiece = std::chrono::duration_cast<Milliseconds>(*first - job.request.received);
+    facts.longestPause = std::chrono::duration_cast<Milliseconds>(job.relay.longestPause());
+    context_.metrics.observeFirstByte(toMilliseconds(*facts.firstPiece) / kMsPerSecond);
+    context_.metrics.observePause(toMilliseconds(facts.longestPause) / kMsPerSecond);
   }
   if (done) {
-    logAnswered(job->request.id, job->status, job->lastServer, job->attempts.sent,
-                std::chrono::duration_cast<Milliseconds>(monotonicNow() - job->request.received));
+    logAnswered(facts);
   }
 }
 
@@ -301,7 +310,7 @@
     moveCache(job, candidate, holder, sharedKey, dispatch);
   }
   logDispatched({job.request, job.grant, dispatch, candidate, choice.reason, candidateCount,
-                 job.attempts.sent, sharedKey});
+                 job.attempts.sent, waitingTokens, sharedKey});
   Result<void> outcome = co_await runAttempt(job, dispatch, load, waitingTokens);
   if (outcome) {
     policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -71,6 +71,8 @@
   struct Job;
 
   boost::asio::awaitable<void> serve(std::shared_ptr<Job> job);
+  /// Counts and logs how the request ended.
+  void tellAnswer(const Job& job, bool done) const;
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -41,6 +41,8 @@
                            "from the request to the first byte of the answer")),
       whole_(histogram(registry, "calicodrift_forward_whole_seconds",
                        "from the request to the end of the answer")),
+      pause_(histogram(registry, "calicodrift_forward_pause_seconds",
+                       "longest pause between two pieces of a stream")),
       configVersion_(gauge(registry, "calicodrift_forward_config_version",
                            "version of the configuration in force here")),
       servers_(gauge(registry, "calicodrift_forward_servers", "listed servers")) {}
@@ -79,6 +81,9 @@
 void ForwardMetrics::observeWhole(double seconds) {
   whole_.Observe(seconds);
 }
+void ForwardMetrics::observePause(double seconds) {
+  pause_.Observe(seconds);
+}
 void ForwardMetrics::setConfigVersion(double version) {
   configVersion_.Set(version);
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -19,6 +19,8 @@
   void countServerLoss(std::string_view cause);
   void observeFirstByte(double seconds);
   void observeWhole(double seconds);
+  /// The longest pause between two pieces of a stream.
+  void observePause(double seconds);
   void setConfigVersion(double version);
   void setServers(double count);
 
@@ -32,6 +34,7 @@
   prometheus::Counter& retriesDenied_;
   prometheus::Histogram& firstByte_;
   prometheus::Histogram& whole_;
+  prometheus::Histogram& pause_;
   prometheus::Gauge& configVersion_;
   prometheus::Gauge& servers_;
 };
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -24,6 +24,7 @@
               {"candidates", std::to_string(facts.candidates)},
               {"outstanding", std::to_string(facts.candidate.outstanding)},
               {"attempt", std::to_string(facts.attempt)},
+              {"waiting_tokens", std::to_string(facts.waitingTokens)},
               {"prefix", std::to_string(facts.prefix)},
               {"fetch", source ? source->toString() : ""}});
 }
@@ -36,14 +37,16 @@
               {"detail", cause.detail}});
 }
 
-void logAnswered(const RequestId& id, unsigned status, const BackendId& server, std::size_t sent,
-                 Milliseconds duration) {
+void logAnswered(const AnswerFacts& facts) {
+  const std::string first = facts.firstPiece ? std::to_string(facts.firstPiece->count()) : "";
   log::write(log::Level::kInfo, "request_answered",
-             {{"id", id.value()},
-              {"status", std::to_string(status)},
-              {"server", server.value()},
-              {"sent", std::to_string(sent)},
-              {"ms", std::to_string(duration.count())}});
+             {{"id", facts.id.value()},
+              {"status", std::to_string(facts.status)},
+              {"server", facts.server.value()},
+              {"sent", std::to_string(facts.sent)},
+              {"ms", std::to_string(facts.duration.count())},
+              {"first_ms", first},
+              {"pause_ms", std::to_string(facts.longestPause.count())}});
 }
 
 void logRefused(const RefusalFacts& facts, const Error& error) {
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -30,14 +30,26 @@
   std::string_view reason;
   std::size_t candidates = 0;
   std::size_t attempt = 0;
+  /// Prompt tokens to prefill there, the request's own with them.
+  std::size_t waitingTokens = 0;
   /// Names the prompt's common part under its cache scope.
   std::uint64_t prefix = 0;
 };
 
 void logDispatched(const DispatchFacts& facts);
 void logRetried(const RequestId& id, const BackendId& server, const Error& cause);
-void logAnswered(const RequestId& id, unsigned status, const BackendId& server, std::size_t sent,
-                 Milliseconds duration);
+/// How an answer reached its caller.
+struct AnswerFacts {
+  const RequestId& id;
+  unsigned status = 0;
+  const BackendId& server;
+  std::size_t sent = 0;
+  /// Until its end; of a stream also until its first piece, and its longest pause.
+  Milliseconds duration{0};
+  std::optional<Milliseconds> firstPiece;
+  Milliseconds longestPause{0};
+};
+void logAnswered(const AnswerFacts& facts);
 void logRefused(const RefusalFacts& facts, const Error& error);
 void logBroken(const RequestId& id, const BackendId& server, const Error& error);
 void logCancelled(const RequestId& id);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 #include <cmath>
+#include <set>
 
 #include "common/hashing.h"
 #include "http/status.h"
@@ -99,6 +100,12 @@
   return bounds;
 }
 
+/// Groups of relays in the fleet.
+std::size_t groupsOf(const GatewaySettings& settings) {
+  const std::set<std::string> groups(settings.relayGroups.begin(), settings.relayGroups.end());
+  return std::max<std::size_t>(1, groups.size());
+}
+
 std::map<TenantId, quota::TenantLimit> limitsOf(const routes::RouteTable& table) {
   std::map<TenantId, quota::TenantLimit> limits;
   for (const routes::Tenant& tenant : table.tenants()) {
@@ -241,13 +248,14 @@
 }
 
 quota::NodePlace GatewayNode::quotaPlace() const {
+  const double ofGroup = 1 / static_cast<double>(groupsOf(settings_));
   if (relay_.isWholeTree()) {
-    return {quota::Place::kRoot, 1};
+    return {quota::Place::kRoot, ofGroup};
   }
   if (relay_.isRelay()) {
     // While one of the two is being replaced its part is not minted, as it may live on unseen.
     const std::size_t roots = std::max<std::size_t>(2, relay_.roots().size() + 1);
-    return {quota::Place::kRoot, 1 / static_cast<double>(roots)};
+    return {quota::Place::kRoot, ofGroup / static_cast<double>(roots)};
   }
   return {relay_.relay() ? quota::Place::kFollower : quota::Place::kIsland, 0};
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -27,6 +27,10 @@
       {{"relay-group", "", 0, 0, "",
         "nodes of the same group share relays; empty: the nodes of the zone"},
        &G::relayGroup},
+      {{"relay-groups", "", 0, 0, "",
+        "all groups of the fleet, separated by commas; each keeps an even part of tenants' limits; "
+        "empty: there is one"},
+       &G::relayGroups},
       {{"relay-max-followers", "0", 0, 1000, "count",
         "nodes that read the store through this one; 0: from link-mbps"},
        &G::relayMaxFollowers},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -23,6 +23,8 @@
   /// Port 0: the node reads the store itself.
   Endpoint relayListen;
   std::string relayGroup;
+  /// All groups of the fleet; the same one may stand there more than once.
+  std::vector<std::string> relayGroups;
   std::int64_t relayMaxFollowers = 0;
   Milliseconds relayProofAge{0};
   /// Mechanisms that are off, by name; and the same as switches.
