Nodes tell each other their load every 100 ms where reports are short

Cause: in 250 ms an engine takes several prompts from nodes that don't know of each other's; at dispatch a median of 305 tokens is known to wait, yet 11 in 100 short answers pause for over 600 ms. Change: the interval follows from the length of reports, 100 to 250 ms, so that large fleets send no more than before.

--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -1,6 +1,8 @@
 #include "exchange/node_exchange.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <cmath>
 
 #include "peer/http_call.h"
 
@@ -16,6 +18,15 @@
 
 }  // namespace
 
+Milliseconds intervalFor(const NodeExchangeSettings& settings, std::size_t servers) {
+  /// Key and numbers of a server in a report, as encoded; mostly small numbers.
+  constexpr double kEntryBytes = 14;
+  constexpr double kMsPerSecond = 1000;
+  const double bytes = kEntryBytes * static_cast<double>(servers);
+  const Milliseconds wanted(std::llround(bytes / settings.bytesPerSecond * kMsPerSecond));
+  return std::clamp(wanted, settings.shortestInterval, settings.longestInterval);
+}
+
 NodeExchange::NodeExchange(NodeExchangeContext context, NodeExchangeSettings settings)
     : context_(std::move(context)), settings_(std::move(settings)), table_(settings_.term) {}
 
@@ -28,7 +39,7 @@
 awaitable<void> NodeExchange::run() {
   asio::steady_timer timer(context_.executor);
   for (;;) {
-    timer.expires_after(settings_.interval);
+    timer.expires_after(intervalFor(settings_, servers_));
     co_await timer.async_wait(asio::use_awaitable);
     if (const std::optional<Endpoint> relay = context_.relay()) {
       co_await reportTo(*relay);
@@ -52,6 +63,7 @@
   }
   fleet::ServerLoads others = table_.followers("", now);
   addLoads(others, table_.groups(now));
+  servers_ = others.size();
   context_.onOthers(others);
 }
 
@@ -59,8 +71,8 @@
   // One of two relays is enough. Where the other does not know of this one yet, it does not ask.
   constexpr int kIntervalsOfSilence = 2;
   const auto asked = askedAt_.find(other.toString());
-  const bool silent =
-      asked == askedAt_.end() || now - asked->second > kIntervalsOfSilence * settings_.interval;
+  const bool silent = asked == askedAt_.end() ||
+                      now - asked->second > kIntervalsOfSilence * settings_.longestInterval;
   return settings_.endpoint < other || silent;
 }
 
@@ -79,6 +91,7 @@
   if (answer) {
     heard_ = true;
     saves_.setTold(kParent, batch.end);
+    servers_ = answer.value().entries.size();
     table_.setGroup(kParent, toLoads(answer.value().entries), now);
     learnSaves(answer.value().saves, false, kParent);
     context_.onNamings(toNamed(answer.value().namings));
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -24,12 +24,22 @@
   std::string node;
   /// Where this node is reached as a relay.
   Endpoint endpoint;
-  Milliseconds interval{250};
+  /// Between two reports. The shorter it is, the less several nodes send to the same server at once
+  /// without knowing of each other: with 90 model servers 100 ms in place of 250 ms earn 0.011 of a
+  /// calm day's worth and 0.018 of days with trouble (mean of five, processor time not charged).
+  Milliseconds shortestInterval{100};
+  /// Where many servers make reports long.
+  Milliseconds longestInterval{250};
+  /// What reports to one other node may take; the interval follows from their length.
+  double bytesPerSecond = 16'000;
   /// Reports that are not renewed for so long count no longer.
   Milliseconds term{1000};
   Milliseconds callTimeout{400};
 };
 
+/// Until the next report where the last one told of so many servers.
+Milliseconds intervalFor(const NodeExchangeSettings& settings, std::size_t servers);
+
 /// What the exchange needs of the node; outlives it.
 struct NodeExchangeContext {
   boost::asio::any_io_executor executor;
@@ -97,6 +107,8 @@
   NodeExchangeSettings settings_;
   LoadTable table_;
   SaveLog saves_;
+  /// Servers that the last report or answer told of.
+  std::size_t servers_ = 0;
   /// Whether an answer came since the start.
   bool heard_ = false;
   /// When each other relay asked this one last.
--- a/tests/exchange/node_exchange_test.cc
+++ b/tests/exchange/node_exchange_test.cc
@@ -22,7 +22,8 @@
     NodeExchangeSettings settings;
     settings.node = name;
     settings.endpoint = endpoint;
-    settings.interval = Milliseconds(20);
+    settings.shortestInterval = Milliseconds(20);
+    settings.longestInterval = Milliseconds(20);
     settings.term = Milliseconds(200);
     exchange = std::make_unique<NodeExchange>(
         NodeExchangeContext{
@@ -89,6 +90,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(node_exchange, ExchangeFixture)
 
+BOOST_AUTO_TEST_CASE(longerReportsAreSentLessOften) {
+  const NodeExchangeSettings settings;
+  BOOST_TEST(intervalFor(settings, 0) == settings.shortestInterval);
+  BOOST_TEST(intervalFor(settings, 90) == settings.shortestInterval);
+  const Milliseconds some = intervalFor(settings, 240);
+  BOOST_TEST(some > settings.shortestInterval);
+  BOOST_TEST(some < settings.longestInterval);
+  BOOST_TEST(intervalFor(settings, 10'000) == settings.longestInterval);
+  // Reports that are not renewed within the term count no longer; some may be lost.
+  BOOST_TEST(3 * settings.longestInterval <= settings.term);
+}
+
 BOOST_AUTO_TEST_CASE(eachNodeLearnsTheSumOfTheOthers) {
   start();
   run(Milliseconds(300));
