Long prompts avoid servers whose streams they would make pause for too long

Cause: an engine prefills in pieces between the tokens of all that run there; 20,000 prompt tokens that wait are one pause of over 600 ms for each of the six or seven streams beside. Change: PrefixHome counts 100 ms for each request that runs at a server whose waiting prefill, with the request's own, takes longer than 0.7 of the shortest pause that the service's routes allow. Switch pause-bounds.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -261,6 +261,17 @@
   }
 }
 
+void ServerPool::setPauseBound(const std::string& service, Milliseconds bound, MonotonicTime now) {
+  Milliseconds& known = pauseBounds_[service];
+  if (known == bound) {
+    return;
+  }
+  known = bound;
+  for (auto& [id, entry] : servers_) {
+    refresh(entry, now);
+  }
+}
+
 void ServerPool::addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
   if (Entry* entry = entryOf(id)) {
     ++entry->outstanding;
@@ -338,6 +349,8 @@
   candidate.slots = entry.server.slots;
   const auto memory = memoryTokens_.find(entry.server.service);
   candidate.memoryTokens = memory == memoryTokens_.end() ? 0 : memory->second;
+  const auto pause = pauseBounds_.find(entry.server.service);
+  candidate.pauseBoundMs = pause == pauseBounds_.end() ? 0 : toMilliseconds(pause->second);
   candidate.peerRequests = entry.peers.requests;
   candidate.peerTokens = entry.peers.tokens;
   candidate.peerPrefillTokens = entry.peers.prefillTokens;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -87,6 +87,9 @@
   /// Room for cached and running prompts of each server of a service; 0: not known.
   void setMemory(const std::string& service, std::size_t tokens, MonotonicTime now);
 
+  /// How long streams of the service's servers may pause; 0: it does not matter.
+  void setPauseBound(const std::string& service, Milliseconds bound, MonotonicTime now);
+
   void addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
   /// The first token of a request came, which was sent when so many tokens waited there with its
   /// own.
@@ -144,6 +147,7 @@
   std::map<BackendId, Entry> servers_;
   std::map<ModelId, WeightsVersion> leastWeights_;
   std::map<std::string, std::size_t> memoryTokens_;
+  std::map<std::string, Milliseconds> pauseBounds_;
   std::map<SetKey, CandidateSets> sets_;
   std::multimap<MonotonicTime, BackendId> pauseEnds_;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -288,6 +288,9 @@
   for (const routes::Service& service : table.services()) {
     if (service.engine) {
       pool_.setMemory(service.name, service.engine->cacheTokens, monotonicNow());
+      if (settings_.mechanisms.pauseBounds) {
+        pool_.setPauseBound(service.name, table.pauseBoundOf(service.name), monotonicNow());
+      }
     }
   }
   if (settings_.mechanisms.tenantLimits) {
--- a/src/gateway/mechanisms.cc
+++ b/src/gateway/mechanisms.cc
@@ -21,6 +21,7 @@
     {"patience", &Mechanisms::patience},
     {"settle-by-queues", &Mechanisms::settleByQueues},
     {"retries", &Mechanisms::retries},
+    {"pause-bounds", &Mechanisms::pauseBounds},
     {"tenant-limits", &Mechanisms::tenantLimits},
 };
 
--- a/src/gateway/mechanisms.h
+++ b/src/gateway/mechanisms.h
@@ -30,6 +30,8 @@
   bool settleByQueues = true;
   /// Failed requests are sent to a second server.
   bool retries = true;
+  /// Long prompts avoid servers whose streams they would make pause for too long.
+  bool pauseBounds = true;
   /// Tenants' limits are kept.
   bool tenantLimits = true;
 };
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -1,5 +1,7 @@
 #include "routes/route_table.h"
 
+#include <algorithm>
+
 namespace calicodrift::routes {
 
 RouteTable::RouteTable(RouteTableContent content) : content_(std::move(content)) {
@@ -42,6 +44,20 @@
   return found == servicesByName_.end() ? nullptr : found->second;
 }
 
+Milliseconds RouteTable::pauseBoundOf(std::string_view service) const {
+  Milliseconds shortest{0};
+  for (const Route& route : content_.routes) {
+    const bool goesThere =
+        std::any_of(route.services.begin(), route.services.end(),
+                    [service](const WeightedService& part) { return part.service == service; });
+    if (goesThere && route.longestPause > Milliseconds(0)) {
+      shortest =
+          shortest == Milliseconds(0) ? route.longestPause : std::min(shortest, route.longestPause);
+    }
+  }
+  return shortest;
+}
+
 std::vector<const CacheStore*> RouteTable::cacheStores() const {
   std::vector<const CacheStore*> stores;
   for (const Service& service : content_.services) {
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -43,6 +43,8 @@
   Milliseconds timeout{0};
   /// Time within which an answer (a stream's first event) is wanted.
   Milliseconds targetLatency{0};
+  /// Longest pause between two events of a stream that is still in time; 0: it does not matter.
+  Milliseconds longestPause{0};
   /// 0 is the most urgent.
   unsigned priority = 0;
   /// At least one.
@@ -142,6 +144,8 @@
   const std::vector<Tenant>& tenants() const { return content_.tenants; }
   /// The stores of kept cache.
   std::vector<const CacheStore*> cacheStores() const;
+  /// The shortest of the pauses that streams of the service's routes may make; 0: none matters.
+  Milliseconds pauseBoundOf(std::string_view service) const;
   std::size_t routeCount() const { return content_.routes.size(); }
 
  private:
--- a/src/routing/candidate_set.h
+++ b/src/routing/candidate_set.h
@@ -35,6 +35,8 @@
   /// Requests that it runs at once, and tokens that fit into its memory; 0: not known.
   std::size_t slots = 0;
   std::size_t memoryTokens = 0;
+  /// How long streams that run there may pause, in milliseconds; 0: it does not matter.
+  double pauseBoundMs = 0;
   /// Prompt tokens that it prefills in a millisecond.
   double prefillTokensPerMs = kDefaultPrefillTokensPerMs;
 
--- a/src/routing/cost.cc
+++ b/src/routing/cost.cc
@@ -33,6 +33,22 @@
   return delayMs;
 }
 
+double streamPauseMs(const Candidate& candidate, std::size_t uncached) {
+  /// A stream that comes late is worth as much as so many milliseconds of this request's wait. With
+  /// it 0.004 of a calm day's worth and 0.008 of days with trouble are earned where 90 engines run
+  /// streams that may pause for 600 ms (one run each, processor time not charged).
+  constexpr double kMsAStream = 100;
+  /// Engines are a little slower than learnt while many requests run, and nodes hear of each
+  /// other's prompts late.
+  constexpr double kBoundShare = 0.7;
+  if (candidate.pauseBoundMs <= 0) {
+    return 0;
+  }
+  const auto tokens = static_cast<double>(prefillTokensAt(candidate) + uncached);
+  const bool pauses = tokens / candidate.prefillTokensPerMs > kBoundShare * candidate.pauseBoundMs;
+  return pauses ? kMsAStream * static_cast<double>(requestsAt(candidate)) : 0;
+}
+
 double meanQueueMs(const CandidateSet& candidates) {
   const auto tokens = static_cast<double>(candidates.totalPrefillTokens());
   return tokens / (static_cast<double>(candidates.size()) * Candidate::kDefaultPrefillTokensPerMs);
--- a/src/routing/cost.h
+++ b/src/routing/cost.h
@@ -14,6 +14,11 @@
 /// without room is worse than any queue.
 double admissionDelayMs(const RouteRequest& request, const Candidate& candidate);
 
+/// What it costs that the streams which run there stand still while a prompt is prefilled, for a
+/// longer time than they may: an engine prefills long prompts between the tokens of all that run.
+/// @param uncached tokens of the request's own prompt to prefill there.
+double streamPauseMs(const Candidate& candidate, std::size_t uncached);
+
 /// Mean over all candidates of the time until what waits there is prefilled.
 double meanQueueMs(const CandidateSet& candidates);
 
--- a/src/routing/prefix_home.cc
+++ b/src/routing/prefix_home.cc
@@ -40,7 +40,8 @@
     const double sharedMs =
         prefillMs(request, candidate, 0) - prefillMs(request, candidate, shared);
     const double leaveMs = position == home ? 0 : kLeaveMs + kMoveShare * sharedMs;
-    const double ms = queueDelayMs(candidate) + admissionDelayMs(request, candidate) + leaveMs;
+    const double ms = queueDelayMs(candidate) + admissionDelayMs(request, candidate) + leaveMs +
+                      streamPauseMs(candidate, uncachedTokens(request, shared));
     if (ms < bestMs) {
       bestMs = ms;
       best.index = position;
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -113,6 +113,16 @@
   BOOST_TEST(routing::requestsAt(loaded) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(pauseBoundOfTheServiceHoldsForListedAndNewServers) {
+  pool.applyListing({makeServer("a", 1)}, kStart);
+  pool.setPauseBound("llm", Milliseconds(600), kStart);
+  pool.apply(makeServer("b", 1), kStart);
+  const routing::CandidateSet& candidates = pool.candidates("llm", kModel, kStart);
+  BOOST_REQUIRE(candidates.size() == 2U);
+  BOOST_TEST(candidates[0].pauseBoundMs == 600);
+  BOOST_TEST(candidates[1].pauseBoundMs == 600);
+}
+
 BOOST_AUTO_TEST_CASE(serverThatSeveralPeersCannotReachIsPassedOver) {
   pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
   ServerLoads peers = pool.ownLoads();
--- a/tests/routes/route_table_test.cc
+++ b/tests/routes/route_table_test.cc
@@ -35,6 +35,22 @@
   BOOST_TEST((table.findRoute("f", "/a/") == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(shortestPauseOfAServicesRoutesHolds) {
+  RouteTableContent content;
+  for (const std::int64_t pause : {600, 0, 250}) {
+    Route route = routeAt("h", "/" + std::to_string(pause) + "/");
+    route.services = {{"s", 90}, {"r", 10}};
+    route.longestPause = Milliseconds(pause);
+    content.routes.push_back(route);
+  }
+  content.routes.push_back(routeAt("g", "/"));
+  content.routes.back().services = {{"q", 1}};
+  const RouteTable table(std::move(content));
+  BOOST_TEST(table.pauseBoundOf("s") == Milliseconds(250));
+  BOOST_TEST(table.pauseBoundOf("r") == Milliseconds(250));
+  BOOST_TEST(table.pauseBoundOf("q") == Milliseconds(0));
+}
+
 BOOST_AUTO_TEST_CASE(tenantsAreFoundByAnyOfTheirKeys) {
   const RouteTable table = makeTable();
   BOOST_TEST(table.findTenant("k2")->id.value() == "t");
--- a/tests/routing/prefix_home_test.cc
+++ b/tests/routing/prefix_home_test.cc
@@ -69,6 +69,25 @@
   BOOST_TEST(choice.expectedCachedBlocks == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(promptThatWouldMakeStreamsPauseGoesWhereFewerRun) {
+  PrefixHome policy;
+  CandidateSet candidates = makeCandidates(12);
+  const std::size_t home = policy.choose(makeRequest(7, 1), candidates, kNow).index;
+  // 9,000 tokens wait: 225 ms of prefill, less than leaving the home costs.
+  Candidate streaming = candidates[home];
+  streaming.sentPrefillTokens = 9000;
+  streaming.outstanding = 6;
+  candidates.put(streaming);
+  BOOST_TEST(policy.choose(makeRequest(7, 2), candidates, kNow).index == home);
+  streaming.pauseBoundMs = 200;
+  candidates.put(streaming);
+  BOOST_TEST(policy.choose(makeRequest(7, 3), candidates, kNow).index != home);
+  // A pause that they may make harms nobody.
+  streaming.pauseBoundMs = 600;
+  candidates.put(streaming);
+  BOOST_TEST(policy.choose(makeRequest(7, 4), candidates, kNow).index == home);
+}
+
 BOOST_AUTO_TEST_CASE(homeThatOthersHaveFilledIsLeft) {
   PrefixHome policy;
   CandidateSet candidates = makeCandidates(12);
