Forwarder: a request's use of its tenant's limit and cache scopes in files of their own

Change: TenantLimitUse claims and gives back; cache_scope.h names what requests share. Behaviour as before. Checked: ctest of forward, platform, gateway, quota, exchange, routing, fleet, routes, limits and the soak: green.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <cmath>
 
 #include "common/hashing.h"
 #include "forward/answer_relay.h"
+#include "forward/cache_scope.h"
 #include "forward/prompt_blocks.h"
 #include "forward/server_attempt.h"
+#include "forward/tenant_limit.h"
 #include "routing/cost.h"
 
 namespace calicodrift::forward {
@@ -33,34 +34,6 @@
   return "unsafe";
 }
 
-/// Names the cached prompt parts that a request may use at a server.
-std::string cacheScope(const Grant& grant, WeightsVersion weights) {
-  std::string scope = "w" + std::to_string(weights.value());
-  if (grant.tenant != nullptr && grant.tenant->isolated) {
-    scope += "/" + grant.tenant->id.value();
-  }
-  return scope;
-}
-
-/// Names the prompt's common part under a cache scope; 0 where it has none.
-std::uint64_t sharedKeyOf(const routing::RouteRequest& request, const std::string& scope) {
-  return request.sharedBlocks == 0
-             ? 0
-             : hashPair(request.blocks[request.sharedBlocks - 1].value(), hashBytes(scope));
-}
-
-/// What a dispatch of the request takes out of the tenant's limit.
-double quotaUnitsOf(const Request& request, const routes::Tenant* tenant) {
-  if (tenant == nullptr || !tenant->limit) {
-    return 0;
-  }
-  if (tenant->limit->unit == routes::LimitUnit::kRequests) {
-    return 1;
-  }
-  return request.statesTokens ? static_cast<double>(request.promptTokens + request.outputTokens)
-                              : tenant->limit->unstatedTokens;
-}
-
 /// Whether the dispatch that failed so was not sent, or has not run for certain.
 bool neverRan(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
@@ -91,7 +64,7 @@
         writer(writer),
         relay(writer, request.resumeAfter),
         routeRequest(toRouteRequest(request, grant)),
-        quotaUnits(quotaUnitsOf(request, grant.tenant)),
+        limitUse(request, grant.tenant),
         timer(executor) {
     const Milliseconds allowed =
         std::min(grant.route->timeout, request.patience.value_or(grant.route->timeout));
@@ -115,8 +88,7 @@
   http::ResponseWriter& writer;
   AnswerRelay relay;
   routing::RouteRequest routeRequest;
-  /// What each dispatch takes out of the tenant's limit; 0 where it has none.
-  double quotaUnits = 0;
+  TenantLimitUse limitUse;
   std::string service;
   MonotonicTime end;
   asio::steady_timer timer;
@@ -215,13 +187,13 @@
 awaitable<Result<void>> Forwarder::dispatchUntilDone(Job& job) {
   Result<void> outcome = boost::outcome_v2::success();
   for (;;) {
-    Result<void> allowed = co_await takeQuota(job);
+    Result<void> allowed = co_await job.limitUse.claim(context_.quota);
     if (!allowed) {
       // A second dispatch that the limit does not cover leaves the failure of the first.
       co_return job.attempts.sent == 0 ? allowed : outcome;
     }
     if (job.writer.callerGone()) {
-      giveBackQuota(job);
+      job.limitUse.giveBack(context_.quota);
       co_return fail(ErrorKind::kCallerGone, "the caller left");
     }
     outcome = co_await dispatchOnce(job);
@@ -230,7 +202,7 @@
     }
     const ErrorKind failure = outcome.error().kind;
     if (neverRan(failure)) {
-      giveBackQuota(job);
+      job.limitUse.giveBack(context_.quota);
     }
     if (job.writer.callerGone()) {
       co_return fail(ErrorKind::kCallerGone, "the caller left");
@@ -246,29 +218,6 @@
   }
 }
 
-awaitable<Result<void>> Forwarder::takeQuota(const Job& job) {
-  if (job.quotaUnits <= 0) {
-    co_return boost::outcome_v2::success();
-  }
-  const quota::QuotaVerdict verdict =
-      co_await context_.quota.take(job.grant.tenant->id, job.quotaUnits);
-  if (verdict.granted) {
-    co_return boost::outcome_v2::success();
-  }
-  const std::string units = std::to_string(std::llround(job.quotaUnits));
-  Error error = fail(ErrorKind::kRateLimited, "tenant '" + job.grant.tenant->id.value() +
-                                                  "' is over its limit with " + units + " more; " +
-                                                  verdict.facts);
-  error.retryAfter = verdict.comeBack;
-  co_return error;
-}
-
-void Forwarder::giveBackQuota(const Job& job) {
-  if (job.quotaUnits > 0) {
-    context_.quota.giveBack(job.grant.tenant->id, job.quotaUnits);
-  }
-}
-
 awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
   const MonotonicTime now = monotonicNow();
   const routing::CandidateSet& candidates =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -76,10 +76,6 @@
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
-  /// Takes the next dispatch out of the tenant's limit. Fails with kRateLimited.
-  boost::asio::awaitable<Result<void>> takeQuota(const Job& job);
-  /// Gives back what a dispatch took that no server has run.
-  void giveBackQuota(const Job& job);
   /// Whether the chosen server can begin with the job in time. Fails with kOverloaded.
   Result<void> admit(const Job& job, const routing::Candidate& candidate, MonotonicTime now);
   /// What the chosen server gets.
