--- /dev/null
+++ b/tests/quota/quota_node_test.cc
@@ -0,0 +1,149 @@
+#include "quota/quota_node.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+namespace calicodrift::quota {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+const TenantId kTenant("t");
+constexpr QuotaBounds kBounds{Milliseconds(8000), 0.1, 32'000};
+/// A root begins with 1,028 units, and passes a request while it has any.
+constexpr TenantLimit kLimit{1000, 1000};
+
+/// A node of the tree with its claims served over HTTP.
+struct TestNode {
+  TestNode(asio::io_context& context, http::Client& client, NodePlace place)
+      : server(context.get_executor(), {},
+               [this](http::Request& request, http::ResponseWriter& writer) {
+                 return quota->handle(request, writer);
+               }),
+        metrics(registry) {
+    endpoint = server.listen({"127.0.0.1", 0}).value();
+    quota = std::make_unique<QuotaNode>(
+        QuotaNodeContext{context.get_executor(), client, [place] { return place; },
+                         [this] { return parent; }, [this] { return roots; }},
+        kBounds, metrics, 7);
+    quota->applyLimits({{kTenant, kLimit}});
+  }
+
+  Endpoint endpoint;
+  std::optional<Endpoint> parent;
+  std::vector<Endpoint> roots;
+  prometheus::Registry registry;
+  std::unique_ptr<QuotaNode> quota;
+  http::Server server;
+  QuotaMetrics metrics;
+};
+
+/// Takes calls and never answers, as a connection does that fell silent.
+struct SilentNode {
+  explicit SilentNode(asio::io_context& context)
+      : acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+  Endpoint endpoint() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
+  asio::ip::tcp::acceptor acceptor;
+};
+
+struct TreeFixture {
+  asio::io_context context;
+  http::Client client{context.get_executor()};
+  TestNode root{context, client, {Place::kRoot, 0.5}};
+  TestNode otherRoot{context, client, {Place::kRoot, 0.5}};
+  TestNode middle{context, client, {Place::kFollower, 0}};
+  TestNode leaf{context, client, {Place::kFollower, 0}};
+
+  TreeFixture() {
+    root.roots = {otherRoot.endpoint};
+    otherRoot.roots = {root.endpoint};
+    middle.parent = root.endpoint;
+    leaf.parent = middle.endpoint;
+    for (TestNode* node : {&middle, &leaf}) {
+      node->roots = {root.endpoint, otherRoot.endpoint};
+    }
+  }
+
+  void run(std::function<awaitable<void>()> body) {
+    bool finished = false;
+    asio::co_spawn(context, std::move(body), [&](const std::exception_ptr& failure) {
+      finished = failure == nullptr;
+      context.stop();
+    });
+    context.run_for(std::chrono::seconds(10));
+    BOOST_TEST(finished, "the body did not end in time");
+  }
+  /// Units that pass at the node in requests of so many each, until one is refused.
+  static awaitable<double> passAll(TestNode& node, double units) {
+    double passed = 0;
+    while ((co_await node.quota->take(kTenant, units)).granted) {
+      passed += units;
+    }
+    co_return passed;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(quota_node, TreeFixture)
+
+BOOST_AUTO_TEST_CASE(aLeafGetsWhatBothRootsHave) {
+  run([this]() -> awaitable<void> {
+    const double passed = co_await passAll(leaf, 50);
+    // The start of both, what they refilled meanwhile, and one request each that is not covered.
+    BOOST_TEST(passed >= 900);
+    BOOST_TEST(passed <= 1600);
+    const QuotaVerdict verdict = co_await leaf.quota->take(kTenant, 50);
+    BOOST_TEST(!verdict.granted);
+    BOOST_TEST((verdict.comeBack > Milliseconds(0)));
+    BOOST_TEST(verdict.facts.find("limit 1000/s") != std::string::npos);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(aSilentParentIsPassedOver) {
+  SilentNode silent(context);
+  leaf.parent = silent.endpoint();
+  run([this]() -> awaitable<void> {
+    const MonotonicTime begin = monotonicNow();
+    BOOST_TEST((co_await leaf.quota->take(kTenant, 50)).granted);
+    BOOST_TEST((monotonicNow() - begin < 3 * QuotaNode::kSourceTimeout));
+    // It is not asked again at once.
+    const MonotonicTime again = monotonicNow();
+    BOOST_TEST((co_await leaf.quota->take(kTenant, 50)).granted);
+    BOOST_TEST((monotonicNow() - again < QuotaNode::kSourceTimeout));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(whereEverybodyIsSilentARequestIsRefusedSoon) {
+  SilentNode silent(context);
+  leaf.parent = silent.endpoint();
+  leaf.roots = {silent.endpoint()};
+  run([this]() -> awaitable<void> {
+    const MonotonicTime begin = monotonicNow();
+    BOOST_TEST(!(co_await leaf.quota->take(kTenant, 50)).granted);
+    BOOST_TEST((monotonicNow() - begin < 3 * QuotaNode::kSourceTimeout));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(nodesThatFollowEachOtherDoNotAskForEver) {
+  middle.parent = leaf.endpoint;
+  middle.roots.clear();
+  leaf.roots.clear();
+  run([this]() -> awaitable<void> {
+    const MonotonicTime begin = monotonicNow();
+    BOOST_TEST(!(co_await leaf.quota->take(kTenant, 50)).granted);
+    BOOST_TEST((monotonicNow() - begin < 10 * QuotaNode::kSourceTimeout));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(whatIsGivenBackServesTheNextRequest) {
+  run([this]() -> awaitable<void> {
+    static_cast<void>(co_await passAll(leaf, 50));
+    leaf.quota->giveBack(kTenant, 50);
+    BOOST_TEST((co_await leaf.quota->take(kTenant, 50)).granted);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::quota
