Sight: expected wait, age of namings and of peers' load at each dispatch, age of the naming at each first piece

Cause looked for: requests that begin on older weights after the bound. Change: request_dispatched tells expected_wait_ms, outdated_ms and peer_load_ms, request_answered begun_outdated_ms; the counter calicodrift_forward_outdated_begins_total tells beginnings beyond the bound. Queue and place in the batch, which were added up in two places, are one function, routing::expectedWaitMs. No decision changes.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -213,13 +213,10 @@
 }
 
 Milliseconds ServerPool::longestQueue() const {
-  const routing::RouteRequest any;
   double longestMs = 0;
   for (const auto& [id, entry] : servers_) {
     if (!entry.server.models.empty()) {
-      const routing::Candidate candidate = toCandidate(entry);
-      longestMs = std::max(
-          longestMs, routing::queueDelayMs(candidate) + routing::admissionDelayMs(any, candidate));
+      longestMs = std::max(longestMs, routing::expectedWaitMs(toCandidate(entry)));
     }
   }
   return Milliseconds(static_cast<std::int64_t>(longestMs));
@@ -236,6 +233,7 @@
 }
 
 void ServerPool::setPeerLoads(const ServerLoads& loads, MonotonicTime now) {
+  peerLoadsAt_ = now;
   for (auto& [id, entry] : servers_) {
     const auto found = loads.find(entry.key);
     const ServerLoad peers = found == loads.end() ? ServerLoad{} : found->second;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -84,6 +84,8 @@
   /// What the other nodes have under way. A server that several of them can't reach is passed over
   /// for a time.
   void setPeerLoads(const ServerLoads& loads, MonotonicTime now);
+  /// When the other nodes' load was told last; nothing before the first time.
+  std::optional<MonotonicTime> peerLoadsAt() const { return peerLoadsAt_; }
   /// Room for cached and running prompts of each server of a service; 0: not known.
   void setMemory(const std::string& service, std::size_t tokens, MonotonicTime now);
 
@@ -144,6 +146,7 @@
 
   double prefillTokensPerMs_;
   LossListener listener_;
+  std::optional<MonotonicTime> peerLoadsAt_;
   std::map<BackendId, Entry> servers_;
   std::map<ModelId, WeightsVersion> leastWeights_;
   std::map<std::string, std::size_t> memoryTokens_;
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -28,6 +28,8 @@
   Milliseconds loadPause{1000};
   /// When a refused caller should come back.
   Milliseconds retryAfter{300};
+  /// No request begins on older weights so long after newer ones were named.
+  Milliseconds weightsBound{8000};
   /// Second dispatches that one request earns, and those of a quiet node a second and at once.
   double retryFraction = 0.15;
   double retryFloorPerSecond = 0.3;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -34,6 +34,13 @@
   return "unsafe";
 }
 
+std::optional<Milliseconds> ageOf(std::optional<MonotonicTime> since, MonotonicTime now) {
+  if (!since) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Milliseconds>(now - *since);
+}
+
 /// Whether the dispatch that failed so was not sent, or has not run for certain.
 bool neverRan(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
@@ -98,6 +105,9 @@
   /// A server's own failure, delivered where no other server does better.
   std::optional<http::Response> keptFailure;
   BackendId lastServer;
+  /// For how long newer weights had been named when the last server began; nothing where it had the
+  /// newest.
+  std::optional<Milliseconds> begunOutdatedFor;
   unsigned status = 0;
 };
 
@@ -172,7 +182,9 @@
       std::chrono::duration_cast<Milliseconds>(monotonicNow() - job.request.received);
   context_.metrics.countAnswer(done ? job.status : 0);
   context_.metrics.observeWhole(toMilliseconds(whole) / kMsPerSecond);
-  AnswerFacts facts{job.request.id, job.status, job.lastServer, job.attempts.sent, whole, {}, {}};
+  AnswerFacts facts{
+      job.request.id,      job.status, job.lastServer, job.attempts.sent, whole, {}, {},
+      job.begunOutdatedFor};
   if (const auto first = job.relay.firstEventTime()) {
     facts.firstPiece = std::chrono::duration_cast<Milliseconds>(*first - job.request.received);
     facts.longestPause = std::chrono::duration_cast<Milliseconds>(job.relay.longestPause());
@@ -259,7 +271,9 @@
     moveCache(job, candidate, holder, sharedKey, dispatch);
   }
   logDispatched({job.request, job.grant, dispatch, candidate, choice.reason, candidateCount,
-                 job.attempts.sent, waitingTokens, sharedKey});
+                 job.attempts.sent, waitingTokens, sharedKey,
+                 outdatedFor(job, candidate.weights, now),
+                 ageOf(context_.pool.peerLoadsAt(), now)});
   Result<void> outcome = co_await runAttempt(job, dispatch, load, waitingTokens);
   if (outcome) {
     policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
@@ -276,10 +290,7 @@
   if (!settings_.admit || job.request.model.value().empty() || job.attempts.sent > 0) {
     return boost::outcome_v2::success();
   }
-  const routing::RouteRequest anyRequest;
-  const double waitMs =
-      routing::queueDelayMs(candidate) + routing::admissionDelayMs(anyRequest, candidate);
-  const Milliseconds wait(static_cast<std::int64_t>(waitMs));
+  const Milliseconds wait(static_cast<std::int64_t>(routing::expectedWaitMs(candidate)));
   const auto known = admissions_.try_emplace(job.service, settings_.admission).first;
   const std::optional<Milliseconds> comeBack =
       known->second.refuse(wait, job.grant.route->targetLatency, job.grant.priority(), now);
@@ -312,8 +323,9 @@
   const MonotonicTime sent = monotonicNow();
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
   job.attempt = attempt;
-  attempt->onFirstBytes([this, &load, &dispatch, waitingTokens, sent] {
+  attempt->onFirstBytes([this, &job, &load, &dispatch, waitingTokens, sent] {
     load.endPrefill();
+    noteBegin(job, dispatch);
     if (settings_.learnRates && dispatch.weights) {
       context_.pool.observeFirstToken(dispatch.server.id, waitingTokens,
                                       toMilliseconds(monotonicNow() - sent));
@@ -338,6 +350,21 @@
   co_return outcome;
 }
 
+std::optional<Milliseconds> Forwarder::outdatedFor(const Job& job, WeightsVersion weights,
+                                                   MonotonicTime now) const {
+  return ageOf(context_.weights(job.request.model, weights).outdatedSince, now);
+}
+
+void Forwarder::noteBegin(Job& job, const Dispatch& dispatch) const {
+  if (!dispatch.weights) {
+    return;
+  }
+  job.begunOutdatedFor = outdatedFor(job, *dispatch.weights, monotonicNow());
+  if (job.begunOutdatedFor) {
+    context_.metrics.countOutdatedBegin(*job.begunOutdatedFor > settings_.weightsBound);
+  }
+}
+
 void Forwarder::moveCache(const Job& job, const routing::Candidate& chosen,
                           const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
                           Dispatch& dispatch) const {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -86,6 +86,11 @@
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
                                                   fleet::LoadGuard& load,
                                                   std::size_t waitingTokens);
+  /// For how long newer weights than these have been named; nothing where they are the newest.
+  std::optional<Milliseconds> outdatedFor(const Job& job, WeightsVersion weights,
+                                          MonotonicTime now) const;
+  /// The server has begun with the job: its first piece came.
+  void noteBegin(Job& job, const Dispatch& dispatch) const;
   /// Sets which cache the dispatch moves. `sharedKey` names the prompt's common part.
   void moveCache(const Job& job, const routing::Candidate& chosen,
                  const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -31,6 +31,9 @@
                         "requests sent to a further server, by the cause")),
       losses_(counters(registry, "calicodrift_forward_server_losses_total",
                        "servers that stopped getting work, by cause")),
+      outdatedBegins_(counters(registry, "calicodrift_forward_outdated_begins_total",
+                               "requests that began on weights that were not the newest, by "
+                               "whether that was later than the deployment allows")),
       dispatches_(
           counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
               .Add({})),
@@ -75,6 +78,10 @@
   losses_.Add({{"cause", std::string(cause)}}).Increment();
 }
 
+void ForwardMetrics::countOutdatedBegin(bool beyondBound) {
+  outdatedBegins_.Add({{"beyond_bound", beyondBound ? "true" : "false"}}).Increment();
+}
+
 void ForwardMetrics::observeFirstByte(double seconds) {
   firstByte_.Observe(seconds);
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -17,6 +17,9 @@
   void countRetry(std::string_view cause);
   void countRetryDenied();
   void countServerLoss(std::string_view cause);
+  /// A server began with a request on weights that are not the newest.
+  /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
+  void countOutdatedBegin(bool beyondBound);
   void observeFirstByte(double seconds);
   void observeWhole(double seconds);
   /// The longest pause between two pieces of a stream.
@@ -30,6 +33,7 @@
   prometheus::Family<prometheus::Counter>& errors_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& losses_;
+  prometheus::Family<prometheus::Counter>& outdatedBegins_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& retriesDenied_;
   prometheus::Histogram& firstByte_;
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -1,6 +1,9 @@
 #include "forward/request_log.h"
 
+#include <cmath>
+
 #include "log/log.h"
+#include "routing/cost.h"
 
 namespace calicodrift::forward {
 namespace {
@@ -9,24 +12,33 @@
   return std::string(errorRow(error.kind).name);
 }
 
+/// Empty where there is nothing.
+std::string textOf(const std::optional<Milliseconds>& time) {
+  return time ? std::to_string(time->count()) : "";
+}
+
 }  // namespace
 
 void logDispatched(const DispatchFacts& facts) {
   const std::optional<Endpoint>& source = facts.dispatch.fetchCacheFrom;
-  log::write(log::Level::kInfo, "request_dispatched",
-             {{"id", facts.request.id.value()},
-              {"server", facts.dispatch.server.id.value()},
-              {"reason", std::string(facts.reason)},
-              {"route", facts.grant.route->name},
-              {"tenant", facts.grant.tenant != nullptr ? facts.grant.tenant->id.value() : ""},
-              {"config", std::to_string(facts.grant.table->version().value())},
-              {"weights", std::to_string(facts.candidate.weights.value())},
-              {"candidates", std::to_string(facts.candidates)},
-              {"outstanding", std::to_string(facts.candidate.outstanding)},
-              {"attempt", std::to_string(facts.attempt)},
-              {"waiting_tokens", std::to_string(facts.waitingTokens)},
-              {"prefix", std::to_string(facts.prefix)},
-              {"fetch", source ? source->toString() : ""}});
+  log::write(
+      log::Level::kInfo, "request_dispatched",
+      {{"id", facts.request.id.value()},
+       {"server", facts.dispatch.server.id.value()},
+       {"reason", std::string(facts.reason)},
+       {"route", facts.grant.route->name},
+       {"tenant", facts.grant.tenant != nullptr ? facts.grant.tenant->id.value() : ""},
+       {"config", std::to_string(facts.grant.table->version().value())},
+       {"weights", std::to_string(facts.candidate.weights.value())},
+       {"candidates", std::to_string(facts.candidates)},
+       {"outstanding", std::to_string(facts.candidate.outstanding)},
+       {"attempt", std::to_string(facts.attempt)},
+       {"waiting_tokens", std::to_string(facts.waitingTokens)},
+       {"expected_wait_ms", std::to_string(std::lround(routing::expectedWaitMs(facts.candidate)))},
+       {"outdated_ms", textOf(facts.outdatedFor)},
+       {"peer_load_ms", textOf(facts.peerLoadAge)},
+       {"prefix", std::to_string(facts.prefix)},
+       {"fetch", source ? source->toString() : ""}});
 }
 
 void logRetried(const RequestId& id, const BackendId& server, const Error& cause) {
@@ -38,15 +50,15 @@
 }
 
 void logAnswered(const AnswerFacts& facts) {
-  const std::string first = facts.firstPiece ? std::to_string(facts.firstPiece->count()) : "";
   log::write(log::Level::kInfo, "request_answered",
              {{"id", facts.id.value()},
               {"status", std::to_string(facts.status)},
               {"server", facts.server.value()},
               {"sent", std::to_string(facts.sent)},
               {"ms", std::to_string(facts.duration.count())},
-              {"first_ms", first},
-              {"pause_ms", std::to_string(facts.longestPause.count())}});
+              {"first_ms", textOf(facts.firstPiece)},
+              {"pause_ms", std::to_string(facts.longestPause.count())},
+              {"begun_outdated_ms", textOf(facts.begunOutdatedFor)}});
 }
 
 void logRefused(const RefusalFacts& facts, const Error& error) {
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -34,6 +34,10 @@
   std::size_t waitingTokens = 0;
   /// Names the prompt's common part under its cache scope.
   std::uint64_t prefix = 0;
+  /// For how long newer weights than the server's have been named; nothing where it has the newest.
+  std::optional<Milliseconds> outdatedFor;
+  /// How old the other nodes' load is that the choice went by; nothing where none was told.
+  std::optional<Milliseconds> peerLoadAge;
 };
 
 void logDispatched(const DispatchFacts& facts);
@@ -48,6 +52,8 @@
   Milliseconds duration{0};
   std::optional<Milliseconds> firstPiece;
   Milliseconds longestPause{0};
+  /// For how long newer weights had been named when the server began.
+  std::optional<Milliseconds> begunOutdatedFor;
 };
 void logAnswered(const AnswerFacts& facts);
 void logRefused(const RefusalFacts& facts, const Error& error);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -55,6 +55,7 @@
   forward.movesOn = mechanisms.patience;
   forward.retries = mechanisms.retries;
   forward.retryAfter = settings.retryAfter;
+  forward.weightsBound = settings.weightsBound;
   forward.retryFraction = static_cast<double>(settings.retryPercent) / kPercent;
   forward.retryFloorBurst = static_cast<double>(settings.retryFloor);
   forward.retryFloorPerSecond = forward.retryFloorBurst / kFloorWindowSeconds;
--- a/src/routing/cost.cc
+++ b/src/routing/cost.cc
@@ -33,6 +33,11 @@
   return delayMs;
 }
 
+double expectedWaitMs(const Candidate& candidate) {
+  const RouteRequest anyRequest;
+  return queueDelayMs(candidate) + admissionDelayMs(anyRequest, candidate);
+}
+
 double streamPauseMs(const Candidate& candidate, std::size_t uncached) {
   /// A stream that comes late is worth as much as so many milliseconds of this request's wait. With
   /// it 0.004 of a calm day's worth and 0.008 of days with trouble are earned where 90 engines run
--- a/src/routing/cost.h
+++ b/src/routing/cost.h
@@ -14,6 +14,10 @@
 /// without room is worse than any queue.
 double admissionDelayMs(const RouteRequest& request, const Candidate& candidate);
 
+/// Time that a request of any size would wait for its first place, as far as routers know: its
+/// queue and a place in the batch.
+double expectedWaitMs(const Candidate& candidate);
+
 /// What it costs that the streams which run there stand still while a prompt is prefilled, for a
 /// longer time than they may: an engine prefills long prompts between the tokens of all that run.
 /// @param uncached tokens of the request's own prompt to prefill there.
