Mend: requests that wait at servers are taken back before the bound on older weights

Cause: the bound on beginnings was kept by the wait that a node expected at the send, and by nothing after it. Change: a node lists its dispatches until their first piece, and 500 ms before the bound (weights-wait-ms) closes the connections of those that wait for older weights. Idempotent ones go on to newer weights within the retry budget; others end with 502 (weights_outdated), as nobody knows whether they ran. The end of each term is seen to exactly, by a timer for it and before each choice, no longer at the next look. A given weights-term-ms beyond weights-wait-ms is an error that names both.

--- a/src/common/error.cc
+++ b/src/common/error.cc
@@ -57,6 +57,8 @@
      "the request may have run; repeat only with the same key"},
     {kStreamBroken, "stream_broken", 502, kMayRun, kSameKey,
      "resume with Last-Event-ID through any router"},
+    {kWeightsOutdated, "weights_outdated", 502, kMayRun, kSameKey,
+     "newer weights were named while the request waited at a server; repeat with the same key"},
     {kCallerGone, "caller_gone", 499, kMayRun, kNever, "none: the caller left"},
     {kSettingsInvalid, "settings_invalid", 500, kNoRun, kNever, "correct the named setting"},
     {kBundleInvalid, "bundle_invalid", 422, kNoRun, kNever, "correct the bundle at the named path"},
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -38,6 +38,7 @@
   kOutcomeUnknown,
   kDeadlineExceeded,
   kStreamBroken,
+  kWeightsOutdated,
   kCallerGone,
   kSettingsInvalid,
   kBundleInvalid,
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -121,6 +121,14 @@
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)) {}
 
+void Forwarder::recallWaiting(const ModelId& model, WeightsVersion least) {
+  const std::size_t recalled = waiting_.recall(model, least);
+  if (recalled > 0) {
+    context_.metrics.countRecalls(recalled);
+    logRecalled(model, least, recalled);
+  }
+}
+
 void Forwarder::onServerLost(const BackendId& server) {
   modelPolicy_->onBackendLost(server);
   servicePolicy_->onBackendLost(server);
@@ -231,6 +239,7 @@
 }
 
 awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
+  context_.endWeightsTerms();
   const MonotonicTime now = monotonicNow();
   const routing::CandidateSet& candidates =
       context_.pool.candidates(job.service, job.request.model, now);
@@ -323,7 +332,16 @@
   const MonotonicTime sent = monotonicNow();
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
   job.attempt = attempt;
-  attempt->onFirstBytes([this, &job, &load, &dispatch, waitingTokens, sent] {
+  bool recalled = false;
+  std::optional<WaitingDispatches::Guard> waiting;
+  if (dispatch.weights) {
+    waiting.emplace(waiting_, job.request.model, *dispatch.weights, [&recalled, &attempt] {
+      recalled = true;
+      attempt->cancel();
+    });
+  }
+  attempt->onFirstBytes([this, &job, &load, &dispatch, &waiting, waitingTokens, sent] {
+    waiting.reset();
     load.endPrefill();
     noteBegin(job, dispatch);
     if (settings_.learnRates && dispatch.weights) {
@@ -341,10 +359,16 @@
   if (attempt->keptFailure()) {
     job.keptFailure = std::move(attempt->keptFailure());
   }
+  waiting.reset();
+  if (!outcome && recalled && !provesNotRun(outcome.error().kind)) {
+    outcome = fail(ErrorKind::kWeightsOutdated, "server '" + dispatch.server.id.value() +
+                                                    "' had not begun when its weights ran out");
+  }
   if (!outcome && !provesNotRun(outcome.error().kind)) {
     ++job.attempts.mayHaveRun;
   }
-  if (!job.expired && !job.writer.callerGone()) {
+  // How a recalled dispatch ended says nothing of its server.
+  if (!job.expired && !recalled && !job.writer.callerGone()) {
     learnFrom(job, dispatch.server, outcome, attempt->weights());
   }
   co_return outcome;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -18,6 +18,7 @@
 #include "forward/request_log.h"
 #include "forward/retry_rules.h"
 #include "forward/server_attempt.h"
+#include "forward/waiting_dispatches.h"
 #include "forward/weighted_choice.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -50,6 +51,8 @@
   std::function<std::optional<Endpoint>(std::uint64_t key)> cacheStore;
   /// Keeps the tenants' limits.
   quota::QuotaNode& quota;
+  /// Brings the pool in line with the time: older weights leave it when their term ends.
+  std::function<void()> endWeightsTerms;
 };
 
 /// Serves requests: checks them, chooses a server, and tries again elsewhere where that is allowed.
@@ -64,6 +67,8 @@
   void onServerLost(const BackendId& server);
   /// What the store kept may be gone.
   void onCacheStoreLost(const Endpoint& store) { cacheMoves_.onStoreLost(store, monotonicNow()); }
+  /// Requests that servers have not begun on weights below `least` go on elsewhere, or end.
+  void recallWaiting(const ModelId& model, WeightsVersion least);
   /// Which cache lies where; to tell other nodes and to be told by them.
   CacheMoves& cacheMoves() { return cacheMoves_; }
 
@@ -114,6 +119,7 @@
   Refusals refusals_;
   WeightedChoice weights_;
   CacheMoves cacheMoves_;
+  WaitingDispatches waiting_;
   std::unique_ptr<routing::Policy> modelPolicy_;
   std::unique_ptr<routing::Policy> servicePolicy_;
   std::map<std::string, limits::RetryBudget> budgets_;
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -40,6 +40,10 @@
       retriesDenied_(counters(registry, "calicodrift_forward_retries_denied_total",
                               "retries that the budget did not allow")
                          .Add({})),
+      recalls_(counters(registry, "calicodrift_forward_recalls_total",
+                        "requests taken back from servers whose weights ran out before they had "
+                        "begun")
+                   .Add({})),
       firstByte_(histogram(registry, "calicodrift_forward_first_byte_seconds",
                            "from the request to the first byte of the answer")),
       whole_(histogram(registry, "calicodrift_forward_whole_seconds",
@@ -74,6 +78,10 @@
   retriesDenied_.Increment();
 }
 
+void ForwardMetrics::countRecalls(std::size_t count) {
+  recalls_.Increment(static_cast<double>(count));
+}
+
 void ForwardMetrics::countServerLoss(std::string_view cause) {
   losses_.Add({{"cause", std::string(cause)}}).Increment();
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -16,6 +16,8 @@
   void countDispatch();
   void countRetry(std::string_view cause);
   void countRetryDenied();
+  /// Requests taken back from servers whose weights ran out before they had begun.
+  void countRecalls(std::size_t count);
   void countServerLoss(std::string_view cause);
   /// A server began with a request on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
@@ -36,6 +38,7 @@
   prometheus::Family<prometheus::Counter>& outdatedBegins_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& retriesDenied_;
+  prometheus::Counter& recalls_;
   prometheus::Histogram& firstByte_;
   prometheus::Histogram& whole_;
   prometheus::Histogram& pause_;
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -61,6 +61,13 @@
               {"begun_outdated_ms", textOf(facts.begunOutdatedFor)}});
 }
 
+void logRecalled(const ModelId& model, WeightsVersion least, std::size_t count) {
+  log::write(log::Level::kInfo, "waiting_recalled",
+             {{"model", model.value()},
+              {"least", std::to_string(least.value())},
+              {"count", std::to_string(count)}});
+}
+
 void logRefused(const RefusalFacts& facts, const Error& error) {
   log::write(log::Level::kWarning, "request_refused",
              {{"id", facts.requestId},
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -56,6 +56,8 @@
   std::optional<Milliseconds> begunOutdatedFor;
 };
 void logAnswered(const AnswerFacts& facts);
+/// Requests were taken back from servers that had not begun with them.
+void logRecalled(const ModelId& model, WeightsVersion least, std::size_t count);
 void logRefused(const RefusalFacts& facts, const Error& error);
 void logBroken(const RequestId& id, const BackendId& server, const Error& error);
 void logCancelled(const RequestId& id);
--- a/src/forward/retry_rules.cc
+++ b/src/forward/retry_rules.cc
@@ -27,7 +27,8 @@
   }
   const bool failedThere =
       failure == ErrorKind::kOutcomeUnknown || failure == ErrorKind::kStreamBroken ||
-      failure == ErrorKind::kProtocolViolation || failure == ErrorKind::kDeadlineExceeded;
+      failure == ErrorKind::kProtocolViolation || failure == ErrorKind::kDeadlineExceeded ||
+      failure == ErrorKind::kWeightsOutdated;
   const bool serversLeft = attempts.mayHaveRun < route.maxAttempts;
   return failedThere && route.idempotent() && serversLeft ? RetryDecision::kBudgeted
                                                           : RetryDecision::kNo;
--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -6,8 +6,14 @@
 namespace calicodrift::gateway {
 namespace {
 
-/// A request may wait in a server's queue, and a node hears of a naming late.
+/// Requests that are sent at the end of the term have the time until the recall to come through
+/// their server's queue. It is a matter of choice, not of the bound: one that does not come through
+/// is taken back.
 constexpr Milliseconds kWeightsMargin{2000};
+/// What is left of the bound when requests are taken back that wait at a server with older weights:
+/// for the node to hear of the naming, for a busy node to get to it, and for the closed connection
+/// to reach the server.
+constexpr Milliseconds kWeightsRecallMargin{500};
 /// A request takes its way to a server, and a proof counts from when it was asked for.
 constexpr Milliseconds kRevocationMargin{1200};
 /// What was cut off at the end of a planned stop must still be told to callers.
@@ -44,6 +50,9 @@
   return {
       {"weights-bound-ms", settings.weightsBound, weightsMargin, "weights-term-ms",
        settings.weightsTerm, "requests begin on weights that were replaced too long ago"},
+      {"weights-bound-ms", settings.weightsBound, kWeightsRecallMargin, "weights-wait-ms",
+       settings.weightsWait,
+       "requests that wait at a server begin on weights that were replaced too long ago"},
       {"revocation-bound-ms", settings.revocationBound, kRevocationMargin, "key-proof-age-ms",
        settings.keyProofAge, "requests are served for keys that were withdrawn"},
       {"stop-bound-s", stopBound, kStopMargin, "drain-timeout-ms", settings.drainTimeout,
@@ -107,6 +116,12 @@
     derived.push_back({rule.name, textOf(rule.value),
                        rule.boundName + " - " + std::to_string(rule.margin.count()), rule.breaks});
   }
+  if (settings.weightsWait < settings.weightsTerm) {
+    return fail(ErrorKind::kSettingsInvalid,
+                "weights-wait-ms is " + textOf(settings.weightsWait) + " and weights-term-ms " +
+                    textOf(settings.weightsTerm) +
+                    "; requests would be sent to servers from which they are taken back at once");
+  }
   settings.leaseRenewInterval =
       std::min(settings.leaseDuration / kRenewalsInALease, kLongestRenewInterval);
   derived.push_back({"lease-renew-interval-ms", textOf(settings.leaseRenewInterval),
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -167,16 +167,20 @@
       exchange_(exchangeContext(), exchangeSettings(settings_)),
       quotaMetrics_(registry_),
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
-      targets_(settings_.weightsTerm),
+      targets_({settings_.weightsTerm, settings_.weightsWait}),
       views_(context.get_executor(), relay_.store(), ports_.schema, settings_, pool_, targets_,
-             [this](const routes::RouteTable& table) { onTable(table); }),
+             {[this](const routes::RouteTable& table) { onTable(table); },
+              [this](const ModelId& model, WeightsVersion least) {
+                forwarder_.recallWaiting(model, least);
+              }}),
       gate_({settings_.keyProofAge, settings_.absenceProofAge}),
       forwarder_({context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
                   [this] { return views_.configuration(); },
                   [this](const ModelId& model, WeightsVersion version) {
                     return views_.weights(model, version);
                   },
-                  [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_},
+                  [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_,
+                  [this] { views_.endWeightsTerms(); }},
                  forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
                  hashBytes(settings_.nodeId)),
       leaseStore_(ports_.store, std::string(kLeaseKind)),
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -99,9 +99,13 @@
         "an unknown route or key is final only where the proof is newer"},
        &G::absenceProofAge},
       {{"weights-term-ms", "0", 0, kMinuteMs, "ms",
-        "requests may begin on older weights so long after newer ones are known; 0: from "
-        "weights-bound-ms"},
+        "requests are sent to servers with older weights so long after newer ones are known; 0: "
+        "from weights-bound-ms"},
        &G::weightsTerm},
+      {{"weights-wait-ms", "0", 0, kMinuteMs, "ms",
+        "requests that such a server has not begun are taken back so long after newer weights are "
+        "known; 0: from weights-bound-ms"},
+       &G::weightsWait},
       {{"max-concurrent-loads", "2", 1, 1000, "count", "servers that load weights at once"},
        &G::maxConcurrentLoads},
       {{"lease-duration-ms", "0", 0, kMinuteMs, "ms",
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -58,6 +58,7 @@
   double limitOvershoot = 0;
   double limitSlack = 0;
   Milliseconds weightsTerm{0};
+  Milliseconds weightsWait{0};
   std::int64_t maxConcurrentLoads = 0;
   Milliseconds leaseDuration{0};
   Milliseconds leaseRenewInterval{0};
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -32,18 +32,19 @@
 StoreViews::StoreViews(asio::any_io_executor executor, store::ObjectStore& store,
                        const StoreSchema& schema, const GatewaySettings& settings,
                        fleet::ServerPool& pool, rollout::WeightsTargets& targets,
-                       TableListener onTable)
+                       ViewListeners listeners)
     : executor_(std::move(executor)),
       schema_(schema),
       settings_(settings),
       pool_(pool),
       targets_(targets),
-      onTable_(std::move(onTable)),
+      listeners_(std::move(listeners)),
       configWatcher_(executor_, store, configWatcherSettings(), configListener()),
       serverWatcher_(executor_, store, serverWatcherSettings(), serverListener()),
       weightsWatcher_(executor_, store,
                       watcherSettings(schema.weightsKind(), settings.weightsWatch),
-                      weightsListener()) {}
+                      weightsListener()),
+      termTimer_(executor_) {}
 
 void StoreViews::start() {
   configWatcher_.start();
@@ -145,7 +146,7 @@
     return;
   }
   table_ = std::make_shared<const routes::RouteTable>(std::move(content.value()));
-  onTable_(*table_);
+  listeners_.onTable(*table_);
   log::write(log::Level::kInfo, "configuration_adopted",
              {{"version", std::to_string(table_->version().value())},
               {"revision", std::to_string(object.revision.value())},
@@ -205,6 +206,12 @@
   refreshLeastWeights();
 }
 
+void StoreViews::endWeightsTerms() {
+  if (nextTermEnd_ && monotonicNow() >= *nextTermEnd_) {
+    refreshLeastWeights();
+  }
+}
+
 void StoreViews::refreshLeastWeights() {
   const MonotonicTime now = monotonicNow();
   // A request begins only when it has come through its server's queue.
@@ -212,16 +219,21 @@
   const Milliseconds allowance = std::clamp(beyond, Milliseconds(0), kMostAllowance);
   for (const ModelId& model : targets_.models()) {
     pool_.setLeastWeights(model, targets_.least(model, now + allowance), now);
+    listeners_.onWeightsEnded(model, targets_.leastWaiting(model, now));
   }
+  nextTermEnd_ = targets_.nextEnd(now);
+  // A naming may have brought the next end nearer.
+  termTimer_.cancel();
 }
 
 awaitable<void> StoreViews::keepLeastWeights() {
+  // For the allowance, which follows the queues.
   constexpr Milliseconds kInterval{250};
-  asio::steady_timer timer(executor_);
   for (;;) {
     refreshLeastWeights();
-    timer.expires_after(kInterval);
-    co_await timer.async_wait(asio::use_awaitable);
+    const MonotonicTime next = monotonicNow() + kInterval;
+    termTimer_.expires_at(std::min(next, nextTermEnd_.value_or(next)));
+    co_await termTimer_.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
 
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -2,8 +2,10 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "fleet/server_pool.h"
@@ -15,6 +17,13 @@
 
 namespace calicodrift::gateway {
 
+/// What the node does when its views change.
+struct ViewListeners {
+  std::function<void(const routes::RouteTable&)> onTable;
+  /// No request may wait any longer for a beginning on weights below these.
+  std::function<void(const ModelId&, WeightsVersion least)> onWeightsEnded;
+};
+
 /// What a node knows from the store: the configuration in force, the list of servers and the
 /// weights that were named. Keeps the pool and the targets in line with it.
 ///
@@ -22,11 +31,9 @@
 /// version that is not above the one in force is not adopted.
 class StoreViews {
  public:
-  using TableListener = std::function<void(const routes::RouteTable&)>;
-
   StoreViews(boost::asio::any_io_executor executor, store::ObjectStore& store,
              const StoreSchema& schema, const GatewaySettings& settings, fleet::ServerPool& pool,
-             rollout::WeightsTargets& targets, TableListener onTable);
+             rollout::WeightsTargets& targets, ViewListeners listeners);
 
   void start();
   /// The store is read by another way: pauses after failed calls end.
@@ -37,6 +44,9 @@
   forward::WeightsView weights(const ModelId& model, WeightsVersion version) const {
     return {targets_.outdatedSince(model, version), weightsWatcher_.provenAt()};
   }
+  /// Takes versions whose term has ended out of use; called before a choice, as the timer of a busy
+  /// node is late.
+  void endWeightsTerms();
   /// Whether the list of servers was read.
   bool hasServers() const { return serverWatcher_.synchronized(); }
 
@@ -54,7 +64,7 @@
   enum class WeightsSource { kChange, kListing };
   void applyWeights(const store::Object& object, WeightsSource source);
   void refreshLeastWeights();
-  /// Older weights run out by time alone.
+  /// Older weights run out by time alone, and sooner where queues grow.
   boost::asio::awaitable<void> keepLeastWeights();
 
   boost::asio::any_io_executor executor_;
@@ -62,11 +72,14 @@
   const GatewaySettings& settings_;
   fleet::ServerPool& pool_;
   rollout::WeightsTargets& targets_;
-  TableListener onTable_;
+  ViewListeners listeners_;
   std::shared_ptr<const routes::RouteTable> table_;
   store::KindWatcher configWatcher_;
   store::KindWatcher serverWatcher_;
   store::KindWatcher weightsWatcher_;
+  /// When the next term ends that has not been seen to.
+  std::optional<MonotonicTime> nextTermEnd_;
+  boost::asio::steady_timer termTimer_;
 };
 
 }  // namespace calicodrift::gateway
--- a/src/rollout/weights_targets.cc
+++ b/src/rollout/weights_targets.cc
@@ -1,5 +1,7 @@
 #include "rollout/weights_targets.h"
 
+#include <algorithm>
+
 namespace calicodrift::rollout {
 
 void WeightsTargets::name(const ModelId& model, WeightsVersion version, MonotonicTime now) {
@@ -8,7 +10,7 @@
 }
 
 void WeightsTargets::find(const ModelId& model, WeightsVersion version, MonotonicTime now) {
-  namings_[model].emplace(version, Naming{now - term_ / 2, now, true});
+  namings_[model].emplace(version, Naming{now - terms_.send / 2, now, true});
 }
 
 void WeightsTargets::learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now) {
@@ -37,7 +39,7 @@
       const auto age = std::chrono::ceil<Milliseconds>(now - naming.since);
       // What has run out for everybody need not be told.
       const bool certain = !naming.guessed || naming.told;
-      if (certain && age < 2 * term_) {
+      if (certain && age < 2 * terms_.send) {
         told.push_back({model, version, age});
       }
     }
@@ -54,13 +56,37 @@
 }
 
 WeightsVersion WeightsTargets::least(const ModelId& model, MonotonicTime now) const {
+  return newestKnownFor(terms_.send, model, now);
+}
+
+WeightsVersion WeightsTargets::leastWaiting(const ModelId& model, MonotonicTime now) const {
+  return newestKnownFor(terms_.wait, model, now);
+}
+
+std::optional<MonotonicTime> WeightsTargets::nextEnd(MonotonicTime now) const {
+  std::optional<MonotonicTime> next;
+  for (const auto& [model, namings] : namings_) {
+    for (const auto& [version, naming] : namings) {
+      for (const Milliseconds term : {terms_.send, terms_.wait}) {
+        const MonotonicTime end = naming.since + term;
+        if (end > now) {
+          next = std::min(end, next.value_or(end));
+        }
+      }
+    }
+  }
+  return next;
+}
+
+WeightsVersion WeightsTargets::newestKnownFor(Milliseconds term, const ModelId& model,
+                                              MonotonicTime now) const {
   const auto found = namings_.find(model);
   if (found == namings_.end()) {
     return {};
   }
   WeightsVersion least;
   for (const auto& [version, naming] : found->second) {
-    if (now - naming.since >= term_) {
+    if (now - naming.since >= term) {
       least = version;
     }
   }
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -11,19 +11,29 @@
 /// Bringing model servers to the weights that operators name.
 namespace calicodrift::rollout {
 
+/// How long an older version is used after a newer one is known.
+struct WeightsTerms {
+  /// Requests are sent to servers with the older version.
+  Milliseconds send{0};
+  /// Requests that such a server has not begun wait on. Ends with enough time left for their
+  /// connections to be closed before the deployment's bound on beginnings.
+  Milliseconds wait{0};
+};
+
 /// The weights that were named for each model, and since when each older version is outdated.
 ///
-/// Invariant: least() of a model is at least every version that was known for longer than the term,
-/// so that no request begins on a version whose successor is older than that.
+/// Invariant: least() of a model is at least every version that was known for longer than the send
+/// term, and leastWaiting() for longer than the wait term. No request begins on a version whose
+/// successor is older than the bound, as none is sent there after the one and none still waits
+/// there after the other, whatever was believed of the server's queue.
 class WeightsTargets {
  public:
-  /// @param term how long requests may begin on an older version after a newer one is known.
-  explicit WeightsTargets(Milliseconds term) : term_(term) {}
+  explicit WeightsTargets(WeightsTerms terms) : terms_(terms) {}
 
   /// A version was named while this node watched.
   void name(const ModelId& model, WeightsVersion version, MonotonicTime now);
-  /// A version was found that may have been named long before; taken as named half the term ago
-  /// until another node tells more.
+  /// A version was found that may have been named long before; taken as named half the send term
+  /// ago until another node tells more.
   void find(const ModelId& model, WeightsVersion version, MonotonicTime now);
   /// What another node knows of the age of namings. Corrects what was only found; of several ages
   /// the greatest holds.
@@ -32,8 +42,12 @@
   std::vector<fleet::NamedWeights> known(MonotonicTime now) const;
   /// Newest version of the model; nothing where none was named.
   std::optional<WeightsVersion> newest(const ModelId& model) const;
-  /// Least version on which a request may begin now.
+  /// Least version to which a request may be sent now.
   WeightsVersion least(const ModelId& model, MonotonicTime now) const;
+  /// Least version with which a request may still wait for its beginning.
+  WeightsVersion leastWaiting(const ModelId& model, MonotonicTime now) const;
+  /// When the next term of any version ends; nothing where none is under way.
+  std::optional<MonotonicTime> nextEnd(MonotonicTime now) const;
   /// Since when a version newer than `version` is known; nothing where it is the newest.
   std::optional<MonotonicTime> outdatedSince(const ModelId& model, WeightsVersion version) const;
   /// When this node heard of a version newer than `version`; nothing where it is the newest.
@@ -55,8 +69,10 @@
 
   /// Null where `version` is the newest.
   const Naming* successorOf(const ModelId& model, WeightsVersion version) const;
+  /// The newest version that has been known for the term.
+  WeightsVersion newestKnownFor(Milliseconds term, const ModelId& model, MonotonicTime now) const;
 
-  Milliseconds term_;
+  WeightsTerms terms_;
   std::map<ModelId, Namings> namings_;
 };
 
--- a/tests/gateway/bounds_test.cc
+++ b/tests/gateway/bounds_test.cc
@@ -17,6 +17,7 @@
   settings.leaseBound = Milliseconds(3000);
   BOOST_REQUIRE(applyBounds(settings));
   BOOST_TEST(settings.weightsTerm == Milliseconds(7500));
+  BOOST_TEST(settings.weightsWait == Milliseconds(9500));
   BOOST_TEST(settings.keyProofAge == Milliseconds(3800));
   BOOST_TEST(settings.drainTimeout == Milliseconds(14'700));
   BOOST_TEST(settings.leaseDuration == Milliseconds(2500));
@@ -31,6 +32,7 @@
   settings.leaseBound = Milliseconds(1500);
   BOOST_REQUIRE(applyBounds(settings));
   BOOST_TEST(settings.weightsTerm == Milliseconds(4000));
+  BOOST_TEST(settings.weightsWait == Milliseconds(5500));
   BOOST_TEST(settings.keyProofAge == Milliseconds(1800));
   BOOST_TEST(settings.drainTimeout == Milliseconds(5200));
   BOOST_TEST(settings.drainAccept < Milliseconds(1800));
@@ -55,6 +57,15 @@
   BOOST_TEST(derived.error().detail.find("weights-bound-ms") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(requestsAreNotTakenBackWhileTheyAreStillSent) {
+  GatewaySettings settings = makeSettings();
+  settings.weightsTerm = Milliseconds(7600);
+  const auto derived = applyBounds(settings);
+  BOOST_REQUIRE(!derived);
+  BOOST_TEST((derived.error().kind == ErrorKind::kSettingsInvalid));
+  BOOST_TEST(derived.error().detail.find("weights-wait-ms") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(limitsWithoutAnyExcessAreAnErrorThatNamesThem) {
   GatewaySettings settings = makeSettings();
   settings.limitOvershoot = 0;
@@ -89,6 +100,8 @@
   const std::string table = describeDerived(derived.value());
   BOOST_TEST(table.find("| `weights-term-ms` | 6000 ms | weights-bound-ms - 2000 |") !=
              std::string::npos);
+  BOOST_TEST(table.find("| `weights-wait-ms` | 7500 ms | weights-bound-ms - 500 |") !=
+             std::string::npos);
   BOOST_TEST(table.find("lease-renew-interval-ms") != std::string::npos);
   BOOST_TEST(table.find("| `relay-max-followers` | 32 | link-mbps / 4, 2 to 32 |") !=
              std::string::npos);
--- a/tests/platform/outdated_weights_test.cc
+++ b/tests/platform/outdated_weights_test.cc
@@ -39,6 +39,7 @@
   OutdatedWeightsFixture() {
     settings.weightsBound = kBound;
     settings.weightsTerm = Milliseconds(0);
+    settings.weightsWait = Milliseconds(0);
     BOOST_REQUIRE(gateway::applyBounds(settings));
     store.put("config", "main", patientConfiguration());
     store.put("versions", "m", json::object{{"model", "m"}, {"version", 1}});
--- a/tests/rollout/weights_targets_test.cc
+++ b/tests/rollout/weights_targets_test.cc
@@ -7,9 +7,10 @@
 
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
 const ModelId kModel("m");
+constexpr WeightsTerms kTerms{Milliseconds(6000), Milliseconds(7500)};
 
 BOOST_AUTO_TEST_CASE(olderWeightsAreAllowedForTheTermAfterTheirSuccessor) {
-  WeightsTargets targets(Milliseconds(6000));
+  WeightsTargets targets(kTerms);
   BOOST_TEST((targets.newest(kModel) == std::nullopt));
   targets.name(kModel, WeightsVersion(2), kStart);
   targets.name(kModel, WeightsVersion(3), kStart + Milliseconds(4000));
@@ -19,15 +20,34 @@
   BOOST_TEST((targets.least(kModel, kStart + Milliseconds(10'000)) == WeightsVersion(3)));
 }
 
+BOOST_AUTO_TEST_CASE(requestsWaitOnOlderWeightsForLongerThanTheyAreSentThere) {
+  WeightsTargets targets(kTerms);
+  targets.name(kModel, WeightsVersion(2), kStart);
+  BOOST_TEST((targets.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
+  BOOST_TEST((targets.leastWaiting(kModel, kStart + Milliseconds(7499)) == WeightsVersion(0)));
+  BOOST_TEST((targets.leastWaiting(kModel, kStart + Milliseconds(7500)) == WeightsVersion(2)));
+}
+
+BOOST_AUTO_TEST_CASE(nextEndIsTheNearestOfAllTerms) {
+  WeightsTargets targets(kTerms);
+  BOOST_TEST((targets.nextEnd(kStart) == std::nullopt));
+  targets.name(kModel, WeightsVersion(2), kStart);
+  targets.name(ModelId("n"), WeightsVersion(7), kStart + Milliseconds(1000));
+  BOOST_TEST((targets.nextEnd(kStart) == kStart + Milliseconds(6000)));
+  BOOST_TEST((targets.nextEnd(kStart + Milliseconds(6000)) == kStart + Milliseconds(7000)));
+  BOOST_TEST((targets.nextEnd(kStart + Milliseconds(7000)) == kStart + Milliseconds(7500)));
+  BOOST_TEST((targets.nextEnd(kStart + Milliseconds(8500)) == std::nullopt));
+}
+
 BOOST_AUTO_TEST_CASE(versionKeepsTheTimeAtWhichItWasFirstHeardOf) {
-  WeightsTargets targets(Milliseconds(6000));
+  WeightsTargets targets(kTerms);
   targets.name(kModel, WeightsVersion(2), kStart);
   targets.name(kModel, WeightsVersion(2), kStart + Milliseconds(5000));
   BOOST_TEST((targets.least(kModel, kStart + Milliseconds(6000)) == WeightsVersion(2)));
 }
 
 BOOST_AUTO_TEST_CASE(whatWasFoundIsTakenAsNamedBefore) {
-  WeightsTargets targets(Milliseconds(6000));
+  WeightsTargets targets(kTerms);
   targets.find(kModel, WeightsVersion(2), kStart);
   BOOST_TEST((targets.outdatedSince(kModel, WeightsVersion(1)) == kStart - Milliseconds(3000)));
   BOOST_TEST((targets.successorHeardAt(kModel, WeightsVersion(1)) == kStart));
@@ -39,9 +59,9 @@
 BOOST_AUTO_TEST_CASE(anotherNodeTellsWhenTheFoundVersionWasNamed) {
   // A node that restarts 400 ms after a naming must not give older weights up 2,600 ms too soon,
   // when no server has the newer ones yet.
-  WeightsTargets watching(Milliseconds(6000));
+  WeightsTargets watching(kTerms);
   watching.name(kModel, WeightsVersion(2), kStart);
-  WeightsTargets restarted(Milliseconds(6000));
+  WeightsTargets restarted(kTerms);
   const MonotonicTime start = kStart + Milliseconds(400);
   restarted.find(kModel, WeightsVersion(2), start);
   restarted.learn(watching.known(start), start);
@@ -50,12 +70,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(ofSeveralAgesToldTheGreatestHolds) {
-  WeightsTargets watching(Milliseconds(6000));
+  WeightsTargets watching(kTerms);
   watching.name(kModel, WeightsVersion(2), kStart);
   // This one was cut off when the version was named, and heard of it 3 s late.
-  WeightsTargets late(Milliseconds(6000));
+  WeightsTargets late(kTerms);
   late.name(kModel, WeightsVersion(2), kStart + Milliseconds(3000));
-  WeightsTargets restarted(Milliseconds(6000));
+  WeightsTargets restarted(kTerms);
   const MonotonicTime start = kStart + Milliseconds(4000);
   restarted.find(kModel, WeightsVersion(2), start);
   restarted.learn(late.known(start), start);
@@ -66,7 +86,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(whatThisNodeSawNamedIsNotCorrected) {
-  WeightsTargets targets(Milliseconds(6000));
+  WeightsTargets targets(kTerms);
   targets.name(kModel, WeightsVersion(2), kStart);
   targets.learn({{kModel, WeightsVersion(2), Milliseconds(0)}}, kStart + Milliseconds(5000));
   BOOST_TEST((targets.outdatedSince(kModel, WeightsVersion(1)) == kStart));
