Mend: a key is looked up anew at each send, and time that a body takes to come in is the caller's

Change: RequestGate::mayBeSent before each dispatch, after the claim; http::Request::begun is set at the first byte.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -207,9 +207,9 @@
 awaitable<Result<void>> Forwarder::dispatchUntilDone(Job& job) {
   Result<void> outcome = boost::outcome_v2::success();
   for (;;) {
-    Result<void> allowed = co_await job.limitUse.claim(context_.quota);
+    Result<void> allowed = co_await mayDispatch(job);
     if (!allowed) {
-      // A second dispatch that the limit does not cover leaves the failure of the first.
+      // A second dispatch that is not allowed leaves the failure of the first.
       co_return job.attempts.sent == 0 ? allowed : outcome;
     }
     if (job.writer.callerGone()) {
@@ -238,6 +238,19 @@
   }
 }
 
+awaitable<Result<void>> Forwarder::mayDispatch(Job& job) {
+  Result<void> claimed = co_await job.limitUse.claim(context_.quota);
+  if (!claimed) {
+    co_return claimed;
+  }
+  Result<void> sendable =
+      gate_.mayBeSent(job.request, job.grant, context_.configuration(), monotonicNow());
+  if (!sendable) {
+    job.limitUse.giveBack(context_.quota);
+  }
+  co_return sendable;
+}
+
 awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
   context_.endWeightsTerms();
   const MonotonicTime now = monotonicNow();
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -30,6 +30,7 @@
   /// Method, target, end-to-end headers and body, as they go to a server.
   http::Request message;
   std::string apiKey;
+  /// When its first byte came.
   MonotonicTime received{};
   /// How long the caller waits; nothing where it doesn't say.
   std::optional<Milliseconds> patience;
--- a/src/forward/request_gate.cc
+++ b/src/forward/request_gate.cc
@@ -26,6 +26,21 @@
   return grant;
 }
 
+Result<void> RequestGate::mayBeSent(const Request& request, const Grant& grant,
+                                    const ConfigurationView& view, MonotonicTime now) const {
+  if (grant.tenant == nullptr) {
+    return boost::outcome_v2::success();
+  }
+  if (!servesKeys(view, now)) {
+    return fail(ErrorKind::kNoConfiguration, "the configuration is not proven to be the newest");
+  }
+  const routes::Tenant* holder = view.table->findTenant(request.apiKey);
+  if (holder == nullptr || holder->id != grant.tenant->id) {
+    return absence(view, now, ErrorKind::kUnauthenticated, "the tenant's key was withdrawn");
+  }
+  return boost::outcome_v2::success();
+}
+
 Error RequestGate::absence(const ConfigurationView& view, MonotonicTime now, ErrorKind kind,
                            std::string detail) const {
   if (now - view.provenAt > settings_.absenceProofAge) {
--- a/src/forward/request_gate.h
+++ b/src/forward/request_gate.h
@@ -26,8 +26,9 @@
 
 /// Decides by the configuration whether a request is served, and as whose.
 ///
-/// Invariant: no request is granted to a key that was withdrawn more than `keyProofAge` before the
-/// request came. It holds because the table that grants it was the newest within that time.
+/// Invariant: no request is sent to a server for a key that was withdrawn more than `keyProofAge`
+/// before. It holds because the table that grants it was the newest within that time, when the
+/// request comes and at each send.
 class RequestGate {
  public:
   explicit RequestGate(GateSettings settings) : settings_(settings) {}
@@ -36,6 +37,12 @@
   /// or kUnauthenticated.
   Result<Grant> check(const Request& request, const ConfigurationView& view,
                       MonotonicTime now) const;
+  /// Whether a request that was granted before may be sent to a server now. Its key is looked up
+  /// anew: until then a request may have waited for a claim or at another server, for longer than
+  /// withdrawn keys may be served. Routes stay as they were granted. Fails with kNoConfiguration or
+  /// kUnauthenticated.
+  Result<void> mayBeSent(const Request& request, const Grant& grant, const ConfigurationView& view,
+                         MonotonicTime now) const;
   /// Whether requests with keys are served.
   bool servesKeys(const ConfigurationView& view, MonotonicTime now) const {
     return view.table != nullptr && now - view.provenAt <= settings_.keyProofAge;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "common/clock.h"
 #include "common/error.h"
 
 namespace calicodrift::http {
@@ -38,6 +39,8 @@
   std::string target = "/";
   HeaderList headers;
   std::string body;
+  /// When its first byte came; nothing for requests that this process makes.
+  std::optional<MonotonicTime> begun;
   /// Path without the query.
   std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
   /// Value of a query parameter, not percent-decoded; empty where absent.
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -170,6 +170,7 @@
     co_return false;
   }
   const CountGuard busy(server_->busy);
+  const MonotonicTime begun = monotonicNow();
   RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
   parser.body_limit(limits_.maxBodyBytes);
@@ -186,6 +187,7 @@
   keepAlive_ = parser.get().keep_alive();
   headOnly_ = parser.get().method() == bhttp::verb::head;
   Request request = toRequest(parser.release());
+  request.begun = begun;
   co_await handle(request);
   const bool more = keepAlive_ && !gone_;
   if (!more && !gone_) {
