--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -11,8 +11,6 @@
 /// One run in so many loses its answer, or the rest of its stream.
 constexpr std::size_t kRunsALoss = 40;
 constexpr Milliseconds kEventPause{15};
-/// The users' bound for a withdrawn key, with what a request may take on its way.
-constexpr Milliseconds kRevocation{5500};
 constexpr Milliseconds kRecovery{12'000};
 
 /// About what the callers send, so that waves of them are over it. In tokens.
@@ -22,6 +20,17 @@
 constexpr double kModelTokens = 920;
 constexpr quota::QuotaBounds kLimitBounds{Milliseconds(4000), 0.1, 30'000};
 
+/// What a caller waits for its answer.
+constexpr Milliseconds kDeadline{3000};
+
+bool streams(const std::string& kind) {
+  return kind.starts_with("stream");
+}
+
+bool runsOnce(const std::string& kind) {
+  return kind == "once" || kind == "stream-once";
+}
+
 std::string wholeStream() {
   std::string events;
   for (unsigned number = 1; number <= kEvents; ++number) {
@@ -51,10 +60,13 @@
   auto added = std::make_unique<Server>();
   added->server = std::make_unique<ServerStandIn>(context_, id, service, model);
   added->proxy = makeProxy(added->server->endpoint());
-  added->server->setBehaviour([this](const http::Request& request, http::ResponseWriter& writer) {
-    return runServerRequest(request, writer);
-  });
+  added->hasModel = !model.empty();
   Server& server = *added;
+  added->server->setBehaviour(
+      [this, &server](const http::Request& request, http::ResponseWriter& writer) {
+        return runServerRequest(server, request, writer);
+      });
+  added->server->loadTime = between(30, 800);
   added->server->onLoaded([this, &server] { publish(server); });
   servers_.push_back(std::move(added));
   publish(server);
@@ -82,6 +94,7 @@
                    {"limit-window-s", "4"},
                    {"limit-overshoot", "0.1"},
                    {"limit-slack", "30000"},
+                   {"weights-bound-ms", std::to_string(kWeightsBound.count())},
                    {"store", node->store.endpoint.toString()}});
   startNode(*node);
   nodes_.push_back(std::move(node));
@@ -94,12 +107,19 @@
 }
 
 /// Runs a request: counts it, then answers with its id, or with a stream after the given position.
-awaitable<void> GatewaySoak::runServerRequest(const http::Request& request,
+awaitable<void> GatewaySoak::runServerRequest(Server& server, const http::Request& request,
                                               http::ResponseWriter& writer) {
   const std::string id = request.headers.get(platform::kRequestId);
+  const MonotonicTime arrival = monotonicNow();
+  if (server.hasModel) {
+    if (!co_await waitsToBegin(server, request, writer)) {
+      co_return;
+    }
+    recordBeginning(server, id);
+  }
   ++runs_[id];
-  tokensRun_.add(request.headers.find(platform::kModel) ? kModelTokens : kPlainTokens,
-                 monotonicNow());
+  // The limit is kept where requests are sent, so that a wait at the server doesn't count.
+  tokensRun_.emplace(arrival, server.hasModel ? kModelTokens : kPlainTokens);
   if (request.headers.find(platform::kKey)) {
     violate("server got a key: " + id);
   }
@@ -143,7 +163,11 @@
   const double seconds = toMilliseconds(kLimitBounds.window) / kMsPerSecond;
   const double allowed =
       (kLimitPerSecond * seconds + kLimitBurst) * (1 + kLimitBounds.overshoot) + kLimitBounds.slack;
-  const double worst = tokensRun_.worst(kLimitBounds.window);
+  quota::WindowChecker run;
+  for (const auto& [arrival, tokens] : tokensRun_) {
+    run.add(tokens, arrival);
+  }
+  const double worst = run.worst(kLimitBounds.window);
   if (worst > allowed) {
     violate(std::to_string(worst) + " tokens of the tenant ran in one window; allowed " +
             std::to_string(allowed));
@@ -152,7 +176,7 @@
 
 awaitable<void> GatewaySoak::callers() {
   constexpr Milliseconds kInterval{8};
-  const std::vector<std::string> kinds{"safe", "once", "stream"};
+  const std::vector<std::string> kinds{"safe", "once", "stream", "stream-once", "stream-patient"};
   while (!ended_) {
     // After the withdrawal the key goes on to be used.
     const bool withdrawn = withdrawnAt_.has_value();
@@ -165,23 +189,27 @@
 awaitable<void> GatewaySoak::call(std::string kind, std::string key) {
   ++outstanding_;
   const std::string id = "q" + std::to_string(++nextRequest_);
-  http::Request request = kind == "stream" ? GatewayFixture::modelRequest("/stream/a")
-                                           : GatewayFixture::request("/" + kind + "/a");
+  const std::string path = "/" + kind + "/a";
+  http::Request request =
+      streams(kind) ? GatewayFixture::modelRequest(path) : GatewayFixture::request(path);
   request.headers.set(platform::kRequestId, id);
   request.headers.set(platform::kKey, key);
-  request.headers.set(platform::kDeadline, "3000");
-  if (kind == "once") {
+  request.headers.set(platform::kDeadline, std::to_string(kDeadline.count()));
+  if (runsOnce(kind)) {
     once_.insert(id);
   }
-  if (key == "k1" && withdrawnAt_ && monotonicNow() - *withdrawnAt_ > kRevocation) {
+  if (key == "k1" && withdrawnAt_ && monotonicNow() - *withdrawnAt_ > kKeyRevocation) {
     withdrawnSent_.insert(id);
   }
   http::ExchangeOptions options;
-  options.connection = http::ConnectionUse::kFresh;
+  // Half of the callers keep their connections, for as long as the node's process has them open.
+  options.connection = pick(2) == 0 ? http::ConnectionUse::kFresh : http::ConnectionUse::kPooled;
   options.connectTimeout = Milliseconds(500);
-  options.headerTimeout = Milliseconds(3500);
-  options.bodyTimeout = Milliseconds(3500);
-  const Endpoint target = nodes_[pick(nodes_.size())]->listen;
+  options.headerTimeout = kDeadline + Milliseconds(500);
+  options.bodyTimeout = options.headerTimeout;
+  const Node& node = *nodes_[pick(nodes_.size())];
+  nodeOf_[id] = &node;
+  const Endpoint target = node.listen;
   ++findings_.requests;
   const Result<http::Response> answer =
       co_await client_.exchange(target, std::move(request), options);
@@ -196,14 +224,14 @@
   }
   const unsigned status = answer.value().status;
   const bool promise = status == 503 || status == 429 || status == 408 || status == 421;
-  if (promise && kind == "once") {
+  if (promise && runsOnce(kind)) {
     promisedNotRun_.insert(id);
   }
   if (status != 200) {
     return;
   }
   ++findings_.served;
-  const std::string expected = kind == "stream" ? wholeStream() : "run " + id;
+  const std::string expected = streams(kind) ? wholeStream() : "run " + id;
   if (answer.value().body != expected) {
     violate(kind + " " + id + " got another body: " + answer.value().body);
   }
@@ -212,11 +240,11 @@
   }
 }
 
-awaitable<void> GatewaySoak::faults() {
-  while (monotonicNow() < end_) {
+awaitable<void> GatewaySoak::faults(MonotonicTime end, MonotonicTime withdrawal) {
+  while (monotonicNow() < end) {
     co_await pause(between(150, 500));
     asio::co_spawn(context_, injectOne(), asio::detached);
-    if (!withdrawnAt_ && monotonicNow() > end_ - length_ / 2 - kRevocation / 2) {
+    if (!withdrawnAt_ && monotonicNow() > withdrawal) {
       asio::co_spawn(context_, withdrawKeyUnheard(), asio::detached);
       withdrawnAt_ = monotonicNow();
     }
@@ -230,12 +258,14 @@
       break;
     case 1: {
       Node& node = *nodes_[pick(nodes_.size())];
-      co_await strikeProxy(std::string(kStorePath), node.store.control);
+      co_await strikeProxy(std::string(kStorePath), node.store.control, storeFaults_);
       break;
     }
-    case 2:
-      co_await strikeProxy("server", servers_[pick(servers_.size())]->proxy.control);
+    case 2: {
+      Server& server = *servers_[pick(servers_.size())];
+      co_await strikeProxy("server", server.proxy.control, server.pathFaults);
       break;
+    }
     default:
       co_await strikeStore();
       break;
@@ -247,6 +277,7 @@
     co_return;
   }
   node.stopping = true;
+  const FaultSpan span(node.faults);
   switch (pick(3)) {
     case 0:
       ++findings_.faults["node killed"];
@@ -285,7 +316,7 @@
   BOOST_TEST(static_cast<bool>(answer), "the proxy takes no faults");
 }
 
-awaitable<void> GatewaySoak::strikeProxy(std::string name, Endpoint control) {
+awaitable<void> GatewaySoak::strikeProxy(std::string name, Endpoint control, FaultSpans& faults) {
   const std::vector<json::object> choices{{{"refuse", true}},           {{"freeze", true}},
                                           {{"swallow_requests", true}}, {{"swallow_answers", true}},
                                           {{"delay_ms", 120}},          {{"drop_answers", 3}},
@@ -296,6 +327,7 @@
   if (storePath && unheard_) {
     co_return;
   }
+  const FaultSpan span(faults);
   co_await setFaults(control, chosen);
   co_await pause(between(200, 2000));
   json::object after;
@@ -309,11 +341,12 @@
   const std::size_t kind = pick(5);
   if (kind == 0) {
     ++findings_.faults["store forgets its history"];
+    const FaultSpan span(storeFaults_);
     store_.compact();
   } else if (kind == 1) {
-    ++findings_.faults["weights named"];
-    store_.put("versions", "m", json::object{{"model", "m"}, {"version", ++weights_}});
+    nameWeights();
   } else {
+    const FaultSpan span(storeFaults_);
     const std::vector<StoreStandIn::Mode> modes{
         StoreStandIn::Mode::kBusy, StoreStandIn::Mode::kSilent, StoreStandIn::Mode::kLosesWrites};
     ++findings_.faults["store fails"];
@@ -326,14 +359,16 @@
 /// Withdraws the key while no node hears from the store, for longer than the key may be served.
 awaitable<void> GatewaySoak::withdrawKeyUnheard() {
   ++findings_.faults["key withdrawn"];
+  const FaultSpan span(storeFaults_);
   unheard_ = true;
   json::object frozen;
   frozen["freeze"] = true;
   for (const std::unique_ptr<Node>& node : nodes_) {
     co_await setFaults(node->store.control, frozen);
   }
-  store_.put("config", "main", GatewayFixture::configuration(++configVersion_, "k2", limit()));
-  co_await pause(kRevocation + Milliseconds(2000));
+  ++configVersion_;
+  store_.put("config", "main", configuration("k2"));
+  co_await pause(kKeyRevocation + Milliseconds(2000));
   unheard_ = false;
   const json::object none;
   for (const std::unique_ptr<Node>& node : nodes_) {
@@ -383,14 +418,27 @@
   }
 }
 
+void GatewaySoak::checkRuns() {
+  for (const auto& [id, count] : runs_) {
+    if (count > 1 && once_.contains(id)) {
+      violate("once " + id + " ran " + std::to_string(count) + " times");
+    }
+    if (promisedNotRun_.contains(id)) {
+      violate("once " + id + " ran although the answer promised that it had not");
+    }
+    if (withdrawnSent_.contains(id)) {
+      violate(id + " ran under a key that had been withdrawn");
+    }
+  }
+}
+
 SoakFindings GatewaySoak::run() {
   asio::co_spawn(
       context_,
       [this]() -> awaitable<void> {
         co_await recover();
-        end_ = monotonicNow() + length_;
         asio::co_spawn(context_, callers(), asio::detached);
-        co_await faults();
+        co_await stormAndCalm();
         // Faults that are under way end by themselves within a planned stop's time.
         co_await pause(Milliseconds(9500));
         co_await recover();
@@ -406,23 +454,19 @@
           context_.stop();
         }
       });
-  context_.run_for(length_ + std::chrono::seconds(60));
+  context_.run_for(3 * length_ + std::chrono::seconds(120));
   if (!ended_) {
     violate("the soak did not end in time");
   }
-  for (const auto& [id, count] : runs_) {
-    if (count > 1 && once_.contains(id)) {
-      violate("once " + id + " ran " + std::to_string(count) + " times");
-    }
-    if (promisedNotRun_.contains(id)) {
-      violate("once " + id + " ran although the answer promised that it had not");
-    }
-    if (withdrawnSent_.contains(id)) {
-      violate(id + " ran under a key that had been withdrawn");
-    }
-  }
+  checkRuns();
   checkOrders();
   checkLimit();
+  for (const std::string& late : weightsCheck_.violations()) {
+    violate(late);
+  }
+  findings_.judgedBeginnings = weightsCheck_.judgedBeginnings();
+  findings_.judgedNamings = weightsCheck_.judgedNamings();
+  findings_.weights = weightsCheck_.summary();
   return findings_;
 }
 
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -13,21 +13,36 @@
 
 #include "../platform/gateway_fixture.h"
 #include "../quota/simulated_fleet.h"
+#include "fault_spans.h"
 #include "http/client.h"
 #include "names.h"
 #include "server_stand_in.h"
 #include "sim/fault_proxy.h"
 #include "store_stand_in.h"
 #include "support/process.h"
+#include "weights_check.h"
 
 namespace calicodrift::testing {
 
+/// The bound that the nodes are given. Short, so that many namings fit in a run; its term is half
+/// of it.
+constexpr Milliseconds kWeightsBound{4000};
+/// After a fault on the path to the store, or at a node, until it counts as in touch.
+constexpr Milliseconds kSettle{3000};
+
+/// The users' bound for a withdrawn key, with what a request may take on its way.
+constexpr Milliseconds kKeyRevocation{5500};
+
 /// What the soak found; all counts of violations must be 0.
 struct SoakFindings {
   std::size_t requests = 0;
   std::size_t served = 0;
   std::map<std::string, std::size_t> faults;
   std::vector<std::string> violations;
+  /// How often the check of the begun weights could bite.
+  std::size_t judgedBeginnings = 0;
+  std::size_t judgedNamings = 0;
+  std::string weights;
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -41,7 +56,7 @@
     folder_ =
         std::filesystem::temp_directory_path() / ("gateway-soak-" + std::to_string(::getpid()));
     std::filesystem::create_directories(folder_);
-    store_.put("config", "main", GatewayFixture::configuration(1, "k1", limit()));
+    store_.put("config", "main", configuration("k1"));
     store_.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
     for (int number = 1; number <= 3; ++number) {
       addServer("app-" + std::to_string(number), "app", "");
@@ -75,10 +90,16 @@
     Proxy store;
     std::unique_ptr<Process> process;
     bool stopping = false;
+    /// Kills, pauses and stops, each until the node runs again.
+    FaultSpans faults{kSettle};
   };
   struct Server {
     std::unique_ptr<ServerStandIn> server;
     Proxy proxy;
+    bool hasModel = false;
+    /// Requests that come wait for some seconds before they begin.
+    bool letsWait = false;
+    FaultSpans pathFaults{Milliseconds(0)};
   };
 
   /// The tenant's limit, as the platform writes it.
@@ -88,21 +109,35 @@
   void publish(const Server& server);
   void addNode(const std::string& name);
   void startNode(Node& node);
-  Body runServerRequest(const http::Request& request, http::ResponseWriter& writer);
+  Body runServerRequest(Server& server, const http::Request& request, http::ResponseWriter& writer);
+  boost::asio::awaitable<bool> waitsToBegin(const Server& server, const http::Request& request,
+                                            http::ResponseWriter& writer);
+  void recordBeginning(const Server& server, const std::string& request);
+  /// The platform's configuration, with routes whose requests stay with a silent server.
+  boost::json::value configuration(const std::string& key);
   Body callers();
   Body call(std::string kind, std::string key);
   void judge(const std::string& kind, const std::string& id, const Result<http::Response>& answer);
-  Body faults();
+  Body stormAndCalm();
+  Body faults(MonotonicTime end, MonotonicTime withdrawal);
+  Body calmStore(MonotonicTime end);
   Body injectOne();
+  Body injectOneButStore();
+  Body nameInSeries(MonotonicTime end);
+  void nameWeights();
+  void troubleModelServers();
+  Body troubleOrders(Server& server, Milliseconds length);
+  Body letWait(Server& server, Milliseconds after, Milliseconds length);
   Body strikeNode(Node& node);
   Body setFaults(Endpoint control, boost::json::object faults);
-  Body strikeProxy(std::string name, Endpoint control);
+  Body strikeProxy(std::string name, Endpoint control, FaultSpans& faults);
   Body strikeStore();
   Body withdrawKeyUnheard();
   Body recover();
   Body pause(Milliseconds time);
   void checkOrders();
   void checkLimit();
+  void checkRuns();
   Endpoint freeEndpoint();
   std::size_t pick(std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
@@ -121,7 +156,6 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::vector<std::unique_ptr<Node>> nodes_;
   SoakFindings findings_;
-  MonotonicTime end_{};
   bool ended_ = false;
   std::size_t outstanding_ = 0;
   std::uint64_t nextRequest_ = 0;
@@ -132,12 +166,17 @@
   std::set<std::string> once_;
   std::set<std::string> promisedNotRun_;
   std::set<std::string> withdrawnSent_;
-  /// Tokens of the tenant that servers ran.
-  quota::WindowChecker tokensRun_;
+  /// Tokens of the tenant that servers ran, by the time at which their requests came.
+  std::multimap<MonotonicTime, double> tokensRun_;
   /// No node hears from the store.
   bool unheard_ = false;
   /// When the key was withdrawn.
   std::optional<MonotonicTime> withdrawnAt_;
+  /// Faults of the store and of any path to it.
+  FaultSpans storeFaults_{kSettle};
+  WeightsCheck weightsCheck_{kWeightsBound};
+  /// The node that the soak called with a request.
+  std::map<std::string, const Node*> nodeOf_;
 };
 
 }  // namespace calicodrift::testing
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -16,6 +16,7 @@
   const SoakFindings findings = soak.run();
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served");
+  BOOST_TEST_MESSAGE("  " << findings.weights);
   for (const auto& [fault, count] : findings.faults) {
     BOOST_TEST_MESSAGE("  " << count << " x " << fault);
   }
@@ -24,6 +25,8 @@
   }
   BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
   BOOST_TEST(findings.faults.size() >= 5U, "too few faults were injected to judge");
+  BOOST_TEST(findings.judgedBeginnings > 0U, "no beginning could break the bound on weights");
+  BOOST_TEST(findings.judgedNamings > 0U, "no naming was old enough to judge beginnings by");
 }
 
 BOOST_AUTO_TEST_SUITE(gateway_soak)
--- /dev/null
+++ b/tests/gateway_soak/weights_check.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/clock.h"
+
+namespace calicodrift::testing {
+
+/// A request as its server saw it begin.
+struct Beginning {
+  std::string request;
+  std::string server;
+  std::string node;
+  std::uint64_t weights = 0;
+  MonotonicTime at;
+  /// Since when the store, all paths to it and the sending node were free of faults; nothing where
+  /// one was not.
+  std::optional<MonotonicTime> calmSince;
+  /// Where the path to the server was not free of faults all that time.
+  bool serverPathDisturbed = false;
+};
+
+/// Judges by the servers' record that no request begins on older weights later than a bound after
+/// newer ones were named. Time counts from the naming or the last fault, whichever is later.
+class WeightsCheck {
+ public:
+  explicit WeightsCheck(Milliseconds bound) : bound_(bound) {}
+
+  /// Versions are named in rising order.
+  void named(std::uint64_t version, MonotonicTime at) { namings_.emplace(version, at); }
+  void begun(Beginning beginning) { beginnings_.push_back(std::move(beginning)); }
+
+  std::vector<std::string> violations() const;
+  /// Beginnings that came so soon after a naming's bound that the bound was what kept them from
+  /// older weights.
+  std::size_t judgedBeginnings() const;
+  /// Namings with a judged beginning.
+  std::size_t judgedNamings() const;
+  std::string summary() const;
+
+ private:
+  /// How long a naming had been in force undisturbed; nothing where it had not.
+  static std::optional<Milliseconds> ageOf(MonotonicTime namedAt, const Beginning& beginning);
+  /// The same for the first naming of newer weights than those of the beginning.
+  std::optional<Milliseconds> outdatedFor(const Beginning& beginning) const;
+  bool judges(MonotonicTime namedAt, const Beginning& beginning) const;
+
+  Milliseconds bound_;
+  std::map<std::uint64_t, MonotonicTime> namings_;
+  std::vector<Beginning> beginnings_;
+};
+
+}  // namespace calicodrift::testing
--- a/tests/platform/server_stand_in.cc
+++ b/tests/platform/server_stand_in.cc
@@ -8,7 +8,6 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 using asio::awaitable;
-constexpr Milliseconds kLoadTime{30};
 
 }  // namespace
 
@@ -114,21 +113,12 @@
     writer.abort();
     co_return;
   }
-  const auto fence = order.at("fence").to_number<std::uint64_t>();
-  unsigned status = 202;
-  if (fence < highestFence_) {
-    status = 412;
-  } else if (busy_ || order.at("expected").to_number<std::uint64_t>() != orderCount_) {
-    status = 409;
-  }
-  highestFence_ = std::max(highestFence_, fence);
-  if (status == 202) {
-    ++orderCount_;
-    busy_ = true;
-    auto timer = std::make_shared<asio::steady_timer>(context_, kLoadTime);
-    timer->async_wait([this, timer, weights = order.at("version").to_number<std::uint64_t>()](
-                          boost::system::error_code) { finishLoad(weights); });
+  if (ordersLateBy) {
+    carryOutLate(order);
+    writer.abort();
+    co_return;
   }
+  const unsigned status = carryOut(order);
   if (std::exchange(losesOrderAnswer_, false)) {
     writer.abort();
     co_return;
@@ -136,6 +126,31 @@
   co_await http::respond(writer, http::textResponse(status, ""));
 }
 
+unsigned ServerStandIn::carryOut(const json::value& order) {
+  const auto fence = order.at("fence").to_number<std::uint64_t>();
+  if (fence < highestFence_) {
+    return 412;
+  }
+  highestFence_ = fence;
+  if (busy_ || order.at("expected").to_number<std::uint64_t>() != orderCount_) {
+    return 409;
+  }
+  ++orderCount_;
+  busy_ = true;
+  auto timer = std::make_shared<asio::steady_timer>(context_, loadTime);
+  timer->async_wait([this, timer, weights = order.at("version").to_number<std::uint64_t>()](
+                        boost::system::error_code) { finishLoad(weights); });
+  return 202;
+}
+
+void ServerStandIn::carryOutLate(json::value order) {
+  auto timer = std::make_shared<asio::steady_timer>(context_, *ordersLateBy);
+  timer->async_wait([this, timer, order = std::move(order)](boost::system::error_code) {
+    // Nobody waits for the answer any more.
+    static_cast<void>(carryOut(order));
+  });
+}
+
 void ServerStandIn::finishLoad(std::uint64_t weights) {
   busy_ = false;
   weights_ = weights;
--- a/tests/platform/server_stand_in.h
+++ b/tests/platform/server_stand_in.h
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,11 +49,19 @@
   bool healthy = true;
   /// Orders get no answer and have no effect.
   bool ignoresOrders = false;
+  /// Orders get no answer and are carried out so long after their arrival, if they fit then.
+  std::optional<Milliseconds> ordersLateBy;
+  Milliseconds loadTime{30};
+  /// An order is under way.
+  bool busy() const { return busy_; }
 
  private:
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   boost::asio::awaitable<void> takeOrder(const http::Request& request,
                                          http::ResponseWriter& writer);
+  /// Carries an order out if it fits; gives the status of its answer.
+  unsigned carryOut(const boost::json::value& order);
+  void carryOutLate(boost::json::value order);
   void finishLoad(std::uint64_t weights);
 
   boost::asio::io_context& context_;
