--- a/tests/gateway_soak/calm_store.cc
+++ b/tests/gateway_soak/calm_store.cc
@@ -75,24 +75,26 @@
 }
 
 void GatewaySoak::recordBeginning(const Server& server, const std::string& request) {
-  const auto sender = nodeOf_.find(request);
-  if (sender == nodeOf_.end()) {
+  const auto sending = sendings_.find(request);
+  if (sending == sendings_.end()) {
     violate(request + " began, but was never sent");
     return;
   }
+  const Node& node = *sending->second.node;
   Beginning beginning;
   beginning.request = request;
   beginning.server = server.server->id();
-  beginning.node = sender->second->name;
+  beginning.node = node.name;
+  beginning.sentAt = sending->second.at;
   beginning.weights = server.server->weights();
   beginning.at = monotonicNow();
   const std::optional<MonotonicTime> storeCalm = storeFaults_.calmSince();
-  const std::optional<MonotonicTime> nodeCalm = sender->second->faults.calmSince();
+  const std::optional<MonotonicTime> nodeCalm = node.faults.calmSince();
   if (storeCalm && nodeCalm) {
     beginning.calmSince = std::max(*storeCalm, *nodeCalm);
   }
   const std::optional<MonotonicTime> pathCalm = server.pathFaults.calmSince();
-  beginning.serverPathDisturbed = !pathCalm || *pathCalm > beginning.at - kWeightsBound;
+  beginning.serverPathDisturbed = !pathCalm || *pathCalm > beginning.sentAt;
   weightsCheck_.begun(std::move(beginning));
 }
 
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -179,7 +179,7 @@
   options.headerTimeout = kDeadline + Milliseconds(500);
   options.bodyTimeout = options.headerTimeout;
   const Node& node = *nodes_[pick(nodes_.size())];
-  nodeOf_[id] = &node;
+  sendings_[id] = {&node, monotonicNow()};
   const Endpoint target = node.listen;
   ++findings_.requests;
   const Result<http::Response> answer =
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -93,6 +93,10 @@
     /// Kills, pauses and stops, each until the node runs again.
     FaultSpans faults{kSettle};
   };
+  struct Sending {
+    const Node* node = nullptr;
+    MonotonicTime at;
+  };
   struct Server {
     std::unique_ptr<ServerStandIn> server;
     Proxy proxy;
@@ -181,8 +185,8 @@
   /// Faults of the store and of any path to it.
   FaultSpans storeFaults_{kSettle};
   WeightsCheck weightsCheck_{kWeightsBound};
-  /// The node that the soak called with a request.
-  std::map<std::string, const Node*> nodeOf_;
+  /// Where and when the soak sent each request.
+  std::map<std::string, Sending> sendings_;
 };
 
 }  // namespace calicodrift::testing
--- a/tests/gateway_soak/weights_check.cc
+++ b/tests/gateway_soak/weights_check.cc
@@ -34,10 +34,12 @@
     }
     const auto newer = namings_.upper_bound(beginning.weights);
     const auto named = std::chrono::floor<Milliseconds>(beginning.at - newer->second);
+    const auto wait = std::chrono::floor<Milliseconds>(beginning.at - beginning.sentAt);
     found.push_back(beginning.request + " of " + beginning.node + " began at " + beginning.server +
                     " on weights " + std::to_string(beginning.weights) + ", " +
                     std::to_string(named.count()) + " ms after " + std::to_string(newer->first) +
-                    " was named, " + std::to_string(age->count()) + " ms of them calm" +
+                    " was named, " + std::to_string(age->count()) + " ms of them calm; sent " +
+                    std::to_string(wait.count()) + " ms before" +
                     (beginning.serverPathDisturbed ? "; path to the server disturbed" : ""));
   }
   return found;
--- a/tests/gateway_soak/weights_check.h
+++ b/tests/gateway_soak/weights_check.h
@@ -17,11 +17,14 @@
   std::string server;
   std::string node;
   std::uint64_t weights = 0;
+  /// When the caller sent it to the node.
+  MonotonicTime sentAt;
   MonotonicTime at;
   /// Since when the store, all paths to it and the sending node were free of faults; nothing where
   /// one was not.
   std::optional<MonotonicTime> calmSince;
-  /// Where the path to the server was not free of faults all that time.
+  /// The path to the server was not free of faults since the request was sent. Told with a
+  /// violation, and no excuse.
   bool serverPathDisturbed = false;
 };
 
