Tests' processes get none of the test's sockets

Cause: a node that the soak started got copies of all of its sockets, so that a connection that the soak's proxy closed while the node lived stayed open for the stand-in server behind it, and a request that its sender had given up began there.

--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <linux/close_range.h>
+#include <unistd.h>
+
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <limits>
 #include <map>
 #include <memory>
 #include <stdexcept>
@@ -21,9 +26,10 @@
           std::size_t ports = 0) {
     const char* folder = std::getenv("CALICODRIFT_BIN");
     const std::string path = std::string(folder == nullptr ? "build/bin" : folder) + "/" + program;
-    child_ = boost::process::child(path, boost::process::args(arguments),
-                                   boost::process::std_out > output_,
-                                   boost::process::std_err > boost::process::null);
+    child_ = boost::process::child(
+        path, boost::process::args(arguments), boost::process::std_out > output_,
+        boost::process::std_err > boost::process::null,
+        boost::process::extend::on_exec_setup([](auto&) { keepOnlyStandardStreams(); }));
     std::string line;
     while (endpoints_.size() < ports && std::getline(output_, line)) {
       readAnnouncement(line);
@@ -67,6 +73,13 @@
   }
 
  private:
+  /// In the child. A copy of one of the test's sockets in it keeps a connection open that the test
+  /// has closed, so that the other end doesn't see the close.
+  static void keepOnlyStandardStreams() {
+    constexpr unsigned kFirstOther = 3;
+    ::close_range(kFirstOther, std::numeric_limits<unsigned>::max(), CLOSE_RANGE_CLOEXEC);
+  }
+
   void readAnnouncement(const std::string& line) {
     static const std::string prefix = "listening ";
     if (!line.starts_with(prefix)) {
