--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -139,7 +139,7 @@
 awaitable<Result<void>> Forwarder::dispatchUntilDone(Job& job) {
   Result<void> outcome = boost::outcome_v2::success();
   for (;;) {
-    Result<void> allowed = co_await mayDispatch(job);
+    Result<void> allowed = co_await claimDispatch(job);
     if (!allowed) {
       // A second dispatch that is not allowed leaves the failure of the first.
       co_return job.attempts.sent == 0 ? allowed : outcome;
@@ -170,13 +170,17 @@
   }
 }
 
-awaitable<Result<void>> Forwarder::mayDispatch(Job& job) {
+awaitable<Result<void>> Forwarder::claimDispatch(Job& job) {
   Result<void> claimed = co_await job.limitUse.claim(context_.quota);
   if (!claimed) {
     co_return claimed;
   }
-  Result<void> sendable =
-      gate_.mayBeSent(job.request, job.grant, context_.configuration(), monotonicNow());
+  const MonotonicTime now = monotonicNow();
+  Result<void> sendable = gate_.mayBeSent(job.request, job.grant, context_.configuration(), now);
+  if (sendable && now >= job.end) {
+    // The body, or the claim, took all of the time.
+    sendable = fail(ErrorKind::kDeadlineExceeded, "the time of the request is over");
+  }
   if (!sendable) {
     job.limitUse.giveBack(context_.quota);
   }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -80,8 +80,8 @@
   void tellAnswer(const Job& job, bool done) const;
   /// Ends with success once the caller has its answer, else with why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
-  /// Claims from the tenant's limit, and looks at the key again.
-  boost::asio::awaitable<Result<void>> mayDispatch(Job& job);
+  /// Claims from the tenant's limit, and looks at the key and the time again.
+  boost::asio::awaitable<Result<void>> claimDispatch(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
   /// Whether the chosen server can begin with the job in time. Fails with kOverloaded.
   Result<void> admit(const Job& job, const routing::Candidate& candidate, MonotonicTime now);
--- a/src/forward/request_gate.cc
+++ b/src/forward/request_gate.cc
@@ -35,7 +35,10 @@
     return fail(ErrorKind::kNoConfiguration, "the configuration is not proven to be the newest");
   }
   const routes::Tenant* holder = view.table->findTenant(request.apiKey);
-  if (holder == nullptr || holder->id != grant.tenant->id) {
+  if (holder != nullptr && holder->id != grant.tenant->id) {
+    return fail(ErrorKind::kNoConfiguration, "the key has gone to another tenant meanwhile");
+  }
+  if (holder == nullptr) {
     return absence(view, now, ErrorKind::kUnauthenticated, "the tenant's key was withdrawn");
   }
   return boost::outcome_v2::success();
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -38,6 +38,12 @@
                                            FailureUse failureUse);
   /// Closes the connection to the server, which so stops its work. Safe at any time.
   void cancel() { canceller_.cancel(); }
+  /// The same, as the server's weights must not be used any more.
+  void recall() {
+    recalled_ = true;
+    cancel();
+  }
+  bool recalled() const { return recalled_; }
   /// Called once, when the first bytes of the answer's body came.
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
   std::optional<WeightsVersion> weights() const { return weights_; }
@@ -60,6 +66,7 @@
   std::optional<WeightsVersion> weights_;
   std::optional<http::Response> keptFailure_;
   unsigned status_ = 0;
+  bool recalled_ = false;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/waiting_dispatches.cc
+++ b/src/forward/waiting_dispatches.cc
@@ -12,17 +12,23 @@
 }
 
 std::size_t WaitingDispatches::recall(const ModelId& model, WeightsVersion least) {
-  // A recall may end its dispatch at once, which changes the list.
-  std::vector<Recall> recalls;
-  for (auto& [number, waiting] : waiting_) {
+  std::vector<std::uint64_t> outdated;
+  for (const auto& [number, waiting] : waiting_) {
     if (waiting.model == model && waiting.weights < least && waiting.recall) {
-      recalls.push_back(std::exchange(waiting.recall, nullptr));
+      outdated.push_back(number);
     }
   }
-  for (const Recall& recall : recalls) {
-    recall();
+  std::size_t recalled = 0;
+  for (const std::uint64_t number : outdated) {
+    // A recall may end its own dispatch and others at once.
+    const auto found = waiting_.find(number);
+    if (found != waiting_.end()) {
+      const Recall recall = std::exchange(found->second.recall, nullptr);
+      recall();
+      ++recalled;
+    }
   }
-  return recalls.size();
+  return recalled;
 }
 
 }  // namespace calicodrift::forward
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -241,7 +241,9 @@
       },
       [this] { return targets_.known(monotonicNow()); },
       [this](const std::vector<fleet::NamedWeights>& named) {
-        targets_.learn(named, monotonicNow());
+        if (targets_.learn(named, monotonicNow())) {
+          views_.onNamingsLearnt();
+        }
       },
       [this] { return cacheStores_.reports(); },
       [this](const std::vector<fleet::CacheStoreReport>& reports) { cacheStores_.learn(reports); }};
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -198,7 +198,7 @@
   if (source == WeightsSource::kChange) {
     targets_.name(named.value().model, named.value().weights, monotonicNow());
   } else {
-    targets_.find(named.value().model, named.value().weights, monotonicNow());
+    targets_.find(named.value().model, named.value().weights, weightsProvenAt_, monotonicNow());
   }
   log::write(log::Level::kInfo, "weights_named",
              {{"model", named.value().model.value()},
@@ -219,7 +219,7 @@
   const Milliseconds allowance = std::clamp(beyond, Milliseconds(0), kMostAllowance);
   for (const ModelId& model : targets_.models()) {
     pool_.setLeastWeights(model, targets_.least(model, now + allowance), now);
-    listeners_.onWeightsEnded(model, targets_.leastWaiting(model, now));
+    listeners_.onLeastWaiting(model, targets_.leastWaiting(model, now));
   }
   nextTermEnd_ = targets_.nextEnd(now);
   // A naming may have brought the next end nearer.
@@ -231,6 +231,8 @@
   constexpr Milliseconds kInterval{250};
   for (;;) {
     refreshLeastWeights();
+    // For a listing that comes before the next round.
+    weightsProvenAt_ = weightsWatcher_.provenAt();
     const MonotonicTime next = monotonicNow() + kInterval;
     termTimer_.expires_at(std::min(next, nextTermEnd_.value_or(next)));
     co_await termTimer_.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -20,8 +20,9 @@
 /// What the node does when its views change.
 struct ViewListeners {
   std::function<void(const routes::RouteTable&)> onTable;
-  /// No request may wait any longer for a beginning on weights below these.
-  std::function<void(const ModelId&, WeightsVersion least)> onWeightsEnded;
+  /// Called often, changed or not: no request may wait any longer for a beginning on weights below
+  /// these.
+  std::function<void(const ModelId&, WeightsVersion least)> onLeastWaiting;
 };
 
 /// What a node knows from the store: the configuration in force, the list of servers and the
@@ -44,6 +45,8 @@
   forward::WeightsView weights(const ModelId& model, WeightsVersion version) const {
     return {targets_.outdatedSince(model, version), weightsWatcher_.provenAt()};
   }
+  /// Ages of namings were corrected.
+  void onNamingsLearnt() { refreshLeastWeights(); }
   /// Takes versions whose term has ended out of use; called before a choice, as the timer of a busy
   /// node is late.
   void endWeightsTerms();
@@ -80,6 +83,8 @@
   /// When the next term ends that has not been seen to.
   std::optional<MonotonicTime> nextTermEnd_;
   boost::asio::steady_timer termTimer_;
+  /// No newer weights than the known ones were named before this time.
+  MonotonicTime weightsProvenAt_{};
 };
 
 }  // namespace calicodrift::gateway
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -39,7 +39,8 @@
   std::string target = "/";
   HeaderList headers;
   std::string body;
-  /// When its first byte came; nothing for requests that this process makes.
+  /// When its first byte came, or was taken up where requests are pipelined; nothing for requests
+  /// that this process makes.
   std::optional<MonotonicTime> begun;
   /// Path without the query.
   std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
--- a/src/rollout/weights_targets.cc
+++ b/src/rollout/weights_targets.cc
@@ -9,35 +9,42 @@
   namings_[model].emplace(version, Naming{now, now, false});
 }
 
-void WeightsTargets::find(const ModelId& model, WeightsVersion version, MonotonicTime now) {
+void WeightsTargets::find(const ModelId& model, WeightsVersion version, MonotonicTime provenAt,
+                          MonotonicTime now) {
   const Milliseconds left = std::min(kFoundTerm, terms_.send / 2);
-  namings_[model].emplace(version, Naming{now - (terms_.send - left), now, true});
+  namings_[model].emplace(version,
+                          Naming{std::max(provenAt, now - (terms_.send - left)), now, true});
 }
 
-void WeightsTargets::learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now) {
+bool WeightsTargets::learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now) {
+  bool changed = false;
   for (const fleet::NamedWeights& told : named) {
     const auto model = namings_.find(told.model);
     if (model == namings_.end()) {
       continue;
     }
-    const auto naming = model->second.find(told.weights);
-    if (naming == model->second.end() || !naming->second.guessed) {
+    const auto found = model->second.find(told.weights);
+    if (found == model->second.end()) {
       continue;
     }
-    // Who was cut off counts from when it heard of the naming, so that the greatest age is right.
+    Naming& naming = found->second;
     const MonotonicTime since = now - told.age;
-    if (!naming->second.told || since < naming->second.since) {
-      naming->second.since = since;
-      naming->second.told = true;
+    const bool onlyGuessed = naming.guessed && !naming.told;
+    if (onlyGuessed || since < naming.since) {
+      naming.since = since;
+      naming.told = true;
+      changed = true;
     }
   }
+  return changed;
 }
 
 std::vector<fleet::NamedWeights> WeightsTargets::known(MonotonicTime now) const {
   std::vector<fleet::NamedWeights> told;
   for (const auto& [model, namings] : namings_) {
     for (const auto& [version, naming] : namings) {
-      const auto age = std::chrono::ceil<Milliseconds>(now - naming.since);
+      // Rounded down, so that an age does not grow by being told around.
+      const auto age = std::chrono::floor<Milliseconds>(now - naming.since);
       // What has run out for everybody need not be told.
       const bool certain = !naming.guessed || naming.told;
       if (certain && age < 2 * terms_.send) {
--- a/src/rollout/weights_targets.h
+++ b/src/rollout/weights_targets.h
@@ -34,10 +34,14 @@
   void name(const ModelId& model, WeightsVersion version, MonotonicTime now);
   /// A version was found that may have been named long before; taken as named so long ago that
   /// older ones are used for kFoundTerm at most, until another node tells more.
-  void find(const ModelId& model, WeightsVersion version, MonotonicTime now);
-  /// What another node knows of the age of namings. Corrects what was only found; of several ages
-  /// the greatest holds.
-  void learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now);
+  /// @param provenAt no newer version than the known ones was named before this time for certain.
+  void find(const ModelId& model, WeightsVersion version, MonotonicTime provenAt,
+            MonotonicTime now);
+  /// What another node knows of the age of namings. The first age that is told replaces that of a
+  /// naming that was only found; after it the greatest holds, as a node that was cut off counts
+  /// from when it heard.
+  /// @return whether any age has changed.
+  bool learn(const std::vector<fleet::NamedWeights>& named, MonotonicTime now);
   /// What this node knows of the age of namings.
   std::vector<fleet::NamedWeights> known(MonotonicTime now) const;
   /// Newest version of the model; nothing where none was named.
@@ -54,11 +58,11 @@
   std::optional<MonotonicTime> successorHeardAt(const ModelId& model, WeightsVersion version) const;
   std::vector<ModelId> models() const;
 
-  /// How long older weights are used after a naming was found that nobody else knows, as when all
-  /// nodes start anew. Long enough that nodes which did not restart tell its age and that the first
-  /// servers load; shorter than the time in which a node that has just started is not held to the
-  /// bound (3 s at least on today's deployments). With half the term in its place requests began up
-  /// to 13.5 s after a naming where 8 s are allowed.
+  /// How long requests are sent to older weights after a naming was found that nobody else knows,
+  /// as when all nodes start anew. Long enough that nodes which did not restart tell its age and
+  /// that the first servers load; shorter than the time in which a node that has just started is
+  /// not held to the bound (3 s at least on today's deployments). With half the term in its place
+  /// requests began up to 13.5 s after a naming where 8 s are allowed.
   static constexpr Milliseconds kFoundTerm{1500};
 
  private:
--- a/tests/platform/waiting_requests_test.cc
+++ b/tests/platform/waiting_requests_test.cc
@@ -151,6 +151,29 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(requestWhoseTimeIsOverWhenItIsReadIsNotSent) {
+  ServerStandIn& server = addServer("i-1", "app");
+  run([&]() -> awaitable<void> {
+    asio::ip::tcp::socket socket(context);
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(node->endpoint().address),
+                                          node->endpoint().port);
+    co_await socket.async_connect(address, asio::use_awaitable);
+    const std::string head =
+        "POST /once/slow HTTP/1.1\r\nHost: h\r\nX-Request-Id: slow-2\r\nX-Key: k1\r\n"
+        "X-Deadline-Ms: 300\r\nContent-Length: 4\r\n\r\nab";
+    co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+    co_await pause(Milliseconds(600));
+    const std::string rest = "cd";
+    co_await asio::async_write(socket, asio::buffer(rest), asio::use_awaitable);
+    std::string answer;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(answer), "\r\n",
+                                    asio::use_awaitable);
+    // It has not run, and is said not to have.
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(server.arrivals().empty());
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
