Guards of a dispatch may outlive the node: a stopped process ends

Cause: the frame of a cut request is destroyed with the event loop, after the node, and its LoadGuard searched the freed pool. Change: both guards hold weak references and do nothing where their owner is gone. server_pool/guardMayOutliveThePool crashes without the change and passes with it; guardMayOutliveTheList is new with it.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -1,6 +1,7 @@
 #include "fleet/server_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/hashing.h"
 #include "routing/cost.h"
@@ -398,19 +399,22 @@
 }
 
 LoadGuard::LoadGuard(ServerPool& pool, BackendId id, DispatchLoad load)
-    : pool_(pool), id_(std::move(id)), load_(load) {
-  pool_.addLoad(id_, load_, monotonicNow());
+    : pool_(pool.self()), id_(std::move(id)), load_(load) {
+  pool.addLoad(id_, load_, monotonicNow());
 }
 
 LoadGuard::~LoadGuard() {
   endPrefill();
-  pool_.removeLoad(id_, load_, monotonicNow());
+  if (const auto pool = pool_.lock()) {
+    (*pool)->removeLoad(id_, load_, monotonicNow());
+  }
 }
 
 void LoadGuard::endPrefill() {
-  if (prefilling_) {
-    prefilling_ = false;
-    pool_.endPrefill(id_, load_, monotonicNow());
+  if (std::exchange(prefilling_, false)) {
+    if (const auto pool = pool_.lock()) {
+      (*pool)->endPrefill(id_, load_, monotonicNow());
+    }
   }
 }
 
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -99,6 +100,8 @@
   /// The first token came: nothing is left to prefill.
   void endPrefill(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
   void removeLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
+  /// Expires with the pool.
+  std::weak_ptr<ServerPool*> self() const { return self_; }
 
  private:
   struct SetKey {
@@ -146,6 +149,8 @@
 
   double prefillTokensPerMs_;
   LossListener listener_;
+  /// Tells guards that outlive the pool.
+  std::shared_ptr<ServerPool*> self_ = std::make_shared<ServerPool*>(this);
   std::optional<MonotonicTime> peerLoadsAt_;
   std::map<BackendId, Entry> servers_;
   std::map<ModelId, WeightsVersion> leastWeights_;
@@ -155,7 +160,9 @@
   std::multimap<MonotonicTime, BackendId> pauseEnds_;
 };
 
-/// Counts a dispatch on its server for as long as it lives.
+/// Counts a dispatch on its server for as long as it lives. May outlive the pool: a request that a
+/// planned stop cuts is destroyed with the event loop, after the node. It then does nothing; with a
+/// plain reference such a process was seen to spin in the freed pool until it was killed.
 class LoadGuard {
  public:
   LoadGuard(ServerPool& pool, BackendId id, DispatchLoad load);
@@ -166,7 +173,7 @@
   void endPrefill();
 
  private:
-  ServerPool& pool_;
+  std::weak_ptr<ServerPool*> pool_;
   BackendId id_;
   DispatchLoad load_;
   bool prefilling_ = true;
--- a/src/forward/waiting_dispatches.h
+++ b/src/forward/waiting_dispatches.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 
 #include "common/ids.h"
 
@@ -17,8 +18,15 @@
  public:
   /// Ends the dispatch.
   using Recall = std::function<void()>;
+  struct Waiting {
+    ModelId model;
+    WeightsVersion weights;
+    Recall recall;
+  };
+  using List = std::map<std::uint64_t, Waiting>;
 
-  /// Lists a dispatch for as long as it lives, or until end().
+  /// Lists a dispatch for as long as it lives, or until end(). May outlive the list, as a dispatch
+  /// that a planned stop cuts does.
   class Guard {
    public:
     Guard(WaitingDispatches& list, const ModelId& model, WeightsVersion weights, Recall recall);
@@ -26,26 +34,20 @@
     Guard(const Guard&) = delete;
     Guard& operator=(const Guard&) = delete;
     /// The server has begun. Safe at any time.
-    void end() { list_.waiting_.erase(number_); }
+    void end();
 
    private:
-    WaitingDispatches& list_;
+    std::weak_ptr<List> list_;
     std::uint64_t number_;
   };
 
   /// Takes back all dispatches of the model that wait for weights below `least`.
   /// @return how many.
   std::size_t recall(const ModelId& model, WeightsVersion least);
-  std::size_t size() const { return waiting_.size(); }
+  std::size_t size() const { return waiting_->size(); }
 
  private:
-  struct Waiting {
-    ModelId model;
-    WeightsVersion weights;
-    Recall recall;
-  };
-
-  std::map<std::uint64_t, Waiting> waiting_;
+  std::shared_ptr<List> waiting_ = std::make_shared<List>();
   std::uint64_t next_ = 0;
 };
 
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -1,6 +1,8 @@
 #include "fleet/server_pool.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <new>
 
 namespace calicodrift::fleet {
 namespace {
@@ -207,6 +209,21 @@
   BOOST_TEST(candidates[*candidates.find(BackendId("a"))].prefillTokensPerMs == 40);
 }
 
+/// Seen: a process that had stopped as planned with a request still running did not end, but worked
+/// on for minutes. The request's guard is destroyed after the pool and searched it. What is left of
+/// the pool here can't be searched without a crash.
+BOOST_AUTO_TEST_CASE(guardMayOutliveThePool) {
+  alignas(ServerPool) std::array<unsigned char, sizeof(ServerPool)> memory{};
+  auto* shortLived = new (memory.data()) ServerPool(40, [](const Server&, ServerLoss) {});
+  shortLived->applyListing({makeServer("a", 1)}, kStart);
+  {
+    LoadGuard guard(*shortLived, BackendId("a"), {10, 5});
+    shortLived->~ServerPool();
+    memory.fill(0xFF);
+  }
+  BOOST_TEST(memory[0] == 0xFF);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/forward/waiting_dispatches_test.cc
+++ b/tests/forward/waiting_dispatches_test.cc
@@ -54,6 +54,14 @@
   BOOST_TEST(list.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(guardMayOutliveTheList) {
+  auto list = std::make_optional<WaitingDispatches>();
+  WaitingDispatches::Guard guard(*list, kModel, WeightsVersion(1), note("late"));
+  list.reset();
+  guard.end();
+  BOOST_TEST(recalled.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
