--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -22,6 +22,8 @@
 using Attempt = StrongType<struct AttemptTag, std::uint32_t>;
 /// Changes whenever a process restarts; greater is later on the same machine.
 using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
+/// Version of the software that a server runs; another thing than the weights it holds.
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
 using WeightsVersion = StrongType<struct WeightsVersionTag, std::uint64_t>;
 /// Version of the routes, tenants and limits that requests are served by.
 using ConfigVersion = StrongType<struct ConfigVersionTag, std::uint64_t>;
--- a/src/fleet/server.h
+++ b/src/fleet/server.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "common/clock.h"
 #include "common/endpoint.h"
 #include "common/ids.h"
 
@@ -26,6 +27,10 @@
   /// Finishes what it has and must get no new work.
   bool draining = false;
   std::size_t slots = 0;
+  /// Empty where the list does not tell it.
+  SoftwareVersion version;
+  /// How long it is slower than usual from its start on, as its caches are empty then.
+  Milliseconds warmUp{0};
   /// Empty for servers without models.
   std::vector<LoadedModel> models;
 
--- a/src/forward/cache_moves.h
+++ b/src/forward/cache_moves.h
@@ -61,7 +61,7 @@
 /// found only under a scope that names the weights, and what a server makes under a scope could be
 /// of other weights only while it loads newer ones, after these were named. So
 /// - servers' cache is fetched, and cache is saved, only while no newer weights can have been named
-///   unseen; orders to load wait longer than that (WeightsRolloutSettings::settleTime);
+///   unseen; orders to load wait longer than that (WeightsLoaderSettings::settleTime);
 /// - the store's cache is fetched after that too, where this node knows it to have been saved
 /// before
 ///   newer weights were named: the store keeps a part as it was first made.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -124,23 +124,23 @@
   return limits;
 }
 
-rollout::WeightsRolloutSettings rolloutSettings(const GatewaySettings& settings,
+weights::WeightsLoaderSettings weightsLoaderSettings(const GatewaySettings& settings,
                                                 std::string holder) {
   constexpr Milliseconds kLoadTimeout{1500};
   constexpr Milliseconds kOrderRetry{150};
-  rollout::WeightsRolloutSettings rollout;
-  rollout.holder = std::move(holder);
-  rollout.maxConcurrentLoads = settings.maxConcurrentLoads;
-  rollout.planner.loadTimeout = kLoadTimeout;
-  rollout.planner.retryInterval = kOrderRetry;
+  weights::WeightsLoaderSettings loader;
+  loader.holder = std::move(holder);
+  loader.maxConcurrentLoads = settings.maxConcurrentLoads;
+  loader.planner.loadTimeout = kLoadTimeout;
+  loader.planner.retryInterval = kOrderRetry;
   if (!settings.mechanisms.loadAnnouncements) {
-    rollout.announces = false;
-    rollout.schedule.lead = Milliseconds(0);
+    loader.announces = false;
+    loader.schedule.lead = Milliseconds(0);
   }
   if (!settings.mechanisms.settleByQueues) {
-    rollout.settleTime = rollout.longestSettleTime;
+    loader.settleTime = loader.longestSettleTime;
   }
-  return rollout;
+  return loader;
 }
 
 }  // namespace
@@ -186,9 +186,9 @@
       leaseStore_(ports_.store, std::string(kLeaseKind)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
-             [this] { return !draining_ && relay_.readsStore() && rollout_.needed(); }),
-      rollout_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
-               orderMetrics_, rolloutSettings(settings_, processName_)),
+             [this] { return !draining_ && relay_.readsStore() && weightsLoader_.needed(); }),
+      weightsLoader_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
+               orderMetrics_, weightsLoaderSettings(settings_, processName_)),
       prober_(context.get_executor(), client_, ports_.servers, pool_,
               [this] { return views_.table(); }),
       front_(context.get_executor(), frontLimits(settings_, routes::CallerLimits{}),
@@ -282,7 +282,7 @@
   quota_.start();
   views_.start();
   lease_.start();
-  rollout_.start();
+  weightsLoader_.start();
   prober_.start();
   cacheStores_.start();
   log::write(log::Level::kInfo, "started",
@@ -311,7 +311,7 @@
     forwarder_.onServerLost(server.id);
   }
   if (loss == fleet::ServerLoss::kReloaded) {
-    rollout_.wake();
+    weightsLoader_.wake();
   }
   metrics_.countServerLoss(toString(loss));
   lossLog_.note(server, loss);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -21,8 +21,8 @@
 #include "orders/order_metrics.h"
 #include "quota/quota_node.h"
 #include "relay/relay_node.h"
-#include "rollout/weights_rollout.h"
-#include "rollout/weights_targets.h"
+#include "weights/weights_loader.h"
+#include "weights/weights_targets.h"
 
 /// A router node whose callers, servers and store speak whatever its ports translate.
 namespace calicodrift::gateway {
@@ -78,13 +78,13 @@
   quota::QuotaMetrics quotaMetrics_;
   quota::QuotaNode quota_;
   http::PathHandlers peerPaths_;
-  rollout::WeightsTargets targets_;
+  weights::WeightsTargets targets_;
   StoreViews views_;
   forward::RequestGate gate_;
   forward::Forwarder forwarder_;
   lease::SharedStoreLease leaseStore_;
   lease::LeaseKeeper lease_;
-  rollout::WeightsRollout rollout_;
+  weights::WeightsLoader weightsLoader_;
   ServerProber prober_;
   http::Server front_;
   http::Server readyServer_;
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -31,7 +31,7 @@
 
 StoreViews::StoreViews(asio::any_io_executor executor, store::ObjectStore& store,
                        const StoreSchema& schema, const GatewaySettings& settings,
-                       fleet::ServerPool& pool, rollout::WeightsTargets& targets,
+                       fleet::ServerPool& pool, weights::WeightsTargets& targets,
                        ViewListeners listeners)
     : executor_(std::move(executor)),
       schema_(schema),
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -12,7 +12,7 @@
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/store_schema.h"
-#include "rollout/weights_targets.h"
+#include "weights/weights_targets.h"
 #include "store/kind_watcher.h"
 
 namespace calicodrift::gateway {
@@ -34,7 +34,7 @@
  public:
   StoreViews(boost::asio::any_io_executor executor, store::ObjectStore& store,
              const StoreSchema& schema, const GatewaySettings& settings, fleet::ServerPool& pool,
-             rollout::WeightsTargets& targets, ViewListeners listeners);
+             weights::WeightsTargets& targets, ViewListeners listeners);
 
   void start();
   /// The store is read by another way: pauses after failed calls end.
@@ -74,7 +74,7 @@
   const StoreSchema& schema_;
   const GatewaySettings& settings_;
   fleet::ServerPool& pool_;
-  rollout::WeightsTargets& targets_;
+  weights::WeightsTargets& targets_;
   ViewListeners listeners_;
   std::shared_ptr<const routes::RouteTable> table_;
   store::KindWatcher configWatcher_;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -25,6 +25,8 @@
   /// Marked for removal, but still there.
   bool deleting = false;
   boost::json::value spec;
+  /// What the system reports of an object that the operator owns; null where nothing was written.
+  boost::json::value status;
 };
 
 /// All objects of a kind at one revision of the store.
@@ -72,6 +74,9 @@
   /// Writes `object.spec` if the stored revision is still `object.revision` (0: creates it), and
   /// gives the new revision. Fails with kVersionConflict.
   virtual boost::asio::awaitable<Result<Revision>> put(std::string kind, Object object) = 0;
+  /// Writes `object.status` if the stored revision is still `object.revision`, and gives the new
+  /// revision. Fails with kVersionConflict, or kNotFound where the object is gone.
+  virtual boost::asio::awaitable<Result<Revision>> putStatus(std::string kind, Object object) = 0;
 };
 
 }  // namespace calicodrift::store
--- a/src/rollout/load_schedule.cc
+++ b/src/weights/load_schedule.cc
@@ -1,8 +1,8 @@
-#include "rollout/load_schedule.h"
+#include "weights/load_schedule.h"
 
 #include <algorithm>
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 
 void LoadSchedule::clear() {
   announced_.clear();
@@ -82,4 +82,4 @@
   return servers;
 }
 
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/src/rollout/load_schedule.h
+++ b/src/weights/load_schedule.h
@@ -7,7 +7,7 @@
 #include "common/clock.h"
 #include "common/ids.h"
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 
 struct LoadScheduleSettings {
   /// A server is announced so long before it is ordered to load. Other nodes hear of it within two
@@ -66,4 +66,4 @@
   std::map<BackendId, MonotonicTime> orderedAt_;
 };
 
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/src/rollout/weights_rollout.cc
+++ b/src/weights/weights_loader.cc
@@ -1,4 +1,4 @@
-#include "rollout/weights_rollout.h"
+#include "weights/weights_loader.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -6,7 +6,7 @@
 #include "common/hashing.h"
 #include "log/log.h"
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 namespace {
 
 namespace asio = boost::asio;
@@ -53,17 +53,17 @@
 }  // namespace
 
 /// The answers of one survey as they come in.
-struct WeightsRollout::Survey {
+struct WeightsLoader::Survey {
   explicit Survey(const asio::any_io_executor& executor) : finished(executor) {}
   std::vector<orders::SurveyedEngine> engines;
   std::size_t outstanding = 0;
   asio::steady_timer finished;
 };
 
-WeightsRollout::WeightsRollout(asio::any_io_executor executor, http::Client& client,
+WeightsLoader::WeightsLoader(asio::any_io_executor executor, http::Client& client,
                                const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
                                const WeightsTargets& targets, lease::LeaseKeeper& lease,
-                               orders::OrderMetrics& metrics, WeightsRolloutSettings settings)
+                               orders::OrderMetrics& metrics, WeightsLoaderSettings settings)
     : executor_(std::move(executor)),
       timer_(executor_),
       client_(client),
@@ -76,11 +76,11 @@
       planner_(settings_.planner),
       schedule_(settings_.schedule) {}
 
-void WeightsRollout::start() {
+void WeightsLoader::start() {
   asio::co_spawn(executor_, run(), asio::detached);
 }
 
-bool WeightsRollout::behind(const fleet::Server& server) const {
+bool WeightsLoader::behind(const fleet::Server& server) const {
   return !server.draining && std::any_of(server.models.begin(), server.models.end(),
                                          [this](const fleet::LoadedModel& loaded) {
                                            const auto newest = targets_.newest(loaded.model);
@@ -88,7 +88,7 @@
                                          });
 }
 
-bool WeightsRollout::due(const fleet::Server& server, MonotonicTime at, Milliseconds settle) const {
+bool WeightsLoader::due(const fleet::Server& server, MonotonicTime at, Milliseconds settle) const {
   return behind(server) &&
          std::any_of(server.models.begin(), server.models.end(),
                      [this, at, settle](const fleet::LoadedModel& loaded) {
@@ -97,15 +97,15 @@
                      });
 }
 
-Milliseconds WeightsRollout::settleTime() const {
+Milliseconds WeightsLoader::settleTime() const {
   return std::min(settings_.settleTime + pool_.longestQueue(), settings_.longestSettleTime);
 }
 
-bool WeightsRollout::needed() const {
+bool WeightsLoader::needed() const {
   return pool_.countIf([this](const fleet::Server& server) { return behind(server); }) > 0;
 }
 
-awaitable<void> WeightsRollout::run() {
+awaitable<void> WeightsLoader::run() {
   for (;;) {
     const std::optional<FencingToken> token = lease_.token();
     metrics_.setLeaseHeld(token.has_value());
@@ -120,11 +120,11 @@
   }
 }
 
-void WeightsRollout::wake() {
+void WeightsLoader::wake() {
   timer_.cancel();
 }
 
-awaitable<void> WeightsRollout::round(FencingToken token) {
+awaitable<void> WeightsLoader::round(FencingToken token) {
   if (token != tenure_) {
     tenure_ = token;
     planner_.beginTenure();
@@ -150,7 +150,7 @@
   }
 }
 
-void WeightsRollout::updateSchedule() {
+void WeightsLoader::updateSchedule() {
   const MonotonicTime now = monotonicNow();
   // The list shows what an order has come to sooner than the lagging report.
   for (const BackendId& id : schedule_.ordered()) {
@@ -165,7 +165,7 @@
                    static_cast<std::size_t>(maxConcurrentLoads()), now);
 }
 
-void WeightsRollout::announce() {
+void WeightsLoader::announce() {
   if (!settings_.announces) {
     return;
   }
@@ -192,7 +192,7 @@
   announced_ = std::move(loads);
 }
 
-orders::RolloutGoal WeightsRollout::goal() const {
+orders::RolloutGoal WeightsLoader::goal() const {
   orders::RolloutGoal goal;
   goal.maxConcurrentLoads = maxConcurrentLoads();
   for (const ModelId& model : targets_.models()) {
@@ -201,14 +201,14 @@
   return goal;
 }
 
-std::int64_t WeightsRollout::maxConcurrentLoads() const {
+std::int64_t WeightsLoader::maxConcurrentLoads() const {
   const std::size_t servers =
       pool_.countIf([](const fleet::Server& server) { return !server.models.empty(); });
   return std::max(settings_.maxConcurrentLoads,
                   static_cast<std::int64_t>(servers) / settings_.serversPerLoad);
 }
 
-bool WeightsRollout::expired(const fleet::Server& server) const {
+bool WeightsLoader::expired(const fleet::Server& server) const {
   const MonotonicTime now = monotonicNow();
   return std::all_of(server.models.begin(), server.models.end(),
                      [this, now](const fleet::LoadedModel& loaded) {
@@ -216,7 +216,7 @@
                      });
 }
 
-std::vector<DueServer> WeightsRollout::dueServers(MonotonicTime at) const {
+std::vector<DueServer> WeightsLoader::dueServers(MonotonicTime at) const {
   std::set<BackendId> unreachable;
   for (const fleet::Server& server : pool_.unreachable()) {
     unreachable.insert(server.id);
@@ -245,7 +245,7 @@
   return dueServers;
 }
 
-std::vector<fleet::Server> WeightsRollout::serversToAsk() const {
+std::vector<fleet::Server> WeightsLoader::serversToAsk() const {
   const MonotonicTime now = monotonicNow();
   std::vector<fleet::Server> servers;
   for (const BackendId& id : schedule_.reserved()) {
@@ -257,7 +257,7 @@
   return servers;
 }
 
-awaitable<std::vector<orders::SurveyedEngine>> WeightsRollout::survey() {
+awaitable<std::vector<orders::SurveyedEngine>> WeightsLoader::survey() {
   auto state = std::make_shared<Survey>(executor_);
   state->finished.expires_at(MonotonicTime::max());
   for (const fleet::Server& server : serversToAsk()) {
@@ -278,7 +278,7 @@
   co_return state->engines;
 }
 
-awaitable<void> WeightsRollout::surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
+awaitable<void> WeightsLoader::surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
                                           fleet::Server server) {
   http::Request query = protocol_.reportQuery(server);
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
@@ -297,12 +297,12 @@
   survey->finished.cancel();
 }
 
-void WeightsRollout::giveUp(const BackendId& server) {
+void WeightsLoader::giveUp(const BackendId& server) {
   schedule_.onGone(server);
   pool_.markUnreachable(server, monotonicNow());
 }
 
-void WeightsRollout::noteReport(Survey& survey, std::size_t index, const fleet::Server& server,
+void WeightsLoader::noteReport(Survey& survey, std::size_t index, const fleet::Server& server,
                                 const forward::ServerReport& report) {
   orderCounts_[server.id] = report.orderCount;
   bool behindStill = false;
@@ -322,7 +322,7 @@
   }
 }
 
-orders::EngineReport WeightsRollout::engineReport(const fleet::Server& server,
+orders::EngineReport WeightsLoader::engineReport(const fleet::Server& server,
                                                   const fleet::LoadedModel& loaded,
                                                   bool busy) const {
   orders::EngineReport report;
@@ -337,7 +337,7 @@
   return report;
 }
 
-awaitable<void> WeightsRollout::sendOrder(orders::LoadOrder order, fleet::Server server,
+awaitable<void> WeightsLoader::sendOrder(orders::LoadOrder order, fleet::Server server,
                                           FencingToken token) {
   forward::WeightsOrder message;
   message.server = server.id;
@@ -387,4 +387,4 @@
               {"outcome", outcome}});
 }
 
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/src/rollout/weights_rollout.h
+++ b/src/weights/weights_loader.h
@@ -14,12 +14,12 @@
 #include "lease/lease_keeper.h"
 #include "orders/order_metrics.h"
 #include "orders/rollout_planner.h"
-#include "rollout/load_schedule.h"
-#include "rollout/weights_targets.h"
+#include "weights/load_schedule.h"
+#include "weights/weights_targets.h"
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 
-struct WeightsRolloutSettings {
+struct WeightsLoaderSettings {
   /// Name under which this process gives orders; each start has another.
   std::string holder;
   /// At least, and one more for each so many servers that have models.
@@ -44,12 +44,12 @@
 /// Gives orders to load the newest weights, while this node holds the lease. Only servers that load
 /// or are next are asked for their state, so that a round costs a few calls whatever the fleet's
 /// size; the list tells of the others.
-class WeightsRollout {
+class WeightsLoader {
  public:
-  WeightsRollout(boost::asio::any_io_executor executor, http::Client& client,
+  WeightsLoader(boost::asio::any_io_executor executor, http::Client& client,
                  const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
                  const WeightsTargets& targets, lease::LeaseKeeper& lease,
-                 orders::OrderMetrics& metrics, WeightsRolloutSettings settings);
+                 orders::OrderMetrics& metrics, WeightsLoaderSettings settings);
 
   void start();
   /// A server changed: what comes next is decided at once, not at the next round.
@@ -101,7 +101,7 @@
   const WeightsTargets& targets_;
   lease::LeaseKeeper& lease_;
   orders::OrderMetrics& metrics_;
-  WeightsRolloutSettings settings_;
+  WeightsLoaderSettings settings_;
   orders::RolloutPlanner planner_;
   LoadSchedule schedule_;
   /// What was announced last.
@@ -111,4 +111,4 @@
   std::map<BackendId, std::uint64_t> orderCounts_;
 };
 
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/src/rollout/weights_targets.cc
+++ b/src/weights/weights_targets.cc
@@ -1,8 +1,8 @@
-#include "rollout/weights_targets.h"
+#include "weights/weights_targets.h"
 
 #include <algorithm>
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 
 void WeightsTargets::name(const ModelId& model, WeightsVersion version, MonotonicTime now) {
   // Known versions keep the times at which they were first heard of.
@@ -132,4 +132,4 @@
   return all;
 }
 
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/src/rollout/weights_targets.h
+++ b/src/weights/weights_targets.h
@@ -9,7 +9,7 @@
 #include "fleet/named_weights.h"
 
 /// Bringing model servers to the weights that operators name.
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 
 /// How long an older version is used after a newer one is known.
 struct WeightsTerms {
@@ -87,4 +87,4 @@
   std::map<ModelId, Namings> namings_;
 };
 
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/tests/rollout/load_schedule_test.cc
+++ b/tests/weights/load_schedule_test.cc
@@ -1,8 +1,8 @@
-#include "rollout/load_schedule.h"
+#include "weights/load_schedule.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 namespace {
 
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
@@ -112,4 +112,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
--- a/tests/rollout/weights_targets_test.cc
+++ b/tests/weights/weights_targets_test.cc
@@ -1,8 +1,8 @@
-#include "rollout/weights_targets.h"
+#include "weights/weights_targets.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace calicodrift::rollout {
+namespace calicodrift::weights {
 namespace {
 
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
@@ -127,4 +127,4 @@
 }
 
 }  // namespace
-}  // namespace calicodrift::rollout
+}  // namespace calicodrift::weights
