Traffic rules: which version of a service may run requests now

Cause: servers of any version entered their service's set. Each node decides by what it has read of orders and records, with a permit that ends with the proof of its views.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -125,7 +125,7 @@
 }
 
 weights::WeightsLoaderSettings weightsLoaderSettings(const GatewaySettings& settings,
-                                                std::string holder) {
+                                                     std::string holder) {
   constexpr Milliseconds kLoadTimeout{1500};
   constexpr Milliseconds kOrderRetry{150};
   weights::WeightsLoaderSettings loader;
@@ -188,7 +188,7 @@
              leaseSettings(settings_, processName_),
              [this] { return !draining_ && relay_.readsStore() && weightsLoader_.needed(); }),
       weightsLoader_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
-               orderMetrics_, weightsLoaderSettings(settings_, processName_)),
+                     orderMetrics_, weightsLoaderSettings(settings_, processName_)),
       prober_(context.get_executor(), client_, ports_.servers, pool_,
               [this] { return views_.table(); }),
       front_(context.get_executor(), frontLimits(settings_, routes::CallerLimits{}),
--- a/src/service_rollout/traffic_rules.h
+++ b/src/service_rollout/traffic_rules.h
@@ -53,7 +53,8 @@
   void applyOrder(const Order& order);
   void removeOrder(const std::string& name);
   void applyRecord(const ServiceRecord& record);
-  /// Servers in use of each version of the service, as listed now.
+  /// Servers in use of each version of the service, as listed now. To be called only when the
+  /// orders were read, as a candidate's servers would else be taken for the stable version's.
   void setListed(const std::string& service, const std::map<SoftwareVersion, std::size_t>& listed);
   /// The nodes have found the order's candidate to be bad. Holds for as long as the process runs.
   void reject(OrderKey order) { rejected_.insert(order); }
@@ -64,10 +65,16 @@
   const ServiceRecord* recordOf(const std::string& service) const;
   /// The service's order that was written last; null where there is none.
   const Order* orderOf(const std::string& service) const;
+  /// The version that most servers had when the service was first seen; empty before.
+  SoftwareVersion firstSeen(const std::string& service) const;
   /// Services with an order, a record or servers.
-  std::vector<std::string> services() const;
+  std::set<std::string> services() const;
 
  private:
+  SoftwareVersion stableOf(const std::string& service) const;
+  /// Whether the order still stands as the record accepted it.
+  static bool stands(const Order& order, const ServiceRecord& record);
+
   TrafficRulesSettings settings_;
   std::map<std::string, Order> orders_;
   std::map<std::string, ServiceRecord> records_;
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -61,9 +61,9 @@
 };
 
 WeightsLoader::WeightsLoader(asio::any_io_executor executor, http::Client& client,
-                               const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
-                               const WeightsTargets& targets, lease::LeaseKeeper& lease,
-                               orders::OrderMetrics& metrics, WeightsLoaderSettings settings)
+                             const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
+                             const WeightsTargets& targets, lease::LeaseKeeper& lease,
+                             orders::OrderMetrics& metrics, WeightsLoaderSettings settings)
     : executor_(std::move(executor)),
       timer_(executor_),
       client_(client),
@@ -279,7 +279,7 @@
 }
 
 awaitable<void> WeightsLoader::surveyOne(std::shared_ptr<Survey> survey, std::size_t index,
-                                          fleet::Server server) {
+                                         fleet::Server server) {
   http::Request query = protocol_.reportQuery(server);
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
   Result<http::Response> answer =
@@ -303,7 +303,7 @@
 }
 
 void WeightsLoader::noteReport(Survey& survey, std::size_t index, const fleet::Server& server,
-                                const forward::ServerReport& report) {
+                               const forward::ServerReport& report) {
   orderCounts_[server.id] = report.orderCount;
   bool behindStill = false;
   for (const fleet::LoadedModel& loaded : report.models) {
@@ -323,8 +323,8 @@
 }
 
 orders::EngineReport WeightsLoader::engineReport(const fleet::Server& server,
-                                                  const fleet::LoadedModel& loaded,
-                                                  bool busy) const {
+                                                 const fleet::LoadedModel& loaded,
+                                                 bool busy) const {
   orders::EngineReport report;
   report.id = server.id;
   report.model = loaded.model;
@@ -338,7 +338,7 @@
 }
 
 awaitable<void> WeightsLoader::sendOrder(orders::LoadOrder order, fleet::Server server,
-                                          FencingToken token) {
+                                         FencingToken token) {
   forward::WeightsOrder message;
   message.server = server.id;
   for (const fleet::LoadedModel& loaded : server.models) {
--- a/src/weights/weights_loader.h
+++ b/src/weights/weights_loader.h
@@ -47,9 +47,9 @@
 class WeightsLoader {
  public:
   WeightsLoader(boost::asio::any_io_executor executor, http::Client& client,
-                 const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
-                 const WeightsTargets& targets, lease::LeaseKeeper& lease,
-                 orders::OrderMetrics& metrics, WeightsLoaderSettings settings);
+                const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
+                const WeightsTargets& targets, lease::LeaseKeeper& lease,
+                orders::OrderMetrics& metrics, WeightsLoaderSettings settings);
 
   void start();
   /// A server changed: what comes next is decided at once, not at the next round.
--- /dev/null
+++ b/tests/service_rollout/traffic_rules_test.cc
@@ -0,0 +1,158 @@
+#include "service_rollout/traffic_rules.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace calicodrift::service_rollout {
+namespace {
+
+const std::string kService = "quotes";
+const SoftwareVersion kOld("1");
+const SoftwareVersion kNew("2");
+const MonotonicTime kNow = MonotonicTime() + Milliseconds(100'000);
+
+struct Rules : TrafficRules {
+  Rules() : TrafficRules({Milliseconds(1500)}) {}
+
+  void list(std::size_t old, std::size_t fresh) {
+    std::map<SoftwareVersion, std::size_t> listed;
+    if (old > 0) {
+      listed[kOld] = old;
+    }
+    if (fresh > 0) {
+      listed[kNew] = fresh;
+    }
+    setListed(kService, listed);
+  }
+  TrafficRule rule(Milliseconds proofAge = Milliseconds(100)) const {
+    return ruleFor(kService, kNow - proofAge, kNow);
+  }
+};
+
+Order orderFor(const SoftwareVersion& target, std::uint64_t revision) {
+  Order order;
+  order.name = kService;
+  order.service = kService;
+  order.target = target;
+  order.duration = Milliseconds(8000);
+  order.revision = store::Revision(revision);
+  return order;
+}
+
+ServiceRecord recordIn(Phase phase, std::uint64_t revision) {
+  ServiceRecord record;
+  record.service = kService;
+  record.stable = kOld;
+  record.candidate = kNew;
+  record.phase = phase;
+  record.order = store::Revision(10);
+  record.revision = store::Revision(revision);
+  return record;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(traffic_rules)
+
+BOOST_AUTO_TEST_CASE(a_version_without_an_order_gets_nothing) {
+  Rules rules;
+  rules.list(7, 0);
+  rules.list(7, 7);
+  BOOST_TEST((rules.rule().stable == kOld));
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+}
+
+BOOST_AUTO_TEST_CASE(an_order_alone_permits_nothing_before_its_record) {
+  Rules rules;
+  rules.list(7, 7);
+  rules.applyOrder(orderFor(kNew, 10));
+  BOOST_TEST((rules.rule().stable == kOld));
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_node_that_starts_beside_a_candidate_takes_the_other_version_for_the_stable_one) {
+  Rules rules;
+  rules.applyOrder(orderFor(kOld, 10));
+  // As many servers of each: the order tells which one is the candidate.
+  rules.list(7, 7);
+  BOOST_TEST((rules.rule().stable == kNew));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_permits_the_canary_and_then_everything) {
+  Rules rules;
+  rules.list(7, 7);
+  rules.applyOrder(orderFor(kNew, 10));
+  rules.applyRecord(recordIn(Phase::kBaking, 11));
+  BOOST_TEST((rules.rule().use == CandidateUse::kCanary));
+  BOOST_TEST((rules.rule().candidate == kNew));
+  rules.applyRecord(recordIn(Phase::kShifting, 12));
+  BOOST_TEST((rules.rule().use == CandidateUse::kEverything));
+  // An older record that comes late changes nothing.
+  rules.applyRecord(recordIn(Phase::kBaking, 11));
+  BOOST_TEST((rules.rule().use == CandidateUse::kEverything));
+}
+
+BOOST_AUTO_TEST_CASE(a_permit_ends_with_the_proof_of_the_views) {
+  Rules rules;
+  rules.list(7, 7);
+  rules.applyOrder(orderFor(kNew, 10));
+  rules.applyRecord(recordIn(Phase::kShifting, 11));
+  BOOST_TEST((rules.rule(Milliseconds(1500)).use == CandidateUse::kEverything));
+  BOOST_TEST((rules.rule(Milliseconds(1501)).use == CandidateUse::kNothing));
+  BOOST_TEST((rules.rule(Milliseconds(1501)).stable == kOld));
+}
+
+BOOST_AUTO_TEST_CASE(a_rejected_order_is_never_permitted_again) {
+  Rules rules;
+  rules.list(7, 7);
+  rules.applyOrder(orderFor(kNew, 10));
+  const ServiceRecord record = recordIn(Phase::kBaking, 11);
+  rules.applyRecord(record);
+  rules.reject(keyOf(record));
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+  rules.applyRecord(recordIn(Phase::kShifting, 12));
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+}
+
+BOOST_AUTO_TEST_CASE(another_target_or_a_withdrawn_order_ends_the_permit) {
+  Rules rules;
+  rules.list(7, 7);
+  rules.applyRecord(recordIn(Phase::kBaking, 11));
+  rules.applyOrder(orderFor(SoftwareVersion("3"), 12));
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+  rules.applyOrder(orderFor(kNew, 13));
+  BOOST_TEST((rules.rule().use == CandidateUse::kCanary));
+  Order withdrawn = orderFor(kNew, 14);
+  withdrawn.withdrawn = true;
+  rules.applyOrder(withdrawn);
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+  rules.removeOrder(kService);
+  BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
+  BOOST_TEST((rules.rule().stable == kOld));
+}
+
+BOOST_AUTO_TEST_CASE(a_completed_order_makes_its_target_stable_before_the_record_is_read) {
+  Rules rules;
+  rules.list(7, 7);
+  rules.applyRecord(recordIn(Phase::kShifting, 11));
+  Order completed = orderFor(kNew, 12);
+  completed.state = OrderState::kCompleted;
+  completed.stateTarget = kNew;
+  rules.applyOrder(completed);
+  BOOST_TEST((rules.rule().stable == kNew));
+  // The state is of the target that the order had then.
+  completed.target = SoftwareVersion("3");
+  rules.applyOrder(completed);
+  BOOST_TEST((rules.rule().stable == kOld));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_without_a_record_goes_on_where_all_its_servers_were_replaced) {
+  Rules rules;
+  rules.list(7, 0);
+  rules.list(0, 7);
+  BOOST_TEST((rules.rule().stable == kNew));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace calicodrift::service_rollout
