--- a/src/relay/messages.cc
+++ b/src/relay/messages.cc
@@ -11,6 +11,9 @@
   message.deleting = object.deleting;
   message.removed = removed;
   message.spec = boost::json::serialize(object.spec);
+  if (!object.status.is_null()) {
+    message.status = boost::json::serialize(object.status);
+  }
   return message;
 }
 
@@ -21,6 +24,12 @@
   if (code) {
     return fail(ErrorKind::kProtocolViolation, "a relayed object is not JSON");
   }
+  if (!object.status.empty()) {
+    read.status = boost::json::parse(object.status, code);
+    if (code) {
+      return fail(ErrorKind::kProtocolViolation, "a relayed object's status is not JSON");
+    }
+  }
   read.name = object.name;
   read.revision = store::Revision(object.revision);
   read.deleting = object.deleting;
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -91,10 +91,12 @@
   bool removed = false;
   /// JSON.
   std::string spec;
+  /// JSON; empty where the object has none.
+  std::string status;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(name, revision, deleting, removed, spec);
+    archive(name, revision, deleting, removed, spec, status);
   }
 };
 
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -38,6 +38,10 @@
                                                       store::Object object) override {
     return direct_.put(std::move(kind), std::move(object));
   }
+  boost::asio::awaitable<Result<store::Revision>> putStatus(std::string kind,
+                                                            store::Object object) override {
+    return direct_.putStatus(std::move(kind), std::move(object));
+  }
 
   /// Reads from this relay from now on.
   void follow(const Endpoint& relay) { setSource(Source::kRelay, relay); }
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -27,11 +27,12 @@
 }
 
 void StoreStandIn::put(const std::string& kind, const std::string& name, json::value spec) {
-  record(kind, name, false, std::move(spec));
+  record(kind, name, false, std::move(spec), statusOf(kind, name));
 }
 
 void StoreStandIn::remove(const std::string& kind, const std::string& name) {
-  record(kind, name, true, kinds_[kind][name].spec);
+  const Entry last = kinds_[kind][name];
+  record(kind, name, true, last.spec, last.status);
 }
 
 void StoreStandIn::compact() {
@@ -48,27 +49,34 @@
   return found->second.at(name).spec;
 }
 
+json::value StoreStandIn::statusOf(const std::string& kind, const std::string& name) const {
+  const auto found = kinds_.find(kind);
+  if (found == kinds_.end() || !found->second.contains(name)) {
+    return nullptr;
+  }
+  return found->second.at(name).status;
+}
+
 void StoreStandIn::record(const std::string& kind, const std::string& name, bool gone,
-                          json::value spec) {
+                          json::value spec, json::value status) {
   ++revision_;
   if (gone) {
     kinds_[kind].erase(name);
   } else {
-    kinds_[kind][name] = {spec, revision_};
+    kinds_[kind][name] = {spec, status, revision_};
   }
-  history_.push_back({revision_, kind, name, gone, std::move(spec)});
+  history_.push_back({revision_, kind, name, gone, std::move(spec), std::move(status)});
   changed_.cancel();
 }
 
-json::object StoreStandIn::objectJson(const std::string& name, std::uint64_t revision,
-                                      const json::value& spec) {
+json::object StoreStandIn::objectJson(const std::string& name, const Entry& entry) {
   return {{"metadata", json::object{{"name", name},
-                                    {"revision", revision},
-                                    {"made", revision},
+                                    {"revision", entry.revision},
+                                    {"made", entry.revision},
                                     {"finalizers", json::array{}},
                                     {"deleting", false}}},
-          {"spec", spec},
-          {"status", nullptr}};
+          {"spec", entry.spec},
+          {"status", entry.status}};
 }
 
 awaitable<void> StoreStandIn::handle(http::Request& request, http::ResponseWriter& writer) {
@@ -102,8 +110,7 @@
     const auto found = objects.find(name);
     http::Response answer = http::textResponse(404, "");
     if (found != objects.end()) {
-      answer = http::jsonResponse(
-          200, json::serialize(objectJson(name, found->second.revision, found->second.spec)));
+      answer = http::jsonResponse(200, json::serialize(objectJson(name, found->second)));
     }
     co_await http::respond(writer, std::move(answer));
     co_return;
@@ -128,7 +135,8 @@
     for (const Event& event : history_) {
       if (event.kind == kind && event.revision > since) {
         events.push_back(json::object{
-            {"gone", event.gone}, {"object", objectJson(event.name, event.revision, event.spec)}});
+            {"gone", event.gone},
+            {"object", objectJson(event.name, {event.spec, event.status, event.revision})}});
       }
     }
     if (!events.empty() || monotonicNow() >= end) {
@@ -150,7 +158,7 @@
   const auto found = kinds_.find(kind);
   if (found != kinds_.end()) {
     for (const auto& [name, entry] : found->second) {
-      items.push_back(objectJson(name, entry.revision, entry.spec));
+      items.push_back(objectJson(name, entry));
     }
   }
   return http::jsonResponse(
@@ -171,12 +179,14 @@
                                          : metadata.at("revision").to_number<std::uint64_t>() !=
                                                found->second.revision;
   if (conflict) {
-    return http::jsonResponse(
-        409, json::serialize(objectJson(name, found->second.revision, found->second.spec)));
+    return http::jsonResponse(409, json::serialize(objectJson(name, found->second)));
+  }
+  if (request.path().ends_with("/status")) {
+    record(kind, name, false, found->second.spec, body.at("status"));
+  } else {
+    put(kind, name, body.at("spec"));
   }
-  put(kind, name, body.at("spec"));
-  return http::jsonResponse(200,
-                            json::serialize(objectJson(name, revision_, kinds_[kind][name].spec)));
+  return http::jsonResponse(200, json::serialize(objectJson(name, kinds_[kind][name])));
 }
 
 }  // namespace calicodrift::testing
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -35,11 +35,13 @@
   void compact();
   void setMode(Mode mode) { mode_ = mode; }
   boost::json::value specOf(const std::string& kind, const std::string& name) const;
+  boost::json::value statusOf(const std::string& kind, const std::string& name) const;
   std::size_t calls() const { return calls_; }
 
  private:
   struct Entry {
     boost::json::value spec;
+    boost::json::value status;
     std::uint64_t revision = 0;
   };
   struct Event {
@@ -48,6 +50,7 @@
     std::string name;
     bool gone = false;
     boost::json::value spec;
+    boost::json::value status;
   };
   using Kind = std::map<std::string, Entry>;
 
@@ -57,9 +60,9 @@
   http::Response list(const std::string& kind) const;
   http::Response write(const std::string& method, const std::string& kind,
                        const http::Request& request);
-  void record(const std::string& kind, const std::string& name, bool gone, boost::json::value spec);
-  static boost::json::object objectJson(const std::string& name, std::uint64_t revision,
-                                        const boost::json::value& spec);
+  void record(const std::string& kind, const std::string& name, bool gone, boost::json::value spec,
+              boost::json::value status);
+  static boost::json::object objectJson(const std::string& name, const Entry& entry);
 
   boost::asio::io_context& context_;
   std::map<std::string, Kind> kinds_;
--- a/tests/relay/fake_store.h
+++ b/tests/relay/fake_store.h
@@ -89,6 +89,17 @@
     objects_[kind][object.name] = object;
     co_return object.revision;
   }
+  boost::asio::awaitable<Result<store::Revision>> putStatus(std::string kind,
+                                                            store::Object object) override {
+    const auto found = objects_[kind].find(object.name);
+    if (found == objects_[kind].end()) {
+      co_return fail(ErrorKind::kNotFound, "");
+    }
+    store::Object changed = found->second;
+    changed.revision = object.revision;
+    changed.status = std::move(object.status);
+    co_return co_await put(std::move(kind), std::move(changed));
+  }
   const std::map<std::string, store::Object>& objects(const std::string& kind) {
     return objects_[kind];
   }
--- a/tests/store/kind_watcher_test.cc
+++ b/tests/store/kind_watcher_test.cc
@@ -40,6 +40,9 @@
   awaitable<Result<Revision>> put(std::string, Object) override {
     co_return fail(ErrorKind::kStoreUnavailable, "");
   }
+  awaitable<Result<Revision>> putStatus(std::string, Object) override {
+    co_return fail(ErrorKind::kStoreUnavailable, "");
+  }
 
   std::deque<Result<ChangeBatch>> answers;
   std::vector<Milliseconds> waits;
