--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -1,6 +1,7 @@
 #include "gateway/bounds.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace calicodrift::gateway {
@@ -24,6 +25,12 @@
 constexpr int kAcceptShare = 3;
 constexpr Milliseconds kLongestAccept{2500};
 constexpr int kRenewalsInALease = 3;
+/// Part of the time in which a bad candidate has to be stopped that is the permit of a node which
+/// hears nothing of it. The rest is for its last answers to come in, and to be told up and down a
+/// tree of depth 3 (six reports of 250 ms at most) and judged. A shorter permit costs the candidate
+/// requests where views are older, and nothing else, so that no bound is too short.
+constexpr double kPermitShare = 0.3;
+constexpr Milliseconds kLongestPermit{1500};
 /// Of the link, for a child: a configuration of 40 KB (a guess, not measured), five times a second
 /// while it changes in quick succession, is 1.6 Mbit/s; the rest is for callers.
 constexpr double kMbpsOfAFollower = 4;
@@ -46,6 +53,9 @@
 std::vector<Rule> rulesOf(GatewaySettings& settings) {
   // A quarter, so that a long bound leaves room for longer queues too.
   const Milliseconds weightsMargin = std::max(kWeightsMargin, settings.weightsBound / 4);
+  const Milliseconds permit = std::min(
+      kLongestPermit,
+      Milliseconds(std::llround(kPermitShare * toMilliseconds(settings.rolloutStopBound))));
   const Milliseconds stopBound(static_cast<std::int64_t>(settings.stopBoundSeconds * 1000));
   return {
       {"weights-bound-ms", settings.weightsBound, weightsMargin, "weights-term-ms",
@@ -59,6 +69,9 @@
        "a planned stop is ended from outside and cuts requests"},
       {"lease-bound-ms", settings.leaseBound, kLeaseMargin, "lease-duration-ms",
        settings.leaseDuration, "two nodes give orders at once"},
+      {"rollout-stop-bound-ms", settings.rolloutStopBound, settings.rolloutStopBound - permit,
+       "rollout-permit-term-ms", settings.rolloutPermitTerm,
+       "a node that is cut off sends requests to a candidate that was found to be bad"},
   };
 }
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -106,6 +106,13 @@
         "requests that such a server has not begun are taken back so long after newer weights are "
         "known; 0: from weights-bound-ms"},
        &G::weightsWait},
+      {{"rollout-permit-term-ms", "0", 0, kMinuteMs, "ms",
+        "a candidate gets requests only while the node's view of orders is newer; 0: from "
+        "rollout-stop-bound-ms"},
+       &G::rolloutPermitTerm},
+      {{"rollout-idle-watch-ms", "5000", 10, 30'000, "ms",
+        "longest watch of orders and records while no order is under way"},
+       &G::rolloutIdleWatch},
       {{"max-concurrent-loads", "2", 1, 1000, "count", "servers that load weights at once"},
        &G::maxConcurrentLoads},
       {{"lease-duration-ms", "0", 0, kMinuteMs, "ms",
@@ -137,6 +144,17 @@
         "what the nodes together may use beyond that part, in requests or tokens as the limit "
         "counts"},
        &G::limitSlack},
+      {{"rollout-exposure-share", "0", 0, 1, "share",
+        "part of a service's requests that a candidate of a roll-out may get up to its deadline; "
+        "0: "
+        "versions of servers are not told apart"},
+       &G::rolloutExposureShare},
+      {{"rollout-exposure-slack", "0", 0, 1'000'000, "count",
+        "requests that a candidate may get beyond that part"},
+       &G::rolloutExposureSlack},
+      {{"rollout-stop-bound-ms", "5000", 1, kMinuteMs, "ms",
+        "a bad candidate gets no request so long after the answer that showed it"},
+       &G::rolloutStopBound},
       {{"lease-bound-ms", "3000", 1, kMinuteMs, "ms",
         "two nodes may take turns in giving orders after so long"},
        &G::leaseBound},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -57,6 +57,15 @@
   double limitWindowSeconds = 0;
   double limitOvershoot = 0;
   double limitSlack = 0;
+  /// Most of a service's requests that a candidate of a roll-out may get up to its deadline, and so
+  /// many beside; 0: versions are not told apart, and roll-outs are not served.
+  double rolloutExposureShare = 0;
+  double rolloutExposureSlack = 0;
+  /// From a bad candidate's last tolerated answer to the last request that it gets.
+  Milliseconds rolloutStopBound{0};
+  /// How old the views may be by which a candidate gets requests.
+  Milliseconds rolloutPermitTerm{0};
+  Milliseconds rolloutIdleWatch{0};
   Milliseconds weightsTerm{0};
   Milliseconds weightsWait{0};
   std::int64_t maxConcurrentLoads = 0;
--- /dev/null
+++ b/src/gateway/service_rollouts.cc
@@ -0,0 +1,434 @@
+#include "gateway/service_rollouts.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "common/hashing.h"
+#include "log/log.h"
+
+namespace calicodrift::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using service_rollout::CandidateUse;
+using service_rollout::ObservationTable;
+using service_rollout::Order;
+using service_rollout::OrderKey;
+using service_rollout::OrderState;
+using service_rollout::Phase;
+using service_rollout::ServiceRecord;
+using service_rollout::Track;
+using service_rollout::TrafficRule;
+using service_rollout::Verdict;
+
+namespace {
+
+constexpr std::string_view kLeaseName = "service-rollouts";
+/// Rules and verdicts are looked at so often; as often as other nodes tell what they saw.
+constexpr Milliseconds kPulse{100};
+/// Watch and proof while an order is under way: a permit of 1.5 s outlasts two lost watches.
+constexpr Milliseconds kActiveWatch{500};
+/// The share of the exposure that the canary takes until enough was seen, and afterwards: what is
+/// saved pays for shifting before the deadline.
+constexpr double kEarlyCanaryPart = 0.5;
+constexpr double kLateCanaryPart = 0.2;
+/// Over which a service's request rate is taken.
+constexpr Milliseconds kRateSpan{2000};
+constexpr double kMsPerSecond = 1000;
+
+std::string textOf(std::uint64_t number) {
+  return std::to_string(number);
+}
+
+}  // namespace
+
+ServiceRollouts::ServiceRollouts(ServiceRolloutsContext context, const GatewaySettings& settings,
+                                 lease::LeaseSettings lease, RolloutMetrics& metrics,
+                                 std::uint64_t seed)
+    : context_(std::move(context)),
+      enabled_(settings.rolloutExposureShare > 0),
+      plan_({settings.rolloutExposureShare, settings.rolloutExposureSlack}),
+      nodeId_(settings.nodeId),
+      metrics_(metrics),
+      rules_({settings.rolloutPermitTerm}),
+      budget_(settings.rolloutExposureShare * kEarlyCanaryPart, seed),
+      idleWatch_(settings.rolloutIdleWatch),
+      orderWatcher_(context_.executor, context_.views, watcherSettings(context_.schema.rolloutKind()),
+                    orderListener()),
+      recordWatcher_(context_.executor, context_.views,
+                     watcherSettings(std::string(service_rollout::kRecordKind)), recordListener()),
+      lease_(context_.executor, context_.leases, std::string(kLeaseName), std::move(lease),
+             [this] { return context_.mayDecide() && anyUnfinished(); }),
+      controller_(context_.executor, controllerPorts(), plan_, seed),
+      timer_(context_.executor) {}
+
+void ServiceRollouts::start() {
+  if (!enabled_) {
+    return;
+  }
+  orderWatcher_.start();
+  recordWatcher_.start();
+  lease_.start();
+  controller_.start();
+  asio::co_spawn(context_.executor, pulse(), asio::detached);
+}
+
+void ServiceRollouts::retryNow() {
+  if (enabled_) {
+    orderWatcher_.retryNow();
+    recordWatcher_.retryNow();
+  }
+}
+
+store::KindWatcherSettings ServiceRollouts::watcherSettings(std::string kind) const {
+  store::KindWatcherSettings watcher;
+  watcher.seed = hashBytes(nodeId_ + kind);
+  watcher.kind = std::move(kind);
+  watcher.wait = idleWatch_;
+  watcher.proofAge = idleWatch_;
+  return watcher;
+}
+
+store::KindListener ServiceRollouts::orderListener() {
+  store::KindListener listener;
+  listener.onListing = [this](const store::Listing& listing) {
+    rules_.setOrders({});
+    for (const store::Object& object : listing.objects) {
+      applyOrder(object);
+    }
+    refreshRules();
+  };
+  listener.onChanges = [this](const store::ChangeBatch& batch) {
+    for (const store::Change& change : batch.changes) {
+      if (change.removed) {
+        rules_.removeOrder(change.object.name);
+        firstSights_.erase(change.object.name);
+        log::write(log::Level::kInfo, "rollout_order_removed", {{"order", change.object.name}});
+      } else {
+        applyOrder(change.object);
+      }
+    }
+    refreshRules();
+  };
+  return listener;
+}
+
+store::KindListener ServiceRollouts::recordListener() {
+  store::KindListener listener;
+  listener.onListing = [this](const store::Listing& listing) {
+    rules_.setRecords({});
+    for (const store::Object& object : listing.objects) {
+      applyRecord(object);
+    }
+    refreshRules();
+  };
+  listener.onChanges = [this](const store::ChangeBatch& batch) {
+    for (const store::Change& change : batch.changes) {
+      if (!change.removed) {
+        applyRecord(change.object);
+      }
+    }
+    refreshRules();
+  };
+  return listener;
+}
+
+void ServiceRollouts::applyOrder(const store::Object& object) {
+  const Result<Order> order = context_.schema.readRollout(object);
+  if (!order) {
+    // What can't be read is no order: the service goes on as it is.
+    log::write(log::Level::kError, "rollout_order_unreadable",
+               {{"order", object.name}, {"detail", order.error().detail}});
+    rules_.removeOrder(object.name);
+    return;
+  }
+  rules_.applyOrder(order.value());
+  FirstSight& sight = firstSights_[object.name];
+  if (sight.target != order.value().target) {
+    sight = {order.value().target, monotonicNow()};
+  }
+  log::write(log::Level::kInfo, "rollout_order",
+             {{"service", order.value().service},
+              {"target", order.value().target.value()},
+              {"duration_ms", std::to_string(order.value().duration.count())},
+              {"state", std::string(toString(order.value().state))},
+              {"withdrawn", order.value().withdrawn ? "true" : "false"},
+              {"revision", textOf(order.value().revision.value())}});
+}
+
+void ServiceRollouts::applyRecord(const store::Object& object) {
+  const Result<ServiceRecord> record = service_rollout::toRecord(object);
+  if (!record) {
+    log::write(log::Level::kError, "rollout_record_unreadable",
+               {{"record", object.name}, {"detail", record.error().detail}});
+    return;
+  }
+  rules_.applyRecord(record.value());
+  log::write(log::Level::kInfo, "rollout_record",
+             {{"service", record.value().service},
+              {"stable", record.value().stable.value()},
+              {"candidate", record.value().candidate.value()},
+              {"phase", std::string(toString(record.value().phase))},
+              {"revision", textOf(record.value().revision.value())}});
+}
+
+awaitable<void> ServiceRollouts::pulse() {
+  for (;;) {
+    adjustWatches();
+    refreshRules();
+    judgeAll();
+    timer_.expires_after(kPulse);
+    co_await timer_.async_wait(asio::use_awaitable);
+  }
+}
+
+void ServiceRollouts::adjustWatches() {
+  const Milliseconds wait = anyUnfinished() ? std::min(kActiveWatch, idleWatch_) : idleWatch_;
+  orderWatcher_.setWait(wait);
+  recordWatcher_.setWait(wait);
+}
+
+void ServiceRollouts::refreshRules() {
+  if (!enabled_) {
+    return;
+  }
+  const bool synchronized = orderWatcher_.synchronized() && recordWatcher_.synchronized();
+  const MonotonicTime now = monotonicNow();
+  for (const auto& [service, listed] : context_.pool.listedVersions()) {
+    // Before the orders were read, several versions can't be told from each other.
+    if (synchronized || listed.size() == 1) {
+      rules_.setListed(service, listed);
+    }
+  }
+  for (const std::string& service : rules_.services()) {
+    const TrafficRule rule = ruleFor(service);
+    context_.pool.setVersions(service, rule.stable, rule.candidate, now);
+    logRule(service, rule);
+  }
+}
+
+void ServiceRollouts::logRule(const std::string& service, const TrafficRule& rule) {
+  TrafficRule& logged = loggedRules_[service];
+  if (logged == rule) {
+    return;
+  }
+  logged = rule;
+  metrics_.setUse(service, rule.use);
+  const auto age = std::chrono::duration_cast<Milliseconds>(monotonicNow() - provenAt());
+  log::write(log::Level::kInfo, "rollout_rule",
+             {{"service", service},
+              {"stable", rule.stable.value()},
+              {"candidate", rule.candidate.value()},
+              {"use", std::string(toString(rule.use))},
+              {"order", textOf(rule.order.value())},
+              {"rejected", rules_.rejected(rule.order) ? "true" : "false"},
+              {"view_age_ms", std::to_string(age.count())}});
+}
+
+TrafficRule ServiceRollouts::ruleFor(const std::string& service) const {
+  return rules_.ruleFor(service, provenAt(), monotonicNow());
+}
+
+MonotonicTime ServiceRollouts::provenAt() const {
+  return std::min(orderWatcher_.provenAt(), recordWatcher_.provenAt());
+}
+
+std::set<OrderKey> ServiceRollouts::underWay() const {
+  std::set<OrderKey> keys;
+  for (const std::string& service : rules_.services()) {
+    const ServiceRecord* record = rules_.recordOf(service);
+    if (record != nullptr && record->phase != Phase::kSteady) {
+      keys.insert(keyOf(*record));
+    }
+  }
+  return keys;
+}
+
+bool ServiceRollouts::anyUnfinished() const {
+  const std::set<std::string> services = rules_.services();
+  return std::any_of(services.begin(), services.end(), [this](const std::string& service) {
+    const Order* order = rules_.orderOf(service);
+    const ServiceRecord* record = rules_.recordOf(service);
+    const bool orderOpen = order != nullptr && !order->withdrawn && !order->ended();
+    return orderOpen || (record != nullptr && record->phase != Phase::kSteady);
+  });
+}
+
+void ServiceRollouts::judgeAll() {
+  const std::set<OrderKey> keys = underWay();
+  observer_.keepOnly(keys);
+  std::erase_if(progress_, [&keys](const auto& entry) { return !keys.contains(entry.first); });
+  const MonotonicTime now = monotonicNow();
+  for (const std::string& service : rules_.services()) {
+    const TrafficRule rule = ruleFor(service);
+    if (rule.order != OrderKey()) {
+      judgeOne(service, rule, now);
+    }
+  }
+}
+
+void ServiceRollouts::judgeOne(const std::string& service, const TrafficRule& rule,
+                               MonotonicTime now) {
+  Progress& progress =
+      progress_.try_emplace(rule.order, service_rollout::JudgeSettings{}).first->second;
+  noteAge(service, rule.order, now);
+  const ObservationTable own = observer_.own(now);
+  progress.sum = {};
+  progress.sum.order = rule.order;
+  for (const ObservationTable* table : {&own, &others_}) {
+    if (const auto found = table->find(rule.order); found != table->end()) {
+      progress.sum += found->second;
+    }
+  }
+  progress.reached.push_back({now, progress.sum.reached});
+  while (now - progress.reached.front().at > kRateSpan) {
+    progress.reached.pop_front();
+  }
+  const ServiceRecord* record = rules_.recordOf(service);
+  const bool shifts = record != nullptr && record->phase == Phase::kShifting;
+  if (!shifts) {
+    progress.shiftSince.reset();
+  } else if (!progress.shiftSince) {
+    progress.shiftSince = now;
+  }
+  const Verdict verdict = progress.judge.update(progress.sum, now);
+  metrics_.setSeen(service, progress.sum, progress.judge.evidence(), verdict);
+  if (verdict != progress.verdict) {
+    progress.verdict = verdict;
+    log::write(log::Level::kInfo, "rollout_verdict",
+               {{"service", service},
+                {"candidate", rule.candidate.value()},
+                {"verdict", std::string(toString(verdict))},
+                {"reached", textOf(progress.sum.reached)},
+                {"exposed", textOf(progress.sum.exposed)},
+                {"facts", progress.judge.explain()}});
+  }
+  if ((verdict == Verdict::kBad || progress.sum.rejected) && !rules_.rejected(rule.order)) {
+    reject(service, rule.order, verdict == Verdict::kBad ? "judged here" : "heard");
+  }
+  budget_.setShare(plan_.exposureShare *
+                   (verdict == Verdict::kSound ? kLateCanaryPart : kEarlyCanaryPart));
+}
+
+void ServiceRollouts::noteAge(const std::string& service, OrderKey key, MonotonicTime now) {
+  const Order* order = rules_.orderOf(service);
+  if (order == nullptr) {
+    return;
+  }
+  const auto seen = firstSights_.find(order->name);
+  if (seen != firstSights_.end()) {
+    observer_.learnAge(key, std::chrono::duration_cast<Milliseconds>(now - seen->second.at), now);
+  }
+}
+
+void ServiceRollouts::reject(const std::string& service, OrderKey order, std::string_view source) {
+  rules_.reject(order);
+  observer_.reject(order);
+  metrics_.countRejection(service);
+  log::write(log::Level::kWarning, "rollout_rejected",
+             {{"service", service},
+              {"order", textOf(order.value())},
+              {"source", std::string(source)}});
+  refreshRules();
+}
+
+ObservationTable ServiceRollouts::own() const {
+  return enabled_ ? observer_.own(monotonicNow()) : ObservationTable{};
+}
+
+void ServiceRollouts::onOthers(const ObservationTable& others) {
+  others_ = others;
+  const MonotonicTime now = monotonicNow();
+  for (const auto& [key, seen] : others) {
+    observer_.learnAge(key, seen.age, now);
+  }
+}
+
+forward::RolloutHooks ServiceRollouts::hooks() {
+  forward::RolloutHooks hooks;
+  if (!enabled_) {
+    return hooks;
+  }
+  hooks.rule = [this](const std::string& service) { return ruleFor(service); };
+  hooks.takeCanary = [this](OrderKey order, service_rollout::RouteKey route) {
+    return budget_.take(order, route);
+  };
+  hooks.onSent = [this](const std::string& service, OrderKey order, Track track) {
+    observer_.onSent(order, track);
+    metrics_.countSent(service, track);
+  };
+  hooks.onAnswer = [this](OrderKey order, const service_rollout::AnswerObservation& answer) {
+    observer_.onAnswer(order, answer);
+  };
+  return hooks;
+}
+
+service_rollout::ControllerPorts ServiceRollouts::controllerPorts() {
+  service_rollout::ControllerPorts ports;
+  ports.holdsLease = [this] { return context_.mayDecide() && lease_.token().has_value(); };
+  ports.services = [this] { return rules_.services(); };
+  ports.input = [this](const std::string& service) { return planInput(service); };
+  ports.writeRecord = [this](ServiceRecord record) { return writeRecord(std::move(record)); };
+  ports.writeState = [this](Order order, OrderState state) {
+    return writeState(std::move(order), state);
+  };
+  return ports;
+}
+
+service_rollout::PlanInput ServiceRollouts::planInput(const std::string& service) const {
+  service_rollout::PlanInput input;
+  if (const Order* order = rules_.orderOf(service)) {
+    input.order = *order;
+  }
+  const ServiceRecord* record = rules_.recordOf(service);
+  if (record == nullptr) {
+    input.firstSeen = rules_.firstSeen(service);
+    return input;
+  }
+  input.record = *record;
+  input.firstSeen = rules_.firstSeen(service);
+  const MonotonicTime now = monotonicNow();
+  input.stableServers = context_.pool.usableOf(service, record->stable, now);
+  input.candidateServers = context_.pool.usableOf(service, record->candidate, now);
+  input.stableInFlight = context_.pool.inFlightOf(service, record->stable);
+  if (const auto found = progress_.find(keyOf(*record)); found != progress_.end()) {
+    const Progress& progress = found->second;
+    input.seen = progress.sum;
+    input.verdict = progress.verdict;
+    input.requestsPerSecond = rateOf(progress);
+    if (progress.shiftSince) {
+      input.shiftingFor = std::chrono::duration_cast<Milliseconds>(now - *progress.shiftSince);
+    }
+  }
+  return input;
+}
+
+double ServiceRollouts::rateOf(const Progress& progress) {
+  if (progress.reached.size() < 2) {
+    return 0;
+  }
+  const ReachedAt& first = progress.reached.front();
+  const ReachedAt& last = progress.reached.back();
+  const std::uint64_t more = last.reached > first.reached ? last.reached - first.reached : 0;
+  return static_cast<double>(more) / toMilliseconds(last.at - first.at) * kMsPerSecond;
+}
+
+awaitable<Result<store::Revision>> ServiceRollouts::writeRecord(ServiceRecord record) {
+  Result<store::Revision> written = co_await context_.store.put(
+      std::string(service_rollout::kRecordKind), service_rollout::toObject(record));
+  metrics_.countWrite("record", written ? "written" : "failed");
+  co_return written;
+}
+
+awaitable<Result<store::Revision>> ServiceRollouts::writeState(Order order, OrderState state) {
+  store::Object object;
+  object.name = order.name;
+  object.revision = order.revision;
+  object.status = context_.schema.rolloutStatus(state, order.target);
+  Result<store::Revision> written =
+      co_await context_.store.putStatus(context_.schema.rolloutKind(), std::move(object));
+  metrics_.countWrite("state", written ? "written" : "failed");
+  co_return written;
+}
+
+}  // namespace calicodrift::gateway
--- a/tests/gateway/bounds_test.cc
+++ b/tests/gateway/bounds_test.cc
@@ -93,6 +93,17 @@
   BOOST_TEST(settings.relayMaxFollowers == 9);
 }
 
+BOOST_AUTO_TEST_CASE(permitsOfRollOutsAreAPartOfTheTimeToStopABadCandidate) {
+  GatewaySettings settings = makeSettings();
+  settings.rolloutStopBound = Milliseconds(5000);
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.rolloutPermitTerm == Milliseconds(1500));
+  settings = makeSettings();
+  settings.rolloutStopBound = Milliseconds(2000);
+  BOOST_REQUIRE(applyBounds(settings));
+  BOOST_TEST(settings.rolloutPermitTerm == Milliseconds(600));
+}
+
 BOOST_AUTO_TEST_CASE(theTableSaysWhereEachValueIsFrom) {
   GatewaySettings settings = makeSettings();
   const auto derived = applyBounds(settings);
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -11,6 +11,9 @@
 /// One run in so many loses its answer, or the rest of its stream.
 constexpr std::size_t kRunsALoss = 40;
 constexpr Milliseconds kEventPause{15};
+/// What a slow run takes beyond a usual one.
+constexpr int kSlowFactor = 6;
+constexpr unsigned kServerFailure = 500;
 
 /// About what the callers send, so that waves of them are over it. In tokens.
 constexpr double kLimitPerSecond = 45'000;
@@ -30,6 +33,20 @@
   return kind == "once" || kind == "stream-once";
 }
 
+/// Notes a run for as long as it lasts.
+class RunNote {
+ public:
+  RunNote(std::multiset<std::string>& running, const std::string& request)
+      : running_(running), place_(running.insert(request)) {}
+  ~RunNote() { running_.erase(place_); }
+  RunNote(const RunNote&) = delete;
+  RunNote& operator=(const RunNote&) = delete;
+
+ private:
+  std::multiset<std::string>& running_;
+  std::multiset<std::string>::iterator place_;
+};
+
 std::string wholeStream() {
   std::string events;
   for (unsigned number = 1; number <= kEvents; ++number) {
@@ -55,8 +72,12 @@
 }
 
 void GatewaySoak::addServer(const std::string& id, const std::string& service,
-                            const std::string& model) {
+                            const std::string& model, const std::string& version,
+                            const Behaviour& behaviour) {
   auto added = std::make_unique<Server>();
+  added->service = service;
+  added->version = version;
+  added->behaviour = behaviour;
   added->server = std::make_unique<ServerStandIn>(context_, id, service, model);
   added->proxy = makeProxy(added->server->endpoint());
   added->hasModel = !model.empty();
@@ -72,7 +93,8 @@
 }
 
 void GatewaySoak::publish(const Server& server) {
-  json::value entry = server.server->entry();
+  json::value entry = server.server->entry(server.state);
+  entry.as_object()["version"] = server.version;
   entry.as_object()["address"] = server.proxy.endpoint.toString();
   store_.put("servers", server.server->id(), std::move(entry));
 }
@@ -82,6 +104,8 @@
                                               http::ResponseWriter& writer) {
   const std::string id = request.headers.get(platform::kRequestId);
   const MonotonicTime arrival = monotonicNow();
+  rolloutCheck_.onArrival(server.service, server.version, arrival, sentCalmly(id));
+  const RunNote running(server.running, id);
   if (server.hasModel) {
     if (!co_await waitsToBegin(server, request, writer)) {
       co_return;
@@ -94,6 +118,15 @@
   if (request.headers.find(platform::kKey)) {
     violate("server got a key: " + id);
   }
+  const bool badly = runsBadly(server, request);
+  if (badly) {
+    rolloutCheck_.onBadAnswer(server.version, monotonicNow());
+  }
+  if (badly && !server.behaviour.slow) {
+    co_await http::respond(writer, ServerStandIn::sealed(request, kServerFailure, "failed"));
+    co_return;
+  }
+  const int slowness = badly ? kSlowFactor : 1;
   const bool loses = pick(kRunsALoss) == 0;
   if (loses) {
     ++findings_.faults["answer lost"];
@@ -103,7 +136,7 @@
     const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
     for (unsigned number = first; number <= kEvents && !writer.callerGone(); ++number) {
       co_await ServerStandIn::streamEvents(request, writer, number, number);
-      co_await pause(kEventPause);
+      co_await pause(kEventPause * slowness);
       if (loses && number == first + 1) {
         writer.abort();
         co_return;
@@ -113,7 +146,7 @@
     static_cast<void>(ended);
     co_return;
   }
-  co_await pause(Milliseconds(10));
+  co_await pause(Milliseconds(10) * slowness);
   if (loses) {
     writer.abort();
     co_return;
@@ -288,6 +321,7 @@
     const std::vector<StoreStandIn::Mode> modes{
         StoreStandIn::Mode::kBusy, StoreStandIn::Mode::kSilent, StoreStandIn::Mode::kLosesWrites};
     ++findings_.faults["store fails"];
+    rolloutCheck_.onStoreFault(monotonicNow());
     store_.setMode(modes[kind - 2]);
     co_await pause(between(200, 1500));
     store_.setMode(StoreStandIn::Mode::kUp);
@@ -355,7 +389,11 @@
       [this]() -> awaitable<void> {
         co_await recover();
         asio::co_spawn(context_, callers(), asio::detached);
-        co_await stormAndCalm();
+        if (plot_ == SoakPlot::kRollouts) {
+          co_await stormWithRollouts();
+        } else {
+          co_await stormAndCalm();
+        }
         // Faults that are under way end by themselves within a planned stop's time.
         co_await pause(Milliseconds(9500));
         co_await recover();
@@ -381,6 +419,11 @@
   for (const std::string& late : weightsCheck_.violations()) {
     violate(late);
   }
+  for (const std::string& wrong : rolloutCheck_.violations()) {
+    violate(wrong);
+  }
+  findings_.judgedOrders = rolloutCheck_.judgedOrders();
+  findings_.rollouts = rolloutCheck_.summary();
   findings_.judgedBeginnings = weightsCheck_.judgedBeginnings();
   findings_.judgedNamings = weightsCheck_.judgedNamings();
   findings_.weights = weightsCheck_.summary();
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -16,6 +16,7 @@
 #include "fault_spans.h"
 #include "http/client.h"
 #include "names.h"
+#include "rollout_check.h"
 #include "server_stand_in.h"
 #include "sim/fault_proxy.h"
 #include "store_stand_in.h"
@@ -43,6 +44,17 @@
   std::size_t judgedBeginnings = 0;
   std::size_t judgedNamings = 0;
   std::string weights;
+  /// Orders of versions, where they were part of the run.
+  std::size_t judgedOrders = 0;
+  std::string rollouts;
+};
+
+/// What a run holds beside the faults.
+enum class SoakPlot {
+  /// Calm spells in which weights are named in series.
+  kWeights,
+  /// Orders in series that move services to other versions.
+  kRollouts,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -50,8 +62,9 @@
 /// server. Judges what callers and servers see. Everything but the processes runs on one thread.
 class GatewaySoak {
  public:
-  GatewaySoak(std::uint64_t seed, Milliseconds length, std::size_t nodes)
-      : random_(seed), length_(length), store_(context_) {
+  GatewaySoak(std::uint64_t seed, Milliseconds length, std::size_t nodes,
+              SoakPlot plot = SoakPlot::kWeights)
+      : random_(seed), length_(length), plot_(plot), store_(context_) {
     log::silence();
     folder_ =
         std::filesystem::temp_directory_path() / ("gateway-soak-" + std::to_string(::getpid()));
@@ -97,8 +110,26 @@
     const Node* node = nullptr;
     MonotonicTime at;
   };
+  /// How the runs of a version's servers go wrong, if they do.
+  struct Behaviour {
+    double badShare = 0;
+    /// They are slow; else they fail.
+    bool slow = false;
+    /// From the server's start.
+    Milliseconds badAfter{0};
+    bool onlyUnderLoad = false;
+    bool onOneRoute = false;
+  };
   struct Server {
     std::unique_ptr<ServerStandIn> server;
+    std::string service;
+    std::string version = "v1";
+    std::string state = "ready";
+    Behaviour behaviour;
+    MonotonicTime startedAt = monotonicNow();
+    /// Ids of the runs under way.
+    std::multiset<std::string> running;
+    bool stopped = false;
     Proxy proxy;
     bool hasModel = false;
     /// Requests that come wait for some seconds before they begin.
@@ -109,7 +140,8 @@
   /// The tenant's limit, as the platform writes it.
   static boost::json::object limit();
   Proxy makeProxy(const Endpoint& target);
-  void addServer(const std::string& id, const std::string& service, const std::string& model);
+  void addServer(const std::string& id, const std::string& service, const std::string& model,
+                 const std::string& version = "v1", const Behaviour& behaviour = {});
   void publish(const Server& server);
   void addNode(const std::string& name);
   void startNode(Node& node);
@@ -119,6 +151,17 @@
   void recordBeginning(const Server& server, const std::string& request);
   /// The platform's configuration, with routes whose requests stay with a silent server.
   boost::json::value configuration();
+  Behaviour drawBehaviour();
+  bool runsBadly(const Server& server, const http::Request& request);
+  /// Whether the node that got the request, and the store, have been free of faults for long.
+  bool sentCalmly(const std::string& request) const;
+  std::vector<Server*> serversOf(const std::string& service, const std::string& version);
+  Body stopServer(Server& server);
+  Body stopAll(std::string service, std::string version, bool drains);
+  Body rollOutInSeries(std::string service, MonotonicTime end);
+  boost::asio::awaitable<std::string> rollOut(std::string service, std::string target);
+  Body stormWithRollouts();
+  std::string exposureShare() const;
   Body callers();
   Body call(std::string kind, std::string key);
   void judge(const std::string& kind, const std::string& id, const Result<http::Response>& answer);
@@ -158,6 +201,7 @@
   boost::asio::io_context context_;
   std::mt19937_64 random_;
   Milliseconds length_;
+  SoakPlot plot_;
   std::filesystem::path folder_;
   StoreStandIn store_;
   http::Client client_{context_.get_executor()};
@@ -185,6 +229,8 @@
   /// Faults of the store and of any path to it.
   FaultSpans storeFaults_{kSettle};
   WeightsCheck weightsCheck_{kWeightsBound};
+  RolloutBounds rolloutBounds_;
+  RolloutCheck rolloutCheck_{rolloutBounds_};
   /// Where and when the soak sent each request.
   std::map<std::string, Sending> sendings_;
 };
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -42,6 +42,22 @@
   soak(4, std::chrono::seconds(12));
 }
 
+/// Orders of good and bad versions in series, for two services, beside faults of nodes and store.
+/// Fresh seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(versionsAreRolledOutAndBackUnderFaults) {
+  const std::uint64_t seed = parameter("SOAK_SEED", 1);
+  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", 30)), 5,
+                   SoakPlot::kRollouts);
+  const SoakFindings findings = soak.run();
+  BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
+                             << findings.served << " served; " << findings.rollouts);
+  for (const std::string& violation : findings.violations) {
+    BOOST_ERROR("seed " << seed << ": " << violation);
+  }
+  BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
+  BOOST_TEST(findings.judgedOrders >= 2U, "too few orders were given to judge");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/gateway_soak/nodes.cc
+++ b/tests/gateway_soak/nodes.cc
@@ -30,11 +30,18 @@
                    {"limit-overshoot", "0.1"},
                    {"limit-slack", "30000"},
                    {"weights-bound-ms", std::to_string(kWeightsBound.count())},
+                   {"rollout-exposure-share", exposureShare()},
+                   {"rollout-exposure-slack", std::to_string(rolloutBounds_.exposureSlack)},
                    {"store", node->store.endpoint.toString()}});
   startNode(*node);
   nodes_.push_back(std::move(node));
 }
 
+/// 0 where the run holds no orders, as versions are then not told apart.
+std::string GatewaySoak::exposureShare() const {
+  return plot_ == SoakPlot::kRollouts ? std::to_string(rolloutBounds_.exposureShare) : "0";
+}
+
 void GatewaySoak::startNode(Node& node) {
   node.process = std::make_unique<Process>("calicodrift-gateway",
                                            std::vector<std::string>{"--settings", node.settings});
