Judge: the declared class compiles

Cause: the constructor of the interface names a member that was not declared, so that nothing that includes judge.h compiles.

--- a/src/service_rollout/judge.h
+++ b/src/service_rollout/judge.h
@@ -44,6 +44,9 @@
   /// test, counts of both versions.
   double evidence() const;
   std::string explain() const;
+
+ private:
+  JudgeSettings settings_;
 };
 
 }  // namespace calicodrift::service_rollout
