--- a/tests/service_rollout/traffic_rules_test.cc
+++ b/tests/service_rollout/traffic_rules_test.cc
@@ -53,7 +53,7 @@
 
 BOOST_AUTO_TEST_SUITE(traffic_rules)
 
-BOOST_AUTO_TEST_CASE(a_version_without_an_order_gets_nothing) {
+BOOST_AUTO_TEST_CASE(aVersionWithoutAnOrderGetsNothing) {
   Rules rules;
   rules.list(7, 0);
   rules.list(7, 7);
@@ -61,7 +61,7 @@
   BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
 }
 
-BOOST_AUTO_TEST_CASE(an_order_alone_permits_nothing_before_its_record) {
+BOOST_AUTO_TEST_CASE(anOrderAlonePermitsNothingBeforeItsRecord) {
   Rules rules;
   rules.list(7, 7);
   rules.applyOrder(orderFor(kNew, 10));
@@ -69,8 +69,7 @@
   BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
 }
 
-BOOST_AUTO_TEST_CASE(
-    a_node_that_starts_beside_a_candidate_takes_the_other_version_for_the_stable_one) {
+BOOST_AUTO_TEST_CASE(aNodeThatStartsBesideACandidateTakesTheOtherVersionForTheStableOne) {
   Rules rules;
   rules.applyOrder(orderFor(kOld, 10));
   // As many servers of each: the order tells which one is the candidate.
@@ -78,7 +77,7 @@
   BOOST_TEST((rules.rule().stable == kNew));
 }
 
-BOOST_AUTO_TEST_CASE(a_record_permits_the_canary_and_then_everything) {
+BOOST_AUTO_TEST_CASE(aRecordPermitsTheCanaryAndThenEverything) {
   Rules rules;
   rules.list(7, 7);
   rules.applyOrder(orderFor(kNew, 10));
@@ -92,7 +91,7 @@
   BOOST_TEST((rules.rule().use == CandidateUse::kEverything));
 }
 
-BOOST_AUTO_TEST_CASE(a_permit_ends_with_the_proof_of_the_views) {
+BOOST_AUTO_TEST_CASE(aPermitEndsWithTheProofOfTheViews) {
   Rules rules;
   rules.list(7, 7);
   rules.applyOrder(orderFor(kNew, 10));
@@ -102,7 +101,7 @@
   BOOST_TEST((rules.rule(Milliseconds(1501)).stable == kOld));
 }
 
-BOOST_AUTO_TEST_CASE(a_rejected_order_is_never_permitted_again) {
+BOOST_AUTO_TEST_CASE(aRejectedOrderIsNeverPermittedAgain) {
   Rules rules;
   rules.list(7, 7);
   rules.applyOrder(orderFor(kNew, 10));
@@ -114,7 +113,7 @@
   BOOST_TEST((rules.rule().use == CandidateUse::kNothing));
 }
 
-BOOST_AUTO_TEST_CASE(another_target_or_a_withdrawn_order_ends_the_permit) {
+BOOST_AUTO_TEST_CASE(anotherTargetOrAWithdrawnOrderEndsThePermit) {
   Rules rules;
   rules.list(7, 7);
   rules.applyRecord(recordIn(Phase::kBaking, 11));
@@ -131,7 +130,7 @@
   BOOST_TEST((rules.rule().stable == kOld));
 }
 
-BOOST_AUTO_TEST_CASE(a_completed_order_makes_its_target_stable_before_the_record_is_read) {
+BOOST_AUTO_TEST_CASE(aCompletedOrderMakesItsTargetStableBeforeTheRecordIsRead) {
   Rules rules;
   rules.list(7, 7);
   rules.applyRecord(recordIn(Phase::kShifting, 11));
@@ -146,7 +145,7 @@
   BOOST_TEST((rules.rule().stable == kOld));
 }
 
-BOOST_AUTO_TEST_CASE(a_service_without_a_record_goes_on_where_all_its_servers_were_replaced) {
+BOOST_AUTO_TEST_CASE(aServiceWithoutARecordGoesOnWhereAllItsServersWereReplaced) {
   Rules rules;
   rules.list(7, 0);
   rules.list(0, 7);
