Controller of service roll-outs: carries out the plan under the lease

Cause: the plan decides and nothing wrote. One write at a time a service, the token asked again right before, the views waited for afterwards; a write that may have been done is not repeated before both views are proven later (WritePacing, told the time). One log line a write, a verdict's change and a change of what an order waits for. Ruled out: co_await in both arms of a conditional expression, which the compiler gets wrong (the result's text was freed twice in three tests); a plain function picks the port now.

--- /dev/null
+++ b/src/service_rollout/rollout_controller.cc
@@ -0,0 +1,207 @@
+#include "service_rollout/rollout_controller.h"
+
+#include <boost/asio.hpp>
+
+#include "log/log.h"
+
+namespace calicodrift::service_rollout {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+std::string_view judgement(const PlanInput& input) {
+  if (input.seen.rejected) {
+    return "rejected by a node";
+  }
+  if (input.verdict == Verdict::kBad) {
+    return "bad";
+  }
+  return input.verdict == Verdict::kSound ? "sound" : "undecided";
+}
+
+void logVerdict(const std::string& service, const PlanInput& input) {
+  log::write(log::Level::kInfo, "service_rollout_verdict",
+             {{"service", service},
+              {"candidate", input.record->candidate.value()},
+              {"verdict", std::string(judgement(input))},
+              {"age_ms", std::to_string(input.seen.age.count())},
+              {"exposed", std::to_string(input.seen.exposed)},
+              {"reached", std::to_string(input.seen.reached)},
+              {"evidence", input.evidence}});
+}
+
+void logWrite(const std::string& service, const PlanInput& input, const PlanAction& action,
+              const Result<store::Revision>& written) {
+  const bool isRecord = action.step == PlanStep::kWriteRecord;
+  const std::string_view content =
+      isRecord ? toString(action.record.phase) : toString(action.state);
+  const std::string_view result = written ? "written" : errorRow(written.error().kind).name;
+  log::write(written ? log::Level::kInfo : log::Level::kWarning, "service_rollout_write",
+             {{"service", service},
+              {"write", isRecord ? "record" : "state"},
+              {"content", std::string(content)},
+              {"target", input.order ? input.order->target.value() : ""},
+              {"stable", isRecord ? action.record.stable.value() : ""},
+              {"result", std::string(result)},
+              {"revision", written ? std::to_string(written.value().value()) : ""},
+              {"reason", action.reason}});
+}
+
+}  // namespace
+
+struct RolloutController::ServiceState {
+  explicit ServiceState(WritePacingSettings settings) : pacing(settings) {}
+
+  /// Nothing that an earlier tenure saw is used; its writes still count.
+  void beginTenure() {
+    phase.reset();
+    drainedSince.reset();
+    verdict = Verdict::kUndecided;
+    rejected = false;
+    waitsFor.clear();
+  }
+
+  /// Fills in what takes more than one look to know.
+  void observe(PlanInput& input, MonotonicTime now) {
+    const Phase found = input.record ? input.record->phase : Phase::kSteady;
+    const OrderKey foundOrder = input.record ? keyOf(*input.record) : OrderKey();
+    if (phase != found || order != foundOrder) {
+      phase = found;
+      order = foundOrder;
+      phaseSince = now;
+      drainedSince.reset();
+    }
+    const std::size_t running =
+        found == Phase::kShifting ? input.stableInFlight : input.otherInFlight;
+    if (running > 0) {
+      drainedSince.reset();
+    } else if (!drainedSince) {
+      drainedSince = now;
+    }
+    input.phaseAge = std::chrono::duration_cast<Milliseconds>(now - phaseSince);
+    input.drainedFor = std::chrono::duration_cast<Milliseconds>(now - drainedSince.value_or(now));
+  }
+
+  void noteVerdict(const std::string& service, const PlanInput& input) {
+    const bool underWay = input.record && input.record->phase != Phase::kSteady;
+    if (!underWay || input.seen.order != keyOf(*input.record)) {
+      return;
+    }
+    if (input.verdict != verdict || input.seen.rejected != rejected) {
+      verdict = input.verdict;
+      rejected = input.seen.rejected;
+      logVerdict(service, input);
+    }
+  }
+
+  void noteWaiting(const std::string& service, const std::string& reason) {
+    if (reason != waitsFor && !reason.empty()) {
+      log::write(log::Level::kInfo, "service_rollout_waits",
+                 {{"service", service}, {"reason", reason}});
+    }
+    waitsFor = reason;
+  }
+
+  WritePacing pacing;
+  bool writing = false;
+  std::optional<Phase> phase;
+  OrderKey order;
+  MonotonicTime phaseSince{};
+  std::optional<MonotonicTime> drainedSince;
+  /// As logged last.
+  Verdict verdict = Verdict::kUndecided;
+  bool rejected = false;
+  std::string waitsFor;
+};
+
+RolloutController::RolloutController(asio::any_io_executor executor, RolloutPorts ports,
+                                     RolloutControllerSettings settings)
+    : executor_(std::move(executor)),
+      timer_(executor_),
+      ports_(std::move(ports)),
+      settings_(settings),
+      random_(settings.seed) {}
+
+void RolloutController::start() {
+  asio::co_spawn(executor_, run(), asio::detached);
+}
+
+awaitable<void> RolloutController::run() {
+  for (;;) {
+    lookAtAll();
+    timer_.expires_after(settings_.interval);
+    co_await timer_.async_wait(asio::use_awaitable);
+  }
+}
+
+void RolloutController::lookAtAll() {
+  const std::optional<FencingToken> token = ports_.token();
+  if (token != tenure_) {
+    tenure_ = token;
+    for (const auto& [service, state] : services_) {
+      state->beginTenure();
+    }
+  }
+  if (!token) {
+    return;
+  }
+  const std::map<std::string, PlanInput> inputs = ports_.inputs();
+  forgetOthers(inputs);
+  for (const auto& [service, input] : inputs) {
+    lookAt(service, input);
+  }
+}
+
+void RolloutController::lookAt(const std::string& service, PlanInput input) {
+  std::shared_ptr<ServiceState>& state = services_[service];
+  if (!state) {
+    state = std::make_shared<ServiceState>(settings_.pacing);
+  }
+  const MonotonicTime now = monotonicNow();
+  state->observe(input, now);
+  state->noteVerdict(service, input);
+  if (state->writing || !state->pacing.mayWrite(input, now)) {
+    return;
+  }
+  PlanAction action = nextAction(input, settings_.plan);
+  if (action.step == PlanStep::kNothing) {
+    state->noteWaiting(service, action.reason);
+    return;
+  }
+  state->writing = true;
+  asio::co_spawn(executor_, write(state, service, std::move(input), std::move(action), *tenure_),
+                 asio::detached);
+}
+
+awaitable<void> RolloutController::write(std::shared_ptr<ServiceState> state, std::string service,
+                                         PlanInput input, PlanAction action, FencingToken token) {
+  if (ports_.token() != token) {
+    state->writing = false;
+    co_return;
+  }
+  const Result<store::Revision> written = co_await carryOut(input, action);
+  logWrite(service, input, action, written);
+  if (written) {
+    state->pacing.onWritten(action.step, written.value(), monotonicNow());
+  } else {
+    state->pacing.onFailed(written.error().kind, monotonicNow(), random_);
+  }
+  state->writing = false;
+}
+
+RolloutPorts::Written RolloutController::carryOut(const PlanInput& input,
+                                                  const PlanAction& action) const {
+  if (action.step == PlanStep::kWriteRecord) {
+    return ports_.writeRecord(action.record);
+  }
+  return ports_.writeState(*input.order, action.state);
+}
+
+void RolloutController::forgetOthers(const std::map<std::string, PlanInput>& inputs) {
+  std::erase_if(services_, [&inputs](const auto& entry) {
+    return !inputs.contains(entry.first) && !entry.second->writing;
+  });
+}
+
+}  // namespace calicodrift::service_rollout
