--- a/src/gateway/service_rollouts.cc
+++ b/src/gateway/service_rollouts.cc
@@ -15,6 +15,7 @@
 using service_rollout::Order;
 using service_rollout::OrderKey;
 using service_rollout::OrderState;
+using service_rollout::PlanInput;
 using service_rollout::Phase;
 using service_rollout::ServiceRecord;
 using service_rollout::Track;
@@ -59,7 +60,7 @@
                      watcherSettings(std::string(service_rollout::kRecordKind)), recordListener()),
       lease_(context_.executor, context_.leases, std::string(kLeaseName), std::move(lease),
              [this] { return context_.mayDecide() && anyUnfinished(); }),
-      controller_(context_.executor, controllerPorts(), plan_, seed),
+      controller_(context_.executor, ports(), controllerSettings(seed)),
       timer_(context_.executor) {}
 
 void ServiceRollouts::start() {
@@ -80,6 +81,14 @@
   }
 }
 
+service_rollout::RolloutControllerSettings ServiceRollouts::controllerSettings(
+    std::uint64_t seed) const {
+  service_rollout::RolloutControllerSettings settings;
+  settings.plan = plan_;
+  settings.seed = seed;
+  return settings;
+}
+
 store::KindWatcherSettings ServiceRollouts::watcherSettings(std::string kind) const {
   store::KindWatcherSettings watcher;
   watcher.seed = hashBytes(nodeId_ + kind);
@@ -192,11 +201,10 @@
   if (!enabled_) {
     return;
   }
-  const bool synchronized = orderWatcher_.synchronized() && recordWatcher_.synchronized();
   const MonotonicTime now = monotonicNow();
   for (const auto& [service, listed] : context_.pool.listedVersions()) {
     // Before the orders were read, several versions can't be told from each other.
-    if (synchronized || listed.size() == 1) {
+    if (synchronized() || listed.size() == 1) {
       rules_.setListed(service, listed);
     }
   }
@@ -284,13 +292,6 @@
   while (now - progress.reached.front().at > kRateSpan) {
     progress.reached.pop_front();
   }
-  const ServiceRecord* record = rules_.recordOf(service);
-  const bool shifts = record != nullptr && record->phase == Phase::kShifting;
-  if (!shifts) {
-    progress.shiftSince.reset();
-  } else if (!progress.shiftSince) {
-    progress.shiftSince = now;
-  }
   const Verdict verdict = progress.judge.update(progress.sum, now);
   metrics_.setSeen(service, progress.sum, progress.judge.evidence(), verdict);
   if (verdict != progress.verdict) {
@@ -363,11 +364,10 @@
   return hooks;
 }
 
-service_rollout::ControllerPorts ServiceRollouts::controllerPorts() {
-  service_rollout::ControllerPorts ports;
-  ports.holdsLease = [this] { return context_.mayDecide() && lease_.token().has_value(); };
-  ports.services = [this] { return rules_.services(); };
-  ports.input = [this](const std::string& service) { return planInput(service); };
+service_rollout::RolloutPorts ServiceRollouts::ports() {
+  service_rollout::RolloutPorts ports;
+  ports.token = [this] { return context_.mayDecide() ? lease_.token() : std::nullopt; };
+  ports.inputs = [this] { return planInputs(); };
   ports.writeRecord = [this](ServiceRecord record) { return writeRecord(std::move(record)); };
   ports.writeState = [this](Order order, OrderState state) {
     return writeState(std::move(order), state);
@@ -375,32 +375,62 @@
   return ports;
 }
 
-service_rollout::PlanInput ServiceRollouts::planInput(const std::string& service) const {
-  service_rollout::PlanInput input;
+std::map<std::string, PlanInput> ServiceRollouts::planInputs() const {
+  std::map<std::string, PlanInput> inputs;
+  if (!synchronized()) {
+    return inputs;
+  }
+  for (const std::string& service : rules_.services()) {
+    if (rules_.orderOf(service) != nullptr || rules_.recordOf(service) != nullptr) {
+      inputs[service] = planInput(service);
+    }
+  }
+  return inputs;
+}
+
+PlanInput ServiceRollouts::planInput(const std::string& service) const {
+  PlanInput input;
   if (const Order* order = rules_.orderOf(service)) {
     input.order = *order;
   }
-  const ServiceRecord* record = rules_.recordOf(service);
-  if (record == nullptr) {
-    input.firstSeen = rules_.firstSeen(service);
-    return input;
-  }
-  input.record = *record;
+  input.orders = {orderWatcher_.revision(), orderWatcher_.provenAt()};
+  input.records = {recordWatcher_.revision(), recordWatcher_.provenAt()};
   input.firstSeen = rules_.firstSeen(service);
+  if (const ServiceRecord* record = rules_.recordOf(service)) {
+    input.record = *record;
+    addTraffic(*record, input);
+  }
+  return input;
+}
+
+void ServiceRollouts::addTraffic(const ServiceRecord& record, PlanInput& input) const {
+  const fleet::ServerPool& pool = context_.pool;
   const MonotonicTime now = monotonicNow();
-  input.stableServers = context_.pool.usableOf(service, record->stable, now);
-  input.candidateServers = context_.pool.usableOf(service, record->candidate, now);
-  input.stableInFlight = context_.pool.inFlightOf(service, record->stable);
-  if (const auto found = progress_.find(keyOf(*record)); found != progress_.end()) {
+  input.stableServers = pool.usableOf(record.service, record.stable, now);
+  input.stableInFlight = pool.inFlightOf(record.service, record.stable);
+  if (!record.candidate.value().empty()) {
+    input.candidateServers = pool.usableOf(record.service, record.candidate, now);
+  }
+  for (const auto& [version, servers] : listedVersionsOf(record.service)) {
+    if (version != record.stable) {
+      input.otherInFlight += pool.inFlightOf(record.service, version);
+    }
+  }
+  const auto found = progress_.find(keyOf(record));
+  if (found != progress_.end()) {
     const Progress& progress = found->second;
     input.seen = progress.sum;
     input.verdict = progress.verdict;
+    input.evidence = progress.judge.explain();
     input.requestsPerSecond = rateOf(progress);
-    if (progress.shiftSince) {
-      input.shiftingFor = std::chrono::duration_cast<Milliseconds>(now - *progress.shiftSince);
-    }
   }
-  return input;
+}
+
+std::map<SoftwareVersion, std::size_t> ServiceRollouts::listedVersionsOf(
+    const std::string& service) const {
+  const auto listed = context_.pool.listedVersions();
+  const auto found = listed.find(service);
+  return found == listed.end() ? std::map<SoftwareVersion, std::size_t>{} : found->second;
 }
 
 double ServiceRollouts::rateOf(const Progress& progress) {
--- a/src/gateway/service_rollouts.h
+++ b/src/gateway/service_rollouts.h
@@ -82,8 +82,6 @@
     service_rollout::OrderObservations sum;
     std::deque<ReachedAt> reached;
     service_rollout::Verdict verdict = service_rollout::Verdict::kUndecided;
-    /// When this node first saw the shift of its record.
-    std::optional<MonotonicTime> shiftSince;
   };
 
   store::KindWatcherSettings watcherSettings(std::string kind) const;
@@ -111,8 +109,18 @@
   /// Whether an order waits for a decision or for its state.
   bool anyUnfinished() const;
   MonotonicTime provenAt() const;
-  service_rollout::ControllerPorts controllerPorts();
+  /// Whether orders and records were both read.
+  bool synchronized() const {
+    return orderWatcher_.synchronized() && recordWatcher_.synchronized();
+  }
+  service_rollout::RolloutPorts ports();
+  service_rollout::RolloutControllerSettings controllerSettings(std::uint64_t seed) const;
+  std::map<std::string, service_rollout::PlanInput> planInputs() const;
   service_rollout::PlanInput planInput(const std::string& service) const;
+  /// Servers, requests under way and what was seen of the record's order.
+  void addTraffic(const service_rollout::ServiceRecord& record,
+                  service_rollout::PlanInput& input) const;
+  std::map<SoftwareVersion, std::size_t> listedVersionsOf(const std::string& service) const;
   static double rateOf(const Progress& progress);
   boost::asio::awaitable<Result<store::Revision>> writeRecord(
       service_rollout::ServiceRecord record);
