Test first: how old views of nodes that reach the store may be (fails)

Nothing at a node holds the bound: its view is as old as its way to the store. The test, in virtual time, takes the store from sets of nodes, roots first, refused, silent or turned away, for 0.3 to 9 s, overlapping; a node that has had its own path for a second longer than the bound must have no view older than the bound. The simulation now knows in which way the store is lost, and that a watch of a silent store hangs until its time-out. The path of relay_node_test lacked putStatus(), so that it did not compile.

--- /dev/null
+++ b/tests/relay/configuration_age_test.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "simulated_tree.h"
+
+namespace calicodrift::relay {
+namespace {
+
+/// A fleet, and how old the configuration may be at a node that can read the store.
+struct Fleet {
+  std::size_t nodes;
+  Milliseconds bound;
+};
+
+constexpr Fleet kFleets[] = {
+    {8, Milliseconds(2000)},
+    {24, Milliseconds(2000)},
+    {73, Milliseconds(3000)},
+    {300, Milliseconds(4000)},
+};
+/// The bound holds for a node that has had its path for so much longer than the bound.
+constexpr Milliseconds kContactBeyondBound{1000};
+constexpr Milliseconds kStep{50};
+
+SimulatedTree settledTree(const Fleet& fleet, std::uint64_t seed) {
+  SimulatedTree tree(fleet.nodes, 5, seed, RelaySettings{});
+  tree.startAll(Milliseconds(300));
+  tree.run(Milliseconds(6000));
+  return tree;
+}
+
+/// Takes the store from one set of nodes after another, for whiles that overlap.
+class Strikes {
+ public:
+  explicit Strikes(std::uint64_t seed) : random_(seed) {}
+
+  void strike(SimulatedTree& tree) {
+    for (const std::size_t number : pick(tree)) {
+      tree.loseStore(number, anyLoss(), Milliseconds(any(300, 9000)));
+    }
+  }
+  Milliseconds pause() { return Milliseconds(any(200, 1500)); }
+
+ private:
+  std::int64_t any(std::int64_t least, std::int64_t most) {
+    return std::uniform_int_distribution<std::int64_t>(least, most)(random_);
+  }
+  StoreLoss anyLoss() {
+    constexpr StoreLoss kLosses[] = {StoreLoss::kRefused, StoreLoss::kSilent,
+                                     StoreLoss::kTurnedAway};
+    return kLosses[any(0, 2)];
+  }
+  std::vector<std::size_t> pick(const SimulatedTree& tree) {
+    std::vector<std::size_t> roots = tree.roots();
+    if (any(0, 3) == 0 && roots.size() > 1) {
+      roots.resize(1);
+    }
+    std::vector<std::size_t> picked = roots;
+    const std::int64_t kind = any(0, 2);
+    if (kind == 1 && !roots.empty()) {
+      // A root and some of those that would take its place.
+      for (const std::size_t child : tree.childrenOf(roots[0])) {
+        if (any(0, 1) == 0) {
+          picked.push_back(child);
+        }
+      }
+    }
+    for (std::size_t number = 0; kind == 2 && number < tree.size(); ++number) {
+      if (any(0, 2) == 0) {
+        picked.push_back(number);
+      }
+    }
+    return picked;
+  }
+
+  std::mt19937_64 random_;
+};
+
+BOOST_AUTO_TEST_SUITE(configuration_age)
+
+BOOST_AUTO_TEST_CASE(nodeThatReachesTheStoreHasNoViewOlderThanTheBound) {
+  for (const Fleet& fleet : kFleets) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      SimulatedTree tree = settledTree(fleet, seed);
+      Strikes strikes(seed);
+      MonotonicTime nextStrike = tree.now();
+      Milliseconds oldest{0};
+      const MonotonicTime end = tree.now() + Milliseconds(40'000);
+      while (tree.now() < end) {
+        if (tree.now() >= nextStrike) {
+          strikes.strike(tree);
+          nextStrike = tree.now() + strikes.pause();
+        }
+        tree.run(kStep);
+        oldest = std::max(oldest, tree.oldestViewWithPath(fleet.bound + kContactBeyondBound));
+      }
+      BOOST_TEST(oldest.count() <= fleet.bound.count(),
+                 fleet.nodes << " nodes, seed " << seed << ": " << oldest.count() << " ms");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::relay
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -103,6 +103,13 @@
       }
       co_return co_await shared.put(std::move(kind), std::move(object));
     }
+    asio::awaitable<Result<store::Revision>> putStatus(std::string kind,
+                                                       store::Object object) override {
+      if (cut) {
+        co_return fail(ErrorKind::kStoreUnavailable, "cut");
+      }
+      co_return co_await shared.putStatus(std::move(kind), std::move(object));
+    }
     FakeStore& shared;
     bool cut = false;
     std::size_t reads = 0;
--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -13,6 +13,16 @@
 
 namespace calicodrift::relay {
 
+/// How a node's own path to the store fails.
+enum class StoreLoss {
+  kNone,
+  kRefused,
+  /// Says nothing, so that a call ends by its time-out alone.
+  kSilent,
+  /// Turned away at once, as a store does that has too many calls.
+  kTurnedAway,
+};
+
 /// Many RelayCores in virtual time, with a store and views that are as old as their way from it.
 /// The same seed gives the same run.
 class SimulatedTree {
@@ -43,6 +53,7 @@
         started.core = std::make_unique<RelayCore>(settings, random_());
         started.off = false;
         started.provenAt = {};
+        started.pathSince = now();
         step(number, incarnation);
       }
     });
@@ -65,7 +76,37 @@
   }
   /// A frozen node neither sends nor answers.
   void setFrozen(std::size_t number, bool frozen) { nodes_[number].frozen = frozen; }
-  void setCutFromStore(std::size_t number, bool cut) { nodes_[number].cut = cut; }
+  void setCutFromStore(std::size_t number, bool cut) {
+    setStoreLoss(number, cut ? StoreLoss::kSilent : StoreLoss::kNone);
+  }
+  void setStoreLoss(std::size_t number, StoreLoss loss) {
+    Node& node = nodes_[number];
+    refreshView(node);
+    const bool hadPath = node.loss == StoreLoss::kNone;
+    if (loss == StoreLoss::kNone && !hadPath) {
+      node.pathSince = now();
+    }
+    if (loss == StoreLoss::kSilent && node.core && node.core->role() == RelayRole::kRoot) {
+      // The watch that is under way.
+      node.watchHangsUntil = now() + kStoreTimeout + delay(kWatch);
+    }
+    node.loss = loss;
+  }
+  /// Loses the store for a while; the longer loss counts where they overlap.
+  void loseStore(std::size_t number, StoreLoss loss, Milliseconds duration) {
+    Node& node = nodes_[number];
+    const MonotonicTime end = now() + duration;
+    if (end <= node.lossEnd) {
+      return;
+    }
+    node.lossEnd = end;
+    setStoreLoss(number, loss);
+    clock_.schedule(duration, [this, number, end] {
+      if (nodes_[number].lossEnd == end) {
+        setStoreLoss(number, StoreLoss::kNone);
+      }
+    });
+  }
   void setStoreDown(bool down) { storeDown_ = down; }
   /// Lost calls between nodes, from 0 to 1.
   void setLoss(double loss) { loss_ = loss; }
@@ -92,6 +133,28 @@
     }
     return count;
   }
+  /// The oldest view of a node that has had its own path to the store for `contact`.
+  Milliseconds oldestViewWithPath(Milliseconds contact) {
+    Milliseconds oldest{0};
+    for (Node& node : nodes_) {
+      if (!node.core || node.frozen || node.loss != StoreLoss::kNone ||
+          now() - node.pathSince < contact) {
+        continue;
+      }
+      refreshFromAbove(node);
+      oldest = std::max(oldest, std::chrono::ceil<Milliseconds>(now() - node.provenAt));
+    }
+    return oldest;
+  }
+  std::vector<std::size_t> childrenOf(std::size_t number) const {
+    std::vector<std::size_t> found;
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+      if (nodes_[other].core && nodes_[other].core->parent() == endpointOf(number)) {
+        found.push_back(other);
+      }
+    }
+    return found;
+  }
   std::uint32_t greatestDepth() const {
     std::uint32_t depth = 0;
     for (const Node& node : nodes_) {
@@ -117,6 +180,9 @@
   static constexpr Milliseconds kStoreAnswer{4};
   static constexpr Milliseconds kHop{2};
   static constexpr Milliseconds kStoreTimeout{1200};
+  static constexpr Milliseconds kRefusal{1};
+  /// Longest watch of the store.
+  static constexpr Milliseconds kWatch{600};
   /// How often a root's watches prove its view, and a child asks its parent for the proof.
   static constexpr Milliseconds kProofInterval{200};
 
@@ -126,7 +192,12 @@
     MonotonicTime provenAt{};
     bool off = false;
     bool frozen = false;
-    bool cut = false;
+    StoreLoss loss = StoreLoss::kNone;
+    MonotonicTime lossEnd{};
+    /// Since when the store can be reached.
+    MonotonicTime pathSince{};
+    /// A watch of a store that fell silent ends by its time-out, and keeps views from being read.
+    MonotonicTime watchHangsUntil{};
   };
   Endpoint endpointOf(std::size_t number) const {
     return {"n" + std::to_string(number), static_cast<std::uint16_t>(1)};
@@ -195,8 +266,8 @@
   void callStore(std::size_t number, std::uint64_t incarnation,
                  const std::function<void(Node&, bool)>& answer) {
     ++storeCalls_;
-    const bool reached = !storeDown_ && !nodes_[number].cut;
-    later(number, incarnation, reached ? kStoreAnswer : kStoreTimeout,
+    const bool reached = reachesStore(nodes_[number]);
+    later(number, incarnation, timeOfCall(nodes_[number]),
           [this, number, incarnation, reached, answer](Node& node) {
             answer(node, reached);
             step(number, incarnation);
@@ -223,10 +294,45 @@
     });
   }
 
+  bool reachesStore(const Node& node) const { return !storeDown_ && node.loss == StoreLoss::kNone; }
+  Milliseconds timeOfCall(const Node& node) const {
+    switch (node.loss) {
+      case StoreLoss::kRefused:
+        return storeDown_ ? kStoreTimeout : kRefusal;
+      case StoreLoss::kSilent:
+        return kStoreTimeout;
+      case StoreLoss::kNone:
+      case StoreLoss::kTurnedAway:
+        break;
+    }
+    return storeDown_ ? kStoreTimeout : kStoreAnswer;
+  }
+
+  /// Long polls bring what is new above within some milliseconds.
+  void refreshFromAbove(Node& node) {
+    std::vector<Node*> way{&node};
+    while (way.size() < kLongestWay && way.back()->core && way.back()->core->parent()) {
+      way.push_back(&nodes_[numberOf(*way.back()->core->parent())]);
+    }
+    for (auto above = way.rbegin(); above != way.rend(); ++above) {
+      if ((*above)->core && !(*above)->frozen) {
+        refreshView(**above);
+      }
+    }
+  }
+  static constexpr std::size_t kLongestWay = 12;
+
   /// What the watches do meanwhile.
   void refreshView(Node& node) {
-    const bool rootSees =
-        node.core->role() == RelayRole::kRoot && !storeDown_ && !node.cut && !node.frozen;
+    if (!node.core || now() < node.watchHangsUntil) {
+      return;
+    }
+    const bool root = node.core->role() == RelayRole::kRoot;
+    if (root && node.loss == StoreLoss::kSilent) {
+      node.watchHangsUntil = now() + kStoreTimeout + kWatch;
+      return;
+    }
+    const bool rootSees = root && reachesStore(node) && !node.frozen;
     if (rootSees) {
       node.provenAt = now();
     } else if (const auto parent = node.core->parent()) {
