Nodes read old views from the store themselves; bounds of configuration and draining as settings

Cause: nothing at a node held the bound on the age of its configuration. Its view was as old as its way to the store: a root whose watch hangs (up to 1.8 s after it has taken another source already, as only calls to relays were given up), a child that stays with a parent whose view is merely old, a list of roots that is read by a call of up to 1.2 s in the loop that also holds the place. Change: config-bound-ms and drain-bound-ms; three fifths of each is the age from which a node reads the kind from the store itself (ViewGuard decides, RelayedStore::refresh() reads): by depth and lot, given up after an eighth of the age, with doubling pauses. What it finds is the node's view with its proof, is handed on to children, and ends a read that hangs. The tree is still judged by what sources give, so that it mends as before. A read of the store is given up when the source changes.

--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -16,6 +16,10 @@
 constexpr Milliseconds kWeightsRecallMargin{500};
 /// A request takes its way to a server, and a proof counts from when it was asked for.
 constexpr Milliseconds kRevocationMargin{1200};
+/// Before a bound on the age of a view: for the deeper nodes to wait for those above, and for two
+/// calls to the store that fail. Two fifths, but no less than a view takes on a calm day.
+constexpr Milliseconds kViewMargin{800};
+constexpr int kViewMarginTenths = 4;
 /// What was cut off at the end of a planned stop must still be told to callers.
 constexpr Milliseconds kStopMargin{300};
 /// A holder's clock starts before its renewal is acknowledged.
@@ -43,6 +47,10 @@
   std::string breaks;
 };
 
+Milliseconds viewMargin(Milliseconds bound) {
+  return std::max(kViewMargin, bound * kViewMarginTenths / 10);
+}
+
 std::vector<Rule> rulesOf(GatewaySettings& settings) {
   // A quarter, so that a long bound leaves room for longer queues too.
   const Milliseconds weightsMargin = std::max(kWeightsMargin, settings.weightsBound / 4);
@@ -55,6 +63,12 @@
        "requests that wait at a server begin on weights that were replaced too long ago"},
       {"revocation-bound-ms", settings.revocationBound, kRevocationMargin, "key-proof-age-ms",
        settings.keyProofAge, "requests are served for keys that were withdrawn"},
+      {"config-bound-ms", settings.configBound, viewMargin(settings.configBound),
+       "config-read-age-ms", settings.configReadAge,
+       "requests are served by a configuration that was replaced too long ago"},
+      {"drain-bound-ms", settings.drainBound, viewMargin(settings.drainBound), "server-read-age-ms",
+       settings.serverReadAge,
+       "requests are sent to servers that were marked as draining too long ago"},
       {"stop-bound-s", stopBound, kStopMargin, "drain-timeout-ms", settings.drainTimeout,
        "a planned stop is ended from outside and cuts requests"},
       {"lease-bound-ms", settings.leaseBound, kLeaseMargin, "lease-duration-ms",
@@ -97,6 +111,22 @@
                         "the nodes together let through more than a tenant's limit"};
 }
 
+/// Below the age at which roots look for another one, nodes would read the store all the time.
+Result<void> checkReadAges(const GatewaySettings& settings) {
+  const std::pair<std::string, Milliseconds> ages[] = {
+      {"config-bound-ms, or config-read-age-ms", settings.configReadAge},
+      {"drain-bound-ms, or server-read-age-ms", settings.serverReadAge}};
+  for (const auto& [name, age] : ages) {
+    if (age <= settings.relayProofAge) {
+      return fail(ErrorKind::kSettingsInvalid,
+                  name + " is too short: views would be read from the store when they are " +
+                      textOf(age) + " old, as on a calm day; relay-proof-age-ms is " +
+                      textOf(settings.relayProofAge));
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 }  // namespace
 
 Result<std::vector<DerivedSetting>> applyBounds(GatewaySettings& settings) {
@@ -116,6 +146,7 @@
     derived.push_back({rule.name, textOf(rule.value),
                        rule.boundName + " - " + std::to_string(rule.margin.count()), rule.breaks});
   }
+  BOOST_OUTCOME_TRY(checkReadAges(settings));
   if (settings.weightsWait < settings.weightsTerm) {
     return fail(ErrorKind::kSettingsInvalid,
                 "weights-wait-ms is " + textOf(settings.weightsWait) + " and weights-term-ms " +
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -74,7 +74,7 @@
   return server;
 }
 
-relay::RelaySettings relaySettings(const GatewaySettings& settings) {
+relay::RelaySettings relaySettings(const GatewaySettings& settings, const StoreSchema& schema) {
   relay::RelaySettings relay;
   relay.node = NodeId(settings.nodeId);
   relay.zone = ZoneId(settings.zone);
@@ -82,6 +82,8 @@
   relay.endpoint = settings.relayListen;
   relay.maxFollowers = static_cast<std::size_t>(settings.relayMaxFollowers);
   relay.proofAge = settings.relayProofAge;
+  relay.readAges = {{schema.configurationKind(), settings.configReadAge},
+                    {schema.serverKind(), settings.serverReadAge}};
   return relay;
 }
 
@@ -163,7 +165,8 @@
           context.get_executor(), client_, ports_.servers, [this] { return views_.table(); },
           [this] { return relay_.readsStore(); },
           [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
-      relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
+      relay_(context.get_executor(), ports_.store, client_,
+             relaySettings(settings_, ports_.schema)),
       exchange_(exchangeContext(), exchangeSettings(settings_)),
       quotaMetrics_(registry_),
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
   Milliseconds configWatch{0};
   Milliseconds configChangePause{0};
   Milliseconds configProofAge{0};
+  Milliseconds configReadAge{0};
+  Milliseconds serverReadAge{0};
   Milliseconds serverWatch{0};
   Milliseconds serverChangePause{0};
   Milliseconds weightsWatch{0};
@@ -50,6 +52,8 @@
   /// Bounds of the deployment; bounds.h says what follows from them.
   Milliseconds weightsBound{0};
   Milliseconds revocationBound{0};
+  Milliseconds configBound{0};
+  Milliseconds drainBound{0};
   double stopBoundSeconds = 0;
   Milliseconds leaseBound{0};
   double linkMbps = 0;
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -1,5 +1,6 @@
 #include "relay/relay_node.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <utility>
 
@@ -53,6 +54,9 @@
 }
 
 void RelayNode::start() {
+  if (!settings_.readAges.empty()) {
+    asio::co_spawn(executor_, keepViewsYoung(), asio::detached);
+  }
   if (alone()) {
     store_.readDirectly();
   } else {
@@ -135,6 +139,60 @@
   co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+awaitable<void> RelayNode::keepViewsYoung() {
+  Milliseconds shortest = Milliseconds::max();
+  for (const auto& [kind, age] : settings_.readAges) {
+    shortest = std::min(shortest, age);
+  }
+  ViewGuard guard(viewGuardSettings(shortest), seedOf(settings_));
+  asio::steady_timer timer(executor_);
+  for (;;) {
+    const MonotonicTime due = nextReading(guard);
+    if (monotonicNow() < due) {
+      timer.expires_at(due);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      continue;
+    }
+    const bool reached = co_await readOldViews(guard);
+    guard.onRead(reached, monotonicNow());
+    if (reached && onSourceChanged_) {
+      onSourceChanged_();
+    }
+  }
+}
+
+MonotonicTime RelayNode::nextReading(const ViewGuard& guard) {
+  // For a first view, which comes from this node's place in the tree.
+  constexpr Milliseconds kLookInterval{100};
+  MonotonicTime due = MonotonicTime::max();
+  for (const auto& [kind, age] : settings_.readAges) {
+    const WatchCache* view = store_.cache(kind);
+    const bool known = view != nullptr && view->known();
+    due = std::min(due, known ? guard.due(view->provenAt(), age, core_.depth())
+                              : monotonicNow() + kLookInterval);
+  }
+  return due;
+}
+
+awaitable<bool> RelayNode::readOldViews(const ViewGuard& guard) {
+  for (const auto& [kind, readAge] : settings_.readAges) {
+    const WatchCache* view = store_.cache(kind);
+    if (view == nullptr || !view->known() || monotonicNow() - view->provenAt() < readAge) {
+      continue;
+    }
+    const auto age = std::chrono::floor<Milliseconds>(monotonicNow() - view->provenAt());
+    const Result<void> read = co_await store_.refresh(kind, guard.settings().callTimeout);
+    log::write(log::Level::kInfo, "view_read_from_store",
+               {{"kind", kind},
+                {"age_ms", std::to_string(age.count())},
+                {"outcome", read ? "read" : read.error().detail}});
+    if (!read) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 void RelayNode::applyRole() {
   const std::optional<Endpoint> parent = core_.parent();
   if (parent) {
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -11,6 +11,7 @@
 #include "relay/relay_list.h"
 #include "relay/relay_server.h"
 #include "relay/relayed_store.h"
+#include "relay/view_guard.h"
 
 namespace calicodrift::relay {
 
@@ -27,7 +28,8 @@
   /// Sends children away and takes this node off the list of roots.
   boost::asio::awaitable<void> stop();
   store::ObjectStore& store() { return store_; }
-  /// Called when views are read from another source than before.
+  /// Called when views are read from another source than before, or were read from the store
+  /// besides.
   void onSourceChanged(std::function<void()> listener) { onSourceChanged_ = std::move(listener); }
   /// Whether this node reads the store itself now.
   bool readsStore() const { return store_.readsDirectly(); }
@@ -49,6 +51,11 @@
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> carryOut(RelayAction action);
   boost::asio::awaitable<void> wait(MonotonicTime until);
+  /// Reads kinds from the store where their views have grown old, for as long as the node runs.
+  boost::asio::awaitable<void> keepViewsYoung();
+  MonotonicTime nextReading(const ViewGuard& guard);
+  /// Reads those that are old; whether the store answered.
+  boost::asio::awaitable<bool> readOldViews(const ViewGuard& guard);
   boost::asio::awaitable<void> answerJoin(http::Request& request, http::ResponseWriter& writer);
   /// Reads views from where the core says.
   void applyRole();
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 #include "common/clock.h"
@@ -61,6 +62,10 @@
   /// Depth from which a node takes no children. It ends a circle of nodes that follow each other,
   /// as the depth rises by each round in it.
   std::uint32_t maxDepth = 12;
+  /// By kind: a view of this age is read from the store itself, whatever this node's place. Above
+  /// proofAge and hopAge, so that it does not come up in a calm time. Kinds that are missing are
+  /// read by the node's place alone.
+  std::map<std::string, Milliseconds> readAges;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -13,6 +13,8 @@
 /// Longer than a node usually looks for a parent, and well below the age at which a view counts as
 /// too old.
 constexpr Milliseconds kWaitForSource{300};
+/// A watch that is asked only for what is new.
+constexpr Milliseconds kShortestWatch{1};
 
 Error noSource() {
   return fail(ErrorKind::kStoreUnavailable, "no relay is followed now");
@@ -25,21 +27,34 @@
     : executor_(std::move(executor)), direct_(direct), client_(client) {}
 
 WatchCache* RelayedStore::cache(const std::string& kind) {
-  const auto found = caches_.find(kind);
-  return found == caches_.end() ? nullptr : found->second.get();
+  const auto found = views_.find(kind);
+  return found == views_.end() ? nullptr : found->second.cache.get();
+}
+
+RelayedStore::View& RelayedStore::viewOf(const std::string& kind) {
+  View& view = views_[kind];
+  if (!view.cache) {
+    view.cache = std::make_unique<WatchCache>(executor_);
+  }
+  return view;
 }
 
 MonotonicTime RelayedStore::provenAt() const {
-  if (caches_.empty()) {
+  if (views_.empty()) {
     return {};
   }
   MonotonicTime oldest = MonotonicTime::max();
-  for (const auto& [kind, cache] : caches_) {
-    oldest = std::min(oldest, cache->provenAt());
+  for (const auto& [kind, view] : views_) {
+    oldest = std::min(oldest, view.sourceProvenAt);
   }
   return oldest;
 }
 
+MonotonicTime RelayedStore::provenAt(const std::string& kind) const {
+  const auto found = views_.find(kind);
+  return found == views_.end() ? MonotonicTime{} : found->second.cache->provenAt();
+}
+
 void RelayedStore::setSource(Source source, const Endpoint& relay) {
   if (source == source_ && relay == relay_) {
     return;
@@ -47,6 +62,10 @@
   source_ = source;
   relay_ = relay;
   ++sourceNumber_;
+  wakeWaiters();
+}
+
+void RelayedStore::wakeWaiters() {
   for (const auto& waiter : waiting_) {
     waiter->cancel();
   }
@@ -54,64 +73,132 @@
 
 awaitable<Result<store::Listing>> RelayedStore::list(std::string kind) {
   // Children may wait for the first state from now on.
-  std::unique_ptr<WatchCache>& cache = caches_[kind];
-  if (!cache) {
-    cache = std::make_unique<WatchCache>(executor_);
-  }
+  View& view = viewOf(kind);
   co_await awaitSource();
   const MonotonicTime asked = monotonicNow();
-  Result<store::Listing> listing = co_await listAnywhere(kind);
-  if (listing) {
-    if (listing.value().revision >= cache->revision()) {
-      cache->applyListing(listing.value(), asked + listing.value().provenAfterAsked);
-    }
+  if (hasUntold(view)) {
+    co_return untoldListing(view, asked);
+  }
+  Result<store::Listing> listing = co_await listAnywhere(view, std::move(kind));
+  if (hasUntold(view)) {
+    co_return untoldListing(view, asked);
+  }
+  if (listing && listing.value().revision >= view.cache->revision()) {
+    const MonotonicTime provenAt = asked + listing.value().provenAfterAsked;
+    view.cache->applyListing(listing.value(), provenAt);
+    view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
+    view.toldProvenAt = view.cache->provenAt();
   }
   co_return listing;
 }
 
 awaitable<Result<store::ChangeBatch>> RelayedStore::watch(std::string kind, store::Revision since,
                                                           Milliseconds wait) {
+  View& view = viewOf(kind);
   co_await awaitSource();
   const MonotonicTime asked = monotonicNow();
-  Result<store::ChangeBatch> batch = co_await watchAnywhere(kind, since, wait);
+  if (hasUntold(view)) {
+    co_return untoldChanges(view, since, asked);
+  }
+  Result<store::ChangeBatch> batch = co_await watchAnywhere(view, std::move(kind), since, wait);
+  if (hasUntold(view)) {
+    co_return untoldChanges(view, since, asked);
+  }
   if (batch) {
-    if (WatchCache* known = cache(kind)) {
-      known->applyChanges(batch.value(),
-                          store::provenAt(batch.value(), asked, wait, monotonicNow()));
-    }
+    const MonotonicTime provenAt = store::provenAt(batch.value(), asked, wait, monotonicNow());
+    view.cache->applyChanges(batch.value(), provenAt);
+    view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
+    view.toldProvenAt = view.cache->provenAt();
   }
   co_return batch;
 }
 
-awaitable<Result<store::Listing>> RelayedStore::listAnywhere(std::string kind) {
+Result<store::Listing> RelayedStore::untoldListing(View& view, MonotonicTime asked) {
+  store::Listing listing = view.cache->listing();
+  view.toldProvenAt = view.cache->provenAt();
+  listing.provenAfterAsked = std::chrono::floor<Milliseconds>(view.toldProvenAt - asked);
+  return listing;
+}
+
+Result<store::ChangeBatch> RelayedStore::untoldChanges(View& view, store::Revision since,
+                                                       MonotonicTime asked) {
+  // Where the changes are forgotten a listing tells.
+  BOOST_OUTCOME_TRY(store::ChangeBatch batch, view.cache->changesSince(since));
+  view.toldProvenAt = view.cache->provenAt();
+  batch.provenAfterAsked = std::chrono::floor<Milliseconds>(view.toldProvenAt - asked);
+  return batch;
+}
+
+awaitable<Result<void>> RelayedStore::refresh(std::string kind, Milliseconds timeout) {
+  const auto found = views_.find(kind);
+  if (found == views_.end() || !found->second.cache->known()) {
+    co_return fail(ErrorKind::kStoreUnavailable, "nothing was read of the kind yet");
+  }
+  View& view = found->second;
+  const Result<void> read = co_await readBeside(view, std::move(kind), monotonicNow() + timeout);
+  if (read && hasUntold(view)) {
+    ++view.refreshes;
+    wakeWaiters();
+  }
+  co_return read;
+}
+
+awaitable<Result<void>> RelayedStore::readBeside(View& view, std::string kind, MonotonicTime end) {
+  const store::Revision since = view.cache->revision();
+  MonotonicTime asked = monotonicNow();
+  Result<store::ChangeBatch> batch =
+      co_await callUntil(end, direct_.watch(kind, since, kShortestWatch));
+  if (batch) {
+    // What the source gave meanwhile is as new.
+    if (view.cache->revision() == since) {
+      view.cache->applyChanges(batch.value(), asked);
+    }
+    co_return boost::outcome_v2::success();
+  }
+  if (batch.error().kind != ErrorKind::kVersionConflict) {
+    co_return batch.error();
+  }
+  asked = monotonicNow();
+  Result<store::Listing> listing = co_await callUntil(end, direct_.list(std::move(kind)));
+  if (!listing) {
+    co_return listing.error();
+  }
+  if (listing.value().revision >= view.cache->revision()) {
+    view.cache->applyListing(listing.value(), asked);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+awaitable<Result<store::Listing>> RelayedStore::listAnywhere(View& view, std::string kind) {
   if (source_ == Source::kNone) {
     co_return noSource();
   }
   if (source_ == Source::kStore) {
-    co_return co_await direct_.list(std::move(kind));
+    co_return co_await callUntilLeft(view, direct_.list(std::move(kind)));
   }
   const Endpoint relay = relay_;
   Result<store::Listing> listing =
-      co_await callRelay<store::Listing>(client_.list(relay, std::move(kind)));
-  if (!listing && relay == relay_ && onRelayFailed_) {
+      co_await callUntilLeft(view, client_.list(relay, std::move(kind)));
+  if (!listing && !hasUntold(view) && relay == relay_ && onRelayFailed_) {
     onRelayFailed_(relay, listing.error());
   }
   co_return listing;
 }
 
-awaitable<Result<store::ChangeBatch>> RelayedStore::watchAnywhere(std::string kind,
+awaitable<Result<store::ChangeBatch>> RelayedStore::watchAnywhere(View& view, std::string kind,
                                                                   store::Revision since,
                                                                   Milliseconds wait) {
   if (source_ == Source::kNone) {
     co_return noSource();
   }
   if (source_ == Source::kStore) {
-    co_return co_await direct_.watch(std::move(kind), since, wait);
+    co_return co_await callUntilLeft(view, direct_.watch(std::move(kind), since, wait));
   }
   const Endpoint relay = relay_;
   Result<store::ChangeBatch> batch =
-      co_await callRelay<store::ChangeBatch>(client_.watch(relay, std::move(kind), since, wait));
-  const bool failed = !batch && batch.error().kind != ErrorKind::kVersionConflict;
+      co_await callUntilLeft(view, client_.watch(relay, std::move(kind), since, wait));
+  const bool failed =
+      !batch && !hasUntold(view) && batch.error().kind != ErrorKind::kVersionConflict;
   if (failed && relay == relay_ && onRelayFailed_) {
     onRelayFailed_(relay, batch.error());
   }
@@ -119,28 +206,46 @@
 }
 
 template <typename Value>
-awaitable<Result<Value>> RelayedStore::callRelay(awaitable<Result<Value>> call) {
-  struct Outcome {
-    std::optional<Result<Value>> result;
-    std::shared_ptr<asio::steady_timer> done;
-  };
-  const auto outcome = std::make_shared<Outcome>();
-  outcome->done = std::make_shared<asio::steady_timer>(executor_, MonotonicTime::max());
-  const auto waiter = waiting_.insert(waiting_.end(), outcome->done);
-  const std::uint64_t source = sourceNumber_;
+std::shared_ptr<RelayedStore::Outcome<Value>> RelayedStore::begin(awaitable<Result<Value>> call,
+                                                                  MonotonicTime end) {
+  const auto outcome = std::make_shared<Outcome<Value>>();
+  outcome->done = std::make_shared<asio::steady_timer>(executor_, end);
   asio::co_spawn(
       executor_,
-      [](awaitable<Result<Value>> pending, std::shared_ptr<Outcome> shared) -> awaitable<void> {
+      [](awaitable<Result<Value>> pending,
+         std::shared_ptr<Outcome<Value>> shared) -> awaitable<void> {
         shared->result = co_await std::move(pending);
         shared->done->cancel();
       }(std::move(call), outcome),
       asio::detached);
-  while (!outcome->result && source == sourceNumber_) {
+  return outcome;
+}
+
+template <typename Value>
+awaitable<Result<Value>> RelayedStore::callUntilLeft(const View& view,
+                                                     awaitable<Result<Value>> call) {
+  const std::uint64_t source = sourceNumber_;
+  const std::uint64_t refreshes = view.refreshes;
+  const auto outcome = begin(std::move(call), MonotonicTime::max());
+  const auto waiter = waiting_.insert(waiting_.end(), outcome->done);
+  while (!outcome->result && source == sourceNumber_ && refreshes == view.refreshes) {
     co_await outcome->done->async_wait(asio::as_tuple(asio::use_awaitable));
   }
   waiting_.erase(waiter);
   if (!outcome->result) {
-    co_return fail(ErrorKind::kStoreUnavailable, "the relay was left");
+    co_return fail(ErrorKind::kStoreUnavailable, "the source was left");
+  }
+  co_return std::move(*outcome->result);
+}
+
+template <typename Value>
+awaitable<Result<Value>> RelayedStore::callUntil(MonotonicTime end, awaitable<Result<Value>> call) {
+  const auto outcome = begin(std::move(call), end);
+  if (!outcome->result) {
+    co_await outcome->done->async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (!outcome->result) {
+    co_return fail(ErrorKind::kStoreUnavailable, "the store has not answered in time");
   }
   co_return std::move(*outcome->result);
 }
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -20,7 +20,10 @@
 ///
 /// While the node has neither, reads wait a moment for one and fail then; what was read before is
 /// kept. A read under way is given up when the source changes, so that the next one goes to the new
-/// source at once.
+/// source at once; also one of the store, which may have fallen silent.
+///
+/// A kind may be read from the store besides, whatever the source is: refresh(). What that finds is
+/// the view from then on, is handed on to children, and ends the read that is under way.
 class RelayedStore : public store::ObjectStore {
  public:
   using FailureListener = std::function<void(const Endpoint& relay, const Error& cause)>;
@@ -54,21 +57,62 @@
   void onRelayFailed(FailureListener listener) { onRelayFailed_ = std::move(listener); }
   /// What was read of the kind, and will be; null where it was never asked for.
   WatchCache* cache(const std::string& kind);
-  /// When all that was read was the newest state for certain: the oldest of the kinds' proofs. The
-  /// epoch of the clock where nothing was read.
+  /// When all that the sources gave was the newest state for certain: the oldest of the kinds'
+  /// proofs. The epoch of the clock where nothing was read. What refresh() found does not count, as
+  /// it says nothing of a source.
   MonotonicTime provenAt() const;
+  /// When what is known of the kind was the newest state for certain, by whatever way it was read.
+  MonotonicTime provenAt(const std::string& kind) const;
+  /// Reads from the store what is new of the kind. Fails with kStoreUnavailable where it does not
+  /// answer within `timeout`, or the kind has not been read yet.
+  boost::asio::awaitable<Result<void>> refresh(std::string kind, Milliseconds timeout);
 
  private:
   enum class Source { kNone, kRelay, kStore };
+  /// What is known of a kind.
+  struct View {
+    std::unique_ptr<WatchCache> cache;
+    /// The newest proof that a source gave.
+    MonotonicTime sourceProvenAt{};
+    /// The proof of what the reader was told last.
+    MonotonicTime toldProvenAt{};
+    /// Rises with each refresh().
+    std::uint64_t refreshes = 0;
+  };
 
   void setSource(Source source, const Endpoint& relay);
-  boost::asio::awaitable<Result<store::Listing>> listAnywhere(std::string kind);
-  boost::asio::awaitable<Result<store::ChangeBatch>> watchAnywhere(std::string kind,
+  void wakeWaiters();
+  View& viewOf(const std::string& kind);
+  /// Whether refresh() found what the reader has not been told.
+  static bool hasUntold(const View& view) { return view.cache->provenAt() > view.toldProvenAt; }
+  /// That, as the answer to a call that was asked at this time.
+  static Result<store::Listing> untoldListing(View& view, MonotonicTime asked);
+  static Result<store::ChangeBatch> untoldChanges(View& view, store::Revision since,
+                                                  MonotonicTime asked);
+  boost::asio::awaitable<Result<store::Listing>> listAnywhere(View& view, std::string kind);
+  boost::asio::awaitable<Result<store::ChangeBatch>> watchAnywhere(View& view, std::string kind,
                                                                    store::Revision since,
                                                                    Milliseconds wait);
-  /// Runs a call to the relay until it is done or the source changes.
+  /// What the store has of the kind beyond what is known, for refresh().
+  boost::asio::awaitable<Result<void>> readBeside(View& view, std::string kind, MonotonicTime end);
+  /// Runs a call to the source until it is done, the source changes or the view is refreshed.
+  template <typename Value>
+  boost::asio::awaitable<Result<Value>> callUntilLeft(const View& view,
+                                                      boost::asio::awaitable<Result<Value>> call);
+  /// Runs a call until it is done or `end` comes.
+  template <typename Value>
+  boost::asio::awaitable<Result<Value>> callUntil(MonotonicTime end,
+                                                  boost::asio::awaitable<Result<Value>> call);
+  template <typename Value>
+  struct Outcome {
+    std::optional<Result<Value>> result;
+    /// Ends when the result is there.
+    std::shared_ptr<boost::asio::steady_timer> done;
+  };
+  /// Begins a call, which goes on to its own end however long its outcome is awaited.
   template <typename Value>
-  boost::asio::awaitable<Result<Value>> callRelay(boost::asio::awaitable<Result<Value>> call);
+  std::shared_ptr<Outcome<Value>> begin(boost::asio::awaitable<Result<Value>> call,
+                                        MonotonicTime end);
   /// Waits a moment for a source where there is none.
   boost::asio::awaitable<void> awaitSource();
 
@@ -79,10 +123,10 @@
   Endpoint relay_;
   /// Rises with each change of the source.
   std::uint64_t sourceNumber_ = 0;
-  /// Woken at each change of the source.
+  /// Woken at each change of the source and each refresh.
   std::list<std::shared_ptr<boost::asio::steady_timer>> waiting_;
   FailureListener onRelayFailed_;
-  std::map<std::string, std::unique_ptr<WatchCache>> caches_;
+  std::map<std::string, View> views_;
 };
 
 }  // namespace calicodrift::relay
--- a/tests/gateway/bounds_test.cc
+++ b/tests/gateway/bounds_test.cc
@@ -77,6 +77,33 @@
   BOOST_TEST(applyBounds(settings).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(viewsAreReadFromTheStoreWellBeforeTheirBounds) {
+  for (const int bound : {2000, 3000, 4000}) {
+    GatewaySettings settings = makeSettings();
+    settings.configBound = Milliseconds(bound);
+    settings.drainBound = Milliseconds(bound);
+    BOOST_REQUIRE(applyBounds(settings));
+    BOOST_TEST(settings.configReadAge == Milliseconds(bound * 3 / 5));
+    BOOST_TEST(settings.serverReadAge == Milliseconds(bound * 3 / 5));
+    // Above the age at which roots and their children look for another source.
+    BOOST_TEST(settings.configReadAge > settings.relayProofAge + Milliseconds(150));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(boundsOfViewsBelowWhatACalmDayTakesAreErrorsThatNameThem) {
+  for (const bool configuration : {true, false}) {
+    for (const int bound : {700, 1700}) {
+      GatewaySettings settings = makeSettings();
+      (configuration ? settings.configBound : settings.drainBound) = Milliseconds(bound);
+      const auto derived = applyBounds(settings);
+      BOOST_REQUIRE(!derived);
+      BOOST_TEST((derived.error().kind == ErrorKind::kSettingsInvalid));
+      const char* name = configuration ? "config-bound-ms" : "drain-bound-ms";
+      BOOST_TEST(derived.error().detail.find(name) != std::string::npos);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(slowerLinksHaveFewerFollowers) {
   GatewaySettings settings = makeSettings();
   settings.linkMbps = 20;
--- a/tests/relay/configuration_age_test.cc
+++ b/tests/relay/configuration_age_test.cc
@@ -23,7 +23,10 @@
 constexpr Milliseconds kStep{50};
 
 SimulatedTree settledTree(const Fleet& fleet, std::uint64_t seed) {
-  SimulatedTree tree(fleet.nodes, 5, seed, RelaySettings{});
+  RelaySettings settings;
+  // As a gateway derives it from the bound.
+  settings.readAges[SimulatedTree::kGuarded] = fleet.bound * 3 / 5;
+  SimulatedTree tree(fleet.nodes, 5, seed, settings);
   tree.startAll(Milliseconds(300));
   tree.run(Milliseconds(6000));
   return tree;
@@ -80,6 +83,9 @@
 
 BOOST_AUTO_TEST_CASE(nodeThatReachesTheStoreHasNoViewOlderThanTheBound) {
   for (const Fleet& fleet : kFleets) {
+    Milliseconds oldestOfAll{0};
+    std::size_t readings = 0;
+    std::size_t worstSecond = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       SimulatedTree tree = settledTree(fleet, seed);
       Strikes strikes(seed);
@@ -96,7 +102,61 @@
       }
       BOOST_TEST(oldest.count() <= fleet.bound.count(),
                  fleet.nodes << " nodes, seed " << seed << ": " << oldest.count() << " ms");
+      oldestOfAll = std::max(oldestOfAll, oldest);
+      readings += tree.viewReadings();
+      worstSecond = std::max(worstSecond, tree.mostViewReadingsInASecond());
     }
+    BOOST_TEST_MESSAGE(fleet.nodes << " nodes, bound " << fleet.bound.count() << " ms: oldest "
+                                   << oldestOfAll.count() << " ms, " << readings
+                                   << " readings in 20 x 40 s, " << worstSecond
+                                   << " in the worst second");
+    // A tenth of what the smallest store allows in a second, or two for each node.
+    BOOST_TEST(worstSecond <= std::max<std::size_t>(200, 2 * fleet.nodes));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(calmTreeReadsNothingBesides) {
+  for (const Fleet& fleet : kFleets) {
+    SimulatedTree tree = settledTree(fleet, 7);
+    const std::size_t before = tree.viewReadings();
+    tree.run(Milliseconds(60'000));
+    BOOST_TEST(tree.viewReadings() == before, fleet.nodes << " nodes");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(lossOfBothRootsCostsAFewReadings) {
+  std::size_t most = 0;
+  for (const Fleet& fleet : kFleets) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      SimulatedTree tree = settledTree(fleet, seed);
+      const std::size_t before = tree.viewReadings();
+      for (const std::size_t root : tree.roots()) {
+        tree.loseStore(root, StoreLoss::kSilent, Milliseconds(9000));
+      }
+      tree.run(Milliseconds(9000));
+      // The roots themselves, and their children until one has taken a root's place.
+      BOOST_TEST(tree.viewReadings() - before <= 80U, tree.viewReadings() - before << " readings");
+      most = std::max(most, tree.viewReadings() - before);
+    }
+  }
+  BOOST_TEST_MESSAGE("most readings after a loss of both roots: " << most);
+}
+
+BOOST_AUTO_TEST_CASE(storeThatIsAwayForAllIsNotOverrun) {
+  for (const std::size_t nodes : {300U, 3800U}) {
+    const Fleet fleet{nodes, Milliseconds(4000)};
+    SimulatedTree tree = settledTree(fleet, 7);
+    const std::size_t before = tree.viewReadings();
+    tree.setStoreDown(true);
+    tree.run(Milliseconds(9000));
+    tree.setStoreDown(false);
+    tree.run(Milliseconds(6000));
+    BOOST_TEST(tree.mostViewReadingsInASecond() <= 3 * nodes);
+    BOOST_TEST(tree.viewReadings() - before <= 8 * nodes, tree.viewReadings() - before);
+    BOOST_TEST_MESSAGE(nodes << " nodes, store away for 9 s: " << tree.viewReadings() - before
+                             << " readings, " << tree.mostViewReadingsInASecond()
+                             << " in the worst second");
+    BOOST_TEST(tree.oldestViewWithPath(Milliseconds(0)).count() <= fleet.bound.count());
   }
 }
 
--- a/tests/relay/relay_node_test.cc
+++ b/tests/relay/relay_node_test.cc
@@ -412,6 +412,35 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(nodesBelowARootWithAnOldViewReadTheStoreThemselves) {
+  // The tree alone would leave them their parent's view for as long as this test runs.
+  settings.maxFollowers = 2;
+  settings.proofAge = Milliseconds(60'000);
+  settings.freshAge = settings.proofAge;
+  settings.readAges["k"] = Milliseconds(300);
+  for (int count = 0; count < 6; ++count) {
+    addNode();
+  }
+  run(Milliseconds(900));
+  BOOST_REQUIRE(relays().size() == 1U);
+  TestNode& root = *relays()[0];
+  for (const auto& node : nodes) {
+    BOOST_TEST((node.get() == &root || node->path.reads == 0U));
+  }
+  root.path.cut = true;
+  shared.set("k", "new", "3");
+  for (int look = 0; look < 10; ++look) {
+    run(Milliseconds(100));
+    for (const auto& node : nodes) {
+      const bool young = monotonicNow() - node->watcher.provenAt() < Milliseconds(600);
+      BOOST_TEST((node.get() == &root || young));
+    }
+  }
+  for (const auto& node : nodes) {
+    BOOST_TEST((node.get() == &root || node->seen.contains("new")));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(withoutAnAddressTheNodeReadsTheStoreItself) {
   settings.node = NodeId("alone");
   nodes.push_back(std::make_unique<TestNode>(context, shared, client, settings));
--- /dev/null
+++ b/tests/relay/relayed_store_test.cc
@@ -0,0 +1,222 @@
+#include "relay/relayed_store.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "fake_store.h"
+
+namespace calicodrift::relay {
+namespace {
+
+namespace asio = boost::asio;
+constexpr Milliseconds kWatch{60};
+constexpr Milliseconds kTimeout{100};
+/// Far longer than any test runs.
+constexpr Milliseconds kSilence{30'000};
+
+/// A path to the store on which reads under way may never be answered.
+struct Path : store::ObjectStore {
+  Path(asio::io_context& context, FakeStore& shared) : context(context), shared(shared) {}
+
+  asio::awaitable<Result<store::Listing>> list(std::string kind) override {
+    if (silent) {
+      co_await keepSilent();
+    }
+    co_return co_await shared.list(std::move(kind));
+  }
+  asio::awaitable<Result<store::ChangeBatch>> watch(std::string kind, store::Revision since,
+                                                    Milliseconds wait) override {
+    if (silent) {
+      co_await keepSilent();
+    }
+    if (forgetful) {
+      co_return fail(ErrorKind::kVersionConflict, "the history is gone");
+    }
+    co_return co_await shared.watch(std::move(kind), since, wait);
+  }
+  asio::awaitable<Result<store::Object>> get(std::string kind, std::string name) override {
+    co_return co_await shared.get(std::move(kind), std::move(name));
+  }
+  asio::awaitable<Result<store::Revision>> put(std::string kind, store::Object object) override {
+    co_return co_await shared.put(std::move(kind), std::move(object));
+  }
+  asio::awaitable<Result<store::Revision>> putStatus(std::string kind,
+                                                     store::Object object) override {
+    co_return co_await shared.putStatus(std::move(kind), std::move(object));
+  }
+  asio::awaitable<void> keepSilent() {
+    asio::steady_timer timer(context, kSilence);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  asio::io_context& context;
+  FakeStore& shared;
+  bool silent = false;
+  bool forgetful = false;
+};
+
+struct StoreFixture {
+  asio::io_context context;
+  FakeStore shared{context};
+  Path path{context, shared};
+  http::Client http{context.get_executor()};
+  RelaySettings settings;
+  RelayClient client{http, settings};
+  RelayedStore relayed{context.get_executor(), path, client};
+  /// Takes connections and says nothing.
+  asio::ip::tcp::acceptor silentRelay{
+      context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
+  std::optional<Result<store::ChangeBatch>> watched;
+  std::optional<Result<void>> refreshed;
+
+  StoreFixture() {
+    shared.set("k", "a", "1");
+    relayed.readDirectly();
+    BOOST_REQUIRE(listed());
+  }
+  ~StoreFixture() { context.stop(); }
+
+  Endpoint silentEndpoint() const { return {"127.0.0.1", silentRelay.local_endpoint().port()}; }
+  void run(Milliseconds time) {
+    context.restart();
+    context.run_for(time);
+  }
+  std::optional<store::Listing> listed() {
+    std::optional<store::Listing> found;
+    asio::co_spawn(
+        context,
+        [this, &found]() -> asio::awaitable<void> {
+          const Result<store::Listing> listing = co_await relayed.list("k");
+          if (listing) {
+            found = listing.value();
+          }
+        },
+        asio::detached);
+    run(Milliseconds(40));
+    return found;
+  }
+  void watch(store::Revision since) {
+    watched.reset();
+    asio::co_spawn(
+        context,
+        [this, since]() -> asio::awaitable<void> {
+          watched = co_await relayed.watch("k", since, kWatch);
+        },
+        asio::detached);
+  }
+  void refresh() {
+    refreshed.reset();
+    asio::co_spawn(
+        context,
+        [this]() -> asio::awaitable<void> { refreshed = co_await relayed.refresh("k", kTimeout); },
+        asio::detached);
+  }
+  store::Revision known() { return relayed.cache("k")->revision(); }
+};
+
+BOOST_FIXTURE_TEST_SUITE(relayed_store, StoreFixture)
+
+BOOST_AUTO_TEST_CASE(readOfASilentStoreIsLeftWhenAnotherSourceIsTaken) {
+  path.silent = true;
+  watch(known());
+  run(Milliseconds(30));
+  BOOST_REQUIRE(!watched.has_value());
+  relayed.follow(silentEndpoint());
+  run(Milliseconds(30));
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_TEST(!watched->has_value());
+}
+
+BOOST_AUTO_TEST_CASE(refreshEndsAReadFromASilentStore) {
+  path.silent = true;
+  watch(known());
+  run(Milliseconds(30));
+  path.silent = false;
+  shared.set("k", "b", "2");
+  const MonotonicTime before = monotonicNow();
+  refresh();
+  run(Milliseconds(30));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_TEST(refreshed->has_value());
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_REQUIRE(watched->has_value());
+  BOOST_TEST(watched->value().changes.size() == 1U);
+  BOOST_TEST((relayed.provenAt("k") >= before));
+}
+
+BOOST_AUTO_TEST_CASE(refreshEndsAReadFromASilentRelay) {
+  relayed.follow(silentEndpoint());
+  watch(known());
+  run(Milliseconds(30));
+  shared.set("k", "b", "2");
+  refresh();
+  run(Milliseconds(30));
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_REQUIRE(watched->has_value());
+  BOOST_TEST(watched->value().changes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(refreshIsToldToAReaderThatComesLater) {
+  relayed.follow(silentEndpoint());
+  const store::Revision since = known();
+  const MonotonicTime before = monotonicNow();
+  shared.set("k", "b", "2");
+  refresh();
+  run(Milliseconds(30));
+  const MonotonicTime asked = monotonicNow();
+  watch(since);
+  run(Milliseconds(30));
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_REQUIRE(watched->has_value());
+  BOOST_TEST(watched->value().changes.size() == 1U);
+  // Not newer than it was read, and no older than that.
+  const MonotonicTime proven = store::provenAt(watched->value(), asked, kWatch, monotonicNow());
+  BOOST_TEST((proven <= relayed.provenAt("k")));
+  BOOST_TEST((proven >= before - Milliseconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(refreshOfASilentStoreIsGivenUp) {
+  path.silent = true;
+  const MonotonicTime proven = relayed.provenAt("k");
+  refresh();
+  run(kTimeout + Milliseconds(30));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_TEST(!refreshed->has_value());
+  BOOST_TEST((relayed.provenAt("k") == proven));
+}
+
+BOOST_AUTO_TEST_CASE(refreshListsWhereTheHistoryIsForgotten) {
+  relayed.follow(silentEndpoint());
+  const store::Revision since = known();
+  path.forgetful = true;
+  shared.set("k", "b", "2");
+  refresh();
+  run(Milliseconds(30));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_TEST(refreshed->has_value());
+  watch(since);
+  run(Milliseconds(30));
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_REQUIRE(!watched->has_value());
+  BOOST_TEST((watched->error().kind == ErrorKind::kVersionConflict));
+  const std::optional<store::Listing> listing = listed();
+  BOOST_REQUIRE(listing.has_value());
+  BOOST_TEST(listing->objects.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(refreshSaysNothingOfTheSource) {
+  // Who judges the parent by the age of what it gives must see that age.
+  relayed.follow(silentEndpoint());
+  const MonotonicTime bySource = relayed.provenAt();
+  run(Milliseconds(20));
+  refresh();
+  run(Milliseconds(30));
+  BOOST_TEST((relayed.provenAt() == bySource));
+  BOOST_TEST((relayed.provenAt("k") > bySource));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::relay
--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "relay/relay_core.h"
+#include "relay/view_guard.h"
 #include "support/simulated_network.h"
 
 namespace calicodrift::relay {
@@ -27,6 +28,9 @@
 /// The same seed gives the same run.
 class SimulatedTree {
  public:
+  /// The kind whose bound is kept, where settings say so.
+  static constexpr const char* kGuarded = "configuration";
+
   SimulatedTree(std::size_t nodes, std::size_t zones, std::uint64_t seed, RelaySettings settings)
       : clock_(seed), random_(clock_.random()), settings_(std::move(settings)), zones_(zones) {
     // A view that was never proven counts as old from the beginning.
@@ -53,8 +57,13 @@
         started.core = std::make_unique<RelayCore>(settings, random_());
         started.off = false;
         started.provenAt = {};
+        started.sourceProvenAt = {};
         started.pathSince = now();
         step(number, incarnation);
+        if (settings.readAges.contains(kGuarded)) {
+          started.guard = ViewGuard(viewGuardSettings(settings.readAges[kGuarded]), random_());
+          keepViewYoung(number, incarnation);
+        }
       }
     });
   }
@@ -115,6 +124,19 @@
 
   /// Calls to the store for the list of roots so far; those that were refused count too.
   std::size_t storeCalls() const { return storeCalls_; }
+  /// Readings of views from the store itself so far, those that failed too.
+  std::size_t viewReadings() const { return readings_.size(); }
+  /// The most of these in any second.
+  std::size_t mostViewReadingsInASecond() const {
+    std::size_t most = 0;
+    for (auto first = readings_.begin(), last = first; last != readings_.end(); ++last) {
+      while (*last - *first > Milliseconds(1000)) {
+        ++first;
+      }
+      most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
+  }
   std::vector<std::size_t> roots() const {
     std::vector<std::size_t> found;
     for (std::size_t number = 0; number < nodes_.size(); ++number) {
@@ -188,6 +210,9 @@
 
   struct Node {
     std::unique_ptr<RelayCore> core;
+    std::optional<ViewGuard> guard;
+    /// As the source gave it, without what the node read besides.
+    MonotonicTime sourceProvenAt{};
     std::uint64_t incarnation = 0;
     MonotonicTime provenAt{};
     bool off = false;
@@ -232,7 +257,7 @@
   void step(std::size_t number, std::uint64_t incarnation) {
     Node& node = nodes_[number];
     refreshView(node);
-    const RelayAction action = node.core->next(now(), node.provenAt);
+    const RelayAction action = node.core->next(now(), node.sourceProvenAt);
     switch (action.step) {
       case RelayStep::kWait: {
         const auto wait = std::chrono::ceil<Milliseconds>(action.until - now());
@@ -243,7 +268,7 @@
         callStore(number, incarnation, [this](Node& asking, bool reached) {
           asking.core->onList(
               reached ? Result<RelayList>(list_) : fail(ErrorKind::kStoreUnavailable, "down"),
-              now(), asking.provenAt);
+              now(), asking.sourceProvenAt);
         });
         break;
       case RelayStep::kWriteList:
@@ -286,14 +311,42 @@
       refreshView(asked);
       reply = asked.core->answer({"n" + std::to_string(number), endpointOf(number),
                                   zoneOf(number).value(), action.looksOnly},
-                                 now(), asked.provenAt);
+                                 now(), asked.sourceProvenAt);
     }
     later(number, incarnation, time, [this, number, incarnation, action, reply](Node& node) {
-      node.core->onReply(action, reply, now(), node.provenAt);
+      node.core->onReply(action, reply, now(), node.sourceProvenAt);
       step(number, incarnation);
     });
   }
 
+  /// What RelayNode does beside its place in the tree.
+  void keepViewYoung(std::size_t number, std::uint64_t incarnation) {
+    Node& node = nodes_[number];
+    refreshFromAbove(node);
+    const Milliseconds readAge = settings_.readAges[kGuarded];
+    const MonotonicTime due = node.guard->due(node.provenAt, readAge, node.core->depth());
+    const bool known = node.provenAt != MonotonicTime{};
+    if (!known || now() < due) {
+      const auto wait = std::chrono::ceil<Milliseconds>(due - now());
+      later(number, incarnation, known ? wait : kProofInterval,
+            [this, number, incarnation](Node& /*node*/) { keepViewYoung(number, incarnation); });
+      return;
+    }
+    readings_.push_back(now());
+    const bool reached = reachesStore(node);
+    const MonotonicTime asked = now();
+    const Milliseconds time = std::min(timeOfCall(node), node.guard->settings().callTimeout);
+    later(number, incarnation, time, [this, number, incarnation, reached, asked](Node& reading) {
+      reading.guard->onRead(reached, now());
+      if (reached) {
+        reading.provenAt = std::max(reading.provenAt, asked);
+        // The read that was under way is given up.
+        reading.watchHangsUntil = {};
+      }
+      keepViewYoung(number, incarnation);
+    });
+  }
+
   bool reachesStore(const Node& node) const { return !storeDown_ && node.loss == StoreLoss::kNone; }
   Milliseconds timeOfCall(const Node& node) const {
     switch (node.loss) {
@@ -324,23 +377,31 @@
 
   /// What the watches do meanwhile.
   void refreshView(Node& node) {
-    if (!node.core || now() < node.watchHangsUntil) {
+    if (!node.core) {
       return;
     }
     const bool root = node.core->role() == RelayRole::kRoot;
+    if (!root) {
+      // A read from the store is given up with the place as a root.
+      node.watchHangsUntil = {};
+    }
+    if (now() < node.watchHangsUntil) {
+      return;
+    }
     if (root && node.loss == StoreLoss::kSilent) {
       node.watchHangsUntil = now() + kStoreTimeout + kWatch;
       return;
     }
     const bool rootSees = root && reachesStore(node) && !node.frozen;
     if (rootSees) {
-      node.provenAt = now();
+      node.sourceProvenAt = now();
     } else if (const auto parent = node.core->parent()) {
       const Node& source = nodes_[numberOf(*parent)];
       if (source.core && !source.frozen && source.core->serves(now())) {
-        node.provenAt = std::max(node.provenAt, source.provenAt);
+        node.sourceProvenAt = std::max(node.sourceProvenAt, source.provenAt);
       }
     }
+    node.provenAt = std::max(node.provenAt, node.sourceProvenAt);
   }
 
   testing::SimulatedNetwork clock_;
@@ -352,6 +413,7 @@
   bool storeDown_ = false;
   double loss_ = 0;
   std::size_t storeCalls_ = 0;
+  std::vector<MonotonicTime> readings_;
 };
 
 }  // namespace calicodrift::relay
