--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -9,14 +9,28 @@
 #include <vector>
 
 #include "relay/relay_core.h"
+#include "relay/view_guard.h"
 #include "support/simulated_network.h"
 
 namespace calicodrift::relay {
 
+/// How a node's own path to the store fails.
+enum class StoreLoss {
+  kNone,
+  kRefused,
+  /// Says nothing, so that a call ends by its time-out alone.
+  kSilent,
+  /// Turned away at once, as a store does that has too many calls.
+  kTurnedAway,
+};
+
 /// Many RelayCores in virtual time, with a store and views that are as old as their way from it.
 /// The same seed gives the same run.
 class SimulatedTree {
  public:
+  /// The kind whose bound is kept, where settings say so.
+  static constexpr const char* kGuarded = "configuration";
+
   SimulatedTree(std::size_t nodes, std::size_t zones, std::uint64_t seed, RelaySettings settings)
       : clock_(seed), random_(clock_.random()), settings_(std::move(settings)), zones_(zones) {
     // A view that was never proven counts as old from the beginning.
@@ -43,7 +57,13 @@
         started.core = std::make_unique<RelayCore>(settings, random_());
         started.off = false;
         started.provenAt = {};
+        started.sourceProvenAt = {};
+        started.pathSince = now();
         step(number, incarnation);
+        if (settings.readAges.contains(kGuarded)) {
+          started.guard = ViewGuard(viewGuardSettings(settings.readAges[kGuarded]), random_());
+          keepViewYoung(number, incarnation);
+        }
       }
     });
   }
@@ -65,7 +85,37 @@
   }
   /// A frozen node neither sends nor answers.
   void setFrozen(std::size_t number, bool frozen) { nodes_[number].frozen = frozen; }
-  void setCutFromStore(std::size_t number, bool cut) { nodes_[number].cut = cut; }
+  void setCutFromStore(std::size_t number, bool cut) {
+    setStoreLoss(number, cut ? StoreLoss::kSilent : StoreLoss::kNone);
+  }
+  void setStoreLoss(std::size_t number, StoreLoss loss) {
+    Node& node = nodes_[number];
+    refreshView(node);
+    const bool hadPath = node.loss == StoreLoss::kNone;
+    if (loss == StoreLoss::kNone && !hadPath) {
+      node.pathSince = now();
+    }
+    if (loss == StoreLoss::kSilent && node.core && node.core->role() == RelayRole::kRoot) {
+      // The watch that is under way.
+      node.watchHangsUntil = now() + kStoreTimeout + delay(kWatch);
+    }
+    node.loss = loss;
+  }
+  /// Loses the store for a while; the longer loss counts where they overlap.
+  void loseStore(std::size_t number, StoreLoss loss, Milliseconds duration) {
+    Node& node = nodes_[number];
+    const MonotonicTime end = now() + duration;
+    if (end <= node.lossEnd) {
+      return;
+    }
+    node.lossEnd = end;
+    setStoreLoss(number, loss);
+    clock_.schedule(duration, [this, number, end] {
+      if (nodes_[number].lossEnd == end) {
+        setStoreLoss(number, StoreLoss::kNone);
+      }
+    });
+  }
   void setStoreDown(bool down) { storeDown_ = down; }
   /// Lost calls between nodes, from 0 to 1.
   void setLoss(double loss) { loss_ = loss; }
@@ -74,6 +124,19 @@
 
   /// Calls to the store for the list of roots so far; those that were refused count too.
   std::size_t storeCalls() const { return storeCalls_; }
+  /// Readings of views from the store itself so far, those that failed too.
+  std::size_t viewReadings() const { return readings_.size(); }
+  /// The most of these in any second.
+  std::size_t mostViewReadingsInASecond() const {
+    std::size_t most = 0;
+    for (auto first = readings_.begin(), last = first; last != readings_.end(); ++last) {
+      while (*last - *first > Milliseconds(1000)) {
+        ++first;
+      }
+      most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
+  }
   std::vector<std::size_t> roots() const {
     std::vector<std::size_t> found;
     for (std::size_t number = 0; number < nodes_.size(); ++number) {
@@ -92,6 +155,28 @@
     }
     return count;
   }
+  /// The oldest view of a node that has had its own path to the store for `contact`.
+  Milliseconds oldestViewWithPath(Milliseconds contact) {
+    Milliseconds oldest{0};
+    for (Node& node : nodes_) {
+      if (!node.core || node.frozen || node.loss != StoreLoss::kNone ||
+          now() - node.pathSince < contact) {
+        continue;
+      }
+      refreshFromAbove(node);
+      oldest = std::max(oldest, std::chrono::ceil<Milliseconds>(now() - node.provenAt));
+    }
+    return oldest;
+  }
+  std::vector<std::size_t> childrenOf(std::size_t number) const {
+    std::vector<std::size_t> found;
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+      if (nodes_[other].core && nodes_[other].core->parent() == endpointOf(number)) {
+        found.push_back(other);
+      }
+    }
+    return found;
+  }
   std::uint32_t greatestDepth() const {
     std::uint32_t depth = 0;
     for (const Node& node : nodes_) {
@@ -117,16 +202,27 @@
   static constexpr Milliseconds kStoreAnswer{4};
   static constexpr Milliseconds kHop{2};
   static constexpr Milliseconds kStoreTimeout{1200};
+  static constexpr Milliseconds kRefusal{1};
+  /// Longest watch of the store.
+  static constexpr Milliseconds kWatch{600};
   /// How often a root's watches prove its view, and a child asks its parent for the proof.
   static constexpr Milliseconds kProofInterval{200};
 
   struct Node {
     std::unique_ptr<RelayCore> core;
+    std::optional<ViewGuard> guard;
+    /// As the source gave it, without what the node read besides.
+    MonotonicTime sourceProvenAt{};
     std::uint64_t incarnation = 0;
     MonotonicTime provenAt{};
     bool off = false;
     bool frozen = false;
-    bool cut = false;
+    StoreLoss loss = StoreLoss::kNone;
+    MonotonicTime lossEnd{};
+    /// Since when the store can be reached.
+    MonotonicTime pathSince{};
+    /// A watch of a store that fell silent ends by its time-out, and keeps views from being read.
+    MonotonicTime watchHangsUntil{};
   };
   Endpoint endpointOf(std::size_t number) const {
     return {"n" + std::to_string(number), static_cast<std::uint16_t>(1)};
@@ -161,7 +257,7 @@
   void step(std::size_t number, std::uint64_t incarnation) {
     Node& node = nodes_[number];
     refreshView(node);
-    const RelayAction action = node.core->next(now(), node.provenAt);
+    const RelayAction action = node.core->next(now(), node.sourceProvenAt);
     switch (action.step) {
       case RelayStep::kWait: {
         const auto wait = std::chrono::ceil<Milliseconds>(action.until - now());
@@ -172,7 +268,7 @@
         callStore(number, incarnation, [this](Node& asking, bool reached) {
           asking.core->onList(
               reached ? Result<RelayList>(list_) : fail(ErrorKind::kStoreUnavailable, "down"),
-              now(), asking.provenAt);
+              now(), asking.sourceProvenAt);
         });
         break;
       case RelayStep::kWriteList:
@@ -195,8 +291,8 @@
   void callStore(std::size_t number, std::uint64_t incarnation,
                  const std::function<void(Node&, bool)>& answer) {
     ++storeCalls_;
-    const bool reached = !storeDown_ && !nodes_[number].cut;
-    later(number, incarnation, reached ? kStoreAnswer : kStoreTimeout,
+    const bool reached = reachesStore(nodes_[number]);
+    later(number, incarnation, timeOfCall(nodes_[number]),
           [this, number, incarnation, reached, answer](Node& node) {
             answer(node, reached);
             step(number, incarnation);
@@ -215,26 +311,97 @@
       refreshView(asked);
       reply = asked.core->answer({"n" + std::to_string(number), endpointOf(number),
                                   zoneOf(number).value(), action.looksOnly},
-                                 now(), asked.provenAt);
+                                 now(), asked.sourceProvenAt);
     }
     later(number, incarnation, time, [this, number, incarnation, action, reply](Node& node) {
-      node.core->onReply(action, reply, now(), node.provenAt);
+      node.core->onReply(action, reply, now(), node.sourceProvenAt);
       step(number, incarnation);
     });
   }
 
+  /// What RelayNode does beside its place in the tree.
+  void keepViewYoung(std::size_t number, std::uint64_t incarnation) {
+    Node& node = nodes_[number];
+    refreshFromAbove(node);
+    const Milliseconds readAge = settings_.readAges[kGuarded];
+    const MonotonicTime due = node.guard->due(node.provenAt, readAge, node.core->depth());
+    const bool known = node.provenAt != MonotonicTime{};
+    if (!known || now() < due) {
+      const auto wait = std::chrono::ceil<Milliseconds>(due - now());
+      later(number, incarnation, known ? wait : kProofInterval,
+            [this, number, incarnation](Node& /*node*/) { keepViewYoung(number, incarnation); });
+      return;
+    }
+    readings_.push_back(now());
+    const bool reached = reachesStore(node);
+    const MonotonicTime asked = now();
+    const Milliseconds time = std::min(timeOfCall(node), node.guard->settings().callTimeout);
+    later(number, incarnation, time, [this, number, incarnation, reached, asked](Node& reading) {
+      reading.guard->onRead(reached, now());
+      if (reached) {
+        reading.provenAt = std::max(reading.provenAt, asked);
+        // The read that was under way is given up.
+        reading.watchHangsUntil = {};
+      }
+      keepViewYoung(number, incarnation);
+    });
+  }
+
+  bool reachesStore(const Node& node) const { return !storeDown_ && node.loss == StoreLoss::kNone; }
+  Milliseconds timeOfCall(const Node& node) const {
+    switch (node.loss) {
+      case StoreLoss::kRefused:
+        return storeDown_ ? kStoreTimeout : kRefusal;
+      case StoreLoss::kSilent:
+        return kStoreTimeout;
+      case StoreLoss::kNone:
+      case StoreLoss::kTurnedAway:
+        break;
+    }
+    return storeDown_ ? kStoreTimeout : kStoreAnswer;
+  }
+
+  /// Long polls bring what is new above within some milliseconds.
+  void refreshFromAbove(Node& node) {
+    std::vector<Node*> way{&node};
+    while (way.size() < kLongestWay && way.back()->core && way.back()->core->parent()) {
+      way.push_back(&nodes_[numberOf(*way.back()->core->parent())]);
+    }
+    for (auto above = way.rbegin(); above != way.rend(); ++above) {
+      if ((*above)->core && !(*above)->frozen) {
+        refreshView(**above);
+      }
+    }
+  }
+  static constexpr std::size_t kLongestWay = 12;
+
   /// What the watches do meanwhile.
   void refreshView(Node& node) {
-    const bool rootSees =
-        node.core->role() == RelayRole::kRoot && !storeDown_ && !node.cut && !node.frozen;
+    if (!node.core) {
+      return;
+    }
+    const bool root = node.core->role() == RelayRole::kRoot;
+    if (!root) {
+      // A read from the store is given up with the place as a root.
+      node.watchHangsUntil = {};
+    }
+    if (now() < node.watchHangsUntil) {
+      return;
+    }
+    if (root && node.loss == StoreLoss::kSilent) {
+      node.watchHangsUntil = now() + kStoreTimeout + kWatch;
+      return;
+    }
+    const bool rootSees = root && reachesStore(node) && !node.frozen;
     if (rootSees) {
-      node.provenAt = now();
+      node.sourceProvenAt = now();
     } else if (const auto parent = node.core->parent()) {
       const Node& source = nodes_[numberOf(*parent)];
       if (source.core && !source.frozen && source.core->serves(now())) {
-        node.provenAt = std::max(node.provenAt, source.provenAt);
+        node.sourceProvenAt = std::max(node.sourceProvenAt, source.provenAt);
       }
     }
+    node.provenAt = std::max(node.provenAt, node.sourceProvenAt);
   }
 
   testing::SimulatedNetwork clock_;
@@ -246,6 +413,7 @@
   bool storeDown_ = false;
   double loss_ = 0;
   std::size_t storeCalls_ = 0;
+  std::vector<MonotonicTime> readings_;
 };
 
 }  // namespace calicodrift::relay
