Exchange: observations of running orders travel in the reports

Cause: the judge of a candidate needs the sums over all nodes, and the exchange told loads only. Change: ExchangeReport ends with an ObservationMessage (one byte without an order; routes, versions and buckets only where they have counts), kept in an ObservationTable; NodeExchangeContext gets ownObservations and onObservations, both may be empty. While an order runs reports are sent in the shortest interval. Double counts: what a parent tells stands for the groups it holds; a relay that has a parent answers another root with an empty group. Ruled out: entries by node, whose bytes grow with the fleet.

--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -6,13 +6,15 @@
 #include <string>
 #include <vector>
 
+#include "exchange/observation_message.h"
 #include "fleet/cache_store_report.h"
 #include "fleet/named_weights.h"
 #include "fleet/saved_part.h"
 #include "fleet/server_load.h"
 #include "peer/compact_number.h"
 
-/// What nodes tell each other: the load that they have on servers, and cache that was saved.
+/// What nodes tell each other: the load that they have on servers, cache that was saved, and what
+/// they saw of service versions that are rolled out.
 namespace calicodrift::exchange {
 
 struct LoadEntry {
@@ -58,10 +60,12 @@
   std::vector<NamingEntry> namings;
   /// In the answer to a child: how the stores of kept cache stand.
   std::vector<fleet::CacheStoreReport> cacheStores;
+  /// What the same nodes as in `entries` saw of the orders that run.
+  ObservationMessage observations;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, group, fresh, entries, saves, namings, cacheStores);
+    archive(sender, group, fresh, entries, saves, namings, cacheStores, observations);
   }
 };
 
--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -28,7 +28,10 @@
 }
 
 NodeExchange::NodeExchange(NodeExchangeContext context, NodeExchangeSettings settings)
-    : context_(std::move(context)), settings_(std::move(settings)), table_(settings_.term) {}
+    : context_(std::move(context)),
+      settings_(std::move(settings)),
+      table_(settings_.term),
+      observations_(settings_.term) {}
 
 void NodeExchange::start() {
   if (settings_.endpoint.port != 0) {
@@ -39,7 +42,7 @@
 awaitable<void> NodeExchange::run() {
   asio::steady_timer timer(context_.executor);
   for (;;) {
-    timer.expires_after(intervalFor(settings_, servers_));
+    timer.expires_after(interval(monotonicNow()));
     co_await timer.async_wait(asio::use_awaitable);
     if (const std::optional<Endpoint> relay = context_.relay()) {
       co_await reportTo(*relay);
@@ -47,6 +50,8 @@
       actAsRelay();
     } else {
       context_.onOthers({});
+      observations_.forgetParent();
+      tellObservations(monotonicNow());
     }
   }
 }
@@ -55,6 +60,8 @@
   const MonotonicTime now = monotonicNow();
   table_.expire(now);
   table_.forgetGroup(kParent);
+  observations_.expire(now);
+  observations_.forgetParent();
   collectSaves();
   for (const Endpoint& other : context_.otherRelays()) {
     if (mustAsk(other, now)) {
@@ -65,6 +72,7 @@
   addLoads(others, table_.groups(now));
   servers_ = others.size();
   context_.onOthers(others);
+  tellObservations(now);
 }
 
 bool NodeExchange::mustAsk(const Endpoint& other, MonotonicTime now) const {
@@ -78,6 +86,7 @@
 
 awaitable<void> NodeExchange::reportTo(Endpoint parent) {
   table_.expire(monotonicNow());
+  observations_.expire(monotonicNow());
   collectSaves();
   SaveBatch batch = saves_.nextFor(kParent, true);
   ExchangeReport report;
@@ -86,6 +95,7 @@
   report.entries = toEntries(group(""));
   report.saves = std::move(batch.parts);
   report.namings = toEntries(context_.namings());
+  report.observations = ObservationMessage(groupObservations(""));
   Result<ExchangeReport> answer = co_await send(std::move(parent), std::move(report));
   const MonotonicTime now = monotonicNow();
   if (answer) {
@@ -93,6 +103,7 @@
     saves_.setTold(kParent, batch.end);
     servers_ = answer.value().entries.size();
     table_.setGroup(kParent, toLoads(answer.value().entries), now);
+    observations_.setParent(answer.value().observations.table(), now);
     learnSaves(answer.value().saves, false, kParent);
     context_.onNamings(toNamed(answer.value().namings));
     context_.onCacheStores(answer.value().cacheStores);
@@ -100,6 +111,7 @@
   fleet::ServerLoads others = table_.followers("", now);
   addLoads(others, table_.groups(now));
   context_.onOthers(others);
+  tellObservations(now);
 }
 
 awaitable<void> NodeExchange::swapWith(Endpoint relay) {
@@ -110,6 +122,7 @@
   if (answer && answer.value().group) {
     saves_.setTold(other, batch.end);
     table_.setGroup(other, toLoads(answer.value().entries), monotonicNow());
+    observations_.setGroup(other, answer.value().observations.table(), monotonicNow());
     learnSaves(answer.value().saves, false, other);
     context_.onNamings(toNamed(answer.value().namings));
   }
@@ -140,9 +153,11 @@
   if (report.group) {
     askedAt_[report.sender] = now;
     table_.setGroup(report.sender, toLoads(report.entries), now);
+    observations_.setGroup(report.sender, report.observations.table(), now);
     return groupReport(takeSavesFor(report.sender, true));
   }
   table_.setNode(report.sender, toLoads(report.entries), now);
+  observations_.setChild(report.sender, report.observations.table(), now);
   fleet::ServerLoads others = group(report.sender);
   addLoads(others, table_.groups(now));
   ExchangeReport answer;
@@ -151,6 +166,9 @@
   answer.saves = takeSavesFor(report.sender, false);
   answer.namings = toEntries(context_.namings());
   answer.cacheStores = context_.cacheStores();
+  service_rollout::ObservationTable seen = groupObservations(report.sender);
+  service_rollout::addObservations(seen, observations_.elsewhere(now));
+  answer.observations = ObservationMessage(std::move(seen));
   return answer;
 }
 
@@ -168,6 +186,10 @@
   report.entries = toEntries(group(""));
   report.saves = std::move(saves);
   report.namings = toEntries(context_.namings());
+  // A root that has just found a parent is counted by that one.
+  if (!context_.relay()) {
+    report.observations = ObservationMessage(groupObservations(""));
+  }
   return report;
 }
 
@@ -177,6 +199,30 @@
   context_.onSaves(saves);
 }
 
+Milliseconds NodeExchange::interval(MonotonicTime now) const {
+  const bool orderRuns =
+      observations_.any(now) || (context_.ownObservations && !context_.ownObservations().empty());
+  return orderRuns ? settings_.shortestInterval : intervalFor(settings_, servers_);
+}
+
+void NodeExchange::tellObservations(MonotonicTime now) {
+  if (!context_.onObservations) {
+    return;
+  }
+  service_rollout::ObservationTable others = observations_.children("", now);
+  service_rollout::addObservations(others, observations_.elsewhere(now));
+  context_.onObservations(others);
+}
+
+service_rollout::ObservationTable NodeExchange::groupObservations(const std::string& except) const {
+  service_rollout::ObservationTable seen;
+  if (context_.ownObservations) {
+    seen = context_.ownObservations();
+  }
+  service_rollout::addObservations(seen, observations_.children(except, monotonicNow()));
+  return seen;
+}
+
 fleet::ServerLoads NodeExchange::group(const std::string& except) const {
   fleet::ServerLoads loads = context_.own();
   addLoads(loads, table_.followers(except, monotonicNow()));
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -11,6 +11,7 @@
 #include "common/endpoint.h"
 #include "exchange/load_table.h"
 #include "exchange/messages.h"
+#include "exchange/observation_table.h"
 #include "exchange/save_log.h"
 #include "fleet/cache_store_report.h"
 #include "http/client.h"
@@ -64,6 +65,10 @@
   /// How the stores of kept cache stand, which children learn from their parent.
   std::function<std::vector<fleet::CacheStoreReport>()> cacheStores;
   std::function<void(const std::vector<fleet::CacheStoreReport>&)> onCacheStores;
+  /// What this node saw of the orders that run, and the sums of what all others did, called in each
+  /// interval. Both may be empty.
+  std::function<service_rollout::ObservationTable()> ownObservations = {};
+  std::function<void(const service_rollout::ObservationTable&)> onObservations = {};
 };
 
 /// Tells each node what the others have under way at each server, some hundred milliseconds old,
@@ -71,8 +76,13 @@
 /// the sum of all others'; roots swap the sums of their trees. A node sends and receives one report
 /// an interval, and one for each child, whatever the number of nodes.
 ///
+/// Observations of running orders travel in the same reports, and while there are any, reports are
+/// sent in the shortest interval. A rejection reaches every node as a part of them: from a leaf it
+/// takes an interval at most for each step up, across and down.
+///
 /// Nothing depends on what is told but the choice among servers and of moves of cache, so that any
-/// of it may be missing.
+/// of it may be missing; without observations a candidate is judged later, and its permits end by
+/// themselves.
 class NodeExchange {
  public:
   NodeExchange(NodeExchangeContext context, NodeExchangeSettings settings);
@@ -90,6 +100,11 @@
   boost::asio::awaitable<Result<ExchangeReport>> send(Endpoint relay, ExchangeReport report);
   /// Own load and the children's, without `except`.
   fleet::ServerLoads group(const std::string& except) const;
+  /// The same of observations.
+  service_rollout::ObservationTable groupObservations(const std::string& except) const;
+  /// Tells this node what all others saw.
+  void tellObservations(MonotonicTime now);
+  Milliseconds interval(MonotonicTime now) const;
   /// What others have saved, as `teller` tells it.
   void learnSaves(const std::vector<fleet::SavedPart>& saves, bool ownGroup,
                   const std::string& teller);
@@ -106,6 +121,7 @@
   NodeExchangeContext context_;
   NodeExchangeSettings settings_;
   LoadTable table_;
+  ObservationTable observations_;
   SaveLog saves_;
   /// Servers that the last report or answer told of.
   std::size_t servers_ = 0;
--- /dev/null
+++ b/tests/exchange/node_exchange_observations_test.cc
@@ -0,0 +1,224 @@
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <vector>
+
+#include "exchange/node_exchange.h"
+#include "service_rollout/observer.h"
+
+namespace calicodrift::exchange {
+namespace {
+
+namespace asio = boost::asio;
+using service_rollout::ObservationTable;
+using service_rollout::OrderKey;
+using service_rollout::Track;
+
+const OrderKey kOrder{7};
+constexpr Milliseconds kInterval{25};
+constexpr Milliseconds kTerm{300};
+
+/// A node that sends requests of one order, and believes a rejection that it hears of.
+struct ObservingNode {
+  ObservingNode(asio::io_context& context, http::Client& client, const std::string& name)
+      : server(context.get_executor(), {},
+               [this](http::Request& request, http::ResponseWriter& writer) {
+                 return exchange->handle(request, writer);
+               }) {
+    endpoint = server.listen({"127.0.0.1", 0}).value();
+    NodeExchangeSettings settings;
+    settings.node = name;
+    settings.endpoint = endpoint;
+    settings.shortestInterval = kInterval;
+    settings.longestInterval = kInterval;
+    settings.term = kTerm;
+    exchange = std::make_unique<NodeExchange>(contextFor(context, client), settings);
+  }
+
+  NodeExchangeContext contextFor(asio::io_context& context, http::Client& client) {
+    NodeExchangeContext node{context.get_executor(),
+                             client,
+                             [this] { return relay; },
+                             [this] { return !relay.has_value(); },
+                             [this] { return otherRelays; },
+                             [] { return fleet::ServerLoads(); },
+                             [](const fleet::ServerLoads&) {},
+                             [] { return std::vector<fleet::SavedPart>(); },
+                             [](const std::vector<fleet::SavedPart>&) {},
+                             [] { return std::vector<fleet::NamedWeights>(); },
+                             [](const std::vector<fleet::NamedWeights>&) {},
+                             [] { return std::vector<fleet::CacheStoreReport>(); },
+                             [](const std::vector<fleet::CacheStoreReport>&) {}};
+    node.ownObservations = [this] { return observer.own(monotonicNow()); };
+    node.onObservations = [this](const ObservationTable& seen) { hear(seen); };
+    return node;
+  }
+
+  void send(std::size_t requests) {
+    for (std::size_t sent = 0; sent < requests; ++sent) {
+      observer.onSent(kOrder, Track::kStable);
+    }
+  }
+  void hear(const ObservationTable& seen) {
+    const auto found = seen.find(kOrder);
+    others = found == seen.end() ? 0 : found->second.reached;
+    most = std::max(most, others);
+    if (found == seen.end()) {
+      return;
+    }
+    observer.learnAge(kOrder, found->second.age, monotonicNow());
+    if (!rejected) {
+      ++intervals;
+      rejected = found->second.rejected;
+    }
+    if (found->second.rejected) {
+      observer.reject(kOrder);
+    }
+  }
+
+  Endpoint endpoint;
+  std::optional<Endpoint> relay;
+  std::vector<Endpoint> otherRelays;
+  service_rollout::Observer observer;
+  std::uint64_t others = 0;
+  std::uint64_t most = 0;
+  bool rejected = false;
+  /// Until the rejection was heard.
+  std::size_t intervals = 0;
+  std::unique_ptr<NodeExchange> exchange;
+  http::Server server;
+};
+
+/// Two trees of depth 3 that swap their sums: a root, a child of it, a leaf below that.
+struct Trees {
+  asio::io_context context;
+  http::Client client{context.get_executor()};
+  std::vector<std::unique_ptr<ObservingNode>> nodes;
+
+  Trees() {
+    std::size_t requests = 1;
+    for (const char* name : {"root1", "middle1", "leaf1", "root2", "middle2", "leaf2"}) {
+      nodes.push_back(std::make_unique<ObservingNode>(context, client, name));
+      nodes.back()->send(requests);
+      requests *= 10;
+    }
+    root(0).otherRelays = {root(1).endpoint};
+    root(1).otherRelays = {root(0).endpoint};
+    for (std::size_t tree = 0; tree < 2; ++tree) {
+      middle(tree).relay = root(tree).endpoint;
+      leaf(tree).relay = middle(tree).endpoint;
+    }
+  }
+  ObservingNode& root(std::size_t tree) { return *nodes[3 * tree]; }
+  ObservingNode& middle(std::size_t tree) { return *nodes[3 * tree + 1]; }
+  ObservingNode& leaf(std::size_t tree) { return *nodes[3 * tree + 2]; }
+
+  void start() {
+    for (const auto& node : nodes) {
+      node->exchange->start();
+    }
+  }
+  void run(Milliseconds time) {
+    context.restart();
+    context.run_for(time);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(node_exchange_observations, Trees)
+
+BOOST_AUTO_TEST_CASE(eachNodeHearsWhatAllOthersSaw) {
+  start();
+  run(Milliseconds(600));
+  std::size_t own = 1;
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->others == 111'111U - own);
+    BOOST_TEST(node->most == 111'111U - own);
+    own *= 10;
+  }
+}
+
+BOOST_AUTO_TEST_CASE(rejectionReachesEveryNodeAtOneIntervalAStep) {
+  // Up to the root, across and down to the other leaf are five steps; a report that has just left
+  // adds up to one.
+  constexpr std::size_t kMostIntervals = 6;
+  constexpr std::size_t kTrials = 8;
+  start();
+  run(Milliseconds(400));
+  std::size_t most = 0;
+  for (std::size_t trial = 0; trial < kTrials; ++trial) {
+    for (const auto& node : nodes) {
+      node->observer.keepOnly({});
+      node->send(1);
+    }
+    run(2 * kTerm);
+    for (const auto& node : nodes) {
+      node->intervals = 0;
+      node->rejected = false;
+    }
+    leaf(trial % 2).observer.reject(kOrder);
+    run((kMostIntervals + 4) * kInterval);
+    for (const auto& node : nodes) {
+      if (node.get() != &leaf(trial % 2)) {
+        BOOST_TEST(node->rejected);
+        most = std::max(most, node->intervals);
+      }
+    }
+  }
+  BOOST_TEST_MESSAGE("intervals from a leaf to the last of all others, most of " << kTrials << ": "
+                                                                                 << most);
+  BOOST_TEST(most <= kMostIntervals);
+}
+
+BOOST_AUTO_TEST_CASE(ageOfAnOrderIsToldToAll) {
+  leaf(0).observer.learnAge(kOrder, Milliseconds(60'000), monotonicNow());
+  start();
+  run(Milliseconds(400));
+  for (const auto& node : nodes) {
+    const Milliseconds age = node->observer.own(monotonicNow()).at(kOrder).age;
+    BOOST_TEST(age >= Milliseconds(60'000 + 200));
+    BOOST_TEST(age < Milliseconds(61'000));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(rootThatFindsAParentIsCountedOnce) {
+  start();
+  run(Milliseconds(400));
+  // The first root does not know that the second is no root any more, and asks it on.
+  root(1).relay = root(0).endpoint;
+  run(2 * kTerm);
+  for (const auto& node : nodes) {
+    node->most = 0;
+  }
+  run(2 * kTerm);
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->most <= 111'111U);
+  }
+  BOOST_TEST(root(0).others == 111'110U);
+  BOOST_TEST(leaf(1).others == 11'111U);
+}
+
+BOOST_AUTO_TEST_CASE(whatALostNodeSawCountsNoLonger) {
+  start();
+  run(Milliseconds(400));
+  leaf(1).relay = Endpoint{"127.0.0.1", 1};
+  run(2 * kTerm);
+  BOOST_TEST(root(0).others == 11'110U);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsHeardWithoutAnOrder) {
+  for (const auto& node : nodes) {
+    node->observer.keepOnly({});
+  }
+  start();
+  run(Milliseconds(300));
+  for (const auto& node : nodes) {
+    BOOST_TEST(node->others == 0U);
+    BOOST_TEST(node->observer.own(monotonicNow()).empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace calicodrift::exchange
