Limits: roots borrow from the roots of other regions what their part lacks

Cause: each region mints an even part of each limit, so that a tenant whose requests come to one region of three got a third of its limit.

Ruled out: parts that follow the demand (roots of all regions have to agree before one may grow, and a region that is cut off has to shrink first); claims while a request waits (two ways of 80 ms are longer than a follower's 120 ms).

Change: a root whose content runs short asks the roots of the other regions in the background for units ahead of need.

--- a/src/quota/metrics.cc
+++ b/src/quota/metrics.cc
@@ -24,6 +24,9 @@
                    .Add({{"answered", "true"}})),
       silentBatches_(counterFamily(registry, "calicodrift_quota_batches_total", "")
                          .Add({{"answered", "false"}})),
+      borrowed_(counterFamily(registry, "calicodrift_quota_borrowed_units_total",
+                              "Units borrowed from roots of other groups")
+                    .Add({})),
       wait_(prometheus::BuildHistogram()
                 .Name("calicodrift_quota_wait_seconds")
                 .Help("Time for which a request waited for its tenant's limit")
--- a/src/quota/metrics.h
+++ b/src/quota/metrics.h
@@ -17,6 +17,8 @@
   void countUnreached() { unreached_.Increment(); }
   /// Batches sent to a source, and those that no source answered.
   void countBatch(bool answered);
+  /// Units that came from roots of other groups.
+  void countBorrowed(double units) { borrowed_.Increment(units); }
   void observeWait(double seconds) { wait_.Observe(seconds); }
 
  private:
@@ -25,6 +27,7 @@
   prometheus::Counter& unreached_;
   prometheus::Counter& batches_;
   prometheus::Counter& silentBatches_;
+  prometheus::Counter& borrowed_;
   prometheus::Histogram& wait_;
 };
 
--- a/src/quota/quota_core.cc
+++ b/src/quota/quota_core.cc
@@ -116,6 +116,27 @@
   return answer;
 }
 
+std::vector<Claim> QuotaCore::toBorrow(std::size_t lenders, MonotonicTime now) {
+  std::vector<Claim> claims;
+  if (place_.place != Place::kRoot || lenders == 0) {
+    return claims;
+  }
+  for (auto& [key, account] : accounts_) {
+    const double wanted = account.wantedToBorrow(now);
+    if (wanted >= 1) {
+      claims.push_back({key, 0, toUnits(wanted / static_cast<double>(lenders))});
+    }
+  }
+  return claims;
+}
+
+void QuotaCore::onBorrowed(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent) {
+  TenantAccount* account = accountOf(claim.tenant);
+  if (account != nullptr && answer.waitMs == 0) {
+    account->addAhead(answer.ahead, sent + Milliseconds(answer.aheadTermMs));
+  }
+}
+
 void QuotaCore::giveBack(TenantKey tenant, double units, MonotonicTime now) {
   if (TenantAccount* account = accountOf(tenant)) {
     account->giveBack(units, now);
--- a/src/quota/quota_core.h
+++ b/src/quota/quota_core.h
@@ -47,6 +47,11 @@
   Decision onSilence(TenantKey tenant, double units, MonotonicTime now);
   /// What another node gets for its claim, once this node has decided on it.
   ClaimAnswer toAnswer(const Claim& claim, const Decision& decision, MonotonicTime now);
+  /// As a root: claims for what its own part of the limits lacks, where each of so many roots of
+  /// other groups is asked for an even part of it. They ask for units ahead only: what comes is
+  /// void after the term that these have.
+  std::vector<Claim> toBorrow(std::size_t lenders, MonotonicTime now);
+  void onBorrowed(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent);
   void giveBack(TenantKey tenant, double units, MonotonicTime now);
 
   const NodePlace& place() const { return place_; }
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kMostRootsAsked = 2;
 /// A silent source is asked again after the time in which the tree finds another one.
 constexpr Milliseconds kSilencePause{300};
+/// The same for a lender: a region that is cut off stays so for longer.
+constexpr Milliseconds kLenderSilencePause{2000};
 /// Callers that are refused together come back over this time beyond their wait, and over as much
 /// again as they wait.
 constexpr Milliseconds kLeastSpread{250};
@@ -31,6 +33,9 @@
 
 void QuotaNode::start() {
   asio::co_spawn(context_.executor, pulse(), asio::detached);
+  if (context_.lenders) {
+    asio::co_spawn(context_.executor, borrow(), asio::detached);
+  }
 }
 
 awaitable<void> QuotaNode::pulse() {
@@ -42,6 +47,61 @@
   }
 }
 
+awaitable<void> QuotaNode::borrow() {
+  asio::steady_timer timer(context_.executor);
+  for (;;) {
+    timer.expires_after(kBorrowInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (core_.toBorrow(1, monotonicNow()).empty()) {
+      continue;
+    }
+    const std::vector<Endpoint> known = co_await context_.lenders();
+    const std::vector<Endpoint> lenders = idleLenders(known);
+    const std::vector<Claim> claims = core_.toBorrow(lenders.size(), monotonicNow());
+    for (const Endpoint& lender : lenders) {
+      if (!claims.empty() && asked_.insert(lender).second) {
+        asio::co_spawn(context_.executor, borrowFrom(lender, claims), asio::detached);
+      }
+    }
+  }
+}
+
+std::vector<Endpoint> QuotaNode::idleLenders(const std::vector<Endpoint>& lenders) const {
+  const MonotonicTime now = monotonicNow();
+  std::vector<Endpoint> idle;
+  for (const Endpoint& lender : lenders) {
+    const auto silent = silentUntil_.find(lender);
+    const bool answers = silent == silentUntil_.end() || now >= silent->second;
+    if (answers && !asked_.contains(lender)) {
+      idle.push_back(lender);
+    }
+  }
+  return idle;
+}
+
+awaitable<void> QuotaNode::borrowFrom(Endpoint lender, std::vector<Claim> claims) {
+  ClaimBatch message;
+  message.claims = claims;
+  message.fromRoot = true;
+  const MonotonicTime sent = monotonicNow();
+  const Result<ClaimReply> reply = co_await peer::callPeer<ClaimReply>(
+      context_.client, lender, kClaimPath, message, kLenderTimeout, kLenderTimeout);
+  asked_.erase(lender);
+  const bool answered = reply && reply.value().answers.size() == claims.size();
+  metrics_.countBatch(answered);
+  if (!answered) {
+    silentUntil_[lender] = monotonicNow() + kLenderSilencePause;
+    co_return;
+  }
+  silentUntil_.erase(lender);
+  double borrowed = 0;
+  for (std::size_t index = 0; index < claims.size(); ++index) {
+    core_.onBorrowed(claims[index], reply.value().answers[index], sent);
+    borrowed += reply.value().answers[index].ahead;
+  }
+  metrics_.countBorrowed(borrowed);
+}
+
 void QuotaNode::applyLimits(const std::map<TenantId, TenantLimit>& limits) {
   core_.applyLimits(limits, monotonicNow());
 }
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -4,9 +4,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -29,6 +31,8 @@
   std::function<std::optional<Endpoint>()> parent;
   /// The roots of the tree but this node, as last heard.
   std::function<std::vector<Endpoint>()> roots;
+  /// The roots of the other trees of the fleet; empty where there is one tree.
+  std::function<boost::asio::awaitable<std::vector<Endpoint>>()> lenders = nullptr;
 };
 
 /// What a request gets under its tenant's limit.
@@ -60,6 +64,10 @@
 
   /// For one source's answer: many times the way between two zones and back, over some nodes.
   static constexpr Milliseconds kSourceTimeout{120};
+  /// For a lender's answer: some ways there and back between regions, where 160 ms is long.
+  static constexpr Milliseconds kLenderTimeout{600};
+  /// Between two questions to lenders: a few in each term of what they lend.
+  static constexpr Milliseconds kBorrowInterval{100};
 
  private:
   /// A claim that waits for a source, or has its decision.
@@ -76,6 +84,11 @@
   using WaitingList = std::vector<std::shared_ptr<Waiting>>;
 
   boost::asio::awaitable<void> pulse();
+  /// Borrows from the roots of other trees what this root's part lacks, while nobody waits for it.
+  boost::asio::awaitable<void> borrow();
+  /// Lenders that answered of late and are not being asked now.
+  std::vector<Endpoint> idleLenders(const std::vector<Endpoint>& lenders) const;
+  boost::asio::awaitable<void> borrowFrom(Endpoint lender, std::vector<Claim> claims);
   void refreshPlace(MonotonicTime now) { core_.setPlace(context_.place(), now); }
   /// Queues a claim for the next batch.
   std::shared_ptr<Waiting> enqueue(const Claim& claim, std::uint32_t hops);
@@ -96,6 +109,8 @@
   bool sending_ = false;
   /// A source that was silent is passed over until then.
   std::map<Endpoint, MonotonicTime> silentUntil_;
+  /// Lenders whose answer is awaited.
+  std::set<Endpoint> asked_;
   MonotonicTime answeredAt_{};
 };
 
--- a/src/quota/tenant_account.cc
+++ b/src/quota/tenant_account.cc
@@ -132,6 +132,16 @@
   return given > 0 && minted_.tryTake(given, 0, now) ? given : 0;
 }
 
+double TenantAccount::wantedToBorrow(MonotonicTime now) {
+  const bool runsShort = minted_.contentAt(now) < minted_.burst() * kKeptShare;
+  if (place_ != Place::kRoot || !runsShort) {
+    return 0;
+  }
+  const double termSeconds = toMilliseconds(allowance_.aheadTerm) / kMsPerSecond;
+  const double demand = std::min(demand_.perSecond(now), limit_.unitsPerSecond);
+  return std::max(0.0, demand * termSeconds - std::max(0.0, heldAt(now)));
+}
+
 double TenantAccount::heldAt(MonotonicTime now) {
   dropExpired(now);
   double held = place_ == Place::kRoot ? minted_.contentAt(now) : 0;
--- a/src/quota/tenant_account.h
+++ b/src/quota/tenant_account.h
@@ -63,6 +63,9 @@
   /// As a root: what another node gets beyond its claim, and for how long.
   double grantAhead(double wanted, MonotonicTime now);
   Milliseconds aheadTerm() const { return allowance_.aheadTerm; }
+  /// As a root: what to borrow from the roots of other groups, as its own part doesn't cover the
+  /// demand.
+  double wantedToBorrow(MonotonicTime now);
 
   /// As a root: until its own content covers the units.
   Milliseconds waitFor(double units, MonotonicTime now) const {
--- a/tests/quota/simulated_fleet.h
+++ b/tests/quota/simulated_fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "quota/quota_core.h"
@@ -47,10 +48,13 @@
   TenantLimit limit{124'000, 124'000};
   /// Lost calls between nodes, from 0 to 1.
   double loss = 0;
+  /// Each with as many of the nodes, in a tree of its own.
+  std::size_t regions = 1;
 };
 
 /// Many QuotaCores in a tree in virtual time, as QuotaNode runs them: a claim that a node can't
-/// decide goes to its parent, then to a root. One tenant. The same seed gives the same run.
+/// decide goes to its parent, then to a root, and roots borrow from those of other regions. One
+/// tenant. The same seed gives the same run.
 class SimulatedFleet {
  public:
   SimulatedFleet(FleetOptions options, std::uint64_t seed)
@@ -58,9 +62,10 @@
     clock_.run(Milliseconds(1'000'000));
     for (std::size_t number = 0; number < options_.nodes; ++number) {
       nodes_.emplace_back();
-      nodes_[number].listedRoot = number < kRoots;
+      nodes_[number].listedRoot = number - firstOf(number) < kRoots;
       start(number);
       pulse(number);
+      borrow(number);
     }
   }
 
@@ -89,6 +94,17 @@
   }
   /// No call from or to the node arrives.
   void cut(std::size_t number, bool isCut) { nodes_[number].cut = isCut; }
+  /// No call from or to the region's nodes comes through the borders of the region.
+  void cutRegion(std::size_t region, bool isCut) {
+    if (isCut) {
+      cutRegions_.insert(region);
+    } else {
+      cutRegions_.erase(region);
+    }
+  }
+  std::size_t regionOf(std::size_t number) const {
+    return std::min(number / regionSize(), options_.regions - 1);
+  }
   /// The list of roots names another node in the place of one; that one hears of it after `late`.
   void replaceRoot(std::size_t old, std::size_t successor, Milliseconds late) {
     nodes_[successor].listedRoot = true;
@@ -111,6 +127,11 @@
     }
     return found;
   }
+  std::vector<std::size_t> rootsOf(std::size_t region) const {
+    std::vector<std::size_t> found = roots();
+    std::erase_if(found, [this, region](std::size_t number) { return regionOf(number) != region; });
+    return found;
+  }
 
   /// A request of the tenant comes to a node.
   void request(std::size_t number, double units) {
@@ -138,6 +159,8 @@
  private:
   static constexpr std::size_t kRoots = 2;
   static constexpr Milliseconds kHop{1};
+  static constexpr Milliseconds kFarHop{30};
+  static constexpr Milliseconds kBorrowInterval{100};
   static constexpr Milliseconds kTimeout{120};
   static constexpr std::uint32_t kMostHops = 12;
 
@@ -157,15 +180,18 @@
     return node.core && !node.cut && !isFrozen(node) && !lost;
   }
   std::optional<std::size_t> parentOf(std::size_t number) const {
-    if (number >= kRoots * (1 + options_.childrenOfANode)) {
-      return kRoots + (number - kRoots) / options_.childrenOfANode - kRoots;
+    const std::size_t first = firstOf(number);
+    const std::size_t place = number - first;
+    if (place >= kRoots * (1 + options_.childrenOfANode)) {
+      return first + kRoots + (place - kRoots) / options_.childrenOfANode - kRoots;
     }
-    const std::vector<std::size_t> all = roots();
+    const std::vector<std::size_t> all = rootsOf(regionOf(number));
     return all.empty() ? std::nullopt : std::optional(all[number % all.size()]);
   }
   NodePlace placeOf(std::size_t number) const {
     if (nodes_[number].listedRoot) {
-      return {Place::kRoot, 1 / static_cast<double>(std::max(kRoots, roots().size()))};
+      const std::size_t ofRegion = std::max(kRoots, rootsOf(regionOf(number)).size());
+      return {Place::kRoot, 1 / static_cast<double>(ofRegion * options_.regions)};
     }
     return {Place::kFollower, 0};
   }
@@ -178,6 +204,46 @@
     clock_.schedule(QuotaCore::kPulse, [this, number] { pulse(number); });
   }
 
+  /// A root asks the roots of the other regions for what it lacks.
+  void borrow(std::size_t number) {
+    Node& node = nodes_[number];
+    if (node.core && !isFrozen(node) && !node.cut) {
+      std::vector<std::size_t> lenders = roots();
+      std::erase_if(
+          lenders, [this, number](std::size_t root) { return regionOf(root) == regionOf(number); });
+      for (const Claim& message : node.core->toBorrow(lenders.size(), now())) {
+        for (const std::size_t lender : lenders) {
+          borrowFrom(number, lender, message);
+        }
+      }
+    }
+    clock_.schedule(kBorrowInterval, [this, number] { borrow(number); });
+  }
+  void borrowFrom(std::size_t number, std::size_t lender, const Claim& message) {
+    const std::uint64_t incarnation = nodes_[number].incarnation;
+    const MonotonicTime sent = now();
+    clock_.schedule(kFarHop, [this, number, lender, message, incarnation, sent] {
+      if (!bordersOpen(number, lender) || !reachable(lender)) {
+        return;
+      }
+      QuotaCore& core = *nodes_[lender].core;
+      core.setPlace(placeOf(lender), now());
+      const Decision decision = core.claim(message.tenant, message.units, now());
+      const ClaimAnswer answer = core.toAnswer(message, decision, now());
+      clock_.schedule(kFarHop, [this, number, lender, message, incarnation, sent, answer] {
+        const bool sameRun = nodes_[number].incarnation == incarnation;
+        if (sameRun && bordersOpen(number, lender) && reachable(number)) {
+          nodes_[number].core->onBorrowed(message, answer, sent);
+        }
+      });
+    });
+  }
+  bool bordersOpen(std::size_t left, std::size_t right) const {
+    return !cutRegions_.contains(regionOf(left)) && !cutRegions_.contains(regionOf(right));
+  }
+  std::size_t regionSize() const { return options_.nodes / options_.regions; }
+  std::size_t firstOf(std::size_t number) const { return regionOf(number) * regionSize(); }
+
   void claim(std::size_t number, double units, std::uint32_t hops, const Answer& answer) {
     Node& node = nodes_[number];
     const TenantKey key = keyOf(TenantId("t"));
@@ -191,7 +257,7 @@
     if (const auto parent = parentOf(number); parent && !isRoot && *parent != number) {
       sources.push_back(*parent);
     }
-    for (const std::size_t root : roots()) {
+    for (const std::size_t root : rootsOf(regionOf(number))) {
       if (root != number && std::find(sources.begin(), sources.end(), root) == sources.end()) {
         sources.push_back(root);
       }
@@ -253,6 +319,7 @@
   std::mt19937_64& random_;
   FleetOptions options_;
   std::vector<Node> nodes_;
+  std::set<std::size_t> cutRegions_;
   double asked_ = 0;
   double granted_ = 0;
   std::size_t messages_ = 0;
