Regions: servers are chosen by distance; answers that tell other weights correct what is known

Cause: a candidate had no place, so homes were spread over all regions and two of three requests left theirs. An answer that refused a request as the server has other weights marked the server unreachable and used up a try.

Change: fleet::Distances knows each zone's region from the settings and learns the way from the time of connections; candidates tell it. Prompts have a home in each region, ordinary services stay near while their servers bear it, other regions compete by queue and way. Connect time-outs and probes are at least four ways. Cache isn't moved between regions.

--- a/src/common/error.h
+++ b/src/common/error.h
@@ -30,6 +30,7 @@
   kDraining,
   kConnectFailed,
   kBackendRefused,
+  kOtherWeights,
   kIdempotencyKeyInvalid,
   kIdempotencyKeyTooOld,
   kDuplicateRequest,
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -60,6 +60,9 @@
     entry.health.probeSucceeded(now);
   }
   entry.server = server;
+  if (distances_ != nullptr) {
+    distances_->noteZone(server.zone);
+  }
   entry.key = ServerKey(hashBytes(server.id.value()));
   if (reloaded) {
     // A pause was for the load, which is over.
@@ -271,6 +274,26 @@
   }
 }
 
+void ServerPool::observeConnect(const BackendId& id, double milliseconds, MonotonicTime now) {
+  const Entry* entry = entryOf(id);
+  if (distances_ == nullptr || entry == nullptr) {
+    return;
+  }
+  const ZoneId zone = entry->server.zone;
+  if (!distances_->observe(zone, milliseconds, now)) {
+    return;
+  }
+  for (auto& [otherId, other] : servers_) {
+    if (other.server.zone == zone) {
+      refresh(other, now);
+    }
+  }
+}
+
+double ServerPool::wayMsTo(const Server& server, MonotonicTime now) const {
+  return distances_ == nullptr ? 0 : distances_->wayTo(server.zone, now).milliseconds;
+}
+
 void ServerPool::addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now) {
   if (Entry* entry = entryOf(id)) {
     ++entry->outstanding;
@@ -361,11 +384,14 @@
   if (keys != entry.listedIn) {
     unlist(entry);
   }
+  const Way way = distances_ == nullptr ? Way{} : distances_->wayTo(entry.server.zone, now);
   const bool passedOver = entry.health.ejected(now) || now < entry.pausedUntil || awaitsLoad(entry);
   for (const SetKey& key : keys) {
     CandidateSets& sets = sets_[key];
     (passedOver ? sets.preferred : sets.passedOver).erase(entry.server.id);
     routing::Candidate candidate = toCandidate(entry);
+    candidate.wayMs = way.milliseconds;
+    candidate.nearby = way.nearby;
     for (const LoadedModel& loaded : entry.server.models) {
       if (loaded.model == key.model) {
         candidate.weights = loaded.weights;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -11,6 +11,7 @@
 
 #include "common/clock.h"
 #include "fleet/backend_health.h"
+#include "fleet/distance.h"
 #include "fleet/prefill_rate.h"
 #include "fleet/server.h"
 #include "fleet/server_load.h"
@@ -93,6 +94,13 @@
   /// How long streams of the service's servers may pause; 0: it does not matter.
   void setPauseBound(const std::string& service, Milliseconds bound, MonotonicTime now);
 
+  /// Candidates tell the way to their servers from now on. The distances outlive the pool.
+  void useDistances(Distances& distances) { distances_ = &distances; }
+  /// A connection to the server took so long.
+  void observeConnect(const BackendId& id, double milliseconds, MonotonicTime now);
+  /// The way there and back; 0 where it is not known.
+  double wayMsTo(const Server& server, MonotonicTime now) const;
+
   void addLoad(const BackendId& id, const DispatchLoad& load, MonotonicTime now);
   /// The first token of a request came, which was sent when so many tokens waited there with its
   /// own.
@@ -148,6 +156,7 @@
   void endPauses(MonotonicTime now);
 
   double prefillTokensPerMs_;
+  Distances* distances_ = nullptr;
   LossListener listener_;
   /// Tells guards that outlive the pool.
   std::shared_ptr<ServerPool*> self_ = std::make_shared<ServerPool*>(this);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -102,15 +102,19 @@
   void moveCache(const Job& job, const routing::Candidate& chosen,
                  const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
                  Dispatch& dispatch) const;
-  void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
+  /// Tells the pool what the outcome says of the server.
+  void learnFrom(Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
+  /// Whether the server is known to have these weights.
+  bool isKnownWith(const BackendId& id, const ModelId& model, WeightsVersion weights) const;
   /// How long a server that refused the job gets nothing.
   Milliseconds pauseAfterRefusal(const Job& job, const fleet::Server& server) const;
   /// Whether a usable server has not had the request yet.
   bool untriedServerLeft(const Job& job);
   /// Whether the job goes on at another server; takes from the budget if so.
   bool takeRetry(Job& job, ErrorKind failure);
-  AttemptBounds boundsOf(const Job& job) const;
+  /// @param wayMs to the server and back.
+  AttemptBounds boundsOf(const Job& job, double wayMs) const;
   boost::asio::awaitable<void> answerError(Job& job, Error error);
   routing::Policy& policyFor(const Job& job);
   limits::RetryBudget& budgetOf(const std::string& service);
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -56,7 +56,7 @@
   job.routeRequest.avoided.push_back(server.id);
   job.lastServer = server.id;
   ++job.attempts.sent;
-  context_.metrics.countDispatch();
+  context_.metrics.countDispatch(candidate.nearby);
   policy.onDispatched(job.routeRequest, candidate, now);
   const std::size_t uncached =
       routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
@@ -88,7 +88,8 @@
   if (!settings_.admit || job.request.model.value().empty() || job.attempts.sent > 0) {
     return boost::outcome_v2::success();
   }
-  const Milliseconds wait(static_cast<std::int64_t>(routing::expectedWaitMs(candidate)));
+  const double waitMs = routing::expectedWaitMs(candidate) + candidate.wayMs;
+  const Milliseconds wait(static_cast<std::int64_t>(waitMs));
   const auto known = admissions_.try_emplace(job.service, settings_.admission).first;
   const std::optional<Milliseconds> comeBack =
       known->second.refuse(wait, job.grant.route->targetLatency, job.grant.priority(), now);
@@ -119,6 +120,7 @@
 awaitable<Result<void>> Forwarder::runAttempt(Job& job, const Dispatch& dispatch,
                                               fleet::LoadGuard& load, std::size_t waitingTokens) {
   const MonotonicTime sent = monotonicNow();
+  const double wayMs = context_.pool.wayMsTo(dispatch.server, sent);
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
   job.attempt = attempt;
   std::optional<WaitingDispatches::Guard> waiting;
@@ -126,16 +128,16 @@
     waiting.emplace(waiting_, job.request.model, *dispatch.weights,
                     [attempt] { attempt->recall(); });
   }
-  attempt->onFirstBytes([this, &job, &load, &dispatch, &waiting, waitingTokens, sent] {
+  attempt->onFirstBytes([this, &job, &load, &dispatch, &waiting, waitingTokens, sent, wayMs] {
     waiting.reset();
     load.endPrefill();
     noteBegin(job, dispatch);
     if (settings_.learnRates && dispatch.weights) {
       context_.pool.observeFirstToken(dispatch.server.id, waitingTokens,
-                                      toMilliseconds(monotonicNow() - sent));
+                                      toMilliseconds(monotonicNow() - sent) - wayMs);
     }
   });
-  const AttemptBounds bounds = boundsOf(job);
+  const AttemptBounds bounds = boundsOf(job, wayMs);
   const FailureUse failureUse = job.mayMoveOn() ? FailureUse::kKeep : FailureUse::kDeliver;
   Result<void> outcome =
       co_await attempt->run(job.request, dispatch, bounds, job.streaming(), failureUse);
@@ -154,6 +156,12 @@
   if (!outcome && !provesNotRun(outcome.error().kind)) {
     ++job.attempts.mayHaveRun;
   }
+  if (!outcome && outcome.error().kind == ErrorKind::kOtherWeights) {
+    ++job.attempts.otherWeights;
+  }
+  if (const auto connected = attempt->connectTime()) {
+    context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
+  }
   // A connection that this node closed itself says nothing of the server.
   if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
     learnFrom(job, dispatch.server, outcome, attempt->weights());
@@ -197,7 +205,14 @@
   dispatch.saveCacheTo = move.saveTo;
 }
 
-void Forwarder::learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
+bool Forwarder::isKnownWith(const BackendId& id, const ModelId& model,
+                            WeightsVersion weights) const {
+  const fleet::Server* server = context_.pool.find(id);
+  return server != nullptr && std::find(server->models.begin(), server->models.end(),
+                                        fleet::LoadedModel{model, weights}) != server->models.end();
+}
+
+void Forwarder::learnFrom(Job& job, const fleet::Server& server, const Result<void>& outcome,
                           std::optional<WeightsVersion> weights) {
   const MonotonicTime now = monotonicNow();
   if (weights) {
@@ -212,6 +227,15 @@
     case ErrorKind::kFenced:
       context_.pool.markUnreachable(server.id, now);
       break;
+    case ErrorKind::kOtherWeights:
+      // It may have the request at once, under the weights that were just learnt; but not where
+      // these are older than those that it was known by.
+      if (isKnownWith(server.id, job.request.model, weights.value_or(WeightsVersion()))) {
+        std::erase(job.routeRequest.avoided, server.id);
+      } else {
+        context_.pool.pause(server.id, now + settings_.refusalPause, now);
+      }
+      break;
     case ErrorKind::kBackendRefused:
       context_.pool.pause(server.id, now + pauseAfterRefusal(job, server), now);
       break;
@@ -235,11 +259,18 @@
   return outdated ? settings_.loadPause : settings_.refusalPause;
 }
 
-AttemptBounds Forwarder::boundsOf(const Job& job) const {
+AttemptBounds Forwarder::boundsOf(const Job& job, double wayMs) const {
   const Milliseconds left = until(job.end);
+  /// A connection takes one way there and back, and an acknowledgement another; the rest is for a
+  /// slow process or a lost packet.
+  constexpr double kConnectWays = 4;
+  const Milliseconds fromWay(static_cast<std::int64_t>(kConnectWays * wayMs));
   AttemptBounds bounds;
-  bounds.connectTimeout = std::min(settings_.connectTimeout, left);
+  bounds.connectTimeout = std::min(std::max(settings_.connectTimeout, fromWay), left);
   bounds.unacknowledgedTimeout = settings_.unacknowledgedTimeout;
+  if (bounds.unacknowledgedTimeout > Milliseconds(0)) {
+    bounds.unacknowledgedTimeout = std::max(bounds.unacknowledgedTimeout, fromWay);
+  }
   bounds.headTimeout = left;
   bounds.firstEventTimeout = left;
   bounds.eventTimeout = left;
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -37,6 +37,9 @@
       dispatches_(
           counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
               .Add({})),
+      distantDispatches_(counters(registry, "calicodrift_forward_distant_dispatches_total",
+                                  "requests sent to a server of another region")
+                             .Add({})),
       retriesDenied_(counters(registry, "calicodrift_forward_retries_denied_total",
                               "retries that the budget did not allow")
                          .Add({})),
@@ -66,8 +69,11 @@
   errors_.Add({{"kind", std::string(errorKind)}}).Increment();
 }
 
-void ForwardMetrics::countDispatch() {
+void ForwardMetrics::countDispatch(bool nearby) {
   dispatches_.Increment();
+  if (!nearby) {
+    distantDispatches_.Increment();
+  }
 }
 
 void ForwardMetrics::countRetry(std::string_view cause) {
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -13,7 +13,8 @@
   /// @param status of the answer that the caller got; 0 where none was complete.
   void countAnswer(unsigned status);
   void countError(std::string_view errorKind);
-  void countDispatch();
+  /// @param nearby whether the server stands in this node's region.
+  void countDispatch(bool nearby);
   void countRetry(std::string_view cause);
   void countRetryDenied();
   /// Requests taken back from servers whose weights ran out before they had begun.
@@ -37,6 +38,7 @@
   prometheus::Family<prometheus::Counter>& losses_;
   prometheus::Family<prometheus::Counter>& outdatedBegins_;
   prometheus::Counter& dispatches_;
+  prometheus::Counter& distantDispatches_;
   prometheus::Counter& retriesDenied_;
   prometheus::Counter& recalls_;
   prometheus::Histogram& firstByte_;
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -35,6 +35,7 @@
        {"attempt", std::to_string(facts.attempt)},
        {"waiting_tokens", std::to_string(facts.waitingTokens)},
        {"expected_wait_ms", std::to_string(std::lround(routing::expectedWaitMs(facts.candidate)))},
+       {"way_ms", std::to_string(std::lround(facts.candidate.wayMs))},
        {"outdated_ms", textOf(facts.outdatedFor)},
        {"peer_load_ms", textOf(facts.peerLoadAge)},
        {"prefix", std::to_string(facts.prefix)},
--- a/src/forward/retry_rules.h
+++ b/src/forward/retry_rules.h
@@ -11,6 +11,8 @@
   std::size_t sent = 0;
   /// May have run.
   std::size_t mayHaveRun = 0;
+  /// Not run, as the server had other weights than this node knew.
+  std::size_t otherWeights = 0;
 };
 
 /// What may follow a failed dispatch.
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -30,9 +30,9 @@
   ServerAttempt(http::Client& client, const ServerProtocol& protocol, AnswerRelay& relay)
       : client_(client), protocol_(protocol), relay_(relay) {}
 
-  /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
-  /// mean that this server has not run the request; kCallerGone that the caller left; others that
-  /// it may have run. After a failure that is kept, kOutcomeUnknown.
+  /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused, kFenced
+  /// and kOtherWeights mean that this server has not run the request; kCallerGone that the caller
+  /// left; others that it may have run. After a failure that is kept, kOutcomeUnknown.
   boost::asio::awaitable<Result<void>> run(const Request& request, const Dispatch& dispatch,
                                            const AttemptBounds& bounds, bool streaming,
                                            FailureUse failureUse);
@@ -47,6 +47,8 @@
   /// Called once, when the first bytes of the answer's body came.
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
   std::optional<WeightsVersion> weights() const { return weights_; }
+  /// How long the connection took, where a new one was made.
+  std::optional<Microseconds> connectTime() const { return connectTime_; }
   unsigned status() const { return status_; }
   /// The server's failure that was kept.
   std::optional<http::Response>& keptFailure() { return keptFailure_; }
@@ -64,6 +66,7 @@
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
   std::optional<WeightsVersion> weights_;
+  std::optional<Microseconds> connectTime_;
   std::optional<http::Response> keptFailure_;
   unsigned status_ = 0;
   bool recalled_ = false;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -107,6 +107,12 @@
   return std::max<std::size_t>(1, groups.size());
 }
 
+std::vector<std::string> otherGroups(const GatewaySettings& settings) {
+  std::set<std::string> groups(settings.relayGroups.begin(), settings.relayGroups.end());
+  groups.erase(settings.relayGroup.empty() ? settings.zone : settings.relayGroup);
+  return {groups.begin(), groups.end()};
+}
+
 std::map<TenantId, quota::TenantLimit> limitsOf(const routes::RouteTable& table) {
   std::map<TenantId, quota::TenantLimit> limits;
   for (const routes::Tenant& tenant : table.tenants()) {
@@ -117,6 +123,31 @@
   return limits;
 }
 
+fleet::DistanceSettings distanceSettings(const GatewaySettings& settings) {
+  fleet::DistanceSettings distance;
+  distance.zone = ZoneId(settings.zone);
+  distance.regions = fleet::parseZoneRegions(settings.zoneRegions);
+  if (!distance.regions.empty() && !settings.relayGroup.empty()) {
+    distance.regions.try_emplace(distance.zone, settings.relayGroup);
+  }
+  distance.otherRegionWay = settings.regionWay;
+  distance.preferOwnRegion = settings.mechanisms.regionHomes;
+  return distance;
+}
+
+fleet::DistanceListener distanceLog() {
+  fleet::DistanceListener listener;
+  listener.unknownZone = [](const ZoneId& zone) {
+    log::write(log::Level::kWarning, "zone_without_region",
+               {{"zone", zone.value()}, {"served_as", "the farthest"}});
+  };
+  listener.wayChanged = [](const ZoneId& zone, double milliseconds) {
+    log::write(log::Level::kInfo, "way_learnt",
+               {{"zone", zone.value()}, {"ms", std::to_string(std::lround(milliseconds))}});
+  };
+  return listener;
+}
+
 http::ServerLimits peerLimits() {
   constexpr std::size_t kMaxReportBytes = 1'048'576;
   http::ServerLimits limits;
@@ -155,6 +186,7 @@
       metrics_(registry_),
       orderMetrics_(registry_),
       lossLog_(context.get_executor()),
+      distances_(distanceSettings(settings_), distanceLog()),
       pool_(static_cast<double>(settings_.prefillTokensPerMs),
             [this](const fleet::Server& server, fleet::ServerLoss loss) {
               onServerLost(server, loss);
@@ -165,6 +197,7 @@
           [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
       relay_(context.get_executor(), ports_.store, client_, relaySettings(settings_)),
       exchange_(exchangeContext(), exchangeSettings(settings_)),
+      otherRoots_(ports_.store, otherGroups(settings_)),
       quotaMetrics_(registry_),
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
       targets_({settings_.weightsTerm, settings_.weightsWait}),
@@ -207,6 +240,7 @@
                   [this](http::Request& request, http::ResponseWriter& writer) {
                     return peerPaths_.handle(request, writer);
                   }) {
+  pool_.useDistances(distances_);
   for (const std::string_view path : {relay::kViewPath, relay::kJoinPath}) {
     peerPaths_.add(std::string(path), [this](http::Request& request, http::ResponseWriter& writer) {
       return relay_.handle(request, writer);
@@ -250,8 +284,13 @@
 }
 
 quota::QuotaNodeContext GatewayNode::quotaContext() {
-  return {context_.get_executor(), client_, [this] { return quotaPlace(); },
-          [this] { return relay_.relay(); }, [this] { return relay_.roots(); }};
+  quota::QuotaNodeContext context{context_.get_executor(), client_, [this] { return quotaPlace(); },
+                                  [this] { return relay_.relay(); },
+                                  [this] { return relay_.roots(); }};
+  if (groupsOf(settings_) > 1) {
+    context.lenders = [this] { return otherRoots_.read(); };
+  }
+  return context;
 }
 
 quota::NodePlace GatewayNode::quotaPlace() const {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -20,6 +20,7 @@
 #include "lease/shared_store_lease.h"
 #include "orders/order_metrics.h"
 #include "quota/quota_node.h"
+#include "relay/other_roots.h"
 #include "relay/relay_node.h"
 #include "weights/weights_loader.h"
 #include "weights/weights_targets.h"
@@ -71,10 +72,13 @@
   forward::ForwardMetrics metrics_;
   orders::OrderMetrics orderMetrics_;
   LossLog lossLog_;
+  fleet::Distances distances_;
   fleet::ServerPool pool_;
   CacheStores cacheStores_;
   relay::RelayNode relay_;
   exchange::NodeExchange exchange_;
+  /// Of the other regions' trees.
+  relay::OtherRoots otherRoots_;
   quota::QuotaMetrics quotaMetrics_;
   quota::QuotaNode quota_;
   http::PathHandlers peerPaths_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -31,6 +31,13 @@
         "all groups of the fleet, separated by commas; each keeps an even part of tenants' limits; "
         "empty: there is one"},
        &G::relayGroups},
+      {{"zone-regions", "", 0, 0, "",
+        "region of each zone, zone=region separated by commas; servers of other regions are used "
+        "where the way there costs less than the queues here; empty: there is one region"},
+       &G::zoneRegions},
+      {{"region-way-ms", "60", 0, 1000, "ms",
+        "the way to another region and back, until it is learnt"},
+       &G::regionWay},
       {{"relay-max-followers", "0", 0, 1000, "count",
         "nodes that read the store through this one; 0: from link-mbps"},
        &G::relayMaxFollowers},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/endpoint.h"
@@ -25,6 +26,9 @@
   std::string relayGroup;
   /// All groups of the fleet; the same one may stand there more than once.
   std::vector<std::string> relayGroups;
+  /// The region of each zone, "zone=region".
+  std::vector<std::string> zoneRegions;
+  Milliseconds regionWay{0};
   std::int64_t relayMaxFollowers = 0;
   Milliseconds relayProofAge{0};
   /// Mechanisms that are off, by name; and the same as switches.
--- a/src/gateway/mechanisms.cc
+++ b/src/gateway/mechanisms.cc
@@ -23,6 +23,7 @@
     {"retries", &Mechanisms::retries},
     {"pause-bounds", &Mechanisms::pauseBounds},
     {"tenant-limits", &Mechanisms::tenantLimits},
+    {"region-homes", &Mechanisms::regionHomes},
 };
 
 std::string allNames() {
--- a/src/gateway/mechanisms.h
+++ b/src/gateway/mechanisms.h
@@ -34,6 +34,8 @@
   bool pauseBounds = true;
   /// Tenants' limits are kept.
   bool tenantLimits = true;
+  /// Prompts' common parts have a home in each region, and not one in the fleet.
+  bool regionHomes = true;
 };
 
 /// Switches the named mechanisms off. Fails with kSettingsInvalid for a name that is unknown, and
--- a/src/gateway/server_prober.cc
+++ b/src/gateway/server_prober.cc
@@ -1,5 +1,6 @@
 #include "gateway/server_prober.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 namespace calicodrift::gateway {
@@ -11,6 +12,9 @@
 
 constexpr Milliseconds kProbeInterval{400};
 constexpr Milliseconds kProbeTimeout{350};
+/// A probe takes two ways to the server and back, one for the connection; twice that is for a slow
+/// server.
+constexpr double kProbeWays = 4;
 
 }  // namespace
 
@@ -46,9 +50,12 @@
   if (service != nullptr) {
     http::Request query = protocol_.healthQuery(*service);
     http::ExchangeOptions options;
-    options.connectTimeout = kProbeTimeout;
-    options.headerTimeout = kProbeTimeout;
-    options.bodyTimeout = kProbeTimeout;
+    const double wayMs = pool_.wayMsTo(server, monotonicNow());
+    const Milliseconds timeout =
+        std::max(kProbeTimeout, Milliseconds(static_cast<std::int64_t>(kProbeWays * wayMs)));
+    options.connectTimeout = timeout;
+    options.headerTimeout = timeout;
+    options.bodyTimeout = timeout;
     Result<http::Response> answer =
         co_await client_.exchange(server.endpoint, std::move(query), options);
     if (answer && protocol_.isHealthy(server, answer.value())) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -214,11 +214,15 @@
   attachTo(options.canceller, stream);
   const Tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
   stream->expires_after(options.connectTimeout);
+  const MonotonicTime begin = monotonicNow();
   auto [code] = co_await stream->async_connect(address, kAwait);
   if (code) {
     co_return fail(ErrorKind::kConnectFailed,
                    "cannot connect to " + endpoint.toString() + ": " + code.message());
   }
+  if (options.connectTime != nullptr) {
+    *options.connectTime = std::chrono::duration_cast<Microseconds>(monotonicNow() - begin);
+  }
   beast::error_code ignored;
   stream->socket().set_option(Tcp::no_delay(true), ignored);
   if (options.unacknowledgedTimeout.count() > 0) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/clock.h"
@@ -49,6 +50,8 @@
   /// A plain pointer, as g++ 12 mishandles temporaries of aggregates with destructors in
   /// coroutines.
   ExchangeCanceller* canceller = nullptr;
+  /// Set to how long the connection took where a new one was made. Must outlive the call.
+  std::optional<Microseconds>* connectTime = nullptr;
 };
 
 /// A response whose body is still arriving.
--- a/src/routing/candidate_set.cc
+++ b/src/routing/candidate_set.cc
@@ -31,10 +31,12 @@
 void CandidateSet::put(Candidate candidate) {
   totalRequests_ += requestsAt(candidate);
   totalPrefillTokens_ += prefillTokensAt(candidate);
+  distant_ += candidate.nearby ? 0 : 1;
   if (const auto position = find(candidate.id)) {
     Candidate& old = candidates_[*position];
     totalRequests_ -= requestsAt(old);
     totalPrefillTokens_ -= prefillTokensAt(old);
+    distant_ -= old.nearby ? 0 : 1;
     old = std::move(candidate);
     return;
   }
@@ -57,6 +59,7 @@
   const std::size_t last = candidates_.size() - 1;
   totalRequests_ -= requestsAt(candidates_[position]);
   totalPrefillTokens_ -= prefillTokensAt(candidates_[position]);
+  distant_ -= candidates_[position].nearby ? 0 : 1;
   ring_.erase(ring_.begin() + (&ringPointOf(position) - ring_.data()));
   rebuildStarts();
   positions_.erase(found);
@@ -116,6 +119,27 @@
   return positions;
 }
 
+std::vector<std::size_t> CandidateSet::inAffinityOrderNearbyFirst(std::uint64_t key,
+                                                                  std::size_t count) const {
+  if (allNearby()) {
+    return inAffinityOrder(key, count);
+  }
+  // Of a large set only some places are ranked: so many that a region with an eighth of the
+  // candidates has its part among them.
+  constexpr std::size_t kRegions = 8;
+  const std::size_t ranked = size() <= kSmall ? size() : count * kRegions;
+  std::vector<std::size_t> nearby;
+  std::vector<std::size_t> others;
+  for (const std::size_t position : inAffinityOrder(key, ranked)) {
+    std::vector<std::size_t>& part = candidates_[position].nearby ? nearby : others;
+    if (part.size() < count) {
+      part.push_back(position);
+    }
+  }
+  nearby.insert(nearby.end(), others.begin(), others.end());
+  return nearby;
+}
+
 void CandidateSet::sortByAffinity(std::vector<std::size_t>& positions, std::size_t count,
                                   std::uint64_t key) const {
   const auto end = positions.begin() + static_cast<std::ptrdiff_t>(count);
--- a/src/routing/candidate_set.h
+++ b/src/routing/candidate_set.h
@@ -39,6 +39,10 @@
   double pauseBoundMs = 0;
   /// Prompt tokens that it prefills in a millisecond.
   double prefillTokensPerMs = kDefaultPrefillTokensPerMs;
+  /// The way there and back, in milliseconds.
+  double wayMs = 0;
+  /// Whether it stands in the router's own region.
+  bool nearby = true;
 
   static constexpr double kDefaultPrefillTokensPerMs = 8.0;
 };
@@ -62,6 +66,9 @@
   /// Small sets are ranked by rendezvous hashing, large ones by multi-probe consistent hashing in
   /// O(count).
   std::vector<std::size_t> inAffinityOrder(std::uint64_t key, std::size_t count) const;
+  /// Up to `count` positions of nearby candidates in the order of affinity to `key`, and behind
+  /// them up to `count` others in that order. As inAffinityOrder() where all are nearby.
+  std::vector<std::size_t> inAffinityOrderNearbyFirst(std::uint64_t key, std::size_t count) const;
   /// Sorts the first `count` of the positions by affinity to `key`.
   void sortByAffinity(std::vector<std::size_t>& positions, std::size_t count,
                       std::uint64_t key) const;
@@ -69,6 +76,9 @@
   std::size_t totalRequests() const { return totalRequests_; }
   /// Prompt tokens that all candidates have yet to prefill.
   std::size_t totalPrefillTokens() const { return totalPrefillTokens_; }
+  /// Whether any candidate stands in the router's own region.
+  bool anyNearby() const { return distant_ < candidates_.size(); }
+  bool allNearby() const { return distant_ == 0; }
 
   /// Sets up to this size are ranked or scanned as a whole.
   static constexpr std::size_t kSmall = 256;
@@ -102,6 +112,8 @@
   unsigned startsShift_ = 0;
   std::size_t totalRequests_ = 0;
   std::size_t totalPrefillTokens_ = 0;
+  /// Candidates that are not nearby.
+  std::size_t distant_ = 0;
 };
 
 /// Prompt tokens that wait there: the report, and what this router has sent since.
--- a/src/routing/cost.cc
+++ b/src/routing/cost.cc
@@ -38,6 +38,18 @@
   return queueDelayMs(candidate) + admissionDelayMs(anyRequest, candidate);
 }
 
+double slotWaitMs(const Candidate& candidate) {
+  /// How long such a request holds its place. A guess between the 15 and 60 ms of work that
+  /// deployments tell of; it decides only how long a queue is borne before another region is asked.
+  constexpr double kHoldMs = 40;
+  const std::size_t requests = requestsAt(candidate);
+  if (candidate.slots == 0 || requests < candidate.slots) {
+    return 0;
+  }
+  const auto waiting = static_cast<double>(requests - candidate.slots + 1);
+  return waiting * kHoldMs / static_cast<double>(candidate.slots);
+}
+
 double streamPauseMs(const Candidate& candidate, std::size_t uncached) {
   /// A stream that comes late is worth as much as so many milliseconds of this request's wait. With
   /// it 0.004 of a calm day's worth and 0.008 of days with trouble are earned where 90 engines run
--- a/src/routing/cost.h
+++ b/src/routing/cost.h
@@ -18,6 +18,10 @@
 /// queue and a place in the batch.
 double expectedWaitMs(const Candidate& candidate);
 
+/// Time that requests of an ordinary service wait for a place, by the routers' counts: nothing
+/// while one is free.
+double slotWaitMs(const Candidate& candidate);
+
 /// What it costs that the streams which run there stand still while a prompt is prefilled, for a
 /// longer time than they may: an engine prefills long prompts between the tokens of all that run.
 /// @param uncached tokens of the request's own prompt to prefill there.
--- a/src/routing/least_outstanding.cc
+++ b/src/routing/least_outstanding.cc
@@ -1,9 +1,41 @@
 #include "routing/least_outstanding.h"
 
+#include <algorithm>
 #include <compare>
 #include <tuple>
 
+#include "routing/cost.h"
+
 namespace calicodrift::routing {
+namespace {
+
+/// The candidate that costs least by its way and the requests that wait there for a place. Nearby
+/// ones come first among equals.
+std::size_t cheapest(const CandidateSet& candidates, const std::vector<std::size_t>& positions) {
+  const auto cost = [&candidates](std::size_t position) {
+    const Candidate& candidate = candidates[position];
+    return std::tuple(candidate.wayMs + slotWaitMs(candidate), !candidate.nearby);
+  };
+  return *std::min_element(
+      positions.begin(), positions.end(),
+      [&cost](std::size_t left, std::size_t right) { return cost(left) < cost(right); });
+}
+
+/// Those in the region of the cheapest candidate, or as far as it: what is near while it bears the
+/// load. All of them where no distance is known.
+std::vector<std::size_t> withinReach(const CandidateSet& candidates,
+                                     std::vector<std::size_t> positions) {
+  if (candidates.allNearby()) {
+    return positions;
+  }
+  const Candidate& best = candidates[cheapest(candidates, positions)];
+  std::erase_if(positions, [&](std::size_t position) {
+    return best.nearby ? !candidates[position].nearby : candidates[position].wayMs > best.wayMs;
+  });
+  return positions;
+}
+
+}  // namespace
 
 Choice LeastOutstanding::choose(const RouteRequest& request, const CandidateSet& candidates,
                                 MonotonicTime /*now*/) {
@@ -11,8 +43,8 @@
     const Candidate& candidate = candidates[position];
     return std::tuple(candidate.outstandingTokens, candidate.reportedRequests);
   };
-  const std::vector<std::size_t> positions =
-      withoutAvoided(request, candidates, sampledPositions(candidates, random_));
+  const std::vector<std::size_t> positions = withinReach(
+      candidates, withoutAvoided(request, candidates, sampledPositions(candidates, random_)));
   std::size_t best = positions.front();
   std::size_t equals = 0;
   for (const std::size_t position : positions) {
--- a/src/routing/prefix_home.cc
+++ b/src/routing/prefix_home.cc
@@ -8,7 +8,8 @@
 namespace calicodrift::routing {
 namespace {
 
-/// Places in the order of affinity that a decision looks at beside the home.
+/// Places in the order of affinity that a decision looks at beside the home, and as many in other
+/// regions with one more.
 constexpr std::size_t kOtherPlaces = 4;
 /// What leaving the home costs beside the move: another copy that pushes others out.
 constexpr double kLeaveMs = 200;
@@ -30,8 +31,8 @@
 Choice PrefixHome::choose(const RouteRequest& request, const CandidateSet& candidates,
                           MonotonicTime /*now*/) {
   const std::size_t shared = std::min(request.sharedBlocks, request.blocks.size());
-  const std::vector<std::size_t> order =
-      candidates.inAffinityOrder(keyOf(request), 1 + kOtherPlaces + request.avoided.size());
+  const std::vector<std::size_t> order = candidates.inAffinityOrderNearbyFirst(
+      keyOf(request), 1 + kOtherPlaces + request.avoided.size());
   const std::size_t home = order.front();
   Choice best;
   double bestMs = std::numeric_limits<double>::infinity();
@@ -40,7 +41,8 @@
     const double sharedMs =
         prefillMs(request, candidate, 0) - prefillMs(request, candidate, shared);
     const double leaveMs = position == home ? 0 : kLeaveMs + kMoveShare * sharedMs;
-    const double ms = queueDelayMs(candidate) + admissionDelayMs(request, candidate) + leaveMs +
+    const double ms = candidate.wayMs + queueDelayMs(candidate) +
+                      admissionDelayMs(request, candidate) + leaveMs +
                       streamPauseMs(candidate, uncachedTokens(request, shared));
     if (ms < bestMs) {
       bestMs = ms;
@@ -49,7 +51,9 @@
   }
   best.expectedCachedBlocks = shared;
   best.reason = best.index == home ? "home of the prefix" : "the home of the prefix is busier";
-  if (best.index != home && shared > 0) {
+  // Cache moves ten times slower between regions, where reading it again takes no longer.
+  const bool sameRegion = candidates[best.index].nearby == candidates[home].nearby;
+  if (best.index != home && shared > 0 && sameRegion) {
     best.holder = home;
   }
   return best;
--- a/tests/forward/forward_test.cc
+++ b/tests/forward/forward_test.cc
@@ -87,6 +87,15 @@
   BOOST_TEST((mayRetry(safe, ErrorKind::kConnectFailed, {4, 0}) == RetryDecision::kNo));
 }
 
+BOOST_AUTO_TEST_CASE(answersThatTellOtherWeightsUseUpNoTry) {
+  const routes::Route once = makeRoute(routes::RouteKind::kUnsafe, false, 2);
+  BOOST_TEST((mayRetry(once, ErrorKind::kOtherWeights, {4, 0, 4}) == RetryDecision::kBudgeted));
+  BOOST_TEST((mayRetry(once, ErrorKind::kOtherWeights, {7, 0, 7}) == RetryDecision::kBudgeted));
+  BOOST_TEST((mayRetry(once, ErrorKind::kOtherWeights, {8, 0, 8}) == RetryDecision::kNo));
+  BOOST_TEST((mayRetry(once, ErrorKind::kFenced, {4, 0, 0}) == RetryDecision::kNo));
+  BOOST_TEST((mayRetry(once, ErrorKind::kOutcomeUnknown, {3, 1, 2}) == RetryDecision::kNo));
+}
+
 BOOST_AUTO_TEST_CASE(cutterGivesWholeEventsHoweverTheBytesCome) {
   const std::string stream = "id: 1\ndata: a\n\nid: 4\r\ndata: b\r\n\r\nid: 7\ndata: c\n\n";
   for (std::size_t piece = 1; piece < stream.size(); ++piece) {
