--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -208,7 +208,12 @@
              {[this](const routes::RouteTable& table) { onTable(table); },
               [this](const ModelId& model, WeightsVersion least) {
                 forwarder_.recallWaiting(model, least);
-              }}),
+              },
+              [this] { serviceRollouts_.onServersChanged(); }}),
+      leaseStore_(ports_.store, std::string(kLeaseKind)),
+      rolloutMetrics_(registry_),
+      serviceRollouts_(rolloutsContext(), settings_, leaseSettings(settings_, processName_),
+                       rolloutMetrics_, hashBytes(processName_)),
       gate_({settings_.keyProofAge, settings_.absenceProofAge}),
       forwarder_({context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
                   [this] { return views_.configuration(); },
@@ -216,10 +221,9 @@
                     return views_.weights(model, version);
                   },
                   [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_,
-                  [this] { views_.endWeightsTerms(); }},
+                  [this] { views_.endWeightsTerms(); }, serviceRollouts_.hooks()},
                  forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
                  hashBytes(settings_.nodeId)),
-      leaseStore_(ports_.store, std::string(kLeaseKind)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
              [this] { return !draining_ && relay_.readsStore() && weightsLoader_.needed(); }),
@@ -283,7 +287,21 @@
         }
       },
       [this] { return cacheStores_.reports(); },
-      [this](const std::vector<fleet::CacheStoreReport>& reports) { cacheStores_.learn(reports); }};
+      [this](const std::vector<fleet::CacheStoreReport>& reports) { cacheStores_.learn(reports); },
+      [this] { return serviceRollouts_.own(); },
+      [this](const service_rollout::ObservationTable& others) {
+        serviceRollouts_.onOthers(others);
+      }};
+}
+
+ServiceRolloutsContext GatewayNode::rolloutsContext() {
+  return {context_.get_executor(),
+          relay_.store(),
+          ports_.store,
+          ports_.schema,
+          pool_,
+          leaseStore_,
+          [this] { return !draining_ && relay_.readsStore(); }};
 }
 
 quota::QuotaNodeContext GatewayNode::quotaContext() {
@@ -318,11 +336,15 @@
   if (settings_.relayListen.port != 0) {
     BOOST_OUTCOME_TRY(peerServer_.listen(settings_.relayListen));
   }
-  relay_.onSourceChanged([this] { views_.retryNow(); });
+  relay_.onSourceChanged([this] {
+    views_.retryNow();
+    serviceRollouts_.retryNow();
+  });
   relay_.start();
   exchange_.start();
   quota_.start();
   views_.start();
+  serviceRollouts_.start();
   lease_.start();
   weightsLoader_.start();
   prober_.start();
@@ -386,6 +408,7 @@
   log::write(log::Level::kInfo, "draining",
              {{"active_requests", std::to_string(front_.activeRequests())}});
   asio::co_spawn(context_, lease_.release(), asio::detached);
+  asio::co_spawn(context_, serviceRollouts_.release(), asio::detached);
   asio::co_spawn(context_, relay_.stop(), asio::detached);
   asio::co_spawn(context_, finishDrain(), asio::detached);
 }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -10,7 +10,9 @@
 #include "gateway/cache_stores.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/loss_log.h"
+#include "gateway/rollout_metrics.h"
 #include "gateway/server_prober.h"
+#include "gateway/service_rollouts.h"
 #include "gateway/store_schema.h"
 #include "gateway/store_views.h"
 #include "http/client.h"
@@ -53,6 +55,7 @@
 
  private:
   exchange::NodeExchangeContext exchangeContext();
+  ServiceRolloutsContext rolloutsContext();
   quota::QuotaNodeContext quotaContext();
   /// Where this node stands in the tree that keeps the tenants' limits.
   quota::NodePlace quotaPlace() const;
@@ -84,9 +87,11 @@
   http::PathHandlers peerPaths_;
   weights::WeightsTargets targets_;
   StoreViews views_;
+  lease::SharedStoreLease leaseStore_;
+  RolloutMetrics rolloutMetrics_;
+  ServiceRollouts serviceRollouts_;
   forward::RequestGate gate_;
   forward::Forwarder forwarder_;
-  lease::SharedStoreLease leaseStore_;
   lease::LeaseKeeper lease_;
   weights::WeightsLoader weightsLoader_;
   ServerProber prober_;
--- a/src/gateway/service_rollouts.cc
+++ b/src/gateway/service_rollouts.cc
@@ -15,8 +15,8 @@
 using service_rollout::Order;
 using service_rollout::OrderKey;
 using service_rollout::OrderState;
-using service_rollout::PlanInput;
 using service_rollout::Phase;
+using service_rollout::PlanInput;
 using service_rollout::ServiceRecord;
 using service_rollout::Track;
 using service_rollout::TrafficRule;
@@ -54,8 +54,8 @@
       rules_({settings.rolloutPermitTerm}),
       budget_(settings.rolloutExposureShare * kEarlyCanaryPart, seed),
       idleWatch_(settings.rolloutIdleWatch),
-      orderWatcher_(context_.executor, context_.views, watcherSettings(context_.schema.rolloutKind()),
-                    orderListener()),
+      orderWatcher_(context_.executor, context_.views,
+                    watcherSettings(context_.schema.rolloutKind()), orderListener()),
       recordWatcher_(context_.executor, context_.views,
                      watcherSettings(std::string(service_rollout::kRecordKind)), recordListener()),
       lease_(context_.executor, context_.leases, std::string(kLeaseName), std::move(lease),
@@ -67,6 +67,8 @@
   if (!enabled_) {
     return;
   }
+  context_.views.watchSeldom(context_.schema.rolloutKind());
+  context_.views.watchSeldom(std::string(service_rollout::kRecordKind));
   orderWatcher_.start();
   recordWatcher_.start();
   lease_.start();
@@ -326,10 +328,9 @@
   rules_.reject(order);
   observer_.reject(order);
   metrics_.countRejection(service);
-  log::write(log::Level::kWarning, "rollout_rejected",
-             {{"service", service},
-              {"order", textOf(order.value())},
-              {"source", std::string(source)}});
+  log::write(
+      log::Level::kWarning, "rollout_rejected",
+      {{"service", service}, {"order", textOf(order.value())}, {"source", std::string(source)}});
   refreshRules();
 }
 
--- a/src/gateway/service_rollouts.h
+++ b/src/gateway/service_rollouts.h
@@ -15,6 +15,7 @@
 #include "gateway/rollout_metrics.h"
 #include "gateway/store_schema.h"
 #include "lease/lease_keeper.h"
+#include "relay/relayed_store.h"
 #include "service_rollout/canary_budget.h"
 #include "service_rollout/judge.h"
 #include "service_rollout/observer.h"
@@ -28,7 +29,7 @@
 struct ServiceRolloutsContext {
   boost::asio::any_io_executor executor;
   /// Orders and records are read here, along the relay tree.
-  store::ObjectStore& views;
+  relay::RelayedStore& views;
   /// Records and states are written here.
   store::ObjectStore& store;
   const StoreSchema& schema;
@@ -101,8 +102,7 @@
   /// Tells the observer how old the order is that the record accepted: since this node first saw
   /// it, where no other node knows better.
   void noteAge(const std::string& service, service_rollout::OrderKey key, MonotonicTime now);
-  void reject(const std::string& service, service_rollout::OrderKey order,
-              std::string_view source);
+  void reject(const std::string& service, service_rollout::OrderKey order, std::string_view source);
   service_rollout::TrafficRule ruleFor(const std::string& service) const;
   /// Orders under way, by this node's records.
   std::set<service_rollout::OrderKey> underWay() const;
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -79,7 +79,10 @@
 
 store::KindListener StoreViews::serverListener() {
   store::KindListener listener;
-  listener.onListing = [this](const store::Listing& listing) { applyServers(listing); };
+  listener.onListing = [this](const store::Listing& listing) {
+    applyServers(listing);
+    listeners_.onServers();
+  };
   listener.onChanges = [this](const store::ChangeBatch& batch) {
     for (const store::Change& change : batch.changes) {
       if (change.removed) {
@@ -88,6 +91,7 @@
         applyServer(change.object);
       }
     }
+    listeners_.onServers();
   };
   listener.onReachable = reachableLogger(schema_.serverKind());
   return listener;
@@ -164,6 +168,7 @@
     log::write(log::Level::kInfo, "server_listed",
                {{"server", server.value().id.value()},
                 {"service", server.value().service},
+                {"version", server.value().version.value()},
                 {"address", server.value().endpoint.toString()},
                 {"draining", server.value().draining ? "true" : "false"},
                 {"revision", std::to_string(object.revision.value())}});
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -23,6 +23,8 @@
   /// Called often, changed or not: no request may wait any longer for a beginning on weights below
   /// these.
   std::function<void(const ModelId&, WeightsVersion least)> onLeastWaiting;
+  /// The list of servers has changed.
+  std::function<void()> onServers;
 };
 
 /// What a node knows from the store: the configuration in force, the list of servers and the
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -27,7 +27,7 @@
   void start();
   /// Sends children away and takes this node off the list of roots.
   boost::asio::awaitable<void> stop();
-  store::ObjectStore& store() { return store_; }
+  RelayedStore& store() { return store_; }
   /// Called when views are read from another source than before, or were read from the store
   /// besides.
   void onSourceChanged(std::function<void()> listener) { onSourceChanged_ = std::move(listener); }
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -40,14 +40,13 @@
 }
 
 MonotonicTime RelayedStore::provenAt() const {
-  if (views_.empty()) {
-    return {};
-  }
-  MonotonicTime oldest = MonotonicTime::max();
+  std::optional<MonotonicTime> oldest;
   for (const auto& [kind, view] : views_) {
-    oldest = std::min(oldest, view.sourceProvenAt);
+    if (!seldomWatched_.contains(kind)) {
+      oldest = std::min(oldest.value_or(view.sourceProvenAt), view.sourceProvenAt);
+    }
   }
-  return oldest;
+  return oldest.value_or(MonotonicTime{});
 }
 
 MonotonicTime RelayedStore::provenAt(const std::string& kind) const {
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "relay/relay_client.h"
@@ -61,6 +62,9 @@
   /// proofs. The epoch of the clock where nothing was read. What refresh() found does not count, as
   /// it says nothing of a source.
   MonotonicTime provenAt() const;
+  /// The kind is watched in long waits while nothing happens, so that the age of its view says
+  /// nothing of the sources: provenAt() leaves it out.
+  void watchSeldom(const std::string& kind) { seldomWatched_.insert(kind); }
   /// When what is known of the kind was the newest state for certain, by whatever way it was read.
   MonotonicTime provenAt(const std::string& kind) const;
   /// Reads from the store what is new of the kind. Fails with kStoreUnavailable where it does not
@@ -127,6 +131,7 @@
   std::list<std::shared_ptr<boost::asio::steady_timer>> waiting_;
   FailureListener onRelayFailed_;
   std::map<std::string, View> views_;
+  std::set<std::string> seldomWatched_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/store/kind_watcher.h
+++ b/src/store/kind_watcher.h
@@ -49,6 +49,11 @@
   /// The store is reached by another way from now on: a pause after a failed call ends, and the
   /// next watch is short, as others may judge this node by the age of its view.
   void retryNow();
+  /// Longest wait, and age of the proof, of the watches that begin from now on.
+  void setWait(Milliseconds wait) {
+    settings_.wait = wait;
+    settings_.proofAge = wait;
+  }
   /// The view was the newest state at this time for certain; nothing was ever read where this is
   /// the epoch of the clock.
   MonotonicTime provenAt() const { return provenAt_; }
