--- a/src/service_rollout/plan.h
+++ b/src/service_rollout/plan.h
@@ -51,7 +51,7 @@
   std::size_t otherInFlight = 0;
   /// Requests a second that reach the service, over all nodes.
   double requestsPerSecond = 0;
-  /// Filled in by RolloutController, as far as this node saw it: how long the record has stood in
+  /// Filled in by PhaseWatch, as far as this node saw it: how long the record has stood in
   /// its phase, and for how much of that, up to now, nothing has run on the versions that the
   /// order's end lets stop: the stable one while shifting, else all others.
   Milliseconds phaseAge{0};
--- a/src/service_rollout/rollout_controller.cc
+++ b/src/service_rollout/rollout_controller.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "log/log.h"
+#include "service_rollout/phase_watch.h"
 
 namespace calicodrift::service_rollout {
 namespace {
@@ -55,34 +56,12 @@
 
   /// Nothing that an earlier tenure saw is used; its writes still count.
   void beginTenure() {
-    phase.reset();
-    drainedSince.reset();
+    phase = PhaseWatch();
     verdict = Verdict::kUndecided;
     rejected = false;
     waitsFor.clear();
   }
 
-  /// Fills in what takes more than one look to know.
-  void observe(PlanInput& input, MonotonicTime now) {
-    const Phase found = input.record ? input.record->phase : Phase::kSteady;
-    const OrderKey foundOrder = input.record ? keyOf(*input.record) : OrderKey();
-    if (phase != found || order != foundOrder) {
-      phase = found;
-      order = foundOrder;
-      phaseSince = now;
-      drainedSince.reset();
-    }
-    const std::size_t running =
-        found == Phase::kShifting ? input.stableInFlight : input.otherInFlight;
-    if (running > 0) {
-      drainedSince.reset();
-    } else if (!drainedSince) {
-      drainedSince = now;
-    }
-    input.phaseAge = std::chrono::duration_cast<Milliseconds>(now - phaseSince);
-    input.drainedFor = std::chrono::duration_cast<Milliseconds>(now - drainedSince.value_or(now));
-  }
-
   void noteVerdict(const std::string& service, const PlanInput& input) {
     const bool underWay = input.record && input.record->phase != Phase::kSteady;
     if (!underWay || input.seen.order != keyOf(*input.record)) {
@@ -105,10 +84,7 @@
 
   WritePacing pacing;
   bool writing = false;
-  std::optional<Phase> phase;
-  OrderKey order;
-  MonotonicTime phaseSince{};
-  std::optional<MonotonicTime> drainedSince;
+  PhaseWatch phase;
   /// As logged last.
   Verdict verdict = Verdict::kUndecided;
   bool rejected = false;
@@ -159,7 +135,7 @@
     state = std::make_shared<ServiceState>(settings_.pacing);
   }
   const MonotonicTime now = monotonicNow();
-  state->observe(input, now);
+  state->phase.observe(input, now);
   state->noteVerdict(service, input);
   if (state->writing || !state->pacing.mayWrite(input, now)) {
     return;
--- a/src/service_rollout/service_record.h
+++ b/src/service_rollout/service_record.h
@@ -34,7 +34,8 @@
   Phase phase = Phase::kSteady;
   /// The order's revision when it was accepted, before a state was written to it; 0 in the steady
   /// phase where no order was ever accepted. Kept after the end, so that the same order is not
-  /// accepted again where its state was not written.
+  /// accepted again where its state was not written. After an end without an outcome it is the
+  /// revision of the view of orders that showed the end: nothing is decided on an older one.
   store::Revision order;
   /// How the order ended, in the steady phase; kNew where there was none. Lets a successor write
   /// the order's state where the last holder was lost in between.
--- a/tests/service_rollout/rollout_controller_test.cc
+++ b/tests/service_rollout/rollout_controller_test.cc
@@ -135,6 +135,8 @@
   /// Called after the views were taken, before anything is decided on them.
   std::function<void()> afterInputs;
   Verdict verdict = Verdict::kUndecided;
+  Milliseconds age{0};
+  std::size_t stableInFlight = 0;
   unsigned writes = 0;
 
  private:
@@ -148,7 +150,9 @@
     view_.firstSeen = kOld;
     view_.stableServers = 7;
     view_.candidateServers = 7;
+    view_.stableInFlight = stableInFlight;
     view_.verdict = verdict;
+    view_.seen.age = age;
     if (view_.record) {
       view_.seen.order = keyOf(*view_.record);
     }
@@ -189,6 +193,21 @@
   BOOST_TEST(store.mostUnderWay == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(completesAShiftOnceTheStableVersionHasDrained) {
+  Holder holder(context, store);
+  holder.token = FencingToken(1);
+  holder.verdict = Verdict::kSound;
+  holder.age = store.order.duration;
+  holder.stableInFlight = 1;
+  run(Milliseconds(700));
+  BOOST_TEST((store.done == std::vector<std::string>{"baking", "running", "shifting"}));
+  holder.stableInFlight = 0;
+  run(Milliseconds(700));
+  BOOST_TEST((store.done ==
+              std::vector<std::string>{"baking", "running", "shifting", "steady", "completed"}));
+  BOOST_TEST((store.record->stable == kNew));
+}
+
 BOOST_AUTO_TEST_CASE(writesNothingWithoutTheLease) {
   Holder holder(context, store);
   run(Milliseconds(50));
