Roll-outs: the judge of a candidate, with the draws that size it

Cause: nothing compared the versions of a service. Where the sums fall and rise again, what comes back is not counted twice.

--- /dev/null
+++ b/tests/service_rollout/judge_test.cc
@@ -0,0 +1,239 @@
+#include "service_rollout/judge.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "judge_play.h"
+
+namespace calicodrift::service_rollout {
+namespace {
+
+constexpr std::size_t kOrders = 100;
+const MonotonicTime kNow = MonotonicTime() + Milliseconds(100'000);
+
+struct Outcomes {
+  std::size_t rejected = 0;
+  std::size_t sound = 0;
+  std::uint64_t medianBad = 0;
+};
+
+Outcomes outcomesOf(const Play& play, std::size_t orders = kOrders) {
+  Outcomes outcomes;
+  std::vector<std::uint64_t> bad;
+  for (std::size_t seed = 0; seed < orders; ++seed) {
+    const PlayResult result = playWithJudge(play, seed);
+    outcomes.rejected += result.rejectedAt ? 1 : 0;
+    outcomes.sound += result.verdict == Verdict::kSound ? 1 : 0;
+    bad.push_back(result.bad);
+  }
+  std::sort(bad.begin(), bad.end());
+  outcomes.medianBad = bad[bad.size() / 2];
+  return outcomes;
+}
+
+Play badBy(const Badness& badness, double seconds = 8) {
+  Play play;
+  play.candidate = badness;
+  play.seconds = seconds;
+  return play;
+}
+
+/// One route of 200 stable answers with a ratio of 1, and the candidate's.
+OrderObservations seenWith(std::uint32_t candidateAnswers, std::uint32_t candidateFailures) {
+  OrderObservations seen;
+  auto& samples = seen.routes[RouteKey(0xab)];
+  samples[0].answered = 200;
+  samples[0].start[ratioBucket(1)] = 200;
+  samples[1].answered = candidateAnswers;
+  samples[1].failed = candidateFailures;
+  return seen;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(judge)
+
+BOOST_AUTO_TEST_CASE(failuresAreFoundLongBeforeTheDeadline) {
+  for (const double failing : {0.2, 0.3, 0.5, 1.0}) {
+    const Outcomes outcomes = outcomesOf(badBy({.failing = failing}));
+    BOOST_TEST(outcomes.rejected == kOrders);
+    BOOST_TEST(outcomes.medianBad < 25U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fewFailuresAreFoundOnALongOrder) {
+  Play play = badBy({.failing = 0.05}, 30);
+  play.requestsPerSecond = 843;
+  BOOST_TEST(outcomesOf(play).rejected == kOrders);
+}
+
+BOOST_AUTO_TEST_CASE(slowVersionIsFound) {
+  for (const double slowBy : {3.0, 5.0}) {
+    BOOST_TEST(outcomesOf(badBy({.slow = 1.0, .slowBy = slowBy})).rejected == kOrders);
+  }
+  BOOST_TEST(outcomesOf(badBy({.slow = 0.3, .slowBy = 5})).rejected >= 95U);
+  BOOST_TEST(outcomesOf(badBy({.slow = 0.3, .slowBy = 3}, 30)).rejected >= 95U);
+}
+
+BOOST_AUTO_TEST_CASE(versionThatIsBadOnOneRouteIsFound) {
+  BOOST_TEST(outcomesOf(badBy({.failing = 0.3, .route = 1})).rejected == kOrders);
+  BOOST_TEST(outcomesOf(badBy({.slow = 1.0, .slowBy = 5, .route = 1})).rejected == kOrders);
+}
+
+BOOST_AUTO_TEST_CASE(versionThatTurnsBadIsFound) {
+  const Badness later{.failing = 0.3, .fromSecond = 20};
+  const Outcomes outcomes = outcomesOf(badBy(later, 30));
+  BOOST_TEST(outcomes.rejected == kOrders);
+  BOOST_TEST(outcomes.medianBad < 25U);
+}
+
+BOOST_AUTO_TEST_CASE(soundVersionIsFoundSound) {
+  Play play;
+  play.seconds = 12;
+  const Outcomes outcomes = outcomesOf(play, 300);
+  BOOST_TEST(outcomes.rejected == 0U);
+  BOOST_TEST(outcomes.sound >= 297U);
+}
+
+BOOST_AUTO_TEST_CASE(soundVersionIsRejectedInUnderOneOf200Orders) {
+  constexpr std::size_t kSoundOrders = 2000;
+  std::size_t rejected = 0;
+  std::mt19937_64 random(20261202);
+  for (std::size_t seed = 0; seed < kSoundOrders; ++seed) {
+    Play play;
+    play.seconds = std::array{8.0, 12.0, 30.0}[seed % 3];
+    play.requestsPerSecond = std::array{228.0, 843.0}[seed % 2];
+    play.noiseFailing = std::uniform_real_distribution<double>(0.005, 0.02)(random);
+    rejected += playWithJudge(play, seed).rejectedAt ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE("sound versions rejected: " << rejected << " of " << kSoundOrders);
+  BOOST_TEST(rejected * 200 < kSoundOrders);
+}
+
+BOOST_AUTO_TEST_CASE(faultThatStrikesBothVersionsIsNotHeldAgainstTheCandidate) {
+  for (const double requestsPerSecond : {228.0, 843.0}) {
+    for (const Badness& fault :
+         {Badness{.failing = 0.3, .fromSecond = 4}, Badness{.failing = 1.0, .fromSecond = 4},
+          Badness{.slow = 1.0, .slowBy = 5, .fromSecond = 4},
+          Badness{.failing = 0.3, .fromSecond = 4, .route = 1}}) {
+      Play play = badBy(fault, 12);
+      play.stable = fault;
+      play.requestsPerSecond = requestsPerSecond;
+      BOOST_TEST_CONTEXT("failing " << fault.failing << ", slow " << fault.slow << ", "
+                                    << requestsPerSecond << " requests/s") {
+        BOOST_TEST(outcomesOf(play).rejected == 0U);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(candidateWhoseServersCrashStaysUndecided) {
+  Judge judge{JudgeSettings()};
+  for (int tick = 1; tick < 300; ++tick) {
+    OrderObservations seen = seenWith(0, 0);
+    seen.routes[RouteKey(0xab)][0].answered *= static_cast<std::uint32_t>(tick);
+    BOOST_TEST((judge.update(seen, kNow + Milliseconds(100 * tick)) == Verdict::kUndecided));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(stableVersionThatIsGoneLeavesTheCandidateUnrejected) {
+  Play play;
+  play.stableEndsAt = 4;
+  BOOST_TEST(outcomesOf(play).rejected == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(candidateIsNotJudgedWithoutAnythingToCompareWith) {
+  Judge judge{JudgeSettings()};
+  OrderObservations seen = seenWith(30, 30);
+  seen.routes[RouteKey(0xab)][0] = {};
+  BOOST_TEST((judge.update(seen, kNow) == Verdict::kUndecided));
+  BOOST_TEST(judge.evidence() == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(answersWithoutATimeSayNothingOfSpeed) {
+  Play play = badBy({.slow = 1.0, .slowBy = 5}, 12);
+  play.timed = false;
+  const Outcomes outcomes = outcomesOf(play);
+  BOOST_TEST(outcomes.rejected == 0U);
+  BOOST_TEST(outcomes.sound == kOrders);
+}
+
+BOOST_AUTO_TEST_CASE(nodesThatAreLostMakeNoSoundVersionBad) {
+  Play play;
+  play.nodes = 10;
+  play.restartsPerSecond = 0.1;
+  play.seconds = 12;
+  BOOST_TEST(outcomesOf(play, 300).rejected == 0U);
+  play.candidate.failing = 0.3;
+  BOOST_TEST(outcomesOf(play).rejected == kOrders);
+}
+
+BOOST_AUTO_TEST_CASE(sumsThatComeAndGoMakeNoSoundVersionBad) {
+  for (std::size_t seed = 0; seed < 300; ++seed) {
+    Judge judge{JudgeSettings()};
+    Play play;
+    play.nodes = 2;
+    play.seconds = 12;
+    // A part of the tree is out of reach now and then, and is heard again with all it has seen.
+    std::mt19937_64 random(seed);
+    OrderObservations kept;
+    const PlayResult result =
+        Player(play, seed).run([&](const OrderObservations& sum, MonotonicTime now) {
+          const bool heard = random() % 10 != 0;
+          return judge.update(heard ? sum : kept, now) == Verdict::kBad;
+        });
+    BOOST_TEST(!result.rejectedAt);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(answersThatAreCountedTwiceForASecondMakeNoSoundVersionBad) {
+  constexpr int kTicks = 30;
+  constexpr int kTwice = 10;
+  for (std::size_t seed = 0; seed < 300; ++seed) {
+    Judge judge{JudgeSettings()};
+    Play play;
+    play.seconds = 12;
+    int tick = static_cast<int>(seed);
+    const PlayResult result = Player(play, seed).run([&](OrderObservations sum, MonotonicTime now) {
+      if (++tick % kTicks < kTwice) {
+        const OrderObservations again = sum;
+        sum += again;
+      }
+      return judge.update(sum, now) == Verdict::kBad;
+    });
+    BOOST_TEST(!result.rejectedAt);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(rejectionIsFinal) {
+  Judge judge{JudgeSettings()};
+  BOOST_TEST((judge.update(seenWith(0, 0), kNow) == Verdict::kUndecided));
+  BOOST_TEST((judge.update(seenWith(50, 25), kNow + Milliseconds(100)) == Verdict::kBad));
+  const std::string text = judge.explain();
+  const double evidence = judge.evidence();
+  BOOST_TEST((judge.update(seenWith(5000, 25), kNow + Milliseconds(200)) == Verdict::kBad));
+  BOOST_TEST(judge.explain() == text);
+  BOOST_TEST(judge.evidence() == evidence);
+}
+
+BOOST_AUTO_TEST_CASE(rejectionByAnotherNodeIsTaken) {
+  Judge judge{JudgeSettings()};
+  OrderObservations seen = seenWith(1, 0);
+  seen.rejected = true;
+  BOOST_TEST((judge.update(seen, kNow) == Verdict::kBad));
+  BOOST_TEST(judge.explain().find("another node") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(explanationNamesRouteTestAndCounts) {
+  Judge judge{JudgeSettings()};
+  judge.update(seenWith(0, 0), kNow);
+  judge.update(seenWith(20, 10), kNow + Milliseconds(100));
+  BOOST_TEST(judge.explain() ==
+             "many failures on all routes: 10 of 20 answers, 1.0% expected, ratio 22.9 of 12.0; "
+             "candidate 10 of 20 failed, stable 0 of 200");
+  BOOST_TEST(judge.evidence() > 22.8);
+  BOOST_TEST(Judge{JudgeSettings()}.explain().find("nothing against it") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace calicodrift::service_rollout
