--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -50,6 +50,8 @@
   /// How long the connection took, where a new one was made.
   std::optional<Microseconds> connectTime() const { return connectTime_; }
   unsigned status() const { return status_; }
+  /// Whether the head was the server's own answer, success or failure.
+  bool answered() const { return answered_; }
   /// The server's failure that was kept.
   std::optional<http::Response>& keptFailure() { return keptFailure_; }
 
@@ -69,6 +71,7 @@
   std::optional<Microseconds> connectTime_;
   std::optional<http::Response> keptFailure_;
   unsigned status_ = 0;
+  bool answered_ = false;
   bool recalled_ = false;
 };
 
