--- a/src/gateway/service_rollouts.cc
+++ b/src/gateway/service_rollouts.cc
@@ -37,6 +37,14 @@
 constexpr Milliseconds kRateSpan{2000};
 constexpr double kMsPerSecond = 1000;
 
+/// Adds what the table has of the order.
+void addObservations(OrderKey order, const ObservationTable& table,
+                     service_rollout::OrderObservations& sum) {
+  if (const auto found = table.find(order); found != table.end()) {
+    sum += found->second;
+  }
+}
+
 std::string textOf(std::uint64_t number) {
   return std::to_string(number);
 }
@@ -285,11 +293,8 @@
   const ObservationTable own = observer_.own(now);
   progress.sum = {};
   progress.sum.order = rule.order;
-  for (const ObservationTable* table : {&own, &others_}) {
-    if (const auto found = table->find(rule.order); found != table->end()) {
-      progress.sum += found->second;
-    }
-  }
+  addObservations(rule.order, own, progress.sum);
+  addObservations(rule.order, others_, progress.sum);
   progress.reached.push_back({now, progress.sum.reached});
   while (now - progress.reached.front().at > kRateSpan) {
     progress.reached.pop_front();
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -72,8 +72,8 @@
     store_.put("config", "main", configuration());
     store_.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
     for (int number = 1; number <= 3; ++number) {
-      addServer("app-" + std::to_string(number), "app", "");
-      addServer("llm-" + std::to_string(number), "llm", "m");
+      addServer("app-" + std::to_string(number), "app", "", "v1", Behaviour());
+      addServer("llm-" + std::to_string(number), "llm", "m", "v1", Behaviour());
     }
     for (std::size_t number = 0; number < nodes; ++number) {
       addNode("n" + std::to_string(number));
@@ -141,7 +141,7 @@
   static boost::json::object limit();
   Proxy makeProxy(const Endpoint& target);
   void addServer(const std::string& id, const std::string& service, const std::string& model,
-                 const std::string& version = "v1", const Behaviour& behaviour = {});
+                 const std::string& version, const Behaviour& behaviour);
   void publish(const Server& server);
   void addNode(const std::string& name);
   void startNode(Node& node);
--- a/tests/gateway_soak/rollouts.cc
+++ b/tests/gateway_soak/rollouts.cc
@@ -146,7 +146,7 @@
   while (state != "completed" && state != "rolled_back" && monotonicNow() < withdrawal) {
     co_await pause(kPoll);
     const json::value status = store_.statusOf("rollouts", service);
-    const bool ours = status.is_object() && status.at("target_version") == target;
+    const bool ours = status.is_object() && status.at("target_version").as_string() == target;
     state = ours ? std::string(status.at("state").as_string()) : "";
   }
   rolloutCheck_.onOutcome(target, state, monotonicNow());
--- a/tests/platform/rollouts_test.cc
+++ b/tests/platform/rollouts_test.cc
@@ -2,6 +2,7 @@
 #include <map>
 
 #include "gateway_fixture.h"
+#include "http/status.h"
 
 // Orders that move a service to another version, from the operator's write to the status that it
 // reads, at one gateway before stand-ins. Each case brings one failure about and judges by what
