Roll-outs on metrics and in calicodriftctl

Cause: an operator could read an order's state from the platform only. Gauges show, for each service, order, phase, what this node sends to the candidate, verdict, exposure and age; what is no more is taken off the page. calicodriftctl rollout status reads them from the nodes' metrics addresses. Not done here: the node has to call RolloutMetrics::show; samples by route are not shown.

--- a/src/ctl/program.cc
+++ b/src/ctl/program.cc
@@ -7,6 +7,7 @@
 #include "ctl/fleet_commands.h"
 #include "ctl/log_trace.h"
 #include "ctl/policy_commands.h"
+#include "ctl/rollout_commands.h"
 #include "settings/table.h"
 
 namespace calicodrift::ctl {
@@ -15,7 +16,8 @@
 constexpr std::string_view kSummary =
     "Operator's command line of calicodrift. Commands: "
     "key make | bundle check FILE | bundle diff FILE FILE | bundle sign FILE | "
-    "bundle submit FILE | bundle status | engine load-version FILE | node drain | policy report | "
+    "bundle submit FILE | bundle status | engine load-version FILE | node drain | rollout status | "
+    "policy report | "
     "explain REQUEST_ID | trace REQUEST_ID LOG_FILE...";
 
 constexpr std::int64_t kLargestVersion = 1'000'000'000'000;
@@ -69,6 +71,9 @@
   if (group == "node" && action == "drain") {
     return drainNode(settings);
   }
+  if (group == "rollout" && action == "status") {
+    return rolloutStatus(settings);
+  }
   if (group == "engine" && action == "load-version") {
     return proposeWeights(settings, file);
   }
--- /dev/null
+++ b/src/service_rollout/metrics.cc
@@ -0,0 +1,64 @@
+#include "service_rollout/metrics.h"
+
+namespace calicodrift::service_rollout {
+namespace {
+
+prometheus::Family<prometheus::Gauge>* gaugeFamily(prometheus::Registry& registry,
+                                                   std::string_view name, const std::string& help) {
+  return &prometheus::BuildGauge().Name(std::string(name)).Help(help).Register(registry);
+}
+
+prometheus::Labels infoLabels(const RolloutStatus& status) {
+  return {{"service", status.service},
+          {"stable", status.stable.value()},
+          {"candidate", status.candidate.value()},
+          {"phase", std::string(toString(status.phase))},
+          {"use", std::string(toString(status.use))},
+          {"target", status.target.value()},
+          {"state", std::string(toString(status.state))},
+          {"verdict", status.verdict}};
+}
+
+}  // namespace
+
+void RolloutMetrics::Gauges::clear() {
+  for (prometheus::Gauge* gauge : shown) {
+    family->Remove(gauge);
+  }
+  shown.clear();
+}
+
+void RolloutMetrics::Gauges::add(const prometheus::Labels& labels, double value) {
+  prometheus::Gauge& gauge = family->Add(labels);
+  gauge.Set(value);
+  shown.push_back(&gauge);
+}
+
+RolloutMetrics::RolloutMetrics(prometheus::Registry& registry)
+    : info_{gaugeFamily(registry, kRolloutInfoMetric, "How a service's roll-out stands here"), {}},
+      reached_{gaugeFamily(registry, kRolloutReachedMetric,
+                           "Requests to a service since its order, over all nodes"),
+               {}},
+      exposed_{gaugeFamily(registry, kRolloutExposedMetric,
+                           "Requests to the candidate since its order, over all nodes"),
+               {}},
+      age_{gaugeFamily(registry, kRolloutAgeMetric, "Time since the order under way was written"),
+           {}} {}
+
+void RolloutMetrics::show(const std::vector<RolloutStatus>& services) {
+  for (Gauges* gauges : {&info_, &reached_, &exposed_, &age_}) {
+    gauges->clear();
+  }
+  for (const RolloutStatus& status : services) {
+    info_.add(infoLabels(status), 1);
+    const bool underWay = status.phase != Phase::kSteady;
+    if (underWay) {
+      const prometheus::Labels labels{{"service", status.service}};
+      reached_.add(labels, static_cast<double>(status.reached));
+      exposed_.add(labels, static_cast<double>(status.exposed));
+      age_.add(labels, std::chrono::duration<double>(status.age).count());
+    }
+  }
+}
+
+}  // namespace calicodrift::service_rollout
