Canary budget: each node keeps its share by route, without a message

A candidate may get a bounded part of a service's requests, over nodes that can't hear of each other.

Bound: an account never exceeds its share and 1; the sum of n accounts exceeds the share by 2.7 sqrt(n) in fewer than 1 of 10^6 orders (Hoeffding; each account is off by a rounding within 1 around 0).

Ruled out: one account for the last order only, as two services that roll at once would take turns in dropping it.

Track moves to fleet, which keeps the sets by version and must not depend on the roll-outs.

--- /dev/null
+++ b/src/service_rollout/canary_budget.cc
@@ -0,0 +1,36 @@
+#include "service_rollout/canary_budget.h"
+
+#include <algorithm>
+
+namespace calicodrift::service_rollout {
+
+bool CanaryBudget::take(OrderKey order, RouteKey route) {
+  OrderAccounts& accounts = accountsOf(order);
+  const auto [found, added] = accounts.routes.try_emplace(route);
+  Account& account = found->second;
+  if (added) {
+    account.earned = std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+  account.earned += share_;
+  const bool granted = static_cast<double>(account.spent + 1) <= account.earned;
+  if (granted) {
+    ++account.spent;
+  }
+  return granted;
+}
+
+CanaryBudget::OrderAccounts& CanaryBudget::accountsOf(OrderKey order) {
+  ++asked_;
+  const auto [found, added] = accounts_.try_emplace(order);
+  found->second.lastAsked = asked_;
+  if (added && accounts_.size() > kMostOrders) {
+    const auto oldest = std::min_element(accounts_.begin(), accounts_.end(),
+                                         [](const auto& one, const auto& other) {
+                                           return one.second.lastAsked < other.second.lastAsked;
+                                         });
+    accounts_.erase(oldest);
+  }
+  return found->second;
+}
+
+}  // namespace calicodrift::service_rollout
--- a/src/service_rollout/observations.h
+++ b/src/service_rollout/observations.h
@@ -9,13 +9,13 @@
 
 #include "common/clock.h"
 #include "common/strong_type.h"
+#include "fleet/track.h"
 #include "service_rollout/order.h"
 
 namespace calicodrift::service_rollout {
 
-/// The two versions of a service during an order.
-enum class Track : std::uint8_t { kStable, kCandidate };
-inline constexpr std::size_t kTracks = 2;
+using fleet::kTracks;
+using fleet::Track;
 
 /// Names a route between nodes in few bytes: the hash of its name.
 using RouteKey = StrongType<struct RouteKeyTag, std::uint64_t>;
--- /dev/null
+++ b/tests/service_rollout/canary_budget_test.cc
@@ -0,0 +1,129 @@
+#include "service_rollout/canary_budget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+namespace calicodrift::service_rollout {
+namespace {
+
+constexpr double kShare = 0.05;
+const OrderKey kOrder(7);
+const RouteKey kRoute(3);
+
+/// One order's course over a fleet whose nodes get very different traffic.
+struct Course {
+  std::uint64_t requests = 0;
+  std::uint64_t exposed = 0;
+  /// No account has spent more than its share and 1.
+  bool withinEachAccount = true;
+};
+
+/// @param restarts whether every third node loses its accounts halfway.
+Course play(std::size_t nodes, std::uint64_t seed, bool restarts) {
+  std::mt19937_64 random(seed);
+  // Half of the nodes get 0 to 20 requests, some thousands.
+  std::exponential_distribution<double> traffic(1.0 / 60);
+  Course course;
+  for (std::size_t node = 0; node < nodes; ++node) {
+    CanaryBudget budget(kShare, random());
+    const auto requests = static_cast<std::uint64_t>(std::pow(traffic(random), 1.3) / 4);
+    std::uint64_t spent = 0;
+    for (std::uint64_t request = 0; request < requests; ++request) {
+      if (restarts && node % 3 == 0 && request == requests / 2) {
+        budget = CanaryBudget(kShare, random());
+      }
+      spent += budget.take(kOrder, kRoute) ? 1 : 0;
+    }
+    const double most = kShare * static_cast<double>(requests) + (restarts ? 2 : 1);
+    course.withinEachAccount = course.withinEachAccount && static_cast<double>(spent) <= most;
+    course.requests += requests;
+    course.exposed += spent;
+  }
+  return course;
+}
+
+/// What the rounding of so many accounts gives at most in all but 1 of 10^6 orders.
+double roundingOf(std::size_t accounts) {
+  return 2.7 * std::sqrt(static_cast<double>(accounts));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(canary_budget)
+
+BOOST_AUTO_TEST_CASE(theFleetStaysAtTheShareWithoutAMessage) {
+  for (const std::size_t nodes : {2U, 73U, 3800U}) {
+    const std::uint64_t seeds = nodes > 1000 ? 40 : 400;
+    double deviations = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+      const Course course = play(nodes, seed, false);
+      const double share = kShare * static_cast<double>(course.requests);
+      BOOST_TEST(course.withinEachAccount);
+      BOOST_TEST(static_cast<double>(course.exposed) <= share + roundingOf(nodes));
+      deviations += static_cast<double>(course.exposed) - share;
+    }
+    // Neither more nor less in the mean: nodes that get few requests would else send none.
+    BOOST_TEST(std::abs(deviations) <= roundingOf(nodes * seeds));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(aRestartStartsAnewAndKeepsTheShareInTheMean) {
+  constexpr std::size_t kNodes = 73;
+  for (std::uint64_t seed = 0; seed < 400; ++seed) {
+    const Course course = play(kNodes, seed, true);
+    const double share = kShare * static_cast<double>(course.requests);
+    BOOST_TEST(course.withinEachAccount);
+    BOOST_TEST(static_cast<double>(course.exposed) <= share + roundingOf(2 * kNodes));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(eachRouteGetsItsShare) {
+  CanaryBudget budget(kShare, 1);
+  std::map<std::uint64_t, int> exposed;
+  for (int request = 0; request < 1000; ++request) {
+    // Nine of ten requests are on one route.
+    const std::uint64_t route = request % 10 == 0 ? 1 : 0;
+    exposed[route] += budget.take(kOrder, RouteKey(route)) ? 1 : 0;
+  }
+  BOOST_TEST((exposed[0] == 45 || exposed[0] == 46));
+  BOOST_TEST((exposed[1] == 5 || exposed[1] == 6));
+}
+
+BOOST_AUTO_TEST_CASE(aSmallerShareHoldsFromNowOn) {
+  CanaryBudget budget(0.5, 1);
+  int exposed = 0;
+  for (int request = 0; request < 100; ++request) {
+    exposed += budget.take(kOrder, kRoute) ? 1 : 0;
+  }
+  budget.setShare(0.01);
+  int later = 0;
+  for (int request = 0; request < 1000; ++request) {
+    later += budget.take(kOrder, kRoute) ? 1 : 0;
+  }
+  BOOST_TEST((exposed == 50 || exposed == 51));
+  BOOST_TEST((later >= 9 && later <= 11));
+}
+
+BOOST_AUTO_TEST_CASE(twoOrdersAtOnceHaveAccountsOfTheirOwn) {
+  CanaryBudget budget(kShare, 1);
+  int first = 0;
+  int second = 0;
+  for (int request = 0; request < 1000; ++request) {
+    first += budget.take(kOrder, kRoute) ? 1 : 0;
+    second += budget.take(OrderKey(8), kRoute) ? 1 : 0;
+  }
+  BOOST_TEST((first == 50 || first == 51));
+  BOOST_TEST((second == 50 || second == 51));
+}
+
+BOOST_AUTO_TEST_CASE(accountsOfPastOrdersAreDropped) {
+  CanaryBudget budget(1, 1);
+  for (std::uint64_t order = 1; order <= 1000; ++order) {
+    BOOST_TEST(budget.take(OrderKey(order), kRoute));
+  }
+  BOOST_TEST(budget.orders() == CanaryBudget::kMostOrders);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace calicodrift::service_rollout
