Server pool: sets by software version

Servers of any version entered the set of their service when they were listed, so that a new version got its full share of the traffic at once, and took half of all prompts' homes.

setVersions() tells a service's servers apart: one set of the stable version, one of the candidate, none for any other. The track of a server is kept with it and changes only when it or the versions change, so that requests don't pay for it. A canary goes to the first ceil(share x servers) of the candidate's by the hash of their ids, the same at all nodes, built for the few requests that are canaries; servers that warm up or await weights are left out.

Ruled out: a third set kept up to date (each change of load would pay for it, one request in twenty reads it); a restriction in RouteRequest (each policy would have to keep it).

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -58,12 +58,15 @@
   if (!known) {
     // A listed server is taken for reachable until something fails there.
     entry.health.probeSucceeded(now);
+    entry.warmUntil = now + server.warmUp;
   }
   entry.server = server;
+  entry.track = trackOf(server);
   entry.key = ServerKey(hashBytes(server.id.value()));
   if (reloaded) {
     // A pause was for the load, which is over.
     entry.pausedUntil = {};
+    entry.reloadedAt = now;
   }
   refresh(entry, now);
   if (reloaded) {
@@ -106,6 +109,7 @@
     // The list lags behind answers, never the other way round.
     if (loaded.model == model && loaded.weights < weights) {
       loaded.weights = weights;
+      entry->reloadedAt = now;
       refresh(*entry, now);
       listener_(entry->server, ServerLoss::kReloaded);
       return;
@@ -170,10 +174,10 @@
 }
 
 const routing::CandidateSet& ServerPool::candidates(std::string_view service, const ModelId& model,
-                                                    MonotonicTime now) {
+                                                    MonotonicTime now, Track track) {
   static const routing::CandidateSet kNone;
   endPauses(now);
-  const auto found = sets_.find(SetKey{std::string(service), model});
+  const auto found = sets_.find(SetKey{std::string(service), model, track});
   if (found == sets_.end()) {
     return kNone;
   }
@@ -323,15 +327,15 @@
 
 std::vector<ServerPool::SetKey> ServerPool::keysOf(const Entry& entry) const {
   std::vector<SetKey> keys;
-  if (!usable(entry)) {
+  if (!usable(entry) || !entry.track) {
     return keys;
   }
   if (entry.server.models.empty()) {
-    keys.push_back({entry.server.service, ModelId()});
+    keys.push_back({entry.server.service, ModelId(), *entry.track});
   }
   for (const LoadedModel& loaded : entry.server.models) {
     if (allowedVersion(loaded)) {
-      keys.push_back({entry.server.service, loaded.model});
+      keys.push_back({entry.server.service, loaded.model, *entry.track});
     }
   }
   return keys;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -14,6 +14,7 @@
 #include "fleet/prefill_rate.h"
 #include "fleet/server.h"
 #include "fleet/server_load.h"
+#include "fleet/track.h"
 #include "routing/candidate_set.h"
 
 namespace calicodrift::fleet {
@@ -33,8 +34,9 @@
 /// model the set of those that may get new work. Sets change by small steps, so that no request
 /// pays for the number of servers. No I/O; calls are told the time.
 ///
-/// Invariant: a server that is draining, gone from the list or older than the least allowed weights
-/// is in no set. It holds because every change of a server ends in refresh().
+/// Invariant: a server that is draining, gone from the list, older than the least allowed weights
+/// or of a version that may run nothing is in no set. It holds because every change of a server
+/// ends in refresh().
 class ServerPool {
  public:
   using LossListener = std::function<void(const Server&, ServerLoss)>;
@@ -68,7 +70,33 @@
   /// Servers of the service (and model, for model servers) that may get work now. The reference
   /// holds until the next change of the pool: not over a `co_await`.
   const routing::CandidateSet& candidates(std::string_view service, const ModelId& model,
-                                          MonotonicTime now);
+                                          MonotonicTime now, Track track = Track::kStable);
+  /// The few servers of the candidate that a canary goes to, `share` of them and at least one: the
+  /// same at all nodes, so that each carries about what a server of the stable version does. None
+  /// that warms up or awaits weights.
+  routing::CandidateSet canary(std::string_view service, const ModelId& model, double share,
+                               MonotonicTime now);
+  /// Tells the service's servers apart by their version: those of the stable one are in the stable
+  /// sets, those of the candidate in the candidate's, others in none. Sets of one version don't
+  /// change with what the other does, so its prompts keep their homes. Does nothing where both are
+  /// as they were.
+  /// @param stable empty: versions are not told apart, all servers are in the stable sets.
+  /// @param candidate empty: none.
+  void setVersions(const std::string& service, const SoftwareVersion& stable,
+                   const SoftwareVersion& candidate, MonotonicTime now);
+  /// By service and version: servers that are listed and not draining.
+  std::map<std::string, std::map<SoftwareVersion, std::size_t>> listedVersions() const;
+  /// Servers of the version that are listed, reachable, neither draining nor ejected.
+  std::size_t usableOf(const std::string& service, const SoftwareVersion& version,
+                       MonotonicTime now) const;
+  /// Requests under way on servers of the version, by this node and, as they told, by others.
+  std::size_t inFlightOf(const std::string& service, const SoftwareVersion& version) const;
+  /// Whether the server's answers tell how fast its version is: not while it warms up, or awaits
+  /// weights or has just loaded some. Server::warmUp counts from the first listing here, so that a
+  /// restarted node counts anew.
+  bool tellsSpeed(const BackendId& id, MonotonicTime now) const;
+  /// Listed, and no node is known to have failed to reach it.
+  bool reachedByAll(const BackendId& id) const;
   /// Null where it is not listed.
   const Server* find(const BackendId& id) const;
   std::vector<Server> servers() const;
@@ -107,6 +135,7 @@
   struct SetKey {
     std::string service;
     ModelId model;
+    Track track = Track::kStable;
     auto operator<=>(const SetKey&) const = default;
   };
   /// Those that are passed over are used where no other is left.
@@ -114,6 +143,11 @@
     routing::CandidateSet preferred;
     routing::CandidateSet passedOver;
   };
+  struct ServiceVersions {
+    SoftwareVersion stable;
+    SoftwareVersion candidate;
+    bool operator==(const ServiceVersions&) const = default;
+  };
   struct Entry {
     explicit Entry(double prefillTokensPerMs) : prefillRate(prefillTokensPerMs) {}
 
@@ -128,6 +162,11 @@
     ServerLoad peers;
     /// What this node announced; 0: nothing.
     WeightsVersion announcedLoad;
+    /// Nothing: its version may run nothing.
+    std::optional<Track> track = Track::kStable;
+    MonotonicTime warmUntil{};
+    /// When it last showed other weights.
+    std::optional<MonotonicTime> reloadedAt;
     /// The sets that it stands in.
     std::vector<SetKey> listedIn;
   };
@@ -137,6 +176,7 @@
   bool allowedVersion(const LoadedModel& loaded) const;
   /// Whether weights that it does not have yet were announced for it.
   static bool awaitsLoad(const Entry& entry);
+  std::optional<Track> trackOf(const Server& server) const;
   std::vector<SetKey> keysOf(const Entry& entry) const;
   routing::Candidate toCandidate(const Entry& entry) const;
   /// Brings the sets in line with the entry. Called after each change of one.
@@ -156,6 +196,7 @@
   std::map<ModelId, WeightsVersion> leastWeights_;
   std::map<std::string, std::size_t> memoryTokens_;
   std::map<std::string, Milliseconds> pauseBounds_;
+  std::map<std::string, ServiceVersions> versions_;
   std::map<SetKey, CandidateSets> sets_;
   std::multimap<MonotonicTime, BackendId> pauseEnds_;
 };
--- /dev/null
+++ b/src/fleet/server_pool_versions.cc
@@ -0,0 +1,117 @@
+// What the pool knows of the servers' software versions.
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/server_pool.h"
+
+namespace calicodrift::fleet {
+namespace {
+
+/// So long after a load of weights a server works off what waited for it, with empty caches. About
+/// what a load itself takes.
+constexpr Milliseconds kAfterLoad{1000};
+
+}  // namespace
+
+void ServerPool::setVersions(const std::string& service, const SoftwareVersion& stable,
+                             const SoftwareVersion& candidate, MonotonicTime now) {
+  ServiceVersions& known = versions_[service];
+  if (known.stable == stable && known.candidate == candidate) {
+    return;
+  }
+  known = {stable, candidate};
+  for (auto& [id, entry] : servers_) {
+    if (entry.server.service == service) {
+      entry.track = trackOf(entry.server);
+      refresh(entry, now);
+    }
+  }
+}
+
+std::optional<Track> ServerPool::trackOf(const Server& server) const {
+  const auto found = versions_.find(server.service);
+  if (found == versions_.end() || found->second.stable.value().empty()) {
+    return Track::kStable;
+  }
+  const ServiceVersions& versions = found->second;
+  if (server.version == versions.stable) {
+    return Track::kStable;
+  }
+  const bool isCandidate =
+      !versions.candidate.value().empty() && server.version == versions.candidate;
+  return isCandidate ? std::optional(Track::kCandidate) : std::nullopt;
+}
+
+routing::CandidateSet ServerPool::canary(std::string_view service, const ModelId& model,
+                                         double share, MonotonicTime now) {
+  /// Keeps what floating point adds to a whole number from counting as one more.
+  constexpr double kRounding = 1e-9;
+  const routing::CandidateSet& all = candidates(service, model, now, Track::kCandidate);
+  std::vector<std::pair<ServerKey, std::size_t>> ranked;
+  for (std::size_t position = 0; position < all.size(); ++position) {
+    const Entry* entry = entryOf(all[position].id);
+    if (entry != nullptr && now >= entry->warmUntil && !awaitsLoad(*entry)) {
+      ranked.emplace_back(entry->key, position);
+    }
+  }
+  const double wanted = std::ceil(share * static_cast<double>(all.size()) - kRounding);
+  const std::size_t count =
+      std::min(ranked.size(), static_cast<std::size_t>(std::max(1.0, wanted)));
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end());
+  routing::CandidateSet few;
+  for (std::size_t place = 0; place < count; ++place) {
+    few.put(all[ranked[place].second]);
+  }
+  return few;
+}
+
+std::map<std::string, std::map<SoftwareVersion, std::size_t>> ServerPool::listedVersions() const {
+  std::map<std::string, std::map<SoftwareVersion, std::size_t>> listed;
+  for (const auto& [id, entry] : servers_) {
+    if (!entry.server.draining) {
+      ++listed[entry.server.service][entry.server.version];
+    }
+  }
+  return listed;
+}
+
+std::size_t ServerPool::usableOf(const std::string& service, const SoftwareVersion& version,
+                                 MonotonicTime now) const {
+  std::size_t count = 0;
+  for (const auto& [id, entry] : servers_) {
+    const bool asked = entry.server.service == service && entry.server.version == version;
+    count += asked && usable(entry) && !entry.health.ejected(now) ? 1 : 0;
+  }
+  return count;
+}
+
+std::size_t ServerPool::inFlightOf(const std::string& service,
+                                   const SoftwareVersion& version) const {
+  std::size_t requests = 0;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.server.service == service && entry.server.version == version) {
+      requests += entry.outstanding + entry.peers.requests;
+    }
+  }
+  return requests;
+}
+
+bool ServerPool::tellsSpeed(const BackendId& id, MonotonicTime now) const {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) {
+    return false;
+  }
+  const Entry& entry = found->second;
+  const bool justLoaded = entry.reloadedAt && now - *entry.reloadedAt < kAfterLoad;
+  return now >= entry.warmUntil && !awaitsLoad(entry) && !justLoaded;
+}
+
+bool ServerPool::reachedByAll(const BackendId& id) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && found->second.health.reachable() &&
+         found->second.peers.unreachableFrom == 0;
+}
+
+}  // namespace calicodrift::fleet
--- /dev/null
+++ b/tests/fleet/server_versions_test.cc
@@ -0,0 +1,230 @@
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/server_pool.h"
+
+namespace calicodrift::fleet {
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+const ModelId kModel("m");
+const SoftwareVersion kOld("1");
+const SoftwareVersion kNew("2");
+
+Server makeServer(const std::string& id, const SoftwareVersion& version) {
+  Server server;
+  server.id = BackendId(id);
+  server.service = "llm";
+  server.endpoint = {"10.0.0.1", 80};
+  server.version = version;
+  server.models = {{kModel, WeightsVersion(1)}};
+  return server;
+}
+
+using Ids = std::vector<std::string>;
+
+struct VersionsFixture {
+  ServerPool pool{40, [](const Server&, ServerLoss) {}};
+
+  void list(const std::string& prefix, const SoftwareVersion& version, std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number) {
+      pool.apply(makeServer(prefix + std::to_string(number), version), kStart);
+    }
+  }
+  std::size_t usable(Track track, MonotonicTime now = kStart) {
+    return pool.candidates("llm", kModel, now, track).size();
+  }
+  /// Where 50 prompts have their home and the two next places.
+  Ids homes(Track track = Track::kStable) {
+    const routing::CandidateSet& set = pool.candidates("llm", kModel, kStart, track);
+    Ids ids;
+    for (std::uint64_t key = 0; key < 50; ++key) {
+      for (const std::size_t position : set.inAffinityOrder(key * 0x9E3779B97F4A7C15, 3)) {
+        ids.push_back(set[position].id.value());
+      }
+    }
+    return ids;
+  }
+  Ids canaryIds(double share, MonotonicTime now = kStart) {
+    const routing::CandidateSet set = pool.canary("llm", kModel, share, now);
+    Ids ids;
+    for (std::size_t position = 0; position < set.size(); ++position) {
+      ids.push_back(set[position].id.value());
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_versions, VersionsFixture)
+
+BOOST_AUTO_TEST_CASE(withoutAStableVersionAllServersAreAlike) {
+  list("a", kOld, 2);
+  list("b", kNew, 3);
+  BOOST_TEST(usable(Track::kStable) == 5U);
+  BOOST_TEST(usable(Track::kCandidate) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(eachVersionHasItsSetAndOthersNone) {
+  pool.setVersions("llm", kOld, SoftwareVersion(), kStart);
+  list("a", kOld, 2);
+  list("b", kNew, 3);
+  list("c", SoftwareVersion("3"), 4);
+  list("d", SoftwareVersion(), 1);
+  BOOST_TEST(usable(Track::kStable) == 2U);
+  BOOST_TEST(usable(Track::kCandidate) == 0U);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  BOOST_TEST(usable(Track::kStable) == 2U);
+  BOOST_TEST(usable(Track::kCandidate) == 3U);
+  // Where the stable version has nothing left, no other one takes its place.
+  for (const std::string id : {"a0", "a1"}) {
+    pool.markUnreachable(BackendId(id), kStart);
+  }
+  BOOST_TEST(usable(Track::kStable) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aServerKeepsToItsVersionThroughEachChange) {
+  list("a", kOld, 1);
+  list("b", kNew, 1);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  const BackendId id("b0");
+  pool.addLoad(id, {100, 50}, kStart);
+  pool.pause(id, kStart + Milliseconds(10), kStart);
+  pool.markUnreachable(id, kStart);
+  pool.probeSucceeded(id, kStart + Milliseconds(20));
+  pool.setLeastWeights(kModel, WeightsVersion(1), kStart);
+  BOOST_TEST(usable(Track::kStable, kStart + Milliseconds(30)) == 1U);
+  BOOST_TEST(usable(Track::kCandidate, kStart + Milliseconds(30)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(noOrderMovesTheHomesOfTheStableVersion) {
+  list("a", kOld, 40);
+  pool.setVersions("llm", kOld, SoftwareVersion(), kStart);
+  const Ids before = homes();
+  list("b", kNew, 40);
+  BOOST_TEST(homes() == before);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  for (int request = 0; request < 20; ++request) {
+    pool.addLoad(BackendId("b" + std::to_string(request)), {900, 900}, kStart);
+  }
+  BOOST_TEST(homes() == before);
+  pool.setVersions("llm", kOld, SoftwareVersion(), kStart);
+  BOOST_TEST(homes() == before);
+}
+
+BOOST_AUTO_TEST_CASE(afterPromotionTheCandidatesSetIsTheStableOne) {
+  list("a", kOld, 40);
+  list("b", kNew, 40);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  const Ids warmed = homes(Track::kCandidate);
+  pool.setVersions("llm", kNew, SoftwareVersion(), kStart);
+  BOOST_TEST(homes() == warmed);
+  BOOST_TEST(usable(Track::kStable) == 40U);
+  BOOST_TEST(usable(Track::kCandidate) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aCanaryGoesToTheSameFewServersAtAllNodes) {
+  list("b", kNew, 90);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  const Ids few = canaryIds(0.05);
+  BOOST_TEST(few.size() == 5U);
+  ServerPool other{40, [](const Server&, ServerLoss) {}};
+  other.setVersions("llm", kOld, kNew, kStart);
+  for (std::size_t number = 90; number > 0; --number) {
+    other.apply(makeServer("b" + std::to_string(number - 1), kNew), kStart);
+  }
+  const routing::CandidateSet there = other.canary("llm", kModel, 0.05, kStart);
+  BOOST_TEST(there.size() == few.size());
+  for (const std::string& id : few) {
+    BOOST_TEST(there.find(BackendId(id)).has_value());
+  }
+  // One that fails is replaced by the next; the others stay.
+  pool.markUnreachable(BackendId(few.front()), kStart);
+  const Ids next = canaryIds(0.05);
+  BOOST_TEST(next.size() == 5U);
+  BOOST_TEST(std::includes(next.begin(), next.end(), few.begin() + 1, few.end()));
+}
+
+BOOST_AUTO_TEST_CASE(aCanaryGoesToOneServerAtLeast) {
+  list("b", kNew, 7);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  BOOST_TEST(canaryIds(0.01).size() == 1U);
+  // A whole number of servers isn't rounded up.
+  list("c", kNew, 13);
+  BOOST_TEST(canaryIds(0.1).size() == 2U);
+  BOOST_TEST(canaryIds(0.11).size() == 3U);
+  pool.setVersions("llm", kOld, SoftwareVersion(), kStart);
+  BOOST_TEST(canaryIds(0.1).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aCanaryLeavesOutServersThatWarmUpOrAwaitWeights) {
+  list("b", kNew, 2);
+  Server warming = makeServer("w", kNew);
+  warming.warmUp = Milliseconds(500);
+  pool.apply(warming, kStart);
+  pool.setVersions("llm", kOld, kNew, kStart);
+  pool.announceLoads({{BackendId("b0"), WeightsVersion(2)}}, kStart);
+  BOOST_TEST(canaryIds(1) == Ids{"b1"});
+  BOOST_TEST(canaryIds(1, kStart + Milliseconds(500)).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(warmingLoadingAndLoadedServersTellNothingOfSpeed) {
+  Server warming = makeServer("w", kNew);
+  warming.warmUp = Milliseconds(500);
+  pool.apply(warming, kStart);
+  // What a later listing says of the rest of the time doesn't lengthen it.
+  pool.apply(warming, kStart + Milliseconds(300));
+  const BackendId id("w");
+  BOOST_TEST(!pool.tellsSpeed(id, kStart + Milliseconds(499)));
+  BOOST_TEST(pool.tellsSpeed(id, kStart + Milliseconds(500)));
+  const MonotonicTime loads = kStart + Milliseconds(2000);
+  pool.announceLoads({{id, WeightsVersion(2)}}, loads);
+  BOOST_TEST(!pool.tellsSpeed(id, loads));
+  pool.applyWeights(id, kModel, WeightsVersion(2), loads);
+  BOOST_TEST(!pool.tellsSpeed(id, loads + Milliseconds(500)));
+  BOOST_TEST(pool.tellsSpeed(id, loads + Milliseconds(1500)));
+  BOOST_TEST(!pool.tellsSpeed(BackendId("gone"), loads));
+}
+
+BOOST_AUTO_TEST_CASE(serversAndRequestsAreCountedByVersion) {
+  list("a", kOld, 3);
+  list("b", kNew, 2);
+  Server draining = makeServer("a2", kOld);
+  draining.draining = true;
+  pool.apply(draining, kStart);
+  pool.markUnreachable(BackendId("a0"), kStart);
+  BOOST_TEST(pool.listedVersions().at("llm").at(kOld) == 2U);
+  BOOST_TEST(pool.listedVersions().at("llm").at(kNew) == 2U);
+  BOOST_TEST(pool.usableOf("llm", kOld, kStart) == 1U);
+  BOOST_TEST(pool.usableOf("llm", kNew, kStart) == 2U);
+  // What runs on a draining server counts as well, also what other nodes sent there.
+  pool.addLoad(BackendId("a2"), {10, 0}, kStart);
+  pool.addLoad(BackendId("b0"), {10, 0}, kStart);
+  ServerLoads peers;
+  for (const auto& [key, load] : pool.ownLoads()) {
+    peers[key].requests = 2 * load.requests;
+  }
+  pool.setPeerLoads(peers, kStart);
+  BOOST_TEST(pool.inFlightOf("llm", kOld) == 3U);
+  BOOST_TEST(pool.inFlightOf("llm", kNew) == 3U);
+  BOOST_TEST(pool.inFlightOf("other", kOld) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatAnyNodeFailedToReachIsNotReachedByAll) {
+  list("a", kOld, 2);
+  BOOST_TEST(pool.reachedByAll(BackendId("a0")));
+  ServerLoads peers = pool.ownLoads();
+  for (auto& [key, load] : peers) {
+    load.unreachableFrom = 1;
+  }
+  pool.setPeerLoads(peers, kStart);
+  BOOST_TEST(!pool.reachedByAll(BackendId("a0")));
+  pool.setPeerLoads({}, kStart);
+  pool.markUnreachable(BackendId("a1"), kStart);
+  BOOST_TEST(!pool.reachedByAll(BackendId("a1")));
+  BOOST_TEST(!pool.reachedByAll(BackendId("gone")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::fleet
