Forwarding by version: canary, shift, observations, caches

A request asks for its service's rule at each choice of a server (never earlier, so that a node that wakes goes by its permit's end), and the pool's sets are brought in line with that rule first. Baking: the first dispatch goes to the canary where the budget grants it and one of its servers can be used; all others to the stable version, also where that has no server left (503 then, never more than the share). Shifting: the candidate, and the old version where each of its servers has had the request. A canary whose few servers have no room leaves the request to the stable version; admission counts queues by version.

Answers are told with what judges need. Slow is measured against queue and prefill at the choice, for services without models against the running mean of the stable version's answers, pace likewise; of the stable version alone, as a slow candidate would else become the usual.

A prompt's common part is fetched from its home among the stable version's servers while these remain. The candidate's servers are taken to have it only where it can be fetched.

Ruled out: the home's key made public in routing; asking the policy for the stable set gives the same server and follows whatever the policy makes a home.

Guards shown failing when off, each in a trial copy: second try may be the canary, sets not brought in line, candidate for an empty stable set, shift that never leaves the candidate, no fallback of a full canary, one admission for both versions, no holder, broken streams unseen, refusals counted, usual learnt of both, crash not asked about.

--- /dev/null
+++ b/src/forward/allowed_servers.cc
@@ -0,0 +1,60 @@
+#include "forward/allowed_servers.h"
+
+#include <algorithm>
+
+namespace calicodrift::forward {
+namespace {
+
+using service_rollout::CandidateUse;
+using service_rollout::Track;
+using service_rollout::TrafficRule;
+
+bool isCanary(const RolloutHooks& hooks, fleet::ServerPool& pool, const ServerQuery& query,
+              const TrafficRule& rule, MonotonicTime now) {
+  return rule.use == CandidateUse::kCanary && query.mayBeCanary && hooks.takeCanary &&
+         !pool.candidates(query.service, query.model, now, Track::kCandidate).empty() &&
+         hooks.takeCanary(rule.order, query.route);
+}
+
+}  // namespace
+
+AllowedServers allowedServers(const RolloutHooks& hooks, fleet::ServerPool& pool,
+                              const ServerQuery& query, MonotonicTime now) {
+  AllowedServers allowed;
+  TrafficRule rule;
+  if (hooks.rule) {
+    rule = hooks.rule(query.service);
+    pool.setVersions(query.service, rule.stable, rule.candidate, now);
+    allowed.order = rule.order;
+  }
+  allowed.pooled = &pool.candidates(query.service, query.model, now);
+  if (isCanary(hooks, pool, query, rule, now)) {
+    routing::CandidateSet few =
+        pool.canary(query.service, query.model, hooks.canaryServerShare, now);
+    if (!few.empty()) {
+      allowed.track = Track::kCandidate;
+      allowed.canary = std::move(few);
+    }
+  }
+  if (rule.use == CandidateUse::kEverything) {
+    const routing::CandidateSet& candidate =
+        pool.candidates(query.service, query.model, now, Track::kCandidate);
+    const bool stableLeft = holdsUntried(*allowed.pooled, query.tried);
+    if (!candidate.empty() && (holdsUntried(candidate, query.tried) || !stableLeft)) {
+      allowed.track = Track::kCandidate;
+      allowed.pooled = &candidate;
+    }
+  }
+  return allowed;
+}
+
+bool holdsUntried(const routing::CandidateSet& set, const std::vector<BackendId>& tried) {
+  for (std::size_t position = 0; position < set.size(); ++position) {
+    if (std::find(tried.begin(), tried.end(), set[position].id) == tried.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace calicodrift::forward
--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -16,6 +16,7 @@
 }
 
 awaitable<Result<void>> AnswerRelay::begin(http::Response head) {
+  timing_ = {};
   if (begun_) {
     co_return boost::outcome_v2::success();
   }
@@ -25,6 +26,7 @@
 
 awaitable<Result<void>> AnswerRelay::take(std::string_view bytes) {
   cutter_.feed(bytes);
+  const std::size_t before = cutter_.events();
   const std::string events = cutter_.takeWholeEvents();
   if (!cutter_.inOrder()) {
     co_return fail(ErrorKind::kProtocolViolation, "the server's events are out of order");
@@ -39,6 +41,11 @@
     longestPause_ = std::max(longestPause_, now - lastEventTime_);
   }
   lastEventTime_ = now;
+  if (timing_.first) {
+    timing_.later += cutter_.events() - before;
+  }
+  timing_.first = timing_.first.value_or(now);
+  timing_.last = now;
   co_return co_await writer_.writeChunk(events);
 }
 
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -8,6 +8,14 @@
 
 namespace calicodrift::forward {
 
+/// When one server's events came.
+struct EventTiming {
+  std::optional<MonotonicTime> first;
+  MonotonicTime last{};
+  /// Those behind the ones that came first.
+  std::size_t later = 0;
+};
+
 /// The caller's side of one answer, over all servers that work on it. Bytes of a stream are passed
 /// on as whole events, in order and once each: what a broken server sent of an event is dropped,
 /// and the next server goes on behind the last whole one under the head of the first.
@@ -25,9 +33,12 @@
   /// still.
   MonotonicTime::duration longestPause() const { return longestPause_; }
 
+  /// Of the server whose stream is relayed now.
+  const EventTiming& timing() const { return timing_; }
+
   /// A whole answer. Fails with kCallerGone.
   boost::asio::awaitable<Result<void>> deliver(http::Response response);
-  /// The head of a server's stream; passed on once.
+  /// The head of a server's stream; passed on once. Its events' timing starts.
   boost::asio::awaitable<Result<void>> begin(http::Response head);
   /// Bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation where the
   /// events don't follow those before.
@@ -43,6 +54,7 @@
  private:
   http::ResponseWriter& writer_;
   EventCutter cutter_;
+  EventTiming timing_;
   std::optional<MonotonicTime> firstEventTime_;
   MonotonicTime lastEventTime_{};
   MonotonicTime::duration longestPause_{0};
--- a/src/forward/event_stream.cc
+++ b/src/forward/event_stream.cc
@@ -54,7 +54,11 @@
 void EventCutter::noteNumbers(std::string_view events) {
   while (!events.empty()) {
     const std::size_t end = std::min(events.find('\n'), events.size() - 1);
-    if (const std::optional<EventNumber> number = numberIn(events.substr(0, end))) {
+    const std::string_view line = events.substr(0, end);
+    if (line.empty() || line == "\r") {
+      ++events_;
+    }
+    if (const std::optional<EventNumber> number = numberIn(line)) {
       inOrder_ = inOrder_ && (!lastEvent_ || *number > *lastEvent_);
       lastEvent_ = number;
     }
--- a/src/forward/event_stream.h
+++ b/src/forward/event_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,8 @@
   const std::string& rest() const { return buffer_; }
   /// Number of the last event that was taken.
   std::optional<EventNumber> lastEvent() const { return lastEvent_; }
+  /// How many events were taken.
+  std::size_t events() const { return events_; }
   /// False once an event's number was not above the one before.
   bool inOrder() const { return inOrder_; }
   /// Only events above `number` are in order from now on.
@@ -29,6 +32,7 @@
 
   std::string buffer_;
   std::optional<EventNumber> lastEvent_;
+  std::size_t events_ = 0;
   bool inOrder_ = true;
 };
 
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -4,7 +4,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "common/hashing.h"
 #include "forward/answer_relay.h"
 #include "forward/forwarder.h"
 #include "forward/prompt_blocks.h"
@@ -35,6 +37,9 @@
   bool mayMoveOn() const {
     return grant.route->idempotent() && attempts.mayHaveRun + 1 < grant.route->maxAttempts;
   }
+  service_rollout::RouteKey routeKey() const {
+    return service_rollout::RouteKey(hashBytes(grant.route->name));
+  }
   bool streaming() const { return grant.route->kind == routes::RouteKind::kStreaming; }
   /// Ends the dispatch that is under way.
   void cancelAttempt() {
@@ -64,4 +69,24 @@
   unsigned status = 0;
 };
 
+/// A server that was chosen for one dispatch, and what was known of it then.
+struct Forwarder::Chosen {
+  fleet::Server server;
+  routing::Candidate candidate;
+  /// Another server that is believed to hold the prompt's common part.
+  std::optional<routing::Candidate> holder;
+  std::string_view reason;
+  /// How many it was chosen from.
+  std::size_t candidates = 0;
+  /// Prompt tokens of the request to prefill there.
+  std::size_t uncached = 0;
+  service_rollout::Track track = service_rollout::Track::kStable;
+  /// Under way for its service; 0: none.
+  service_rollout::OrderKey order;
+  bool tellsSpeed = false;
+
+  /// Prompt tokens that wait there with the request's own.
+  std::size_t waitingTokens() const { return routing::prefillTokensAt(candidate) + uncached; }
+};
+
 }  // namespace calicodrift::forward
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -187,18 +187,6 @@
   co_return sendable;
 }
 
-bool Forwarder::untriedServerLeft(const Job& job) {
-  const routing::CandidateSet& candidates =
-      context_.pool.candidates(job.service, job.request.model, monotonicNow());
-  const std::vector<BackendId>& tried = job.routeRequest.avoided;
-  for (std::size_t position = 0; position < candidates.size(); ++position) {
-    if (std::find(tried.begin(), tried.end(), candidates[position].id) == tried.end()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
   if (!settings_.retries) {
     return false;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -6,8 +6,11 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "fleet/server_pool.h"
+#include "forward/allowed_servers.h"
+#include "forward/answer_observer.h"
 #include "forward/cache_moves.h"
 #include "forward/forward_settings.h"
 #include "forward/metrics.h"
@@ -17,6 +20,7 @@
 #include "forward/request_gate.h"
 #include "forward/request_log.h"
 #include "forward/retry_rules.h"
+#include "forward/rollout_hooks.h"
 #include "forward/server_attempt.h"
 #include "forward/waiting_dispatches.h"
 #include "forward/weighted_choice.h"
@@ -53,6 +57,8 @@
   quota::QuotaNode& quota;
   /// Brings the pool in line with the time: older weights leave it when their term ends.
   std::function<void()> endWeightsTerms;
+  /// Orders that move a service to another version.
+  RolloutHooks rollouts{};
 };
 
 /// Serves requests: checks them, chooses a server, and tries again elsewhere where that is allowed.
@@ -74,6 +80,7 @@
 
  private:
   struct Job;
+  struct Chosen;
 
   boost::asio::awaitable<void> serve(std::shared_ptr<Job> job);
   /// Counts and logs how the request ended.
@@ -83,24 +90,32 @@
   /// Claims from the tenant's limit, and looks at the key and the time again.
   boost::asio::awaitable<Result<void>> claimDispatch(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  AllowedServers serversFor(const Job& job, bool mayBeCanary, MonotonicTime now);
+  /// Fails with kNoBackend or kOverloaded.
+  Result<Chosen> chooseServer(Job& job, MonotonicTime now);
+  Result<Chosen> chooseFrom(Job& job, const AllowedServers& allowed, MonotonicTime now);
+  /// Where the job's common part lies among the stable version's servers.
+  std::optional<routing::Candidate> stableHolder(Job& job, MonotonicTime now);
   /// Whether the chosen server can begin with the job in time. Fails with kOverloaded.
-  Result<void> admit(const Job& job, const routing::Candidate& candidate, MonotonicTime now);
+  Result<void> admit(const Job& job, const routing::Candidate& candidate,
+                     service_rollout::Track track, MonotonicTime now);
   /// What the chosen server gets.
   Dispatch makeDispatch(const Job& job, const fleet::Server& server,
                         const routing::Candidate& candidate) const;
   /// Sends the request and relays the answer; the job's attempt while that lasts.
-  /// @param waitingTokens to prefill at the server with the request's own.
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
-                                                  fleet::LoadGuard& load,
-                                                  std::size_t waitingTokens);
+                                                  const Chosen& chosen, fleet::LoadGuard& load);
+  /// Tells what the dispatch says of its server's version.
+  /// @param startMs from the send to the first bytes of the answer's body.
+  void observe(const Job& job, const Dispatch& dispatch, const Chosen& chosen, DispatchEnd end,
+               std::optional<double> startMs);
   /// For how long newer weights than these have been named; nothing where they are the newest.
   std::optional<Milliseconds> outdatedFor(const Job& job, WeightsVersion weights,
                                           MonotonicTime now) const;
   /// The server has begun with the job: its first piece came.
   void noteBegin(Job& job, const Dispatch& dispatch) const;
   /// Sets which cache the dispatch moves. `sharedKey` names the prompt's common part.
-  void moveCache(const Job& job, const routing::Candidate& chosen,
-                 const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
+  void moveCache(const Job& job, const Chosen& chosen, std::uint64_t sharedKey,
                  Dispatch& dispatch) const;
   void learnFrom(const Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
@@ -125,7 +140,9 @@
   std::unique_ptr<routing::Policy> modelPolicy_;
   std::unique_ptr<routing::Policy> servicePolicy_;
   std::map<std::string, limits::RetryBudget> budgets_;
-  std::map<std::string, QueueAdmission> admissions_;
+  /// By service and version: where one has long queues the other may have none.
+  std::map<std::pair<std::string, service_rollout::Track>, QueueAdmission> admissions_;
+  AnswerObserver observer_;
 };
 
 }  // namespace calicodrift::forward
--- /dev/null
+++ b/src/forward/forwarder_choice.cc
@@ -0,0 +1,98 @@
+// The choice of a server for one dispatch of a job.
+
+#include "forward/allowed_servers.h"
+#include "forward/forward_job.h"
+#include "routing/cost.h"
+
+namespace calicodrift::forward {
+
+using service_rollout::Track;
+
+AllowedServers Forwarder::serversFor(const Job& job, bool mayBeCanary, MonotonicTime now) {
+  const ServerQuery query{job.service, job.request.model, job.routeKey(), job.routeRequest.avoided,
+                          mayBeCanary};
+  return allowedServers(context_.rollouts, context_.pool, query, now);
+}
+
+bool Forwarder::untriedServerLeft(const Job& job) {
+  return holdsUntried(serversFor(job, false, monotonicNow()).set(), job.routeRequest.avoided);
+}
+
+Result<Forwarder::Chosen> Forwarder::chooseServer(Job& job, MonotonicTime now) {
+  const AllowedServers allowed = serversFor(job, job.attempts.sent == 0, now);
+  Result<Chosen> chosen = chooseFrom(job, allowed, now);
+  if (!chosen && allowed.canary) {
+    // The few servers of the canary have no room; the stable version may have.
+    chosen = chooseFrom(job, serversFor(job, false, now), now);
+  }
+  return chosen;
+}
+
+Result<Forwarder::Chosen> Forwarder::chooseFrom(Job& job, const AllowedServers& allowed,
+                                                MonotonicTime now) {
+  const routing::CandidateSet& candidates = allowed.set();
+  if (candidates.empty()) {
+    return fail(ErrorKind::kNoBackend, "no usable server of '" + job.service + "'");
+  }
+  const routing::Choice choice = policyFor(job).choose(job.routeRequest, candidates, now);
+  Chosen chosen;
+  chosen.candidate = candidates[choice.index];
+  if (const Result<void> admitted = admit(job, chosen.candidate, allowed.track, now); !admitted) {
+    return admitted.error();
+  }
+  const fleet::Server* listed = context_.pool.find(chosen.candidate.id);
+  if (listed == nullptr) {
+    return fail(ErrorKind::kNoBackend, "the chosen server has left");
+  }
+  chosen.server = *listed;
+  chosen.reason = choice.reason;
+  chosen.candidates = candidates.size();
+  chosen.uncached = routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
+  chosen.track = allowed.track;
+  chosen.order = allowed.order;
+  chosen.tellsSpeed = context_.rollouts.onAnswer && context_.pool.tellsSpeed(chosen.server.id, now);
+  if (choice.holder) {
+    chosen.holder = candidates[*choice.holder];
+  }
+  if (allowed.track == Track::kCandidate) {
+    if (auto holder = stableHolder(job, now)) {
+      chosen.holder = std::move(holder);
+    }
+  }
+  return chosen;
+}
+
+std::optional<routing::Candidate> Forwarder::stableHolder(Job& job, MonotonicTime now) {
+  if (job.request.model.value().empty()) {
+    return std::nullopt;
+  }
+  const routing::CandidateSet& stable =
+      context_.pool.candidates(job.service, job.request.model, now);
+  if (stable.empty()) {
+    return std::nullopt;
+  }
+  const routing::Choice choice = policyFor(job).choose(job.routeRequest, stable, now);
+  return stable[choice.holder.value_or(choice.index)];
+}
+
+Result<void> Forwarder::admit(const Job& job, const routing::Candidate& candidate, Track track,
+                              MonotonicTime now) {
+  // What was sent once goes on: it has waited already, and its retry is in the budget.
+  if (!settings_.admit || job.request.model.value().empty() || job.attempts.sent > 0) {
+    return boost::outcome_v2::success();
+  }
+  const Milliseconds wait(static_cast<std::int64_t>(routing::expectedWaitMs(candidate)));
+  const auto known = admissions_.try_emplace({job.service, track}, settings_.admission).first;
+  const std::optional<Milliseconds> comeBack =
+      known->second.refuse(wait, job.grant.route->targetLatency, job.grant.priority(), now);
+  if (!comeBack) {
+    return boost::outcome_v2::success();
+  }
+  Error error =
+      fail(ErrorKind::kOverloaded, "a request would wait for " + std::to_string(wait.count()) +
+                                       " ms at the best server of '" + job.service + "'");
+  error.retryAfter = comeBack;
+  return error;
+}
+
+}  // namespace calicodrift::forward
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -1,5 +1,4 @@
-// One dispatch of a job: the choice of a server, what it is sent, and what is learnt from its
-// answer.
+// One dispatch of a job: what the chosen server is sent, and what is learnt from its answer.
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -25,56 +24,74 @@
   return std::chrono::duration_cast<Milliseconds>(now - *since);
 }
 
+/// What the end of an attempt tells of its server's version. Attempts that the caller or this node
+/// ended are not asked about.
+DispatchEnd endOf(const ServerAttempt& attempt, const Result<void>& outcome, bool streaming) {
+  constexpr unsigned kFirstServerFailure = 500;
+  if (!attempt.answered()) {
+    return DispatchEnd::kNoAnswer;
+  }
+  if (attempt.status() >= kFirstServerFailure) {
+    return DispatchEnd::kFailed;
+  }
+  if (outcome) {
+    return DispatchEnd::kAnswered;
+  }
+  const bool broken = streaming && outcome.error().kind == ErrorKind::kStreamBroken;
+  return broken ? DispatchEnd::kBroken : DispatchEnd::kNoAnswer;
+}
+
+/// When the first event should come, by what routing goes by.
+/// @param sharedThere whether the prompt's common part is there or can be fetched, as routing
+/// presumes of each server that it chooses; it is read in full where it isn't.
+double expectedStartMs(const routing::RouteRequest& request, const routing::Candidate& candidate,
+                       std::size_t uncached, bool sharedThere) {
+  /// The ways there and back, a new connection, and the first step of the engine.
+  constexpr double kBaseMs = 10;
+  const std::size_t tokens = sharedThere ? uncached : request.promptTokens;
+  return routing::queueDelayMs(candidate) + routing::admissionDelayMs(request, candidate) +
+         static_cast<double>(tokens) / candidate.prefillTokensPerMs + kBaseMs;
+}
+
+/// Mean time between the events of a stream; nothing for one of hardly any.
+std::optional<double> paceMs(const EventTiming& timing) {
+  constexpr std::size_t kLeastEvents = 2;
+  if (!timing.first || timing.later < kLeastEvents) {
+    return std::nullopt;
+  }
+  return toMilliseconds(timing.last - *timing.first) / static_cast<double>(timing.later);
+}
+
 }  // namespace
 
 awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
   context_.endWeightsTerms();
   const MonotonicTime now = monotonicNow();
-  const routing::CandidateSet& candidates =
-      context_.pool.candidates(job.service, job.request.model, now);
-  if (candidates.empty()) {
-    co_return fail(ErrorKind::kNoBackend, "no usable server of '" + job.service + "'");
+  const Result<Chosen> choice = chooseServer(job, now);
+  if (!choice) {
+    co_return choice.error();
   }
+  const Chosen& chosen = choice.value();
   routing::Policy& policy = policyFor(job);
-  const routing::Choice choice = policy.choose(job.routeRequest, candidates, now);
-  // A copy, as the set changes while the answer is awaited.
-  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
-  const routing::Candidate candidate = candidates[choice.index];
-  if (const Result<void> admitted = admit(job, candidate, now); !admitted) {
-    co_return admitted.error();
-  }
-  const fleet::Server* listed = context_.pool.find(candidate.id);
-  if (listed == nullptr) {
-    co_return fail(ErrorKind::kNoBackend, "the chosen server has left");
-  }
-  const fleet::Server server = *listed;
-  std::optional<routing::Candidate> holder;
-  if (choice.holder) {
-    holder = candidates[*choice.holder];
-  }
-  const std::size_t candidateCount = candidates.size();
-  job.routeRequest.avoided.push_back(server.id);
-  job.lastServer = server.id;
+  job.routeRequest.avoided.push_back(chosen.server.id);
+  job.lastServer = chosen.server.id;
   ++job.attempts.sent;
   context_.metrics.countDispatch();
-  policy.onDispatched(job.routeRequest, candidate, now);
-  const std::size_t uncached =
-      routing::uncachedTokens(job.routeRequest, choice.expectedCachedBlocks);
-  const std::size_t waitingTokens = routing::prefillTokensAt(candidate) + uncached;
-  fleet::LoadGuard load(context_.pool, server.id,
-                        {job.request.promptTokens + job.request.outputTokens, uncached});
-  Dispatch dispatch = makeDispatch(job, server, candidate);
+  policy.onDispatched(job.routeRequest, chosen.candidate, now);
+  fleet::LoadGuard load(context_.pool, chosen.server.id,
+                        {job.request.promptTokens + job.request.outputTokens, chosen.uncached});
+  Dispatch dispatch = makeDispatch(job, chosen.server, chosen.candidate);
   const std::uint64_t sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
   if (!job.request.model.value().empty()) {
-    moveCache(job, candidate, holder, sharedKey, dispatch);
+    moveCache(job, chosen, sharedKey, dispatch);
   }
-  logDispatched({job.request, job.grant, dispatch, candidate, choice.reason, candidateCount,
-                 job.attempts.sent, waitingTokens, sharedKey,
-                 outdatedFor(job, candidate.weights, now),
+  logDispatched({job.request, job.grant, dispatch, chosen.candidate, chosen.reason,
+                 chosen.candidates, job.attempts.sent, chosen.waitingTokens(), sharedKey,
+                 outdatedFor(job, chosen.candidate.weights, now),
                  ageOf(context_.pool.peerLoadsAt(), now)});
-  Result<void> outcome = co_await runAttempt(job, dispatch, load, waitingTokens);
+  Result<void> outcome = co_await runAttempt(job, dispatch, chosen, load);
   if (outcome) {
-    policy.onCompleted(job.routeRequest, candidate, 0, monotonicNow());
+    policy.onCompleted(job.routeRequest, chosen.candidate, 0, monotonicNow());
     if (dispatch.saveCacheTo) {
       cacheMoves_.onSaved(sharedKey, *dispatch.saveCacheTo, monotonicNow());
     }
@@ -82,26 +99,6 @@
   co_return outcome;
 }
 
-Result<void> Forwarder::admit(const Job& job, const routing::Candidate& candidate,
-                              MonotonicTime now) {
-  // What was sent once goes on: it has waited already, and its retry is in the budget.
-  if (!settings_.admit || job.request.model.value().empty() || job.attempts.sent > 0) {
-    return boost::outcome_v2::success();
-  }
-  const Milliseconds wait(static_cast<std::int64_t>(routing::expectedWaitMs(candidate)));
-  const auto known = admissions_.try_emplace(job.service, settings_.admission).first;
-  const std::optional<Milliseconds> comeBack =
-      known->second.refuse(wait, job.grant.route->targetLatency, job.grant.priority(), now);
-  if (!comeBack) {
-    return boost::outcome_v2::success();
-  }
-  Error error =
-      fail(ErrorKind::kOverloaded, "a request would wait for " + std::to_string(wait.count()) +
-                                       " ms at the best server of '" + job.service + "'");
-  error.retryAfter = comeBack;
-  return error;
-}
-
 Dispatch Forwarder::makeDispatch(const Job& job, const fleet::Server& server,
                                  const routing::Candidate& candidate) const {
   Dispatch dispatch(server);
@@ -117,8 +114,13 @@
 }
 
 awaitable<Result<void>> Forwarder::runAttempt(Job& job, const Dispatch& dispatch,
-                                              fleet::LoadGuard& load, std::size_t waitingTokens) {
+                                              const Chosen& chosen, fleet::LoadGuard& load) {
   const MonotonicTime sent = monotonicNow();
+  const std::size_t waitingTokens = chosen.waitingTokens();
+  std::optional<double> startMs;
+  if (context_.rollouts.onSent && chosen.order != service_rollout::OrderKey()) {
+    context_.rollouts.onSent(job.service, chosen.order, chosen.track);
+  }
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
   job.attempt = attempt;
   std::optional<WaitingDispatches::Guard> waiting;
@@ -126,13 +128,13 @@
     waiting.emplace(waiting_, job.request.model, *dispatch.weights,
                     [attempt] { attempt->recall(); });
   }
-  attempt->onFirstBytes([this, &job, &load, &dispatch, &waiting, waitingTokens, sent] {
+  attempt->onFirstBytes([this, &job, &load, &dispatch, &waiting, &startMs, waitingTokens, sent] {
     waiting.reset();
+    startMs = toMilliseconds(monotonicNow() - sent);
     load.endPrefill();
     noteBegin(job, dispatch);
     if (settings_.learnRates && dispatch.weights) {
-      context_.pool.observeFirstToken(dispatch.server.id, waitingTokens,
-                                      toMilliseconds(monotonicNow() - sent));
+      context_.pool.observeFirstToken(dispatch.server.id, waitingTokens, *startMs);
     }
   });
   const AttemptBounds bounds = boundsOf(job);
@@ -156,6 +158,7 @@
   }
   // A connection that this node closed itself says nothing of the server.
   if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
+    observe(job, dispatch, chosen, endOf(*attempt, outcome, job.streaming()), startMs);
     learnFrom(job, dispatch.server, outcome, attempt->weights());
   }
   co_return outcome;
@@ -176,18 +179,51 @@
   }
 }
 
-void Forwarder::moveCache(const Job& job, const routing::Candidate& chosen,
-                          const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
+void Forwarder::observe(const Job& job, const Dispatch& dispatch, const Chosen& chosen,
+                        DispatchEnd end, std::optional<double> startMs) {
+  const RolloutHooks& hooks = context_.rollouts;
+  if (!hooks.onAnswer) {
+    return;
+  }
+  const MonotonicTime now = monotonicNow();
+  DispatchReport report;
+  report.service = job.service;
+  report.route = job.routeKey();
+  report.track = chosen.track;
+  report.order = chosen.order;
+  report.server = chosen.server.id;
+  report.end = end;
+  report.tellsSpeed = chosen.tellsSpeed && context_.pool.tellsSpeed(chosen.server.id, now);
+  report.startMs = startMs;
+  if (dispatch.weights) {
+    const bool sharedThere =
+        chosen.track == service_rollout::Track::kStable || dispatch.fetchCacheFrom.has_value();
+    report.expectedStartMs =
+        expectedStartMs(job.routeRequest, chosen.candidate, chosen.uncached, sharedThere);
+  }
+  if (job.streaming() && end == DispatchEnd::kAnswered) {
+    report.paceMs = paceMs(job.relay.timing());
+  }
+  if (const auto answer = observer_.observe(report, now)) {
+    hooks.onAnswer(chosen.order, *answer);
+  }
+  const auto isUp = [this](const BackendId& id) { return context_.pool.reachedByAll(id); };
+  for (const auto& [order, answer] : observer_.takeBroken(isUp, now)) {
+    hooks.onAnswer(order, answer);
+  }
+}
+
+void Forwarder::moveCache(const Job& job, const Chosen& chosen, std::uint64_t sharedKey,
                           Dispatch& dispatch) const {
-  const WeightsView view = context_.weights(job.request.model, chosen.weights);
+  const WeightsView view = context_.weights(job.request.model, chosen.candidate.weights);
   CacheMoveQuery query;
-  query.serverWeights = chosen.weights;
+  query.serverWeights = chosen.candidate.weights;
   query.outdatedSince = view.outdatedSince;
   query.weightsProvenAt = view.provenAt;
-  const fleet::Server* holding = holder ? context_.pool.find(holder->id) : nullptr;
+  const fleet::Server* holding = chosen.holder ? context_.pool.find(chosen.holder->id) : nullptr;
   if (holding != nullptr) {
     query.holder = holding->endpoint;
-    query.holderWeights = holder->weights;
+    query.holderWeights = chosen.holder->weights;
   }
   query.sharedKey = sharedKey;
   query.store = context_.cacheStore(query.sharedKey);
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -48,6 +48,7 @@
   http::ResponseStream& stream = *opened.value();
   status_ = stream.head().status;
   const AnswerKind kind = protocol_.classify(request, stream.head());
+  answered_ = kind == AnswerKind::kAnswered;
   weights_ = protocol_.weightsOf(stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
     // Reads the rest, so that the connection can serve again.
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -48,6 +48,8 @@
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
   std::optional<WeightsVersion> weights() const { return weights_; }
   unsigned status() const { return status_; }
+  /// Whether the head was the server's own answer, success or failure.
+  bool answered() const { return answered_; }
   /// The server's failure that was kept.
   std::optional<http::Response>& keptFailure() { return keptFailure_; }
 
@@ -66,6 +68,7 @@
   std::optional<WeightsVersion> weights_;
   std::optional<http::Response> keptFailure_;
   unsigned status_ = 0;
+  bool answered_ = false;
   bool recalled_ = false;
 };
 
--- /dev/null
+++ b/tests/forward/forwarding_fixture.h
@@ -0,0 +1,283 @@
+#pragma once
+
+#include <prometheus/registry.h>
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "forward/forwarder.h"
+#include "log/log.h"
+
+namespace calicodrift::forward {
+
+inline const SoftwareVersion kOld("1");
+inline const SoftwareVersion kNew("2");
+inline const service_rollout::OrderKey kOrder(9);
+inline const ModelId kModel("m");
+
+/// Requests of host "h"; those to /model/ carry a prompt with a long common part.
+class PlainCallers : public CallerProtocol {
+ public:
+  Result<Request> read(http::Request&& message) const override {
+    Request request;
+    request.id = RequestId("r");
+    request.host = "h";
+    request.received = monotonicNow();
+    if (message.target.starts_with("/model/")) {
+      request.model = kModel;
+      request.prompt = {{"common", 4096}, {"own", 100}};
+      request.promptTokens = 4196;
+      request.outputTokens = 10;
+    }
+    request.message = std::move(message);
+    return request;
+  }
+  http::Response refuse(const Error& error) const override { return http::errorResponse(error); }
+};
+
+/// Servers that seal what they answer with a header. A 503 says that the request was not run.
+class PlainServers : public ServerProtocol {
+ public:
+  static constexpr std::string_view kSeal = "X-Seal";
+  static constexpr std::string_view kFetchFrom = "X-Fetch-From";
+
+  http::Request encode(const Request& request, const Dispatch& dispatch) const override {
+    http::Request message = request.message;
+    if (dispatch.fetchCacheFrom) {
+      message.headers.set(kFetchFrom, dispatch.fetchCacheFrom->toString());
+    }
+    return message;
+  }
+  AnswerKind classify(const Request& /*request*/, const http::Response& head) const override {
+    constexpr unsigned kRefused = 503;
+    if (head.status == kRefused) {
+      return AnswerKind::kNotRun;
+    }
+    return head.headers.find(kSeal) ? AnswerKind::kAnswered : AnswerKind::kUnproven;
+  }
+  std::optional<WeightsVersion> weightsOf(const http::Response& /*head*/) const override {
+    return std::nullopt;
+  }
+  http::Request healthQuery(const routes::Service& /*service*/) const override { return {}; }
+  bool isHealthy(const fleet::Server& /*server*/, const http::Response& /*answer*/) const override {
+    return true;
+  }
+  http::Request reportQuery(const fleet::Server& /*server*/) const override { return {}; }
+  Result<ServerReport> readReport(const http::Response& /*answer*/) const override {
+    return ServerReport{};
+  }
+  http::Request cacheStoreQuery(const CacheStoreState& /*since*/,
+                                Milliseconds /*wait*/) const override {
+    return {};
+  }
+  std::optional<CacheStoreState> readCacheStore(const http::Response& /*answer*/) const override {
+    return std::nullopt;
+  }
+  http::Request encodeOrder(const WeightsOrder& /*order*/) const override { return {}; }
+  OrderOutcome readOrderAnswer(const http::Response& /*answer*/) const override {
+    return OrderOutcome::kRefused;
+  }
+};
+
+/// A caller that keeps the status of its answer.
+class KeepingWriter : public http::ResponseWriter {
+ public:
+  using Done = boost::asio::awaitable<Result<void>>;
+  Done send(http::Response response) override {
+    status = response.status;
+    co_return boost::outcome_v2::success();
+  }
+  Done startStream(http::Response response) override {
+    status = response.status;
+    co_return boost::outcome_v2::success();
+  }
+  Done writeChunk(std::string_view /*bytes*/) override { co_return boost::outcome_v2::success(); }
+  Done endStream() override { co_return boost::outcome_v2::success(); }
+  void abort() override { aborted = true; }
+  void onCallerGone(std::function<void()> /*callback*/) override {}
+  bool callerGone() const override { return false; }
+  bool streamStarted() const override { return false; }
+
+  unsigned status = 0;
+  bool aborted = false;
+};
+
+/// A server of one version on loopback; what it does is set by the test.
+struct VersionServer {
+  using Behaviour = std::function<boost::asio::awaitable<void>(http::ResponseWriter&)>;
+
+  VersionServer(boost::asio::io_context& context, std::string name, SoftwareVersion version)
+      : name(std::move(name)),
+        version(std::move(version)),
+        http(std::make_unique<http::Server>(
+            context.get_executor(), http::ServerLimits{},
+            [this](http::Request& request,
+                   http::ResponseWriter& writer) -> boost::asio::awaitable<void> {
+              requests.push_back(std::move(request));
+              co_await behaviour(writer);
+            })),
+        endpoint(http->listen({"127.0.0.1", 0}).value()) {}
+
+  static http::Response sealed(unsigned status) {
+    http::Response response;
+    response.status = status;
+    response.body = "done";
+    response.headers.set(PlainServers::kSeal, "1");
+    return response;
+  }
+  void answers(unsigned status) {
+    behaviour = [status](http::ResponseWriter& writer) -> boost::asio::awaitable<void> {
+      co_await http::respond(writer, sealed(status));
+    };
+  }
+  /// Nothing listens there any more.
+  void crash() { http.reset(); }
+
+  std::string name;
+  SoftwareVersion version;
+  std::vector<http::Request> requests;
+  Behaviour behaviour;
+  std::unique_ptr<http::Server> http;
+  Endpoint endpoint;
+};
+
+/// A forwarder before servers of two versions. The test sets the rule and what the budget grants,
+/// and sees what the forwarder told.
+class ForwardingFixture {
+ public:
+  using Rule = service_rollout::TrafficRule;
+  using Track = service_rollout::Track;
+
+  ForwardingFixture()
+      : pool(40, [](const fleet::Server&, fleet::ServerLoss) {}),
+        client_(context.get_executor()),
+        metrics_(registry_),
+        quotaMetrics_(registry_),
+        quota_({context.get_executor(), client_, [] { return quota::NodePlace{}; },
+                [] { return std::optional<Endpoint>(); }, [] { return std::vector<Endpoint>(); }},
+               quota::QuotaBounds{}, quotaMetrics_, 1) {
+    log::silence();
+    settings.modelPolicy = "PrefixHome";
+    settings.servicePolicy = "LeastOutstanding";
+    rule = {kOld, kNew, service_rollout::CandidateUse::kCanary, kOrder};
+  }
+
+  VersionServer& addServer(const std::string& name, const SoftwareVersion& version) {
+    servers.push_back(std::make_unique<VersionServer>(context, name, version));
+    VersionServer& added = *servers.back();
+    added.answers(200);
+    fleet::Server server;
+    server.id = BackendId(name);
+    server.endpoint = added.endpoint;
+    server.version = version;
+    server.service = "app";
+    pool.apply(server, monotonicNow());
+    server.id = BackendId(name + "-model");
+    server.service = "llm";
+    server.models = {{kModel, WeightsVersion(1)}};
+    pool.apply(server, monotonicNow());
+    return added;
+  }
+
+  /// Sends a request to the end. @return the status that the caller got.
+  unsigned call(const std::string& target = "/safe/x") {
+    if (!forwarder) {
+      forwarder = std::make_unique<Forwarder>(contextOf(), settings, GateSettings{}, 1);
+    }
+    KeepingWriter writer;
+    http::Request message;
+    message.target = target;
+    bool done = false;
+    boost::asio::co_spawn(context, forwarder->handle(message, writer),
+                          [&done](const std::exception_ptr&) { done = true; });
+    context.restart();
+    while (!done && context.run_one_for(std::chrono::seconds(10)) > 0) {
+    }
+    BOOST_TEST(done);
+    return writer.status;
+  }
+  std::size_t sentTo(Track track) const {
+    const auto found = sent.find(track);
+    return found == sent.end() ? 0 : found->second;
+  }
+  std::size_t failuresTold() const {
+    return static_cast<std::size_t>(std::count_if(
+        answers.begin(), answers.end(), [](const auto& answer) { return answer.failed; }));
+  }
+
+  boost::asio::io_context context;
+  fleet::ServerPool pool;
+  ForwardSettings settings;
+  std::vector<std::unique_ptr<VersionServer>> servers;
+  std::unique_ptr<Forwarder> forwarder;
+  Rule rule;
+  std::function<bool()> budget = [] { return true; };
+  /// How often the budget was asked, and what was told.
+  std::size_t asked = 0;
+  std::map<Track, std::size_t> sent;
+  std::vector<service_rollout::AnswerObservation> answers;
+
+ private:
+  static routes::Route route(const std::string& name, routes::RouteKind kind,
+                             const std::string& service) {
+    routes::Route made;
+    made.name = name;
+    made.host = "h";
+    made.pathPrefix = "/" + name + "/";
+    made.kind = kind;
+    made.timeout = Milliseconds(4000);
+    made.targetLatency = Milliseconds(400);
+    made.maxAttempts = 2;
+    made.isPublic = true;
+    made.services = {{service, 1}};
+    return made;
+  }
+
+  ForwardContext contextOf() {
+    routes::RouteTableContent content;
+    content.version = ConfigVersion(1);
+    content.routes = {route("safe", routes::RouteKind::kSafe, "app"),
+                      route("stream", routes::RouteKind::kStreaming, "app"),
+                      route("model", routes::RouteKind::kSafe, "llm")};
+    const auto table = std::make_shared<const routes::RouteTable>(std::move(content));
+    RolloutHooks hooks;
+    hooks.rule = [this](const std::string&) { return rule; };
+    hooks.takeCanary = [this](auto, auto) {
+      ++asked;
+      return budget();
+    };
+    hooks.onSent = [this](const std::string&, auto, Track track) { ++sent[track]; };
+    hooks.onAnswer = [this](auto, const auto& answer) { answers.push_back(answer); };
+    return {context.get_executor(),
+            client_,
+            pool,
+            callers_,
+            serverProtocol_,
+            metrics_,
+            [table] {
+              return ConfigurationView{table, monotonicNow()};
+            },
+            [](const ModelId&, WeightsVersion) {
+              return WeightsView{std::nullopt, monotonicNow()};
+            },
+            [](std::uint64_t) { return std::optional<Endpoint>(); },
+            quota_,
+            [] {},
+            hooks};
+  }
+
+  http::Client client_;
+  prometheus::Registry registry_;
+  ForwardMetrics metrics_;
+  quota::QuotaMetrics quotaMetrics_;
+  quota::QuotaNode quota_;
+  PlainCallers callers_;
+  PlainServers serverProtocol_;
+};
+
+}  // namespace calicodrift::forward
