--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -395,6 +395,7 @@
 awaitable<void> GatewayNode::answerMetrics(http::Request& /*request*/,
                                            http::ResponseWriter& writer) {
   metrics_.setServers(static_cast<double>(pool_.size()));
+  serviceRollouts_.showMetrics();
   co_await http::respond(writer,
                          http::textResponse(http::kStatusOk, metrics::renderText(registry_)));
 }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -10,7 +10,6 @@
 #include "gateway/cache_stores.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/loss_log.h"
-#include "gateway/rollout_metrics.h"
 #include "gateway/server_prober.h"
 #include "gateway/service_rollouts.h"
 #include "gateway/store_schema.h"
@@ -88,7 +87,7 @@
   weights::WeightsTargets targets_;
   StoreViews views_;
   lease::SharedStoreLease leaseStore_;
-  RolloutMetrics rolloutMetrics_;
+  service_rollout::RolloutMetrics rolloutMetrics_;
   ServiceRollouts serviceRollouts_;
   forward::RequestGate gate_;
   forward::Forwarder forwarder_;
--- a/src/gateway/service_rollouts.cc
+++ b/src/gateway/service_rollouts.cc
@@ -231,7 +231,6 @@
     return;
   }
   logged = rule;
-  metrics_.setUse(service, rule.use);
   const auto age = std::chrono::duration_cast<Milliseconds>(monotonicNow() - provenAt());
   log::write(log::Level::kInfo, "rollout_rule",
              {{"service", service},
@@ -300,7 +299,6 @@
     progress.reached.pop_front();
   }
   const Verdict verdict = progress.judge.update(progress.sum, now);
-  metrics_.setSeen(service, progress.sum, progress.judge.evidence(), verdict);
   if (verdict != progress.verdict) {
     progress.verdict = verdict;
     log::write(log::Level::kInfo, "rollout_verdict",
@@ -356,6 +354,7 @@
   if (!enabled_) {
     return hooks;
   }
+  hooks.canaryServerShare = plan_.exposureShare * kEarlyCanaryPart;
   hooks.rule = [this](const std::string& service) { return ruleFor(service); };
   hooks.takeCanary = [this](OrderKey order, service_rollout::RouteKey route) {
     return budget_.take(order, route);
@@ -439,6 +438,41 @@
   return found == listed.end() ? std::map<SoftwareVersion, std::size_t>{} : found->second;
 }
 
+void ServiceRollouts::showMetrics() {
+  std::vector<service_rollout::RolloutStatus> all;
+  for (const std::string& service : rules_.services()) {
+    if (rules_.orderOf(service) != nullptr || rules_.recordOf(service) != nullptr) {
+      all.push_back(statusOf(service));
+    }
+  }
+  metrics_.show(all);
+}
+
+service_rollout::RolloutStatus ServiceRollouts::statusOf(const std::string& service) const {
+  service_rollout::RolloutStatus status;
+  const TrafficRule rule = ruleFor(service);
+  status.service = service;
+  status.stable = rule.stable;
+  status.candidate = rule.candidate;
+  status.use = rule.use;
+  if (const Order* order = rules_.orderOf(service)) {
+    status.target = order->target;
+    status.state = order->state;
+  }
+  if (const ServiceRecord* record = rules_.recordOf(service)) {
+    status.phase = record->phase;
+  }
+  if (const auto found = progress_.find(rule.order); found != progress_.end()) {
+    const Progress& progress = found->second;
+    status.verdict = toString(progress.verdict);
+    status.reached = progress.sum.reached;
+    status.exposed = progress.sum.exposed;
+    status.age = progress.sum.age;
+    status.evidence = progress.judge.evidence();
+  }
+  return status;
+}
+
 double ServiceRollouts::rateOf(const Progress& progress) {
   if (progress.reached.size() < 2) {
     return 0;
@@ -452,7 +486,7 @@
 awaitable<Result<store::Revision>> ServiceRollouts::writeRecord(ServiceRecord record) {
   Result<store::Revision> written = co_await context_.store.put(
       std::string(service_rollout::kRecordKind), service_rollout::toObject(record));
-  metrics_.countWrite("record", written ? "written" : "failed");
+  metrics_.countWrite("record", written.has_value());
   co_return written;
 }
 
@@ -463,7 +497,7 @@
   object.status = context_.schema.rolloutStatus(state, order.target);
   Result<store::Revision> written =
       co_await context_.store.putStatus(context_.schema.rolloutKind(), std::move(object));
-  metrics_.countWrite("state", written ? "written" : "failed");
+  metrics_.countWrite("state", written.has_value());
   co_return written;
 }
 
--- a/src/gateway/service_rollouts.h
+++ b/src/gateway/service_rollouts.h
@@ -12,12 +12,12 @@
 #include "fleet/server_pool.h"
 #include "forward/rollout_hooks.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/rollout_metrics.h"
 #include "gateway/store_schema.h"
 #include "lease/lease_keeper.h"
 #include "relay/relayed_store.h"
 #include "service_rollout/canary_budget.h"
 #include "service_rollout/judge.h"
+#include "service_rollout/metrics.h"
 #include "service_rollout/observer.h"
 #include "service_rollout/rollout_controller.h"
 #include "service_rollout/traffic_rules.h"
@@ -48,13 +48,16 @@
 class ServiceRollouts {
  public:
   ServiceRollouts(ServiceRolloutsContext context, const GatewaySettings& settings,
-                  lease::LeaseSettings lease, RolloutMetrics& metrics, std::uint64_t seed);
+                  lease::LeaseSettings lease, service_rollout::RolloutMetrics& metrics,
+                  std::uint64_t seed);
 
   void start();
   /// The store is read by another way: pauses after failed calls end.
   void retryNow();
   /// The list of servers has changed: versions that are new in it get nothing before an order.
   void onServersChanged() { refreshRules(); }
+  /// Brings the gauges in line with what this node knows.
+  void showMetrics();
   /// For a planned stop.
   boost::asio::awaitable<void> release() { return lease_.release(); }
 
@@ -121,6 +124,7 @@
   void addTraffic(const service_rollout::ServiceRecord& record,
                   service_rollout::PlanInput& input) const;
   std::map<SoftwareVersion, std::size_t> listedVersionsOf(const std::string& service) const;
+  service_rollout::RolloutStatus statusOf(const std::string& service) const;
   static double rateOf(const Progress& progress);
   boost::asio::awaitable<Result<store::Revision>> writeRecord(
       service_rollout::ServiceRecord record);
@@ -131,7 +135,7 @@
   bool enabled_;
   service_rollout::PlanSettings plan_;
   std::string nodeId_;
-  RolloutMetrics& metrics_;
+  service_rollout::RolloutMetrics& metrics_;
   service_rollout::TrafficRules rules_;
   service_rollout::CanaryBudget budget_;
   service_rollout::Observer observer_;
--- a/src/service_rollout/metrics.h
+++ b/src/service_rollout/metrics.h
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/ids.h"
 #include "metrics/metrics.h"
+#include "service_rollout/observations.h"
 #include "service_rollout/order.h"
 #include "service_rollout/service_record.h"
 #include "service_rollout/traffic_rules.h"
@@ -18,6 +19,7 @@
 inline constexpr std::string_view kRolloutInfoMetric = "calicodrift_service_rollout_info";
 inline constexpr std::string_view kRolloutReachedMetric = "calicodrift_service_rollout_reached";
 inline constexpr std::string_view kRolloutExposedMetric = "calicodrift_service_rollout_exposed";
+inline constexpr std::string_view kRolloutEvidenceMetric = "calicodrift_service_rollout_evidence";
 inline constexpr std::string_view kRolloutAgeMetric = "calicodrift_service_rollout_age_seconds";
 
 /// What one node knows of a service's roll-out, for operators.
@@ -33,19 +35,27 @@
   SoftwareVersion target;
   OrderState state = OrderState::kNew;
   std::string verdict;
+  /// Logarithm of the likelihood ratio against the candidate, as the judge at this node has it.
+  double evidence = 0;
   /// Over all nodes since the order: requests to either version, and those to the candidate.
   std::uint64_t reached = 0;
   std::uint64_t exposed = 0;
   Milliseconds age{0};
 };
 
-/// All gauges of the module. By service: as many as have an order or a record.
+/// All counters and gauges of the module. By service: as many as have an order or a record.
 class RolloutMetrics {
  public:
   explicit RolloutMetrics(prometheus::Registry& registry);
 
   /// Replaces what is shown of all services.
   void show(const std::vector<RolloutStatus>& services);
+  /// A request was sent by this node while an order was under way.
+  void countSent(const std::string& service, Track track);
+  /// This node found, or heard, a candidate to be bad.
+  void countRejection(const std::string& service);
+  /// A record or a state was written by this node, or could not be.
+  void countWrite(const std::string& object, bool written);
 
  private:
   /// A family, and its series that are shown now.
@@ -61,6 +71,10 @@
   Gauges reached_;
   Gauges exposed_;
   Gauges age_;
+  Gauges evidence_;
+  prometheus::Family<prometheus::Counter>& sent_;
+  prometheus::Family<prometheus::Counter>& rejections_;
+  prometheus::Family<prometheus::Counter>& writes_;
 };
 
 }  // namespace calicodrift::service_rollout
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -40,7 +40,7 @@
   http::Response refuse(const Error& error) const override { return http::errorResponse(error); }
 };
 
-/// Servers that seal what they answer with a header, and refuse with 429.
+/// Servers that seal what they answer with a header. A 503 says that the request was not run.
 class PlainServers : public ServerProtocol {
  public:
   static constexpr std::string_view kSeal = "X-Seal";
@@ -54,7 +54,7 @@
     return message;
   }
   AnswerKind classify(const Request& /*request*/, const http::Response& head) const override {
-    constexpr unsigned kRefused = 429;
+    constexpr unsigned kRefused = 503;
     if (head.status == kRefused) {
       return AnswerKind::kNotRun;
     }
--- a/tests/forward/version_forwarding_test.cc
+++ b/tests/forward/version_forwarding_test.cc
@@ -8,7 +8,6 @@
 
 namespace asio = boost::asio;
 using service_rollout::CandidateUse;
-using service_rollout::Track;
 
 BOOST_FIXTURE_TEST_SUITE(version_forwarding, ForwardingFixture)
 
@@ -46,7 +45,7 @@
 
 BOOST_AUTO_TEST_CASE(aRefusalIsNoAnswerOfTheCandidate) {
   addServer("old", kOld);
-  addServer("new", kNew).answers(429);
+  addServer("new", kNew).answers(503);
   BOOST_TEST(call() == 200U);
   BOOST_REQUIRE(answers.size() == 1U);
   BOOST_TEST((answers[0].track == Track::kStable));
@@ -142,8 +141,8 @@
   addServer("old", kOld);
   VersionServer& fresh = addServer("new", kNew);
   fresh.behaviour = [](http::ResponseWriter& writer) -> asio::awaitable<void> {
-    co_await writer.startStream(VersionServer::sealed(200));
-    co_await writer.writeChunk("id: 1\ndata: a\n\n");
+    static_cast<void>(co_await writer.startStream(VersionServer::sealed(200)));
+    static_cast<void>(co_await writer.writeChunk("id: 1\ndata: a\n\n"));
     writer.abort();
   };
   call("/stream/x");
@@ -162,18 +161,19 @@
   VersionServer& fresh = addServer("new", kNew);
   const auto streamer = [this](Milliseconds step) {
     return [this, step](http::ResponseWriter& writer) -> asio::awaitable<void> {
-      co_await writer.startStream(VersionServer::sealed(200));
+      static_cast<void>(co_await writer.startStream(VersionServer::sealed(200)));
       asio::steady_timer timer(context);
       for (int event = 1; event <= 4; ++event) {
         timer.expires_after(step);
         co_await timer.async_wait(asio::use_awaitable);
-        co_await writer.writeChunk("id: " + std::to_string(event) + "\ndata: a\n\n");
+        static_cast<void>(
+            co_await writer.writeChunk("id: " + std::to_string(event) + "\ndata: a\n\n"));
       }
-      co_await writer.endStream();
+      static_cast<void>(co_await writer.endStream());
     };
   };
-  old.behaviour = streamer(Milliseconds(10));
-  fresh.behaviour = streamer(Milliseconds(60));
+  old.behaviour = streamer(Milliseconds(5));
+  fresh.behaviour = streamer(Milliseconds(100));
   budget = [] { return false; };
   for (std::size_t answer = 0; answer < AnswerObserver::kLeastAnswers; ++answer) {
     BOOST_TEST(call("/stream/x") == 200U);
@@ -215,8 +215,24 @@
   BOOST_TEST(asked == 1U);
   BOOST_TEST(old.requests.size() == 1U);
   BOOST_TEST(fresh.requests.empty());
-  // The candidate's queues say nothing of the stable version's room.
+}
+
+BOOST_AUTO_TEST_CASE(theCanarysQueueDoesNotShortenTheStableVersionsBurst) {
+  settings.learnRates = false;
+  settings.admission.burst = Milliseconds(1);
+  VersionServer& old = addServer("old", kOld);
+  addServer("new", kNew);
+  pool.addLoad(BackendId("new-model"), {1'000'000, 1'000'000}, monotonicNow());
+  // 40 tokens are prefilled in a millisecond: 250 ms, below the steady limit of 320.
+  pool.addLoad(BackendId("old-model"), {10'000, 10'000}, monotonicNow());
   BOOST_TEST(call("/model/x") == 200U);
+  budget = [] { return false; };
+  asio::steady_timer timer(context, Milliseconds(5));
+  timer.wait();
+  // 600 ms: a burst that has just begun.
+  pool.addLoad(BackendId("old-model"), {14'000, 14'000}, monotonicNow());
+  BOOST_TEST(call("/model/x") == 200U);
+  BOOST_TEST(old.requests.size() == 2U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/service_rollout/canary_budget_test.cc
+++ b/tests/service_rollout/canary_budget_test.cc
@@ -68,11 +68,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(aRestartStartsAnewAndKeepsTheShareInTheMean) {
+  constexpr std::size_t kNodes = 73;
   for (std::uint64_t seed = 0; seed < 400; ++seed) {
-    const Course course = play(73, seed, true);
+    const Course course = play(kNodes, seed, true);
     const double share = kShare * static_cast<double>(course.requests);
     BOOST_TEST(course.withinEachAccount);
-    BOOST_TEST(static_cast<double>(course.exposed) <= share + roundingOf(2 * 73));
+    BOOST_TEST(static_cast<double>(course.exposed) <= share + roundingOf(2 * kNodes));
   }
 }
 
