A refusal as another server, while newer weights are loaded, means the newest weights

Change: where newer weights than expected are named, the server is taken to have the newest; the request goes to it once more under these. A wrong guess is refused again, and then marks it unreachable as before.

Tests: through a gateway, with servers that load unseen, and without any naming.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -34,6 +34,8 @@
   std::optional<MonotonicTime> outdatedSince;
   /// No newer one was named before this time for certain.
   MonotonicTime provenAt{};
+  /// Nothing where none was named.
+  std::optional<WeightsVersion> newest = std::nullopt;
 };
 
 /// What the data path needs of the node. All of it outlives the forwarder, on one thread.
@@ -102,6 +104,11 @@
   void moveCache(const Job& job, const routing::Candidate& chosen,
                  const std::optional<routing::Candidate>& holder, std::uint64_t sharedKey,
                  Dispatch& dispatch) const;
+  /// The weights of the server that refused the dispatch as another one than expected: those that
+  /// it told, else the newest, where the dispatch expected older ones. While newer weights are
+  /// loaded that is the likely reason, and a wrong guess is refused once more.
+  std::optional<WeightsVersion> weightsBehind(const Job& job, const Dispatch& dispatch,
+                                              std::optional<WeightsVersion> told) const;
   /// Tells the pool what the outcome says of the server.
   void learnFrom(Job& job, const fleet::Server& server, const Result<void>& outcome,
                  std::optional<WeightsVersion> weights);
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -156,15 +156,21 @@
   if (!outcome && !provesNotRun(outcome.error().kind)) {
     ++job.attempts.mayHaveRun;
   }
-  if (!outcome && outcome.error().kind == ErrorKind::kOtherWeights) {
-    ++job.attempts.otherWeights;
+  std::optional<WeightsVersion> weights = attempt->weights();
+  if (!outcome && outcome.error().kind == ErrorKind::kFenced) {
+    weights = weightsBehind(job, dispatch, weights);
+    if (weights) {
+      outcome = fail(ErrorKind::kOtherWeights, outcome.error().detail + ": it has weights " +
+                                                   std::to_string(weights->value()));
+      ++job.attempts.otherWeights;
+    }
   }
   if (const auto connected = attempt->connectTime()) {
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
   }
   // A connection that this node closed itself says nothing of the server.
   if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
-    learnFrom(job, dispatch.server, outcome, attempt->weights());
+    learnFrom(job, dispatch.server, outcome, weights);
   }
   co_return outcome;
 }
@@ -205,6 +211,18 @@
   dispatch.saveCacheTo = move.saveTo;
 }
 
+std::optional<WeightsVersion> Forwarder::weightsBehind(const Job& job, const Dispatch& dispatch,
+                                                       std::optional<WeightsVersion> told) const {
+  if (!dispatch.weights || told == dispatch.weights) {
+    return std::nullopt;
+  }
+  if (told) {
+    return told;
+  }
+  const WeightsView view = context_.weights(job.request.model, *dispatch.weights);
+  return view.outdatedSince ? view.newest : std::nullopt;
+}
+
 bool Forwarder::isKnownWith(const BackendId& id, const ModelId& model,
                             WeightsVersion weights) const {
   const fleet::Server* server = context_.pool.find(id);
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -44,7 +44,7 @@
   kAnswered,
   /// Proof that the server did not run the request.
   kNotRun,
-  /// Not run, as another server has the address now.
+  /// Not run, as another server has the address now, or it has other weights than expected.
   kAnotherServer,
   /// No answer to this request, or without proof that it is whole: it may have run.
   kUnproven,
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -22,19 +22,11 @@
   return response;
 }
 
-/// What an answer without a run says: the server is another one, has other weights than expected,
-/// or would not take the request.
-Error notRunError(AnswerKind kind, const Dispatch& dispatch,
-                  const std::optional<WeightsVersion>& weights, unsigned status) {
-  const std::string detail = "server '" + dispatch.server.id.value() + "' answered " +
-                             std::to_string(status) + " without running";
-  if (kind != AnswerKind::kAnotherServer) {
-    return fail(ErrorKind::kBackendRefused, detail);
-  }
-  const bool otherWeights = weights && dispatch.weights && *weights != *dispatch.weights;
-  return otherWeights ? fail(ErrorKind::kOtherWeights,
-                             detail + ": it has weights " + std::to_string(weights->value()))
-                      : fail(ErrorKind::kFenced, detail);
+Error notRunError(AnswerKind kind, const fleet::Server& server, unsigned status) {
+  const std::string detail =
+      "server '" + server.id.value() + "' answered " + std::to_string(status) + " without running";
+  return fail(kind == AnswerKind::kAnotherServer ? ErrorKind::kFenced : ErrorKind::kBackendRefused,
+              detail);
 }
 
 }  // namespace
@@ -65,7 +57,7 @@
       const Result<std::string> end = co_await stream.read();
       static_cast<void>(end);
     }
-    co_return notRunError(kind, dispatch, weights_, status_);
+    co_return notRunError(kind, dispatch.server, status_);
   }
   if (kind == AnswerKind::kUnproven) {
     co_return fail(ErrorKind::kProtocolViolation, "server '" + dispatch.server.id.value() +
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -30,8 +30,8 @@
   ServerAttempt(http::Client& client, const ServerProtocol& protocol, AnswerRelay& relay)
       : client_(client), protocol_(protocol), relay_(relay) {}
 
-  /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused, kFenced
-  /// and kOtherWeights mean that this server has not run the request; kCallerGone that the caller
+  /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
+  /// mean that this server has not run the request; kCallerGone that the caller
   /// left; others that it may have run. After a failure that is kept, kOutcomeUnknown.
   boost::asio::awaitable<Result<void>> run(const Request& request, const Dispatch& dispatch,
                                            const AttemptBounds& bounds, bool streaming,
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -43,7 +43,8 @@
   /// Null until the first configuration was read.
   std::shared_ptr<const routes::RouteTable> table() const { return table_; }
   forward::WeightsView weights(const ModelId& model, WeightsVersion version) const {
-    return {targets_.outdatedSince(model, version), weightsWatcher_.provenAt()};
+    return {targets_.outdatedSince(model, version), weightsWatcher_.provenAt(),
+            targets_.newest(model)};
   }
   /// Ages of namings were corrected.
   void onNamingsLearnt() { refreshLeastWeights(); }
--- a/tests/platform/other_weights_test.cc
+++ b/tests/platform/other_weights_test.cc
@@ -4,6 +4,7 @@
 namespace calicodrift::testing {
 namespace {
 
+namespace json = boost::json;
 using boost::asio::awaitable;
 
 /// Refuses requests that expect other weights than `weights`, and says which it has.
@@ -61,6 +62,31 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(anAnswerThatTellsNothingMeansTheNewestWeightsWhileTheyAreLoaded) {
+  for (const auto& server : servers) {
+    server->ignoresOrders = true;
+    server->setBehaviour(onlyWith("2", false));
+  }
+  store.put("versions", "m", json::object{{"model", "m"}, {"version", 2}});
+  run([&]() -> awaitable<void> {
+    const Result<http::Response> answer = co_await call(modelRequest("/stream/a"));
+    BOOST_TEST(answer.value().status == 200U);
+    BOOST_TEST(arrivals() == 2U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerThatTellsNothingMeansAnotherServerWhereNoWeightsAreLoaded) {
+  for (const auto& server : servers) {
+    server->setBehaviour(onlyWith(server->id() == "i-3" ? "1" : "2", false));
+  }
+  run([&]() -> awaitable<void> {
+    const Result<http::Response> answer = co_await call(modelRequest("/stream/a"));
+    BOOST_TEST(answer.value().status == 200U);
+    // Each of the two others was asked once.
+    BOOST_TEST(arrivals() <= 3U);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(aServerWithOlderWeightsThanKnownIsPassedOver) {
   for (const auto& server : servers) {
     server->setBehaviour(onlyWith(server->id() == "i-3" ? "1" : "0", true));
