--- a/src/gateway/service_rollouts.cc
+++ b/src/gateway/service_rollouts.cc
@@ -52,8 +52,8 @@
 }  // namespace
 
 ServiceRollouts::ServiceRollouts(ServiceRolloutsContext context, const GatewaySettings& settings,
-                                 lease::LeaseSettings lease, RolloutMetrics& metrics,
-                                 std::uint64_t seed)
+                                 lease::LeaseSettings lease,
+                                 service_rollout::RolloutMetrics& metrics, std::uint64_t seed)
     : context_(std::move(context)),
       enabled_(settings.rolloutExposureShare > 0),
       plan_({settings.rolloutExposureShare, settings.rolloutExposureSlack}),
