--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -208,7 +208,7 @@
 template <typename Value>
 std::shared_ptr<RelayedStore::Outcome<Value>> RelayedStore::begin(awaitable<Result<Value>> call,
                                                                   MonotonicTime end) {
-  const auto outcome = std::make_shared<Outcome<Value>>();
+  auto outcome = std::make_shared<Outcome<Value>>();
   outcome->done = std::make_shared<asio::steady_timer>(executor_, end);
   asio::co_spawn(
       executor_,
