--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -12,8 +12,8 @@
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/store_schema.h"
-#include "weights/weights_targets.h"
 #include "store/kind_watcher.h"
+#include "weights/weights_targets.h"
 
 namespace calicodrift::gateway {
 
