Roll-outs, after the review: no version is served before the orders were read; exposure is earned by what was sent

Cause: read by a reviewer, each with a test: a node that starts between two versions took both for the stable one; an unknown rate gave the longest shift; refused requests and second tries earned exposure; a shift completed on one server; servers that let the time run out were no evidence; an order made anew kept its age.

--- a/src/forward/allowed_servers.cc
+++ b/src/forward/allowed_servers.cc
@@ -9,11 +9,10 @@
 using service_rollout::Track;
 using service_rollout::TrafficRule;
 
-bool isCanary(const RolloutHooks& hooks, fleet::ServerPool& pool, const ServerQuery& query,
-              const TrafficRule& rule, MonotonicTime now) {
+bool mayBeCanary(const RolloutHooks& hooks, fleet::ServerPool& pool, const ServerQuery& query,
+                 const TrafficRule& rule, MonotonicTime now) {
   return rule.use == CandidateUse::kCanary && query.mayBeCanary && hooks.takeCanary &&
-         !pool.candidates(query.service, query.model, now, Track::kCandidate).empty() &&
-         hooks.takeCanary(rule.order, query.route);
+         !pool.candidates(query.service, query.model, now, Track::kCandidate).empty();
 }
 
 }  // namespace
@@ -28,7 +27,8 @@
     allowed.order = rule.order;
   }
   allowed.pooled = &pool.candidates(query.service, query.model, now);
-  if (isCanary(hooks, pool, query, rule, now)) {
+  allowed.askedBudget = mayBeCanary(hooks, pool, query, rule, now);
+  if (allowed.askedBudget && hooks.takeCanary(rule.order, query.route)) {
     routing::CandidateSet few =
         pool.canary(query.service, query.model, hooks.canaryServerShare, now);
     if (!few.empty()) {
--- a/src/forward/allowed_servers.h
+++ b/src/forward/allowed_servers.h
@@ -17,6 +17,8 @@
   service_rollout::Track track = service_rollout::Track::kStable;
   /// The order under way; 0: none.
   service_rollout::OrderKey order;
+  /// The canary's budget was asked for the request.
+  bool askedBudget = false;
   const routing::CandidateSet* pooled = nullptr;
   /// The candidate's few servers of the canary, where the request is one.
   std::optional<routing::CandidateSet> canary;
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -25,6 +25,9 @@
     // The few servers of the canary have no room; the stable version may have.
     chosen = chooseFrom(job, serversFor(job, false, now), now);
   }
+  if (!chosen && allowed.askedBudget && context_.rollouts.onRefused) {
+    context_.rollouts.onRefused(allowed.order, job.routeKey());
+  }
   return chosen;
 }
 
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -26,10 +26,14 @@
 
 /// What the end of an attempt tells of its server's version. Attempts that the caller or this node
 /// ended are not asked about.
-DispatchEnd endOf(const ServerAttempt& attempt, const Result<void>& outcome, bool streaming) {
+DispatchEnd endOf(const ServerAttempt& attempt, const Result<void>& outcome, bool streaming,
+                  bool expired) {
   constexpr unsigned kFirstServerFailure = 500;
   if (!attempt.answered()) {
-    return DispatchEnd::kNoAnswer;
+    // A server that is up and lets the time run out is as bad as one that breaks off.
+    const bool silent =
+        !outcome && (expired || outcome.error().kind == ErrorKind::kDeadlineExceeded);
+    return silent ? DispatchEnd::kBroken : DispatchEnd::kNoAnswer;
   }
   if (attempt.status() >= kFirstServerFailure) {
     return DispatchEnd::kFailed;
@@ -37,7 +41,7 @@
   if (outcome) {
     return DispatchEnd::kAnswered;
   }
-  const bool broken = streaming && outcome.error().kind == ErrorKind::kStreamBroken;
+  const bool broken = streaming && !expired && outcome.error().kind == ErrorKind::kStreamBroken;
   return broken ? DispatchEnd::kBroken : DispatchEnd::kNoAnswer;
 }
 
@@ -119,7 +123,8 @@
   const std::size_t waitingTokens = chosen.waitingTokens();
   const double wayMs = context_.pool.wayMsTo(dispatch.server, sent);
   std::optional<double> startMs;
-  if (context_.rollouts.onSent && chosen.order != service_rollout::OrderKey()) {
+  const bool counts = job.attempts.sent == 1 || chosen.track == fleet::Track::kCandidate;
+  if (context_.rollouts.onSent && chosen.order != service_rollout::OrderKey() && counts) {
     context_.rollouts.onSent(job.service, chosen.order, chosen.track);
   }
   auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
@@ -171,8 +176,10 @@
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
   }
   // A connection that this node closed itself says nothing of the server.
+  if (!attempt->recalled() && !job.writer.callerGone()) {
+    observe(job, dispatch, chosen, endOf(*attempt, outcome, job.streaming(), job.expired), startMs);
+  }
   if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
-    observe(job, dispatch, chosen, endOf(*attempt, outcome, job.streaming()), startMs);
     learnFrom(job, dispatch.server, outcome, weights);
   }
   co_return outcome;
--- a/src/forward/rollout_hooks.h
+++ b/src/forward/rollout_hooks.h
@@ -20,7 +20,10 @@
   /// Whether this request goes to the candidate's canary; asked once a request, at its first
   /// dispatch.
   std::function<bool(OrderKey, RouteKey)> takeCanary;
-  /// A dispatch of a service whose order is under way was sent.
+  /// A request for which the budget was asked got no server.
+  std::function<void(OrderKey, RouteKey)> onRefused;
+  /// A request of a service whose order is under way was sent: to the candidate each time, to the
+  /// stable version the first time only, so that tries do not add to what may be exposed.
   std::function<void(const std::string& service, OrderKey, service_rollout::Track)> onSent;
   /// A server of such a service answered.
   std::function<void(OrderKey, const service_rollout::AnswerObservation&)> onAnswer;
--- a/src/gateway/service_rollouts.cc
+++ b/src/gateway/service_rollouts.cc
@@ -10,13 +10,10 @@
 
 namespace asio = boost::asio;
 using asio::awaitable;
-using service_rollout::CandidateUse;
 using service_rollout::ObservationTable;
 using service_rollout::Order;
 using service_rollout::OrderKey;
-using service_rollout::OrderState;
 using service_rollout::Phase;
-using service_rollout::PlanInput;
 using service_rollout::ServiceRecord;
 using service_rollout::Track;
 using service_rollout::TrafficRule;
@@ -35,7 +32,6 @@
 constexpr double kLateCanaryPart = 0.2;
 /// Over which a service's request rate is taken.
 constexpr Milliseconds kRateSpan{2000};
-constexpr double kMsPerSecond = 1000;
 
 /// Adds what the table has of the order.
 void addObservations(OrderKey order, const ObservationTable& table,
@@ -112,6 +108,11 @@
   store::KindListener listener;
   listener.onListing = [this](const store::Listing& listing) {
     rules_.setOrders({});
+    std::erase_if(firstSights_, [&listing](const auto& sight) {
+      return std::none_of(
+          listing.objects.begin(), listing.objects.end(),
+          [&sight](const store::Object& object) { return object.name == sight.first; });
+    });
     for (const store::Object& object : listing.objects) {
       applyOrder(object);
     }
@@ -163,9 +164,12 @@
   }
   rules_.applyOrder(order.value());
   FirstSight& sight = firstSights_[object.name];
-  if (sight.target != order.value().target) {
-    sight = {order.value().target, monotonicNow()};
+  // One that had a state and has none any more was made anew.
+  const bool madeAnew = sight.hadState && !order.value().hasState();
+  if (sight.target != order.value().target || madeAnew) {
+    sight = {order.value().target, monotonicNow(), false};
   }
+  sight.hadState = order.value().hasState();
   log::write(log::Level::kInfo, "rollout_order",
              {{"service", order.value().service},
               {"target", order.value().target.value()},
@@ -216,6 +220,8 @@
     // Before the orders were read, several versions can't be told from each other.
     if (synchronized() || listed.size() == 1) {
       rules_.setListed(service, listed);
+    } else {
+      rules_.hold(service);
     }
   }
   for (const std::string& service : rules_.services()) {
@@ -344,8 +350,12 @@
 void ServiceRollouts::onOthers(const ObservationTable& others) {
   others_ = others;
   const MonotonicTime now = monotonicNow();
+  const std::set<OrderKey> keys = underWay();
   for (const auto& [key, seen] : others) {
-    observer_.learnAge(key, seen.age, now);
+    // What was seen of an order that has ended is not told on.
+    if (keys.contains(key)) {
+      observer_.learnAge(key, seen.age, now);
+    }
   }
 }
 
@@ -359,6 +369,9 @@
   hooks.takeCanary = [this](OrderKey order, service_rollout::RouteKey route) {
     return budget_.take(order, route);
   };
+  hooks.onRefused = [this](OrderKey order, service_rollout::RouteKey route) {
+    budget_.refund(order, route);
+  };
   hooks.onSent = [this](const std::string& service, OrderKey order, Track track) {
     observer_.onSent(order, track);
     metrics_.countSent(service, track);
@@ -369,136 +382,4 @@
   return hooks;
 }
 
-service_rollout::RolloutPorts ServiceRollouts::ports() {
-  service_rollout::RolloutPorts ports;
-  ports.token = [this] { return context_.mayDecide() ? lease_.token() : std::nullopt; };
-  ports.inputs = [this] { return planInputs(); };
-  ports.writeRecord = [this](ServiceRecord record) { return writeRecord(std::move(record)); };
-  ports.writeState = [this](Order order, OrderState state) {
-    return writeState(std::move(order), state);
-  };
-  return ports;
-}
-
-std::map<std::string, PlanInput> ServiceRollouts::planInputs() const {
-  std::map<std::string, PlanInput> inputs;
-  if (!synchronized()) {
-    return inputs;
-  }
-  for (const std::string& service : rules_.services()) {
-    if (rules_.orderOf(service) != nullptr || rules_.recordOf(service) != nullptr) {
-      inputs[service] = planInput(service);
-    }
-  }
-  return inputs;
-}
-
-PlanInput ServiceRollouts::planInput(const std::string& service) const {
-  PlanInput input;
-  if (const Order* order = rules_.orderOf(service)) {
-    input.order = *order;
-  }
-  input.orders = {orderWatcher_.revision(), orderWatcher_.provenAt()};
-  input.records = {recordWatcher_.revision(), recordWatcher_.provenAt()};
-  input.firstSeen = rules_.firstSeen(service);
-  if (const ServiceRecord* record = rules_.recordOf(service)) {
-    input.record = *record;
-    addTraffic(*record, input);
-  }
-  return input;
-}
-
-void ServiceRollouts::addTraffic(const ServiceRecord& record, PlanInput& input) const {
-  const fleet::ServerPool& pool = context_.pool;
-  const MonotonicTime now = monotonicNow();
-  input.stableServers = pool.usableOf(record.service, record.stable, now);
-  input.stableInFlight = pool.inFlightOf(record.service, record.stable);
-  if (!record.candidate.value().empty()) {
-    input.candidateServers = pool.usableOf(record.service, record.candidate, now);
-  }
-  for (const auto& [version, servers] : listedVersionsOf(record.service)) {
-    if (version != record.stable) {
-      input.otherInFlight += pool.inFlightOf(record.service, version);
-    }
-  }
-  const auto found = progress_.find(keyOf(record));
-  if (found != progress_.end()) {
-    const Progress& progress = found->second;
-    input.seen = progress.sum;
-    input.verdict = progress.verdict;
-    input.evidence = progress.judge.explain();
-    input.requestsPerSecond = rateOf(progress);
-  }
-}
-
-std::map<SoftwareVersion, std::size_t> ServiceRollouts::listedVersionsOf(
-    const std::string& service) const {
-  const auto listed = context_.pool.listedVersions();
-  const auto found = listed.find(service);
-  return found == listed.end() ? std::map<SoftwareVersion, std::size_t>{} : found->second;
-}
-
-void ServiceRollouts::showMetrics() {
-  std::vector<service_rollout::RolloutStatus> all;
-  for (const std::string& service : rules_.services()) {
-    if (rules_.orderOf(service) != nullptr || rules_.recordOf(service) != nullptr) {
-      all.push_back(statusOf(service));
-    }
-  }
-  metrics_.show(all);
-}
-
-service_rollout::RolloutStatus ServiceRollouts::statusOf(const std::string& service) const {
-  service_rollout::RolloutStatus status;
-  const TrafficRule rule = ruleFor(service);
-  status.service = service;
-  status.stable = rule.stable;
-  status.candidate = rule.candidate;
-  status.use = rule.use;
-  if (const Order* order = rules_.orderOf(service)) {
-    status.target = order->target;
-    status.state = order->state;
-  }
-  if (const ServiceRecord* record = rules_.recordOf(service)) {
-    status.phase = record->phase;
-  }
-  if (const auto found = progress_.find(rule.order); found != progress_.end()) {
-    const Progress& progress = found->second;
-    status.verdict = toString(progress.verdict);
-    status.reached = progress.sum.reached;
-    status.exposed = progress.sum.exposed;
-    status.age = progress.sum.age;
-    status.evidence = progress.judge.evidence();
-  }
-  return status;
-}
-
-double ServiceRollouts::rateOf(const Progress& progress) {
-  if (progress.reached.size() < 2) {
-    return 0;
-  }
-  const ReachedAt& first = progress.reached.front();
-  const ReachedAt& last = progress.reached.back();
-  const std::uint64_t more = last.reached > first.reached ? last.reached - first.reached : 0;
-  return static_cast<double>(more) / toMilliseconds(last.at - first.at) * kMsPerSecond;
-}
-
-awaitable<Result<store::Revision>> ServiceRollouts::writeRecord(ServiceRecord record) {
-  Result<store::Revision> written = co_await context_.store.put(
-      std::string(service_rollout::kRecordKind), service_rollout::toObject(record));
-  metrics_.countWrite("record", written.has_value());
-  co_return written;
-}
-
-awaitable<Result<store::Revision>> ServiceRollouts::writeState(Order order, OrderState state) {
-  store::Object object;
-  object.name = order.name;
-  object.revision = order.revision;
-  object.status = context_.schema.rolloutStatus(state, order.target);
-  Result<store::Revision> written =
-      co_await context_.store.putStatus(context_.schema.rolloutKind(), std::move(object));
-  metrics_.countWrite("state", written.has_value());
-  co_return written;
-}
-
 }  // namespace calicodrift::gateway
--- a/src/gateway/service_rollouts.h
+++ b/src/gateway/service_rollouts.h
@@ -77,6 +77,7 @@
   struct FirstSight {
     SoftwareVersion target;
     MonotonicTime at;
+    bool hadState = false;
   };
   /// What this node keeps of an order under way.
   struct Progress {
--- a/src/service_rollout/canary_budget.cc
+++ b/src/service_rollout/canary_budget.cc
@@ -19,6 +19,17 @@
   return granted;
 }
 
+void CanaryBudget::refund(OrderKey order, RouteKey route) {
+  const auto accounts = accounts_.find(order);
+  if (accounts == accounts_.end()) {
+    return;
+  }
+  if (const auto found = accounts->second.routes.find(route);
+      found != accounts->second.routes.end()) {
+    found->second.earned -= share_;
+  }
+}
+
 CanaryBudget::OrderAccounts& CanaryBudget::accountsOf(OrderKey order) {
   ++asked_;
   const auto [found, added] = accounts_.try_emplace(order);
--- a/src/service_rollout/canary_budget.h
+++ b/src/service_rollout/canary_budget.h
@@ -25,6 +25,8 @@
   /// Whether this request goes to the candidate. Counts the request either way. To be asked once a
   /// request: its second tries go to the stable version.
   bool take(OrderKey order, RouteKey route);
+  /// The request reached no server after all: what it added to the share is taken back.
+  void refund(OrderKey order, RouteKey route);
   /// The share from now on; what was spent stays spent.
   void setShare(double share) { share_ = share; }
   /// Orders that have accounts.
--- a/src/service_rollout/plan.cc
+++ b/src/service_rollout/plan.cc
@@ -226,6 +226,9 @@
   if (early || input.phaseAge < kLeastShift) {
     return nothing("judging goes on under all of the traffic");
   }
+  if (tooFewServers(input) && input.phaseAge < kLongestDoubt) {
+    return nothing("too few servers of the target version to carry everything");
+  }
   const bool doubted = observed(input) && !sound(input) && input.phaseAge < kLongestDoubt;
   if (doubted) {
     return nothing("something speaks against the target version");
@@ -272,7 +275,8 @@
   const double allowed = settings.exposureShare * static_cast<double>(input.seen.reached) +
                          kSlackForShift * settings.exposureSlack;
   const double left = allowed - static_cast<double>(input.seen.exposed);
-  if (left <= 0) {
+  const bool rateUnknown = input.requestsPerSecond <= 0 && input.seen.reached > 0;
+  if (left <= 0 || rateUnknown) {
     return Milliseconds(0);
   }
   // Each request adds its share to what is allowed while it is spent.
--- a/src/service_rollout/traffic_rules.cc
+++ b/src/service_rollout/traffic_rules.cc
@@ -20,6 +20,9 @@
   return most;
 }
 
+/// Of no server.
+const SoftwareVersion kNoVersion("(orders not read)");
+
 }  // namespace
 
 std::string_view toString(CandidateUse use) {
@@ -66,6 +69,7 @@
 void TrafficRules::setListed(const std::string& service,
                              const std::map<SoftwareVersion, std::size_t>& listed) {
   listed_[service] = listed;
+  held_.erase(service);
   const auto known = firstSeen_.find(service);
   const bool stillListed = known != firstSeen_.end() && listed.contains(known->second);
   if (stillListed) {
@@ -111,6 +115,7 @@
   for (const auto& [service, versions] : listed_) {
     all.insert(service);
   }
+  all.insert(held_.begin(), held_.end());
   return all;
 }
 
@@ -131,6 +136,10 @@
 TrafficRule TrafficRules::ruleFor(const std::string& service, MonotonicTime provenAt,
                                   MonotonicTime now) const {
   TrafficRule rule;
+  if (held_.contains(service)) {
+    rule.stable = kNoVersion;
+    return rule;
+  }
   rule.stable = stableOf(service);
   const ServiceRecord* record = recordOf(service);
   const Order* order = orderOf(service);
--- a/src/service_rollout/traffic_rules.h
+++ b/src/service_rollout/traffic_rules.h
@@ -56,6 +56,9 @@
   /// Servers in use of each version of the service, as listed now. To be called only when the
   /// orders were read, as a candidate's servers would else be taken for the stable version's.
   void setListed(const std::string& service, const std::map<SoftwareVersion, std::size_t>& listed);
+  /// Servers of several versions are listed, and the orders were not read yet: which one is the
+  /// stable version can't be told, so that none of them gets anything.
+  void hold(const std::string& service) { held_.insert(service); }
   /// The nodes have found the order's candidate to be bad. Holds for as long as the process runs.
   void reject(OrderKey order) { rejected_.insert(order); }
   bool rejected(OrderKey order) const { return rejected_.contains(order); }
@@ -82,6 +85,7 @@
   /// By service: the version that most servers had when it was first seen.
   std::map<std::string, SoftwareVersion> firstSeen_;
   std::set<OrderKey> rejected_;
+  std::set<std::string> held_;
 };
 
 }  // namespace calicodrift::service_rollout
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -42,6 +42,10 @@
   soak(4, std::chrono::seconds(12));
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(gateway_soak_rollouts)
+
 /// Orders of good and bad versions in series, for two services, beside faults of nodes and store.
 /// Fresh seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
 BOOST_AUTO_TEST_CASE(versionsAreRolledOutAndBackUnderFaults) {
--- a/tests/gateway_soak/rollout_check.cc
+++ b/tests/gateway_soak/rollout_check.cc
@@ -86,6 +86,7 @@
 
 std::vector<std::string> RolloutCheck::violations() const {
   std::vector<std::string> found;
+  found.reserve(unordered_.size());
   for (const std::string& version : unordered_) {
     found.push_back("a request ran on version " + version + ", which no order names");
   }
--- a/tests/service_rollout/canary_budget_test.cc
+++ b/tests/service_rollout/canary_budget_test.cc
@@ -124,6 +124,18 @@
   BOOST_TEST(budget.orders() == CanaryBudget::kMostOrders);
 }
 
+BOOST_AUTO_TEST_CASE(requestsThatReachedNoServerEarnNothing) {
+  CanaryBudget budget(0.1, 1);
+  const OrderKey order(7);
+  const RouteKey route(9);
+  std::size_t granted = 0;
+  for (int number = 0; number < 1000; ++number) {
+    granted += budget.take(order, route) ? 1 : 0;
+    budget.refund(order, route);
+  }
+  BOOST_TEST(granted <= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace calicodrift::service_rollout
--- a/tests/service_rollout/plan_test.cc
+++ b/tests/service_rollout/plan_test.cc
@@ -291,7 +291,7 @@
 
 BOOST_AUTO_TEST_CASE(aShiftBeginsThreeSecondsBeforeTheDeadlineAtMost) {
   startBaking();
-  input.requestsPerSecond = 0;
+  input.requestsPerSecond = 10;
   observe(Verdict::kSound, Milliseconds(4999));
   expectNothing("near the deadline");
   observe(Verdict::kSound, Milliseconds(5000));
@@ -423,6 +423,23 @@
   expectRecord(Phase::kSteady, kNew);
 }
 
+BOOST_AUTO_TEST_CASE(aShiftDoesNotCompleteOnFewServers) {
+  startShifting();
+  drain();
+  input.candidateServers = 1;
+  expectNothing("too few servers");
+  input.candidateServers = input.stableServers;
+  expectRecord(Phase::kSteady, kNew);
+}
+
+BOOST_AUTO_TEST_CASE(anUnknownRateLeavesNoTimeForAShiftBeforeTheDeadline) {
+  startBaking();
+  observe(Verdict::kSound, Milliseconds(7500));
+  input.requestsPerSecond = 0;
+  BOOST_TEST(shiftBudget(input, settings) == Milliseconds(0));
+  expectNothing("sound so far");
+}
+
 BOOST_AUTO_TEST_CASE(aHolderThatKnowsNoAgeCompletesAShiftAfterTheLongestBudget) {
   startShifting();
   drain();
--- a/tests/service_rollout/traffic_rules_test.cc
+++ b/tests/service_rollout/traffic_rules_test.cc
@@ -152,6 +152,16 @@
   BOOST_TEST((rules.rule().stable == kNew));
 }
 
+BOOST_AUTO_TEST_CASE(severalVersionsGetNothingBeforeTheOrdersWereRead) {
+  Rules rules;
+  rules.hold(kService);
+  BOOST_TEST((rules.rule().stable != kOld));
+  BOOST_TEST((rules.rule().stable != kNew));
+  BOOST_TEST(!rules.rule().stable.value().empty());
+  rules.list(7, 6);
+  BOOST_TEST((rules.rule().stable == kOld));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace calicodrift::service_rollout
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -26,6 +26,17 @@
           std::size_t ports = 0) {
     const char* folder = std::getenv("CALICODRIFT_BIN");
     const std::string path = std::string(folder == nullptr ? "build/bin" : folder) + "/" + program;
+    const char* logs = std::getenv("CALICODRIFT_TEST_LOGS");
+    if (logs != nullptr && ports == 0) {
+      // For looking into a failure: what each process writes, in a file of its own.
+      static int number = 0;
+      const std::string file = std::string(logs) + "/" + std::to_string(++number) + ".log";
+      child_ = boost::process::child(
+          path, boost::process::args(arguments),
+          (boost::process::std_out & boost::process::std_err) > file,
+          boost::process::extend::on_exec_setup([](auto&) { keepOnlyStandardStreams(); }));
+      return;
+    }
     child_ = boost::process::child(
         path, boost::process::args(arguments), boost::process::std_out > output_,
         boost::process::std_err > boost::process::null,
