Limits: what another node grants ahead is bounded by the claim and the own term

Cause: QuotaCore took the units ahead of a source's or lender's answer as they came, up to 4e9 for up to 49 days, and those of an answer that was under way while the limit changed, under the new limit. Change: units up to those claimed, for the account's own term at most; nothing where the claim was sent before the limit came into force here (also after a tenant was removed and named again). Borrowed units are counted as taken. Not bounded: the wait that a source tells with a refusal.

--- a/src/quota/quota_core.cc
+++ b/src/quota/quota_core.cc
@@ -33,7 +33,7 @@
   }
   std::erase_if(accounts_, [&byKey](const auto& entry) { return !byKey.contains(entry.first); });
   for (const auto& [key, limit] : byKey) {
-    const auto [entry, isNew] = accounts_.try_emplace(key, bounds_, limit);
+    const auto [entry, isNew] = accounts_.try_emplace(key, bounds_, limit, now);
     entry->second.setLimit(bounds_, limit, now);
     if (isNew) {
       entry->second.setPlace(place_.place, place_.part, now);
@@ -75,8 +75,8 @@
                              MonotonicTime now) {
   lastContact_ = now;
   TenantAccount* account = accountOf(claim.tenant);
-  if (account != nullptr && answer.ahead > 0) {
-    account->addAhead(answer.ahead, sent + Milliseconds(answer.aheadTermMs));
+  if (account != nullptr) {
+    static_cast<void>(account->takeGrantedAhead(claim, answer, sent));
   }
   if (answer.waitMs == 0) {
     if (account != nullptr) {
@@ -130,11 +130,10 @@
   return claims;
 }
 
-void QuotaCore::onBorrowed(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent) {
+double QuotaCore::onBorrowed(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent) {
   TenantAccount* account = accountOf(claim.tenant);
-  if (account != nullptr && answer.waitMs == 0) {
-    account->addAhead(answer.ahead, sent + Milliseconds(answer.aheadTermMs));
-  }
+  const bool lent = account != nullptr && answer.waitMs == 0;
+  return lent ? account->takeGrantedAhead(claim, answer, sent) : 0;
 }
 
 void QuotaCore::giveBack(TenantKey tenant, double units, MonotonicTime now) {
--- a/src/quota/quota_core.h
+++ b/src/quota/quota_core.h
@@ -51,7 +51,8 @@
   /// other groups is asked for an even part of it. They ask for units ahead only: what comes is
   /// void after the term that these have.
   std::vector<Claim> toBorrow(std::size_t lenders, MonotonicTime now);
-  void onBorrowed(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent);
+  /// @return the units that were borrowed.
+  double onBorrowed(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent);
   void giveBack(TenantKey tenant, double units, MonotonicTime now);
 
   const NodePlace& place() const { return place_; }
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -96,8 +96,7 @@
   silentUntil_.erase(lender);
   double borrowed = 0;
   for (std::size_t index = 0; index < claims.size(); ++index) {
-    core_.onBorrowed(claims[index], reply.value().answers[index], sent);
-    borrowed += reply.value().answers[index].ahead;
+    borrowed += core_.onBorrowed(claims[index], reply.value().answers[index], sent);
   }
   metrics_.countBorrowed(borrowed);
 }
--- a/src/quota/tenant_account.cc
+++ b/src/quota/tenant_account.cc
@@ -20,9 +20,11 @@
 
 }  // namespace
 
-TenantAccount::TenantAccount(const QuotaBounds& bounds, const TenantLimit& limit)
+TenantAccount::TenantAccount(const QuotaBounds& bounds, const TenantLimit& limit,
+                             MonotonicTime limitedSince)
     : limit_(limit),
       allowance_(bounds, limit),
+      limitedSince_(limitedSince),
       demand_(kDemandWindow),
       claims_(kDemandWindow),
       granted_(kDemandWindow) {}
@@ -34,6 +36,7 @@
   }
   limit_ = limit;
   allowance_ = Allowance(bounds, limit);
+  limitedSince_ = now;
   ahead_.clear();
   refusedUntil_ = now;
   applyPart(now);
@@ -108,6 +111,17 @@
   }
 }
 
+double TenantAccount::takeGrantedAhead(const Claim& claim, const ClaimAnswer& answer,
+                                       MonotonicTime sent) {
+  if (sent < limitedSince_) {
+    return 0;
+  }
+  const double units = std::min(claim.ahead, answer.ahead);
+  const Milliseconds term = std::min(Milliseconds(answer.aheadTermMs), allowance_.aheadTerm);
+  addAhead(units, sent + term);
+  return units;
+}
+
 void TenantAccount::giveBack(double units, MonotonicTime now) {
   addAhead(units, now + allowance_.aheadTerm);
 }
--- a/src/quota/tenant_account.h
+++ b/src/quota/tenant_account.h
@@ -8,6 +8,7 @@
 #include "limits/rate_estimate.h"
 #include "limits/token_bucket.h"
 #include "quota/allowance.h"
+#include "quota/messages.h"
 
 namespace calicodrift::quota {
 
@@ -37,7 +38,9 @@
 /// own content before it answered; an answer that is lost is lost to the tenant, not granted twice.
 class TenantAccount {
  public:
-  TenantAccount(const QuotaBounds& bounds, const TenantLimit& limit);
+  /// @param limitedSince when the limit came into force here.
+  TenantAccount(const QuotaBounds& bounds, const TenantLimit& limit,
+                MonotonicTime limitedSince = MonotonicTime{});
 
   void setLimit(const QuotaBounds& bounds, const TenantLimit& limit, MonotonicTime now);
   /// @param part of the limit that this node mints as a root.
@@ -55,6 +58,10 @@
   void onGranted(double units, MonotonicTime now);
   void onRefused(Milliseconds wait, MonotonicTime now);
   void addAhead(double units, MonotonicTime until);
+  /// Adds what another node granted ahead for a claim that was sent at `sent`: no more than was
+  /// claimed, for no longer than the own term. Nothing where the limit has changed since then, as
+  /// what comes is of the old one. @return the units that were added.
+  double takeGrantedAhead(const Claim& claim, const ClaimAnswer& answer, MonotonicTime sent);
   /// The request has not run after all.
   void giveBack(double units, MonotonicTime now);
 
@@ -93,6 +100,7 @@
 
   TenantLimit limit_;
   Allowance allowance_;
+  MonotonicTime limitedSince_;
   Place place_ = Place::kIsland;
   double part_ = 0;
   limits::TokenBucket minted_;
--- a/tests/quota/tenant_account_test.cc
+++ b/tests/quota/tenant_account_test.cc
@@ -1,6 +1,8 @@
 #include "quota/tenant_account.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <limits>
 
 #include "quota/quota_core.h"
 
@@ -114,5 +116,53 @@
   BOOST_TEST((core.claim(keyOf(TenantId("free")), 1e9, kStart).verdict == Verdict::kGranted));
 }
 
+/// A core of that place with the limit in force since kStart.
+QuotaCore makeCore(Place place) {
+  QuotaCore core(kBounds);
+  core.applyLimits({{TenantId("t"), kLimit}}, kStart);
+  core.setPlace({place, 0.5}, kStart);
+  return core;
+}
+
+constexpr std::uint32_t kMost = std::numeric_limits<std::uint32_t>::max();
+constexpr ClaimAnswer kBoundlessAnswer{0, kMost, kMost};
+
+BOOST_AUTO_TEST_CASE(anAnswerBringsNoMoreThanWasClaimedForNoLongerThanTheOwnTerm) {
+  const Milliseconds term = Allowance(kBounds, kLimit).aheadTerm;
+  const Claim claim{keyOf(TenantId("t")), 1, 50};
+  QuotaCore follower = makeCore(Place::kFollower);
+  static_cast<void>(follower.onAnswer(claim, kBoundlessAnswer, kStart, kStart));
+  TenantAccount& asked = *follower.accountOf(claim.tenant);
+  BOOST_TEST(asked.heldAt(kStart) == 50);
+  BOOST_TEST(asked.heldAt(kStart + term - Milliseconds(1)) == 50);
+  BOOST_TEST(asked.heldAt(kStart + term) == 0);
+  QuotaCore root = makeCore(Place::kRoot);
+  TenantAccount& borrower = *root.accountOf(claim.tenant);
+  const double own = borrower.heldAt(kStart);
+  BOOST_TEST(root.onBorrowed(claim, kBoundlessAnswer, kStart) == 50);
+  BOOST_TEST(borrower.heldAt(kStart) == own + 50);
+  static_cast<void>(borrower.heldAt(kStart + term));
+  BOOST_TEST(borrower.heldAt(kStart) == own);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerUnderWayAcrossAChangeOfTheLimitBringsNothingAhead) {
+  const Claim claim{keyOf(TenantId("t")), 1, 50};
+  const ClaimAnswer answer{0, 50, 300};
+  const MonotonicTime changed = kStart + Milliseconds(10);
+  const MonotonicTime arrived = kStart + Milliseconds(20);
+  for (const bool removedBetween : {false, true}) {
+    QuotaCore core = makeCore(Place::kFollower);
+    if (removedBetween) {
+      core.applyLimits({}, changed);
+    }
+    core.applyLimits({{TenantId("t"), {100, 100}}}, changed);
+    core.setPlace({Place::kFollower, 0}, changed);
+    static_cast<void>(core.onAnswer(claim, answer, kStart, arrived));
+    BOOST_TEST(core.onBorrowed(claim, answer, kStart) == 0);
+    BOOST_TEST(core.accountOf(claim.tenant)->heldAt(arrived) == 0);
+    BOOST_TEST(core.onBorrowed(claim, answer, changed) == 50);
+  }
+}
+
 }  // namespace
 }  // namespace calicodrift::quota
