Limits: a root with an old view of its tree lends nothing to other regions

Cause: a root that was replaced and doesn't know it lent out of a part that its successor mints too. Ruled out: refusing all claims of roots, as then a tenant lost half its part in a store outage; a mark on the wire, as claims for units ahead only are borrowing and nothing else. Change: QuotaNodeContext::viewAge and longestLendingAge, in the gateway the age of the relay's source proof and relay-proof-age-ms. While a region doesn't reach the store nothing is lent by it. The wiring in GatewayNode has no test of its own.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -310,6 +310,10 @@
                                   [this] { return relay_.roots(); }};
   if (groupsOf(settings_) > 1) {
     context.lenders = [this] { return otherRoots_.read(); };
+    context.viewAge = [this] {
+      return std::chrono::ceil<Milliseconds>(monotonicNow() - relay_.store().provenAt());
+    };
+    context.longestLendingAge = settings_.relayProofAge;
   }
   return context;
 }
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -241,6 +241,10 @@
       [this](ClaimBatch batch) -> awaitable<ClaimReply> { return answer(std::move(batch)); });
 }
 
+bool QuotaNode::mayLend() const {
+  return !context_.viewAge || context_.viewAge() <= context_.longestLendingAge;
+}
+
 awaitable<ClaimReply> QuotaNode::answer(ClaimBatch batch) {
   refreshPlace(monotonicNow());
   const bool mayAsk = !batch.fromRoot && batch.hops <= kMostHops;
@@ -249,6 +253,12 @@
   for (std::size_t index = 0; index < batch.claims.size(); ++index) {
     const Claim& claim = batch.claims[index];
     const MonotonicTime now = monotonicNow();
+    // A root of another tree asks for units ahead only.
+    const bool borrows = batch.fromRoot && claim.units == 0;
+    if (borrows && !mayLend()) {
+      decisions[index] = {Verdict::kRefused, kLenderSilencePause};
+      continue;
+    }
     decisions[index] = core_.claim(claim.tenant, claim.units, now);
     if (decisions[index].verdict == Verdict::kAsk && mayAsk) {
       waiting[index] = enqueue(core_.toMessage(claim.tenant, claim.units, now), batch.hops);
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -33,6 +33,12 @@
   std::function<std::vector<Endpoint>()> roots;
   /// The roots of the other trees of the fleet; empty where there is one tree.
   std::function<boost::asio::awaitable<std::vector<Endpoint>>()> lenders = nullptr;
+  /// How old the proof is that this node's view of the tree is the newest. Always needed where
+  /// there are lenders.
+  std::function<Milliseconds()> viewAge = nullptr;
+  /// With an older view this node lends nothing: it may have been replaced as a root, and what it
+  /// would lend is minted by its successor too.
+  Milliseconds longestLendingAge{0};
 };
 
 /// What a request gets under its tenant's limit.
@@ -99,6 +105,7 @@
   /// Whom to ask, the nearest first.
   std::vector<Endpoint> sources() const;
   boost::asio::awaitable<ClaimReply> answer(ClaimBatch batch);
+  bool mayLend() const;
   QuotaVerdict refusal(TenantKey tenant, Milliseconds wait);
 
   QuotaNodeContext context_;
--- a/tests/quota/quota_node_test.cc
+++ b/tests/quota/quota_node_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 
+#include "peer/http_call.h"
+
 namespace calicodrift::quota {
 namespace {
 
@@ -14,6 +16,8 @@
 /// A root begins with 1,028 units, and passes a request while it has any.
 constexpr TenantLimit kLimit{1000, 1000};
 
+constexpr Milliseconds kLongestLendingAge{1000};
+
 /// A node of the tree with its claims served over HTTP.
 struct TestNode {
   TestNode(asio::io_context& context, http::Client& client, NodePlace place)
@@ -26,7 +30,8 @@
     quota = std::make_unique<QuotaNode>(
         QuotaNodeContext{context.get_executor(), client, [place] { return place; },
                          [this] { return parent; }, [this] { return roots; },
-                         [this]() -> awaitable<std::vector<Endpoint>> { co_return lenders; }},
+                         [this]() -> awaitable<std::vector<Endpoint>> { co_return lenders; },
+                         [this] { return viewAge; }, kLongestLendingAge},
         kBounds, metrics, 7);
     quota->applyLimits({{kTenant, kLimit}});
   }
@@ -35,6 +40,7 @@
   std::optional<Endpoint> parent;
   std::vector<Endpoint> roots;
   std::vector<Endpoint> lenders;
+  Milliseconds viewAge{0};
   prometheus::Registry registry;
   std::unique_ptr<QuotaNode> quota;
   http::Server server;
@@ -126,6 +132,34 @@
   });
 }
 
+/// It may have been replaced, and not know it. To the other root of its own tree it gives on.
+BOOST_AUTO_TEST_CASE(aRootWithAnOldViewOfItsTreeLendsNothing) {
+  ClaimBatch borrows;
+  borrows.claims = {{keyOf(kTenant), 0, 40}};
+  borrows.fromRoot = true;
+  ClaimBatch claims = borrows;
+  claims.claims[0].units = 10;
+  otherRoot.quota->start();
+  run([this, borrows, claims]() -> awaitable<void> {
+    // Until it has more than it keeps for claims of its own.
+    asio::steady_timer timer(context, Milliseconds(600));
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto ask = [this](ClaimBatch batch) {
+      return peer::callPeer<ClaimReply>(client, otherRoot.endpoint, kClaimPath, std::move(batch),
+                                        QuotaNode::kLenderTimeout, QuotaNode::kLenderTimeout);
+    };
+    otherRoot.viewAge = kLongestLendingAge + Milliseconds(1);
+    const Result<ClaimReply> old = co_await ask(borrows);
+    BOOST_TEST(old.value().answers.at(0).ahead == 0U);
+    BOOST_TEST(old.value().answers.at(0).waitMs > 0U);
+    const Result<ClaimReply> claimed = co_await ask(claims);
+    BOOST_TEST(claimed.value().answers.at(0).waitMs == 0U);
+    otherRoot.viewAge = kLongestLendingAge;
+    const Result<ClaimReply> fresh = co_await ask(borrows);
+    BOOST_TEST(fresh.value().answers.at(0).ahead == 40U);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(aSilentParentIsPassedOver) {
   SilentNode silent(context);
   leaf.parent = silent.endpoint();
