Regions: no distance inside one region; a way is raised by three connections, not by one

Cause: the least time of a window is a single slow connection where there is but one, so 250 ms made a zone far, also in a fleet of one region: homes left it and time-outs rose. Candidates kept a way that had ended until their load changed. Change: zones of the only region have no way; the way that is known is raised only by three samples in the windows, lowered by one; ServerPool brings candidates in line when a window or a way ends.

--- a/src/fleet/distance.cc
+++ b/src/fleet/distance.cc
@@ -12,6 +12,20 @@
 /// A change is told where it exceeds both: smaller ones change no choice.
 constexpr double kToldMs = 2;
 constexpr double kToldShare = 0.2;
+/// One or two slow connections are a busy process or a lost packet.
+constexpr std::size_t kSamplesToRaise = 3;
+
+/// Whether the node's zone and the others lie in more regions than one. A node without a region
+/// may stand in another one than the zones that have one.
+bool hasSeveralRegions(const DistanceSettings& settings) {
+  if (settings.regions.empty()) {
+    return false;
+  }
+  const auto own = settings.regions.find(settings.zone);
+  return own == settings.regions.end() ||
+         std::any_of(settings.regions.begin(), settings.regions.end(),
+                     [&own](const auto& entry) { return entry.second != own->second; });
+}
 
 }  // namespace
 
@@ -27,7 +41,9 @@
 }
 
 Distances::Distances(DistanceSettings settings, DistanceListener listener)
-    : settings_(std::move(settings)), listener_(std::move(listener)) {}
+    : settings_(std::move(settings)),
+      listener_(std::move(listener)),
+      hasRegions_(hasSeveralRegions(settings_)) {}
 
 void Distances::noteZone(const ZoneId& zone) {
   const bool untold = isUnknown(zone) && toldUnknown_.size() < kMostToldUnknown;
@@ -37,17 +53,50 @@
 }
 
 bool Distances::observe(const ZoneId& zone, double milliseconds, MonotonicTime now) {
+  if (countsForNothing(zone)) {
+    return false;
+  }
   Learnt& learnt = learnt_[zone];
+  rollWindows(learnt, now);
+  const double bounded = std::clamp(milliseconds, 0.0, kLongestWayMs);
+  learnt.running.leastMs = std::min(bounded, learnt.running.leastMs);
+  ++learnt.running.count;
+  learnt.wayMs = learntAt(zone, now);
+  nextExpiry_ = std::min(nextExpiry_, learnt.windowBegin + settings_.window);
+  return noteChange(zone, learnt, now);
+}
+
+bool Distances::dropExpired(MonotonicTime now) {
+  if (now < nextExpiry_) {
+    return false;
+  }
+  nextExpiry_ = MonotonicTime::max();
+  bool changed = false;
+  for (auto& [zone, learnt] : learnt_) {
+    const auto age = now - learnt.windowBegin;
+    if (age >= 2 * settings_.window) {
+      changed = std::exchange(learnt.wayMs, std::nullopt).has_value() || changed;
+      noteChange(zone, learnt, now);
+      continue;
+    }
+    learnt.wayMs = learntAt(zone, now);
+    changed = noteChange(zone, learnt, now) || changed;
+    const int windows = age >= settings_.window ? 2 : 1;
+    nextExpiry_ = std::min(nextExpiry_, learnt.windowBegin + windows * settings_.window);
+  }
+  return changed;
+}
+
+void Distances::rollWindows(Learnt& learnt, MonotonicTime now) const {
   if (now - learnt.windowBegin >= 2 * settings_.window) {
-    learnt.previous.reset();
-    learnt.running.reset();
-    learnt.windowBegin = now;
+    learnt = Learnt{now, {}, {}, std::nullopt, learnt.toldMs};
   } else if (now - learnt.windowBegin >= settings_.window) {
-    learnt.previous = std::exchange(learnt.running, std::nullopt);
+    learnt.previous = std::exchange(learnt.running, Samples{});
     learnt.windowBegin = now;
   }
-  const double bounded = std::clamp(milliseconds, 0.0, kLongestWayMs);
-  learnt.running = std::min(bounded, learnt.running.value_or(bounded));
+}
+
+bool Distances::noteChange(const ZoneId& zone, Learnt& learnt, MonotonicTime now) const {
   const double wayMs = wayTo(zone, now).milliseconds;
   const double change = std::abs(wayMs - learnt.toldMs);
   if (change <= kToldMs || change <= kToldShare * learnt.toldMs) {
@@ -61,6 +110,9 @@
 }
 
 Way Distances::wayTo(const ZoneId& zone, MonotonicTime now) const {
+  if (countsForNothing(zone)) {
+    return {};
+  }
   if (isUnknown(zone)) {
     return {farthest(now), !settings_.preferOwnRegion};
   }
@@ -70,6 +122,10 @@
   return {countsAsNone ? 0 : wayMs, ownRegion || !settings_.preferOwnRegion};
 }
 
+bool Distances::countsForNothing(const ZoneId& zone) const {
+  return !hasRegions_ && !isUnknown(zone);
+}
+
 bool Distances::inOwnRegion(const ZoneId& zone) const {
   if (settings_.regions.empty() || zone == settings_.zone) {
     return true;
@@ -90,11 +146,14 @@
     return std::nullopt;
   }
   const Learnt& learnt = found->second;
-  const bool windowOver = now - learnt.windowBegin >= settings_.window;
-  if (!learnt.running || !learnt.previous || windowOver) {
-    return learnt.running ? learnt.running : learnt.previous;
+  Samples samples = learnt.running;
+  if (now - learnt.windowBegin < settings_.window) {
+    samples.leastMs = std::min(samples.leastMs, learnt.previous.leastMs);
+    samples.count += learnt.previous.count;
   }
-  return std::min(*learnt.running, *learnt.previous);
+  const double known = learnt.wayMs.value_or(expected(zone));
+  const bool counts = samples.leastMs <= known || samples.count >= kSamplesToRaise;
+  return counts ? samples.leastMs : known;
 }
 
 double Distances::expected(const ZoneId& zone) const {
--- a/src/fleet/distance.h
+++ b/src/fleet/distance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,8 +53,9 @@
 };
 
 /// Learns the way to each zone from the time that connections to its servers take: the least of a
-/// window, as queues, busy processes and lost packets only lengthen it. No I/O; calls are told the
-/// time.
+/// window, as queues, busy processes and lost packets only lengthen it. One connection lowers a
+/// way; it takes several to raise it. Where all zones lie in one region no way counts. No I/O;
+/// calls are told the time.
 class Distances {
  public:
   explicit Distances(DistanceSettings settings, DistanceListener listener = {});
@@ -63,6 +65,9 @@
   /// A connection to a server of the zone took so long. Returns whether the way changed by so much
   /// that choices change.
   bool observe(const ZoneId& zone, double milliseconds, MonotonicTime now);
+  /// Ends what was learnt too long ago. Returns whether a way may have changed by that. Cheap where
+  /// nothing ends.
+  bool dropExpired(MonotonicTime now);
   /// The way as learnt, or as expected where nothing was learnt of late. A zone without a region
   /// is as far as the farthest.
   Way wayTo(const ZoneId& zone, MonotonicTime now) const;
@@ -70,15 +75,26 @@
   static constexpr double kLongestWayMs = 1000;
 
  private:
-  /// The least time in the running window and in the one before.
+  /// The connections of one window.
+  struct Samples {
+    double leastMs = std::numeric_limits<double>::infinity();
+    std::size_t count = 0;
+  };
   struct Learnt {
     MonotonicTime windowBegin{};
-    std::optional<double> running;
-    std::optional<double> previous;
+    Samples running;
+    Samples previous;
+    /// As of the last connection, or of the end of a window since then.
+    std::optional<double> wayMs;
     /// What the last change was told for.
     double toldMs = 0;
   };
 
+  void rollWindows(Learnt& learnt, MonotonicTime now) const;
+  /// Tells a change that is large enough. Returns whether it was.
+  bool noteChange(const ZoneId& zone, Learnt& learnt, MonotonicTime now) const;
+  /// The zone lies in the only region that there is.
+  bool countsForNothing(const ZoneId& zone) const;
   bool inOwnRegion(const ZoneId& zone) const;
   bool isUnknown(const ZoneId& zone) const;
   std::optional<double> learntAt(const ZoneId& zone, MonotonicTime now) const;
@@ -87,6 +103,9 @@
 
   DistanceSettings settings_;
   DistanceListener listener_;
+  bool hasRegions_;
+  /// Nothing that was learnt ends before.
+  MonotonicTime nextExpiry_ = MonotonicTime::max();
   std::map<ZoneId, Learnt> learnt_;
   std::set<ZoneId> toldUnknown_;
 };
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -180,6 +180,7 @@
                                                     MonotonicTime now, Track track) {
   static const routing::CandidateSet kNone;
   endPauses(now);
+  endLearntWays(now);
   const auto found = sets_.find(SetKey{std::string(service), model, track});
   if (found == sets_.end()) {
     return kNone;
@@ -418,6 +419,16 @@
   entry.listedIn.clear();
 }
 
+void ServerPool::endLearntWays(MonotonicTime now) {
+  if (distances_ == nullptr || !distances_->dropExpired(now)) {
+    return;
+  }
+  // Zones without a region go by the farthest of the others.
+  for (auto& [id, entry] : servers_) {
+    refresh(entry, now);
+  }
+}
+
 void ServerPool::endPauses(MonotonicTime now) {
   while (!pauseEnds_.empty() && pauseEnds_.begin()->first <= now) {
     const BackendId id = pauseEnds_.begin()->second;
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -194,6 +194,8 @@
   void passOver(Entry& entry, MonotonicTime until);
   /// Takes back in what was passed over until now.
   void endPauses(MonotonicTime now);
+  /// Brings the candidates in line where ways that were learnt have expired.
+  void endLearntWays(MonotonicTime now);
 
   double prefillTokensPerMs_;
   Distances* distances_ = nullptr;
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -61,6 +61,24 @@
   BOOST_TEST(usable(kStart + Milliseconds(100)) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(candidatesFollowALearntWayThatEnds) {
+  DistanceSettings settings;
+  settings.zone = ZoneId("z1");
+  settings.regions = {{settings.zone, "r1"}, {ZoneId("z2"), "r2"}};
+  Distances distances(settings);
+  pool.useDistances(distances);
+  Server distant = makeServer("a", 1);
+  distant.zone = ZoneId("z2");
+  pool.applyListing({distant}, kStart);
+  const auto wayMs = [this](MonotonicTime now) {
+    return pool.candidates("llm", kModel, now)[0].wayMs;
+  };
+  BOOST_TEST(wayMs(kStart) == 60);
+  pool.observeConnect(distant.id, 25, kStart);
+  BOOST_TEST(wayMs(kStart) == 25);
+  BOOST_TEST(wayMs(kStart + 2 * settings.window) == 60);
+}
+
 BOOST_AUTO_TEST_CASE(unreachableServersComeBackByAProbe) {
   pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.markUnreachable(BackendId("a"), kStart);
