Refusals by another instance, or with older weights, get no second try at that address

Cause: each 421 that told other weights was read as the meant server with other weights, so another instance at its address got the request under its weights, and one with older weights was paused only. Change: ServerProtocol::namesAnother; where the head names another instance, or the told weights are below those expected, the refusal stays kFenced and the server is unreachable until a probe.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -121,7 +121,8 @@
                  Dispatch& dispatch) const;
   /// The weights of the server that refused the dispatch as another one than expected: those that
   /// it told, else the newest, where the dispatch expected older ones. While newer weights are
-  /// loaded that is the likely reason, and a wrong guess is refused once more.
+  /// loaded that is the likely reason, and a wrong guess is refused once more. Nothing where it
+  /// told older ones: a server's weights only grow, so it is not the one that was meant.
   std::optional<WeightsVersion> weightsBehind(const Job& job, const Dispatch& dispatch,
                                               std::optional<WeightsVersion> told) const;
   /// Tells the pool what the outcome says of the server.
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -160,7 +160,7 @@
   }
   std::optional<WeightsVersion> weights = attempt->weights();
   if (!outcome && outcome.error().kind == ErrorKind::kFenced) {
-    weights = weightsBehind(job, dispatch, weights);
+    weights = attempt->fromAnother() ? std::nullopt : weightsBehind(job, dispatch, weights);
     if (weights) {
       outcome = fail(ErrorKind::kOtherWeights, outcome.error().detail + ": it has weights " +
                                                    std::to_string(weights->value()));
@@ -249,11 +249,11 @@
 
 std::optional<WeightsVersion> Forwarder::weightsBehind(const Job& job, const Dispatch& dispatch,
                                                        std::optional<WeightsVersion> told) const {
-  if (!dispatch.weights || told == dispatch.weights) {
+  if (!dispatch.weights) {
     return std::nullopt;
   }
   if (told) {
-    return told;
+    return *told > *dispatch.weights ? told : std::nullopt;
   }
   const WeightsView view = context_.weights(job.request.model, *dispatch.weights);
   return view.outdatedSince ? view.newest : std::nullopt;
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -98,6 +98,8 @@
   virtual AnswerKind classify(const Request& request, const http::Response& head) const = 0;
   /// Weights that made the answer, where it says so.
   virtual std::optional<WeightsVersion> weightsOf(const http::Response& head) const = 0;
+  /// Whether the answer's head names another server than this one. One that names none does not.
+  virtual bool namesAnother(const fleet::Server& server, const http::Response& head) const = 0;
   virtual http::Request healthQuery(const routes::Service& service) const = 0;
   virtual bool isHealthy(const fleet::Server& server, const http::Response& answer) const = 0;
   virtual http::Request reportQuery(const fleet::Server& server) const = 0;
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -51,6 +51,7 @@
   const AnswerKind kind = protocol_.classify(request, stream.head());
   answered_ = kind == AnswerKind::kAnswered;
   weights_ = protocol_.weightsOf(stream.head());
+  fromAnother_ = protocol_.namesAnother(dispatch.server, stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
     // Reads the rest, so that the connection can serve again.
     const Result<std::string> rest = co_await stream.read();
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -47,6 +47,8 @@
   /// Called once, when the first bytes of the answer's body came.
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
   std::optional<WeightsVersion> weights() const { return weights_; }
+  /// The answer's head named another server than the one that was meant.
+  bool fromAnother() const { return fromAnother_; }
   /// How long the connection took, where a new one was made.
   std::optional<Microseconds> connectTime() const { return connectTime_; }
   unsigned status() const { return status_; }
@@ -72,6 +74,7 @@
   std::optional<http::Response> keptFailure_;
   unsigned status_ = 0;
   bool answered_ = false;
+  bool fromAnother_ = false;
   bool recalled_ = false;
 };
 
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -63,6 +63,10 @@
   std::optional<WeightsVersion> weightsOf(const http::Response& /*head*/) const override {
     return std::nullopt;
   }
+  bool namesAnother(const fleet::Server& /*server*/,
+                    const http::Response& /*head*/) const override {
+    return false;
+  }
   http::Request healthQuery(const routes::Service& /*service*/) const override { return {}; }
   bool isHealthy(const fleet::Server& /*server*/, const http::Response& /*answer*/) const override {
     return true;
--- a/tests/platform/other_weights_test.cc
+++ b/tests/platform/other_weights_test.cc
@@ -8,9 +8,11 @@
 using boost::asio::awaitable;
 
 /// Refuses requests that expect other weights than `weights`, and says which it has.
-ServerStandIn::Behaviour onlyWith(const std::string& weights, bool tells) {
-  return [weights, tells](const http::Request& request,
-                          http::ResponseWriter& writer) -> awaitable<void> {
+/// @param instance that it names where it refuses; empty: none.
+ServerStandIn::Behaviour onlyWith(const std::string& weights, bool tells,
+                                  const std::string& instance = "") {
+  return [weights, tells, instance](const http::Request& request,
+                                    http::ResponseWriter& writer) -> awaitable<void> {
     if (request.headers.get(platform::kExpectVersion) == weights) {
       co_await ServerStandIn::streamEvents(request, writer, 1, 1);
       const Result<void> ended = co_await writer.endStream();
@@ -23,6 +25,9 @@
     if (tells) {
       refusal.headers.set(platform::kWeightVersions, weights);
     }
+    if (!instance.empty()) {
+      refusal.headers.set(platform::kInstance, instance);
+    }
     co_await http::respond(writer, std::move(refusal));
   };
 }
@@ -98,6 +103,51 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(anAnswerThatNamesThisServerCorrectsWhatIsKnown) {
+  for (const auto& server : servers) {
+    server->setBehaviour(onlyWith("2", true, server->id()));
+  }
+  run([&]() -> awaitable<void> {
+    const Result<http::Response> answer = co_await call(modelRequest("/stream/a"));
+    BOOST_TEST(answer.value().status == 200U);
+    BOOST_TEST(arrivals() == 2U);
+  });
+}
+
+/// Another instance took over the addresses; under the weights that it tells it would run the
+/// request.
+BOOST_AUTO_TEST_CASE(anotherInstanceGetsNoSecondTryUnderOtherWeights) {
+  for (const auto& server : servers) {
+    server->healthy = false;
+    server->setBehaviour(onlyWith("2", true, "i-9"));
+  }
+  run([&]() -> awaitable<void> {
+    for (int number = 0; number < 5; ++number) {
+      const Result<http::Response> answer = co_await call(modelRequest("/stream/a"));
+      BOOST_TEST(answer.value().status != 200U);
+    }
+    for (const auto& server : servers) {
+      BOOST_TEST(server->arrivals().size() <= 1U);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatTellsOlderWeightsIsNotTheOneThatWasMeant) {
+  for (const auto& server : servers) {
+    server->healthy = false;
+    server->setBehaviour(onlyWith("0", true));
+  }
+  run([&]() -> awaitable<void> {
+    for (int number = 0; number < 5; ++number) {
+      const Result<http::Response> answer = co_await call(modelRequest("/stream/a"));
+      BOOST_TEST(answer.value().status != 200U);
+    }
+    for (const auto& server : servers) {
+      BOOST_TEST(server->arrivals().size() <= 1U);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
