Relays: what a refresh found is told by its revision too; older changes take nothing back

Cause: hasUntold() compared proofs only. A refresh that was asked before the source's last proof brought a newer state unseen: the source's watch that was under way went on, was told to the reader, and its older change replaced the newer object in the cache while the revision stayed. Ruled out: dropping a batch whose revision is below the cache's by its revision alone (a batch that leads beyond it may repeat older changes, and bring a removed object back); leaving out changes below a held object's revision from the history (an object of a listing's later page is newer than the listing, so a follower would miss them). Change: View has toldRevision beside toldProvenAt. applyChanges leaves out what the state has: changes up to its revision, and removals of what was there again by then; an object is not replaced by an older change.

--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -86,7 +86,7 @@
     const MonotonicTime provenAt = asked + listing.value().provenAfterAsked;
     view.cache->applyListing(listing.value(), provenAt);
     view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
-    view.toldProvenAt = view.cache->provenAt();
+    noteTold(view);
   }
   co_return listing;
 }
@@ -107,14 +107,19 @@
     const MonotonicTime provenAt = store::provenAt(batch.value(), asked, wait, monotonicNow());
     view.cache->applyChanges(batch.value(), provenAt);
     view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
-    view.toldProvenAt = view.cache->provenAt();
+    noteTold(view);
   }
   co_return batch;
 }
 
+void RelayedStore::noteTold(View& view) {
+  view.toldProvenAt = view.cache->provenAt();
+  view.toldRevision = view.cache->revision();
+}
+
 Result<store::Listing> RelayedStore::untoldListing(View& view, MonotonicTime asked) {
   store::Listing listing = view.cache->listing();
-  view.toldProvenAt = view.cache->provenAt();
+  noteTold(view);
   listing.provenAfterAsked = std::chrono::floor<Milliseconds>(view.toldProvenAt - asked);
   return listing;
 }
@@ -123,7 +128,7 @@
                                                        MonotonicTime asked) {
   // Where the changes are forgotten a listing tells.
   BOOST_OUTCOME_TRY(store::ChangeBatch batch, view.cache->changesSince(since));
-  view.toldProvenAt = view.cache->provenAt();
+  noteTold(view);
   batch.provenAfterAsked = std::chrono::floor<Milliseconds>(view.toldProvenAt - asked);
   return batch;
 }
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -78,8 +78,10 @@
     std::unique_ptr<WatchCache> cache;
     /// The newest proof that a source gave.
     MonotonicTime sourceProvenAt{};
-    /// The proof of what the reader was told last.
+    /// The proof of what the reader was told last, and the revision of that. A state may be newer
+    /// though its proof is not, as proofs count from when they were asked for.
     MonotonicTime toldProvenAt{};
+    store::Revision toldRevision;
     /// Rises with each refresh().
     std::uint64_t refreshes = 0;
   };
@@ -88,7 +90,11 @@
   void wakeWaiters();
   View& viewOf(const std::string& kind);
   /// Whether refresh() found what the reader has not been told.
-  static bool hasUntold(const View& view) { return view.cache->provenAt() > view.toldProvenAt; }
+  static bool hasUntold(const View& view) {
+    return view.cache->provenAt() > view.toldProvenAt || view.cache->revision() > view.toldRevision;
+  }
+  /// The reader is told what is known now.
+  static void noteTold(View& view);
   /// That, as the answer to a call that was asked at this time.
   static Result<store::Listing> untoldListing(View& view, MonotonicTime asked);
   static Result<store::ChangeBatch> untoldChanges(View& view, store::Revision since,
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -30,16 +30,17 @@
 }
 
 void WatchCache::applyChanges(const store::ChangeBatch& batch, MonotonicTime provenAt) {
+  store::ChangeBatch news;
+  news.revision = batch.revision;
   for (const store::Change& change : batch.changes) {
-    if (change.removed) {
-      objects_.erase(change.object.name);
-    } else {
-      objects_[change.object.name] = change.object;
+    if (!isKnown(change, batch.revision)) {
+      applyChange(change);
+      news.changes.push_back(change);
     }
   }
-  if (!batch.changes.empty()) {
-    history_.push_back(batch);
-    rememberedChanges_ += batch.changes.size();
+  if (!news.changes.empty()) {
+    rememberedChanges_ += news.changes.size();
+    history_.push_back(std::move(news));
   }
   while (rememberedChanges_ > kMostRememberedChanges) {
     rememberedChanges_ -= history_.front().changes.size();
@@ -51,6 +52,33 @@
   wakeWaiters();
 }
 
+bool WatchCache::isKnown(const store::Change& change, store::Revision reached) const {
+  if (reached <= revision_) {
+    return true;
+  }
+  if (!change.removed) {
+    return change.object.revision <= revision_;
+  }
+  // A removal may carry the revision of the object's last change, so that only an object which was
+  // there again by the known state shows that the removal was before.
+  const auto held = objects_.find(change.object.name);
+  return held != objects_.end() && held->second.revision > change.object.revision &&
+         held->second.revision <= revision_;
+}
+
+void WatchCache::applyChange(const store::Change& change) {
+  const auto held = objects_.find(change.object.name);
+  // Objects of a listing may be newer than its revision.
+  if (held != objects_.end() && held->second.revision > change.object.revision) {
+    return;
+  }
+  if (change.removed) {
+    objects_.erase(change.object.name);
+  } else {
+    objects_[change.object.name] = change.object;
+  }
+}
+
 store::Listing WatchCache::listing() const {
   store::Listing listing;
   listing.revision = revision_;
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -21,6 +21,8 @@
 
   /// What this node read, and when it was the newest state for certain.
   void applyListing(const store::Listing& listing, MonotonicTime provenAt);
+  /// Changes that the state has already are left out, so that a batch that was read beside a newer
+  /// one takes nothing back.
   void applyChanges(const store::ChangeBatch& batch, MonotonicTime provenAt);
 
   /// The state without its age.
@@ -37,6 +39,10 @@
 
  private:
   void wakeWaiters();
+  /// Whether the state has the change of a batch that leads to `reached`.
+  bool isKnown(const store::Change& change, store::Revision reached) const;
+  /// Unless the object is known as newer.
+  void applyChange(const store::Change& change);
 
   boost::asio::any_io_executor executor_;
   std::map<std::string, store::Object> objects_;
--- a/tests/relay/watch_cache_test.cc
+++ b/tests/relay/watch_cache_test.cc
@@ -33,6 +33,16 @@
     listing.objects = {objectAt("a", 4), objectAt("b", 9)};
     cache.applyListing(listing, begin);
   }
+
+  /// Of the object as it is known; 0 where there is none.
+  std::uint64_t revisionOf(const std::string& name) const {
+    for (const store::Object& object : cache.listing().objects) {
+      if (object.name == name) {
+        return object.revision.value();
+      }
+    }
+    return 0;
+  }
 };
 
 BOOST_FIXTURE_TEST_SUITE(watch_cache, CacheFixture)
@@ -79,6 +89,57 @@
   BOOST_TEST((changes.value().revision == store::Revision(20)));
 }
 
+BOOST_AUTO_TEST_CASE(olderChangeDoesNotReplaceANewerOne) {
+  cache.applyChanges(batchOf({{objectAt("a", 12), false}}, 12), begin);
+  // Both were asked for since the same revision; the older is alone or with what is newer.
+  cache.applyChanges(batchOf({{objectAt("a", 11), false}}, 11), begin);
+  BOOST_TEST((revisionOf("a") == 12U));
+  cache.applyChanges(batchOf({{objectAt("a", 11), false}, {objectAt("c", 13), false}}, 13), begin);
+  BOOST_TEST((revisionOf("a") == 12U));
+  BOOST_TEST((revisionOf("c") == 13U));
+  const auto changes = cache.changesSince(store::Revision(12));
+  BOOST_REQUIRE(changes);
+  BOOST_TEST(changes.value().changes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(olderChangeDoesNotBringARemovedObjectBack) {
+  cache.applyChanges(batchOf({{objectAt("a", 12), true}}, 12), begin);
+  cache.applyChanges(batchOf({{objectAt("a", 11), false}}, 11), begin);
+  BOOST_TEST((revisionOf("a") == 0U));
+  cache.applyChanges(batchOf({{objectAt("a", 11), false}, {objectAt("c", 13), false}}, 13), begin);
+  BOOST_TEST((revisionOf("a") == 0U));
+  BOOST_TEST((revisionOf("c") == 13U));
+}
+
+BOOST_AUTO_TEST_CASE(olderRemovalDoesNotTakeAnObjectThatIsThereAgain) {
+  cache.applyChanges(batchOf({{objectAt("a", 11), true}, {objectAt("a", 12), false}}, 12), begin);
+  BOOST_TEST((revisionOf("a") == 12U));
+  cache.applyChanges(batchOf({{objectAt("a", 11), true}}, 11), begin);
+  BOOST_TEST((revisionOf("a") == 12U));
+  cache.applyChanges(batchOf({{objectAt("a", 11), true}, {objectAt("c", 13), false}}, 13), begin);
+  BOOST_TEST((revisionOf("a") == 12U));
+}
+
+BOOST_AUTO_TEST_CASE(removalThatCarriesTheLastRevisionOfItsObjectIsApplied) {
+  cache.applyChanges(batchOf({{objectAt("a", 4), true}}, 11), begin);
+  BOOST_TEST((revisionOf("a") == 0U));
+  const auto changes = cache.changesSince(store::Revision(10));
+  BOOST_REQUIRE(changes);
+  BOOST_TEST(changes.value().changes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(objectThatIsNewerThanItsListingIsNotReplacedByAnOlderChange) {
+  // A listing of several pages has its first page's revision.
+  store::Listing listing;
+  listing.revision = store::Revision(20);
+  listing.objects = {objectAt("a", 23)};
+  cache.applyListing(listing, begin);
+  cache.applyChanges(batchOf({{objectAt("a", 21), false}}, 22), begin);
+  BOOST_TEST((revisionOf("a") == 23U));
+  cache.applyChanges(batchOf({{objectAt("a", 23), false}, {objectAt("a", 24), true}}, 24), begin);
+  BOOST_TEST((revisionOf("a") == 0U));
+}
+
 BOOST_AUTO_TEST_CASE(newsEndTheWait) {
   bool woken = false;
   asio::co_spawn(
