Gateway: short bounds on the age of views no longer keep a node from starting

Cause: config-bound-ms or drain-bound-ms of 1,800 ms and less left a read age at or below relay-proof-age-ms, which was an error at the start; before the read ages came such a node started. Ruled out: a read age that has the hop's 150 ms above relay-proof-age-ms (bounds of 1,801 to 1,949 ms, which start now, would lose margin by it). Change: the shortest age that works, relay-proof-age-ms + 1, is taken then, and the table of derived settings says so. An error stays where the bound is not above that age, and for ages that are given themselves.

--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -52,6 +52,8 @@
   std::string name;
   Milliseconds& value;
   std::string breaks;
+  /// Taken where the bound less the margin is below it; 0: none.
+  Milliseconds shortest{0};
 };
 
 Milliseconds viewMargin(Milliseconds bound) {
@@ -59,6 +61,8 @@
 }
 
 std::vector<Rule> rulesOf(GatewaySettings& settings) {
+  // At the age at which roots look for another one, nodes would read the store all the time.
+  const Milliseconds shortestReadAge = settings.relayProofAge + Milliseconds(1);
   // A quarter, so that a long bound leaves room for longer queues too.
   const Milliseconds weightsMargin = std::max(kWeightsMargin, settings.weightsBound / 4);
   const Milliseconds permit = std::min(
@@ -75,10 +79,10 @@
        settings.keyProofAge, "requests are served for keys that were withdrawn"},
       {"config-bound-ms", settings.configBound, viewMargin(settings.configBound),
        "config-read-age-ms", settings.configReadAge,
-       "requests are served by a configuration that was replaced too long ago"},
+       "requests are served by a configuration that was replaced too long ago", shortestReadAge},
       {"drain-bound-ms", settings.drainBound, viewMargin(settings.drainBound), "server-read-age-ms",
        settings.serverReadAge,
-       "requests are sent to servers that were marked as draining too long ago"},
+       "requests are sent to servers that were marked as draining too long ago", shortestReadAge},
       {"stop-bound-s", stopBound, kStopMargin, "drain-timeout-ms", settings.drainTimeout,
        "a planned stop is ended from outside and cuts requests"},
       {"lease-bound-ms", settings.leaseBound, kLeaseMargin, "lease-duration-ms",
@@ -124,11 +128,12 @@
                         "the nodes together let through more than a tenant's limit"};
 }
 
-/// Below the age at which roots look for another one, nodes would read the store all the time.
+/// Of ages that were given themselves: at the age at which roots look for another one and below,
+/// nodes would read the store all the time.
 Result<void> checkReadAges(const GatewaySettings& settings) {
   const std::pair<std::string, Milliseconds> ages[] = {
-      {"config-bound-ms, or config-read-age-ms", settings.configReadAge},
-      {"drain-bound-ms, or server-read-age-ms", settings.serverReadAge}};
+      {"config-read-age-ms", settings.configReadAge},
+      {"server-read-age-ms", settings.serverReadAge}};
   for (const auto& [name, age] : ages) {
     if (age <= settings.relayProofAge) {
       return fail(ErrorKind::kSettingsInvalid,
@@ -140,6 +145,26 @@
   return boost::outcome_v2::success();
 }
 
+Result<DerivedSetting> derive(const Rule& rule) {
+  const bool hasShortest = rule.shortest > Milliseconds(0);
+  const Milliseconds longestUnkept = hasShortest ? rule.shortest : rule.margin;
+  if (rule.bound <= longestUnkept) {
+    return fail(ErrorKind::kSettingsInvalid,
+                rule.boundName + " is " + textOf(rule.bound) + "; it can't be kept below " +
+                    textOf(longestUnkept + Milliseconds(1)) + ", as else " + rule.breaks);
+  }
+  if (hasShortest && rule.bound - rule.margin < rule.shortest) {
+    rule.value = rule.shortest;
+    return DerivedSetting{
+        rule.name, textOf(rule.value),
+        rule.boundName + " is too short to be kept by the tree: read at " + textOf(rule.value),
+        rule.breaks};
+  }
+  rule.value = rule.bound - rule.margin;
+  return DerivedSetting{rule.name, textOf(rule.value),
+                        rule.boundName + " - " + std::to_string(rule.margin.count()), rule.breaks};
+}
+
 }  // namespace
 
 Result<std::vector<DerivedSetting>> applyBounds(GatewaySettings& settings) {
@@ -149,15 +174,8 @@
       derived.push_back({rule.name, textOf(rule.value), "given", rule.breaks});
       continue;
     }
-    if (rule.bound <= rule.margin) {
-      return fail(ErrorKind::kSettingsInvalid,
-                  rule.boundName + " is " + std::to_string(rule.bound.count()) +
-                      " ms; it can't be kept below " + std::to_string(rule.margin.count() + 1) +
-                      " ms, as else " + rule.breaks);
-    }
-    rule.value = rule.bound - rule.margin;
-    derived.push_back({rule.name, textOf(rule.value),
-                       rule.boundName + " - " + std::to_string(rule.margin.count()), rule.breaks});
+    BOOST_OUTCOME_TRY(const DerivedSetting row, derive(rule));
+    derived.push_back(row);
   }
   BOOST_OUTCOME_TRY(checkReadAges(settings));
   if (settings.weightsWait < settings.weightsTerm) {
