Relays: a refresh that proved nothing fails

Cause: readBeside() gave success where it had nothing to apply: a listing older than the cache after a version conflict, or a batch thrown away since the source had raised the revision with an older proof. The view stayed old, so that the caller read again at once, without the pause that a failure has. Ruled out: failing whenever a batch is not applied (the source may have proven a newer state since the refresh asked). Change: kStoreUnavailable unless the view's proof has reached the time of asking; a batch is applied where its revision is not below the cache's, which applyChanges bears since older changes are left out. Conclusion: the caller pauses after each reading that proved nothing.

--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -153,11 +153,11 @@
   Result<store::ChangeBatch> batch =
       co_await callUntil(end, direct_.watch(kind, since, kShortestWatch));
   if (batch) {
-    // What the source gave meanwhile is as new.
-    if (view.cache->revision() == since) {
+    // The source may have given a newer state meanwhile.
+    if (batch.value().revision >= view.cache->revision()) {
       view.cache->applyChanges(batch.value(), asked);
     }
-    co_return boost::outcome_v2::success();
+    co_return checkProven(view, asked);
   }
   if (batch.error().kind != ErrorKind::kVersionConflict) {
     co_return batch.error();
@@ -170,7 +170,14 @@
   if (listing.value().revision >= view.cache->revision()) {
     view.cache->applyListing(listing.value(), asked);
   }
-  co_return boost::outcome_v2::success();
+  co_return checkProven(view, asked);
+}
+
+Result<void> RelayedStore::checkProven(const View& view, MonotonicTime asked) {
+  if (view.cache->provenAt() < asked) {
+    return fail(ErrorKind::kStoreUnavailable, "what the store gave is older than what is known");
+  }
+  return boost::outcome_v2::success();
 }
 
 awaitable<Result<store::Listing>> RelayedStore::listAnywhere(View& view, std::string kind) {
--- a/tests/relay/refresh_race_test.cc
+++ b/tests/relay/refresh_race_test.cc
@@ -152,6 +152,61 @@
   BOOST_TEST(knownRevision() == 12U);
 }
 
+BOOST_AUTO_TEST_CASE(refreshThatProvedNothingByAnOlderListingFails) {
+  plan(0, fail(ErrorKind::kVersionConflict, "the history is gone"));
+  path.listings.push_back({Milliseconds(0), listingOf({objectAt("a", 9)}, 9)});
+  const MonotonicTime proven = relayed.provenAt("k");
+  refresh();
+  run(Milliseconds(20));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_REQUIRE(!refreshed->has_value());
+  BOOST_TEST((refreshed->error().kind == ErrorKind::kStoreUnavailable));
+  BOOST_TEST((relayed.provenAt("k") == proven));
+  BOOST_TEST(knownRevision() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(refreshFailsWhereTheSourceWasAheadWithAnOlderProof) {
+  plan(20, batchOf({{objectAt("a", 11), false}}, 11));
+  plan(40, batchOf({}, 10));
+  watch();
+  run(Milliseconds(5));
+  refresh();
+  run(Milliseconds(80));
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_TEST(watched->has_value());
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_REQUIRE(!refreshed->has_value());
+  BOOST_TEST((refreshed->error().kind == ErrorKind::kStoreUnavailable));
+  BOOST_TEST(knownRevision() == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(refreshSucceedsWhereTheSourceProvedANewerStateMeanwhile) {
+  plan(40, batchOf({{objectAt("a", 11), false}}, 11));
+  plan(10, batchOf({{objectAt("a", 12), false}}, 12));
+  refresh();
+  run(Milliseconds(5));
+  watch();
+  run(Milliseconds(80));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_TEST(refreshed->has_value());
+  BOOST_TEST(knownRevision() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(refreshIsAppliedWhereItLeadsBeyondWhatTheSourceGaveMeanwhile) {
+  plan(20, batchOf({{objectAt("a", 11), false}}, 11));
+  plan(40, batchOf({{objectAt("a", 11), false}, {objectAt("b", 12), false}}, 12));
+  watch();
+  run(Milliseconds(5));
+  const MonotonicTime asked = monotonicNow();
+  refresh();
+  run(Milliseconds(80));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_TEST(refreshed->has_value());
+  BOOST_TEST((relayed.provenAt("k") >= asked));
+  BOOST_TEST((relayed.cache("k")->revision() == store::Revision(12)));
+  BOOST_TEST(relayed.cache("k")->listing().objects.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
