Relays: a kind that can't be read keeps no other from being read

Cause: readOldViews() stopped at the first kind that failed, always in the same order, and its failure made all kinds pause: while the configuration was refused or silent, the list of servers was not read at all. A listing after a forgotten history had only what the watch before it had left of the time. Ruled out: going on to the next kind alone (the shared pause, up to one and a half times the read age, would still take the other kind past its bound); a pause for each kind alone (a silent store would cost a call for each kind where it costs one now). Change: readOldViews() goes on unless a call was not answered (kDeadlineExceeded, told apart from kStoreUnavailable now); a kind that failed is the last of the next round and has a pause of its own; all pause where a call was not answered and none before it in its round. The listing has a time-out of its own. Readers are woken where any kind was read. Conclusion: each kind is read by its own age. The simulated tree models one kind, so the calls of a whole fleet with two kinds that fail were not measured.

--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -139,58 +139,91 @@
   co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-awaitable<void> RelayNode::keepViewsYoung() {
+RelayNode::Guards RelayNode::makeGuards() const {
   Milliseconds shortest = Milliseconds::max();
   for (const auto& [kind, age] : settings_.readAges) {
     shortest = std::min(shortest, age);
   }
-  ViewGuard guard(viewGuardSettings(shortest), seedOf(settings_));
+  const ViewGuardSettings settings = viewGuardSettings(shortest);
+  const std::uint64_t seed = seedOf(settings_);
+  Guards guards{ViewGuard(settings, seed), {}, {}};
+  for (const auto& [kind, age] : settings_.readAges) {
+    guards.kinds.emplace(kind, ViewGuard(settings, hashPair(seed, hashBytes(kind))));
+    guards.order.push_back(kind);
+  }
+  return guards;
+}
+
+awaitable<void> RelayNode::keepViewsYoung() {
+  Guards guards = makeGuards();
   asio::steady_timer timer(executor_);
   for (;;) {
-    const MonotonicTime due = nextReading(guard);
+    const MonotonicTime due = nextReading(guards);
     if (monotonicNow() < due) {
       timer.expires_at(due);
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
       continue;
     }
-    const bool reached = co_await readOldViews(guard);
-    guard.onRead(reached, monotonicNow());
-    if (reached && onSourceChanged_) {
+    const Round round = co_await readOldViews(guards);
+    // A store that answers for one kind is there: silence is the other kind's alone.
+    guards.store.onRead(round.anyRead || !round.timedOut, monotonicNow());
+    if (round.anyRead && onSourceChanged_) {
       onSourceChanged_();
     }
   }
 }
 
-MonotonicTime RelayNode::nextReading(const ViewGuard& guard) {
+MonotonicTime RelayNode::nextReading(const Guards& guards) {
   // For a first view, which comes from this node's place in the tree.
   constexpr Milliseconds kLookInterval{100};
-  MonotonicTime due = MonotonicTime::max();
+  MonotonicTime next = MonotonicTime::max();
   for (const auto& [kind, age] : settings_.readAges) {
     const WatchCache* view = store_.cache(kind);
-    const bool known = view != nullptr && view->known();
-    due = std::min(due, known ? guard.due(view->provenAt(), age, core_.depth())
-                              : monotonicNow() + kLookInterval);
+    if (view == nullptr || !view->known()) {
+      next = std::min(next, monotonicNow() + kLookInterval);
+      continue;
+    }
+    const MonotonicTime due = guards.store.due(view->provenAt(), age, core_.depth());
+    next = std::min(next, std::max(due, guards.kinds.at(kind).notBefore()));
   }
-  return due;
+  return next;
 }
 
-awaitable<bool> RelayNode::readOldViews(const ViewGuard& guard) {
-  for (const auto& [kind, readAge] : settings_.readAges) {
+awaitable<RelayNode::Round> RelayNode::readOldViews(Guards& guards) {
+  Round round;
+  const std::vector<std::string> order = guards.order;
+  for (const std::string& kind : order) {
     const WatchCache* view = store_.cache(kind);
-    if (view == nullptr || !view->known() || monotonicNow() - view->provenAt() < readAge) {
+    ViewGuard& guard = guards.kinds.at(kind);
+    const MonotonicTime now = monotonicNow();
+    if (view == nullptr || !view->known() || now < guard.notBefore() ||
+        now - view->provenAt() < settings_.readAges.at(kind)) {
+      continue;
+    }
+    const Result<void> read = co_await readView(kind, guard.settings().callTimeout);
+    guard.onRead(static_cast<bool>(read), monotonicNow());
+    if (read) {
+      round.anyRead = true;
       continue;
     }
-    const auto age = std::chrono::floor<Milliseconds>(monotonicNow() - view->provenAt());
-    const Result<void> read = co_await store_.refresh(kind, guard.settings().callTimeout);
-    log::write(log::Level::kInfo, "view_read_from_store",
-               {{"kind", kind},
-                {"age_ms", std::to_string(age.count())},
-                {"outcome", read ? "read" : read.error().detail}});
-    if (!read) {
-      co_return false;
+    std::erase(guards.order, kind);
+    guards.order.push_back(kind);
+    if (read.error().kind == ErrorKind::kDeadlineExceeded) {
+      round.timedOut = true;
+      break;
     }
   }
-  co_return true;
+  co_return round;
+}
+
+awaitable<Result<void>> RelayNode::readView(std::string kind, Milliseconds callTimeout) {
+  const auto age = std::chrono::floor<Milliseconds>(monotonicNow() - store_.provenAt(kind));
+  Result<void> read = co_await store_.refresh(kind, callTimeout);
+  log::write(log::Level::kInfo, "view_read_from_store",
+             {{"kind", kind},
+              {"age_ms", std::to_string(age.count())},
+              {"outcome", read ? "read" : read.error().detail}});
+  co_return read;
 }
 
 void RelayNode::applyRole() {
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -4,7 +4,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "relay/relay_core.h"
@@ -53,9 +55,27 @@
   boost::asio::awaitable<void> wait(MonotonicTime until);
   /// Reads kinds from the store where their views have grown old, for as long as the node runs.
   boost::asio::awaitable<void> keepViewsYoung();
-  MonotonicTime nextReading(const ViewGuard& guard);
-  /// Reads those that are old; whether the store answered.
-  boost::asio::awaitable<bool> readOldViews(const ViewGuard& guard);
+  /// The pauses of keepViewsYoung().
+  struct Guards {
+    /// When any kind is due, and the pause after a round in which the store did not answer.
+    ViewGuard store;
+    /// The pause after a failed call for the kind alone.
+    std::map<std::string, ViewGuard> kinds;
+    /// In which kinds are read.
+    std::vector<std::string> order;
+  };
+  Guards makeGuards() const;
+  MonotonicTime nextReading(const Guards& guards);
+  /// What came of a round of readings.
+  struct Round {
+    bool anyRead = false;
+    /// A call was not answered; kinds after it were not read.
+    bool timedOut = false;
+  };
+  /// Reads those that are old and not in a pause of their own. A kind that fails is the last of the
+  /// next round.
+  boost::asio::awaitable<Round> readOldViews(Guards& guards);
+  boost::asio::awaitable<Result<void>> readView(std::string kind, Milliseconds callTimeout);
   boost::asio::awaitable<void> answerJoin(http::Request& request, http::ResponseWriter& writer);
   /// Reads views from where the core says.
   void applyRole();
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -139,7 +139,7 @@
     co_return fail(ErrorKind::kStoreUnavailable, "nothing was read of the kind yet");
   }
   View& view = found->second;
-  const Result<void> read = co_await readBeside(view, std::move(kind), monotonicNow() + timeout);
+  const Result<void> read = co_await readBeside(view, std::move(kind), timeout);
   if (read && hasUntold(view)) {
     ++view.refreshes;
     wakeWaiters();
@@ -147,11 +147,12 @@
   co_return read;
 }
 
-awaitable<Result<void>> RelayedStore::readBeside(View& view, std::string kind, MonotonicTime end) {
+awaitable<Result<void>> RelayedStore::readBeside(View& view, std::string kind,
+                                                 Milliseconds timeout) {
   const store::Revision since = view.cache->revision();
   MonotonicTime asked = monotonicNow();
   Result<store::ChangeBatch> batch =
-      co_await callUntil(end, direct_.watch(kind, since, kShortestWatch));
+      co_await callUntil(asked + timeout, direct_.watch(kind, since, kShortestWatch));
   if (batch) {
     // The source may have given a newer state meanwhile.
     if (batch.value().revision >= view.cache->revision()) {
@@ -163,7 +164,8 @@
     co_return batch.error();
   }
   asked = monotonicNow();
-  Result<store::Listing> listing = co_await callUntil(end, direct_.list(std::move(kind)));
+  Result<store::Listing> listing =
+      co_await callUntil(asked + timeout, direct_.list(std::move(kind)));
   if (!listing) {
     co_return listing.error();
   }
@@ -256,7 +258,7 @@
     co_await outcome->done->async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (!outcome->result) {
-    co_return fail(ErrorKind::kStoreUnavailable, "the store has not answered in time");
+    co_return fail(ErrorKind::kDeadlineExceeded, "the store has not answered in time");
   }
   co_return std::move(*outcome->result);
 }
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -67,9 +67,10 @@
   void watchSeldom(const std::string& kind) { seldomWatched_.insert(kind); }
   /// When what is known of the kind was the newest state for certain, by whatever way it was read.
   MonotonicTime provenAt(const std::string& kind) const;
-  /// Reads from the store what is new of the kind. Fails with kStoreUnavailable where it does not
-  /// answer within `timeout`, the kind has not been read yet, or the answer is older than what is
-  /// known: after a success the view is proven for the time of the call.
+  /// Reads from the store what is new of the kind: by a watch, and by a listing where the store has
+  /// forgotten the changes. Fails with kDeadlineExceeded where one of them is not answered within
+  /// `timeout`, and with kStoreUnavailable where the kind has not been read yet or the answer is
+  /// older than what is known: after a success the view is proven for the time of the call.
   boost::asio::awaitable<Result<void>> refresh(std::string kind, Milliseconds timeout);
 
  private:
@@ -105,14 +106,15 @@
                                                                    store::Revision since,
                                                                    Milliseconds wait);
   /// What the store has of the kind beyond what is known, for refresh().
-  boost::asio::awaitable<Result<void>> readBeside(View& view, std::string kind, MonotonicTime end);
+  boost::asio::awaitable<Result<void>> readBeside(View& view, std::string kind,
+                                                  Milliseconds timeout);
   /// Fails with kStoreUnavailable where the view is not known to have been the newest at that time.
   static Result<void> checkProven(const View& view, MonotonicTime asked);
   /// Runs a call to the source until it is done, the source changes or the view is refreshed.
   template <typename Value>
   boost::asio::awaitable<Result<Value>> callUntilLeft(const View& view,
                                                       boost::asio::awaitable<Result<Value>> call);
-  /// Runs a call until it is done or `end` comes.
+  /// Runs a call until it is done; fails with kDeadlineExceeded where `end` comes before.
   template <typename Value>
   boost::asio::awaitable<Result<Value>> callUntil(MonotonicTime end,
                                                   boost::asio::awaitable<Result<Value>> call);
--- a/src/relay/view_guard.h
+++ b/src/relay/view_guard.h
@@ -37,6 +37,8 @@
   /// @param depth nodes between this one and the store.
   MonotonicTime due(MonotonicTime provenAt, Milliseconds readAge, std::uint32_t depth) const;
   void onRead(bool reached, MonotonicTime now);
+  /// The end of the pause after a failed call; the epoch of the clock where there is none.
+  MonotonicTime notBefore() const { return notBefore_; }
   const ViewGuardSettings& settings() const { return settings_; }
 
  private:
--- a/tests/relay/refresh_race_test.cc
+++ b/tests/relay/refresh_race_test.cc
@@ -207,6 +207,26 @@
   BOOST_TEST(relayed.cache("k")->listing().objects.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(listingAfterAForgottenHistoryHasATimeOutOfItsOwn) {
+  const Milliseconds mostOfTheTime = kTimeout * 7 / 10;
+  path.batches.push_back({mostOfTheTime, fail(ErrorKind::kVersionConflict, "the history is gone")});
+  path.listings.push_back({mostOfTheTime, listingOf({objectAt("a", 12)}, 12)});
+  refresh();
+  run(2 * kTimeout);
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_TEST(refreshed->has_value());
+  BOOST_TEST(knownRevision() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(refreshThatIsNotAnsweredSaysSo) {
+  plan(500, batchOf({}, 10));
+  refresh();
+  run(kTimeout + Milliseconds(50));
+  BOOST_REQUIRE(refreshed.has_value());
+  BOOST_REQUIRE(!refreshed->has_value());
+  BOOST_TEST((refreshed->error().kind == ErrorKind::kDeadlineExceeded));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
