--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -86,7 +86,7 @@
     const MonotonicTime provenAt = asked + listing.value().provenAfterAsked;
     view.cache->applyListing(listing.value(), provenAt);
     view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
-    view.toldProvenAt = view.cache->provenAt();
+    noteTold(view);
   }
   co_return listing;
 }
@@ -107,14 +107,19 @@
     const MonotonicTime provenAt = store::provenAt(batch.value(), asked, wait, monotonicNow());
     view.cache->applyChanges(batch.value(), provenAt);
     view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
-    view.toldProvenAt = view.cache->provenAt();
+    noteTold(view);
   }
   co_return batch;
 }
 
+void RelayedStore::noteTold(View& view) {
+  view.toldProvenAt = view.cache->provenAt();
+  view.toldRevision = view.cache->revision();
+}
+
 Result<store::Listing> RelayedStore::untoldListing(View& view, MonotonicTime asked) {
   store::Listing listing = view.cache->listing();
-  view.toldProvenAt = view.cache->provenAt();
+  noteTold(view);
   listing.provenAfterAsked = std::chrono::floor<Milliseconds>(view.toldProvenAt - asked);
   return listing;
 }
@@ -123,7 +128,7 @@
                                                        MonotonicTime asked) {
   // Where the changes are forgotten a listing tells.
   BOOST_OUTCOME_TRY(store::ChangeBatch batch, view.cache->changesSince(since));
-  view.toldProvenAt = view.cache->provenAt();
+  noteTold(view);
   batch.provenAfterAsked = std::chrono::floor<Milliseconds>(view.toldProvenAt - asked);
   return batch;
 }
@@ -134,7 +139,7 @@
     co_return fail(ErrorKind::kStoreUnavailable, "nothing was read of the kind yet");
   }
   View& view = found->second;
-  const Result<void> read = co_await readBeside(view, std::move(kind), monotonicNow() + timeout);
+  const Result<void> read = co_await readBeside(view, std::move(kind), timeout);
   if (read && hasUntold(view)) {
     ++view.refreshes;
     wakeWaiters();
@@ -142,30 +147,39 @@
   co_return read;
 }
 
-awaitable<Result<void>> RelayedStore::readBeside(View& view, std::string kind, MonotonicTime end) {
+awaitable<Result<void>> RelayedStore::readBeside(View& view, std::string kind,
+                                                 Milliseconds timeout) {
   const store::Revision since = view.cache->revision();
   MonotonicTime asked = monotonicNow();
   Result<store::ChangeBatch> batch =
-      co_await callUntil(end, direct_.watch(kind, since, kShortestWatch));
+      co_await callUntil(asked + timeout, direct_.watch(kind, since, kShortestWatch));
   if (batch) {
-    // What the source gave meanwhile is as new.
-    if (view.cache->revision() == since) {
+    // The source may have given a newer state meanwhile.
+    if (batch.value().revision >= view.cache->revision()) {
       view.cache->applyChanges(batch.value(), asked);
     }
-    co_return boost::outcome_v2::success();
+    co_return checkProven(view, asked);
   }
   if (batch.error().kind != ErrorKind::kVersionConflict) {
     co_return batch.error();
   }
   asked = monotonicNow();
-  Result<store::Listing> listing = co_await callUntil(end, direct_.list(std::move(kind)));
+  Result<store::Listing> listing =
+      co_await callUntil(asked + timeout, direct_.list(std::move(kind)));
   if (!listing) {
     co_return listing.error();
   }
   if (listing.value().revision >= view.cache->revision()) {
     view.cache->applyListing(listing.value(), asked);
   }
-  co_return boost::outcome_v2::success();
+  co_return checkProven(view, asked);
+}
+
+Result<void> RelayedStore::checkProven(const View& view, MonotonicTime asked) {
+  if (view.cache->provenAt() < asked) {
+    return fail(ErrorKind::kStoreUnavailable, "what the store gave is older than what is known");
+  }
+  return boost::outcome_v2::success();
 }
 
 awaitable<Result<store::Listing>> RelayedStore::listAnywhere(View& view, std::string kind) {
@@ -244,7 +258,7 @@
     co_await outcome->done->async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (!outcome->result) {
-    co_return fail(ErrorKind::kStoreUnavailable, "the store has not answered in time");
+    co_return fail(ErrorKind::kDeadlineExceeded, "the store has not answered in time");
   }
   co_return std::move(*outcome->result);
 }
