Sight: limits that servers name in the heads of their answers are read, counted and logged

Cause: not known yet. The logs could not tell whether a node had been told of a limit, and when, so that "nobody reads it", "each spares by itself" and "learnt late" looked alike. No decision goes by it.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -135,6 +135,8 @@
                                              const Result<void>& outcome);
   /// The server has begun with the job: its first piece came.
   void noteBegin(Job& job, const Dispatch& dispatch) const;
+  /// What the head of a server's answer says of the rate that it takes.
+  void noteLimit(const Dispatch& dispatch, const http::Response& head) const;
   /// Sets which cache the dispatch moves. `sharedKey` names the prompt's common part.
   void moveCache(const Job& job, const Chosen& chosen, std::uint64_t sharedKey,
                  Dispatch& dispatch) const;
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -152,6 +152,7 @@
           context_.pool.observeFirstToken(dispatch.server.id, waitingTokens, *startMs - wayMs);
         }
       });
+  attempt->onHead([this, &dispatch](const http::Response& head) { noteLimit(dispatch, head); });
   const AttemptBounds bounds = boundsOf(job, wayMs);
   const FailureUse failureUse = job.mayMoveOn() ? FailureUse::kKeep : FailureUse::kDeliver;
   Result<void> outcome =
@@ -194,6 +195,14 @@
   co_return outcome;
 }
 
+void Forwarder::noteLimit(const Dispatch& dispatch, const http::Response& head) const {
+  const Result<std::optional<double>> limit = context_.servers.requestLimitOf(head);
+  if (!limit || limit.value()) {
+    context_.metrics.countNamedLimit(static_cast<bool>(limit));
+    logNamedLimit(dispatch.server.id, limit);
+  }
+}
+
 awaitable<void> Forwarder::judgeRequest(Job& job, const fleet::Server& server,
                                         Milliseconds underWay, const Result<void>& outcome) {
   quarantine::QuarantineNode& quarantine = context_.quarantine;
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -52,6 +52,10 @@
   answered_ = kind == AnswerKind::kAnswered;
   weights_ = protocol_.weightsOf(stream.head());
   fromAnother_ = protocol_.namesAnother(dispatch.server, stream.head());
+  const bool ownHead = kind == AnswerKind::kAnswered || kind == AnswerKind::kNotRun;
+  if (ownHead && !fromAnother_ && headListener_) {
+    headListener_(stream.head());
+  }
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
     // Reads the rest, so that the connection can serve again.
     const Result<std::string> rest = co_await stream.read();
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -46,6 +46,11 @@
   bool recalled() const { return recalled_; }
   /// Called once, when the first bytes of the answer's body came.
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
+  /// Called once, with the head of an answer to this request that came from the server itself:
+  /// its own answer, or proof that it did not run the request.
+  void onHead(std::function<void(const http::Response&)> listener) {
+    headListener_ = std::move(listener);
+  }
   std::optional<WeightsVersion> weights() const { return weights_; }
   /// The answer's head named another server than the one that was meant.
   bool fromAnother() const { return fromAnother_; }
@@ -69,6 +74,7 @@
   AnswerRelay& relay_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
+  std::function<void(const http::Response&)> headListener_;
   std::optional<WeightsVersion> weights_;
   std::optional<Microseconds> connectTime_;
   std::optional<http::Response> keptFailure_;
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -47,6 +47,16 @@
   return std::nullopt;
 }
 
+std::vector<std::string> HeaderList::findAll(std::string_view name) const {
+  std::vector<std::string> values;
+  for (const Header& header : headers_) {
+    if (sameName(header.name, name)) {
+      values.push_back(header.value);
+    }
+  }
+  return values;
+}
+
 std::string HeaderList::get(std::string_view name) const {
   return find(name).value_or("");
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -25,6 +25,8 @@
   void add(std::string name, std::string value);
   void erase(std::string_view name);
   std::optional<std::string> find(std::string_view name) const;
+  /// Values of all fields of that name, in their order.
+  std::vector<std::string> findAll(std::string_view name) const;
   /// Value of the field, or an empty text.
   std::string get(std::string_view name) const;
   const std::vector<Header>& all() const { return headers_; }
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -63,6 +63,9 @@
   std::optional<WeightsVersion> weightsOf(const http::Response& /*head*/) const override {
     return std::nullopt;
   }
+  Result<std::optional<double>> requestLimitOf(const http::Response& /*head*/) const override {
+    return std::optional<double>();
+  }
   bool namesAnother(const fleet::Server& /*server*/,
                     const http::Response& /*head*/) const override {
     return false;
