Tests: servers that name a limit are spared and used by all nodes together (red)

Symptom: callers' requests go on to servers that have named a limit as to all others. The bounds come from the aim: 1.1 x 4 N + 2 in any 4 s from 1 s after the naming, 0.9 N used, in use again within 2 s.

--- /dev/null
+++ b/tests/platform/limited_servers_test.cc
@@ -0,0 +1,221 @@
+// What was seen: a model server that had named a limit of 1 request a second got 13 and 14 requests
+// in 4 s from nodes that it had told of it; another one, in another zone, the same.
+//
+// How it came about: no node read the limit. Each went on as before, and the server got what a
+// server gets that names none.
+//
+// What proved it: with the limit read and logged (server_limit_named), the nodes that passed such
+// an answer on send to that server again within the second, at the same rate as before.
+
+#include <map>
+
+#include "gateway_fleet.h"
+
+namespace calicodrift::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+constexpr std::size_t kNodes = 7;
+constexpr std::size_t kServers = 15;
+constexpr Milliseconds kWindow{4000};
+/// All nodes know of a limit, and spare the server, so long after it named it first.
+constexpr Milliseconds kUntilSpared{1000};
+constexpr Milliseconds kUntilUsedAgain{2000};
+/// Between two requests of callers: some 60 a second, 16 in 4 s for each server.
+constexpr Milliseconds kGap{16};
+
+/// In any kWindow, over all nodes.
+double allowedInWindow(double perSecond) {
+  constexpr double kTolerance = 1.1;
+  constexpr double kMore = 2;
+  return kTolerance * perSecond * toMilliseconds(kWindow) / 1000 + kMore;
+}
+
+/// The most requests that came in any window from `begin` on.
+std::size_t worstWindow(const ServerStandIn& server, MonotonicTime begin) {
+  const std::vector<MonotonicTime>& times = server.arrivalTimes();
+  std::size_t worst = 0;
+  for (std::size_t first = 0; first < times.size(); ++first) {
+    if (times[first] < begin) {
+      continue;
+    }
+    std::size_t next = first;
+    while (next < times.size() && times[next] - times[first] < kWindow) {
+      ++next;
+    }
+    worst = std::max(worst, next - first);
+  }
+  return worst;
+}
+
+std::size_t arrivalsSince(const ServerStandIn& server, MonotonicTime begin) {
+  return static_cast<std::size_t>(
+      std::count_if(server.arrivalTimes().begin(), server.arrivalTimes().end(),
+                    [begin](MonotonicTime time) { return time >= begin; }));
+}
+
+/// Streams of callers at all nodes in turn, for as long as it is told to; counts answers by status.
+class Callers {
+ public:
+  explicit Callers(GatewayFleet& fleet) : fleet_(fleet) {}
+
+  awaitable<void> sendFor(Milliseconds duration) {
+    const MonotonicTime end = monotonicNow() + duration;
+    while (monotonicNow() < end) {
+      asio::co_spawn(fleet_.context, sendOne(), asio::detached);
+      co_await fleet_.pause(kGap);
+    }
+    co_await fleet_.waitUntil([this] { return outstanding_ == 0; });
+  }
+  std::size_t sent() const { return sent_; }
+  std::size_t answered(unsigned status) const {
+    const auto found = statuses_.find(status);
+    return found == statuses_.end() ? 0 : found->second;
+  }
+
+ private:
+  awaitable<void> sendOne() {
+    ++outstanding_;
+    const std::size_t number = sent_++;
+    http::Request message =
+        GatewayFleet::modelRequest("/stream/a", "prompt " + std::to_string(number));
+    // Prompts of their own, so that no server is their home.
+    const std::string part = std::to_string(number);
+    message.headers.set(platform::kPromptPrefix, "a" + part + ":600,b" + part + ":300");
+    const unsigned status = co_await fleet_.call(number % fleet_.size(), std::move(message));
+    ++statuses_[status];
+    --outstanding_;
+  }
+
+  GatewayFleet& fleet_;
+  std::size_t sent_ = 0;
+  std::size_t outstanding_ = 0;
+  std::map<unsigned, std::size_t> statuses_;
+};
+
+/// The first servers of the fleet name the limit; all of its nodes together spare and use them.
+void checkLimitHolds(const std::string& limit, std::size_t limited, Milliseconds duration) {
+  GatewayFleet fleet(kNodes, kServers);
+  fleet.run([&]() -> awaitable<void> {
+    Callers callers(fleet);
+    co_await callers.sendFor(Milliseconds(1500));
+    const MonotonicTime named = monotonicNow();
+    for (std::size_t number = 0; number < limited; ++number) {
+      fleet.servers[number]->namedLimits = {limit};
+    }
+    co_await callers.sendFor(duration);
+    const double perSecond = std::stod(limit);
+    const MonotonicTime spared = named + kUntilSpared;
+    const double seconds = toMilliseconds(duration - kUntilSpared) / 1000;
+    for (std::size_t number = 0; number < limited; ++number) {
+      const ServerStandIn& server = *fleet.servers[number];
+      const std::size_t worst = worstWindow(server, spared);
+      const std::size_t got = arrivalsSince(server, spared);
+      BOOST_TEST_MESSAGE("limit " << limit << ": worst window " << worst << ", got " << got
+                                  << " in " << seconds << " s");
+      BOOST_TEST(static_cast<double>(worst) <= allowedInWindow(perSecond));
+      constexpr double kLeastUse = 0.9;
+      BOOST_TEST(static_cast<double>(got) + 1 >= kLeastUse * perSecond * seconds);
+    }
+    BOOST_TEST(callers.answered(200) == callers.sent());
+  });
+}
+
+BOOST_AUTO_TEST_SUITE(platform_limited_servers)
+
+BOOST_AUTO_TEST_CASE(serversThatTakeOneASecondAreSparedAndUsed) {
+  checkLimitHolds("1", 2, Milliseconds(10'000));
+}
+
+BOOST_AUTO_TEST_CASE(serverThatTakesLessThanOneASecondIsSpared) {
+  checkLimitHolds("0.25", 1, Milliseconds(10'000));
+}
+
+BOOST_AUTO_TEST_CASE(serverThatTakesSomeASecondIsSparedAndUsed) {
+  checkLimitHolds("2.5", 1, Milliseconds(8'000));
+}
+
+/// A limit ends with the first answer without one to a request that was sent under it.
+BOOST_AUTO_TEST_CASE(serverThatNamesNoLimitAnyMoreIsUsedAgain) {
+  GatewayFleet fleet(kNodes, kServers);
+  fleet.run([&]() -> awaitable<void> {
+    Callers callers(fleet);
+    ServerStandIn& server = *fleet.servers[0];
+    server.namedLimits = {"0.5"};
+    co_await callers.sendFor(Milliseconds(6000));
+    const MonotonicTime lifted = monotonicNow();
+    server.namedLimits.clear();
+    constexpr Milliseconds kWatched{5000};
+    co_await callers.sendFor(kUntilUsedAgain + kWatched);
+    const std::size_t got = arrivalsSince(server, lifted + kUntilUsedAgain);
+    BOOST_TEST_MESSAGE("in 5 s behind the lifted limit: " << got);
+    // The limit would let 4 pass; a fifteenth of some 60 a second is 20.
+    BOOST_TEST(got >= 9U);
+  });
+}
+
+/// What the servers take together is used, and no more; the others are told at once to come back.
+BOOST_AUTO_TEST_CASE(serviceWhoseServersAreAllLimitedTakesWhatTheyTake) {
+  GatewayFleet fleet(kNodes, 3);
+  fleet.run([&]() -> awaitable<void> {
+    Callers callers(fleet);
+    for (std::size_t number = 0; number < 3; ++number) {
+      fleet.servers[number]->namedLimits = {"2"};
+    }
+    co_await callers.sendFor(Milliseconds(1500));
+    const MonotonicTime spared = monotonicNow();
+    const std::size_t servedBefore = callers.answered(200);
+    co_await callers.sendFor(Milliseconds(8000));
+    const std::size_t served = callers.answered(200) - servedBefore;
+    for (std::size_t number = 0; number < 3; ++number) {
+      BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[number], spared)) <=
+                 allowedInWindow(2));
+    }
+    BOOST_TEST_MESSAGE("served " << served << " of 48 in 8 s");
+    BOOST_TEST(served >= 43U);
+    BOOST_TEST(callers.answered(200) + callers.answered(503) == callers.sent());
+  });
+}
+
+/// A limit that can't be read changes nothing, neither where none is known nor where one is.
+BOOST_AUTO_TEST_CASE(limitThatCantBeReadChangesNothing) {
+  GatewayFleet fleet(3, 3);
+  fleet.run([&]() -> awaitable<void> {
+    Callers callers(fleet);
+    const std::vector<std::vector<std::string>> unreadable = {
+        {"nan"}, {""}, {"-1"}, {"inf"}, {"1", "2"}, {"one"}, {"1 a second"}};
+    for (const std::vector<std::string>& limits : unreadable) {
+      const MonotonicTime begin = monotonicNow();
+      fleet.servers[0]->namedLimits = limits;
+      co_await callers.sendFor(Milliseconds(300));
+      BOOST_TEST(arrivalsSince(*fleet.servers[0], begin) >= 2U);
+    }
+    fleet.servers[0]->namedLimits = {"1"};
+    co_await callers.sendFor(Milliseconds(1000));
+    fleet.servers[0]->namedLimits = {"nan"};
+    const MonotonicTime begin = monotonicNow();
+    co_await callers.sendFor(Milliseconds(4500));
+    BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[0], begin)) <= allowedInWindow(1));
+  });
+}
+
+/// A node that starts learns limits from the others before it is ready.
+BOOST_AUTO_TEST_CASE(nodeThatStartsKnowsTheLimit) {
+  GatewayFleet fleet(3, 3);
+  fleet.run([&]() -> awaitable<void> {
+    Callers callers(fleet);
+    fleet.servers[0]->namedLimits = {"1"};
+    co_await callers.sendFor(Milliseconds(2000));
+    const MonotonicTime begin = monotonicNow();
+    co_await fleet.startMore(2, "z1");
+    co_await callers.sendFor(Milliseconds(4500));
+    BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[0], begin)) <= allowedInWindow(1));
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::testing
--- a/tests/platform/server_stand_in.h
+++ b/tests/platform/server_stand_in.h
@@ -65,6 +65,10 @@
 
   /// Requests of callers that came, orders and questions left out.
   const std::vector<http::Request>& arrivals() const { return arrivals_; }
+  /// When each of them came.
+  const std::vector<MonotonicTime>& arrivalTimes() const { return arrivalTimes_; }
+  /// The rate that it takes, a header each, in the heads of all answers, as written here.
+  std::vector<std::string> namedLimits;
   const std::vector<boost::json::value>& orders() const { return orders_; }
   std::uint64_t weights() const { return weights_; }
   void setWeights(std::uint64_t weights) { weights_ = weights; }
@@ -105,6 +109,7 @@
   std::string version_;
   Behaviour behaviour_;
   std::vector<http::Request> arrivals_;
+  std::vector<MonotonicTime> arrivalTimes_;
   std::vector<boost::json::value> orders_;
   std::function<void()> loadedListener_;
   std::uint64_t weights_ = 1;
