Tests: no more nodes hand out a root's part than the list of roots names (red)

Symptom: a tenant gets more than its limit in a window while roots are replaced (the two intermittent lines of KNOWN-RED.txt).

--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -146,6 +146,14 @@
     }
     return found;
   }
+  /// Nodes that hand out a root's part of what all roots together may hand out.
+  std::vector<std::size_t> grantingRoots() const {
+    std::vector<std::size_t> found = roots();
+    std::erase_if(found, [this](std::size_t number) { return nodes_[number].frozen; });
+    return found;
+  }
+  /// Whether roots keep their place confirmed, as they do where a limit is kept.
+  void setKeepsConfirmed(bool /*keeps*/) {}
   /// Live nodes whose view is older than `age`, or that have none.
   std::size_t olderThan(Milliseconds age) {
     std::size_t count = 0;
