Relay: telling the neighbours at once is a part of its own, out of the quarantine

Cause: the quarantine had its own way of bringing news to all nodes at once; limits that servers name need the same, and a second copy of it would be one channel more. Change: relay::NewsSpreader (who was told what, calls under way, waiting for the answers) out of QuarantineNode, which keeps what is told.

--- a/src/quarantine/quarantine_node.cc
+++ b/src/quarantine/quarantine_node.cc
@@ -16,10 +16,6 @@
 
 namespace {
 
-/// A neighbour that did not answer is told again after so long: it may start anew meanwhile.
-constexpr Milliseconds kSilencePause{1000};
-/// Each neighbour has less time than this node, so that its answer comes in time.
-constexpr double kTimeForNeighbours = 0.8;
 /// Between two questions to a parent that has not read the records yet itself.
 constexpr Milliseconds kStartInterval{100};
 /// A refused caller comes back when the attempt under way is likely to have ended.
@@ -57,7 +53,15 @@
     : context_(std::move(context)),
       metrics_(metrics),
       records_(store, std::move(recordKind), ledger_, metrics, std::move(onUnreadable)),
-      random_(seed) {}
+      random_(seed),
+      news_(newsContext()) {}
+
+relay::NewsContext QuarantineNode::newsContext() {
+  return {context_.executor, [this] { return neighbours(); }, [this] { return ledger_.version(); },
+          [this](Endpoint neighbour, std::uint64_t since, Milliseconds wait, Milliseconds timeout) {
+            return push(std::move(neighbour), since, wait, timeout);
+          }};
+}
 
 void QuarantineNode::start() {
   startedAt_ = monotonicNow();
@@ -74,8 +78,8 @@
     }
     settled_ = settled_ || records_.read();
     co_await findOtherTrees();
-    forgetFormerNeighbours();
-    asio::co_spawn(context_.executor, tell(Milliseconds(0), ""), asio::detached);
+    news_.forgetFormerNeighbours();
+    news_.tellSoon();
     timer.expires_after(synchronized() ? kInterval : kStartInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -89,14 +93,6 @@
   }
 }
 
-void QuarantineNode::forgetFormerNeighbours() {
-  const std::vector<Endpoint> now = neighbours();
-  std::erase_if(peers_, [&now](const auto& entry) {
-    const auto isIt = [&entry](const Endpoint& one) { return one.toString() == entry.first; };
-    return !entry.second.calling && std::none_of(now.begin(), now.end(), isIt);
-  });
-}
-
 bool QuarantineNode::synchronized() const {
   return settled_ || monotonicNow() - startedAt_ > kLongestStart;
 }
@@ -137,63 +133,19 @@
   return found;
 }
 
-bool QuarantineNode::mustTell(const Peer& peer, std::uint64_t version, MonotonicTime now) const {
-  return peer.told < version && now >= peer.silentUntil;
-}
-
-awaitable<void> QuarantineNode::tell(Milliseconds time, std::string except) {
-  const std::uint64_t version = ledger_.version();
-  const MonotonicTime end = monotonicNow() + time;
-  for (;;) {
-    const MonotonicTime now = monotonicNow();
-    bool pending = false;
-    for (const Endpoint& neighbour : neighbours()) {
-      Peer& peer = peers_[neighbour.toString()];
-      if (neighbour.toString() == except || !mustTell(peer, version, now)) {
-        continue;
-      }
-      pending = true;
-      if (!std::exchange(peer.calling, true)) {
-        const Milliseconds left = std::chrono::ceil<Milliseconds>(end - now);
-        asio::co_spawn(context_.executor, push(neighbour, left), asio::detached);
-      }
-    }
-    if (!pending || now >= end) {
-      co_return;
-    }
-    const auto timer = std::make_shared<asio::steady_timer>(context_.executor, end);
-    const auto waiter = waiting_.insert(waiting_.end(), timer);
-    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
-    waiting_.erase(waiter);
-  }
-}
-
-void QuarantineNode::wakeWaiters() {
-  for (const TimerPointer& waiter : waiting_) {
-    waiter->cancel();
-  }
-}
-
-awaitable<void> QuarantineNode::push(Endpoint neighbour, Milliseconds time) {
-  const std::string name = neighbour.toString();
-  const std::uint64_t version = ledger_.version();
+awaitable<bool> QuarantineNode::push(Endpoint neighbour, std::uint64_t since, Milliseconds wait,
+                                     Milliseconds timeout) {
   SuspectReport report;
   report.settled = settled_;
-  report.waitMs =
-      static_cast<std::uint32_t>(static_cast<double>(time.count()) * kTimeForNeighbours);
-  report.suspects = ledger_.changedSince(peers_[name].told);
+  report.waitMs = static_cast<std::uint32_t>(wait.count());
+  report.suspects = ledger_.changedSince(since);
   const Result<SuspectReport> answer =
-      co_await send(std::move(neighbour), std::move(report), std::max(time, kTellTime));
+      co_await send(std::move(neighbour), std::move(report), timeout);
   metrics_.countReport(static_cast<bool>(answer));
-  Peer& peer = peers_[name];
-  peer.calling = false;
   if (answer) {
-    peer.told = std::max(peer.told, version);
     merge(answer.value().suspects);
-  } else {
-    peer.silentUntil = monotonicNow() + kSilencePause;
   }
-  wakeWaiters();
+  co_return static_cast<bool>(answer);
 }
 
 awaitable<Result<SuspectReport>> QuarantineNode::send(Endpoint neighbour, SuspectReport report,
@@ -222,16 +174,14 @@
   SuspectReport answer;
   answer.sender = context_.endpoint.toString();
   answer.settled = settled_;
-  Peer& peer = peers_[report.sender];
   if (report.fresh) {
     answer.suspects = ledger_.changedSince(0);
-    peer.told = ledger_.version();
-  } else if (peer.told == before) {
-    // What is new came from there.
-    peer.told = ledger_.version();
+    news_.setTold(report.sender, ledger_.version());
+  } else {
+    news_.onNewsFrom(report.sender, before);
   }
   if (ledger_.version() != before) {
-    co_await tell(std::min(Milliseconds(report.waitMs), kTellTime), report.sender);
+    co_await news_.tell(std::min(Milliseconds(report.waitMs), kTellTime), report.sender);
   }
   co_return answer;
 }
@@ -260,7 +210,7 @@
                                           Milliseconds underWay) {
   metrics_.countEnd();
   merge(Suspect{request, {run}, {}, static_cast<std::uint32_t>(underWay.count())});
-  co_await tell(kTellTime, "");
+  co_await news_.tell(kTellTime);
 }
 
 void QuarantineNode::lift(const RequestFingerprint& request, const std::string& reason) {
@@ -271,7 +221,7 @@
   log::write(log::Level::kInfo, "request_cleared",
              {{"request", toString(request)}, {"reason", reason}});
   logBar(request, wasBarred);
-  asio::co_spawn(context_.executor, tell(Milliseconds(0), ""), asio::detached);
+  news_.tellSoon();
 }
 
 awaitable<Result<Trial>> QuarantineNode::admit(RequestFingerprint request,
@@ -399,7 +349,7 @@
     co_return;
   }
   lift(*fingerprint, "operator");
-  co_await tell(kTellTime, "");
+  co_await news_.tell(kTellTime);
   co_await http::respond(writer, http::jsonResponse(http::kStatusOk, listText()));
 }
 
--- a/src/quarantine/quarantine_node.h
+++ b/src/quarantine/quarantine_node.h
@@ -4,8 +4,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <list>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -19,6 +17,7 @@
 #include "quarantine/metrics.h"
 #include "quarantine/records.h"
 #include "quarantine/trial_table.h"
+#include "relay/news_spreader.h"
 
 namespace calicodrift::quarantine {
 
@@ -112,8 +111,8 @@
   bool synchronized() const;
   void showMetrics();
 
-  /// For all nodes to be told: several ways there and back down a tree of four levels.
-  static constexpr Milliseconds kTellTime{150};
+  /// For all nodes to be told.
+  static constexpr Milliseconds kTellTime = relay::NewsSpreader::kTellTime;
   /// For an answer of the root that admits.
   static constexpr Milliseconds kAdmitTime{120};
   /// A node that starts serves without the records after so long.
@@ -122,29 +121,16 @@
   static constexpr Milliseconds kInterval{250};
 
  private:
-  /// A neighbour in the tree.
-  struct Peer {
-    /// Version of the ledger that it has been told.
-    std::uint64_t told = 0;
-    bool calling = false;
-    /// It did not answer; nobody waits for it until then.
-    MonotonicTime silentUntil{};
-  };
-  using TimerPointer = std::shared_ptr<boost::asio::steady_timer>;
-
   boost::asio::awaitable<void> run();
-  /// Forgets what was told to nodes that are no neighbours any more.
-  void forgetFormerNeighbours();
   boost::asio::awaitable<void> findOtherTrees();
   /// Ends with the attempt.
   Trial makeTrial(ServerRun server, const TrialRequest& request);
   /// Asks the parent for all that it knows, where it is a new one.
   boost::asio::awaitable<void> greetParent();
   std::vector<Endpoint> neighbours() const;
-  /// Tells all neighbours but one what they don't know; waits for it as long as that.
-  boost::asio::awaitable<void> tell(Milliseconds time, std::string except);
-  bool mustTell(const Peer& peer, std::uint64_t version, MonotonicTime now) const;
-  boost::asio::awaitable<void> push(Endpoint neighbour, Milliseconds time);
+  relay::NewsContext newsContext();
+  boost::asio::awaitable<bool> push(Endpoint neighbour, std::uint64_t since, Milliseconds wait,
+                                    Milliseconds timeout);
   boost::asio::awaitable<Result<SuspectReport>> send(Endpoint neighbour, SuspectReport report,
                                                      Milliseconds time);
   boost::asio::awaitable<SuspectReport> take(SuspectReport report);
@@ -159,7 +145,6 @@
   /// Roots of the tree in the order in which they are asked; this node too, where it is one.
   std::vector<Endpoint> admitters() const;
 
-  void wakeWaiters();
   std::string listText() const;
 
   QuarantineContext context_;
@@ -168,10 +153,8 @@
   TrialTable trials_;
   Records records_;
   std::mt19937_64 random_;
-  std::map<std::string, Peer> peers_;
+  relay::NewsSpreader news_;
   std::vector<Endpoint> otherTrees_;
-  /// Woken when a neighbour has been told or has not answered.
-  std::list<TimerPointer> waiting_;
   std::optional<Endpoint> greeted_;
   /// The parent takes no part: its build is older.
   bool parentIsOlder_ = false;
