Relay, server limits: a grant moves only when all roots go by the newest list; units over drawn schedules

Cause, found by drawn schedules before any landing: (1) a unit's giver also changes where a root stays and a new one is added; the one that stays did not know for up to a second (two gave out units, 93 in 4 s where 90 are allowed, limit 20); (2) a root that woke from standing still took its own old view for a silent store; (3) one silent root kept the next from being told, and a second change forgot who had not heard of the first (2 of 1,500 courses). Change: all roots of the list and of the one before are told, in turn, until they answer; what is told counts for granting only, so that the tree moves as before; a process that stood still waits a proofAge before it takes a view's age for silence; roots tell each other only where a limit is kept. UnitMinter decides alone who may begin (state machine), inOrderFor() ranks roots. Ruled out: going by what is told in the tree as well (705 and 621 readings in the worst second at 300 nodes, 600 allowed).

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -384,6 +384,7 @@
       [this] { return relay_.roots(); },
       [this] { return relay_.isRelay(); },
       [this] { return relay_.isWholeTree(); },
+      [this] { return relay_.newestRoots(); },
       [this] { return relay_.mayGrant(); },
       [this] { return relay_.settledAt(); },
       [this](fleet::ServerKey key) {
--- a/src/relay/relay_core.cc
+++ b/src/relay/relay_core.cc
@@ -30,6 +30,10 @@
       children_(settings_.maxFollowers, settings_.followerTerm) {}
 
 RelayAction RelayCore::next(MonotonicTime now, MonotonicTime provenAt) {
+  if (stoodStill(now)) {
+    awakeSince_ = now;
+  }
+  steppedAt_ = now;
   if (pauseUntil_ == MonotonicTime{}) {
     pauseUntil_ = now + randomDelay(settings_.startDelay);
   }
@@ -143,9 +147,10 @@
 }
 
 RelayAction RelayCore::serveAsRoot(MonotonicTime now, MonotonicTime provenAt) {
-  if (!untold_.empty() && now >= nextTell_) {
+  const bool mustTell = !untold_.empty() && now < confirmUntil_;
+  if (mustTell && now >= nextTell_) {
     askedAt_ = now;
-    return {RelayStep::kTellRoots, {}, untold_.front(), false, roots_};
+    return {RelayStep::kTellRoots, {}, untold_.front(), false, newest_};
   }
   const MonotonicTime confirm = confirmAt(now, provenAt);
   if (now >= std::min(nextReview_, confirm) && now >= nextListRead_) {
@@ -164,7 +169,7 @@
   }
   MonotonicTime until =
       std::min(nextLook_, std::max(std::min(nextReview_, confirm), nextListRead_));
-  if (!untold_.empty()) {
+  if (mustTell) {
     until = std::min(until, nextTell_);
   }
   return {RelayStep::kWait, until, {}, false, {}};
@@ -177,14 +182,21 @@
 }
 
 bool RelayCore::mayGrant(MonotonicTime now, MonotonicTime provenAt) const {
-  if (role_ != RelayRole::kRoot || stopped_ || !isListed() || now < grantsFrom_) {
+  if (role_ != RelayRole::kRoot || stopped_ || !newest_.contains(settings_.endpoint) ||
+      now < grantsFrom_) {
     return false;
   }
   if (now - confirmedAt_ <= settings_.tenure) {
     return true;
   }
+  // A view that grew old while the process stood still says nothing of the store.
+  const bool awake = !stoodStill(now) && now - awakeSince_ > settings_.proofAge;
   const bool storeSilent = storeFailures_ > 0 || isStale(now, provenAt, settings_.proofAge);
-  return storeSilent && now - contactAt_ <= settings_.proofAge;
+  return awake && storeSilent && now - contactAt_ <= settings_.proofAge;
+}
+
+bool RelayCore::stoodStill(MonotonicTime now) const {
+  return steppedAt_ != MonotonicTime{} && now - steppedAt_ > settings_.proofAge;
 }
 
 std::optional<RelayAction> RelayCore::lookAround(const std::vector<Relay>& others,
@@ -277,19 +289,25 @@
 }
 
 void RelayCore::replaceRoots(RelayList list, MonotonicTime now) {
-  if (now >= settledAt_) {
-    untold_.clear();
-  }
-  for (const Relay& former : roots_.relays) {
-    const bool dropped = former.endpoint != settings_.endpoint && !list.contains(former.endpoint);
-    if (dropped && std::find(untold_.begin(), untold_.end(), former) == untold_.end()) {
-      untold_.push_back(former);
-      settledAt_ = now + settings_.tenure;
-      nextTell_ = now;
+  noteNewest(list, now);
+  roots_ = std::move(list);
+}
+
+void RelayCore::noteNewest(const RelayList& list, MonotonicTime now) {
+  if (list.relays != newest_.relays) {
+    // Those that stay must know too: what one of them gave away may now be another's to give.
+    // Who has not heard of the change before this one may go by a list that is older still.
+    std::vector<Relay> concerned(untold_.begin(), untold_.end());
+    for (const std::vector<Relay>& relays : {list.relays, newest_.relays}) {
+      for (const Relay& relay : relays) {
+        addOnce(concerned, relay, settings_.endpoint);
+      }
     }
+    untold_.assign(concerned.begin(), concerned.end());
+    settledAt_ = untold_.empty() ? now : now + settings_.tenure;
+    nextTell_ = now;
   }
-  std::erase_if(untold_, [&list](const Relay& one) { return list.contains(one.endpoint); });
-  roots_ = std::move(list);
+  newest_ = list;
 }
 
 void RelayCore::endUnsettled(MonotonicTime now) {
@@ -309,18 +327,21 @@
     std::erase(untold_, told.relay);
     return;
   }
+  // One that says nothing must not keep the others from hearing.
+  std::erase(untold_, told.relay);
+  untold_.push_back(told.relay);
   // Once others grant, it is told still, as it may wake from standing still.
   nextTell_ = now + (now < settledAt_ ? settings_.joinRetry : settings_.confirmInterval);
 }
 
 const RelayList& RelayCore::learnRoots(const RelayList& list, MonotonicTime now) {
   contactAt_ = now;
-  if (list.revision > roots_.revision) {
-    // One that is listed no more grants nothing from now on, and keeps its children until its next
-    // look at the list: sent away at once, they would all read the store for themselves.
-    replaceRoots(list, now);
+  // The tree stays as it is until the next look at the list: a root that went by what it is told
+  // would send its children away, and in a time of many changes they would read the store.
+  if (list.revision > newest_.revision) {
+    noteNewest(list, now);
   }
-  return roots_;
+  return newest_;
 }
 
 void RelayCore::becomeRoot(MonotonicTime now, MonotonicTime grantsFrom) {
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -54,8 +54,9 @@
 /// Some things only the listed roots may do, such as handing out parts of a limit: see mayGrant().
 /// Invariant: no more nodes grant than the list names. It holds because a root grants only for
 /// RelaySettings::tenure after it has last read that it is listed, and a new root only begins when
-/// those that were dropped from the list have said that they know, or that time has passed. A root
-/// that cannot read the store goes on while other nodes reach it, as whoever replaces it tells it.
+/// the others of the list and of the one before have said that they know, or that time has passed.
+/// A root that cannot read the store goes on while other nodes reach it, as whoever replaces it
+/// tells it.
 class RelayCore {
  public:
   RelayCore(RelaySettings settings, std::uint64_t seed);
@@ -89,6 +90,8 @@
   std::vector<Relay> otherRoots() const;
   /// The roots of the tree as last heard, this node too where it is one.
   const std::vector<Relay>& roots() const { return roots_.relays; }
+  /// The roots of the newest list that this node was told of, this node too where it is one.
+  const std::vector<Relay>& newestRoots() const { return newest_.relays; }
   std::size_t children(MonotonicTime now) const { return children_.size(now); }
   std::vector<Endpoint> childEndpoints(MonotonicTime now) const { return children_.endpoints(now); }
   /// Keeps the place of a root confirmed by readings of the list, for as long as this is called
@@ -96,7 +99,7 @@
   void keepConfirmed(MonotonicTime now) { confirmUntil_ = now + kConfirmTerm; }
   /// Whether this node is a root and no other node is one in its place.
   bool mayGrant(MonotonicTime now, MonotonicTime provenAt) const;
-  /// When roots that were dropped from the list have stopped granting, as far as this node knows.
+  /// When all roots go by the newest list, as far as this node knows.
   MonotonicTime settledAt() const { return settledAt_; }
   /// Nodes between this one and the store.
   std::uint32_t depth() const { return depth_; }
@@ -115,6 +118,8 @@
   RelayAction search(MonotonicTime now);
   RelayAction followParent(MonotonicTime now, MonotonicTime provenAt);
   RelayAction serveAsRoot(MonotonicTime now, MonotonicTime provenAt);
+  /// Whether the process has not come to its next step for long.
+  bool stoodStill(MonotonicTime now) const;
   /// When the place is to be confirmed next.
   MonotonicTime confirmAt(MonotonicTime now, MonotonicTime provenAt) const;
   /// Asks one of the others whether its view is newer.
@@ -137,9 +142,11 @@
 
   /// @param grantsFrom nodes whose place it takes have stopped granting by then.
   void becomeRoot(MonotonicTime now, MonotonicTime grantsFrom);
-  /// Replaces the known list; notes whom the new one has dropped.
+  /// Replaces the list that the tree goes by.
   void replaceRoots(RelayList list, MonotonicTime now);
-  /// All that were dropped know: nothing more is waited for.
+  /// The newest list that is known; notes who must hear of it.
+  void noteNewest(const RelayList& list, MonotonicTime now);
+  /// All that were concerned know: nothing more is waited for.
   void endUnsettled(MonotonicTime now);
   void becomeChild(const Relay& parent, const JoinReply& reply, MonotonicTime now);
   /// Looks for a parent, first among `candidates`.
@@ -176,6 +183,8 @@
 
   /// As last read or written, or as the parent told it.
   RelayList roots_;
+  /// As last heard in any way; who may grant goes by it.
+  RelayList newest_;
   /// To be written next.
   std::optional<RelayList> pendingList_;
   MonotonicTime nextListRead_{};
@@ -185,9 +194,11 @@
   MonotonicTime confirmUntil_{};
   /// When another node last answered or asked.
   MonotonicTime contactAt_{};
+  MonotonicTime steppedAt_{};
+  MonotonicTime awakeSince_{};
   MonotonicTime grantsFrom_{};
   MonotonicTime settledAt_{};
-  /// Dropped from the list, and not known to know it.
+  /// Roots of the list and of the one before, not known to know it.
   std::deque<Relay> untold_;
   MonotonicTime nextTell_{};
   MonotonicTime nextReview_{};
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -82,6 +82,14 @@
   return endpoints;
 }
 
+std::vector<Endpoint> RelayNode::newestRoots() const {
+  std::vector<Endpoint> endpoints;
+  for (const Relay& root : core_.newestRoots()) {
+    endpoints.push_back(root.endpoint);
+  }
+  return endpoints;
+}
+
 bool RelayNode::isWholeTree() const {
   return alone() || (isRelay() && roots().empty() && core_.children(monotonicNow()) == 0);
 }
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -52,6 +52,8 @@
   std::vector<Endpoint> otherRelays() const;
   /// The roots of the tree but this node, as last heard, whatever this node's place.
   std::vector<Endpoint> roots() const;
+  /// The roots of the newest list that this node was told of, this node too where it is one.
+  std::vector<Endpoint> newestRoots() const;
   /// Nodes that follow this one.
   std::vector<Endpoint> children() const { return core_.childEndpoints(monotonicNow()); }
   /// Whether this node answers for the whole group: no other node can reach it, or it is the only
--- /dev/null
+++ b/src/server_limits/root_order.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <vector>
+
+#include "common/endpoint.h"
+#include "fleet/server_load.h"
+
+namespace calicodrift::server_limits {
+
+/// The roots in the order in which they give out the server's units: the first does, the others
+/// where it is gone. By rendezvous hashing, so that all nodes that know the same roots agree and a
+/// change of one root moves its own servers only.
+std::vector<Endpoint> inOrderFor(fleet::ServerKey server, std::vector<Endpoint> roots);
+
+}  // namespace calicodrift::server_limits
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -9,6 +9,7 @@
 #include "http/status.h"
 #include "log/log.h"
 #include "peer/http_call.h"
+#include "server_limits/root_order.h"
 
 namespace calicodrift::server_limits {
 
@@ -227,17 +228,7 @@
 }
 
 std::vector<Endpoint> ServerLimitNode::order(fleet::ServerKey server) const {
-  std::vector<Endpoint> roots = context_.roots();
-  if (context_.isRoot()) {
-    roots.push_back(context_.endpoint);
-  }
-  const auto rank = [server](const Endpoint& root) {
-    return hashPair(server.value(), hashBytes(root.toString()));
-  };
-  std::sort(roots.begin(), roots.end(), [&rank](const Endpoint& left, const Endpoint& right) {
-    return rank(left) > rank(right);
-  });
-  return roots;
+  return inOrderFor(server, context_.granters());
 }
 
 const std::string& ServerLimitNode::treeOf(fleet::ServerKey server) const {
@@ -403,11 +394,7 @@
     minter_.giveBack(server, now);
     return reply;
   }
-  Owned& owned = own(server, now);
-  const MonotonicTime settledAt = context_.settledAt();
-  owned.unsettled = owned.unsettled && now < settledAt;
-  const MonotonicTime notBefore = owned.unsettled ? settledAt : now;
-  const UnitDecision decision = minter_.take(reply.limit, notBefore, now);
+  const UnitDecision decision = minter_.take(reply.limit, context_.settledAt(), now);
   reply.granted = decision.granted;
   reply.waitMs = static_cast<std::uint32_t>(decision.wait.count());
   return reply;
@@ -424,17 +411,9 @@
   return context_.isRoot() && !roots.empty() && roots.front() == context_.endpoint;
 }
 
-ServerLimitNode::Owned& ServerLimitNode::own(fleet::ServerKey server, MonotonicTime now) {
-  const auto [owned, isNew] = owned_.try_emplace(server);
-  if (isNew) {
-    owned->second = {true, now};
-  }
-  return owned->second;
-}
-
 void ServerLimitNode::disown(fleet::ServerKey server) {
-  owned_.erase(server);
   minter_.forget(server);
+  probedAt_.erase(server);
 }
 
 void ServerLimitNode::lookAfterOwned() {
@@ -448,7 +427,7 @@
     });
   }
   if (!any()) {
-    owned_.clear();
+    probedAt_.clear();
     minter_.forgetAll();
     refusedUntil_.clear();
     return;
@@ -463,14 +442,14 @@
     }
     const std::optional<fleet::Server> listed = context_.serverOf(server);
     if (listed && isQuiet(fact, now) && probing_.insert(server).second) {
-      own(server, now).probedAt = now;
+      probedAt_[server] = now;
       asio::co_spawn(context_.executor, probe(*listed), asio::detached);
     }
   }
 }
 
 bool ServerLimitNode::isQuiet(const LimitFact& limit, MonotonicTime now) {
-  const MonotonicTime probedAt = own(limit.server, now).probedAt;
+  const MonotonicTime probedAt = probedAt_.try_emplace(limit.server, now).first->second;
   const MonotonicTime given =
       std::max(probedAt, minter_.lastGiven(limit.server).value_or(probedAt));
   if (now - given >= kLongestQuiet) {
@@ -504,7 +483,7 @@
                                        {"service", server ? server->service : ""},
                                        {"per_second", fact.perSecond},
                                        {"version", fact.version.value()},
-                                       {"units_given_here", owned_.contains(fact.server)}});
+                                       {"units_given_here", minter_.owns(fact.server)}});
   }
   const std::string text = boost::json::serialize(boost::json::object{{"servers", list}});
   co_await http::respond(writer, http::jsonResponse(http::kStatusOk, text));
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -40,6 +40,8 @@
   std::function<bool()> isRoot;
   /// Whether no other node belongs to this one's tree.
   std::function<bool()> isAlone;
+  /// The roots that give out units, this node too where it is one.
+  std::function<std::vector<Endpoint>()> granters;
   /// Whether this node may do what only one root may do; when former roots have stopped doing so.
   std::function<bool()> mayGrant;
   std::function<MonotonicTime()> settledAt;
@@ -117,14 +119,6 @@
   static constexpr Milliseconds kInterval{250};
 
  private:
-  /// A server whose units this node gives out.
-  struct Owned {
-    /// Former roots may give them out still.
-    bool unsettled = false;
-    /// When this node asked the server itself, or began to give out its units.
-    MonotonicTime probedAt{};
-  };
-
   boost::asio::awaitable<void> run();
   relay::NewsContext newsContext();
   std::vector<Endpoint> neighbours() const;
@@ -152,7 +146,6 @@
   UnitReply emptyReply(const UnitRequest& request) const;
   /// Whether this node gives out the server's units, as far as the roots tell.
   bool owns(fleet::ServerKey server) const;
-  Owned& own(fleet::ServerKey server, MonotonicTime now);
   void disown(fleet::ServerKey server);
   /// Ends what this node gives out no more, and asks servers that got no request for a while.
   void lookAfterOwned();
@@ -166,7 +159,8 @@
   LimitTable table_;
   UnitMinter minter_;
   relay::NewsSpreader news_;
-  std::unordered_map<fleet::ServerKey, Owned> owned_;
+  /// When this node asked a server itself, or began to give out its units.
+  std::unordered_map<fleet::ServerKey, MonotonicTime> probedAt_;
   /// No unit comes before that, as the root said.
   std::unordered_map<fleet::ServerKey, MonotonicTime> refusedUntil_;
   /// Roots that do not answer, since when.
--- a/src/server_limits/unit_minter.cc
+++ b/src/server_limits/unit_minter.cc
@@ -10,7 +10,7 @@
   return kLeast + kHeldSeconds * perSecond;
 }
 
-UnitDecision UnitMinter::take(const LimitFact& limit, MonotonicTime notBefore, MonotonicTime now) {
+UnitDecision UnitMinter::take(const LimitFact& limit, MonotonicTime settledAt, MonotonicTime now) {
   const auto [found, isNew] = buckets_.try_emplace(limit.server);
   Bucket& bucket = found->second;
   bucket.lastAsked = now;
@@ -18,10 +18,11 @@
   if (isNew) {
     bucket.units.setContent(0, now);
   }
-  if (now < notBefore) {
+  bucket.unsettled = bucket.unsettled && now < settledAt;
+  if (bucket.unsettled) {
     // What refills now is another node's to give.
     bucket.units.setContent(0, now);
-    return {false, std::chrono::ceil<Milliseconds>(notBefore - now)};
+    return {false, std::chrono::ceil<Milliseconds>(settledAt - now)};
   }
   if (limit.perSecond > 0 && bucket.units.tryTake(1, 0, now)) {
     bucket.lastGiven = now;
--- a/src/server_limits/unit_minter.h
+++ b/src/server_limits/unit_minter.h
@@ -24,13 +24,14 @@
 class UnitMinter {
  public:
   /// Begins to give out the server's units, or goes on.
-  /// @param notBefore another node may give them out until then.
-  UnitDecision take(const LimitFact& limit, MonotonicTime notBefore, MonotonicTime now);
+  /// @param settledAt where this node begins: another one may give them out until then.
+  UnitDecision take(const LimitFact& limit, MonotonicTime settledAt, MonotonicTime now);
   /// The unit reached no server.
   void giveBack(fleet::ServerKey server, MonotonicTime now);
   /// Another node gives them out, or nobody does.
   void forget(fleet::ServerKey server) { buckets_.erase(server); }
   void forgetAll() { buckets_.clear(); }
+  bool owns(fleet::ServerKey server) const { return buckets_.contains(server); }
   /// When a unit was last asked for, and given; nothing where none was.
   std::optional<MonotonicTime> lastAsked(fleet::ServerKey server) const;
   std::optional<MonotonicTime> lastGiven(fleet::ServerKey server) const;
@@ -44,6 +45,8 @@
  private:
   struct Bucket {
     limits::TokenBucket units;
+    /// Whoever gave them out before may do so still.
+    bool unsettled = true;
     std::optional<MonotonicTime> lastAsked;
     std::optional<MonotonicTime> lastGiven;
   };
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -293,6 +293,7 @@
             [] { return std::vector<Endpoint>(); },
             [] { return false; },
             [] { return true; },
+            [] { return std::vector<Endpoint>(); },
             [] { return true; },
             [] { return MonotonicTime(); },
             [this](fleet::ServerKey key) {
--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -148,13 +148,27 @@
     }
     return found;
   }
+  /// Null where the node can't act now.
+  RelayCore* coreOf(std::size_t number) {
+    Node& node = nodes_[number];
+    return node.frozen ? nullptr : node.core.get();
+  }
+  bool mayGrant(std::size_t number) const {
+    const Node& node = nodes_[number];
+    return node.core && !node.frozen && node.core->mayGrant(now(), node.sourceProvenAt);
+  }
+  Endpoint endpointOf(std::size_t number) const {
+    return {"n" + std::to_string(number), static_cast<std::uint16_t>(1)};
+  }
+  static std::size_t numberOf(const Endpoint& endpoint) {
+    return std::stoul(endpoint.address.substr(1));
+  }
+  /// Of the node's process; changes with each start and kill.
+  std::uint64_t incarnationOf(std::size_t number) const { return nodes_[number].incarnation; }
   /// Nodes that hand out a root's part of what all roots together may hand out.
   std::vector<std::size_t> grantingRoots() const {
     std::vector<std::size_t> found = roots();
-    std::erase_if(found, [this](std::size_t number) {
-      const Node& node = nodes_[number];
-      return node.frozen || !node.core->mayGrant(now(), node.sourceProvenAt);
-    });
+    std::erase_if(found, [this](std::size_t number) { return !mayGrant(number); });
     return found;
   }
   /// Live nodes whose view is older than `age`, or that have none.
@@ -235,12 +249,6 @@
     /// A watch of a store that fell silent ends by its time-out, and keeps views from being read.
     MonotonicTime watchHangsUntil{};
   };
-  Endpoint endpointOf(std::size_t number) const {
-    return {"n" + std::to_string(number), static_cast<std::uint16_t>(1)};
-  }
-  static std::size_t numberOf(const Endpoint& endpoint) {
-    return std::stoul(endpoint.address.substr(1));
-  }
   ZoneId zoneOf(std::size_t number) const { return ZoneId("z" + std::to_string(number % zones_)); }
   Milliseconds delay(Milliseconds longest) {
     return Milliseconds(std::uniform_int_distribution<std::int64_t>(0, longest.count())(random_));
