--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -11,6 +11,13 @@
 
 using service_rollout::Track;
 
+namespace {
+
+/// A server without a unit is passed over for no longer, as its limit may be lifted meanwhile.
+constexpr Milliseconds kLongestLimitPause{1000};
+
+}  // namespace
+
 AllowedServers Forwarder::serversFor(const Job& job, bool mayBeCanary, MonotonicTime now) {
   const ServerQuery query{job.service, job.request.model, job.routeKey(), job.routeRequest.avoided,
                           mayBeCanary};
@@ -45,7 +52,7 @@
       break;
     }
     const MonotonicTime now = monotonicNow();
-    context_.pool.pause(server.id, now + unit.wait, now);
+    context_.pool.pause(server.id, now + std::min(unit.wait, kLongestLimitPause), now);
     soonest = std::min(unit.wait, soonest.value_or(unit.wait));
     full.push_back(server.id);
     avoided.push_back(server.id);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -358,15 +358,17 @@
   return context;
 }
 
+relay::TreePlace GatewayNode::treePlace() {
+  return {settings_.relayListen,
+          [this] { return relay_.relay(); },
+          [this] { return relay_.children(); },
+          [this] { return relay_.roots(); },
+          [this] { return relay_.isRelay(); },
+          [this] { return relay_.isWholeTree(); }};
+}
+
 quarantine::QuarantineContext GatewayNode::quarantineContext() {
-  quarantine::QuarantineContext context{context_.get_executor(),
-                                        client_,
-                                        settings_.relayListen,
-                                        [this] { return relay_.relay(); },
-                                        [this] { return relay_.children(); },
-                                        [this] { return relay_.roots(); },
-                                        [this] { return relay_.isRelay(); },
-                                        [this] { return relay_.isWholeTree(); },
+  quarantine::QuarantineContext context{context_.get_executor(), client_, treePlace(),
                                         [this] { return relay_.readsStore(); }};
   if (groupsOf(settings_) > 1) {
     context.otherTrees = [this] { return otherRoots_.read(); };
@@ -378,12 +380,7 @@
   server_limits::ServerLimitContext context{
       context_.get_executor(),
       client_,
-      settings_.relayListen,
-      [this] { return relay_.relay(); },
-      [this] { return relay_.children(); },
-      [this] { return relay_.roots(); },
-      [this] { return relay_.isRelay(); },
-      [this] { return relay_.isWholeTree(); },
+      treePlace(),
       [this] { return relay_.newestRoots(); },
       [this] { return relay_.mayGrant(); },
       [this] { return relay_.settledAt(); },
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -59,6 +59,7 @@
   exchange::NodeExchangeContext exchangeContext();
   ServiceRolloutsContext rolloutsContext();
   quota::QuotaNodeContext quotaContext();
+  relay::TreePlace treePlace();
   quarantine::QuarantineContext quarantineContext();
   server_limits::ServerLimitContext serverLimitContext();
   /// Asks a server for its health, for what the head of its answer names.
--- a/src/quarantine/quarantine_node.cc
+++ b/src/quarantine/quarantine_node.cc
@@ -87,7 +87,7 @@
 
 awaitable<void> QuarantineNode::findOtherTrees() {
   // Their lists cost a call each, so that they are read only where there is news for them.
-  if (context_.otherTrees && context_.isRoot() && ledger_.version() != otherTreesVersion_) {
+  if (context_.otherTrees && context_.tree.isRoot() && ledger_.version() != otherTreesVersion_) {
     otherTreesVersion_ = ledger_.version();
     otherTrees_ = co_await context_.otherTrees();
   }
@@ -98,7 +98,7 @@
 }
 
 awaitable<void> QuarantineNode::greetParent() {
-  const std::optional<Endpoint> parent = context_.parent();
+  const std::optional<Endpoint> parent = context_.tree.parent();
   const bool isNew = parent && (parent != greeted_ || !synchronized());
   if (!isNew || (parentIsOlder_ && parent == greeted_)) {
     co_return;
@@ -117,15 +117,15 @@
 }
 
 std::vector<Endpoint> QuarantineNode::neighbours() const {
-  std::vector<Endpoint> found = context_.children();
-  if (const std::optional<Endpoint> parent = context_.parent()) {
+  std::vector<Endpoint> found = context_.tree.children();
+  if (const std::optional<Endpoint> parent = context_.tree.parent()) {
     found.push_back(*parent);
   }
-  if (context_.isRoot() || parentIsOlder_) {
-    const std::vector<Endpoint> roots = context_.roots();
+  if (context_.tree.isRoot() || parentIsOlder_) {
+    const std::vector<Endpoint> roots = context_.tree.roots();
     found.insert(found.end(), roots.begin(), roots.end());
   }
-  if (context_.isRoot()) {
+  if (context_.tree.isRoot()) {
     found.insert(found.end(), otherTrees_.begin(), otherTrees_.end());
   }
   std::sort(found.begin(), found.end());
@@ -150,7 +150,7 @@
 
 awaitable<Result<SuspectReport>> QuarantineNode::send(Endpoint neighbour, SuspectReport report,
                                                       Milliseconds time) {
-  report.sender = context_.endpoint.toString();
+  report.sender = context_.tree.endpoint.toString();
   co_return co_await peer::callPeer<SuspectReport>(context_.client, std::move(neighbour),
                                                    kReportPath, std::move(report), time, time);
 }
@@ -172,7 +172,7 @@
   const std::uint64_t before = ledger_.version();
   merge(report.suspects);
   SuspectReport answer;
-  answer.sender = context_.endpoint.toString();
+  answer.sender = context_.tree.endpoint.toString();
   answer.settled = settled_;
   if (report.fresh) {
     answer.suspects = ledger_.changedSince(0);
@@ -278,21 +278,21 @@
 }
 
 std::vector<Endpoint> QuarantineNode::admitters() const {
-  std::vector<Endpoint> roots = context_.roots();
-  if (context_.isRoot()) {
-    roots.push_back(context_.endpoint);
+  std::vector<Endpoint> roots = context_.tree.roots();
+  if (context_.tree.isRoot()) {
+    roots.push_back(context_.tree.endpoint);
   }
   std::sort(roots.begin(), roots.end());
   return roots;
 }
 
 awaitable<std::optional<TrialReply>> QuarantineNode::askForTrial(TrialRequest request) {
-  if (context_.isAlone()) {
+  if (context_.tree.isAlone()) {
     co_return decideTrial(request);
   }
   const std::vector<Endpoint> roots = admitters();
   for (const Endpoint& root : roots) {
-    if (root == context_.endpoint) {
+    if (root == context_.tree.endpoint) {
       co_return decideTrial(request);
     }
     const Result<TrialReply> reply = co_await peer::callPeer<TrialReply>(
--- a/src/quarantine/quarantine_node.h
+++ b/src/quarantine/quarantine_node.h
@@ -18,6 +18,7 @@
 #include "quarantine/records.h"
 #include "quarantine/trial_table.h"
 #include "relay/news_spreader.h"
+#include "relay/tree_place.h"
 
 namespace calicodrift::quarantine {
 
@@ -25,16 +26,7 @@
 struct QuarantineContext {
   boost::asio::any_io_executor executor;
   http::Client& client;
-  /// Where other nodes reach this one; port 0: nowhere.
-  Endpoint endpoint;
-  /// The node that this one follows in the relay tree.
-  std::function<std::optional<Endpoint>()> parent;
-  std::function<std::vector<Endpoint>()> children;
-  /// The roots of the tree but this node.
-  std::function<std::vector<Endpoint>()> roots;
-  std::function<bool()> isRoot;
-  /// Whether no other node belongs to this one's tree.
-  std::function<bool()> isAlone;
+  relay::TreePlace tree;
   /// Whether this node reads the store itself.
   std::function<bool()> readsStore;
   /// The roots of the fleet's other trees; empty where there is one tree.
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -67,7 +67,8 @@
 
 awaitable<void> ServerLimitNode::findOtherTrees() {
   // Their lists cost a call each, so that they are read only where there is news for them.
-  if (context_.trees.size() < 2 || !context_.isRoot() || table_.changes() == otherTreesChange_) {
+  if (context_.trees.size() < 2 || !context_.tree.isRoot() ||
+      table_.changes() == otherTreesChange_) {
     co_return;
   }
   otherTreesChange_ = table_.changes();
@@ -82,12 +83,12 @@
 }
 
 std::vector<Endpoint> ServerLimitNode::neighbours() const {
-  std::vector<Endpoint> found = context_.children();
-  if (const std::optional<Endpoint> parent = context_.parent()) {
+  std::vector<Endpoint> found = context_.tree.children();
+  if (const std::optional<Endpoint> parent = context_.tree.parent()) {
     found.push_back(*parent);
   }
-  if (context_.isRoot()) {
-    const std::vector<Endpoint> roots = context_.roots();
+  if (context_.tree.isRoot()) {
+    const std::vector<Endpoint> roots = context_.tree.roots();
     found.insert(found.end(), roots.begin(), roots.end());
     found.insert(found.end(), otherTrees_.begin(), otherTrees_.end());
   }
@@ -106,7 +107,7 @@
       asio::co_spawn(context_.executor, greet(neighbour), asio::detached);
     }
   }
-  settled_ = settled_ || context_.isRoot() || context_.isAlone();
+  settled_ = settled_ || context_.tree.isRoot() || context_.tree.isAlone();
 }
 
 awaitable<void> ServerLimitNode::greet(Endpoint neighbour) {
@@ -122,7 +123,7 @@
     co_return;
   }
   greeted_.insert(neighbour);
-  settled_ = settled_ || context_.parent() == neighbour;
+  settled_ = settled_ || context_.tree.parent() == neighbour;
   if (answer) {
     news_.setTold(neighbour.toString(), told);
     merge(answer.value().facts);
@@ -145,7 +146,7 @@
 
 awaitable<Result<LimitReport>> ServerLimitNode::send(Endpoint neighbour, LimitReport report,
                                                      Milliseconds timeout) {
-  report.sender = context_.endpoint.toString();
+  report.sender = context_.tree.endpoint.toString();
   co_return co_await peer::callPeer<LimitReport>(context_.client, std::move(neighbour), kReportPath,
                                                  std::move(report), timeout, timeout);
 }
@@ -164,7 +165,7 @@
   const std::uint64_t before = table_.changes();
   merge(report.facts);
   LimitReport answer;
-  answer.sender = context_.endpoint.toString();
+  answer.sender = context_.tree.endpoint.toString();
   if (report.fresh) {
     answer.facts = table_.changedSince(0);
     news_.setTold(report.sender, table_.changes());
@@ -299,12 +300,12 @@
 }
 
 awaitable<UnitReply> ServerLimitNode::ask(UnitRequest request) {
-  if (context_.isAlone() && treeOf(request.limit.server) == context_.ownTree) {
+  if (context_.tree.isAlone() && treeOf(request.limit.server) == context_.ownTree) {
     co_return mint(request);
   }
   for (const Endpoint& root : order(request.limit.server)) {
     UnitReply reply;
-    if (root == context_.endpoint) {
+    if (root == context_.tree.endpoint) {
       reply = co_await decide(request);
     } else {
       reply = co_await call(root, request);
@@ -350,7 +351,7 @@
     reply.granted = true;
     co_return reply;
   }
-  if (!context_.isRoot() && !context_.isAlone()) {
+  if (!context_.tree.isRoot() && !context_.tree.isAlone()) {
     co_return reply;
   }
   if (treeOf(server) != context_.ownTree) {
@@ -361,7 +362,7 @@
   }
   bool allSilent = true;
   for (const Endpoint& root : order(server)) {
-    if (root == context_.endpoint) {
+    if (root == context_.tree.endpoint) {
       break;
     }
     disown(server);
@@ -404,11 +405,11 @@
   if (treeOf(server) != context_.ownTree) {
     return false;
   }
-  if (context_.isAlone()) {
+  if (context_.tree.isAlone()) {
     return true;
   }
   const std::vector<Endpoint> roots = order(server);
-  return context_.isRoot() && !roots.empty() && roots.front() == context_.endpoint;
+  return context_.tree.isRoot() && !roots.empty() && roots.front() == context_.tree.endpoint;
 }
 
 void ServerLimitNode::disown(fleet::ServerKey server) {
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -16,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "relay/news_spreader.h"
+#include "relay/tree_place.h"
 #include "server_limits/limit_table.h"
 #include "server_limits/messages.h"
 #include "server_limits/metrics.h"
@@ -30,16 +31,7 @@
 struct ServerLimitContext {
   boost::asio::any_io_executor executor;
   http::Client& client;
-  /// Where other nodes reach this one; port 0: nowhere.
-  Endpoint endpoint;
-  /// The node that this one follows in the relay tree.
-  std::function<std::optional<Endpoint>()> parent;
-  std::function<std::vector<Endpoint>()> children;
-  /// The roots of the tree but this node.
-  std::function<std::vector<Endpoint>()> roots;
-  std::function<bool()> isRoot;
-  /// Whether no other node belongs to this one's tree.
-  std::function<bool()> isAlone;
+  relay::TreePlace tree;
   /// The roots that give out units, this node too where it is one.
   std::function<std::vector<Endpoint>()> granters;
   /// Whether this node may do what only one root may do; when former roots have stopped doing so.
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -191,16 +191,8 @@
         quotaMetrics_(registry_),
         quarantineMetrics_(registry_),
         quarantine_(
-            {context.get_executor(),
-             client_,
-             {},
-             [] { return std::optional<Endpoint>(); },
-             [] { return std::vector<Endpoint>(); },
-             [] { return std::vector<Endpoint>(); },
-             [] { return false; },
-             [] { return true; },
-             [] { return false; }},
-            noStore_, "records", quarantineMetrics_, [](const store::Object&, const Error&) {}, 1),
+            {context.get_executor(), client_, aloneInTree(), [] { return false; }}, noStore_,
+            "records", quarantineMetrics_, [](const store::Object&, const Error&) {}, 1),
         quota_({context.get_executor(), client_, [] { return quota::NodePlace{}; },
                 [] { return std::optional<Endpoint>(); }, [] { return std::vector<Endpoint>(); }},
                quota::QuotaBounds{}, quotaMetrics_, 1) {
@@ -283,16 +275,20 @@
     return made;
   }
 
-  /// Of a node that belongs to no tree.
-  server_limits::ServerLimitContext aloneContext() {
-    return {context.get_executor(),
-            client_,
-            {},
+  /// The place of a node that belongs to no tree.
+  static relay::TreePlace aloneInTree() {
+    return {{},
             [] { return std::nullopt; },
             [] { return std::vector<Endpoint>(); },
             [] { return std::vector<Endpoint>(); },
             [] { return false; },
-            [] { return true; },
+            [] { return true; }};
+  }
+  /// Of such a node.
+  server_limits::ServerLimitContext aloneContext() {
+    return {context.get_executor(),
+            client_,
+            aloneInTree(),
             [] { return std::vector<Endpoint>(); },
             [] { return true; },
             [] { return MonotonicTime(); },
