--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -154,7 +154,7 @@
 awaitable<void> ServerLimitNode::handle(http::Request& request, http::ResponseWriter& writer) {
   if (request.path() == kUnitPath) {
     co_await peer::answerPeer<UnitRequest, UnitReply>(
-        request, writer, [this](UnitRequest asked) { return decide(std::move(asked)); });
+        request, writer, [this](UnitRequest asked) { return decide(asked); });
     co_return;
   }
   co_await peer::answerPeer<LimitReport, LimitReport>(
@@ -261,7 +261,7 @@
   }
   UnitRequest request;
   request.limit = *known;
-  const UnitReply reply = co_await ask(std::move(request));
+  const UnitReply reply = co_await ask(request);
   const MonotonicTime now = monotonicNow();
   constexpr double kMsPerSecond = 1000;
   metrics_.observeWait(toMilliseconds(now - begin) / kMsPerSecond);
@@ -371,7 +371,7 @@
     }
     UnitRequest forwarded = request;
     forwarded.forwarded = true;
-    reply = co_await call(root, std::move(forwarded));
+    reply = co_await call(root, forwarded);
     if (reply.decided) {
       co_return reply;
     }
