Soak: servers that name limits, beside kills, stops, cuts and a store that misbehaves

Cause: no stand-in of the soak's real processes named a limit, so that nothing showed whether nodes keep it over faults. Change: a plot kLimits: a server of each service in turn names 0 to 4 a second for 7 to 12 s; requests of nodes that were free of faults for 3 s must keep the users' bound in any 4 s.

--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -129,6 +129,7 @@
   const MonotonicTime arrival = monotonicNow();
   rolloutCheck_.onArrival(server.service, server.version, arrival, sentCalmly(id));
   judgeArrival(server, id);
+  noteSpared(server, id);
   const unsigned start = server.server->starts();
   const auto lives = [&server, start] { return server.server->starts() == start; };
   const RunNote running(server.running, id);
@@ -434,6 +435,8 @@
           co_await stormWithRollouts();
         } else if (plot_ == SoakPlot::kRestarts) {
           co_await restartsBesideNamings();
+        } else if (plot_ == SoakPlot::kLimits) {
+          co_await stormWithLimits();
         } else {
           co_await stormAndCalm();
         }
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -64,6 +64,8 @@
   kRollouts,
   /// Weights named in a row beside restarts in series.
   kRestarts,
+  /// As kWeights, with servers that name limits.
+  kLimits,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -165,6 +167,10 @@
     /// Since when its entry has been bad.
     std::optional<MonotonicTime> badSince;
     MonotonicTime lastArrival;
+    /// From when on the limit that it names is kept by all nodes; nothing where it names none.
+    std::optional<MonotonicTime> sparedSince;
+    /// Since then, requests of nodes that were free of faults.
+    std::vector<MonotonicTime> calmArrivals;
   };
 
   /// The tenant's limit, as the platform writes it.
@@ -197,6 +203,9 @@
   Body call(std::string kind, std::string key);
   void judge(const std::string& kind, const std::string& id, const Result<http::Response>& answer);
   Body stormAndCalm();
+  Body stormWithLimits();
+  Body limitServers(std::string service, MonotonicTime end, Draws draws);
+  void noteSpared(Server& server, const std::string& request);
   Body faults(MonotonicTime end, MonotonicTime withdrawal);
   Body calmStore(MonotonicTime end);
   Body injectOne();
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -57,6 +57,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_limits)
+
+/// Servers that name limits beside kills, stops, cuts and a store that misbehaves. Fresh seeds and
+/// longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(limitsOfServersHoldUnderFaults) {
+  constexpr std::uint64_t kLength = 25;
+  soak(parameter("SOAK_SEED", 1), std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+       SoakPlot::kLimits);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_restarts)
 
 /// Weights named in a row beside restarts of nodes. Fresh seeds and longer runs by SOAK_SEED and
