Server limits: the next root takes a silent one's place; roots pass a question on twice at most; units go back only where one was taken

Cause, found by reading: a root that took the place of a silent one forgot the server at each question, so it never had a unit, and waited for the silent one longer than its asker waits for it; two roots that each take the other for the first could pass one question to and fro; a connection that failed gave a unit back also where none had been taken. Change: RootSilence (state machine, no I/O): a root that fails is passed over for 300 ms, and is gone after 4 s of calls without an answer; hops instead of a flag; Chosen::tookUnit.

--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -99,6 +99,8 @@
   /// Under way for its service; 0: none.
   service_rollout::OrderKey order;
   bool tellsSpeed = false;
+  /// A unit of the server's limit was taken for the dispatch.
+  bool tookUnit = false;
 
   /// Prompt tokens that wait there with the request's own.
   std::size_t waitingTokens() const { return routing::prefillTokensAt(candidate) + uncached; }
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -49,6 +49,7 @@
     }
     const server_limits::UnitVerdict unit = co_await context_.serverLimits.take(server);
     if (unit.granted) {
+      choice.value().tookUnit = unit.tookUnit;
       break;
     }
     const MonotonicTime now = monotonicNow();
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -168,7 +168,7 @@
     job.keptFailure = std::move(attempt->keptFailure());
   }
   waiting.reset();
-  if (!outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
+  if (chosen.tookUnit && !outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
     context_.serverLimits.giveBack(dispatch.server);
   }
   if (!outcome && attempt->recalled() && !provesNotRun(outcome.error().kind)) {
--- a/src/server_limits/messages.h
+++ b/src/server_limits/messages.h
@@ -42,12 +42,12 @@
   /// As the sender knows it.
   LimitFact limit;
   bool givesBack = false;
-  /// The sender is a root that was asked: the receiver decides, and asks nobody.
-  bool forwarded = false;
+  /// Roots that it has come through. Bounded, as two roots may take each other for the first.
+  std::uint32_t hops = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(form, limit, givesBack, forwarded);
+    archive(form, limit, givesBack, hops);
   }
 };
 
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -24,6 +24,12 @@
 constexpr Milliseconds kForgetInterval{15'000};
 /// A refusal holds for no longer at this node, so that a limit that is lifted is found soon.
 constexpr Milliseconds kLongestRefusal{1000};
+/// From a root to one of another tree, and to the first one there.
+constexpr std::uint32_t kMostHops = 2;
+/// For another root's answer, so that the node that asked this one still waits.
+constexpr Milliseconds kForwardTimeout{80};
+/// The same from another tree.
+constexpr Milliseconds kFarForwardTimeout{400};
 /// Where nobody could decide.
 constexpr Milliseconds kUndecidedWait{250};
 
@@ -257,7 +263,8 @@
   const auto refused = refusedUntil_.find(key);
   if (refused != refusedUntil_.end() && begin < refused->second) {
     metrics_.countUnit(false);
-    co_return UnitVerdict{false, std::chrono::ceil<Milliseconds>(refused->second - begin)};
+    const auto wait = std::chrono::ceil<Milliseconds>(refused->second - begin);
+    co_return UnitVerdict{false, false, wait};
   }
   UnitRequest request;
   request.limit = *known;
@@ -268,14 +275,15 @@
   if (!reply.decided) {
     metrics_.countUndecided();
   }
-  const bool granted = (reply.decided && reply.granted) || !isLimited(server);
+  const bool tookUnit = reply.decided && reply.granted && reply.limit.limited;
+  const bool granted = tookUnit || !isLimited(server);
   metrics_.countUnit(granted);
   if (granted) {
-    co_return UnitVerdict{};
+    co_return UnitVerdict{true, tookUnit, Milliseconds(0)};
   }
   const Milliseconds wait = reply.decided ? Milliseconds(reply.waitMs) : kUndecidedWait;
   refusedUntil_[key] = now + std::min(wait, kLongestRefusal);
-  co_return UnitVerdict{false, wait};
+  co_return UnitVerdict{false, false, wait};
 }
 
 void ServerLimitNode::giveBack(const fleet::Server& server) {
@@ -307,8 +315,8 @@
     UnitReply reply;
     if (root == context_.tree.endpoint) {
       reply = co_await decide(request);
-    } else {
-      reply = co_await call(root, request);
+    } else if (!silence_.isSilent(root, monotonicNow())) {
+      reply = co_await call(root, request, unitTimeout());
     }
     if (reply.decided) {
       co_return reply;
@@ -317,24 +325,24 @@
   co_return emptyReply(request);
 }
 
-awaitable<UnitReply> ServerLimitNode::call(Endpoint root, UnitRequest request) {
-  const Milliseconds timeout = unitTimeout();
+awaitable<UnitReply> ServerLimitNode::call(Endpoint root, UnitRequest request,
+                                           Milliseconds timeout) {
   const Result<UnitReply> reply = co_await peer::callPeer<UnitReply>(
       context_.client, root, kUnitPath, request, timeout, timeout);
   if (!reply) {
-    silentSince_.try_emplace(root, monotonicNow());
+    silence_.noteFailure(root, monotonicNow());
     co_return emptyReply(request);
   }
-  silentSince_.erase(root);
+  silence_.noteAnswer(root);
   merge({reply.value().limit});
   co_return reply.value();
 }
 
 awaitable<UnitReply> ServerLimitNode::callTree(std::string tree, UnitRequest request) {
-  request.forwarded = true;
+  ++request.hops;
   const std::vector<Endpoint> roots = co_await context_.rootsOfTree(std::move(tree));
   for (const Endpoint& root : roots) {
-    const UnitReply reply = co_await call(root, request);
+    const UnitReply reply = co_await call(root, request, kFarForwardTimeout);
     if (reply.decided) {
       co_return reply;
     }
@@ -355,31 +363,24 @@
     co_return reply;
   }
   if (treeOf(server) != context_.ownTree) {
-    if (!request.forwarded) {
-      co_return co_await callTree(treeOf(server), request);
+    if (request.hops == 0) {
+      reply = co_await callTree(treeOf(server), request);
     }
     co_return reply;
   }
-  bool allSilent = true;
-  for (const Endpoint& root : order(server)) {
-    if (root == context_.tree.endpoint) {
-      break;
-    }
-    disown(server);
-    if (request.forwarded && context_.trees.size() < 2) {
-      co_return reply;
+  for (const Endpoint& root : rootsBefore(server)) {
+    if (request.hops >= kMostHops || silence_.isSilent(root, monotonicNow())) {
+      continue;
     }
     UnitRequest forwarded = request;
-    forwarded.forwarded = true;
-    reply = co_await call(root, forwarded);
+    ++forwarded.hops;
+    reply = co_await call(root, forwarded, kForwardTimeout);
     if (reply.decided) {
+      disown(server);
       co_return reply;
     }
-    const auto silent = silentSince_.find(root);
-    allSilent =
-        allSilent && silent != silentSince_.end() && monotonicNow() - silent->second >= kTakeover;
   }
-  co_return allSilent ? mint(request) : reply;
+  co_return owns(server) ? mint(request) : reply;
 }
 
 UnitReply ServerLimitNode::mint(const UnitRequest& request) {
@@ -401,6 +402,12 @@
   return reply;
 }
 
+std::vector<Endpoint> ServerLimitNode::rootsBefore(fleet::ServerKey server) const {
+  std::vector<Endpoint> roots = order(server);
+  roots.erase(std::find(roots.begin(), roots.end(), context_.tree.endpoint), roots.end());
+  return roots;
+}
+
 bool ServerLimitNode::owns(fleet::ServerKey server) const {
   if (treeOf(server) != context_.ownTree) {
     return false;
@@ -408,8 +415,11 @@
   if (context_.tree.isAlone()) {
     return true;
   }
-  const std::vector<Endpoint> roots = order(server);
-  return context_.tree.isRoot() && !roots.empty() && roots.front() == context_.tree.endpoint;
+  const std::vector<Endpoint> before = rootsBefore(server);
+  const MonotonicTime now = monotonicNow();
+  return context_.tree.isRoot() &&
+         std::all_of(before.begin(), before.end(),
+                     [this, now](const Endpoint& root) { return silence_.isGone(root, now); });
 }
 
 void ServerLimitNode::disown(fleet::ServerKey server) {
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -3,7 +3,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -20,6 +19,7 @@
 #include "server_limits/limit_table.h"
 #include "server_limits/messages.h"
 #include "server_limits/metrics.h"
+#include "server_limits/root_silence.h"
 #include "server_limits/unit_minter.h"
 
 namespace calicodrift::server_limits {
@@ -53,6 +53,8 @@
 /// Leave to send one request to a server.
 struct UnitVerdict {
   bool granted = true;
+  /// Whether a unit was taken for it: the server has a limit.
+  bool tookUnit = false;
   /// Where it is refused: until a unit may come.
   Milliseconds wait{0};
 };
@@ -65,7 +67,8 @@
 /// and no list of nodes is needed. Where the fleet has several trees, the key chooses one first.
 ///
 /// Who is that root is told by the list of roots. While it is being replaced nobody gives units
-/// out; where it is silent and stays listed, the next one does after kTakeover.
+/// out; where it is silent and stays listed, as the store is away too, the next one does after
+/// RootSilence::kTakeover.
 class ServerLimitNode {
  public:
   ServerLimitNode(ServerLimitContext context, ServerLimitMetrics& metrics);
@@ -99,9 +102,6 @@
   static constexpr Milliseconds kUnitTimeout{120};
   /// The same where the unit may come from another tree: some ways there and back between regions.
   static constexpr Milliseconds kFarUnitTimeout{600};
-  /// The first root for a server is silent for so long before the next one takes its place: longer
-  /// than a list of roots needs to be changed, and than a root goes on without proof of its place.
-  static constexpr Milliseconds kTakeover{4000};
   /// A server that got no request for so long is asked for its health, as it says nothing else.
   static constexpr Milliseconds kQuiet{1000};
   /// The same where its limit has no unit for that.
@@ -129,14 +129,16 @@
   std::vector<Endpoint> order(fleet::ServerKey server) const;
   const std::string& treeOf(fleet::ServerKey server) const;
   boost::asio::awaitable<UnitReply> ask(UnitRequest request);
-  boost::asio::awaitable<UnitReply> call(Endpoint root, UnitRequest request);
+  boost::asio::awaitable<UnitReply> call(Endpoint root, UnitRequest request, Milliseconds timeout);
   boost::asio::awaitable<UnitReply> callTree(std::string tree, UnitRequest request);
   /// As a root that was asked.
   boost::asio::awaitable<UnitReply> decide(UnitRequest request);
   /// As the root that gives out the server's units.
   UnitReply mint(const UnitRequest& request);
   UnitReply emptyReply(const UnitRequest& request) const;
-  /// Whether this node gives out the server's units, as far as the roots tell.
+  /// Roots that give out the server's units before this one does.
+  std::vector<Endpoint> rootsBefore(fleet::ServerKey server) const;
+  /// Whether this node gives out the server's units.
   bool owns(fleet::ServerKey server) const;
   void disown(fleet::ServerKey server);
   /// Ends what this node gives out no more, and asks servers that got no request for a while.
@@ -155,8 +157,7 @@
   std::unordered_map<fleet::ServerKey, MonotonicTime> probedAt_;
   /// No unit comes before that, as the root said.
   std::unordered_map<fleet::ServerKey, MonotonicTime> refusedUntil_;
-  /// Roots that do not answer, since when.
-  std::map<Endpoint, MonotonicTime> silentSince_;
+  RootSilence silence_;
   std::set<Endpoint> greeted_;
   std::set<Endpoint> greeting_;
   std::unordered_set<fleet::ServerKey> probing_;
