Forward, server limits: nothing paid for servers without a limit; one spread of returns, one list of neighbours, one ranking

Change: versionOf() and noteHead() return first where no limit is in force; limits::spreadReturn(), relay::neighboursIn(), chooseFor() and inOrderFor() over one rank(); servers at their limit are those behind the tried ones in the same list; kLongestRefusal alone; Forwarder::noteEnd() out of runAttempt. Behaviour as it was: while no limit is in force every naming is news, whatever was known at the send.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -135,6 +135,10 @@
   bool knowsWeights(const Job& job) const;
   /// Whether a request under which servers have ended may be sent to one more.
   boost::asio::awaitable<Result<void>> admitSuspect(Job& job);
+  /// Sets the job's state by how the attempt ended, and says in the outcome what it means where
+  /// that is more than the attempt knows. Gives the weights that the server has shown.
+  std::optional<WeightsVersion> noteEnd(Job& job, const Dispatch& dispatch, ServerAttempt& attempt,
+                                        Result<void>& outcome) const;
   /// Tells all nodes what the dispatch has shown of the request: that it ran to its end, or that
   /// its server's process has ended under it.
   boost::asio::awaitable<void> judgeRequest(Job& job, const fleet::Server& server,
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -5,19 +5,13 @@
 #include "forward/allowed_servers.h"
 #include "forward/forward_job.h"
 #include "forward/trial_choice.h"
+#include "limits/return_time.h"
 #include "routing/cost.h"
 
 namespace calicodrift::forward {
 
 using service_rollout::Track;
 
-namespace {
-
-/// A server without a unit is passed over for no longer, as its limit may be lifted meanwhile.
-constexpr Milliseconds kLongestLimitPause{1000};
-
-}  // namespace
-
 AllowedServers Forwarder::serversFor(const Job& job, bool mayBeCanary, MonotonicTime now) {
   const ServerQuery query{job.service, job.request.model, job.routeKey(), job.routeRequest.avoided,
                           mayBeCanary};
@@ -35,42 +29,38 @@
 }
 
 boost::asio::awaitable<Result<Forwarder::Chosen>> Forwarder::chooseWithinLimits(Job& job) {
-  // Servers at their limit are passed over for this choice only.
-  std::vector<BackendId>& avoided = job.routeRequest.avoided;
-  const std::vector<BackendId> triedBefore = avoided;
-  std::vector<BackendId> full;
-  std::optional<Milliseconds> soonest;
+  server_limits::ServerLimitNode& limits = context_.serverLimits;
   Result<Chosen> choice = chooseServer(job, job.attempts.sent == 0, monotonicNow());
-  while (choice && context_.serverLimits.any()) {
+  // Servers at their limit are avoided too, for this choice only: they stand behind those before.
+  std::vector<BackendId>& avoided = job.routeRequest.avoided;
+  const auto triedBefore = static_cast<std::ptrdiff_t>(avoided.size());
+  Milliseconds soonest = Milliseconds::max();
+  while (choice && limits.any()) {
     const fleet::Server& server = choice.value().server;
-    if (std::find(full.begin(), full.end(), server.id) != full.end()) {
-      choice = atLimits(job, *soonest);
+    if (std::find(avoided.begin() + triedBefore, avoided.end(), server.id) != avoided.end()) {
+      choice = atLimits(job, soonest);
       break;
     }
-    const server_limits::UnitVerdict unit = co_await context_.serverLimits.take(server);
+    const server_limits::UnitVerdict unit = co_await limits.take(server);
     if (unit.granted) {
       choice.value().tookUnit = unit.tookUnit;
       break;
     }
     const MonotonicTime now = monotonicNow();
-    context_.pool.pause(server.id, now + std::min(unit.wait, kLongestLimitPause), now);
-    soonest = std::min(unit.wait, soonest.value_or(unit.wait));
-    full.push_back(server.id);
+    context_.pool.pause(server.id, now + std::min(unit.wait, limits.kLongestRefusal), now);
+    soonest = std::min(soonest, unit.wait);
     avoided.push_back(server.id);
     choice = chooseServer(job, false, now);
   }
-  avoided = triedBefore;
+  avoided.erase(avoided.begin() + triedBefore, avoided.end());
   co_return choice;
 }
 
 Error Forwarder::atLimits(const Job& job, Milliseconds wait) {
-  // Callers that are refused together come back one after the other.
-  constexpr Milliseconds kLeastSpread{250};
-  std::uniform_int_distribution<std::int64_t> spread(0, (kLeastSpread + wait).count());
   Error error = fail(ErrorKind::kOverloaded,
                      "all servers of '" + job.service + "' are at the limits that they name");
   error.reason = "servers_at_limits";
-  error.retryAfter = wait + Milliseconds(spread(random_));
+  error.retryAfter = limits::spreadReturn(wait, random_);
   return error;
 }
 
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -162,16 +162,33 @@
       co_await attempt->run(job.request, dispatch, bounds, job.streaming(), failureUse);
   attempt->onFirstBytes(nullptr);
   job.attempt.reset();
-  job.status = attempt->status();
-  job.ranToItsEnd = attempt->keptFailure().has_value();
-  if (attempt->keptFailure()) {
-    job.keptFailure = std::move(attempt->keptFailure());
-  }
   waiting.reset();
   if (chosen.tookUnit && !outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
     context_.serverLimits.giveBack(dispatch.server);
   }
-  if (!outcome && attempt->recalled() && !provesNotRun(outcome.error().kind)) {
+  const std::optional<WeightsVersion> weights = noteEnd(job, dispatch, *attempt, outcome);
+  if (const auto connected = attempt->connectTime()) {
+    context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
+  }
+  // A connection that this node closed itself says nothing of the server.
+  if (!attempt->recalled() && !job.writer.callerGone()) {
+    observe(job, dispatch, chosen, endOf(*attempt, outcome, job.streaming(), job.expired), startMs);
+  }
+  if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
+    learnFrom(job, dispatch.server, outcome, weights);
+  }
+  co_return outcome;
+}
+
+std::optional<WeightsVersion> Forwarder::noteEnd(Job& job, const Dispatch& dispatch,
+                                                 ServerAttempt& attempt,
+                                                 Result<void>& outcome) const {
+  job.status = attempt.status();
+  job.ranToItsEnd = attempt.keptFailure().has_value();
+  if (attempt.keptFailure()) {
+    job.keptFailure = std::move(attempt.keptFailure());
+  }
+  if (!outcome && attempt.recalled() && !provesNotRun(outcome.error().kind)) {
     outcome =
         fail(ErrorKind::kWeightsOutdated, "server '" + dispatch.server.id.value() +
                                               "' had answered nothing when its weights ran out");
@@ -179,26 +196,16 @@
   if (!outcome && !provesNotRun(outcome.error().kind)) {
     ++job.attempts.mayHaveRun;
   }
-  std::optional<WeightsVersion> weights = attempt->weights();
+  std::optional<WeightsVersion> weights = attempt.weights();
   if (!outcome && outcome.error().kind == ErrorKind::kFenced) {
-    weights = attempt->fromAnother() ? std::nullopt : weightsBehind(job, dispatch, weights);
+    weights = attempt.fromAnother() ? std::nullopt : weightsBehind(job, dispatch, weights);
     if (weights) {
       outcome = fail(ErrorKind::kOtherWeights, outcome.error().detail + ": it has weights " +
                                                    std::to_string(weights->value()));
       ++job.attempts.otherWeights;
     }
   }
-  if (const auto connected = attempt->connectTime()) {
-    context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
-  }
-  // A connection that this node closed itself says nothing of the server.
-  if (!attempt->recalled() && !job.writer.callerGone()) {
-    observe(job, dispatch, chosen, endOf(*attempt, outcome, job.streaming(), job.expired), startMs);
-  }
-  if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
-    learnFrom(job, dispatch.server, outcome, weights);
-  }
-  co_return outcome;
+  return weights;
 }
 
 awaitable<void> Forwarder::judgeRequest(Job& job, const fleet::Server& server,
--- a/src/quarantine/quarantine_node.cc
+++ b/src/quarantine/quarantine_node.cc
@@ -117,20 +117,9 @@
 }
 
 std::vector<Endpoint> QuarantineNode::neighbours() const {
-  std::vector<Endpoint> found = context_.tree.children();
-  if (const std::optional<Endpoint> parent = context_.tree.parent()) {
-    found.push_back(*parent);
-  }
-  if (context_.tree.isRoot() || parentIsOlder_) {
-    const std::vector<Endpoint> roots = context_.tree.roots();
-    found.insert(found.end(), roots.begin(), roots.end());
-  }
-  if (context_.tree.isRoot()) {
-    found.insert(found.end(), otherTrees_.begin(), otherTrees_.end());
-  }
-  std::sort(found.begin(), found.end());
-  found.erase(std::unique(found.begin(), found.end()), found.end());
-  return found;
+  const bool isRoot = context_.tree.isRoot();
+  return relay::neighboursIn(context_.tree, isRoot || parentIsOlder_,
+                             isRoot ? otherTrees_ : std::vector<Endpoint>());
 }
 
 awaitable<bool> QuarantineNode::push(Endpoint neighbour, std::uint64_t since, Milliseconds wait,
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "limits/return_time.h"
 #include "peer/http_call.h"
 
 namespace calicodrift::quota {
@@ -21,9 +22,8 @@
 constexpr Milliseconds kSilencePause{300};
 /// The same for a lender: a region that is cut off stays so for longer.
 constexpr Milliseconds kLenderSilencePause{2000};
-/// Callers that are refused together come back over this time beyond their wait, and over as much
-/// again as they wait.
-constexpr Milliseconds kLeastSpread{250};
+/// Told where a claim got no decision.
+constexpr Milliseconds kUndecidedWait{250};
 
 }  // namespace
 
@@ -130,8 +130,7 @@
   const MonotonicTime now = monotonicNow();
   QuotaVerdict verdict;
   verdict.granted = false;
-  std::uniform_int_distribution<std::int64_t> spread(0, (kLeastSpread + wait).count());
-  verdict.comeBack = wait + Milliseconds(spread(random_));
+  verdict.comeBack = limits::spreadReturn(wait, random_);
   if (TenantAccount* account = core_.accountOf(tenant)) {
     const auto whole = [](double units) { return std::to_string(std::llround(units)); };
     const auto age = std::chrono::duration_cast<Milliseconds>(now - answeredAt_);
@@ -163,7 +162,7 @@
   if (!waiting->decision) {
     co_await waiting->decided.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return waiting->decision.value_or(Decision{Verdict::kRefused, kLeastSpread});
+  co_return waiting->decision.value_or(Decision{Verdict::kRefused, kUndecidedWait});
 }
 
 awaitable<void> QuotaNode::sendBatches() {
--- a/src/relay/tree_place.h
+++ b/src/relay/tree_place.h
@@ -22,4 +22,9 @@
   std::function<bool()> isAlone;
 };
 
+/// Whom a node tells news: its parent and children, where it `tellsRoots` the other roots, and
+/// those `beyond` its tree. Sorted, each once.
+std::vector<Endpoint> neighboursIn(const TreePlace& tree, bool tellsRoots,
+                                   const std::vector<Endpoint>& beyond);
+
 }  // namespace calicodrift::relay
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -22,8 +22,6 @@
 constexpr Milliseconds kStartInterval{100};
 /// Between two looks for runs that have gone.
 constexpr Milliseconds kForgetInterval{15'000};
-/// A refusal holds for no longer at this node, so that a limit that is lifted is found soon.
-constexpr Milliseconds kLongestRefusal{1000};
 /// From a root to one of another tree, and to the first one there.
 constexpr std::uint32_t kMostHops = 2;
 /// For another root's answer, so that the node that asked this one still waits.
@@ -89,18 +87,8 @@
 }
 
 std::vector<Endpoint> ServerLimitNode::neighbours() const {
-  std::vector<Endpoint> found = context_.tree.children();
-  if (const std::optional<Endpoint> parent = context_.tree.parent()) {
-    found.push_back(*parent);
-  }
-  if (context_.tree.isRoot()) {
-    const std::vector<Endpoint> roots = context_.tree.roots();
-    found.insert(found.end(), roots.begin(), roots.end());
-    found.insert(found.end(), otherTrees_.begin(), otherTrees_.end());
-  }
-  std::sort(found.begin(), found.end());
-  found.erase(std::unique(found.begin(), found.end()), found.end());
-  return found;
+  const bool isRoot = context_.tree.isRoot();
+  return relay::neighboursIn(context_.tree, isRoot, isRoot ? otherTrees_ : std::vector<Endpoint>());
 }
 
 void ServerLimitNode::greetNeighbours() {
@@ -208,6 +196,9 @@
 
 void ServerLimitNode::noteHead(const fleet::Server& server, LimitVersion seen,
                                const NamedLimit& named) {
+  if (named && !named.value() && !any()) {
+    return;
+  }
   const fleet::ServerKey key = fleet::keyOf(server);
   if (!named) {
     metrics_.countUnreadable();
@@ -217,7 +208,7 @@
     }
     return;
   }
-  if ((!named.value() && !any()) || !table_.note(key, seen, named.value())) {
+  if (!table_.note(key, seen, named.value())) {
     return;
   }
   refusedUntil_.erase(key);
@@ -242,11 +233,7 @@
   if (context_.trees.empty()) {
     return context_.ownTree;
   }
-  return *std::max_element(context_.trees.begin(), context_.trees.end(),
-                           [server](const std::string& left, const std::string& right) {
-                             return hashPair(server.value(), hashBytes(left)) <
-                                    hashPair(server.value(), hashBytes(right));
-                           });
+  return chooseFor(server, context_.trees);
 }
 
 Milliseconds ServerLimitNode::unitTimeout() const {
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -77,8 +77,9 @@
   /// Whether any server has a limit: else no request needs a look.
   bool any() const { return table_.countLimited() > 0; }
   /// What is known of the server, to be told with what its answer says.
+  /// Costs nothing while no server has a limit, as every naming is news then.
   LimitVersion versionOf(const fleet::Server& server) const {
-    return table_.versionOf(fleet::keyOf(server));
+    return any() ? table_.versionOf(fleet::keyOf(server)) : LimitVersion();
   }
   bool isLimited(const fleet::Server& server) const {
     return table_.limitOf(fleet::keyOf(server)).has_value();
@@ -109,6 +110,8 @@
   /// A node that starts serves without the others' limits after so long.
   static constexpr Milliseconds kLongestStart{2000};
   static constexpr Milliseconds kInterval{250};
+  /// A refusal holds for no longer at this node, so that a limit that is lifted is found soon.
+  static constexpr Milliseconds kLongestRefusal{1000};
 
  private:
   boost::asio::awaitable<void> run();
