--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -4,8 +4,8 @@
 #include <boost/json.hpp>
 
 #include "http/status.h"
+#include "http/writer_decorator.h"
 #include "log/log.h"
-#include "router/config_header_writer.h"
 #include "router/member_status.h"
 
 namespace calicodrift::router {
@@ -193,7 +193,9 @@
     co_await http::respond(writer, handleAdmin(request));
     co_return;
   }
-  ConfigHeaderWriter marking(writer, *configuration_);
+  http::WriterDecorator marking(writer, [&configuration = *configuration_](http::Response& head) {
+    configuration.mark(head);
+  });
   std::optional<Error> refusal = configuration_->refusal();
   if (draining_) {
     refusal = fail(ErrorKind::kDraining, "this router is stopping");
--- a/tests/gateway_soak/limits.cc
+++ b/tests/gateway_soak/limits.cc
@@ -2,6 +2,7 @@
 // comes from nodes that have been free of faults for long must keep the limit in any window.
 
 #include "gateway_soak.h"
+#include "support/arrival_windows.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -9,28 +10,9 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
-constexpr Milliseconds kWindow{4000};
 /// All nodes in touch know of a limit, and go by it, so long after it was named.
 constexpr Milliseconds kUntilSpared{3000};
 
-/// The users' bound.
-double allowedInWindow(double perSecond) {
-  constexpr double kTolerance = 1.5;
-  constexpr double kMore = 5;
-  return kTolerance * perSecond * toMilliseconds(kWindow) / 1000 + kMore;
-}
-
-std::size_t worstWindow(const std::vector<MonotonicTime>& times) {
-  std::size_t worst = 0;
-  for (std::size_t first = 0, next = 0; first < times.size(); ++first) {
-    while (next < times.size() && times[next] - times[first] < kWindow) {
-      ++next;
-    }
-    worst = std::max(worst, next - first);
-  }
-  return worst;
-}
-
 }  // namespace
 
 awaitable<void> GatewaySoak::limitServers(std::string service, MonotonicTime end, Draws draws) {
@@ -48,8 +30,8 @@
     co_await pause(draws.between(7000, 12'000));
     server.server->namedLimits.clear();
     server.sparedSince.reset();
-    const std::size_t worst = worstWindow(server.calmArrivals);
-    if (static_cast<double>(worst) > allowedInWindow(perSecond)) {
+    const std::size_t worst = mostInAnyWindow(server.calmArrivals);
+    if (static_cast<double>(worst) > kAllowedArrivals.at(perSecond)) {
       violate(server.server->id() + " got " + std::to_string(worst) +
               " requests in 4 s from nodes free of faults, and had named " + text + " a second");
     }
--- a/tests/platform/limited_servers_test.cc
+++ b/tests/platform/limited_servers_test.cc
@@ -13,6 +13,7 @@
 #include <map>
 
 #include "gateway_fleet.h"
+#include "support/arrival_windows.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -22,7 +23,6 @@
 
 constexpr std::size_t kNodes = 7;
 constexpr std::size_t kServers = 15;
-constexpr Milliseconds kWindow{4000};
 /// All nodes know of a limit, and spare the server, so long after it named it first.
 constexpr Milliseconds kUntilSpared{1000};
 constexpr Milliseconds kUntilUsedAgain{2000};
@@ -30,34 +30,18 @@
 /// here could be used twice.
 constexpr Milliseconds kGap{10};
 
-/// In any kWindow, over all nodes.
-double allowedInWindow(double perSecond) {
-  constexpr double kTolerance = 1.1;
-  constexpr double kMore = 2;
-  return kTolerance * perSecond * toMilliseconds(kWindow) / 1000 + kMore;
+/// When requests came from `begin` on.
+std::vector<MonotonicTime> timesSince(const ServerStandIn& server, MonotonicTime begin) {
+  const std::vector<MonotonicTime>& times = server.arrivalTimes();
+  return {std::lower_bound(times.begin(), times.end(), begin), times.end()};
 }
 
-/// The most requests that came in any window from `begin` on.
 std::size_t worstWindow(const ServerStandIn& server, MonotonicTime begin) {
-  const std::vector<MonotonicTime>& times = server.arrivalTimes();
-  std::size_t worst = 0;
-  for (std::size_t first = 0; first < times.size(); ++first) {
-    if (times[first] < begin) {
-      continue;
-    }
-    std::size_t next = first;
-    while (next < times.size() && times[next] - times[first] < kWindow) {
-      ++next;
-    }
-    worst = std::max(worst, next - first);
-  }
-  return worst;
+  return mostInAnyWindow(timesSince(server, begin));
 }
 
 std::size_t arrivalsSince(const ServerStandIn& server, MonotonicTime begin) {
-  return static_cast<std::size_t>(
-      std::count_if(server.arrivalTimes().begin(), server.arrivalTimes().end(),
-                    [begin](MonotonicTime time) { return time >= begin; }));
+  return timesSince(server, begin).size();
 }
 
 /// Streams of callers at all nodes in turn, for as long as it is told to; counts answers by status.
@@ -119,7 +103,7 @@
       const std::size_t got = arrivalsSince(server, spared);
       BOOST_TEST_MESSAGE("limit " << limit << ": worst window " << worst << ", got " << got
                                   << " in " << seconds << " s");
-      BOOST_TEST(static_cast<double>(worst) <= allowedInWindow(perSecond));
+      BOOST_TEST(static_cast<double>(worst) <= kAimedArrivals.at(perSecond));
       constexpr double kLeastUse = 0.9;
       BOOST_TEST(static_cast<double>(got) + 1 >= kLeastUse * perSecond * seconds);
     }
@@ -175,7 +159,7 @@
     const std::size_t served = callers.answered(200) - servedBefore;
     for (std::size_t number = 0; number < 3; ++number) {
       BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[number], spared)) <=
-                 allowedInWindow(2));
+                 kAimedArrivals.at(2));
     }
     BOOST_TEST_MESSAGE("served " << served << " of 48 in 8 s");
     BOOST_TEST(served >= 43U);
@@ -201,7 +185,7 @@
     fleet.servers[0]->namedLimits = {"nan"};
     const MonotonicTime begin = monotonicNow();
     co_await callers.sendFor(Milliseconds(4500));
-    BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[0], begin)) <= allowedInWindow(1));
+    BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[0], begin)) <= kAimedArrivals.at(1));
   });
 }
 
@@ -215,7 +199,7 @@
     const MonotonicTime begin = monotonicNow();
     co_await fleet.startMore(2, "z1");
     co_await callers.sendFor(Milliseconds(4500));
-    BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[0], begin)) <= allowedInWindow(1));
+    BOOST_TEST(static_cast<double>(worstWindow(*fleet.servers[0], begin)) <= kAimedArrivals.at(1));
   });
 }
 
--- a/tests/platform/server_stand_in.cc
+++ b/tests/platform/server_stand_in.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "http/writer_decorator.h"
 #include "names.h"
 
 namespace calicodrift::testing {
@@ -16,41 +17,6 @@
   return static_cast<std::uint64_t>(now.count());
 }
 
-/// Adds the named limits to the head of whatever the server answers.
-class LimitNamingWriter : public http::ResponseWriter {
- public:
-  LimitNamingWriter(http::ResponseWriter& writer, const std::vector<std::string>& limits)
-      : writer_(writer), limits_(limits) {}
-
-  awaitable<Result<void>> send(http::Response response) override {
-    return writer_.send(named(std::move(response)));
-  }
-  awaitable<Result<void>> startStream(http::Response response) override {
-    return writer_.startStream(named(std::move(response)));
-  }
-  awaitable<Result<void>> writeChunk(std::string_view bytes) override {
-    return writer_.writeChunk(bytes);
-  }
-  awaitable<Result<void>> endStream() override { return writer_.endStream(); }
-  void abort() override { writer_.abort(); }
-  void onCallerGone(std::function<void()> callback) override {
-    writer_.onCallerGone(std::move(callback));
-  }
-  bool callerGone() const override { return writer_.callerGone(); }
-  bool streamStarted() const override { return writer_.streamStarted(); }
-
- private:
-  http::Response named(http::Response response) const {
-    for (const std::string& limit : limits_) {
-      response.headers.add("Server-Limit", limit);
-    }
-    return response;
-  }
-
-  http::ResponseWriter& writer_;
-  const std::vector<std::string>& limits_;
-};
-
 }  // namespace
 
 class ServerStandIn::RunningGuard {
@@ -173,7 +139,11 @@
 
 awaitable<void> ServerStandIn::handle(http::Request& request, http::ResponseWriter& writer) {
   const RunningGuard running(running_, writer);
-  LimitNamingWriter naming(writer, namedLimits);
+  http::WriterDecorator naming(writer, [this](http::Response& head) {
+    for (const std::string& limit : namedLimits) {
+      head.headers.add("Server-Limit", limit);
+    }
+  });
   co_await answer(request, naming);
 }
 
--- a/tests/server_limits/drawn_schedules_test.cc
+++ b/tests/server_limits/drawn_schedules_test.cc
@@ -11,21 +11,15 @@
 #include "relay/simulated_tree.h"
 #include "server_limits/root_order.h"
 #include "server_limits/unit_minter.h"
+#include "support/arrival_windows.h"
 
 namespace calicodrift::server_limits {
 namespace {
 
 constexpr Milliseconds kStep{20};
-constexpr Milliseconds kWindow{4000};
 constexpr Milliseconds kCourse{20'000};
 const fleet::ServerKey kServer(77);
 
-double allowedInWindow(double perSecond) {
-  constexpr double kTolerance = 1.1;
-  constexpr double kMore = 2;
-  return kTolerance * perSecond * toMilliseconds(kWindow) / 1000 + kMore;
-}
-
 /// By hand 10,000 (SCHEDULES=10000); fewer where it runs with all other tests.
 std::uint64_t schedules() {
   constexpr std::uint64_t kFew = 500;
@@ -59,16 +53,7 @@
       }
     }
   }
-  std::size_t worstWindow() const {
-    std::size_t worst = 0;
-    for (std::size_t first = 0, next = 0; first < given_.size(); ++first) {
-      while (next < given_.size() && given_[next] - given_[first] < kWindow) {
-        ++next;
-      }
-      worst = std::max(worst, next - first);
-    }
-    return worst;
-  }
+  std::size_t worstWindow() const { return testing::mostInAnyWindow(given_); }
 
  private:
   static relay::RelaySettings settings() {
@@ -160,7 +145,7 @@
     for (const double limit : {0.25, 1.0, 5.0, 20.0}) {
       AskingFleet fleet(nodes, nodes, limit);
       fleet.run(kCourse);
-      BOOST_TEST(static_cast<double>(fleet.worstWindow()) <= allowedInWindow(limit));
+      BOOST_TEST(static_cast<double>(fleet.worstWindow()) <= testing::kAimedArrivals.at(limit));
       constexpr double kLeastUse = 0.9;
       const double due = limit * toMilliseconds(kCourse) / 1000;
       BOOST_TEST(static_cast<double>(fleet.given().size()) + 1 >= kLeastUse * due,
@@ -184,7 +169,8 @@
     }
     const double seconds = toMilliseconds(fleet.tree().now() - begin) / 1000;
     used += static_cast<double>(fleet.given().size()) / (limit * seconds);
-    const double share = static_cast<double>(fleet.worstWindow()) / allowedInWindow(limit);
+    const double share =
+        static_cast<double>(fleet.worstWindow()) / testing::kAimedArrivals.at(limit);
     worstShare = std::max(worstShare, share);
     BOOST_TEST(share <= 1, "seed " << seed << ", limit " << limit << ": " << share);
   }
--- a/tests/server_limits/unit_minter_test.cc
+++ b/tests/server_limits/unit_minter_test.cc
@@ -4,27 +4,17 @@
 #include <random>
 #include <vector>
 
+#include "support/arrival_windows.h"
+
 namespace calicodrift::server_limits {
 namespace {
 
 constexpr MonotonicTime kBegin{std::chrono::hours(1)};
-constexpr Milliseconds kWindow{4000};
 
 LimitFact limitOf(double perSecond) {
   return {fleet::ServerKey(1), LimitVersion(1), true, perSecond};
 }
 
-std::size_t worstWindow(const std::vector<MonotonicTime>& given) {
-  std::size_t worst = 0;
-  for (std::size_t first = 0, next = 0; first < given.size(); ++first) {
-    while (next < given.size() && given[next] - given[first] < kWindow) {
-      ++next;
-    }
-    worst = std::max(worst, next - first);
-  }
-  return worst;
-}
-
 BOOST_AUTO_TEST_SUITE(unit_minter)
 
 /// The limit is kept in every window and used, at any rate of questions above it.
@@ -43,9 +33,9 @@
           given.push_back(now);
         }
       }
-      const double seconds = toMilliseconds(kWindow) / 1000;
-      BOOST_TEST(static_cast<double>(worstWindow(given)) <= 1.1 * limit * seconds + 2,
-                 "limit " << limit << ", " << times << " times asked");
+      BOOST_TEST(
+          static_cast<double>(testing::mostInAnyWindow(given)) <= testing::kAimedArrivals.at(limit),
+          "limit " << limit << ", " << times << " times asked");
       BOOST_TEST(static_cast<double>(given.size()) >= 0.9 * limit * kSeconds - 1,
                  "limit " << limit << ", " << times << " times asked: " << given.size());
     }
