Forward: one reader of what servers say of themselves, on the way of every call

The record can't tell the incident's hypotheses apart, as no line says which answers told that a server leaves or asked for rest.

ServerCalls is now the way of every call to a server: requests, resumed streams, second sends, questions for health and reports, orders, and the check whether a server has ended. It reads the head of each answer before anything is passed on, whatever its status, into typed ServerNotices made by the adapter. Leaving and rests are logged and counted (calicodrift_forward_server_notices_total) and change nothing yet. Limits that servers name were read on some of these paths before, and are read on all of them now. What can't be read ('0', empty, twice, negative, nan, dates, rests of over an hour) changes nothing, is counted and logged.

--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -9,9 +9,9 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
-CrashCheck::CrashCheck(asio::any_io_executor executor, http::Client& client,
+CrashCheck::CrashCheck(asio::any_io_executor executor, ServerCalls& calls,
                        const ServerProtocol& protocol)
-    : executor_(std::move(executor)), client_(client), protocol_(protocol) {}
+    : executor_(std::move(executor)), calls_(calls), protocol_(protocol) {}
 
 awaitable<bool> CrashCheck::hasEnded(fleet::Server server) {
   const Run run{server.id, fleet::incarnationOf(server)};
@@ -42,8 +42,7 @@
   options.headerTimeout = kAnswerTimeout;
   options.bodyTimeout = kAnswerTimeout;
   http::Request query = protocol_.reportQuery(server);
-  const Result<http::Response> answer =
-      co_await client_.exchange(server.endpoint, std::move(query), options);
+  const Result<http::Response> answer = co_await calls_.exchange(server, std::move(query), options);
   if (!answer) {
     co_return answer.error().reason == http::kConnectionRefused;
   }
--- a/src/forward/crash_check.h
+++ b/src/forward/crash_check.h
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "forward/protocol.h"
-#include "http/client.h"
+#include "forward/server_calls.h"
 
 namespace calicodrift::forward {
 
@@ -21,7 +21,7 @@
 /// that ask about one run at a time share one question, so that an end costs a node one call.
 class CrashCheck {
  public:
-  CrashCheck(boost::asio::any_io_executor executor, http::Client& client,
+  CrashCheck(boost::asio::any_io_executor executor, ServerCalls& calls,
              const ServerProtocol& protocol);
 
   /// Takes one way there and back on a path that works, kAnswerTimeout at most.
@@ -44,7 +44,7 @@
   boost::asio::awaitable<bool> probe(fleet::Server server);
 
   boost::asio::any_io_executor executor_;
-  http::Client& client_;
+  ServerCalls& calls_;
   const ServerProtocol& protocol_;
   std::map<Run, std::shared_ptr<Question>> questions_;
 };
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -52,7 +52,7 @@
       cacheMoves_(settings_.cacheMoves),
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)),
-      crashCheck_(context_.executor, context_.client, context_.servers),
+      crashCheck_(context_.executor, context_.calls, context_.servers),
       random_(seed + 2) {}
 
 void Forwarder::recallWaiting(const ModelId& model, WeightsVersion least) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -26,7 +26,6 @@
 #include "forward/server_attempt.h"
 #include "forward/waiting_dispatches.h"
 #include "forward/weighted_choice.h"
-#include "http/client.h"
 #include "http/server.h"
 #include "limits/retry_budget.h"
 #include "quarantine/quarantine_node.h"
@@ -51,7 +50,8 @@
 /// What the data path needs of the node. All of it outlives the forwarder, on one thread.
 struct ForwardContext {
   boost::asio::any_io_executor executor;
-  http::Client& client;
+  /// The way of every call to a server.
+  ServerCalls& calls;
   fleet::ServerPool& pool;
   const CallerProtocol& callers;
   const ServerProtocol& servers;
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -135,7 +135,7 @@
   if (context_.rollouts.onSent && chosen.order != service_rollout::OrderKey() && counts) {
     context_.rollouts.onSent(job.service, chosen.order, chosen.track);
   }
-  auto attempt = std::make_shared<ServerAttempt>(context_.client, context_.servers, job.relay);
+  auto attempt = std::make_shared<ServerAttempt>(context_.calls, context_.servers, job.relay);
   job.attempt = attempt;
   std::optional<WaitingDispatches::Guard> waiting;
   if (dispatch.weights) {
@@ -152,10 +152,6 @@
           context_.pool.observeFirstToken(dispatch.server.id, waitingTokens, *startMs - wayMs);
         }
       });
-  const server_limits::LimitVersion seen = context_.serverLimits.versionOf(dispatch.server);
-  attempt->onHead([this, &dispatch, seen](const http::Response& head) {
-    context_.serverLimits.noteHead(dispatch.server, seen, context_.servers.requestLimitOf(head));
-  });
   const AttemptBounds bounds = boundsOf(job, wayMs);
   const FailureUse failureUse = job.mayMoveOn() ? FailureUse::kKeep : FailureUse::kDeliver;
   Result<void> outcome =
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -31,6 +31,8 @@
                         "requests sent to a further server, by the cause")),
       losses_(counters(registry, "calicodrift_forward_server_losses_total",
                        "servers that stopped getting work, by cause")),
+      notices_(counters(registry, "calicodrift_forward_server_notices_total",
+                        "heads of servers' answers that said something of the server, by what")),
       outdatedBegins_(counters(registry, "calicodrift_forward_outdated_begins_total",
                                "requests that began on weights that were not the newest, by "
                                "whether that was later than the deployment allows")),
@@ -88,6 +90,10 @@
   recalls_.Increment(static_cast<double>(count));
 }
 
+void ForwardMetrics::countNotice(std::string_view notice) {
+  notices_.Add({{"notice", std::string(notice)}}).Increment();
+}
+
 void ForwardMetrics::countServerLoss(std::string_view cause) {
   losses_.Add({{"cause", std::string(cause)}}).Increment();
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -20,6 +20,9 @@
   /// Requests taken back from servers whose weights ran out before they had begun.
   void countRecalls(std::size_t count);
   void countServerLoss(std::string_view cause);
+  /// The head of a server's answer said something of the server: "leaving" or "rest", or
+  /// "unreadable".
+  void countNotice(std::string_view notice);
   /// A server began with a request on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
   void countOutdatedBegin(bool beyondBound);
@@ -36,6 +39,7 @@
   prometheus::Family<prometheus::Counter>& errors_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& losses_;
+  prometheus::Family<prometheus::Counter>& notices_;
   prometheus::Family<prometheus::Counter>& outdatedBegins_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& distantDispatches_;
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -4,6 +4,7 @@
 
 #include "fleet/server.h"
 #include "forward/request.h"
+#include "forward/server_notices.h"
 
 namespace calicodrift::forward {
 
@@ -102,10 +103,12 @@
   virtual AnswerKind classify(const Request& request, const http::Response& head) const = 0;
   /// Weights that made the answer, where it says so.
   virtual std::optional<WeightsVersion> weightsOf(const http::Response& head) const = 0;
-  /// The requests a second that the server takes from all nodes together, as long as its answers
-  /// say so; nothing where the head names no limit. Fails with kProtocolViolation where what it
-  /// names can't be read.
-  virtual Result<std::optional<double>> requestLimitOf(const http::Response& head) const = 0;
+  /// What the server says of itself in the head.
+  virtual ServerNotices noticesOf(const http::Response& head) const = 0;
+  /// Whether the head is this server's, so that its notices are of this server. One that answers
+  /// for another run or server, or refuses without naming itself as not being the one that was
+  /// meant, is not.
+  virtual bool speaksFor(const fleet::Server& server, const http::Response& head) const = 0;
   /// Whether the answer's head names another server than this one. One that names none does not.
   virtual bool namesAnother(const fleet::Server& server, const http::Response& head) const = 0;
   virtual http::Request healthQuery(const routes::Service& service) const = 0;
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -42,7 +42,7 @@
   options.canceller = &canceller_;
   options.connectTime = &connectTime_;
   http::Request message = protocol_.encode(request, dispatch);
-  auto opened = co_await client_.open(dispatch.server.endpoint, std::move(message), options);
+  auto opened = co_await calls_.open(dispatch.server, std::move(message), options);
   if (!opened) {
     co_return opened.error();
   }
@@ -52,10 +52,6 @@
   answered_ = kind == AnswerKind::kAnswered;
   weights_ = protocol_.weightsOf(stream.head());
   fromAnother_ = protocol_.namesAnother(dispatch.server, stream.head());
-  const bool ownHead = kind == AnswerKind::kAnswered || kind == AnswerKind::kNotRun;
-  if (ownHead && !fromAnother_ && headListener_) {
-    headListener_(stream.head());
-  }
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
     // Reads the rest, so that the connection can serve again.
     const Result<std::string> rest = co_await stream.read();
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -5,7 +5,7 @@
 
 #include "forward/answer_relay.h"
 #include "forward/protocol.h"
-#include "http/client.h"
+#include "forward/server_calls.h"
 
 namespace calicodrift::forward {
 
@@ -27,8 +27,8 @@
 /// One dispatch of a request to one server, with its answer relayed to the caller.
 class ServerAttempt {
  public:
-  ServerAttempt(http::Client& client, const ServerProtocol& protocol, AnswerRelay& relay)
-      : client_(client), protocol_(protocol), relay_(relay) {}
+  ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerRelay& relay)
+      : calls_(calls), protocol_(protocol), relay_(relay) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
   /// mean that this server has not run the request; kCallerGone that the caller
@@ -46,11 +46,6 @@
   bool recalled() const { return recalled_; }
   /// Called once, when the first bytes of the answer's body came.
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
-  /// Called once, with the head of an answer to this request that came from the server itself:
-  /// its own answer, or proof that it did not run the request.
-  void onHead(std::function<void(const http::Response&)> listener) {
-    headListener_ = std::move(listener);
-  }
   std::optional<WeightsVersion> weights() const { return weights_; }
   /// The answer's head named another server than the one that was meant.
   bool fromAnother() const { return fromAnother_; }
@@ -69,12 +64,11 @@
                                                    const AttemptBounds& bounds);
   void noteFirstBytes();
 
-  http::Client& client_;
+  ServerCalls& calls_;
   const ServerProtocol& protocol_;
   AnswerRelay& relay_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
-  std::function<void(const http::Response&)> headListener_;
   std::optional<WeightsVersion> weights_;
   std::optional<Microseconds> connectTime_;
   std::optional<http::Response> keptFailure_;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -90,6 +90,7 @@
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
       serverLimitMetrics_(registry_),
       serverLimits_(serverLimitContext(), serverLimitMetrics_),
+      serverCalls_(client_, ports_.servers, serverLimits_, metrics_),
       quarantineMetrics_(registry_),
       quarantine_(
           quarantineContext(), ports_.store, std::string(kQuarantineKind), quarantineMetrics_,
@@ -119,7 +120,7 @@
                        rolloutMetrics_, hashBytes(processName_)),
       gate_({settings_.keyProofAge, settings_.absenceProofAge}),
       forwarder_(
-          {context.get_executor(), client_, pool_, ports_.callers, ports_.servers, metrics_,
+          {context.get_executor(), serverCalls_, pool_, ports_.callers, ports_.servers, metrics_,
            [this] { return views_.configuration(); },
            [this](const ModelId& model, WeightsVersion version) {
              return views_.weights(model, version);
@@ -131,9 +132,9 @@
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
              [this] { return !draining_ && relay_.readsStore() && weightsLoader_.needed(); }),
-      weightsLoader_(context.get_executor(), client_, ports_.servers, pool_, targets_, lease_,
+      weightsLoader_(context.get_executor(), serverCalls_, ports_.servers, pool_, targets_, lease_,
                      orderMetrics_, weightsLoaderSettings(settings_, processName_)),
-      prober_(context.get_executor(), client_, ports_.servers, pool_,
+      prober_(context.get_executor(), serverCalls_, ports_.servers, pool_,
               [this] { return views_.table(); }),
       front_(context.get_executor(), frontLimits(settings_, routes::CallerLimits{}),
              [this](http::Request& request, http::ResponseWriter& writer) {
@@ -153,10 +154,6 @@
                   }) {
   pool_.useDistances(distances_);
   prober_.onAsk([this](fleet::Server server) { return mayProbe(std::move(server)); });
-  prober_.onHead([this](const fleet::Server& server, const http::Response& head) {
-    serverLimits_.noteHead(server, server_limits::LimitVersion(),
-                           ports_.servers.requestLimitOf(head));
-  });
   for (const std::string_view path : {relay::kViewPath, relay::kJoinPath, relay::kRootsPath}) {
     peerPaths_.add(std::string(path), [this](http::Request& request, http::ResponseWriter& writer) {
       return relay_.handle(request, writer);
@@ -268,7 +265,7 @@
         const fleet::Server* server = pool_.findRun(key);
         return server == nullptr ? std::nullopt : std::optional(*server);
       },
-      [this](fleet::Server server) { return askForLimit(std::move(server)); },
+      [this](fleet::Server server) { return askForNotices(std::move(server)); },
       otherGroups(settings_),
       settings_.relayGroup.empty() ? settings_.zone : settings_.relayGroup};
   context.trees.push_back(context.ownTree);
@@ -276,12 +273,9 @@
   return context;
 }
 
-awaitable<server_limits::NamedLimit> GatewayNode::askForLimit(fleet::Server server) {
-  const Result<http::Response> answer = co_await prober_.ask(std::move(server));
-  if (!answer) {
-    co_return answer.error();
-  }
-  co_return ports_.servers.requestLimitOf(answer.value());
+awaitable<void> GatewayNode::askForNotices(fleet::Server server) {
+  // Its notices are taken on the way, also where the answer is of no other use.
+  static_cast<void>(co_await prober_.ask(std::move(server)));
 }
 
 awaitable<bool> GatewayNode::mayProbe(fleet::Server server) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -7,6 +7,7 @@
 #include "exchange/node_exchange.h"
 #include "fleet/server_pool.h"
 #include "forward/forwarder.h"
+#include "forward/server_calls.h"
 #include "gateway/cache_stores.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/loss_log.h"
@@ -62,8 +63,8 @@
   relay::TreePlace treePlace();
   quarantine::QuarantineContext quarantineContext();
   server_limits::ServerLimitContext serverLimitContext();
-  /// Asks a server for its health, for what the head of its answer names.
-  boost::asio::awaitable<server_limits::NamedLimit> askForLimit(fleet::Server server);
+  /// Asks a server for its health, for what the head of its answer says.
+  boost::asio::awaitable<void> askForNotices(fleet::Server server);
   /// Takes a unit for a question of health, where the server names a limit.
   boost::asio::awaitable<bool> mayProbe(fleet::Server server);
   /// Where this node stands in the tree that keeps the tenants' limits.
@@ -97,6 +98,7 @@
   quota::QuotaNode quota_;
   server_limits::ServerLimitMetrics serverLimitMetrics_;
   server_limits::ServerLimitNode serverLimits_;
+  forward::ServerCalls serverCalls_;
   quarantine::QuarantineMetrics quarantineMetrics_;
   quarantine::QuarantineNode quarantine_;
   http::PathHandlers peerPaths_;
--- a/src/gateway/server_prober.cc
+++ b/src/gateway/server_prober.cc
@@ -18,11 +18,11 @@
 
 }  // namespace
 
-ServerProber::ServerProber(asio::any_io_executor executor, http::Client& client,
+ServerProber::ServerProber(asio::any_io_executor executor, forward::ServerCalls& calls,
                            const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
                            TableSource table)
     : executor_(std::move(executor)),
-      client_(client),
+      calls_(calls),
       protocol_(protocol),
       pool_(pool),
       table_(std::move(table)) {}
@@ -48,9 +48,6 @@
   const bool allowed = !permit_ || co_await permit_(server);
   if (allowed) {
     const Result<http::Response> answer = co_await ask(server);
-    if (answer && headListener_) {
-      headListener_(server, answer.value());
-    }
     const bool healthy = answer && protocol_.isHealthy(server, answer.value());
     if (healthy && pool_.isCurrent(server)) {
       pool_.probeSucceeded(server.id, monotonicNow());
@@ -73,8 +70,7 @@
   options.connectTimeout = timeout;
   options.headerTimeout = timeout;
   options.bodyTimeout = timeout;
-  Result<http::Response> answer =
-      co_await client_.exchange(server.endpoint, std::move(query), options);
+  Result<http::Response> answer = co_await calls_.exchange(server, std::move(query), options);
   if (answer && protocol_.namesAnother(server, answer.value())) {
     co_return fail(ErrorKind::kFenced, "another server answers at the address");
   }
--- a/src/gateway/server_prober.h
+++ b/src/gateway/server_prober.h
@@ -8,7 +8,7 @@
 
 #include "fleet/server_pool.h"
 #include "forward/protocol.h"
-#include "http/client.h"
+#include "forward/server_calls.h"
 
 namespace calicodrift::gateway {
 
@@ -18,15 +18,12 @@
  public:
   using TableSource = std::function<std::shared_ptr<const routes::RouteTable>()>;
 
-  ServerProber(boost::asio::any_io_executor executor, http::Client& client,
+  ServerProber(boost::asio::any_io_executor executor, forward::ServerCalls& calls,
                const forward::ServerProtocol& protocol, fleet::ServerPool& pool, TableSource table);
   void start();
   /// Whether a server may be asked now; empty: always.
   using Permit = std::function<boost::asio::awaitable<bool>(fleet::Server)>;
   void onAsk(Permit permit) { permit_ = std::move(permit); }
-  /// Told the head of each answer that came from the server itself.
-  using HeadListener = std::function<void(const fleet::Server&, const http::Response&)>;
-  void onHead(HeadListener listener) { headListener_ = std::move(listener); }
   /// Asks the server for its health. Gives its answer, healthy or not; fails where none came from
   /// the server itself.
   boost::asio::awaitable<Result<http::Response>> ask(fleet::Server server);
@@ -36,12 +33,11 @@
   boost::asio::awaitable<void> probe(fleet::Server server);
 
   boost::asio::any_io_executor executor_;
-  http::Client& client_;
+  forward::ServerCalls& calls_;
   const forward::ServerProtocol& protocol_;
   fleet::ServerPool& pool_;
   TableSource table_;
   Permit permit_;
-  HeadListener headListener_;
   /// Servers whose probe is under way.
   std::set<BackendId> probing_;
 };
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -337,7 +337,10 @@
   if (!opened) {
     co_return opened.error();
   }
-  ResponseStream& stream = *opened.value();
+  co_return co_await readWhole(*opened.value());
+}
+
+awaitable<Result<Response>> readWhole(ResponseStream& stream) {
   Response response = stream.head();
   for (;;) {
     Result<std::string> piece = co_await stream.read();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -73,6 +73,9 @@
   virtual void cancel() = 0;
 };
 
+/// The head with its whole body. Fails as ResponseStream::read() does.
+boost::asio::awaitable<Result<Response>> readWhole(ResponseStream& stream);
+
 /// HTTP/1.1 client with a pool of idle connections for each endpoint. Used on one thread.
 /// Errors: kConnectFailed means that no byte of the request left; kOutcomeUnknown that it may have;
 /// kDeadlineExceeded that the answer's header did not come in time.
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -465,12 +465,9 @@
 
 awaitable<void> ServerLimitNode::probe(fleet::Server server) {
   metrics_.countProbe();
-  const LimitVersion seen = versionOf(server);
-  const NamedLimit named = co_await context_.probe(server);
-  probing_.erase(fleet::keyOf(server));
-  if (named) {
-    noteHead(server, seen, named);
-  }
+  const fleet::ServerKey key = fleet::keyOf(server);
+  co_await context_.probe(std::move(server));
+  probing_.erase(key);
 }
 
 awaitable<void> ServerLimitNode::answerOperator(http::ResponseWriter& writer) const {
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -39,9 +39,8 @@
   std::function<MonotonicTime()> settledAt;
   /// The listed run of that key.
   std::function<std::optional<fleet::Server>(fleet::ServerKey)> serverOf;
-  /// Asks the server for its health, and gives what the head of its answer names. Fails where it
-  /// does not answer, too.
-  std::function<boost::asio::awaitable<NamedLimit>(fleet::Server)> probe;
+  /// Asks the server for its health; the head of its answer comes by noteHead().
+  std::function<boost::asio::awaitable<void>(fleet::Server)> probe;
   /// Names of all trees of the fleet, this node's own, and the roots of another one. A single name
   /// where there is one tree.
   std::vector<std::string> trees;
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -72,13 +72,13 @@
   asio::steady_timer finished;
 };
 
-WeightsLoader::WeightsLoader(asio::any_io_executor executor, http::Client& client,
+WeightsLoader::WeightsLoader(asio::any_io_executor executor, forward::ServerCalls& calls,
                              const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
                              const WeightsTargets& targets, lease::LeaseKeeper& lease,
                              orders::OrderMetrics& metrics, WeightsLoaderSettings settings)
     : executor_(std::move(executor)),
       timer_(executor_),
-      client_(client),
+      calls_(calls),
       protocol_(protocol),
       pool_(pool),
       targets_(targets),
@@ -300,8 +300,7 @@
   http::Request query = protocol_.reportQuery(server);
   const MonotonicTime askedAt = monotonicNow();
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
-  Result<http::Response> answer =
-      co_await client_.exchange(server.endpoint, std::move(query), options);
+  Result<http::Response> answer = co_await calls_.exchange(server, std::move(query), options);
   Result<forward::ServerReport> report =
       answer ? protocol_.readReport(answer.value()) : answer.error();
   if (report) {
@@ -425,8 +424,7 @@
   message.expectedOrders = *expected;
   http::Request request = protocol_.encodeOrder(message);
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
-  Result<http::Response> answer =
-      co_await client_.exchange(server.endpoint, std::move(request), options);
+  Result<http::Response> answer = co_await calls_.exchange(server, std::move(request), options);
   std::string outcome = "lost";
   OrderAnswer told = OrderAnswer::kLost;
   if (answer) {
--- a/src/weights/weights_loader.h
+++ b/src/weights/weights_loader.h
@@ -10,7 +10,7 @@
 
 #include "fleet/server_pool.h"
 #include "forward/protocol.h"
-#include "http/client.h"
+#include "forward/server_calls.h"
 #include "lease/lease_keeper.h"
 #include "orders/order_metrics.h"
 #include "orders/rollout_planner.h"
@@ -45,7 +45,7 @@
 /// size; the list tells of the others.
 class WeightsLoader {
  public:
-  WeightsLoader(boost::asio::any_io_executor executor, http::Client& client,
+  WeightsLoader(boost::asio::any_io_executor executor, forward::ServerCalls& calls,
                 const forward::ServerProtocol& protocol, fleet::ServerPool& pool,
                 const WeightsTargets& targets, lease::LeaseKeeper& lease,
                 orders::OrderMetrics& metrics, WeightsLoaderSettings settings);
@@ -112,7 +112,7 @@
 
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
-  http::Client& client_;
+  forward::ServerCalls& calls_;
   const forward::ServerProtocol& protocol_;
   fleet::ServerPool& pool_;
   const WeightsTargets& targets_;
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -63,8 +63,9 @@
   std::optional<WeightsVersion> weightsOf(const http::Response& /*head*/) const override {
     return std::nullopt;
   }
-  Result<std::optional<double>> requestLimitOf(const http::Response& /*head*/) const override {
-    return std::optional<double>();
+  ServerNotices noticesOf(const http::Response& /*head*/) const override { return {}; }
+  bool speaksFor(const fleet::Server& /*server*/, const http::Response& /*head*/) const override {
+    return true;
   }
   bool namesAnother(const fleet::Server& /*server*/,
                     const http::Response& /*head*/) const override {
@@ -296,9 +297,7 @@
               const fleet::Server* server = pool.findRun(key);
               return server == nullptr ? std::nullopt : std::optional(*server);
             },
-            [](const fleet::Server&) -> boost::asio::awaitable<server_limits::NamedLimit> {
-              co_return std::optional<double>();
-            },
+            [](const fleet::Server&) -> boost::asio::awaitable<void> { co_return; },
             {},
             ""};
   }
@@ -319,7 +318,7 @@
     hooks.onSent = [this](const std::string&, auto, Track track) { ++sent[track]; };
     hooks.onAnswer = [this](auto, const auto& answer) { answers.push_back(answer); };
     return {context.get_executor(),
-            client_,
+            serverCalls_,
             pool,
             callers_,
             serverProtocol_,
@@ -348,6 +347,7 @@
   quota::QuotaNode quota_;
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
   server_limits::ServerLimitNode serverLimits_{aloneContext(), serverLimitMetrics_};
+  ServerCalls serverCalls_{client_, serverProtocol_, serverLimits_, metrics_};
   PlainCallers callers_;
   PlainServers serverProtocol_;
 };
--- a/tests/platform/server_limit_heads_test.cc
+++ b/tests/platform/server_limit_heads_test.cc
@@ -11,7 +11,7 @@
   for (const std::string& value : values) {
     head.headers.add(std::string(platform::kServerLimit), value);
   }
-  return platform::OperatorServers().requestLimitOf(head);
+  return platform::OperatorServers().noticesOf(head).requestLimit;
 }
 
 BOOST_AUTO_TEST_SUITE(server_limit_heads)
