Tests: servers whose answers say that they leave, or ask for rest, get nothing more (red)

Seven nodes in one process before stand-ins that say so in the heads of all answers, or refuse with 503 and Retry-After.

--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -118,6 +118,19 @@
     BOOST_TEST(condition(), "the condition did not come");
   }
 
+  /// Adds a server to the list, too.
+  ServerStandIn& addServer(const std::string& id, const std::string& service,
+                           const std::string& model) {
+    servers.push_back(std::make_unique<ServerStandIn>(context, id, service, model));
+    ServerStandIn& server = *servers.back();
+    server.setBehaviour(
+        [this, &server](const http::Request& request, http::ResponseWriter& writer) {
+          return runRequest(server, request, writer);
+        });
+    store.put("servers", id, server.entry());
+    return server;
+  }
+
   std::size_t size() const { return nodes_.size(); }
 
   boost::asio::io_context context;
@@ -132,16 +145,6 @@
     std::unique_ptr<gateway::GatewayNode> gateway;
   };
 
-  void addServer(const std::string& id, const std::string& service, const std::string& model) {
-    servers.push_back(std::make_unique<ServerStandIn>(context, id, service, model));
-    ServerStandIn& server = *servers.back();
-    server.setBehaviour(
-        [this, &server](const http::Request& request, http::ResponseWriter& writer) {
-          return runRequest(server, request, writer);
-        });
-    store.put("servers", id, server.entry());
-  }
-
   boost::asio::awaitable<void> runRequest(ServerStandIn& server, const http::Request& request,
                                           http::ResponseWriter& writer) {
     const unsigned start = server.starts();
--- a/tests/platform/server_stand_in.cc
+++ b/tests/platform/server_stand_in.cc
@@ -143,17 +143,14 @@
     for (const std::string& limit : namedLimits) {
       head.headers.add("Server-Limit", limit);
     }
+    for (const std::string& notice : leavingNotices) {
+      head.headers.add("Server-Leaving", notice);
+    }
   });
   co_await answer(request, naming);
 }
 
 awaitable<void> ServerStandIn::answer(http::Request& request, http::ResponseWriter& writer) {
-  if (request.path() == "/health") {
-    http::Response answer = http::textResponse(healthy ? 200 : 503, "");
-    answer.headers.set(platform::kInstance, id_);
-    co_await http::respond(writer, std::move(answer));
-    co_return;
-  }
   const std::string expected = request.headers.get(platform::kExpectInstance);
   if (!expected.empty() && expected != id_) {
     http::Response another = http::textResponse(421, "");
@@ -162,6 +159,21 @@
     co_await http::respond(writer, std::move(another));
     co_return;
   }
+  noteArrival(request);
+  if (asksForRest) {
+    refusals_.push_back({request, monotonicNow()});
+    http::Response refusal = notExecuted(request);
+    refusal.headers.set(platform::kInstance, id_);
+    refusal.headers.set("Retry-After", *asksForRest);
+    co_await http::respond(writer, std::move(refusal));
+    co_return;
+  }
+  if (request.path() == "/health") {
+    http::Response answer = http::textResponse(healthy ? 200 : 503, "");
+    answer.headers.set(platform::kInstance, id_);
+    co_await http::respond(writer, std::move(answer));
+    co_return;
+  }
   if (request.path() == platform::kReportPath) {
     json::object report{{"stage", "combined"},
                         {"models", entry().at("models")},
@@ -177,8 +189,6 @@
     co_await takeOrder(request, writer);
     co_return;
   }
-  arrivals_.push_back(request);
-  arrivalTimes_.push_back(monotonicNow());
   if (behaviour_) {
     co_await behaviour_(request, writer);
     co_return;
@@ -186,6 +196,17 @@
   co_await http::respond(writer, sealed(request, 200, "from " + id_));
 }
 
+void ServerStandIn::noteArrival(const http::Request& request) {
+  const bool isQuestion = request.path() == "/health" || request.path() == platform::kReportPath ||
+                          request.path() == platform::kOrderPath;
+  if (isQuestion) {
+    questionTimes_.push_back(monotonicNow());
+    return;
+  }
+  arrivals_.push_back(request);
+  arrivalTimes_.push_back(monotonicNow());
+}
+
 awaitable<void> ServerStandIn::takeOrder(const http::Request& request,
                                          http::ResponseWriter& writer) {
   const json::value order = json::parse(request.body);
--- a/tests/platform/server_stand_in.h
+++ b/tests/platform/server_stand_in.h
@@ -69,6 +69,20 @@
   const std::vector<MonotonicTime>& arrivalTimes() const { return arrivalTimes_; }
   /// The rate that it takes, a header each, in the heads of all answers, as written here.
   std::vector<std::string> namedLimits;
+  /// What all heads say of it leaving, a header each, as written here; its entry in the store stays
+  /// as it is.
+  std::vector<std::string> leavingNotices;
+  /// Requests, questions and orders get 503 without being run, with this as Retry-After, as
+  /// written.
+  std::optional<std::string> asksForRest;
+  struct Refusal {
+    http::Request request;
+    MonotonicTime at;
+  };
+  /// What it answered so.
+  const std::vector<Refusal>& refusals() const { return refusals_; }
+  /// When questions and orders came.
+  const std::vector<MonotonicTime>& questionTimes() const { return questionTimes_; }
   const std::vector<boost::json::value>& orders() const { return orders_; }
   std::uint64_t weights() const { return weights_; }
   void setWeights(std::uint64_t weights) { weights_ = weights; }
@@ -94,6 +108,7 @@
   void listen(const Endpoint& endpoint);
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   boost::asio::awaitable<void> answer(http::Request& request, http::ResponseWriter& writer);
+  void noteArrival(const http::Request& request);
   boost::asio::awaitable<void> takeOrder(const http::Request& request,
                                          http::ResponseWriter& writer);
   /// Carries an order out if it fits; gives the status of its answer.
@@ -110,6 +125,8 @@
   Behaviour behaviour_;
   std::vector<http::Request> arrivals_;
   std::vector<MonotonicTime> arrivalTimes_;
+  std::vector<Refusal> refusals_;
+  std::vector<MonotonicTime> questionTimes_;
   std::vector<boost::json::value> orders_;
   std::function<void()> loadedListener_;
   std::uint64_t weights_ = 1;
