Servers that say in an answer that they leave get nothing more from any node

What callers and servers saw: a request reached a server 11.4 s after one of its answers had told the sending node that it leaves, and another one 2.5 s after it; 2 s are allowed.

Cause: only the list of servers took a server out. While the store was silent, and where a server's write was taken late, the list said ready; and an entry that lapsed and came back made the server a new one. Nobody acted on what answers say, and nobody told the other nodes, of which three sent the server of the report requests, too.

Change: that a run of a server leaves is a fact beside the list's entries (fleet::LeavingServers), which neither the list nor an answer takes back; the pool counts the run as draining. It is read at the head of any answer, told to all nodes along the relay tree at once, in the reports that carry limits (form 2; form 1 readers pass over it), and asked for by nodes that start. ServerCalls asks again right before the first byte; what fails there was not sent (kServerWithdrawn), costs no retry budget and goes on elsewhere. The reports moved out of ServerLimitNode into NoticeExchange.

Why it holds: no path reads the pool without the fact, and the check before the send does not go by what was chosen earlier.

--- a/src/common/error.cc
+++ b/src/common/error.cc
@@ -49,6 +49,8 @@
     {kBackendRefused, "backend_refused", 503, kNoRun, kLater, "try again after Retry-After"},
     {kOtherWeights, "other_weights", 503, kNoRun, kLater,
      "the server has other weights than were expected; try again after Retry-After"},
+    {kServerWithdrawn, "server_withdrawn", 503, kNoRun, kLater,
+     "the server may get no requests any more, and got none; try again after Retry-After"},
     {kIdempotencyKeyInvalid, "idempotency_key_invalid", 400, kNoRun, kNever,
      "send a UUIDv7 made now as Idempotency-Key"},
     {kIdempotencyKeyTooOld, "idempotency_key_too_old", 409, kMayRun, kNever,
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -33,6 +33,7 @@
   kConnectFailed,
   kBackendRefused,
   kOtherWeights,
+  kServerWithdrawn,
   kIdempotencyKeyInvalid,
   kIdempotencyKeyTooOld,
   kDuplicateRequest,
--- a/src/ctl/program.cc
+++ b/src/ctl/program.cc
@@ -17,7 +17,7 @@
     "Operator's command line of calicodrift. Commands: "
     "key make | bundle check FILE | bundle diff FILE FILE | bundle sign FILE | "
     "bundle submit FILE | bundle status | engine load-version FILE | node drain | rollout status | "
-    "policy report | "
+    "policy report | server notices | "
     "explain REQUEST_ID | trace REQUEST_ID LOG_FILE...";
 
 constexpr std::int64_t kLargestVersion = 1'000'000'000'000;
@@ -74,6 +74,9 @@
   if (group == "rollout" && action == "status") {
     return rolloutStatus(settings);
   }
+  if (group == "server" && action == "notices") {
+    return serverNotices(settings);
+  }
   if (group == "engine" && action == "load-version") {
     return proposeWeights(settings, file);
   }
--- a/src/ctl/rollout_commands.cc
+++ b/src/ctl/rollout_commands.cc
@@ -74,9 +74,9 @@
   table << "\n";
 }
 
-awaitable<Result<std::string>> readPage(http::Client& client, Endpoint node) {
+awaitable<Result<std::string>> readPage(http::Client& client, Endpoint node, std::string path) {
   http::Request request;
-  request.target = "/metrics";
+  request.target = std::move(path);
   http::ExchangeOptions options;
   options.connectTimeout = kAnswerTimeout;
   options.headerTimeout = kAnswerTimeout;
@@ -92,16 +92,19 @@
   co_return answer.value().body;
 }
 
-awaitable<Result<std::string>> readAll(http::Client& client, std::vector<Endpoint> nodes) {
+/// Each node's page as `show` prints it.
+awaitable<Result<std::string>> readAll(http::Client& client, std::vector<Endpoint> nodes,
+                                       std::string path,
+                                       std::string (*show)(std::string_view page)) {
   std::string text;
   std::optional<Error> failure;
   bool answered = false;
   for (const Endpoint& node : nodes) {
-    const Result<std::string> page = co_await readPage(client, node);
+    const Result<std::string> page = co_await readPage(client, node, path);
     text += node.toString() + "\n";
     if (page) {
       answered = true;
-      text += rolloutTable(page.value());
+      text += show(page.value());
     } else {
       failure = page.error();
       text += "unreachable: " + page.error().detail + "\n";
@@ -158,12 +161,27 @@
   return table.str();
 }
 
-Result<std::string> rolloutStatus(const CtlSettings& settings) {
+namespace {
+
+Result<std::string> showPages(const CtlSettings& settings, const std::string& path,
+                              std::string (*show)(std::string_view page)) {
   if (settings.routers.empty()) {
     return fail(ErrorKind::kSettingsInvalid,
                 "give --routers ADDRESS:PORT,... with the nodes' metrics addresses");
   }
-  return runToEnd([&](http::Client& client) { return readAll(client, settings.routers); });
+  return runToEnd(
+      [&](http::Client& client) { return readAll(client, settings.routers, path, show); });
+}
+
+}  // namespace
+
+Result<std::string> rolloutStatus(const CtlSettings& settings) {
+  return showPages(settings, "/metrics", rolloutTable);
+}
+
+Result<std::string> serverNotices(const CtlSettings& settings) {
+  return showPages(settings, "/server-limits",
+                   [](std::string_view page) { return std::string(page) + "\n"; });
 }
 
 }  // namespace calicodrift::ctl
--- a/src/ctl/rollout_commands.h
+++ b/src/ctl/rollout_commands.h
@@ -24,5 +24,8 @@
 /// The tables of all nodes whose metrics addresses `settings.routers` names. Fails where none
 /// answers.
 Result<std::string> rolloutStatus(const CtlSettings& settings);
+/// What servers said of themselves as each of these nodes knows it, as JSON: limits, servers that
+/// leave, servers at rest. Fails where none answers.
+Result<std::string> serverNotices(const CtlSettings& settings);
 
 }  // namespace calicodrift::ctl
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "fleet/backend_health.h"
 #include "fleet/distance.h"
+#include "fleet/leaving_servers.h"
 #include "fleet/prefill_rate.h"
 #include "fleet/server.h"
 #include "fleet/server_load.h"
@@ -53,9 +54,12 @@
 /// report, nothing of the earlier run is left but the requests that still run there (see
 /// inFlightOf()); what tells an earlier start changes nothing.
 ///
-/// Invariant: a server that is draining, gone from the list, older than the least allowed weights
-/// or of a version that may run nothing is in no set. It holds because every change of a server
-/// ends in refresh().
+/// What a server says of itself in its answers goes before the list, and outlives its entry: that
+/// its run leaves (noteLeaving()).
+///
+/// Invariant: a server that is draining or leaving, gone from the list, older than the
+/// least allowed weights or of a version that may run nothing is in no set. It holds because every
+/// change of a server ends in refresh().
 class ServerPool {
  public:
   /// Told the server as it is now, with kRestarted as its earlier run was.
@@ -98,6 +102,12 @@
   /// The servers that this node has ordered, or is about to order, to load these weights; replaces
   /// what it announced before. All nodes pass them over until they have the weights.
   void announceLoads(const std::map<BackendId, WeightsVersion>& loads, MonotonicTime now);
+  /// A run of a server has said that it leaves: it counts as draining from now on, whatever the
+  /// list says. Returns whether that is news.
+  bool noteLeaving(ServerKey run, MonotonicTime now);
+  const LeavingServers& leaving() const { return leaving_; }
+  /// Forgets runs that have gone; see LeavingServers::forgetGone().
+  void forgetNotices(Milliseconds provenFor);
   void recordSuccess(const BackendId& id);
   void recordFailure(const BackendId& id, MonotonicTime now);
 
@@ -254,6 +264,7 @@
   std::shared_ptr<ServerPool*> self_ = std::make_shared<ServerPool*>(this);
   std::optional<MonotonicTime> peerLoadsAt_;
   std::map<BackendId, Entry> servers_;
+  LeavingServers leaving_;
   std::map<std::pair<BackendId, Incarnation>, EarlierRun> earlierRuns_;
   std::map<ModelId, WeightsVersion> leastWeights_;
   std::map<std::string, std::size_t> memoryTokens_;
--- a/src/fleet/server_pool_runs.cc
+++ b/src/fleet/server_pool_runs.cc
@@ -55,6 +55,7 @@
   entry.warmUntil = now + server.warmUp;
   entry.server = server;
   entry.key = keyOf(server);
+  entry.server.draining = server.draining || leaving_.contains(entry.key);
   entry.track = trackOf(server);
   if (distances_ != nullptr) {
     distances_->noteZone(server.zone);
@@ -75,9 +76,11 @@
 }
 
 void ServerPool::update(Entry& entry, const Server& server, MonotonicTime now) {
-  const bool startsDraining = server.draining && !entry.server.draining;
+  const bool draining = server.draining || leaving_.contains(entry.key);
+  const bool startsDraining = draining && !entry.server.draining;
   const bool reloaded = entry.server.models != server.models;
   entry.server = server;
+  entry.server.draining = draining;
   entry.track = trackOf(server);
   if (distances_ != nullptr) {
     distances_->noteZone(server.zone);
--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -42,7 +42,8 @@
   options.headerTimeout = kAnswerTimeout;
   options.bodyTimeout = kAnswerTimeout;
   http::Request query = protocol_.reportQuery(server);
-  const Result<http::Response> answer = co_await calls_.exchange(server, std::move(query), options);
+  const Result<http::Response> answer =
+      co_await calls_.exchange(server, std::move(query), options, CallPurpose::kQuestion);
   if (!answer) {
     co_return answer.error().reason == http::kConnectionRefused;
   }
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -101,6 +101,8 @@
   bool tellsSpeed = false;
   /// A unit of the server's limit was taken for the dispatch.
   bool tookUnit = false;
+  /// Servers that were chosen before it and had no unit.
+  std::size_t atLimits = 0;
 
   /// Prompt tokens that wait there with the request's own.
   std::size_t waitingTokens() const { return routing::prefillTokensAt(candidate) + uncached; }
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -44,6 +44,7 @@
     const server_limits::UnitVerdict unit = co_await limits.take(server);
     if (unit.granted) {
       choice.value().tookUnit = unit.tookUnit;
+      choice.value().atLimits = avoided.size() - static_cast<std::size_t>(triedBefore);
       break;
     }
     const MonotonicTime now = monotonicNow();
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -98,7 +98,7 @@
                  chosen.candidates, job.attempts.sent, chosen.waitingTokens(), sharedKey,
                  ageOf(weights.outdatedSince, now), weights.knownBy,
                  std::chrono::floor<Milliseconds>(now - startedAt_),
-                 ageOf(context_.pool.peerLoadsAt(), now)});
+                 ageOf(context_.pool.peerLoadsAt(), now), chosen.atLimits});
   Result<void> outcome = co_await runAttempt(job, dispatch, chosen, load);
   const auto underWay = std::chrono::floor<Milliseconds>(monotonicNow() - now);
   co_await judgeRequest(job, chosen.server, underWay, outcome);
@@ -135,7 +135,9 @@
   if (context_.rollouts.onSent && chosen.order != service_rollout::OrderKey() && counts) {
     context_.rollouts.onSent(job.service, chosen.order, chosen.track);
   }
-  auto attempt = std::make_shared<ServerAttempt>(context_.calls, context_.servers, job.relay);
+  auto attempt = std::make_shared<ServerAttempt>(
+      context_.calls, context_.servers, job.relay,
+      chosen.tookUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest);
   job.attempt = attempt;
   std::optional<WaitingDispatches::Guard> waiting;
   if (dispatch.weights) {
@@ -159,9 +161,15 @@
   attempt->onFirstBytes(nullptr);
   job.attempt.reset();
   waiting.reset();
-  if (chosen.tookUnit && !outcome && outcome.error().kind == ErrorKind::kConnectFailed) {
+  const bool notSent = !outcome && (outcome.error().kind == ErrorKind::kConnectFailed ||
+                                    outcome.error().kind == ErrorKind::kServerWithdrawn);
+  if (chosen.tookUnit && notSent) {
     context_.serverLimits.giveBack(dispatch.server);
   }
+  if (!outcome && outcome.error().kind == ErrorKind::kServerWithdrawn) {
+    // No server has seen it, so that the next one is its first.
+    --job.attempts.sent;
+  }
   const std::optional<WeightsVersion> weights = noteEnd(job, dispatch, *attempt, outcome);
   if (const auto connected = attempt->connectTime()) {
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -49,6 +49,10 @@
                         "requests taken back from servers whose weights ran out before they had "
                         "begun")
                    .Add({})),
+      withdrawn_(counters(registry, "calicodrift_forward_withdrawn_calls_total",
+                          "calls that were not sent, as their server had left or asked for rest "
+                          "since it was chosen")
+                     .Add({})),
       firstByte_(histogram(registry, "calicodrift_forward_first_byte_seconds",
                            "from the request to the first byte of the answer")),
       whole_(histogram(registry, "calicodrift_forward_whole_seconds",
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -23,6 +23,8 @@
   /// The head of a server's answer said something of the server: "leaving" or "rest", or
   /// "unreadable".
   void countNotice(std::string_view notice);
+  /// A call was not sent, as its server had left, or asked for rest, since it was chosen.
+  void countWithdrawn() { withdrawn_.Increment(); }
   /// A server began with a request on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
   void countOutdatedBegin(bool beyondBound);
@@ -45,6 +47,7 @@
   prometheus::Counter& distantDispatches_;
   prometheus::Counter& retriesDenied_;
   prometheus::Counter& recalls_;
+  prometheus::Counter& withdrawn_;
   prometheus::Histogram& firstByte_;
   prometheus::Histogram& whole_;
   prometheus::Histogram& pause_;
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -40,6 +40,7 @@
        {"outdated_by", std::string(facts.outdatedBy)},
        {"up_ms", std::to_string(facts.upFor.count())},
        {"peer_load_ms", textOf(facts.peerLoadAge)},
+       {"at_limits", std::to_string(facts.atLimits)},
        {"prefix", std::to_string(facts.prefix)},
        {"fetch", source ? source->toString() : ""}});
 }
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -43,6 +43,8 @@
   Milliseconds upFor{0};
   /// How old the other nodes' load is that the choice went by; nothing where none was told.
   std::optional<Milliseconds> peerLoadAge;
+  /// Servers that were chosen before and were at the limits that they name.
+  std::size_t atLimits = 0;
 };
 
 void logDispatched(const DispatchFacts& facts);
--- a/src/forward/retry_rules.cc
+++ b/src/forward/retry_rules.cc
@@ -17,7 +17,8 @@
 
 bool provesNotRun(ErrorKind kind) {
   return kind == ErrorKind::kConnectFailed || kind == ErrorKind::kBackendRefused ||
-         kind == ErrorKind::kFenced || kind == ErrorKind::kOtherWeights;
+         kind == ErrorKind::kFenced || kind == ErrorKind::kOtherWeights ||
+         kind == ErrorKind::kServerWithdrawn;
 }
 
 RetryDecision mayRetry(const routes::Route& route, ErrorKind failure,
@@ -26,7 +27,7 @@
   if (attempts.sent - uncounted >= route.maxAttempts + kExtraDispatches) {
     return RetryDecision::kNo;
   }
-  if (failure == ErrorKind::kConnectFailed) {
+  if (failure == ErrorKind::kConnectFailed || failure == ErrorKind::kServerWithdrawn) {
     return RetryDecision::kFree;
   }
   if (provesNotRun(failure)) {
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -27,11 +27,14 @@
 /// One dispatch of a request to one server, with its answer relayed to the caller.
 class ServerAttempt {
  public:
-  ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerRelay& relay)
-      : calls_(calls), protocol_(protocol), relay_(relay) {}
+  /// @param purpose with a unit of the server's limit or without one.
+  ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerRelay& relay,
+                CallPurpose purpose)
+      : calls_(calls), protocol_(protocol), relay_(relay), purpose_(purpose) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
-  /// mean that this server has not run the request; kCallerGone that the caller
+  /// mean that this server has not run the request, kServerWithdrawn that it did not get it;
+  /// kCallerGone that the caller
   /// left; others that it may have run. After a failure that is kept, kOutcomeUnknown.
   boost::asio::awaitable<Result<void>> run(const Request& request, const Dispatch& dispatch,
                                            const AttemptBounds& bounds, bool streaming,
@@ -67,6 +70,7 @@
   ServerCalls& calls_;
   const ServerProtocol& protocol_;
   AnswerRelay& relay_;
+  CallPurpose purpose_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
   std::optional<WeightsVersion> weights_;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -3,46 +3,88 @@
 #include "log/log.h"
 
 namespace calicodrift::forward {
+namespace {
 
 using boost::asio::awaitable;
 
+/// Bounds the memory of what was logged already; a server is logged twice where it is passed.
+constexpr std::size_t kMostLogged = 4096;
+
+Error withdrawn(const fleet::Server& server, const std::string& cause) {
+  return fail(ErrorKind::kServerWithdrawn, "server '" + server.id.value() + "' " + cause);
+}
+
+}  // namespace
+
 awaitable<Result<std::unique_ptr<http::ResponseStream>>> ServerCalls::open(
-    const fleet::Server& server, http::Request request, http::ExchangeOptions options) {
-  const server_limits::LimitVersion seen = limits_.versionOf(server);
-  auto opened = co_await client_.open(server.endpoint, std::move(request), options);
+    const fleet::Server& server, http::Request request, http::ExchangeOptions options,
+    CallPurpose purpose) {
+  server_limits::LimitVersion seen;
+  const std::function<Result<void>()> beforeSend = [&]() -> Result<void> {
+    BOOST_OUTCOME_TRY(mayBegin(server, purpose));
+    seen = context_.limits.versionOf(server);
+    return boost::outcome_v2::success();
+  };
+  // No connection is made for a call that may not begin.
+  if (const Result<void> allowed = mayBegin(server, purpose); !allowed) {
+    context_.metrics.countWithdrawn();
+    co_return allowed.error();
+  }
+  options.beforeSend = &beforeSend;
+  auto opened = co_await context_.client.open(server.endpoint, std::move(request), options);
   if (opened) {
     noteHead(server, seen, opened.value()->head());
+  } else if (opened.error().kind == ErrorKind::kServerWithdrawn) {
+    context_.metrics.countWithdrawn();
   }
   co_return opened;
 }
 
 awaitable<Result<http::Response>> ServerCalls::exchange(const fleet::Server& server,
                                                         http::Request request,
-                                                        http::ExchangeOptions options) {
-  auto opened = co_await open(server, std::move(request), options);
+                                                        http::ExchangeOptions options,
+                                                        CallPurpose purpose) {
+  auto opened = co_await open(server, std::move(request), options, purpose);
   if (!opened) {
     co_return opened.error();
   }
   co_return co_await http::readWhole(*opened.value());
 }
 
+Result<void> ServerCalls::mayBegin(const fleet::Server& server, CallPurpose purpose) const {
+  if (purpose == CallPurpose::kQuestion) {
+    return boost::outcome_v2::success();
+  }
+  const fleet::Server* listed = context_.pool.find(server.id);
+  if (listed == nullptr || listed->started != server.started) {
+    return withdrawn(server, "is not listed any more");
+  }
+  if (listed->draining) {
+    return withdrawn(server, "leaves");
+  }
+  const bool lacksUnit = purpose == CallPurpose::kRequest && context_.limits.any() &&
+                         context_.limits.isLimited(server);
+  if (lacksUnit) {
+    return withdrawn(server, "has named a limit meanwhile");
+  }
+  return boost::outcome_v2::success();
+}
+
 void ServerCalls::noteHead(const fleet::Server& server, server_limits::LimitVersion seen,
                            const http::Response& head) {
-  if (!protocol_.speaksFor(server, head)) {
+  if (!context_.protocol.speaksFor(server, head)) {
     return;
   }
-  const ServerNotices notices = protocol_.noticesOf(head);
-  limits_.noteHead(server, seen, notices.requestLimit);
-  for (const Error& error : notices.unreadable) {
-    noteUnreadable(server, error);
+  const ServerNotices notices = context_.protocol.noticesOf(head);
+  context_.limits.noteHead(server, seen, notices.requestLimit);
+  if (!notices.unreadable.empty()) {
+    noteUnreadable(server, notices.unreadable);
   }
   if (notices.leaving) {
-    metrics_.countNotice("leaving");
-    log::write(log::Level::kInfo, "server_says_it_leaves",
-               {{"server", server.id.value()}, {"status", std::to_string(head.status)}});
+    noteLeaving(server, head);
   }
   if (notices.rest) {
-    metrics_.countNotice("rest");
+    context_.metrics.countNotice("rest");
     log::write(log::Level::kInfo, "server_asks_for_rest",
                {{"server", server.id.value()},
                 {"status", std::to_string(head.status)},
@@ -50,10 +92,30 @@
   }
 }
 
-void ServerCalls::noteUnreadable(const fleet::Server& server, const Error& error) {
-  metrics_.countNotice("unreadable");
-  log::write(log::Level::kWarning, "server_notice_unreadable",
-             {{"server", server.id.value()}, {"cause", error.detail}});
+void ServerCalls::noteLeaving(const fleet::Server& server, const http::Response& head) {
+  context_.metrics.countNotice("leaving");
+  if (!context_.pool.noteLeaving(fleet::keyOf(server), monotonicNow())) {
+    return;
+  }
+  log::write(log::Level::kInfo, "server_says_it_leaves",
+             {{"server", server.id.value()},
+              {"run", std::to_string(fleet::incarnationOf(server).value())},
+              {"status", std::to_string(head.status)}});
+  context_.limits.tellLeaving();
+}
+
+void ServerCalls::noteUnreadable(const fleet::Server& server, const std::vector<Error>& errors) {
+  context_.metrics.countNotice("unreadable");
+  if (unreadable_.size() >= kMostLogged) {
+    unreadable_.clear();
+  }
+  if (!unreadable_.insert(fleet::keyOf(server)).second) {
+    return;
+  }
+  for (const Error& error : errors) {
+    log::write(log::Level::kWarning, "server_notice_unreadable",
+               {{"server", server.id.value()}, {"cause", error.detail}});
+  }
 }
 
 }  // namespace calicodrift::forward
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -90,7 +90,7 @@
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
       serverLimitMetrics_(registry_),
       serverLimits_(serverLimitContext(), serverLimitMetrics_),
-      serverCalls_(client_, ports_.servers, serverLimits_, metrics_),
+      serverCalls_({client_, ports_.servers, pool_, serverLimits_, metrics_}),
       quarantineMetrics_(registry_),
       quarantine_(
           quarantineContext(), ports_.store, std::string(kQuarantineKind), quarantineMetrics_,
@@ -261,10 +261,8 @@
       [this] { return relay_.newestRoots(); },
       [this] { return relay_.mayGrant(); },
       [this] { return relay_.settledAt(); },
-      [this](fleet::ServerKey key) {
-        const fleet::Server* server = pool_.findRun(key);
-        return server == nullptr ? std::nullopt : std::optional(*server);
-      },
+      pool_,
+      [this] { return views_.serversProvenAt(); },
       [this](fleet::Server server) { return askForNotices(std::move(server)); },
       otherGroups(settings_),
       settings_.relayGroup.empty() ? settings_.zone : settings_.relayGroup};
@@ -279,6 +277,9 @@
 }
 
 awaitable<bool> GatewayNode::mayProbe(fleet::Server server) {
+  if (!serverCalls_.mayBegin(server, forward::CallPurpose::kQuestion)) {
+    co_return false;
+  }
   const server_limits::UnitVerdict unit = co_await serverLimits_.take(std::move(server));
   co_return unit.granted;
 }
--- a/src/gateway/server_prober.cc
+++ b/src/gateway/server_prober.cc
@@ -70,7 +70,8 @@
   options.connectTimeout = timeout;
   options.headerTimeout = timeout;
   options.bodyTimeout = timeout;
-  Result<http::Response> answer = co_await calls_.exchange(server, std::move(query), options);
+  Result<http::Response> answer =
+      co_await calls_.exchange(server, std::move(query), options, forward::CallPurpose::kQuestion);
   if (answer && protocol_.namesAnother(server, answer.value())) {
     co_return fail(ErrorKind::kFenced, "another server answers at the address");
   }
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -59,6 +59,8 @@
   bool synchronized() const {
     return serverWatcher_.synchronized() && weightsWatcher_.synchronized();
   }
+  /// Until when the list of servers is known to have been the newest.
+  MonotonicTime serversProvenAt() const { return serverWatcher_.provenAt(); }
   /// The named weights as they were read last.
   const std::map<ModelId, StoredWeights>& storedWeights() const { return storedWeights_; }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxIdleConnections = 64;
 constexpr std::chrono::seconds kIdleLifetime{30};
 constexpr std::chrono::seconds kSweepInterval{5};
+/// Of a connection that was not used after all: no answer has said how long the server keeps it.
+constexpr Milliseconds kUnusedLifetime{1000};
 constexpr std::size_t kBodyPieceBytes = 16'384;
 /// A connection is not used so shortly before the other side closes it: the request would cross the
 /// close.
@@ -310,6 +312,12 @@
   } else {
     attachTo(options.canceller, stream);
   }
+  if (options.beforeSend != nullptr) {
+    if (const Result<void> allowed = (*options.beforeSend)(); !allowed) {
+      state->giveBack(endpoint, stream, kUnusedLifetime, drops);
+      co_return allowed.error();
+    }
+  }
   const bool headOnly = request.method == "HEAD";
   const auto message = toBeast(endpoint, std::move(request));
   stream->expires_after(options.headerTimeout);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -54,6 +54,9 @@
   /// A plain pointer, as g++ 12 mishandles temporaries of aggregates with destructors in
   /// coroutines.
   ExchangeCanceller* canceller = nullptr;
+  /// Asked once the connection is there, right before the first byte. Where it fails nothing is
+  /// sent, the connection is kept and the exchange fails so. Must outlive the call.
+  const std::function<Result<void>()>* beforeSend = nullptr;
   /// Set to how long the connection took where a new one was made. Must outlive the call.
   std::optional<Microseconds>* connectTime = nullptr;
 };
--- a/src/server_limits/messages.h
+++ b/src/server_limits/messages.h
@@ -17,7 +17,9 @@
 inline constexpr std::string_view kUnitPath = "/server-limits/unit";
 
 /// Form of the messages. Later forms append fields only: a reader passes over what it doesn't know.
-inline constexpr std::uint32_t kForm = 1;
+inline constexpr std::uint32_t kForm = 2;
+/// The first form of a report that tells which servers leave.
+inline constexpr std::uint32_t kFormWithLeaving = 2;
 
 /// Told to the neighbours in the relay tree when something is new, and the answer to it.
 struct LimitReport {
@@ -29,10 +31,15 @@
   /// How long the sender waits until the receiver has told its own neighbours.
   std::uint32_t waitMs = 0;
   std::vector<LimitFact> facts;
+  /// Runs of servers that have said that they leave.
+  std::vector<fleet::ServerKey> leaving;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(form, sender, fresh, waitMs, facts);
+    if (form >= kFormWithLeaving) {
+      archive(leaving);
+    }
   }
 };
 
--- a/src/server_limits/metrics.cc
+++ b/src/server_limits/metrics.cc
@@ -30,6 +30,8 @@
                             {{"taken", "true"}})),
       failedReports_(
           counter(registry, "calicodrift_server_limits_reports_total", "", {{"taken", "false"}})),
+      leavingLearnt_(counter(registry, "calicodrift_server_limits_leaving_learnt_total",
+                             "Servers of which another node told that they leave")),
       probes_(counter(registry, "calicodrift_server_limits_probes_total",
                       "Limited servers asked for their health, as no request asked them")),
       limited_(prometheus::BuildGauge()
--- a/src/server_limits/metrics.h
+++ b/src/server_limits/metrics.h
@@ -21,6 +21,8 @@
   void countUndecided() { undecided_.Increment(); }
   /// Reports to neighbours, by whether they were taken.
   void countReport(bool taken) { (taken ? takenReports_ : failedReports_).Increment(); }
+  /// Another node told that a server leaves.
+  void countLeavingLearnt() { leavingLearnt_.Increment(); }
   /// Servers that this node asked because nobody else did.
   void countProbe() { probes_.Increment(); }
   void observeWait(double seconds) { wait_.Observe(seconds); }
@@ -35,6 +37,7 @@
   prometheus::Counter& undecided_;
   prometheus::Counter& takenReports_;
   prometheus::Counter& failedReports_;
+  prometheus::Counter& leavingLearnt_;
   prometheus::Counter& probes_;
   prometheus::Gauge& limited_;
   prometheus::Histogram& wait_;
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -38,13 +38,20 @@
 }  // namespace
 
 ServerLimitNode::ServerLimitNode(ServerLimitContext context, ServerLimitMetrics& metrics)
-    : context_(std::move(context)), metrics_(metrics), news_(newsContext()) {}
+    : context_(std::move(context)),
+      metrics_(metrics),
+      notices_(exchangeContext(), table_, metrics) {}
 
-relay::NewsContext ServerLimitNode::newsContext() {
-  return {context_.executor, [this] { return neighbours(); }, [this] { return table_.changes(); },
-          [this](Endpoint neighbour, std::uint64_t since, Milliseconds wait, Milliseconds timeout) {
-            return push(std::move(neighbour), since, wait, timeout);
-          }};
+NoticeExchangeContext ServerLimitNode::exchangeContext() {
+  return {context_.executor,    context_.client,
+          context_.tree,        context_.pool,
+          context_.trees,       context_.ownTree,
+          context_.rootsOfTree, [this](const LimitFact& fact) { onLimitLearnt(fact); }};
+}
+
+std::optional<fleet::Server> ServerLimitNode::serverOf(fleet::ServerKey run) const {
+  const fleet::Server* server = context_.pool.findRun(run);
+  return server == nullptr ? std::nullopt : std::optional(*server);
 }
 
 void ServerLimitNode::start() {
@@ -55,10 +62,8 @@
 awaitable<void> ServerLimitNode::run() {
   asio::steady_timer timer(context_.executor);
   for (;;) {
-    co_await findOtherTrees();
-    greetNeighbours();
-    news_.forgetFormerNeighbours();
-    news_.tellSoon();
+    co_await notices_.update();
+    forgetGone(monotonicNow());
     lookAfterOwned();
     timer.expires_after(synchronized() ? kInterval : kStartInterval);
     co_await timer.async_wait(asio::use_awaitable);
@@ -66,83 +71,7 @@
 }
 
 bool ServerLimitNode::synchronized() const {
-  return settled_ || monotonicNow() - startedAt_ > kLongestStart;
-}
-
-awaitable<void> ServerLimitNode::findOtherTrees() {
-  // Their lists cost a call each, so that they are read only where there is news for them.
-  if (context_.trees.size() < 2 || !context_.tree.isRoot() ||
-      table_.changes() == otherTreesChange_) {
-    co_return;
-  }
-  otherTreesChange_ = table_.changes();
-  std::vector<Endpoint> found;
-  for (const std::string& tree : context_.trees) {
-    if (tree != context_.ownTree) {
-      const std::vector<Endpoint> roots = co_await context_.rootsOfTree(tree);
-      found.insert(found.end(), roots.begin(), roots.end());
-    }
-  }
-  otherTrees_ = std::move(found);
-}
-
-std::vector<Endpoint> ServerLimitNode::neighbours() const {
-  const bool isRoot = context_.tree.isRoot();
-  return relay::neighboursIn(context_.tree, isRoot, isRoot ? otherTrees_ : std::vector<Endpoint>());
-}
-
-void ServerLimitNode::greetNeighbours() {
-  const std::vector<Endpoint> now = neighbours();
-  std::erase_if(greeted_, [&now](const Endpoint& one) {
-    return !std::binary_search(now.begin(), now.end(), one);
-  });
-  for (const Endpoint& neighbour : now) {
-    if (!greeted_.contains(neighbour) && greeting_.insert(neighbour).second) {
-      asio::co_spawn(context_.executor, greet(neighbour), asio::detached);
-    }
-  }
-  settled_ = settled_ || context_.tree.isRoot() || context_.tree.isAlone();
-}
-
-awaitable<void> ServerLimitNode::greet(Endpoint neighbour) {
-  LimitReport report;
-  report.fresh = true;
-  report.facts = table_.changedSince(0);
-  const std::uint64_t told = table_.changes();
-  const Result<LimitReport> answer =
-      co_await send(neighbour, std::move(report), relay::NewsSpreader::kTellTime);
-  greeting_.erase(neighbour);
-  const bool isOlder = !answer && answer.error().kind == ErrorKind::kProtocolViolation;
-  if (!answer && !isOlder) {
-    co_return;
-  }
-  greeted_.insert(neighbour);
-  settled_ = settled_ || context_.tree.parent() == neighbour;
-  if (answer) {
-    news_.setTold(neighbour.toString(), told);
-    merge(answer.value().facts);
-  }
-}
-
-awaitable<bool> ServerLimitNode::push(Endpoint neighbour, std::uint64_t since, Milliseconds wait,
-                                      Milliseconds timeout) {
-  LimitReport report;
-  report.waitMs = static_cast<std::uint32_t>(wait.count());
-  report.facts = table_.changedSince(since);
-  const Result<LimitReport> answer =
-      co_await send(std::move(neighbour), std::move(report), timeout);
-  metrics_.countReport(static_cast<bool>(answer));
-  if (answer) {
-    merge(answer.value().facts);
-  }
-  co_return static_cast<bool>(answer);
-}
-
-awaitable<Result<LimitReport>> ServerLimitNode::send(Endpoint neighbour, LimitReport report,
-                                                     Milliseconds timeout) {
-  report.sender = context_.tree.endpoint.toString();
-  co_return co_await peer::callPeer<LimitReport>(context_.client, std::move(neighbour), kReportPath,
-                                                 std::move(report), timeout, timeout);
+  return notices_.settled() || monotonicNow() - startedAt_ > kLongestStart;
 }
 
 awaitable<void> ServerLimitNode::handle(http::Request& request, http::ResponseWriter& writer) {
@@ -151,47 +80,18 @@
         request, writer, [this](UnitRequest asked) { return decide(asked); });
     co_return;
   }
-  co_await peer::answerPeer<LimitReport, LimitReport>(
-      request, writer, [this](LimitReport report) { return takeReport(std::move(report)); });
-}
-
-awaitable<LimitReport> ServerLimitNode::takeReport(LimitReport report) {
-  const std::uint64_t before = table_.changes();
-  merge(report.facts);
-  LimitReport answer;
-  answer.sender = context_.tree.endpoint.toString();
-  if (report.fresh) {
-    answer.facts = table_.changedSince(0);
-    news_.setTold(report.sender, table_.changes());
-  } else {
-    // A sender that started anew may know less than it did.
-    for (const LimitFact& told : report.facts) {
-      const LimitFact* known = table_.find(told.server);
-      if (known != nullptr && *known != told) {
-        answer.facts.push_back(*known);
-      }
-    }
-    news_.onNewsFrom(report.sender, before);
-  }
-  if (table_.changes() != before) {
-    const Milliseconds wait(report.waitMs);
-    co_await news_.tell(std::min(wait, relay::NewsSpreader::kTellTime), report.sender);
-  }
-  co_return answer;
+  co_await peer::answerPeer<LimitReport, LimitReport>(request, writer, [this](LimitReport report) {
+    return notices_.takeReport(std::move(report));
+  });
 }
 
-void ServerLimitNode::merge(const std::vector<LimitFact>& facts) {
-  for (const LimitFact& fact : facts) {
-    if (!table_.merge(fact)) {
-      continue;
-    }
-    refusedUntil_.erase(fact.server);
-    const std::optional<fleet::Server> server = context_.serverOf(fact.server);
-    log::write(log::Level::kInfo, "server_limit_learnt",
-               {{"server", server ? server->id.value() : ""},
-                {"per_second", fact.limited ? textOf(fact.perSecond) : "none"},
-                {"version", std::to_string(fact.version.value())}});
-  }
+void ServerLimitNode::onLimitLearnt(const LimitFact& fact) {
+  refusedUntil_.erase(fact.server);
+  const std::optional<fleet::Server> server = serverOf(fact.server);
+  log::write(log::Level::kInfo, "server_limit_learnt",
+             {{"server", server ? server->id.value() : ""},
+              {"per_second", fact.limited ? textOf(fact.perSecond) : "none"},
+              {"version", std::to_string(fact.version.value())}});
 }
 
 void ServerLimitNode::noteHead(const fleet::Server& server, LimitVersion seen,
@@ -222,7 +122,7 @@
               {"per_second", named.value() ? textOf(*named.value()) : "none"},
               {"version", std::to_string(table_.versionOf(key).value())},
               {"known_at_send", std::to_string(seen.value())}});
-  news_.tellSoon();
+  notices_.tellLimits();
 }
 
 std::vector<Endpoint> ServerLimitNode::order(fleet::ServerKey server) const {
@@ -321,7 +221,7 @@
     co_return emptyReply(request);
   }
   silence_.noteAnswer(root);
-  merge({reply.value().limit});
+  notices_.mergeLimits({reply.value().limit});
   co_return reply.value();
 }
 
@@ -338,7 +238,7 @@
 }
 
 awaitable<UnitReply> ServerLimitNode::decide(UnitRequest request) {
-  merge({request.limit});
+  notices_.mergeLimits({request.limit});
   const fleet::ServerKey server = request.limit.server;
   UnitReply reply = emptyReply(request);
   if (!reply.limit.limited) {
@@ -414,16 +314,23 @@
   probedAt_.erase(server);
 }
 
+void ServerLimitNode::forgetGone(MonotonicTime now) {
+  if (now - forgotAt_ < kForgetInterval) {
+    return;
+  }
+  // While the list can't be kept up, servers that live may be missing there.
+  const bool listWasNew =
+      std::exchange(listIsNew_, now - context_.listProvenAt() < kForgetInterval);
+  const auto sinceLast = std::chrono::floor<Milliseconds>(now - forgotAt_);
+  forgotAt_ = now;
+  context_.pool.forgetNotices(listWasNew && listIsNew_ ? sinceLast : Milliseconds(0));
+  table_.forgetGone([this](fleet::ServerKey server) { return serverOf(server).has_value(); });
+  std::erase_if(unreadable_,
+                [this](fleet::ServerKey server) { return !serverOf(server).has_value(); });
+}
+
 void ServerLimitNode::lookAfterOwned() {
   const MonotonicTime now = monotonicNow();
-  if (now - forgotAt_ >= kForgetInterval) {
-    forgotAt_ = now;
-    table_.forgetGone(
-        [this](fleet::ServerKey server) { return context_.serverOf(server).has_value(); });
-    std::erase_if(unreadable_, [this](fleet::ServerKey server) {
-      return !context_.serverOf(server).has_value();
-    });
-  }
   if (!any()) {
     probedAt_.clear();
     minter_.forgetAll();
@@ -438,7 +345,7 @@
       disown(server);
       continue;
     }
-    const std::optional<fleet::Server> listed = context_.serverOf(server);
+    const std::optional<fleet::Server> listed = serverOf(server);
     if (listed && isQuiet(fact, now) && probing_.insert(server).second) {
       probedAt_[server] = now;
       asio::co_spawn(context_.executor, probe(*listed), asio::detached);
@@ -470,17 +377,29 @@
   probing_.erase(key);
 }
 
+boost::json::array ServerLimitNode::leavingList() const {
+  boost::json::array list;
+  for (const fleet::ServerKey run : context_.pool.leaving().notedSince(0)) {
+    if (const std::optional<fleet::Server> server = serverOf(run)) {
+      list.push_back(
+          boost::json::object{{"server", server->id.value()}, {"service", server->service}});
+    }
+  }
+  return list;
+}
+
 awaitable<void> ServerLimitNode::answerOperator(http::ResponseWriter& writer) const {
   boost::json::array list;
   for (const LimitFact& fact : table_.limited()) {
-    const std::optional<fleet::Server> server = context_.serverOf(fact.server);
+    const std::optional<fleet::Server> server = serverOf(fact.server);
     list.push_back(boost::json::object{{"server", server ? server->id.value() : ""},
                                        {"service", server ? server->service : ""},
                                        {"per_second", fact.perSecond},
                                        {"version", fact.version.value()},
                                        {"units_given_here", minter_.owns(fact.server)}});
   }
-  const std::string text = boost::json::serialize(boost::json::object{{"servers", list}});
+  const boost::json::object document{{"servers", list}, {"leaving", leavingList()}};
+  const std::string text = boost::json::serialize(document);
   co_await http::respond(writer, http::jsonResponse(http::kStatusOk, text));
 }
 
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -2,23 +2,23 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/json/array.hpp>
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "common/endpoint.h"
-#include "fleet/server.h"
+#include "fleet/server_pool.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "relay/news_spreader.h"
 #include "relay/tree_place.h"
 #include "server_limits/limit_table.h"
 #include "server_limits/messages.h"
 #include "server_limits/metrics.h"
+#include "server_limits/notice_exchange.h"
 #include "server_limits/root_silence.h"
 #include "server_limits/unit_minter.h"
 
@@ -37,8 +37,9 @@
   /// Whether this node may do what only one root may do; when former roots have stopped doing so.
   std::function<bool()> mayGrant;
   std::function<MonotonicTime()> settledAt;
-  /// The listed run of that key.
-  std::function<std::optional<fleet::Server>(fleet::ServerKey)> serverOf;
+  fleet::ServerPool& pool;
+  /// Until when the list of servers is known to have been the newest.
+  std::function<MonotonicTime()> listProvenAt;
   /// Asks the server for its health; the head of its answer comes by noteHead().
   std::function<boost::asio::awaitable<void>(fleet::Server)> probe;
   /// Names of all trees of the fleet, this node's own, and the roots of another one. A single name
@@ -90,9 +91,11 @@
   /// What the head of an answer said.
   /// @param seen versionOf() when the request was sent.
   void noteHead(const fleet::Server& server, LimitVersion seen, const NamedLimit& named);
+  /// A server has told this node that it leaves, and the pool knows: tells all other nodes.
+  void tellLeaving() { notices_.tellLeaving(); }
   /// Answers other nodes at kReportPath and kUnitPath.
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
-  /// Answers operators with the limits in force.
+  /// Answers operators with the limits in force, and the servers that leave.
   boost::asio::awaitable<void> answerOperator(http::ResponseWriter& writer) const;
   /// Whether the node knows what the others know, or they can't be asked now.
   bool synchronized() const;
@@ -114,19 +117,11 @@
 
  private:
   boost::asio::awaitable<void> run();
-  relay::NewsContext newsContext();
-  std::vector<Endpoint> neighbours() const;
-  boost::asio::awaitable<void> findOtherTrees();
-  /// Asks new neighbours for all that they know.
-  void greetNeighbours();
-  boost::asio::awaitable<void> greet(Endpoint neighbour);
-  boost::asio::awaitable<bool> push(Endpoint neighbour, std::uint64_t since, Milliseconds wait,
-                                    Milliseconds timeout);
-  boost::asio::awaitable<Result<LimitReport>> send(Endpoint neighbour, LimitReport report,
-                                                   Milliseconds timeout);
-  boost::asio::awaitable<LimitReport> takeReport(LimitReport report);
-  void merge(const std::vector<LimitFact>& facts);
-
+  NoticeExchangeContext exchangeContext();
+  std::optional<fleet::Server> serverOf(fleet::ServerKey run) const;
+  void onLimitLearnt(const LimitFact& fact);
+  /// Forgets what is known of runs that have gone.
+  void forgetGone(MonotonicTime now);
   /// Roots of this tree in the order in which they give out the server's units.
   std::vector<Endpoint> order(fleet::ServerKey server) const;
   const std::string& treeOf(fleet::ServerKey server) const;
@@ -148,28 +143,26 @@
   /// Whether the server got no request for a while and may get one now; takes its unit if so.
   bool isQuiet(const LimitFact& limit, MonotonicTime now);
   boost::asio::awaitable<void> probe(fleet::Server server);
+  /// Listed servers that leave, for operators.
+  boost::json::array leavingList() const;
   Milliseconds unitTimeout() const;
 
   ServerLimitContext context_;
   ServerLimitMetrics& metrics_;
   LimitTable table_;
   UnitMinter minter_;
-  relay::NewsSpreader news_;
+  NoticeExchange notices_;
   /// When this node asked a server itself, or began to give out its units.
   std::unordered_map<fleet::ServerKey, MonotonicTime> probedAt_;
   /// No unit comes before that, as the root said.
   std::unordered_map<fleet::ServerKey, MonotonicTime> refusedUntil_;
   RootSilence silence_;
-  std::set<Endpoint> greeted_;
-  std::set<Endpoint> greeting_;
   std::unordered_set<fleet::ServerKey> probing_;
   /// Whose unreadable limit was logged.
   std::unordered_set<fleet::ServerKey> unreadable_;
-  std::vector<Endpoint> otherTrees_;
-  std::uint64_t otherTreesChange_ = 0;
-  bool settled_ = false;
   MonotonicTime startedAt_ = monotonicNow();
-  MonotonicTime forgotAt_{};
+  MonotonicTime forgotAt_ = monotonicNow();
+  bool listIsNew_ = false;
 };
 
 }  // namespace calicodrift::server_limits
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -300,7 +300,8 @@
   http::Request query = protocol_.reportQuery(server);
   const MonotonicTime askedAt = monotonicNow();
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
-  Result<http::Response> answer = co_await calls_.exchange(server, std::move(query), options);
+  Result<http::Response> answer =
+      co_await calls_.exchange(server, std::move(query), options, forward::CallPurpose::kQuestion);
   Result<forward::ServerReport> report =
       answer ? protocol_.readReport(answer.value()) : answer.error();
   if (report) {
@@ -424,7 +425,8 @@
   message.expectedOrders = *expected;
   http::Request request = protocol_.encodeOrder(message);
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
-  Result<http::Response> answer = co_await calls_.exchange(server, std::move(request), options);
+  Result<http::Response> answer =
+      co_await calls_.exchange(server, std::move(request), options, forward::CallPurpose::kOrder);
   std::string outcome = "lost";
   OrderAnswer told = OrderAnswer::kLost;
   if (answer) {
@@ -437,6 +439,9 @@
     if (read == forward::OrderOutcome::kAnotherServer) {
       giveUp(server);
     }
+  } else if (answer.error().kind == ErrorKind::kServerWithdrawn) {
+    outcome = "not_sent";
+    told = OrderAnswer::kRefused;
   } else if (answer.error().kind == ErrorKind::kConnectFailed) {
     outcome = "not_sent";
     told = OrderAnswer::kRefused;
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -293,10 +293,8 @@
             [] { return std::vector<Endpoint>(); },
             [] { return true; },
             [] { return MonotonicTime(); },
-            [this](fleet::ServerKey key) {
-              const fleet::Server* server = pool.findRun(key);
-              return server == nullptr ? std::nullopt : std::optional(*server);
-            },
+            pool,
+            [] { return monotonicNow(); },
             [](const fleet::Server&) -> boost::asio::awaitable<void> { co_return; },
             {},
             ""};
@@ -347,7 +345,7 @@
   quota::QuotaNode quota_;
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
   server_limits::ServerLimitNode serverLimits_{aloneContext(), serverLimitMetrics_};
-  ServerCalls serverCalls_{client_, serverProtocol_, serverLimits_, metrics_};
+  ServerCalls serverCalls_{{client_, serverProtocol_, pool, serverLimits_, metrics_}};
   PlainCallers callers_;
   PlainServers serverProtocol_;
 };
