A server that refuses and asks for rest gets nothing from that node until its end

What callers and servers saw: servers that had refused with 503 and Retry-After: 3 got 3 and 4 requests from the same node within these 3 s (2 are allowed). Of 11 callers of that node that met such a refusal 6 were refused in turn, five as the retry budget was spent on servers that had just refused.

Cause: Retry-After of servers was not read. A refusal kept a server out for 250 ms whatever it asked for, only where others were left, and a reload or a new entry ended even that. Reports, orders and questions for health went on.

Change: fleet::ServerRests keeps the end of a rest by server for this node, over reloads, new entries and a later start; of two the later end holds. A server at rest is in no set, and ServerCalls sends it nothing. After the rest, which is spread by up to 200 ms, it gets one call, and others once that is answered. Where rests keep all servers of a service from work, callers are refused at once with the first end, spread. Stores of kept cache are asked nothing within their rest. The line of a dispatch says how many servers were at rest and at their limits; calicodriftctl server notices shows both, and who leaves.

Why it holds: the end is kept beside the list's entries, and each call asks for it right before its first byte.

The callers of three tests of fleets are one class.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -355,7 +355,8 @@
 }
 
 void ServerPool::refresh(Entry& entry, MonotonicTime now) {
-  std::vector<SetKey> keys = keysOf(entry);
+  const bool atRest = rests_.excludedUntil(entry.server.id, now).has_value();
+  std::vector<SetKey> keys = atRest ? std::vector<SetKey>() : keysOf(entry);
   if (keys != entry.listedIn) {
     unlist(entry);
   }
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -17,6 +17,7 @@
 #include "fleet/prefill_rate.h"
 #include "fleet/server.h"
 #include "fleet/server_load.h"
+#include "fleet/server_rests.h"
 #include "fleet/track.h"
 #include "routing/candidate_set.h"
 
@@ -46,6 +47,13 @@
   Incarnation incarnation{};
 };
 
+/// Servers that would get work but for the rest that they asked for.
+struct RestingServers {
+  std::size_t count = 0;
+  /// When the first of them may get work again; nothing where there are none.
+  std::optional<MonotonicTime> firstEnd;
+};
+
 /// All listed servers with their health and this node's own load on them, and for each service and
 /// model the set of those that may get new work. Sets change by small steps, so that no request
 /// pays for the number of servers. No I/O; calls are told the time.
@@ -55,9 +63,9 @@
 /// inFlightOf()); what tells an earlier start changes nothing.
 ///
 /// What a server says of itself in its answers goes before the list, and outlives its entry: that
-/// its run leaves (noteLeaving()).
+/// its run leaves (noteLeaving()) and that it wants rest (noteRest()).
 ///
-/// Invariant: a server that is draining or leaving, gone from the list, older than the
+/// Invariant: a server that is draining or leaving, at rest, gone from the list, older than the
 /// least allowed weights or of a version that may run nothing is in no set. It holds because every
 /// change of a server ends in refresh().
 class ServerPool {
@@ -106,8 +114,17 @@
   /// list says. Returns whether that is news.
   bool noteLeaving(ServerKey run, MonotonicTime now);
   const LeavingServers& leaving() const { return leaving_; }
-  /// Forgets runs that have gone; see LeavingServers::forgetGone().
-  void forgetNotices(Milliseconds provenFor);
+  /// Forgets runs that have gone, and rests that are long over; see LeavingServers::forgetGone().
+  void forgetNotices(Milliseconds provenFor, MonotonicTime now);
+  /// The server asked this node to send nothing until then.
+  void noteRest(const BackendId& id, MonotonicTime until, MonotonicTime now);
+  /// A call to the server begins. Of one whose rest has ended no other begins until it is answered.
+  void noteSent(const BackendId& id, MonotonicTime now);
+  /// The server has answered a call that was sent then, and asked for no rest.
+  void noteAnswered(const BackendId& id, MonotonicTime sentAt, MonotonicTime now);
+  const ServerRests& rests() const { return rests_; }
+  /// Servers of the service and model that only their rest keeps from work.
+  RestingServers restingOf(std::string_view service, const ModelId& model, MonotonicTime now) const;
   void recordSuccess(const BackendId& id);
   void recordFailure(const BackendId& id, MonotonicTime now);
 
@@ -245,6 +262,7 @@
   /// Whether weights that it does not have yet were announced for it.
   static bool awaitsLoad(const Entry& entry);
   std::optional<Track> trackOf(const Server& server) const;
+  /// The sets that it belongs to but for its rest.
   std::vector<SetKey> keysOf(const Entry& entry) const;
   routing::Candidate toCandidate(const Entry& entry) const;
   /// Brings the sets in line with the entry. Called after each change of one.
@@ -265,6 +283,7 @@
   std::optional<MonotonicTime> peerLoadsAt_;
   std::map<BackendId, Entry> servers_;
   LeavingServers leaving_;
+  ServerRests rests_;
   std::map<std::pair<BackendId, Incarnation>, EarlierRun> earlierRuns_;
   std::map<ModelId, WeightsVersion> leastWeights_;
   std::map<std::string, std::size_t> memoryTokens_;
--- a/src/fleet/server_pool_notices.cc
+++ b/src/fleet/server_pool_notices.cc
@@ -1,6 +1,7 @@
 // What servers say of themselves in their answers, which outlives their entries in the list.
 
 #include <algorithm>
+#include <optional>
 
 #include "fleet/server_pool.h"
 
@@ -21,10 +22,62 @@
   return true;
 }
 
-void ServerPool::forgetNotices(Milliseconds provenFor) {
+void ServerPool::forgetNotices(Milliseconds provenFor, MonotonicTime now) {
+  rests_.forgetOver(now);
   if (!leaving_.empty()) {
     leaving_.forgetGone([this](ServerKey run) { return findRun(run) != nullptr; }, provenFor);
   }
 }
 
+void ServerPool::noteRest(const BackendId& id, MonotonicTime until, MonotonicTime now) {
+  if (!rests_.note(id, until, now)) {
+    return;
+  }
+  pauseEnds_.emplace(until, id);
+  if (Entry* entry = entryOf(id)) {
+    refresh(*entry, now);
+  }
+}
+
+void ServerPool::noteSent(const BackendId& id, MonotonicTime now) {
+  if (rests_.empty()) {
+    return;
+  }
+  const std::optional<MonotonicTime> until = rests_.noteSent(id, now);
+  Entry* entry = entryOf(id);
+  if (until && entry != nullptr) {
+    pauseEnds_.emplace(*until, id);
+    refresh(*entry, now);
+  }
+}
+
+void ServerPool::noteAnswered(const BackendId& id, MonotonicTime sentAt, MonotonicTime now) {
+  if (rests_.empty() || !rests_.noteAnswered(id, sentAt)) {
+    return;
+  }
+  if (Entry* entry = entryOf(id)) {
+    refresh(*entry, now);
+  }
+}
+
+RestingServers ServerPool::restingOf(std::string_view service, const ModelId& model,
+                                     MonotonicTime now) const {
+  RestingServers resting;
+  for (const auto& [id, end] : rests_.excluded(now)) {
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+      continue;
+    }
+    const std::vector<SetKey> keys = keysOf(found->second);
+    const bool isOne = std::any_of(keys.begin(), keys.end(), [&](const SetKey& key) {
+      return key.service == service && key.model == model;
+    });
+    if (isOne) {
+      ++resting.count;
+      resting.firstEnd = std::min(end, resting.firstEnd.value_or(end));
+    }
+  }
+  return resting;
+}
+
 }  // namespace calicodrift::fleet
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -112,6 +112,9 @@
   boost::asio::awaitable<Result<Chosen>> chooseWithinLimits(Job& job);
   /// @param wait until the first of its servers may take a request again.
   Error atLimits(const Job& job, Milliseconds wait);
+  /// Where no server may get the job: kOverloaded with the time to come back where rests alone keep
+  /// servers from it, else kNoBackend.
+  Error noServer(const Job& job, MonotonicTime now);
   Result<Chosen> chooseFrom(Job& job, const AllowedServers& allowed, MonotonicTime now);
   /// Where the job's common part lies among the stable version's servers.
   std::optional<routing::Candidate> stableHolder(Job& job, MonotonicTime now);
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -65,6 +65,20 @@
   return error;
 }
 
+Error Forwarder::noServer(const Job& job, MonotonicTime now) {
+  const fleet::RestingServers resting =
+      context_.pool.restingOf(job.service, job.request.model, now);
+  if (!resting.firstEnd) {
+    return fail(ErrorKind::kNoBackend, "no usable server of '" + job.service + "'");
+  }
+  Error error = fail(ErrorKind::kOverloaded,
+                     "all servers of '" + job.service + "' have asked for no requests");
+  error.reason = "servers_at_rest";
+  error.retryAfter =
+      limits::spreadReturn(std::chrono::ceil<Milliseconds>(*resting.firstEnd - now), random_);
+  return error;
+}
+
 Result<Forwarder::Chosen> Forwarder::chooseServer(Job& job, bool mayBeCanary, MonotonicTime now) {
   const AllowedServers allowed = serversFor(job, mayBeCanary, now);
   Result<Chosen> chosen = chooseFrom(job, allowed, now);
@@ -82,7 +96,7 @@
                                                 MonotonicTime now) {
   const routing::CandidateSet& candidates = allowed.set();
   if (candidates.empty()) {
-    return fail(ErrorKind::kNoBackend, "no usable server of '" + job.service + "'");
+    return noServer(job, now);
   }
   const routing::Choice choice =
       job.trial.ofSuspect() ? chooseForTrial(job.routeRequest, candidates, job.trial.server())
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -98,7 +98,8 @@
                  chosen.candidates, job.attempts.sent, chosen.waitingTokens(), sharedKey,
                  ageOf(weights.outdatedSince, now), weights.knownBy,
                  std::chrono::floor<Milliseconds>(now - startedAt_),
-                 ageOf(context_.pool.peerLoadsAt(), now), chosen.atLimits});
+                 ageOf(context_.pool.peerLoadsAt(), now), chosen.atLimits,
+                 context_.pool.restingOf(job.service, job.request.model, now).count});
   Result<void> outcome = co_await runAttempt(job, dispatch, chosen, load);
   const auto underWay = std::chrono::floor<Milliseconds>(monotonicNow() - now);
   co_await judgeRequest(job, chosen.server, underWay, outcome);
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -41,6 +41,7 @@
        {"up_ms", std::to_string(facts.upFor.count())},
        {"peer_load_ms", textOf(facts.peerLoadAge)},
        {"at_limits", std::to_string(facts.atLimits)},
+       {"at_rest", std::to_string(facts.atRest)},
        {"prefix", std::to_string(facts.prefix)},
        {"fetch", source ? source->toString() : ""}});
 }
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -43,8 +43,10 @@
   Milliseconds upFor{0};
   /// How old the other nodes' load is that the choice went by; nothing where none was told.
   std::optional<Milliseconds> peerLoadAge;
-  /// Servers that were chosen before and were at the limits that they name.
+  /// Servers that it could not go to: those chosen before that were at the limits that they name,
+  /// and those at rest.
   std::size_t atLimits = 0;
+  std::size_t atRest = 0;
 };
 
 void logDispatched(const DispatchFacts& facts);
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -7,6 +7,8 @@
 
 using boost::asio::awaitable;
 
+/// Over which the first calls of all nodes are spread that were asked for rest at the same time.
+constexpr Milliseconds kReturnSpread{200};
 /// Bounds the memory of what was logged already; a server is logged twice where it is passed.
 constexpr std::size_t kMostLogged = 4096;
 
@@ -19,10 +21,11 @@
 awaitable<Result<std::unique_ptr<http::ResponseStream>>> ServerCalls::open(
     const fleet::Server& server, http::Request request, http::ExchangeOptions options,
     CallPurpose purpose) {
-  server_limits::LimitVersion seen;
+  Sent sent;
   const std::function<Result<void>()> beforeSend = [&]() -> Result<void> {
     BOOST_OUTCOME_TRY(mayBegin(server, purpose));
-    seen = context_.limits.versionOf(server);
+    sent = {context_.limits.versionOf(server), monotonicNow()};
+    context_.pool.noteSent(server.id, sent.at);
     return boost::outcome_v2::success();
   };
   // No connection is made for a call that may not begin.
@@ -33,7 +36,7 @@
   options.beforeSend = &beforeSend;
   auto opened = co_await context_.client.open(server.endpoint, std::move(request), options);
   if (opened) {
-    noteHead(server, seen, opened.value()->head());
+    noteHead(server, sent, opened.value()->head());
   } else if (opened.error().kind == ErrorKind::kServerWithdrawn) {
     context_.metrics.countWithdrawn();
   }
@@ -52,6 +55,9 @@
 }
 
 Result<void> ServerCalls::mayBegin(const fleet::Server& server, CallPurpose purpose) const {
+  if (const auto until = context_.pool.rests().excludedUntil(server.id, monotonicNow())) {
+    return withdrawn(server, "wants no requests now");
+  }
   if (purpose == CallPurpose::kQuestion) {
     return boost::outcome_v2::success();
   }
@@ -70,13 +76,13 @@
   return boost::outcome_v2::success();
 }
 
-void ServerCalls::noteHead(const fleet::Server& server, server_limits::LimitVersion seen,
+void ServerCalls::noteHead(const fleet::Server& server, const Sent& sent,
                            const http::Response& head) {
   if (!context_.protocol.speaksFor(server, head)) {
     return;
   }
   const ServerNotices notices = context_.protocol.noticesOf(head);
-  context_.limits.noteHead(server, seen, notices.requestLimit);
+  context_.limits.noteHead(server, sent.limit, notices.requestLimit);
   if (!notices.unreadable.empty()) {
     noteUnreadable(server, notices.unreadable);
   }
@@ -84,11 +90,9 @@
     noteLeaving(server, head);
   }
   if (notices.rest) {
-    context_.metrics.countNotice("rest");
-    log::write(log::Level::kInfo, "server_asks_for_rest",
-               {{"server", server.id.value()},
-                {"status", std::to_string(head.status)},
-                {"ms", std::to_string(notices.rest->count())}});
+    noteRest(server, *notices.rest, head);
+  } else {
+    context_.pool.noteAnswered(server.id, sent.at, monotonicNow());
   }
 }
 
@@ -104,6 +108,18 @@
   context_.limits.tellLeaving();
 }
 
+void ServerCalls::noteRest(const fleet::Server& server, Milliseconds rest,
+                           const http::Response& head) {
+  context_.metrics.countNotice("rest");
+  std::uniform_int_distribution<std::int64_t> spread(0, kReturnSpread.count());
+  const MonotonicTime now = monotonicNow();
+  context_.pool.noteRest(server.id, now + rest + Milliseconds(spread(random_)), now);
+  log::write(log::Level::kInfo, "server_asks_for_rest",
+             {{"server", server.id.value()},
+              {"status", std::to_string(head.status)},
+              {"ms", std::to_string(rest.count())}});
+}
+
 void ServerCalls::noteUnreadable(const fleet::Server& server, const std::vector<Error>& errors) {
   context_.metrics.countNotice("unreadable");
   if (unreadable_.size() >= kMostLogged) {
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -39,10 +40,10 @@
 /// the answer is passed on or read further, whatever its status and however the call ends.
 ///
 /// Invariant: nothing begins at a server after this node has read, or was told, that the server
-/// leaves.
+/// leaves, and nothing within a rest that it asked this node for.
 class ServerCalls {
  public:
-  explicit ServerCalls(ServerCallContext context) : context_(context) {}
+  ServerCalls(ServerCallContext context, std::uint64_t seed) : context_(context), random_(seed) {}
 
   /// As http::Client::open(); fails with kServerWithdrawn where the server may get no such call any
   /// more and so got none. The server must outlive the call.
@@ -58,12 +59,19 @@
   Result<void> mayBegin(const fleet::Server& server, CallPurpose purpose) const;
 
  private:
-  void noteHead(const fleet::Server& server, server_limits::LimitVersion seen,
-                const http::Response& head);
+  /// What was known when a call was sent.
+  struct Sent {
+    server_limits::LimitVersion limit;
+    MonotonicTime at{};
+  };
+
+  void noteHead(const fleet::Server& server, const Sent& sent, const http::Response& head);
   void noteLeaving(const fleet::Server& server, const http::Response& head);
+  void noteRest(const fleet::Server& server, Milliseconds rest, const http::Response& head);
   void noteUnreadable(const fleet::Server& server, const std::vector<Error>& errors);
 
   ServerCallContext context_;
+  std::mt19937_64 random_;
   /// Runs of which it was logged that a notice can't be read.
   std::unordered_set<fleet::ServerKey> unreadable_;
 };
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -103,7 +103,7 @@
 awaitable<void> CacheStores::watch(Endpoint endpoint) {
   asio::steady_timer timer(executor_);
   while (configured(endpoint)) {
-    if (asks_()) {
+    if (asks_() && monotonicNow() >= stores_.at(endpoint).restUntil) {
       co_await ask(endpoint);
     }
     timer.expires_after(kPause);
@@ -129,12 +129,24 @@
   options.headerTimeout = kWait + kCallTimeout;
   options.bodyTimeout = kCallTimeout;
   options.unacknowledgedTimeout = kCallTimeout;
-  Result<http::Response> answer = co_await client_.exchange(endpoint, std::move(query), options);
-  if (answer) {
-    noteAnswer(endpoint, store, protocol_.readCacheStore(answer.value()));
-  } else {
+  auto opened = co_await client_.open(endpoint, std::move(query), options);
+  if (!opened) {
     noteSilence(endpoint, store);
+    co_return;
   }
+  const forward::ServerNotices notices = protocol_.noticesOf(opened.value()->head());
+  if (notices.rest) {
+    store.restUntil = std::max(store.restUntil, monotonicNow() + *notices.rest);
+    log::write(log::Level::kInfo, "cache_store_asks_for_rest",
+               {{"address", endpoint.toString()}, {"ms", std::to_string(notices.rest->count())}});
+  }
+  const Result<http::Response> answer = co_await http::readWhole(*opened.value());
+  // One that leaves is given nothing more to keep.
+  if (!answer || notices.leaving) {
+    noteSilence(endpoint, store);
+    co_return;
+  }
+  noteAnswer(endpoint, store, protocol_.readCacheStore(answer.value()));
 }
 
 void CacheStores::noteAnswer(const Endpoint& endpoint, Store& store,
--- a/src/gateway/cache_stores.h
+++ b/src/gateway/cache_stores.h
@@ -49,6 +49,8 @@
     /// As of its last whole answer.
     std::optional<forward::CacheStoreState> state;
     bool alive = false;
+    /// It wants no questions until then.
+    MonotonicTime restUntil{};
   };
 
   /// Follows the configuration's list of stores.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -90,7 +90,8 @@
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
       serverLimitMetrics_(registry_),
       serverLimits_(serverLimitContext(), serverLimitMetrics_),
-      serverCalls_({client_, ports_.servers, pool_, serverLimits_, metrics_}),
+      serverCalls_({client_, ports_.servers, pool_, serverLimits_, metrics_},
+                   hashPair(hashBytes(processName_), hashBytes(kServerLimitsPath))),
       quarantineMetrics_(registry_),
       quarantine_(
           quarantineContext(), ports_.store, std::string(kQuarantineKind), quarantineMetrics_,
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -323,7 +323,7 @@
       std::exchange(listIsNew_, now - context_.listProvenAt() < kForgetInterval);
   const auto sinceLast = std::chrono::floor<Milliseconds>(now - forgotAt_);
   forgotAt_ = now;
-  context_.pool.forgetNotices(listWasNew && listIsNew_ ? sinceLast : Milliseconds(0));
+  context_.pool.forgetNotices(listWasNew && listIsNew_ ? sinceLast : Milliseconds(0), now);
   table_.forgetGone([this](fleet::ServerKey server) { return serverOf(server).has_value(); });
   std::erase_if(unreadable_,
                 [this](fleet::ServerKey server) { return !serverOf(server).has_value(); });
@@ -388,6 +388,19 @@
   return list;
 }
 
+boost::json::array ServerLimitNode::restingList() const {
+  boost::json::array list;
+  const MonotonicTime now = monotonicNow();
+  for (const auto& [id, end] : context_.pool.rests().excluded(now)) {
+    const fleet::Server* server = context_.pool.find(id);
+    const auto left = std::chrono::ceil<Milliseconds>(end - now);
+    list.push_back(boost::json::object{{"server", id.value()},
+                                       {"service", server == nullptr ? "" : server->service},
+                                       {"ms", left.count()}});
+  }
+  return list;
+}
+
 awaitable<void> ServerLimitNode::answerOperator(http::ResponseWriter& writer) const {
   boost::json::array list;
   for (const LimitFact& fact : table_.limited()) {
@@ -398,7 +411,8 @@
                                        {"version", fact.version.value()},
                                        {"units_given_here", minter_.owns(fact.server)}});
   }
-  const boost::json::object document{{"servers", list}, {"leaving", leavingList()}};
+  const boost::json::object document{
+      {"servers", list}, {"leaving", leavingList()}, {"resting", restingList()}};
   const std::string text = boost::json::serialize(document);
   co_await http::respond(writer, http::jsonResponse(http::kStatusOk, text));
 }
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -95,7 +95,7 @@
   void tellLeaving() { notices_.tellLeaving(); }
   /// Answers other nodes at kReportPath and kUnitPath.
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
-  /// Answers operators with the limits in force, and the servers that leave.
+  /// Answers operators with the limits in force, and the servers that leave or rest.
   boost::asio::awaitable<void> answerOperator(http::ResponseWriter& writer) const;
   /// Whether the node knows what the others know, or they can't be asked now.
   bool synchronized() const;
@@ -143,8 +143,9 @@
   /// Whether the server got no request for a while and may get one now; takes its unit if so.
   bool isQuiet(const LimitFact& limit, MonotonicTime now);
   boost::asio::awaitable<void> probe(fleet::Server server);
-  /// Listed servers that leave, for operators.
+  /// Listed servers that leave, and those at rest for this node, for operators.
   boost::json::array leavingList() const;
+  boost::json::array restingList() const;
   Milliseconds unitTimeout() const;
 
   ServerLimitContext context_;
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -241,7 +241,8 @@
   const Milliseconds settle = settleTime();
   std::vector<fleet::Server> servers;
   for (fleet::Server& server : pool_.servers()) {
-    if (!rounds_.isOrdered(server.id) && due(server, at, settle)) {
+    const bool atRest = pool_.rests().excludedUntil(server.id, now).has_value();
+    if (!atRest && !rounds_.isOrdered(server.id) && due(server, at, settle)) {
       servers.push_back(std::move(server));
     }
   }
--- a/tests/fleet/server_notices_test.cc
+++ b/tests/fleet/server_notices_test.cc
@@ -1,7 +1,8 @@
 // What servers say of themselves outlives their entries in the list: guards against a list that
-// takes back that a server leaves.
+// takes back that a server leaves, and against entries, reloads or restarts that end a rest early.
 
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 #include "fleet/server_pool.h"
 
@@ -99,6 +100,127 @@
   BOOST_TEST(leaving.contains(ServerKey(LeavingServers::kMost + 9)));
 }
 
+BOOST_AUTO_TEST_CASE(restHoldsOverEntriesReloadsAndALaterRun) {
+  ServerPool pool = makePool();
+  pool.apply(makeServer("a", 5), kStart);
+  pool.noteRest(BackendId("a"), kStart + seconds(3), kStart);
+  pool.noteRest(BackendId("a"), kStart + seconds(2), kStart);
+  BOOST_TEST(!isCandidate(pool, "a", kStart));
+  pool.apply(makeServer("a", 5, 2), kStart + seconds(1));
+  BOOST_TEST(!isCandidate(pool, "a", kStart + seconds(1)));
+  pool.remove(BackendId("a"));
+  pool.apply(makeServer("a", 6), kStart + seconds(2));
+  BOOST_TEST(!isCandidate(pool, "a", kStart + seconds(2)));
+  pool.noteAnswered(BackendId("a"), kStart + seconds(1), kStart + seconds(2));
+  BOOST_TEST(!isCandidate(pool, "a", kStart + seconds(3) - Milliseconds(1)));
+  BOOST_TEST(isCandidate(pool, "a", kStart + seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(serverIsTriedOnceAfterItsRest) {
+  ServerPool pool = makePool();
+  const BackendId id("a");
+  pool.apply(makeServer("a", 5), kStart);
+  pool.noteRest(id, kStart + seconds(1), kStart);
+  const MonotonicTime end = kStart + seconds(1);
+  BOOST_TEST(isCandidate(pool, "a", end));
+  pool.noteSent(id, end);
+  BOOST_TEST(!isCandidate(pool, "a", end + Milliseconds(1)));
+  // An answer to a call from before the rest's end does not tell that it is well.
+  pool.noteAnswered(id, end - Milliseconds(1), end + Milliseconds(2));
+  BOOST_TEST(!isCandidate(pool, "a", end + Milliseconds(2)));
+  pool.noteAnswered(id, end, end + Milliseconds(3));
+  BOOST_TEST(isCandidate(pool, "a", end + Milliseconds(3)));
+  pool.noteSent(id, end + Milliseconds(4));
+  BOOST_TEST(isCandidate(pool, "a", end + Milliseconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(trialWithoutAnAnswerEndsByItself) {
+  ServerPool pool = makePool();
+  pool.apply(makeServer("a", 5), kStart);
+  pool.noteRest(BackendId("a"), kStart + seconds(1), kStart);
+  pool.noteSent(BackendId("a"), kStart + seconds(1));
+  const MonotonicTime end = kStart + seconds(1) + ServerRests::kTrialTime;
+  BOOST_TEST(!isCandidate(pool, "a", end - Milliseconds(1)));
+  BOOST_TEST(isCandidate(pool, "a", end));
+}
+
+BOOST_AUTO_TEST_CASE(restsTellWhenAServiceHasAServerAgain) {
+  ServerPool pool = makePool();
+  pool.apply(makeServer("a", 5), kStart);
+  pool.apply(makeServer("b", 5), kStart);
+  BOOST_TEST(pool.restingOf("llm", kModel, kStart).count == 0U);
+  pool.noteRest(BackendId("a"), kStart + seconds(2), kStart);
+  pool.noteRest(BackendId("b"), kStart + seconds(1), kStart);
+  BOOST_TEST((pool.restingOf("llm", kModel, kStart).firstEnd == kStart + seconds(1)));
+  pool.noteLeaving(keyOf(makeServer("b", 5)), kStart);
+  BOOST_TEST((pool.restingOf("llm", kModel, kStart).firstEnd == kStart + seconds(2)));
+  BOOST_TEST(!pool.restingOf("other", kModel, kStart).firstEnd.has_value());
+}
+
+/// Drawn courses of entries, lapses, reloads, restarts, refusals, answers in any order and pauses:
+/// no server is offered that said it leaves, or within a rest.
+BOOST_AUTO_TEST_CASE(noDrawnCourseOffersAServerThatLeavesOrRests) {
+  constexpr unsigned kCourses = 10'000;
+  constexpr unsigned kSteps = 60;
+  for (unsigned seed = 0; seed < kCourses; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto draw = [&random](unsigned below) { return static_cast<unsigned>(random() % below); };
+    ServerPool pool = makePool();
+    MonotonicTime now = kStart;
+    std::map<std::string, std::uint64_t> starts{{"a", 1}, {"b", 1}, {"c", 1}};
+    std::map<std::string, MonotonicTime> restUntil;
+    std::set<std::pair<std::string, std::uint64_t>> left;
+    std::map<std::string, std::uint64_t> listed;
+    for (unsigned step = 0; step < kSteps; ++step) {
+      const std::string id(1, static_cast<char>('a' + draw(3)));
+      now += Milliseconds(draw(400));
+      switch (draw(8)) {
+        case 0:
+          pool.remove(BackendId(id));
+          listed.erase(id);
+          break;
+        case 1:
+          ++starts[id];
+          break;
+        case 2: {
+          // The list may lag behind by a start.
+          const std::uint64_t started = starts[id] - (starts[id] > 1 ? draw(2) : 0);
+          pool.apply(makeServer(id, started, 1 + draw(3)), now);
+          listed[id] = std::max(listed[id], started);
+          break;
+        }
+        case 3:
+          pool.noteLeaving(keyOf(makeServer(id, starts[id])), now);
+          left.insert({id, starts[id]});
+          break;
+        case 4: {
+          const MonotonicTime until = now + Milliseconds(1 + draw(3000));
+          pool.noteRest(BackendId(id), until, now);
+          restUntil[id] = std::max(restUntil[id], until);
+          break;
+        }
+        case 5:
+          pool.noteAnswered(BackendId(id), now - Milliseconds(draw(3000)), now);
+          break;
+        case 6:
+          pool.markUnreachable(BackendId(id), now);
+          pool.probeSucceeded(BackendId(id), now);
+          break;
+        default:
+          pool.forgetNotices(Milliseconds(draw(2) * 1000), now);
+          break;
+      }
+      for (const auto& [name, started] : listed) {
+        if (!isCandidate(pool, name, now)) {
+          continue;
+        }
+        BOOST_REQUIRE_MESSAGE(!left.contains({name, started}), "leaves, seed " << seed);
+        BOOST_REQUIRE_MESSAGE(now >= restUntil[name], "rests, seed " << seed);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -45,6 +45,10 @@
  public:
   static constexpr std::string_view kSeal = "X-Seal";
   static constexpr std::string_view kFetchFrom = "X-Fetch-From";
+  /// The server leaves.
+  static constexpr std::string_view kLeaving = "X-Leaving";
+  /// It asks for so many milliseconds of rest.
+  static constexpr std::string_view kRest = "X-Rest-Ms";
 
   http::Request encode(const Request& request, const Dispatch& dispatch) const override {
     http::Request message = request.message;
@@ -63,7 +67,14 @@
   std::optional<WeightsVersion> weightsOf(const http::Response& /*head*/) const override {
     return std::nullopt;
   }
-  ServerNotices noticesOf(const http::Response& /*head*/) const override { return {}; }
+  ServerNotices noticesOf(const http::Response& head) const override {
+    ServerNotices notices;
+    notices.leaving = head.headers.find(kLeaving).has_value();
+    if (const auto rest = head.headers.find(kRest)) {
+      notices.rest = Milliseconds(std::stoi(*rest));
+    }
+    return notices;
+  }
   bool speaksFor(const fleet::Server& /*server*/, const http::Response& /*head*/) const override {
     return true;
   }
@@ -237,6 +248,7 @@
     BOOST_TEST(done);
     return writer.status;
   }
+  ServerCalls& calls() { return serverCalls_; }
   std::size_t sentTo(Track track) const {
     const auto found = sent.find(track);
     return found == sent.end() ? 0 : found->second;
@@ -345,7 +357,7 @@
   quota::QuotaNode quota_;
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
   server_limits::ServerLimitNode serverLimits_{aloneContext(), serverLimitMetrics_};
-  ServerCalls serverCalls_{{client_, serverProtocol_, pool, serverLimits_, metrics_}};
+  ServerCalls serverCalls_{{client_, serverProtocol_, pool, serverLimits_, metrics_}, 1};
   PlainCallers callers_;
   PlainServers serverProtocol_;
 };
--- /dev/null
+++ b/tests/forward/server_calls_test.cc
@@ -0,0 +1,147 @@
+// Guards against calls that begin at a server after this node was told that it leaves or wants
+// rest, though it was chosen before, and against notices that are lost with the rest of an answer.
+
+#include "forward/server_calls.h"
+
+#include "forwarding_fixture.h"
+
+namespace calicodrift::forward {
+namespace {
+
+using boost::asio::awaitable;
+
+struct CallsFixture : ForwardingFixture {
+  CallsFixture() {
+    addServer("a", kOld);
+    server = *pool.find(BackendId("a"));
+  }
+
+  /// Starts a call; `outcome` has its answer once the context has run.
+  void begin(CallPurpose purpose) {
+    outcome.reset();
+    boost::asio::co_spawn(
+        context,
+        [this, purpose]() -> awaitable<void> {
+          const http::ExchangeOptions options;
+          http::Request request;
+          outcome = co_await calls().exchange(server, std::move(request), options, purpose);
+        },
+        boost::asio::detached);
+  }
+  void finish() {
+    context.restart();
+    while (!outcome && context.run_one_for(std::chrono::seconds(5)) > 0) {
+    }
+    BOOST_REQUIRE(outcome.has_value());
+  }
+  void call(CallPurpose purpose) {
+    begin(purpose);
+    finish();
+  }
+  bool isOffered() { return !pool.candidates("app", ModelId(), monotonicNow()).empty(); }
+  bool wasWithdrawn() const {
+    return !*outcome && outcome->error().kind == ErrorKind::kServerWithdrawn;
+  }
+  std::size_t arrived() const { return servers.front()->requests.size(); }
+  void answersWith(unsigned status, std::string_view header, const std::string& value) {
+    servers.front()->behaviour = [status, header,
+                                  value](http::ResponseWriter& writer) -> awaitable<void> {
+      http::Response answer = VersionServer::sealed(status);
+      answer.headers.set(header, value);
+      co_await http::respond(writer, std::move(answer));
+    };
+  }
+
+  fleet::Server server;
+  std::optional<Result<http::Response>> outcome;
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_calls, CallsFixture)
+
+BOOST_AUTO_TEST_CASE(callThatWaitsForItsConnectionIsNotSentToAServerThatLeaves) {
+  begin(CallPurpose::kRequest);
+  // It has begun to connect, and the news come before the connection.
+  context.restart();
+  context.poll_one();
+  pool.noteLeaving(fleet::keyOf(server), monotonicNow());
+  finish();
+  BOOST_TEST(wasWithdrawn());
+  BOOST_TEST(arrived() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(callThatWaitsForItsConnectionIsNotSentWithinARest) {
+  begin(CallPurpose::kQuestion);
+  context.restart();
+  context.poll_one();
+  pool.noteRest(server.id, monotonicNow() + std::chrono::seconds(1), monotonicNow());
+  finish();
+  BOOST_TEST(wasWithdrawn());
+  BOOST_TEST(arrived() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(callThatWaitsForItsConnectionIsNotSentToAServerThatLeftTheList) {
+  begin(CallPurpose::kOrder);
+  context.restart();
+  context.poll_one();
+  pool.remove(server.id);
+  finish();
+  BOOST_TEST(wasWithdrawn());
+  BOOST_TEST(arrived() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answersOfAnyStatusAndPurposeTellThatTheServerLeaves) {
+  for (const unsigned status : {200U, 404U, 500U, 503U}) {
+    for (const CallPurpose purpose :
+         {CallPurpose::kRequest, CallPurpose::kOrder, CallPurpose::kQuestion}) {
+      CallsFixture fresh;
+      fresh.answersWith(status, PlainServers::kLeaving, "1");
+      fresh.call(purpose);
+      BOOST_TEST(!fresh.isOffered());
+      fresh.call(CallPurpose::kRequest);
+      BOOST_TEST(fresh.wasWithdrawn());
+      fresh.call(CallPurpose::kOrder);
+      BOOST_TEST(fresh.wasWithdrawn());
+      BOOST_TEST(fresh.arrived() == 1U);
+      // It may still be asked.
+      fresh.call(CallPurpose::kQuestion);
+      BOOST_TEST(fresh.arrived() == 2U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(headOfAnAnswerThatIsCutTellsThatTheServerLeaves) {
+  servers.front()->behaviour = [](http::ResponseWriter& writer) -> awaitable<void> {
+    http::Response head = VersionServer::sealed(200);
+    head.headers.set(PlainServers::kLeaving, "1");
+    static_cast<void>(co_await writer.startStream(std::move(head)));
+    writer.abort();
+  };
+  call(CallPurpose::kRequest);
+  BOOST_TEST(!outcome->has_value());
+  BOOST_TEST(!isOffered());
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsSentWithinARest) {
+  answersWith(503, PlainServers::kRest, "60000");
+  call(CallPurpose::kRequest);
+  BOOST_TEST(!isOffered());
+  for (const CallPurpose purpose : {CallPurpose::kRequest, CallPurpose::kRequestWithUnit,
+                                    CallPurpose::kOrder, CallPurpose::kQuestion}) {
+    call(purpose);
+    BOOST_TEST(wasWithdrawn());
+  }
+  BOOST_TEST(arrived() == 1U);
+}
+
+/// Refused by the server for its rest, and by this node until its end.
+BOOST_AUTO_TEST_CASE(callerIsToldWhenTheFirstRestEnds) {
+  answersWith(503, PlainServers::kRest, "60000");
+  BOOST_TEST(ForwardingFixture::call("/safe/x") == 503U);
+  BOOST_TEST(ForwardingFixture::call("/safe/x") == 503U);
+  BOOST_TEST(arrived() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::forward
--- a/tests/platform/fleet_callers.h
+++ b/tests/platform/fleet_callers.h
@@ -1,24 +1,37 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "gateway_fleet.h"
 
 namespace calicodrift::testing {
 
+/// When requests came to the server from `begin` on.
+inline std::vector<MonotonicTime> timesSince(const ServerStandIn& server, MonotonicTime begin) {
+  const std::vector<MonotonicTime>& times = server.arrivalTimes();
+  return {std::lower_bound(times.begin(), times.end(), begin), times.end()};
+}
+
+inline std::size_t arrivalsSince(const ServerStandIn& server, MonotonicTime begin) {
+  return timesSince(server, begin).size();
+}
+
 /// Requests of callers at all nodes of a fleet in turn, streams or calls of the plain service. Each
 /// has an id that names its node, so that a server's arrivals tell who sent them.
 class FleetCallers {
  public:
   FleetCallers(GatewayFleet& fleet, std::string path) : fleet_(fleet), path_(std::move(path)) {}
 
-  /// Sends for so long, one each `gap`, and waits for all answers.
-  boost::asio::awaitable<void> sendFor(Milliseconds duration, Milliseconds gap = Milliseconds(10)) {
+  /// Sends some 90 a second for so long, and waits for all answers.
+  boost::asio::awaitable<void> sendFor(Milliseconds duration) {
+    constexpr Milliseconds kGap{10};
     const MonotonicTime end = monotonicNow() + duration;
     while (monotonicNow() < end) {
       boost::asio::co_spawn(fleet_.context, sendOne(), boost::asio::detached);
-      co_await fleet_.pause(gap);
+      co_await fleet_.pause(kGap);
     }
     co_await fleet_.waitUntil([this] { return outstanding_ == 0; });
   }
--- a/tests/platform/leaving_servers_test.cc
+++ b/tests/platform/leaving_servers_test.cc
@@ -13,12 +13,6 @@
 /// All nodes know, and what was on the way has arrived, so long after the first answer that told.
 constexpr Milliseconds kUntilKnown{500};
 
-std::size_t arrivalsSince(const ServerStandIn& server, MonotonicTime begin) {
-  const std::vector<MonotonicTime>& times = server.arrivalTimes();
-  return static_cast<std::size_t>(times.end() -
-                                  std::lower_bound(times.begin(), times.end(), begin));
-}
-
 /// The first server says that it leaves; gives how many requests reached it after all knew.
 awaitable<std::size_t> arrivalsAfterNotice(FleetCallers& callers, ServerStandIn& server,
                                            Milliseconds duration) {
--- a/tests/platform/limited_servers_test.cc
+++ b/tests/platform/limited_servers_test.cc
@@ -10,84 +10,29 @@
 // What proved it: with the limit read and logged (server_limit_named), the nodes that passed such
 // an answer on send to that server again within the second, at the same rate as before.
 
-#include <map>
-
-#include "gateway_fleet.h"
+#include "fleet_callers.h"
 #include "support/arrival_windows.h"
 
 namespace calicodrift::testing {
 namespace {
 
-namespace asio = boost::asio;
-using asio::awaitable;
+using boost::asio::awaitable;
 
 constexpr std::size_t kNodes = 7;
 constexpr std::size_t kServers = 15;
 /// All nodes know of a limit, and spare the server, so long after it named it first.
 constexpr Milliseconds kUntilSpared{1000};
 constexpr Milliseconds kUntilUsedAgain{2000};
-/// Between two requests of callers: some 90 a second, 6 for each server, so that any of the limits
-/// here could be used twice.
-constexpr Milliseconds kGap{10};
-
-/// When requests came from `begin` on.
-std::vector<MonotonicTime> timesSince(const ServerStandIn& server, MonotonicTime begin) {
-  const std::vector<MonotonicTime>& times = server.arrivalTimes();
-  return {std::lower_bound(times.begin(), times.end(), begin), times.end()};
-}
 
 std::size_t worstWindow(const ServerStandIn& server, MonotonicTime begin) {
   return mostInAnyWindow(timesSince(server, begin));
 }
 
-std::size_t arrivalsSince(const ServerStandIn& server, MonotonicTime begin) {
-  return timesSince(server, begin).size();
-}
-
-/// Streams of callers at all nodes in turn, for as long as it is told to; counts answers by status.
-class Callers {
- public:
-  explicit Callers(GatewayFleet& fleet) : fleet_(fleet) {}
-
-  awaitable<void> sendFor(Milliseconds duration) {
-    const MonotonicTime end = monotonicNow() + duration;
-    while (monotonicNow() < end) {
-      asio::co_spawn(fleet_.context, sendOne(), asio::detached);
-      co_await fleet_.pause(kGap);
-    }
-    co_await fleet_.waitUntil([this] { return outstanding_ == 0; });
-  }
-  std::size_t sent() const { return sent_; }
-  std::size_t answered(unsigned status) const {
-    const auto found = statuses_.find(status);
-    return found == statuses_.end() ? 0 : found->second;
-  }
-
- private:
-  awaitable<void> sendOne() {
-    ++outstanding_;
-    const std::size_t number = sent_++;
-    http::Request message =
-        GatewayFleet::modelRequest("/stream/a", "prompt " + std::to_string(number));
-    // Prompts of their own, so that no server is their home.
-    const std::string part = std::to_string(number);
-    message.headers.set(platform::kPromptPrefix, "a" + part + ":600,b" + part + ":300");
-    const unsigned status = co_await fleet_.call(number % fleet_.size(), std::move(message));
-    ++statuses_[status];
-    --outstanding_;
-  }
-
-  GatewayFleet& fleet_;
-  std::size_t sent_ = 0;
-  std::size_t outstanding_ = 0;
-  std::map<unsigned, std::size_t> statuses_;
-};
-
 /// The first servers of the fleet name the limit; all of its nodes together spare and use them.
 void checkLimitHolds(const std::string& limit, std::size_t limited, Milliseconds duration) {
   GatewayFleet fleet(kNodes, kServers);
   fleet.run([&]() -> awaitable<void> {
-    Callers callers(fleet);
+    FleetCallers callers(fleet, "/stream/a");
     co_await callers.sendFor(Milliseconds(1500));
     const MonotonicTime named = monotonicNow();
     for (std::size_t number = 0; number < limited; ++number) {
@@ -129,7 +74,7 @@
 BOOST_AUTO_TEST_CASE(serverThatNamesNoLimitAnyMoreIsUsedAgain) {
   GatewayFleet fleet(kNodes, kServers);
   fleet.run([&]() -> awaitable<void> {
-    Callers callers(fleet);
+    FleetCallers callers(fleet, "/stream/a");
     ServerStandIn& server = *fleet.servers[0];
     server.namedLimits = {"0.5"};
     co_await callers.sendFor(Milliseconds(6000));
@@ -148,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(serviceWhoseServersAreAllLimitedTakesWhatTheyTake) {
   GatewayFleet fleet(kNodes, 3);
   fleet.run([&]() -> awaitable<void> {
-    Callers callers(fleet);
+    FleetCallers callers(fleet, "/stream/a");
     for (std::size_t number = 0; number < 3; ++number) {
       fleet.servers[number]->namedLimits = {"2"};
     }
@@ -171,7 +116,7 @@
 BOOST_AUTO_TEST_CASE(limitThatCantBeReadChangesNothing) {
   GatewayFleet fleet(3, 3);
   fleet.run([&]() -> awaitable<void> {
-    Callers callers(fleet);
+    FleetCallers callers(fleet, "/stream/a");
     const std::vector<std::vector<std::string>> unreadable = {
         {"nan"}, {""}, {"-1"}, {"inf"}, {"1", "2"}, {"one"}, {"1 a second"}};
     for (const std::vector<std::string>& limits : unreadable) {
@@ -193,7 +138,7 @@
 BOOST_AUTO_TEST_CASE(nodeThatStartsKnowsTheLimit) {
   GatewayFleet fleet(3, 3);
   fleet.run([&]() -> awaitable<void> {
-    Callers callers(fleet);
+    FleetCallers callers(fleet, "/stream/a");
     fleet.servers[0]->namedLimits = {"1"};
     co_await callers.sendFor(Milliseconds(2000));
     const MonotonicTime begin = monotonicNow();
--- a/tests/platform/resting_servers_test.cc
+++ b/tests/platform/resting_servers_test.cc
@@ -41,12 +41,6 @@
   return most;
 }
 
-std::size_t arrivalsSince(const ServerStandIn& server, MonotonicTime begin) {
-  const std::vector<MonotonicTime>& times = server.arrivalTimes();
-  return static_cast<std::size_t>(times.end() -
-                                  std::lower_bound(times.begin(), times.end(), begin));
-}
-
 BOOST_AUTO_TEST_SUITE(platform_resting_servers)
 
 BOOST_AUTO_TEST_CASE(serverThatAskedForRestGetsNothingUntilItsEnd) {
