--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -437,6 +437,8 @@
           co_await restartsBesideNamings();
         } else if (plot_ == SoakPlot::kLimits) {
           co_await stormWithLimits();
+        } else if (plot_ == SoakPlot::kNotices) {
+          co_await stormWithNotices();
         } else {
           co_await stormAndCalm();
         }
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -53,6 +53,7 @@
   std::string weights;
   /// Orders of versions, where they were part of the run.
   std::size_t judgedOrders = 0;
+  std::size_t judgedNotices = 0;
   std::string rollouts;
 };
 
@@ -66,6 +67,8 @@
   kRestarts,
   /// As kWeights, with servers that name limits.
   kLimits,
+  /// As kWeights, with servers that say that they leave, or ask for rest.
+  kNotices,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -206,6 +209,13 @@
   Body stormWithLimits();
   Body limitServers(std::string service, MonotonicTime end, Draws draws);
   void noteSpared(Server& server, const std::string& request);
+  Body stormWithNotices();
+  Body noticesInSeries(std::string service, MonotonicTime end, Draws draws);
+  Body leaveAndReturn(Server& server, Draws draws);
+  Body restAWhile(Server& server, Draws draws);
+  const Node* judgedSender(const std::string& request, MonotonicTime since) const;
+  void judgeLeaving(const Server& server, MonotonicTime begin);
+  void judgeRests(const Server& server, MonotonicTime begin, Milliseconds rest);
   Body faults(MonotonicTime end, MonotonicTime withdrawal);
   Body calmStore(MonotonicTime end);
   Body injectOne();
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -26,7 +26,7 @@
   }
 }
 
-void soak(std::uint64_t seed, Milliseconds length, SoakPlot plot = SoakPlot::kWeights) {
+SoakFindings soak(std::uint64_t seed, Milliseconds length, SoakPlot plot = SoakPlot::kWeights) {
   GatewaySoak soak(seed, length, 5, plot);
   const SoakFindings findings = soak.run();
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
@@ -40,6 +40,7 @@
   BOOST_TEST(findings.faults.size() >= 5U, "too few faults were injected to judge");
   BOOST_TEST(findings.judgedBeginnings > 0U, "no beginning could break the bound on weights");
   BOOST_TEST(findings.judgedNamings > 0U, "no naming was old enough to judge beginnings by");
+  return findings;
 }
 
 BOOST_AUTO_TEST_SUITE(gateway_soak)
@@ -69,6 +70,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_notices)
+
+/// Servers that say that they leave, or ask for rest, beside kills, stops, cuts and a store that
+/// misbehaves. Fresh seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(noticesOfServersHoldUnderFaults) {
+  constexpr std::uint64_t kLength = 20;
+  const SoakFindings findings =
+      soak(parameter("SOAK_SEED", 1), std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+           SoakPlot::kNotices);
+  BOOST_TEST(findings.judgedNotices > 0U, "no request could break what a server had said");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_restarts)
 
 /// Weights named in a row beside restarts of nodes. Fresh seeds and longer runs by SOAK_SEED and
