--- /dev/null
+++ b/tests/gateway_soak/crashing_requests.cc
@@ -0,0 +1,81 @@
+// A request that ends each server that begins it, sent again and again at all nodes beside all
+// other faults. Servers start again after it.
+
+#include "gateway_soak.h"
+
+namespace calicodrift::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+constexpr std::string_view kCrashingBody = "ends its server";
+/// What the service allows once the request has ended three servers, from so long after the third.
+constexpr std::size_t kEndsBeforeBar = 3;
+constexpr Milliseconds kUntilBarred{3000};
+constexpr std::size_t kAllowedAfterBar = 3;
+
+}  // namespace
+
+bool GatewaySoak::crashes(const http::Request& request) {
+  return request.body == kCrashingBody;
+}
+
+void GatewaySoak::crashUnder(Server& server, const std::string& request, MonotonicTime arrival) {
+  crashingArrivals_.push_back({arrival, sentCalmly(request)});
+  if (server.down || server.stopped) {
+    return;
+  }
+  ++findings_.faults["request ended its server"];
+  serverEnds_.push_back(monotonicNow());
+  asio::co_spawn(context_, restartServer(server, schedule_.split()), asio::detached);
+}
+
+awaitable<void> GatewaySoak::sendCrashing() {
+  ++outstanding_;
+  const std::string id = "c" + std::to_string(++nextRequest_);
+  http::Request request = GatewayFixture::modelRequest("/stream/a");
+  request.body = kCrashingBody;
+  request.headers.set(platform::kRequestId, id);
+  request.headers.set(platform::kKey, key_);
+  const Node& node = *nodes_[schedule_.pick(nodes_.size())];
+  sendings_[id] = {&node, monotonicNow()};
+  const Endpoint target = node.listen;
+  http::ExchangeOptions options;
+  options.connectTimeout = Milliseconds(500);
+  options.headerTimeout = Milliseconds(3000);
+  options.bodyTimeout = options.headerTimeout;
+  // Whatever the answer is: servers tell what became of it.
+  static_cast<void>(co_await client_.exchange(target, std::move(request), options));
+  --outstanding_;
+}
+
+awaitable<void> GatewaySoak::crashingRequests(MonotonicTime end) {
+  while (monotonicNow() < end) {
+    co_await pause(schedule_.between(100, 500));
+    asio::co_spawn(context_, sendCrashing(), asio::detached);
+  }
+}
+
+void GatewaySoak::checkBar() {
+  if (serverEnds_.size() < kEndsBeforeBar) {
+    return;
+  }
+  const MonotonicTime barred = serverEnds_[kEndsBeforeBar - 1] + kUntilBarred;
+  const auto later = static_cast<std::size_t>(
+      std::count_if(crashingArrivals_.begin(), crashingArrivals_.end(),
+                    [barred](const Arrival& one) { return one.sentCalmly && one.at > barred; }));
+  findings_.judgedCrashes = serverEnds_.size();
+  if (later > kAllowedAfterBar) {
+    violate("a request that had ended three servers was sent to servers " + std::to_string(later) +
+            " times more; " + std::to_string(serverEnds_.size()) + " ended in all");
+  }
+}
+
+awaitable<void> GatewaySoak::stormWithCrashes() {
+  asio::co_spawn(context_, crashingRequests(monotonicNow() + length_), asio::detached);
+  co_await stormAndCalm();
+  checkBar();
+}
+
+}  // namespace calicodrift::testing
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -133,6 +133,10 @@
   const unsigned start = server.server->starts();
   const auto lives = [&server, start] { return server.server->starts() == start; };
   const RunNote running(server.running, id);
+  if (crashes(request)) {
+    crashUnder(server, id, arrival);
+    co_return;
+  }
   if (server.hasModel) {
     if (!co_await waitsToBegin(server, request, writer)) {
       co_return;
@@ -439,6 +443,8 @@
           co_await stormWithLimits();
         } else if (plot_ == SoakPlot::kNotices) {
           co_await stormWithNotices();
+        } else if (plot_ == SoakPlot::kCrashes) {
+          co_await stormWithCrashes();
         } else {
           co_await stormAndCalm();
         }
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -54,6 +54,8 @@
   /// Orders of versions, where they were part of the run.
   std::size_t judgedOrders = 0;
   std::size_t judgedNotices = 0;
+  /// Servers that ended under the request that ends its servers.
+  std::size_t judgedCrashes = 0;
   std::string rollouts;
 };
 
@@ -69,6 +71,8 @@
   kLimits,
   /// As kWeights, with servers that say that they leave, or ask for rest.
   kNotices,
+  /// As kWeights, with a request that ends its servers.
+  kCrashes,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -131,6 +135,10 @@
     const Node* node = nullptr;
     MonotonicTime at;
   };
+  struct Arrival {
+    MonotonicTime at;
+    bool sentCalmly = false;
+  };
   /// How the runs of a version's servers go wrong, if they do.
   struct Behaviour {
     double badShare = 0;
@@ -209,6 +217,13 @@
   Body stormWithLimits();
   Body limitServers(std::string service, MonotonicTime end, Draws draws);
   void noteSpared(Server& server, const std::string& request);
+  static bool crashes(const http::Request& request);
+  /// The request has come to a server, which ends under it.
+  void crashUnder(Server& server, const std::string& request, MonotonicTime arrival);
+  Body sendCrashing();
+  Body crashingRequests(MonotonicTime end);
+  void checkBar();
+  Body stormWithCrashes();
   Body stormWithNotices();
   Body noticesInSeries(std::string service, MonotonicTime end, Draws draws);
   Body leaveAndReturn(Server& server, Draws draws);
@@ -303,6 +318,8 @@
   std::set<std::string> once_;
   std::set<std::string> promisedNotRun_;
   std::set<std::string> withdrawnSent_;
+  std::vector<Arrival> crashingArrivals_;
+  std::vector<MonotonicTime> serverEnds_;
   /// Tokens of the tenant that servers ran, by the time at which their requests came.
   std::multimap<MonotonicTime, double> tokensRun_;
   /// No node hears from the store.
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -28,7 +28,7 @@
 
 SoakFindings soak(std::uint64_t seed, Milliseconds length, SoakPlot plot = SoakPlot::kWeights) {
   GatewaySoak soak(seed, length, 5, plot);
-  const SoakFindings findings = soak.run();
+  SoakFindings findings = soak.run();
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served");
   BOOST_TEST_MESSAGE("  " << findings.weights);
@@ -84,6 +84,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_crashes)
+
+/// A request that ends its servers beside kills, stops, cuts and a store that misbehaves. Fresh
+/// seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(requestThatEndsItsServersIsBarredUnderFaults) {
+  constexpr std::uint64_t kLength = 20;
+  const SoakFindings findings =
+      soak(parameter("SOAK_SEED", 1), std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+           SoakPlot::kCrashes);
+  BOOST_TEST(findings.judgedCrashes >= 3U, "too few servers ended to judge");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_restarts)
 
 /// Weights named in a row beside restarts of nodes. Fresh seeds and longer runs by SOAK_SEED and
--- a/tests/server_limits/notice_exchange_test.cc
+++ b/tests/server_limits/notice_exchange_test.cc
@@ -34,7 +34,8 @@
 
   awaitable<void> answer(http::Request& request, http::ResponseWriter& writer) {
     co_await peer::answerPeer<LimitReport, LimitReport>(
-        request, writer, [this](LimitReport report) { return exchange->takeReport(report); });
+        request, writer,
+        [this](LimitReport report) { return exchange->takeReport(std::move(report)); });
   }
   void start(asio::io_context& context) {
     relay::TreePlace tree{endpoint,
