Soak: two notices of servers come when all faults have ended, so that some can always be judged

The check that something was judged stays as it is; a rest and a leaving server now follow once the faults have ended.

--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -448,8 +448,7 @@
         } else {
           co_await stormAndCalm();
         }
-        // Faults that are under way end by themselves within a planned stop's time.
-        co_await pause(Milliseconds(9500));
+        co_await pause(kLongestFault);
         co_await recover();
         ended_ = true;
         while (outstanding_ > 0) {
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -34,6 +34,8 @@
 constexpr Milliseconds kLongWeightsBound{8000};
 /// After a fault on the path to the store, or at a node, until it counts as in touch.
 constexpr Milliseconds kSettle{3000};
+/// Faults that are under way end by themselves within a planned stop's time.
+constexpr Milliseconds kLongestFault{9500};
 
 /// The users' bound for a withdrawn key, with what a request may take on its way.
 constexpr Milliseconds kKeyRevocation{5500};
--- a/tests/gateway_soak/notices.cc
+++ b/tests/gateway_soak/notices.cc
@@ -122,6 +122,13 @@
     asio::co_spawn(context_, noticesInSeries(service, end, schedule_.split()), asio::detached);
   }
   co_await stormAndCalm();
+  // Under faults few notices can be judged: these two come when all faults have ended.
+  co_await pause(kLongestFault);
+  co_await recover();
+  co_await pause(kSettle);
+  Server& server = *serversOf("app", "v1").front();
+  co_await restAWhile(server, schedule_.split());
+  co_await leaveAndReturn(server, schedule_.split());
 }
 
 }  // namespace calicodrift::testing
