Soak: the bound on a withdrawn key counts from the store's acknowledgement

The check counted its 5.5 s from before the paths of five nodes to the store were cut one after the other, over calls that a loaded machine delays; the key leaves the store only after that, and nodes whose path is cut late rightly hold proof for longer.

The bound and the check are as they were otherwise.

--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -293,9 +293,9 @@
   while (monotonicNow() < end) {
     co_await pause(between(150, 500));
     asio::co_spawn(context_, injectOne(), asio::detached);
-    if (!withdrawnAt_ && monotonicNow() > withdrawal) {
+    if (!withdrawing_ && monotonicNow() > withdrawal) {
+      withdrawing_ = true;
       asio::co_spawn(context_, withdrawKeyUnheard(), asio::detached);
-      withdrawnAt_ = monotonicNow();
     }
   }
 }
@@ -386,6 +386,8 @@
   ++configVersion_;
   key_ = "k2";
   store_.put("config", "main", configuration());
+  // The bound counts from the store's acknowledgement; cutting the paths off may take long.
+  withdrawnAt_ = monotonicNow();
   co_await pause(kKeyRevocation + Milliseconds(2000));
   unheard_ = false;
   const json::object none;
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -324,6 +324,8 @@
   std::vector<MonotonicTime> serverEnds_;
   /// Tokens of the tenant that servers ran, by the time at which their requests came.
   std::multimap<MonotonicTime, double> tokensRun_;
+  /// The key's withdrawal has begun; see withdrawnAt_.
+  bool withdrawing_ = false;
   /// No node hears from the store.
   bool unheard_ = false;
   /// When the key was withdrawn.
