--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -107,7 +107,7 @@
   }
 
   void start() {
-    ports_ = std::make_unique<platform::OperatorStore>(client_, store.endpoint());
+    ports_ = std::make_unique<platform::OperatorStore>(client_, settings.store);
     node = std::make_unique<gateway::GatewayNode>(
         context, client_, gateway::GatewayPorts{*ports_, schema_, callers_, servers_}, settings);
     BOOST_REQUIRE(node->start());
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -29,11 +29,39 @@
       changed_(context, MonotonicTime::max()),
       server_(context.get_executor(), http::ServerLimits{},
               [this](http::Request& request, http::ResponseWriter& writer) {
-                return handle(request, writer);
+                return handle(request, writer, nullptr);
               }) {
   endpoint_ = server_.listen({"127.0.0.1", 0}).value();
 }
 
+Endpoint StoreStandIn::listenBehindLink(std::size_t bytesPerSecond) {
+  links_.push_back(std::make_unique<SlowLink>(context_, bytesPerSecond));
+  SlowLink* link = links_.back().get();
+  linkServers_.push_back(std::make_unique<http::Server>(
+      context_.get_executor(), http::ServerLimits{},
+      [this, link](http::Request& request, http::ResponseWriter& writer) {
+        return handle(request, writer, link);
+      }));
+  return linkServers_.back()->listen({"127.0.0.1", 0}).value();
+}
+
+void StoreStandIn::copy() {
+  copy_ = Copy{kinds_, revision_};
+}
+
+void StoreStandIn::restoreCopy() {
+  kinds_ = copy_.value().kinds;
+  revision_ = copy_->revision;
+  std::erase_if(history_, [this](const Event& event) { return event.revision > revision_; });
+  ++era_;
+  changed_.cancel();
+}
+
+std::size_t StoreStandIn::callsOf(const std::string& call) const {
+  const auto found = callsBy_.find(call);
+  return found == callsBy_.end() ? 0 : found->second;
+}
+
 void StoreStandIn::put(const std::string& kind, const std::string& name, json::value spec) {
   record(kind, name, false, Entry(std::move(spec), statusOf(kind, name)));
 }
@@ -104,7 +132,18 @@
          json::serialize(entry.status) + "}";
 }
 
-awaitable<void> StoreStandIn::handle(http::Request& request, http::ResponseWriter& writer) {
+awaitable<void> StoreStandIn::respond(http::ResponseWriter& writer, http::Response answer,
+                                      SlowLink* link) {
+  answer.headers.set("Store-Era", std::to_string(era_));
+  if (link == nullptr) {
+    co_await http::respond(writer, std::move(answer));
+    co_return;
+  }
+  co_await link->send(writer, std::move(answer));
+}
+
+awaitable<void> StoreStandIn::handle(http::Request& request, http::ResponseWriter& writer,
+                                     SlowLink* link) {
   ++calls_;
   if (mode_ == Mode::kSilent) {
     asio::steady_timer never(context_, std::chrono::hours(1));
@@ -114,19 +153,20 @@
     co_return;
   }
   if (mode_ == Mode::kBusy) {
-    co_await http::respond(writer, http::textResponse(503, ""));
+    co_await respond(writer, http::textResponse(503, ""), link);
     co_return;
   }
   const std::string path = std::string(request.path()).substr(kPath.size());
   const std::size_t slash = path.find('/');
   const std::string kind = path.substr(0, slash);
+  ++callsBy_[request.method + " " + kind];
   if (request.method != "GET") {
     http::Response answer = write(request.method, kind, request);
     if (mode_ == Mode::kLosesWrites) {
       writer.abort();
       co_return;
     }
-    co_await http::respond(writer, std::move(answer));
+    co_await respond(writer, std::move(answer), link);
     co_return;
   }
   if (slash != std::string::npos) {
@@ -137,23 +177,23 @@
     if (found != objects.end()) {
       answer = http::jsonResponse(200, objectText(name, found->second));
     }
-    co_await http::respond(writer, std::move(answer));
+    co_await respond(writer, std::move(answer), link);
     co_return;
   }
   if (request.queryValue("watch").empty()) {
-    co_await http::respond(writer, list(kind));
+    co_await respond(writer, list(kind), link);
     co_return;
   }
   const Milliseconds wait(numberOf(request.queryValue("wait_ms")));
   http::Response answer = co_await watch(kind, numberOf(request.queryValue("watch")), wait);
-  co_await http::respond(writer, std::move(answer));
+  co_await respond(writer, std::move(answer), link);
 }
 
 awaitable<http::Response> StoreStandIn::watch(std::string kind, std::uint64_t since,
                                               Milliseconds wait) {
   const MonotonicTime end = monotonicNow() + wait;
   for (;;) {
-    if (since < compactedBelow_) {
+    if (since < compactedBelow_ || since > revision_) {
       co_return http::textResponse(410, "");
     }
     std::vector<std::string> events;
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -4,16 +4,19 @@
 #include <boost/json.hpp>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "http/server.h"
+#include "support/slow_link.h"
 
 namespace calicodrift::testing {
 
 /// Stand-in of the platform's metadata store: objects by kind and name with one revision counter,
-/// conditional writes, watches, and the ways in which the store fails.
+/// conditional writes, watches, and the ways in which the store fails. It also comes back from a
+/// copy, and sends answers at the rate of a slow link.
 class StoreStandIn {
  public:
   enum class Mode {
@@ -29,6 +32,8 @@
   explicit StoreStandIn(boost::asio::io_context& context);
 
   const Endpoint& endpoint() const { return endpoint_; }
+  /// Another address of the same store, whose answers share a link of this rate.
+  Endpoint listenBehindLink(std::size_t bytesPerSecond);
   /// Writes as the operator does.
   void put(const std::string& kind, const std::string& name, boost::json::value spec);
   void remove(const std::string& kind, const std::string& name);
@@ -43,6 +48,15 @@
   boost::json::value specOf(const std::string& kind, const std::string& name) const;
   boost::json::value statusOf(const std::string& kind, const std::string& name) const;
   std::size_t calls() const { return calls_; }
+  /// Keeps a copy of the state as it is now.
+  void copy();
+  /// Comes back from the last copy: what was written since is gone, revisions continue from those of
+  /// the copy, and the era rises.
+  void restoreCopy();
+  std::uint64_t era() const { return era_; }
+  std::uint64_t revision() const { return revision_; }
+  /// Calls by "METHOD kind".
+  std::size_t callsOf(const std::string& call) const;
 
  private:
   struct Entry {
@@ -65,7 +79,16 @@
   };
   using Kind = std::map<std::string, Entry>;
 
-  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  struct Copy {
+    std::map<std::string, Kind> kinds;
+    std::uint64_t revision = 0;
+  };
+
+  /// @param link null for answers without delay.
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer,
+                                      SlowLink* link);
+  boost::asio::awaitable<void> respond(http::ResponseWriter& writer, http::Response answer,
+                                       SlowLink* link);
   boost::asio::awaitable<http::Response> watch(std::string kind, std::uint64_t since,
                                                Milliseconds wait);
   http::Response list(const std::string& kind) const;
@@ -81,8 +104,13 @@
   std::uint64_t compactedBelow_ = 0;
   Mode mode_ = Mode::kUp;
   std::size_t calls_ = 0;
+  std::map<std::string, std::size_t> callsBy_;
+  std::uint64_t era_ = 1;
+  std::optional<Copy> copy_;
   boost::asio::steady_timer changed_;
   http::Server server_;
+  std::vector<std::unique_ptr<SlowLink>> links_;
+  std::vector<std::unique_ptr<http::Server>> linkServers_;
   Endpoint endpoint_;
 };
 
--- a/tests/relay/fake_store.h
+++ b/tests/relay/fake_store.h
@@ -16,10 +16,13 @@
   explicit FakeStore(boost::asio::io_context& context) : context_(context) {}
 
   void set(const std::string& kind, const std::string& name, const std::string& value) {
+    setSpec(kind, name, boost::json::value(value));
+  }
+  void setSpec(const std::string& kind, const std::string& name, boost::json::value spec) {
     store::Object object;
     object.name = name;
     object.revision = store::Revision(++revision_);
-    object.spec = boost::json::value(value);
+    object.spec = std::move(spec);
     objects_[kind][name] = object;
     history_.push_back({kind, {object, false}});
   }
