forward: no request is decided by a configuration older than its bound while a newer one arrives

Callers' requests were handled by a configuration replaced 3,029 and 3,557 ms before (bound 3,000), and on 5,008 routes by one 3,300 ms old. Cause: the gate asked keyed requests for a proof within 3,800 ms (the bound of revocation) and public ones for none; nothing held the bound of configuration when a request was served. Evidence: all breaks on record lie between 3,000 and 3,900 ms after the acknowledgement.

The gate now asks each request, at its arrival and at each send, for a proof within config-bound-ms, unless nothing of the store arrives: a node that hears nothing can't have a newer configuration, nobody counts on it, and refusing everything there would cost callers all of their service. What tells the two apart is when bytes about the configuration last came from the store.

--- a/src/forward/request_gate.cc
+++ b/src/forward/request_gate.cc
@@ -1,12 +1,33 @@
 #include "forward/request_gate.h"
 
 namespace calicodrift::forward {
+namespace {
+
+/// Longest pause between parts of an answer that still arrives.
+constexpr Milliseconds kArrivalPause{1000};
+
+Error outdated() {
+  return fail(ErrorKind::kNoConfiguration, "a newer configuration is still arriving");
+}
+
+}  // namespace
+
+bool RequestGate::isUsable(const ConfigurationView& view, MonotonicTime now) const {
+  if (view.table == nullptr) {
+    return false;
+  }
+  const bool arriving = now - view.bytesAt < kArrivalPause;
+  return now - view.provenAt <= settings_.configurationBound || !arriving;
+}
 
 Result<Grant> RequestGate::check(const Request& request, const ConfigurationView& view,
                                  MonotonicTime now) const {
   if (!view.table) {
     return fail(ErrorKind::kNoConfiguration, "no configuration has been read yet");
   }
+  if (!isUsable(view, now)) {
+    return outdated();
+  }
   Grant grant;
   grant.table = view.table;
   grant.route = view.table->findRoute(request.host, request.message.path());
@@ -28,6 +49,9 @@
 
 Result<void> RequestGate::mayBeSent(const Request& request, const Grant& grant,
                                     const ConfigurationView& view, MonotonicTime now) const {
+  if (!isUsable(view, now)) {
+    return outdated();
+  }
   if (grant.tenant == nullptr) {
     return boost::outcome_v2::success();
   }
--- a/src/forward/request_gate.h
+++ b/src/forward/request_gate.h
@@ -13,6 +13,8 @@
   std::shared_ptr<const routes::RouteTable> table;
   /// Until this time it is certain that the table was the newest.
   MonotonicTime provenAt{};
+  /// When bytes about the configuration last arrived from the store.
+  MonotonicTime bytesAt{};
 };
 
 struct GateSettings {
@@ -22,13 +24,18 @@
   /// A configuration whose proof is older than this may lack a route or a key, so their absence is
   /// not reported to callers as final.
   Milliseconds absenceProofAge{2000};
+  /// A configuration whose proof is older than this decides no request while the store is sending a
+  /// newer one.
+  Milliseconds configurationBound{4000};
 };
 
 /// Decides from the configuration whether a request is served, and for which tenant.
 ///
-/// Invariant: no request is sent to a server for a key that was revoked more than `keyProofAge`
-/// ago. It holds because the table that grants the request was the newest within that time, both
-/// when the request arrives and at each send.
+/// Invariants: no request is sent to a server for a key that was revoked more than `keyProofAge`
+/// ago, and a node that can reach the store serves no request by a configuration that was replaced
+/// more than `configurationBound` ago. Both hold because the table that grants the request was the
+/// newest within that time, when the request arrives and at each send. A node that hears nothing
+/// from the store can't have a newer configuration and serves until the bound of keys.
 class RequestGate {
  public:
   explicit RequestGate(GateSettings settings) : settings_(settings) {}
@@ -43,9 +50,11 @@
   /// kUnauthenticated.
   Result<void> mayBeSent(const Request& request, const Grant& grant, const ConfigurationView& view,
                          MonotonicTime now) const;
+  /// Whether the configuration decides requests.
+  bool isUsable(const ConfigurationView& view, MonotonicTime now) const;
   /// Whether requests with keys are served.
   bool servesKeys(const ConfigurationView& view, MonotonicTime now) const {
-    return view.table != nullptr && now - view.provenAt <= settings_.keyProofAge;
+    return isUsable(view, now) && now - view.provenAt <= settings_.keyProofAge;
   }
 
  private:
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -119,7 +119,7 @@
       rolloutMetrics_(registry_),
       serviceRollouts_(rolloutsContext(), settings_, leaseSettings(settings_, processName_),
                        rolloutMetrics_, hashBytes(processName_)),
-      gate_({settings_.keyProofAge, settings_.absenceProofAge}),
+      gate_(gateSettings(settings_)),
       forwarder_(
           {context.get_executor(), serverCalls_, pool_, ports_.callers, ports_.servers, metrics_,
            [this] { return views_.configuration(); },
@@ -128,7 +128,7 @@
            },
            [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_, quarantine_,
            serverLimits_, [this] { views_.removeExpiredWeights(); }, serviceRollouts_.hooks()},
-          forwardSettings(settings_), {settings_.keyProofAge, settings_.absenceProofAge},
+          forwardSettings(settings_), gateSettings(settings_),
           hashBytes(settings_.nodeId)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
--- a/src/gateway/module_settings.cc
+++ b/src/gateway/module_settings.cc
@@ -43,6 +43,10 @@
   return forward;
 }
 
+forward::GateSettings gateSettings(const GatewaySettings& settings) {
+  return {settings.keyProofAge, settings.absenceProofAge, settings.configBound};
+}
+
 http::ServerLimits frontLimits(const GatewaySettings& settings,
                                const routes::CallerLimits& limits) {
   http::ServerLimits server;
--- a/src/gateway/module_settings.h
+++ b/src/gateway/module_settings.h
@@ -6,6 +6,7 @@
 #include "exchange/node_exchange.h"
 #include "fleet/distance.h"
 #include "forward/forward_settings.h"
+#include "forward/request_gate.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/store_schema.h"
 #include "http/server.h"
@@ -22,6 +23,7 @@
 lease::LeaseSettings leaseSettings(const GatewaySettings& settings, std::string holder);
 
 forward::ForwardSettings forwardSettings(const GatewaySettings& settings);
+forward::GateSettings gateSettings(const GatewaySettings& settings);
 
 /// Of the server that callers reach.
 http::ServerLimits frontLimits(const GatewaySettings& settings, const routes::CallerLimits& limits);
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -39,6 +39,7 @@
                        fleet::ServerPool& pool, weights::WeightsTargets& targets,
                        UnreadableObjects& unreadable, ViewListeners listeners)
     : executor_(std::move(executor)),
+      store_(store),
       schema_(schema),
       settings_(settings),
       pool_(pool),
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -45,7 +45,9 @@
   void start();
   /// The store is read by another way: pauses after failed calls end.
   void retryNow();
-  forward::ConfigurationView configuration() const { return {table_, configWatcher_.provenAt()}; }
+  forward::ConfigurationView configuration() const {
+    return {table_, configWatcher_.provenAt(), store_.lastBytesAt(schema_.configurationKind())};
+  }
   /// Null until the first configuration was read.
   std::shared_ptr<const routes::RouteTable> table() const { return table_; }
   forward::WeightsView weights(const ModelId& model, WeightsVersion version) const;
@@ -92,6 +94,7 @@
   boost::asio::awaitable<void> keepLeastWeights();
 
   boost::asio::any_io_executor executor_;
+  store::ObjectStore& store_;
   const StoreSchema& schema_;
   const GatewaySettings& settings_;
   fleet::ServerPool& pool_;
