peer: text patches move from config, and find the next member without an index

A change in one place needs no index of the whole base any more: the members right after the last copy are looked at first. The cases of the patches pass unchanged.

--- a/src/config/download.h
+++ b/src/config/download.h
@@ -53,7 +53,7 @@
   /// Number of pieces requested at a time.
   static constexpr std::size_t kWindow = 16;
   static constexpr std::size_t kMaxSources = 8;
-  static constexpr std::size_t kMaxPieces = kMaxTextBytes / kPieceBytes;
+  static constexpr std::size_t kMaxPieces = peer::kMaxTextBytes / kPieceBytes;
   /// Number of unanswered requests after which the last remaining source is dropped; other sources
   /// are dropped after one.
   static constexpr int kLastSourceAttempts = 3;
--- a/src/config/messages.h
+++ b/src/config/messages.h
@@ -8,7 +8,7 @@
 
 #include "common/ids.h"
 #include "config/bundle_holder.h"
-#include "config/text_patch.h"
+#include "peer/text_patch.h"
 #include "peer/transport.h"
 
 /// Messages between nodes on Channel::kConfig.
@@ -110,7 +110,7 @@
 /// neither a wrong base nor a wrong patch can lead to an adoption.
 struct Transfer {
   std::vector<TransferSignature> signatures;
-  TextPatch patch;
+  peer::TextPatch patch;
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/config/relay.cc
+++ b/src/config/relay.cc
@@ -218,7 +218,7 @@
   for (const bundle::Signature& signature : current.signatures) {
     transfer.signatures.push_back({signature.signer, signature.signatureHex});
   }
-  transfer.patch = makePatch(baseText == nullptr ? "" : *baseText, current.text);
+  transfer.patch = peer::makePatch(baseText == nullptr ? "" : *baseText, current.text);
   return transfers_.emplace(base, peer::encode(transfer)).first->second;
 }
 
@@ -243,7 +243,7 @@
   if (download.base().value() != 0 && download.base() == holder_.digest()) {
     base = holder_.currentSigned().text;
   }
-  Result<std::string> text = applyPatch(base, transfer.value().patch);
+  Result<std::string> text = peer::applyPatch(base, transfer.value().patch);
   if (!text) {
     return text.error();
   }
--- a/src/peer/text_patch.cc
+++ b/src/peer/text_patch.cc
@@ -1,9 +1,10 @@
-#include "config/text_patch.h"
+#include "peer/text_patch.h"
 
 #include <algorithm>
+#include <optional>
 #include <unordered_map>
 
-namespace calicodrift::config {
+namespace calicodrift::peer {
 namespace {
 
 /// A step costs 16 bytes besides its literal, so a shorter member is cheaper as a literal.
@@ -18,16 +19,51 @@
   return member;
 }
 
-/// Maps each member of the base to its first offset.
-std::unordered_map<std::string_view, std::uint32_t> indexMembers(std::string_view base) {
-  std::unordered_map<std::string_view, std::uint32_t> offsets;
-  std::string_view rest = base;
-  while (!rest.empty()) {
-    const auto offset = static_cast<std::uint32_t>(base.size() - rest.size());
-    offsets.emplace(nextMember(rest), offset);
+/// Offsets of the base's members: the next ones after the last copy, or any of them.
+class MemberFinder {
+ public:
+  explicit MemberFinder(std::string_view base) : base_(base) {}
+
+  /// Returns the offset of a member that equals `member`, if there is one.
+  /// @param from end of the last copy in the base.
+  std::optional<std::uint32_t> find(std::string_view member, std::size_t from) {
+    if (const auto near = findNear(member, from)) {
+      return near;
+    }
+    if (!indexed_) {
+      index();
+    }
+    const auto found = offsets_.find(member);
+    return found == offsets_.end() ? std::nullopt : std::optional(found->second);
   }
-  return offsets;
-}
+
+ private:
+  /// A changed or removed member is usually followed by the one that followed it before.
+  std::optional<std::uint32_t> findNear(std::string_view member, std::size_t from) const {
+    constexpr std::size_t kMembersAhead = 64;
+    std::string_view rest = base_.substr(std::min(from, base_.size()));
+    for (std::size_t ahead = 0; ahead < kMembersAhead && !rest.empty(); ++ahead) {
+      const auto offset = static_cast<std::uint32_t>(base_.size() - rest.size());
+      if (nextMember(rest) == member) {
+        return offset;
+      }
+    }
+    return std::nullopt;
+  }
+  void index() {
+    indexed_ = true;
+    std::string_view rest = base_;
+    while (!rest.empty()) {
+      const auto offset = static_cast<std::uint32_t>(base_.size() - rest.size());
+      offsets_.emplace(nextMember(rest), offset);
+    }
+  }
+
+  std::string_view base_;
+  bool indexed_ = false;
+  /// Each member's first offset.
+  std::unordered_map<std::string_view, std::uint32_t> offsets_;
+};
 
 /// True if the copied range of `step` is followed by `member` in the base.
 bool continues(const PatchStep& step, std::string_view base, std::string_view member) {
@@ -38,7 +74,7 @@
 }  // namespace
 
 TextPatch makePatch(std::string_view base, std::string_view target) {
-  const auto offsets = indexMembers(base);
+  MemberFinder finder(base);
   TextPatch patch;
   patch.steps.emplace_back();
   std::string_view rest = target;
@@ -49,12 +85,13 @@
       last.copyLength += static_cast<std::uint32_t>(member.size());
       continue;
     }
-    const auto found = offsets.find(member);
-    if (found == offsets.end() || member.size() < kMinCopyBytes) {
+    const std::size_t copied = std::size_t{last.copyOffset} + last.copyLength;
+    const auto found = member.size() < kMinCopyBytes ? std::nullopt : finder.find(member, copied);
+    if (!found) {
       last.literal += member;
       continue;
     }
-    patch.steps.push_back({found->second, static_cast<std::uint32_t>(member.size()), ""});
+    patch.steps.push_back({*found, static_cast<std::uint32_t>(member.size()), ""});
   }
   return patch;
 }
@@ -74,4 +111,4 @@
   return text;
 }
 
-}  // namespace calicodrift::config
+}  // namespace calicodrift::peer
--- a/src/peer/text_patch.h
+++ b/src/peer/text_patch.h
@@ -9,7 +9,7 @@
 
 #include "common/error.h"
 
-namespace calicodrift::config {
+namespace calicodrift::peer {
 
 /// One step of a patch: bytes copied from the base, followed by literal bytes.
 struct PatchStep {
@@ -46,4 +46,4 @@
 /// kMaxTextBytes.
 Result<std::string> applyPatch(std::string_view base, const TextPatch& patch);
 
-}  // namespace calicodrift::config
+}  // namespace calicodrift::peer
--- a/tests/config/cost_test.cc
+++ b/tests/config/cost_test.cc
@@ -23,7 +23,7 @@
   for (const bundle::Signature& signature : target.signatures) {
     transfer.signatures.push_back({signature.signer, signature.signatureHex});
   }
-  transfer.patch = makePatch(base, target.text);
+  transfer.patch = peer::makePatch(base, target.text);
   return peer::encode(transfer).size();
 }
 
@@ -56,7 +56,7 @@
   const double perAdoption = elapsedMicroseconds(begin) / (kAdoptions - 1);
   const double withHistory = heapBytes() - heapBefore;
   const MonotonicTime patchBegin = monotonicNow();
-  const TextPatch patch = makePatch(bundles[0].text, bundles[1].text);
+  const peer::TextPatch patch = peer::makePatch(bundles[0].text, bundles[1].text);
   const double making = elapsedMicroseconds(patchBegin);
   BOOST_TEST_MESSAGE("us per adoption: " << perAdoption << ", us to make a delta: " << making
                                          << ", bytes of one bundle in force: " << first
--- a/tests/config/relay_test.cc
+++ b/tests/config/relay_test.cc
@@ -195,7 +195,7 @@
     for (const bundle::Signature& signature : offered_.signatures) {
       transfer.signatures.push_back({signature.signer, signature.signatureHex});
     }
-    transfer.patch = makePatch("", offered_.text);
+    transfer.patch = peer::makePatch("", offered_.text);
     const std::string bytes = peer::encode(transfer);
     const auto count = static_cast<std::uint16_t>((bytes.size() + kPieceBytes - 1) / kPieceBytes);
     for (const std::uint16_t index : request->indexes) {
--- a/tests/peer/text_patch_test.cc
+++ b/tests/peer/text_patch_test.cc
@@ -1,9 +1,9 @@
-#include "config/text_patch.h"
+#include "peer/text_patch.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
 
-namespace calicodrift::config {
+namespace calicodrift::peer {
 namespace {
 
 std::string randomText(std::mt19937_64& random) {
@@ -35,4 +35,4 @@
 }
 
 }  // namespace
-}  // namespace calicodrift::config
+}  // namespace calicodrift::peer
