relay: children get what changed of a large object, compressed, and nodes that only pass it on don't parse it

Callers saw three of four requests refused, beginning before the acknowledgement of 1,400 routes more, and versions in force too late. Cause: a change of one route was the whole configuration at each hop, as JSON that was written anew for each child; links of 10 Mbit/s in a binary tree carried nothing else.

- /view-patches: the child names the large specs that it holds by their hash; the parent sends a text patch, compressed with zlib, computed once for all children, and the hash of the result.
Without a common text the whole one comes, compressed.
A result that is not the sender's is logged, and the relay is read without patches for 10 s.
- Specs from 16 KiB on stay the text that the store sent; only readers parse them.
- The history keeps the newest change of a large object alone; it kept 1,000 changes with all of their content before.
- Relays of builds without this path answer 404 and are read as before; they and their children use /view unchanged.

Mixed builds: relaysOfAnEarlierBuildSendWholeObjects.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -128,8 +128,7 @@
            },
            [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_, quarantine_,
            serverLimits_, [this] { views_.removeExpiredWeights(); }, serviceRollouts_.hooks()},
-          forwardSettings(settings_), gateSettings(settings_),
-          hashBytes(settings_.nodeId)),
+          forwardSettings(settings_), gateSettings(settings_), hashBytes(settings_.nodeId)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
              [this] {
@@ -157,7 +156,8 @@
                   }) {
   pool_.setDistances(distances_);
   prober_.onAsk([this](fleet::Server server) { return mayProbe(std::move(server)); });
-  for (const std::string_view path : {relay::kViewPath, relay::kJoinPath, relay::kRootsPath}) {
+  for (const std::string_view path :
+       {relay::kViewPath, relay::kPatchedViewPath, relay::kJoinPath, relay::kRootsPath}) {
     peerPaths_.add(std::string(path), [this](http::Request& request, http::ResponseWriter& writer) {
       return relay_.handle(request, writer);
     });
--- a/src/peer/http_call.h
+++ b/src/peer/http_call.h
@@ -11,6 +11,9 @@
 /// Calls between nodes that want an answer: a cereal message each way over HTTP.
 namespace calicodrift::peer {
 
+/// Reason of a failed callPeer(): the peer has no handler for the path, as a build from before it.
+inline constexpr std::string_view kUnknownPath = "unknown_path";
+
 /// Sends `message` and reads the answer. `timeout` holds for the connect, for each piece of the
 /// body and for bytes that are not acknowledged; `headerTimeout` for the time until the answer
 /// begins. Fails as Client::exchange() does, or with kProtocolViolation where the answer is no such
@@ -34,8 +37,12 @@
     co_return answer.error();
   }
   if (answer.value().status != http::kStatusOk) {
-    co_return fail(ErrorKind::kProtocolViolation,
-                   "the peer answered " + std::to_string(answer.value().status));
+    Error error = fail(ErrorKind::kProtocolViolation,
+                       "the peer answered " + std::to_string(answer.value().status));
+    if (answer.value().status == http::kStatusNotFound) {
+      error.reason = kUnknownPath;
+    }
+    co_return error;
   }
   co_return decode<Answer>(answer.value().body);
 }
--- a/src/quarantine/records.cc
+++ b/src/quarantine/records.cc
@@ -45,6 +45,9 @@
 }
 
 Result<Suspect> suspectFrom(const store::Object& object) {
+  if (object.specText) {
+    return suspectFrom(store::parsed(object));
+  }
   const auto request = parseFingerprint(object.name);
   if (!request) {
     return store::unreadable(store::kFieldRange, "the object name is not a request fingerprint");
--- a/src/relay/messages.cc
+++ b/src/relay/messages.cc
@@ -10,7 +10,7 @@
   message.revision = object.revision.value();
   message.deleting = object.deleting;
   message.removed = removed;
-  message.spec = boost::json::serialize(object.spec);
+  message.spec = object.specText ? *object.specText : boost::json::serialize(object.spec);
   if (!object.status.is_null()) {
     message.status = boost::json::serialize(object.status);
   }
@@ -20,7 +20,11 @@
 Result<store::Object> toObject(const ViewObject& object) {
   boost::system::error_code code;
   store::Object read;
-  read.spec = boost::json::parse(object.spec, code);
+  if (object.spec.size() >= store::kLargeSpecBytes) {
+    read.specText = std::make_shared<const std::string>(object.spec);
+  } else {
+    read.spec = boost::json::parse(object.spec, code);
+  }
   if (code) {
     return fail(ErrorKind::kProtocolViolation, "a relayed object is not JSON");
   }
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "relay/relay_list.h"
+#include "relay/spec_texts.h"
 #include "store/object_store.h"
 
 /// Relay trees: nodes read the store through other nodes, so that the load on the store does not
@@ -16,6 +17,8 @@
 namespace calicodrift::relay {
 
 inline constexpr std::string_view kViewPath = "/view";
+/// As kViewPath, with large specs as what changed. Builds without this path answer 404.
+inline constexpr std::string_view kPatchedViewPath = "/view-patches";
 inline constexpr std::string_view kJoinPath = "/join";
 /// Receives a RelayList and replies with the newest list that the node knows. Builds without this
 /// endpoint answer 404, which counts as not notified.
@@ -118,9 +121,32 @@
   }
 };
 
+/// A ViewQuery with the large specs that the sender holds.
+struct PatchedViewQuery {
+  ViewQuery query;
+  std::vector<HeldSpec> held;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(query, held);
+  }
+};
+
+/// A ViewReply whose objects lack the specs that `updates` holds.
+struct PatchedViewReply {
+  ViewReply view;
+  std::vector<SpecUpdate> updates;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(view, updates);
+  }
+};
+
 ViewObject toMessage(const store::Object& object, bool removed);
 /// Fails with kProtocolViolation if the spec or the status is not JSON.
 Result<store::Object> toObject(const ViewObject& object);
+/// A large spec is taken over as its text.
 /// As toObject(), but with a null spec and no status if either is not JSON. One malformed object
 /// must not make the other objects of a view unreadable, and every reader of specs rejects null.
 store::Object toObjectOrUnreadable(const ViewObject& object);
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -1,5 +1,9 @@
 #include "relay/relay_client.h"
 
+#include <algorithm>
+
+#include "common/hashing.h"
+#include "log/log.h"
 #include "peer/http_call.h"
 
 namespace calicodrift::relay {
@@ -8,6 +12,8 @@
 
 namespace {
 
+/// Pause before a relay of an earlier build is asked for patches again.
+constexpr Milliseconds kPatchesRetry{10'000};
 /// Added to the wait of a watch: the relay's own watch has the same wait but ends a little later,
 /// and its end proves that the view is current.
 constexpr Milliseconds kExtraWait{150};
@@ -25,13 +31,31 @@
   return fail(ErrorKind::kStoreUnavailable, "the relay does not serve this node");
 }
 
+/// Fills in the specs that came as updates of held texts.
+Result<ViewReply> applyUpdates(PatchedViewReply reply, const HeldTexts& held) {
+  for (const SpecUpdate& update : reply.updates) {
+    const auto object =
+        std::find_if(reply.view.objects.begin(), reply.view.objects.end(),
+                     [&update](const ViewObject& one) { return one.name == update.name; });
+    const auto base = held.find(update.name);
+    const bool known = update.base == 0 || base != held.end();
+    if (object == reply.view.objects.end() || !known) {
+      return fail(ErrorKind::kProtocolViolation, "a relay sent an update of another object");
+    }
+    const std::string_view text = update.base == 0 ? std::string_view() : *base->second;
+    BOOST_OUTCOME_TRY(object->spec, applyUpdate(text, update));
+  }
+  return std::move(reply.view);
+}
+
 }  // namespace
 
-awaitable<Result<store::Listing>> RelayClient::list(Endpoint relay, std::string kind) {
+awaitable<Result<store::Listing>> RelayClient::list(Endpoint relay, std::string kind,
+                                                    HeldTexts held) {
   ViewQuery query;
   query.kind = std::move(kind);
   query.listing = true;
-  Result<ViewReply> reply = co_await ask(std::move(relay), std::move(query));
+  Result<ViewReply> reply = co_await ask(std::move(relay), std::move(query), std::move(held));
   if (!reply) {
     co_return reply.error();
   }
@@ -45,12 +69,13 @@
 }
 
 awaitable<Result<store::ChangeBatch>> RelayClient::watch(Endpoint relay, std::string kind,
-                                                         store::Revision since, Milliseconds wait) {
+                                                         store::Revision since, Milliseconds wait,
+                                                         HeldTexts held) {
   ViewQuery query;
   query.kind = std::move(kind);
   query.since = since.value();
   query.waitMs = static_cast<std::uint32_t>((wait + kExtraWait).count());
-  Result<ViewReply> reply = co_await ask(std::move(relay), std::move(query));
+  Result<ViewReply> reply = co_await ask(std::move(relay), std::move(query), std::move(held));
   if (!reply) {
     co_return reply.error();
   }
@@ -80,11 +105,23 @@
                   : known.error().reason == http::kConnectionRefused;
 }
 
-awaitable<Result<ViewReply>> RelayClient::ask(Endpoint relay, ViewQuery query) {
+bool RelayClient::sendsPatches(const Endpoint& relay) const {
+  const auto without = withoutPatches_.find(relay);
+  return without == withoutPatches_.end() || monotonicNow() >= without->second;
+}
+
+awaitable<Result<ViewReply>> RelayClient::ask(Endpoint relay, ViewQuery query, HeldTexts held) {
   query.follower = settings_.node.value();
   const Milliseconds headerTimeout = Milliseconds(query.waitMs) + settings_.callTimeout;
-  Result<ViewReply> reply = co_await peer::callPeer<ViewReply>(
-      client_, std::move(relay), kViewPath, std::move(query), settings_.callTimeout, headerTimeout);
+  Result<ViewReply> reply = fail(ErrorKind::kStoreUnavailable, "");
+  if (sendsPatches(relay)) {
+    reply = co_await askForPatches(relay, query, std::move(held), headerTimeout);
+  }
+  if (!sendsPatches(relay)) {
+    reply =
+        co_await peer::callPeer<ViewReply>(client_, std::move(relay), kViewPath, std::move(query),
+                                           settings_.callTimeout, headerTimeout);
+  }
   if (!reply) {
     co_return fail(ErrorKind::kStoreUnavailable, reply.error().detail);
   }
@@ -95,4 +132,29 @@
   co_return std::move(reply.value());
 }
 
+awaitable<Result<ViewReply>> RelayClient::askForPatches(Endpoint relay, ViewQuery query,
+                                                        HeldTexts held,
+                                                        Milliseconds headerTimeout) {
+  PatchedViewQuery patched;
+  patched.query = std::move(query);
+  for (const auto& [name, text] : held) {
+    patched.held.push_back({name, hashBytes(*text)});
+  }
+  Result<PatchedViewReply> reply = co_await peer::callPeer<PatchedViewReply>(
+      client_, relay, kPatchedViewPath, std::move(patched), settings_.callTimeout, headerTimeout);
+  if (!reply) {
+    if (reply.error().reason == peer::kUnknownPath) {
+      withoutPatches_[relay] = monotonicNow() + kPatchesRetry;
+    }
+    co_return reply.error();
+  }
+  Result<ViewReply> view = applyUpdates(std::move(reply.value()), held);
+  if (!view) {
+    log::write(log::Level::kWarning, "relay_update_failed",
+               {{"relay", relay.toString()}, {"cause", view.error().detail}});
+    withoutPatches_[relay] = monotonicNow() + kPatchesRetry;
+  }
+  co_return view;
+}
+
 }  // namespace calicodrift::relay
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <map>
 #include <string>
 
 #include "http/client.h"
@@ -20,11 +21,13 @@
       : client_(client), settings_(settings) {}
 
   /// Fails with kStoreUnavailable if the relay does not answer or does not serve this node.
-  boost::asio::awaitable<Result<store::Listing>> list(Endpoint relay, std::string kind);
+  /// @param held the large specs that this node has; the relay sends what changed of them.
+  boost::asio::awaitable<Result<store::Listing>> list(Endpoint relay, std::string kind,
+                                                      HeldTexts held);
   /// Also fails with kVersionConflict, as ObjectStore::watch() does.
   boost::asio::awaitable<Result<store::ChangeBatch>> watch(Endpoint relay, std::string kind,
-                                                           store::Revision since,
-                                                           Milliseconds wait);
+                                                           store::Revision since, Milliseconds wait,
+                                                           HeldTexts held);
   /// Asks for a place as a child or renews it. With `probeOnly`, only asks for the relay's state.
   /// Fails as peer::callPeer() does.
   boost::asio::awaitable<Result<JoinReply>> join(Endpoint relay, bool probeOnly);
@@ -33,10 +36,18 @@
   boost::asio::awaitable<bool> sendRoots(Endpoint root, RelayList list);
 
  private:
-  boost::asio::awaitable<Result<ViewReply>> ask(Endpoint relay, ViewQuery query);
+  boost::asio::awaitable<Result<ViewReply>> ask(Endpoint relay, ViewQuery query, HeldTexts held);
+  /// Asks a relay of a build that knows kPatchedViewPath.
+  boost::asio::awaitable<Result<ViewReply>> askForPatches(Endpoint relay, ViewQuery query,
+                                                          HeldTexts held,
+                                                          Milliseconds headerTimeout);
+  bool sendsPatches(const Endpoint& relay) const;
 
   http::Client& client_;
   const RelaySettings& settings_;
+  /// Relays of earlier builds, with the time at which they are asked for patches again, as they may
+  /// have been replaced.
+  std::map<Endpoint, MonotonicTime> withoutPatches_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -20,6 +20,12 @@
 }  // namespace
 
 awaitable<void> RelayServer::handle(http::Request& request, http::ResponseWriter& writer) {
+  if (request.target == kPatchedViewPath) {
+    co_await peer::answerPeer<PatchedViewQuery, PatchedViewReply>(
+        request, writer,
+        [this](PatchedViewQuery query) { return answerPatched(std::move(query)); });
+    co_return;
+  }
   co_await peer::answerPeer<ViewQuery, ViewReply>(
       request, writer, [this](ViewQuery query) { return answer(std::move(query)); });
 }
@@ -50,6 +56,34 @@
   }
 }
 
+awaitable<PatchedViewReply> RelayServer::answerPatched(PatchedViewQuery query) {
+  const std::string kind = query.query.kind;
+  ViewReply view = co_await answer(std::move(query.query));
+  WatchCache* cache = caches_(kind);
+  if (cache == nullptr) {
+    co_return PatchedViewReply{std::move(view), {}};
+  }
+  co_return withUpdates(std::move(view), query.held, cache->specTexts());
+}
+
+PatchedViewReply RelayServer::withUpdates(ViewReply view, const std::vector<HeldSpec>& held,
+                                          SpecTexts& texts) {
+  PatchedViewReply reply;
+  for (ViewObject& object : view.objects) {
+    const SharedText text = texts.newest(object.name);
+    if (object.removed || !text || *text != object.spec) {
+      continue;
+    }
+    const auto known = std::find_if(held.begin(), held.end(), [&object](const HeldSpec& spec) {
+      return spec.name == object.name;
+    });
+    reply.updates.push_back(texts.updateFrom(object.name, known == held.end() ? 0 : known->hash));
+    object.spec.clear();
+  }
+  reply.view = std::move(view);
+  return reply;
+}
+
 ViewReply RelayServer::read(const WatchCache& cache, const ViewQuery& query,
                             MonotonicTime arrived) {
   ViewReply reply;
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -30,6 +30,10 @@
 
  private:
   boost::asio::awaitable<ViewReply> answer(ViewQuery query);
+  boost::asio::awaitable<PatchedViewReply> answerPatched(PatchedViewQuery query);
+  /// Replaces the specs that the cache keeps as texts by updates of what the follower holds.
+  static PatchedViewReply withUpdates(ViewReply view, const std::vector<HeldSpec>& held,
+                                      SpecTexts& texts);
   static ViewReply read(const WatchCache& cache, const ViewQuery& query, MonotonicTime arrived);
 
   CacheSource caches_;
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -190,8 +190,8 @@
     co_return co_await callUntilSourceChange(view, direct_.list(std::move(kind)));
   }
   const Endpoint relay = relay_;
-  Result<store::Listing> listing =
-      co_await callUntilSourceChange(view, client_.list(relay, std::move(kind)));
+  Result<store::Listing> listing = co_await callUntilSourceChange(
+      view, client_.list(relay, std::move(kind), view.cache->specTexts().held()));
   if (!listing && !hasUndelivered(view) && relay == relay_ && onRelayFailed_) {
     onRelayFailed_(relay, listing.error());
   }
@@ -208,8 +208,8 @@
     co_return co_await callUntilSourceChange(view, direct_.watch(std::move(kind), since, wait));
   }
   const Endpoint relay = relay_;
-  Result<store::ChangeBatch> batch =
-      co_await callUntilSourceChange(view, client_.watch(relay, std::move(kind), since, wait));
+  Result<store::ChangeBatch> batch = co_await callUntilSourceChange(
+      view, client_.watch(relay, std::move(kind), since, wait, view.cache->specTexts().held()));
   const bool failed =
       !batch && !hasUndelivered(view) && batch.error().kind != ErrorKind::kVersionConflict;
   if (failed && relay == relay_ && onRelayFailed_) {
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <utility>
 
 namespace calicodrift::relay {
 
@@ -17,9 +18,18 @@
 }  // namespace
 
 void WatchCache::applyListing(const store::Listing& listing, MonotonicTime provenAt) {
-  objects_.clear();
+  const std::map<std::string, store::Object> before = std::exchange(objects_, {});
   for (const store::Object& object : listing.objects) {
     objects_[object.name] = object;
+    if (object.specText) {
+      specTexts_.set(object.name, object.specText);
+    }
+  }
+  for (const auto& [name, object] : before) {
+    const auto listed = objects_.find(name);
+    if (listed == objects_.end() || !listed->second.specText) {
+      specTexts_.erase(name);
+    }
   }
   history_.clear();
   historyChanges_ = 0;
@@ -36,6 +46,9 @@
   for (const store::Change& change : batch.changes) {
     if (!isKnown(change, batch.revision)) {
       applyChange(change);
+      if (change.object.specText) {
+        forgetEarlierChanges(change.object.name);
+      }
       news.changes.push_back(change);
     }
   }
@@ -78,6 +91,18 @@
   } else {
     objects_[change.object.name] = change.object;
   }
+  if (!change.removed && change.object.specText) {
+    specTexts_.set(change.object.name, change.object.specText);
+  } else {
+    specTexts_.erase(change.object.name);
+  }
+}
+
+void WatchCache::forgetEarlierChanges(const std::string& name) {
+  for (store::ChangeBatch& batch : history_) {
+    historyChanges_ -= std::erase_if(
+        batch.changes, [&name](const store::Change& change) { return change.object.name == name; });
+  }
 }
 
 store::Listing WatchCache::listing() const {
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 
+#include "relay/spec_texts.h"
 #include "store/object_store.h"
 
 namespace calicodrift::relay {
@@ -30,6 +31,8 @@
   /// Fails with kVersionConflict if the history does not reach back to `since`.
   Result<store::ChangeBatch> changesSince(store::Revision since) const;
   store::Revision revision() const { return revision_; }
+  /// The texts of large specs.
+  SpecTexts& specTexts() { return specTexts_; }
   /// Whether any state has been read yet.
   bool known() const { return known_; }
   /// Latest time at which the state was known to be current.
@@ -43,9 +46,12 @@
   bool isKnown(const store::Change& change, store::Revision reached) const;
   /// Applies the change unless a newer version of the object is known.
   void applyChange(const store::Change& change);
+  /// Removes earlier changes of the object from the history: the newest one has all of it.
+  void forgetEarlierChanges(const std::string& name);
 
   boost::asio::any_io_executor executor_;
   std::map<std::string, store::Object> objects_;
+  SpecTexts specTexts_;
   std::deque<store::ChangeBatch> history_;
   std::size_t historyChanges_ = 0;
   store::Revision historyStart_;
--- a/src/service_rollout/service_record.cc
+++ b/src/service_rollout/service_record.cc
@@ -87,6 +87,9 @@
 }
 
 Result<ServiceRecord> toRecord(const store::Object& object) {
+  if (object.specText) {
+    return toRecord(store::parsed(object));
+  }
   try {
     Result<ServiceRecord> record = readFields(object);
     if (!record) {
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,11 +26,21 @@
   Revision revision;
   /// Marked for deletion but still present.
   bool deleting = false;
+  /// Null if the spec is in `specText`.
   boost::json::value spec;
+  /// The JSON of a large spec as the store sent it, so that nodes which only pass it on don't parse
+  /// it; null for others. parsed() reads it.
+  std::shared_ptr<const std::string> specText;
   /// Status that the system reports for an object owned by the operator; null if none was written.
   boost::json::value status;
 };
 
+/// Length in bytes from which a spec is kept as its text.
+inline constexpr std::size_t kLargeSpecBytes = 16'384;
+
+/// The object with its spec as a value; null if a text is not JSON.
+Object parsed(const Object& object);
+
 /// All objects of a kind at one revision of the store.
 struct Listing {
   std::vector<Object> objects;
--- a/tests/relay/fake_store.h
+++ b/tests/relay/fake_store.h
@@ -22,7 +22,12 @@
     store::Object object;
     object.name = name;
     object.revision = store::Revision(++revision_);
-    object.spec = std::move(spec);
+    std::string text = boost::json::serialize(spec);
+    if (text.size() >= store::kLargeSpecBytes) {
+      object.specText = std::make_shared<const std::string>(std::move(text));
+    } else {
+      object.spec = std::move(spec);
+    }
     objects_[kind][name] = object;
     history_.push_back({kind, {object, false}});
   }
--- a/tests/relay/large_objects_test.cc
+++ b/tests/relay/large_objects_test.cc
@@ -51,6 +51,10 @@
   return acceptor.local_endpoint().port();
 }
 
+std::string textOf(const store::Object& object) {
+  return json::serialize(store::parsed(object).spec);
+}
+
 /// The store behind a node's link.
 class DistantStore : public FakeStore {
  public:
@@ -61,7 +65,7 @@
     Result<store::Listing> listing = co_await shared_.list(std::move(kind));
     if (listing) {
       for (const store::Object& object : listing.value().objects) {
-        co_await link_.carry(json::serialize(object.spec).size());
+        co_await link_.carry(textOf(object).size());
       }
     }
     co_return listing;
@@ -71,7 +75,7 @@
     Result<store::ChangeBatch> batch = co_await shared_.watch(std::move(kind), since, wait);
     if (batch) {
       for (const store::Change& change : batch.value().changes) {
-        co_await link_.carry(json::serialize(change.object.spec).size());
+        co_await link_.carry(textOf(change.object).size());
       }
     }
     co_return batch;
@@ -118,12 +122,16 @@
   }
 
   asio::awaitable<void> answer(http::Request& request, http::ResponseWriter& writer) {
+    if (earlierBuild && request.target == kPatchedViewPath) {
+      co_await http::respond(writer, http::textResponse(404, ""));
+      co_return;
+    }
     testing::SlowWriter slow(writer, toNodes);
     co_await relay.handle(request, slow);
   }
   void apply(const store::Object& object) {
-    version = object.spec.at("version").to_number<std::uint64_t>();
-    content = object.spec;
+    content = store::parsed(object).spec;
+    version = content.at("version").to_number<std::uint64_t>();
   }
   static store::KindWatcherSettings watcherSettings() {
     store::KindWatcherSettings watcher;
@@ -138,6 +146,8 @@
   DistantStore path;
   RelayNode relay;
   store::KindWatcher watcher;
+  /// Answers as builds without patches do.
+  bool earlierBuild = false;
   std::uint64_t version = 0;
   json::value content;
   http::Server server;
@@ -221,4 +231,37 @@
   }
 }
 
+// Nodes of a build without patches send whole objects, and their children understand them.
+BOOST_FIXTURE_TEST_CASE(relaysOfAnEarlierBuildSendWholeObjects, SlowLinksFixture) {
+  for (std::size_t number = 0; number < kNodes; number += 2) {
+    nodes[number]->earlierBuild = true;
+  }
+  BOOST_REQUIRE(timeUntilAllHave(1, Milliseconds(20'000)));
+  shared.setSpec(kKind, "main", configuration(2));
+  BOOST_REQUIRE(timeUntilAllHave(2, Milliseconds(20'000)));
+  for (const auto& node : nodes) {
+    BOOST_TEST((node->content == configuration(2)));
+  }
+}
+
+// Many new routes at once are compressed, and each node compresses them once for all children.
+BOOST_FIXTURE_TEST_CASE(manyNewRoutesArriveWithinHalfOfTheBound, SlowLinksFixture) {
+  constexpr Milliseconds kHalfOfBound{1500};
+  BOOST_REQUIRE(timeUntilAllHave(1, Milliseconds(20'000)));
+  context.restart();
+  context.run_for(Milliseconds(2000));
+  json::value larger = configuration(2);
+  for (std::size_t number = kRoutes; number < 2 * kRoutes; ++number) {
+    larger.at("routes").as_array().push_back(routeNumbered(number, 0));
+  }
+  const std::size_t before = bytesBetweenNodes();
+  shared.setSpec(kKind, "main", larger);
+  const auto took = timeUntilAllHave(2, Milliseconds(20'000));
+  BOOST_REQUIRE(took);
+  BOOST_TEST_MESSAGE("in force after " << took->count() << " ms, "
+                                       << (bytesBetweenNodes() - before) / kNodes
+                                       << " bytes for a node");
+  BOOST_TEST(took->count() <= kHalfOfBound.count());
+}
+
 }  // namespace calicodrift::relay
