store: a position is the era of the store and its revision

A revision now has the store's era in its high bits, read from every answer, so that views, caches, lists of roots, messages and conditions order by era first without a change at their places. A new era ends the pauses of all readers, which list anew from the roots down, and is logged (store_era). Nodes of earlier builds get and send bare numbers (/view), completed with the receiver's era; records of roll-outs keep number and era apart, which earlier builds read.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -324,6 +324,10 @@
     views_.retryNow();
     serviceRollouts_.retryNow();
   });
+  ports_.store.onNewEra([this] {
+    views_.retryNow();
+    serviceRollouts_.retryNow();
+  });
   relay_.start();
   exchange_.start();
   quota_.start();
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -118,6 +118,7 @@
     reply = co_await askForPatches(relay, query, std::move(held), headerTimeout);
   }
   if (!sendsPatches(relay)) {
+    query.since = store::numberOf(store::Revision(query.since));
     reply =
         co_await peer::callPeer<ViewReply>(client_, std::move(relay), kViewPath, std::move(query),
                                            settings_.callTimeout, headerTimeout);
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -119,7 +119,8 @@
 
 awaitable<void> RelayNode::answerRoots(http::Request& request, http::ResponseWriter& writer) {
   co_await peer::answerPeer<RelayList, RelayList>(
-      request, writer, [this](const RelayList& list) -> awaitable<RelayList> {
+      request, writer, [this](RelayList list) -> awaitable<RelayList> {
+        list.revision = store::withEra(list.revision, store_.era());
         co_return core_.learnRoots(list, monotonicNow());
       });
 }
@@ -149,8 +150,11 @@
       break;
     }
     case RelayStep::kSendJoin: {
-      const Result<JoinReply> reply =
-          co_await client_.join(action.relay.endpoint, action.probeOnly);
+      Result<JoinReply> reply = co_await client_.join(action.relay.endpoint, action.probeOnly);
+      if (reply) {
+        store::Revision& revision = reply.value().roots.revision;
+        revision = store::withEra(revision, store_.era());
+      }
       core_.onReply(action, reply, monotonicNow(), store_.provenAt());
       break;
     }
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -27,7 +27,7 @@
     co_return;
   }
   co_await peer::answerPeer<ViewQuery, ViewReply>(
-      request, writer, [this](ViewQuery query) { return answer(std::move(query)); });
+      request, writer, [this](ViewQuery query) { return answerWithoutEra(std::move(query)); });
 }
 
 awaitable<ViewReply> RelayServer::answer(ViewQuery query) {
@@ -56,6 +56,18 @@
   }
 }
 
+awaitable<ViewReply> RelayServer::answerWithoutEra(ViewQuery query) {
+  if (const WatchCache* cache = caches_(query.kind)) {
+    query.since = store::makeRevision(store::eraOf(cache->revision()), query.since).value();
+  }
+  ViewReply reply = co_await answer(std::move(query));
+  reply.revision = store::numberOf(store::Revision(reply.revision));
+  for (ViewObject& object : reply.objects) {
+    object.revision = store::numberOf(store::Revision(object.revision));
+  }
+  co_return reply;
+}
+
 awaitable<PatchedViewReply> RelayServer::answerPatched(PatchedViewQuery query) {
   const std::string kind = query.query.kind;
   ViewReply view = co_await answer(std::move(query.query));
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -30,6 +30,8 @@
 
  private:
   boost::asio::awaitable<ViewReply> answer(ViewQuery query);
+  /// For followers of earlier builds, which know positions by their number alone.
+  boost::asio::awaitable<ViewReply> answerWithoutEra(ViewQuery query);
   boost::asio::awaitable<PatchedViewReply> answerPatched(PatchedViewQuery query);
   /// Replaces the specs that the cache keeps as texts by updates of what the follower holds.
   static PatchedViewReply withUpdates(ViewReply view, const std::vector<HeldSpec>& held,
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -182,6 +182,11 @@
   return boost::outcome_v2::success();
 }
 
+store::Revision RelayedStore::known(store::Revision received) {
+  direct_.observeEra(store::eraOf(received));
+  return store::withEra(received, direct_.era());
+}
+
 awaitable<Result<store::Listing>> RelayedStore::listFromSource(View& view, std::string kind) {
   if (source_ == Source::kNone) {
     co_return noSourceError();
@@ -195,6 +200,12 @@
   if (!listing && !hasUndelivered(view) && relay == relay_ && onRelayFailed_) {
     onRelayFailed_(relay, listing.error());
   }
+  if (listing) {
+    listing.value().revision = known(listing.value().revision);
+    for (store::Object& object : listing.value().objects) {
+      object.revision = store::withEra(object.revision, direct_.era());
+    }
+  }
   co_return listing;
 }
 
@@ -215,6 +226,12 @@
   if (failed && relay == relay_ && onRelayFailed_) {
     onRelayFailed_(relay, batch.error());
   }
+  if (batch) {
+    batch.value().revision = known(batch.value().revision);
+    for (store::Change& change : batch.value().changes) {
+      change.object.revision = store::withEra(change.object.revision, direct_.era());
+    }
+  }
   co_return batch;
 }
 
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -49,6 +49,10 @@
   MonotonicTime lastBytesAt(const std::string& kind) const override {
     return direct_.lastBytesAt(kind);
   }
+  store::Era era() const override { return direct_.era(); }
+  MonotonicTime eraSeenAt() const override { return direct_.eraSeenAt(); }
+  void observeEra(store::Era era) override { direct_.observeEra(era); }
+  void onNewEra(std::function<void()> listener) override { direct_.onNewEra(std::move(listener)); }
 
   /// Reads from this relay from now on.
   void follow(const Endpoint& relay) { setSource(Source::kRelay, relay); }
@@ -105,6 +109,9 @@
   static Result<store::Listing> undeliveredListing(View& view, MonotonicTime asked);
   static Result<store::ChangeBatch> undeliveredChanges(View& view, store::Revision since,
                                                        MonotonicTime asked);
+  /// Takes over the era of a position that a relay has sent, and completes one without an era, as
+  /// relays of earlier builds send them.
+  store::Revision known(store::Revision received);
   boost::asio::awaitable<Result<store::Listing>> listFromSource(View& view, std::string kind);
   boost::asio::awaitable<Result<store::ChangeBatch>> watchFromSource(View& view, std::string kind,
                                                                      store::Revision since,
--- a/src/service_rollout/service_record.cc
+++ b/src/service_rollout/service_record.cc
@@ -54,7 +54,10 @@
   record.stable = SoftwareVersion(textIn(spec, "stable"));
   record.candidate = SoftwareVersion(textIn(spec, "candidate"));
   record.phase = phase.value();
-  record.order = store::Revision(spec.at("order").to_number<std::uint64_t>());
+  const json::value* era = spec.if_contains("orderEra");
+  record.order = store::makeRevision(
+      era == nullptr ? store::eraOf(object.revision) : store::Era(era->to_number<std::uint64_t>()),
+      spec.at("order").to_number<std::uint64_t>());
   record.outcome = outcome.value();
   record.outcomeTarget = SoftwareVersion(textIn(spec, "outcomeTarget"));
   record.revision = object.revision;
@@ -79,10 +82,13 @@
   store::Object object;
   object.name = record.service;
   object.revision = record.revision;
-  object.spec = json::object{
-      {"stable", record.stable.value()},     {"candidate", record.candidate.value()},
-      {"phase", toString(record.phase)},     {"order", record.order.value()},
-      {"outcome", toString(record.outcome)}, {"outcomeTarget", record.outcomeTarget.value()}};
+  object.spec = json::object{{"stable", record.stable.value()},
+                             {"candidate", record.candidate.value()},
+                             {"phase", toString(record.phase)},
+                             {"order", store::numberOf(record.order)},
+                             {"orderEra", store::eraOf(record.order).value()},
+                             {"outcome", toString(record.outcome)},
+                             {"outcomeTarget", record.outcomeTarget.value()}};
   return object;
 }
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -4,6 +4,7 @@
 #include <boost/json/value.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,15 +12,12 @@
 
 #include "common/clock.h"
 #include "common/error.h"
-#include "common/strong_type.h"
+#include "store/position.h"
 
 /// The store that outlives every node: objects by kind and name, with one revision counter. An
 /// interface, because each platform has its own store.
 namespace calicodrift::store {
 
-/// Position in the history of the store; each change gets a higher one.
-using Revision = StrongType<struct RevisionTag, std::uint64_t>;
-
 struct Object {
   std::string name;
   /// Revision of the last change; 0 for an object that does not exist yet.
@@ -94,6 +92,14 @@
   /// answer takes long to arrive, and this shows that it does. The clock's epoch if none has
   /// arrived, or if the store does not tell.
   virtual MonotonicTime lastBytesAt(const std::string& /*kind*/) const { return {}; }
+  /// The newest era that the store has told, or that observeEra() was given; 0 if none is known.
+  virtual Era era() const { return {}; }
+  /// When this process first knew of that era.
+  virtual MonotonicTime eraSeenAt() const { return {}; }
+  /// Another node has told of this era.
+  virtual void observeEra(Era /*era*/) {}
+  /// Sets the listener for each new era after the first one.
+  virtual void onNewEra(std::function<void()> /*listener*/) {}
 };
 
 }  // namespace calicodrift::store
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -377,7 +377,7 @@
   run([this]() -> awaitable<void> {
     const Result<store::Object> object = co_await port.get(kKind, "bad");
     BOOST_REQUIRE(object.has_value());
-    BOOST_TEST(object.value().revision.value() == 5U);
+    BOOST_TEST((object.value().revision == store::makeRevision(store::Era(stored.era()), 5)));
     BOOST_TEST(!object.value().spec.is_object());
   });
 }
