gateway: servers don't come back to use by a store that is older than what is known

Callers would be sent to servers that leave: the copy shows a server as ready that has since said that it leaves, or lists one that is gone, and lacks servers that started after it was made. A known leaving or removed server is now withheld until its entry has been written anew; a server that the copy lacks stays in use for two seconds, in which live ones are back on the list, and is then removed with a log line.

--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -10,31 +10,57 @@
 
 void ServerEntries::applyListing(const store::Listing& listing, MonotonicTime now) {
   unreadable_.keepListed(schema_.serverKind(), listing);
+  if (afterReturn_.isReturn(listing)) {
+    afterReturn_.onReturn(listing, readable_, now);
+  }
+  afterReturn_.onListing(listing);
   readable_.clear();
   std::vector<fleet::Server> servers;
   std::set<BackendId> withheld;
   for (const store::Object& object : listing.objects) {
-    if (std::optional<fleet::Server> server = usable(object)) {
+    if (afterReturn_.isOutdated(object)) {
+      withheld.insert(BackendId(object.name));
+    } else if (std::optional<fleet::Server> server = usable(object)) {
       servers.push_back(std::move(*server));
     } else {
       withheld.insert(BackendId(object.name));
     }
   }
+  keepMissing(servers);
   pool_.applyListing(servers, now, withheld);
   log::write(log::Level::kInfo, "servers_listed",
              {{"count", std::to_string(servers.size())},
               {"withheld", std::to_string(withheld.size())},
-              {"revision", std::to_string(listing.revision.value())}});
+              {"revision", store::toString(listing.revision)}});
+}
+
+void ServerEntries::keepMissing(std::vector<fleet::Server>& servers) {
+  for (const auto& [id, known] : afterReturn_.missing()) {
+    if (!readable_.contains(id)) {
+      readable_[id] = known;
+      servers.push_back(known.server);
+    }
+  }
+}
+
+void ServerEntries::removeExpired(MonotonicTime now) {
+  for (const BackendId& id : afterReturn_.takeExpired(now)) {
+    log::write(log::Level::kInfo, "server_not_back", {{"server", id.value()}});
+    readable_.erase(id);
+    pool_.remove(id);
+  }
 }
 
 void ServerEntries::applyChange(const store::Change& change, MonotonicTime now) {
   const BackendId id(change.object.name);
   readable_.erase(id);
   if (change.removed) {
+    afterReturn_.onRemoved(id, now);
     unreadable_.clear(schema_.serverKind(), change.object.name);
     pool_.remove(id);
     return;
   }
+  afterReturn_.onWritten(id);
   const std::optional<fleet::Server> server = usable(change.object);
   if (!server) {
     pool_.withhold(id, now);
@@ -111,7 +137,7 @@
               {"version", server.version.value()},
               {"address", server.endpoint.toString()},
               {"draining", server.draining ? "true" : "false"},
-              {"revision", std::to_string(revision.value())}});
+              {"revision", store::toString(revision)}});
 }
 
 }  // namespace calicodrift::gateway
--- a/src/gateway/server_entries.h
+++ b/src/gateway/server_entries.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fleet/server_pool.h"
+#include "gateway/entries_after_return.h"
 #include "gateway/store_schema.h"
 #include "gateway/unreadable_objects.h"
 #include "store/object_store.h"
@@ -28,16 +29,17 @@
   /// Replaces all entries.
   void applyListing(const store::Listing& listing, MonotonicTime now);
   void applyChange(const store::Change& change, MonotonicTime now);
+  /// Removes servers that a copy of the store lacked and that are not back in time.
+  void removeExpired(MonotonicTime now);
   /// A configuration is in force: servers of its services alone are used.
   void applyConfiguration(const routes::RouteTable& table, MonotonicTime now);
 
  private:
   /// An entry that could be read.
-  struct Entry {
-    fleet::Server server;
-    store::Revision revision;
-  };
+  using Entry = EntriesAfterReturn::Known;
 
+  /// Adds the servers that a copy lacks and that may be back.
+  void keepMissing(std::vector<fleet::Server>& servers);
   /// Nothing, and tells why, where the entry can't be used.
   std::optional<fleet::Server> usable(const store::Object& object);
   bool isNamed(const std::string& service) const;
@@ -51,6 +53,7 @@
   std::optional<std::set<std::string>> services_;
   /// The newest entries, as far as they can be read.
   std::map<BackendId, Entry> readable_;
+  EntriesAfterReturn afterReturn_;
 };
 
 }  // namespace calicodrift::gateway
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -200,7 +200,7 @@
   listeners_.onServers();
   log::write(log::Level::kInfo, "configuration_adopted",
              {{"version", std::to_string(table_->version().value())},
-              {"revision", std::to_string(object.revision.value())},
+              {"revision", store::toString(object.revision)},
               {"bytes", std::to_string(object.specText ? object.specText->size() : 0)},
               {"routes", std::to_string(table_->routeCount())}});
 }
@@ -301,6 +301,7 @@
 awaitable<void> StoreViews::keepLeastWeights() {
   for (;;) {
     refreshLeastWeights();
+    servers_.removeExpired(monotonicNow());
     const MonotonicTime next = monotonicNow() + kLookInterval;
     termTimer_.expires_at(std::min(next, nextTermEnd_.value_or(next)));
     co_await termTimer_.async_wait(asio::as_tuple(asio::use_awaitable));
