lease: no second holder and no token twice over a return of the store

A store that returns from a copy has lost the latest lease: a successor found it free or expired beside a holder that believed in its term, tokens were issued again, and a write of the earlier history could hit the new holder's record.

No write of an earlier era counts; in a new era nobody gains the lease for one duration plus the drift margin, counted from when the process first knew of the era; an own record of before counts as another holder's; a token is no lower than the position of the lease that it replaces.

--- a/src/lease/lease_core.cc
+++ b/src/lease/lease_core.cc
@@ -28,9 +28,9 @@
     return renewOrWait(now);
   }
   const bool free = observed_->version.value() == 0 || observed_->record.holder.empty();
-  if (free || hasExpired(now)) {
+  if ((free || hasExpired(now)) && isEraSettled(now)) {
     const std::uint64_t highest = std::max(observed_->record.token.value(), tokenFloor_.value());
-    return write(FencingToken(highest + 1), now);
+    return write(std::max(FencingToken(highest + 1), leastTokenOfEra()), now);
   }
   return now < nextRead_ ? LeaseAction{} : LeaseAction{LeaseStep::kRead, {}};
 }
@@ -50,21 +50,26 @@
   if (sentAt_.size() > kMaxTrackedWrites) {
     sentAt_.erase(sentAt_.begin());
   }
-  const LeaseRecord record{settings_.holder, settings_.duration, token, renewal_};
-  return {LeaseStep::kWrite, {observed_->version, record}};
+  ObservedLease written = *observed_;
+  written.record = {settings_.holder, settings_.duration, token, renewal_};
+  written.readable = true;
+  return {LeaseStep::kWrite, written};
 }
 
 void LeaseCore::onRead(const ObservedLease& observed, MonotonicTime now) {
   if (!observed_ || observed_->version != observed.version) {
     observedAt_ = now;
   }
+  if (observed_ && observed_->era != observed.era) {
+    firstRenewalOfEra_ = renewal_ + 1;
+  }
   observed_ = observed;
   needsRead_ = false;
   nextAttempt_ = now;
   nextRead_ = now + settings_.renewInterval;
   validUntil_.reset();
   const auto sent = sentAt_.find(observed.record.renewal);
-  if (ownsRecord() && sent != sentAt_.end()) {
+  if (ownsRecord() && sent != sentAt_.end() && isEraSettled(now)) {
     validUntil_ = sent->second + observed.record.duration;
   }
 }
@@ -75,7 +80,14 @@
 
 void LeaseCore::onWritten(const ObservedLease& written, object_api::ResourceVersion version,
                           MonotonicTime now) {
-  onRead({version, written.record}, now);
+  const store::Era era = store::eraOf(store::Revision(version.value()));
+  if (era != written.era) {
+    onWriteFailed(now);
+    return;
+  }
+  ObservedLease observed = written;
+  observed.version = version;
+  onRead(observed, now);
 }
 
 void LeaseCore::onWriteFailed(MonotonicTime now) {
@@ -108,8 +120,27 @@
 }
 
 bool LeaseCore::ownsRecord() const {
+  // A write of an earlier era may have been applied late, over the lease of the present holder.
   return observed_ && observed_->version.value() != 0 &&
-         observed_->record.holder == settings_.holder;
+         observed_->record.holder == settings_.holder &&
+         observed_->record.renewal >= firstRenewalOfEra_;
+}
+
+bool LeaseCore::isEraSettled(MonotonicTime now) const {
+  if (observed_->era == store::Era()) {
+    return true;
+  }
+  const Milliseconds term =
+      settings_.duration + driftMargin(settings_.duration, settings_.clockDrift);
+  return now >= observed_->eraSeenAt + term;
+}
+
+FencingToken LeaseCore::leastTokenOfEra() const {
+  if (observed_->era == store::Era()) {
+    return {};
+  }
+  const std::uint64_t beginOfEra = store::makeRevision(observed_->era, 0).value();
+  return FencingToken(std::max(beginOfEra, observed_->version.value()));
 }
 
 bool LeaseCore::hasExpired(MonotonicTime now) const {
--- a/src/lease/lease_core.h
+++ b/src/lease/lease_core.h
@@ -42,6 +42,11 @@
 /// the drift margin on its own clock, counted from after the store applied that version. That write
 /// is conditional on the version seen, so it fails if a renewal came in between.
 ///
+/// A store that returns from a copy has lost the latest writes. Nobody acts on a write of an
+/// earlier era, and in a new era nobody gains the lease for one duration plus the drift margin,
+/// within which a holder whose writes were lost has stopped. Tokens contain the era, so that none
+/// is issued twice.
+///
 /// A process that was paused fails the check of token() when it resumes. Receivers reject what it
 /// sent before if they have seen a higher token.
 class LeaseCore {
@@ -72,8 +77,13 @@
 
  private:
   bool ownsRecord() const;
+  /// Whether a holder of an earlier era of the store has stopped.
+  bool isEraSettled(MonotonicTime now) const;
   /// Whether the lease of the stored holder has expired by this node's clock.
   bool hasExpired(MonotonicTime now) const;
+  /// The position of the lease that is replaced: the record may have lost the tokens issued before,
+  /// its position is above all earlier ones.
+  FencingToken leastTokenOfEra() const;
   LeaseAction write(FencingToken token, MonotonicTime now);
   LeaseAction renewOrWait(MonotonicTime now);
 
@@ -88,6 +98,8 @@
   /// sent.
   std::uint64_t renewal_ = 0;
   std::map<std::uint64_t, MonotonicTime> sentAt_;
+  /// Records of this process with lower sequence numbers count as another holder's.
+  std::uint64_t firstRenewalOfEra_ = 0;
   std::optional<MonotonicTime> validUntil_;
   /// The next token that this process writes is above this one.
   FencingToken tokenFloor_;
--- a/src/lease/lease_record.h
+++ b/src/lease/lease_record.h
@@ -8,6 +8,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "object_api/object_api.h"
+#include "store/position.h"
 
 /// Leases in a store with conditional writes: at most one node at a time acts for the fleet.
 namespace calicodrift::lease {
@@ -39,6 +40,10 @@
   LeaseRecord record;
   /// False if an object exists whose record cannot be decoded; the lease may be held.
   bool readable = true;
+  /// Era of the store in which the lease was read, and when this process first knew of the era. A
+  /// store that has returned from a copy may have lost what a holder wrote last.
+  store::Era era{};
+  MonotonicTime eraSeenAt{};
 };
 
 /// A lease object whose record cannot be decoded. Its version serves as its token: the version
--- a/src/lease/object_store_lease_store.cc
+++ b/src/lease/object_store_lease_store.cc
@@ -10,14 +10,14 @@
   Result<store::Object> object = co_await store_.get(kind_, std::move(name));
   if (!object) {
     if (object.error().kind == ErrorKind::kNotFound) {
-      co_return ObservedLease{};
+      co_return inEra({});
     }
     co_return object.error();
   }
   const object_api::ResourceVersion version(object.value().revision.value());
   Result<LeaseRecord> record = leaseRecordFromJson(boost::json::serialize(object.value().spec));
   if (record) {
-    co_return ObservedLease{version, record.value()};
+    co_return inEra({version, record.value()});
   }
   if (onUnreadable_) {
     onUnreadable_(object.value(), record.error());
@@ -26,7 +26,13 @@
     // An object without a revision cannot be overwritten conditionally.
     co_return record.error();
   }
-  co_return unreadableLease(version);
+  co_return inEra(unreadableLease(version));
+}
+
+ObservedLease ObjectStoreLeaseStore::inEra(ObservedLease lease) const {
+  lease.era = store_.era();
+  lease.eraSeenAt = store_.eraSeenAt();
+  return lease;
 }
 
 awaitable<Result<object_api::ResourceVersion>> ObjectStoreLeaseStore::write(std::string name,
--- a/src/lease/object_store_lease_store.h
+++ b/src/lease/object_store_lease_store.h
@@ -23,6 +23,8 @@
                                                                     ObservedLease lease) override;
 
  private:
+  ObservedLease inEra(ObservedLease lease) const;
+
   store::ObjectStore& store_;
   std::string kind_;
   UnreadableListener onUnreadable_;
--- a/tests/lease/lease_core_test.cc
+++ b/tests/lease/lease_core_test.cc
@@ -14,20 +14,42 @@
 constexpr double kDrift = 0.05;
 constexpr Milliseconds kOperationTimeout{400};
 
-/// A store in virtual time. Each operation is applied at one moment; its reply may be lost.
+/// A store in virtual time. Each operation is applied at one moment; its reply may be lost. It may
+/// return from an earlier state, after which it gives out the same numbers again.
 struct Store {
-  ObservedLease current;
-  std::uint64_t lastVersion = 0;
+  struct State {
+    LeaseRecord record;
+    std::uint64_t number = 0;
+  };
+  State current;
+  std::vector<State> history{State{}};
   std::uint64_t takeovers = 0;
+  store::Era era{1};
 
+  /// A condition holds by its number alone: the store doesn't know of which era it is.
   bool put(const ObservedLease& write) {
-    if (current.version != write.version) {
+    if (current.number != numberOf(write)) {
       return false;
     }
     takeovers += write.record.holder == current.record.holder ? 0 : 1;
-    current = {object_api::ResourceVersion(++lastVersion), write.record};
+    current = {write.record, current.number + 1};
+    history.push_back(current);
     return true;
   }
+  void returnFromCopy(std::size_t lostWrites) {
+    history.resize(history.size() - std::min(lostWrites, history.size() - 1));
+    current = history.back();
+    era = store::Era(era.value() + 1);
+  }
+  ObservedLease observed() const {
+    const bool exists = current.number != 0;
+    const store::Revision version = store::makeRevision(era, current.number);
+    return {
+        object_api::ResourceVersion(exists ? version.value() : 0), current.record, true, era, {}};
+  }
+  static std::uint64_t numberOf(const ObservedLease& lease) {
+    return store::numberOf(store::Revision(lease.version.value()));
+  }
 };
 
 /// A candidate whose clock runs at its own rate and which does nothing during pauses.
@@ -63,6 +85,11 @@
   }
 
   void begin(const LeaseAction& action) {
+    const bool conditional = action.write.version.value() != 0;
+    if (action.step == LeaseStep::kWrite && conditional && action.write.era != era_) {
+      core_.onWriteFailed(clock());
+      return;
+    }
     busy_ = true;
     const std::uint64_t operation = ++operation_;
     time_.schedule(delay(), [this, action, operation] { apply(action, operation); });
@@ -72,7 +99,7 @@
   /// The store applies the operation, possibly after the sender's timeout.
   void apply(const LeaseAction& action, std::uint64_t operation) {
     const bool wrote = action.step == LeaseStep::kWrite && store_.put(action.write);
-    const ObservedLease seen = store_.current;
+    const ObservedLease seen = store_.observed();
     if (chance(0.1)) {
       return;
     }
@@ -89,9 +116,20 @@
       return;
     }
     busy_ = false;
+    if (seen.era < era_) {
+      action.step == LeaseStep::kRead ? core_.onReadFailed(clock()) : core_.onWriteFailed(clock());
+      return;
+    }
+    if (seen.era > era_) {
+      era_ = seen.era;
+      eraSeenAt_ = clock();
+    }
+    const bool creates = action.write.version.value() == 0;
     if (action.step == LeaseStep::kRead) {
-      core_.onRead(seen, clock());
-    } else if (wrote) {
+      ObservedLease observed = seen;
+      observed.eraSeenAt = eraSeenAt_;
+      core_.onRead(observed, clock());
+    } else if (wrote && (creates || action.write.era == seen.era)) {
       core_.onWritten(action.write, seen.version, clock());
     } else {
       core_.onWriteFailed(clock());
@@ -126,6 +164,8 @@
   double rate_;
   LeaseCore core_;
   MonotonicTime pausedUntil_{};
+  store::Era era_;
+  MonotonicTime eraSeenAt_{};
   std::uint64_t operation_ = 0;
   bool busy_ = false;
 };
@@ -138,7 +178,8 @@
 };
 
 /// Runs four candidates for 30 s of virtual time under random delays, pauses and lost replies.
-Outcome runSchedule(std::uint64_t seed) {
+/// @param returns whether the store returns from copies, now and then twice within a term.
+Outcome runSchedule(std::uint64_t seed, bool returns) {
   constexpr int kCandidates = 4;
   constexpr int kSamples = 30'000;
   testing::SimulatedNetwork time(seed);
@@ -175,6 +216,11 @@
       std::uniform_int_distribution<int> length(100, 3000);
       candidates[which(time.random())]->pause(Milliseconds(length(time.random())));
     }
+    const bool again = sample % 5000 == 4400 && seed % 2 == 0;
+    if (returns && (sample % 5000 == 4000 || again)) {
+      std::uniform_int_distribution<std::size_t> lost(0, 12);
+      store.returnFromCopy(lost(time.random()));
+    }
   }
   outcome.takeovers = store.takeovers;
   return outcome;
@@ -184,7 +230,7 @@
   constexpr std::uint64_t kSchedules = 60;
   Outcome total;
   for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
-    const Outcome outcome = runSchedule(seed);
+    const Outcome outcome = runSchedule(seed, false);
     total.takeovers += outcome.takeovers;
     total.heldSamples += outcome.heldSamples;
     total.doubleHeldSamples += outcome.doubleHeldSamples;
@@ -199,6 +245,25 @@
   BOOST_TEST(total.heldSamples > kSchedules * 10'000);
 }
 
+// A store that returns from a copy has lost the latest writes and gives out their numbers again: a
+// successor must not begin beside a holder that still believes in its term, nor with its token.
+BOOST_AUTO_TEST_CASE(neverTwoHoldersAndNoTokenTwiceOverReturnsOfTheStore) {
+  constexpr std::uint64_t kSchedules = 400;
+  Outcome total;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    const Outcome outcome = runSchedule(seed, true);
+    total.takeovers += outcome.takeovers;
+    total.heldSamples += outcome.heldSamples;
+    total.doubleHeldSamples += outcome.doubleHeldSamples;
+    BOOST_TEST(outcome.tokensRise, "a token was issued twice with seed " << seed);
+  }
+  BOOST_TEST_MESSAGE("takeovers " << total.takeovers << ", held ms " << total.heldSamples
+                                  << ", held by two ms " << total.doubleHeldSamples);
+  BOOST_TEST(total.doubleHeldSamples == 0U);
+  BOOST_TEST(total.takeovers > kSchedules);
+  BOOST_TEST(total.heldSamples > kSchedules * 8'000);
+}
+
 struct SingleCandidateFixture {
   MonotonicTime now{};
   LeaseCore core{LeaseSettings{"a#1", Milliseconds(1000), Milliseconds(300), Milliseconds(50)}};
