quarantine: records are compared with the store anew in each era

A lost record of a request that ends its servers let it end servers again after a restart of all nodes: what had been written counted as kept. In a new era the records are read again and those that are missing or older are written.

--- a/src/quarantine/records.cc
+++ b/src/quarantine/records.cc
@@ -74,14 +74,20 @@
     co_return;
   }
   busy_ = true;
-  if (!read_) {
+  if (store_.era() != era_) {
+    // A store that has returned from a copy may lack records: they are compared anew.
+    era_ = store_.era();
+    stored_.clear();
+    recordsAreCurrent_ = false;
+  }
+  if (!recordsAreCurrent_) {
     co_await readAll();
   }
   bool written = true;
   for (const Suspect& suspect : unsavedSuspects()) {
     written = written && co_await write(suspect);
   }
-  if (read_ && written) {
+  if (recordsAreCurrent_ && written) {
     pause_ = Milliseconds(0);
   } else {
     pause_ = std::clamp(2 * pause_, kInitialPause, kMaxPause);
@@ -99,6 +105,7 @@
     take(object);
   }
   read_ = true;
+  recordsAreCurrent_ = true;
   log::write(log::Level::kInfo, "quarantine_read",
              {{"records", std::to_string(listing.value().objects.size())}});
 }
--- a/src/quarantine/records.h
+++ b/src/quarantine/records.h
@@ -54,6 +54,10 @@
   UnreadableListener onUnreadable_;
   std::map<RequestFingerprint, Stored> stored_;
   bool read_ = false;
+  /// Whether the records were read in the present era of the store.
+  bool recordsAreCurrent_ = false;
+  /// Era of the store in which the records were read.
+  store::Era era_;
   bool busy_ = false;
   /// End of the pause after a failed call.
   MonotonicTime pausedUntil_{};
--- a/tests/platform/returned_store_test.cc
+++ b/tests/platform/returned_store_test.cc
@@ -118,6 +118,24 @@
   });
 }
 
+// A lost record of a request that ends its servers let it end servers again after a restart of all.
+BOOST_AUTO_TEST_CASE(recordsOfRequestsThatEndServersAreWrittenAgain) {
+  const std::string create = "POST calicodrift-quarantine";
+  GatewayFleet fleet(3, 8);
+  fleet.run([&]() -> awaitable<void> {
+    fleet.store.copy();
+    for (std::size_t attempt = 0; attempt < 4; ++attempt) {
+      co_await fleet.call(attempt % 3, GatewayFleet::modelRequest(
+                                           "/stream/a", std::string(GatewayFleet::kEndsServer)));
+    }
+    co_await fleet.waitUntil([&] { return fleet.store.callsOf(create) > 0; });
+    co_await fleet.pause(Milliseconds(1000));
+    const std::size_t before = fleet.store.callsOf(create);
+    fleet.store.restoreCopy();
+    co_await fleet.waitUntil([&] { return fleet.store.callsOf(create) > before; });
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
