gateway: of large configurations that come while one is read, the newest alone is read next

Found by reading: changes faster than a node builds its table queued up, and the view kept the age of before the first of them, so that the node would have refused callers beyond the bound while it was up to date within one reading. At most one waits now, and the age is that of the table in force.

--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -154,28 +154,38 @@
   if (object.revision == loadedRevision_) {
     return;
   }
-  ++loads_;
   if (!loadingSince_) {
     loadingSince_ = configWatcher_.previousProvenAt();
+    asio::co_spawn(executor_, loadConfigurations(object), asio::detached);
+  } else if (waitingLoad_) {
+    // Of several that come while one is read, the newest alone is read next.
+    waitingLoad_->object = object;
+  } else {
+    waitingLoad_ = WaitingLoad{object, configWatcher_.previousProvenAt()};
   }
-  asio::co_spawn(executor_, loadConfiguration(object), asio::detached);
 }
 
-awaitable<void> StoreViews::loadConfiguration(store::Object object) {
-  const auto build = [this, &object] { return buildTable(object); };
-  const BuiltTable built = co_await worker_.run(build);
-  std::shared_ptr<const routes::RouteTable> before = table_;
-  adoptTable(object, built);
-  loadedRevision_ = object.revision;
-  if (--loads_ == 0) {
-    loadingSince_.reset();
+awaitable<void> StoreViews::loadConfigurations(store::Object object) {
+  for (;;) {
+    const auto build = [this, &object] { return buildTable(object); };
+    const BuiltTable built = co_await worker_.run(build);
+    std::shared_ptr<const routes::RouteTable> before = table_;
+    adoptTable(object, built);
+    loadedRevision_ = object.revision;
+    // Releasing thousands of routes takes long, too.
+    const auto release = [&before] {
+      before.reset();
+      return true;
+    };
+    static_cast<void>(co_await worker_.run(release));
+    if (!waitingLoad_) {
+      loadingSince_.reset();
+      co_return;
+    }
+    object = std::move(waitingLoad_->object);
+    loadingSince_ = waitingLoad_->provenBefore;
+    waitingLoad_.reset();
   }
-  // Releasing thousands of routes takes long, too.
-  const auto release = [&before] {
-    before.reset();
-    return true;
-  };
-  static_cast<void>(co_await worker_.run(release));
 }
 
 StoreViews::BuiltTable StoreViews::buildTable(const store::Object& object) const {
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -76,8 +76,8 @@
   store::KindListener serverListener();
   store::KindListener weightsListener();
   void applyConfiguration(const store::Object& object);
-  /// Reads a large configuration and builds its table without holding the loop.
-  boost::asio::awaitable<void> loadConfiguration(store::Object object);
+  /// Reads a large configuration, and those that come meanwhile, without holding the loop.
+  boost::asio::awaitable<void> loadConfigurations(store::Object object);
   using BuiltTable = Result<std::shared_ptr<const routes::RouteTable>>;
   BuiltTable buildTable(const store::Object& object) const;
   void adoptTable(const store::Object& object, const BuiltTable& built);
@@ -114,11 +114,17 @@
   store::KindWatcher serverWatcher_;
   store::KindWatcher weightsWatcher_;
   BackgroundWorker worker_;
-  std::size_t loads_ = 0;
   /// Revision of the large configuration that was read last.
   store::Revision loadedRevision_;
-  /// While a newer configuration is being read: until when the table was known to be the newest.
+  /// Until when the table was known to be the newest; set while a newer one is being read.
   std::optional<MonotonicTime> loadingSince_;
+  /// A large configuration that came while another one is being read.
+  struct WaitingLoad {
+    store::Object object;
+    /// Until when the one before it was known to be the newest.
+    MonotonicTime provenBefore;
+  };
+  std::optional<WaitingLoad> waitingLoad_;
   /// When the next term ends that has not been seen to.
   std::optional<MonotonicTime> nextTermEnd_;
   boost::asio::steady_timer termTimer_;
