--- a/src/gateway/bounds.cc
+++ b/src/gateway/bounds.cc
@@ -35,8 +35,8 @@
 /// requests where views are older, and nothing else, so that no bound is too short.
 constexpr double kPermitShare = 0.3;
 constexpr Milliseconds kLongestPermit{1500};
-/// Of the link, for a child: a configuration of 40 KB (a guess, not measured), five times a second
-/// while it changes in quick succession, is 1.6 Mbit/s; the rest is for callers.
+/// Of the link, for a child: the compressed text of a whole configuration must arrive well within
+/// its bound, and leave the rest to callers. Changes of a few routes need a hundredth of that.
 constexpr double kMbpsOfAFollower = 4;
 /// With fewer than two there would be a chain in place of a tree; with more than 32 a node's own
 /// processor, not its link, is what binds.
--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -18,9 +18,11 @@
   std::vector<fleet::Server> servers;
   std::set<BackendId> withheld;
   for (const store::Object& object : listing.objects) {
-    if (afterReturn_.isOutdated(object)) {
-      withheld.insert(BackendId(object.name));
-    } else if (std::optional<fleet::Server> server = usable(object)) {
+    std::optional<fleet::Server> server;
+    if (!afterReturn_.isOutdated(object)) {
+      server = usable(object);
+    }
+    if (server) {
       servers.push_back(std::move(*server));
     } else {
       withheld.insert(BackendId(object.name));
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -52,7 +52,7 @@
   store::Era era() const override { return direct_.era(); }
   MonotonicTime eraSeenAt() const override { return direct_.eraSeenAt(); }
   void observeEra(store::Era era) override { direct_.observeEra(era); }
-  void onNewEra(std::function<void()> listener) override { direct_.onNewEra(std::move(listener)); }
+  void onNewEra(const std::function<void()>& listener) override { direct_.onNewEra(listener); }
 
   /// Reads from this relay from now on.
   void follow(const Endpoint& relay) { setSource(Source::kRelay, relay); }
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -99,7 +99,7 @@
   /// Another node has told of this era.
   virtual void observeEra(Era /*era*/) {}
   /// Sets the listener for each new era after the first one.
-  virtual void onNewEra(std::function<void()> /*listener*/) {}
+  virtual void onNewEra(const std::function<void()>& /*listener*/) {}
 };
 
 }  // namespace calicodrift::store
