--- a/tests/gateway_soak/calm_store.cc
+++ b/tests/gateway_soak/calm_store.cc
@@ -42,6 +42,9 @@
   patient["path_prefix"] = "/stream-patient/";
   patient["target_latency_ms"] = kPatientTargetMs;
   routes.push_back(patient);
+  if (plot_ == SoakPlot::kReturns) {
+    addIdleRoutes(routes);
+  }
   return made;
 }
 
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -75,6 +75,8 @@
   kNotices,
   /// As kWeights, with a request that ends its servers.
   kCrashes,
+  /// As kWeights, with a large configuration and a store that returns from copies.
+  kReturns,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -226,6 +228,11 @@
   Body crashingRequests(MonotonicTime end);
   void checkBar();
   Body stormWithCrashes();
+  Body stormWithReturns();
+  Body returnsInSeries(MonotonicTime end, Draws draws);
+  Body returnFromCopy(Draws draws);
+  Body publishLate(const Server& server, Milliseconds delay);
+  static void addIdleRoutes(boost::json::array& routes);
   Body stormWithNotices();
   Body noticesInSeries(std::string service, MonotonicTime end, Draws draws);
   Body leaveAndReturn(Server& server, Draws draws);
