store: revision 0 gets no era

Found by reading: 0 stands for no object, as in a peer's list of roots that it has not read. Beside it comments and one name that a newcomer would have stumbled over.

--- a/src/lease/lease_core.h
+++ b/src/lease/lease_core.h
@@ -44,8 +44,8 @@
 ///
 /// A store that returns from a copy has lost the latest writes. Nobody acts on a write of an
 /// earlier era, and in a new era nobody gains the lease for one duration plus the drift margin,
-/// within which a holder whose writes were lost has stopped. Tokens contain the era, so that none
-/// is issued twice.
+/// within which a holder whose writes were lost has stopped. A token is no lower than the
+/// position of the lease that it replaces, so that none is issued twice.
 ///
 /// A process that was paused fails the check of token() when it resumes. Receivers reject what it
 /// sent before if they have seen a higher token.
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -144,9 +144,9 @@
 };
 
 ViewObject toMessage(const store::Object& object, bool removed);
-/// Fails with kProtocolViolation if the spec or the status is not JSON.
+/// Fails with kProtocolViolation if the spec or the status is not JSON. A large spec is taken over
+/// as its text, without a check.
 Result<store::Object> toObject(const ViewObject& object);
-/// A large spec is taken over as its text.
 /// As toObject(), but with a null spec and no status if either is not JSON. One malformed object
 /// must not make the other objects of a view unreadable, and every reader of specs rejects null.
 store::Object toObjectOrUnreadable(const ViewObject& object);
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -182,7 +182,7 @@
   return boost::outcome_v2::success();
 }
 
-store::Revision RelayedStore::known(store::Revision received) {
+store::Revision RelayedStore::withKnownEra(store::Revision received) {
   direct_.observeEra(store::eraOf(received));
   return store::withEra(received, direct_.era());
 }
@@ -201,7 +201,7 @@
     onRelayFailed_(relay, listing.error());
   }
   if (listing) {
-    listing.value().revision = known(listing.value().revision);
+    listing.value().revision = withKnownEra(listing.value().revision);
     for (store::Object& object : listing.value().objects) {
       object.revision = store::withEra(object.revision, direct_.era());
     }
@@ -227,7 +227,7 @@
     onRelayFailed_(relay, batch.error());
   }
   if (batch) {
-    batch.value().revision = known(batch.value().revision);
+    batch.value().revision = withKnownEra(batch.value().revision);
     for (store::Change& change : batch.value().changes) {
       change.object.revision = store::withEra(change.object.revision, direct_.era());
     }
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -111,7 +111,7 @@
                                                        MonotonicTime asked);
   /// Takes over the era of a position that a relay has sent, and completes one without an era, as
   /// relays of earlier builds send them.
-  store::Revision known(store::Revision received);
+  store::Revision withKnownEra(store::Revision received);
   boost::asio::awaitable<Result<store::Listing>> listFromSource(View& view, std::string kind);
   boost::asio::awaitable<Result<store::ChangeBatch>> watchFromSource(View& view, std::string kind,
                                                                      store::Revision since,
--- a/src/store/position.h
+++ b/src/store/position.h
@@ -28,9 +28,11 @@
 inline std::uint64_t numberOf(Revision revision) {
   return revision.value() & ((std::uint64_t{1} << kRevisionBits) - 1);
 }
-/// A revision of a sender that does not tell eras, as one of the given era.
+/// A revision of a sender that does not tell eras, as one of the given era. Revision 0, which
+/// stands for no object, stays 0.
 inline Revision withEra(Revision revision, Era era) {
-  return eraOf(revision) == Era() ? makeRevision(era, revision.value()) : revision;
+  const bool lacksEra = revision.value() != 0 && eraOf(revision) == Era();
+  return lacksEra ? makeRevision(era, revision.value()) : revision;
 }
 /// "ERA:NUMBER", or the number alone if the era is unknown.
 inline std::string toString(Revision revision) {
