service_rollout: records of earlier builds keep order 0, and may lack the era

service_record anObjectThatLacksAnyFieldIsUnreadable failed, as a record without the era is one of an earlier build and has to be read: that field is left out there, and recordsOfEarlierBuildsHaveTheEraOfTheirObject asks what such a record means. Beside it, order 0 (no order was accepted) of such a record became a position in an era.

--- a/src/service_rollout/service_record.cc
+++ b/src/service_rollout/service_record.cc
@@ -54,10 +54,12 @@
   record.stable = SoftwareVersion(textIn(spec, "stable"));
   record.candidate = SoftwareVersion(textIn(spec, "candidate"));
   record.phase = phase.value();
+  const auto number = spec.at("order").to_number<std::uint64_t>();
+  // Records of earlier builds have no era: theirs is that of the object.
   const json::value* era = spec.if_contains("orderEra");
-  record.order = store::makeRevision(
-      era == nullptr ? store::eraOf(object.revision) : store::Era(era->to_number<std::uint64_t>()),
-      spec.at("order").to_number<std::uint64_t>());
+  record.order = era == nullptr
+                     ? store::withEra(store::Revision(number), store::eraOf(object.revision))
+                     : store::makeRevision(store::Era(era->to_number<std::uint64_t>()), number);
   record.outcome = outcome.value();
   record.outcomeTarget = SoftwareVersion(textIn(spec, "outcomeTarget"));
   record.revision = object.revision;
--- a/tests/service_rollout/service_record_test.cc
+++ b/tests/service_rollout/service_record_test.cc
@@ -63,6 +63,9 @@
 BOOST_AUTO_TEST_CASE(anObjectThatLacksAnyFieldIsUnreadable) {
   const store::Object whole = toObject(bakingRecord());
   for (const json::key_value_pair& field : whole.spec.as_object()) {
+    if (field.key() == "orderEra") {
+      continue;
+    }
     BOOST_TEST_CONTEXT("without " << field.key()) {
       store::Object object = whole;
       object.spec.as_object().erase(field.key());
@@ -71,6 +74,19 @@
   }
 }
 
+// Builds from before the eras of the store write no era and read the number alone.
+BOOST_AUTO_TEST_CASE(recordsOfEarlierBuildsHaveTheEraOfTheirObject) {
+  ServiceRecord record = bakingRecord();
+  record.order = store::makeRevision(store::Era(3), 10);
+  record.revision = store::makeRevision(store::Era(3), 11);
+  store::Object object = toObject(record);
+  BOOST_TEST(object.spec.at("order").to_number<std::uint64_t>() == 10U);
+  object.spec.as_object().erase("orderEra");
+  BOOST_TEST((toRecord(object).value() == record));
+  object.spec.as_object()["order"] = 0;
+  BOOST_TEST((toRecord(object).value().order == store::Revision()));
+}
+
 BOOST_AUTO_TEST_CASE(anObjectWithAFieldOfAnotherTypeIsUnreadable) {
   const store::Object whole = toObject(bakingRecord());
   for (const json::key_value_pair& field : whole.spec.as_object()) {
