--- a/src/gateway/entries_after_return.h
+++ b/src/gateway/entries_after_return.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -30,7 +31,7 @@
 
   /// Whether a listing is the first one of a new era.
   bool isReturn(const store::Listing& listing) const {
-    return era_ != store::Era() && store::eraOf(listing.revision) > era_;
+    return era_ && store::eraOf(listing.revision) > *era_;
   }
   /// Compares the first listing of a new era with what is known.
   void onReturn(const store::Listing& listing, const KnownServers& known, MonotonicTime now);
@@ -53,7 +54,8 @@
   static constexpr Milliseconds kRemovedRetention{120'000};
 
  private:
-  store::Era era_;
+  /// Of the last listing; nothing before the first one.
+  std::optional<store::Era> era_;
   std::map<BackendId, MonotonicTime> removed_;
   /// Outdated entries with their revision in the copy.
   std::map<BackendId, store::Revision> outdated_;
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -105,7 +105,7 @@
   Mode mode_ = Mode::kUp;
   std::size_t calls_ = 0;
   std::map<std::string, std::size_t> callsBy_;
-  std::uint64_t era_ = 1;
+  std::uint64_t era_ = 0;
   std::optional<Copy> copy_;
   boost::asio::steady_timer changed_;
   http::Server server_;
