--- a/tests/platform/large_configuration_test.cc
+++ b/tests/platform/large_configuration_test.cc
@@ -129,8 +129,7 @@
 // among many must not make them wait for longer than 5 ms.
 BOOST_FIXTURE_TEST_CASE(aLargeConfigurationDoesNotHoldTheLoop, GatewayFixture) {
   constexpr Microseconds kLongestHold{5000};
-  // About as many as an object of 1 MiB holds, the largest that the store takes.
-  constexpr std::size_t kRoutes = 4800;
+  constexpr std::size_t kRoutes = 10'000;
   addServer("s1", "app");
   addServer("m1", "llm", "m");
   store.put("config", "main", configuration(1));
