forward: a refusal for want of a server says how many are listed and who reaches them

The line could not tell a service that is down from a node that cannot reach it. It names the servers that are listed, those that this node cannot reach, and those of them that other nodes report, too. No decision goes by it.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -215,6 +215,21 @@
   return found;
 }
 
+ServiceReach ServerPool::reachOf(std::string_view service) const {
+  ServiceReach reach;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.server.service != service) {
+      continue;
+    }
+    ++reach.listed;
+    if (!entry.health.reachable()) {
+      ++reach.unreachable;
+      reach.unreachableElsewhere += entry.peers.unreachableFrom > 0 ? 1 : 0;
+    }
+  }
+  return reach;
+}
+
 Milliseconds ServerPool::maxQueueWait() const {
   double longestMs = 0;
   for (const auto& [id, entry] : servers_) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -54,6 +54,15 @@
   std::optional<MonotonicTime> firstEnd;
 };
 
+/// Servers of a service by whether they can be reached.
+struct ServiceReach {
+  std::size_t listed = 0;
+  /// This node cannot reach them.
+  std::size_t unreachable = 0;
+  /// Those of them that other nodes report as unreachable, too.
+  std::size_t unreachableElsewhere = 0;
+};
+
 /// All listed servers with their health and this node's own load on them, and for each service and
 /// model the set of servers that may get new work. The sets are updated incrementally, so that the
 /// cost of a request does not grow with the number of servers. Does no I/O; callers pass the time.
@@ -130,6 +139,8 @@
   /// Servers of the service and model that only their backoff excludes.
   BackedOffServers backedOffServers(std::string_view service, const ModelId& model,
                                     MonotonicTime now) const;
+  /// Reach of the service's servers from here, and as other nodes report it.
+  ServiceReach reachOf(std::string_view service) const;
   void recordSuccess(const BackendId& id);
   void recordFailure(const BackendId& id, MonotonicTime now);
 
