--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -65,7 +65,8 @@
     MonotonicTime usableUntil;
   };
 
-  explicit ClientState(asio::any_io_executor executor) : executor(std::move(executor)) {}
+  ClientState(asio::any_io_executor executor, Client::AddressMap addressOf)
+      : executor(std::move(executor)), addressOf(std::move(addressOf)) {}
 
   StreamPointer takeIdle(const Endpoint& endpoint) {
     std::vector<IdleConnection>& connections = idle[endpoint];
@@ -115,6 +116,7 @@
   }
 
   asio::any_io_executor executor;
+  Client::AddressMap addressOf;
   std::map<Endpoint, std::vector<IdleConnection>> idle;
   /// How often the connections of an address were dropped; only addresses where that happened.
   std::map<Endpoint, std::uint64_t> drops;
@@ -242,7 +244,8 @@
                                          ExchangeOptions options) {
   auto stream = std::make_shared<beast::tcp_stream>(state->executor);
   attachTo(options.canceller, stream);
-  const Tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+  const Endpoint target = state->addressOf ? state->addressOf(endpoint) : endpoint;
+  const Tcp::endpoint address(asio::ip::make_address(target.address), target.port);
   stream->expires_after(options.connectTimeout);
   const MonotonicTime begin = monotonicNow();
   auto [code] = co_await stream->async_connect(address, kAwait);
@@ -301,8 +304,8 @@
   close_ = std::move(close);
 }
 
-Client::Client(asio::any_io_executor executor)
-    : state_(std::make_shared<ClientState>(std::move(executor))) {}
+Client::Client(asio::any_io_executor executor, AddressMap addressOf)
+    : state_(std::make_shared<ClientState>(std::move(executor), std::move(addressOf))) {}
 
 awaitable<Result<std::unique_ptr<ResponseStream>>> Client::open(Endpoint endpoint, Request request,
                                                                 ExchangeOptions options) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -86,7 +86,11 @@
 /// kDeadlineExceeded that the answer's header did not come in time.
 class Client {
  public:
-  explicit Client(boost::asio::any_io_executor executor);
+  /// Translates the address of an endpoint into the one to connect to.
+  using AddressMap = std::function<Endpoint(const Endpoint&)>;
+
+  /// @param addressOf empty: endpoints are connected to as they are.
+  explicit Client(boost::asio::any_io_executor executor, AddressMap addressOf = {});
 
   /// Sends a request and reads the whole response.
   boost::asio::awaitable<Result<Response>> exchange(Endpoint endpoint, Request request,
--- a/src/sim/fault_proxy.cc
+++ b/src/sim/fault_proxy.cc
@@ -76,7 +76,7 @@
 
 awaitable<void> FaultProxy::handleControl(http::Request& request, http::ResponseWriter& writer) {
   if (request.path() == "/faults") {
-    setFaults(request.body);
+    apply(parseFaults(request.body));
   }
   co_await http::respond(writer, http::jsonResponse(200, statsJson()));
 }
@@ -226,23 +226,28 @@
   }
 }
 
-void FaultProxy::setFaults(const std::string& body) {
+ProxyFaults FaultProxy::parseFaults(const std::string& body) {
   boost::system::error_code code;
   const json::value document = json::parse(body, code);
-  faults_ = {};
+  ProxyFaults faults;
   if (code || !document.is_object()) {
-    return;
+    return faults;
   }
   const json::object& object = document.get_object();
-  faults_.refuse = flagAt(object, "refuse");
-  faults_.freeze = flagAt(object, "freeze");
-  faults_.swallowRequests = flagAt(object, "swallow_requests");
-  faults_.swallowAnswers = flagAt(object, "swallow_answers");
-  faults_.delay = Milliseconds(numberAt(object, "delay_ms"));
-  faults_.dropAnswers = numberAt(object, "drop_answers");
-  faults_.cutAfterBytes = numberAt(object, "cut_after_bytes");
-  faults_.crossAnswers = numberAt(object, "cross_answers");
-  faults_.duplicateAnswers = numberAt(object, "duplicate_answers");
+  faults.refuse = flagAt(object, "refuse");
+  faults.freeze = flagAt(object, "freeze");
+  faults.swallowRequests = flagAt(object, "swallow_requests");
+  faults.swallowAnswers = flagAt(object, "swallow_answers");
+  faults.delay = Milliseconds(numberAt(object, "delay_ms"));
+  faults.dropAnswers = numberAt(object, "drop_answers");
+  faults.cutAfterBytes = numberAt(object, "cut_after_bytes");
+  faults.crossAnswers = numberAt(object, "cross_answers");
+  faults.duplicateAnswers = numberAt(object, "duplicate_answers");
+  return faults;
+}
+
+void FaultProxy::apply(const ProxyFaults& faults) {
+  faults_ = faults;
   if (!faults_.refuse) {
     return;
   }
--- a/src/sim/fault_proxy.h
+++ b/src/sim/fault_proxy.h
@@ -45,6 +45,8 @@
  public:
   FaultProxy(boost::asio::io_context& context, Endpoint target);
   Result<Endpoint> listen(const Endpoint& endpoint);
+  /// Replaces the faults in force.
+  void apply(const ProxyFaults& faults);
   Result<Endpoint> listenControl(const Endpoint& endpoint) { return control_.listen(endpoint); }
 
  private:
@@ -59,7 +61,7 @@
   boost::asio::awaitable<void> holdBack();
   /// Applies the faults that strike when an answer begins; false if the connection was closed.
   boost::asio::awaitable<bool> beginAnswer(Connection connection);
-  void setFaults(const std::string& body);
+  static ProxyFaults parseFaults(const std::string& body);
   std::string statsJson() const;
 
   boost::asio::io_context& context_;
--- a/tests/platform/fleet_callers.h
+++ b/tests/platform/fleet_callers.h
@@ -40,6 +40,21 @@
     const auto found = statuses_.find(status);
     return found == statuses_.end() ? 0 : found->second;
   }
+  /// Requests that were sent at the node from `since` on, and how many of them were served.
+  struct Share {
+    std::size_t sent = 0;
+    std::size_t served = 0;
+  };
+  Share shareOf(std::size_t node, MonotonicTime since) const {
+    Share share;
+    for (const Call& call : calls_) {
+      if (call.node == node && call.at >= since) {
+        ++share.sent;
+        share.served += call.status == 200 ? 1 : 0;
+      }
+    }
+    return share;
+  }
   /// The longest time until an answer of that status.
   Milliseconds slowest(unsigned status) const {
     const auto found = slowest_.find(status);
@@ -72,13 +87,21 @@
     const MonotonicTime begin = monotonicNow();
     const unsigned status = co_await fleet_.call(node, std::move(message));
     ++statuses_[status];
+    calls_.push_back({node, begin, status});
     const auto took = std::chrono::ceil<Milliseconds>(monotonicNow() - begin);
     slowest_[status] = std::max(slowest_[status], took);
     --outstanding_;
   }
 
+  struct Call {
+    std::size_t node = 0;
+    MonotonicTime at;
+    unsigned status = 0;
+  };
+
   GatewayFleet& fleet_;
   std::string path_;
+  std::vector<Call> calls_;
   std::size_t sent_ = 0;
   std::size_t outstanding_ = 0;
   std::map<unsigned, std::size_t> statuses_;
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -132,6 +132,9 @@
   }
 
   std::size_t size() const { return nodes_.size(); }
+  gateway::GatewayNode& node(std::size_t number) { return *nodes_[number].gateway; }
+  /// Where a node's connections to an endpoint lead; empty: to the endpoint itself.
+  std::function<Endpoint(std::size_t node, const Endpoint&)> addressOf;
 
   boost::asio::io_context context;
   StoreStandIn store;
@@ -197,7 +200,11 @@
     node.settings.readyListen = {"127.0.0.1", 0};
     node.settings.relayListen = freeEndpoint();
     node.settings.store = store.endpoint();
-    node.client = std::make_unique<http::Client>(context.get_executor());
+    const std::size_t number = nodes_.size();
+    node.client = std::make_unique<http::Client>(
+        context.get_executor(), [this, number](const Endpoint& endpoint) {
+          return addressOf ? addressOf(number, endpoint) : endpoint;
+        });
     node.store = std::make_unique<platform::OperatorStore>(*node.client, store.endpoint());
     nodes_.push_back(std::move(node));
   }
