--- a/src/fleet/backend_health.cc
+++ b/src/fleet/backend_health.cc
@@ -40,7 +40,7 @@
   return true;
 }
 
-void BackendHealth::restarted() {
+void BackendHealth::withdrawFailures() {
   consecutiveFailures_ = 0;
   ejections_ = 0;
   ejectedUntil_ = {};
--- a/src/fleet/backend_health.h
+++ b/src/fleet/backend_health.h
@@ -35,7 +35,9 @@
   /// Records a failed probe or connect. Returns whether the back end was reachable until now.
   bool becameUnreachable(MonotonicTime now);
   /// Discards the request failures of the previous process.
-  void restarted();
+  void restarted() { withdrawFailures(); }
+  /// Discards request failures that were not the back end's, and the ejection for them.
+  void withdrawFailures();
   /// Marks the back end unreachable until the next successful probe.
   void forget() { reachable_ = false; }
   void requestSucceeded();
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -164,6 +164,13 @@
   listener_(entry->server, ServerLoss::kEjected);
 }
 
+void ServerPool::withdrawFailures(const BackendId& id, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    entry->health.withdrawFailures();
+    refresh(*entry, now);
+  }
+}
+
 const routing::CandidateSet& ServerPool::candidates(std::string_view service, const ModelId& model,
                                                     MonotonicTime now, Track track) {
   static const routing::CandidateSet kNone;
@@ -182,6 +189,13 @@
   return found == servers_.end() ? nullptr : &found->second.server;
 }
 
+const Server* ServerPool::findAt(const Endpoint& endpoint) const {
+  const auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& item) {
+    return item.second.server.endpoint == endpoint;
+  });
+  return found == servers_.end() ? nullptr : &found->second.server;
+}
+
 const Server* ServerPool::findRun(ServerKey key) const {
   const auto found = std::find_if(servers_.begin(), servers_.end(),
                                   [key](const auto& item) { return item.second.key == key; });
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -143,6 +143,9 @@
   ServiceReach reachOf(std::string_view service) const;
   void recordSuccess(const BackendId& id);
   void recordFailure(const BackendId& id, MonotonicTime now);
+  /// Withdraws the failures recorded for the server, and an ejection for them: this node's path to
+  /// it was at fault.
+  void withdrawFailures(const BackendId& id, MonotonicTime now);
 
   /// Servers of the service (and model, for model servers) that may get work now. The reference is
   /// valid until the next change of the pool, so it must not be held across a `co_await`.
@@ -178,6 +181,8 @@
   bool isReachableFromAllNodes(const BackendId& id) const;
   /// Null if the server is not listed.
   const Server* find(const BackendId& id) const;
+  /// A listed server with this address; null if there is none.
+  const Server* findAt(const Endpoint& endpoint) const;
   /// The listed run with this key; null if it is not listed.
   const Server* findRun(ServerKey key) const;
   std::vector<Server> servers() const;
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -24,6 +24,11 @@
   return std::chrono::duration_cast<Milliseconds>(now - *since);
 }
 
+/// Whether the dispatch failed because its path to the server was lost.
+bool isPathLost(const Result<void>& outcome) {
+  return !outcome && outcome.error().reason == server_paths::kPathLost;
+}
+
 /// Classifies the end of an attempt as evidence about its server's version. Not called for attempts
 /// that the caller or this node ended.
 DispatchEnd classifyEnd(const ServerAttempt& attempt, const Result<void>& outcome, bool streaming,
@@ -138,7 +143,9 @@
   }
   auto attempt = std::make_shared<ServerAttempt>(
       context_.calls, context_.servers, job.relay,
-      chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest);
+      chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest,
+      job.mayFailOver() ? server_paths::CallMobility::kMovable
+                        : server_paths::CallMobility::kFixed);
   job.attempt = attempt;
   std::optional<WaitingDispatches::Guard> waiting;
   if (dispatch.weights) {
@@ -176,12 +183,14 @@
   if (const auto connected = attempt->connectTime()) {
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
   }
-  // A connection that this node closed is no evidence about the server.
-  if (!attempt->recalled() && !job.writer.callerGone()) {
+  // A connection that this node closed, or a path that was lost, is no evidence about the server.
+  const bool aboutServer =
+      !attempt->recalled() && !job.writer.callerGone() && !isPathLost(outcome);
+  if (aboutServer) {
     observe(job, dispatch, chosen, classifyEnd(*attempt, outcome, job.streaming(), job.expired),
             startMs);
   }
-  if (!job.expired && !attempt->recalled() && !job.writer.callerGone()) {
+  if (!job.expired && aboutServer) {
     updatePool(job, dispatch.server, outcome, weights);
   }
   co_return outcome;
@@ -236,8 +245,8 @@
                                               const Result<void>& outcome) {
   const bool brokeOff = outcome.error().kind == ErrorKind::kOutcomeUnknown ||
                         outcome.error().kind == ErrorKind::kStreamBroken;
-  // A connection that this node closed is no evidence about the server.
-  if (!brokeOff || job.expired || job.writer.callerGone()) {
+  // A connection that this node closed, or a path that was lost, is no evidence about the server.
+  if (!brokeOff || job.expired || job.writer.callerGone() || isPathLost(outcome)) {
     co_return false;
   }
   // A draining or removed server has ended as planned.
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -42,7 +42,8 @@
   options.canceller = &canceller_;
   options.connectTime = &connectTime_;
   http::Request message = protocol_.encode(request, dispatch);
-  auto opened = co_await calls_.open(dispatch.server, std::move(message), options, purpose_);
+  auto opened =
+      co_await calls_.open(dispatch.server, std::move(message), options, purpose_, mobility_);
   if (!opened) {
     co_return opened.error();
   }
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -28,9 +28,14 @@
 class ServerAttempt {
  public:
   /// @param purpose a request with a unit of the server's limit, or without one.
+  /// @param mobility whether the request may go to another server if this one's path is lost.
   ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerRelay& relay,
-                CallPurpose purpose)
-      : calls_(calls), protocol_(protocol), relay_(relay), purpose_(purpose) {}
+                CallPurpose purpose, server_paths::CallMobility mobility)
+      : calls_(calls),
+        protocol_(protocol),
+        relay_(relay),
+        purpose_(purpose),
+        mobility_(mobility) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
   /// mean that this server has not run the request, kServerWithdrawn that it did not receive it,
@@ -71,6 +76,7 @@
   const ServerProtocol& protocol_;
   AnswerRelay& relay_;
   CallPurpose purpose_;
+  server_paths::CallMobility mobility_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
   std::optional<WeightsVersion> weights_;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -13,35 +13,86 @@
 /// Limits the memory for servers that were already logged; beyond it, servers are logged again.
 constexpr std::size_t kMaxLoggedRuns = 4096;
 
+/// Records the arrival of an answer's bytes for its call, which ends with the stream.
+class TrackedStream : public http::ResponseStream {
+ public:
+  TrackedStream(std::unique_ptr<http::ResponseStream> stream,
+                std::shared_ptr<server_paths::CallInFlight> call, server_paths::ServerPaths& paths)
+      : stream_(std::move(stream)), call_(std::move(call)), paths_(paths) {}
+
+  const http::Response& head() const override { return stream_->head(); }
+  awaitable<Result<std::string>> read() override {
+    Result<std::string> piece = co_await stream_->read();
+    if (!piece) {
+      co_return paths_.explainFailure(*call_, piece.error());
+    }
+    paths_.recordBytes(*call_);
+    co_return piece;
+  }
+  void setBodyTimeout(Milliseconds timeout) override { stream_->setBodyTimeout(timeout); }
+  void cancel() override { stream_->cancel(); }
+
+ private:
+  std::unique_ptr<http::ResponseStream> stream_;
+  std::shared_ptr<server_paths::CallInFlight> call_;
+  server_paths::ServerPaths& paths_;
+};
+
 Error withdrawnError(const fleet::Server& server, const std::string& cause) {
   return fail(ErrorKind::kServerWithdrawn, "server '" + server.id.value() + "' " + cause);
 }
 
 }  // namespace
 
+server_paths::PathOptions ServerCalls::pathOptions(const fleet::Server& server,
+                                                   const http::ExchangeOptions& options,
+                                                   CallPurpose purpose) const {
+  server_paths::PathOptions path;
+  path.use = options.connection;
+  // Servers take the machine that an order comes from for its holder.
+  path.relay = purpose == CallPurpose::kOrder ? server_paths::RelayUse::kNever
+                                              : server_paths::RelayUse::kAllowed;
+  path.connectTimeout = options.connectTimeout;
+  path.unacknowledgedTimeout = options.unacknowledgedTimeout;
+  path.rttMs = context_.pool.rttMsTo(server, monotonicNow());
+  path.canceller = options.canceller;
+  return path;
+}
+
 awaitable<Result<std::unique_ptr<http::ResponseStream>>> ServerCalls::open(
     const fleet::Server& server, http::Request request, http::ExchangeOptions options,
-    CallPurpose purpose) {
-  SendState sent;
-  const std::function<Result<void>()> beforeSend = [&]() -> Result<void> {
-    BOOST_OUTCOME_TRY(mayBegin(server, purpose));
-    sent = {context_.limits.versionOf(server), monotonicNow()};
-    context_.pool.recordSent(server.id, sent.at);
-    return boost::outcome_v2::success();
-  };
+    CallPurpose purpose, server_paths::CallMobility mobility) {
   // No connection is made for a call that may not begin.
   if (const Result<void> allowed = mayBegin(server, purpose); !allowed) {
     context_.metrics.countWithdrawn();
     co_return allowed.error();
   }
-  options.beforeSend = &beforeSend;
-  auto opened = co_await context_.client.open(server.endpoint, std::move(request), options);
-  if (opened) {
-    processHead(server, sent, opened.value()->head());
-  } else if (opened.error().kind == ErrorKind::kServerWithdrawn) {
+  Result<http::ClientConnection> connection =
+      co_await context_.paths.connect(server.endpoint, pathOptions(server, options, purpose));
+  if (!connection) {
+    co_return connection.error();
+  }
+  const http::ConnectionPath path = connection.value().path();
+  if (options.connectTime != nullptr && path.direct() && connection.value().connectTime()) {
+    *options.connectTime = connection.value().connectTime();
+  }
+  if (const Result<void> allowed = mayBegin(server, purpose); !allowed) {
     context_.metrics.countWithdrawn();
+    context_.client.release(std::move(connection.value()));
+    co_return allowed.error();
+  }
+  const SendState sent{context_.limits.versionOf(server), monotonicNow()};
+  context_.pool.recordSent(server.id, sent.at);
+  auto call = context_.paths.beginCall(path, mobility, options.canceller);
+  auto opened = co_await context_.client.send(std::move(connection.value()), std::move(request),
+                                              options);
+  if (!opened) {
+    co_return context_.paths.explainFailure(*call, opened.error());
   }
-  co_return opened;
+  context_.paths.recordBytes(*call);
+  processHead(server, sent, opened.value()->head());
+  co_return std::make_unique<TrackedStream>(std::move(opened.value()), std::move(call),
+                                            context_.paths);
 }
 
 awaitable<Result<http::Response>> ServerCalls::exchange(const fleet::Server& server,
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -12,6 +12,7 @@
 #include "forward/protocol.h"
 #include "http/client.h"
 #include "server_limits/server_limit_node.h"
+#include "server_paths/server_paths.h"
 
 namespace calicodrift::forward {
 
@@ -33,6 +34,8 @@
   fleet::ServerPool& pool;
   server_limits::ServerLimitNode& limits;
   ForwardMetrics& metrics;
+  /// Finds the connection for each call.
+  server_paths::ServerPaths& paths;
 };
 
 /// Carries every call to a server. Immediately before the first byte is sent, it checks whether the
@@ -45,11 +48,13 @@
  public:
   ServerCalls(ServerCallContext context, std::uint64_t seed) : context_(context), random_(seed) {}
 
-  /// Like http::Client::open(); fails with kServerWithdrawn if the server may no longer get such a
-  /// call, in which case it was not sent. The server must outlive the call.
+  /// Like http::Client::open(), on a path that works; fails with kServerWithdrawn if the server may
+  /// no longer get such a call, in which case it was not sent. A call that was ended because its
+  /// path was lost fails with the reason server_paths::kPathLost. The server must outlive the call.
   boost::asio::awaitable<Result<std::unique_ptr<http::ResponseStream>>> open(
       const fleet::Server& server, http::Request request, http::ExchangeOptions options,
-      CallPurpose purpose);
+      CallPurpose purpose,
+      server_paths::CallMobility mobility = server_paths::CallMobility::kFixed);
   /// Like open(), but returns the whole answer.
   boost::asio::awaitable<Result<http::Response>> exchange(const fleet::Server& server,
                                                           http::Request request,
@@ -58,7 +63,16 @@
   /// Whether a call may begin on the server now. Fails with kServerWithdrawn.
   Result<void> mayBegin(const fleet::Server& server, CallPurpose purpose) const;
 
+  /// Whether this node reaches the server only through other nodes.
+  bool isDirectPathLost(const fleet::Server& server) const {
+    return context_.paths.isLost(server.endpoint);
+  }
+
  private:
+  server_paths::PathOptions pathOptions(const fleet::Server& server,
+                                        const http::ExchangeOptions& options,
+                                        CallPurpose purpose) const;
+
   /// State at the time a call was sent.
   struct SendState {
     server_limits::LimitVersion limit;
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -22,11 +22,11 @@
 
 }  // namespace
 
-CacheStores::CacheStores(asio::any_io_executor executor, http::Client& client,
+CacheStores::CacheStores(asio::any_io_executor executor, server_paths::ServerPaths& paths,
                          const forward::ServerProtocol& protocol, TableSource table,
                          AskingSource asks, LossListener onLost)
     : executor_(std::move(executor)),
-      client_(client),
+      paths_(paths),
       protocol_(protocol),
       table_(std::move(table)),
       asks_(std::move(asks)),
@@ -114,6 +114,9 @@
 
 bool CacheStores::configured(const Endpoint& endpoint) const {
   const std::shared_ptr<const routes::RouteTable> table = table_();
+  if (!table) {
+    return false;
+  }
   const std::vector<const routes::CacheStore*> stores = table->cacheStores();
   return std::any_of(stores.begin(), stores.end(), [&endpoint](const routes::CacheStore* store) {
     return store->endpoint == endpoint;
@@ -125,11 +128,12 @@
   http::Request query =
       protocol_.cacheStoreQuery(store.state.value_or(forward::CacheStoreState{}), kWait);
   http::ExchangeOptions options;
-  options.connectTimeout = kCallTimeout;
   options.headerTimeout = kWait + kCallTimeout;
   options.bodyTimeout = kCallTimeout;
-  options.unacknowledgedTimeout = kCallTimeout;
-  auto opened = co_await client_.open(endpoint, std::move(query), options);
+  server_paths::PathOptions path;
+  path.connectTimeout = kCallTimeout;
+  path.unacknowledgedTimeout = kCallTimeout;
+  auto opened = co_await paths_.open(endpoint, std::move(query), path, options);
   if (!opened) {
     noteSilence(endpoint, store);
     co_return;
--- a/src/gateway/cache_stores.h
+++ b/src/gateway/cache_stores.h
@@ -12,6 +12,7 @@
 #include "fleet/cache_store_report.h"
 #include "forward/protocol.h"
 #include "http/client.h"
+#include "server_paths/server_paths.h"
 
 namespace calicodrift::gateway {
 
@@ -31,12 +32,14 @@
   /// What the store kept may be gone.
   using LossListener = std::function<void(const Endpoint&)>;
 
-  CacheStores(boost::asio::any_io_executor executor, http::Client& client,
+  CacheStores(boost::asio::any_io_executor executor, server_paths::ServerPaths& paths,
               const forward::ServerProtocol& protocol, TableSource table, AskingSource asks,
               LossListener onLost);
   void start();
   /// The store for a key; nothing where none is configured or answers.
   std::optional<Endpoint> storeFor(std::uint64_t key) const;
+  /// Whether the configuration has a store at this address.
+  bool configured(const Endpoint& endpoint) const;
   /// How each store stands, for other nodes.
   std::vector<fleet::CacheStoreReport> reports() const;
   /// How the stores stand, as another node tells it; left aside where this node asks itself.
@@ -56,8 +59,6 @@
   /// Follows the configuration's list of stores.
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> watch(Endpoint endpoint);
-  /// Whether the configuration still has the store.
-  bool configured(const Endpoint& endpoint) const;
   boost::asio::awaitable<void> ask(Endpoint endpoint);
   void noteAnswer(const Endpoint& endpoint, Store& store,
                   const std::optional<forward::CacheStoreState>& state);
@@ -66,7 +67,7 @@
   void noteSilence(const Endpoint& endpoint, Store& store);
 
   boost::asio::any_io_executor executor_;
-  http::Client& client_;
+  server_paths::ServerPaths& paths_;
   const forward::ServerProtocol& protocol_;
   TableSource table_;
   AskingSource asks_;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -78,8 +78,12 @@
             [this](const fleet::Server& server, fleet::ServerLoss loss) {
               onServerLost(server, loss);
             }),
+      pathMetrics_(registry_),
+      serverPaths_(pathsContext(), pathSettings(settings_),
+                   hashPair(hashBytes(processName_), hashBytes(server_paths::kTunnelStatusPath))),
+      tunnels_(tunnelContext(), tunnelSettings(settings_)),
       cacheStores_(
-          context.get_executor(), client_, ports_.servers, [this] { return views_.table(); },
+          context.get_executor(), serverPaths_, ports_.servers, [this] { return views_.table(); },
           [this] { return relay_.readsStore(); },
           [this](const Endpoint& store) { forwarder_.onCacheStoreLost(store); }),
       relay_(context.get_executor(), ports_.store, client_,
@@ -90,7 +94,7 @@
       quota_(quotaContext(), quotaBounds(settings_), quotaMetrics_, hashBytes(processName_)),
       serverLimitMetrics_(registry_),
       serverLimits_(serverLimitContext(), serverLimitMetrics_),
-      serverCalls_({client_, ports_.servers, pool_, serverLimits_, metrics_},
+      serverCalls_({client_, ports_.servers, pool_, serverLimits_, metrics_, serverPaths_},
                    hashPair(hashBytes(processName_), hashBytes(kServerLimitsPath))),
       quarantineMetrics_(registry_),
       quarantine_(
@@ -152,7 +156,7 @@
                      }),
       peerServer_(context.get_executor(), peerLimits(),
                   [this](http::Request& request, http::ResponseWriter& writer) {
-                    return peerPaths_.handle(request, writer);
+                    return handlePeer(request, writer);
                   }) {
   pool_.setDistances(distances_);
   prober_.onAsk([this](fleet::Server server) { return mayProbe(std::move(server)); });
@@ -176,6 +180,10 @@
       return serverLimits_.handle(request, writer);
     });
   }
+  peerPaths_.add(std::string(server_paths::kTunnelStatusPath),
+                 [this](http::Request& request, http::ResponseWriter& writer) {
+                   return tunnels_.answerStatus(request, writer);
+                 });
   peerPaths_.add(std::string(exchange::kExchangePath),
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return exchange_.handle(request, writer);
@@ -276,6 +284,60 @@
   return context;
 }
 
+server_paths::ServerPathsContext GatewayNode::pathsContext() {
+  return {context_.get_executor(),
+          client_,
+          pathMetrics_,
+          [this] { return neighbours(); },
+          [this](const Endpoint& endpoint) { return isListed(endpoint); },
+          [this](const Endpoint& endpoint) {
+            const fleet::Server* server = pool_.findAt(endpoint);
+            return server == nullptr ? std::nullopt
+                                     : std::optional(ports_.servers.reportQuery(*server));
+          },
+          [this](const Endpoint& endpoint) {
+            if (const fleet::Server* server = pool_.findAt(endpoint)) {
+              pool_.withdrawFailures(server->id, monotonicNow());
+            }
+          },
+          [this](const Endpoint& endpoint) { onServerSilent(endpoint); }};
+}
+
+server_paths::TunnelContext GatewayNode::tunnelContext() {
+  return {client_, pathMetrics_,
+          [this](const Endpoint& endpoint) { return isListed(endpoint); },
+          [this](const Endpoint& endpoint) { return serverPaths_.isLost(endpoint); },
+          [this] { return neighbours(); }};
+}
+
+bool GatewayNode::isListed(const Endpoint& endpoint) const {
+  return pool_.findAt(endpoint) != nullptr || cacheStores_.configured(endpoint);
+}
+
+std::vector<Endpoint> GatewayNode::neighbours() const {
+  std::vector<Endpoint> known = relay_.children();
+  const std::vector<Endpoint> roots = relay_.roots();
+  known.insert(known.end(), roots.begin(), roots.end());
+  if (const std::optional<Endpoint> parent = relay_.relay()) {
+    known.push_back(*parent);
+  }
+  return known;
+}
+
+void GatewayNode::onServerSilent(const Endpoint& endpoint) {
+  constexpr Milliseconds kSilentPause{1000};
+  const MonotonicTime now = monotonicNow();
+  if (const fleet::Server* server = pool_.findAt(endpoint)) {
+    log::write(log::Level::kInfo, "server_silent", {{"server", server->id.value()}});
+    pool_.pause(server->id, now + kSilentPause, now);
+  }
+}
+
+awaitable<void> GatewayNode::handlePeer(http::Request& request, http::ResponseWriter& writer) {
+  return request.method == "CONNECT" ? tunnels_.handleConnect(request, writer)
+                                     : peerPaths_.handle(request, writer);
+}
+
 awaitable<void> GatewayNode::askForNotices(fleet::Server server) {
   // Its notices are taken on the way, also where the answer is of no other use.
   static_cast<void>(co_await prober_.ask(std::move(server)));
@@ -329,6 +391,7 @@
     serviceRollouts_.retryNow();
   });
   relay_.start();
+  serverPaths_.start();
   exchange_.start();
   quota_.start();
   quarantine_.start();
@@ -405,6 +468,7 @@
   }
   quarantine_.showMetrics();
   serverLimits_.showMetrics();
+  pathMetrics_.setOpenTunnels(tunnels_.open());
   metrics_.setServers(static_cast<double>(pool_.size()));
   serviceRollouts_.showMetrics();
   co_await http::respond(writer,
@@ -416,6 +480,7 @@
     return;
   }
   draining_ = true;
+  tunnels_.drain();
   front_.closeAfterAnswers();
   log::write(log::Level::kInfo, "draining",
              {{"active_requests", std::to_string(front_.activeRequests())}});
@@ -440,12 +505,13 @@
   while (monotonicNow() < end && monotonicNow() - busyAt < kQuiet) {
     timer.expires_after(kCheckInterval);
     co_await timer.async_wait(asio::use_awaitable);
-    if (front_.busyConnections() > 0) {
+    if (front_.busyConnections() > 0 || tunnels_.open() > 0) {
       busyAt = monotonicNow();
     }
   }
   log::write(log::Level::kInfo, "stopped",
-             {{"cut_requests", std::to_string(front_.busyConnections())}});
+             {{"cut_requests", std::to_string(front_.busyConnections())},
+              {"cut_tunnels", std::to_string(tunnels_.open())}});
   context_.stop();
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -27,6 +27,8 @@
 #include "relay/relay_node.h"
 #include "relay/remote_group_roots.h"
 #include "server_limits/server_limit_node.h"
+#include "server_paths/server_paths.h"
+#include "server_paths/tunnel_service.h"
 #include "weights/weights_loader.h"
 #include "weights/weights_targets.h"
 
@@ -63,6 +65,15 @@
   relay::TreePosition treePosition();
   quarantine::QuarantineContext quarantineContext();
   server_limits::ServerLimitContext serverLimitContext();
+  server_paths::ServerPathsContext pathsContext();
+  server_paths::TunnelContext tunnelContext();
+  /// Whether a server or cache store is listed with this address.
+  bool isListed(const Endpoint& endpoint) const;
+  /// Prefers other servers for a while to one that answers on no path.
+  void onServerSilent(const Endpoint& endpoint);
+  /// Nodes that this one knows from its place in the relay tree.
+  std::vector<Endpoint> neighbours() const;
+  boost::asio::awaitable<void> handlePeer(http::Request& request, http::ResponseWriter& writer);
   /// Probes a server's health, for the data in the head of its answer.
   boost::asio::awaitable<void> askForNotices(fleet::Server server);
   /// Takes a unit for a health probe if the server names a limit.
@@ -89,6 +100,9 @@
   LossLog lossLog_;
   fleet::Distances distances_;
   fleet::ServerPool pool_;
+  server_paths::ServerPathMetrics pathMetrics_;
+  server_paths::ServerPaths serverPaths_;
+  server_paths::TunnelService tunnels_;
   CacheStores cacheStores_;
   relay::RelayNode relay_;
   exchange::NodeExchange exchange_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -20,6 +20,9 @@
        &G::metricsListen},
       {{"store", "127.0.0.1:8090", 0, 0, "", "address of the store that outlives the nodes"},
        &G::store},
+      {{"source-address", "", 0, 0, "",
+        "address that connections leave from; empty: the system chooses"},
+       &G::sourceAddress},
       {{"relay-listen", "127.0.0.1:0", 0, 0, "",
         "address for nodes that read the store through this one; port 0: each node reads it "
         "itself"},
@@ -66,6 +69,9 @@
         "sent bytes without acknowledgement break a connection to a server; 0 leaves it to the "
         "system"},
        &G::unacknowledgedTimeout},
+      {{"max-tunnels", "256", 0, 100'000, "count",
+        "open connections to servers on behalf of nodes that cannot reach them; 0: none"},
+       &G::maxTunnels},
       {{"refusal-pause-ms", "250", 0, kMinuteMs, "ms",
         "a server that refused gets nothing so long"},
        &G::refusalPause},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -21,6 +21,8 @@
   /// Port 0: none.
   Endpoint metricsListen;
   Endpoint store;
+  /// Empty: the system chooses.
+  std::string sourceAddress;
   /// Port 0: the node reads the store itself.
   Endpoint relayListen;
   std::string relayGroup;
@@ -82,6 +84,7 @@
   Milliseconds drainAccept{0};
   Milliseconds drainTimeout{0};
   std::int64_t maxConnections = 0;
+  std::int64_t maxTunnels = 0;
   Milliseconds writeTimeout{0};
 };
 
--- a/src/gateway/mechanisms.cc
+++ b/src/gateway/mechanisms.cc
@@ -24,6 +24,7 @@
     {"pause-bounds", &Mechanisms::pauseBounds},
     {"tenant-limits", &Mechanisms::tenantLimits},
     {"region-homes", &Mechanisms::regionHomes},
+    {"relayed-paths", &Mechanisms::relayedPaths},
 };
 
 std::string allNames() {
--- a/src/gateway/mechanisms.h
+++ b/src/gateway/mechanisms.h
@@ -36,6 +36,8 @@
   bool tenantLimits = true;
   /// Prompts' common parts have a home in each region, and not one in the fleet.
   bool regionHomes = true;
+  /// Servers that this node cannot reach are reached through other nodes.
+  bool relayedPaths = true;
 };
 
 /// Switches the named mechanisms off. Fails with kSettingsInvalid for a name that is unknown, and
--- a/src/gateway/module_settings.cc
+++ b/src/gateway/module_settings.cc
@@ -114,6 +114,21 @@
   return distance;
 }
 
+server_paths::ServerPathsSettings pathSettings(const GatewaySettings& settings) {
+  server_paths::ServerPathsSettings paths;
+  paths.node = settings.nodeId;
+  if (settings.mechanisms.relayedPaths) {
+    paths.endpoint = settings.relayListen;
+  }
+  return paths;
+}
+
+server_paths::TunnelSettings tunnelSettings(const GatewaySettings& settings) {
+  server_paths::TunnelSettings tunnels;
+  tunnels.maxOpen = static_cast<std::size_t>(settings.maxTunnels);
+  return tunnels;
+}
+
 weights::WeightsLoaderSettings weightsLoaderSettings(const GatewaySettings& settings,
                                                      std::string holder) {
   weights::WeightsLoaderSettings loader;
--- a/src/gateway/module_settings.h
+++ b/src/gateway/module_settings.h
@@ -14,6 +14,8 @@
 #include "quota/allowance.h"
 #include "relay/relay_settings.h"
 #include "routes/route_table.h"
+#include "server_paths/server_paths.h"
+#include "server_paths/tunnel_service.h"
 #include "weights/weights_loader.h"
 
 /// What the settings of the node say for each of its modules.
@@ -42,6 +44,9 @@
 
 fleet::DistanceSettings distanceSettings(const GatewaySettings& settings);
 
+server_paths::ServerPathsSettings pathSettings(const GatewaySettings& settings);
+server_paths::TunnelSettings tunnelSettings(const GatewaySettings& settings);
+
 /// @param holder the name under which this process gives orders.
 weights::WeightsLoaderSettings weightsLoaderSettings(const GatewaySettings& settings,
                                                      std::string holder);
--- a/src/gateway/program.cc
+++ b/src/gateway/program.cc
@@ -57,7 +57,9 @@
   }
   log::initialize(settings.nodeId, log::Output::kStandardOutput);
   asio::io_context context(1);
-  http::Client client(context.get_executor());
+  http::ClientSettings clientSettings;
+  clientSettings.sourceAddress = settings.sourceAddress;
+  http::Client client(context.get_executor(), clientSettings);
   GatewayNode node(context, client, ports.make(client, settings), settings);
   const Result<void> started = node.start();
   if (!started) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <map>
 
+#include "http/open_connection.h"
 #include "http/status.h"
 
 namespace calicodrift::http {
@@ -56,36 +57,42 @@
 
 }  // namespace
 
-using StreamPointer = std::shared_ptr<beast::tcp_stream>;
+using ConnectionPointer = std::shared_ptr<OpenConnection>;
 
 /// Pool of idle connections; outlives the client while responses are being read.
 struct ClientState {
   struct IdleConnection {
-    StreamPointer stream;
+    ConnectionPointer connection;
     MonotonicTime usableUntil;
+    MonotonicTime usedAt;
   };
 
-  ClientState(asio::any_io_executor executor, Client::AddressMap addressOf)
-      : executor(std::move(executor)), addressOf(std::move(addressOf)) {}
+  ClientState(asio::any_io_executor executor, ClientSettings settings)
+      : executor(std::move(executor)), settings(std::move(settings)) {}
 
-  StreamPointer takeIdle(const Endpoint& endpoint) {
-    std::vector<IdleConnection>& connections = idle[endpoint];
-    while (!connections.empty()) {
-      const IdleConnection connection = std::move(connections.back());
+  ConnectionPointer takeIdle(const ConnectionPath& path, MonotonicTime usedSince) {
+    const auto found = idle.find(path);
+    return found == idle.end() ? nullptr : takeFrom(found->second, usedSince);
+  }
+
+  static ConnectionPointer takeFrom(std::vector<IdleConnection>& connections,
+                                    MonotonicTime usedSince) {
+    // Connections are returned at the end, so that all before an old one are older.
+    while (!connections.empty() && connections.back().usedAt >= usedSince) {
+      const IdleConnection taken = std::move(connections.back());
       connections.pop_back();
-      const bool fresh = monotonicNow() < connection.usableUntil;
-      if (fresh && stillUsable(connection.stream->socket())) {
-        return connection.stream;
+      const bool fresh = monotonicNow() < taken.usableUntil;
+      if (fresh && stillUsable(taken.connection->stream.socket())) {
+        taken.connection->connectTime.reset();
+        return taken.connection;
       }
     }
     return nullptr;
   }
 
-  /// @param drops of the address when the connection was made or taken.
-  void giveBack(const Endpoint& endpoint, StreamPointer stream, Milliseconds lifetime,
-                std::uint64_t drops) {
-    if (drops != dropsOf(endpoint)) {
-      stream->close();
+  void giveBack(const ConnectionPointer& connection, Milliseconds lifetime) {
+    if (connection->generation != generationOf(connection->path)) {
+      connection->stream.close();
       return;
     }
     const MonotonicTime now = monotonicNow();
@@ -93,33 +100,40 @@
       lastSweep = now;
       sweep(now);
     }
-    std::vector<IdleConnection>& connections = idle[endpoint];
+    std::vector<IdleConnection>& connections = idle[connection->path];
     if (connections.size() < kMaxIdleConnections) {
-      stream->expires_never();
-      connections.push_back({std::move(stream), now + lifetime});
+      connection->stream.expires_never();
+      connections.push_back({connection, now + lifetime, now});
     }
   }
 
   /// Closes what nobody has used for long, so that servers that left hold no descriptors here.
   void sweep(MonotonicTime now) {
     for (auto& entry : idle) {
-      std::erase_if(entry.second, [now](const IdleConnection& connection) {
-        return now > connection.usableUntil || !stillUsable(connection.stream->socket());
+      std::erase_if(entry.second, [now](const IdleConnection& idleOne) {
+        return now > idleOne.usableUntil || !stillUsable(idleOne.connection->stream.socket());
       });
     }
     std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
   }
 
-  std::uint64_t dropsOf(const Endpoint& endpoint) const {
-    const auto found = drops.find(endpoint);
-    return found == drops.end() ? 0 : found->second;
+  /// Changes whenever the connections of this path are dropped: both counts only grow.
+  std::uint64_t generationOf(const ConnectionPath& path) const {
+    return countOf(drops, path.endpoint) + (path.proxy ? countOf(proxyDrops, *path.proxy) : 0);
+  }
+  static std::uint64_t countOf(const std::map<Endpoint, std::uint64_t>& counts,
+                               const Endpoint& endpoint) {
+    const auto found = counts.find(endpoint);
+    return found == counts.end() ? 0 : found->second;
   }
 
   asio::any_io_executor executor;
-  Client::AddressMap addressOf;
-  std::map<Endpoint, std::vector<IdleConnection>> idle;
-  /// How often the connections of an address were dropped; only addresses where that happened.
+  ClientSettings settings;
+  std::map<ConnectionPath, std::vector<IdleConnection>> idle;
+  /// How often the connections of an endpoint, or through a proxy, were dropped; only those where
+  /// that happened.
   std::map<Endpoint, std::uint64_t> drops;
+  std::map<Endpoint, std::uint64_t> proxyDrops;
   MonotonicTime lastSweep{};
 };
 
@@ -127,13 +141,11 @@
 
 class StreamImpl : public ResponseStream {
  public:
-  /// @param drops of the address when the connection was made or taken.
-  StreamImpl(std::shared_ptr<ClientState> state, Endpoint endpoint, StreamPointer stream,
-             std::uint64_t drops, ExchangeOptions options, bool headOnly)
+  StreamImpl(std::shared_ptr<ClientState> state, ConnectionPointer connection,
+             ExchangeOptions options, bool headOnly)
       : state_(std::move(state)),
-        endpoint_(std::move(endpoint)),
-        stream_(std::move(stream)),
-        drops_(drops),
+        connection_(std::move(connection)),
+        stream_(connection_->stream),
         options_(options) {
     parser_.body_limit(options.maxBodyBytes);
     parser_.skip(headOnly);
@@ -141,21 +153,21 @@
 
   ~StreamImpl() override {
     if (!finished_) {
-      stream_->close();
+      stream_.close();
     }
   }
   StreamImpl(const StreamImpl&) = delete;
   StreamImpl& operator=(const StreamImpl&) = delete;
 
   awaitable<Result<void>> readHead() {
-    auto [code, bytes] = co_await bhttp::async_read_header(*stream_, buffer_, parser_, kAwait);
+    auto [code, bytes] = co_await bhttp::async_read_header(stream_, buffer_, parser_, kAwait);
     if (code == beast::error::timeout) {
       co_return fail(ErrorKind::kDeadlineExceeded,
-                     "no answer from " + endpoint_.toString() + " in time");
+                     "no answer from " + name() + " in time");
     }
     if (code) {
       co_return fail(ErrorKind::kOutcomeUnknown,
-                     "no answer from " + endpoint_.toString() + ": " + code.message());
+                     "no answer from " + name() + ": " + code.message());
     }
     head_.status = parser_.get().result_int();
     for (const auto& field : parser_.get()) {
@@ -171,15 +183,19 @@
     while (!parser_.is_done()) {
       parser_.get().body().data = piece_.data();
       parser_.get().body().size = piece_.size();
-      stream_->expires_after(options_.bodyTimeout);
-      auto [code, bytes] = co_await bhttp::async_read_some(*stream_, buffer_, parser_, kAwait);
+      stream_.expires_after(options_.bodyTimeout);
+      auto [code, bytes] = co_await bhttp::async_read_some(stream_, buffer_, parser_, kAwait);
       if (code == beast::error::timeout) {
         co_return fail(ErrorKind::kDeadlineExceeded,
-                       "the answer of " + endpoint_.toString() + " paused for too long");
+                       "the answer of " + name() + " paused for too long");
       }
       if (code && code != bhttp::error::need_buffer) {
         co_return fail(ErrorKind::kStreamBroken,
-                       "the answer of " + endpoint_.toString() + " broke off: " + code.message());
+                       "the answer of " + name() + " broke off: " + code.message());
+      }
+      if (!code && bodyEndsWithTunnel()) {
+        co_return fail(ErrorKind::kStreamBroken, "the answer of " + name() +
+                                                     " has no length, and its tunnel has ended");
       }
       const std::size_t length = piece_.size() - parser_.get().body().size;
       if (length > 0) {
@@ -193,9 +209,15 @@
 
   void setBodyTimeout(Milliseconds timeout) override { options_.bodyTimeout = timeout; }
 
-  void cancel() override { stream_->close(); }
+  void cancel() override { stream_.close(); }
 
  private:
+  /// Whether the body has just ended with the connection, which is a tunnel. The end of a tunnel
+  /// does not show whether the server or the proxy ended it.
+  bool bodyEndsWithTunnel() const {
+    return !connection_->path.direct() && parser_.is_done() && parser_.need_eof();
+  }
+
   void noteBytes() {
     constexpr unsigned kFirstRedirect = 300;
     const bool success = head_.status >= kStatusOk && head_.status < kFirstRedirect;
@@ -212,16 +234,17 @@
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
     if (pooled && parser_.get().keep_alive() && buffer_.size() == 0) {
-      state_->giveBack(endpoint_, stream_, idleLifetime(head_.headers.get("Keep-Alive")), drops_);
+      state_->giveBack(connection_, idleLifetime(head_.headers.get("Keep-Alive")));
     } else {
-      stream_->close();
+      stream_.close();
     }
   }
 
+  std::string name() const { return connection_->path.endpoint.toString(); }
+
   std::shared_ptr<ClientState> state_;
-  Endpoint endpoint_;
-  StreamPointer stream_;
-  std::uint64_t drops_;
+  ConnectionPointer connection_;
+  beast::tcp_stream& stream_;
   ExchangeOptions options_;
   bhttp::response_parser<bhttp::buffer_body> parser_;
   beast::flat_buffer buffer_;
@@ -230,44 +253,119 @@
   bool finished_ = false;
 };
 
-void attachTo(ExchangeCanceller* canceller, const StreamPointer& stream) {
+void attachTo(ExchangeCanceller* canceller, const ConnectionPointer& connection) {
   if (canceller != nullptr) {
-    canceller->attach([weak = std::weak_ptr(stream)] {
-      if (const StreamPointer open = weak.lock()) {
-        open->close();
+    canceller->attach([weak = std::weak_ptr(connection)] {
+      if (const ConnectionPointer open = weak.lock()) {
+        open->stream.close();
       }
     });
   }
 }
 
-awaitable<Result<StreamPointer>> connect(std::shared_ptr<ClientState> state, Endpoint endpoint,
-                                         ExchangeOptions options) {
-  auto stream = std::make_shared<beast::tcp_stream>(state->executor);
-  attachTo(options.canceller, stream);
-  const Endpoint target = state->addressOf ? state->addressOf(endpoint) : endpoint;
-  const Tcp::endpoint address(asio::ip::make_address(target.address), target.port);
-  stream->expires_after(options.connectTimeout);
-  const MonotonicTime begin = monotonicNow();
-  auto [code] = co_await stream->async_connect(address, kAwait);
-  if (code) {
-    Error error = fail(ErrorKind::kConnectFailed,
-                       "cannot connect to " + endpoint.toString() + ": " + code.message());
-    if (code == asio::error::connection_refused) {
-      error.reason = kConnectionRefused;
+Error connectError(const Endpoint& endpoint, const std::string& cause, std::string_view reason) {
+  Error error =
+      fail(ErrorKind::kConnectFailed, "cannot connect to " + endpoint.toString() + ": " + cause);
+  error.reason = reason;
+  return error;
+}
+
+beast::error_code bindSource(Tcp::socket& socket, const ClientSettings& settings) {
+  beast::error_code code;
+  if (!settings.sourceAddress.empty()) {
+    const Tcp::endpoint source(asio::ip::make_address(settings.sourceAddress, code), 0);
+    if (!code) {
+      socket.open(source.protocol(), code);
     }
-    co_return error;
+    if (!code) {
+      socket.bind(source, code);
+    }
+  }
+  return code;
+}
+
+awaitable<Result<void>> connectTcp(std::shared_ptr<ClientState> state,
+                                   ConnectionPointer connection, Endpoint to) {
+  const ClientSettings& settings = state->settings;
+  const Endpoint target = settings.addressOf ? settings.addressOf(to) : to;
+  const Tcp::endpoint address(asio::ip::make_address(target.address), target.port);
+  if (const beast::error_code code = bindSource(connection->stream.socket(), settings)) {
+    co_return connectError(to, "source address: " + code.message(), "");
   }
-  if (options.connectTime != nullptr) {
-    *options.connectTime = std::chrono::duration_cast<Microseconds>(monotonicNow() - begin);
+  auto [code] = co_await connection->stream.async_connect(address, kAwait);
+  if (code) {
+    const bool refused = code == asio::error::connection_refused;
+    co_return connectError(to, code.message(), refused ? kConnectionRefused : "");
   }
   beast::error_code ignored;
-  stream->socket().set_option(Tcp::no_delay(true), ignored);
+  connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+  co_return boost::outcome_v2::success();
+}
+
+/// Why a proxy opened no tunnel, from the head of its answer.
+std::string_view reasonOf(const bhttp::response_header<>& head) {
+  if (head.result() != bhttp::status::bad_gateway) {
+    return kProxyDeclined;
+  }
+  const auto cause = head[std::string(kConnectErrorHeader)];
+  return std::string_view(cause.data(), cause.size()) == kConnectionRefused
+             ? kConnectionRefused
+             : kUnreachableFromProxy;
+}
+
+/// Asks the proxy, to which the connection leads, for a tunnel to the endpoint.
+awaitable<Result<void>> openTunnel(ConnectionPointer connection) {
+  const Endpoint& endpoint = connection->path.endpoint;
+  bhttp::request<bhttp::empty_body> request{bhttp::verb::connect, endpoint.toString(), 11};
+  request.set(bhttp::field::host, endpoint.toString());
+  auto [writeCode, written] = co_await bhttp::async_write(connection->stream, request, kAwait);
+  if (writeCode) {
+    co_return connectError(endpoint, "the proxy: " + writeCode.message(), kProxyFailed);
+  }
+  bhttp::response_parser<bhttp::empty_body> parser;
+  parser.skip(true);
+  beast::flat_buffer buffer;
+  auto [readCode, read] =
+      co_await bhttp::async_read_header(connection->stream, buffer, parser, kAwait);
+  if (readCode) {
+    co_return connectError(endpoint, "the proxy: " + readCode.message(), kProxyFailed);
+  }
+  if (parser.get().result() != bhttp::status::ok) {
+    co_return connectError(endpoint,
+                           "the proxy answered " + std::to_string(parser.get().result_int()),
+                           reasonOf(parser.get().base()));
+  }
+  if (buffer.size() > 0) {
+    // Nothing was asked of the server yet.
+    co_return connectError(endpoint, "the proxy: unexpected bytes", kProxyFailed);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+awaitable<Result<ConnectionPointer>> makeConnection(std::shared_ptr<ClientState> state,
+                                                    ConnectionPath path, ConnectOptions options) {
+  const MonotonicTime begin = monotonicNow();
+  auto connection = std::make_shared<OpenConnection>(state->executor, path);
+  connection->generation = state->generationOf(path);
+  attachTo(options.canceller, connection);
+  connection->stream.expires_after(options.timeout);
+  const Endpoint first = path.proxy.value_or(path.endpoint);
+  Result<void> opened = co_await connectTcp(state, connection, first);
+  if (opened && path.proxy) {
+    opened = co_await openTunnel(connection);
+  } else if (!opened && path.proxy) {
+    opened.error().reason = kProxyFailed;
+  }
+  if (!opened) {
+    co_return opened.error();
+  }
+  connection->connectTime = std::chrono::duration_cast<Microseconds>(monotonicNow() - begin);
   if (options.unacknowledgedTimeout.count() > 0) {
     const auto timeout = static_cast<unsigned>(options.unacknowledgedTimeout.count());
-    ::setsockopt(stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                 sizeof timeout);
+    ::setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &timeout, sizeof timeout);
   }
-  co_return stream;
+  co_return connection;
 }
 
 bhttp::request<bhttp::string_body> toBeast(const Endpoint& endpoint, Request&& request) {
@@ -304,44 +402,52 @@
   close_ = std::move(close);
 }
 
-Client::Client(asio::any_io_executor executor, AddressMap addressOf)
-    : state_(std::make_shared<ClientState>(std::move(executor), std::move(addressOf))) {}
+Client::Client(asio::any_io_executor executor, ClientSettings settings)
+    : state_(std::make_shared<ClientState>(std::move(executor), std::move(settings))) {}
 
-awaitable<Result<std::unique_ptr<ResponseStream>>> Client::open(Endpoint endpoint, Request request,
-                                                                ExchangeOptions options) {
+const ConnectionPath& ClientConnection::path() const {
+  return open_->path;
+}
+
+std::optional<Microseconds> ClientConnection::connectTime() const {
+  return open_->connectTime;
+}
+
+awaitable<Result<ClientConnection>> Client::connect(ConnectionPath path, ConnectOptions options) {
   const std::shared_ptr<ClientState> state = state_;
-  const std::uint64_t drops = state->dropsOf(endpoint);
-  StreamPointer stream;
-  if (options.connection == ConnectionUse::kPooled) {
-    stream = state->takeIdle(endpoint);
-  }
-  if (!stream) {
-    Result<StreamPointer> connected = co_await connect(state, endpoint, options);
-    if (!connected) {
-      co_return connected.error();
+  if (options.use == ConnectionUse::kPooled) {
+    if (ConnectionPointer idle = state->takeIdle(path, options.usedSince)) {
+      idle->generation = state->generationOf(path);
+      attachTo(options.canceller, idle);
+      co_return ClientConnection(std::move(idle));
     }
-    stream = connected.value();
-    if (options.canceller != nullptr && options.canceller->cancelled()) {
-      co_return fail(ErrorKind::kConnectFailed, "given up before the request was sent");
-    }
-  } else {
-    attachTo(options.canceller, stream);
   }
-  if (options.beforeSend != nullptr) {
-    if (const Result<void> allowed = (*options.beforeSend)(); !allowed) {
-      state->giveBack(endpoint, stream, kUnusedLifetime, drops);
-      co_return allowed.error();
-    }
+  Result<ConnectionPointer> made = co_await makeConnection(state, std::move(path), options);
+  if (!made) {
+    co_return made.error();
   }
+  if (options.canceller != nullptr && options.canceller->cancelled()) {
+    co_return fail(ErrorKind::kConnectFailed, "given up before the request was sent");
+  }
+  co_return ClientConnection(std::move(made.value()));
+}
+
+awaitable<Result<std::unique_ptr<ResponseStream>>> Client::send(ClientConnection connection,
+                                                                Request request,
+                                                                ExchangeOptions options) {
+  const std::shared_ptr<ClientState> state = state_;
+  const ConnectionPointer open = connection.share();
+  attachTo(options.canceller, open);
+  const Endpoint endpoint = open->path.endpoint;
   const bool headOnly = request.method == "HEAD";
   const auto message = toBeast(endpoint, std::move(request));
-  stream->expires_after(options.headerTimeout);
-  auto [code, bytes] = co_await bhttp::async_write(*stream, message, kAwait);
+  open->stream.expires_after(options.headerTimeout);
+  auto [code, bytes] = co_await bhttp::async_write(open->stream, message, kAwait);
   if (code) {
     co_return fail(ErrorKind::kOutcomeUnknown,
                    "sending to " + endpoint.toString() + " broke off: " + code.message());
   }
-  auto response = std::make_unique<StreamImpl>(state, endpoint, stream, drops, options, headOnly);
+  auto response = std::make_unique<StreamImpl>(state, open, options, headOnly);
   Result<void> head = co_await response->readHead();
   if (!head) {
     co_return head.error();
@@ -349,9 +455,57 @@
   co_return std::unique_ptr<ResponseStream>(std::move(response));
 }
 
+awaitable<Result<std::unique_ptr<ResponseStream>>> Client::open(Endpoint endpoint, Request request,
+                                                                ExchangeOptions options) {
+  ConnectOptions connecting;
+  connecting.use = options.connection;
+  connecting.timeout = options.connectTimeout;
+  connecting.unacknowledgedTimeout = options.unacknowledgedTimeout;
+  connecting.canceller = options.canceller;
+  Result<ClientConnection> connected =
+      co_await connect(ConnectionPath(std::move(endpoint)), connecting);
+  if (!connected) {
+    co_return connected.error();
+  }
+  if (options.connectTime != nullptr && connected.value().connectTime()) {
+    *options.connectTime = connected.value().connectTime();
+  }
+  co_return co_await send(std::move(connected.value()), std::move(request), options);
+}
+
+std::optional<ClientConnection> Client::takeIdle(
+    const Endpoint& endpoint, const std::function<bool(const ConnectionPath&)>& usable,
+    MonotonicTime usedSince) {
+  auto found = state_->idle.lower_bound(ConnectionPath(endpoint));
+  for (; found != state_->idle.end() && found->first.endpoint == endpoint; ++found) {
+    if (!usable(found->first)) {
+      continue;
+    }
+    if (ConnectionPointer idle = ClientState::takeFrom(found->second, usedSince)) {
+      idle->generation = state_->generationOf(idle->path);
+      return ClientConnection(std::move(idle));
+    }
+  }
+  return std::nullopt;
+}
+
+void Client::release(ClientConnection connection) {
+  state_->giveBack(connection.share(), kUnusedLifetime);
+}
+
 void Client::dropConnections(const Endpoint& endpoint) {
   ++state_->drops[endpoint];
-  state_->idle.erase(endpoint);
+  std::erase_if(state_->idle,
+                [&](const auto& entry) { return entry.first.endpoint == endpoint; });
+}
+
+void Client::dropConnectionsThrough(const Endpoint& proxy) {
+  ++state_->proxyDrops[proxy];
+  std::erase_if(state_->idle, [&](const auto& entry) { return entry.first.proxy == proxy; });
+}
+
+void Client::closeIdleDirect(const Endpoint& endpoint) {
+  state_->idle.erase(ConnectionPath(endpoint));
 }
 
 awaitable<Result<Response>> Client::exchange(Endpoint endpoint, Request request,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,19 +11,33 @@
 #include "common/clock.h"
 #include "common/endpoint.h"
 #include "common/error.h"
+#include "http/connection_path.h"
 #include "http/message.h"
 
 namespace calicodrift::http {
 
 struct ClientState;
+struct OpenConnection;
 
 /// Whether a request may go over a connection that was used before. A reused one may turn out to be
 /// closed after the request was written; for a request that must not run twice, only a fresh one
 /// makes a failed connect prove that nothing was sent.
 enum class ConnectionUse { kPooled, kFresh };
 
-/// Reason of a kConnectFailed: the machine answered that nothing listens at the port.
+/// Reasons of a kConnectFailed.
+/// The endpoint's machine answered that nothing listens at the port, to this process or to the
+/// proxy.
 inline constexpr std::string_view kConnectionRefused = "connection_refused";
+/// The proxy could not be reached, or its answer could not be understood.
+inline constexpr std::string_view kProxyFailed = "proxy_failed";
+/// The proxy opens no tunnel to this endpoint now.
+inline constexpr std::string_view kProxyDeclined = "proxy_declined";
+/// The proxy could not reach the endpoint.
+inline constexpr std::string_view kUnreachableFromProxy = "unreachable_from_proxy";
+
+/// Header in which a proxy says why it could not connect: kConnectionRefused or
+/// kUnreachableFromProxy.
+inline constexpr std::string_view kConnectErrorHeader = "X-Connect-Error";
 
 /// Ends an exchange from outside, at any point of it: also while it connects or waits for the
 /// header. Must outlive the call of Client::open() or exchange() that it is given to.
@@ -54,15 +68,38 @@
   /// A plain pointer, as g++ 12 mishandles temporaries of aggregates with destructors in
   /// coroutines.
   ExchangeCanceller* canceller = nullptr;
-  /// Asked once the connection is there, right before the first byte. Where it fails nothing is
-  /// sent, the connection is kept and the exchange fails so. Must outlive the call.
-  const std::function<Result<void>()>* beforeSend = nullptr;
   /// Set to how long the connection took where a new one was made. Must outlive the call.
   std::optional<Microseconds>* connectTime = nullptr;
   /// Set to when bytes of a successful response (2xx) last arrived. Must outlive the call.
   MonotonicTime* lastBytesAt = nullptr;
 };
 
+struct ConnectOptions {
+  ConnectionUse use = ConnectionUse::kPooled;
+  /// Until the connection is open; with a proxy, until its tunnel is.
+  Milliseconds timeout{1000};
+  /// See ExchangeOptions::unacknowledgedTimeout.
+  Milliseconds unacknowledgedTimeout{0};
+  /// A pooled connection is taken only if it was in use at this time or later.
+  MonotonicTime usedSince{};
+  ExchangeCanceller* canceller = nullptr;
+};
+
+/// A connection that is ready for one exchange. Closes it when destroyed unused.
+class ClientConnection {
+ public:
+  explicit ClientConnection(std::shared_ptr<OpenConnection> open) : open_(std::move(open)) {}
+  const ConnectionPath& path() const;
+  /// How long it took to open; empty if it was used before.
+  std::optional<Microseconds> connectTime() const;
+  /// For src/http.
+  OpenConnection& open() const { return *open_; }
+  const std::shared_ptr<OpenConnection>& share() const { return open_; }
+
+ private:
+  std::shared_ptr<OpenConnection> open_;
+};
+
 /// A response whose body is still arriving.
 class ResponseStream {
  public:
@@ -81,16 +118,19 @@
 /// The head with its whole body. Fails as ResponseStream::read() does.
 boost::asio::awaitable<Result<Response>> readWhole(ResponseStream& stream);
 
+struct ClientSettings {
+  /// Translates the address of an endpoint into the one to connect to; empty: it stays as it is.
+  std::function<Endpoint(const Endpoint&)> addressOf;
+  /// Address that connections leave from; empty: the system chooses.
+  std::string sourceAddress;
+};
+
 /// HTTP/1.1 client with a pool of idle connections for each endpoint. Used on one thread.
 /// Errors: kConnectFailed means that no byte of the request left; kOutcomeUnknown that it may have;
 /// kDeadlineExceeded that the answer's header did not come in time.
 class Client {
  public:
-  /// Translates the address of an endpoint into the one to connect to.
-  using AddressMap = std::function<Endpoint(const Endpoint&)>;
-
-  /// @param addressOf empty: endpoints are connected to as they are.
-  explicit Client(boost::asio::any_io_executor executor, AddressMap addressOf = {});
+  explicit Client(boost::asio::any_io_executor executor, ClientSettings settings = {});
 
   /// Sends a request and reads the whole response.
   boost::asio::awaitable<Result<Response>> exchange(Endpoint endpoint, Request request,
@@ -99,9 +139,28 @@
   boost::asio::awaitable<Result<std::unique_ptr<ResponseStream>>> open(
       Endpoint endpoint, Request request, ExchangeOptions options = {});
 
-  /// The process at this address is another one now: no connection that was made until now serves a
-  /// further request. Those in use end with their exchange.
+  /// The two steps of open(). Fails with kConnectFailed: nothing was sent.
+  boost::asio::awaitable<Result<ClientConnection>> connect(ConnectionPath path,
+                                                           ConnectOptions options);
+  /// Options that concern the connection are ignored.
+  boost::asio::awaitable<Result<std::unique_ptr<ResponseStream>>> send(ClientConnection connection,
+                                                                       Request request,
+                                                                       ExchangeOptions options);
+  /// Takes an idle connection of any path to the endpoint that satisfies `usable`; see
+  /// ConnectOptions::usedSince.
+  std::optional<ClientConnection> takeIdle(
+      const Endpoint& endpoint, const std::function<bool(const ConnectionPath&)>& usable,
+      MonotonicTime usedSince);
+  /// Returns a connection on which nothing was sent to the pool.
+  void release(ClientConnection connection);
+
+  /// The process at this address is another one now: no connection that was made until now, on any
+  /// path, serves a further request. Those in use end with their exchange.
   void dropConnections(const Endpoint& endpoint);
+  /// The same for connections through this proxy.
+  void dropConnectionsThrough(const Endpoint& proxy);
+  /// Closes idle direct connections to the endpoint.
+  void closeIdleDirect(const Endpoint& endpoint);
 
  private:
   std::shared_ptr<ClientState> state_;
--- /dev/null
+++ b/src/http/connection_path.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <utility>
+
+#include "common/endpoint.h"
+
+namespace calicodrift::http {
+
+/// How a connection reaches its endpoint: directly, or through a tunnel that a proxy opens on
+/// request (HTTP CONNECT).
+struct ConnectionPath {
+  /// A constructor, as g++ 12 mishandles temporaries of aggregates with destructors in coroutines.
+  explicit ConnectionPath(Endpoint endpoint, std::optional<Endpoint> proxy = std::nullopt)
+      : endpoint(std::move(endpoint)), proxy(std::move(proxy)) {}
+
+  Endpoint endpoint;
+  std::optional<Endpoint> proxy;
+
+  bool direct() const { return !proxy.has_value(); }
+  auto operator<=>(const ConnectionPath&) const = default;
+};
+
+}  // namespace calicodrift::http
--- /dev/null
+++ b/src/http/open_connection.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <boost/beast/core.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "http/connection_path.h"
+
+// Internal to src/http: only its .cc files include this file.
+namespace calicodrift::http {
+
+/// An open connection of a client.
+struct OpenConnection {
+  OpenConnection(const boost::asio::any_io_executor& executor, ConnectionPath path)
+      : stream(executor), path(std::move(path)) {}
+
+  boost::beast::tcp_stream stream;
+  ConnectionPath path;
+  /// Generation of its address when it was made or taken; see ClientState::generationOf().
+  std::uint64_t generation = 0;
+  /// How long it took to open; empty if it was used before.
+  std::optional<Microseconds> connectTime;
+};
+
+}  // namespace calicodrift::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "http/client.h"
 #include "http/server_connection.h"
 
 namespace calicodrift::http {
@@ -71,6 +72,11 @@
   static_cast<void>(ended);
 }
 
+awaitable<Result<TunnelTotals>> ResponseWriter::tunnel(ClientConnection /*server*/,
+                                                       Milliseconds /*idleTimeout*/) {
+  co_return fail(ErrorKind::kInternal, "this writer has no connection for a tunnel");
+}
+
 Server::Server(const asio::any_io_executor& executor, ServerLimits limits, Handler handler)
     : state_(std::make_shared<ServerState>(executor, limits, std::move(handler))) {}
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -26,9 +27,17 @@
   Milliseconds writeTimeout{30000};
 };
 
+class ClientConnection;
+
+/// Bytes that a tunnel has passed.
+struct TunnelTotals {
+  std::uint64_t fromCaller = 0;
+  std::uint64_t fromServer = 0;
+};
+
 /// The answering side of one request. A handler calls either send() once, or startStream(),
-/// writeChunk() any number of times and endStream(). All of them fail with kCallerGone after the
-/// caller has left.
+/// writeChunk() any number of times and endStream(), or tunnel(). All of them fail with kCallerGone
+/// after the caller has left.
 class ResponseWriter {
  public:
   virtual ~ResponseWriter() = default;
@@ -38,6 +47,11 @@
   /// Returns once the socket has taken the bytes, so that a slow caller slows its back end.
   virtual boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) = 0;
   virtual boost::asio::awaitable<Result<void>> endStream() = 0;
+  /// Accepts a CONNECT request: from now on the caller's connection is one to `server`, until either
+  /// side ends it or nothing passes for `idleTimeout`. Fails with kInternal if the writer has no
+  /// connection of its own.
+  virtual boost::asio::awaitable<Result<TunnelTotals>> tunnel(ClientConnection server,
+                                                              Milliseconds idleTimeout);
   /// Closes the connection without an end mark, so that the caller sees an incomplete body.
   virtual void abort() = 0;
   /// Called at most once, when the caller closes its connection before the answer is complete; at
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -4,6 +4,9 @@
 
 #include <utility>
 
+#include "http/open_connection.h"
+#include "http/tunnel.h"
+
 namespace calicodrift::http {
 namespace {
 
@@ -144,6 +147,25 @@
   co_return outcomeOfWrite(code);
 }
 
+awaitable<Result<TunnelTotals>> Connection::tunnel(ClientConnection server,
+                                                   Milliseconds idleTimeout) {
+  answered_ = true;
+  keepAlive_ = false;
+  stopWatching();
+  bhttp::response<bhttp::empty_body> message{bhttp::status::ok, 11};
+  stream_.expires_after(limits_.writeTimeout);
+  auto [code, bytes] = co_await bhttp::async_write(stream_, message, kAwait);
+  if (code) {
+    co_return outcomeOfWrite(code).error();
+  }
+  std::string early = beast::buffers_to_string(buffer_.data());
+  buffer_.clear();
+  const TunnelTotals totals =
+      co_await passBytes(stream_, std::move(early), server.open().stream, idleTimeout);
+  markGone();
+  co_return totals;
+}
+
 void Connection::abort() {
   keepAlive_ = false;
   stream_.close();
@@ -267,6 +289,10 @@
     }
   }
   goneCallback_ = nullptr;
+  stopWatching();
+}
+
+void Connection::stopWatching() {
   ++watchNumber_;
   disconnectWatch_.emit(asio::cancellation_type::terminal);
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "http/client.h"
 #include "http/server.h"
 
 // Internal to src/http: only server*.cc include this file.
@@ -67,6 +68,8 @@
   boost::asio::awaitable<Result<void>> startStream(Response response) override;
   boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) override;
   boost::asio::awaitable<Result<void>> endStream() override;
+  boost::asio::awaitable<Result<TunnelTotals>> tunnel(ClientConnection server,
+                                                      Milliseconds idleTimeout) override;
   void abort() override;
   void onCallerGone(std::function<void()> callback) override;
   bool callerGone() const override { return gone_; }
@@ -88,6 +91,7 @@
   /// Waits until the socket is readable while the handler runs. A wait whose number is outdated
   /// belongs to an earlier request and does nothing.
   void watchForDisconnect();
+  void stopWatching();
   /// Readable without a byte means that the caller has closed. Bytes are of a pipelined request
   /// and are kept for it; the watch ends when they are more than a header may have.
   void takeEarlyBytes();
--- a/src/sim/fault_proxy.cc
+++ b/src/sim/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "sim/fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -32,7 +33,10 @@
 /// The two sides of one proxied connection.
 struct ProxyConnection {
   ProxyConnection(Tcp::socket caller, asio::io_context& context)
-      : caller(std::move(caller)), target(context), partnerCame(context) {}
+      : caller(std::move(caller)), target(context), partnerCame(context) {
+    boost::system::error_code ignored;
+    source = this->caller.remote_endpoint(ignored).address().to_string();
+  }
 
   void close() {
     boost::system::error_code ignored;
@@ -41,6 +45,8 @@
   }
 
   Tcp::socket caller;
+  /// Address of the caller.
+  std::string source;
   Tcp::socket target;
   asio::steady_timer partnerCame;
   /// Set while answers are crossed: the connection whose caller gets this one's answer.
@@ -88,12 +94,12 @@
       co_return;
     }
     ++accepted_;
-    if (faults_.refuse) {
+    auto connection = std::make_shared<ProxyConnection>(std::move(socket), context_);
+    if (faults_.refuse && strikes(connection->source)) {
       ++refused_;
-      socket.close(code);
+      connection->close();
       continue;
     }
-    auto connection = std::make_shared<ProxyConnection>(std::move(socket), context_);
     std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
     connections_.push_back(connection);
     asio::co_spawn(context_, serve(connection), asio::detached);
@@ -101,7 +107,7 @@
 }
 
 awaitable<void> FaultProxy::serve(Connection connection) {
-  co_await holdBack();
+  co_await holdBack(connection);
   const Tcp::endpoint address(asio::ip::make_address(target_.address), target_.port);
   auto [code] = co_await connection->target.async_connect(address, kAwait);
   if (code) {
@@ -123,8 +129,8 @@
     if (readCode) {
       break;
     }
-    co_await holdBack();
-    if (faults_.swallowRequests) {
+    co_await holdBack(connection);
+    if (faults_.swallowRequests && strikes(connection->source)) {
       swallowedBytes_ += count;
       continue;
     }
@@ -148,7 +154,7 @@
     if (readCode) {
       break;
     }
-    co_await holdBack();
+    co_await holdBack(connection);
     if (connection->answerBytes == 0 && !co_await beginAnswer(connection)) {
       co_return;
     }
@@ -157,7 +163,7 @@
       ++cut_;
       break;
     }
-    if (faults_.swallowAnswers) {
+    if (faults_.swallowAnswers && strikes(connection->source)) {
       swallowedBytes_ += count;
       continue;
     }
@@ -214,9 +220,15 @@
   co_return true;
 }
 
-awaitable<void> FaultProxy::holdBack() {
+bool FaultProxy::strikes(const std::string& source) const {
+  return faults_.onlyFrom.empty() ||
+         std::find(faults_.onlyFrom.begin(), faults_.onlyFrom.end(), source) !=
+             faults_.onlyFrom.end();
+}
+
+awaitable<void> FaultProxy::holdBack(Connection connection) {
   asio::steady_timer timer(context_);
-  while (faults_.freeze) {
+  while (faults_.freeze && strikes(connection->source)) {
     timer.expires_after(kFreezeCheckInterval);
     co_await timer.async_wait(kAwait);
   }
@@ -238,6 +250,11 @@
   faults.freeze = flagAt(object, "freeze");
   faults.swallowRequests = flagAt(object, "swallow_requests");
   faults.swallowAnswers = flagAt(object, "swallow_answers");
+  if (const json::value* sources = object.if_contains("only_from")) {
+    for (const json::value& source : sources->as_array()) {
+      faults.onlyFrom.emplace_back(source.as_string());
+    }
+  }
   faults.delay = Milliseconds(numberAt(object, "delay_ms"));
   faults.dropAnswers = numberAt(object, "drop_answers");
   faults.cutAfterBytes = numberAt(object, "cut_after_bytes");
@@ -252,7 +269,8 @@
     return;
   }
   for (const auto& weak : connections_) {
-    if (const Connection connection = weak.lock()) {
+    const Connection connection = weak.lock();
+    if (connection && strikes(connection->source)) {
       ++refused_;
       connection->close();
     }
--- a/src/sim/fault_proxy.h
+++ b/src/sim/fault_proxy.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "common/clock.h"
 #include "http/server.h"
@@ -33,6 +34,9 @@
   std::int64_t cutAfterBytes = 0;
   /// `cross_answers`: so many next pairs of connections get each other's answers.
   std::int64_t crossAnswers = 0;
+  /// `only_from`: refusals, freezes and swallowed bytes strike connections from these addresses
+  /// only; empty: all.
+  std::vector<std::string> onlyFrom;
   /// `duplicate_answers`: so many next pieces of answers are sent twice.
   std::int64_t duplicateAnswers = 0;
 };
@@ -57,8 +61,10 @@
   boost::asio::awaitable<void> serve(Connection connection);
   boost::asio::awaitable<void> pumpRequests(Connection connection);
   boost::asio::awaitable<void> pumpAnswers(Connection connection);
-  /// Waits while the proxy is frozen, then for the delay.
-  boost::asio::awaitable<void> holdBack();
+  /// Whether faults that strike only some callers strike this one.
+  bool strikes(const std::string& source) const;
+  /// Waits while the proxy is frozen for this caller, then for the delay.
+  boost::asio::awaitable<void> holdBack(Connection connection);
   /// Applies the faults that strike when an answer begins; false if the connection was closed.
   boost::asio::awaitable<bool> beginAnswer(Connection connection);
   static ProxyFaults parseFaults(const std::string& body);
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -12,6 +12,7 @@
 
 #include "forward/forwarder.h"
 #include "log/log.h"
+#include "support/direct_paths.h"
 
 namespace calicodrift::forward {
 
@@ -360,7 +361,9 @@
   quota::QuotaNode quota_;
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
   server_limits::ServerLimitNode serverLimits_{standaloneLimitContext(), serverLimitMetrics_};
-  ServerCalls serverCalls_{{client_, serverProtocol_, pool, serverLimits_, metrics_}, 1};
+  testing::DirectPaths directPaths_{context.get_executor(), client_};
+  ServerCalls serverCalls_{
+      {client_, serverProtocol_, pool, serverLimits_, metrics_, directPaths_.paths}, 1};
   TestCallerProtocol callers_;
   TestServerProtocol serverProtocol_;
 };
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -445,6 +445,8 @@
           co_await stormWithLimits();
         } else if (plot_ == SoakPlot::kNotices) {
           co_await stormWithNotices();
+        } else if (plot_ == SoakPlot::kPartitions) {
+          co_await stormWithPartitions();
         } else if (plot_ == SoakPlot::kReturns) {
           co_await stormWithReturns();
         } else if (plot_ == SoakPlot::kCrashes) {
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -77,6 +77,8 @@
   kCrashes,
   /// As kWeights, with a large configuration and a store that returns from copies.
   kReturns,
+  /// As kWeights, with nodes that lose the paths to servers.
+  kPartitions,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -124,6 +126,8 @@
   struct Node {
     std::string name;
     std::string settings;
+    /// Address that its connections leave from.
+    std::string source;
     Endpoint listen;
     Endpoint ready;
     Proxy store;
@@ -233,6 +237,13 @@
   Body returnFromCopy(Draws draws);
   Body publishLate(const Server& server, Milliseconds delay);
   static void addIdleRoutes(boost::json::array& routes);
+  Body setCut(std::vector<const Node*> cutNodes, std::vector<Server*> servers,
+              boost::json::object kind);
+  Body cutSome(Draws draws);
+  Body partitionsInSeries(MonotonicTime end, Draws draws);
+  boost::asio::awaitable<std::size_t> countUnserved(const Node& node);
+  Body judgePartition(boost::json::object kind);
+  Body stormWithPartitions();
   Body stormWithNotices();
   Body noticesInSeries(std::string service, MonotonicTime end, Draws draws);
   Body leaveAndReturn(Server& server, Draws draws);
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -98,6 +98,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_partitions)
+
+/// Nodes that lose the paths to some or all servers beside kills, stops, cuts and a store that
+/// misbehaves. Fresh seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(promisesHoldAtNodesThatAreCutOffServers) {
+  constexpr std::uint64_t kLength = 20;
+  soak(parameter("SOAK_SEED", 1), std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+       SoakPlot::kPartitions);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_returns)
 
 /// A large configuration and a store that returns from copies beside kills, stops, cuts and a store
--- a/tests/gateway_soak/nodes.cc
+++ b/tests/gateway_soak/nodes.cc
@@ -18,6 +18,8 @@
   node->name = name;
   node->listen = freeEndpoint();
   node->ready = freeEndpoint();
+  constexpr std::size_t kFirstSource = 11;
+  node->source = "127.0.0." + std::to_string(kFirstSource + nodes_.size());
   node->store = makeProxy(store_.endpoint());
   node->settings = (folder_ / (name + ".json")).string();
   std::ofstream(node->settings) << json::serialize(
@@ -26,6 +28,7 @@
                    {"listen", node->listen.toString()},
                    {"ready-listen", node->ready.toString()},
                    {"relay-listen", freeEndpoint().toString()},
+                   {"source-address", node->source},
                    {"limit-window-s", "4"},
                    {"limit-overshoot", "0.1"},
                    {"limit-slack", "30000"},
--- a/tests/platform/cache_stores_test.cc
+++ b/tests/platform/cache_stores_test.cc
@@ -1,4 +1,5 @@
 #include "gateway/cache_stores.h"
+#include "support/direct_paths.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
@@ -26,12 +27,13 @@
 struct CacheStoresFixture {
   asio::io_context context;
   http::Client client{context.get_executor()};
+  testing::DirectPaths directPaths{context.get_executor(), client};
   platform::OperatorServers protocol;
   std::shared_ptr<const routes::RouteTable> table = tableWithStore();
   bool asks = false;
   std::vector<Endpoint> lost;
   CacheStores stores{context.get_executor(),
-                     client,
+                     directPaths.paths,
                      protocol,
                      [this] { return table; },
                      [this] { return asks; },
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -201,10 +201,11 @@
     node.settings.relayListen = freeEndpoint();
     node.settings.store = store.endpoint();
     const std::size_t number = nodes_.size();
-    node.client = std::make_unique<http::Client>(
-        context.get_executor(), [this, number](const Endpoint& endpoint) {
-          return addressOf ? addressOf(number, endpoint) : endpoint;
-        });
+    http::ClientSettings client;
+    client.addressOf = [this, number](const Endpoint& endpoint) {
+      return addressOf ? addressOf(number, endpoint) : endpoint;
+    };
+    node.client = std::make_unique<http::Client>(context.get_executor(), client);
     node.store = std::make_unique<platform::OperatorStore>(*node.client, store.endpoint());
     nodes_.push_back(std::move(node));
   }
--- a/tests/platform/partitioned_nodes_test.cc
+++ b/tests/platform/partitioned_nodes_test.cc
@@ -109,6 +109,76 @@
   });
 }
 
+/// The sum of a counter over the nodes from `first` up to `end`, as an operator reads it.
+awaitable<double> counterOf(GatewayFleet& fleet, std::size_t first, std::size_t end,
+                            std::string name) {
+  double sum = 0;
+  for (std::size_t node = first; node < end; ++node) {
+    const std::string page = co_await fleet.askNode(node, "GET", "/metrics");
+    const std::size_t found = page.find("\n" + name + " ");
+    if (found != std::string::npos) {
+      sum += std::stod(page.substr(found + name.size() + 2));
+    }
+  }
+  co_return sum;
+}
+
+/// Guards against nodes that go on to use their neighbours after their own paths are back, and
+/// against calls that run twice on the way there and back.
+BOOST_AUTO_TEST_CASE(callsGoDirectlyAgainAfterTheCutAndRunOnce) {
+  constexpr Milliseconds kUntilDirect{500};
+  const std::string relayed = R"(calicodrift_server_paths_calls_total{path="relayed"})";
+  GatewayFleet fleet(kNodes, kServers);
+  CutNetwork network(fleet);
+  fleet.run([&]() -> awaitable<void> {
+    FleetCallers callers(fleet, "/once/a");
+    co_await callers.sendFor(Milliseconds(500));
+    for (std::size_t node = 0; node < 4; ++node) {
+      network.cutAll(node, Cut::kReset);
+    }
+    co_await callers.sendFor(Milliseconds(2000));
+    const double during = co_await counterOf(fleet, 0, 4, relayed);
+    BOOST_TEST(during > 50);
+    for (std::size_t node = 0; node < 4; ++node) {
+      network.cutAll(node, Cut::kNone);
+    }
+    co_await callers.sendFor(kUntilDirect);
+    const double healed = co_await counterOf(fleet, 0, 4, relayed);
+    const MonotonicTime judged = monotonicNow();
+    co_await callers.sendFor(Milliseconds(2000));
+    const double after = co_await counterOf(fleet, 0, 4, relayed);
+    const auto sent = static_cast<double>(shareOf(callers, 0, 4, judged).sent);
+    BOOST_TEST(after - healed <= sent / 10);
+    std::map<std::string, int> runs;
+    for (const auto& server : fleet.servers) {
+      for (const http::Request& request : server->arrivals()) {
+        ++runs[request.headers.get(platform::kRequestId)];
+      }
+    }
+    const auto twice = std::count_if(runs.begin(), runs.end(),
+                                     [](const auto& run) { return run.second > 1; });
+    BOOST_TEST(twice == 0);
+  });
+}
+
+/// Where no node reaches the servers, callers are refused at once.
+BOOST_AUTO_TEST_CASE(callersAreRefusedAtOnceWhereNoNodeReachesServers) {
+  GatewayFleet fleet(kNodes, kServers);
+  CutNetwork network(fleet);
+  fleet.run([&]() -> awaitable<void> {
+    FleetCallers callers(fleet, "/stream/a");
+    co_await callers.sendFor(Milliseconds(500));
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      network.cutAll(node, Cut::kSilent);
+    }
+    co_await callers.sendFor(Milliseconds(3000));
+    FleetCallers later(fleet, "/stream/a");
+    co_await later.sendFor(Milliseconds(2000));
+    BOOST_TEST(later.answered(503) == later.sent());
+    BOOST_TEST((later.slowest(503) < Milliseconds(100)));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/server_paths/tunnel_service_test.cc
@@ -0,0 +1,211 @@
+// Calls to a server through a tunnel of another node: what passes, what is declined and why, and
+// how each end of the tunnel shows at the caller.
+
+#include "server_paths/tunnel_service.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "log/log.h"
+
+namespace calicodrift::server_paths {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using Tcp = asio::ip::tcp;
+
+class Fixture {
+ public:
+  Fixture() {
+    log::silence();
+    serverEndpoint = server.listen(Endpoint{"127.0.0.1", 0}).value();
+    peerEndpoint = peer.listen(Endpoint{"127.0.0.1", 0}).value();
+  }
+
+  awaitable<void> answer(http::Request& request, http::ResponseWriter& writer) {
+    if (request.path() == "/wait") {
+      writer.onCallerGone([this] { goneAt = monotonicNow(); });
+      asio::steady_timer timer(context, std::chrono::seconds(2));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await http::respond(writer, http::textResponse(200, request.body));
+  }
+
+  awaitable<Result<http::ClientConnection>> connect(Endpoint endpoint) {
+    http::ConnectOptions options;
+    const http::ConnectionPath path(std::move(endpoint), peerEndpoint);
+    co_return co_await client.connect(path, options);
+  }
+  /// The body of the answer; empty if there is none.
+  awaitable<Result<http::Response>> call(std::string target, std::string body,
+                                         http::ExchangeCanceller* canceller = nullptr) {
+    Result<http::ClientConnection> connection = co_await connect(serverEndpoint);
+    BOOST_REQUIRE(connection.has_value());
+    http::Request request;
+    request.method = "POST";
+    request.target = std::move(target);
+    request.body = std::move(body);
+    http::ExchangeOptions options;
+    options.canceller = canceller;
+    auto opened =
+        co_await client.send(std::move(connection.value()), std::move(request), options);
+    if (!opened) {
+      co_return opened.error();
+    }
+    co_return co_await http::readWhole(*opened.value());
+  }
+  awaitable<std::string_view> reasonOf(Endpoint endpoint) {
+    const Result<http::ClientConnection> connection = co_await connect(std::move(endpoint));
+    co_return connection ? std::string_view("opened") : connection.error().reason;
+  }
+  awaitable<void> pause(Milliseconds time) {
+    asio::steady_timer timer(context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  void run(awaitable<void> body) {
+    bool finished = false;
+    asio::co_spawn(context, std::move(body), [&](const std::exception_ptr& failure) {
+      finished = failure == nullptr;
+      context.stop();
+    });
+    context.run_for(std::chrono::seconds(10));
+    BOOST_TEST(finished);
+  }
+
+  asio::io_context context;
+  prometheus::Registry registry;
+  ServerPathMetrics metrics{registry};
+  http::Client client{context.get_executor()};
+  http::Client peerClient{context.get_executor()};
+  bool listed = true;
+  bool lost = false;
+  TunnelService tunnels{{peerClient, metrics, [this](const Endpoint&) { return listed; },
+                         [this](const Endpoint&) { return lost; },
+                         [] { return std::vector<Endpoint>(); }},
+                        {}};
+  http::Server server{context.get_executor(), http::ServerLimits{},
+                      [this](http::Request& request, http::ResponseWriter& writer) {
+                        return answer(request, writer);
+                      }};
+  http::Server peer{context.get_executor(), http::ServerLimits{},
+                    [this](http::Request& request, http::ResponseWriter& writer) {
+                      return tunnels.handleConnect(request, writer);
+                    }};
+  Endpoint serverEndpoint;
+  Endpoint peerEndpoint;
+  std::optional<MonotonicTime> goneAt;
+};
+
+BOOST_FIXTURE_TEST_SUITE(tunnel_service, Fixture)
+
+BOOST_AUTO_TEST_CASE(largeBodiesPassUnchangedAndTheTunnelIsUsedAgain) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    const std::string body(1'000'000, 'x');
+    for (int number = 0; number < 3; ++number) {
+      const Result<http::Response> answer = co_await fixture.call("/echo", body);
+      BOOST_TEST(answer.has_value());
+      BOOST_TEST((answer && answer.value().body == body));
+    }
+    BOOST_TEST(fixture.tunnels.open() == 1U);
+    BOOST_TEST(fixture.server.openConnections() == 1U);
+  }(*this));
+}
+
+/// Each cause is one that its caller acts on differently; none of them may be taken for proof that
+/// the server has ended but a refused connection.
+BOOST_AUTO_TEST_CASE(causesOfDeclinedTunnelsAreTold) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    Tcp::acceptor closed(fixture.context);
+    closed.open(Tcp::v4());
+    closed.bind({asio::ip::make_address("127.0.0.1"), 0});
+    const Endpoint refusing{"127.0.0.1", closed.local_endpoint().port()};
+    const std::string_view refused = co_await fixture.reasonOf(refusing);
+    BOOST_TEST(refused == http::kConnectionRefused);
+    fixture.lost = true;
+    const std::string_view lost = co_await fixture.reasonOf(fixture.serverEndpoint);
+    BOOST_TEST(lost == http::kProxyDeclined);
+    fixture.lost = false;
+    fixture.listed = false;
+    const std::string_view unlisted = co_await fixture.reasonOf(fixture.serverEndpoint);
+    BOOST_TEST(unlisted == http::kProxyDeclined);
+    fixture.listed = true;
+    fixture.tunnels.drain();
+    const std::string_view draining = co_await fixture.reasonOf(fixture.serverEndpoint);
+    BOOST_TEST(draining == http::kProxyDeclined);
+    fixture.peerEndpoint = refusing;
+    const std::string_view failed = co_await fixture.reasonOf(fixture.serverEndpoint);
+    BOOST_TEST(failed == http::kProxyFailed);
+  }(*this));
+}
+
+/// A node of a build without tunnels answers 404.
+BOOST_AUTO_TEST_CASE(nodeWithoutTunnelsDeclines) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    http::Server old(fixture.context.get_executor(), http::ServerLimits{},
+                     [](http::Request&, http::ResponseWriter& writer) -> awaitable<void> {
+                       http::Response missing = http::textResponse(404, "no such path\n");
+                       co_await http::respond(writer, std::move(missing));
+                     });
+    fixture.peerEndpoint = old.listen(Endpoint{"127.0.0.1", 0}).value();
+    const std::string_view reason = co_await fixture.reasonOf(fixture.serverEndpoint);
+    BOOST_TEST(reason == http::kProxyDeclined);
+  }(*this));
+}
+
+/// Guards against servers that work on for callers who have left.
+BOOST_AUTO_TEST_CASE(cancelledCallReachesTheServerSoon) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    http::ExchangeCanceller canceller;
+    MonotonicTime cancelledAt;
+    asio::co_spawn(
+        fixture.context,
+        [](Fixture& inner, http::ExchangeCanceller& cancel, MonotonicTime& at) -> awaitable<void> {
+          co_await inner.pause(Milliseconds(200));
+          at = monotonicNow();
+          cancel.cancel();
+        }(fixture, canceller, cancelledAt),
+        asio::detached);
+    const Result<http::Response> answer = co_await fixture.call("/wait", "", &canceller);
+    BOOST_TEST(!answer.has_value());
+    co_await fixture.pause(Milliseconds(100));
+    BOOST_REQUIRE(fixture.goneAt.has_value());
+    BOOST_TEST((*fixture.goneAt - cancelledAt < Milliseconds(100)));
+    BOOST_TEST(fixture.tunnels.open() == 0U);
+  }(*this));
+}
+
+/// Sends the head of an answer without a length and some bytes, then ends or resets the connection.
+awaitable<void> answerWithoutLength(Tcp::acceptor& acceptor, bool reset) {
+  Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  std::string request;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                                  asio::use_awaitable);
+  const std::string answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
+  co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+  asio::steady_timer timer(socket.get_executor(), Milliseconds(100));
+  co_await timer.async_wait(asio::use_awaitable);
+  socket.set_option(asio::socket_base::linger(reset, 0));
+}
+
+/// Guards against an answer that looks complete because the node that passed it on, or its server,
+/// broke off: without a length its end is the end of the connection.
+BOOST_AUTO_TEST_CASE(answerWithoutLengthIsNeverTakenForWhole) {
+  for (const bool reset : {true, false}) {
+    asio::io_context& io = context;
+    io.restart();
+    run([](Fixture& fixture, bool resets) -> awaitable<void> {
+      Tcp::acceptor acceptor(fixture.context, {asio::ip::make_address("127.0.0.1"), 0});
+      fixture.serverEndpoint = Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+      asio::co_spawn(fixture.context, answerWithoutLength(acceptor, resets), asio::detached);
+      const Result<http::Response> answer = co_await fixture.call("/", "");
+      BOOST_TEST(!answer.has_value());
+      BOOST_TEST((!answer && answer.error().kind == ErrorKind::kStreamBroken));
+    }(*this, reset));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::server_paths
