server_paths: a server that is silent for a second keeps its calls

What callers would see: a sound server that stands still for 1 to 1.5 s lost all its connections at once, since sent bytes without acknowledgement ended them after 1 s; once-only requests ended as unknown, and three of them ejected the server. A TCP_USER_TIMEOUT also decides when keep-alive probes give up, and after a silence of 1.5 s the kernel sends again only 3 s after the first time.

Cause: one kernel time limit was the only thing that found a silent server, so it had to be short.

Change: unacknowledged-timeout-ms is 4,000 by default. Silence is found by the checks of paths, 0.3 s after the last byte: a server that answers on no path is passed over for a second where others are left, and its calls stay; movable ones leave after 1.6 s. Stand-ins cannot hold back acknowledgements, so the kernel's part is by reading; the rest is in server_paths_test (callsOfAServerThatIsSilentForASecondStay, movableCallsLeaveAServerThatStaysSilent).

--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -15,7 +15,7 @@
   std::string servicePolicy;
   Milliseconds connectTimeout{300};
   /// A connection is closed if the server doesn't acknowledge sent bytes for this long.
-  Milliseconds unacknowledgedTimeout{1000};
+  Milliseconds unacknowledgedTimeout{4000};
   /// An idempotent request fails over if no part of its answer has arrived within this multiple of
   /// its target latency.
   double failoverTargets = 3.5;
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -71,11 +71,11 @@
       context_.pool.backedOffServers(job.service, job.request.model, now);
   if (!backedOff.firstEnd) {
     const fleet::ServiceReach reach = context_.pool.reachOf(job.service);
-    return fail(ErrorKind::kNoBackend,
-                "no usable server of '" + job.service + "': " + std::to_string(reach.listed) +
-                    " listed, " + std::to_string(reach.unreachable) + " unreachable, " +
-                    std::to_string(reach.unreachableElsewhere) +
-                    " of these unreachable from other nodes, too");
+    return fail(ErrorKind::kNoBackend, "no usable server of '" + job.service +
+                                           "': " + std::to_string(reach.listed) + " listed, " +
+                                           std::to_string(reach.unreachable) + " unreachable, " +
+                                           std::to_string(reach.unreachableElsewhere) +
+                                           " of these unreachable from other nodes, too");
   }
   Error error = fail(ErrorKind::kOverloaded, "all servers of '" + job.service +
                                                  "' have asked to receive no requests for now");
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -184,8 +184,7 @@
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
   }
   // A connection that this node closed, or a path that was lost, is no evidence about the server.
-  const bool aboutServer =
-      !attempt->recalled() && !job.writer.callerGone() && !isPathLost(outcome);
+  const bool aboutServer = !attempt->recalled() && !job.writer.callerGone() && !isPathLost(outcome);
   if (aboutServer) {
     observe(job, dispatch, chosen, classifyEnd(*attempt, outcome, job.streaming(), job.expired),
             startMs);
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -31,11 +31,7 @@
   /// @param mobility whether the request may go to another server if this one's path is lost.
   ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerRelay& relay,
                 CallPurpose purpose, server_paths::CallMobility mobility)
-      : calls_(calls),
-        protocol_(protocol),
-        relay_(relay),
-        purpose_(purpose),
-        mobility_(mobility) {}
+      : calls_(calls), protocol_(protocol), relay_(relay), purpose_(purpose), mobility_(mobility) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
   /// mean that this server has not run the request, kServerWithdrawn that it did not receive it,
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -78,14 +78,14 @@
   }
   if (const Result<void> allowed = mayBegin(server, purpose); !allowed) {
     context_.metrics.countWithdrawn();
-    context_.client.release(std::move(connection.value()));
+    context_.client.release(connection.value());
     co_return allowed.error();
   }
   const SendState sent{context_.limits.versionOf(server), monotonicNow()};
   context_.pool.recordSent(server.id, sent.at);
   auto call = context_.paths.beginCall(path, mobility, options.canceller);
-  auto opened = co_await context_.client.send(std::move(connection.value()), std::move(request),
-                                              options);
+  auto opened =
+      co_await context_.client.send(std::move(connection.value()), std::move(request), options);
   if (!opened) {
     co_return context_.paths.explainFailure(*call, opened.error());
   }
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -304,8 +304,7 @@
 }
 
 server_paths::TunnelContext GatewayNode::tunnelContext() {
-  return {client_, pathMetrics_,
-          [this](const Endpoint& endpoint) { return isListed(endpoint); },
+  return {client_, pathMetrics_, [this](const Endpoint& endpoint) { return isListed(endpoint); },
           [this](const Endpoint& endpoint) { return serverPaths_.isLost(endpoint); },
           [this] { return neighbours(); }};
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -65,9 +65,9 @@
        &G::prefillTokensPerMs},
       {{"connect-timeout-ms", "300", 10, kMinuteMs, "ms", "for a connection to a server"},
        &G::connectTimeout},
-      {{"unacknowledged-timeout-ms", "1000", 0, kMinuteMs, "ms",
+      {{"unacknowledged-timeout-ms", "4000", 0, kMinuteMs, "ms",
         "sent bytes without acknowledgement break a connection to a server; 0 leaves it to the "
-        "system"},
+        "system; after a silence of 1.5 s the kernel sends again 3 s after the first time"},
        &G::unacknowledgedTimeout},
       {{"max-tunnels", "256", 0, 100'000, "count",
         "open connections to servers on behalf of nodes that cannot reach them; 0: none"},
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -162,8 +162,7 @@
   awaitable<Result<void>> readHead() {
     auto [code, bytes] = co_await bhttp::async_read_header(stream_, buffer_, parser_, kAwait);
     if (code == beast::error::timeout) {
-      co_return fail(ErrorKind::kDeadlineExceeded,
-                     "no answer from " + name() + " in time");
+      co_return fail(ErrorKind::kDeadlineExceeded, "no answer from " + name() + " in time");
     }
     if (code) {
       co_return fail(ErrorKind::kOutcomeUnknown,
@@ -194,8 +193,8 @@
                        "the answer of " + name() + " broke off: " + code.message());
       }
       if (!code && bodyEndsWithTunnel()) {
-        co_return fail(ErrorKind::kStreamBroken, "the answer of " + name() +
-                                                     " has no length, and its tunnel has ended");
+        co_return fail(ErrorKind::kStreamBroken,
+                       "the answer of " + name() + " has no length, and its tunnel has ended");
       }
       const std::size_t length = piece_.size() - parser_.get().body().size;
       if (length > 0) {
@@ -284,8 +283,8 @@
   return code;
 }
 
-awaitable<Result<void>> connectTcp(std::shared_ptr<ClientState> state,
-                                   ConnectionPointer connection, Endpoint to) {
+awaitable<Result<void>> connectTcp(std::shared_ptr<ClientState> state, ConnectionPointer connection,
+                                   Endpoint to) {
   const ClientSettings& settings = state->settings;
   const Endpoint target = settings.addressOf ? settings.addressOf(to) : to;
   const Tcp::endpoint address(asio::ip::make_address(target.address), target.port);
@@ -308,9 +307,8 @@
     return kProxyDeclined;
   }
   const auto cause = head[std::string(kConnectErrorHeader)];
-  return std::string_view(cause.data(), cause.size()) == kConnectionRefused
-             ? kConnectionRefused
-             : kUnreachableFromProxy;
+  return std::string_view(cause.data(), cause.size()) == kConnectionRefused ? kConnectionRefused
+                                                                            : kUnreachableFromProxy;
 }
 
 /// Asks the proxy, to which the connection leads, for a tunnel to the endpoint.
@@ -436,7 +434,7 @@
                                                                 Request request,
                                                                 ExchangeOptions options) {
   const std::shared_ptr<ClientState> state = state_;
-  const ConnectionPointer open = connection.share();
+  const ConnectionPointer& open = connection.share();
   attachTo(options.canceller, open);
   const Endpoint endpoint = open->path.endpoint;
   const bool headOnly = request.method == "HEAD";
@@ -489,14 +487,13 @@
   return std::nullopt;
 }
 
-void Client::release(ClientConnection connection) {
+void Client::release(const ClientConnection& connection) {
   state_->giveBack(connection.share(), kUnusedLifetime);
 }
 
 void Client::dropConnections(const Endpoint& endpoint) {
   ++state_->drops[endpoint];
-  std::erase_if(state_->idle,
-                [&](const auto& entry) { return entry.first.endpoint == endpoint; });
+  std::erase_if(state_->idle, [&](const auto& entry) { return entry.first.endpoint == endpoint; });
 }
 
 void Client::dropConnectionsThrough(const Endpoint& proxy) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -148,11 +148,11 @@
                                                                        ExchangeOptions options);
   /// Takes an idle connection of any path to the endpoint that satisfies `usable`; see
   /// ConnectOptions::usedSince.
-  std::optional<ClientConnection> takeIdle(
-      const Endpoint& endpoint, const std::function<bool(const ConnectionPath&)>& usable,
-      MonotonicTime usedSince);
+  std::optional<ClientConnection> takeIdle(const Endpoint& endpoint,
+                                           const std::function<bool(const ConnectionPath&)>& usable,
+                                           MonotonicTime usedSince);
   /// Returns a connection on which nothing was sent to the pool.
-  void release(ClientConnection connection);
+  void release(const ClientConnection& connection);
 
   /// The process at this address is another one now: no connection that was made until now, on any
   /// path, serves a further request. Those in use end with their exchange.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -47,9 +47,9 @@
   /// Returns once the socket has taken the bytes, so that a slow caller slows its back end.
   virtual boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) = 0;
   virtual boost::asio::awaitable<Result<void>> endStream() = 0;
-  /// Accepts a CONNECT request: from now on the caller's connection is one to `server`, until either
-  /// side ends it or nothing passes for `idleTimeout`. Fails with kInternal if the writer has no
-  /// connection of its own.
+  /// Accepts a CONNECT request: from now on the caller's connection is one to `server`, until
+  /// either side ends it or nothing passes for `idleTimeout`. Fails with kInternal if the writer
+  /// has no connection of its own.
   virtual boost::asio::awaitable<Result<TunnelTotals>> tunnel(ClientConnection server,
                                                               Milliseconds idleTimeout);
   /// Closes the connection without an end mark, so that the caller sees an incomplete body.
--- a/src/server_paths/calls_in_flight.cc
+++ b/src/server_paths/calls_in_flight.cc
@@ -36,23 +36,23 @@
   return silent;
 }
 
-std::size_t CallsInFlight::endSilent(
-    const std::function<bool(const http::ConnectionPath&)>& onPath, Milliseconds silence,
-    MonotonicTime now) {
+std::size_t CallsInFlight::endSilent(const std::function<bool(const http::ConnectionPath&)>& onPath,
+                                     Milliseconds silence, std::string_view reason,
+                                     MonotonicTime now) {
   // Cancelling may resume the caller, which may end or begin calls: collected first.
   std::vector<std::shared_ptr<CallInFlight>> ending;
   for (const auto& [endpoint, server] : servers_) {
     for (const auto& weak : server.calls) {
       const auto call = weak.lock();
       const bool movable = call && call->mobility == CallMobility::kMovable &&
-                           call->canceller != nullptr && !call->pathLost;
+                           call->canceller != nullptr && call->endedFor.empty();
       if (movable && now - call->lastBytesAt >= silence && onPath(call->path)) {
         ending.push_back(call);
       }
     }
   }
   for (const auto& call : ending) {
-    call->pathLost = true;
+    call->endedFor = reason;
     call->canceller->cancel();
   }
   return ending.size();
--- a/src/server_paths/calls_in_flight.h
+++ b/src/server_paths/calls_in_flight.h
@@ -3,7 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
+#include <string_view>
 #include <vector>
 
 #include "common/clock.h"
@@ -26,8 +26,8 @@
   http::ExchangeCanceller* const canceller;
   /// When bytes of the answer last arrived; until then, when the call was sent.
   MonotonicTime lastBytesAt;
-  /// The call was ended because its path was lost.
-  bool pathLost = false;
+  /// Why the call was ended from here; empty if it was not.
+  std::string_view endedFor;
 };
 
 /// The calls of this node to servers that are under way, and which of them are silent.
@@ -44,8 +44,9 @@
   std::vector<Endpoint> silentServers(Milliseconds silence, MonotonicTime now) const;
   /// Ends the movable calls that satisfy `onPath` and have been silent for `silence`. Returns their
   /// number.
+  /// @param reason CallInFlight::endedFor of these calls.
   std::size_t endSilent(const std::function<bool(const http::ConnectionPath&)>& onPath,
-                        Milliseconds silence, MonotonicTime now);
+                        Milliseconds silence, std::string_view reason, MonotonicTime now);
   /// Whether a call is under way through the proxy.
   bool anyThrough(const Endpoint& proxy) const;
   /// Forgets calls that have ended. The cost of the other functions grows with what is kept.
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -53,14 +53,19 @@
         asio::co_spawn(context_.executor, probeDirect(server), asio::detached);
       }
     }
-    const std::size_t moved = calls_.endSilent(
+    moveSilentCalls(
         [this](const http::ConnectionPath& path) {
           return path.direct() && table_.isLost(path.endpoint);
         },
-        settings_.suspectSilence, now);
-    for (std::size_t number = 0; number < moved; ++number) {
-      context_.metrics.countMoved();
-    }
+        settings_.suspectSilence, kPathLost);
+  }
+}
+
+void ServerPaths::moveSilentCalls(const std::function<bool(const http::ConnectionPath&)>& onPath,
+                                  Milliseconds silence, std::string_view reason) {
+  const std::size_t moved = calls_.endSilent(onPath, silence, reason, monotonicNow());
+  for (std::size_t number = 0; number < moved; ++number) {
+    context_.metrics.countMoved();
   }
 }
 
@@ -97,8 +102,10 @@
     loseDirectPath(server, "no answer on a new connection, and one through another node");
   } else if (!direct) {
     context_.onSilent(server);
+    moveSilentCalls([&](const http::ConnectionPath& path) { return path.endpoint == server; },
+                    settings_.maxServerSilence, kServerSilent);
   }
-  std::erase_if(checks_, [this](const auto& item) {
+  std::erase_if(checks_, [](const auto& item) {
     return !item.second.underWay && monotonicNow() - item.second.nextAt > kMaxCheckPause;
   });
   PathCheck& check = checks_[server];
@@ -141,7 +148,7 @@
 awaitable<bool> ServerPaths::answersOn(http::ClientConnection connection) {
   std::optional<http::Request> query = context_.pathQuery(connection.path().endpoint);
   if (!query) {
-    context_.client.release(std::move(connection));
+    context_.client.release(connection);
     co_return true;
   }
   http::ExchangeOptions options;
@@ -233,12 +240,8 @@
              {{"peer", peer.toString()}, {"cause", std::string(cause)}});
   peers_->recordFailed(peer, now);
   context_.client.dropConnectionsThrough(peer);
-  const std::size_t moved =
-      calls_.endSilent([&](const http::ConnectionPath& path) { return path.proxy == peer; },
-                       settings_.suspectSilence, now);
-  for (std::size_t number = 0; number < moved; ++number) {
-    context_.metrics.countMoved();
-  }
+  moveSilentCalls([&](const http::ConnectionPath& path) { return path.proxy == peer; },
+                  settings_.suspectSilence, kPathLost);
 }
 
 }  // namespace calicodrift::server_paths
--- a/src/server_paths/peer_table.cc
+++ b/src/server_paths/peer_table.cc
@@ -55,10 +55,9 @@
     }
   }
   if (usable.empty() && !peers_.empty()) {
-    const auto first =
-        std::min_element(peers_.begin(), peers_.end(), [](const auto& a, const auto& b) {
-          return a.second.avoidedUntil < b.second.avoidedUntil;
-        });
+    const auto first = std::min_element(
+        peers_.begin(), peers_.end(),
+        [](const auto& a, const auto& b) { return a.second.avoidedUntil < b.second.avoidedUntil; });
     return {first->first};
   }
   std::shuffle(usable.begin(), usable.end(), random);
--- a/src/server_paths/server_paths.cc
+++ b/src/server_paths/server_paths.cc
@@ -130,7 +130,7 @@
   }
   // The connection through another node is used already.
   if (result) {
-    context_.client.release(std::move(result.value()));
+    context_.client.release(result.value());
   } else if (!race->cancelled && Race::connected(race->relayed)) {
     loseDirectPath(server, result.error().detail);
   }
@@ -245,7 +245,9 @@
   const bool brokeOff =
       error.kind == ErrorKind::kOutcomeUnknown || error.kind == ErrorKind::kStreamBroken;
   const bool lost = call.path.direct() && table_.isLost(call.path.endpoint);
-  if (call.pathLost || (lost && (brokeOff || error.kind == ErrorKind::kDeadlineExceeded))) {
+  if (!call.endedFor.empty()) {
+    error.reason = call.endedFor;
+  } else if (lost && (brokeOff || error.kind == ErrorKind::kDeadlineExceeded)) {
     error.reason = kPathLost;
   } else if (brokeOff && call.path.direct() && !peers_->empty()) {
     startCheck(call.path.endpoint, monotonicNow());
@@ -275,9 +277,8 @@
   }
   context_.metrics.countRegained();
   context_.metrics.setLost(table_.lostCount());
-  log::write(
-      log::Level::kInfo, "direct_path_regained",
-      {{"server", server.toString()}, {"lost", std::to_string(table_.lostCount())}});
+  log::write(log::Level::kInfo, "direct_path_regained",
+             {{"server", server.toString()}, {"lost", std::to_string(table_.lostCount())}});
 }
 
 }  // namespace calicodrift::server_paths
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -24,6 +24,9 @@
 /// server.
 inline constexpr std::string_view kPathLost = "path_lost";
 
+/// Reason of a failed call that was ended because its server was silent on all paths.
+inline constexpr std::string_view kServerSilent = "server_silent";
+
 struct ServerPathsSettings {
   /// Name of this node, and the endpoint at which other nodes reach it. Without a port the node
   /// knows no others, and all paths are direct.
@@ -40,6 +43,8 @@
   Milliseconds silenceBeforeCheck{300};
   Milliseconds suspectSilence{100};
   Milliseconds checkTimeout{200};
+  /// A sound server may be silent for a second or so; after this time movable calls go elsewhere.
+  Milliseconds maxServerSilence{1600};
   Milliseconds tickInterval{50};
   PathTableSettings table;
 };
@@ -101,8 +106,9 @@
   std::shared_ptr<CallInFlight> beginCall(const http::ConnectionPath& path, CallMobility mobility,
                                           http::ExchangeCanceller* canceller);
   void recordBytes(CallInFlight& call) { calls_.recordBytes(call, monotonicNow()); }
-  /// Returns the error with the reason kPathLost if the call was ended for that, or if its direct
-  /// path has been lost since it was sent; checks a direct path on which an answer broke off.
+  /// Returns the error with the reason for which the call was ended, or with kPathLost if its
+  /// direct path has been lost since it was sent; checks a direct path on which an answer broke
+  /// off.
   Error explainFailure(const CallInFlight& call, Error error);
 
   bool isLost(const Endpoint& server) const { return table_.isLost(server); }
@@ -151,6 +157,9 @@
   /// Watches a node that has opened tunnels for this one, until it is no longer used.
   boost::asio::awaitable<void> watchPeer(Endpoint peer);
   void startWatching(const Endpoint& peer);
+  /// Ends silent movable calls on the paths that satisfy `onPath`; see CallsInFlight::endSilent().
+  void moveSilentCalls(const std::function<bool(const http::ConnectionPath&)>& onPath,
+                       Milliseconds silence, std::string_view reason);
   void losePeer(const Endpoint& peer, std::string_view cause);
   boost::asio::awaitable<Result<TunnelStatus>> askStatus(Endpoint peer);
 
--- a/src/sim/fault_proxy.cc
+++ b/src/sim/fault_proxy.cc
@@ -221,9 +221,8 @@
 }
 
 bool FaultProxy::strikes(const std::string& source) const {
-  return faults_.onlyFrom.empty() ||
-         std::find(faults_.onlyFrom.begin(), faults_.onlyFrom.end(), source) !=
-             faults_.onlyFrom.end();
+  return faults_.onlyFrom.empty() || std::find(faults_.onlyFrom.begin(), faults_.onlyFrom.end(),
+                                               source) != faults_.onlyFrom.end();
 }
 
 awaitable<void> FaultProxy::holdBack(Connection connection) {
--- a/tests/gateway_soak/partitions.cc
+++ b/tests/gateway_soak/partitions.cc
@@ -27,6 +27,7 @@
 awaitable<void> GatewaySoak::setCut(std::vector<const Node*> cutNodes, std::vector<Server*> servers,
                                     json::object kind) {
   json::array sources;
+  sources.reserve(cutNodes.size());
   for (const Node* node : cutNodes) {
     sources.push_back(json::value(node->source));
   }
@@ -41,12 +42,14 @@
 /// Some of the nodes, and often all servers or all but one.
 awaitable<void> GatewaySoak::cutSome(Draws draws) {
   std::vector<const Node*> cutNodes;
+  cutNodes.reserve(nodes_.size());
   for (const std::unique_ptr<Node>& node : nodes_) {
     if (draws.pick(2) == 0) {
       cutNodes.push_back(node.get());
     }
   }
   std::vector<Server*> servers;
+  servers.reserve(servers_.size());
   const bool leavesOne = draws.pick(2) == 0;
   for (const std::unique_ptr<Server>& server : servers_) {
     if (!leavesOne || !servers.empty() || server->service != "llm") {
@@ -57,6 +60,7 @@
   const json::object& kind = kinds[draws.pick(kinds.size())];
   ++findings_.faults["nodes cut off servers: " + std::string(kind.begin()->key())];
   std::vector<std::unique_ptr<FaultSpan>> spans;
+  spans.reserve(servers.size());
   for (Server* server : servers) {
     spans.push_back(std::make_unique<FaultSpan>(server->pathFaults));
   }
@@ -91,6 +95,7 @@
 
 awaitable<void> GatewaySoak::judgePartition(json::object kind) {
   std::vector<Server*> servers;
+  servers.reserve(servers_.size());
   for (const std::unique_ptr<Server>& server : servers_) {
     servers.push_back(server.get());
   }
--- a/tests/platform/cache_stores_test.cc
+++ b/tests/platform/cache_stores_test.cc
@@ -1,11 +1,11 @@
 #include "gateway/cache_stores.h"
-#include "support/direct_paths.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "forward/cache_moves.h"
 #include "operator_servers.h"
+#include "support/direct_paths.h"
 
 namespace calicodrift::gateway {
 namespace {
--- a/tests/platform/cut_network.h
+++ b/tests/platform/cut_network.h
@@ -82,9 +82,8 @@
   };
 
   bool isServer(const Endpoint& endpoint) const {
-    return std::any_of(fleet_.servers.begin(), fleet_.servers.end(), [&](const auto& server) {
-      return server->endpoint() == endpoint;
-    });
+    return std::any_of(fleet_.servers.begin(), fleet_.servers.end(),
+                       [&](const auto& server) { return server->endpoint() == endpoint; });
   }
   Path& pathOf(std::size_t node, const Endpoint& server) {
     Path& path = paths_[{node, server}];
--- a/tests/platform/partitioned_nodes_test.cc
+++ b/tests/platform/partitioned_nodes_test.cc
@@ -155,8 +155,8 @@
         ++runs[request.headers.get(platform::kRequestId)];
       }
     }
-    const auto twice = std::count_if(runs.begin(), runs.end(),
-                                     [](const auto& run) { return run.second > 1; });
+    const auto twice =
+        std::count_if(runs.begin(), runs.end(), [](const auto& run) { return run.second > 1; });
     BOOST_TEST(twice == 0);
   });
 }
--- a/tests/server_paths/server_paths_test.cc
+++ b/tests/server_paths/server_paths_test.cc
@@ -49,6 +49,23 @@
     options.use = http::ConnectionUse::kFresh;
     co_return co_await paths.connect(server, options);
   }
+  awaitable<void> answer(http::ResponseWriter& writer) {
+    while (silent) {
+      co_await pause(Milliseconds(10));
+    }
+    http::Response done = http::textResponse(200, "done");
+    co_await http::respond(writer, std::move(done));
+  }
+  /// Sends a call that is never answered, and lets the server be silent for `time`. Returns the
+  /// reason for which the call was ended.
+  awaitable<std::string_view> endAfterSilence(CallMobility mobility, Milliseconds time) {
+    http::ExchangeCanceller canceller;
+    const auto call = paths.beginCall(http::ConnectionPath(server), mobility, &canceller);
+    silent = true;
+    co_await pause(time);
+    silent = false;
+    co_return call->endedFor;
+  }
   awaitable<void> pause(Milliseconds time) {
     asio::steady_timer timer(context, time);
     co_await timer.async_wait(asio::use_awaitable);
@@ -70,19 +87,19 @@
   bool ownRefused = false;
   bool peerRefused = false;
   bool peerLost = false;
+  bool silent = false;
+  std::size_t timesSilent = 0;
   http::Client client{context.get_executor(), redirect(ownRefused)};
   http::Client peerClient{context.get_executor(), redirect(peerRefused)};
   Endpoint server;
   std::vector<Endpoint> neighbours;
-  TunnelService tunnels{{peerClient, metrics, [](const Endpoint&) { return true; },
-                         [this](const Endpoint&) { return peerLost; },
-                         [] { return std::vector<Endpoint>(); }},
-                        {}};
-  http::Server listener{context.get_executor(), http::ServerLimits{},
-                        [](http::Request&, http::ResponseWriter& writer) -> awaitable<void> {
-                          http::Response done = http::textResponse(200, "done");
-                          co_await http::respond(writer, std::move(done));
-                        }};
+  TunnelService tunnels{
+      {peerClient, metrics, [](const Endpoint&) { return true; },
+       [this](const Endpoint&) { return peerLost; }, [] { return std::vector<Endpoint>(); }},
+      {}};
+  http::Server listener{
+      context.get_executor(), http::ServerLimits{},
+      [this](http::Request&, http::ResponseWriter& writer) { return answer(writer); }};
   http::Server peerServer{context.get_executor(), http::ServerLimits{},
                           [this](http::Request& request, http::ResponseWriter& writer) {
                             return request.method == "CONNECT"
@@ -92,9 +109,9 @@
   std::vector<Endpoint> lost;
   ServerPaths paths{{context.get_executor(), client, metrics, [this] { return neighbours; },
                      [](const Endpoint&) { return true; },
-                     [](const Endpoint&) { return std::optional<http::Request>(); },
+                     [](const Endpoint&) { return std::optional(http::Request()); },
                      [this](const Endpoint& endpoint) { lost.push_back(endpoint); },
-                     [](const Endpoint&) {}},
+                     [this](const Endpoint&) { ++timesSilent; }},
                     settings(),
                     1};
 };
@@ -150,6 +167,31 @@
   }(*this));
 }
 
+/// Guards against once-only requests that end as unknown, and against failovers by all nodes at
+/// once, when a sound server stands still for a second or so.
+BOOST_AUTO_TEST_CASE(callsOfAServerThatIsSilentForASecondStay) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    co_await fixture.pause(Milliseconds(50));
+    const std::string_view ended =
+        co_await fixture.endAfterSilence(CallMobility::kMovable, Milliseconds(1500));
+    BOOST_TEST(ended.empty());
+    BOOST_TEST(fixture.timesSilent > 0U);
+    BOOST_TEST(!fixture.paths.isLost(fixture.server));
+  }(*this));
+}
+
+BOOST_AUTO_TEST_CASE(movableCallsLeaveAServerThatStaysSilent) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    co_await fixture.pause(Milliseconds(50));
+    const std::string_view ended =
+        co_await fixture.endAfterSilence(CallMobility::kMovable, Milliseconds(2800));
+    BOOST_TEST(ended == kServerSilent);
+    const std::string_view fixedEnded =
+        co_await fixture.endAfterSilence(CallMobility::kFixed, Milliseconds(2800));
+    BOOST_TEST(fixedEnded.empty());
+  }(*this));
+}
+
 BOOST_AUTO_TEST_CASE(callThatMayNotBeRelayedStaysDirect) {
   run([](Fixture& fixture) -> awaitable<void> {
     co_await fixture.pause(Milliseconds(50));
--- a/tests/server_paths/tunnel_service_test.cc
+++ b/tests/server_paths/tunnel_service_test.cc
@@ -48,8 +48,7 @@
     request.body = std::move(body);
     http::ExchangeOptions options;
     options.canceller = canceller;
-    auto opened =
-        co_await client.send(std::move(connection.value()), std::move(request), options);
+    auto opened = co_await client.send(std::move(connection.value()), std::move(request), options);
     if (!opened) {
       co_return opened.error();
     }
@@ -80,10 +79,10 @@
   http::Client peerClient{context.get_executor()};
   bool listed = true;
   bool lost = false;
-  TunnelService tunnels{{peerClient, metrics, [this](const Endpoint&) { return listed; },
-                         [this](const Endpoint&) { return lost; },
-                         [] { return std::vector<Endpoint>(); }},
-                        {}};
+  TunnelService tunnels{
+      {peerClient, metrics, [this](const Endpoint&) { return listed; },
+       [this](const Endpoint&) { return lost; }, [] { return std::vector<Endpoint>(); }},
+      {}};
   http::Server server{context.get_executor(), http::ServerLimits{},
                       [this](http::Request& request, http::ResponseWriter& writer) {
                         return answer(request, writer);
