--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -133,6 +133,8 @@
 
   std::size_t size() const { return nodes_.size(); }
   gateway::GatewayNode& node(std::size_t number) { return *nodes_[number].gateway; }
+  /// How long servers work on a request.
+  Milliseconds workTime{20};
   /// Where a node's connections to an endpoint lead; empty: to the endpoint itself.
   std::function<Endpoint(std::size_t node, const Endpoint&)> addressOf;
 
@@ -151,7 +153,7 @@
   boost::asio::awaitable<void> runRequest(ServerStandIn& server, const http::Request& request,
                                           http::ResponseWriter& writer) {
     const unsigned start = server.starts();
-    co_await pause(Milliseconds(20));
+    co_await pause(workTime);
     if (request.body.starts_with(kEndsServer) && server.starts() == start) {
       boost::asio::post(context, [&server] { server.crash(); });
       co_await pause(Milliseconds(1));
--- a/tests/platform/server_stand_in.cc
+++ b/tests/platform/server_stand_in.cc
@@ -143,6 +143,9 @@
     for (const std::string& limit : namedLimits) {
       head.headers.add("Server-Limit", limit);
     }
+    if (namedBrittleness) {
+      head.headers.add("Server-Brittle", *namedBrittleness);
+    }
     for (const std::string& notice : leavingNotices) {
       head.headers.add("Server-Leaving", notice);
     }
@@ -189,8 +192,15 @@
     co_await takeOrder(request, writer);
     co_return;
   }
+  if (room > 0 && runningRequests_ >= room) {
+    crowdedTimes_.push_back(monotonicNow());
+    co_await http::respond(writer, notExecuted(request));
+    co_return;
+  }
   if (behaviour_) {
+    ++runningRequests_;
     co_await behaviour_(request, writer);
+    --runningRequests_;
     co_return;
   }
   co_await http::respond(writer, sealed(request, 200, "from " + id_));
--- a/tests/platform/server_stand_in.h
+++ b/tests/platform/server_stand_in.h
@@ -72,6 +72,12 @@
   /// What all heads say of it leaving, a header each, as written here; its entry in the store stays
   /// as it is.
   std::vector<std::string> leavingNotices;
+  /// The refusals in a second that it bears, in the heads of all answers, as written here.
+  std::optional<std::string> namedBrittleness;
+  /// Requests that it runs at a time; others get 503 without being run. 0: any number.
+  std::size_t room = 0;
+  /// When it turned requests away for want of room.
+  const std::vector<MonotonicTime>& crowdedTimes() const { return crowdedTimes_; }
   /// Requests, questions and orders get 503 without being run, with this as Retry-After, as
   /// written.
   std::optional<std::string> asksForRest;
@@ -126,6 +132,9 @@
   std::vector<http::Request> arrivals_;
   std::vector<MonotonicTime> arrivalTimes_;
   std::vector<Refusal> refusals_;
+  std::vector<MonotonicTime> crowdedTimes_;
+  /// Requests that are being run.
+  std::size_t runningRequests_ = 0;
   std::vector<MonotonicTime> questionTimes_;
   std::vector<boost::json::value> orders_;
   std::function<void()> loadedListener_;
