server_limits: a full server that bears few refusals is left alone by all nodes at once

Cause: nobody read what they say, and a refusal was the business of the node that got it.

Change: the notice is read in the heads of answers. A refusal of such a server is told to all nodes at once, in the reports that carry limits and leaving servers (form 3; form 2 passes over it), as a pause of 1 / (0.75 x what it bears) s, 150 ms to 2 s. Each node adds a random part of as much, and then tries one call first (the trial that rests end with). So about one refusal falls into each pause.

The bound holds by pause and spread, not by counting; a fleet in which telling all takes as long as a pause may pass it.

--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "fleet/backend_health.h"
 #include "fleet/distance.h"
+#include "fleet/full_servers.h"
 #include "fleet/leaving_servers.h"
 #include "fleet/prefill_rate.h"
 #include "fleet/server.h"
@@ -125,6 +126,11 @@
   /// now on, whatever the list says. Returns whether that is new.
   bool recordLeaving(ServerKey run, MonotonicTime now);
   const LeavingServers& leaving() const { return leaving_; }
+  /// Excludes a server that has no capacity left and fails if it has to refuse more requests: no
+  /// node sends it any until `until`, and this one for up to `spread` longer, so that not all
+  /// return at once. Returns whether that is new.
+  bool recordFull(ServerKey run, MonotonicTime until, Milliseconds spread, MonotonicTime now);
+  const FullServers& full() const { return full_; }
   /// Removes leaving runs that are gone and backoffs that ended long ago; see
   /// LeavingServers::removeUnlisted().
   void expireNotices(Milliseconds freshFor, MonotonicTime now);
@@ -306,6 +312,7 @@
   std::map<BackendId, Entry> servers_;
   LeavingServers leaving_;
   ServerBackoffs backoffs_;
+  FullServers full_;
   std::map<std::pair<BackendId, Incarnation>, ReplacedRun> replacedRuns_;
   std::map<ModelId, WeightsVersion> minWeights_;
   std::map<std::string, std::size_t> memoryTokens_;
--- a/src/fleet/server_pool_notices.cc
+++ b/src/fleet/server_pool_notices.cc
@@ -39,6 +39,17 @@
   }
 }
 
+bool ServerPool::recordFull(ServerKey run, MonotonicTime until, Milliseconds spread,
+                            MonotonicTime now) {
+  if (!full_.add(run, until, now)) {
+    return false;
+  }
+  if (const Server* server = findRun(run)) {
+    recordBackoff(server->id, until + spread, now);
+  }
+  return true;
+}
+
 void ServerPool::recordSent(const BackendId& id, MonotonicTime now) {
   if (backoffs_.empty()) {
     return;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -1,5 +1,9 @@
 #include "forward/server_calls.h"
 
+#include <algorithm>
+#include <cmath>
+
+#include "http/status.h"
 #include "log/log.h"
 
 namespace calicodrift::forward {
@@ -10,6 +14,9 @@
 /// Interval over which nodes spread their first calls after a rest that ends for all of them at the
 /// same time.
 constexpr Milliseconds kRestEndSpread{200};
+/// Bounds of the pause of a server that fails if it has to refuse many requests.
+constexpr Milliseconds kShortestFullPause{150};
+constexpr Milliseconds kLongestFullPause{2000};
 /// Limits the memory for servers that were already logged; beyond it, servers are logged again.
 constexpr std::size_t kMaxLoggedRuns = 4096;
 
@@ -141,7 +148,11 @@
   if (notices.leaving) {
     handleLeaving(server, head);
   }
-  if (notices.rest) {
+  const bool refused =
+      head.status == http::kStatusUnavailable || head.status == http::kStatusTooManyRequests;
+  if (notices.refusalLimit && refused && !notices.rest) {
+    handleFull(server, *notices.refusalLimit, head);
+  } else if (notices.rest) {
     handleRest(server, *notices.rest, head);
   } else {
     context_.pool.recordAnswered(server.id, sent.at, monotonicNow());
@@ -172,6 +183,28 @@
               {"ms", std::to_string(rest.count())}});
 }
 
+void ServerCalls::handleFull(const fleet::Server& server, double refusalLimit,
+                             const http::Response& head) {
+  context_.metrics.countNotice("full");
+  // About one node tries the server in each pause, so that half of what it bears is refused.
+  constexpr double kMsPerSecond = 1000;
+  constexpr double kTriesPerLimit = 0.75;
+  const double pauseMs = kMsPerSecond / std::max(kTriesPerLimit * refusalLimit, 1e-3);
+  const Milliseconds pause = std::clamp(Milliseconds(std::llround(std::min(pauseMs, 1e6))),
+                                        kShortestFullPause, kLongestFullPause);
+  std::uniform_int_distribution<std::int64_t> spread(0, pause.count());
+  const MonotonicTime now = monotonicNow();
+  if (!context_.pool.recordFull(fleet::keyOf(server), now + pause, Milliseconds(spread(random_)),
+                                now)) {
+    return;
+  }
+  log::write(log::Level::kInfo, "server_full",
+             {{"server", server.id.value()},
+              {"status", std::to_string(head.status)},
+              {"pause_ms", std::to_string(pause.count())}});
+  context_.limits.announceFull();
+}
+
 void ServerCalls::handleUnreadable(const fleet::Server& server, const std::vector<Error>& errors) {
   context_.metrics.countNotice("unreadable");
   if (loggedUnreadable_.size() >= kMaxLoggedRuns) {
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -82,6 +82,7 @@
   void processHead(const fleet::Server& server, const SendState& sent, const http::Response& head);
   void handleLeaving(const fleet::Server& server, const http::Response& head);
   void handleRest(const fleet::Server& server, Milliseconds rest, const http::Response& head);
+  void handleFull(const fleet::Server& server, double refusalLimit, const http::Response& head);
   void handleUnreadable(const fleet::Server& server, const std::vector<Error>& errors);
 
   ServerCallContext context_;
--- a/src/forward/server_notices.h
+++ b/src/forward/server_notices.h
@@ -18,6 +18,9 @@
   /// Requests per second that the server accepts from all nodes together, while its answers say so;
   /// empty if it names no limit. Fails with kProtocolViolation if it can't be parsed.
   Result<std::optional<double>> requestLimit = std::optional<double>();
+  /// Requests per second that the server may refuse for lack of capacity, over all nodes; it fails
+  /// if it has to refuse more. Empty if it names no such limit.
+  std::optional<double> refusalLimit;
   /// Why other notices in the head can't be parsed; those have no effect.
   std::vector<Error> unreadable;
 };
--- a/src/server_limits/messages.h
+++ b/src/server_limits/messages.h
@@ -18,10 +18,24 @@
 
 /// Format version of the messages. Later versions only append fields; readers ignore fields that
 /// they do not know.
-inline constexpr std::uint32_t kForm = 2;
+inline constexpr std::uint32_t kForm = 3;
 /// First format version whose reports list leaving servers.
 inline constexpr std::uint32_t kFormWithLeaving = 2;
 
+/// First format version whose reports list servers without capacity.
+inline constexpr std::uint32_t kFormWithFull = 3;
+
+/// A server that gets no requests for a moment; see fleet::FullServers.
+struct FullServerRecord {
+  fleet::ServerKey server;
+  std::uint32_t remainingMs = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(server, remainingMs);
+  }
+};
+
 /// Sent to the neighbours in the relay tree when there is news, and returned as the answer.
 struct LimitReport {
   std::uint32_t form = kForm;
@@ -34,6 +48,7 @@
   std::vector<LimitRecord> records;
   /// Runs of servers that have announced that they are leaving.
   std::vector<fleet::ServerKey> leaving;
+  std::vector<FullServerRecord> full;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -41,6 +56,9 @@
     if (form >= kFormWithLeaving) {
       archive(leaving);
     }
+    if (form >= kFormWithFull) {
+      archive(full);
+    }
   }
 };
 
--- a/src/server_limits/metrics.cc
+++ b/src/server_limits/metrics.cc
@@ -32,6 +32,8 @@
           counter(registry, "calicodrift_server_limits_reports_total", "", {{"taken", "false"}})),
       leavingLearnt_(counter(registry, "calicodrift_server_limits_leaving_learnt_total",
                              "Servers of which another node told that they leave")),
+      fullLearnt_(counter(registry, "calicodrift_server_limits_full_learnt_total",
+                          "Servers of which another node told that they have no capacity left")),
       probes_(counter(registry, "calicodrift_server_limits_probes_total",
                       "Limited servers asked for their health, as no request asked them")),
       limited_(prometheus::BuildGauge()
--- a/src/server_limits/metrics.h
+++ b/src/server_limits/metrics.h
@@ -23,6 +23,8 @@
   void countReport(bool taken) { (taken ? takenReports_ : failedReports_).Increment(); }
   /// Another node reported that a server is leaving.
   void countLeavingLearnt() { leavingLearnt_.Increment(); }
+  /// Another node reported that a server has no capacity left.
+  void countFullLearnt() { fullLearnt_.Increment(); }
   /// This node probed a limited server that had received no requests.
   void countProbe() { probes_.Increment(); }
   void observeWait(double seconds) { wait_.Observe(seconds); }
@@ -38,6 +40,7 @@
   prometheus::Counter& takenReports_;
   prometheus::Counter& failedReports_;
   prometheus::Counter& leavingLearnt_;
+  prometheus::Counter& fullLearnt_;
   prometheus::Counter& probes_;
   prometheus::Gauge& limited_;
   prometheus::Histogram& wait_;
--- a/src/server_limits/notice_exchange.cc
+++ b/src/server_limits/notice_exchange.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "common/hashing.h"
 #include "log/log.h"
 #include "peer/http_call.h"
 
@@ -12,6 +13,13 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
+namespace {
+
+/// Bounds what another node can ask for.
+constexpr Milliseconds kLongestFullPause{5000};
+
+}  // namespace
+
 NoticeExchange::NoticeExchange(NoticeExchangeContext context, LimitTable& limits,
                                ServerLimitMetrics& metrics)
     : context_(std::move(context)),
@@ -29,7 +37,14 @@
                                                  report.leaving =
                                                      context_.pool.leaving().addedSince(since);
                                                  return report;
-                                               })) {}
+                                               })),
+      fullBroadcaster_(treeBroadcastContext([this] { return context_.pool.full().changes(); },
+                                            [this](std::uint64_t since) {
+                                              LimitReport report;
+                                              report.full = fullSince(since);
+                                              return report;
+                                            })),
+      random_(hashBytes(context_.tree.endpoint.toString())) {}
 
 relay::TreeBroadcastContext NoticeExchange::treeBroadcastContext(
     std::function<std::uint64_t()> version,
@@ -46,8 +61,10 @@
   synchronizeNewNeighbours();
   limitBroadcaster_.pruneNeighbours();
   leavingBroadcaster_.pruneNeighbours();
+  fullBroadcaster_.pruneNeighbours();
   limitBroadcaster_.broadcastAsync();
   leavingBroadcaster_.broadcastAsync();
+  fullBroadcaster_.broadcastAsync();
 }
 
 awaitable<void> NoticeExchange::findOtherTrees() {
@@ -105,6 +122,8 @@
   if (answer) {
     limitBroadcaster_.setAcknowledged(neighbour.toString(), sentLimits);
     leavingBroadcaster_.setAcknowledged(neighbour.toString(), sentLeaving);
+    // Pauses are short: a new neighbour is told of those that begin from now on.
+    fullBroadcaster_.setAcknowledged(neighbour.toString(), context_.pool.full().changes());
     merge(answer.value());
   }
 }
@@ -132,6 +151,7 @@
   const fleet::LeavingServers& leaving = context_.pool.leaving();
   const std::uint64_t limitsBefore = limits_.changes();
   const std::uint64_t leavingBefore = leaving.changes();
+  const std::uint64_t fullBefore = context_.pool.full().changes();
   merge(report);
   LimitReport answer;
   answer.sender = context_.tree.endpoint.toString();
@@ -140,6 +160,7 @@
     answer.leaving = leaving.addedSince(0);
     limitBroadcaster_.setAcknowledged(report.sender, limits_.changes());
     leavingBroadcaster_.setAcknowledged(report.sender, leaving.changes());
+    fullBroadcaster_.setAcknowledged(report.sender, context_.pool.full().changes());
   } else {
     // A restarted sender may know less than before.
     for (const LimitRecord& received : report.records) {
@@ -150,12 +171,16 @@
     }
     limitBroadcaster_.onUpdateFrom(report.sender, limitsBefore);
     leavingBroadcaster_.onUpdateFrom(report.sender, leavingBefore);
+    fullBroadcaster_.onUpdateFrom(report.sender, fullBefore);
   }
   const Milliseconds wait =
       std::min(Milliseconds(report.waitMs), relay::TreeBroadcaster::kBroadcastTimeout);
   if (limits_.changes() != limitsBefore) {
     co_await limitBroadcaster_.broadcast(wait, report.sender);
   }
+  if (context_.pool.full().changes() != fullBefore) {
+    co_await fullBroadcaster_.broadcast(wait, report.sender);
+  }
   if (leaving.changes() != leavingBefore) {
     co_await leavingBroadcaster_.broadcast(wait, report.sender);
   }
@@ -165,6 +190,29 @@
 void NoticeExchange::merge(const LimitReport& report) {
   mergeLimits(report.records);
   mergeLeaving(report.leaving);
+  mergeFull(report.full);
+}
+
+std::vector<FullServerRecord> NoticeExchange::fullSince(std::uint64_t change) const {
+  const MonotonicTime now = monotonicNow();
+  std::vector<FullServerRecord> records;
+  for (const fleet::FullServer& pause : context_.pool.full().addedSince(change, now)) {
+    const auto left = std::chrono::ceil<Milliseconds>(pause.until - now);
+    records.push_back({pause.server, static_cast<std::uint32_t>(left.count())});
+  }
+  return records;
+}
+
+void NoticeExchange::mergeFull(const std::vector<FullServerRecord>& records) {
+  for (const FullServerRecord& record : records) {
+    const MonotonicTime now = monotonicNow();
+    const Milliseconds remaining = std::min(Milliseconds(record.remainingMs), kLongestFullPause);
+    std::uniform_int_distribution<std::int64_t> spread(0, remaining.count());
+    if (context_.pool.recordFull(record.server, now + remaining, Milliseconds(spread(random_)),
+                                 now)) {
+      metrics_.countFullLearnt();
+    }
+  }
 }
 
 void NoticeExchange::mergeLimits(const std::vector<LimitRecord>& records) {
--- a/src/server_limits/notice_exchange.h
+++ b/src/server_limits/notice_exchange.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,6 +46,7 @@
   boost::asio::awaitable<void> update();
   void announceLimits() { limitBroadcaster_.broadcastAsync(); }
   void announceLeaving() { leavingBroadcaster_.broadcastAsync(); }
+  void announceFull() { fullBroadcaster_.broadcastAsync(); }
   /// Merges limits into the table, and reports those that changed to onLimitLearnt.
   void mergeLimits(const std::vector<LimitRecord>& records);
   /// Handles another node's report; returns the answer once this node's neighbours have been
@@ -68,12 +70,16 @@
                                                    Milliseconds timeout);
   void merge(const LimitReport& report);
   void mergeLeaving(const std::vector<fleet::ServerKey>& runs);
+  void mergeFull(const std::vector<FullServerRecord>& records);
+  std::vector<FullServerRecord> fullSince(std::uint64_t change) const;
 
   NoticeExchangeContext context_;
   LimitTable& limits_;
   ServerLimitMetrics& metrics_;
   relay::TreeBroadcaster limitBroadcaster_;
   relay::TreeBroadcaster leavingBroadcaster_;
+  relay::TreeBroadcaster fullBroadcaster_;
+  std::mt19937_64 random_;
   std::set<Endpoint> synchronized_;
   std::set<Endpoint> synchronizing_;
   /// Roots of the other trees.
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -97,6 +97,8 @@
   /// Informs all other nodes of a server that announced to this node that it is leaving; the pool
   /// already knows.
   void announceLeaving() { notices_.announceLeaving(); }
+  /// Informs all other nodes of a server without capacity; the pool has recorded it.
+  void announceFull() { notices_.announceFull(); }
   /// Serves other nodes at kReportPath and kUnitPath.
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   /// Serves operators the limits in force, and the servers that are leaving or in backoff.
--- a/tests/server_limits/notice_exchange_test.cc
+++ b/tests/server_limits/notice_exchange_test.cc
@@ -168,6 +168,12 @@
   BOOST_REQUIRE(static_cast<bool>(read));
   BOOST_TEST((read.value().records == sent.records));
   BOOST_TEST(read.value().leaving.empty());
+  BOOST_TEST(read.value().full.empty());
+  report.full = {{kRun, 400}};
+  const LimitReport whole = peer::decode<LimitReport>(peer::encode(report)).value();
+  BOOST_TEST((whole.full.size() == 1 && whole.full.front().remainingMs == 400U));
+  // Builds of form 2 pass over what follows the leaving servers.
+  BOOST_TEST((peer::decode<ReportFormat1>(peer::encode(report)).value().records == report.records));
   BOOST_TEST((peer::decode<LimitReport>(peer::encode(report)).value().leaving == report.leaving));
 }
 
