--- a/tests/platform/brittle_servers_test.cc
+++ b/tests/platform/brittle_servers_test.cc
@@ -45,7 +45,8 @@
       const std::size_t worst = worstSecond(*fleet.servers[number], begin);
       BOOST_TEST(worst <= allowed, brittleness << ": " << worst << " in a second");
     }
-    BOOST_TEST_MESSAGE("worst second " << worstSecond(*fleet.servers[0], begin) << ", served " << callers.answered(200) << " of " << callers.sent());
+    BOOST_TEST_MESSAGE("worst second " << worstSecond(*fleet.servers[0], begin) << ", served "
+                                       << callers.answered(200) << " of " << callers.sent());
     BOOST_TEST(callers.answered(200) + callers.answered(503) == callers.sent());
   });
 }
