fleet, server_paths: servers are found by address at once; other nodes are learnt of again when a known one fails

Reading for the target size: a tunnel, and each look at lost paths, searched the whole list of servers (10,000) for an address. The pool keeps an index. A node that knew only nodes that have gone meanwhile would have asked for others up to 30 s later; it asks within half a second of a failed one now.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -74,6 +74,7 @@
     return;
   }
   removeFromSets(*entry);
+  removeFromIndex(*entry);
   const Server server = entry->server;
   servers_.erase(id);
   listener_(server, ServerLoss::kRemoved);
@@ -190,10 +191,8 @@
 }
 
 const Server* ServerPool::findAt(const Endpoint& endpoint) const {
-  const auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& item) {
-    return item.second.server.endpoint == endpoint;
-  });
-  return found == servers_.end() ? nullptr : &found->second.server;
+  const auto found = byEndpoint_.find(endpoint);
+  return found == byEndpoint_.end() ? nullptr : find(found->second);
 }
 
 const Server* ServerPool::findRun(ServerKey key) const {
@@ -384,7 +383,28 @@
   return candidate;
 }
 
+void ServerPool::updateIndex(Entry& entry) {
+  if (entry.indexedAs == entry.server.endpoint) {
+    return;
+  }
+  removeFromIndex(entry);
+  entry.indexedAs = entry.server.endpoint;
+  byEndpoint_[entry.server.endpoint] = entry.server.id;
+}
+
+void ServerPool::removeFromIndex(Entry& entry) {
+  if (!entry.indexedAs) {
+    return;
+  }
+  const auto found = byEndpoint_.find(*entry.indexedAs);
+  if (found != byEndpoint_.end() && found->second == entry.server.id) {
+    byEndpoint_.erase(found);
+  }
+  entry.indexedAs.reset();
+}
+
 void ServerPool::refresh(Entry& entry, MonotonicTime now) {
+  updateIndex(entry);
   const bool backedOff = backoffs_.excludedUntil(entry.server.id, now).has_value();
   std::vector<SetKey> keys = backedOff ? std::vector<SetKey>() : eligibleSetKeys(entry);
   if (keys != entry.memberOf) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -274,6 +274,8 @@
     std::optional<MonotonicTime> reloadedAt;
     /// Sets that contain the server.
     std::vector<SetKey> memberOf;
+    /// Address under which byEndpoint_ lists the server.
+    std::optional<Endpoint> indexedAs;
   };
 
   Entry* entryOf(const BackendId& id);
@@ -296,6 +298,8 @@
   /// Updates the sets to match the entry. Called after each change of an entry.
   void refresh(Entry& entry, MonotonicTime now);
   void removeFromSets(Entry& entry);
+  void updateIndex(Entry& entry);
+  void removeFromIndex(Entry& entry);
   /// Takes effect with the next refresh().
   void deprioritize(Entry& entry, MonotonicTime until);
   /// Refreshes the servers whose pause, ejection or backoff has ended by now.
@@ -310,6 +314,8 @@
   std::shared_ptr<ServerPool*> self_ = std::make_shared<ServerPool*>(this);
   std::optional<MonotonicTime> peerLoadsAt_;
   std::map<BackendId, Entry> servers_;
+  /// An address that was given to another server belongs to the one that was listed last.
+  std::map<Endpoint, BackendId> byEndpoint_;
   LeavingServers leaving_;
   ServerBackoffs backoffs_;
   FullServers full_;
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -174,9 +174,8 @@
 awaitable<void> ServerPaths::learnPeers() {
   asio::steady_timer timer(context_.executor);
   for (;;) {
-    const std::vector<Endpoint> neighbours = context_.neighbours();
-    peers_->learn(neighbours, monotonicNow());
-    std::vector<Endpoint> asked = neighbours;
+    std::vector<Endpoint> asked = context_.neighbours();
+    peers_->learn(asked, monotonicNow());
     std::shuffle(asked.begin(), asked.end(), random_);
     asked.resize(std::min(asked.size(), kMaxPeersAsked));
     for (const Endpoint& peer : asked) {
@@ -187,10 +186,12 @@
       interval = kFirstPeersInterval;
     }
     const MonotonicTime until = monotonicNow() + interval;
-    const std::size_t lostBefore = table_.lostCount();
-    while (monotonicNow() < until && (lostBefore > 0 || table_.lostCount() == 0)) {
+    const bool wasLost = table_.lostCount() > 0;
+    peersStale_ = false;
+    while (monotonicNow() < until && !peersStale_ && (wasLost || table_.lostCount() == 0)) {
       timer.expires_after(std::min(interval, kFirstPeersInterval));
       co_await timer.async_wait(asio::use_awaitable);
+      peers_->learn(context_.neighbours(), monotonicNow());
     }
   }
 }
--- a/src/server_paths/server_paths.cc
+++ b/src/server_paths/server_paths.cc
@@ -210,6 +210,7 @@
   context_.metrics.countPeerTry(outcome);
   if (outcome == http::kProxyFailed) {
     peers_->recordFailed(peer, now);
+    peersStale_ = true;
   } else if (outcome == http::kProxyDeclined) {
     peers_->recordDeclined(peer, now);
   } else {
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -172,6 +172,8 @@
   std::map<Endpoint, PathCheck> checks_;
   std::set<Endpoint> probing_;
   std::set<Endpoint> watched_;
+  /// A known node could not be reached since others were last asked for theirs.
+  bool peersStale_ = false;
   std::mt19937_64 random_;
 };
 
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -41,6 +41,25 @@
   BOOST_TEST((losses == std::vector{ServerLoss::kDraining, ServerLoss::kRemoved}));
 }
 
+/// An address may be given to another server while the former one is still listed.
+BOOST_AUTO_TEST_CASE(serverIsFoundByTheAddressThatItHasNow) {
+  Server server = makeServer("a", 1);
+  pool.apply(server, kStart);
+  BOOST_REQUIRE(pool.findAt(server.endpoint) != nullptr);
+  const Endpoint former = server.endpoint;
+  server.endpoint.port = 81;
+  pool.apply(server, kStart);
+  BOOST_TEST(pool.findAt(former) == nullptr);
+  BOOST_TEST((pool.findAt(server.endpoint)->id == server.id));
+  Server successor = makeServer("b", 1);
+  successor.endpoint = server.endpoint;
+  pool.apply(successor, kStart);
+  pool.remove(server.id);
+  BOOST_TEST((pool.findAt(successor.endpoint)->id == successor.id));
+  pool.remove(successor.id);
+  BOOST_TEST(pool.findAt(successor.endpoint) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(withheldServerIsExcludedUntilItsNextEntryAndKeepsItsState) {
   pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.addLoad(BackendId("a"), {100, 50}, kStart);
