--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -186,7 +186,8 @@
 void ServerCalls::handleFull(const fleet::Server& server, double refusalLimit,
                              const http::Response& head) {
   context_.metrics.countNotice("full");
-  // About one node tries the server in each pause, so that half of what it bears is refused.
+  // One node or so tries the server after each pause; the rest of what it bears is for requests
+  // that are on their way when it refuses.
   constexpr double kMsPerSecond = 1000;
   constexpr double kTriesPerLimit = 0.75;
   const double pauseMs = kMsPerSecond / std::max(kTriesPerLimit * refusalLimit, 1e-3);
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -63,11 +63,6 @@
   /// Whether a call may begin on the server now. Fails with kServerWithdrawn.
   Result<void> mayBegin(const fleet::Server& server, CallPurpose purpose) const;
 
-  /// Whether this node reaches the server only through other nodes.
-  bool isDirectPathLost(const fleet::Server& server) const {
-    return context_.paths.isLost(server.endpoint);
-  }
-
  private:
   server_paths::PathOptions pathOptions(const fleet::Server& server,
                                         const http::ExchangeOptions& options,
