http, forward: each reader of a body is told how it ended; answers are logged and counted by that

ResponseStream::read() returns pieces, the last of which says how the body ended. What readers do with it stays as it was.

--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -45,6 +45,8 @@
   /// Relays bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation if the
   /// event numbers don't follow the earlier ones.
   boost::asio::awaitable<Result<void>> relayBytes(std::string_view bytes);
+  /// Bytes behind the last whole event.
+  std::size_t partialEventBytes() const { return splitter_.rest().size(); }
   /// Ends the answer after the server's stream is complete.
   boost::asio::awaitable<Result<void>> finish();
   /// Drops the incomplete event of a server whose stream broke.
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -82,6 +82,9 @@
   /// newest.
   std::optional<Milliseconds> outdatedAtStart;
   unsigned status = 0;
+  /// How the body of the last answer ended, and its bytes behind the last whole event.
+  std::optional<http::BodyEnd> bodyEnd;
+  std::size_t partialEventBytes = 0;
 };
 
 /// The server chosen for one dispatch, and its state at that time.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -128,8 +128,8 @@
   context_.metrics.countAnswer(done ? job.status : 0);
   context_.metrics.observeAnswerTime(toMilliseconds(whole) / kMsPerSecond);
   AnswerFacts facts{
-      job.request.id,     job.status, job.lastServer, job.attempts.sent, whole, {}, {},
-      job.outdatedAtStart};
+      job.request.id,      job.status,  job.lastServer,       job.attempts.sent, whole, {}, {},
+      job.outdatedAtStart, job.bodyEnd, job.partialEventBytes};
   if (const auto first = job.relay.firstEventTime()) {
     facts.firstChunk = std::chrono::duration_cast<Milliseconds>(*first - job.request.received);
     facts.longestPause = std::chrono::duration_cast<Milliseconds>(job.relay.longestPause());
@@ -137,6 +137,9 @@
     context_.metrics.observePause(toMilliseconds(facts.longestPause) / kMsPerSecond);
   }
   if (done) {
+    if (job.bodyEnd) {
+      context_.metrics.countAnswerEnd(toString(*job.bodyEnd), job.partialEventBytes > 0);
+    }
     logAnswered(facts);
   }
 }
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -199,6 +199,8 @@
                                                           ServerAttempt& attempt,
                                                           Result<void>& outcome) const {
   job.status = attempt.status();
+  job.bodyEnd = attempt.bodyEnd();
+  job.partialEventBytes = attempt.partialEventBytes();
   job.ranToServerError = attempt.keptFailure().has_value();
   if (attempt.keptFailure()) {
     job.keptFailure = std::move(attempt.keptFailure());
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -36,6 +36,9 @@
       outdatedStarts_(counters(registry, "calicodrift_forward_outdated_begins_total",
                                "requests that began on weights that were not the newest, by "
                                "whether that was later than the deployment allows")),
+      answerEnds_(counters(registry, "calicodrift_forward_answer_ends_total",
+                           "servers' answers that were passed on, by how their body ended and "
+                           "whether that was inside an event")),
       dispatches_(
           counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
               .Add({})),
@@ -106,6 +109,11 @@
   outdatedStarts_.Add({{"beyond_bound", beyondBound ? "true" : "false"}}).Increment();
 }
 
+void ForwardMetrics::countAnswerEnd(std::string_view end, bool insideEvent) {
+  answerEnds_.Add({{"end", std::string(end)}, {"inside_event", insideEvent ? "true" : "false"}})
+      .Increment();
+}
+
 void ForwardMetrics::observeFirstByte(double seconds) {
   firstByte_.Observe(seconds);
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -28,6 +28,9 @@
   /// Counts a request that a server began on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
   void countOutdatedStart(bool beyondBound);
+  /// Counts a server's answer that was passed on, by how its body ended.
+  /// @param insideEvent whether bytes were left behind the last whole event of a stream.
+  void countAnswerEnd(std::string_view end, bool insideEvent);
   void observeFirstByte(double seconds);
   void observeAnswerTime(double seconds);
   /// Records the longest pause between two chunks of a stream, in seconds.
@@ -43,6 +46,7 @@
   prometheus::Family<prometheus::Counter>& losses_;
   prometheus::Family<prometheus::Counter>& notices_;
   prometheus::Family<prometheus::Counter>& outdatedStarts_;
+  prometheus::Family<prometheus::Counter>& answerEnds_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& distantDispatches_;
   prometheus::Counter& retriesDenied_;
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -63,7 +63,9 @@
               {"ms", std::to_string(facts.duration.count())},
               {"first_ms", textOf(facts.firstChunk)},
               {"pause_ms", std::to_string(facts.longestPause.count())},
-              {"begun_outdated_ms", textOf(facts.outdatedAtStart)}});
+              {"begun_outdated_ms", textOf(facts.outdatedAtStart)},
+              {"end", std::string(facts.bodyEnd ? toString(*facts.bodyEnd) : "")},
+              {"partial_event_bytes", std::to_string(facts.partialEventBytes)}});
 }
 
 void logRecalled(const ModelId& model, WeightsVersion least, std::size_t count) {
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -6,6 +6,7 @@
 #include "common/error.h"
 #include "forward/protocol.h"
 #include "forward/retry_rules.h"
+#include "http/body_end.h"
 #include "quarantine/fingerprint.h"
 #include "routing/policy.h"
 
@@ -63,6 +64,10 @@
   Milliseconds longestPause{0};
   /// How long newer weights had been named when the server began.
   std::optional<Milliseconds> outdatedAtStart;
+  /// How the body of the server's answer ended; empty if it is not known.
+  std::optional<http::BodyEnd> bodyEnd;
+  /// Bytes behind the last whole event of a stream.
+  std::size_t partialEventBytes = 0;
 };
 void logAnswered(const AnswerFacts& facts);
 /// Logs that requests were recalled from servers that had not begun them.
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -55,9 +55,9 @@
   fromOtherServer_ = protocol_.namesOtherServer(dispatch.server, stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
     // Drains the body, so that the connection can be reused.
-    const Result<std::string> rest = co_await stream.read();
-    if (rest && !rest.value().empty()) {
-      const Result<std::string> end = co_await stream.read();
+    const Result<http::BodyPiece> rest = co_await stream.read();
+    if (rest && !rest.value().end) {
+      const Result<http::BodyPiece> end = co_await stream.read();
       static_cast<void>(end);
     }
     co_return notRunError(kind, dispatch.server, status_);
@@ -75,16 +75,14 @@
 awaitable<Result<void>> ServerAttempt::relayWhole(http::ResponseStream& stream,
                                                   FailureUse failureUse) {
   http::Response response = endToEnd(stream.head());
-  for (;;) {
-    Result<std::string> piece = co_await stream.read();
+  while (!bodyEnd_) {
+    Result<http::BodyPiece> piece = co_await stream.read();
     if (!piece) {
       co_return piece.error();
     }
     notifyFirstBytes();
-    if (piece.value().empty()) {
-      break;
-    }
-    response.body += piece.value();
+    bodyEnd_ = piece.value().end;
+    response.body += piece.value().bytes;
   }
   if (relay_.begun()) {
     // After the caller has begun to read a stream, no other answer can replace it.
@@ -102,31 +100,41 @@
 awaitable<Result<void>> ServerAttempt::relayEvents(http::ResponseStream& stream,
                                                    const AttemptBounds& bounds) {
   stream.setBodyTimeout(bounds.firstEventTimeout);
-  Result<std::string> bytes = co_await stream.read();
-  if (!bytes) {
-    co_return bytes.error();
+  Result<http::BodyPiece> first = co_await stream.read();
+  if (!first) {
+    co_return first.error();
   }
   notifyFirstBytes();
   stream.setBodyTimeout(bounds.eventTimeout);
+  Result<void> relayed = co_await relayPieces(stream, std::move(first.value()));
+  if (!relayed) {
+    co_return relayed;
+  }
+  partialEventBytes_ = relay_.partialEventBytes();
+  co_return co_await relay_.finish();
+}
+
+awaitable<Result<void>> ServerAttempt::relayPieces(http::ResponseStream& stream,
+                                                   http::BodyPiece first) {
   // The head is sent only after the first bytes, so that another server can still give the whole
   // answer if this one sends nothing.
   http::Response head = endToEnd(stream.head());
   Result<void> relayed = co_await relay_.begin(std::move(head));
-  while (relayed && !bytes.value().empty()) {
-    relayed = co_await relay_.relayBytes(bytes.value());
+  http::BodyPiece piece = std::move(first);
+  while (relayed && !piece.end) {
+    relayed = co_await relay_.relayBytes(piece.bytes);
     if (!relayed) {
       break;
     }
-    bytes = co_await stream.read();
-    if (!bytes) {
+    Result<http::BodyPiece> next = co_await stream.read();
+    if (!next) {
       relay_.dropPartialEvent();
-      co_return bytes.error();
+      co_return next.error();
     }
+    piece = std::move(next.value());
   }
-  if (!relayed) {
-    co_return relayed;
-  }
-  co_return co_await relay_.finish();
+  bodyEnd_ = piece.end;
+  co_return relayed;
 }
 
 void ServerAttempt::notifyFirstBytes() {
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -58,6 +58,10 @@
   unsigned status() const { return status_; }
   /// Whether the head was the server's own answer, success or failure.
   bool answered() const { return answered_; }
+  /// How the body of the answer ended; empty if it broke off.
+  std::optional<http::BodyEnd> bodyEnd() const { return bodyEnd_; }
+  /// Bytes behind the last whole event of a stream.
+  std::size_t partialEventBytes() const { return partialEventBytes_; }
   /// The server's 5xx answer, if it was kept.
   std::optional<http::Response>& keptFailure() { return keptFailure_; }
 
@@ -66,6 +70,9 @@
                                                   FailureUse failureUse);
   boost::asio::awaitable<Result<void>> relayEvents(http::ResponseStream& stream,
                                                    const AttemptBounds& bounds);
+  /// Relays the pieces of a stream up to its end.
+  boost::asio::awaitable<Result<void>> relayPieces(http::ResponseStream& stream,
+                                                   http::BodyPiece first);
   void notifyFirstBytes();
 
   ServerCalls& calls_;
@@ -78,6 +85,8 @@
   std::optional<WeightsVersion> weights_;
   std::optional<Microseconds> connectTime_;
   std::optional<http::Response> keptFailure_;
+  std::optional<http::BodyEnd> bodyEnd_;
+  std::size_t partialEventBytes_ = 0;
   unsigned status_ = 0;
   bool answered_ = false;
   bool fromOtherServer_ = false;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -28,8 +28,8 @@
       : stream_(std::move(stream)), call_(std::move(call)), paths_(paths) {}
 
   const http::Response& head() const override { return stream_->head(); }
-  awaitable<Result<std::string>> read() override {
-    Result<std::string> piece = co_await stream_->read();
+  awaitable<Result<http::BodyPiece>> read() override {
+    Result<http::BodyPiece> piece = co_await stream_->read();
     if (!piece) {
       co_return paths_.explainFailure(*call_, piece.error());
     }
--- /dev/null
+++ b/src/http/body_end.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace calicodrift::http {
+
+/// How the end of a body was marked.
+enum class BodyEnd {
+  /// By its length, its last chunk, or a head that has no body: the sender has written all of it.
+  kFramed,
+  /// By the end of its connection, which also comes when the sender's process ends: the body may be
+  /// incomplete.
+  kConnection,
+};
+std::string_view toString(BodyEnd end);
+
+/// The next bytes of a body.
+struct BodyPiece {
+  std::string bytes;
+  /// Set on the last piece, which has no bytes.
+  std::optional<BodyEnd> end;
+};
+
+}  // namespace calicodrift::http
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -146,7 +146,8 @@
       : state_(std::move(state)),
         connection_(std::move(connection)),
         stream_(connection_->stream),
-        options_(options) {
+        options_(options),
+        headOnly_(headOnly) {
     parser_.body_limit(options.maxBodyBytes);
     parser_.skip(headOnly);
   }
@@ -178,7 +179,7 @@
 
   const Response& head() const override { return head_; }
 
-  awaitable<Result<std::string>> read() override {
+  awaitable<Result<BodyPiece>> read() override {
     while (!parser_.is_done()) {
       parser_.get().body().data = piece_.data();
       parser_.get().body().size = piece_.size();
@@ -199,11 +200,11 @@
       const std::size_t length = piece_.size() - parser_.get().body().size;
       if (length > 0) {
         noteBytes();
-        co_return std::string(piece_.data(), length);
+        co_return BodyPiece{std::string(piece_.data(), length), std::nullopt};
       }
     }
     finish();
-    co_return std::string();
+    co_return BodyPiece{{}, bodyEnd()};
   }
 
   void setBodyTimeout(Milliseconds timeout) override { options_.bodyTimeout = timeout; }
@@ -217,6 +218,10 @@
     return !connection_->path.direct() && parser_.is_done() && parser_.need_eof();
   }
 
+  BodyEnd bodyEnd() const {
+    return !headOnly_ && parser_.need_eof() ? BodyEnd::kConnection : BodyEnd::kFramed;
+  }
+
   void noteBytes() {
     constexpr unsigned kFirstRedirect = 300;
     const bool success = head_.status >= kStatusOk && head_.status < kFirstRedirect;
@@ -245,6 +250,7 @@
   ConnectionPointer connection_;
   beast::tcp_stream& stream_;
   ExchangeOptions options_;
+  bool headOnly_;
   bhttp::response_parser<bhttp::buffer_body> parser_;
   beast::flat_buffer buffer_;
   std::array<char, kBodyPieceBytes> piece_{};
@@ -384,6 +390,10 @@
 
 }  // namespace
 
+std::string_view toString(BodyEnd end) {
+  return end == BodyEnd::kFramed ? "framed" : "connection";
+}
+
 void ExchangeCanceller::cancel() {
   cancelled_ = true;
   if (close_) {
@@ -517,14 +527,14 @@
 awaitable<Result<Response>> readWhole(ResponseStream& stream) {
   Response response = stream.head();
   for (;;) {
-    Result<std::string> piece = co_await stream.read();
+    Result<BodyPiece> piece = co_await stream.read();
     if (!piece) {
       co_return piece.error();
     }
-    if (piece.value().empty()) {
+    if (piece.value().end) {
       co_return response;
     }
-    response.body += piece.value();
+    response.body += piece.value().bytes;
   }
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "common/endpoint.h"
 #include "common/error.h"
+#include "http/body_end.h"
 #include "http/connection_path.h"
 #include "http/message.h"
 
@@ -106,9 +107,10 @@
   virtual ~ResponseStream() = default;
   /// Status and headers; the body is empty.
   virtual const Response& head() const = 0;
-  /// The next bytes of the body; an empty text is its end. A connection that breaks before the end
-  /// fails with kStreamBroken, a pause longer than bodyTimeout with kDeadlineExceeded.
-  virtual boost::asio::awaitable<Result<std::string>> read() = 0;
+  /// The next piece of the body; after the last one it is returned again. A connection that breaks
+  /// before the end fails with kStreamBroken, a pause longer than bodyTimeout with
+  /// kDeadlineExceeded. A FIN is no break where nothing but the connection frames the body.
+  virtual boost::asio::awaitable<Result<BodyPiece>> read() = 0;
   /// Replaces ExchangeOptions::bodyTimeout for the next calls of read().
   virtual void setBodyTimeout(Milliseconds timeout) = 0;
   /// Closes the connection; a pending read() fails. Safe at any time.
--- a/src/object_api/object_api.cc
+++ b/src/object_api/object_api.cc
@@ -161,14 +161,15 @@
       }
       co_return std::optional<WatchEvent>(std::move(event.value()));
     }
-    Result<std::string> piece = co_await stream_->read();
+    Result<http::BodyPiece> piece = co_await stream_->read();
     if (!piece) {
       co_return fail(ErrorKind::kStoreUnavailable, piece.error().detail);
     }
-    if (piece.value().empty()) {
+    if (piece.value().end) {
+      // A line without its end is dropped, however the watch ended: it comes again in the next one.
       co_return std::optional<WatchEvent>();
     }
-    buffer_ += piece.value();
+    buffer_ += piece.value().bytes;
   }
 }
 
--- a/src/router/engine_attempt.cc
+++ b/src/router/engine_attempt.cc
@@ -75,7 +75,7 @@
 awaitable<void> readEnd(std::unique_ptr<http::ResponseStream> stream) {
   constexpr Milliseconds kEndTimeout{1000};
   stream->setBodyTimeout(kEndTimeout);
-  const Result<std::string> end = co_await stream->read();
+  const Result<http::BodyPiece> end = co_await stream->read();
   static_cast<void>(end);
 }
 
@@ -116,15 +116,15 @@
     const bool first = sink_.expectedIndex() == firstIndex_;
     const Milliseconds timeout = first ? dispatch.firstTokenTimeout : dispatch.tokenTimeout;
     stream_->setBodyTimeout(boundedWait(timeout, dispatch.caller.deadline));
-    Result<std::string> bytes = co_await stream_->read();
-    if (!bytes) {
-      co_return readError(bytes.error(), dispatch.caller.deadline);
+    Result<http::BodyPiece> piece = co_await stream_->read();
+    if (!piece) {
+      co_return readError(piece.error(), dispatch.caller.deadline);
     }
-    if (bytes.value().empty()) {
+    if (piece.value().end) {
       co_return fail(ErrorKind::kStreamBroken,
                      "the engine's stream ended before its closing event");
     }
-    reader.feed(bytes.value());
+    reader.feed(piece.value().bytes);
     while (const std::optional<http::SseEvent> event = reader.next()) {
       Result<bool> closed = co_await takeEvent(dispatch, *event);
       if (!closed) {
