Tests: short answers without a length reach their callers as whole (known red)

Servers that answer with neither a length nor chunks, and end the connection inside an event, or whose processes end or start again within an answer.

--- /dev/null
+++ b/tests/platform/unframed_answers_test.cc
@@ -0,0 +1,246 @@
+// Guards against short answers that reach their callers framed as whole: servers may answer with
+// neither a length nor chunks, and the end of such an answer looks like the end of its server.
+
+#include "gateway_fixture.h"
+#include "support/scripted_server.h"
+
+namespace calicodrift::testing {
+namespace {
+
+using boost::asio::awaitable;
+
+/// Events FIRST to LAST of a stream.
+std::string events(unsigned first, unsigned last) {
+  std::string text;
+  for (unsigned number = first; number <= last; ++number) {
+    text += "id: " + std::to_string(number) + "\ndata: " + std::to_string(number) + "\n\n";
+  }
+  return text;
+}
+
+/// A server of the platform that answers requests without a length, as its test says, and questions
+/// for its report as a sound one does.
+class UnframedServer {
+ public:
+  using Body = std::function<ScriptedAnswer(const http::Request&)>;
+
+  UnframedServer(boost::asio::io_context& context, std::string id, std::string service)
+      : id_(std::move(id)),
+        service_(std::move(service)),
+        server_(context, [this](const auto& request) { return answer(request); }) {}
+
+  void setBody(Body body) { body_ = std::move(body); }
+  std::size_t runs() const { return runs_; }
+  ScriptedServer& server() { return server_; }
+  boost::json::value entry() const {
+    boost::json::array models;
+    if (service_ == "llm") {
+      models.push_back(
+          boost::json::object{{"name", "m"}, {"version", 1}, {"adapters", boost::json::array{}}});
+    }
+    return boost::json::object{{"service", service_},
+                               {"address", server_.endpoint().toString()},
+                               {"zone", "z1"},
+                               {"version", "v1"},
+                               {"slots", 8},
+                               {"state", "ready"},
+                               {"cold_remaining_ms", 0},
+                               {"models", models},
+                               {"call_seq", 0},
+                               {"born", born}};
+  }
+  const std::string& id() const { return id_; }
+  /// Unix milliseconds of its start.
+  std::uint64_t born = 1'000;
+
+ private:
+  ScriptedAnswer answer(const http::Request& request) {
+    if (request.path() == platform::kReportPath) {
+      const std::string report =
+          boost::json::serialize(boost::json::object{{"stage", "combined"},
+                                                     {"models", entry().at("models")},
+                                                     {"busy", false},
+                                                     {"call_seq", 0},
+                                                     {"born", born}});
+      return {{ScriptedServer::head("Content-Length: " + std::to_string(report.size()) + "\r\n") +
+               report}};
+    }
+    if (request.path() == "/health") {
+      return {{ScriptedServer::head("Content-Length: 0\r\nX-Instance-Id: " + id_ + "\r\n")}};
+    }
+    ++runs_;
+    ScriptedAnswer given = body_(request);
+    given.pieces.insert(
+        given.pieces.begin(),
+        ScriptedServer::head("X-Request-Id: " + request.headers.get(platform::kRequestId) +
+                             "\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"));
+    return given;
+  }
+
+  std::string id_;
+  std::string service_;
+  Body body_;
+  std::size_t runs_ = 0;
+  ScriptedServer server_;
+};
+
+struct Fixture : GatewayFixture {
+  Fixture() {
+    store.put("config", "main", configuration(1));
+    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
+  }
+  UnframedServer& addUnframed(const std::string& id, const std::string& service) {
+    unframed.push_back(std::make_unique<UnframedServer>(context, id, service));
+    store.put("servers", id, unframed.back()->entry());
+    return *unframed.back();
+  }
+  /// Ends the first run as given, and answers all later ones whole.
+  static UnframedServer::Body firstRunEnds(std::shared_ptr<bool> first, std::string body,
+                                           ConnectionEnd end) {
+    return [first, body, end](const http::Request& request) -> ScriptedAnswer {
+      if (std::exchange(*first, false)) {
+        return {{body}, end};
+      }
+      const std::string after = request.headers.get(platform::kLastEventId);
+      const unsigned next = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
+      return {{events(next, 4)}, ConnectionEnd::kClose};
+    };
+  }
+  /// The answer to a stream whose first run, at any of two servers, ends so.
+  awaitable<Result<http::Response>> streamBrokenOnce(std::string path, std::string body,
+                                                     ConnectionEnd end) {
+    const auto first = std::make_shared<bool>(true);
+    for (const auto& server : unframed) {
+      server->setBody(firstRunEnds(first, body, end));
+    }
+    http::Request message = modelRequest(path);
+    co_return co_await call(std::move(message));
+  }
+
+  std::vector<std::unique_ptr<UnframedServer>> unframed;
+};
+
+BOOST_FIXTURE_TEST_SUITE(platform_unframed_answers, Fixture)
+
+BOOST_AUTO_TEST_CASE(streamThatEndsInsideAnEventGoesOnElsewhere) {
+  addUnframed("llm-1", "llm");
+  addUnframed("llm-2", "llm");
+  run([this]() -> awaitable<void> {
+    for (const ConnectionEnd end : {ConnectionEnd::kClose, ConnectionEnd::kReset}) {
+      const auto answer = co_await streamBrokenOnce("/stream/a", events(1, 2) + "id: 3\nda", end);
+      BOOST_REQUIRE(static_cast<bool>(answer));
+      BOOST_TEST(answer.value().body == events(1, 4));
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(streamOfACrashedServerGoesOnElsewhereThoughItEndsBetweenTwoEvents) {
+  addUnframed("llm-1", "llm");
+  addUnframed("llm-2", "llm");
+  run([this]() -> awaitable<void> {
+    const auto answer = co_await streamBrokenOnce("/stream/a", events(1, 2), ConnectionEnd::kCrash);
+    BOOST_REQUIRE(static_cast<bool>(answer));
+    BOOST_TEST(answer.value().body == events(1, 4));
+  });
+}
+
+/// It may not be sent again, so that its caller has to see that it is short.
+BOOST_AUTO_TEST_CASE(streamThatMayNotBeResumedDoesNotEndWholeWhenItsServerCrashes) {
+  addUnframed("llm-1", "llm");
+  addUnframed("llm-2", "llm");
+  run([this]() -> awaitable<void> {
+    const auto inside =
+        co_await streamBrokenOnce("/stream-once/a", events(1, 2) + "id:", ConnectionEnd::kClose);
+    BOOST_TEST(!inside);
+    const auto between =
+        co_await streamBrokenOnce("/stream-once/a", events(1, 2), ConnectionEnd::kCrash);
+    BOOST_TEST(!between);
+    BOOST_TEST(unframed[0]->runs() + unframed[1]->runs() == 2U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(answerOfACrashedServerIsNotDeliveredAsWhole) {
+  addUnframed("app-1", "app");
+  addUnframed("app-2", "app");
+  run([this]() -> awaitable<void> {
+    const auto first = std::make_shared<bool>(true);
+    for (const auto& server : unframed) {
+      server->setBody([first](const http::Request&) -> ScriptedAnswer {
+        const bool breaks = std::exchange(*first, false);
+        return breaks ? ScriptedAnswer{{"a sho"}, ConnectionEnd::kCrash}
+                      : ScriptedAnswer{{"a whole answer"}, ConnectionEnd::kClose};
+      });
+    }
+    http::Request safe = request("/safe/a");
+    const auto again = co_await call(std::move(safe));
+    BOOST_REQUIRE(static_cast<bool>(again));
+    BOOST_TEST(again.value().status == 200U);
+    BOOST_TEST(again.value().body == "a whole answer");
+  });
+}
+
+/// 502 promises nothing.
+BOOST_AUTO_TEST_CASE(onceOnlyAnswerOfACrashedServerEndsAsUnknown) {
+  addUnframed("app-1", "app");
+  addUnframed("app-2", "app");
+  run([this]() -> awaitable<void> {
+    for (const auto& server : unframed) {
+      server->setBody([](const http::Request&) -> ScriptedAnswer {
+        return {{"a sho"}, ConnectionEnd::kCrash};
+      });
+    }
+    http::Request once = request("/once/a");
+    const auto answer = co_await call(std::move(once));
+    BOOST_REQUIRE(static_cast<bool>(answer));
+    BOOST_TEST(answer.value().status == 502U);
+    BOOST_TEST(unframed[0]->runs() + unframed[1]->runs() == 1U);
+  });
+}
+
+/// The guard above costs no sound answer.
+BOOST_AUTO_TEST_CASE(wholeAnswersWithoutALengthAreDelivered) {
+  UnframedServer& app = addUnframed("app-1", "app");
+  UnframedServer& llm = addUnframed("llm-1", "llm");
+  run([&]() -> awaitable<void> {
+    app.setBody([](const http::Request&) -> ScriptedAnswer {
+      return {{"a whole ", "answer"}, ConnectionEnd::kClose, Milliseconds(2)};
+    });
+    llm.setBody([](const http::Request&) -> ScriptedAnswer {
+      return {{events(1, 2), events(3, 4)}, ConnectionEnd::kClose, Milliseconds(2)};
+    });
+    for (const std::string path : {"/safe/a", "/once/a", "/open/a"}) {
+      http::Request message = request(path);
+      const auto answer = co_await call(std::move(message));
+      BOOST_REQUIRE(static_cast<bool>(answer));
+      BOOST_TEST(answer.value().body == "a whole answer");
+    }
+    for (const std::string path : {"/stream/a", "/stream-once/a"}) {
+      http::Request message = modelRequest(path);
+      const auto answer = co_await call(std::move(message));
+      BOOST_REQUIRE(static_cast<bool>(answer));
+      BOOST_TEST(answer.value().body == events(1, 4));
+    }
+    BOOST_TEST(app.runs() == 3U);
+    BOOST_TEST(llm.runs() == 2U);
+  });
+}
+
+/// A process that starts again at once answers questions, but did not end the answer.
+BOOST_AUTO_TEST_CASE(answerOfAServerThatStartedAgainIsNotDeliveredAsWhole) {
+  UnframedServer& app = addUnframed("app-1", "app");
+  run([&]() -> awaitable<void> {
+    app.setBody([&app](const http::Request&) -> ScriptedAnswer {
+      app.born += 1;
+      return {{"a sho"}, ConnectionEnd::kClose};
+    });
+    http::Request once = request("/once/a");
+    const auto answer = co_await call(std::move(once));
+    BOOST_REQUIRE(static_cast<bool>(answer));
+    BOOST_TEST(answer.value().status == 502U);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::testing
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <sys/socket.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/endpoint.h"
+#include "http/message.h"
+
+namespace calicodrift::testing {
+
+/// What a ScriptedServer does with a connection after it has written an answer's bytes.
+enum class ConnectionEnd {
+  /// Waits for the next request.
+  kKeep,
+  /// Sends FIN.
+  kClose,
+  kReset,
+  /// Sends nothing more and stays open.
+  kSilence,
+  /// The process ends: nothing listens any more, and all connections send FIN.
+  kCrash,
+};
+
+/// The bytes of an answer as they are written, head included, in pieces.
+struct ScriptedAnswer {
+  std::vector<std::string> pieces;
+  ConnectionEnd end = ConnectionEnd::kKeep;
+  Milliseconds pieceGap{0};
+};
+
+/// An HTTP server whose answers are written byte by byte as a test says, framed or not, and ended
+/// in any way. Used on the context's one thread.
+class ScriptedServer {
+ public:
+  using Script = std::function<ScriptedAnswer(const http::Request&)>;
+
+  ScriptedServer(boost::asio::io_context& context, Script script)
+      : state_(std::make_shared<State>(context, std::move(script))) {
+    listen(0);
+  }
+  ~ScriptedServer() { crash(); }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  Endpoint endpoint() const { return {"127.0.0.1", port_}; }
+  void setScript(Script script) { state_->script = std::move(script); }
+  const std::vector<http::Request>& requests() const { return state_->requests; }
+  /// See ConnectionEnd::kCrash.
+  void crash() { state_->crash(); }
+  /// Listens at the same address again after a crash.
+  void restart() { listen(port_); }
+
+  static std::string head(const std::string& fields, const std::string& status = "200 OK") {
+    return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n";
+  }
+
+ private:
+  using Tcp = boost::asio::ip::tcp;
+  using Socket = std::shared_ptr<Tcp::socket>;
+
+  struct State {
+    State(boost::asio::io_context& context, Script script)
+        : script(std::move(script)), acceptor(context) {}
+    void crash() {
+      boost::system::error_code ignored;
+      acceptor.close(ignored);
+      for (const std::weak_ptr<Tcp::socket>& weak : sockets) {
+        if (const Socket socket = weak.lock()) {
+          // Unread bytes would turn the end into a reset.
+          socket->shutdown(Tcp::socket::shutdown_both, ignored);
+          socket->close(ignored);
+        }
+      }
+      sockets.clear();
+    }
+    Script script;
+    Tcp::acceptor acceptor;
+    std::vector<std::weak_ptr<Tcp::socket>> sockets;
+    std::vector<http::Request> requests;
+  };
+
+  void listen(std::uint16_t port) {
+    Tcp::acceptor& acceptor = state_->acceptor;
+    acceptor.open(Tcp::v4());
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port});
+    acceptor.listen();
+    port_ = acceptor.local_endpoint().port();
+    boost::asio::co_spawn(acceptor.get_executor(), accept(state_), boost::asio::detached);
+  }
+
+  static boost::asio::awaitable<void> accept(std::shared_ptr<State> state) {
+    for (;;) {
+      auto [code, socket] =
+          co_await state->acceptor.async_accept(boost::asio::as_tuple(boost::asio::use_awaitable));
+      if (code) {
+        co_return;
+      }
+      auto open = std::make_shared<Tcp::socket>(std::move(socket));
+      open->set_option(Tcp::no_delay(true));
+      state->sockets.push_back(open);
+      boost::asio::co_spawn(open->get_executor(), serve(state, open), boost::asio::detached);
+    }
+  }
+
+  static boost::asio::awaitable<void> serve(std::shared_ptr<State> state, Socket socket) {
+    namespace bhttp = boost::beast::http;
+    boost::beast::flat_buffer buffer;
+    for (;;) {
+      bhttp::request<bhttp::string_body> message;
+      auto [code, count] = co_await bhttp::async_read(
+          *socket, buffer, message, boost::asio::as_tuple(boost::asio::use_awaitable));
+      if (code) {
+        co_return;
+      }
+      http::Request request;
+      request.method = std::string(message.method_string());
+      request.target = std::string(message.target());
+      for (const auto& field : message) {
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+      }
+      request.body = std::move(message.body());
+      state->requests.push_back(request);
+      const ScriptedAnswer answer = state->script(request);
+      if (!co_await write(answer, *socket)) {
+        co_return;
+      }
+      if (answer.end != ConnectionEnd::kKeep) {
+        co_await end(*state, answer.end, *socket);
+        co_return;
+      }
+    }
+  }
+
+  static boost::asio::awaitable<bool> write(const ScriptedAnswer& answer, Tcp::socket& socket) {
+    for (const std::string& piece : answer.pieces) {
+      auto [code, count] = co_await boost::asio::async_write(
+          socket, boost::asio::buffer(piece), boost::asio::as_tuple(boost::asio::use_awaitable));
+      if (code) {
+        co_return false;
+      }
+      if (answer.pieceGap.count() > 0) {
+        co_await pause(socket, answer.pieceGap);
+      }
+    }
+    co_return true;
+  }
+
+  static boost::asio::awaitable<void> end(State& state, ConnectionEnd kind, Tcp::socket& socket) {
+    boost::system::error_code ignored;
+    switch (kind) {
+      case ConnectionEnd::kClose:
+        socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        co_await pause(socket, kLinger);
+        break;
+      case ConnectionEnd::kReset:
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+        break;
+      case ConnectionEnd::kCrash:
+        state.crash();
+        break;
+      case ConnectionEnd::kSilence:
+        co_await pause(socket, kSilence);
+        break;
+      case ConnectionEnd::kKeep:
+        break;
+    }
+  }
+
+  static boost::asio::awaitable<void> pause(Tcp::socket& socket, Milliseconds time) {
+    boost::asio::steady_timer timer(socket.get_executor(), time);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+
+  /// The other side reads the end meanwhile.
+  static constexpr Milliseconds kLinger{50};
+  static constexpr Milliseconds kSilence{20'000};
+
+  std::shared_ptr<State> state_;
+  std::uint16_t port_ = 0;
+};
+
+}  // namespace calicodrift::testing
