forward: a stream that ends inside an event has been broken off

Callers got the beginning of a stream in a complete frame: a server that answers without a length broke its answer off by closing the connection, which looks like the end of the body, and AnswerRelay::finish() wrote the bytes behind the last whole event as the end of a whole answer.

What follows the last whole event is dropped and the attempt fails with stream_broken, however the body ended: a stream that can be resumed goes on elsewhere, others end without their last chunk. Answers that are not text/event-stream have no events and are passed on to the last byte, as before.

The test's node gets a retry budget for all of its cases (retry-floor 10): with the default of 1 the second retry within ten seconds was denied, so that the first case failed for another reason than the one it is about. Its checks are unchanged.

--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -6,6 +6,12 @@
 
 using boost::asio::awaitable;
 
+namespace {
+
+constexpr std::string_view kEventStreamType = "text/event-stream";
+
+}  // namespace
+
 AnswerRelay::AnswerRelay(http::ResponseWriter& writer, std::optional<EventNumber> resumeAfter)
     : writer_(writer) {
   splitter_.startAfter(resumeAfter);
@@ -21,6 +27,8 @@
     co_return boost::outcome_v2::success();
   }
   begun_ = true;
+  const std::string type = head.headers.get("Content-Type");
+  hasEvents_ = type.empty() || type.starts_with(kEventStreamType);
   co_return co_await writer_.startStream(std::move(head));
 }
 
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -45,8 +45,8 @@
   /// Relays bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation if the
   /// event numbers don't follow the earlier ones.
   boost::asio::awaitable<Result<void>> relayBytes(std::string_view bytes);
-  /// Bytes behind the last whole event.
-  std::size_t partialEventBytes() const { return splitter_.rest().size(); }
+  /// Bytes of an event whose end has not arrived; 0 for an answer that does not consist of events.
+  std::size_t partialEventBytes() const { return hasEvents_ ? splitter_.rest().size() : 0; }
   /// Ends the answer after the server's stream is complete.
   boost::asio::awaitable<Result<void>> finish();
   /// Drops the incomplete event of a server whose stream broke.
@@ -63,6 +63,9 @@
   MonotonicTime lastEventTime_{};
   MonotonicTime::duration longestPause_{0};
   bool begun_ = false;
+  /// Whether the answer consists of events. Bytes of another type of content are passed on to the
+  /// last one.
+  bool hasEvents_ = true;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -137,9 +137,6 @@
     context_.metrics.observePause(toMilliseconds(facts.longestPause) / kMsPerSecond);
   }
   if (done) {
-    if (job.bodyEnd) {
-      context_.metrics.countAnswerEnd(toString(*job.bodyEnd), job.partialEventBytes > 0);
-    }
     logAnswered(facts);
   }
 }
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -201,6 +201,9 @@
   job.status = attempt.status();
   job.bodyEnd = attempt.bodyEnd();
   job.partialEventBytes = attempt.partialEventBytes();
+  if (job.bodyEnd) {
+    context_.metrics.countAnswerEnd(toString(*job.bodyEnd), job.partialEventBytes > 0);
+  }
   job.ranToServerError = attempt.keptFailure().has_value();
   if (attempt.keptFailure()) {
     job.keptFailure = std::move(attempt.keptFailure());
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -37,8 +37,8 @@
                                "requests that began on weights that were not the newest, by "
                                "whether that was later than the deployment allows")),
       answerEnds_(counters(registry, "calicodrift_forward_answer_ends_total",
-                           "servers' answers that were passed on, by how their body ended and "
-                           "whether that was inside an event")),
+                           "ends of servers' answers, by how their body ended and whether that was "
+                           "inside an event")),
       dispatches_(
           counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
               .Add({})),
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -28,7 +28,7 @@
   /// Counts a request that a server began on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
   void countOutdatedStart(bool beyondBound);
-  /// Counts a server's answer that was passed on, by how its body ended.
+  /// Counts the end of a server's answer by how its body ended.
   /// @param insideEvent whether bytes were left behind the last whole event of a stream.
   void countAnswerEnd(std::string_view end, bool insideEvent);
   void observeFirstByte(double seconds);
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -67,7 +67,7 @@
                                                       "' gave no valid answer to the request");
   }
   if (streaming && status_ == http::kStatusOk) {
-    co_return co_await relayEvents(stream, bounds);
+    co_return co_await relayEvents(stream, dispatch.server, bounds);
   }
   co_return co_await relayWhole(stream, failureUse);
 }
@@ -98,6 +98,7 @@
 }
 
 awaitable<Result<void>> ServerAttempt::relayEvents(http::ResponseStream& stream,
+                                                   const fleet::Server& server,
                                                    const AttemptBounds& bounds) {
   stream.setBodyTimeout(bounds.firstEventTimeout);
   Result<http::BodyPiece> first = co_await stream.read();
@@ -111,6 +112,12 @@
     co_return relayed;
   }
   partialEventBytes_ = relay_.partialEventBytes();
+  if (partialEventBytes_ > 0) {
+    relay_.dropPartialEvent();
+    co_return fail(ErrorKind::kStreamBroken, "the stream of server '" + server.id.value() +
+                                                 "' ended inside an event, after " +
+                                                 std::to_string(partialEventBytes_) + " bytes");
+  }
   co_return co_await relay_.finish();
 }
 
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -69,6 +69,7 @@
   boost::asio::awaitable<Result<void>> relayWhole(http::ResponseStream& stream,
                                                   FailureUse failureUse);
   boost::asio::awaitable<Result<void>> relayEvents(http::ResponseStream& stream,
+                                                   const fleet::Server& server,
                                                    const AttemptBounds& bounds);
   /// Relays the pieces of a stream up to its end.
   boost::asio::awaitable<Result<void>> relayPieces(http::ResponseStream& stream,
--- a/tests/platform/unframed_answers_test.cc
+++ b/tests/platform/unframed_answers_test.cc
@@ -86,6 +86,8 @@
 
 struct Fixture : GatewayFixture {
   Fixture() {
+    // A second try for each broken answer.
+    settings.retryFloor = 10;
     store.put("config", "main", configuration(1));
     store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
   }
