forward, http: an answer that ends with its connection is whole only if its server confirms it

Callers could get part of an answer in a complete frame when the server's process ended, or ended and started again, within an answer without a length: the kernel's FIN for a dead process is the same as the end of a whole answer.

Client::exchange() and readWhole() fail for such a body unless the caller accepts it with a reason (JSON proves itself, only the head is used). For callers' answers the server is asked for its report after the end: the same run has to answer. CrashCheck tells running, ended and unknown apart, and no check shares a question that was sent before its own answer ended. Ends without proof count as stream_broken, so the usual rules for retries hold; a once-only call gets 502.

--- /dev/null
+++ b/src/forward/answer_end_check.cc
@@ -0,0 +1,40 @@
+#include "forward/answer_end_check.h"
+
+#include "log/log.h"
+
+namespace calicodrift::forward {
+
+using boost::asio::awaitable;
+
+awaitable<Result<void>> AnswerEndCheck::confirm(const fleet::Server& server, http::BodyEnd end) {
+  if (end == http::BodyEnd::kFramed) {
+    metrics_.countAnswerEnd("framed");
+    co_return boost::outcome_v2::success();
+  }
+  const RunState state = co_await crashCheck_.stateOf(server);
+  switch (state) {
+    case RunState::kRunning:
+      metrics_.countAnswerEnd("confirmed");
+      co_return boost::outcome_v2::success();
+    case RunState::kEnded:
+      co_return unproven(server, "server_ended");
+    case RunState::kUnknown:
+      break;
+  }
+  co_return unproven(server, "server_silent");
+}
+
+Error AnswerEndCheck::partialEventError(const fleet::Server& server) {
+  return unproven(server, "inside_event");
+}
+
+Error AnswerEndCheck::unproven(const fleet::Server& server, std::string_view cause) {
+  metrics_.countAnswerEnd(cause);
+  log::write(log::Level::kInfo, "answer_end_unproven",
+             {{"server", server.id.value()}, {"cause", std::string(cause)}});
+  return fail(ErrorKind::kStreamBroken,
+              "the answer of server '" + server.id.value() +
+                  "' ended without proof that it is whole: " + std::string(cause));
+}
+
+}  // namespace calicodrift::forward
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -45,8 +45,9 @@
   /// Relays bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation if the
   /// event numbers don't follow the earlier ones.
   boost::asio::awaitable<Result<void>> relayBytes(std::string_view bytes);
-  /// Bytes of an event whose end has not arrived; 0 for an answer that does not consist of events.
-  std::size_t partialEventBytes() const { return hasEvents_ ? splitter_.rest().size() : 0; }
+  /// Whether bytes of an event have arrived without its end; never for an answer that does not
+  /// consist of events.
+  bool insideEvent() const { return hasEvents_ && !splitter_.rest().empty(); }
   /// Ends the answer after the server's stream is complete.
   boost::asio::awaitable<Result<void>> finish();
   /// Drops the incomplete event of a server whose stream broke.
--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -13,53 +13,77 @@
                        const ServerProtocol& protocol)
     : executor_(std::move(executor)), calls_(calls), protocol_(protocol) {}
 
-awaitable<bool> CrashCheck::processHasEnded(fleet::Server server) {
+awaitable<RunState> CrashCheck::stateOf(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
-  std::shared_ptr<Probe>& known = probes_[run];
-  if (!known) {
-    known = std::make_shared<Probe>(executor_);
-    known->answered.expires_at(asio::steady_timer::time_point::max());
-    asio::co_spawn(executor_, runProbe(std::move(server), known), asio::detached);
+  const auto [place, idle] = next_.try_emplace(run);
+  if (!place->second) {
+    place->second = std::make_shared<Probe>(executor_);
+  }
+  const std::shared_ptr<Probe> probe = place->second;
+  if (idle) {
+    asio::co_spawn(executor_, runProbes(std::move(server)), asio::detached);
   }
-  const std::shared_ptr<Probe> probe = known;
-  if (!probe->ended) {
+  if (!probe->state) {
     co_await probe->answered.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return probe->ended.value_or(false);
+  co_return probe->state.value_or(RunState::kUnknown);
+}
+
+awaitable<bool> CrashCheck::processHasEnded(fleet::Server server) {
+  const RunState state = co_await stateOf(std::move(server));
+  co_return state == RunState::kEnded;
 }
 
-awaitable<void> CrashCheck::runProbe(fleet::Server server, std::shared_ptr<Probe> probe) {
+awaitable<void> CrashCheck::runProbes(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
-  probe->ended = co_await checkReport(std::move(server));
-  probes_.erase(run);
-  probe->answered.cancel();
+  std::shared_ptr<Probe> probe = std::exchange(next_[run], nullptr);
+  while (probe) {
+    probe->state = co_await checkReport(server);
+    probe->answered.cancel();
+    probe = std::exchange(next_[run], nullptr);
+  }
+  next_.erase(run);
 }
 
-awaitable<bool> CrashCheck::checkReport(fleet::Server server) {
+awaitable<RunState> CrashCheck::checkReport(fleet::Server server) {
   http::ExchangeOptions options;
   options.connection = http::ConnectionUse::kFresh;
   options.connectTimeout = kAnswerTimeout;
   options.headerTimeout = kAnswerTimeout;
   options.bodyTimeout = kAnswerTimeout;
+  // A report that ends early cannot be read.
+  options.unframedBody = http::UnframedBody::kAccept;
   http::Request query = protocol_.reportQuery(server);
   const Result<http::Response> answer =
       co_await calls_.exchange(server, std::move(query), options, CallPurpose::kQuery);
   if (!answer) {
-    co_return answer.error().reason == http::kConnectionRefused;
+    const bool refused = answer.error().reason == http::kConnectionRefused;
+    co_return refused ? RunState::kEnded : RunState::kUnknown;
   }
-  if (protocol_.namesOtherServer(server, answer.value()) ||
-      answer.value().status == http::kStatusMisdirected) {
-    co_return true;
+  co_return stateFrom(server, answer.value());
+}
+
+RunState CrashCheck::stateFrom(const fleet::Server& server, const http::Response& answer) const {
+  if (protocol_.namesOtherServer(server, answer) || answer.status == http::kStatusMisdirected) {
+    return RunState::kEnded;
+  }
+  const Result<ServerReport> report = protocol_.readReport(answer);
+  if (!report) {
+    // Servers without reports answer so, too; the address and the id are this server's.
+    return RunState::kRunning;
   }
   if (!server.started) {
     // If the list contains no start, a report that does is no proof of another run.
-    co_return false;
+    return report.value().started ? RunState::kUnknown : RunState::kRunning;
   }
-  const Result<ServerReport> report = protocol_.readReport(answer.value());
-  if (!report) {
-    co_return false;
+  switch (fleet::orderOf(report.value().started, server.started)) {
+    case fleet::RunOrder::kSame:
+      return RunState::kRunning;
+    case fleet::RunOrder::kLater:
+      return RunState::kEnded;
+    default:
+      return RunState::kUnknown;
   }
-  co_return fleet::orderOf(report.value().started, server.started) == fleet::RunOrder::kLater;
 }
 
 }  // namespace calicodrift::forward
--- a/src/forward/crash_check.h
+++ b/src/forward/crash_check.h
@@ -8,24 +8,32 @@
 #include <optional>
 #include <utility>
 
-#include "forward/protocol.h"
 #include "forward/server_calls.h"
 
 namespace calicodrift::forward {
 
-/// Determines whether a server's process has ended after one of its answers broke off. A lost
-/// answer, a reset connection or a malformed stream alone does not count as an ended process.
-///
-/// The server is asked for its report over a new connection: a refused connection, another server
-/// at the address or a later run proves that the process has ended. A timeout proves nothing,
-/// because the network path may be interrupted. Concurrent checks of one run share one probe, so
-/// that the end of a process costs a node one call.
+/// State of one run of a server.
+enum class RunState {
+  /// It has answered a question that was asked after the check began.
+  kRunning,
+  kEnded,
+  /// No answer in time, or one that does not show which run gave it.
+  kUnknown,
+};
+
+/// Finds out whether the process of a server's run is alive, by querying its report on a new
+/// connection. The process has ended if the connection is refused at this node and at another one,
+/// if another server answers, or if a later run of this server does. Checks of one run that begin
+/// while a question is under way share the next one: the answer to an earlier question may have
+/// been given before the process ended.
 class CrashCheck {
  public:
   CrashCheck(boost::asio::any_io_executor executor, ServerCalls& calls,
              const ServerProtocol& protocol);
 
-  /// Takes one round trip if the network path works, and at most kAnswerTimeout.
+  /// Takes one round trip if the network path works and no question is under way, and at most twice
+  /// kAnswerTimeout.
+  boost::asio::awaitable<RunState> stateOf(fleet::Server server);
   boost::asio::awaitable<bool> processHasEnded(fleet::Server server);
 
   /// Several round trips, also between regions, where 100 ms is a long one.
@@ -34,20 +42,26 @@
  private:
   using RunKey = std::pair<BackendId, Incarnation>;
   struct Probe {
-    explicit Probe(const boost::asio::any_io_executor& executor) : answered(executor) {}
+    explicit Probe(const boost::asio::any_io_executor& executor) : answered(executor) {
+      answered.expires_at(MonotonicTime::max());
+    }
 
-    std::optional<bool> ended;
+    std::optional<RunState> state;
     /// Cancelled when the result is available.
     boost::asio::steady_timer answered;
   };
 
-  boost::asio::awaitable<void> runProbe(fleet::Server server, std::shared_ptr<Probe> probe);
-  boost::asio::awaitable<bool> checkReport(fleet::Server server);
+  /// Asks until no check waits for a further question.
+  boost::asio::awaitable<void> runProbes(fleet::Server server);
+  boost::asio::awaitable<RunState> checkReport(fleet::Server server);
+  RunState stateFrom(const fleet::Server& server, const http::Response& answer) const;
 
   boost::asio::any_io_executor executor_;
   ServerCalls& calls_;
   const ServerProtocol& protocol_;
-  std::map<RunKey, std::shared_ptr<Probe>> probes_;
+  /// By run, the probe that is to be sent next; null while one is under way that nobody waits
+  /// behind.
+  std::map<RunKey, std::shared_ptr<Probe>> next_;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -82,9 +82,8 @@
   /// newest.
   std::optional<Milliseconds> outdatedAtStart;
   unsigned status = 0;
-  /// How the body of the last answer ended, and its bytes behind the last whole event.
+  /// How the body of the last answer ended; empty if it broke off.
   std::optional<http::BodyEnd> bodyEnd;
-  std::size_t partialEventBytes = 0;
 };
 
 /// The server chosen for one dispatch, and its state at that time.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -53,6 +53,7 @@
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)),
       crashCheck_(context_.executor, context_.calls, context_.servers),
+      answerEndCheck_(crashCheck_, context_.metrics),
       random_(seed + 2) {}
 
 void Forwarder::recallWaiting(const ModelId& model, WeightsVersion least) {
@@ -128,8 +129,8 @@
   context_.metrics.countAnswer(done ? job.status : 0);
   context_.metrics.observeAnswerTime(toMilliseconds(whole) / kMsPerSecond);
   AnswerFacts facts{
-      job.request.id,      job.status,  job.lastServer,       job.attempts.sent, whole, {}, {},
-      job.outdatedAtStart, job.bodyEnd, job.partialEventBytes};
+      job.request.id,      job.status, job.lastServer, job.attempts.sent, whole, {}, {},
+      job.outdatedAtStart, job.bodyEnd};
   if (const auto first = job.relay.firstEventTime()) {
     facts.firstChunk = std::chrono::duration_cast<Milliseconds>(*first - job.request.received);
     facts.longestPause = std::chrono::duration_cast<Milliseconds>(job.relay.longestPause());
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -199,6 +199,7 @@
   std::map<std::pair<std::string, service_rollout::Track>, QueueAdmission> admissions_;
   AnswerObserver observer_;
   CrashCheck crashCheck_;
+  AnswerEndCheck answerEndCheck_;
   MonotonicTime startedAt_ = monotonicNow();
   std::mt19937_64 random_;
 };
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -142,7 +142,7 @@
     context_.rollouts.onSent(job.service, chosen.order, chosen.track);
   }
   auto attempt = std::make_shared<ServerAttempt>(
-      context_.calls, context_.servers, job.relay,
+      context_.calls, context_.servers, answerEndCheck_, job.relay,
       chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest,
       job.mayFailOver() ? server_paths::CallMobility::kMovable
                         : server_paths::CallMobility::kFixed);
@@ -200,10 +200,6 @@
                                                           Result<void>& outcome) const {
   job.status = attempt.status();
   job.bodyEnd = attempt.bodyEnd();
-  job.partialEventBytes = attempt.partialEventBytes();
-  if (job.bodyEnd) {
-    context_.metrics.countAnswerEnd(toString(*job.bodyEnd), job.partialEventBytes > 0);
-  }
   job.ranToServerError = attempt.keptFailure().has_value();
   if (attempt.keptFailure()) {
     job.keptFailure = std::move(attempt.keptFailure());
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -37,8 +37,8 @@
                                "requests that began on weights that were not the newest, by "
                                "whether that was later than the deployment allows")),
       answerEnds_(counters(registry, "calicodrift_forward_answer_ends_total",
-                           "ends of servers' answers, by how their body ended and whether that was "
-                           "inside an event")),
+                           "ends of servers' answers: framed, confirmed by the server where only "
+                           "the connection ended, or why the answer is taken for broken off")),
       dispatches_(
           counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
               .Add({})),
@@ -109,9 +109,8 @@
   outdatedStarts_.Add({{"beyond_bound", beyondBound ? "true" : "false"}}).Increment();
 }
 
-void ForwardMetrics::countAnswerEnd(std::string_view end, bool insideEvent) {
-  answerEnds_.Add({{"end", std::string(end)}, {"inside_event", insideEvent ? "true" : "false"}})
-      .Increment();
+void ForwardMetrics::countAnswerEnd(std::string_view end) {
+  answerEnds_.Add({{"end", std::string(end)}}).Increment();
 }
 
 void ForwardMetrics::observeFirstByte(double seconds) {
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -28,9 +28,8 @@
   /// Counts a request that a server began on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
   void countOutdatedStart(bool beyondBound);
-  /// Counts the end of a server's answer by how its body ended.
-  /// @param insideEvent whether bytes were left behind the last whole event of a stream.
-  void countAnswerEnd(std::string_view end, bool insideEvent);
+  /// Counts the end of a server's answer: "framed", "confirmed", or why it is not proven.
+  void countAnswerEnd(std::string_view end);
   void observeFirstByte(double seconds);
   void observeAnswerTime(double seconds);
   /// Records the longest pause between two chunks of a stream, in seconds.
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -64,8 +64,7 @@
               {"first_ms", textOf(facts.firstChunk)},
               {"pause_ms", std::to_string(facts.longestPause.count())},
               {"begun_outdated_ms", textOf(facts.outdatedAtStart)},
-              {"end", std::string(facts.bodyEnd ? toString(*facts.bodyEnd) : "")},
-              {"partial_event_bytes", std::to_string(facts.partialEventBytes)}});
+              {"end", std::string(facts.bodyEnd ? toString(*facts.bodyEnd) : "")}});
 }
 
 void logRecalled(const ModelId& model, WeightsVersion least, std::size_t count) {
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -66,8 +66,6 @@
   std::optional<Milliseconds> outdatedAtStart;
   /// How the body of the server's answer ended; empty if it is not known.
   std::optional<http::BodyEnd> bodyEnd;
-  /// Bytes behind the last whole event of a stream.
-  std::size_t partialEventBytes = 0;
 };
 void logAnswered(const AnswerFacts& facts);
 /// Logs that requests were recalled from servers that had not begun them.
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -69,10 +69,11 @@
   if (streaming && status_ == http::kStatusOk) {
     co_return co_await relayEvents(stream, dispatch.server, bounds);
   }
-  co_return co_await relayWhole(stream, failureUse);
+  co_return co_await relayWhole(stream, dispatch.server, failureUse);
 }
 
 awaitable<Result<void>> ServerAttempt::relayWhole(http::ResponseStream& stream,
+                                                  const fleet::Server& server,
                                                   FailureUse failureUse) {
   http::Response response = endToEnd(stream.head());
   while (!bodyEnd_) {
@@ -90,6 +91,10 @@
                    "a server answered the resumption of a stream with status " +
                        std::to_string(response.status));
   }
+  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_);
+  if (!whole) {
+    co_return whole;
+  }
   if (response.status >= kFirstServerErrorStatus && failureUse == FailureUse::kKeep) {
     keptFailure_ = std::move(response);
     co_return fail(ErrorKind::kOutcomeUnknown, "the server answered with a server error");
@@ -111,12 +116,13 @@
   if (!relayed) {
     co_return relayed;
   }
-  partialEventBytes_ = relay_.partialEventBytes();
-  if (partialEventBytes_ > 0) {
+  if (relay_.insideEvent()) {
     relay_.dropPartialEvent();
-    co_return fail(ErrorKind::kStreamBroken, "the stream of server '" + server.id.value() +
-                                                 "' ended inside an event, after " +
-                                                 std::to_string(partialEventBytes_) + " bytes");
+    co_return endCheck_.partialEventError(server);
+  }
+  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_);
+  if (!whole) {
+    co_return whole;
   }
   co_return co_await relay_.finish();
 }
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 
+#include "forward/answer_end_check.h"
 #include "forward/answer_relay.h"
 #include "forward/protocol.h"
 #include "forward/server_calls.h"
@@ -29,9 +30,14 @@
  public:
   /// @param purpose a request with a unit of the server's limit, or without one.
   /// @param mobility whether the request may go to another server if this one's path is lost.
-  ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerRelay& relay,
-                CallPurpose purpose, server_paths::CallMobility mobility)
-      : calls_(calls), protocol_(protocol), relay_(relay), purpose_(purpose), mobility_(mobility) {}
+  ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerEndCheck& endCheck,
+                AnswerRelay& relay, CallPurpose purpose, server_paths::CallMobility mobility)
+      : calls_(calls),
+        protocol_(protocol),
+        endCheck_(endCheck),
+        relay_(relay),
+        purpose_(purpose),
+        mobility_(mobility) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
   /// mean that this server has not run the request, kServerWithdrawn that it did not receive it,
@@ -60,13 +66,12 @@
   bool answered() const { return answered_; }
   /// How the body of the answer ended; empty if it broke off.
   std::optional<http::BodyEnd> bodyEnd() const { return bodyEnd_; }
-  /// Bytes behind the last whole event of a stream.
-  std::size_t partialEventBytes() const { return partialEventBytes_; }
   /// The server's 5xx answer, if it was kept.
   std::optional<http::Response>& keptFailure() { return keptFailure_; }
 
  private:
   boost::asio::awaitable<Result<void>> relayWhole(http::ResponseStream& stream,
+                                                  const fleet::Server& server,
                                                   FailureUse failureUse);
   boost::asio::awaitable<Result<void>> relayEvents(http::ResponseStream& stream,
                                                    const fleet::Server& server,
@@ -78,6 +83,7 @@
 
   ServerCalls& calls_;
   const ServerProtocol& protocol_;
+  AnswerEndCheck& endCheck_;
   AnswerRelay& relay_;
   CallPurpose purpose_;
   server_paths::CallMobility mobility_;
@@ -87,7 +93,6 @@
   std::optional<Microseconds> connectTime_;
   std::optional<http::Response> keptFailure_;
   std::optional<http::BodyEnd> bodyEnd_;
-  std::size_t partialEventBytes_ = 0;
   unsigned status_ = 0;
   bool answered_ = false;
   bool fromOtherServer_ = false;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -110,7 +110,7 @@
   if (!opened) {
     co_return opened.error();
   }
-  co_return co_await http::readWhole(*opened.value());
+  co_return co_await http::readWhole(*opened.value(), options.unframedBody);
 }
 
 Result<void> ServerCalls::mayBegin(const fleet::Server& server, CallPurpose purpose) const {
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -144,7 +144,9 @@
     log::write(log::Level::kInfo, "cache_store_asks_for_rest",
                {{"address", endpoint.toString()}, {"ms", std::to_string(notices.rest->count())}});
   }
-  const Result<http::Response> answer = co_await http::readWhole(*opened.value());
+  // A list that ends early cannot be read.
+  const Result<http::Response> answer =
+      co_await http::readWhole(*opened.value(), http::UnframedBody::kAccept);
   // One that leaves is given nothing more to keep.
   if (!answer || notices.leaving) {
     noteSilence(endpoint, store);
--- a/src/gateway/server_prober.cc
+++ b/src/gateway/server_prober.cc
@@ -70,6 +70,8 @@
   options.connectTimeout = timeout;
   options.headerTimeout = timeout;
   options.bodyTimeout = timeout;
+  // Only the head is used.
+  options.unframedBody = http::UnframedBody::kAccept;
   Result<http::Response> answer =
       co_await calls_.exchange(server, std::move(query), options, forward::CallPurpose::kQuery);
   if (answer && protocol_.namesOtherServer(server, answer.value())) {
--- a/src/http/body_end.h
+++ b/src/http/body_end.h
@@ -23,4 +23,13 @@
   std::optional<BodyEnd> end;
 };
 
+/// What a reader does with a body that ended with its connection.
+enum class UnframedBody {
+  /// Fails with kStreamBroken: nothing proves that the body is complete.
+  kReject,
+  /// Takes it. For readers whose content proves itself, such as JSON, and for those that use only
+  /// the head.
+  kAccept,
+};
+
 }  // namespace calicodrift::http
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -237,7 +237,9 @@
     finished_ = true;
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
-    if (pooled && parser_.get().keep_alive() && buffer_.size() == 0) {
+    const bool reusable =
+        parser_.get().keep_alive() && buffer_.size() == 0 && bodyEnd() == BodyEnd::kFramed;
+    if (pooled && reusable) {
       state_->giveBack(connection_, idleLifetime(head_.headers.get("Keep-Alive")));
     } else {
       stream_.close();
@@ -521,17 +523,22 @@
   if (!opened) {
     co_return opened.error();
   }
-  co_return co_await readWhole(*opened.value());
+  co_return co_await readWhole(*opened.value(), options.unframedBody);
 }
 
-awaitable<Result<Response>> readWhole(ResponseStream& stream) {
+awaitable<Result<Response>> readWhole(ResponseStream& stream, UnframedBody unframed) {
   Response response = stream.head();
   for (;;) {
     Result<BodyPiece> piece = co_await stream.read();
     if (!piece) {
       co_return piece.error();
     }
-    if (piece.value().end) {
+    const std::optional<BodyEnd> end = piece.value().end;
+    if (end == BodyEnd::kConnection && unframed == UnframedBody::kReject) {
+      co_return fail(ErrorKind::kStreamBroken,
+                     "the answer has no length, and nothing proves that it is whole");
+    }
+    if (end) {
       co_return response;
     }
     response.body += piece.value().bytes;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -63,6 +63,8 @@
   /// Between two pieces of the body.
   Milliseconds bodyTimeout{60000};
   std::size_t maxBodyBytes = 67'108'864;
+  /// For exchange(); readers of a ResponseStream see how its body ended.
+  UnframedBody unframedBody = UnframedBody::kReject;
   /// Written bytes that are not acknowledged for so long end the connection, so that a peer without
   /// power is noticed before any answer is due. 0 leaves it to the system.
   Milliseconds unacknowledgedTimeout{0};
@@ -117,8 +119,9 @@
   virtual void cancel() = 0;
 };
 
-/// The head with its whole body. Fails as ResponseStream::read() does.
-boost::asio::awaitable<Result<Response>> readWhole(ResponseStream& stream);
+/// The head with its whole body. Fails as ResponseStream::read() does, and with kStreamBroken for a
+/// body whose end is not accepted.
+boost::asio::awaitable<Result<Response>> readWhole(ResponseStream& stream, UnframedBody unframed);
 
 struct ClientSettings {
   /// Translates the address of an endpoint into the one to connect to; empty: it stays as it is.
--- a/src/object_api/object_api.cc
+++ b/src/object_api/object_api.cc
@@ -11,6 +11,8 @@
   http::ExchangeOptions options;
   options.connection = http::ConnectionUse::kFresh;
   options.headerTimeout = Milliseconds(5000);
+  // JSON that ends early cannot be read.
+  options.unframedBody = http::UnframedBody::kAccept;
   return options;
 }
 
--- a/src/orders/order_driver.cc
+++ b/src/orders/order_driver.cc
@@ -21,6 +21,8 @@
   options.connectTimeout = kOrderTimeout;
   options.headerTimeout = kOrderTimeout;
   options.bodyTimeout = kOrderTimeout;
+  // JSON that ends early cannot be read.
+  options.unframedBody = http::UnframedBody::kAccept;
   return options;
 }
 
--- a/src/router/discovery.cc
+++ b/src/router/discovery.cc
@@ -61,6 +61,8 @@
   http::ExchangeOptions options;
   options.connectTimeout = settings_.connectTimeout;
   options.headerTimeout = settings_.machineListInterval + settings_.probeTimeout;
+  // JSON that ends early cannot be read.
+  options.unframedBody = http::UnframedBody::kAccept;
   for (;;) {
     for (const Endpoint& endpoint : settings_.machineList) {
       http::Request request;
@@ -123,6 +125,7 @@
   options.connectTimeout = settings_.probeTimeout;
   options.headerTimeout = settings_.probeTimeout;
   options.bodyTimeout = settings_.probeTimeout;
+  options.unframedBody = http::UnframedBody::kAccept;
   Result<http::Response> response = co_await client_.exchange(machine.endpoint, request, options);
   probing_.erase(machine.id);
   if (table_.endpointOf(machine.id) != machine.endpoint) {
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -158,8 +158,10 @@
   if (!opened) {
     co_return false;
   }
-  // Read to its end, so that the connection can be used again.
-  const Result<http::Response> answer = co_await http::readWhole(*opened.value());
+  // Read to its end, so that the connection can be used again; any answer shows that the path
+  // works.
+  const Result<http::Response> answer =
+      co_await http::readWhole(*opened.value(), http::UnframedBody::kAccept);
   co_return answer.has_value();
 }
 
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -22,6 +22,9 @@
   options.connectTimeout = timeout;
   options.headerTimeout = timeout;
   options.bodyTimeout = timeout;
+  // Reports are JSON, which cannot be read if it ends early; of the answer to an order only the
+  // head is used.
+  options.unframedBody = http::UnframedBody::kAccept;
   return options;
 }
 
--- a/tests/server_paths/tunnel_service_test.cc
+++ b/tests/server_paths/tunnel_service_test.cc
@@ -52,7 +52,7 @@
     if (!opened) {
       co_return opened.error();
     }
-    co_return co_await http::readWhole(*opened.value());
+    co_return co_await http::readWhole(*opened.value(), http::UnframedBody::kAccept);
   }
   awaitable<std::string_view> reasonOf(Endpoint endpoint) {
     const Result<http::ClientConnection> connection = co_await connect(std::move(endpoint));
