server_paths: answers without a length are served through other nodes

At a node that cannot reach a server, each of its answers without a length was given up: the end of a tunnel may be the end of the node that carries it. That is every such answer at a cut node, now that servers may answer so at any time.

The carrying node remembers for five seconds which tunnels their servers have ended (by the id that the CONNECT names), and is asked after such an end, beside the question to the server itself.

--- a/src/forward/answer_end_check.cc
+++ b/src/forward/answer_end_check.cc
@@ -1,17 +1,26 @@
 #include "forward/answer_end_check.h"
 
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 #include "log/log.h"
 
 namespace calicodrift::forward {
 
 using boost::asio::awaitable;
+using namespace boost::asio::experimental::awaitable_operators;
 
-awaitable<Result<void>> AnswerEndCheck::confirm(const fleet::Server& server, http::BodyEnd end) {
+awaitable<Result<void>> AnswerEndCheck::confirm(const fleet::Server& server, http::BodyEnd end,
+                                                std::optional<http::Tunnel> tunnel) {
   if (end == http::BodyEnd::kFramed) {
     metrics_.countAnswerEnd("framed");
     co_return boost::outcome_v2::success();
   }
-  const RunState state = co_await crashCheck_.stateOf(server);
+  const auto [state, endedByServer] =
+      co_await (crashCheck_.stateOf(server) && serverEndedTunnel(std::move(tunnel)));
+  if (!endedByServer) {
+    co_return unproven(server, "tunnel_ended");
+  }
   switch (state) {
     case RunState::kRunning:
       metrics_.countAnswerEnd("confirmed");
@@ -24,6 +33,13 @@
   co_return unproven(server, "server_silent");
 }
 
+awaitable<bool> AnswerEndCheck::serverEndedTunnel(std::optional<http::Tunnel> tunnel) {
+  if (!tunnel) {
+    co_return true;
+  }
+  co_return co_await calls_.serverEndedTunnel(std::move(*tunnel));
+}
+
 Error AnswerEndCheck::partialEventError(const fleet::Server& server) {
   return unproven(server, "inside_event");
 }
--- a/src/forward/answer_end_check.h
+++ b/src/forward/answer_end_check.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
 
 #include "forward/crash_check.h"
 #include "http/body_end.h"
+#include "http/connection_path.h"
 
 namespace calicodrift::forward {
 
@@ -11,21 +13,26 @@
 ///
 /// The end of a connection is the same for a server that has written all of its answer and for one
 /// whose process has ended. So the server is asked after the end: if the run that began the answer
-/// is alive, it has ended the answer itself.
+/// is alive, it has ended the answer itself. The end of a tunnel may also be the end of the node
+/// that carries it, so that node is asked as well, at the same time.
 class AnswerEndCheck {
  public:
-  AnswerEndCheck(CrashCheck& crashCheck, ForwardMetrics& metrics)
-      : crashCheck_(crashCheck), metrics_(metrics) {}
+  AnswerEndCheck(CrashCheck& crashCheck, ServerCalls& calls, ForwardMetrics& metrics)
+      : crashCheck_(crashCheck), calls_(calls), metrics_(metrics) {}
 
   /// Succeeds if the body is whole, at once for BodyEnd::kFramed. Fails with kStreamBroken.
-  boost::asio::awaitable<Result<void>> confirm(const fleet::Server& server, http::BodyEnd end);
+  /// @param tunnel the tunnel that the answer came through; empty: a direct connection.
+  boost::asio::awaitable<Result<void>> confirm(const fleet::Server& server, http::BodyEnd end,
+                                               std::optional<http::Tunnel> tunnel);
   /// The error for a stream that ended inside an event.
   Error partialEventError(const fleet::Server& server);
 
  private:
+  boost::asio::awaitable<bool> serverEndedTunnel(std::optional<http::Tunnel> tunnel);
   Error unproven(const fleet::Server& server, std::string_view cause);
 
   CrashCheck& crashCheck_;
+  ServerCalls& calls_;
   ForwardMetrics& metrics_;
 };
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -53,7 +53,7 @@
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)),
       crashCheck_(context_.executor, context_.calls, context_.servers),
-      answerEndCheck_(crashCheck_, context_.metrics),
+      answerEndCheck_(crashCheck_, context_.calls, context_.metrics),
       random_(seed + 2) {}
 
 void Forwarder::recallWaiting(const ModelId& model, WeightsVersion least) {
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -91,7 +91,7 @@
                    "a server answered the resumption of a stream with status " +
                        std::to_string(response.status));
   }
-  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_);
+  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel());
   if (!whole) {
     co_return whole;
   }
@@ -120,7 +120,7 @@
     relay_.dropPartialEvent();
     co_return endCheck_.partialEventError(server);
   }
-  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_);
+  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel());
   if (!whole) {
     co_return whole;
   }
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -36,6 +36,7 @@
     paths_.recordBytes(*call_);
     co_return piece;
   }
+  std::optional<http::Tunnel> tunnel() const override { return stream_->tunnel(); }
   void setBodyTimeout(Milliseconds timeout) override { stream_->setBodyTimeout(timeout); }
   void cancel() override { stream_->cancel(); }
 
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -60,6 +60,11 @@
                                                           http::Request request,
                                                           http::ExchangeOptions options,
                                                           CallPurpose purpose);
+  /// Whether the server, and not the node that carries the tunnel, has ended it. False if that node
+  /// does not answer or does not know.
+  boost::asio::awaitable<bool> serverEndedTunnel(http::Tunnel tunnel) {
+    return context_.paths.serverEndedTunnel(std::move(tunnel));
+  }
   /// Whether a call may begin on the server now. Fails with kServerWithdrawn.
   Result<void> mayBegin(const fleet::Server& server, CallPurpose purpose) const;
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -184,6 +184,10 @@
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return tunnels_.answerStatus(request, writer);
                  });
+  peerPaths_.add(std::string(server_paths::kTunnelEndPath),
+                 [this](http::Request& request, http::ResponseWriter& writer) {
+                   return tunnels_.answerEnd(request, writer);
+                 });
   peerPaths_.add(std::string(exchange::kExchangePath),
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return exchange_.handle(request, writer);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,6 +40,9 @@
 /// kUnreachableFromProxy.
 inline constexpr std::string_view kConnectErrorHeader = "X-Connect-Error";
 
+/// Header of a request for a tunnel: the id under which its proxy remembers how the tunnel ended.
+inline constexpr std::string_view kTunnelIdHeader = "X-Tunnel-Id";
+
 /// Ends an exchange from outside, at any point of it: also while it connects or waits for the
 /// header. Must outlive the call of Client::open() or exchange() that it is given to.
 class ExchangeCanceller {
@@ -113,6 +116,8 @@
   /// before the end fails with kStreamBroken, a pause longer than bodyTimeout with
   /// kDeadlineExceeded. A FIN is no break where nothing but the connection frames the body.
   virtual boost::asio::awaitable<Result<BodyPiece>> read() = 0;
+  /// The tunnel that the response comes through; empty if its connection is direct.
+  virtual std::optional<Tunnel> tunnel() const = 0;
   /// Replaces ExchangeOptions::bodyTimeout for the next calls of read().
   virtual void setBodyTimeout(Milliseconds timeout) = 0;
   /// Closes the connection; a pending read() fails. Safe at any time.
--- a/src/http/connection_path.h
+++ b/src/http/connection_path.h
@@ -1,13 +1,24 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
 #include "common/endpoint.h"
+#include "common/strong_type.h"
 
 namespace calicodrift::http {
 
+/// Chosen at random by the node that asks for a tunnel.
+using TunnelId = StrongType<struct TunnelIdTag, std::uint64_t>;
+
+/// One tunnel, as its proxy knows it.
+struct Tunnel {
+  Endpoint proxy;
+  TunnelId id;
+};
+
 /// How a connection reaches its endpoint: directly, or through a tunnel that a proxy opens on
 /// request (HTTP CONNECT).
 struct ConnectionPath {
--- a/src/http/open_connection.h
+++ b/src/http/open_connection.h
@@ -19,6 +19,8 @@
   ConnectionPath path;
   /// Generation of its address when it was made or taken; see ClientState::generationOf().
   std::uint64_t generation = 0;
+  /// Of a connection through a proxy.
+  TunnelId tunnelId;
   /// How long it took to open; empty if it was used before.
   std::optional<Microseconds> connectTime;
 };
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -73,7 +73,7 @@
 }
 
 awaitable<Result<TunnelTotals>> ResponseWriter::tunnel(ClientConnection /*server*/,
-                                                       Milliseconds /*idleTimeout*/) {
+                                                       TunnelOptions /*options*/) {
   co_return fail(ErrorKind::kInternal, "this writer has no connection for a tunnel");
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -35,6 +35,13 @@
   std::uint64_t fromServer = 0;
 };
 
+struct TunnelOptions {
+  /// A tunnel on which nothing passes for so long is closed.
+  Milliseconds idleTimeout{0};
+  /// Called when the server has ended its side cleanly, before the caller is told so.
+  std::function<void()> onServerEnd;
+};
+
 /// The answering side of one request. A handler calls either send() once, or startStream(),
 /// writeChunk() any number of times and endStream(), or tunnel(). All of them fail with kCallerGone
 /// after the caller has left.
@@ -48,10 +55,10 @@
   virtual boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) = 0;
   virtual boost::asio::awaitable<Result<void>> endStream() = 0;
   /// Accepts a CONNECT request: from now on the caller's connection is one to `server`, until
-  /// either side ends it or nothing passes for `idleTimeout`. Fails with kInternal if the writer
-  /// has no connection of its own.
+  /// either side ends it or it is idle for too long. Fails with kInternal if the writer has no
+  /// connection of its own.
   virtual boost::asio::awaitable<Result<TunnelTotals>> tunnel(ClientConnection server,
-                                                              Milliseconds idleTimeout);
+                                                              TunnelOptions options);
   /// Closes the connection without an end mark, so that the caller sees an incomplete body.
   virtual void abort() = 0;
   /// Called at most once, when the caller closes its connection before the answer is complete; at
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -147,8 +147,7 @@
   co_return outcomeOfWrite(code);
 }
 
-awaitable<Result<TunnelTotals>> Connection::tunnel(ClientConnection server,
-                                                   Milliseconds idleTimeout) {
+awaitable<Result<TunnelTotals>> Connection::tunnel(ClientConnection server, TunnelOptions options) {
   answered_ = true;
   keepAlive_ = false;
   stopWatching();
@@ -161,7 +160,7 @@
   std::string early = beast::buffers_to_string(buffer_.data());
   buffer_.clear();
   const TunnelTotals totals =
-      co_await passBytes(stream_, std::move(early), server.open().stream, idleTimeout);
+      co_await passBytes(stream_, std::move(early), server.open().stream, std::move(options));
   markGone();
   co_return totals;
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -69,7 +69,7 @@
   boost::asio::awaitable<Result<void>> writeChunk(std::string_view bytes) override;
   boost::asio::awaitable<Result<void>> endStream() override;
   boost::asio::awaitable<Result<TunnelTotals>> tunnel(ClientConnection server,
-                                                      Milliseconds idleTimeout) override;
+                                                      TunnelOptions options) override;
   void abort() override;
   void onCallerGone(std::function<void()> callback) override;
   bool callerGone() const override { return gone_; }
--- a/src/http/tunnel.cc
+++ b/src/http/tunnel.cc
@@ -34,8 +34,11 @@
 /// coroutine that waits for both directions to end.
 class Passing {
  public:
-  Passing(Tcp::socket& caller, Tcp::socket& server)
-      : caller_(caller), server_(server), ended_(caller.get_executor()) {
+  Passing(Tcp::socket& caller, Tcp::socket& server, TunnelOptions options)
+      : caller_(caller),
+        server_(server),
+        options_(std::move(options)),
+        ended_(caller.get_executor()) {
     ended_.expires_at(MonotonicTime::max());
   }
 
@@ -73,11 +76,11 @@
   }
 
   /// Waits until both directions have ended.
-  awaitable<void> wait(Milliseconds idleTimeout) {
+  awaitable<void> wait() {
     while (directions_ > 0) {
       ended_.expires_after(serverEnded_ ? kLingerTime : kIdleCheckInterval);
       const auto [code] = co_await ended_.async_wait(kAwait);
-      const bool idle = monotonicNow() - lastBytesAt_ > idleTimeout;
+      const bool idle = monotonicNow() - lastBytesAt_ > options_.idleTimeout;
       if (!code && (idle || serverEnded_)) {
         closeSocket(caller_);
         closeSocket(server_);
@@ -112,6 +115,9 @@
 
   void endAnswers(boost::system::error_code code) {
     if (code == asio::error::eof) {
+      if (options_.onServerEnd) {
+        options_.onServerEnd();
+      }
       boost::system::error_code ignored;
       caller_.shutdown(Tcp::socket::shutdown_send, ignored);
       serverEnded_ = true;
@@ -129,6 +135,7 @@
 
   Tcp::socket& caller_;
   Tcp::socket& server_;
+  TunnelOptions options_;
   asio::steady_timer ended_;
   TunnelTotals totals_;
   MonotonicTime lastBytesAt_ = monotonicNow();
@@ -147,14 +154,14 @@
 }  // namespace
 
 awaitable<TunnelTotals> passBytes(boost::beast::tcp_stream& caller, std::string early,
-                                  boost::beast::tcp_stream& server, Milliseconds idleTimeout) {
+                                  boost::beast::tcp_stream& server, TunnelOptions options) {
   caller.expires_never();
   server.expires_never();
-  auto passing = std::make_shared<Passing>(caller.socket(), server.socket());
+  auto passing = std::make_shared<Passing>(caller.socket(), server.socket(), std::move(options));
   const auto executor = caller.get_executor();
   asio::co_spawn(executor, passRequestsOf(passing, std::move(early)), asio::detached);
   asio::co_spawn(executor, passAnswersOf(passing), asio::detached);
-  co_await passing->wait(idleTimeout);
+  co_await passing->wait();
   closeSocket(caller.socket());
   closeSocket(server.socket());
   co_return passing->totals();
--- a/src/server_paths/messages.h
+++ b/src/server_paths/messages.h
@@ -39,4 +39,27 @@
   }
 };
 
+/// Builds without this path answer 404: how their tunnels end stays unknown.
+inline constexpr std::string_view kTunnelEndPath = "/tunnel-end";
+
+/// Asks the node that has carried a tunnel whether the server has ended it.
+struct TunnelEndQuery {
+  std::uint64_t tunnel = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(tunnel);
+  }
+};
+
+struct TunnelEnd {
+  /// False if the node ended the tunnel itself, or does not know it.
+  bool endedByServer = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endedByServer);
+  }
+};
+
 }  // namespace calicodrift::server_paths
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -173,6 +173,14 @@
                                                   kStatusTimeout, kStatusTimeout);
 }
 
+awaitable<bool> ServerPaths::serverEndedTunnel(http::Tunnel tunnel) {
+  const TunnelEndQuery query{tunnel.id.value()};
+  const Result<TunnelEnd> end =
+      co_await peer::callPeer<TunnelEnd>(context_.client, std::move(tunnel.proxy), kTunnelEndPath,
+                                         query, kStatusTimeout, kStatusTimeout);
+  co_return end&& end.value().endedByServer;
+}
+
 awaitable<void> ServerPaths::learnPeers() {
   asio::steady_timer timer(context_.executor);
   for (;;) {
--- a/src/server_paths/tunnel_service.cc
+++ b/src/server_paths/tunnel_service.cc
@@ -1,5 +1,7 @@
 #include "server_paths/tunnel_service.h"
 
+#include <charconv>
+
 #include "http/status.h"
 #include "log/log.h"
 #include "peer/http_call.h"
@@ -22,6 +24,15 @@
   std::shared_ptr<std::size_t> count_;
 };
 
+/// Empty for nodes of builds that send none.
+std::optional<http::TunnelId> tunnelIdOf(const http::Request& request) {
+  const std::string text = request.headers.get(http::kTunnelIdHeader);
+  std::uint64_t id = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), id);
+  const bool whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+  return whole ? std::optional(http::TunnelId(id)) : std::nullopt;
+}
+
 }  // namespace
 
 TunnelService::Refusal TunnelService::checkRequest(const Result<Endpoint>& endpoint) const {
@@ -74,8 +85,13 @@
     co_return;
   }
   context_.metrics.countTunnel("opened");
+  http::TunnelOptions tunnel;
+  tunnel.idleTimeout = settings_.idleTimeout;
+  if (const std::optional<http::TunnelId> id = tunnelIdOf(request)) {
+    tunnel.onServerEnd = [ends = ends_, id = *id] { ends->record(id, monotonicNow()); };
+  }
   const Result<http::TunnelTotals> passed =
-      co_await writer.tunnel(std::move(server.value()), settings_.idleTimeout);
+      co_await writer.tunnel(std::move(server.value()), std::move(tunnel));
   if (!passed) {
     log::write(log::Level::kInfo, "tunnel_failed",
                {{"server", endpoint.value().toString()}, {"cause", passed.error().detail}});
@@ -96,4 +112,11 @@
       });
 }
 
+awaitable<void> TunnelService::answerEnd(http::Request& request, http::ResponseWriter& writer) {
+  co_await peer::answerPeer<TunnelEndQuery, TunnelEnd>(
+      request, writer, [this](const TunnelEndQuery& query) -> awaitable<TunnelEnd> {
+        co_return TunnelEnd{ends_->endedByServer(http::TunnelId(query.tunnel), monotonicNow())};
+      });
+}
+
 }  // namespace calicodrift::server_paths
--- a/src/server_paths/tunnel_service.h
+++ b/src/server_paths/tunnel_service.h
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "server_paths/messages.h"
 #include "server_paths/metrics.h"
+#include "server_paths/tunnel_ends.h"
 
 namespace calicodrift::server_paths {
 
@@ -48,6 +49,8 @@
   boost::asio::awaitable<void> handleConnect(http::Request& request, http::ResponseWriter& writer);
   /// Answers TunnelStatusQuery.
   boost::asio::awaitable<void> answerStatus(http::Request& request, http::ResponseWriter& writer);
+  /// Answers TunnelEndQuery.
+  boost::asio::awaitable<void> answerEnd(http::Request& request, http::ResponseWriter& writer);
   /// Declines new tunnels; open ones go on.
   void drain() { draining_ = true; }
   std::size_t open() const { return *open_; }
@@ -65,6 +68,7 @@
   TunnelSettings settings_;
   /// Shared with the tunnels, which a stopped event loop destroys after the service.
   std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
+  std::shared_ptr<TunnelEnds> ends_ = std::make_shared<TunnelEnds>();
   bool draining_ = false;
 };
 
--- a/tests/platform/unframed_answers_test.cc
+++ b/tests/platform/unframed_answers_test.cc
@@ -1,7 +1,7 @@
 // Guards against short answers that reach their callers framed as whole: servers may answer with
 // neither a length nor chunks, and the end of such an answer looks like the end of its server.
 
-#include "gateway_fixture.h"
+#include "gateway_fleet.h"
 #include "support/scripted_server.h"
 
 namespace calicodrift::testing {
@@ -244,5 +244,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(platform_unframed_answers_through_nodes)
+
+/// Guards against sound answers without a length that are lost at a node that cannot reach their
+/// servers, and against short ones that it passes on.
+BOOST_AUTO_TEST_CASE(nodeThatReachesNoServerDeliversWholeAnswersAndNoShortOnes) {
+  GatewayFleet fleet(3, 0);
+  UnframedServer app(fleet.context, "unframed-app", "app");
+  UnframedServer llm(fleet.context, "unframed-llm", "llm");
+  app.setBody([](const http::Request&) -> ScriptedAnswer {
+    return {{"a whole ", "answer"}, ConnectionEnd::kClose, Milliseconds(2)};
+  });
+  llm.setBody([](const http::Request&) -> ScriptedAnswer {
+    return {{events(1, 4)}, ConnectionEnd::kClose};
+  });
+  fleet.store.remove("servers", "app");
+  fleet.store.put("servers", app.id(), app.entry());
+  fleet.store.put("servers", llm.id(), llm.entry());
+  boost::asio::ip::tcp::acceptor closed(fleet.context);
+  closed.open(boost::asio::ip::tcp::v4());
+  closed.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  const Endpoint refusing{"127.0.0.1", closed.local_endpoint().port()};
+  fleet.addressOf = [&](std::size_t node, const Endpoint& endpoint) {
+    const bool isServer =
+        endpoint == app.server().endpoint() || endpoint == llm.server().endpoint();
+    return node == 0 && isServer ? refusing : endpoint;
+  };
+  fleet.run([&]() -> awaitable<void> {
+    for (int number = 0; number < 5; ++number) {
+      http::Request safe = GatewayFixture::request("/safe/a");
+      const Result<http::Response> answer = co_await fleet.exchange(0, std::move(safe));
+      BOOST_TEST((answer && answer.value().body == "a whole answer"));
+      http::Request stream = GatewayFleet::modelRequest("/stream-once/a", "prompt");
+      const Result<http::Response> streamed = co_await fleet.exchange(0, std::move(stream));
+      BOOST_TEST((streamed && streamed.value().body == events(1, 4)));
+    }
+    llm.setBody([](const http::Request&) -> ScriptedAnswer {
+      return {{events(1, 2)}, ConnectionEnd::kCrash};
+    });
+    http::Request stream = GatewayFleet::modelRequest("/stream-once/a", "prompt");
+    const Result<http::Response> streamed = co_await fleet.exchange(0, std::move(stream));
+    BOOST_TEST(!streamed);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace calicodrift::testing
