http: interim heads are skipped

A client took a 1xx head (103, 100) for the answer, with an empty body, and read the final head as surplus bytes. Found while filling the table of ends of bodies; body_ends/interimHeadsAreSkipped failed before (status 103, no body).

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <map>
 #include <random>
+#include <tuple>
 
 #include "http/open_connection.h"
 #include "http/status.h"
@@ -148,10 +149,7 @@
         connection_(std::move(connection)),
         stream_(connection_->stream),
         options_(options),
-        headOnly_(headOnly) {
-    parser_.body_limit(options.maxBodyBytes);
-    parser_.skip(headOnly);
-  }
+        headOnly_(headOnly) {}
 
   ~StreamImpl() override {
     if (!finished_) {
@@ -162,7 +160,12 @@
   StreamImpl& operator=(const StreamImpl&) = delete;
 
   awaitable<Result<void>> readHead() {
-    auto [code, bytes] = co_await bhttp::async_read_header(stream_, buffer_, parser_, kAwait);
+    beast::error_code code;
+    do {
+      resetParser();
+      std::tie(code, std::ignore) =
+          co_await bhttp::async_read_header(stream_, buffer_, *parser_, kAwait);
+    } while (!code && isInterim(parser_->get().result_int()));
     if (code == beast::error::timeout) {
       co_return fail(ErrorKind::kDeadlineExceeded, "no answer from " + name() + " in time");
     }
@@ -170,8 +173,8 @@
       co_return fail(ErrorKind::kOutcomeUnknown,
                      "no answer from " + name() + ": " + code.message());
     }
-    head_.status = parser_.get().result_int();
-    for (const auto& field : parser_.get()) {
+    head_.status = parser_->get().result_int();
+    for (const auto& field : parser_->get()) {
       head_.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     noteBytes();
@@ -181,11 +184,11 @@
   const Response& head() const override { return head_; }
 
   awaitable<Result<BodyPiece>> read() override {
-    while (!parser_.is_done()) {
-      parser_.get().body().data = piece_.data();
-      parser_.get().body().size = piece_.size();
+    while (!parser_->is_done()) {
+      parser_->get().body().data = piece_.data();
+      parser_->get().body().size = piece_.size();
       stream_.expires_after(options_.bodyTimeout);
-      auto [code, bytes] = co_await bhttp::async_read_some(stream_, buffer_, parser_, kAwait);
+      auto [code, bytes] = co_await bhttp::async_read_some(stream_, buffer_, *parser_, kAwait);
       if (code == beast::error::timeout) {
         co_return fail(ErrorKind::kDeadlineExceeded,
                        "the answer of " + name() + " paused for too long");
@@ -194,7 +197,7 @@
         co_return fail(ErrorKind::kStreamBroken,
                        "the answer of " + name() + " broke off: " + code.message());
       }
-      const std::size_t length = piece_.size() - parser_.get().body().size;
+      const std::size_t length = piece_.size() - parser_->get().body().size;
       if (length > 0) {
         noteBytes();
         co_return BodyPiece{std::string(piece_.data(), length), std::nullopt};
@@ -214,8 +217,23 @@
   void cancel() override { stream_.close(); }
 
  private:
+  using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
+  /// Each head needs a parser of its own.
+  void resetParser() {
+    parser_.emplace();
+    parser_->body_limit(options_.maxBodyBytes);
+    parser_->skip(headOnly_);
+  }
+
+  /// Whether the final head follows. After 101 the connection speaks another protocol.
+  static bool isInterim(unsigned status) {
+    constexpr unsigned kSwitchingProtocols = 101;
+    return status < kStatusOk && status != kSwitchingProtocols;
+  }
+
   BodyEnd bodyEnd() const {
-    return !headOnly_ && parser_.need_eof() ? BodyEnd::kConnection : BodyEnd::kFramed;
+    return !headOnly_ && parser_->need_eof() ? BodyEnd::kConnection : BodyEnd::kFramed;
   }
 
   void noteBytes() {
@@ -234,7 +252,7 @@
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
     const bool reusable =
-        parser_.get().keep_alive() && buffer_.size() == 0 && bodyEnd() == BodyEnd::kFramed;
+        parser_->get().keep_alive() && buffer_.size() == 0 && bodyEnd() == BodyEnd::kFramed;
     if (pooled && reusable) {
       state_->giveBack(connection_, idleLifetime(head_.headers.get("Keep-Alive")));
     } else {
@@ -249,7 +267,7 @@
   beast::tcp_stream& stream_;
   ExchangeOptions options_;
   bool headOnly_;
-  bhttp::response_parser<bhttp::buffer_body> parser_;
+  std::optional<Parser> parser_;
   beast::flat_buffer buffer_;
   std::array<char, kBodyPieceBytes> piece_{};
   Response head_;
--- a/tests/http/body_ends_test.cc
+++ b/tests/http/body_ends_test.cc
@@ -170,6 +170,19 @@
   }(*this));
 }
 
+/// Guards against an interim head that is taken for the answer.
+BOOST_AUTO_TEST_CASE(interimHeadsAreSkipped) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    fixture.next = {{interim + interim + ScriptedServer::head("Content-Length: 4\r\n") + "done"},
+                    ConnectionEnd::kKeep};
+    const Result<Response> answer = co_await fixture.exchange(UnframedBody::kReject);
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer.value().status == 200U);
+    BOOST_TEST(answer.value().body == "done");
+  }(*this));
+}
+
 /// A connection on which an answer has ended with the connection serves nobody else.
 BOOST_AUTO_TEST_CASE(connectionsOfUnframedAnswersAreNotUsedAgain) {
   run([](Fixture& fixture) -> awaitable<void> {
