forward: a request with malformed headers is refused and does not end its node

Any request whose headers can't be read (no id, a deadline that is no number, a malformed prompt) ended the process with 'free(): invalid pointer': the facts of the refusal were a temporary aggregate in a co_await expression, which g++ 12 destroys twice. Found by a test of an overlong Resumes header. gateway/malformedHeadersAreRefusedWithoutHarmToOthers aborts without this change and passes with it; no other temporary of this form is left in src or platform (searched).

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -75,7 +75,10 @@
 awaitable<void> Forwarder::handle(http::Request& message, http::ResponseWriter& writer) {
   Result<Request> request = context_.callers.read(std::move(message));
   if (!request) {
-    co_await refusals_.answer(writer, request.error(), RefusalFacts{});
+    // Not a temporary: g++ 12 destroys those of aggregates in coroutines twice.
+    RefusalFacts facts;
+    Error error = request.error();
+    co_await refusals_.answer(writer, std::move(error), std::move(facts));
     co_return;
   }
   const ConfigurationView view = context_.configuration();
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -46,6 +46,29 @@
   });
 }
 
+/// Guards against a node that ends under a request whose headers it cannot read.
+BOOST_AUTO_TEST_CASE(malformedHeadersAreRefusedWithoutHarmToOthers) {
+  store.put("config", "main", configuration(1));
+  addServer("i-1", "app");
+  run([&]() -> awaitable<void> {
+    const std::vector<std::pair<std::string_view, std::string>> malformed{
+        {platform::kRequestId, ""},
+        {platform::kDeadline, "soon"},
+        {platform::kLastEventId, "-1"},
+        {platform::kTokenUsage, "many"},
+        {platform::kPromptPrefix, "no colon"}};
+    for (const auto& [name, value] : malformed) {
+      http::Request message = request("/safe/a");
+      message.headers.set(name, value);
+      const Result<http::Response> refused = co_await call(std::move(message));
+      BOOST_REQUIRE(static_cast<bool>(refused));
+      BOOST_TEST(refused.value().status == 400U);
+    }
+    const Result<http::Response> served = co_await call(request("/safe/a"));
+    BOOST_TEST(served.value().status == 200U);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(knowsNothingBeforeItsFirstConfiguration) {
   settings.store = {"127.0.0.1", 1};
   store.setMode(StoreStandIn::Mode::kBusy);
