platform, forward: the attempt that a caller takes up is read; dispatches are logged with the server's version

The logs told neither the version of the server that gets a dispatch nor whether a request takes up a stream of another attempt. What is done with it stays as it was: nothing yet.

--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -43,6 +43,8 @@
   std::size_t outputTokens = 0;
   /// Last event of the stream that the caller already has, if it resumes one.
   std::optional<EventNumber> resumeAfter;
+  /// The caller's attempt that brought the first event of that stream, if it names one.
+  std::optional<RequestId> resumes;
 };
 
 /// The configuration's entries that apply to a request.
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -25,6 +25,8 @@
       log::Level::kInfo, "request_dispatched",
       {{"id", facts.request.id.value()},
        {"server", facts.dispatch.server.id.value()},
+       {"version", facts.dispatch.server.version.value()},
+       {"resumes", facts.request.resumes ? facts.request.resumes->value() : ""},
        {"reason", std::string(facts.reason)},
        {"route", facts.grant.route->name},
        {"tenant", facts.grant.tenant != nullptr ? facts.grant.tenant->id.value() : ""},
