--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -124,8 +124,8 @@
 
   /// Adds a server to the list, too.
   ServerStandIn& addServer(const std::string& id, const std::string& service,
-                           const std::string& model) {
-    servers.push_back(std::make_unique<ServerStandIn>(context, id, service, model));
+                           const std::string& model, const std::string& version = "v1") {
+    servers.push_back(std::make_unique<ServerStandIn>(context, id, service, model, version));
     ServerStandIn& server = *servers.back();
     server.setBehaviour(
         [this, &server](const http::Request& request, http::ResponseWriter& writer) {
