--- a/src/bench/stream_call.cc
+++ b/src/bench/stream_call.cc
@@ -68,19 +68,20 @@
   part.headers = stream.head().headers;
   http::SseReader reader;
   for (;;) {
-    Result<std::string> bytes = co_await stream.read();
-    if (!bytes) {
-      part.failure = bytes.error();
+    Result<http::BodyPiece> piece = co_await stream.read();
+    if (!piece) {
+      part.failure = piece.error();
       co_return part;
     }
-    if (bytes.value().empty()) {
+    // The closing event tells whether the answer is whole.
+    if (piece.value().end) {
       co_return part;
     }
     if (part.status != 200) {
-      part.errorBody += bytes.value();
+      part.errorBody += piece.value().bytes;
       continue;
     }
-    reader.feed(bytes.value());
+    reader.feed(piece.value().bytes);
     while (const std::optional<http::SseEvent> event = reader.next()) {
       takeEvent(*event, state, part);
     }
--- a/tests/support/stream_client.cc
+++ b/tests/support/stream_client.cc
@@ -40,19 +40,19 @@
   answer.requestId = stream.head().headers.get(http::kRequestIdHeader);
   http::SseReader reader;
   for (;;) {
-    const Result<std::string> bytes = co_await stream.read();
-    if (!bytes) {
+    const Result<http::BodyPiece> piece = co_await stream.read();
+    if (!piece) {
       co_return;
     }
-    if (bytes.value().empty()) {
-      answer.ended = true;
+    if (piece.value().end) {
+      answer.ended = piece.value().end == http::BodyEnd::kFramed;
       co_return;
     }
     if (answer.status != 200) {
-      answer.error += bytes.value();
+      answer.error += piece.value().bytes;
       continue;
     }
-    reader.feed(bytes.value());
+    reader.feed(piece.value().bytes);
     while (const auto event = reader.next()) {
       takeEvent(*event, answer);
       if (onEvent && !onEvent(answer)) {
