--- a/src/bench/scale_run.cc
+++ b/src/bench/scale_run.cc
@@ -44,6 +44,8 @@
       return "limits";
     case peer::Channel::kIndex:
       return "index";
+    case peer::Channel::kStreamVersions:
+      return "stream_versions";
   }
   return "other";
 }
--- a/src/common/error.cc
+++ b/src/common/error.cc
@@ -51,6 +51,8 @@
      "the server has other weights than were expected; try again after Retry-After"},
     {kServerWithdrawn, "server_withdrawn", 503, kNoRun, kLater,
      "the server may get no requests any more, and got none; try again after Retry-After"},
+    {kStreamVersionGone, "stream_version_gone", 503, kNoRun, kNever,
+     "the stream can't go on: begin it anew, without Last-Event-Id"},
     {kIdempotencyKeyInvalid, "idempotency_key_invalid", 400, kNoRun, kNever,
      "send a UUIDv7 made now as Idempotency-Key"},
     {kIdempotencyKeyTooOld, "idempotency_key_too_old", 409, kMayRun, kNever,
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -34,6 +34,7 @@
   kBackendRefused,
   kOtherWeights,
   kServerWithdrawn,
+  kStreamVersionGone,
   kIdempotencyKeyInvalid,
   kIdempotencyKeyTooOld,
   kDuplicateRequest,
--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -210,6 +210,12 @@
   return all;
 }
 
+void ServerPool::visit(const std::function<void(const Server&)>& visitor) const {
+  for (const auto& [id, entry] : servers_) {
+    visitor(entry.server);
+  }
+}
+
 std::size_t ServerPool::countIf(const std::function<bool(const Server&)>& predicate) const {
   std::size_t count = 0;
   for (const auto& [id, entry] : servers_) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -162,6 +162,10 @@
   /// of the stable version. Servers that warm up or await weights are left out.
   routing::CandidateSet canary(std::string_view service, const ModelId& model, double share,
                                MonotonicTime now);
+  /// Servers of the service, model and software version that may get work now, on either track.
+  /// Takes time linear in the number of the service's servers.
+  routing::CandidateSet candidatesOfVersion(std::string_view service, const ModelId& model,
+                                            const SoftwareVersion& version, MonotonicTime now);
   /// Separates the service's servers by version: those of the stable version are in the stable
   /// sets, those of the candidate in the candidate sets, others in none. Changes on one track leave
   /// the sets of the other unchanged, so that its prompts keep their home servers. Does nothing if
@@ -192,6 +196,8 @@
   /// The listed run with this key; null if it is not listed.
   const Server* findRun(ServerKey key) const;
   std::vector<Server> servers() const;
+  /// Calls the visitor for each listed server, those that are draining included.
+  void visit(const std::function<void(const Server&)>& visitor) const;
   /// Number of listed servers that satisfy `predicate`; does not copy the list.
   std::size_t countIf(const std::function<bool(const Server&)>& predicate) const;
   std::vector<Server> unreachable() const;
--- a/src/fleet/server_pool_versions.cc
+++ b/src/fleet/server_pool_versions.cc
@@ -69,6 +69,32 @@
   return chosen;
 }
 
+routing::CandidateSet ServerPool::candidatesOfVersion(std::string_view service,
+                                                      const ModelId& model,
+                                                      const SoftwareVersion& version,
+                                                      MonotonicTime now) {
+  expirePauses(now);
+  expireDistances(now);
+  routing::CandidateSet preferred;
+  routing::CandidateSet fallback;
+  const auto addAll = [&](const routing::CandidateSet& from, routing::CandidateSet& to) {
+    for (std::size_t position = 0; position < from.size(); ++position) {
+      const Entry* entry = entryOf(from[position].id);
+      if (entry != nullptr && entry->server.version == version) {
+        to.put(from[position]);
+      }
+    }
+  };
+  for (const Track track : {Track::kStable, Track::kCandidate}) {
+    const auto found = sets_.find(SetKey{std::string(service), model, track});
+    if (found != sets_.end()) {
+      addAll(found->second.preferred, preferred);
+      addAll(found->second.fallback, fallback);
+    }
+  }
+  return preferred.empty() ? fallback : preferred;
+}
+
 std::map<std::string, std::map<SoftwareVersion, std::size_t>> ServerPool::listedVersions() const {
   std::map<std::string, std::map<SoftwareVersion, std::size_t>> listed;
   for (const auto& [id, entry] : servers_) {
--- a/src/forward/allowed_servers.cc
+++ b/src/forward/allowed_servers.cc
@@ -26,6 +26,16 @@
     pool.setVersions(query.service, rule.stable, rule.candidate, now);
     allowed.order = rule.order;
   }
+  if (query.streamVersion) {
+    const SoftwareVersion& version = *query.streamVersion;
+    const bool isCandidate = !rule.stable.value().empty() && version == rule.candidate;
+    allowed.track = isCandidate ? Track::kCandidate : Track::kStable;
+    const bool excluded = isCandidate && rule.use == CandidateUse::kNothing;
+    allowed.ofVersion = excluded
+                            ? routing::CandidateSet()
+                            : pool.candidatesOfVersion(query.service, query.model, version, now);
+    return allowed;
+  }
   allowed.pooled = &pool.candidates(query.service, query.model, now);
   allowed.canaryBudgetAsked = mayBeCanary(hooks, pool, query, rule, now);
   if (allowed.canaryBudgetAsked && hooks.takeCanary(rule.order, query.route)) {
--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -46,6 +46,9 @@
   const MonotonicTime now = monotonicNow();
   if (!firstEventTime_) {
     firstEventTime_ = now;
+    if (firstEventListener_) {
+      firstEventListener_();
+    }
   } else {
     longestPause_ = std::max(longestPause_, now - lastEventTime_);
   }
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <optional>
 
 #include "forward/event_stream.h"
@@ -27,6 +28,8 @@
 
   /// Whether the head of a stream was sent to the caller.
   bool begun() const { return begun_; }
+  /// The listener is called once, before the first event goes to the caller.
+  void onFirstEvent(std::function<void()> listener) { firstEventListener_ = std::move(listener); }
   /// Last whole event; another server would resume after it.
   std::optional<EventNumber> lastEvent() const { return splitter_.lastEvent(); }
   std::optional<MonotonicTime> firstEventTime() const { return firstEventTime_; }
@@ -60,6 +63,7 @@
   http::ResponseWriter& writer_;
   EventSplitter splitter_;
   EventTiming timing_;
+  std::function<void()> firstEventListener_;
   std::optional<MonotonicTime> firstEventTime_;
   MonotonicTime lastEventTime_{};
   MonotonicTime::duration longestPause_{0};
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -13,6 +13,7 @@
 #include "forward/server_attempt.h"
 #include "forward/tenant_limit.h"
 #include "quarantine/fingerprint.h"
+#include "stream_versions/messages.h"
 
 // Internal to src/forward: only forwarder*.cc include this file.
 namespace calicodrift::forward {
@@ -41,6 +42,15 @@
   service_rollout::RouteKey routeKey() const {
     return service_rollout::RouteKey(hashBytes(grant.route->name));
   }
+  /// Whether another server may go on with the stream, within this answer or for a caller who comes
+  /// back.
+  bool isResumable() const { return streaming() && grant.route->idempotent(); }
+  /// Identifies the stream for nodes that callers come back to.
+  stream_versions::StreamKey streamKey() const {
+    const std::string tenant = grant.tenant != nullptr ? grant.tenant->id.value() : std::string();
+    const RequestId& attempt = request.resumes.value_or(request.id);
+    return stream_versions::StreamKey(hashTexts({tenant, service, attempt.value()}, 0).low);
+  }
   bool streaming() const { return grant.route->kind == routes::RouteKind::kStreaming; }
   /// Hashes the body on the first call only.
   const quarantine::RequestFingerprint& fingerprint() {
@@ -65,6 +75,8 @@
   routing::RouteRequest routeRequest;
   TenantLimitUse limitUse;
   std::string service;
+  /// Software version that began the stream; empty until its first event has arrived.
+  std::optional<SoftwareVersion> streamVersion;
   MonotonicTime end;
   boost::asio::steady_timer timer;
   bool expired = false;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -26,7 +26,7 @@
 /// Whether a dispatch with this failure was not sent, or certainly has not run.
 bool certainlyNotRun(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
-         failure == ErrorKind::kOverloaded;
+         failure == ErrorKind::kOverloaded || failure == ErrorKind::kStreamVersionGone;
 }
 
 /// Error reported to the caller after the last dispatch: it states that the request has not run
@@ -109,7 +109,13 @@
       held->cancelAttempt();
     }
   });
-  Result<void> done = co_await dispatchUntilDone(*job);
+  Result<void> done = co_await findStreamVersion(*job);
+  if (done) {
+    done = co_await dispatchUntilDone(*job);
+  }
+  if (job->streamVersion) {
+    context_.streamVersions.end(job->streamKey(), done.has_value());
+  }
   job->timer.cancel();
   job->attempt.reset();
   const bool callerGone = !done && done.error().kind == ErrorKind::kCallerGone;
@@ -125,6 +131,30 @@
   reportAnswer(*job, done.has_value());
 }
 
+awaitable<Result<void>> Forwarder::findStreamVersion(Job& job) {
+  if (!job.isResumable() || !job.request.resumeAfter) {
+    co_return boost::outcome_v2::success();
+  }
+  const stream_versions::Resolution found =
+      co_await context_.streamVersions.resolve(job.streamKey(), job.service);
+  logStreamVersion(job.request, found);
+  if (!found.known()) {
+    co_return fail(ErrorKind::kStreamVersionGone,
+                   "the software version that began the stream is unknown, and the servers of '" +
+                       job.service + "' have had several");
+  }
+  job.streamVersion = found.version;
+  co_return boost::outcome_v2::success();
+}
+
+void Forwarder::beginStream(Job& job, const fleet::Server& server) {
+  if (!job.isResumable()) {
+    return;
+  }
+  job.streamVersion = server.version;
+  context_.streamVersions.begin(job.streamKey(), job.service, server.version);
+}
+
 void Forwarder::reportAnswer(const Job& job, bool done) const {
   constexpr double kMsPerSecond = 1000;
   const auto whole =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -32,6 +32,7 @@
 #include "quota/quota_node.h"
 #include "routing/policy.h"
 #include "server_limits/server_limit_node.h"
+#include "stream_versions/stream_version_node.h"
 
 namespace calicodrift::forward {
 
@@ -67,6 +68,8 @@
   quarantine::QuarantineNode& quarantine;
   /// Enforces the request limits that servers announce.
   server_limits::ServerLimitNode& serverLimits;
+  /// Knows which software version began a stream.
+  stream_versions::StreamVersionNode& streamVersions;
   /// Removes outdated weights from the pool when their grace period ends.
   std::function<void()> removeExpiredWeights;
   /// Hooks for orders that move a service to another version.
@@ -100,6 +103,11 @@
   void reportAnswer(const Job& job, bool done) const;
   /// Succeeds once the caller has its answer; otherwise returns why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
+  /// Finds out which version a stream that the caller takes up has to go on at. Fails with
+  /// kStreamVersionGone if that is unknown.
+  boost::asio::awaitable<Result<void>> findStreamVersion(Job& job);
+  /// The stream's first event has arrived from the server.
+  void beginStream(Job& job, const fleet::Server& server);
   /// Claims units of the tenant's limit, and checks the API key and the deadline again.
   boost::asio::awaitable<Result<void>> claimDispatch(Job& job);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -14,7 +14,7 @@
 
 AllowedServers Forwarder::serversFor(const Job& job, bool mayBeCanary, MonotonicTime now) {
   const ServerQuery query{job.service, job.request.model, job.routeKey(), job.routeRequest.avoided,
-                          mayBeCanary};
+                          mayBeCanary, job.streamVersion};
   return allowedServers(context_.rollouts, context_.pool, query, now);
 }
 
@@ -67,6 +67,11 @@
 }
 
 Error Forwarder::noServerError(const Job& job, MonotonicTime now) {
+  if (job.streamVersion && !context_.streamVersions.isListed(job.service, *job.streamVersion)) {
+    return fail(ErrorKind::kStreamVersionGone, "no server of '" + job.service + "' has version '" +
+                                                   job.streamVersion->value() +
+                                                   "', which began the stream");
+  }
   const fleet::BackedOffServers backedOff =
       context_.pool.backedOffServers(job.service, job.request.model, now);
   if (!backedOff.firstEnd) {
@@ -151,8 +156,10 @@
 
 Result<void> Forwarder::admit(const Job& job, const routing::Candidate& candidate, Track track,
                               MonotonicTime now) {
-  // A retried request is not refused: it has already waited, and its retry is in the budget.
-  if (!settings_.queueAdmission || job.request.model.value().empty() || job.attempts.sent > 0) {
+  // A retried request is not refused: it has already waited, and its retry is in the budget. Nor is
+  // a stream that its caller takes up again: what was generated of it would be lost.
+  const bool goesOn = job.attempts.sent > 0 || job.request.resumeAfter;
+  if (!settings_.queueAdmission || job.request.model.value().empty() || goesOn) {
     return boost::outcome_v2::success();
   }
   const double waitMs = routing::expectedWaitMs(candidate) + candidate.rttMs;
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -163,11 +163,13 @@
           context_.pool.observeFirstToken(dispatch.server.id, waitingTokens, *startMs - rttMs);
         }
       });
+  job.relay.onFirstEvent([this, &job, &dispatch] { beginStream(job, dispatch.server); });
   const AttemptBounds bounds = boundsOf(job, rttMs);
   const FailureUse failureUse = job.mayFailOver() ? FailureUse::kKeep : FailureUse::kDeliver;
   Result<void> outcome =
       co_await attempt->run(job.request, dispatch, bounds, job.streaming(), failureUse);
   attempt->onFirstBytes(nullptr);
+  job.relay.onFirstEvent(nullptr);
   job.attempt.reset();
   waiting.reset();
   const bool notSent = !outcome && (outcome.error().kind == ErrorKind::kConnectFailed ||
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -48,6 +48,15 @@
        {"fetch", source ? source->toString() : ""}});
 }
 
+void logStreamVersion(const Request& request, const stream_versions::Resolution& found) {
+  log::write(log::Level::kInfo, "stream_version",
+             {{"id", request.id.value()},
+              {"resumes", request.resumes ? request.resumes->value() : ""},
+              {"source", std::string(toString(found.source))},
+              {"version", found.version.value()},
+              {"age_ms", textOf(found.age)}});
+}
+
 void logRetried(const RequestId& id, const BackendId& server, const Error& cause) {
   log::write(log::Level::kInfo, "request_retried",
              {{"id", id.value()},
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -9,6 +9,7 @@
 #include "http/body_end.h"
 #include "quarantine/fingerprint.h"
 #include "routing/policy.h"
+#include "stream_versions/version_core.h"
 
 /// All log events about a request; docs/operations/gateway.md lists them.
 namespace calicodrift::forward {
@@ -51,6 +52,8 @@
 };
 
 void logDispatched(const DispatchFacts& facts);
+/// Logs how the version of a stream that a caller takes up was found.
+void logStreamVersion(const Request& request, const stream_versions::Resolution& found);
 void logRetried(const RequestId& id, const BackendId& server, const Error& cause);
 /// Fields of the log event for an answer to a caller.
 struct AnswerFacts {
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -110,7 +110,10 @@
               [this](const ModelId& model, WeightsVersion least) {
                 forwarder_.recallWaiting(model, least);
               },
-              [this] { serviceRollouts_.onServersChanged(); }}),
+              [this] {
+                serviceRollouts_.onServersChanged();
+                streamVersions_.onServersChanged();
+              }}),
       weightsFloor_(
           {context.get_executor(), ports_.store, ports_.schema, targets_,
            [this]() -> const std::map<ModelId, StoredWeights>& { return views_.storedWeights(); },
@@ -123,16 +126,18 @@
       rolloutMetrics_(registry_),
       serviceRollouts_(rolloutsContext(), settings_, leaseSettings(settings_, processName_),
                        rolloutMetrics_, hashBytes(processName_)),
+      streamVersionMetrics_(registry_),
+      streamVersions_(streamVersionContext(), streamVersionSettings(settings_)),
       gate_(gateSettings(settings_)),
-      forwarder_(
-          {context.get_executor(), serverCalls_, pool_, ports_.callers, ports_.servers, metrics_,
-           [this] { return views_.configuration(); },
-           [this](const ModelId& model, WeightsVersion version) {
-             return views_.weights(model, version);
-           },
-           [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_, quarantine_,
-           serverLimits_, [this] { views_.removeExpiredWeights(); }, serviceRollouts_.hooks()},
-          forwardSettings(settings_), gateSettings(settings_), hashBytes(settings_.nodeId)),
+      forwarder_({context.get_executor(), serverCalls_, pool_, ports_.callers, ports_.servers,
+                  metrics_, [this] { return views_.configuration(); },
+                  [this](const ModelId& model, WeightsVersion version) {
+                    return views_.weights(model, version);
+                  },
+                  [this](std::uint64_t key) { return cacheStores_.storeFor(key); }, quota_,
+                  quarantine_, serverLimits_, streamVersions_,
+                  [this] { views_.removeExpiredWeights(); }, serviceRollouts_.hooks()},
+                 forwardSettings(settings_), gateSettings(settings_), hashBytes(settings_.nodeId)),
       lease_(context.get_executor(), leaseStore_, std::string(kWeightsLease),
              leaseSettings(settings_, processName_),
              [this] {
@@ -188,6 +193,10 @@
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return tunnels_.answerEnd(request, writer);
                  });
+  peerPaths_.add(std::string(stream_versions::kKeepersPath),
+                 [this](http::Request& request, http::ResponseWriter& writer) {
+                   return streamVersions_.handle(request, writer);
+                 });
   peerPaths_.add(std::string(exchange::kExchangePath),
                  [this](http::Request& request, http::ResponseWriter& writer) {
                    return exchange_.handle(request, writer);
@@ -313,6 +322,28 @@
           [this] { return neighbours(); }};
 }
 
+stream_versions::StreamVersionContext GatewayNode::streamVersionContext() {
+  return {context_,
+          client_,
+          streamVersionMetrics_,
+          treePosition(),
+          [this] { return versionListing(); },
+          [this] { return views_.serversProvenAt(); }};
+}
+
+stream_versions::VersionListing GatewayNode::versionListing() const {
+  const auto now = std::chrono::duration_cast<Milliseconds>(wallNow().time_since_epoch());
+  stream_versions::VersionListing listing;
+  pool_.visit([&](const fleet::Server& server) {
+    stream_versions::ListedVersion listed{server.version, std::nullopt};
+    if (server.started) {
+      listed.running = now - Milliseconds(server.started->value());
+    }
+    listing[server.service].push_back(std::move(listed));
+  });
+  return listing;
+}
+
 bool GatewayNode::isListed(const Endpoint& endpoint) const {
   return pool_.findAt(endpoint) != nullptr || cacheStores_.configured(endpoint);
 }
@@ -382,6 +413,7 @@
   if (settings_.relayListen.port != 0) {
     BOOST_OUTCOME_TRY(peerServer_.listen(settings_.relayListen));
   }
+  BOOST_OUTCOME_TRY(streamVersions_.start());
   relay_.onUnreadableList([this](const store::Object& object, const Error& error) {
     unreadable_.note(std::string(relay::kListKind), object, error);
   });
@@ -471,6 +503,7 @@
   }
   quarantine_.showMetrics();
   serverLimits_.showMetrics();
+  streamVersions_.showMetrics();
   pathMetrics_.setOpenTunnels(tunnels_.open());
   metrics_.setServers(static_cast<double>(pool_.size()));
   serviceRollouts_.showMetrics();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -29,6 +29,7 @@
 #include "server_limits/server_limit_node.h"
 #include "server_paths/server_paths.h"
 #include "server_paths/tunnel_service.h"
+#include "stream_versions/stream_version_node.h"
 #include "weights/weights_loader.h"
 #include "weights/weights_targets.h"
 
@@ -67,6 +68,9 @@
   server_limits::ServerLimitContext serverLimitContext();
   server_paths::ServerPathsContext pathsContext();
   server_paths::TunnelContext tunnelContext();
+  stream_versions::StreamVersionContext streamVersionContext();
+  /// The software versions of the listed servers.
+  stream_versions::VersionListing versionListing() const;
   /// Whether a server or cache store is listed with this address.
   bool isListed(const Endpoint& endpoint) const;
   /// Prefers other servers for a while to one that answers on no path.
@@ -122,6 +126,8 @@
   lease::ObjectStoreLeaseStore leaseStore_;
   service_rollout::RolloutMetrics rolloutMetrics_;
   ServiceRollouts serviceRollouts_;
+  stream_versions::StreamVersionMetrics streamVersionMetrics_;
+  stream_versions::StreamVersionNode streamVersions_;
   forward::RequestGate gate_;
   forward::Forwarder forwarder_;
   lease::LeaseKeeper lease_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -72,6 +72,10 @@
       {{"max-tunnels", "256", 0, 100'000, "count",
         "open connections to servers on behalf of nodes that cannot reach them; 0: none"},
        &G::maxTunnels},
+      {{"stream-life-ms", "30000", 1000, 10 * kMinuteMs, "ms",
+        "longest time from a stream's first event to the last return of its caller: for so long "
+        "nodes remember which software version began it, where a service has several"},
+       &G::streamLife},
       {{"refusal-pause-ms", "250", 0, kMinuteMs, "ms",
         "a server that refused gets nothing so long"},
        &G::refusalPause},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -55,6 +55,7 @@
   Milliseconds retryAfter{0};
   std::int64_t retryPercent = 0;
   std::int64_t retryFloor = 0;
+  Milliseconds streamLife{0};
   /// Bounds of the deployment; bounds.h says what follows from them.
   Milliseconds weightsBound{0};
   Milliseconds revocationBound{0};
--- a/src/gateway/module_settings.cc
+++ b/src/gateway/module_settings.cc
@@ -123,6 +123,13 @@
   return paths;
 }
 
+stream_versions::VersionCoreSettings streamVersionSettings(const GatewaySettings& settings) {
+  stream_versions::VersionCoreSettings versions;
+  versions.endpoint = settings.relayListen;
+  versions.streamLife = settings.streamLife;
+  return versions;
+}
+
 server_paths::TunnelSettings tunnelSettings(const GatewaySettings& settings) {
   server_paths::TunnelSettings tunnels;
   tunnels.maxOpen = static_cast<std::size_t>(settings.maxTunnels);
--- a/src/gateway/module_settings.h
+++ b/src/gateway/module_settings.h
@@ -16,6 +16,7 @@
 #include "routes/route_table.h"
 #include "server_paths/server_paths.h"
 #include "server_paths/tunnel_service.h"
+#include "stream_versions/version_core.h"
 #include "weights/weights_loader.h"
 
 /// What the settings of the node say for each of its modules.
@@ -45,6 +46,7 @@
 fleet::DistanceSettings distanceSettings(const GatewaySettings& settings);
 
 server_paths::ServerPathsSettings pathSettings(const GatewaySettings& settings);
+stream_versions::VersionCoreSettings streamVersionSettings(const GatewaySettings& settings);
 server_paths::TunnelSettings tunnelSettings(const GatewaySettings& settings);
 
 /// @param holder the name under which this process gives orders.
--- a/src/peer/transport.h
+++ b/src/peer/transport.h
@@ -18,6 +18,7 @@
   kClaims = 3,
   kLimits = 4,
   kIndex = 5,
+  kStreamVersions = 6,
 };
 
 /// Largest payload of one message: fits an ordinary path MTU, so that no fragment can be lost
--- /dev/null
+++ b/src/stream_versions/stream_version_node.cc
@@ -0,0 +1,160 @@
+#include "stream_versions/stream_version_node.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <memory>
+
+#include "log/log.h"
+#include "peer/http_call.h"
+
+namespace calicodrift::stream_versions {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+constexpr Milliseconds kCallTimeout{200};
+/// Beyond it a list of keepers is cut, so that a message that no node sends stays harmless.
+constexpr std::size_t kMaxKeepers = 256;
+
+/// A question that a coroutine waits for.
+struct Waiter {
+  explicit Waiter(const asio::any_io_executor& executor) : answered(executor) {
+    answered.expires_at(MonotonicTime::max());
+  }
+
+  std::optional<Resolution> resolution;
+  asio::steady_timer answered;
+};
+
+}  // namespace
+
+StreamVersionNode::StreamVersionNode(StreamVersionContext context, VersionCoreSettings settings)
+    : context_(std::move(context)),
+      transport_(context_.io),
+      core_(std::move(settings), transport_, context_.metrics, [] { return monotonicNow(); }),
+      tickTimer_(context_.io) {}
+
+Result<void> StreamVersionNode::start() {
+  if (context_.tree.endpoint.port == 0) {
+    return boost::outcome_v2::success();
+  }
+  BOOST_OUTCOME_TRY(transport_.listen(context_.tree.endpoint));
+  asio::co_spawn(context_.io, learnKeepers(), asio::detached);
+  return boost::outcome_v2::success();
+}
+
+void StreamVersionNode::onServersChanged() {
+  core_.applyListing(context_.listing(), context_.listingProvenAt());
+}
+
+void StreamVersionNode::begin(StreamKey stream, const std::string& service,
+                              const SoftwareVersion& version) {
+  core_.setListingProvenAt(context_.listingProvenAt());
+  core_.begin(stream, service, version);
+}
+
+awaitable<Resolution> StreamVersionNode::resolve(StreamKey stream, std::string service) {
+  core_.setListingProvenAt(context_.listingProvenAt());
+  auto waiter = std::make_shared<Waiter>(context_.io.get_executor());
+  core_.resolve(stream, service, [waiter](const Resolution& resolution) {
+    waiter->resolution = resolution;
+    waiter->answered.cancel();
+  });
+  scheduleTick();
+  if (!waiter->resolution) {
+    co_await waiter->answered.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return waiter->resolution.value_or(Resolution{});
+}
+
+bool StreamVersionNode::isListed(const std::string& service, const SoftwareVersion& version) const {
+  return core_.history().isListed(service, version);
+}
+
+void StreamVersionNode::scheduleTick() {
+  const std::optional<MonotonicTime> next = core_.nextTick();
+  if (!next) {
+    return;
+  }
+  tickTimer_.expires_at(*next);
+  tickTimer_.async_wait([this](boost::system::error_code code) {
+    if (!code) {
+      core_.tick();
+      scheduleTick();
+    }
+  });
+}
+
+awaitable<void> StreamVersionNode::learnKeepers() {
+  asio::steady_timer timer(context_.io);
+  for (;;) {
+    co_await learnOnce();
+    core_.renewRecords();
+    timer.expires_after(core_.keepers().empty() ? kFirstKeepersInterval : kKeepersInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> StreamVersionNode::learnOnce() {
+  core_.setListingProvenAt(context_.listingProvenAt());
+  std::vector<Endpoint> keepers = ownKeepers();
+  std::vector<Endpoint> asked;
+  if (context_.tree.isRoot()) {
+    asked = context_.tree.roots();
+  } else if (const std::optional<Endpoint> parent = context_.tree.parent()) {
+    asked.push_back(*parent);
+  }
+  for (const Endpoint& node : asked) {
+    const std::vector<Endpoint> told = co_await askForKeepers(node);
+    keepers.insert(keepers.end(), told.begin(), told.end());
+  }
+  // A node that has lost its parent goes on with the list that it has.
+  if (!keepers.empty()) {
+    adopt(std::move(keepers));
+  }
+}
+
+awaitable<std::vector<Endpoint>> StreamVersionNode::askForKeepers(Endpoint node) {
+  KeepersQuery query;
+  query.node = context_.tree.endpoint;
+  query.root = context_.tree.isRoot();
+  Result<Keepers> answer = co_await peer::callPeer<Keepers>(
+      context_.client, std::move(node), kKeepersPath, std::move(query), kCallTimeout, kCallTimeout);
+  co_return answer ? std::move(answer.value().nodes) : std::vector<Endpoint>();
+}
+
+std::vector<Endpoint> StreamVersionNode::ownKeepers() const {
+  std::vector<Endpoint> keepers;
+  if (context_.tree.isRoot()) {
+    keepers = context_.tree.children();
+    keepers.push_back(context_.tree.endpoint);
+  }
+  return keepers;
+}
+
+void StreamVersionNode::adopt(std::vector<Endpoint> keepers) {
+  std::sort(keepers.begin(), keepers.end());
+  keepers.erase(std::unique(keepers.begin(), keepers.end()), keepers.end());
+  keepers.resize(std::min(keepers.size(), kMaxKeepers));
+  if (core_.keepers().empty()) {
+    log::write(log::Level::kInfo, "stream_version_keepers",
+               {{"count", std::to_string(keepers.size())}});
+  }
+  core_.setKeepers(std::move(keepers));
+}
+
+awaitable<void> StreamVersionNode::handle(http::Request& request, http::ResponseWriter& writer) {
+  co_await peer::answerPeer<KeepersQuery, Keepers>(
+      request, writer, [this](const KeepersQuery& query) -> awaitable<Keepers> {
+        // Roots tell each other only what is theirs, so that what has gone does not go round.
+        co_return Keepers{query.root ? ownKeepers() : core_.keepers()};
+      });
+}
+
+void StreamVersionNode::showMetrics() {
+  context_.metrics.setRecords(core_.recordCount());
+  context_.metrics.setKeepers(core_.keepers().size());
+}
+
+}  // namespace calicodrift::stream_versions
--- /dev/null
+++ b/src/stream_versions/stream_version_node.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "peer/udp_transport.h"
+#include "relay/tree_position.h"
+#include "stream_versions/version_core.h"
+
+namespace calicodrift::stream_versions {
+
+/// Dependencies of StreamVersionNode; they outlive it and run on its thread.
+struct StreamVersionContext {
+  boost::asio::io_context& io;
+  http::Client& client;
+  StreamVersionMetrics& metrics;
+  /// Its endpoint is where other nodes reach this one, over TCP and UDP; port 0: it has no others.
+  relay::TreePosition tree;
+  /// The listed servers' versions, and until when the list is known to have been the newest.
+  std::function<VersionListing()> listing;
+  std::function<MonotonicTime()> listingProvenAt;
+};
+
+/// Carries out what VersionCore decides: messages over UDP, and the list of the nodes that keep
+/// records.
+///
+/// The roots of the relay tree and their children keep the records of all nodes of the tree, so
+/// that the number of nodes that one has to know does not grow with the fleet. The list goes down
+/// the tree: each node asks its parent.
+class StreamVersionNode {
+ public:
+  StreamVersionNode(StreamVersionContext context, VersionCoreSettings settings);
+
+  /// Fails with kSettingsInvalid where the address can't be bound.
+  Result<void> start();
+  /// The list of servers has changed.
+  void onServersChanged();
+  /// See VersionCore::begin() and end().
+  void begin(StreamKey stream, const std::string& service, const SoftwareVersion& version);
+  void end(StreamKey stream, bool whole) { core_.end(stream, whole); }
+  /// Takes one round trip to the nearest keeper, or a bounded time.
+  boost::asio::awaitable<Resolution> resolve(StreamKey stream, std::string service);
+  /// Whether servers of this version are listed.
+  bool isListed(const std::string& service, const SoftwareVersion& version) const;
+  /// Answers KeepersQuery.
+  boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
+  void showMetrics();
+
+  static constexpr Milliseconds kKeepersInterval{2000};
+  /// Until the first list has come.
+  static constexpr Milliseconds kFirstKeepersInterval{100};
+
+ private:
+  boost::asio::awaitable<void> learnKeepers();
+  boost::asio::awaitable<void> learnOnce();
+  boost::asio::awaitable<std::vector<Endpoint>> askForKeepers(Endpoint node);
+  /// This node and its children, if it is a root.
+  std::vector<Endpoint> ownKeepers() const;
+  void adopt(std::vector<Endpoint> keepers);
+  void scheduleTick();
+
+  StreamVersionContext context_;
+  peer::UdpTransport transport_;
+  VersionCore core_;
+  boost::asio::steady_timer tickTimer_;
+};
+
+}  // namespace calicodrift::stream_versions
--- /dev/null
+++ b/src/stream_versions/version_core.cc
@@ -0,0 +1,266 @@
+#include "stream_versions/version_core.h"
+
+#include <algorithm>
+#include <set>
+
+#include "peer/codec.h"
+#include "stream_versions/keeper_ranking.h"
+
+namespace calicodrift::stream_versions {
+
+std::string_view toString(VersionSource source) {
+  switch (source) {
+    case VersionSource::kOwnRecord:
+      return "own_record";
+    case VersionSource::kKeeper:
+      return "keeper";
+    case VersionSource::kOnlyVersion:
+      return "only_version";
+    case VersionSource::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+VersionCore::VersionCore(VersionCoreSettings settings, peer::Transport& transport,
+                         StreamVersionMetrics& metrics, std::function<MonotonicTime()> clock)
+    : settings_(std::move(settings)),
+      transport_(transport),
+      metrics_(metrics),
+      clock_(std::move(clock)),
+      records_(settings_.streamLife),
+      history_(settings_.streamLife) {
+  transport_.setReceiver(
+      peer::Channel::kStreamVersions,
+      [this](const Endpoint& from, std::string_view payload) { receive(from, payload); });
+}
+
+void VersionCore::setKeepers(std::vector<Endpoint> keepers) {
+  keepers_ = std::move(keepers);
+}
+
+void VersionCore::applyListing(const VersionListing& listing, MonotonicTime provenAt) {
+  listingProvenAt_ = provenAt;
+  history_.apply(listing, clock_());
+  forgetBrokenStreams();
+  for (auto& [stream, open] : open_) {
+    if (!open.recordedAt) {
+      record(stream, open);
+    }
+  }
+}
+
+std::optional<SoftwareVersion> VersionCore::onlyVersion(const std::string& service) const {
+  const MonotonicTime now = clock_();
+  if (now - listingProvenAt_ > settings_.maxListAge) {
+    return std::nullopt;
+  }
+  return history_.onlyVersion(service, now);
+}
+
+std::vector<Endpoint> VersionCore::othersFor(StreamKey stream, std::size_t count) const {
+  std::vector<Endpoint> ranked = rankedKeepers(keepers_, stream, count + 1);
+  std::erase(ranked, settings_.endpoint);
+  ranked.resize(std::min(ranked.size(), count));
+  return ranked;
+}
+
+void VersionCore::begin(StreamKey stream, const std::string& service,
+                        const SoftwareVersion& version) {
+  OpenStream& open = open_[stream];
+  open = {service, version, std::nullopt, std::nullopt};
+  record(stream, open);
+}
+
+void VersionCore::end(StreamKey stream, bool whole) {
+  const auto found = open_.find(stream);
+  if (found == open_.end()) {
+    return;
+  }
+  if (whole) {
+    open_.erase(found);
+    return;
+  }
+  found->second.brokeOffAt = clock_();
+  brokenOff_.push_back(stream);
+  forgetBrokenStreams();
+}
+
+void VersionCore::forgetBrokenStreams() {
+  const MonotonicTime now = clock_();
+  while (!brokenOff_.empty()) {
+    const auto found = open_.find(brokenOff_.front());
+    const bool goesOn = found == open_.end() || !found->second.brokeOffAt;
+    const bool kept = !goesOn && now - *found->second.brokeOffAt <= settings_.streamLife;
+    if (kept && brokenOff_.size() <= kMaxBrokenStreams) {
+      return;
+    }
+    if (!goesOn) {
+      open_.erase(found);
+    }
+    brokenOff_.pop_front();
+  }
+}
+
+void VersionCore::record(StreamKey stream, OpenStream& open) {
+  if (onlyVersion(open.service) == open.version) {
+    return;
+  }
+  const MonotonicTime now = clock_();
+  if (!open.recordedAt) {
+    metrics_.countRecorded();
+  }
+  open.recordedAt = now;
+  if (records_.put(stream, open.version, now)) {
+    metrics_.countShed();
+  }
+  for (const Endpoint& keeper : othersFor(stream, kCopies)) {
+    send(keeper, VersionRecord{stream, open.version.value()});
+  }
+}
+
+void VersionCore::renewRecords() {
+  const MonotonicTime now = clock_();
+  forgetBrokenStreams();
+  for (auto& [stream, open] : open_) {
+    if (open.recordedAt && now - *open.recordedAt >= kRenewInterval) {
+      record(stream, open);
+    }
+  }
+}
+
+void VersionCore::resolve(StreamKey stream, const std::string& service, Listener listener) {
+  const MonotonicTime now = clock_();
+  if (const auto own = records_.find(stream, now)) {
+    metrics_.countResolved(toString(VersionSource::kOwnRecord));
+    listener({VersionSource::kOwnRecord, own->version, own->age});
+    return;
+  }
+  const std::uint64_t id = nextQuestion_++;
+  Question question{stream,
+                    service,
+                    std::move(listener),
+                    now,
+                    now + settings_.resendAfter,
+                    othersFor(stream, kAskedKeepers),
+                    {}};
+  const auto place = questions_.emplace(id, std::move(question)).first;
+  if (place->second.unanswered.empty()) {
+    finish(place, withoutRecord(place->second));
+    return;
+  }
+  ask(id, place->second);
+}
+
+void VersionCore::ask(std::uint64_t id, const Question& question) {
+  for (const Endpoint& keeper : question.unanswered) {
+    send(keeper, VersionQuery{id, question.stream, question.service});
+  }
+}
+
+void VersionCore::tick() {
+  const MonotonicTime now = clock_();
+  for (auto next = questions_.begin(); next != questions_.end();) {
+    const auto place = next++;
+    Question& question = place->second;
+    if (now - question.askedAt >= settings_.giveUpAfter) {
+      finish(place, withoutRecord(question));
+    } else if (now >= question.resendAt) {
+      question.resendAt = now + settings_.resendAfter;
+      ask(place->first, question);
+    }
+  }
+}
+
+std::optional<MonotonicTime> VersionCore::nextTick() const {
+  std::optional<MonotonicTime> next;
+  for (const auto& [id, question] : questions_) {
+    const MonotonicTime due = std::min(question.resendAt, question.askedAt + settings_.giveUpAfter);
+    next = std::min(next.value_or(due), due);
+  }
+  return next;
+}
+
+void VersionCore::receive(const Endpoint& from, std::string_view payload) {
+  const Result<Message> message = peer::decode<Message>(payload);
+  if (!message) {
+    metrics_.countUnreadable();
+    return;
+  }
+  std::visit([&](const auto& content) { handle(from, content); }, message.value());
+}
+
+void VersionCore::handle(const Endpoint& /*from*/, const VersionRecord& record) {
+  metrics_.countKept();
+  if (records_.put(record.stream, SoftwareVersion(record.version), clock_())) {
+    metrics_.countShed();
+  }
+}
+
+void VersionCore::handle(const Endpoint& from, const VersionQuery& query) {
+  const MonotonicTime now = clock_();
+  VersionReply reply;
+  reply.id = query.id;
+  if (const auto found = records_.find(query.stream, now)) {
+    reply.knowledge = Knowledge::kRecord;
+    reply.version = found->version.value();
+  } else if (const auto only = onlyVersion(query.service)) {
+    reply.knowledge = Knowledge::kOnlyVersion;
+    reply.version = only->value();
+  } else if (history_.hasSeveral(query.service, now)) {
+    reply.knowledge = Knowledge::kSeveralVersions;
+  }
+  send(from, reply);
+}
+
+void VersionCore::handle(const Endpoint& from, const VersionReply& reply) {
+  const auto place = questions_.find(reply.id);
+  if (place == questions_.end()) {
+    return;
+  }
+  Question& question = place->second;
+  if (std::erase(question.unanswered, from) == 0) {
+    return;
+  }
+  if (reply.knowledge == Knowledge::kRecord) {
+    finish(place, {VersionSource::kKeeper, SoftwareVersion(reply.version), std::nullopt});
+    return;
+  }
+  question.replies.push_back(reply);
+  if (question.unanswered.empty()) {
+    finish(place, withoutRecord(question));
+  }
+}
+
+Resolution VersionCore::withoutRecord(const Question& question) const {
+  // The versions that this node and the keepers take for the only one.
+  std::set<SoftwareVersion> only;
+  if (const auto own = onlyVersion(question.service)) {
+    only.insert(*own);
+  }
+  for (const VersionReply& reply : question.replies) {
+    if (reply.knowledge == Knowledge::kSeveralVersions) {
+      return {};
+    }
+    if (reply.knowledge == Knowledge::kOnlyVersion) {
+      only.insert(SoftwareVersion(reply.version));
+    }
+  }
+  if (only.size() != 1) {
+    return {};
+  }
+  return {VersionSource::kOnlyVersion, *only.begin(), std::nullopt};
+}
+
+void VersionCore::finish(Questions::iterator question, const Resolution& resolution) {
+  const Listener listener = std::move(question->second.listener);
+  questions_.erase(question);
+  metrics_.countResolved(toString(resolution.source));
+  listener(resolution);
+}
+
+void VersionCore::send(const Endpoint& to, const Message& message) {
+  transport_.send(to, peer::Channel::kStreamVersions, peer::encode(message));
+}
+
+}  // namespace calicodrift::stream_versions
--- /dev/null
+++ b/src/stream_versions/version_core.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/endpoint.h"
+#include "peer/transport.h"
+#include "stream_versions/messages.h"
+#include "stream_versions/metrics.h"
+#include "stream_versions/record_table.h"
+#include "stream_versions/version_history.h"
+
+namespace calicodrift::stream_versions {
+
+struct VersionCoreSettings {
+  /// Endpoint at which other nodes reach this one; port 0: it has no others.
+  Endpoint endpoint;
+  /// Longest time from a stream's first event to a caller's last return.
+  Milliseconds streamLife{30'000};
+  /// A list of servers that is proven no newer does not show which versions there are.
+  Milliseconds maxListAge{5000};
+  /// When a question is sent again to keepers that have not answered, and when it is given up.
+  Milliseconds resendAfter{15};
+  Milliseconds giveUpAfter{60};
+};
+
+/// How the version of a stream is known.
+enum class VersionSource {
+  /// This node has kept it.
+  kOwnRecord,
+  /// Another node has kept it.
+  kKeeper,
+  /// The service has had no other version since the stream can have begun.
+  kOnlyVersion,
+  kUnknown,
+};
+std::string_view toString(VersionSource source);
+
+/// The answer to the question for a stream's version.
+struct Resolution {
+  VersionSource source = VersionSource::kUnknown;
+  /// Empty if unknown, and of servers that tell no version.
+  SoftwareVersion version;
+  /// Age of the record, if this node has kept it.
+  std::optional<Milliseconds> age;
+
+  bool known() const { return source != VersionSource::kUnknown; }
+};
+
+/// Decides which software version a stream has to go on at. Does no I/O of its own: messages leave
+/// through the transport, and the clock is the caller's.
+///
+/// A stream is recorded when its first event arrives, before the caller gets it, at this node and
+/// at kCopies others that its key selects, so that any node finds the record after this node has
+/// gone. Nothing is recorded while the service can only have had one version; once a second one is
+/// listed, the streams that are under way or have broken off lately are recorded.
+///
+/// Invariant: no version is reported that another version may be in place of: a record holds the
+/// version of the server that sent the event, and without one the version must have been the only
+/// one since the stream can have begun, for this node and for all keepers that know.
+class VersionCore {
+ public:
+  using Listener = std::function<void(const Resolution&)>;
+
+  /// The transport and the metrics outlive the core.
+  VersionCore(VersionCoreSettings settings, peer::Transport& transport,
+              StreamVersionMetrics& metrics, std::function<MonotonicTime()> clock);
+
+  /// Sets the nodes that keep records, as far as known.
+  void setKeepers(std::vector<Endpoint> keepers);
+  const std::vector<Endpoint>& keepers() const { return keepers_; }
+  /// @param provenAt until when the listing is known to have been the newest.
+  void applyListing(const VersionListing& listing, MonotonicTime provenAt);
+  /// The listing has not changed, and was proven to be the newest again.
+  void setListingProvenAt(MonotonicTime provenAt) { listingProvenAt_ = provenAt; }
+
+  /// A stream begins, or goes on here: its first event is about to go to the caller.
+  void begin(StreamKey stream, const std::string& service, const SoftwareVersion& version);
+  /// The stream has ended here. One that has broken off may be taken up again elsewhere.
+  void end(StreamKey stream, bool whole);
+  /// Calls the listener once, possibly at once, and after giveUpAfter at the latest.
+  void resolve(StreamKey stream, const std::string& service, Listener listener);
+  /// Sends the records of streams that are not whole again: keepers may have started again, and
+  /// others may have taken their places. Called a few times within kRenewInterval.
+  void renewRecords();
+  /// Sends questions again and gives them up; called at nextTick().
+  void tick();
+  /// Empty while no question is open.
+  std::optional<MonotonicTime> nextTick() const;
+  const VersionHistory& history() const { return history_; }
+  std::size_t recordCount() const { return records_.size(); }
+
+  /// Nodes that keep a record beside the one that served the stream.
+  static constexpr std::size_t kCopies = 3;
+  /// Nodes that are asked: one more, as the node that served the stream may rank among them.
+  static constexpr std::size_t kAskedKeepers = kCopies + 1;
+  /// Interval between two sendings of the record of a stream that lasts.
+  static constexpr Milliseconds kRenewInterval{5000};
+  /// Streams that have broken off and are remembered, for streamLife at most.
+  static constexpr std::size_t kMaxBrokenStreams = 4096;
+
+ private:
+  struct Question {
+    StreamKey stream;
+    std::string service;
+    Listener listener;
+    MonotonicTime askedAt;
+    MonotonicTime resendAt;
+    std::vector<Endpoint> unanswered;
+    std::vector<VersionReply> replies;
+  };
+  using Questions = std::map<std::uint64_t, Question>;
+  /// A stream that has begun at this node and is not whole.
+  struct OpenStream {
+    std::string service;
+    SoftwareVersion version;
+    /// When its record was last sent; empty if it was not necessary.
+    std::optional<MonotonicTime> recordedAt;
+    std::optional<MonotonicTime> brokeOffAt;
+  };
+
+  /// Records the stream, unless its service can only have had this version.
+  void record(StreamKey stream, OpenStream& open);
+  void forgetBrokenStreams();
+  void receive(const Endpoint& from, std::string_view payload);
+  void handle(const Endpoint& from, const VersionRecord& record);
+  void handle(const Endpoint& from, const VersionQuery& query);
+  void handle(const Endpoint& from, const VersionReply& reply);
+  void send(const Endpoint& to, const Message& message);
+  void ask(std::uint64_t id, const Question& question);
+  /// The other keepers that rank first for the stream.
+  std::vector<Endpoint> othersFor(StreamKey stream, std::size_t count) const;
+  void finish(Questions::iterator question, const Resolution& resolution);
+  /// What is known without a record.
+  Resolution withoutRecord(const Question& question) const;
+  /// See VersionHistory::onlyVersion(); empty if the listing is too old to tell.
+  std::optional<SoftwareVersion> onlyVersion(const std::string& service) const;
+
+  VersionCoreSettings settings_;
+  peer::Transport& transport_;
+  StreamVersionMetrics& metrics_;
+  std::function<MonotonicTime()> clock_;
+  MonotonicTime listingProvenAt_;
+  RecordTable records_;
+  VersionHistory history_;
+  std::unordered_map<StreamKey, OpenStream> open_;
+  /// Streams that have broken off, in this order.
+  std::deque<StreamKey> brokenOff_;
+  std::vector<Endpoint> keepers_;
+  std::uint64_t nextQuestion_ = 0;
+  Questions questions_;
+};
+
+}  // namespace calicodrift::stream_versions
--- /dev/null
+++ b/src/stream_versions/version_history.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/ids.h"
+
+namespace calicodrift::stream_versions {
+
+/// A listed server, as far as its version is concerned.
+struct ListedVersion {
+  SoftwareVersion version;
+  /// How long its process has run; empty if the list does not tell.
+  std::optional<Milliseconds> running;
+};
+
+/// Servers of each service, including those that are draining: they still serve streams.
+using VersionListing = std::map<std::string, std::vector<ListedVersion>>;
+
+/// Which versions each service has had lately. Does no I/O; callers pass the time.
+///
+/// A list may lag behind, and servers that have left it serve on for a while: a version counts for
+/// kListLag longer than it was listed.
+class VersionHistory {
+ public:
+  /// @param life how long a stream and its returns may last.
+  explicit VersionHistory(Milliseconds life) : life_(life) {}
+
+  void apply(const VersionListing& listing, MonotonicTime now);
+  /// The only version that the service can have had in the last `life`; empty if it may have had
+  /// several, or if this node has not seen enough of the past to know.
+  std::optional<SoftwareVersion> onlyVersion(const std::string& service, MonotonicTime now) const;
+  /// Whether the service has had several versions in the last `life`.
+  bool hasSeveral(const std::string& service, MonotonicTime now) const;
+  /// Whether servers of the version are listed now.
+  bool isListed(const std::string& service, const SoftwareVersion& version) const;
+
+  static constexpr Milliseconds kListLag{5000};
+
+ private:
+  struct Presence {
+    MonotonicTime firstSeen;
+    MonotonicTime lastSeen;
+    bool listed = true;
+    /// Since when its servers that are listed have run, as far as told; otherwise firstSeen.
+    MonotonicTime runningSince;
+  };
+  using Presences = std::map<SoftwareVersion, Presence>;
+
+  /// The versions that count at `now`, each with the time since when it has been known to serve.
+  std::map<SoftwareVersion, MonotonicTime> present(const std::string& service,
+                                                   MonotonicTime now) const;
+
+  Milliseconds life_;
+  std::map<std::string, Presences> services_;
+};
+
+}  // namespace calicodrift::stream_versions
--- a/tests/forward/allowed_servers_test.cc
+++ b/tests/forward/allowed_servers_test.cc
@@ -36,14 +36,15 @@
     }
   }
   AllowedServers allowed(bool mayBeCanary) {
-    return allowedServers(hooks, pool, {kService, kNoModel, RouteKey(1), tried, mayBeCanary},
-                          kStart);
+    return allowedServers(
+        hooks, pool, {kService, kNoModel, RouteKey(1), tried, mayBeCanary, streamVersion}, kStart);
   }
 
   fleet::ServerPool pool{40, [](const fleet::Server&, fleet::ServerLoss) {}};
   RolloutHooks hooks;
   TrafficRule rule{kOld, kNew, CandidateUse::kCanary, OrderKey(9)};
   std::vector<BackendId> tried;
+  std::optional<SoftwareVersion> streamVersion;
   bool granted = true;
   std::size_t asked = 0;
 };
@@ -70,6 +71,33 @@
   BOOST_TEST(allowed(true).set().size() == 30U);
 }
 
+/// Guards against a stream that goes on at another version than the one that began it.
+BOOST_AUTO_TEST_CASE(streamsGoOnAtTheServersOfTheirVersionOnly) {
+  list("a", kOld, 3);
+  list("b", kNew, 2);
+  streamVersion = kNew;
+  BOOST_TEST(allowed(true).set().size() == 2U);
+  BOOST_TEST((allowed(true).track == Track::kCandidate));
+  BOOST_TEST(asked == 0U);
+  streamVersion = kOld;
+  BOOST_TEST(allowed(true).set().size() == 3U);
+  streamVersion = SoftwareVersion("3");
+  BOOST_TEST(allowed(true).set().empty());
+  hooks = {};
+  pool.setVersions(kService, SoftwareVersion(), SoftwareVersion(), kStart);
+  streamVersion = kNew;
+  BOOST_TEST(allowed(true).set().size() == 2U);
+}
+
+/// A candidate that was rolled back gets no requests, those of its own streams included.
+BOOST_AUTO_TEST_CASE(streamsOfARejectedCandidateGoOnNowhere) {
+  list("a", kOld, 3);
+  list("b", kNew, 2);
+  rule.use = CandidateUse::kNothing;
+  streamVersion = kNew;
+  BOOST_TEST(allowed(true).set().empty());
+}
+
 BOOST_AUTO_TEST_CASE(theBudgetIsAskedOnlyWhereTheCanaryCouldGoSomewhere) {
   list("a", kOld, 2);
   BOOST_TEST((allowed(true).track == Track::kStable));
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -347,6 +347,7 @@
             quota_,
             quarantine_,
             serverLimits_,
+            streamVersions_,
             [] {},
             hooks};
   }
@@ -359,6 +360,11 @@
   quarantine::QuarantineMetrics quarantineMetrics_;
   quarantine::QuarantineNode quarantine_;
   quota::QuotaNode quota_;
+  stream_versions::StreamVersionMetrics streamVersionMetrics_{registry_};
+  stream_versions::StreamVersionNode streamVersions_{
+      {context, client_, streamVersionMetrics_, standaloneTreePosition(),
+       [] { return stream_versions::VersionListing(); }, [] { return monotonicNow(); }},
+      {}};
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
   server_limits::ServerLimitNode serverLimits_{standaloneLimitContext(), serverLimitMetrics_};
   testing::DirectPaths directPaths_{context.get_executor(), client_};
--- a/tests/platform/stream_versions_test.cc
+++ b/tests/platform/stream_versions_test.cc
@@ -144,6 +144,8 @@
       http::Request second = streamRequest(number);
       second.headers.set("Resumes", attempt);
       second.headers.set(platform::kLastEventId, "2");
+      // Otherwise its home would be the server that began it.
+      second.headers.set(platform::kPromptPrefix, "c" + std::to_string(number) + ":900");
       const Result<http::Response> answer =
           co_await fleet.exchange((number + 1 + number / 5 % 4) % 5, std::move(second));
       wentOn += answer && answer.value().status == 200 ? 1 : 0;
--- /dev/null
+++ b/tests/stream_versions/version_core_test.cc
@@ -0,0 +1,239 @@
+// What a node records of a stream, and what it finds out for a caller who comes back.
+
+#include "stream_versions/version_core.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "stream_versions/keeper_ranking.h"
+#include "support/simulated_network.h"
+
+namespace calicodrift::stream_versions {
+namespace {
+
+using testing::SimulatedNetwork;
+
+const std::string kService = "llm";
+const SoftwareVersion kOld("v1");
+const SoftwareVersion kNew("v1.1");
+const StreamKey kStream(42);
+constexpr Milliseconds kHour{3'600'000};
+
+Endpoint endpointOf(std::size_t node) {
+  return {"10.0.0." + std::to_string(node + 1), 7000};
+}
+
+/// Nodes that all know each other, in virtual time.
+struct Fixture {
+  struct Node {
+    std::unique_ptr<peer::Transport> transport;
+    std::unique_ptr<VersionCore> core;
+  };
+
+  explicit Fixture(std::size_t count = 6) {
+    network.run(kHour);
+    for (std::size_t number = 0; number < count; ++number) {
+      keepers.push_back(endpointOf(number));
+    }
+    nodes.resize(count);
+    for (std::size_t number = 0; number < count; ++number) {
+      start(number);
+    }
+  }
+
+  void start(std::size_t number) {
+    VersionCoreSettings settings;
+    settings.endpoint = endpointOf(number);
+    Node& node = nodes[number];
+    node.core.reset();
+    node.transport = network.attach(settings.endpoint);
+    node.core = std::make_unique<VersionCore>(settings, *node.transport, metrics,
+                                              [this] { return network.now(); });
+    node.core->setKeepers(keepers);
+  }
+  void kill(std::size_t number) { nodes[number] = {}; }
+
+  /// The same list at all nodes.
+  void list(const std::vector<ListedVersion>& servers) {
+    for (Node& node : nodes) {
+      if (node.core) {
+        node.core->applyListing({{kService, servers}}, network.now());
+      }
+    }
+  }
+  static ListedVersion server(const SoftwareVersion& version, Milliseconds running = kHour) {
+    return {version, running};
+  }
+
+  Resolution resolve(std::size_t number, StreamKey stream = kStream) {
+    std::optional<Resolution> resolution;
+    VersionCore& core = *nodes[number].core;
+    core.resolve(stream, kService, [&](const Resolution& found) { resolution = found; });
+    for (int step = 0; step < 20 && !resolution; ++step) {
+      network.run(Milliseconds(5));
+      core.tick();
+    }
+    BOOST_REQUIRE(resolution.has_value());
+    return *resolution;
+  }
+
+  SimulatedNetwork network{7};
+  prometheus::Registry registry;
+  StreamVersionMetrics metrics{registry};
+  std::vector<Endpoint> keepers;
+  std::vector<Node> nodes;
+};
+
+BOOST_FIXTURE_TEST_SUITE(version_core, Fixture)
+
+BOOST_AUTO_TEST_CASE(nothingIsRecordedWhileAServiceHasOneVersion) {
+  list({server(kOld), server(kOld)});
+  nodes[0].core->begin(kStream, kService, kOld);
+  network.run(Milliseconds(20));
+  for (const Node& node : nodes) {
+    BOOST_TEST(node.core->recordCount() == 0U);
+  }
+  const Resolution found = resolve(1);
+  BOOST_TEST((found.source == VersionSource::kOnlyVersion));
+  BOOST_TEST((found.version == kOld));
+}
+
+BOOST_AUTO_TEST_CASE(theVersionIsFoundAfterTheNodeThatServedTheStreamHasGone) {
+  list({server(kOld), server(kNew)});
+  for (std::uint64_t stream = 1; stream <= 50; ++stream) {
+    const SoftwareVersion& version = stream % 2 == 0 ? kOld : kNew;
+    nodes[0].core->begin(StreamKey(stream), kService, version);
+  }
+  network.run(Milliseconds(20));
+  kill(0);
+  for (std::uint64_t stream = 1; stream <= 50; ++stream) {
+    const Resolution found = resolve(1 + stream % 5, StreamKey(stream));
+    BOOST_TEST(found.known());
+    BOOST_TEST((found.version == (stream % 2 == 0 ? kOld : kNew)));
+  }
+}
+
+/// Three copies beside the node that served it: two further nodes may be lost.
+BOOST_AUTO_TEST_CASE(theVersionIsFoundThoughTwoKeepersAreLost) {
+  list({server(kOld), server(kNew)});
+  nodes[0].core->begin(kStream, kService, kNew);
+  network.run(Milliseconds(20));
+  kill(0);
+  std::size_t killed = 0;
+  for (const Endpoint& keeper : rankedKeepers(keepers, kStream, keepers.size())) {
+    const auto number = static_cast<std::size_t>(std::find(keepers.begin(), keepers.end(), keeper) -
+                                                 keepers.begin());
+    if (number != 0 && killed < 2) {
+      kill(number);
+      ++killed;
+    }
+  }
+  for (std::size_t number = 1; number < nodes.size(); ++number) {
+    if (nodes[number].core) {
+      BOOST_TEST((resolve(number).version == kNew));
+    }
+  }
+}
+
+/// They began while nothing had to be recorded.
+BOOST_AUTO_TEST_CASE(streamsUnderWayAndBrokenOnesAreRecordedWhenASecondVersionComes) {
+  const StreamKey broken(43);
+  const StreamKey whole(44);
+  list({server(kOld)});
+  for (const StreamKey stream : {kStream, broken, whole}) {
+    nodes[0].core->begin(stream, kService, kOld);
+  }
+  nodes[0].core->end(broken, false);
+  nodes[0].core->end(whole, true);
+  network.run(Milliseconds(2000));
+  list({server(kOld), server(kNew, Milliseconds(0))});
+  network.run(Milliseconds(20));
+  kill(0);
+  BOOST_TEST((resolve(1, kStream).version == kOld));
+  BOOST_TEST((resolve(2, broken).version == kOld));
+  BOOST_TEST(!resolve(3, whole).known());
+}
+
+BOOST_AUTO_TEST_CASE(anUnknownStreamBesideSeveralVersionsStaysUnknown) {
+  list({server(kOld), server(kNew)});
+  BOOST_TEST(!resolve(0).known());
+}
+
+/// A version that has left a while ago may have begun the stream.
+BOOST_AUTO_TEST_CASE(aVersionCountsUntilItsStreamsHaveEnded) {
+  list({server(kOld), server(kNew)});
+  list({server(kOld)});
+  network.run(Milliseconds(20'000));
+  list({server(kOld)});
+  BOOST_TEST(!resolve(0).known());
+  network.run(Milliseconds(16'000));
+  list({server(kOld)});
+  BOOST_TEST((resolve(0).version == kOld));
+}
+
+/// A node that has just started has not seen the other version; nodes that ran before have.
+BOOST_AUTO_TEST_CASE(aNodeThatHasJustStartedDoesNotTakeWhatIsLeftForTheOnlyVersion) {
+  list({server(kOld), server(kNew)});
+  network.run(Milliseconds(1000));
+  list({server(kOld)});
+  start(0);
+  nodes[0].core->applyListing({{kService, {server(kOld)}}}, network.now());
+  BOOST_TEST(!resolve(0).known());
+}
+
+/// All nodes have started again, and the servers tell that they have run for long.
+BOOST_AUTO_TEST_CASE(theStartsOfServersShowTheOnlyVersionWhereNoNodeHasRunForLong) {
+  list({server(kOld), server(kOld, Milliseconds(500))});
+  BOOST_TEST((resolve(0).version == kOld));
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    start(number);
+  }
+  list({server(kNew, Milliseconds(500))});
+  BOOST_TEST(!resolve(0).known());
+}
+
+/// Its list may lack a version that other nodes know.
+BOOST_AUTO_TEST_CASE(aNodeWithAnOldListAndNoOtherNodesDoesNotKnow) {
+  list({server(kOld)});
+  network.run(Milliseconds(6000));
+  for (std::size_t number = 1; number < nodes.size(); ++number) {
+    kill(number);
+  }
+  BOOST_TEST(!resolve(0).known());
+}
+
+BOOST_AUTO_TEST_CASE(aNodeWithAnOldListLearnsTheOnlyVersionFromOthers) {
+  list({server(kOld)});
+  network.run(Milliseconds(6000));
+  for (std::size_t number = 1; number < nodes.size(); ++number) {
+    nodes[number].core->applyListing({{kService, {server(kOld)}}}, network.now());
+  }
+  BOOST_TEST((resolve(0).version == kOld));
+}
+
+BOOST_AUTO_TEST_CASE(theTableIsBoundedAndForgetsTheOldestFirst) {
+  RecordTable table(Milliseconds(1000));
+  const MonotonicTime start{kHour};
+  for (std::uint64_t stream = 0; stream < RecordTable::kMaxRecords; ++stream) {
+    BOOST_REQUIRE(!table.put(StreamKey(stream), kOld, start));
+  }
+  BOOST_TEST(table.put(StreamKey(RecordTable::kMaxRecords), kNew, start));
+  BOOST_TEST(table.size() == RecordTable::kMaxRecords);
+  BOOST_TEST(!table.find(StreamKey(0), start));
+  BOOST_TEST(table.find(StreamKey(1), start).has_value());
+  BOOST_TEST(!table.find(StreamKey(1), start + Milliseconds(1001)));
+  BOOST_TEST(table.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(messagesThatCannotBeReadHaveNoEffect) {
+  list({server(kOld), server(kNew)});
+  const auto stranger = network.attach({"10.0.1.1", 7000});
+  stranger->send(endpointOf(0), peer::Channel::kStreamVersions, "no message");
+  stranger->send(endpointOf(0), peer::Channel::kStreamVersions, "");
+  network.run(Milliseconds(20));
+  BOOST_TEST(nodes[0].core->recordCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::stream_versions
