--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -127,7 +127,10 @@
                                               http::ResponseWriter& writer) {
   const std::string id = request.headers.get(platform::kRequestId);
   const MonotonicTime arrival = monotonicNow();
-  rolloutCheck_.onArrival(server.service, server.version, arrival, sentCalmly(id));
+  // Beside orders, only versions that these name may run requests.
+  if (plot_ != SoakPlot::kVersions) {
+    rolloutCheck_.onArrival(server.service, server.version, arrival, sentCalmly(id));
+  }
   judgeArrival(server, id);
   noteSpared(server, id);
   const unsigned start = server.server->starts();
@@ -164,6 +167,10 @@
   if (loses) {
     ++findings_.faults["answer lost"];
   }
+  if (showsVersion(request)) {
+    co_await streamWithVersion(server, request, writer);
+    co_return;
+  }
   if (request.path().starts_with("/stream")) {
     const std::string after = request.headers.get(platform::kLastEventId);
     const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
@@ -447,6 +454,8 @@
           co_await stormWithNotices();
         } else if (plot_ == SoakPlot::kPartitions) {
           co_await stormWithPartitions();
+        } else if (plot_ == SoakPlot::kVersions) {
+          co_await stormWithVersions();
         } else if (plot_ == SoakPlot::kReturns) {
           co_await stormWithReturns();
         } else if (plot_ == SoakPlot::kCrashes) {
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -58,6 +58,12 @@
   std::size_t judgedNotices = 0;
   /// Servers that ended under the request that ends its servers.
   std::size_t judgedCrashes = 0;
+  /// First tries of streams whose callers come back, and how many of them brought events.
+  std::size_t begins = 0;
+  std::size_t beginsThatBegan = 0;
+  /// The same of tries to take a stream up.
+  std::size_t returns = 0;
+  std::size_t returnsThatWentOn = 0;
   std::string rollouts;
 };
 
@@ -79,6 +85,8 @@
   kReturns,
   /// As kWeights, with nodes that lose the paths to servers.
   kPartitions,
+  /// As kWeights, with servers of several software versions that are replaced one by one.
+  kVersions,
 };
 
 /// Real gateway processes of one zone before stand-ins of the platform, under seeded faults from
@@ -244,6 +252,14 @@
   boost::asio::awaitable<std::size_t> countUnserved(const Node& node);
   Body judgePartition(boost::json::object kind);
   Body stormWithPartitions();
+  static bool showsVersion(const http::Request& request);
+  Body streamWithVersion(const Server& server, const http::Request& request,
+                         http::ResponseWriter& writer);
+  Body callWithReturns();
+  Body streamsWithReturns();
+  void addVersion(const std::string& version);
+  Body releaseInSeries(MonotonicTime end, Draws draws);
+  Body stormWithVersions();
   Body stormWithNotices();
   Body noticesInSeries(std::string service, MonotonicTime end, Draws draws);
   Body leaveAndReturn(Server& server, Draws draws);
@@ -329,6 +345,7 @@
   unsigned nextPort_ = 0;
   std::size_t outstanding_ = 0;
   std::uint64_t nextRequest_ = 0;
+  std::size_t nextServer_ = 0;
   std::uint64_t configVersion_ = 1;
   /// The tenant's key by the configuration.
   std::string key_ = "k1";
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -110,6 +110,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_versions)
+
+/// Servers of several software versions beside kills, stops, pauses and a store that misbehaves.
+/// Fresh seeds and longer runs by SOAK_SEED and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(streamsHoldOneVersionUnderFaults) {
+  constexpr std::uint64_t kLength = 20;
+  const SoakFindings findings =
+      soak(parameter("SOAK_SEED", 1), std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+           SoakPlot::kVersions);
+  BOOST_TEST_MESSAGE("  " << findings.begins << " tries to begin a stream, "
+                          << findings.beginsThatBegan << " began; " << findings.returns
+                          << " returns, " << findings.returnsThatWentOn << " went on");
+  BOOST_TEST(findings.returns >= 12U, "too few callers came back to judge");
+  // Streams that are taken up go on at least half as often as new ones begin.
+  BOOST_TEST(2 * findings.returnsThatWentOn * findings.begins >=
+             findings.beginsThatBegan * findings.returns);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_returns)
 
 /// A large configuration and a store that returns from copies beside kills, stops, cuts and a store
--- a/tests/platform/stream_versions_test.cc
+++ b/tests/platform/stream_versions_test.cc
@@ -14,9 +14,9 @@
 /// sent which events.
 class VersionedStreams {
  public:
-  ServerStandIn::Behaviour behaviourOf(ServerStandIn& server, const std::string& version) {
-    return [this, &server, version](const http::Request& request,
-                                    http::ResponseWriter& writer) -> awaitable<void> {
+  ServerStandIn::Behaviour behaviourOf(const std::string& version) {
+    return [this, version](const http::Request& request,
+                           http::ResponseWriter& writer) -> awaitable<void> {
       const std::string after = request.headers.get(platform::kLastEventId);
       const unsigned first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
       const bool breaks = after.empty() && breaksFirstRuns;
@@ -61,7 +61,7 @@
   }
   void addVersioned(const std::string& id, const std::string& version) {
     ServerStandIn& server = addServer(id, "llm", "m", version);
-    server.setBehaviour(streams.behaviourOf(server, version));
+    server.setBehaviour(streams.behaviourOf(version));
   }
   VersionedStreams streams;
 };
@@ -129,7 +129,7 @@
   for (const std::string version : {"v1", "v1.1"}) {
     for (const std::string name : {"-a", "-b"}) {
       ServerStandIn& server = fleet.addServer(version + name, "llm", "m", version);
-      server.setBehaviour(streams.behaviourOf(server, version));
+      server.setBehaviour(streams.behaviourOf(version));
     }
   }
   fleet.run([&]() -> awaitable<void> {
@@ -163,7 +163,7 @@
   streams.breaksFirstRuns = false;
   for (const std::string version : {"v1", "v1.1"}) {
     ServerStandIn& server = fleet.addServer(version, "llm", "m", version);
-    server.setBehaviour(streams.behaviourOf(server, version));
+    server.setBehaviour(streams.behaviourOf(version));
   }
   fleet.run([&]() -> awaitable<void> {
     for (const std::string attempt : {"unknown", ""}) {
@@ -189,7 +189,7 @@
   streams.breaksFirstRuns = false;
   for (const std::string name : {"a", "b"}) {
     ServerStandIn& server = fleet.addServer(name, "llm", "m", "v1");
-    server.setBehaviour(streams.behaviourOf(server, "v1"));
+    server.setBehaviour(streams.behaviourOf("v1"));
     // They have run for an hour.
     server.born = *server.born - 3'600'000;
     fleet.store.put("servers", name, server.entry());
--- a/tests/platform/unframed_answers_test.cc
+++ b/tests/platform/unframed_answers_test.cc
@@ -97,7 +97,7 @@
     return *unframed.back();
   }
   /// Ends the first run as given, and answers all later ones whole.
-  static UnframedServer::Body firstRunEnds(std::shared_ptr<bool> first, std::string body,
+  static UnframedServer::Body firstRunEnds(const std::shared_ptr<bool>& first, std::string body,
                                            ConnectionEnd end) {
     return [first, body, end](const http::Request& request) -> ScriptedAnswer {
       if (std::exchange(*first, false)) {
--- a/tests/stream_versions/version_schedules_test.cc
+++ b/tests/stream_versions/version_schedules_test.cc
@@ -228,9 +228,9 @@
     }
     Stream stream{StreamKey(nextStream_++), place->second.version, place->first, number,
                   node.starts};
-    network_.schedule(draw(20, 300), [this, stream]() mutable { firstEvent(std::move(stream)); });
+    network_.schedule(draw(20, 300), [this, stream] { firstEvent(stream); });
   }
-  void firstEvent(Stream stream) {
+  void firstEvent(const Stream& stream) {
     Node& node = nodes_[stream.node];
     if (!node.core || node.starts != stream.nodeStart ||
         servers_[stream.server].version != stream.version) {
