stream_versions: streams are recorded when the list of servers grows old; versions in the table are counted

Found by reading the change once more: with the store away for more than five seconds no list shows that there is one version only, so that streams that had begun before were refused at their callers' return (test red before: no record). A version's text stayed in the table for as long as the process; addresses of keepers that can't be parsed would have ended it.

--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -15,12 +15,12 @@
 
 awaitable<RunState> CrashCheck::stateOf(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
-  const auto [place, idle] = next_.try_emplace(run);
+  const auto [place, isFirst] = next_.try_emplace(run);
   if (!place->second) {
     place->second = std::make_shared<Probe>(executor_);
   }
   const std::shared_ptr<Probe> probe = place->second;
-  if (idle) {
+  if (isFirst) {
     asio::co_spawn(executor_, runProbes(std::move(server)), asio::detached);
   }
   if (!probe->state) {
--- a/src/stream_versions/record_table.cc
+++ b/src/stream_versions/record_table.cc
@@ -1,13 +1,14 @@
 #include "stream_versions/record_table.h"
 
-#include <algorithm>
-
 namespace calicodrift::stream_versions {
 
 bool RecordTable::put(StreamKey stream, const SoftwareVersion& version, MonotonicTime now) {
   expire(now);
-  const std::uint32_t position = positionOf(version);
-  const auto [place, added] = records_.try_emplace(stream, Record{position, now});
+  const auto [place, added] = records_.try_emplace(stream, Record{{}, now});
+  if (added) {
+    place->second.version = versions_.try_emplace(version, 0).first;
+    ++place->second.version->second;
+  }
   place->second.at = now;
   queue_.push_back({stream, now});
   const bool full = queue_.size() > kMaxRecords;
@@ -23,7 +24,7 @@
   if (found == records_.end()) {
     return std::nullopt;
   }
-  return Found{versions_[found->second.version],
+  return Found{found->second.version->first,
                std::chrono::duration_cast<Milliseconds>(now - found->second.at)};
 }
 
@@ -38,17 +39,11 @@
   queue_.pop_front();
   const auto found = records_.find(oldest.stream);
   if (found != records_.end() && found->second.at == oldest.at) {
+    if (--found->second.version->second == 0) {
+      versions_.erase(found->second.version);
+    }
     records_.erase(found);
   }
 }
 
-std::uint32_t RecordTable::positionOf(const SoftwareVersion& version) {
-  const auto found = std::find(versions_.begin(), versions_.end(), version);
-  if (found == versions_.end()) {
-    versions_.push_back(version);
-    return static_cast<std::uint32_t>(versions_.size() - 1);
-  }
-  return static_cast<std::uint32_t>(found - versions_.begin());
-}
-
 }  // namespace calicodrift::stream_versions
--- a/src/stream_versions/record_table.h
+++ b/src/stream_versions/record_table.h
@@ -2,9 +2,9 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
-#include <vector>
 
 #include "common/clock.h"
 #include "common/ids.h"
@@ -34,9 +34,10 @@
   static constexpr std::size_t kMaxRecords = 65'536;
 
  private:
+  /// Each version that a record holds, once, and the number of these records.
+  using Versions = std::map<SoftwareVersion, std::size_t>;
   struct Record {
-    /// Position in versions_.
-    std::uint32_t version = 0;
+    Versions::iterator version;
     MonotonicTime at;
   };
   struct Expiry {
@@ -47,14 +48,11 @@
   void expire(MonotonicTime now);
   /// Drops the oldest entry of the queue, and its record unless that was renewed.
   void dropOldest();
-  std::uint32_t positionOf(const SoftwareVersion& version);
-
   Milliseconds life_;
   std::unordered_map<StreamKey, Record> records_;
   /// In the order in which the records were put.
   std::deque<Expiry> queue_;
-  /// Each version that was ever recorded, once.
-  std::vector<SoftwareVersion> versions_;
+  Versions versions_;
 };
 
 }  // namespace calicodrift::stream_versions
--- a/src/stream_versions/stream_version_node.cc
+++ b/src/stream_versions/stream_version_node.cc
@@ -17,6 +17,13 @@
 /// Beyond it a list of keepers is cut, so that a message that no node sends stays harmless.
 constexpr std::size_t kMaxKeepers = 256;
 
+/// Whether messages can be sent to the endpoint, which another node has named.
+bool isAddress(const Endpoint& endpoint) {
+  boost::system::error_code code;
+  const auto address = asio::ip::make_address(endpoint.address, code);
+  return !code && !address.is_unspecified() && endpoint.port != 0;
+}
+
 /// A question that a coroutine waits for.
 struct Waiter {
   explicit Waiter(const asio::any_io_executor& executor) : answered(executor) {
@@ -134,6 +141,7 @@
 }
 
 void StreamVersionNode::adopt(std::vector<Endpoint> keepers) {
+  std::erase_if(keepers, [](const Endpoint& keeper) { return !isAddress(keeper); });
   std::sort(keepers.begin(), keepers.end());
   keepers.erase(std::unique(keepers.begin(), keepers.end()), keepers.end());
   keepers.resize(std::min(keepers.size(), kMaxKeepers));
--- a/src/stream_versions/version_core.cc
+++ b/src/stream_versions/version_core.cc
@@ -123,7 +123,8 @@
   const MonotonicTime now = clock_();
   forgetBrokenStreams();
   for (auto& [stream, open] : open_) {
-    if (open.recordedAt && now - *open.recordedAt >= kRenewInterval) {
+    const bool due = !open.recordedAt || now - *open.recordedAt >= kRenewInterval;
+    if (due) {
       record(stream, open);
     }
   }
--- a/src/stream_versions/version_core.h
+++ b/src/stream_versions/version_core.h
@@ -88,8 +88,9 @@
   void end(StreamKey stream, bool whole);
   /// Calls the listener once, possibly at once, and after giveUpAfter at the latest.
   void resolve(StreamKey stream, const std::string& service, Listener listener);
-  /// Sends the records of streams that are not whole again: keepers may have started again, and
-  /// others may have taken their places. Called a few times within kRenewInterval.
+  /// Sends the records of streams that are not whole again, as keepers may have started again and
+  /// others may have taken their places, and those that have become necessary because the list of
+  /// servers has grown old. Called a few times within kRenewInterval.
   void renewRecords();
   /// Sends questions again and gives them up; called at nextTick().
   void tick();
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -153,6 +153,20 @@
   BOOST_TEST(!resolve(3, whole).known());
 }
 
+/// Guards against refusals of returns after the store has been away: nobody's list shows then that
+/// there is one version only.
+BOOST_AUTO_TEST_CASE(streamsUnderWayAreRecordedWhenTheListGrowsOld) {
+  list({server(kOld)});
+  nodes[0].core->begin(kStream, kService, kOld);
+  network.run(Milliseconds(6000));
+  nodes[0].core->renewRecords();
+  network.run(Milliseconds(20));
+  kill(0);
+  for (std::size_t number = 1; number < nodes.size(); ++number) {
+    BOOST_TEST((resolve(number).version == kOld));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(anUnknownStreamBesideSeveralVersionsStaysUnknown) {
   list({server(kOld), server(kNew)});
   BOOST_TEST(!resolve(0).known());
