stream_versions: callers that name no attempt go on where no node has seen a second version

A caller that names no attempt can't have a record anyway; one version seen by this node, and no second one by any keeper that answers, is enough for it. Callers that name their attempt are judged as before.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -135,8 +135,9 @@
   if (!job.isResumable() || !job.request.resumeAfter) {
     co_return boost::outcome_v2::success();
   }
+  const bool attemptNamed = job.request.resumes.has_value();
   const stream_versions::Resolution found =
-      co_await context_.streamVersions.resolve(job.streamKey(), job.service);
+      co_await context_.streamVersions.resolve(job.streamKey(), job.service, attemptNamed);
   logStreamVersion(job.request, found);
   if (!found.known()) {
     co_return fail(ErrorKind::kStreamVersionGone,
--- a/src/stream_versions/stream_version_node.cc
+++ b/src/stream_versions/stream_version_node.cc
@@ -61,13 +61,15 @@
   core_.begin(stream, service, version);
 }
 
-awaitable<Resolution> StreamVersionNode::resolve(StreamKey stream, std::string service) {
+awaitable<Resolution> StreamVersionNode::resolve(StreamKey stream, std::string service,
+                                                 bool attemptNamed) {
   core_.setListingProvenAt(context_.listingProvenAt());
   auto waiter = std::make_shared<Waiter>(context_.io.get_executor());
-  core_.resolve(stream, service, [waiter](const Resolution& resolution) {
+  const auto answer = [waiter](const Resolution& resolution) {
     waiter->resolution = resolution;
     waiter->answered.cancel();
-  });
+  };
+  core_.resolve(stream, service, answer, attemptNamed);
   scheduleTick();
   if (!waiter->resolution) {
     co_await waiter->answered.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/stream_versions/stream_version_node.h
+++ b/src/stream_versions/stream_version_node.h
@@ -46,7 +46,9 @@
   void begin(StreamKey stream, const std::string& service, const SoftwareVersion& version);
   void end(StreamKey stream, bool whole) { core_.end(stream, whole); }
   /// Takes one round trip to the nearest keeper, or a bounded time.
-  boost::asio::awaitable<Resolution> resolve(StreamKey stream, std::string service);
+  /// See VersionCore::resolve().
+  boost::asio::awaitable<Resolution> resolve(StreamKey stream, std::string service,
+                                             bool attemptNamed);
   /// Whether servers of this version are listed.
   bool isListed(const std::string& service, const SoftwareVersion& version) const;
   /// Answers KeepersQuery.
--- a/src/stream_versions/version_core.cc
+++ b/src/stream_versions/version_core.cc
@@ -16,6 +16,8 @@
       return "keeper";
     case VersionSource::kOnlyVersion:
       return "only_version";
+    case VersionSource::kOnlySeenVersion:
+      return "only_seen_version";
     case VersionSource::kUnknown:
       return "unknown";
   }
@@ -130,7 +132,8 @@
   }
 }
 
-void VersionCore::resolve(StreamKey stream, const std::string& service, Listener listener) {
+void VersionCore::resolve(StreamKey stream, const std::string& service, Listener listener,
+                          bool attemptNamed) {
   const MonotonicTime now = clock_();
   if (const auto own = records_.find(stream, now)) {
     metrics_.countResolved(toString(VersionSource::kOwnRecord));
@@ -140,6 +143,7 @@
   const std::uint64_t id = nextQuestion_++;
   Question question{stream,
                     service,
+                    attemptNamed,
                     std::move(listener),
                     now,
                     now + settings_.resendAfter,
@@ -247,10 +251,14 @@
       only.insert(SoftwareVersion(reply.version));
     }
   }
-  if (only.size() != 1) {
-    return {};
+  if (only.size() == 1) {
+    return {VersionSource::kOnlyVersion, *only.begin(), std::nullopt};
   }
-  return {VersionSource::kOnlyVersion, *only.begin(), std::nullopt};
+  const auto seen = history_.onlySeenVersion(question.service, clock_());
+  if (only.empty() && seen && !question.attemptNamed) {
+    return {VersionSource::kOnlySeenVersion, *seen, std::nullopt};
+  }
+  return {};
 }
 
 void VersionCore::finish(Questions::iterator question, const Resolution& resolution) {
--- a/src/stream_versions/version_core.h
+++ b/src/stream_versions/version_core.h
@@ -40,6 +40,9 @@
   kKeeper,
   /// The service has had no other version since the stream can have begun.
   kOnlyVersion,
+  /// The caller names no attempt, so that no record can be found, and no node has seen another
+  /// version.
+  kOnlySeenVersion,
   kUnknown,
 };
 std::string_view toString(VersionSource source);
@@ -87,7 +90,10 @@
   /// The stream has ended here. One that has broken off may be taken up again elsewhere.
   void end(StreamKey stream, bool whole);
   /// Calls the listener once, possibly at once, and after giveUpAfter at the latest.
-  void resolve(StreamKey stream, const std::string& service, Listener listener);
+  /// @param attemptNamed whether the caller names the attempt that began the stream. Callers that
+  /// do not are of deployments without several versions: what was seen is enough for them.
+  void resolve(StreamKey stream, const std::string& service, Listener listener,
+               bool attemptNamed = true);
   /// Sends the records of streams that are not whole again, as keepers may have started again and
   /// others may have taken their places, and those that have become necessary because the list of
   /// servers has grown old. Called a few times within kRenewInterval.
@@ -112,6 +118,7 @@
   struct Question {
     StreamKey stream;
     std::string service;
+    bool attemptNamed = true;
     Listener listener;
     MonotonicTime askedAt;
     MonotonicTime resendAt;
--- a/src/stream_versions/version_history.cc
+++ b/src/stream_versions/version_history.cc
@@ -66,6 +66,12 @@
   return only ? std::optional(versions.begin()->first) : std::nullopt;
 }
 
+std::optional<SoftwareVersion> VersionHistory::onlySeenVersion(const std::string& service,
+                                                               MonotonicTime now) const {
+  const std::map<SoftwareVersion, MonotonicTime> versions = present(service, now);
+  return versions.size() == 1 ? std::optional(versions.begin()->first) : std::nullopt;
+}
+
 bool VersionHistory::hasSeveral(const std::string& service, MonotonicTime now) const {
   return present(service, now).size() > 1;
 }
--- a/src/stream_versions/version_history.h
+++ b/src/stream_versions/version_history.h
@@ -34,6 +34,10 @@
   /// The only version that the service can have had in the last `life`; empty if it may have had
   /// several, or if this node has not seen enough of the past to know.
   std::optional<SoftwareVersion> onlyVersion(const std::string& service, MonotonicTime now) const;
+  /// The only version that this node has seen of the service in the last `life`, however short a
+  /// part of it that is; empty if there are none or several.
+  std::optional<SoftwareVersion> onlySeenVersion(const std::string& service,
+                                                 MonotonicTime now) const;
   /// Whether the service has had several versions in the last `life`.
   bool hasSeveral(const std::string& service, MonotonicTime now) const;
   /// Whether servers of the version are listed now.
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -64,10 +64,11 @@
     return {version, running};
   }
 
-  Resolution resolve(std::size_t number, StreamKey stream = kStream) {
+  Resolution resolve(std::size_t number, StreamKey stream = kStream, bool attemptNamed = true) {
     std::optional<Resolution> resolution;
     VersionCore& core = *nodes[number].core;
-    core.resolve(stream, kService, [&](const Resolution& found) { resolution = found; });
+    core.resolve(
+        stream, kService, [&](const Resolution& found) { resolution = found; }, attemptNamed);
     for (int step = 0; step < 20 && !resolution; ++step) {
       network.run(Milliseconds(5));
       core.tick();
@@ -205,6 +206,20 @@
   BOOST_TEST(!resolve(0).known());
 }
 
+/// Guards against refusals after all nodes have started again, where servers tell no start and
+/// callers name no attempt: there is no sign of a second version.
+BOOST_AUTO_TEST_CASE(callersThatNameNoAttemptGoOnWhereNoNodeHasSeenASecondVersion) {
+  const ListedVersion untold{kOld, std::nullopt};
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    start(number);
+  }
+  list({untold, untold});
+  BOOST_TEST(!resolve(0).known());
+  BOOST_TEST((resolve(0, kStream, false).version == kOld));
+  list({untold, {kNew, std::nullopt}});
+  BOOST_TEST(!resolve(0, kStream, false).known());
+}
+
 /// Its list may lack a version that other nodes know.
 BOOST_AUTO_TEST_CASE(aNodeWithAnOldListAndNoOtherNodesDoesNotKnow) {
   list({server(kOld)});
