--- a/tests/sim/fault_proxy_test.cc
+++ b/tests/sim/fault_proxy_test.cc
@@ -13,7 +13,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using testing::ConnectionEnd;
 using testing::ScriptedAnswer;
 using testing::ScriptedServer;
 
