forward, http: what a node holds for callers is bounded by settings

Cause: an answer that is not a stream was held whole until its caller took it (up to 64 MB each), and bodies of requests were bounded for each caller alone. Callers that read nothing, or announce long bodies, filled the memory of a node.

Change: an answer beyond held-answer-kb (64) is passed on as it arrives, no faster than its caller reads; if it breaks off, its connection is closed without an end mark and no other server is asked. Bodies of all callers together are bounded by held-requests-mb (32); a request beyond it gets 503 before it is passed on.

--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -61,6 +61,21 @@
   co_return co_await writer_.writeChunk(events);
 }
 
+awaitable<Result<void>> AnswerRelay::beginOpaque(http::Response head) {
+  begun_ = true;
+  opaque_ = true;
+  hasEvents_ = false;
+  co_return co_await writer_.startStream(std::move(head));
+}
+
+awaitable<Result<void>> AnswerRelay::relayOpaque(std::string_view bytes) {
+  if (bytes.empty()) {
+    // An empty chunk would end the body.
+    co_return boost::outcome_v2::success();
+  }
+  co_return co_await writer_.writeChunk(bytes);
+}
+
 awaitable<Result<void>> AnswerRelay::finish() {
   const std::string rest = splitter_.rest();
   if (!rest.empty()) {
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -26,7 +26,8 @@
   /// @param resumeAfter last event that the caller already has.
   AnswerRelay(http::ResponseWriter& writer, std::optional<EventNumber> resumeAfter);
 
-  /// Whether the head of a stream was sent to the caller.
+  /// Whether the head of a stream, or of an answer that is passed on as it arrives, was sent to the
+  /// caller.
   bool begun() const { return begun_; }
   /// The listener is called once, before the first event goes to the caller.
   void onFirstEvent(std::function<void()> listener) { firstEventListener_ = std::move(listener); }
@@ -48,6 +49,12 @@
   /// Relays bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation if the
   /// event numbers don't follow the earlier ones.
   boost::asio::awaitable<Result<void>> relayBytes(std::string_view bytes);
+  /// Starts to pass on the bytes of an answer that is not a stream, under the server's head. If it
+  /// breaks off, no other server can go on with it.
+  boost::asio::awaitable<Result<void>> beginOpaque(http::Response head);
+  boost::asio::awaitable<Result<void>> relayOpaque(std::string_view bytes);
+  /// Whether the answer was begun by beginOpaque().
+  bool opaque() const { return opaque_; }
   /// Whether bytes of an event have arrived without its end; never for an answer that does not
   /// consist of events.
   bool insideEvent() const { return hasEvents_ && !splitter_.rest().empty(); }
@@ -68,6 +75,7 @@
   MonotonicTime lastEventTime_{};
   MonotonicTime::duration longestPause_{0};
   bool begun_ = false;
+  bool opaque_ = false;
   /// Whether the answer consists of events. Bytes of another type of content are passed on to the
   /// last one.
   bool hasEvents_ = true;
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "common/clock.h"
@@ -35,6 +36,8 @@
   double retryFraction = 0.15;
   double retryFloorPerSecond = 0.3;
   double retryFloorBurst = 3;
+  /// Most bytes that are held of an answer that is not a stream; see AttemptBounds.
+  std::size_t maxHeldAnswerBytes = 65'536;
   /// Whether a failed request may go to another server at all.
   bool retries = true;
   /// Whether a request fails over from a server that has not sent the head of its answer, or the
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -29,18 +29,6 @@
          failure == ErrorKind::kOverloaded || failure == ErrorKind::kStreamVersionGone;
 }
 
-/// Error reported to the caller after the last dispatch: it states that the request has not run
-/// only if that holds for all dispatches.
-ErrorKind finalKind(ErrorKind last, const AttemptCount& attempts) {
-  if (attempts.mayHaveRun > 0) {
-    return errorRow(last).run == RunStatement::kNo ? ErrorKind::kOutcomeUnknown : last;
-  }
-  if (last == ErrorKind::kDeadlineExceeded) {
-    return ErrorKind::kOverloaded;
-  }
-  return provesNotRun(last) ? ErrorKind::kNoBackend : last;
-}
-
 }  // namespace
 
 Forwarder::Forwarder(ForwardContext context, ForwardSettings settings, GateSettings gate,
@@ -249,7 +237,7 @@
 }
 
 bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
-  if (!settings_.retries) {
+  if (!settings_.retries || job.relay.opaque()) {
     return false;
   }
   // A server that has just refused the request will most likely refuse it again.
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -419,6 +419,7 @@
   if (bounds.unacknowledgedTimeout > Milliseconds(0)) {
     bounds.unacknowledgedTimeout = std::max(bounds.unacknowledgedTimeout, fromRoundTrip);
   }
+  bounds.maxHeldBytes = settings_.maxHeldAnswerBytes;
   bounds.headTimeout = left;
   bounds.firstEventTimeout = left;
   bounds.eventTimeout = left;
--- a/src/forward/retry_rules.cc
+++ b/src/forward/retry_rules.cc
@@ -42,4 +42,14 @@
                                                              : RetryDecision::kNo;
 }
 
+ErrorKind finalKind(ErrorKind last, const AttemptCount& attempts) {
+  if (attempts.mayHaveRun > 0) {
+    return errorRow(last).run == RunStatement::kNo ? ErrorKind::kOutcomeUnknown : last;
+  }
+  if (last == ErrorKind::kDeadlineExceeded) {
+    return ErrorKind::kOverloaded;
+  }
+  return provesNotRun(last) ? ErrorKind::kNoBackend : last;
+}
+
 }  // namespace calicodrift::forward
--- a/src/forward/retry_rules.h
+++ b/src/forward/retry_rules.h
@@ -31,4 +31,9 @@
 /// so it runs at most once; and no request runs on more servers than its route allows.
 RetryDecision mayRetry(const routes::Route& route, ErrorKind failure, const AttemptCount& attempts);
 
+/// Error reported to the caller after the last dispatch.
+///
+/// Invariant: it states that the request has not run only if that is proven for every dispatch.
+ErrorKind finalKind(ErrorKind last, const AttemptCount& attempts);
+
 }  // namespace calicodrift::forward
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -69,13 +69,15 @@
   if (streaming && status_ == http::kStatusOk) {
     co_return co_await relayEvents(stream, dispatch.server, bounds);
   }
-  co_return co_await relayWhole(stream, dispatch.server, failureUse);
+  co_return co_await relayWhole(stream, dispatch.server, bounds, failureUse);
 }
 
 awaitable<Result<void>> ServerAttempt::relayWhole(http::ResponseStream& stream,
                                                   const fleet::Server& server,
+                                                  const AttemptBounds& bounds,
                                                   FailureUse failureUse) {
   http::Response response = endToEnd(stream.head());
+  const bool keep = response.status >= kFirstServerErrorStatus && failureUse == FailureUse::kKeep;
   while (!bodyEnd_) {
     Result<http::BodyPiece> piece = co_await stream.read();
     if (!piece) {
@@ -84,6 +86,17 @@
     notifyFirstBytes();
     bodyEnd_ = piece.value().end;
     response.body += piece.value().bytes;
+    const bool tooLong = !bodyEnd_ && response.body.size() > bounds.maxHeldBytes;
+    if (tooLong && keep) {
+      co_return fail(ErrorKind::kOutcomeUnknown,
+                     "the server answered with a server error that is too long to be kept");
+    }
+    if (tooLong && relay_.begun()) {
+      break;
+    }
+    if (tooLong) {
+      co_return co_await relayLong(stream, server, std::move(response));
+    }
   }
   if (relay_.begun()) {
     // After the caller has begun to read a stream, no other answer can replace it.
@@ -95,13 +108,40 @@
   if (!whole) {
     co_return whole;
   }
-  if (response.status >= kFirstServerErrorStatus && failureUse == FailureUse::kKeep) {
+  if (keep) {
     keptFailure_ = std::move(response);
     co_return fail(ErrorKind::kOutcomeUnknown, "the server answered with a server error");
   }
   co_return co_await relay_.deliver(std::move(response));
 }
 
+awaitable<Result<void>> ServerAttempt::relayLong(http::ResponseStream& stream,
+                                                 const fleet::Server& server,
+                                                 http::Response begun) {
+  std::string bytes = std::move(begun.body);
+  Result<void> relayed = co_await relay_.beginOpaque(std::move(begun));
+  while (relayed) {
+    relayed = co_await relay_.relayOpaque(bytes);
+    if (!relayed || bodyEnd_) {
+      break;
+    }
+    Result<http::BodyPiece> piece = co_await stream.read();
+    if (!piece) {
+      co_return piece.error();
+    }
+    bodyEnd_ = piece.value().end;
+    bytes = std::move(piece.value().bytes);
+  }
+  if (!relayed) {
+    co_return relayed;
+  }
+  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel());
+  if (!whole) {
+    co_return whole;
+  }
+  co_return co_await relay_.finish();
+}
+
 awaitable<Result<void>> ServerAttempt::relayEvents(http::ResponseStream& stream,
                                                    const fleet::Server& server,
                                                    const AttemptBounds& bounds) {
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <limits>
 #include <memory>
 
 #include "forward/answer_end_check.h"
@@ -19,6 +20,9 @@
   /// Timeouts for the first event of a stream, and between two later ones.
   Milliseconds firstEventTimeout{0};
   Milliseconds eventTimeout{0};
+  /// An answer that is not a stream is held until it is whole, so that another server can still
+  /// give it; a longer one is passed on as it arrives.
+  std::size_t maxHeldBytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Whether a server's own failure, a 5xx answer with proof that it comes from the server, is
@@ -72,7 +76,12 @@
  private:
   boost::asio::awaitable<Result<void>> relayWhole(http::ResponseStream& stream,
                                                   const fleet::Server& server,
+                                                  const AttemptBounds& bounds,
                                                   FailureUse failureUse);
+  /// Passes on an answer that is too long to be held: what has come of it, and the rest as it
+  /// arrives.
+  boost::asio::awaitable<Result<void>> relayLong(http::ResponseStream& stream,
+                                                 const fleet::Server& server, http::Response begun);
   boost::asio::awaitable<Result<void>> relayEvents(http::ResponseStream& stream,
                                                    const fleet::Server& server,
                                                    const AttemptBounds& bounds);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -197,6 +197,15 @@
   return {
       {{"max-connections", "3000", 1, 1'000'000, "count", "open caller connections"},
        &G::maxConnections},
+      {{"held-requests-mb", "32", 1, 1'000'000, "MB",
+        "bodies of requests that are held at a time, of all callers together; a request beyond it "
+        "is "
+        "refused, and has not run"},
+       &G::heldRequestsMb},
+      {{"held-answer-kb", "64", 1, 1'000'000, "KB",
+        "what is held of an answer until it is whole, so that another server can give it; a longer "
+        "one is passed on as it arrives, no faster than its caller reads"},
+       &G::heldAnswerKb},
       {{"write-timeout-ms", "10000", 10, kMinuteMs, "ms", "for a slow caller to take bytes"},
        &G::writeTimeout},
       {{"drain-accept-ms", "0", 0, kMinuteMs, "ms",
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -86,6 +86,10 @@
   Milliseconds drainTimeout{0};
   std::int64_t maxConnections = 0;
   std::int64_t maxTunnels = 0;
+  /// In megabytes.
+  std::int64_t heldRequestsMb = 0;
+  /// In kilobytes.
+  std::int64_t heldAnswerKb = 0;
   Milliseconds writeTimeout{0};
 };
 
--- a/src/gateway/module_settings.cc
+++ b/src/gateway/module_settings.cc
@@ -35,6 +35,8 @@
   forward.learnPrefillRates = mechanisms.learntRates;
   forward.failoverOnSilence = mechanisms.patience;
   forward.retries = mechanisms.retries;
+  constexpr std::size_t kBytesPerKb = 1024;
+  forward.maxHeldAnswerBytes = static_cast<std::size_t>(settings.heldAnswerKb) * kBytesPerKb;
   forward.retryAfter = settings.retryAfter;
   forward.outdatedStartBound = settings.weightsBound;
   forward.retryFraction = static_cast<double>(settings.retryPercent) / kPercent;
@@ -54,6 +56,8 @@
   server.maxBodyBytes = limits.maxBodyBytes;
   server.readTimeout = limits.headerTimeout;
   server.idleTimeout = limits.idleTimeout;
+  constexpr std::size_t kBytesPerMb = 1'048'576;
+  server.maxHeldBodyBytes = static_cast<std::size_t>(settings.heldRequestsMb) * kBytesPerMb;
   server.maxConnections = static_cast<std::size_t>(settings.maxConnections);
   server.writeTimeout = settings.writeTimeout;
   return server;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -138,6 +138,9 @@
 std::size_t Server::busyConnections() const {
   return state_->busy;
 }
+std::size_t Server::heldBodyBytes() const {
+  return state_->heldBodyBytes;
+}
 std::size_t Server::openConnections() const {
   return state_->connections;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -18,6 +18,9 @@
 struct ServerLimits {
   std::size_t maxHeaderBytes = 16'384;
   std::size_t maxBodyBytes = 8'388'608;
+  /// Of the requests that are being read or handled, all connections together. A request beyond it
+  /// is refused.
+  std::size_t maxHeldBodyBytes = 1'073'741'824;
   std::size_t maxConnections = 10000;
   /// For the whole request once its first byte has come.
   Milliseconds readTimeout{30000};
@@ -104,6 +107,8 @@
   /// Connections that are within a request: from its first byte until the answer is delivered.
   std::size_t busyConnections() const;
   std::size_t openConnections() const;
+  /// Bytes of the bodies that are held; see ServerLimits::maxHeldBodyBytes.
+  std::size_t heldBodyBytes() const;
 
  private:
   std::shared_ptr<ServerState> state_;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "http/open_connection.h"
@@ -195,10 +196,11 @@
   RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
   parser.body_limit(limits_.maxBodyBytes);
-  const beast::error_code code = co_await readRequest(parser);
+  HeldBytes held(server_->heldBodyBytes);
+  const beast::error_code code = co_await readRequest(parser, held);
   if (code) {
-    if (!connectionLost(code)) {
-      const Error error = readError(code);
+    if (overBudget_ || !connectionLost(code)) {
+      const Error error = refusalOf(code);
       co_await refuse(error);
       co_await linger();
     }
@@ -232,9 +234,10 @@
   co_return true;
 }
 
-awaitable<beast::error_code> Connection::readRequest(RequestParser& parser) {
+awaitable<beast::error_code> Connection::readRequest(RequestParser& parser, HeldBytes& held) {
   stream_.expires_never();
   timedOut_ = false;
+  overBudget_ = false;
   readTimer_.expires_after(limits_.readTimeout);
   readTimer_.async_wait([self = shared_from_this()](beast::error_code code) {
     if (!code && self->reading_) {
@@ -243,7 +246,7 @@
     }
   });
   reading_ = true;
-  beast::error_code code = co_await readHeaderAndBody(parser);
+  beast::error_code code = co_await readHeaderAndBody(parser, held);
   reading_ = false;
   readTimer_.cancel();
   if (timedOut_) {
@@ -252,7 +255,7 @@
   co_return code;
 }
 
-awaitable<beast::error_code> Connection::readHeaderAndBody(RequestParser& parser) {
+awaitable<beast::error_code> Connection::readHeaderAndBody(RequestParser& parser, HeldBytes& held) {
   auto [headerCode, headerBytes] =
       co_await bhttp::async_read_header(stream_, buffer_, parser, kAwait);
   if (headerCode) {
@@ -266,8 +269,35 @@
       co_return writeCode;
     }
   }
-  auto [bodyCode, bodyBytes] = co_await bhttp::async_read(stream_, buffer_, parser, kAwait);
-  co_return bodyCode;
+  co_return co_await readBody(parser, held);
+}
+
+awaitable<beast::error_code> Connection::readBody(RequestParser& parser, HeldBytes& held) {
+  const std::size_t announced = parser.content_length().value_or(0);
+  for (;;) {
+    const std::size_t bytes = std::max<std::size_t>(announced, parser.get().body().size());
+    if (!held.tryResize(bytes, limits_.maxHeldBodyBytes)) {
+      overBudget_ = true;
+      co_return asio::error::no_buffer_space;
+    }
+    if (parser.is_done()) {
+      co_return beast::error_code();
+    }
+    auto [code, count] = co_await bhttp::async_read_some(stream_, buffer_, parser, kAwait);
+    if (code) {
+      co_return code;
+    }
+  }
+}
+
+Error Connection::refusalOf(beast::error_code code) const {
+  if (!overBudget_) {
+    return readError(code);
+  }
+  Error error = fail(ErrorKind::kOverloaded,
+                     "the bodies of other requests fill the memory that this router has for them");
+  error.reason = "held_bodies";
+  return error;
 }
 
 awaitable<void> Connection::handle(Request& request) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -29,6 +29,8 @@
   /// Connections from a request's first byte until its answer is delivered.
   std::size_t busy = 0;
   std::size_t connections = 0;
+  /// Bodies of requests that are being read or handled.
+  std::size_t heldBodyBytes = 0;
   /// Connections that wait for a request's first byte.
   std::set<Connection*> idle;
   /// Connections close after their next answer.
@@ -48,6 +50,29 @@
   std::size_t& count_;
 };
 
+/// The share of one request in the bytes that are held, for as long as it lives.
+class HeldBytes {
+ public:
+  explicit HeldBytes(std::size_t& total) : total_(total) {}
+  ~HeldBytes() { total_ -= own_; }
+  HeldBytes(const HeldBytes&) = delete;
+  HeldBytes& operator=(const HeldBytes&) = delete;
+  /// Replaces the share unless the total would exceed `most`. Returns whether it did.
+  bool tryResize(std::size_t bytes, std::size_t most) {
+    const std::size_t others = total_ - own_;
+    if (bytes > own_ && others + bytes > most) {
+      return false;
+    }
+    total_ = others + bytes;
+    own_ = bytes;
+    return true;
+  }
+
+ private:
+  std::size_t& total_;
+  std::size_t own_ = 0;
+};
+
 /// One connection: reads requests in turn and runs the handler on each.
 class Connection : public ResponseWriter, public std::enable_shared_from_this<Connection> {
  public:
@@ -84,8 +109,14 @@
   boost::asio::awaitable<bool> waitForFirstByte();
   /// Reads header and body within the read timeout. The timeout stops the reading only, where the
   /// stream's own would close the connection and leave no way to answer.
-  boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser& parser);
-  boost::asio::awaitable<boost::beast::error_code> readHeaderAndBody(RequestParser& parser);
+  boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser& parser,
+                                                               HeldBytes& held);
+  boost::asio::awaitable<boost::beast::error_code> readHeaderAndBody(RequestParser& parser,
+                                                                     HeldBytes& held);
+  /// Ends early, with `overBudget_`, if the server holds too many bytes of bodies.
+  boost::asio::awaitable<boost::beast::error_code> readBody(RequestParser& parser, HeldBytes& held);
+  /// The refusal of a request that was not read.
+  Error refusalOf(boost::beast::error_code code) const;
   boost::asio::awaitable<void> handle(Request& request);
 
   /// Waits until the socket is readable while the handler runs. A wait whose number is outdated
@@ -111,6 +142,7 @@
   std::string internalDetail_;
   bool reading_ = false;
   bool timedOut_ = false;
+  bool overBudget_ = false;
   bool keepAlive_ = true;
   bool headOnly_ = false;
   bool gone_ = false;
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -237,10 +237,15 @@
 
   /// Sends a request and waits for its answer. @return the status that the caller got.
   unsigned call(const std::string& target = "/safe/x") {
+    StatusWriter writer;
+    callWith(writer, target);
+    return writer.status;
+  }
+  /// Sends a request whose answer goes to the writer, and waits for its end.
+  void callWith(http::ResponseWriter& writer, const std::string& target) {
     if (!forwarder) {
       forwarder = std::make_unique<Forwarder>(forwardContext(), settings, GateSettings{}, 1);
     }
-    StatusWriter writer;
     http::Request message;
     message.target = target;
     bool done = false;
@@ -250,7 +255,6 @@
     while (!done && context.run_one_for(std::chrono::seconds(10)) > 0) {
     }
     BOOST_TEST(done);
-    return writer.status;
   }
   ServerCalls& calls() { return serverCalls_; }
   std::size_t sentTo(Track track) const {
