routing: points of a hash ring are merged when they are looked up

Cause: each server that was added to a set of candidates moved half of the ring's points and built its index of n points anew, so that a list of n servers cost n^2 at every node that read it.

Change: HashRing keeps added points apart and merges them with the next lookup; a binary search takes the place of the index.

--- a/src/routing/candidate_set.cc
+++ b/src/routing/candidate_set.cc
@@ -1,7 +1,6 @@
 #include "routing/candidate_set.h"
 
 #include <algorithm>
-#include <bit>
 
 #include "common/hashing.h"
 
@@ -45,9 +44,7 @@
   positions_[candidate.id] = position;
   idHashes_.push_back(hash);
   candidates_.push_back(std::move(candidate));
-  const auto place = static_cast<std::ptrdiff_t>(firstPointFrom(hash));
-  ring_.insert(ring_.begin() + place, {hash, position});
-  rebuildStarts();
+  ring_.add(hash, position);
 }
 
 void CandidateSet::erase(const BackendId& id) {
@@ -60,11 +57,10 @@
   totalRequests_ -= requestsAt(candidates_[position]);
   totalPrefillTokens_ -= prefillTokensAt(candidates_[position]);
   distantCount_ -= candidates_[position].nearby ? 0 : 1;
-  ring_.erase(ring_.begin() + (&ringPointOf(position) - ring_.data()));
-  rebuildStarts();
+  ring_.remove(idHashes_[position], position);
   positions_.erase(found);
   if (position != last) {
-    ringPointOf(last).position = position;
+    ring_.move(idHashes_[last], last, position);
     candidates_[position] = std::move(candidates_[last]);
     idHashes_[position] = idHashes_[last];
     positions_[candidates_[position].id] = position;
@@ -73,37 +69,6 @@
   idHashes_.pop_back();
 }
 
-std::size_t CandidateSet::firstPointFrom(std::uint64_t hash) const {
-  std::size_t point = starts_.empty() ? 0 : starts_[hash >> startsShift_];
-  while (point < ring_.size() && ring_[point].hash < hash) {
-    ++point;
-  }
-  return point;
-}
-
-CandidateSet::RingPoint& CandidateSet::ringPointOf(std::size_t position) {
-  std::size_t point = firstPointFrom(idHashes_[position]);
-  while (ring_[point].position != position) {
-    ++point;
-  }
-  return ring_[point];
-}
-
-void CandidateSet::rebuildStarts() {
-  constexpr unsigned kHashBits = 64;
-  // At least two, because a shift by all bits is undefined.
-  const std::size_t count = std::bit_ceil(std::max<std::size_t>(ring_.size(), 2));
-  startsShift_ = kHashBits - static_cast<unsigned>(std::countr_zero(count));
-  starts_.resize(count);
-  std::size_t point = 0;
-  for (std::size_t upper = 0; upper < count; ++upper) {
-    while (point < ring_.size() && (ring_[point].hash >> startsShift_) < upper) {
-      ++point;
-    }
-    starts_[upper] = static_cast<std::uint32_t>(point);
-  }
-}
-
 std::vector<std::size_t> CandidateSet::inAffinityOrder(std::uint64_t key, std::size_t count) const {
   std::vector<Ranked> ranked = size() <= kSmallSetSize ? rankAll(key) : rankByProbes(key, count);
   const std::size_t wanted = std::min(count, ranked.size());
@@ -166,8 +131,7 @@
   ranked.reserve(count * kProbesPerPosition);
   for (std::size_t probe = 0; probe < count * kProbesPerPosition; ++probe) {
     const std::uint64_t hash = hashPair(key, probe);
-    const std::size_t first = firstPointFrom(hash);
-    const RingPoint& point = ring_[first == ring_.size() ? 0 : first];
+    const HashRing::Point& point = ring_.firstFrom(hash);
     const Ranked found{point.hash - hash, point.position};
     const auto same = std::find_if(ranked.begin(), ranked.end(), [&found](const Ranked& other) {
       return other.position == found.position;
--- a/src/routing/candidate_set.h
+++ b/src/routing/candidate_set.h
@@ -9,6 +9,7 @@
 
 #include "common/clock.h"
 #include "common/ids.h"
+#include "routing/hash_ring.h"
 
 namespace calicodrift::routing {
 
@@ -82,15 +83,13 @@
   /// Whether any candidate is in the router's own region.
   bool anyNearby() const { return distantCount_ < candidates_.size(); }
   bool allNearby() const { return distantCount_ == 0; }
+  /// See HashRing::pointMoves().
+  std::size_t pointMoves() const { return ring_.pointMoves(); }
 
   /// Sets up to this size are ranked or scanned completely.
   static constexpr std::size_t kSmallSetSize = 256;
 
  private:
-  struct RingPoint {
-    std::uint64_t hash = 0;
-    std::size_t position = 0;
-  };
   struct Ranked {
     std::uint64_t order = 0;
     std::size_t position = 0;
@@ -98,21 +97,12 @@
 
   std::vector<Ranked> rankAll(std::uint64_t key) const;
   std::vector<Ranked> rankByProbes(std::uint64_t key, std::size_t count) const;
-  /// Index of the first ring point whose hash is not below `hash`; the size of the ring if there is
-  /// none.
-  std::size_t firstPointFrom(std::uint64_t hash) const;
-  RingPoint& ringPointOf(std::size_t position);
-  void rebuildStarts();
 
   std::vector<Candidate> candidates_;
   std::vector<std::uint64_t> idHashes_;
   std::unordered_map<BackendId, std::size_t> positions_;
-  /// One point per candidate, sorted by hash.
-  std::vector<RingPoint> ring_;
-  /// For each value of the hash's upper bits, the index of its first ring point. Replaces a binary
-  /// search: the hashes are uniform, so about one point shares the same upper bits.
-  std::vector<std::uint32_t> starts_;
-  unsigned startsShift_ = 0;
+  /// One point per candidate.
+  HashRing ring_;
   std::size_t totalRequests_ = 0;
   std::size_t totalPrefillTokens_ = 0;
   /// Number of candidates that are not nearby.
