fleet, weights: periodic work follows the servers in use, not the length of the list

Cause: the report of a node's load, the loads of other nodes, the longest queue, the servers out of reach, announcements of loads and the versions that are listed visited every listed server, 4 to 10 times a second at every node; each change of one server listed the versions of all.

Change: ServerPool keeps the servers that have load, are out of reach or have a load announced; ServerCounts keeps counts by service, version and weights. A run is found by its key.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -6,14 +6,6 @@
 #include "routing/cost.h"
 
 namespace calicodrift::fleet {
-namespace {
-
-/// A single node that cannot reach a server may itself be cut off.
-constexpr std::size_t kMinPeersToDeprioritize = 2;
-/// Slightly longer than the interval between two reports of the other nodes.
-constexpr Milliseconds kPeerSuspicionDuration{600};
-
-}  // namespace
 
 std::string_view toString(ServerLoss loss) {
   switch (loss) {
@@ -47,6 +39,10 @@
     listed.insert(server.id);
     apply(server, now);
   }
+  removeUnlisted(listed);
+}
+
+void ServerPool::removeUnlisted(const std::set<BackendId>& listed) {
   std::vector<BackendId> gone;
   for (const auto& [id, entry] : servers_) {
     if (!listed.contains(id)) {
@@ -63,7 +59,7 @@
   if (entry == nullptr || entry->server.draining) {
     return;
   }
-  entry->server.draining = true;
+  edit(*entry).draining = true;
   refresh(*entry, now);
   listener_(entry->server, ServerLoss::kWithheld);
 }
@@ -75,7 +71,8 @@
   }
   removeFromSets(*entry);
   removeFromIndex(*entry);
-  const Server server = entry->server;
+  removeFromActive(*entry);
+  const Server server = edit(*entry);
   servers_.erase(id);
   listener_(server, ServerLoss::kRemoved);
 }
@@ -97,16 +94,19 @@
   if (entry == nullptr) {
     return;
   }
-  for (LoadedModel& loaded : entry->server.models) {
+  const std::vector<LoadedModel>& models = entry->server.models;
+  const auto outdated = std::find_if(models.begin(), models.end(), [&](const LoadedModel& loaded) {
     // The list lags behind answers, never the reverse.
-    if (loaded.model == model && loaded.weights < weights) {
-      loaded.weights = weights;
-      entry->reloadedAt = now;
-      refresh(*entry, now);
-      listener_(entry->server, ServerLoss::kReloaded);
-      return;
-    }
+    return loaded.model == model && loaded.weights < weights;
+  });
+  if (outdated == models.end()) {
+    return;
   }
+  const auto place = outdated - models.begin();
+  edit(*entry).models[static_cast<std::size_t>(place)].weights = weights;
+  entry->reloadedAt = now;
+  refresh(*entry, now);
+  listener_(entry->server, ServerLoss::kReloaded);
 }
 
 void ServerPool::markUnreachable(const BackendId& id, MonotonicTime now) {
@@ -136,18 +136,6 @@
   pauseExpiries_.emplace(until, entry.server.id);
 }
 
-void ServerPool::announceLoads(const std::map<BackendId, WeightsVersion>& loads,
-                               MonotonicTime now) {
-  for (auto& [id, entry] : servers_) {
-    const auto found = loads.find(id);
-    const WeightsVersion announced = found == loads.end() ? WeightsVersion() : found->second;
-    if (entry.announcedWeights != announced) {
-      entry.announcedWeights = announced;
-      refresh(entry, now);
-    }
-  }
-}
-
 void ServerPool::recordSuccess(const BackendId& id) {
   if (Entry* entry = entryOf(id)) {
     entry->health.requestSucceeded();
@@ -196,9 +184,8 @@
 }
 
 const Server* ServerPool::findRun(ServerKey key) const {
-  const auto found = std::find_if(servers_.begin(), servers_.end(),
-                                  [key](const auto& item) { return item.second.key == key; });
-  return found == servers_.end() ? nullptr : &found->second.server;
+  const Entry* entry = entryOf(key);
+  return entry == nullptr ? nullptr : &entry->server;
 }
 
 std::vector<Server> ServerPool::servers() const {
@@ -216,75 +203,6 @@
   }
 }
 
-std::size_t ServerPool::countIf(const std::function<bool(const Server&)>& predicate) const {
-  std::size_t count = 0;
-  for (const auto& [id, entry] : servers_) {
-    count += predicate(entry.server) ? 1 : 0;
-  }
-  return count;
-}
-
-std::vector<Server> ServerPool::unreachable() const {
-  std::vector<Server> found;
-  for (const auto& [id, entry] : servers_) {
-    if (!entry.health.reachable()) {
-      found.push_back(entry.server);
-    }
-  }
-  return found;
-}
-
-ServiceReach ServerPool::reachOf(std::string_view service) const {
-  ServiceReach reach;
-  for (const auto& [id, entry] : servers_) {
-    if (entry.server.service != service) {
-      continue;
-    }
-    ++reach.listed;
-    if (!entry.health.reachable()) {
-      ++reach.unreachable;
-      reach.unreachableElsewhere += entry.peers.unreachableFrom > 0 ? 1 : 0;
-    }
-  }
-  return reach;
-}
-
-Milliseconds ServerPool::maxQueueWait() const {
-  double longestMs = 0;
-  for (const auto& [id, entry] : servers_) {
-    if (!entry.server.models.empty()) {
-      longestMs = std::max(longestMs, routing::expectedWaitMs(toCandidate(entry)));
-    }
-  }
-  return Milliseconds(static_cast<std::int64_t>(longestMs));
-}
-
-ServerLoads ServerPool::ownLoads() const {
-  ServerLoads loads;
-  for (const auto& [id, entry] : servers_) {
-    loads[entry.key] = {entry.outstanding, entry.outstandingTokens, entry.prefillTokens,
-                        entry.health.reachable() ? std::size_t{0} : std::size_t{1},
-                        awaitsWeights(entry) ? entry.announcedWeights : WeightsVersion()};
-  }
-  return loads;
-}
-
-void ServerPool::setPeerLoads(const ServerLoads& loads, MonotonicTime now) {
-  peerLoadsAt_ = now;
-  for (auto& [id, entry] : servers_) {
-    const auto found = loads.find(entry.key);
-    const ServerLoad peers = found == loads.end() ? ServerLoad{} : found->second;
-    const bool suspected = peers.unreachableFrom >= kMinPeersToDeprioritize;
-    if (suspected) {
-      deprioritize(entry, now + kPeerSuspicionDuration);
-    }
-    if (suspected || peers != entry.peers) {
-      entry.peers = peers;
-      refresh(entry, now);
-    }
-  }
-}
-
 void ServerPool::setMemoryTokens(const std::string& service, std::size_t tokens,
                                  MonotonicTime now) {
   std::size_t& known = memoryTokens_[service];
@@ -339,6 +257,18 @@
   return found == servers_.end() ? nullptr : &found->second;
 }
 
+ServerPool::Entry* ServerPool::entryOf(ServerKey key) const {
+  const auto found = byKey_.find(key);
+  return found == byKey_.end() ? nullptr : found->second;
+}
+
+Server& ServerPool::edit(Entry& entry) {
+  if (std::exchange(entry.counted, false)) {
+    counts_.remove(entry.server);
+  }
+  return entry.server;
+}
+
 bool ServerPool::usable(const Entry& entry) const {
   return !entry.server.draining && entry.health.reachable();
 }
@@ -390,15 +320,21 @@
 }
 
 void ServerPool::updateIndex(Entry& entry) {
-  if (entry.indexedAs == entry.server.endpoint) {
+  if (entry.indexedAs == entry.server.endpoint && entry.indexedKey == entry.key) {
     return;
   }
   removeFromIndex(entry);
   entry.indexedAs = entry.server.endpoint;
   byEndpoint_[entry.server.endpoint] = entry.server.id;
+  entry.indexedKey = entry.key;
+  byKey_[entry.key] = &entry;
 }
 
 void ServerPool::removeFromIndex(Entry& entry) {
+  if (entry.indexedKey) {
+    byKey_.erase(*entry.indexedKey);
+    entry.indexedKey.reset();
+  }
   if (!entry.indexedAs) {
     return;
   }
@@ -410,7 +346,12 @@
 }
 
 void ServerPool::refresh(Entry& entry, MonotonicTime now) {
+  ++visits_;
+  if (!std::exchange(entry.counted, true)) {
+    counts_.add(entry.server);
+  }
   updateIndex(entry);
+  updateActive(entry);
   const bool backedOff = backoffs_.excludedUntil(entry.server.id, now).has_value();
   std::vector<SetKey> keys = backedOff ? std::vector<SetKey>() : eligibleSetKeys(entry);
   if (keys != entry.memberOf) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "fleet/prefill_rate.h"
 #include "fleet/server.h"
 #include "fleet/server_backoffs.h"
+#include "fleet/server_counts.h"
 #include "fleet/server_load.h"
 #include "fleet/track.h"
 #include "routing/candidate_set.h"
@@ -75,6 +77,10 @@
 /// What a server announces in its answers takes precedence over the list and outlives its entry:
 /// that its run is leaving (recordLeaving()) and that it asks for backoff (recordBackoff()).
 ///
+/// Periodic calls visit only the servers that have load, are unreachable or have a load of weights
+/// announced; a change of one server visits that server. Calls that visit every listed server say
+/// so.
+///
 /// Invariant: a server that is draining or leaving, in backoff, not listed, below the minimum
 /// allowed weights or of a version that must get no requests is in no set. It holds because every
 /// change of a server ends in refresh().
@@ -92,6 +98,8 @@
   /// @param withheld servers that are listed too, but whose entries are unusable: see withhold().
   void applyListing(const std::vector<Server>& servers, MonotonicTime now,
                     const std::set<BackendId>& withheld = {});
+  /// Removes the servers that are not in the set.
+  void removeUnlisted(const std::set<BackendId>& listed);
   /// Adds or updates one server. An entry without a start, where one is known, comes from another
   /// writer: the server gets no new work until an entry with a start arrives.
   void apply(const Server& server, MonotonicTime now);
@@ -176,7 +184,10 @@
                    const SoftwareVersion& candidate, MonotonicTime now);
   /// Number of servers that are listed and not draining, by service and version.
   std::map<std::string, std::map<SoftwareVersion, std::size_t>> listedVersions() const;
+  /// Counts of the listed servers.
+  const ServerCounts& counts() const { return counts_; }
   /// Number of servers of the version that are listed, reachable and neither draining nor ejected.
+  /// Visits every listed server.
   std::size_t countUsable(const std::string& service, const SoftwareVersion& version,
                           MonotonicTime now) const;
   /// Requests in flight on servers of the version, from this node and, as reported, from others.
@@ -198,15 +209,17 @@
   std::vector<Server> servers() const;
   /// Calls the visitor for each listed server, those that are draining included.
   void visit(const std::function<void(const Server&)>& visitor) const;
-  /// Number of listed servers that satisfy `predicate`; does not copy the list.
-  std::size_t countIf(const std::function<bool(const Server&)>& predicate) const;
   std::vector<Server> unreachable() const;
   /// Longest expected queueing time of a request at any model server, given the known load of all
   /// nodes.
   Milliseconds maxQueueWait() const;
   std::size_t size() const { return servers_.size(); }
+  /// Number of servers that periodic calls and changes have visited so far; a measure of their
+  /// cost.
+  std::size_t visits() const { return visits_; }
 
-  /// Load of this node on each server, and which servers it cannot reach.
+  /// Load of this node on the servers, and which of them it cannot reach. Servers without either
+  /// are left out.
   ServerLoads ownLoads() const;
   /// Sets the load of the other nodes. A server that several of them cannot reach is deprioritized
   /// for a time.
@@ -282,9 +295,18 @@
     std::vector<SetKey> memberOf;
     /// Address under which byEndpoint_ lists the server.
     std::optional<Endpoint> indexedAs;
+    /// Key under which byKey_ lists the server.
+    std::optional<ServerKey> indexedKey;
+    /// Whether `counts_` contains the server with its current fields.
+    bool counted = false;
+    /// Whether `active_` contains the server.
+    bool active = false;
   };
 
   Entry* entryOf(const BackendId& id);
+  Entry* entryOf(ServerKey key) const;
+  /// The server's fields, for a change that ends in refresh().
+  Server& edit(Entry& entry);
   /// Null if the load belongs to another run than the known one.
   Entry* entryOf(const BackendId& id, const DispatchLoad& load);
   /// Initializes the entry of a new server or of a later run.
@@ -306,6 +328,10 @@
   void removeFromSets(Entry& entry);
   void updateIndex(Entry& entry);
   void removeFromIndex(Entry& entry);
+  /// Updates `active_` to match the entry.
+  void updateActive(Entry& entry);
+  void removeFromActive(Entry& entry);
+  void applyPeerLoad(Entry& entry, const ServerLoad& load, MonotonicTime now);
   /// Takes effect with the next refresh().
   void deprioritize(Entry& entry, MonotonicTime until);
   /// Refreshes the servers whose pause, ejection or backoff has ended by now.
@@ -320,6 +346,12 @@
   std::shared_ptr<ServerPool*> self_ = std::make_shared<ServerPool*>(this);
   std::optional<MonotonicTime> peerLoadsAt_;
   std::map<BackendId, Entry> servers_;
+  ServerCounts counts_;
+  std::unordered_map<ServerKey, Entry*> byKey_;
+  /// Servers with load of any node, that this node cannot reach, or that have a load of weights
+  /// announced.
+  std::map<BackendId, Entry*> active_;
+  mutable std::size_t visits_ = 0;
   /// An address that was given to another server belongs to the one that was listed last.
   std::map<Endpoint, BackendId> byEndpoint_;
   LeavingServers leaving_;
--- a/src/fleet/server_pool_notices.cc
+++ b/src/fleet/server_pool_notices.cc
@@ -11,13 +11,11 @@
   if (!leaving_.add(run)) {
     return false;
   }
-  const auto found = std::find_if(servers_.begin(), servers_.end(),
-                                  [run](const auto& item) { return item.second.key == run; });
-  if (found != servers_.end() && !found->second.server.draining) {
-    Entry& entry = found->second;
-    entry.server.draining = true;
-    refresh(entry, now);
-    listener_(entry.server, ServerLoss::kDraining);
+  Entry* entry = entryOf(run);
+  if (entry != nullptr && !entry->server.draining) {
+    edit(*entry).draining = true;
+    refresh(*entry, now);
+    listener_(entry->server, ServerLoss::kDraining);
   }
   return true;
 }
--- a/src/fleet/server_pool_runs.cc
+++ b/src/fleet/server_pool_runs.cc
@@ -24,7 +24,7 @@
       return;
     case RunOrder::kUnknown:
       if (!entry.server.draining) {
-        entry.server.draining = true;
+        edit(entry).draining = true;
         refresh(entry, now);
         listener_(entry.server, ServerLoss::kUnplaced);
       }
@@ -53,7 +53,7 @@
   // A listed server is assumed to be reachable until a probe or a connect fails.
   entry.health.probeSucceeded(now);
   entry.warmUntil = now + server.warmUp;
-  entry.server = server;
+  edit(entry) = server;
   entry.key = keyOf(server);
   entry.server.draining = server.draining || leaving_.contains(entry.key);
   entry.track = trackOf(server);
@@ -70,6 +70,9 @@
                                                            entry.outstanding};
   }
   removeFromSets(entry);
+  removeFromIndex(entry);
+  removeFromActive(entry);
+  edit(entry);
   entry = Entry(prefillTokensPerMs_);
   beginRun(entry, later, now);
   listener_(earlier, ServerLoss::kRestarted);
@@ -79,7 +82,7 @@
   const bool draining = server.draining || leaving_.contains(entry.key);
   const bool startsDraining = draining && !entry.server.draining;
   const bool reloaded = entry.server.models != server.models;
-  entry.server = server;
+  edit(entry) = server;
   entry.server.draining = draining;
   entry.track = trackOf(server);
   if (distances_ != nullptr) {
--- a/src/fleet/server_pool_versions.cc
+++ b/src/fleet/server_pool_versions.cc
@@ -97,9 +97,11 @@
 
 std::map<std::string, std::map<SoftwareVersion, std::size_t>> ServerPool::listedVersions() const {
   std::map<std::string, std::map<SoftwareVersion, std::size_t>> listed;
-  for (const auto& [id, entry] : servers_) {
-    if (!entry.server.draining) {
-      ++listed[entry.server.service][entry.server.version];
+  for (const auto& [service, versions] : counts_.versions()) {
+    for (const auto& [version, servers] : versions) {
+      if (servers.serving > 0) {
+        listed[service][version] = servers.serving;
+      }
     }
   }
   return listed;
@@ -118,9 +120,9 @@
 std::size_t ServerPool::countInFlight(const std::string& service,
                                       const SoftwareVersion& version) const {
   std::size_t requests = 0;
-  for (const auto& [id, entry] : servers_) {
-    if (entry.server.service == service && entry.server.version == version) {
-      requests += entry.outstanding + entry.peers.requests;
+  for (const auto& [id, entry] : active_) {
+    if (entry->server.service == service && entry->server.version == version) {
+      requests += entry->outstanding + entry->peers.requests;
     }
   }
   for (const auto& [run, earlier] : replacedRuns_) {
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -334,13 +334,15 @@
 stream_versions::VersionListing GatewayNode::versionListing() const {
   const auto now = std::chrono::duration_cast<Milliseconds>(wallNow().time_since_epoch());
   stream_versions::VersionListing listing;
-  pool_.visit([&](const fleet::Server& server) {
-    stream_versions::ListedVersion listed{server.version, std::nullopt};
-    if (server.started) {
-      listed.running = now - Milliseconds(server.started->value());
+  for (const auto& [service, versions] : pool_.counts().versions()) {
+    for (const auto& [version, servers] : versions) {
+      stream_versions::ListedVersion listed{version, std::nullopt};
+      if (servers.earliestStart) {
+        listed.running = now - Milliseconds(servers.earliestStart->value());
+      }
+      listing[service].push_back(std::move(listed));
     }
-    listing[server.service].push_back(std::move(listed));
-  });
+  }
   return listing;
 }
 
--- a/src/stream_versions/version_history.h
+++ b/src/stream_versions/version_history.h
@@ -11,14 +11,15 @@
 
 namespace calicodrift::stream_versions {
 
-/// A listed server, as far as its version is concerned.
+/// A software version of which servers are listed.
 struct ListedVersion {
   SoftwareVersion version;
-  /// How long its process has run; empty if the list does not tell.
+  /// How long the longest-running of them has run; empty if the list does not tell.
   std::optional<Milliseconds> running;
 };
 
-/// Servers of each service, including those that are draining: they still serve streams.
+/// Versions of each service, including those whose servers are all draining: they still serve
+/// streams.
 using VersionListing = std::map<std::string, std::vector<ListedVersion>>;
 
 /// Which versions each service has had lately. Does no I/O; callers pass the time.
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -117,7 +117,11 @@
 }
 
 bool WeightsLoader::hasOutdatedServers() const {
-  return pool_.countIf([this](const fleet::Server& server) { return isOutdated(server); }) > 0;
+  const std::vector<ModelId> models = targets_.models();
+  return std::any_of(models.begin(), models.end(), [this](const ModelId& model) {
+    const auto newest = targets_.newest(model);
+    return newest && pool_.counts().anyBelow(model, *newest);
+  });
 }
 
 awaitable<void> WeightsLoader::run() {
@@ -222,10 +226,8 @@
 }
 
 std::int64_t WeightsLoader::maxConcurrentLoads() const {
-  const std::size_t servers =
-      pool_.countIf([](const fleet::Server& server) { return !server.models.empty(); });
-  return std::max(settings_.maxConcurrentLoads,
-                  static_cast<std::int64_t>(servers) / settings_.serversPerLoad);
+  const auto servers = static_cast<std::int64_t>(pool_.counts().withModels());
+  return std::max(settings_.maxConcurrentLoads, servers / settings_.serversPerLoad);
 }
 
 bool WeightsLoader::expired(const fleet::Server& server) const {
@@ -243,13 +245,13 @@
     unreachable.insert(server.id);
   }
   const Milliseconds settle = settleTime();
-  std::vector<fleet::Server> servers;
-  for (fleet::Server& server : pool_.servers()) {
-    const bool atRest = pool_.backoffs().excludedUntil(server.id, now).has_value();
-    if (!atRest && !rounds_.isOrdered(server.id) && isDue(server, at, settle)) {
-      servers.push_back(std::move(server));
+  std::vector<const fleet::Server*> servers;
+  pool_.visit([&](const fleet::Server& server) {
+    const bool due = isDue(server, at, settle) && !rounds_.isOrdered(server.id);
+    if (due && !pool_.backoffs().excludedUntil(server.id, now)) {
+      servers.push_back(&server);
     }
-  }
+  });
   // Servers with the oldest weights come first: a server with an intermediate version may wait
   // while others are older. Servers that are unreachable or whose reports are unusable come last.
   const auto rank = [this, &unreachable](const fleet::Server& server) {
@@ -258,13 +260,13 @@
     return std::pair(deprioritized, oldestWeights(server));
   };
   std::stable_sort(servers.begin(), servers.end(),
-                   [&rank](const fleet::Server& left, const fleet::Server& right) {
-                     return rank(left) < rank(right);
+                   [&rank](const fleet::Server* left, const fleet::Server* right) {
+                     return rank(*left) < rank(*right);
                    });
   std::vector<DueServer> dueServers;
   dueServers.reserve(servers.size());
-  for (const fleet::Server& server : servers) {
-    dueServers.push_back({server.id, expired(server), isDue(server, now, settle)});
+  for (const fleet::Server* server : servers) {
+    dueServers.push_back({server->id, expired(*server), isDue(*server, now, settle)});
   }
   return dueServers;
 }
