gateway: one copy of each server's entry less, and long listings are applied in steps

Cause: ServerEntries kept a copy of each server beside the pool's; servers that were removed were remembered for as long as the process lived; a listing was read and applied without a break, which takes a small machine seconds with 10,000 servers.

Change: entries whose service is not configured are kept, the others are in the pool. A listing is applied 32 servers at a time, and its state counts as proven when all of it is.

--- a/src/gateway/entries_after_return.cc
+++ b/src/gateway/entries_after_return.cc
@@ -1,11 +1,12 @@
 #include "gateway/entries_after_return.h"
 
+#include <algorithm>
+
 namespace calicodrift::gateway {
 
 void EntriesAfterReturn::onReturn(const store::Listing& listing, const KnownServers& known,
                                   MonotonicTime now) {
-  std::erase_if(removed_,
-                [now](const auto& entry) { return now - entry.second > kRemovedRetention; });
+  forgetRemoved(now);
   outdated_.clear();
   std::set<BackendId> listed;
   for (const store::Object& object : listing.objects) {
@@ -28,6 +29,15 @@
 void EntriesAfterReturn::onRemoved(const BackendId& id, MonotonicTime now) {
   onWritten(id);
   removed_[id] = now;
+  if (removed_.size() >= forgetAt_) {
+    forgetRemoved(now);
+    forgetAt_ = std::max(kMinForgetAt, 2 * removed_.size());
+  }
+}
+
+void EntriesAfterReturn::forgetRemoved(MonotonicTime now) {
+  std::erase_if(removed_,
+                [now](const auto& entry) { return now - entry.second > kRemovedRetention; });
 }
 
 void EntriesAfterReturn::onWritten(const BackendId& id) {
--- a/src/gateway/entries_after_return.h
+++ b/src/gateway/entries_after_return.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,11 +53,18 @@
   static constexpr Milliseconds kMissingGrace{2000};
   /// Longer than a copy is old.
   static constexpr Milliseconds kRemovedRetention{120'000};
+  /// Number of removed servers that are remembered.
+  std::size_t removedCount() const { return removed_.size(); }
 
  private:
+  void forgetRemoved(MonotonicTime now);
+
   /// Of the last listing; nothing before the first one.
   std::optional<store::Era> era_;
   std::map<BackendId, MonotonicTime> removed_;
+  /// Size of `removed_` at which those that need not be remembered any more are looked for.
+  std::size_t forgetAt_ = kMinForgetAt;
+  static constexpr std::size_t kMinForgetAt = 256;
   /// Outdated entries with their revision in the copy.
   std::map<BackendId, store::Revision> outdated_;
   KnownServers missing_;
--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -9,38 +9,65 @@
 namespace calicodrift::gateway {
 
 void ServerEntries::applyListing(const store::Listing& listing, MonotonicTime now) {
+  beginListing(listing, now);
+  for (const store::Object& object : listing.objects) {
+    applyListed(object, now);
+  }
+  endListing(listing.revision, now);
+}
+
+void ServerEntries::beginListing(const store::Listing& listing, MonotonicTime now) {
   unreadable_.keepListed(schema_.serverKind(), listing);
   if (afterReturn_.isReturn(listing)) {
-    afterReturn_.onReturn(listing, readable_, now);
+    onReturn(listing, now);
   }
   afterReturn_.onListing(listing);
-  readable_.clear();
-  std::vector<fleet::Server> servers;
-  std::set<BackendId> withheld;
-  for (const store::Object& object : listing.objects) {
-    std::optional<fleet::Server> server;
-    if (!afterReturn_.isOutdated(object)) {
-      server = usable(object);
-    }
-    if (server) {
-      servers.push_back(std::move(*server));
-    } else {
-      withheld.insert(BackendId(object.name));
-    }
+  unnamed_.clear();
+  unreadableServers_.clear();
+  listed_.clear();
+  withheld_ = 0;
+}
+
+void ServerEntries::applyListed(const store::Object& object, MonotonicTime now) {
+  const BackendId id(object.name);
+  listed_.insert(id);
+  std::optional<fleet::Server> server;
+  if (!afterReturn_.isOutdated(object)) {
+    server = usable(object);
+  }
+  if (server) {
+    pool_.apply(*server, now);
+  } else {
+    ++withheld_;
+    pool_.withhold(id, now);
   }
-  keepMissing(servers);
-  pool_.applyListing(servers, now, withheld);
+}
+
+void ServerEntries::endListing(store::Revision revision, MonotonicTime now) {
+  const std::size_t used = listed_.size() - withheld_;
+  keepMissing(now);
+  pool_.removeUnlisted(listed_);
+  listed_.clear();
   log::write(log::Level::kInfo, "servers_listed",
-             {{"count", std::to_string(servers.size())},
-              {"withheld", std::to_string(withheld.size())},
-              {"revision", store::toString(listing.revision)}});
+             {{"count", std::to_string(used)},
+              {"withheld", std::to_string(withheld_)},
+              {"revision", store::toString(revision)}});
+}
+
+void ServerEntries::onReturn(const store::Listing& listing, MonotonicTime now) {
+  EntriesAfterReturn::KnownServers known = unnamed_;
+  pool_.visit([this, &known](const fleet::Server& server) {
+    if (!unreadableServers_.contains(server.id)) {
+      known.try_emplace(server.id, Entry{server, store::Revision()});
+    }
+  });
+  afterReturn_.onReturn(listing, known, now);
 }
 
-void ServerEntries::keepMissing(std::vector<fleet::Server>& servers) {
+void ServerEntries::keepMissing(MonotonicTime now) {
   for (const auto& [id, known] : afterReturn_.missing()) {
-    if (!readable_.contains(id)) {
-      readable_[id] = known;
-      servers.push_back(known.server);
+    if (listed_.insert(id).second) {
+      pool_.apply(known.server, now);
     }
   }
 }
@@ -48,14 +75,16 @@
 void ServerEntries::removeExpired(MonotonicTime now) {
   for (const BackendId& id : afterReturn_.takeExpired(now)) {
     log::write(log::Level::kInfo, "server_not_back", {{"server", id.value()}});
-    readable_.erase(id);
+    unnamed_.erase(id);
+    unreadableServers_.erase(id);
     pool_.remove(id);
   }
 }
 
 void ServerEntries::applyChange(const store::Change& change, MonotonicTime now) {
   const BackendId id(change.object.name);
-  readable_.erase(id);
+  unnamed_.erase(id);
+  unreadableServers_.erase(id);
   if (change.removed) {
     afterReturn_.onRemoved(id, now);
     unreadable_.clear(schema_.serverKind(), change.object.name);
@@ -84,48 +113,60 @@
   if (before == services_) {
     return;
   }
-  for (const auto& [id, entry] : readable_) {
-    const bool wasNamed = !before || before->contains(entry.server.service);
-    const bool named = isNamed(entry.server.service);
-    if (wasNamed && !named) {
-      noteUnnamed(id, entry);
-      pool_.withhold(id, now);
-    } else if (!wasNamed && named) {
-      unreadable_.clear(schema_.serverKind(), id.value());
-      logChange(entry.server, entry.revision);
-      pool_.apply(entry.server, now);
+  std::vector<Entry> nowNamed;
+  for (const auto& [id, entry] : unnamed_) {
+    if (isNamed(entry.server.service)) {
+      nowNamed.push_back(entry);
     }
   }
+  std::vector<Entry> nowUnnamed;
+  pool_.visit([&](const fleet::Server& server) {
+    const bool setAsideBefore =
+        unnamed_.contains(server.id) || unreadableServers_.contains(server.id);
+    if (!setAsideBefore && !isNamed(server.service)) {
+      nowUnnamed.push_back({server, store::Revision()});
+    }
+  });
+  for (Entry& entry : nowUnnamed) {
+    pool_.withhold(entry.server.id, now);
+    setAside(std::move(entry));
+  }
+  for (const Entry& entry : nowNamed) {
+    unnamed_.erase(entry.server.id);
+    unreadable_.clear(schema_.serverKind(), entry.server.id.value());
+    logChange(entry.server, entry.revision);
+    pool_.apply(entry.server, now);
+  }
 }
 
 std::optional<fleet::Server> ServerEntries::usable(const store::Object& object) {
-  const Result<fleet::Server> server = schema_.readServer(object);
+  Result<fleet::Server> server = schema_.readServer(object);
   if (!server) {
     unreadable_.note(schema_.serverKind(), object, server.error());
+    unreadableServers_.insert(BackendId(object.name));
     return std::nullopt;
   }
-  const Entry& entry =
-      readable_.insert_or_assign(server.value().id, Entry{server.value(), object.revision})
-          .first->second;
-  if (!isNamed(entry.server.service)) {
-    noteUnnamed(server.value().id, entry);
+  if (!isNamed(server.value().service)) {
+    setAside({std::move(server.value()), object.revision});
     return std::nullopt;
   }
   unreadable_.clear(schema_.serverKind(), object.name);
-  return entry.server;
+  return std::move(server.value());
 }
 
 bool ServerEntries::isNamed(const std::string& service) const {
   return !services_ || services_->contains(service);
 }
 
-void ServerEntries::noteUnnamed(const BackendId& id, const Entry& entry) {
+void ServerEntries::setAside(Entry entry) {
   store::Object object;
-  object.name = id.value();
+  object.name = entry.server.id.value();
   object.revision = entry.revision;
   unreadable_.note(schema_.serverKind(), object,
                    store::unreadable(store::kUnknownService,
                                      "no service '" + entry.server.service + "' is configured"));
+  const BackendId id = entry.server.id;
+  unnamed_.insert_or_assign(id, std::move(entry));
 }
 
 void ServerEntries::logChange(const fleet::Server& server, store::Revision revision) const {
--- a/src/gateway/server_entries.h
+++ b/src/gateway/server_entries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +29,11 @@
 
   /// Replaces all entries.
   void applyListing(const store::Listing& listing, MonotonicTime now);
+  /// The steps of applyListing(), between which configurations may be applied, but no changes:
+  /// beginListing(), applyListed() for each object, endListing().
+  void beginListing(const store::Listing& listing, MonotonicTime now);
+  void applyListed(const store::Object& object, MonotonicTime now);
+  void endListing(store::Revision revision, MonotonicTime now);
   void applyChange(const store::Change& change, MonotonicTime now);
   /// Removes servers that a copy of the store lacked and that are not back in time.
   void removeExpired(MonotonicTime now);
@@ -38,21 +44,29 @@
   /// An entry that could be read.
   using Entry = EntriesAfterReturn::Known;
 
-  /// Adds the servers that a copy lacks and that may be back.
-  void keepMissing(std::vector<fleet::Server>& servers);
-  /// Nothing, and tells why, where the entry can't be used.
+  /// Prepares for the first listing of a store that has returned from a copy.
+  void onReturn(const store::Listing& listing, MonotonicTime now);
+  /// Keeps the servers that a copy lacks and that may be back.
+  void keepMissing(MonotonicTime now);
+  /// The server of the entry; empty, and logged, if the entry cannot be used.
   std::optional<fleet::Server> usable(const store::Object& object);
   bool isNamed(const std::string& service) const;
-  void noteUnnamed(const BackendId& id, const Entry& entry);
+  /// Records that the entry's service is not configured.
+  void setAside(Entry entry);
   void logChange(const fleet::Server& server, store::Revision revision) const;
 
   const StoreSchema& schema_;
   fleet::ServerPool& pool_;
   UnreadableObjects& unreadable_;
-  /// Nothing before the first configuration.
+  /// Empty before the first configuration.
   std::optional<std::set<std::string>> services_;
-  /// The newest entries, as far as they can be read.
-  std::map<BackendId, Entry> readable_;
+  /// Readable entries whose service is not configured. The others are in the pool only.
+  std::map<BackendId, Entry> unnamed_;
+  /// Servers in the pool whose newest entry cannot be read.
+  std::set<BackendId> unreadableServers_;
+  /// Of the listing that is being applied.
+  std::set<BackendId> listed_;
+  std::size_t withheld_ = 0;
   EntriesAfterReturn afterReturn_;
 };
 
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -21,6 +21,8 @@
 /// A naming that was heard so long after it was made is taken for one that was heard at once: what
 /// is left of the half second between the end of the wait term and the bound takes the recall.
 constexpr Milliseconds kHearing{400};
+/// Servers of a listing that are applied without a break; a few milliseconds on a slow machine.
+constexpr std::size_t kServersPerStep = 32;
 /// Between two looks at how long the queues are, which move the end of terms.
 constexpr Milliseconds kLookInterval{250};
 
@@ -87,10 +89,7 @@
 
 store::KindListener StoreViews::serverListener() {
   store::KindListener listener;
-  listener.onListing = [this](const store::Listing& listing) {
-    servers_.applyListing(listing, monotonicNow());
-    listeners_.onServers();
-  };
+  listener.onLongListing = [this](const store::Listing& listing) { return applyServers(listing); };
   listener.onChanges = [this](const store::ChangeBatch& batch) {
     for (const store::Change& change : batch.changes) {
       servers_.applyChange(change, monotonicNow());
@@ -140,9 +139,23 @@
 store::KindWatcherSettings StoreViews::serverWatcherSettings() const {
   store::KindWatcherSettings watcher = watcherSettings(schema_.serverKind(), settings_.serverWatch);
   watcher.changePause = settings_.serverChangePause;
+  watcher.takesSpecTexts = true;
   return watcher;
 }
 
+awaitable<void> StoreViews::applyServers(const store::Listing& listing) {
+  servers_.beginListing(listing, monotonicNow());
+  std::size_t applied = 0;
+  for (const store::Object& object : listing.objects) {
+    servers_.applyListed(object, monotonicNow());
+    if (++applied % kServersPerStep == 0) {
+      co_await asio::post(executor_, asio::use_awaitable);
+    }
+  }
+  servers_.endListing(listing.revision, monotonicNow());
+  listeners_.onServers();
+}
+
 void StoreViews::applyConfiguration(const store::Object& object) {
   if (!schema_.isConfiguration(object)) {
     return;
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -72,6 +72,8 @@
   store::KindWatcherSettings watcherSettings(std::string kind, Milliseconds wait) const;
   store::KindWatcherSettings configWatcherSettings() const;
   store::KindWatcherSettings serverWatcherSettings() const;
+  /// Applies a listing of servers in steps, so that a long one does not hold up other work.
+  boost::asio::awaitable<void> applyServers(const store::Listing& listing);
   store::KindListener configListener();
   store::KindListener serverListener();
   store::KindListener weightsListener();
--- a/src/store/kind_watcher.cc
+++ b/src/store/kind_watcher.cc
@@ -73,12 +73,21 @@
   if (listing.value().revision < revision_) {
     co_return fail(ErrorKind::kStoreUnavailable, "the listing is older than the known state");
   }
+  for (Object& object : listing.value().objects) {
+    parseSpec(object);
+  }
   revision_ = listing.value().revision;
   needsListing_ = false;
+  const MonotonicTime provenAt = std::max(provenAt_, asked + listing.value().provenAfterAsked);
+  if (listener_.onLongListing) {
+    // The listener's state counts as proven only when all of the listing is in it.
+    co_await listener_.onLongListing(listing.value());
+  }
   synchronized_ = true;
-  previousProvenAt_ = provenAt_;
-  provenAt_ = std::max(provenAt_, asked + listing.value().provenAfterAsked);
-  listener_.onListing(listing.value());
+  previousProvenAt_ = std::exchange(provenAt_, provenAt);
+  if (!listener_.onLongListing) {
+    listener_.onListing(listing.value());
+  }
   co_return boost::outcome_v2::success();
 }
 
@@ -97,6 +106,9 @@
   revision_ = std::max(revision_, batch.value().revision);
   previousProvenAt_ = provenAt_;
   provenAt_ = std::max(provenAt_, store::provenAt(batch.value(), asked, wait, monotonicNow()));
+  for (Change& change : batch.value().changes) {
+    parseSpec(change.object);
+  }
   if (!batch.value().changes.empty()) {
     listener_.onChanges(batch.value());
     pause_ = settings_.changePause;
@@ -104,6 +116,12 @@
   co_return boost::outcome_v2::success();
 }
 
+void KindWatcher::parseSpec(Object& object) const {
+  if (!settings_.takesSpecTexts && object.specText && !hasLargeSpec(object)) {
+    object = parsed(object);
+  }
+}
+
 Milliseconds KindWatcher::nextWait(MonotonicTime now) const {
   if (proofRequested_) {
     return std::min(kProofWait, settings_.wait);
--- a/src/store/kind_watcher.h
+++ b/src/store/kind_watcher.h
@@ -27,6 +27,8 @@
   /// Delay after repeated answers that cannot be decoded. A retry is unlikely to succeed before the
   /// content of the store changes, and each listing costs its whole size.
   Milliseconds unreadablePause{2000};
+  /// Whether the listener takes small specs as texts. Large ones are always passed on as texts.
+  bool takesSpecTexts = false;
   std::uint64_t seed = 0;
 };
 
@@ -37,6 +39,9 @@
   std::function<void(const ChangeBatch&)> onChanges;
   /// Called when the store is lost or regained; for logging.
   std::function<void(bool reachable, const std::string& cause)> onReachable;
+  /// If set, used instead of onListing: applies a long listing in steps between which others run.
+  /// The listing outlives the call, and nothing is read until it has ended.
+  std::function<boost::asio::awaitable<void>(const Listing&)> onLongListing = {};
 };
 
 /// Keeps a view of one kind up to date: a listing, then watches, and another listing if the store
@@ -71,6 +76,8 @@
   boost::asio::awaitable<Result<void>> watch();
   Milliseconds nextWait(MonotonicTime now) const;
   Milliseconds backoffAfterFailure(const Error& error);
+  /// Parses the small specs, unless the listener takes them as texts.
+  void parseSpec(Object& object) const;
   void reportReachability(bool reachable, const std::string& cause);
 
   boost::asio::any_io_executor executor_;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -26,16 +26,20 @@
   bool deleting = false;
   /// Null if the spec is in `specText`.
   boost::json::value spec;
-  /// The JSON of a large spec as the store sent it, so that nodes which only pass it on don't parse
-  /// it; null for others. parsed() reads it.
+  /// The JSON of the spec as it was received, so that nodes which only pass it on don't parse it;
+  /// null if the spec is in `spec`. Large specs always come as texts. parsed() reads it.
   std::shared_ptr<const std::string> specText;
   /// Status that the system reports for an object owned by the operator; null if none was written.
   boost::json::value status;
 };
 
-/// Length in bytes from which a spec is kept as its text.
+/// Length in bytes from which a spec is large.
 inline constexpr std::size_t kLargeSpecBytes = 16'384;
 
+inline bool hasLargeSpec(const Object& object) {
+  return object.specText && object.specText->size() >= kLargeSpecBytes;
+}
+
 /// The object with its spec as a value; null if a text is not JSON.
 Object parsed(const Object& object);
 
