relay: nodes that can carry many others stand near the roots

Cause: roots and the nodes below them were whoever came first. In a fleet of 50 machines with 200 Mbit/s and 935 with 20 most of the tree near the roots is made of small machines, and a listing passes slow links several times.

Change: a node tells how many children it can have (a field behind the others, which earlier builds ignore). A full node gives the place of a child with fewer to one that can have more; it names those with the most first; a root makes the strongest child the second one; a node that looks for a place asks all that were named before their children. Where all start for the first time (setting first-start), nodes with few places leave the roots' places to others for up to 200 ms.

--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -44,6 +44,11 @@
       {{"relay-max-followers", "0", 0, 1000, "count",
         "nodes that read the store through this one; 0: from link-mbps"},
        &G::relayMaxFollowers},
+      {{"first-start", "false", 0, 0, "",
+        "whether all nodes of the fleet start for the first time; those with few "
+        "relay-max-followers "
+        "then leave it to others to be the first to read the store"},
+       &G::firstStart},
       {{"relay-proof-age-ms", "1000", 10, kMinuteMs, "ms",
         "a root that has not heard from the store for so long looks for another one, and so do its "
         "children"},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -32,6 +32,8 @@
   std::vector<std::string> zoneRegions;
   Milliseconds regionWay{0};
   std::int64_t relayMaxFollowers = 0;
+  /// Whether all nodes of the fleet start for the first time.
+  bool firstStart = false;
   Milliseconds relayProofAge{0};
   /// Mechanisms that are off, by name; and the same as switches.
   std::vector<std::string> without;
--- a/src/gateway/module_settings.cc
+++ b/src/gateway/module_settings.cc
@@ -1,9 +1,22 @@
 #include "gateway/module_settings.h"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 
 namespace calicodrift::gateway {
+namespace {
+
+/// Nodes with fewer followers start to look for a root later, up to kLongestStartDelay. A root's
+/// place costs the most memory and bandwidth of all, and is kept for as long as its node lives.
+Milliseconds extraStartDelay(std::int64_t maxFollowers) {
+  constexpr std::int64_t kFollowersOfARoot = 32;
+  constexpr Milliseconds kLongestStartDelay{200};
+  const std::int64_t lacking = kFollowersOfARoot - std::min(maxFollowers, kFollowersOfARoot);
+  return kLongestStartDelay * lacking / kFollowersOfARoot;
+}
+
+}  // namespace
 
 lease::LeaseSettings leaseSettings(const GatewaySettings& settings, std::string holder) {
   constexpr int kRetriesPerRenewal = 4;
@@ -70,6 +83,9 @@
   relay.group = settings.relayGroup.empty() ? settings.zone : settings.relayGroup;
   relay.endpoint = settings.relayListen;
   relay.maxChildren = static_cast<std::size_t>(settings.relayMaxFollowers);
+  if (settings.firstStart) {
+    relay.extraStartDelay = extraStartDelay(settings.relayMaxFollowers);
+  }
   relay.proofAge = settings.relayProofAge;
   relay.readAges = {
       {schema.configurationKind(), settings.configReadAge},
--- a/src/relay/child_table.cc
+++ b/src/relay/child_table.cc
@@ -4,12 +4,24 @@
 
 namespace calicodrift::relay {
 
-bool ChildTable::admit(const NodeId& node, const Relay& relay, MonotonicTime now) {
+bool ChildTable::admit(const NodeId& node, const Relay& relay, std::size_t places,
+                       MonotonicTime now) {
   expire(now);
-  if (!children_.contains(node) && children_.size() >= capacity_) {
+  if (!children_.contains(node) && children_.size() >= capacity_ && !displace(places)) {
     return false;
   }
-  children_[node] = {relay, now};
+  children_[node] = {relay, now, places};
+  return true;
+}
+
+bool ChildTable::displace(std::size_t places) {
+  const auto weakest = std::min_element(
+      children_.begin(), children_.end(),
+      [](const auto& one, const auto& two) { return one.second.places < two.second.places; });
+  if (weakest == children_.end() || weakest->second.places >= places) {
+    return false;
+  }
+  children_.erase(weakest);
   return true;
 }
 
@@ -38,19 +50,47 @@
   return found;
 }
 
+std::optional<Relay> ChildTable::strongest(const ZoneId& zone, MonotonicTime now,
+                                           std::mt19937_64& random) const {
+  std::vector<Relay> found;
+  std::size_t most = 0;
+  for (const auto& [node, child] : children_) {
+    if (isExpired(child, now) || child.places < most) {
+      continue;
+    }
+    if (child.places > most) {
+      found.clear();
+      most = child.places;
+    }
+    found.push_back(child.relay);
+  }
+  if (found.empty()) {
+    return std::nullopt;
+  }
+  shuffleByZone(found, zone, random);
+  return found.front();
+}
+
 std::vector<Relay> ChildTable::sample(std::size_t most, const ZoneId& zone, const Endpoint& except,
                                       MonotonicTime now, std::mt19937_64& random) const {
-  std::vector<Relay> found;
+  std::vector<Child> found;
   for (const auto& [node, child] : children_) {
     if (!isExpired(child, now) && child.relay.endpoint != except) {
-      found.push_back(child.relay);
+      found.push_back(child);
     }
   }
-  shuffleByZone(found, zone, random);
-  if (found.size() > most) {
-    found.erase(found.begin() + static_cast<std::ptrdiff_t>(most), found.end());
+  std::shuffle(found.begin(), found.end(), random);
+  std::stable_sort(found.begin(), found.end(), [&zone](const Child& one, const Child& two) {
+    const bool near = one.relay.zone == zone;
+    return near != (two.relay.zone == zone) ? near : one.places > two.places;
+  });
+  found.resize(std::min(found.size(), most));
+  std::vector<Relay> relays;
+  relays.reserve(found.size());
+  for (const Child& child : found) {
+    relays.push_back(child.relay);
   }
-  return found;
+  return relays;
 }
 
 void ChildTable::expire(MonotonicTime now) {
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cereal/cereal.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
@@ -31,10 +32,22 @@
   std::string zone;
   /// Only asks for the state of the receiver, without becoming its child.
   bool probeOnly = false;
+  /// Maximum number of children of the sender; 0 if it does not tell, as builds before this field.
+  /// Those ignore it.
+  std::uint32_t capacity = 0;
 
   template <typename Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
+    archive(node, endpoint, zone, probeOnly, capacity);
+  }
+  template <typename Archive>
+  void load(Archive& archive) {
     archive(node, endpoint, zone, probeOnly);
+    try {
+      archive(capacity);
+    } catch (const cereal::Exception&) {
+      capacity = 0;
+    }
   }
 };
 
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -89,8 +89,8 @@
 }
 
 awaitable<Result<JoinReply>> RelayClient::join(Endpoint relay, bool probeOnly) {
-  JoinRequest request{settings_.node.value(), settings_.endpoint, settings_.zone.value(),
-                      probeOnly};
+  JoinRequest request{settings_.node.value(), settings_.endpoint, settings_.zone.value(), probeOnly,
+                      static_cast<std::uint32_t>(settings_.maxChildren)};
   co_return co_await peer::callPeer<JoinReply>(client_, std::move(relay), kJoinPath,
                                                std::move(request), settings_.joinTimeout,
                                                settings_.joinTimeout);
--- a/src/relay/relay_core.cc
+++ b/src/relay/relay_core.cc
@@ -35,7 +35,7 @@
   }
   lastStepAt_ = now;
   if (pauseUntil_ == MonotonicTime{}) {
-    pauseUntil_ = now + randomDelay(settings_.startDelay);
+    pauseUntil_ = now + settings_.extraStartDelay + randomDelay(settings_.startDelay);
   }
   if (now < pauseUntil_) {
     return {RelayStep::kWait, pauseUntil_, {}, false, {}};
@@ -240,8 +240,9 @@
   const NodeId node(request.node);
   const ZoneId zone(request.zone);
   const Relay asking{request.endpoint, zone};
-  const bool child = children_.renew(node, now) ||
-                     (role_ != RelayRole::kSearching && children_.admit(node, asking, now));
+  const bool child =
+      children_.renew(node, now) ||
+      (role_ != RelayRole::kSearching && children_.admit(node, asking, request.capacity, now));
   if (child) {
     reply.outcome = JoinOutcome::kAccepted;
     reply.children = static_cast<std::uint32_t>(children_.size(now));
--- a/src/relay/relay_core_events.cc
+++ b/src/relay/relay_core_events.cc
@@ -131,14 +131,13 @@
   if (!first || list.relays.size() >= settings_.rootCount) {
     return;
   }
-  const std::vector<Relay> successor =
-      children_.sample(1, settings_.zone, settings_.endpoint, now, random_);
-  if (successor.empty()) {
+  const std::optional<Relay> successor = children_.strongest(settings_.zone, now, random_);
+  if (!successor) {
     // No node has joined yet.
     nextReview_ = now + settings_.childTimeout;
     return;
   }
-  list.relays.push_back(successor.front());
+  list.relays.push_back(*successor);
   pendingList_ = std::move(list);
 }
 
@@ -206,7 +205,7 @@
   }
   const bool full = reply.outcome == JoinOutcome::kFull;
   if (full) {
-    candidates_.insert(candidates_.begin(), reply.alternatives.begin(), reply.alternatives.end());
+    candidates_.insert(candidates_.end(), reply.alternatives.begin(), reply.alternatives.end());
   }
   retryRound_ = retryRound_ || full || roots_.contains(relay.endpoint);
 }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -42,6 +42,9 @@
   /// Upper bound of the random delay before the first reading of the list. Of many nodes that start
   /// together, only a few then find it empty.
   Milliseconds startDelay{200};
+  /// Added to that delay. Of nodes that all start for the first time, those with the shortest one
+  /// become roots.
+  Milliseconds extraStartDelay{0};
   /// Upper bound of the random delay before a node replaces a root that does not answer. The delay
   /// is shorter if fewer nodes are known to compete for the place.
   Milliseconds claimDelay{400};
--- a/tests/relay/relay_core_test.cc
+++ b/tests/relay/relay_core_test.cc
@@ -81,6 +81,33 @@
   BOOST_TEST(tree.storeCalls() <= 600U + 170U, tree.storeCalls() << " calls");
 }
 
+// One node in 20 can have 32 children, the others 5 each. Placed by chance, half of the levels near
+// the roots are of nodes with few places, and a listing passes slow links several times.
+BOOST_AUTO_TEST_CASE(nodesWithManyPlacesStandNearTheRootsAndTheTreeIsFlat) {
+  constexpr std::size_t kNodes = 1000;
+  constexpr std::size_t kStrongEach = 20;
+  constexpr std::size_t kStrongPlaces = 32;
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    RelaySettings settings;
+    settings.maxChildren = 5;
+    SimulatedTree tree(kNodes, 5, seed, settings);
+    for (std::size_t number = 0; number < kNodes; ++number) {
+      const bool strong = number % kStrongEach == 0;
+      tree.setMaxChildren(number, strong ? kStrongPlaces : 5, Milliseconds(strong ? 0 : 170));
+    }
+    tree.startAll(kStartSpread);
+    tree.run(Milliseconds(6000));
+    BOOST_TEST(tree.olderThan(kGoodAge) == 0U);
+    BOOST_TEST(tree.storeCalls() <= kNodes + kNodes / 4 + 20, tree.storeCalls() << " calls");
+    BOOST_TEST(tree.roots().size() == 2U);
+    for (const std::size_t root : tree.roots()) {
+      BOOST_TEST(root % kStrongEach == 0U);
+    }
+    // 2 roots, up to 64 nodes below them, and the rest.
+    BOOST_TEST(tree.greatestDepth() <= 3U, "depth " << tree.greatestDepth() << ", seed " << seed);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(treeInNormalOperationCallsTheStoreForReviewsOnly) {
   SimulatedTree tree = settledTree(300);
   const std::size_t before = tree.storeCalls();
--- a/tests/relay/simulated_tree.h
+++ b/tests/relay/simulated_tree.h
@@ -43,6 +43,14 @@
   MonotonicTime now() const { return clock_.now(); }
   std::size_t size() const { return nodes_.size(); }
 
+  /// Sets the maximum number of children of the node, and its extra delay, for its next starts.
+  void setMaxChildren(std::size_t number, std::size_t places, Milliseconds extraStartDelay) {
+    nodes_[number].maxChildren = places;
+    nodes_[number].extraStartDelay = extraStartDelay;
+  }
+  std::size_t maxChildrenOf(std::size_t number) const {
+    return nodes_[number].maxChildren.value_or(settings_.maxChildren);
+  }
   /// Starts a process of the node after a random delay of at most `spread`.
   void start(std::size_t number, Milliseconds spread) {
     Node& node = nodes_[number];
@@ -54,6 +62,8 @@
         settings.node = NodeId("n" + std::to_string(number));
         settings.endpoint = endpointOf(number);
         settings.zone = zoneOf(number);
+        settings.maxChildren = maxChildrenOf(number);
+        settings.extraStartDelay = started.extraStartDelay;
         started.core = std::make_unique<RelayCore>(settings, random_());
         started.off = false;
         started.provenAt = {};
@@ -238,6 +248,8 @@
 
   struct Node {
     std::unique_ptr<RelayCore> core;
+    std::optional<std::size_t> maxChildren;
+    Milliseconds extraStartDelay{0};
     std::optional<ViewRefreshScheduler> scheduler;
     /// As given by the source, without what the node read from the store besides.
     MonotonicTime sourceProvenAt{};
@@ -339,9 +351,10 @@
       time = settings_.joinTimeout;
     } else if (asked.core) {
       refreshView(asked);
-      reply = asked.core->answer({"n" + std::to_string(number), endpointOf(number),
-                                  zoneOf(number).value(), action.probeOnly},
-                                 now(), asked.sourceProvenAt);
+      reply = asked.core->answer(
+          {"n" + std::to_string(number), endpointOf(number), zoneOf(number).value(),
+           action.probeOnly, static_cast<std::uint32_t>(maxChildrenOf(number))},
+          now(), asked.sourceProvenAt);
     }
     later(number, incarnation, time, [this, number, incarnation, action, reply](Node& node) {
       node.core->onReply(action, reply, now(), node.sourceProvenAt);
