relay: listings are encoded once, by a root, and passed on as they are

Cause: each node encoded a whole listing anew for each child: it copied every object, serialized its JSON and wrote the message.

The history reaches back a quarter of the number of objects, 1,000 changes at least.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -165,8 +165,8 @@
                   }) {
   pool_.setDistances(distances_);
   prober_.onAsk([this](fleet::Server server) { return mayProbe(std::move(server)); });
-  for (const std::string_view path :
-       {relay::kViewPath, relay::kPatchedViewPath, relay::kJoinPath, relay::kRootsPath}) {
+  for (const std::string_view path : {relay::kViewPath, relay::kPatchedViewPath,
+                                      relay::kSnapshotPath, relay::kJoinPath, relay::kRootsPath}) {
     peerPaths_.add(std::string(path), [this](http::Request& request, http::ResponseWriter& writer) {
       return relay_.handle(request, writer);
     });
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Pause before a relay of an earlier build is asked for patches again.
-constexpr Milliseconds kPatchesRetry{10'000};
+/// Pause before a relay of an earlier build is asked again for what it does not know.
+constexpr Milliseconds kUnknownPathRetry{10'000};
 /// Added to the wait of a watch: the relay's own watch has the same wait but ends a little later,
 /// and its end proves that the view is current.
 constexpr Milliseconds kExtraWait{150};
@@ -68,6 +68,34 @@
   co_return listing;
 }
 
+awaitable<Result<SnapshotReply>> RelayClient::snapshot(Endpoint relay, std::string kind) {
+  if (!knowsPath(relay, kSnapshotPath)) {
+    Error error = fail(ErrorKind::kStoreUnavailable, "the relay sends no snapshots");
+    error.reason = peer::kUnknownPath;
+    co_return error;
+  }
+  ViewQuery query;
+  query.kind = std::move(kind);
+  query.listing = true;
+  query.follower = settings_.node.value();
+  Result<SnapshotReply> reply =
+      co_await peer::callPeer<SnapshotReply>(client_, relay, kSnapshotPath, std::move(query),
+                                             settings_.callTimeout, settings_.callTimeout);
+  if (!reply) {
+    if (reply.error().reason == peer::kUnknownPath) {
+      avoidPath(relay, kSnapshotPath);
+    }
+    Error error = fail(ErrorKind::kStoreUnavailable, reply.error().detail);
+    error.reason = reply.error().reason;
+    co_return error;
+  }
+  const Result<void> served = checkOutcome(reply.value().outcome);
+  if (!served) {
+    co_return served.error();
+  }
+  co_return std::move(reply.value());
+}
+
 awaitable<Result<store::ChangeBatch>> RelayClient::watch(Endpoint relay, std::string kind,
                                                          store::Revision since, Milliseconds wait,
                                                          HeldTexts held) {
@@ -105,19 +133,23 @@
                   : known.error().reason == http::kConnectionRefused;
 }
 
-bool RelayClient::sendsPatches(const Endpoint& relay) const {
-  const auto without = withoutPatches_.find(relay);
-  return without == withoutPatches_.end() || monotonicNow() >= without->second;
+bool RelayClient::knowsPath(const Endpoint& relay, std::string_view path) const {
+  const auto avoided = avoidedPaths_.find({relay, path});
+  return avoided == avoidedPaths_.end() || monotonicNow() >= avoided->second;
+}
+
+void RelayClient::avoidPath(const Endpoint& relay, std::string_view path) {
+  avoidedPaths_[{relay, path}] = monotonicNow() + kUnknownPathRetry;
 }
 
 awaitable<Result<ViewReply>> RelayClient::ask(Endpoint relay, ViewQuery query, HeldTexts held) {
   query.follower = settings_.node.value();
   const Milliseconds headerTimeout = Milliseconds(query.waitMs) + settings_.callTimeout;
   Result<ViewReply> reply = fail(ErrorKind::kStoreUnavailable, "");
-  if (sendsPatches(relay)) {
+  if (knowsPath(relay, kPatchedViewPath)) {
     reply = co_await askForPatches(relay, query, std::move(held), headerTimeout);
   }
-  if (!sendsPatches(relay)) {
+  if (!knowsPath(relay, kPatchedViewPath)) {
     query.since = store::numberOf(store::Revision(query.since));
     reply =
         co_await peer::callPeer<ViewReply>(client_, std::move(relay), kViewPath, std::move(query),
@@ -145,7 +177,7 @@
       client_, relay, kPatchedViewPath, std::move(patched), settings_.callTimeout, headerTimeout);
   if (!reply) {
     if (reply.error().reason == peer::kUnknownPath) {
-      withoutPatches_[relay] = monotonicNow() + kPatchesRetry;
+      avoidPath(relay, kPatchedViewPath);
     }
     co_return reply.error();
   }
@@ -153,7 +185,7 @@
   if (!view) {
     log::write(log::Level::kWarning, "relay_update_failed",
                {{"relay", relay.toString()}, {"cause", view.error().detail}});
-    withoutPatches_[relay] = monotonicNow() + kPatchesRetry;
+    avoidPath(relay, kPatchedViewPath);
   }
   co_return view;
 }
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -3,8 +3,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "http/client.h"
+#include "relay/listing_snapshot.h"
 #include "relay/messages.h"
 #include "relay/relay_settings.h"
 
@@ -24,6 +27,9 @@
   /// @param held the large specs that this node has; the relay sends what changed of them.
   boost::asio::awaitable<Result<store::Listing>> list(Endpoint relay, std::string kind,
                                                       HeldTexts held);
+  /// A listing as a snapshot with the changes since. Fails as list(), with reason
+  /// peer::kUnknownPath if the relay is of a build without snapshots.
+  boost::asio::awaitable<Result<SnapshotReply>> snapshot(Endpoint relay, std::string kind);
   /// Also fails with kVersionConflict, as ObjectStore::watch() does.
   boost::asio::awaitable<Result<store::ChangeBatch>> watch(Endpoint relay, std::string kind,
                                                            store::Revision since, Milliseconds wait,
@@ -41,13 +47,16 @@
   boost::asio::awaitable<Result<ViewReply>> askForPatches(Endpoint relay, ViewQuery query,
                                                           HeldTexts held,
                                                           Milliseconds headerTimeout);
-  bool sendsPatches(const Endpoint& relay) const;
+  /// Whether the relay may answer calls of the path.
+  bool knowsPath(const Endpoint& relay, std::string_view path) const;
+  /// The relay is of an earlier build, or its answers of the path can't be used.
+  void avoidPath(const Endpoint& relay, std::string_view path);
 
   http::Client& client_;
   const RelaySettings& settings_;
-  /// Relays of earlier builds, with the time at which they are asked for patches again, as they may
-  /// have been replaced.
-  std::map<Endpoint, MonotonicTime> withoutPatches_;
+  /// Paths that relays don't answer, with the time at which they are asked again, as they may have
+  /// been replaced.
+  std::map<std::pair<Endpoint, std::string_view>, MonotonicTime> avoidedPaths_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -16,6 +16,19 @@
 constexpr Milliseconds kFirstStateTimeout{300};
 /// Upper bound on the wait that a child may request.
 constexpr Milliseconds kMaxWait{30'000};
+/// Interval at which a query looks whether a snapshot that is being made is complete.
+constexpr Milliseconds kSnapshotWait{50};
+
+ViewReply toReply(const SnapshotView& view, MonotonicTime arrived) {
+  ViewReply reply;
+  reply.outcome = ViewOutcome::kServed;
+  reply.revision = view.changes.revision.value();
+  reply.provenAfterMs = std::chrono::floor<Milliseconds>(view.provenAt - arrived).count();
+  for (const store::Change& change : view.changes.changes) {
+    reply.objects.push_back(toMessage(change.object, change.removed));
+  }
+  return reply;
+}
 
 }  // namespace
 
@@ -26,6 +39,11 @@
         [this](PatchedViewQuery query) { return answerPatched(std::move(query)); });
     co_return;
   }
+  if (request.target == kSnapshotPath) {
+    co_await peer::answerPeer<ViewQuery, SnapshotReply>(
+        request, writer, [this](ViewQuery query) { return answerSnapshot(std::move(query)); });
+    co_return;
+  }
   co_await peer::answerPeer<ViewQuery, ViewReply>(
       request, writer, [this](ViewQuery query) { return answerWithoutEra(std::move(query)); });
 }
@@ -78,6 +96,48 @@
   co_return withUpdates(std::move(view), query.held, cache->specTexts());
 }
 
+awaitable<SnapshotReply> RelayServer::answerSnapshot(ViewQuery query) {
+  const MonotonicTime arrived = monotonicNow();
+  const MonotonicTime firstStateEnd = arrived + kFirstStateTimeout;
+  SnapshotReply reply;
+  for (;;) {
+    WatchCache* cache = caches_(query.kind);
+    if (cache == nullptr || !admits_(query.follower)) {
+      co_return reply;
+    }
+    if (const std::optional<SnapshotView> view = cache->snapshotView()) {
+      reply.outcome = ViewOutcome::kServed;
+      reply.snapshot = view->snapshot;
+      reply.changes = toReply(*view, arrived);
+      co_return reply;
+    }
+    if (cache->known()) {
+      co_await makeSnapshot(query.kind, *cache);
+    } else if (monotonicNow() >= firstStateEnd) {
+      co_return reply;
+    } else {
+      co_await cache->waitForNews(firstStateEnd);
+    }
+  }
+}
+
+awaitable<void> RelayServer::makeSnapshot(std::string kind, WatchCache& cache) {
+  if (!makingSnapshot_.insert(kind).second) {
+    co_await cache.waitForNews(monotonicNow() + kSnapshotWait);
+    co_return;
+  }
+  const store::Listing listing = cache.listing();
+  auto snapshot = std::make_shared<ListingSnapshot>();
+  snapshot->revision = listing.revision.value();
+  for (std::size_t first = 0; first < listing.objects.size(); first += kObjectsPerPart) {
+    snapshot->parts.push_back(encodePart(listing.objects, first));
+    co_await boost::asio::post(co_await boost::asio::this_coro::executor,
+                               boost::asio::use_awaitable);
+  }
+  makingSnapshot_.erase(kind);
+  cache.keepSnapshot(std::move(snapshot));
+}
+
 PatchedViewReply RelayServer::withUpdates(ViewReply view, const std::vector<HeldSpec>& held,
                                           SpecTexts& texts) {
   PatchedViewReply reply;
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <set>
 #include <string>
 
 #include "http/server.h"
@@ -33,6 +34,10 @@
   /// For followers of earlier builds, which know positions by their number alone.
   boost::asio::awaitable<ViewReply> answerWithoutEra(ViewQuery query);
   boost::asio::awaitable<PatchedViewReply> answerPatched(PatchedViewQuery query);
+  boost::asio::awaitable<SnapshotReply> answerSnapshot(ViewQuery query);
+  /// Makes a snapshot of the cache in steps between which others run. Waits for it if one is being
+  /// made.
+  boost::asio::awaitable<void> makeSnapshot(std::string kind, WatchCache& cache);
   /// Replaces the specs that the cache keeps as texts by updates of what the follower holds.
   static PatchedViewReply withUpdates(ViewReply view, const std::vector<HeldSpec>& held,
                                       SpecTexts& texts);
@@ -40,6 +45,8 @@
 
   CacheSource caches_;
   Admission admits_;
+  /// Kinds of which a snapshot is being made.
+  std::set<std::string> makingSnapshot_;
 };
 
 }  // namespace calicodrift::relay
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <iterator>
+
+#include "peer/http_call.h"
 
 namespace calicodrift::relay {
 
@@ -195,8 +198,16 @@
     co_return co_await callUntilSourceChange(view, direct_.list(std::move(kind)));
   }
   const Endpoint relay = relay_;
-  Result<store::Listing> listing = co_await callUntilSourceChange(
-      view, client_.list(relay, std::move(kind), view.cache->specTexts().held()));
+  HeldTexts held = view.cache->specTexts().held();
+  if (held.empty()) {
+    // A follower that holds large texts gets what changed of them instead.
+    auto listed = co_await listFromSnapshot(view, kind, relay);
+    if (listed) {
+      co_return std::move(*listed);
+    }
+  }
+  Result<store::Listing> listing =
+      co_await callUntilSourceChange(view, client_.list(relay, std::move(kind), std::move(held)));
   if (!listing && !hasUndelivered(view) && relay == relay_ && onRelayFailed_) {
     onRelayFailed_(relay, listing.error());
   }
@@ -209,6 +220,58 @@
   co_return listing;
 }
 
+awaitable<std::optional<Result<store::Listing>>> RelayedStore::listFromSnapshot(View& view,
+                                                                                std::string kind,
+                                                                                Endpoint relay) {
+  const MonotonicTime asked = monotonicNow();
+  Result<SnapshotReply> reply =
+      co_await callUntilSourceChange(view, client_.snapshot(relay, std::move(kind)));
+  if (!reply) {
+    if (reply.error().reason == peer::kUnknownPath) {
+      co_return std::nullopt;
+    }
+    if (!hasUndelivered(view) && relay == relay_ && onRelayFailed_) {
+      onRelayFailed_(relay, reply.error());
+    }
+    co_return reply.error();
+  }
+  SnapshotView received;
+  received.snapshot = reply.value().snapshot;
+  received.provenAt = asked + Milliseconds(reply.value().changes.provenAfterMs);
+  received.changes.revision = withKnownEra(store::Revision(reply.value().changes.revision));
+  for (const ViewObject& object : reply.value().changes.objects) {
+    received.changes.changes.push_back({toObjectOrUnreadable(object), object.removed});
+  }
+  const Result<void> loaded = co_await loadSnapshot(view, std::move(received));
+  if (!loaded) {
+    co_return loaded.error();
+  }
+  store::Listing listing = view.cache->listing();
+  listing.provenAfterAsked = std::chrono::floor<Milliseconds>(view.cache->provenAt() - asked);
+  co_return listing;
+}
+
+awaitable<Result<void>> RelayedStore::loadSnapshot(View& view, SnapshotView received) {
+  view.cache->offerSnapshot(received);
+  store::Listing base;
+  base.revision = store::Revision(received.snapshot->revision);
+  for (const SnapshotPart& part : received.snapshot->parts) {
+    Result<std::vector<store::Object>> objects = decodePart(part);
+    if (!objects) {
+      co_return objects.error();
+    }
+    std::move(objects.value().begin(), objects.value().end(), std::back_inserter(base.objects));
+    co_await asio::post(executor_, asio::use_awaitable);
+  }
+  if (received.changes.revision >= view.cache->revision()) {
+    view.cache->applyListing(base, received.provenAt);
+    view.cache->applyChanges(received.changes, received.provenAt);
+    view.cache->keepSnapshot(received.snapshot);
+    view.sourceProvenAt = std::max(view.sourceProvenAt, received.provenAt);
+  }
+  co_return boost::outcome_v2::success();
+}
+
 awaitable<Result<store::ChangeBatch>> RelayedStore::watchFromSource(View& view, std::string kind,
                                                                     store::Revision since,
                                                                     Milliseconds wait) {
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -113,6 +113,12 @@
   /// relays of earlier builds send them.
   store::Revision withKnownEra(store::Revision received);
   boost::asio::awaitable<Result<store::Listing>> listFromSource(View& view, std::string kind);
+  /// Reads the first state from the relay, as a snapshot. Empty if the relay sends none.
+  boost::asio::awaitable<std::optional<Result<store::Listing>>> listFromSnapshot(View& view,
+                                                                                 std::string kind,
+                                                                                 Endpoint relay);
+  /// Reads a snapshot into the view, part by part, while other work goes on.
+  boost::asio::awaitable<Result<void>> loadSnapshot(View& view, SnapshotView received);
   boost::asio::awaitable<Result<store::ChangeBatch>> watchFromSource(View& view, std::string kind,
                                                                      store::Revision since,
                                                                      Milliseconds wait);
--- a/src/relay/spec_texts.cc
+++ b/src/relay/spec_texts.cc
@@ -1,12 +1,11 @@
 #include "relay/spec_texts.h"
 
-#include <zlib.h>
-
 #include <algorithm>
 
 #include "common/hashing.h"
 #include "peer/codec.h"
 #include "peer/text_patch.h"
+#include "relay/compression.h"
 
 namespace calicodrift::relay {
 namespace {
@@ -14,31 +13,13 @@
 /// A follower reads at intervals, and may miss some texts between two readings.
 constexpr std::size_t kKeptTexts = 4;
 
-std::string compress(std::string_view bytes) {
-  uLongf length = ::compressBound(static_cast<uLong>(bytes.size()));
-  std::string compressed(length, '\0');
-  ::compress2(reinterpret_cast<Bytef*>(compressed.data()), &length,
-              reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uLong>(bytes.size()),
-              Z_BEST_SPEED);
-  compressed.resize(length);
-  return compressed;
-}
-
-Result<std::string> decompress(std::string_view compressed, std::uint64_t length) {
+Result<std::string> readPatch(const SpecUpdate& update) {
   // Steps of a patch have a few bytes each besides the text.
   constexpr std::uint64_t kMaxPatchBytes = 2 * peer::kMaxTextBytes;
-  if (length > kMaxPatchBytes) {
+  if (update.patchBytes > kMaxPatchBytes) {
     return fail(ErrorKind::kProtocolViolation, "the patch of a relayed spec is too long");
   }
-  std::string bytes(length, '\0');
-  uLongf written = static_cast<uLongf>(length);
-  const int outcome = ::uncompress(reinterpret_cast<Bytef*>(bytes.data()), &written,
-                                   reinterpret_cast<const Bytef*>(compressed.data()),
-                                   static_cast<uLong>(compressed.size()));
-  if (outcome != Z_OK || written != length) {
-    return fail(ErrorKind::kProtocolViolation, "the patch of a relayed spec is malformed");
-  }
-  return bytes;
+  return decompress(update.compressedPatch, update.patchBytes);
 }
 
 SpecUpdate makeUpdate(const std::string& name, std::uint64_t base, std::string_view baseText,
@@ -50,7 +31,7 @@
 }  // namespace
 
 Result<std::string> applyUpdate(std::string_view base, const SpecUpdate& update) {
-  BOOST_OUTCOME_TRY(const std::string bytes, decompress(update.compressedPatch, update.patchBytes));
+  BOOST_OUTCOME_TRY(const std::string bytes, readPatch(update));
   BOOST_OUTCOME_TRY(const peer::TextPatch patch, peer::decode<peer::TextPatch>(bytes));
   BOOST_OUTCOME_TRY(std::string text, peer::applyPatch(base, patch));
   if (hashBytes(text) != update.result) {
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <boost/json.hpp>
 #include <utility>
 
 namespace calicodrift::relay {
@@ -11,26 +12,37 @@
 
 namespace {
 
-/// Bound on the history. The oldest changes are dropped first; a follower that needs them has to
-/// list again.
-constexpr std::size_t kMaxHistoryChanges = 1000;
+/// Bounds on the history. The oldest changes are dropped first; a follower that needs them has to
+/// list again. More changes than a quarter of the objects cost nearly as much as a listing.
+constexpr std::size_t kMinHistoryChanges = 1000;
+constexpr std::size_t kHistoryDivisor = 4;
+
+store::Object withSpecText(store::Object object) {
+  if (!object.specText) {
+    object.specText = std::make_shared<const std::string>(boost::json::serialize(object.spec));
+    object.spec = nullptr;
+  }
+  return object;
+}
 
 }  // namespace
 
 void WatchCache::applyListing(const store::Listing& listing, MonotonicTime provenAt) {
   const std::map<std::string, store::Object> before = std::exchange(objects_, {});
   for (const store::Object& object : listing.objects) {
-    objects_[object.name] = object;
-    if (object.specText) {
+    objects_[object.name] = withSpecText(object);
+    if (store::hasLargeSpec(object)) {
       specTexts_.set(object.name, object.specText);
     }
   }
   for (const auto& [name, object] : before) {
     const auto listed = objects_.find(name);
-    if (listed == objects_.end() || !listed->second.specText) {
+    if (listed == objects_.end() || !store::hasLargeSpec(listed->second)) {
       specTexts_.erase(name);
     }
   }
+  snapshot_.reset();
+  offered_.reset();
   history_.clear();
   historyChanges_ = 0;
   historyStart_ = listing.revision;
@@ -43,20 +55,22 @@
 void WatchCache::applyChanges(const store::ChangeBatch& batch, MonotonicTime provenAt) {
   store::ChangeBatch news;
   news.revision = batch.revision;
-  for (const store::Change& change : batch.changes) {
-    if (!isKnown(change, batch.revision)) {
-      applyChange(change);
-      if (change.object.specText) {
-        forgetEarlierChanges(change.object.name);
-      }
-      news.changes.push_back(change);
+  for (const store::Change& received : batch.changes) {
+    if (isKnown(received, batch.revision)) {
+      continue;
+    }
+    store::Change change{withSpecText(received.object), received.removed};
+    applyChange(change);
+    if (store::hasLargeSpec(change.object)) {
+      forgetEarlierChanges(change.object.name);
     }
+    news.changes.push_back(std::move(change));
   }
   if (!news.changes.empty()) {
     historyChanges_ += news.changes.size();
     history_.push_back(std::move(news));
   }
-  while (historyChanges_ > kMaxHistoryChanges) {
+  while (historyChanges_ > maxHistoryChanges()) {
     historyChanges_ -= history_.front().changes.size();
     historyStart_ = history_.front().revision;
     history_.pop_front();
@@ -91,7 +105,7 @@
   } else {
     objects_[change.object.name] = change.object;
   }
-  if (!change.removed && change.object.specText) {
+  if (!change.removed && store::hasLargeSpec(change.object)) {
     specTexts_.set(change.object.name, change.object.specText);
   } else {
     specTexts_.erase(change.object.name);
@@ -121,11 +135,11 @@
   }
   store::ChangeBatch changes;
   changes.revision = std::max(since, revision_);
-  for (const store::ChangeBatch& step : history_) {
-    if (step.revision <= since) {
-      continue;
-    }
-    for (const store::Change& change : step.changes) {
+  const auto first = std::partition_point(
+      history_.begin(), history_.end(),
+      [since](const store::ChangeBatch& step) { return step.revision <= since; });
+  for (auto step = first; step != history_.end(); ++step) {
+    for (const store::Change& change : step->changes) {
       if (change.removed || change.object.revision > since) {
         changes.changes.push_back(change);
       }
@@ -134,6 +148,35 @@
   return changes;
 }
 
+std::size_t WatchCache::maxHistoryChanges() const {
+  return std::max(kMinHistoryChanges, objects_.size() / kHistoryDivisor);
+}
+
+void WatchCache::offerSnapshot(SnapshotView received) {
+  offered_ = std::move(received);
+  wakeWaiters();
+}
+
+void WatchCache::keepSnapshot(SharedSnapshot snapshot) {
+  offered_.reset();
+  snapshot_ = std::move(snapshot);
+  wakeWaiters();
+}
+
+std::optional<SnapshotView> WatchCache::snapshotView() const {
+  if (!known_) {
+    return offered_;
+  }
+  if (!snapshot_) {
+    return std::nullopt;
+  }
+  Result<store::ChangeBatch> changes = changesSince(store::Revision(snapshot_->revision));
+  if (!changes) {
+    return std::nullopt;
+  }
+  return SnapshotView{snapshot_, std::move(changes.value()), provenAt_};
+}
+
 awaitable<void> WatchCache::waitForNews(MonotonicTime end) {
   const auto waiter = waiters_.emplace(waiters_.end(), executor_);
   waiter->expires_at(end);
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -6,16 +6,29 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "relay/listing_snapshot.h"
 #include "relay/spec_texts.h"
 #include "store/object_store.h"
 
 namespace calicodrift::relay {
 
+/// A snapshot and the changes since.
+struct SnapshotView {
+  SharedSnapshot snapshot;
+  store::ChangeBatch changes;
+  /// When the state after the changes was known to be current.
+  MonotonicTime provenAt{};
+};
+
 /// Last known state of one kind with its recent changes, from which nodes that know an earlier
 /// revision are brought up to date. Revisions are those of the store, so a follower can continue at
 /// another relay, or at the store itself, from the revision that it knows.
+///
+/// Specs are kept as their texts, which all that hold or send an object share: parsed ones take
+/// several times the memory, and would be serialized again for each child.
 class WatchCache {
  public:
   explicit WatchCache(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
@@ -31,6 +44,14 @@
   /// Fails with kVersionConflict if the history does not reach back to `since`.
   Result<store::ChangeBatch> changesSince(store::Revision since) const;
   store::Revision revision() const { return revision_; }
+  /// Keeps a snapshot that a relay has sent, for the children of this node. They are served from it
+  /// before the state has been read from it.
+  void offerSnapshot(SnapshotView received);
+  /// A snapshot with the changes since; empty if none is kept, or if the history does not reach
+  /// back to it.
+  std::optional<SnapshotView> snapshotView() const;
+  /// Replaces the snapshot.
+  void keepSnapshot(SharedSnapshot snapshot);
   /// The texts of large specs.
   SpecTexts& specTexts() { return specTexts_; }
   /// Whether any state has been read yet.
@@ -42,6 +63,7 @@
 
  private:
   void wakeWaiters();
+  std::size_t maxHistoryChanges() const;
   /// Whether the state already has a change from a batch that leads to `reached`.
   bool isKnown(const store::Change& change, store::Revision reached) const;
   /// Applies the change unless a newer version of the object is known.
@@ -52,6 +74,9 @@
   boost::asio::any_io_executor executor_;
   std::map<std::string, store::Object> objects_;
   SpecTexts specTexts_;
+  SharedSnapshot snapshot_;
+  /// A snapshot that has not been read into the state yet.
+  std::optional<SnapshotView> offered_;
   std::deque<store::ChangeBatch> history_;
   std::size_t historyChanges_ = 0;
   store::Revision historyStart_;
