exchange: reports keep within their bandwidth whatever the number of servers with load

Cause: reports of all servers with load are sent at intervals that stop growing at 250 ms, so that from 286 such servers on the limit of 16,000 bytes a second to each node was not kept.

Change: a node tells its children the heaviest loads, as many as fit; shorter reports are whole as before.

--- a/src/exchange/messages.cc
+++ b/src/exchange/messages.cc
@@ -61,6 +61,25 @@
   return entries;
 }
 
+std::vector<LoadEntry> heaviest(std::vector<LoadEntry> entries, std::size_t most) {
+  if (entries.size() <= most) {
+    return entries;
+  }
+  const auto weigh = [](const LoadEntry& entry) {
+    /// A running request delays others about as much as these prompt tokens; see
+    /// routing::queueDelayMs().
+    constexpr std::uint64_t kTokensOfARequest = 120;
+    const bool first = entry.unreachableFrom > 0 || entry.loadingWeights > 0;
+    return std::pair(first, entry.prefillTokens + kTokensOfARequest * entry.requests);
+  };
+  const auto end = entries.begin() + static_cast<std::ptrdiff_t>(most);
+  std::nth_element(
+      entries.begin(), end, entries.end(),
+      [&weigh](const LoadEntry& one, const LoadEntry& two) { return weigh(one) > weigh(two); });
+  entries.resize(most);
+  return entries;
+}
+
 fleet::ServerLoads toLoads(const std::vector<LoadEntry>& entries) {
   fleet::ServerLoads loads;
   for (const LoadEntry& entry : entries) {
--- a/src/exchange/messages.h
+++ b/src/exchange/messages.h
@@ -2,6 +2,7 @@
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -89,6 +90,9 @@
 /// Lists only servers for which any field is set, also those without load that are unreachable or
 /// have a weights load announced. Values beyond the range of a field are capped.
 std::vector<LoadEntry> toEntries(const fleet::ServerLoads& loads);
+/// The entries of at most `most` servers: those that are unreachable or load weights, then those
+/// with the longest queues.
+std::vector<LoadEntry> heaviest(std::vector<LoadEntry> entries, std::size_t most);
 fleet::ServerLoads toLoads(const std::vector<LoadEntry>& entries);
 
 }  // namespace calicodrift::exchange
--- a/src/exchange/node_exchange.cc
+++ b/src/exchange/node_exchange.cc
@@ -16,19 +16,23 @@
 /// Key of the current parent, whichever relay it is: what one parent was sent need not be sent to
 /// the next.
 constexpr const char* kParent = "parent";
+/// Encoded size of the key and the numbers of one server in a report; the numbers are mostly small.
+constexpr double kEntryBytes = 14;
+constexpr double kMsPerSecond = 1000;
 
 }  // namespace
 
 Milliseconds intervalFor(const NodeExchangeSettings& settings, std::size_t servers) {
-  /// Encoded size of the key and the numbers of one server in a report; the numbers are mostly
-  /// small.
-  constexpr double kEntryBytes = 14;
-  constexpr double kMsPerSecond = 1000;
   const double bytes = kEntryBytes * static_cast<double>(servers);
   const Milliseconds required(std::llround(bytes / settings.bytesPerSecond * kMsPerSecond));
   return std::clamp(required, settings.minInterval, settings.maxInterval);
 }
 
+std::size_t maxReportedServers(const NodeExchangeSettings& settings) {
+  const double seconds = toMilliseconds(settings.maxInterval) / kMsPerSecond;
+  return static_cast<std::size_t>(settings.bytesPerSecond * seconds / kEntryBytes);
+}
+
 NodeExchange::NodeExchange(NodeExchangeContext context, NodeExchangeSettings settings)
     : context_(std::move(context)),
       settings_(std::move(settings)),
@@ -166,7 +170,7 @@
   addLoads(others, table_.groups(now));
   ExchangeReport answer;
   answer.sender = settings_.endpoint.toString();
-  answer.entries = toEntries(others);
+  answer.entries = heaviest(toEntries(others), maxReportedServers(settings_));
   answer.saves = takeSavesFor(report.sender, false);
   answer.namings = toEntries(context_.namings());
   answer.cacheStores = context_.cacheStores();
--- a/src/exchange/node_exchange.h
+++ b/src/exchange/node_exchange.h
@@ -41,6 +41,8 @@
 
 /// Interval until the next report, given the number of servers in the last one.
 Milliseconds intervalFor(const NodeExchangeSettings& settings, std::size_t servers);
+/// Number of servers in the longest report that keeps within the bandwidth limit.
+std::size_t maxReportedServers(const NodeExchangeSettings& settings);
 
 /// Dependencies of the exchange on its node; must outlive it.
 struct NodeExchangeContext {
@@ -75,7 +77,8 @@
 /// Distributes to each node the load that all other nodes have on each server, a few hundred
 /// milliseconds old, along the tree of relays. A node reports the load of its subtree to its parent
 /// and receives the sum over all other nodes; roots exchange the sums of their trees. A node sends
-/// and receives one report per interval plus one for each child, whatever the number of nodes.
+/// and receives one report per interval plus one for each child, whatever the number of nodes. What
+/// it receives has a bounded length, whatever the number of servers with load: the heaviest loads.
 ///
 /// Observations of running orders are sent in the same reports, which are sent at the minimum
 /// interval while an order runs. A rejection reaches every node as part of the observations: from a
