forward: requests of a lower rank are admitted up to the wait of the most urgent ones

Cause: each class was admitted up to a multiple of its own target latency.

Change: a request's admitted wait is a share of the shortest target among its own and those of more urgent ranks.

--- a/src/forward/queue_admission.cc
+++ b/src/forward/queue_admission.cc
@@ -9,7 +9,8 @@
   /// The queues count as short again below this fraction of the steady limit.
   constexpr double kRecoveredShare = 0.5;
   const auto waitMs = static_cast<double>(wait.count());
-  const auto targetMs = static_cast<double>(std::max(target, Milliseconds(1)).count());
+  const Milliseconds shortest = shortestTarget(target, rank);
+  const auto targetMs = static_cast<double>(std::max(shortest, Milliseconds(1)).count());
   const double steadyMs = settings_.steadyTargets * targetMs;
   if (waitMs > steadyMs) {
     congestedSince_ = congestedSince_.value_or(now);
@@ -23,6 +24,19 @@
   return std::min(wait, settings_.maxRetryAfter);
 }
 
+Milliseconds QueueAdmission::shortestTarget(Milliseconds target, unsigned rank) {
+  Milliseconds& ofRank = targets_.try_emplace(rank, target).first->second;
+  ofRank = std::min(ofRank, target);
+  // Requests of the same rank keep their own targets.
+  Milliseconds shortest = target;
+  for (const auto& [other, known] : targets_) {
+    if (other < rank) {
+      shortest = std::min(shortest, known);
+    }
+  }
+  return shortest;
+}
+
 double QueueAdmission::limitTargets(MonotonicTime now) const {
   const bool steady = congestedSince_ && now - *congestedSince_ > settings_.burst;
   return steady ? settings_.steadyTargets : settings_.burstTargets;
--- a/src/forward/queue_admission.h
+++ b/src/forward/queue_admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 
 #include "common/clock.h"
@@ -14,7 +15,8 @@
   double burstTargets = 3;
   Milliseconds burst{1500};
   /// Requests of lower priority are admitted up to this fraction of that wait, so that capacity
-  /// remains for more urgent ones.
+  /// remains for more urgent ones. The wait is that of the most urgent requests if theirs is
+  /// shorter: a queue that those with a longer target may fill further would shut the urgent out.
   double lowerPriorityShare = 0.7;
   /// Upper bound of the retry time for refused callers.
   Milliseconds maxRetryAfter{2000};
@@ -38,8 +40,13 @@
  private:
   /// Longest admitted wait, as a multiple of the target latency.
   double limitTargets(MonotonicTime now) const;
+  /// Records the target of a request, and returns the shortest target of its rank and of more
+  /// urgent ones.
+  Milliseconds shortestTarget(Milliseconds target, unsigned rank);
 
   QueueAdmissionSettings settings_;
+  /// Shortest target by rank, of the requests so far.
+  std::map<unsigned, Milliseconds> targets_;
   /// When the waits began to exceed the steady limit.
   std::optional<MonotonicTime> congestedSince_;
 };
--- a/tests/forward/queue_admission_test.cc
+++ b/tests/forward/queue_admission_test.cc
@@ -1,6 +1,8 @@
 #include "forward/queue_admission.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 
 namespace calicodrift::forward {
 namespace {
@@ -54,6 +56,40 @@
   BOOST_TEST(!refused(300, 1, 2000));
 }
 
+// A quarter of the servers is silent while the long requests of a lower rank, whose target is three
+// times as long, come two and a half times as often. They filled the queues beyond what is admitted
+// of the urgent ones, of which half were refused.
+BOOST_AUTO_TEST_CASE(longRequestsOfALowerRankDoNotShutTheUrgentOut) {
+  constexpr Milliseconds kUrgent{400};
+  constexpr Milliseconds kLong{1200};
+  constexpr unsigned kLowerRank = 2;
+  constexpr double kStepMs = 10;
+  // Work that arrives, in milliseconds of the servers' time for each that passes.
+  constexpr double kUrgentWork = 0.7;
+  constexpr double kLongWork = 1.2;
+  double queueMs = 0;
+  std::size_t refusedUrgent = 0;
+  std::size_t steps = 0;
+  for (MonotonicTime now = kStart; now < after(20'000); now += Milliseconds(10), ++steps) {
+    const Milliseconds wait(static_cast<std::int64_t>(queueMs));
+    if (admission.refuse(wait, kUrgent, 0, now)) {
+      ++refusedUrgent;
+    } else {
+      queueMs += kUrgentWork * kStepMs;
+    }
+    if (!admission.refuse(wait, kLong, kLowerRank, now)) {
+      queueMs += kLongWork * kStepMs;
+    }
+    queueMs = std::max(0.0, queueMs - kStepMs);
+  }
+  BOOST_TEST(refusedUrgent <= steps / 20, refusedUrgent << " of " << steps);
+}
+
+BOOST_AUTO_TEST_CASE(requestsOfOneRankKeepTheirOwnTargets) {
+  static_cast<void>(admission.refuse(Milliseconds(0), Milliseconds(100), 0, kStart));
+  BOOST_TEST(!admission.refuse(Milliseconds(900), kTarget, 0, kStart));
+}
+
 BOOST_AUTO_TEST_CASE(retryTimeIsTheWaitUpToTheMaximum) {
   BOOST_TEST((admission.refuse(Milliseconds(1900), kTarget, 0, kStart) == Milliseconds(1900)));
   BOOST_TEST((admission.refuse(Milliseconds(60'000), kTarget, 0, kStart) == Milliseconds(2000)));
