--- a/src/relay/listing_snapshot.cc
+++ b/src/relay/listing_snapshot.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Far above kObjectsPerPart objects of the largest size that the store takes.
-constexpr std::uint64_t kMaxPartBytes = 512 * 1'048'576;
+constexpr std::uint64_t kMaxPartBytes = 536'870'912;
 
 /// A status that is not JSON counts as none, as the reader of a part can't ask for it again.
 boost::json::value statusFrom(const std::string& text) {
--- a/tests/forward/long_answers_test.cc
+++ b/tests/forward/long_answers_test.cc
@@ -33,8 +33,8 @@
   awaitable<Result<void>> writeChunk(std::string_view bytes) override {
     longestChunk = std::max(longestChunk, bytes.size());
     body += bytes;
-    if (pause > Milliseconds(0) && body.size() - pausedAt >= kPausesEach) {
-      pausedAt = body.size();
+    if (pause > Milliseconds(0) && body.size() - pausedAt_ >= kPausesEach) {
+      pausedAt_ = body.size();
       asio::steady_timer timer(co_await asio::this_coro::executor, pause);
       co_await timer.async_wait(asio::use_awaitable);
     }
@@ -60,7 +60,7 @@
 
  private:
   static constexpr std::size_t kPausesEach = 64'000;
-  std::size_t pausedAt = 0;
+  std::size_t pausedAt_ = 0;
 };
 
 struct LongAnswers : ForwardingFixture {
