relay: a root that lists again sends its followers what differs

Cause: where the store had forgotten its history, a listing at a root replaced its state and its history.

Change: a listing of the same era is compared with the state by the revisions of its objects; what differs is appended to the history and goes to followers as changes.

--- a/src/relay/spec_texts.h
+++ b/src/relay/spec_texts.h
@@ -3,6 +3,7 @@
 #include <cereal/types/string.hpp>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -59,6 +60,10 @@
  public:
   void set(const std::string& name, SharedText text);
   void erase(const std::string& name) { entries_.erase(name); }
+  /// Erases the texts of all other objects.
+  void retain(const std::function<bool(const std::string& name)>& isKept) {
+    std::erase_if(entries_, [&isKept](const auto& entry) { return !isKept(entry.first); });
+  }
   HeldTexts held() const;
   /// The newest text; null if the object has no large spec.
   SharedText newest(const std::string& name) const;
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace calicodrift::relay {
@@ -28,28 +30,77 @@
 }  // namespace
 
 void WatchCache::applyListing(const store::Listing& listing, MonotonicTime provenAt) {
-  const std::map<std::string, store::Object> before = std::exchange(objects_, {});
+  const bool comparable = known_ && store::eraOf(listing.revision) == store::eraOf(revision_) &&
+                          listing.revision >= revision_;
+  if (comparable) {
+    store::ChangeBatch difference = differenceTo(listing);
+    for (const store::Change& change : difference.changes) {
+      applyChange(change);
+      if (store::hasLargeSpec(change.object)) {
+        forgetEarlierChanges(change.object.name);
+      }
+    }
+    appendHistory(std::move(difference));
+  } else {
+    replaceState(listing);
+  }
+  offered_.reset();
+  known_ = true;
+  revision_ = listing.revision;
+  provenAt_ = std::max(provenAt_, provenAt);
+  wakeWaiters();
+}
+
+void WatchCache::replaceState(const store::Listing& listing) {
+  objects_.clear();
+  specTexts_.retain([&listing](const std::string& name) {
+    return std::any_of(listing.objects.begin(), listing.objects.end(),
+                       [&name](const store::Object& object) {
+                         return object.name == name && store::hasLargeSpec(object);
+                       });
+  });
   for (const store::Object& object : listing.objects) {
     objects_[object.name] = withSpecText(object);
     if (store::hasLargeSpec(object)) {
       specTexts_.set(object.name, object.specText);
     }
   }
-  for (const auto& [name, object] : before) {
-    const auto listed = objects_.find(name);
-    if (listed == objects_.end() || !store::hasLargeSpec(listed->second)) {
-      specTexts_.erase(name);
-    }
-  }
   snapshot_.reset();
-  offered_.reset();
   history_.clear();
   historyChanges_ = 0;
   historyStart_ = listing.revision;
-  known_ = true;
-  revision_ = listing.revision;
-  provenAt_ = std::max(provenAt_, provenAt);
-  wakeWaiters();
+}
+
+store::ChangeBatch WatchCache::differenceTo(const store::Listing& listing) const {
+  store::ChangeBatch difference;
+  difference.revision = listing.revision;
+  std::set<std::string_view> listed;
+  for (const store::Object& object : listing.objects) {
+    listed.insert(object.name);
+    const auto held = objects_.find(object.name);
+    if (held == objects_.end() || held->second.revision < object.revision) {
+      difference.changes.push_back({withSpecText(object), false});
+    }
+  }
+  for (const auto& [name, object] : objects_) {
+    // A listing may contain objects that are newer than its revision, but lacks none that are not.
+    if (!listed.contains(name) && object.revision <= listing.revision) {
+      difference.changes.push_back({object, true});
+    }
+  }
+  return difference;
+}
+
+void WatchCache::appendHistory(store::ChangeBatch batch) {
+  if (!batch.changes.empty()) {
+    historyChanges_ += batch.changes.size();
+    history_.push_back(std::move(batch));
+  }
+  while (historyChanges_ > maxHistoryChanges()) {
+    historyChanges_ -= history_.front().changes.size();
+    historyStart_ = history_.front().revision;
+    history_.pop_front();
+  }
 }
 
 void WatchCache::applyChanges(const store::ChangeBatch& batch, MonotonicTime provenAt) {
@@ -66,15 +117,7 @@
     }
     news.changes.push_back(std::move(change));
   }
-  if (!news.changes.empty()) {
-    historyChanges_ += news.changes.size();
-    history_.push_back(std::move(news));
-  }
-  while (historyChanges_ > maxHistoryChanges()) {
-    historyChanges_ -= history_.front().changes.size();
-    historyStart_ = history_.front().revision;
-    history_.pop_front();
-  }
+  appendHistory(std::move(news));
   revision_ = std::max(revision_, batch.revision);
   provenAt_ = std::max(provenAt_, provenAt);
   wakeWaiters();
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -33,7 +33,8 @@
  public:
   explicit WatchCache(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
-  /// Replaces the state by a listing that was known to be current at `provenAt`.
+  /// Replaces the state by a listing that was known to be current at `provenAt`. Followers that
+  /// know an earlier state are sent what differs, as long as both are of the same era.
   void applyListing(const store::Listing& listing, MonotonicTime provenAt);
   /// Applies a batch that was known to be current at `provenAt`. Changes that the state already has
   /// are skipped, so a batch that was read concurrently with a newer one reverts nothing.
@@ -64,6 +65,12 @@
  private:
   void wakeWaiters();
   std::size_t maxHistoryChanges() const;
+  /// Discards the state and the history.
+  void replaceState(const store::Listing& listing);
+  /// What turns the state into the listing.
+  store::ChangeBatch differenceTo(const store::Listing& listing) const;
+  /// Appends a batch of which the state has nothing, and drops the oldest changes.
+  void appendHistory(store::ChangeBatch batch);
   /// Whether the state already has a change from a batch that leads to `reached`.
   bool isKnown(const store::Change& change, store::Revision reached) const;
   /// Applies the change unless a newer version of the object is known.
--- a/tests/relay/listing_snapshot_test.cc
+++ b/tests/relay/listing_snapshot_test.cc
@@ -175,6 +175,39 @@
   BOOST_TEST(child.calls.empty());
 }
 
+// The store forgets its history, so that a root has to list again. Each node below it listed again,
+// too: so late that all others read the store themselves, 20 pages each.
+BOOST_AUTO_TEST_CASE(aRootThatListsAgainSendsWhatDiffersOnly) {
+  Node& root = rootOf(kServers);
+  Node& child = childOf(root, "child");
+  const store::Revision known = child.relayed.cache(kKind)->revision();
+  const std::string gone = listingOf(1).objects.front().name;
+  root.store.setSpec(kKind, "i-new", serverNumbered(1, 1).spec);
+  root.store.remove(kKind, gone);
+  BOOST_REQUIRE(await(root.relayed.list(kKind)).has_value());
+  const Result<store::ChangeBatch> changes =
+      await(child.relayed.watch(kKind, known, Milliseconds(200)));
+  BOOST_REQUIRE(changes.has_value());
+  BOOST_REQUIRE(changes.value().changes.size() == 2U);
+  for (const store::Change& change : changes.value().changes) {
+    BOOST_TEST(change.removed == (change.object.name == gone));
+  }
+  BOOST_TEST((child.relayed.cache(kKind)->revision() == root.relayed.cache(kKind)->revision()));
+  BOOST_TEST(child.relayed.cache(kKind)->listing().objects.size() == kServers);
+  BOOST_TEST(root.calls[std::string(kSnapshotPath)] == 1U);
+}
+
+// Positions of two histories can't be compared: followers list anew.
+BOOST_AUTO_TEST_CASE(aListingOfAnotherEraReplacesTheState) {
+  WatchCache cache(context.get_executor());
+  cache.applyListing(listingOf(3), monotonicNow());
+  store::Listing returned = listingOf(2);
+  returned.revision = store::makeRevision(store::Era(1), 500);
+  cache.applyListing(returned, monotonicNow());
+  BOOST_TEST(cache.listing().objects.size() == 2U);
+  BOOST_TEST(!cache.changesSince(listingOf(1).revision).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aSnapshotThatTheHistoryDoesNotReachIsMadeAnew) {
   Node& root = rootOf(10);
   childOf(root, "child");
