relay: a root goes on proving its view where the store's history is gone

Cause: where a watch of the store failed for want of history, the root's reader listed, and went through 10,000 servers in steps of 32 between which everything else ran.

Change: the store is listed by the relayed store itself, and its reader gets what differs as changes. Only a process's first listing, and one of another era, is gone through whole.

Test: relayed_store/aReaderOfTheStoreGetsChangesWhereItsHistoryIsGone.

--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -102,7 +102,11 @@
   if (hasUndelivered(view)) {
     co_return undeliveredChanges(view, since, asked);
   }
-  Result<store::ChangeBatch> batch = co_await watchFromSource(view, std::move(kind), since, wait);
+  Result<store::ChangeBatch> batch = co_await watchFromSource(view, kind, since, wait);
+  const bool historyGone = !batch && batch.error().kind == ErrorKind::kVersionConflict;
+  if (historyGone && source_ == Source::kStore && view.cache->known()) {
+    co_await listAgain(view, std::move(kind));
+  }
   if (hasUndelivered(view)) {
     co_return undeliveredChanges(view, since, asked);
   }
@@ -115,6 +119,16 @@
   co_return batch;
 }
 
+awaitable<void> RelayedStore::listAgain(View& view, std::string kind) {
+  const MonotonicTime asked = monotonicNow();
+  const Result<store::Listing> listing = co_await listFromSource(view, std::move(kind));
+  if (listing && listing.value().revision >= view.cache->revision()) {
+    const MonotonicTime provenAt = asked + listing.value().provenAfterAsked;
+    view.cache->applyListing(listing.value(), provenAt);
+    view.sourceProvenAt = std::max(view.sourceProvenAt, provenAt);
+  }
+}
+
 void RelayedStore::markDelivered(View& view) {
   view.deliveredProvenAt = view.cache->provenAt();
   view.deliveredRevision = view.cache->revision();
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -117,6 +117,10 @@
   /// relays of earlier builds send them.
   store::Revision withKnownEra(store::Revision received);
   boost::asio::awaitable<Result<store::Listing>> listFromSource(View& view, std::string kind);
+  /// Lists a kind whose history the store has forgotten. The reader gets what differs as changes:
+  /// to go through a long listing again would take it longer than its children may wait for a
+  /// proof.
+  boost::asio::awaitable<void> listAgain(View& view, std::string kind);
   /// Reads the first state from the relay, as a snapshot. Empty if the relay sends none.
   boost::asio::awaitable<std::optional<Result<store::Listing>>> listFromSnapshot(View& view,
                                                                                  std::string kind,
--- a/tests/relay/relayed_store_test.cc
+++ b/tests/relay/relayed_store_test.cc
@@ -207,6 +207,21 @@
   BOOST_TEST(relayed.cache("k")->listing().objects.size() == 2U);
 }
 
+// While a root's reader went through a listing of 10,000 servers again, nothing proved the root's
+// view, and every node below it read the store itself.
+BOOST_AUTO_TEST_CASE(aReaderOfTheStoreGetsChangesWhereItsHistoryIsGone) {
+  const store::Revision since = known();
+  path.forgetful = true;
+  shared.set("k", "b", "2");
+  watch(since);
+  run(Milliseconds(30));
+  BOOST_REQUIRE(watched.has_value());
+  BOOST_REQUIRE(watched->has_value());
+  BOOST_REQUIRE(watched->value().changes.size() == 1U);
+  BOOST_TEST(watched->value().changes.front().object.name == "b");
+  BOOST_TEST((watched->value().revision > since));
+}
+
 BOOST_AUTO_TEST_CASE(refreshDoesNotCountAsProofOfTheSource) {
   // Code that judges the parent by the age of its views must see that age.
   relayed.follow(silentEndpoint());
