relay: nodes leave long listings to those above for a while

Change: a node whose view is old reads the store whole only if the kind fits into a page, or when its view is a third older than the age at which it asks the store for changes; nodes above that need the listing, too, have begun it earlier.

Test: relayed_store/aLongListingIsLeftToTheSourceUnlessItIsAllowed.

--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+/// A long listing is left to the nodes above for this part of a kind's read age; what remains of
+/// the bound is as long.
+constexpr int kLongListingDelayDivisor = 3;
+
 std::string roleName(RelayRole role) {
   switch (role) {
     case RelayRole::kSearching:
@@ -278,11 +282,18 @@
   co_return reading->outcome;
 }
 
+RelayedStore::Listings RelayNode::allowedListings(const std::string& kind, Milliseconds age) const {
+  // A node above that needs a listing, too, has begun it earlier and passes on what differs.
+  const Milliseconds readAge = settings_.readAges.at(kind);
+  const bool late = age >= readAge + readAge / kLongListingDelayDivisor;
+  return late ? RelayedStore::Listings::kAllowed : RelayedStore::Listings::kShort;
+}
+
 awaitable<void> RelayNode::readViewToEnd(std::string kind, Milliseconds maxSilence,
                                          std::shared_ptr<ViewReading> reading) {
   const MonotonicTime asked = monotonicNow();
   const auto age = std::chrono::floor<Milliseconds>(asked - store_.provenAt(kind));
-  const Result<void> read = co_await store_.refresh(kind, maxSilence);
+  const Result<void> read = co_await store_.refresh(kind, maxSilence, allowedListings(kind, age));
   const auto took = std::chrono::ceil<Milliseconds>(monotonicNow() - asked);
   log::write(log::Level::kInfo, "view_read_from_store",
              {{"kind", kind},
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -101,6 +101,8 @@
     std::optional<Result<void>> outcome;
     bool awaited = true;
   };
+  /// What refresh() may read of a view of this age.
+  RelayedStore::Listings allowedListings(const std::string& kind, Milliseconds age) const;
   boost::asio::awaitable<void> readViewToEnd(std::string kind, Milliseconds maxSilence,
                                              std::shared_ptr<ViewReading> reading);
   /// Whether an answer of the store about the kind is arriving.
--- a/src/relay/relayed_store.cc
+++ b/src/relay/relayed_store.cc
@@ -16,6 +16,8 @@
 /// Longer than a node usually needs to find a parent, and well below the age at which a view counts
 /// as stale.
 constexpr Milliseconds kSourceTimeout{300};
+/// Objects that the store returns at a time.
+constexpr std::size_t kObjectsOfAPage = 500;
 /// Wait of a watch that only fetches existing changes.
 constexpr Milliseconds kShortestWatch{1};
 
@@ -150,13 +152,14 @@
   return batch;
 }
 
-awaitable<Result<void>> RelayedStore::refresh(std::string kind, Milliseconds maxSilence) {
+awaitable<Result<void>> RelayedStore::refresh(std::string kind, Milliseconds maxSilence,
+                                              Listings listings) {
   const auto found = views_.find(kind);
   if (found == views_.end() || !found->second.cache->known()) {
     co_return fail(ErrorKind::kStoreUnavailable, "the kind has not been read yet");
   }
   View& view = found->second;
-  const Result<void> read = co_await readFromStore(view, std::move(kind), maxSilence);
+  const Result<void> read = co_await readFromStore(view, std::move(kind), maxSilence, listings);
   if (read && hasUndelivered(view)) {
     ++view.refreshes;
     wakeWaiters();
@@ -165,7 +168,7 @@
 }
 
 awaitable<Result<void>> RelayedStore::readFromStore(View& view, std::string kind,
-                                                    Milliseconds maxSilence) {
+                                                    Milliseconds maxSilence, Listings listings) {
   const store::Revision since = view.cache->revision();
   MonotonicTime asked = monotonicNow();
   Result<store::ChangeBatch> batch =
@@ -180,6 +183,9 @@
   if (batch.error().kind != ErrorKind::kVersionConflict) {
     co_return batch.error();
   }
+  if (listings == Listings::kShort && view.cache->size() > kObjectsOfAPage) {
+    co_return fail(ErrorKind::kStoreUnavailable, "a long listing is left to the source for now");
+  }
   asked = monotonicNow();
   Result<store::Listing> listing = co_await callUntilSilent(kind, maxSilence, direct_.list(kind));
   if (!listing) {
--- a/src/relay/relayed_store.h
+++ b/src/relay/relayed_store.h
@@ -78,11 +78,20 @@
   void excludeFromProvenAt(const std::string& kind) { excludedKinds_.insert(kind); }
   /// Latest time at which the kind was known to be current, in whatever way it was read.
   MonotonicTime provenAt(const std::string& kind) const;
+  /// Whether refresh() may read the kind whole.
+  enum class Listings {
+    kAllowed,
+    /// Only if the known state fits into one page of the store: a long listing costs the store a
+    /// call for each page, at every node whose view is old at the time.
+    kShort,
+  };
   /// Reads the changes of the kind from the store with a watch, or with a listing if the store no
   /// longer has the history. Fails with kDeadlineExceeded if nothing of either answer arrives for
-  /// `maxSilence`, and with kStoreUnavailable if the kind has not been read yet or the result is
-  /// older than the known state. After a success the view is proven for the time of the call.
-  boost::asio::awaitable<Result<void>> refresh(std::string kind, Milliseconds maxSilence);
+  /// `maxSilence`, and with kStoreUnavailable if the kind has not been read yet, the result is
+  /// older than the known state, or a listing is needed and not allowed. After a success the view
+  /// is proven for the time of the call.
+  boost::asio::awaitable<Result<void>> refresh(std::string kind, Milliseconds maxSilence,
+                                               Listings listings = Listings::kAllowed);
 
  private:
   enum class Source { kNone, kRelay, kStore };
@@ -132,7 +141,7 @@
                                                                      Milliseconds wait);
   /// Reads what the store has beyond the known state, for refresh().
   boost::asio::awaitable<Result<void>> readFromStore(View& view, std::string kind,
-                                                     Milliseconds maxSilence);
+                                                     Milliseconds maxSilence, Listings listings);
   /// Fails with kStoreUnavailable unless the view is known to have been current at `asked`.
   static Result<void> checkProven(const View& view, MonotonicTime asked);
   /// Awaits a call to the source until it ends, the source changes or the view is refreshed.
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -45,6 +45,8 @@
   /// Fails with kVersionConflict if the history does not reach back to `since`.
   Result<store::ChangeBatch> changesSince(store::Revision since) const;
   store::Revision revision() const { return revision_; }
+  /// Number of objects.
+  std::size_t size() const { return objects_.size(); }
   /// Keeps a snapshot that a relay has sent, for the children of this node. They are served from it
   /// before the state has been read from it.
   void offerSnapshot(SnapshotView received);
--- a/tests/relay/relayed_store_test.cc
+++ b/tests/relay/relayed_store_test.cc
@@ -207,6 +207,32 @@
   BOOST_TEST(relayed.cache("k")->listing().objects.size() == 2U);
 }
 
+// All nodes whose views grew old when the store had forgotten its history listed 10,000 servers for
+// themselves, a call for each page, while their roots did the same.
+BOOST_AUTO_TEST_CASE(aLongListingIsLeftToTheSourceUnlessItIsAllowed) {
+  constexpr int kServers = 600;
+  for (int number = 0; number < kServers; ++number) {
+    shared.set("k", "s" + std::to_string(number), "1");
+  }
+  watch(known());
+  run(Milliseconds(30));
+  relayed.follow(silentEndpoint());
+  path.forgetful = true;
+  shared.set("k", "b", "2");
+  for (const auto listings : {RelayedStore::Listings::kShort, RelayedStore::Listings::kAllowed}) {
+    std::optional<Result<void>> outcome;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+          outcome = co_await relayed.refresh("k", kTimeout, listings);
+        },
+        asio::detached);
+    run(Milliseconds(60));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->has_value() == (listings == RelayedStore::Listings::kAllowed));
+  }
+}
+
 // While a root's reader went through a listing of 10,000 servers again, nothing proved the root's
 // view, and every node below it read the store itself.
 BOOST_AUTO_TEST_CASE(aReaderOfTheStoreGetsChangesWhereItsHistoryIsGone) {
