--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -188,15 +188,6 @@
   return entry == nullptr ? nullptr : &entry->server;
 }
 
-std::vector<Server> ServerPool::servers() const {
-  std::vector<Server> all;
-  all.reserve(servers_.size());
-  for (const auto& [id, entry] : servers_) {
-    all.push_back(entry.server);
-  }
-  return all;
-}
-
 void ServerPool::visit(const std::function<void(const Server&)>& visitor) const {
   for (const auto& [id, entry] : servers_) {
     visitor(entry.server);
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -206,7 +206,6 @@
   const Server* findAt(const Endpoint& endpoint) const;
   /// The listed run with this key; null if it is not listed.
   const Server* findRun(ServerKey key) const;
-  std::vector<Server> servers() const;
   /// Calls the visitor for each listed server, those that are draining included.
   void visit(const std::function<void(const Server&)>& visitor) const;
   std::vector<Server> unreachable() const;
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -42,12 +42,12 @@
   /// Upper bound of the random delay before the first reading of the list. Of many nodes that start
   /// together, only a few then find it empty.
   Milliseconds startDelay{200};
+  /// Added to startDelay. Of nodes that all start for the first time, those with the shortest one
+  /// become roots.
+  Milliseconds extraStartDelay{0};
   /// Whether the first reading of the list may be of one that is seconds old. It costs the store a
   /// tenth, and many nodes start at a time.
   bool staleFirstRead = false;
-  /// Added to that delay. Of nodes that all start for the first time, those with the shortest one
-  /// become roots.
-  Milliseconds extraStartDelay{0};
   /// Upper bound of the random delay before a node replaces a root that does not answer. The delay
   /// is shorter if fewer nodes are known to compete for the place.
   Milliseconds claimDelay{400};
--- a/tests/relay/relayed_store_test.cc
+++ b/tests/relay/relayed_store_test.cc
@@ -105,11 +105,13 @@
         },
         asio::detached);
   }
-  void refresh() {
+  void refresh(RelayedStore::Listings listings = RelayedStore::Listings::kAllowed) {
     refreshed.reset();
     asio::co_spawn(
         context,
-        [this]() -> asio::awaitable<void> { refreshed = co_await relayed.refresh("k", kTimeout); },
+        [this, listings]() -> asio::awaitable<void> {
+          refreshed = co_await relayed.refresh("k", kTimeout, listings);
+        },
         asio::detached);
   }
   store::Revision known() { return relayed.cache("k")->revision(); }
@@ -220,16 +222,10 @@
   path.forgetful = true;
   shared.set("k", "b", "2");
   for (const auto listings : {RelayedStore::Listings::kShort, RelayedStore::Listings::kAllowed}) {
-    std::optional<Result<void>> outcome;
-    asio::co_spawn(
-        context,
-        [&]() -> asio::awaitable<void> {
-          outcome = co_await relayed.refresh("k", kTimeout, listings);
-        },
-        asio::detached);
+    refresh(listings);
     run(Milliseconds(60));
-    BOOST_REQUIRE(outcome.has_value());
-    BOOST_TEST(outcome->has_value() == (listings == RelayedStore::Listings::kAllowed));
+    BOOST_REQUIRE(refreshed.has_value());
+    BOOST_TEST(refreshed->has_value() == (listings == RelayedStore::Listings::kAllowed));
   }
 }
 
