gateway: a server that a listing ends stays out though a configuration came within the listing

Cause: since listings are applied in steps, a configuration may come between them. The entries set aside were dropped at the first step, so that the configuration set servers aside by their earlier entries, also servers that the listing lacks or has with an unreadable entry. A later configuration that named their service brought them back, until the next listing. Change: an entry set aside is replaced when its listing step comes, and dropped at the end if the listing lacks it.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -29,19 +29,6 @@
   return "removed";
 }
 
-void ServerPool::applyListing(const std::vector<Server>& servers, MonotonicTime now,
-                              const std::set<BackendId>& withheld) {
-  std::set<BackendId> listed = withheld;
-  for (const BackendId& id : withheld) {
-    withhold(id, now);
-  }
-  for (const Server& server : servers) {
-    listed.insert(server.id);
-    apply(server, now);
-  }
-  removeUnlisted(listed);
-}
-
 void ServerPool::removeUnlisted(const std::set<BackendId>& listed) {
   std::vector<BackendId> gone;
   for (const auto& [id, entry] : servers_) {
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -94,11 +94,7 @@
   ServerPool(double prefillTokensPerMs, LossListener listener)
       : prefillTokensPerMs_(prefillTokensPerMs), listener_(std::move(listener)) {}
 
-  /// Replaces the list.
-  /// @param withheld servers that are listed too, but whose entries are unusable: see withhold().
-  void applyListing(const std::vector<Server>& servers, MonotonicTime now,
-                    const std::set<BackendId>& withheld = {});
-  /// Removes the servers that are not in the set.
+  /// Removes the servers that are not in the set, once each server of a listing has been applied.
   void removeUnlisted(const std::set<BackendId>& listed);
   /// Adds or updates one server. An entry without a start, where one is known, comes from another
   /// writer: the server gets no new work until an entry with a start arrives.
--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -8,22 +8,12 @@
 
 namespace calicodrift::gateway {
 
-void ServerEntries::applyListing(const store::Listing& listing, MonotonicTime now) {
-  beginListing(listing, now);
-  for (const store::Object& object : listing.objects) {
-    applyListed(object, now);
-  }
-  endListing(listing.revision, now);
-}
-
 void ServerEntries::beginListing(const store::Listing& listing, MonotonicTime now) {
   unreadable_.keepListed(schema_.serverKind(), listing);
   if (afterReturn_.isReturn(listing)) {
     onReturn(listing, now);
   }
   afterReturn_.onListing(listing);
-  unnamed_.clear();
-  unreadableServers_.clear();
   listed_.clear();
   withheld_ = 0;
 }
@@ -31,6 +21,8 @@
 void ServerEntries::applyListed(const store::Object& object, MonotonicTime now) {
   const BackendId id(object.name);
   listed_.insert(id);
+  unnamed_.erase(id);
+  unreadableServers_.erase(id);
   std::optional<fleet::Server> server;
   if (!afterReturn_.isOutdated(object)) {
     server = usable(object);
@@ -45,6 +37,7 @@
 
 void ServerEntries::endListing(store::Revision revision, MonotonicTime now) {
   const std::size_t used = listed_.size() - withheld_;
+  forgetUnlisted();
   keepMissing(now);
   pool_.removeUnlisted(listed_);
   listed_.clear();
@@ -72,6 +65,18 @@
   }
 }
 
+void ServerEntries::forgetUnlisted() {
+  std::erase_if(unreadableServers_, [this](const BackendId& id) { return !listed_.contains(id); });
+  std::erase_if(unnamed_, [this](const auto& entry) {
+    const BackendId& id = entry.first;
+    const bool gone = !listed_.contains(id);
+    if (gone) {
+      unreadable_.clear(schema_.serverKind(), id.value());
+    }
+    return gone;
+  });
+}
+
 void ServerEntries::removeExpired(MonotonicTime now) {
   for (const BackendId& id : afterReturn_.takeExpired(now)) {
     log::write(log::Level::kInfo, "server_not_back", {{"server", id.value()}});
--- a/src/gateway/server_entries.h
+++ b/src/gateway/server_entries.h
@@ -27,10 +27,8 @@
   ServerEntries(const StoreSchema& schema, fleet::ServerPool& pool, UnreadableObjects& unreadable)
       : schema_(schema), pool_(pool), unreadable_(unreadable) {}
 
-  /// Replaces all entries.
-  void applyListing(const store::Listing& listing, MonotonicTime now);
-  /// The steps of applyListing(), between which configurations may be applied, but no changes:
-  /// beginListing(), applyListed() for each object, endListing().
+  /// Replaces all entries in steps: beginListing(), applyListed() for each object, endListing().
+  /// Configurations may be applied between them, but no changes.
   void beginListing(const store::Listing& listing, MonotonicTime now);
   void applyListed(const store::Object& object, MonotonicTime now);
   void endListing(store::Revision revision, MonotonicTime now);
@@ -50,6 +48,8 @@
   void keepMissing(MonotonicTime now);
   /// The server of the entry; empty, and logged, if the entry cannot be used.
   std::optional<fleet::Server> usable(const store::Object& object);
+  /// Forgets the entries that the listing lacks.
+  void forgetUnlisted();
   bool isNamed(const std::string& service) const;
   /// Records that the entry's service is not configured.
   void setAside(Entry entry);
--- a/tests/fleet/active_servers_test.cc
+++ b/tests/fleet/active_servers_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/server_listing.h"
 #include "fleet/server_pool.h"
 
 namespace calicodrift::fleet {
@@ -29,7 +30,7 @@
     for (std::size_t number = 0; number < servers; ++number) {
       listed.push_back(serverNumbered(number));
     }
-    applyListing(listed, kStart);
+    applyListing(*this, listed, kStart);
   }
 };
 
--- a/tests/fleet/server_notices_test.cc
+++ b/tests/fleet/server_notices_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
+#include "fleet/server_listing.h"
 #include "fleet/server_pool.h"
 
 namespace calicodrift::fleet {
@@ -53,7 +54,7 @@
   pool.apply(makeServer("a", 5, 2), kStart + seconds(2));
   BOOST_TEST(!isCandidate(pool, "a", kStart + seconds(2)));
   pool.remove(server.id);
-  pool.applyListing({server}, kStart + seconds(3));
+  applyListing(pool, {server}, kStart + seconds(3));
   BOOST_TEST(!isCandidate(pool, "a", kStart + seconds(3)));
   BOOST_TEST(pool.listedVersions().empty());
 }
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <new>
 
+#include "fleet/server_listing.h"
+
 namespace calicodrift::fleet {
 namespace {
 
@@ -30,13 +32,13 @@
 BOOST_FIXTURE_TEST_SUITE(server_pool, PoolFixture)
 
 BOOST_AUTO_TEST_CASE(drainingAndRemovedServersAreNoCandidates) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1), makeServer("c", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1), makeServer("c", 1)}, kStart);
   BOOST_TEST(usable() == 3U);
   Server draining = makeServer("a", 1);
   draining.draining = true;
   pool.apply(draining, kStart);
   BOOST_TEST(usable() == 2U);
-  pool.applyListing({draining, makeServer("b", 1)}, kStart);
+  applyListing(pool, {draining, makeServer("b", 1)}, kStart);
   BOOST_TEST(usable() == 1U);
   BOOST_TEST((losses == std::vector{ServerLoss::kDraining, ServerLoss::kRemoved}));
 }
@@ -61,7 +63,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(withheldServerIsExcludedUntilItsNextEntryAndKeepsItsState) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.addLoad(BackendId("a"), {100, 50}, kStart);
   pool.markUnreachable(BackendId("b"), kStart);
   losses.clear();
@@ -80,17 +82,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(listingWithholdsUnreadableServersAndRemovesMissingOnes) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1), makeServer("c", 1)}, kStart);
-  pool.applyListing({makeServer("a", 1)}, kStart, {BackendId("b"), BackendId("unknown")});
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1), makeServer("c", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1)}, kStart, {BackendId("b"), BackendId("unknown")});
   BOOST_TEST(usable() == 1U);
   BOOST_TEST(pool.size() == 2U);
   BOOST_TEST((losses == std::vector{ServerLoss::kWithheld, ServerLoss::kRemoved}));
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   BOOST_TEST(usable() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(serversBelowTheMinWeightsAreNoCandidates) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 2)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 2)}, kStart);
   pool.setMinWeights(kModel, WeightsVersion(2), kStart);
   BOOST_TEST(usable() == 1U);
   pool.applyWeights(BackendId("a"), kModel, WeightsVersion(2), kStart);
@@ -101,7 +103,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(pausedServersAreUsedOnlyWhereNoOtherIsLeft) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.pause(BackendId("a"), kStart + Milliseconds(100), kStart);
   BOOST_TEST(usable() == 1U);
   pool.pause(BackendId("b"), kStart + Milliseconds(100), kStart);
@@ -117,7 +119,7 @@
   pool.setDistances(distances);
   Server distant = makeServer("a", 1);
   distant.zone = ZoneId("z2");
-  pool.applyListing({distant}, kStart);
+  applyListing(pool, {distant}, kStart);
   const auto rttMs = [this](MonotonicTime now) {
     return pool.candidates("llm", kModel, now)[0].rttMs;
   };
@@ -128,7 +130,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(unreachableServersReturnAfterAProbe) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.markUnreachable(BackendId("a"), kStart);
   BOOST_TEST(usable() == 1U);
   BOOST_TEST(pool.unreachable().size() == 1U);
@@ -137,7 +139,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ejectedServersReturnAfterTheEjection) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   for (std::size_t failure = 0; failure < BackendHealth::kFailuresToEject; ++failure) {
     pool.recordFailure(BackendId("a"), kStart);
   }
@@ -146,7 +148,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(loadIsAddedAndRemoved) {
-  pool.applyListing({makeServer("a", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1)}, kStart);
   const DispatchLoad load{1000, 800};
   pool.addLoad(BackendId("a"), load, kStart);
   BOOST_TEST(pool.candidates("llm", kModel, kStart)[0].sentPrefillTokens == 800U);
@@ -158,7 +160,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(peerLoadIsAddedToOwnLoad) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.setMemoryTokens("llm", 5000, kStart);
   pool.addLoad(BackendId("a"), {1000, 800}, kStart);
   const ServerLoads own = pool.ownLoads();
@@ -178,7 +180,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(pauseBoundOfTheServiceHoldsForListedAndNewServers) {
-  pool.applyListing({makeServer("a", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1)}, kStart);
   pool.setPauseBound("llm", Milliseconds(600), kStart);
   pool.apply(makeServer("b", 1), kStart);
   const routing::CandidateSet& candidates = pool.candidates("llm", kModel, kStart);
@@ -188,7 +190,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(serverUnreachableFromSeveralPeersIsDeprioritized) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   ServerLoads peers;
   ServerLoad& suspect = peers[keyOf(makeServer("a", 1))];
   suspect.unreachableFrom = 1;
@@ -202,7 +204,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(serverWithAnnouncedWeightsIsDeprioritizedUntilLoaded) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.announceLoads({{BackendId("a"), WeightsVersion(2)}}, kStart);
   BOOST_TEST(usable() == 1U);
   // Other nodes learn of it.
@@ -220,7 +222,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(serverThatAnotherNodeOrdersToLoadIsDeprioritized) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.setPeerLoads({{keyOf(makeServer("a", 1)), ServerLoad{0, 0, 0, 0, WeightsVersion(2)}}},
                     kStart);
   BOOST_TEST(usable() == 1U);
@@ -230,7 +232,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(completedLoadEndsThePauseAfterARefusal) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   pool.pause(BackendId("a"), kStart + Milliseconds(1000), kStart);
   BOOST_TEST(usable(kStart + Milliseconds(500)) == 1U);
   pool.apply(makeServer("a", 2), kStart + Milliseconds(500));
@@ -240,7 +242,7 @@
 BOOST_AUTO_TEST_CASE(longestQueueCountsTheLoadOfAllNodes) {
   Server a = makeServer("a", 1);
   a.slots = 2;
-  pool.applyListing({a, makeServer("b", 1)}, kStart);
+  applyListing(pool, {a, makeServer("b", 1)}, kStart);
   BOOST_TEST(pool.maxQueueWait() == Milliseconds(0));
   // The prefill rate is 40 tokens per millisecond.
   pool.addLoad(BackendId("b"), {8000, 8000}, kStart);
@@ -252,7 +254,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(prefillRateIsLearntPerServer) {
-  pool.applyListing({makeServer("a", 1), makeServer("b", 1)}, kStart);
+  applyListing(pool, {makeServer("a", 1), makeServer("b", 1)}, kStart);
   for (int sample = 0; sample < 100; ++sample) {
     pool.observeFirstToken(BackendId("a"), 8000, 800);
   }
@@ -273,7 +275,7 @@
 BOOST_AUTO_TEST_CASE(guardMayOutliveThePool) {
   alignas(ServerPool) std::array<unsigned char, sizeof(ServerPool)> memory{};
   auto* shortLived = new (memory.data()) ServerPool(40, [](const Server&, ServerLoss) {});
-  shortLived->applyListing({makeServer("a", 1)}, kStart);
+  applyListing(*shortLived, {makeServer("a", 1)}, kStart);
   {
     LoadGuard guard(*shortLived, BackendId("a"), {10, 5});
     shortLived->~ServerPool();
--- a/tests/fleet/server_runs_test.cc
+++ b/tests/fleet/server_runs_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "fleet/server_listing.h"
 #include "fleet/server_pool.h"
 
 namespace calicodrift::fleet {
@@ -158,7 +159,7 @@
   earlier.draining = true;
   earlier.endpoint.port = 81;
   pool.apply(earlier, kStart);
-  pool.applyListing({earlier}, kStart);
+  applyListing(pool, {earlier}, kStart);
   pool.applyRestart(kId, Incarnation(kFirst), earlier.models, kStart);
   pool.applyRestart(kId, Incarnation(kSecond), earlier.models, kStart);
   BOOST_TEST((*pool.find(kId) == makeRun(kSecond, 2)));
--- a/tests/gateway/store_views_test.cc
+++ b/tests/gateway/store_views_test.cc
@@ -1,6 +1,8 @@
 #include "gateway/store_views.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/weights_schema.h"
@@ -16,6 +18,16 @@
 /// Within which requests must have begun on older weights.
 constexpr Milliseconds kBound{8000};
 
+/// Reads each object of the list as a server of its name.
+class NamedServersSchema : public WeightsSchema {
+ public:
+  Result<fleet::Server> readServer(const store::Object& object) const override {
+    fleet::Server server;
+    server.id = BackendId(object.name);
+    return server;
+  }
+};
+
 GatewaySettings settingsOfViews() {
   GatewaySettings settings;
   settings.nodeId = "node";
@@ -27,7 +39,7 @@
 struct Views {
   asio::io_context context;
   relay::FakeStore store{context};
-  WeightsSchema schema;
+  NamedServersSchema schema;
   GatewaySettings settings = settingsOfViews();
   fleet::ServerPool pool{40, [](const fleet::Server&, fleet::ServerLoss) {}};
   weights::WeightsTargets targets{kTerms, monotonicNow()};
@@ -129,5 +141,31 @@
   BOOST_TEST(node.views.storedWeights().empty());
 }
 
+/// The largest number of servers that one handler of the event loop adds to the pool while a
+/// listing of this many is applied.
+std::size_t mostServersInAHandler(std::size_t servers) {
+  Views node;
+  for (std::size_t number = 0; number < servers; ++number) {
+    node.store.setSpec("servers", "server-" + std::to_string(number), boost::json::object());
+  }
+  node.views.start();
+  std::size_t most = 0;
+  std::size_t before = 0;
+  while (node.pool.size() < servers && node.context.run_one() != 0) {
+    most = std::max(most, node.pool.size() - before);
+    before = node.pool.size();
+  }
+  BOOST_TEST(node.pool.size() == servers);
+  return most;
+}
+
+/// A listing that is applied without a break holds the event loop for longer the more servers there
+/// are.
+BOOST_AUTO_TEST_CASE(aHandlerAppliesNoMoreServersOfALongListingThanOfAShortOne) {
+  const std::size_t most = mostServersInAHandler(100);
+  BOOST_TEST(most < 100U);
+  BOOST_TEST(mostServersInAHandler(3000) == most);
+}
+
 }  // namespace
 }  // namespace calicodrift::gateway
--- a/tests/platform/server_entries_test.cc
+++ b/tests/platform/server_entries_test.cc
@@ -3,6 +3,8 @@
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <vector>
 
 #include "log/log.h"
 #include "operator_schema.h"
@@ -35,7 +37,17 @@
   void list(std::vector<store::Object> objects) {
     store::Listing listing;
     listing.objects = std::move(objects);
-    entries.applyListing(listing, kNow);
+    listWithin(listing, [] {});
+  }
+  /// @param between is called before each step of the listing but the first.
+  void listWithin(const store::Listing& listing, const std::function<void()>& between) {
+    entries.beginListing(listing, kNow);
+    for (const store::Object& object : listing.objects) {
+      between();
+      entries.applyListed(object, kNow);
+    }
+    between();
+    entries.endListing(listing.revision, kNow);
   }
   void change(const store::Object& object) { entries.applyChange({object, false}, kNow); }
   /// @param cacheStore names a store of kept cache beside the services.
@@ -54,6 +66,10 @@
   std::size_t usable(const std::string& service = "app") {
     return pool.candidates(service, ModelId(), kNow).size();
   }
+  bool isUsable(const std::string& id) const {
+    const fleet::Server* server = pool.find(BackendId(id));
+    return server != nullptr && !server->draining;
+  }
   bool counted(const std::string& reason, int count) const {
     const std::string line = "{kind=\"servers\",reason=\"" + reason + "\"} ";
     return metrics::renderText(registry).find(line + std::to_string(count) + "\n") !=
@@ -135,6 +151,39 @@
   BOOST_TEST(usable("other") == 0U);
 }
 
+/// A configuration that is applied between the steps of a listing sets servers aside by their
+/// earlier entries. Those that the listing lacks, or has with an unreadable entry, must not come
+/// back once a later configuration names their service.
+BOOST_AUTO_TEST_CASE(aServerThatAListingEndsStaysOutThoughAConfigurationCameWithinTheListing) {
+  list({objectOf("a"), objectOf("b", "other"), objectOf("c", "other"), objectOf("d", "other")});
+  configure({"app", "other"});
+  store::Listing listing;
+  listing.objects = {objectOf("a"), badObject("b"), objectOf("d", "other")};
+  listWithin(listing, [this] { configure({"app"}); });
+  BOOST_TEST(usable("other") == 0U);
+  configure({"app", "other"});
+  BOOST_TEST(usable("other") == 1U);
+  BOOST_TEST(pool.find(BackendId("c")) == nullptr);
+  BOOST_TEST(!isUsable("b"));
+  BOOST_TEST(isUsable("d"));
+}
+
+/// Servers that were set aside before the listing are used as soon as their service is named, even
+/// if the listing has not come to them yet.
+BOOST_AUTO_TEST_CASE(aConfigurationWithinAListingUsesServersSetAsideBefore) {
+  configure({"app"});
+  list({objectOf("a"), objectOf("b", "other")});
+  store::Listing listing;
+  listing.objects = {objectOf("a"), objectOf("b", "other")};
+  std::vector<std::size_t> usableBetween;
+  listWithin(listing, [&] {
+    configure({"app", "other"});
+    usableBetween.push_back(usable("other"));
+  });
+  BOOST_TEST(usableBetween == std::vector<std::size_t>({1, 1, 1}),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(aServerThatDrainsByItsOwnEntryIsNotBroughtBackByTheConfiguration) {
   store::Object draining = objectOf("a", "other");
   draining.spec.as_object()["state"] = "draining";
