forward: a server run whose state is unknown is asked again until its end is known

By the record of the run no node ever counted an end: the question whether the process lives met a port that accepts connections and closes them, which proves nothing, and an unproven end was dropped for good.

CrashFollowUp asks again until the run is known to live or to have ended, and counts the end then. A report of a later run is applied to the pool, so that its own end counts as another.

--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -10,8 +10,8 @@
 using asio::awaitable;
 
 CrashCheck::CrashCheck(asio::any_io_executor executor, ServerCalls& calls,
-                       const ServerProtocol& protocol)
-    : executor_(std::move(executor)), calls_(calls), protocol_(protocol) {}
+                       const ServerProtocol& protocol, fleet::ServerPool& pool)
+    : executor_(std::move(executor)), calls_(calls), protocol_(protocol), pool_(pool) {}
 
 awaitable<RunState> CrashCheck::stateOf(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
@@ -29,11 +29,6 @@
   co_return probe->state.value_or(RunState::kUnknown);
 }
 
-awaitable<bool> CrashCheck::processHasEnded(fleet::Server server) {
-  const RunState state = co_await stateOf(std::move(server));
-  co_return state == RunState::kEnded;
-}
-
 awaitable<void> CrashCheck::runProbes(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
   std::shared_ptr<Probe> probe = std::exchange(next_[run], nullptr);
@@ -63,7 +58,7 @@
   co_return stateFrom(server, answer.value());
 }
 
-RunState CrashCheck::stateFrom(const fleet::Server& server, const http::Response& answer) const {
+RunState CrashCheck::stateFrom(const fleet::Server& server, const http::Response& answer) {
   if (protocol_.namesOtherServer(server, answer) || answer.status == http::kStatusMisdirected) {
     return RunState::kEnded;
   }
@@ -80,6 +75,7 @@
     case fleet::RunOrder::kSame:
       return RunState::kRunning;
     case fleet::RunOrder::kLater:
+      pool_.applyRestart(server.id, *report.value().started, report.value().models, monotonicNow());
       return RunState::kEnded;
     default:
       return RunState::kUnknown;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -40,7 +40,12 @@
       cacheMoves_(settings_.cacheMoves),
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)),
-      crashCheck_(context_.executor, context_.calls, context_.servers),
+      crashCheck_(context_.executor, context_.calls, context_.servers, context_.pool),
+      crashFollowUp_(context_.executor, crashCheck_, context_.pool, context_.metrics,
+                     [this](const fleet::Server& server, const InterruptedRequest& request) {
+                       asio::co_spawn(context_.executor, recordCrash(server, request),
+                                      asio::detached);
+                     }),
       answerEndCheck_(crashCheck_, context_.calls, context_.metrics),
       random_(seed + 2) {}
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -14,6 +14,7 @@
 #include "forward/answer_observer.h"
 #include "forward/cache_moves.h"
 #include "forward/crash_check.h"
+#include "forward/crash_follow_up.h"
 #include "forward/forward_settings.h"
 #include "forward/metrics.h"
 #include "forward/protocol.h"
@@ -159,9 +160,14 @@
   boost::asio::awaitable<void> reportToQuarantine(Job& job, const fleet::Server& server,
                                                   Milliseconds underWay,
                                                   const Result<void>& outcome);
-  /// Whether the server's process has ended, as far as an interrupted dispatch can tell.
-  boost::asio::awaitable<bool> processEndedDuring(const Job& job, const fleet::Server& server,
-                                                  const Result<void>& outcome);
+  /// Records that the request ran to its end.
+  void recordServed(Job& job);
+  /// State of the server's run after the dispatch; kRunning if the dispatch gives no reason to
+  /// doubt it.
+  boost::asio::awaitable<RunState> runStateAfter(const Job& job, const fleet::Server& server,
+                                                 const Result<void>& outcome);
+  /// Tells all nodes that the server's run ended with the request in flight there.
+  boost::asio::awaitable<void> recordCrash(fleet::Server server, InterruptedRequest request);
   /// Records that the server has begun the job: its first bytes arrived.
   void recordStart(Job& job, const Dispatch& dispatch) const;
   /// Sets the dispatch's cache transfers. `sharedKey` identifies the prompt's common prefix.
@@ -207,6 +213,7 @@
   std::map<std::pair<std::string, service_rollout::Track>, QueueAdmission> admissions_;
   AnswerObserver observer_;
   CrashCheck crashCheck_;
+  CrashFollowUp crashFollowUp_;
   AnswerEndCheck answerEndCheck_;
   MonotonicTime startedAt_ = monotonicNow();
   std::mt19937_64 random_;
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -227,36 +227,56 @@
 
 awaitable<void> Forwarder::reportToQuarantine(Job& job, const fleet::Server& server,
                                               Milliseconds underWay, const Result<void>& outcome) {
-  quarantine::QuarantineNode& quarantine = context_.quarantine;
   if (outcome || job.ranToServerError) {
-    if (quarantine.tracksAny()) {
-      quarantine.recordServed(job.fingerprint());
+    recordServed(job);
+    job.trial = {};
+    co_return;
+  }
+  const RunState state = co_await runStateAfter(job, server, outcome);
+  if (state != RunState::kRunning) {
+    InterruptedRequest request{job.request.id, job.fingerprint(), underWay, outcome.error(),
+                               std::move(job.trial)};
+    if (state == RunState::kEnded) {
+      co_await recordCrash(server, std::move(request));
+    } else {
+      crashFollowUp_.add(server, std::move(request));
     }
-  } else if (co_await processEndedDuring(job, server, outcome)) {
-    const quarantine::RequestFingerprint fingerprint = job.fingerprint();
-    logServerEnded(job.request.id, fingerprint, server.id, outcome.error());
-    if (context_.pool.isCurrent(server)) {
-      context_.pool.markUnreachable(server.id, monotonicNow());
-    }
-    co_await quarantine.recordCrash(fingerprint, quarantine::runOf(server), underWay);
   }
   job.trial = {};
 }
 
-awaitable<bool> Forwarder::processEndedDuring(const Job& job, const fleet::Server& server,
-                                              const Result<void>& outcome) {
+void Forwarder::recordServed(Job& job) {
+  if (context_.quarantine.tracksAny()) {
+    context_.quarantine.recordServed(job.fingerprint());
+  }
+  if (crashFollowUp_.active()) {
+    crashFollowUp_.recordServed(job.fingerprint());
+  }
+}
+
+awaitable<void> Forwarder::recordCrash(fleet::Server server, InterruptedRequest request) {
+  logServerEnded(request.id, request.fingerprint, server.id, request.cause);
+  if (context_.pool.isCurrent(server)) {
+    context_.pool.markUnreachable(server.id, monotonicNow());
+  }
+  co_await context_.quarantine.recordCrash(request.fingerprint, quarantine::runOf(server),
+                                           request.underWay);
+}
+
+awaitable<RunState> Forwarder::runStateAfter(const Job& job, const fleet::Server& server,
+                                             const Result<void>& outcome) {
   const bool brokeOff = outcome.error().kind == ErrorKind::kOutcomeUnknown ||
                         outcome.error().kind == ErrorKind::kStreamBroken;
   // A connection that this node closed, or a path that was lost, is no evidence about the server.
   if (!brokeOff || job.expired || job.writer.callerGone() || isPathLost(outcome)) {
-    co_return false;
+    co_return RunState::kRunning;
   }
   // A draining or removed server has ended as planned.
   const fleet::Server* listed = context_.pool.find(server.id);
   if (listed == nullptr || listed->draining) {
-    co_return false;
+    co_return RunState::kRunning;
   }
-  co_return co_await crashCheck_.processHasEnded(server);
+  co_return co_await crashCheck_.stateOf(server);
 }
 
 bool Forwarder::knowsWeights(const Job& job) const {
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -39,6 +39,9 @@
       answerEnds_(counters(registry, "calicodrift_forward_answer_ends_total",
                            "ends of servers' answers: framed, confirmed by the server where only "
                            "the connection ended, or why the answer is taken for broken off")),
+      crashFollowUps_(counters(registry, "calicodrift_forward_crash_follow_ups_total",
+                               "server runs that were checked again after answers had broken off "
+                               "there, by what was found")),
       dispatches_(
           counters(registry, "calicodrift_forward_dispatches_total", "requests sent to a server")
               .Add({})),
@@ -113,6 +116,10 @@
   answerEnds_.Add({{"end", std::string(end)}}).Increment();
 }
 
+void ForwardMetrics::countCrashFollowUp(std::string_view result) {
+  crashFollowUps_.Add({{"result", std::string(result)}}).Increment();
+}
+
 void ForwardMetrics::observeFirstByte(double seconds) {
   firstByte_.Observe(seconds);
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -30,6 +30,9 @@
   void countOutdatedStart(bool beyondBound);
   /// Counts the end of a server's answer: "framed", "confirmed", or why it is not proven.
   void countAnswerEnd(std::string_view end);
+  /// Counts a server run that was checked again after answers had broken off there, by what was
+  /// found: "running", "ended", "undecided", or "left_out" if too many were being checked.
+  void countCrashFollowUp(std::string_view result);
   void observeFirstByte(double seconds);
   void observeAnswerTime(double seconds);
   /// Records the longest pause between two chunks of a stream, in seconds.
@@ -46,6 +49,7 @@
   prometheus::Family<prometheus::Counter>& notices_;
   prometheus::Family<prometheus::Counter>& outdatedStarts_;
   prometheus::Family<prometheus::Counter>& answerEnds_;
+  prometheus::Family<prometheus::Counter>& crashFollowUps_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& distantDispatches_;
   prometheus::Counter& retriesDenied_;
--- a/tests/platform/crashing_requests_test.cc
+++ b/tests/platform/crashing_requests_test.cc
@@ -10,6 +10,7 @@
 // time.
 
 #include "gateway_fleet.h"
+#include "sim/fault_proxy.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -47,6 +48,66 @@
   }
 }
 
+/// Puts a proxy before each server that goes on to accept connections, and closes them, while the
+/// server's process is away: a connection then proves nothing. A server that a request has ended
+/// starts again at its address.
+class ProxiedServers {
+ public:
+  /// @param away from a server's end until its next start.
+  /// @param untold from the start until the list tells it; empty: never.
+  ProxiedServers(GatewayFleet& fleet, Milliseconds away, std::optional<Milliseconds> untold)
+      : fleet_(fleet), away_(away), untold_(untold) {
+    for (const auto& server : fleet_.servers) {
+      auto proxy = std::make_unique<sim::FaultProxy>(fleet_.context, server->endpoint());
+      endpoints_[server->endpoint()] = proxy->listen({"127.0.0.1", 0}).value();
+      const auto run = [this, &stand = *server, proxy = proxy.get()](const http::Request& request,
+                                                                     http::ResponseWriter& writer) {
+        return runRequest(stand, *proxy, request, writer);
+      };
+      server->setBehaviour(run);
+      proxies_.push_back(std::move(proxy));
+    }
+    fleet_.addressOf = [this](std::size_t /*node*/, const Endpoint& endpoint) {
+      const auto found = endpoints_.find(endpoint);
+      return found == endpoints_.end() ? endpoint : found->second;
+    };
+  }
+
+  std::size_t ended() const { return ended_; }
+
+ private:
+  awaitable<void> runRequest(ServerStandIn& server, sim::FaultProxy& proxy,
+                             const http::Request& request, http::ResponseWriter& writer) {
+    if (request.body.starts_with(GatewayFleet::kEndsServer)) {
+      ++ended_;
+      asio::co_spawn(fleet_.context, startAgain(server, proxy), asio::detached);
+      writer.abort();
+      co_return;
+    }
+    co_await ServerStandIn::streamEvents(request, writer, 1, 1);
+    static_cast<void>(co_await writer.endStream());
+  }
+  awaitable<void> startAgain(ServerStandIn& server, sim::FaultProxy& proxy) {
+    sim::ProxyFaults away;
+    away.refuse = true;
+    proxy.apply(away);
+    server.restart({});
+    co_await fleet_.pause(away_);
+    proxy.apply(sim::ProxyFaults());
+    if (untold_) {
+      co_await fleet_.pause(*untold_);
+      fleet_.store.put("servers", server.id(), server.entry());
+    }
+  }
+
+  GatewayFleet& fleet_;
+  Milliseconds away_;
+  std::optional<Milliseconds> untold_;
+  std::map<Endpoint, Endpoint> endpoints_;
+  std::vector<std::unique_ptr<sim::FaultProxy>> proxies_;
+  std::size_t ended_ = 0;
+};
+
 BOOST_AUTO_TEST_SUITE(platform_crashing_requests)
 
 BOOST_AUTO_TEST_CASE(requestThatComesAgainEndsAtMostThreeServers) {
@@ -118,6 +179,18 @@
   });
 }
 
+/// Guards against ends of servers that count against no request, as connections to the server's
+/// address were accepted and closed when the node asked whether the process lives.
+BOOST_AUTO_TEST_CASE(serversBehindProxiesThatOutliveThemAreCounted) {
+  GatewayFleet fleet(3, 6);
+  ProxiedServers servers(fleet, Milliseconds(150), Milliseconds(100));
+  fleet.run([&]() -> awaitable<void> {
+    co_await sendInTurn(fleet, "/stream-once/a", Milliseconds(600));
+    BOOST_TEST(servers.ended() <= kMostEnded);
+    co_await checkOthersServed(fleet, "/stream-once/a");
+  });
+}
+
 /// What two servers have shown outlives all nodes: those that start anew find it in the store.
 BOOST_AUTO_TEST_CASE(fleetThatStartsAnewGoesOnCounting) {
   GatewayFleet fleet(3, kServers);
