quarantine: nodes tell each other of later runs of servers

A request ended a server's later starts again and again while the list showed the first one only: each node takes the end for that of the run it knows, and tells one that is counted already.

Reports of suspects (form 2, a field appended; builds before read past it, and theirs is read) carry the starts that servers' reports have told, at the latest with the end that they prove, and each node applies them to its pool. 256 starts are kept.

--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -10,8 +10,11 @@
 using asio::awaitable;
 
 CrashCheck::CrashCheck(asio::any_io_executor executor, ServerCalls& calls,
-                       const ServerProtocol& protocol, fleet::ServerPool& pool)
-    : executor_(std::move(executor)), calls_(calls), protocol_(protocol), pool_(pool) {}
+                       const ServerProtocol& protocol, LaterRunListener onLaterRun)
+    : executor_(std::move(executor)),
+      calls_(calls),
+      protocol_(protocol),
+      onLaterRun_(std::move(onLaterRun)) {}
 
 awaitable<RunState> CrashCheck::stateOf(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
@@ -58,7 +61,7 @@
   co_return stateFrom(server, answer.value());
 }
 
-RunState CrashCheck::stateFrom(const fleet::Server& server, const http::Response& answer) {
+RunState CrashCheck::stateFrom(const fleet::Server& server, const http::Response& answer) const {
   if (protocol_.namesOtherServer(server, answer) || answer.status == http::kStatusMisdirected) {
     return RunState::kEnded;
   }
@@ -75,7 +78,7 @@
     case fleet::RunOrder::kSame:
       return RunState::kRunning;
     case fleet::RunOrder::kLater:
-      pool_.applyRestart(server.id, *report.value().started, report.value().models, monotonicNow());
+      onLaterRun_(server.id, report.value());
       return RunState::kEnded;
     default:
       return RunState::kUnknown;
--- a/src/forward/crash_check.h
+++ b/src/forward/crash_check.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,14 +24,16 @@
 
 /// Finds out whether the process of a server's run is alive, by querying its report on a new
 /// connection. The process has ended if the connection is refused at this node and at another one,
-/// if another server answers, or if a later run of this server does. The pool is told of the later
-/// run, so that a crash of that one counts as another even before the list shows it. Checks of one
-/// run that begin while a question is under way share the next one: the answer to an earlier
-/// question may have been given before the process ended.
+/// if another server answers, or if a later run of this server does. Checks of one run that begin
+/// while a question is under way share the next one: the answer to an earlier question may have
+/// been given before the process ended.
 class CrashCheck {
  public:
+  /// Called when a server reports a later run than the known one.
+  using LaterRunListener = std::function<void(const BackendId&, const ServerReport&)>;
+
   CrashCheck(boost::asio::any_io_executor executor, ServerCalls& calls,
-             const ServerProtocol& protocol, fleet::ServerPool& pool);
+             const ServerProtocol& protocol, LaterRunListener onLaterRun);
 
   /// Takes one round trip if the network path works and no question is under way, and at most twice
   /// kAnswerTimeout.
@@ -54,12 +57,12 @@
   /// Asks until no check waits for a further question.
   boost::asio::awaitable<void> runProbes(fleet::Server server);
   boost::asio::awaitable<RunState> checkReport(fleet::Server server);
-  RunState stateFrom(const fleet::Server& server, const http::Response& answer);
+  RunState stateFrom(const fleet::Server& server, const http::Response& answer) const;
 
   boost::asio::any_io_executor executor_;
   ServerCalls& calls_;
   const ServerProtocol& protocol_;
-  fleet::ServerPool& pool_;
+  LaterRunListener onLaterRun_;
   /// By run, the probe that is to be sent next; null while one is under way that nobody waits
   /// behind.
   std::map<RunKey, std::shared_ptr<Probe>> next_;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -40,7 +40,10 @@
       cacheMoves_(settings_.cacheMoves),
       modelPolicy_(routing::makePolicy(settings_.modelPolicy, seed)),
       servicePolicy_(routing::makePolicy(settings_.servicePolicy, seed + 1)),
-      crashCheck_(context_.executor, context_.calls, context_.servers, context_.pool),
+      crashCheck_(context_.executor, context_.calls, context_.servers,
+                  [this](const BackendId& server, const ServerReport& report) {
+                    applyLaterRun(server, report);
+                  }),
       crashFollowUp_(context_.executor, crashCheck_, context_.pool, context_.metrics,
                      [this](const fleet::Server& server, const InterruptedRequest& request) {
                        asio::co_spawn(context_.executor, recordCrash(server, request),
@@ -49,6 +52,12 @@
       answerEndCheck_(crashCheck_, context_.calls, context_.metrics),
       random_(seed + 2) {}
 
+void Forwarder::applyLaterRun(const BackendId& server, const ServerReport& report) {
+  // Before the crash of the earlier run is told, so that all nodes learn of both at once.
+  context_.quarantine.recordServerStart(server, *report.started);
+  context_.pool.applyRestart(server, *report.started, report.models, monotonicNow());
+}
+
 void Forwarder::recallWaiting(const ModelId& model, WeightsVersion least) {
   const std::size_t recalled = waiting_.recall(model, least);
   if (recalled > 0) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -166,6 +166,9 @@
   /// doubt it.
   boost::asio::awaitable<RunState> runStateAfter(const Job& job, const fleet::Server& server,
                                                  const Result<void>& outcome);
+  /// The server has reported a later run than the known one: a crash of that run counts as another,
+  /// even before the list shows it.
+  void applyLaterRun(const BackendId& server, const ServerReport& report);
   /// Tells all nodes that the server's run ended with the request in flight there.
   boost::asio::awaitable<void> recordCrash(fleet::Server server, InterruptedRequest request);
   /// Records that the server has begun the job: its first bytes arrived.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -271,6 +271,13 @@
 quarantine::QuarantineContext GatewayNode::quarantineContext() {
   quarantine::QuarantineContext context{context_.get_executor(), client_, treePosition(),
                                         [this] { return relay_.readsStore(); }};
+  context.onServerStart = [this](const BackendId& server, Incarnation started) {
+    if (const fleet::Server* known = pool_.find(server)) {
+      // Copied, as the pool replaces the run that holds them.
+      std::vector<fleet::LoadedModel> models = known->models;
+      pool_.applyRestart(server, started, std::move(models), monotonicNow());
+    }
+  };
   if (groupsOf(settings_) > 1) {
     context.otherTrees = [this] { return remoteGroupRoots_.read(); };
   }
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -37,6 +37,31 @@
   return merge({request, {run}, {}, static_cast<std::uint32_t>(underWay.count())}, now);
 }
 
+bool CrashLedger::recordStart(const ServerStart& start) {
+  Start& known = starts_[start.server];
+  if (start.started <= known.started) {
+    return false;
+  }
+  known = {start.started, ++version_};
+  if (starts_.size() > kMaxStarts) {
+    starts_.erase(
+        std::min_element(starts_.begin(), starts_.end(), [](const auto& first, const auto& second) {
+          return first.second.changedAt < second.second.changedAt;
+        }));
+  }
+  return true;
+}
+
+std::vector<ServerStart> CrashLedger::startsSince(std::uint64_t version) const {
+  std::vector<ServerStart> found;
+  for (const auto& [server, start] : starts_) {
+    if (start.changedAt > version) {
+      found.push_back({server, start.started});
+    }
+  }
+  return found;
+}
+
 bool CrashLedger::clear(const RequestFingerprint& request) {
   const auto found = entries_.find(request);
   if (found == entries_.end()) {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "common/clock.h"
@@ -18,6 +19,18 @@
 ServerRun runOf(const BackendId& server, Incarnation incarnation);
 ServerRun runOf(const fleet::Server& server);
 
+/// The latest known start of a server, whose report told it before the list did.
+struct ServerStart {
+  std::string server;
+  std::uint64_t started = 0;
+  bool operator==(const ServerStart&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(server, started);
+  }
+};
+
 /// A request and the server runs that crashed while it was in flight there. Two grow-only sets and
 /// a maximum, so that reports may arrive in any order, repeatedly and by any path, and all nodes
 /// converge to the same state.
@@ -88,6 +101,8 @@
 
   /// Tracked servers that were found gone with no request in flight.
   static constexpr std::size_t kMaxIdleCrashes = 256;
+  /// Tracked starts. The list shows a start within seconds, so that old ones are not needed.
+  static constexpr std::size_t kMaxStarts = 256;
 
   explicit CrashLedger(std::size_t maxRequests = kMaxRequests) : maxRequests_(maxRequests) {}
 
@@ -99,6 +114,10 @@
   /// Records that a server without requests of this node in flight was found gone: it may have
   /// crashed together with others. Known to this node only.
   void recordIdleCrash(ServerRun run, MonotonicTime now);
+  /// Records that a server has started again, so that a crash of the new run is not taken for that
+  /// of the earlier one by nodes whose list shows only the earlier one. @return whether that is
+  /// new.
+  bool recordStart(const ServerStart& start);
   /// Discards all evidence against the request known so far. @return whether there was any.
   bool clear(const RequestFingerprint& request);
   /// Merges another node's state. @return whether any of it is new.
@@ -121,6 +140,8 @@
   std::uint64_t version() const { return version_; }
   /// Requests that changed after that version.
   std::vector<Suspect> changedSince(std::uint64_t version) const;
+  /// Starts that were recorded after that version.
+  std::vector<ServerStart> startsSince(std::uint64_t version) const;
   /// Number of requests that were evicted to bound memory.
   std::size_t evicted() const { return evicted_; }
 
@@ -129,6 +150,10 @@
     Suspect suspect;
     std::uint64_t changedAt = 0;
   };
+  struct Start {
+    std::uint64_t started = 0;
+    std::uint64_t changedAt = 0;
+  };
   struct Run {
     /// When this node learnt of the crash.
     MonotonicTime at{};
@@ -158,6 +183,7 @@
   std::map<RequestFingerprint, Entry> entries_;
   std::map<ServerRun, Run> runs_;
   std::deque<ServerRun> idleCrashes_;
+  std::map<std::string, Start> starts_;
   std::uint64_t version_ = 0;
   std::size_t evicted_ = 0;
 };
--- a/src/quarantine/messages.h
+++ b/src/quarantine/messages.h
@@ -18,7 +18,9 @@
 
 /// Format version of the messages. Later versions only append fields; readers ignore fields that
 /// they do not know.
-inline constexpr std::uint32_t kForm = 1;
+inline constexpr std::uint32_t kForm = 2;
+/// First version whose reports contain starts of servers.
+inline constexpr std::uint32_t kFormWithStarts = 2;
 
 /// Sent to the neighbours in the relay tree when there is news, and returned as the answer.
 struct SuspectReport {
@@ -33,10 +35,14 @@
   /// How long the sender waits until the receiver has forwarded the report to its own neighbours.
   std::uint32_t waitMs = 0;
   std::vector<Suspect> suspects;
+  std::vector<ServerStart> starts;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(form, sender, fresh, settled, waitMs, suspects);
+    if (form >= kFormWithStarts) {
+      archive(starts);
+    }
   }
 };
 
--- a/src/quarantine/quarantine_node.cc
+++ b/src/quarantine/quarantine_node.cc
@@ -110,7 +110,7 @@
   report.fresh = true;
   const Result<SuspectReport> answer = co_await send(*parent, std::move(report), kBroadcastTimeout);
   if (answer) {
-    merge(answer.value().suspects);
+    mergeReport(answer.value());
     settled_ = settled_ || answer.value().settled;
   }
   parentIsOlderBuild_ = !answer && answer.error().kind == ErrorKind::kProtocolViolation;
@@ -131,11 +131,12 @@
   report.settled = settled_;
   report.waitMs = static_cast<std::uint32_t>(wait.count());
   report.suspects = ledger_.changedSince(since);
+  report.starts = ledger_.startsSince(since);
   const Result<SuspectReport> answer =
       co_await send(std::move(neighbour), std::move(report), timeout);
   metrics_.countReport(static_cast<bool>(answer));
   if (answer) {
-    merge(answer.value().suspects);
+    mergeReport(answer.value());
   }
   co_return static_cast<bool>(answer);
 }
@@ -162,12 +163,13 @@
 
 awaitable<SuspectReport> QuarantineNode::handleReport(SuspectReport report) {
   const std::uint64_t before = ledger_.version();
-  merge(report.suspects);
+  mergeReport(report);
   SuspectReport answer;
   answer.sender = context_.tree.endpoint.toString();
   answer.settled = settled_;
   if (report.fresh) {
     answer.suspects = ledger_.changedSince(0);
+    answer.starts = ledger_.startsSince(0);
     broadcaster_.setAcknowledged(report.sender, ledger_.version());
   } else {
     broadcaster_.onUpdateFrom(report.sender, before);
@@ -179,6 +181,15 @@
   co_return answer;
 }
 
+void QuarantineNode::mergeReport(const SuspectReport& report) {
+  for (const ServerStart& start : report.starts) {
+    if (ledger_.recordStart(start) && context_.onServerStart) {
+      context_.onServerStart(BackendId(start.server), Incarnation(start.started));
+    }
+  }
+  merge(report.suspects);
+}
+
 void QuarantineNode::merge(const std::vector<Suspect>& suspects) {
   for (const Suspect& suspect : suspects) {
     const bool wasBarred = ledger_.isBarred(suspect.request);
--- a/src/quarantine/quarantine_node.h
+++ b/src/quarantine/quarantine_node.h
@@ -31,6 +31,8 @@
   std::function<bool()> readsStore;
   /// Returns the roots of the fleet's other relay trees; empty function if there is one tree.
   std::function<boost::asio::awaitable<std::vector<Endpoint>>()> otherTrees = nullptr;
+  /// Called when another node tells that a server has started again.
+  std::function<void(const BackendId&, Incarnation)> onServerStart = nullptr;
 };
 
 /// Permission to send a request to one server; its destruction tells the fleet that the attempt has
@@ -84,6 +86,10 @@
   void recordServerGone(const fleet::Server& server) {
     ledger_.recordIdleCrash(runOf(server), monotonicNow());
   }
+  /// Records a later run of a server than the list shows. Nodes are told with the next crash.
+  void recordServerStart(const BackendId& server, Incarnation started) {
+    static_cast<void>(ledger_.recordStart({server.value(), started.value()}));
+  }
   /// Decides whether the request may be sent to a server now. Fails with kRequestBarred, or with
   /// kTrialUnderWay if another attempt is in flight in the fleet or no root can admit this one.
   /// @param choices servers that the attempt may go to, the best first.
@@ -130,6 +136,7 @@
                                                      Milliseconds time);
   boost::asio::awaitable<SuspectReport> handleReport(SuspectReport report);
   void merge(const std::vector<Suspect>& suspects);
+  void mergeReport(const SuspectReport& report);
   void merge(const Suspect& suspect) { merge(std::vector<Suspect>{suspect}); }
   void logStandingChange(const RequestFingerprint& request, bool wasBarred) const;
   void clearRequest(const RequestFingerprint& request, const std::string& reason);
--- a/tests/platform/crashing_requests_test.cc
+++ b/tests/platform/crashing_requests_test.cc
@@ -191,6 +191,18 @@
   });
 }
 
+/// Guards against ends of a server's later starts that count as the end of its first one, as the
+/// list didn't tell of them yet.
+BOOST_AUTO_TEST_CASE(startsThatTheListDoesNotTellAreCountedEach) {
+  GatewayFleet fleet(3, 1);
+  ProxiedServers servers(fleet, Milliseconds(20), std::nullopt);
+  fleet.run([&]() -> awaitable<void> {
+    co_await sendInTurn(fleet, "/stream-once/a", Milliseconds(900));
+    BOOST_TEST(servers.ended() <= kMostEnded);
+    co_await checkOthersServed(fleet, "/stream-once/a");
+  });
+}
+
 /// What two servers have shown outlives all nodes: those that start anew find it in the store.
 BOOST_AUTO_TEST_CASE(fleetThatStartsAnewGoesOnCounting) {
   GatewayFleet fleet(3, kServers);
--- a/tests/quarantine/crash_ledger_test.cc
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -141,6 +141,23 @@
   BOOST_TEST((ledger.standingOf(request(1)) == Standing::kBarred));
 }
 
+/// Guards against crashes of a later run that count as those of the earlier one.
+BOOST_AUTO_TEST_CASE(startsAreTakenOnceAndOnlyLaterOnes) {
+  CrashLedger ledger;
+  BOOST_TEST(ledger.recordStart({"llm-1", 5}));
+  BOOST_TEST(!ledger.recordStart({"llm-1", 5}));
+  BOOST_TEST(!ledger.recordStart({"llm-1", 4}));
+  const std::uint64_t before = ledger.version();
+  BOOST_TEST(ledger.recordStart({"llm-1", 6}));
+  BOOST_TEST(ledger.version() > before);
+  BOOST_TEST((ledger.startsSince(before) == std::vector<ServerStart>{{"llm-1", 6}}));
+  BOOST_TEST(ledger.startsSince(ledger.version()).empty());
+  for (std::size_t number = 0; number < CrashLedger::kMaxStarts; ++number) {
+    BOOST_TEST(ledger.recordStart({"other-" + std::to_string(number), 1}));
+  }
+  BOOST_TEST(ledger.startsSince(0).size() == CrashLedger::kMaxStarts);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/quarantine/messages_test.cc
+++ b/tests/quarantine/messages_test.cc
@@ -27,6 +27,23 @@
   BOOST_TEST((trial.value().choices == asked.choices));
 }
 
+/// A report of the first form ends before the starts of servers.
+BOOST_AUTO_TEST_CASE(reportsWithoutStartsAreRead) {
+  SuspectReport report;
+  report.form = 1;
+  report.sender = "10.0.0.1:7340";
+  report.suspects = {{{1, 2, 3}, {ServerRun(7)}, {}, 40}};
+  const Result<SuspectReport> read = peer::decode<SuspectReport>(peer::encode(report));
+  BOOST_REQUIRE(static_cast<bool>(read));
+  BOOST_TEST((read.value().suspects == report.suspects));
+  BOOST_TEST(read.value().starts.empty());
+  report.form = kForm;
+  report.starts = {{"llm-1", 5}};
+  const Result<SuspectReport> later = peer::decode<SuspectReport>(peer::encode(report));
+  BOOST_REQUIRE(static_cast<bool>(later));
+  BOOST_TEST((later.value().starts == report.starts));
+}
+
 BOOST_AUTO_TEST_CASE(malformedMessagesAreRejected) {
   BOOST_TEST(!peer::decode<SuspectReport>("no report"));
   const std::string whole = peer::encode(SuspectReport());
