server_paths: after a loss the paths to all recently used servers are checked

Paths are often lost together. A check needs a second witness as before.

aLossIsFollowedByChecksOfAllRecentlyUsedServers failed before, passes now.

--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -15,6 +15,8 @@
 
 /// Bounds the probes that a node with thousands of lost paths starts in one tick.
 constexpr std::size_t kProbesPerTick = 16;
+/// Losses within this time after a sweep has begun do not begin another one.
+constexpr Milliseconds kSweepInterval{1000};
 /// Pauses between two checks of a server that is silent although its path works.
 constexpr Milliseconds kFirstCheckPause{500};
 constexpr Milliseconds kMaxCheckPause{4000};
@@ -43,6 +45,7 @@
     if (!calls_.empty()) {
       checkSilentServers(now);
     }
+    continueSweep(now);
     if (table_.lostCount() == 0) {
       continue;
     }
@@ -92,6 +95,29 @@
   asio::co_spawn(context_.executor, checkPath(server), asio::detached);
 }
 
+void ServerPaths::beginSweep(MonotonicTime now) {
+  const bool recent = sweptAt_ != MonotonicTime{} && now - sweptAt_ < kSweepInterval;
+  if (recent || peers_->empty()) {
+    return;
+  }
+  sweptAt_ = now;
+  const std::vector<Endpoint> servers = recentServers_.used(now);
+  sweep_.assign(servers.begin(), servers.end());
+  continueSweep(now);
+}
+
+void ServerPaths::continueSweep(MonotonicTime now) {
+  for (std::size_t started = 0; !sweep_.empty() && started < kProbesPerTick; ++started) {
+    const Endpoint server = std::move(sweep_.front());
+    sweep_.pop_front();
+    if (!table_.isLost(server) && context_.isListed(server)) {
+      // What an earlier check has found is of before the loss.
+      checks_[server].nextAt = now;
+      startCheck(server, now);
+    }
+  }
+}
+
 awaitable<void> ServerPaths::checkPath(Endpoint server) {
   const bool direct = co_await answersDirectly(server);
   bool relayed = false;
--- a/src/server_paths/server_paths.cc
+++ b/src/server_paths/server_paths.cc
@@ -232,8 +232,10 @@
                                                      CallMobility mobility,
                                                      http::ExchangeCanceller* canceller) {
   context_.metrics.countCall(path.direct());
-  auto call = calls_.begin(path, mobility, canceller, monotonicNow());
+  const MonotonicTime now = monotonicNow();
+  auto call = calls_.begin(path, mobility, canceller, now);
   if (path.direct()) {
+    recentServers_.recordUse(path.endpoint, now);
     return call;
   }
   peers_->addCall(*path.proxy);
@@ -270,6 +272,7 @@
               {"peers", std::to_string(peers_->size())}});
   context_.client.closeIdleDirect(server);
   context_.onLost(server);
+  beginSweep(now);
 }
 
 void ServerPaths::regainDirectPath(const Endpoint& server) {
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 #include "server_paths/metrics.h"
 #include "server_paths/path_table.h"
 #include "server_paths/peer_table.h"
+#include "server_paths/recent_servers.h"
 
 namespace calicodrift::server_paths {
 
@@ -85,7 +87,8 @@
 ///
 /// A direct path counts as lost once it fails while another node reaches the server; it is probed
 /// until it works again. A server that no other node reaches either is left to the caller's view of
-/// its health.
+/// its health. Paths are often lost together: after a loss the paths to all recently used servers
+/// are checked, so that calls need not find out one by one.
 ///
 /// Invariant: another node passes a call on over its own direct connection only (TunnelService), so
 /// no call passes through two nodes.
@@ -149,6 +152,10 @@
   boost::asio::awaitable<void> tick();
   void checkSilentServers(MonotonicTime now);
   void startCheck(const Endpoint& server, MonotonicTime now);
+  /// Schedules checks of the paths to recently used servers, unless that was done just now.
+  void beginSweep(MonotonicTime now);
+  /// Starts the next checks of a sweep.
+  void continueSweep(MonotonicTime now);
   boost::asio::awaitable<void> checkPath(Endpoint server);
   boost::asio::awaitable<void> probeDirect(Endpoint server);
   /// Whether the server answers the path query on this path.
@@ -174,6 +181,10 @@
   std::shared_ptr<PeerTable> peers_;
   CallsInFlight calls_;
   std::map<Endpoint, PathCheck> checks_;
+  RecentServers recentServers_;
+  /// Servers that the current sweep has not checked yet.
+  std::deque<Endpoint> sweep_;
+  MonotonicTime sweptAt_{};
   std::set<Endpoint> probing_;
   std::set<Endpoint> watched_;
   /// A known node could not be reached since others were last asked for theirs.
--- a/tests/server_paths/server_paths_test.cc
+++ b/tests/server_paths/server_paths_test.cc
@@ -24,6 +24,7 @@
     closed.open(Tcp::v4());
     closed.bind({asio::ip::make_address("127.0.0.1"), 0});
     server = listener.listen(Endpoint{"127.0.0.1", 0}).value();
+    otherServer = otherListener.listen(Endpoint{"127.0.0.1", 0}).value();
     const Endpoint peer = peerServer.listen(Endpoint{"127.0.0.1", 0}).value();
     neighbours.push_back(peer);
     paths.start();
@@ -33,7 +34,8 @@
   http::ClientSettings redirect(const bool& redirected) {
     http::ClientSettings settings;
     settings.addressOf = [this, &redirected](const Endpoint& endpoint) {
-      return endpoint == server && redirected ? closedEndpoint() : endpoint;
+      const bool leadsToServer = endpoint == server || endpoint == otherServer;
+      return leadsToServer && redirected ? closedEndpoint() : endpoint;
     };
     return settings;
   }
@@ -92,6 +94,7 @@
   http::Client client{context.get_executor(), redirect(ownRefused)};
   http::Client peerClient{context.get_executor(), redirect(peerRefused)};
   Endpoint server;
+  Endpoint otherServer;
   std::vector<Endpoint> neighbours;
   TunnelService tunnels{
       {peerClient, metrics, [](const Endpoint&) { return true; },
@@ -100,6 +103,9 @@
   http::Server listener{
       context.get_executor(), http::ServerLimits{},
       [this](http::Request&, http::ResponseWriter& writer) { return answer(writer); }};
+  http::Server otherListener{
+      context.get_executor(), http::ServerLimits{},
+      [this](http::Request&, http::ResponseWriter& writer) { return answer(writer); }};
   http::Server peerServer{context.get_executor(), http::ServerLimits{},
                           [this](http::Request& request, http::ResponseWriter& writer) {
                             return request.method == "CONNECT"
@@ -131,6 +137,21 @@
   }(*this));
 }
 
+/// Guards against requests that fail one server after the other, each finding out anew that its
+/// path is cut, although the paths to all servers were lost together.
+BOOST_AUTO_TEST_CASE(aLossIsFollowedByChecksOfAllRecentlyUsedServers) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    co_await fixture.pause(Milliseconds(50));
+    fixture.paths.beginCall(http::ConnectionPath(fixture.otherServer), CallMobility::kFixed,
+                            nullptr);
+    fixture.ownRefused = true;
+    const Result<http::ClientConnection> relayed = co_await fixture.connect();
+    BOOST_TEST(relayed.has_value());
+    co_await fixture.pause(Milliseconds(300));
+    BOOST_TEST(fixture.paths.isLost(fixture.otherServer));
+  }(*this));
+}
+
 BOOST_AUTO_TEST_CASE(aRefusalThatAnotherNodeMeetsIsOne) {
   run([](Fixture& fixture) -> awaitable<void> {
     co_await fixture.pause(Milliseconds(50));
