Observability of LOST: each request that ends with neither an answer nor a refusal is counted by cause

Change: calicodrift_forward_unfinished_answers_total{cause}; request_broken with the reason of its last failure; request_cancelled with its detail; request_handler_failed and calicodrift_forward_failed_handlers. No decision changes.

--- a/src/forward/answer_end_check.cc
+++ b/src/forward/answer_end_check.cc
@@ -48,9 +48,11 @@
   metrics_.countAnswerEnd(cause);
   log::write(log::Level::kInfo, "answer_end_unproven",
              {{"server", server.id.value()}, {"cause", std::string(cause)}});
-  return fail(ErrorKind::kStreamBroken,
-              "the answer of server '" + server.id.value() +
-                  "' ended without proof that it is whole: " + std::string(cause));
+  Error error = fail(ErrorKind::kStreamBroken,
+                     "the answer of server '" + server.id.value() +
+                         "' ended without proof that it is whole: " + std::string(cause));
+  error.reason = kUnprovenEnd;
+  return error;
 }
 
 }  // namespace calicodrift::forward
--- a/src/forward/answer_end_check.h
+++ b/src/forward/answer_end_check.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
+#include <string_view>
 
 #include "forward/crash_check.h"
 #include "http/body_end.h"
@@ -9,6 +10,9 @@
 
 namespace calicodrift::forward {
 
+/// Reason of the error for an answer that ended without proof that it is whole.
+inline constexpr std::string_view kUnprovenEnd = "unproven_end";
+
 /// Decides whether a server's answer that ended with its connection is whole.
 ///
 /// The end of a connection is the same for a server that has written all of its answer and for one
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -23,6 +23,11 @@
   return "unsafe";
 }
 
+/// Name of the error's cause, for counters.
+std::string_view causeOf(const Error& error) {
+  return error.reason.empty() ? errorRow(error.kind).name : error.reason;
+}
+
 /// Whether a dispatch with this failure was not sent, or certainly has not run.
 bool certainlyNotRun(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
@@ -201,6 +206,9 @@
     if (certainlyNotRun(failure)) {
       job.limitUse.giveBack(context_.quota);
     }
+    if (failure == ErrorKind::kCallerGone) {
+      co_return outcome;
+    }
     if (job.writer.callerGone()) {
       co_return fail(ErrorKind::kCallerGone, "the caller disconnected");
     }
@@ -271,12 +279,14 @@
 
 awaitable<void> Forwarder::answerError(Job& job, Error error) {
   if (error.kind == ErrorKind::kCallerGone) {
-    logCancelled(job.request.id);
+    context_.metrics.countUnfinishedAnswer(causeOf(error));
+    logCancelled(job.request.id, error);
     job.writer.abort();
     co_return;
   }
   if (job.relay.begun()) {
     context_.metrics.countError(errorRow(error.kind).name);
+    context_.metrics.countUnfinishedAnswer(causeOf(error));
     logBroken(job.request.id, job.lastServer, error);
     job.relay.abort();
     co_return;
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -27,6 +27,9 @@
                         "answers to callers, by status; 0 is a broken one")),
       errors_(counters(registry, "calicodrift_forward_errors_total",
                        "requests that ended in an error of this node, by kind")),
+      unfinishedAnswers_(counters(registry, "calicodrift_forward_unfinished_answers_total",
+                                  "requests that ended with neither a whole answer nor a refusal, "
+                                  "by cause")),
       retries_(counters(registry, "calicodrift_forward_retries_total",
                         "requests sent to a further server, by the cause")),
       losses_(counters(registry, "calicodrift_forward_server_losses_total",
@@ -70,7 +73,9 @@
       servers_(gauge(registry, "calicodrift_forward_servers", "listed servers")),
       refusedConnections_(
           gauge(registry, "calicodrift_forward_refused_connections",
-                "caller connections closed unread because the event loop was late")) {}
+                "caller connections closed unread because the event loop was late")),
+      failedHandlers_(gauge(registry, "calicodrift_forward_failed_handlers",
+                            "requests of callers whose handler ended with an exception")) {}
 
 void ForwardMetrics::countRequest(std::string_view kind) {
   requests_.Add({{"kind", std::string(kind)}}).Increment();
@@ -84,6 +89,10 @@
   errors_.Add({{"kind", std::string(errorKind)}}).Increment();
 }
 
+void ForwardMetrics::countUnfinishedAnswer(std::string_view cause) {
+  unfinishedAnswers_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void ForwardMetrics::countDispatch(bool nearby) {
   dispatches_.Increment();
   if (!nearby) {
@@ -141,5 +150,8 @@
 void ForwardMetrics::setRefusedConnections(double count) {
   refusedConnections_.Set(count);
 }
+void ForwardMetrics::setFailedHandlers(double count) {
+  failedHandlers_.Set(count);
+}
 
 }  // namespace calicodrift::forward
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -13,6 +13,8 @@
   /// @param status status of the answer that the caller received; 0 if none was complete.
   void countAnswer(unsigned status);
   void countError(std::string_view errorKind);
+  /// Counts a request whose connection ended with neither a whole answer nor a refusal, by cause.
+  void countUnfinishedAnswer(std::string_view cause);
   /// @param nearby whether the server is in this node's region.
   void countDispatch(bool nearby);
   void countRetry(std::string_view cause);
@@ -41,11 +43,14 @@
   void setServers(double count);
   /// Caller connections that were closed unread because the event loop was late.
   void setRefusedConnections(double count);
+  /// Requests of callers whose handler ended with an exception.
+  void setFailedHandlers(double count);
 
  private:
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& errors_;
+  prometheus::Family<prometheus::Counter>& unfinishedAnswers_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& losses_;
   prometheus::Family<prometheus::Counter>& notices_;
@@ -63,6 +68,7 @@
   prometheus::Gauge& configVersion_;
   prometheus::Gauge& servers_;
   prometheus::Gauge& refusedConnections_;
+  prometheus::Gauge& failedHandlers_;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -102,6 +102,7 @@
              {{"id", id.value()},
               {"server", server.value()},
               {"cause", nameOf(error)},
+              {"reason", std::string(error.reason)},
               {"detail", error.detail}});
 }
 
@@ -116,8 +117,9 @@
               {"cause", nameOf(facts.cause)}});
 }
 
-void logCancelled(const RequestId& id) {
-  log::write(log::Level::kInfo, "request_cancelled", {{"id", id.value()}});
+void logCancelled(const RequestId& id, const Error& error) {
+  log::write(log::Level::kInfo, "request_cancelled",
+             {{"id", id.value()}, {"detail", error.detail}});
 }
 
 }  // namespace calicodrift::forward
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -90,6 +90,6 @@
 };
 /// Logs that a server's process ended while it was running the request.
 void logServerEnded(const InterruptionFacts& facts);
-void logCancelled(const RequestId& id);
+void logCancelled(const RequestId& id, const Error& error);
 
 }  // namespace calicodrift::forward
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -516,6 +516,7 @@
   pathMetrics_.setOpenTunnels(tunnels_.open());
   metrics_.setServers(static_cast<double>(pool_.size()));
   metrics_.setRefusedConnections(static_cast<double>(front_.refusedConnections()));
+  metrics_.setFailedHandlers(static_cast<double>(front_.failedHandlers()));
   serviceRollouts_.showMetrics();
   co_await http::respond(writer,
                          http::textResponse(http::kStatusOk, metrics::renderText(registry_)));
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -166,6 +166,9 @@
 std::size_t Server::refusedConnections() const {
   return state_->refusedConnections;
 }
+std::size_t Server::failedHandlers() const {
+  return state_->failedHandlers;
+}
 std::size_t Server::busyConnections() const {
   return state_->busy;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "common/clock.h"
 #include "common/endpoint.h"
@@ -34,6 +35,10 @@
 
 class ClientConnection;
 
+/// Reason of a kCallerGone: no bytes of the answer could be written within
+/// ServerLimits::writeTimeout.
+inline constexpr std::string_view kCallerTooSlow = "caller_too_slow";
+
 /// Bytes that a tunnel has passed.
 struct TunnelTotals {
   std::uint64_t fromCaller = 0;
@@ -108,6 +113,8 @@
   std::size_t activeRequests() const;
   /// Connections that were closed unread because the event loop was late.
   std::size_t refusedConnections() const;
+  /// Requests whose handler ended with an exception.
+  std::size_t failedHandlers() const;
   /// Connections that are within a request: from its first byte until the answer is delivered.
   std::size_t busyConnections() const;
   std::size_t openConnections() const;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -7,6 +7,7 @@
 
 #include "http/open_connection.h"
 #include "http/tunnel.h"
+#include "log/log.h"
 
 namespace calicodrift::http {
 namespace {
@@ -23,7 +24,12 @@
 constexpr std::size_t kLingerPieceBytes = 65'536;
 using RequestParser = bhttp::request_parser<bhttp::string_body>;
 
-Error callerGoneError() {
+Error writeError(beast::error_code code) {
+  if (code == beast::error::timeout) {
+    Error error = fail(ErrorKind::kCallerGone, "the caller took the answer too slowly");
+    error.reason = kCallerTooSlow;
+    return error;
+  }
   return fail(ErrorKind::kCallerGone, "the caller closed the connection");
 }
 
@@ -311,6 +317,8 @@
       co_await server_->handler(request, *this);
     } catch (const std::exception& exception) {
       internalDetail_ = exception.what();
+      ++server_->failedHandlers;
+      log::write(log::Level::kError, "request_handler_failed", {{"detail", internalDetail_}});
     }
     if (!answered_) {
       const Error error = fail(ErrorKind::kInternal, "no answer was made: " + internalDetail_);
@@ -369,7 +377,7 @@
 Result<void> Connection::outcomeOfWrite(beast::error_code code) {
   if (code) {
     markGone();
-    return callerGoneError();
+    return writeError(code);
   }
   return boost::outcome_v2::success();
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -39,6 +39,8 @@
   /// A task that measures the loop's delay waits to run.
   bool measuresDelay = false;
   std::size_t refusedConnections = 0;
+  /// Requests whose handler ended with an exception.
+  std::size_t failedHandlers = 0;
   /// Connections that wait for a request's first byte.
   std::set<Connection*> idle;
   /// Connections close after their next answer.
