Failing test: whole answers of sound servers that fall silent after the end are lost

Sound servers that end an answer with neither a length nor chunks and then stand still for a second: all five kinds of routes lose it on the current code (502 for three, a connection that ends in the middle for the two kinds of streams; the safe and resumable ones run twice). The same where the server has just asked for rest, so that the question for its state is never sent, and where it resets the question's connection.

ScriptedServer learns to stand still at any moment of an answer, and to reset new connections.

--- /dev/null
+++ b/tests/platform/silent_servers_test.cc
@@ -0,0 +1,194 @@
+// Guards against answers that are lost to the silence of a sound server: a server's process may
+// stand still for a second or so, at any moment of an answer or after it, and go on.
+
+#include <algorithm>
+#include <random>
+
+#include "gateway_fleet.h"
+#include "unframed_server.h"
+
+namespace calicodrift::testing {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr Milliseconds kSilence{1000};
+constexpr Milliseconds kSlack{400};
+
+/// Moments of an answer whose head and body are two pieces each.
+constexpr std::size_t kBeforeHead = 0;
+constexpr std::size_t kBeforeBody = 1;
+constexpr std::size_t kWithinBody = 2;
+constexpr std::size_t kBeforeEnd = 3;
+constexpr std::size_t kAfterEnd = 4;
+
+struct Fixture : GatewayFixture {
+  Fixture() {
+    // A second try for each answer that is taken for lost.
+    settings.retryFloor = 10;
+    store.put("config", "main", configuration(1));
+    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
+  }
+  void addTwoOfEachService() {
+    addUnframed("app-1", "app");
+    addUnframed("app-2", "app");
+    addUnframed("llm-1", "llm");
+    addUnframed("llm-2", "llm");
+  }
+  UnframedServer& addUnframed(const std::string& id, const std::string& service) {
+    unframed.push_back(std::make_unique<UnframedServer>(context, id, service));
+    store.put("servers", id, unframed.back()->entry());
+    return *unframed.back();
+  }
+  std::size_t runs() const {
+    std::size_t sum = 0;
+    for (const auto& server : unframed) {
+      sum += server->runs();
+    }
+    return sum;
+  }
+  static bool isStream(std::string_view path) { return path.starts_with("/stream"); }
+  static std::string wholeBody(const std::string& path) {
+    return isStream(path) ? events(1, 4) : "a whole answer";
+  }
+  /// Whole answers without a length; each server stops at the given moment of it.
+  void answerWithStops(std::size_t moment, Milliseconds time) {
+    for (const auto& server : unframed) {
+      server->setBody([moment, time](const http::Request& request) {
+        ScriptedAnswer answer;
+        answer.pieces =
+            isStream(request.path())
+                ? std::vector<std::string>{events(1, 2) + "id: 3\nda", "ta: 3\n\n" + events(4, 4)}
+                : std::vector<std::string>{"a whole ", "answer"};
+        answer.end = ConnectionEnd::kClose;
+        answer.pieceGap = Milliseconds(2);
+        answer.stopBefore = moment;
+        answer.stopTime = time;
+        return answer;
+      });
+    }
+  }
+  static ScriptedAnswer slowAnswer() {
+    return {{"a whole ", "answer"}, ConnectionEnd::kClose, Milliseconds(100)};
+  }
+  static ScriptedAnswer refusalWithRest(const http::Request& request) {
+    const std::string fields =
+        "Content-Length: 0\r\nRetry-After: 0.7\r\nX-Not-Executed: 1\r\nX-Request-Id: ";
+    const std::string id = request.headers.get(platform::kRequestId);
+    return {{ScriptedServer::head(fields + id + "\r\n", "503 Service Unavailable")}};
+  }
+  awaitable<Result<http::Response>> ask(std::string path) {
+    http::Request message = isStream(path) ? modelRequest(path) : request(path);
+    co_return co_await call(std::move(message));
+  }
+  awaitable<void> pause(Milliseconds time) {
+    boost::asio::steady_timer timer(context, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  std::vector<std::unique_ptr<UnframedServer>> unframed;
+};
+
+BOOST_FIXTURE_TEST_SUITE(platform_silent_servers, Fixture)
+
+/// Guards against whole answers that are taken for broken off because their server does not say at
+/// once that it lives.
+BOOST_AUTO_TEST_CASE(wholeAnswersOfServersThatFallSilentAfterTheEndAreDelivered) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    answerWithStops(kAfterEnd, kSilence);
+    for (const std::string path :
+         {"/safe/a", "/once/a", "/open/a", "/stream/a", "/stream-once/a"}) {
+      const std::size_t before = runs();
+      const MonotonicTime begin = monotonicNow();
+      const Result<http::Response> answer = co_await ask(path);
+      BOOST_TEST_INFO(path);
+      BOOST_CHECK(answer && answer.value().status == 200U);
+      BOOST_TEST_INFO(path);
+      BOOST_TEST((answer && answer.value().body == wholeBody(path)));
+      BOOST_TEST_INFO(path);
+      BOOST_TEST(runs() - before == 1U);
+      BOOST_TEST_INFO(path);
+      BOOST_CHECK(monotonicNow() - begin < kSilence + kSlack);
+    }
+  });
+}
+
+/// Guards against the same at each other moment of an answer that may be run only once.
+BOOST_AUTO_TEST_CASE(answersOfServersThatFallSilentWithinThemArriveWhole) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    for (const std::size_t moment : {kBeforeHead, kBeforeBody, kWithinBody, kBeforeEnd}) {
+      answerWithStops(moment, kSilence);
+      for (const std::string path : {"/once/a", "/stream/a", "/stream-once/a"}) {
+        const std::size_t before = runs();
+        const Result<http::Response> answer = co_await ask(path);
+        BOOST_TEST_INFO(path << " at " << moment);
+        BOOST_TEST((answer && answer.value().body == wholeBody(path)));
+        BOOST_TEST_INFO(path << " at " << moment);
+        BOOST_TEST(runs() - before == 1U);
+      }
+    }
+  });
+}
+
+/// Guards against whole answers that are taken for broken off because their server has just asked
+/// to receive nothing for a time.
+BOOST_AUTO_TEST_CASE(wholeAnswersOfServersThatAskForRestBeforeTheEndAreDelivered) {
+  UnframedServer& app = addUnframed("app-1", "app");
+  run([&]() -> awaitable<void> {
+    app.setBody([](const http::Request& request) {
+      return request.path() == "/safe/a" ? refusalWithRest(request) : slowAnswer();
+    });
+    bool delivered = false;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+          const Result<http::Response> answer = co_await ask("/once/a");
+          delivered = answer && answer.value().body == "a whole answer";
+        },
+        boost::asio::detached);
+    co_await pause(Milliseconds(50));
+    const Result<http::Response> refused = co_await ask("/safe/a");
+    BOOST_REQUIRE(refused);
+    BOOST_TEST(refused.value().status == 503U);
+    co_await pause(Milliseconds(1500));
+    BOOST_TEST(delivered);
+  });
+}
+
+/// Guards against the same because their server has no room for a new connection.
+BOOST_AUTO_TEST_CASE(wholeAnswersOfServersThatResetNewConnectionsAreDelivered) {
+  UnframedServer& app = addUnframed("app-1", "app");
+  run([&]() -> awaitable<void> {
+    app.setBody([&app](const http::Request&) {
+      app.server().resetConnectionsFor(Milliseconds(700));
+      return slowAnswer();
+    });
+    const Result<http::Response> answer = co_await ask("/once/a");
+    BOOST_TEST((answer && answer.value().body == "a whole answer"));
+  });
+}
+
+/// A server that never says anything again proves nothing: what it sent does not pass for whole.
+BOOST_AUTO_TEST_CASE(answersOfServersThatStaySilentEndAtTheDeadlineAsBroken) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    answerWithStops(kAfterEnd, Milliseconds(60'000));
+    for (const std::string path : {"/once/a", "/stream-once/a"}) {
+      http::Request message = isStream(path) ? modelRequest(path) : request(path);
+      message.headers.set(platform::kDeadline, "1500");
+      const MonotonicTime begin = monotonicNow();
+      const Result<http::Response> answer = co_await call(std::move(message));
+      BOOST_TEST_INFO(path);
+      BOOST_TEST(!(answer && answer.value().status == 200U));
+      BOOST_TEST_INFO(path);
+      BOOST_CHECK(monotonicNow() - begin < Milliseconds(1500) + kSlack);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::testing
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -35,6 +35,10 @@
   std::vector<std::string> pieces;
   ConnectionEnd end = ConnectionEnd::kKeep;
   Milliseconds pieceGap{0};
+  /// The server stops for `stopTime` before it writes this piece; at the count of the pieces before
+  /// it ends the connection, and at one more after that.
+  std::size_t stopBefore = 0;
+  Milliseconds stopTime{0};
 };
 
 /// An HTTP server whose answers are written byte by byte as a test says, framed or not, and ended
@@ -56,6 +60,11 @@
   const std::vector<http::Request>& requests() const { return state_->requests; }
   /// See ConnectionEnd::kCrash.
   void crash() { state_->crash(); }
+  /// Reads, writes and accepts nothing for so long, as a process that does not run; its kernel goes
+  /// on.
+  void stopFor(Milliseconds time) { state_->stopFor(time); }
+  /// Resets each new connection for so long, as a server that has enough of them.
+  void resetConnectionsFor(Milliseconds time) { state_->resetUntil = monotonicNow() + time; }
   /// Listens at the same address again after a crash.
   void restart() { listen(port_); }
 
@@ -82,7 +91,17 @@
       }
       sockets.clear();
     }
+    void stopFor(Milliseconds time) { stoppedUntil = monotonicNow() + time; }
+    boost::asio::awaitable<void> untilRunning() {
+      boost::asio::steady_timer timer(acceptor.get_executor());
+      while (monotonicNow() < stoppedUntil) {
+        timer.expires_at(stoppedUntil);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+      }
+    }
     Script script;
+    MonotonicTime stoppedUntil{};
+    MonotonicTime resetUntil{};
     Tcp::acceptor acceptor;
     std::vector<std::weak_ptr<Tcp::socket>> sockets;
     std::vector<http::Request> requests;
@@ -105,8 +124,14 @@
       if (code) {
         co_return;
       }
+      co_await state->untilRunning();
       auto open = std::make_shared<Tcp::socket>(std::move(socket));
       open->set_option(Tcp::no_delay(true));
+      if (monotonicNow() < state->resetUntil) {
+        open->set_option(boost::asio::socket_base::linger(true, 0));
+        open->close();
+        continue;
+      }
       state->sockets.push_back(open);
       boost::asio::co_spawn(open->get_executor(), serve(state, open), boost::asio::detached);
     }
@@ -122,6 +147,7 @@
       if (code) {
         co_return;
       }
+      co_await state->untilRunning();
       http::Request request;
       request.method = std::string(message.method_string());
       request.target = std::string(message.target());
@@ -131,20 +157,32 @@
       request.body = std::move(message.body());
       state->requests.push_back(request);
       const ScriptedAnswer answer = state->script(request);
-      if (!co_await write(answer, *socket)) {
+      if (!co_await write(*state, answer, *socket)) {
         co_return;
       }
+      stopIfDue(*state, answer, answer.pieces.size());
+      co_await state->untilRunning();
       if (answer.end != ConnectionEnd::kKeep) {
-        co_await end(*state, answer.end, *socket);
+        co_await end(*state, answer, *socket);
         co_return;
       }
     }
   }
 
-  static boost::asio::awaitable<bool> write(const ScriptedAnswer& answer, Tcp::socket& socket) {
-    for (const std::string& piece : answer.pieces) {
-      auto [code, count] = co_await boost::asio::async_write(
-          socket, boost::asio::buffer(piece), boost::asio::as_tuple(boost::asio::use_awaitable));
+  static void stopIfDue(State& state, const ScriptedAnswer& answer, std::size_t written) {
+    if (answer.stopTime.count() > 0 && answer.stopBefore == written) {
+      state.stopFor(answer.stopTime);
+    }
+  }
+
+  static boost::asio::awaitable<bool> write(State& state, const ScriptedAnswer& answer,
+                                            Tcp::socket& socket) {
+    for (std::size_t number = 0; number < answer.pieces.size(); ++number) {
+      stopIfDue(state, answer, number);
+      co_await state.untilRunning();
+      auto [code, count] =
+          co_await boost::asio::async_write(socket, boost::asio::buffer(answer.pieces[number]),
+                                            boost::asio::as_tuple(boost::asio::use_awaitable));
       if (code) {
         co_return false;
       }
@@ -155,11 +193,13 @@
     co_return true;
   }
 
-  static boost::asio::awaitable<void> end(State& state, ConnectionEnd kind, Tcp::socket& socket) {
+  static boost::asio::awaitable<void> end(State& state, const ScriptedAnswer& answer,
+                                          Tcp::socket& socket) {
     boost::system::error_code ignored;
-    switch (kind) {
+    switch (answer.end) {
       case ConnectionEnd::kClose:
         socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        stopIfDue(state, answer, answer.pieces.size() + 1);
         co_await pause(socket, kLinger);
         break;
       case ConnectionEnd::kReset:
