answer_end_check: whoever does not answer is asked again until the deadline

What callers saw: a sound server ends an answer without a length and stands still for a second. /safe/, /once/ and /open/ got 502, streams ended in the middle: neither an answer nor a refusal. The same where the server had just asked for rest, or reset the connection of the question.

Cause: the node asked once, for 200 ms, and took no answer for a break. Three things look like that and are none: a process that stands still, a question that was never sent (rest), and a connection that was reset for want of room.

Change: RunState tells silence from an answer that shows no run. AnswerEndCheck goes on asking, the server and the node that carries the tunnel, until both are known, the deadline has come or the exchange is cancelled. A refused connection, a later run, another server and a tunnel that its node ended are breaks as before.

--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -29,7 +29,7 @@
   if (!probe->state) {
     co_await probe->answered.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return probe->state.value_or(RunState::kUnknown);
+  co_return probe->state.value_or(RunState::kSilent);
 }
 
 awaitable<void> CrashCheck::runProbes(fleet::Server server) {
@@ -56,7 +56,7 @@
       co_await calls_.exchange(server, std::move(query), options, CallPurpose::kQuery);
   if (!answer) {
     const bool refused = answer.error().reason == http::kConnectionRefused;
-    co_return refused ? RunState::kEnded : RunState::kUnknown;
+    co_return refused ? RunState::kEnded : RunState::kSilent;
   }
   co_return stateFrom(server, answer.value());
 }
@@ -72,7 +72,7 @@
   }
   if (!server.started) {
     // If the list contains no start, a report that does is no proof of another run.
-    return report.value().started ? RunState::kUnknown : RunState::kRunning;
+    return report.value().started ? RunState::kUnidentified : RunState::kRunning;
   }
   switch (fleet::orderOf(report.value().started, server.started)) {
     case fleet::RunOrder::kSame:
@@ -81,7 +81,7 @@
       onLaterRun_(server.id, report.value());
       return RunState::kEnded;
     default:
-      return RunState::kUnknown;
+      return RunState::kUnidentified;
   }
 }
 
--- a/src/forward/crash_check.h
+++ b/src/forward/crash_check.h
@@ -18,9 +18,15 @@
   /// It has answered a question that was asked after the check began.
   kRunning,
   kEnded,
-  /// No answer in time, or one that does not show which run gave it.
-  kUnknown,
+  /// No answer in time, or the question could not be sent. A later question may find out more.
+  kSilent,
+  /// The answer does not show which run gave it.
+  kUnidentified,
 };
+/// Whether the state says if the run has ended.
+inline bool isDecided(RunState state) {
+  return state == RunState::kRunning || state == RunState::kEnded;
+}
 
 /// Finds out whether the process of a server's run is alive, by querying its report on a new
 /// connection. The process has ended if the connection is refused at this node and at another one,
--- a/src/forward/crash_follow_up.cc
+++ b/src/forward/crash_follow_up.cc
@@ -56,7 +56,8 @@
         onCrash_(server, request);
       }
       break;
-    case RunState::kUnknown:
+    case RunState::kSilent:
+    case RunState::kUnidentified:
       metrics_.countCrashFollowUp("undecided");
       log::write(log::Level::kInfo, "crash_check_undecided",
                  {{"server", server.id.value()}, {"requests", std::to_string(requests.size())}});
@@ -80,11 +81,11 @@
       co_return RunState::kEnded;
     }
     const RunState state = co_await check_.stateOf(server);
-    if (state != RunState::kUnknown) {
+    if (isDecided(state)) {
       co_return state;
     }
   }
-  co_return RunState::kUnknown;
+  co_return RunState::kSilent;
 }
 
 bool CrashFollowUp::isLeaving(const fleet::Server& server) const {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -54,7 +54,7 @@
                        asio::co_spawn(context_.executor, recordCrash(server, request),
                                       asio::detached);
                      }),
-      answerEndCheck_(crashCheck_, context_.calls, context_.metrics),
+      answerEndCheck_(context_.executor, crashCheck_, context_.calls, context_.metrics),
       random_(seed + 2) {}
 
 void Forwarder::applyLaterRun(const BackendId& server, const ServerReport& report) {
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -478,6 +478,7 @@
     bounds.unacknowledgedTimeout = std::max(bounds.unacknowledgedTimeout, fromRoundTrip);
   }
   bounds.maxHeldBytes = settings_.maxHeldAnswerBytes;
+  bounds.deadline = job.end;
   bounds.headTimeout = left;
   bounds.firstEventTimeout = left;
   bounds.eventTimeout = left;
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -95,7 +95,7 @@
       break;
     }
     if (tooLong) {
-      co_return co_await relayLong(stream, server, std::move(response));
+      co_return co_await relayLong(stream, server, bounds, std::move(response));
     }
   }
   if (relay_.begun()) {
@@ -104,7 +104,8 @@
                    "a server answered the resumption of a stream with status " +
                        std::to_string(response.status));
   }
-  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel());
+  Result<void> whole =
+      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
   if (!whole) {
     co_return whole;
   }
@@ -117,6 +118,7 @@
 
 awaitable<Result<void>> ServerAttempt::relayLong(http::ResponseStream& stream,
                                                  const fleet::Server& server,
+                                                 const AttemptBounds& bounds,
                                                  http::Response begun) {
   std::string bytes = std::move(begun.body);
   Result<void> relayed = co_await relay_.beginOpaque(std::move(begun));
@@ -135,7 +137,8 @@
   if (!relayed) {
     co_return relayed;
   }
-  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel());
+  Result<void> whole =
+      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
   if (!whole) {
     co_return whole;
   }
@@ -160,7 +163,8 @@
     relay_.dropPartialEvent();
     co_return endCheck_.partialEventError(server);
   }
-  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel());
+  Result<void> whole =
+      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
   if (!whole) {
     co_return whole;
   }
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -15,6 +15,8 @@
 struct AttemptBounds {
   Milliseconds connectTimeout{0};
   Milliseconds unacknowledgedTimeout{0};
+  /// The attempt ends then in any case.
+  MonotonicTime deadline{};
   /// Timeout for the head of the answer.
   Milliseconds headTimeout{0};
   /// Timeouts for the first event of a stream, and between two later ones.
@@ -81,7 +83,8 @@
   /// Passes on an answer that is too long to be held: what has come of it, and the rest as it
   /// arrives.
   boost::asio::awaitable<Result<void>> relayLong(http::ResponseStream& stream,
-                                                 const fleet::Server& server, http::Response begun);
+                                                 const fleet::Server& server,
+                                                 const AttemptBounds& bounds, http::Response begun);
   boost::asio::awaitable<Result<void>> relayEvents(http::ResponseStream& stream,
                                                    const fleet::Server& server,
                                                    const AttemptBounds& bounds);
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -60,9 +60,9 @@
                                                           http::Request request,
                                                           http::ExchangeOptions options,
                                                           CallPurpose purpose);
-  /// Whether the server, and not the node that carries the tunnel, has ended it. False if that node
-  /// does not answer or does not know.
-  boost::asio::awaitable<bool> serverEndedTunnel(http::Tunnel tunnel) {
+  /// Whether the server, and not the node that carries the tunnel, has ended it. Empty without an
+  /// answer of that node in time.
+  boost::asio::awaitable<std::optional<bool>> serverEndedTunnel(http::Tunnel tunnel) {
     return context_.paths.serverEndedTunnel(std::move(tunnel));
   }
   /// Whether a call may begin on the server now. Fails with kServerWithdrawn.
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -199,12 +199,15 @@
                                                   kStatusTimeout, kStatusTimeout);
 }
 
-awaitable<bool> ServerPaths::serverEndedTunnel(http::Tunnel tunnel) {
+awaitable<std::optional<bool>> ServerPaths::serverEndedTunnel(http::Tunnel tunnel) {
   const TunnelEndQuery query{tunnel.id.value()};
   const Result<TunnelEnd> end =
       co_await peer::callPeer<TunnelEnd>(context_.client, std::move(tunnel.proxy), kTunnelEndPath,
                                          query, kStatusTimeout, kStatusTimeout);
-  co_return end&& end.value().endedByServer;
+  if (!end && end.error().reason == peer::kUnknownPath) {
+    co_return false;
+  }
+  co_return end ? std::optional(end.value().endedByServer) : std::nullopt;
 }
 
 awaitable<void> ServerPaths::learnPeers() {
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -114,9 +114,9 @@
   /// off.
   Error explainFailure(const CallInFlight& call, Error error);
 
-  /// Asks the node that carried the tunnel whether the server has ended it. False without an
-  /// answer.
-  boost::asio::awaitable<bool> serverEndedTunnel(http::Tunnel tunnel);
+  /// Asks the node that carried the tunnel whether the server has ended it. Empty without an answer
+  /// in time; false from a node that does not know how its tunnels end.
+  boost::asio::awaitable<std::optional<bool>> serverEndedTunnel(http::Tunnel tunnel);
 
   bool isLost(const Endpoint& server) const { return table_.isLost(server); }
   std::size_t lostCount() const { return table_.lostCount(); }
