forward: a silent server is left only for another one that may take its request over

What callers saw: a resumable stream whose server was silent for 1.5 s broke off in the middle wherever no retry was left or no other server was there: the first server was given up, and only then was the second asked for.

Cause: the timeouts for a server's silence closed the connection by themselves (eventTimeout, headTimeout; calls on silent servers and lost paths), before the retry budget, the choice and the configuration had their say. A change of the configuration, and a budget that is used up, make them say no more often. The class: a thing given up before its replacement is granted.

Change: SilenceWatch asks for a permission and goes on waiting without it; calls on lost paths and silent servers ask for the same one. It needs an untried server, a retry that the route and the budget allow (taken at once), and a configuration that still admits the request. A begun stream that has left a silent server, and whose successor is refused, waits for the next chance until its deadline. One bound for all: kMaxServerSilence, 1.6 s (events had 1.5 s).

--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -101,6 +101,10 @@
   std::vector<quarantine::PartFingerprint> cachedParts;
   /// Quarantine permission for the next dispatch or the one in progress.
   quarantine::Trial trial;
+  /// Whether a retry was granted before the present dispatch was given up.
+  bool failoverGranted = false;
+  /// Whether a server that had not failed was given up for its silence.
+  bool leftSilentServer = false;
   /// Whether the last dispatch ended with a server's 5xx answer, which was kept.
   bool ranToServerError = false;
   BackendId lastServer;
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "forward/cache_moves.h"
 #include "forward/queue_admission.h"
+#include "server_paths/server_paths.h"
 
 namespace calicodrift::forward {
 
@@ -20,8 +21,9 @@
   /// An idempotent request fails over if no part of its answer has arrived within this multiple of
   /// its target latency.
   double failoverTargets = 3.5;
-  /// Longest pause between two events of a stream that another server can resume.
-  Milliseconds eventTimeout{1500};
+  /// The same after the first bytes of a stream, and after the last byte of an answer whose end has
+  /// to be proven.
+  Milliseconds maxServerSilence = server_paths::kMaxServerSilence;
   /// A server that refused a request receives none for this long.
   Milliseconds refusalPause{250};
   /// The same if newer weights than the server's were named, because it may be loading them; it is
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -190,6 +190,9 @@
     if (allowed) {
       allowed = co_await claimDispatch(job);
     }
+    if (!allowed && co_await waitForAnotherServer(job, allowed.error().kind)) {
+      continue;
+    }
     if (!allowed) {
       // If another dispatch is not allowed, the failure of the previous one is reported.
       co_return job.attempts.sent == 0 ? allowed : outcome;
@@ -215,7 +218,7 @@
     if (job.expired) {
       co_return fail(ErrorKind::kDeadlineExceeded, "the deadline of the request has passed");
     }
-    if (!takeRetry(job, failure)) {
+    if (!takeRetry(job, failure) && !co_await waitForAnotherServer(job, failure)) {
       co_return outcome;
     }
     context_.metrics.countRetry(errorRow(failure).name);
@@ -258,10 +261,54 @@
   co_return sendable;
 }
 
+bool Forwarder::grantFailover(Job& job) {
+  if (job.failoverGranted) {
+    return true;
+  }
+  if (!settings_.retries || job.relay.opaque() || !hasUntriedServer(job) ||
+      !gate_.mayBeSent(job.request, job.grant, context_.configuration(), monotonicNow())) {
+    return false;
+  }
+  // The server that is left may have run the request.
+  AttemptCount attempts = job.attempts;
+  ++attempts.mayHaveRun;
+  const RetryDecision decision = mayRetry(*job.grant.route, ErrorKind::kDeadlineExceeded, attempts);
+  if (decision != RetryDecision::kBudgeted) {
+    return false;
+  }
+  job.failoverGranted = retryBudgetOf(job.service).tryTake(monotonicNow());
+  job.leftSilentServer = job.failoverGranted;
+  return job.failoverGranted;
+}
+
+awaitable<bool> Forwarder::waitForAnotherServer(Job& job, ErrorKind failure) {
+  constexpr Milliseconds kPause{50};
+  const bool sent = provesNotRun(failure);
+  const bool mayPass = sent || failure == ErrorKind::kNoBackend ||
+                       failure == ErrorKind::kOverloaded || failure == ErrorKind::kRateLimited ||
+                       failure == ErrorKind::kNoConfiguration ||
+                       failure == ErrorKind::kTrialUnderWay;
+  if (!mayPass || !job.leftSilentServer || !job.relay.begun()) {
+    co_return false;
+  }
+  asio::steady_timer timer(context_.executor);
+  while (!job.expired && !job.writer.callerGone()) {
+    timer.expires_after(kPause);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!sent || retryBudgetOf(job.service).tryTake(monotonicNow())) {
+      co_return !job.expired && !job.writer.callerGone();
+    }
+  }
+  co_return false;
+}
+
 bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
   if (!settings_.retries || job.relay.opaque()) {
     return false;
   }
+  if (std::exchange(job.failoverGranted, false)) {
+    return true;
+  }
   // A server that has just refused the request will most likely refuse it again.
   if (failure == ErrorKind::kBackendRefused && !hasUntriedServer(job)) {
     return false;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -197,6 +197,13 @@
   bool hasUntriedServer(const Job& job);
   /// Whether the job is retried on another server; if so, consumes from the retry budget.
   bool takeRetry(Job& job, ErrorKind failure);
+  /// Whether the job may leave the server that works on it for another one, because that server or
+  /// the path to it is silent. Consumes from the retry budget for the next dispatch.
+  bool grantFailover(Job& job);
+  ServerAttempt::Permissions permissionsOf(Job& job);
+  /// For a stream that has left a silent server: waits until another server may be tried again.
+  /// False at once if time does not help, and if the request has ended meanwhile.
+  boost::asio::awaitable<bool> waitForAnotherServer(Job& job, ErrorKind failure);
   /// @param rttMs round-trip time to the server, in milliseconds.
   AttemptBounds boundsOf(const Job& job, double rttMs) const;
   boost::asio::awaitable<void> answerError(Job& job, Error error);
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -5,6 +5,7 @@
 
 #include "forward/cache_scope.h"
 #include "forward/forward_job.h"
+#include "forward/remaining_time.h"
 #include "http/status.h"
 #include "routing/cost.h"
 
@@ -13,11 +14,6 @@
 
 using boost::asio::awaitable;
 
-Milliseconds remainingTime(MonotonicTime end) {
-  const auto left = std::chrono::duration_cast<Milliseconds>(end - monotonicNow());
-  return std::max(left, Milliseconds(1));
-}
-
 std::optional<Milliseconds> ageOf(std::optional<MonotonicTime> since, MonotonicTime now) {
   if (!since) {
     return std::nullopt;
@@ -152,11 +148,11 @@
     context_.rollouts.onSent(job.service, chosen.order, chosen.track);
   }
   auto attempt = std::make_shared<ServerAttempt>(
-      context_.calls, context_.servers, answerEndCheck_, job.relay,
+      context_.executor, context_.calls, context_.servers, answerEndCheck_, job.relay,
       chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest,
-      job.mayFailOver() ? server_paths::CallMobility::kMovable
-                        : server_paths::CallMobility::kFixed);
+      permissionsOf(job));
   job.attempt = attempt;
+  job.failoverGranted = false;
   job.begunAt.reset();
   job.sustained = false;
   std::optional<WaitingDispatches::Guard> waiting;
@@ -228,6 +224,11 @@
     outcome = fail(ErrorKind::kWeightsOutdated, "server '" + dispatch.server.id.value() +
                                                     "' had not answered when its weights expired");
   }
+  if (!outcome && attempt.leftSilentServer() && !provesNotRun(outcome.error().kind)) {
+    outcome = fail(ErrorKind::kDeadlineExceeded,
+                   "server '" + dispatch.server.id.value() + "' was silent for too long");
+    outcome.error().reason = server_paths::kServerSilent;
+  }
   if (!outcome && !provesNotRun(outcome.error().kind)) {
     ++job.attempts.mayHaveRun;
   }
@@ -479,17 +480,22 @@
   }
   bounds.maxHeldBytes = settings_.maxHeldAnswerBytes;
   bounds.deadline = job.end;
-  bounds.headTimeout = left;
-  bounds.firstEventTimeout = left;
-  bounds.eventTimeout = left;
-  if (settings_.failoverOnSilence && job.mayFailOver()) {
-    const Milliseconds patience(static_cast<std::int64_t>(
-        settings_.failoverTargets * static_cast<double>(job.grant.route->targetLatency.count())));
-    bounds.headTimeout = std::min(left, patience);
-    bounds.firstEventTimeout = bounds.headTimeout;
-    bounds.eventTimeout = std::min(left, settings_.eventTimeout);
-  }
+  bounds.startPatience = Milliseconds(static_cast<std::int64_t>(
+      settings_.failoverTargets * static_cast<double>(job.grant.route->targetLatency.count())));
+  bounds.bodyPatience = settings_.maxServerSilence;
   return bounds;
 }
 
+ServerAttempt::Permissions Forwarder::permissionsOf(Job& job) {
+  ServerAttempt::Permissions permissions;
+  if (!job.mayFailOver()) {
+    return permissions;
+  }
+  permissions.leavePath = [this, &job] { return grantFailover(job); };
+  if (settings_.failoverOnSilence) {
+    permissions.leaveSilentServer = permissions.leavePath;
+  }
+  return permissions;
+}
+
 }  // namespace calicodrift::forward
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -1,5 +1,6 @@
 #include "forward/server_attempt.h"
 
+#include "forward/remaining_time.h"
 #include "http/status.h"
 
 namespace calicodrift::forward {
@@ -36,14 +37,16 @@
                                            FailureUse failureUse) {
   http::ExchangeOptions options;
   options.connectTimeout = bounds.connectTimeout;
-  options.headerTimeout = bounds.headTimeout;
-  options.bodyTimeout = bounds.headTimeout;
+  options.headerTimeout = remainingTime(bounds.deadline);
+  options.bodyTimeout = options.headerTimeout;
   options.unacknowledgedTimeout = bounds.unacknowledgedTimeout;
   options.canceller = &canceller_;
   options.connectTime = &connectTime_;
   http::Request message = protocol_.encode(request, dispatch);
+  silence_.begin(bounds.startPatience);
   auto opened =
-      co_await calls_.open(dispatch.server, std::move(message), options, purpose_, mobility_);
+      co_await calls_.open(dispatch.server, std::move(message), options, purpose_, leavePath_);
+  silence_.end();
   if (!opened) {
     co_return opened.error();
   }
@@ -79,7 +82,7 @@
   http::Response response = endToEnd(stream.head());
   const bool keep = response.status >= kFirstServerErrorStatus && failureUse == FailureUse::kKeep;
   while (!bodyEnd_) {
-    Result<http::BodyPiece> piece = co_await stream.read();
+    Result<http::BodyPiece> piece = co_await read(stream, bounds.startPatience);
     if (!piece) {
       co_return piece.error();
     }
@@ -104,8 +107,7 @@
                    "a server answered the resumption of a stream with status " +
                        std::to_string(response.status));
   }
-  Result<void> whole =
-      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
+  Result<void> whole = co_await confirmEnd(stream, server, bounds);
   if (!whole) {
     co_return whole;
   }
@@ -137,8 +139,7 @@
   if (!relayed) {
     co_return relayed;
   }
-  Result<void> whole =
-      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
+  Result<void> whole = co_await confirmEnd(stream, server, bounds);
   if (!whole) {
     co_return whole;
   }
@@ -148,14 +149,12 @@
 awaitable<Result<void>> ServerAttempt::relayEvents(http::ResponseStream& stream,
                                                    const fleet::Server& server,
                                                    const AttemptBounds& bounds) {
-  stream.setBodyTimeout(bounds.firstEventTimeout);
-  Result<http::BodyPiece> first = co_await stream.read();
+  Result<http::BodyPiece> first = co_await read(stream, bounds.startPatience);
   if (!first) {
     co_return first.error();
   }
   notifyFirstBytes();
-  stream.setBodyTimeout(bounds.eventTimeout);
-  Result<void> relayed = co_await relayPieces(stream, std::move(first.value()));
+  Result<void> relayed = co_await relayPieces(stream, bounds, std::move(first.value()));
   if (!relayed) {
     co_return relayed;
   }
@@ -163,8 +162,7 @@
     relay_.dropPartialEvent();
     co_return endCheck_.partialEventError(server);
   }
-  Result<void> whole =
-      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
+  Result<void> whole = co_await confirmEnd(stream, server, bounds);
   if (!whole) {
     co_return whole;
   }
@@ -172,6 +170,7 @@
 }
 
 awaitable<Result<void>> ServerAttempt::relayPieces(http::ResponseStream& stream,
+                                                   const AttemptBounds& bounds,
                                                    http::BodyPiece first) {
   // The head is sent only after the first bytes, so that another server can still give the whole
   // answer if this one sends nothing.
@@ -183,7 +182,7 @@
     if (!relayed) {
       break;
     }
-    Result<http::BodyPiece> next = co_await stream.read();
+    Result<http::BodyPiece> next = co_await read(stream, bounds.bodyPatience);
     if (!next) {
       relay_.dropPartialEvent();
       co_return next.error();
@@ -194,6 +193,24 @@
   co_return relayed;
 }
 
+awaitable<Result<http::BodyPiece>> ServerAttempt::read(http::ResponseStream& stream,
+                                                       Milliseconds patience) {
+  silence_.begin(patience);
+  Result<http::BodyPiece> piece = co_await stream.read();
+  silence_.end();
+  co_return piece;
+}
+
+awaitable<Result<void>> ServerAttempt::confirmEnd(http::ResponseStream& stream,
+                                                  const fleet::Server& server,
+                                                  const AttemptBounds& bounds) {
+  silence_.begin(bounds.bodyPatience);
+  Result<void> whole =
+      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
+  silence_.end();
+  co_return whole;
+}
+
 void ServerAttempt::notifyFirstBytes() {
   if (firstBytesListener_) {
     const auto listener = std::exchange(firstBytesListener_, nullptr);
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -8,6 +8,7 @@
 #include "forward/answer_relay.h"
 #include "forward/protocol.h"
 #include "forward/server_calls.h"
+#include "forward/silence_watch.h"
 
 namespace calicodrift::forward {
 
@@ -17,11 +18,11 @@
   Milliseconds unacknowledgedTimeout{0};
   /// The attempt ends then in any case.
   MonotonicTime deadline{};
-  /// Timeout for the head of the answer.
-  Milliseconds headTimeout{0};
-  /// Timeouts for the first event of a stream, and between two later ones.
-  Milliseconds firstEventTimeout{0};
-  Milliseconds eventTimeout{0};
+  /// How long the server may be silent before the request goes to another one, if it may: until the
+  /// first bytes of a stream's body or any bytes of another answer; and between the events of a
+  /// stream, or after the last byte until it is known that the answer is whole.
+  Milliseconds startPatience{0};
+  Milliseconds bodyPatience{0};
   /// An answer that is not a stream is held until it is whole, so that another server can still
   /// give it; a longer one is passed on as it arrives.
   std::size_t maxHeldBytes = std::numeric_limits<std::size_t>::max();
@@ -34,16 +35,25 @@
 /// One dispatch of a request to one server, with its answer relayed to the caller.
 class ServerAttempt {
  public:
+  /// Whether the request may leave its server for another one now.
+  struct Permissions {
+    /// Asked if the path to the server is lost.
+    server_paths::MovePermission leavePath;
+    /// Asked if the server is silent for too long.
+    SilenceWatch::Permission leaveSilentServer;
+  };
+
   /// @param purpose a request with a unit of the server's limit, or without one.
-  /// @param mobility whether the request may go to another server if this one's path is lost.
-  ServerAttempt(ServerCalls& calls, const ServerProtocol& protocol, AnswerEndCheck& endCheck,
-                AnswerRelay& relay, CallPurpose purpose, server_paths::CallMobility mobility)
+  ServerAttempt(const boost::asio::any_io_executor& executor, ServerCalls& calls,
+                const ServerProtocol& protocol, AnswerEndCheck& endCheck, AnswerRelay& relay,
+                CallPurpose purpose, Permissions permissions)
       : calls_(calls),
         protocol_(protocol),
         endCheck_(endCheck),
         relay_(relay),
         purpose_(purpose),
-        mobility_(mobility) {}
+        leavePath_(std::move(permissions.leavePath)),
+        silence_(executor, std::move(permissions.leaveSilentServer), [this] { cancel(); }) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
   /// mean that this server has not run the request, kServerWithdrawn that it did not receive it,
@@ -60,6 +70,8 @@
     cancel();
   }
   bool recalled() const { return recalled_; }
+  /// Whether the server was left for its silence.
+  bool leftSilentServer() const { return silence_.moved(); }
   /// The listener is called once, when the first bytes of the answer's body arrive.
   void onFirstBytes(std::function<void()> listener) { firstBytesListener_ = std::move(listener); }
   std::optional<WeightsVersion> weights() const { return weights_; }
@@ -90,7 +102,15 @@
                                                    const AttemptBounds& bounds);
   /// Relays the pieces of a stream up to its end.
   boost::asio::awaitable<Result<void>> relayPieces(http::ResponseStream& stream,
+                                                   const AttemptBounds& bounds,
                                                    http::BodyPiece first);
+  /// Reads the next piece, for which the server may be silent for `patience`.
+  boost::asio::awaitable<Result<http::BodyPiece>> read(http::ResponseStream& stream,
+                                                       Milliseconds patience);
+  /// Succeeds if the answer, which has ended, is whole.
+  boost::asio::awaitable<Result<void>> confirmEnd(http::ResponseStream& stream,
+                                                  const fleet::Server& server,
+                                                  const AttemptBounds& bounds);
   void notifyFirstBytes();
 
   ServerCalls& calls_;
@@ -98,7 +118,8 @@
   AnswerEndCheck& endCheck_;
   AnswerRelay& relay_;
   CallPurpose purpose_;
-  server_paths::CallMobility mobility_;
+  server_paths::MovePermission leavePath_;
+  SilenceWatch silence_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
   std::optional<WeightsVersion> weights_;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -69,7 +69,7 @@
 
 awaitable<Result<std::unique_ptr<http::ResponseStream>>> ServerCalls::open(
     const fleet::Server& server, http::Request request, http::ExchangeOptions options,
-    CallPurpose purpose, server_paths::CallMobility mobility) {
+    CallPurpose purpose, server_paths::MovePermission mayMove) {
   // No connection is made for a call that may not begin.
   if (const Result<void> allowed = mayBegin(server, purpose); !allowed) {
     context_.metrics.countWithdrawn();
@@ -91,7 +91,7 @@
   }
   const SendState sent{context_.limits.versionOf(server), monotonicNow()};
   context_.pool.recordSent(server.id, sent.at);
-  auto call = context_.paths.beginCall(path, mobility, options.canceller);
+  auto call = context_.paths.beginCall(path, std::move(mayMove), options.canceller);
   auto opened =
       co_await context_.client.send(std::move(connection.value()), std::move(request), options);
   if (!opened) {
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -53,8 +53,7 @@
   /// path was lost fails with the reason server_paths::kPathLost. The server must outlive the call.
   boost::asio::awaitable<Result<std::unique_ptr<http::ResponseStream>>> open(
       const fleet::Server& server, http::Request request, http::ExchangeOptions options,
-      CallPurpose purpose,
-      server_paths::CallMobility mobility = server_paths::CallMobility::kFixed);
+      CallPurpose purpose, server_paths::MovePermission mayMove = {});
   /// Like open(), but returns the whole answer.
   boost::asio::awaitable<Result<http::Response>> exchange(const fleet::Server& server,
                                                           http::Request request,
--- a/src/server_paths/calls_in_flight.cc
+++ b/src/server_paths/calls_in_flight.cc
@@ -4,11 +4,12 @@
 
 namespace calicodrift::server_paths {
 
-std::shared_ptr<CallInFlight> CallsInFlight::begin(http::ConnectionPath path, CallMobility mobility,
+std::shared_ptr<CallInFlight> CallsInFlight::begin(http::ConnectionPath path,
+                                                   MovePermission mayMove,
                                                    http::ExchangeCanceller* canceller,
                                                    MonotonicTime now) {
   const Endpoint server = path.endpoint;
-  auto call = std::make_shared<CallInFlight>(std::move(path), mobility, canceller, now);
+  auto call = std::make_shared<CallInFlight>(std::move(path), std::move(mayMove), canceller, now);
   servers_[server].calls.push_back(call);
   return call;
 }
@@ -44,18 +45,22 @@
   for (const auto& [endpoint, server] : servers_) {
     for (const auto& weak : server.calls) {
       const auto call = weak.lock();
-      const bool movable = call && call->mobility == CallMobility::kMovable &&
-                           call->canceller != nullptr && call->endedFor.empty();
+      const bool movable =
+          call && call->mayMove && call->canceller != nullptr && call->endedFor.empty();
       if (movable && now - call->lastBytesAt >= silence && onPath(call->path)) {
         ending.push_back(call);
       }
     }
   }
+  std::size_t ended = 0;
   for (const auto& call : ending) {
-    call->endedFor = reason;
-    call->canceller->cancel();
+    if (call->mayMove()) {
+      call->endedFor = reason;
+      call->canceller->cancel();
+      ++ended;
+    }
   }
-  return ending.size();
+  return ended;
 }
 
 bool CallsInFlight::anyThrough(const Endpoint& proxy) const {
--- a/src/server_paths/calls_in_flight.h
+++ b/src/server_paths/calls_in_flight.h
@@ -11,17 +11,21 @@
 
 namespace calicodrift::server_paths {
 
-/// Whether a call may be ended to be sent again elsewhere when its path is lost.
-enum class CallMobility { kFixed, kMovable };
+/// Whether a call may be ended now because its request will be sent again elsewhere. Empty for a
+/// call that stays with its server.
+using MovePermission = std::function<bool()>;
 
 /// One call to a server, from the time at which it was sent until its answer has ended.
 struct CallInFlight {
-  CallInFlight(http::ConnectionPath path, CallMobility mobility, http::ExchangeCanceller* canceller,
-               MonotonicTime now)
-      : path(std::move(path)), mobility(mobility), canceller(canceller), lastBytesAt(now) {}
+  CallInFlight(http::ConnectionPath path, MovePermission mayMove,
+               http::ExchangeCanceller* canceller, MonotonicTime now)
+      : path(std::move(path)),
+        mayMove(std::move(mayMove)),
+        canceller(canceller),
+        lastBytesAt(now) {}
 
   const http::ConnectionPath path;
-  const CallMobility mobility;
+  const MovePermission mayMove;
   /// Null: the call cannot be ended from outside. Outlives the call.
   http::ExchangeCanceller* const canceller;
   /// When bytes of the answer last arrived; until then, when the call was sent.
@@ -34,7 +38,7 @@
 class CallsInFlight {
  public:
   /// The call is under way for as long as the returned pointer is held.
-  std::shared_ptr<CallInFlight> begin(http::ConnectionPath path, CallMobility mobility,
+  std::shared_ptr<CallInFlight> begin(http::ConnectionPath path, MovePermission mayMove,
                                       http::ExchangeCanceller* canceller, MonotonicTime now);
   /// Records that bytes of the call's answer have arrived.
   void recordBytes(CallInFlight& call, MonotonicTime now);
@@ -42,8 +46,8 @@
   /// Servers with a direct call that has been silent for `silence`, and of which nothing else was
   /// heard on the direct path since then.
   std::vector<Endpoint> silentServers(Milliseconds silence, MonotonicTime now) const;
-  /// Ends the movable calls that satisfy `onPath` and have been silent for `silence`. Returns their
-  /// number.
+  /// Ends the calls that satisfy `onPath`, have been silent for `silence` and may move. Returns
+  /// their number.
   /// @param reason CallInFlight::endedFor of these calls.
   std::size_t endSilent(const std::function<bool(const http::ConnectionPath&)>& onPath,
                         Milliseconds silence, std::string_view reason, MonotonicTime now);
--- a/src/server_paths/server_paths.cc
+++ b/src/server_paths/server_paths.cc
@@ -229,11 +229,11 @@
 }
 
 std::shared_ptr<CallInFlight> ServerPaths::beginCall(const http::ConnectionPath& path,
-                                                     CallMobility mobility,
+                                                     MovePermission mayMove,
                                                      http::ExchangeCanceller* canceller) {
   context_.metrics.countCall(path.direct());
   const MonotonicTime now = monotonicNow();
-  auto call = calls_.begin(path, mobility, canceller, now);
+  auto call = calls_.begin(path, std::move(mayMove), canceller, now);
   if (path.direct()) {
     recentServers_.recordUse(path.endpoint, now);
     return call;
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -29,6 +29,10 @@
 /// Reason of a failed call that was ended because its server was silent on all paths.
 inline constexpr std::string_view kServerSilent = "server_silent";
 
+/// A sound server may be silent for a second or so and go on; a request whose server is silent for
+/// longer goes to another one if it may.
+inline constexpr Milliseconds kMaxServerSilence{1600};
+
 struct ServerPathsSettings {
   /// Name of this node, and the endpoint at which other nodes reach it. Without a port the node
   /// knows no others, and all paths are direct.
@@ -45,8 +49,7 @@
   Milliseconds silenceBeforeCheck{300};
   Milliseconds suspectSilence{100};
   Milliseconds checkTimeout{200};
-  /// A sound server may be silent for a second or so; after this time movable calls go elsewhere.
-  Milliseconds maxServerSilence{1600};
+  Milliseconds maxServerSilence = kMaxServerSilence;
   Milliseconds tickInterval{50};
   PathTableSettings table;
 };
@@ -106,7 +109,7 @@
       Endpoint server, http::Request request, PathOptions path, http::ExchangeOptions options);
 
   /// Registers a call that is about to be sent on the connection.
-  std::shared_ptr<CallInFlight> beginCall(const http::ConnectionPath& path, CallMobility mobility,
+  std::shared_ptr<CallInFlight> beginCall(const http::ConnectionPath& path, MovePermission mayMove,
                                           http::ExchangeCanceller* canceller);
   void recordBytes(CallInFlight& call) { calls_.recordBytes(call, monotonicNow()); }
   /// Returns the error with the reason for which the call was ended, or with kPathLost if its
--- a/tests/platform/silent_servers_test.cc
+++ b/tests/platform/silent_servers_test.cc
@@ -170,6 +170,60 @@
   });
 }
 
+/// Guards against begun streams that are given up for their server's silence, and then break off
+/// because no other server may take them over.
+BOOST_AUTO_TEST_CASE(begunStreamsStayWithTheirSilentServerWhileNoRetryIsLeft) {
+  settings.retryFloor = 0;
+  settings.retryPercent = 0;
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    for (const std::size_t moment : {kWithinBody, kBeforeEnd, kAfterEnd}) {
+      answerWithStops(moment, Milliseconds(2200));
+      const Result<http::Response> answer = co_await ask("/stream/a");
+      BOOST_TEST_INFO("at " << moment);
+      BOOST_TEST((answer && answer.value().body == events(1, 4)));
+    }
+    BOOST_TEST(runs() == 3U);
+  });
+}
+
+/// Guards against the same where no other server is there.
+BOOST_AUTO_TEST_CASE(begunStreamsStayWithTheirSilentServerWhereItIsTheOnlyOne) {
+  addUnframed("llm-1", "llm");
+  run([this]() -> awaitable<void> {
+    answerWithStops(kWithinBody, Milliseconds(2200));
+    const Result<http::Response> answer = co_await ask("/stream/a");
+    BOOST_TEST((answer && answer.value().body == events(1, 4)));
+    BOOST_TEST(runs() == 1U);
+  });
+}
+
+/// The guards above keep no stream from another server that may take it over.
+BOOST_AUTO_TEST_CASE(begunStreamsLeaveAServerThatStaysSilentForAnother) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    const auto first = std::make_shared<bool>(true);
+    for (const auto& server : unframed) {
+      server->setBody([first](const http::Request& request) {
+        ScriptedAnswer answer{{events(1, 2), events(3, 4)}, ConnectionEnd::kClose, Milliseconds(2)};
+        if (std::exchange(*first, false)) {
+          answer.stopBefore = kWithinBody;
+          answer.stopTime = Milliseconds(60'000);
+        } else {
+          const unsigned after =
+              static_cast<unsigned>(std::stoul(request.headers.get(platform::kLastEventId)));
+          answer.pieces = {events(after + 1, 4)};
+        }
+        return answer;
+      });
+    }
+    const MonotonicTime begin = monotonicNow();
+    const Result<http::Response> answer = co_await ask("/stream/a");
+    BOOST_TEST((answer && answer.value().body == events(1, 4)));
+    BOOST_CHECK(monotonicNow() - begin < server_paths::kMaxServerSilence + kSlack);
+  });
+}
+
 /// A server that never says anything again proves nothing: what it sent does not pass for whole.
 BOOST_AUTO_TEST_CASE(answersOfServersThatStaySilentEndAtTheDeadlineAsBroken) {
   addTwoOfEachService();
--- a/tests/server_paths/server_paths_test.cc
+++ b/tests/server_paths/server_paths_test.cc
@@ -16,6 +16,10 @@
 using asio::awaitable;
 using Tcp = asio::ip::tcp;
 
+/// A call that may leave its server, and one that may not.
+const MovePermission kMayMove = [] { return true; };
+const MovePermission kStays;
+
 /// One node whose direct path can be closed, one other node, and a server.
 class Fixture {
  public:
@@ -60,9 +64,9 @@
   }
   /// Sends a call that is never answered, and lets the server be silent for `time`. Returns the
   /// reason for which the call was ended.
-  awaitable<std::string_view> endAfterSilence(CallMobility mobility, Milliseconds time) {
+  awaitable<std::string_view> endAfterSilence(MovePermission mayMove, Milliseconds time) {
     http::ExchangeCanceller canceller;
-    const auto call = paths.beginCall(http::ConnectionPath(server), mobility, &canceller);
+    const auto call = paths.beginCall(http::ConnectionPath(server), std::move(mayMove), &canceller);
     silent = true;
     co_await pause(time);
     silent = false;
@@ -142,8 +146,7 @@
 BOOST_AUTO_TEST_CASE(aLossIsFollowedByChecksOfAllRecentlyUsedServers) {
   run([](Fixture& fixture) -> awaitable<void> {
     co_await fixture.pause(Milliseconds(50));
-    fixture.paths.beginCall(http::ConnectionPath(fixture.otherServer), CallMobility::kFixed,
-                            nullptr);
+    fixture.paths.beginCall(http::ConnectionPath(fixture.otherServer), kStays, nullptr);
     fixture.ownRefused = true;
     const Result<http::ClientConnection> relayed = co_await fixture.connect();
     BOOST_TEST(relayed.has_value());
@@ -193,8 +196,7 @@
 BOOST_AUTO_TEST_CASE(callsOfAServerThatIsSilentForASecondStay) {
   run([](Fixture& fixture) -> awaitable<void> {
     co_await fixture.pause(Milliseconds(50));
-    const std::string_view ended =
-        co_await fixture.endAfterSilence(CallMobility::kMovable, Milliseconds(1500));
+    const std::string_view ended = co_await fixture.endAfterSilence(kMayMove, Milliseconds(1500));
     BOOST_TEST(ended.empty());
     BOOST_TEST(fixture.timesSilent > 0U);
     BOOST_TEST(!fixture.paths.isLost(fixture.server));
@@ -204,11 +206,10 @@
 BOOST_AUTO_TEST_CASE(movableCallsLeaveAServerThatStaysSilent) {
   run([](Fixture& fixture) -> awaitable<void> {
     co_await fixture.pause(Milliseconds(50));
-    const std::string_view ended =
-        co_await fixture.endAfterSilence(CallMobility::kMovable, Milliseconds(2800));
+    const std::string_view ended = co_await fixture.endAfterSilence(kMayMove, Milliseconds(2800));
     BOOST_TEST(ended == kServerSilent);
     const std::string_view fixedEnded =
-        co_await fixture.endAfterSilence(CallMobility::kFixed, Milliseconds(2800));
+        co_await fixture.endAfterSilence(kStays, Milliseconds(2800));
     BOOST_TEST(fixedEnded.empty());
   }(*this));
 }
