forward: a connect that was given up is no evidence about its server; recalled streams wait for another server, too

A begun stream that waits at a server whose weights run out is recalled by this node; without a retry left it broke off at once. It waits for the next chance until its deadline, as one does that has left a silent server. By reading; platform_silent_servers and forward are green.

lint: the largest sources go first, so that none of them is left for the end (one took four minutes alone).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,8 @@
 build=${1:-build}
 shift || true
 jobs=${JOBS:-$(nproc)}
-mapfile -t sources < <(find src apps platform tests -name '*.cc' | sort)
+# The largest first, so that none of them is left for the end.
+mapfile -t sources < <(find src apps platform tests -name '*.cc' -printf '%s %p\n' | sort -rn | cut -d' ' -f2-)
 mapfile -t headers < <(find src apps platform tests -name '*.h' | sort)
 clang-format --dry-run -Werror "${sources[@]}" "${headers[@]}"
 if [ $# -gt 0 ]; then
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -103,8 +103,8 @@
   quarantine::Trial trial;
   /// Whether a retry was granted before the present dispatch was given up.
   bool failoverGranted = false;
-  /// Whether a server that had not failed was given up for its silence.
-  bool leftSilentServer = false;
+  /// Whether this node gave up a server that had not failed.
+  bool gaveUpServer = false;
   /// Whether the last dispatch ended with a server's 5xx answer, which was kept.
   bool ranToServerError = false;
   BackendId lastServer;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -28,6 +28,13 @@
   return error.reason.empty() ? errorRow(error.kind).name : error.reason;
 }
 
+/// Whether this node had no server for the dispatch, or no permission to send it, for now.
+bool wasNotSent(ErrorKind failure) {
+  return failure == ErrorKind::kNoBackend || failure == ErrorKind::kOverloaded ||
+         failure == ErrorKind::kRateLimited || failure == ErrorKind::kNoConfiguration ||
+         failure == ErrorKind::kTrialUnderWay;
+}
+
 /// Whether a dispatch with this failure was not sent, or certainly has not run.
 bool certainlyNotRun(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
@@ -277,25 +284,24 @@
     return false;
   }
   job.failoverGranted = retryBudgetOf(job.service).tryTake(monotonicNow());
-  job.leftSilentServer = job.failoverGranted;
+  job.gaveUpServer = job.gaveUpServer || job.failoverGranted;
   return job.failoverGranted;
 }
 
 awaitable<bool> Forwarder::waitForAnotherServer(Job& job, ErrorKind failure) {
   constexpr Milliseconds kPause{50};
-  const bool sent = provesNotRun(failure);
-  const bool mayPass = sent || failure == ErrorKind::kNoBackend ||
-                       failure == ErrorKind::kOverloaded || failure == ErrorKind::kRateLimited ||
-                       failure == ErrorKind::kNoConfiguration ||
-                       failure == ErrorKind::kTrialUnderWay;
-  if (!mayPass || !job.leftSilentServer || !job.relay.begun()) {
+  const RetryDecision decision = mayRetry(*job.grant.route, failure, job.attempts);
+  const bool timeHelps = decision != RetryDecision::kNo || wasNotSent(failure);
+  if (!timeHelps || !job.gaveUpServer || !job.relay.begun()) {
     co_return false;
   }
   asio::steady_timer timer(context_.executor);
   while (!job.expired && !job.writer.callerGone()) {
     timer.expires_after(kPause);
     co_await timer.async_wait(asio::use_awaitable);
-    if (!sent || retryBudgetOf(job.service).tryTake(monotonicNow())) {
+    const bool granted =
+        decision != RetryDecision::kBudgeted || retryBudgetOf(job.service).tryTake(monotonicNow());
+    if (granted) {
       co_return !job.expired && !job.writer.callerGone();
     }
   }
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -199,8 +199,10 @@
   if (const auto connected = attempt->connectTime()) {
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
   }
+  const bool gaveUpConnecting = attempt->leftSilentServer() && notSent;
   // A connection that this node closed, or a path that was lost, is no evidence about the server.
-  const bool aboutServer = !attempt->recalled() && !job.writer.callerGone() && !isPathLost(outcome);
+  const bool aboutServer =
+      !attempt->recalled() && !gaveUpConnecting && !job.writer.callerGone() && !isPathLost(outcome);
   if (aboutServer) {
     observe(job, dispatch, chosen, classifyEnd(*attempt, outcome, job.streaming(), job.expired),
             startMs);
@@ -221,6 +223,7 @@
     job.keptFailure = std::move(attempt.keptFailure());
   }
   if (!outcome && attempt.recalled() && !provesNotRun(outcome.error().kind)) {
+    job.gaveUpServer = true;
     outcome = fail(ErrorKind::kWeightsOutdated, "server '" + dispatch.server.id.value() +
                                                     "' had not answered when its weights expired");
   }
