http: a stream that its handler leaves without its end is cut off

What callers saw: a stream that goes silent after its head and never ends, with no line in the log but request_handler_failed.

Cause: a handler that ended, with or without an exception, after startStream() left the connection as after a whole answer: nothing aborted, and the next request was waited for. The same where an answer could not be made into bytes (an exception within send()): it counted as answered.

Change: a started stream that endStream() was not called for is aborted when its handler ends; an answer counts as made from its first write on.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -112,7 +112,6 @@
 }
 
 awaitable<Result<void>> Connection::send(Response response) {
-  answered_ = true;
   bhttp::response<bhttp::string_body> message{static_cast<bhttp::status>(response.status), 11};
   copyHeaders(response, message);
   message.body() = std::move(response.body);
@@ -122,19 +121,21 @@
     // The length stays, as it is what GET would give.
     message.body().clear();
   }
+  answered_ = true;
   stream_.expires_after(limits_.writeTimeout);
   auto [code, bytes] = co_await bhttp::async_write(stream_, message, kAwait);
   co_return outcomeOfWrite(code);
 }
 
 awaitable<Result<void>> Connection::startStream(Response response) {
-  answered_ = true;
-  streamStarted_ = true;
   bhttp::response<bhttp::empty_body> message{static_cast<bhttp::status>(response.status), 11};
   copyHeaders(response, message);
   message.keep_alive(keepsAlive());
   message.chunked(true);
   bhttp::response_serializer<bhttp::empty_body> serializer{message};
+  answered_ = true;
+  streamStarted_ = true;
+  streamOpen_ = true;
   stream_.expires_after(limits_.writeTimeout);
   auto [code, bytes] = co_await bhttp::async_write_header(stream_, serializer, kAwait);
   co_return outcomeOfWrite(code);
@@ -148,6 +149,7 @@
 }
 
 awaitable<Result<void>> Connection::endStream() {
+  streamOpen_ = false;
   stream_.expires_after(limits_.writeTimeout);
   const auto chunk = bhttp::make_chunk_last();
   auto [code, written] = co_await asio::async_write(stream_, chunk, kAwait);
@@ -309,6 +311,7 @@
 awaitable<void> Connection::handle(Request& request) {
   answered_ = false;
   streamStarted_ = false;
+  streamOpen_ = false;
   goneCallback_ = nullptr;
   watchForDisconnect();
   {
@@ -324,6 +327,10 @@
       const Error error = fail(ErrorKind::kInternal, "no answer was made: " + internalDetail_);
       co_await refuse(error);
     }
+    if (streamOpen_) {
+      // Its caller would wait for the rest.
+      abort();
+    }
   }
   goneCallback_ = nullptr;
   stopWatching();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -158,6 +158,8 @@
   bool gone_ = false;
   bool answered_ = false;
   bool streamStarted_ = false;
+  /// A stream's head has been sent, and endStream() has not been called.
+  bool streamOpen_ = false;
 };
 
 }  // namespace calicodrift::http
--- a/tests/http/unfinished_streams_test.cc
+++ b/tests/http/unfinished_streams_test.cc
@@ -60,6 +60,12 @@
 
  private:
   static asio::awaitable<void> handle(Request& request, ResponseWriter& writer) {
+    if (request.path() == "/unwritable") {
+      // This status has no body.
+      Response unwritable = textResponse(204, "body");
+      co_await respond(writer, std::move(unwritable));
+      co_return;
+    }
     Response head;
     Result<void> sent = co_await writer.startStream(std::move(head));
     if (sent) {
@@ -101,6 +107,16 @@
   BOOST_TEST(received.find("begun", end) != std::string::npos);
 }
 
+// The same before anything was sent: the caller waited for an answer that nobody made.
+BOOST_AUTO_TEST_CASE(anAnswerThatCannotBeWrittenIsReplacedByAnError) {
+  RawConnection caller(endpoint);
+  BOOST_REQUIRE(caller.send(get("/unwritable")));
+  const MonotonicTime begin = monotonicNow();
+  BOOST_TEST(caller.readUntil("\r\n").starts_with("HTTP/1.1 500 "));
+  BOOST_TEST((monotonicNow() - begin < kSoon), "the caller waits for an answer");
+  BOOST_TEST(failedHandlers() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
