--- a/tests/platform/cut_network.h
+++ b/tests/platform/cut_network.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <sys/socket.h>
-
 #include <map>
 #include <memory>
 #include <utility>
 
 #include "gateway_fleet.h"
 #include "sim/fault_proxy.h"
+#include "support/hanging_listener.h"
 
 namespace calicodrift::testing {
 
@@ -28,25 +27,6 @@
   kAnswersLost,
 };
 
-/// An address at which connections are neither accepted nor refused: the listener's queue is full,
-/// so that the kernel drops further SYNs.
-class HangingListener {
- public:
-  explicit HangingListener(boost::asio::io_context& context)
-      : acceptor_(context), filler_(context) {
-    const boost::asio::ip::tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
-    acceptor_.open(any.protocol());
-    acceptor_.bind(any);
-    acceptor_.listen(0);
-    filler_.connect(acceptor_.local_endpoint());
-  }
-  Endpoint endpoint() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
-
- private:
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::socket filler_;
-};
-
 /// The paths from the nodes of a fleet to its servers. Each has a proxy of its own, so that a test
 /// cuts them one by one; paths between nodes, and to the store, stay as they are.
 class CutNetwork {
