server_paths: a server that stands still for a while is no lost path

What callers saw: a sound server silent for 0.55 to 0.75 s, or for 1.25 s, beside a call without an answer was reported direct_path_lost. Its movable calls that had been silent for 100 ms were ended, and all other servers were checked by the shorter times of a loss. The same for a connection that hung for 30 ms, as the server's queue was full or its host stood still, while one through another node was made right after.

Cause: checkPath asked directly, and only after that through another node; the race compared a connection begun at one moment with one begun 60 ms later. Two observations at different moments do not compare.

Change: a check asks on both paths, 20 ms apart. Once another node has reached the server, the direct question is asked anew; the path is lost only if that one stays unanswered while a third, begun later through another node, is answered. A connection that another node has won begins such a check. A refusal is an answer: it needs the second witness only, as before. Cuts are found in 0.2 s from the first question, as before, since the questions overlap.

--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -5,6 +5,7 @@
 
 #include "log/log.h"
 #include "peer/http_call.h"
+#include "server_paths/path_inquiry.h"
 #include "server_paths/server_paths.h"
 
 namespace calicodrift::server_paths {
@@ -17,6 +18,10 @@
 constexpr std::size_t kProbesPerTick = 16;
 /// Losses within this time after a sweep has begun do not begin another one.
 constexpr Milliseconds kSweepInterval{1000};
+/// A direct question stays outstanding for so long: longer than it takes to ask a few other nodes.
+constexpr Milliseconds kDirectQuestionTime{1000};
+/// What was asked first may be answered so long after what was asked later.
+constexpr Milliseconds kAnswerOrderGrace{50};
 /// Pauses between two checks of a server that is silent although its path works.
 constexpr Milliseconds kFirstCheckPause{500};
 constexpr Milliseconds kMaxCheckPause{4000};
@@ -85,14 +90,15 @@
   }
 }
 
-void ServerPaths::startCheck(const Endpoint& server, MonotonicTime now) {
+void ServerPaths::startCheck(const Endpoint& server, MonotonicTime now, Witness witness) {
   PathCheck& check = checks_[server];
-  if (check.underWay || now < check.nextAt) {
+  const bool rests = witness == Witness::kNone && now < check.nextAt;
+  if (check.underWay || rests) {
     return;
   }
   check.underWay = true;
   context_.metrics.countCheck();
-  asio::co_spawn(context_.executor, checkPath(server), asio::detached);
+  asio::co_spawn(context_.executor, checkPath(server, witness), asio::detached);
 }
 
 void ServerPaths::beginSweep(MonotonicTime now) {
@@ -118,15 +124,11 @@
   }
 }
 
-awaitable<void> ServerPaths::checkPath(Endpoint server) {
-  const bool direct = co_await answersDirectly(server);
-  bool relayed = false;
-  if (!direct) {
-    relayed = co_await answersThroughPeer(server);
-  }
-  if (relayed) {
+awaitable<void> ServerPaths::checkPath(Endpoint server, Witness witness) {
+  const PathState state = co_await findPathState(server, witness);
+  if (state == PathState::kLost) {
     loseDirectPath(server, "no answer on a new connection, and one through another node");
-  } else if (!direct) {
+  } else if (state == PathState::kSilent) {
     context_.onSilent(server);
     moveSilentCalls([&](const http::ConnectionPath& path) { return path.endpoint == server; },
                     settings_.maxServerSilence, kServerSilent);
@@ -136,50 +138,133 @@
   });
   PathCheck& check = checks_[server];
   check.underWay = false;
-  check.pause = direct ? std::clamp(2 * check.pause, kFirstCheckPause, kMaxCheckPause)
-                       : settings_.silenceBeforeCheck;
+  check.pause = state == PathState::kWorks
+                    ? std::clamp(2 * check.pause, kFirstCheckPause, kMaxCheckPause)
+                    : settings_.silenceBeforeCheck;
   check.nextAt = monotonicNow() + check.pause;
 }
 
-awaitable<void> ServerPaths::probeDirect(Endpoint server) {
-  const bool answers = co_await answersDirectly(server);
-  if (answers) {
-    regainDirectPath(server);
+awaitable<ServerPaths::PathState> ServerPaths::findPathState(Endpoint server, Witness witness) {
+  auto inquiry = std::make_shared<PathInquiry>(context_.executor);
+  if (witness == Witness::kNone) {
+    co_await askOnBothPaths(inquiry, 0, server);
+    if (inquiry->answeredDirectly()) {
+      co_return PathState::kWorks;
+    }
+    if (inquiry->rounds[0].relayed.answered != true) {
+      co_return PathState::kSilent;
+    }
   }
-  probing_.erase(server);
+  // The server may have stood still until another node reached it: only a direct question that
+  // begins now tells.
+  co_await askOnBothPaths(inquiry, 1, server);
+  if (inquiry->answeredDirectly()) {
+    co_return PathState::kWorks;
+  }
+  co_await awaitDirectAnswer(inquiry, 1);
+  if (inquiry->answeredDirectly()) {
+    co_return PathState::kWorks;
+  }
+  const PathInquiry::Question& direct = inquiry->rounds[1].direct;
+  const PathInquiry::Question& relayed = inquiry->rounds[1].relayed;
+  const bool outstanding = !direct.answered || !direct.timedOut || direct.endedAt > relayed.endedAt;
+  co_return relayed.answered == true && outstanding ? PathState::kLost : PathState::kSilent;
 }
 
-awaitable<bool> ServerPaths::answersDirectly(Endpoint server) {
-  http::ConnectOptions options;
-  options.use = http::ConnectionUse::kFresh;
-  options.timeout = settings_.checkTimeout;
+awaitable<void> ServerPaths::askOnBothPaths(std::shared_ptr<PathInquiry> inquiry, std::size_t round,
+                                            Endpoint server) {
+  PathInquiry::Question& direct = inquiry->rounds[round].direct;
+  PathInquiry::Question& relayed = inquiry->rounds[round].relayed;
+  asio::co_spawn(context_.executor, askDirectly(inquiry, round, server), asio::detached);
+  const MonotonicTime witnessAt = monotonicNow() + settings_.witnessDelay;
+  while (!inquiry->answeredDirectly() && !direct.failed() && monotonicNow() < witnessAt) {
+    co_await inquiry->wait(witnessAt);
+  }
+  if (inquiry->answeredDirectly()) {
+    co_return;
+  }
+  asio::co_spawn(context_.executor, askThroughPeer(inquiry, round, server), asio::detached);
+  while (!inquiry->answeredDirectly() && !relayed.answered) {
+    co_await inquiry->wait(MonotonicTime::max());
+  }
+  if (relayed.failed()) {
+    co_await awaitDirectAnswer(inquiry, round);
+  }
+}
+
+awaitable<void> ServerPaths::awaitDirectAnswer(std::shared_ptr<PathInquiry> inquiry,
+                                               std::size_t round) {
+  const PathInquiry::Question& direct = inquiry->rounds[round].direct;
+  const PathInquiry::Question& relayed = inquiry->rounds[round].relayed;
+  while (!inquiry->answeredDirectly() && !direct.failed()) {
+    const MonotonicTime until =
+        std::max(direct.stepAt + settings_.checkTimeout, relayed.endedAt + kAnswerOrderGrace);
+    if (monotonicNow() >= until) {
+      co_return;
+    }
+    co_await inquiry->wait(until);
+  }
+}
+
+awaitable<void> ServerPaths::askDirectly(std::shared_ptr<PathInquiry> inquiry, std::size_t round,
+                                         Endpoint server) {
+  PathInquiry::Question& question = inquiry->rounds[round].direct;
+  inquiry->begin(question);
   Result<http::ClientConnection> connection =
-      co_await context_.client.connect(http::ConnectionPath(std::move(server)), options);
+      co_await connectFresh(std::move(server), kDirectQuestionTime);
   if (!connection) {
-    co_return false;
+    inquiry->end(question, false, kDirectQuestionTime);
+    co_return;
   }
-  co_return co_await answersOn(std::move(connection.value()));
+  inquiry->passStep(question);
+  const bool answered = co_await answersOn(std::move(connection.value()), kDirectQuestionTime);
+  inquiry->end(question, answered, kDirectQuestionTime);
 }
 
-awaitable<bool> ServerPaths::answersThroughPeer(Endpoint server) {
+awaitable<void> ServerPaths::askThroughPeer(std::shared_ptr<PathInquiry> inquiry, std::size_t round,
+                                            Endpoint server) {
+  PathInquiry::Question& question = inquiry->rounds[round].relayed;
+  inquiry->begin(question);
   PathOptions options;
   options.use = http::ConnectionUse::kFresh;
   Result<http::ClientConnection> connection = co_await connectRelayed(std::move(server), options);
-  if (!connection) {
-    co_return false;
+  bool answered = false;
+  if (connection) {
+    inquiry->passStep(question);
+    answered = co_await answersOn(std::move(connection.value()), settings_.checkTimeout);
+  }
+  inquiry->end(question, answered, settings_.checkTimeout);
+}
+
+awaitable<void> ServerPaths::probeDirect(Endpoint server) {
+  Result<http::ClientConnection> connection = co_await connectFresh(server, settings_.checkTimeout);
+  bool answers = false;
+  if (connection) {
+    answers = co_await answersOn(std::move(connection.value()), settings_.checkTimeout);
   }
-  co_return co_await answersOn(std::move(connection.value()));
+  if (answers) {
+    regainDirectPath(server);
+  }
+  probing_.erase(server);
+}
+
+awaitable<Result<http::ClientConnection>> ServerPaths::connectFresh(Endpoint server,
+                                                                    Milliseconds timeout) {
+  http::ConnectOptions options;
+  options.use = http::ConnectionUse::kFresh;
+  options.timeout = timeout;
+  co_return co_await context_.client.connect(http::ConnectionPath(std::move(server)), options);
 }
 
-awaitable<bool> ServerPaths::answersOn(http::ClientConnection connection) {
+awaitable<bool> ServerPaths::answersOn(http::ClientConnection connection, Milliseconds timeout) {
   std::optional<http::Request> query = context_.pathQuery(connection.path().endpoint);
   if (!query) {
     context_.client.release(connection);
     co_return true;
   }
   http::ExchangeOptions options;
-  options.headerTimeout = settings_.checkTimeout;
-  options.bodyTimeout = settings_.checkTimeout;
+  options.headerTimeout = timeout;
+  options.bodyTimeout = timeout;
   auto opened = co_await context_.client.send(std::move(connection), std::move(*query), options);
   if (!opened) {
     co_return false;
--- a/src/server_paths/server_paths.cc
+++ b/src/server_paths/server_paths.cc
@@ -131,8 +131,6 @@
   // The connection through another node is used already.
   if (result) {
     context_.client.release(result.value());
-  } else if (!race->cancelled && Race::connected(race->relayed)) {
-    loseDirectPath(server, result.error().detail);
   }
 }
 
@@ -152,8 +150,11 @@
     return *race.direct;
   }
   if (Race::connected(race.relayed)) {
-    if (race.direct) {
+    const bool refused = race.direct && race.direct->error().reason == http::kConnectionRefused;
+    if (refused) {
       loseDirectPath(server, race.direct->error().detail);
+    } else {
+      startCheck(server, monotonicNow(), Witness::kOtherNodeReachedServer);
     }
     return *race.relayed;
   }
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -48,6 +48,8 @@
   /// just been lost.
   Milliseconds silenceBeforeCheck{300};
   Milliseconds suspectSilence{100};
+  /// A check asks through another node, too, if there is no direct answer after this time.
+  Milliseconds witnessDelay{20};
   Milliseconds checkTimeout{200};
   Milliseconds maxServerSilence = kMaxServerSilence;
   Milliseconds tickInterval{50};
@@ -93,6 +95,11 @@
 /// its health. Paths are often lost together: after a loss the paths to all recently used servers
 /// are checked, so that calls need not find out one by one.
 ///
+/// Two observations at different moments do not compare, as a sound server may stand still for a
+/// second and go on. Silence proves a loss only if a direct question stays unanswered that was
+/// begun after another node had reached the server, while one that was begun later through another
+/// node is answered. A refusal of a direct connection needs only the second witness.
+///
 /// Invariant: another node passes a call on over its own direct connection only (TunnelService), so
 /// no call passes through two nodes.
 class ServerPaths {
@@ -126,6 +133,10 @@
 
  private:
   struct Race;
+  struct PathInquiry;
+  enum class PathState { kWorks, kLost, kSilent };
+  /// What the caller of a check already knows.
+  enum class Witness { kNone, kOtherNodeReachedServer };
   struct PathCheck {
     bool underWay = false;
     MonotonicTime nextAt{};
@@ -154,17 +165,29 @@
 
   boost::asio::awaitable<void> tick();
   void checkSilentServers(MonotonicTime now);
-  void startCheck(const Endpoint& server, MonotonicTime now);
+  void startCheck(const Endpoint& server, MonotonicTime now, Witness witness = Witness::kNone);
   /// Schedules checks of the paths to recently used servers, unless that was done just now.
   void beginSweep(MonotonicTime now);
   /// Starts the next checks of a sweep.
   void continueSweep(MonotonicTime now);
-  boost::asio::awaitable<void> checkPath(Endpoint server);
+  boost::asio::awaitable<void> checkPath(Endpoint server, Witness witness);
+  boost::asio::awaitable<PathState> findPathState(Endpoint server, Witness witness);
+  /// Asks directly and, without an answer soon, through another node. Returns once the server has
+  /// answered on either path, or has answered on none in time.
+  boost::asio::awaitable<void> askOnBothPaths(std::shared_ptr<PathInquiry> inquiry,
+                                              std::size_t round, Endpoint server);
+  /// Waits until the direct question of the round has had its time.
+  boost::asio::awaitable<void> awaitDirectAnswer(std::shared_ptr<PathInquiry> inquiry,
+                                                 std::size_t round);
+  boost::asio::awaitable<void> askDirectly(std::shared_ptr<PathInquiry> inquiry, std::size_t round,
+                                           Endpoint server);
+  boost::asio::awaitable<void> askThroughPeer(std::shared_ptr<PathInquiry> inquiry,
+                                              std::size_t round, Endpoint server);
   boost::asio::awaitable<void> probeDirect(Endpoint server);
-  /// Whether the server answers the path query on this path.
-  boost::asio::awaitable<bool> answersDirectly(Endpoint server);
-  boost::asio::awaitable<bool> answersThroughPeer(Endpoint server);
-  boost::asio::awaitable<bool> answersOn(http::ClientConnection connection);
+  boost::asio::awaitable<Result<http::ClientConnection>> connectFresh(Endpoint server,
+                                                                      Milliseconds timeout);
+  /// Whether the server answers the path query on this connection.
+  boost::asio::awaitable<bool> answersOn(http::ClientConnection connection, Milliseconds timeout);
 
   boost::asio::awaitable<void> learnPeers();
   boost::asio::awaitable<void> askForPeers(Endpoint peer);
--- a/tests/server_paths/silent_paths_test.cc
+++ b/tests/server_paths/silent_paths_test.cc
@@ -37,7 +37,7 @@
 enum class Cut { kNone, kHanging, kRefused };
 
 awaitable<void> pause(asio::any_io_executor executor, Milliseconds time) {
-  asio::steady_timer timer(std::move(executor), time);
+  asio::steady_timer timer(executor, time);
   co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -289,6 +289,19 @@
   }(*this));
 }
 
+BOOST_AUTO_TEST_CASE(aPathOnWhichACallFallsSilentIsLost) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    co_await fixture.wait(Milliseconds(50));
+    Node& node = fixture.addNode();
+    co_await fixture.wait(Milliseconds(50));
+    const auto call = node.beginCall(kStays);
+    node.cut = Cut::kHanging;
+    // The silence before the check, one tick, and the time of a direct question.
+    co_await fixture.wait(Milliseconds(300 + 50 + 200 + 100));
+    BOOST_TEST(node.lostAt.size() == 1U);
+  }(*this));
+}
+
 /// Guards against calls that are ended, and run again, as the node that carries them stands still.
 BOOST_AUTO_TEST_CASE(callsThroughANodeThatIsSilentForASecondStay) {
   run([](Fixture& fixture) -> awaitable<void> {
