server_paths: calls stay with a node that stands still for a second

What callers saw: a movable call through a node that stood still for a second was ended after two unanswered questions, 0.7 s, and ran again elsewhere.

Cause: silence of a carrying node was taken for its loss, and 100 ms without bytes were enough for its calls.

Evidence: callsThroughANodeThatIsSilentForASecondStay failed before (ended after 1.3 s of silence) and passes now; movableCallsLeaveANodeThatStaysSilent passes on both.

Change: after two unanswered questions the node gets no new calls and its idle tunnels are closed, as before; its silent calls leave once they have been silent for maxServerSilence. The node is watched until it answers or no call passes through it.

--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -337,7 +337,7 @@
   asio::steady_timer timer(context_.executor);
   MonotonicTime usedAt = monotonicNow();
   int missed = 0;
-  while (monotonicNow() - usedAt < kWatchTime && missed < kMaxMissedStatuses) {
+  while (monotonicNow() - usedAt < kWatchTime) {
     timer.expires_after(kWatchInterval);
     co_await timer.async_wait(asio::use_awaitable);
     const Result<TunnelStatus> status = co_await askStatus(peer);
@@ -347,16 +347,23 @@
       peers_->recordDeclined(peer, monotonicNow());
       context_.client.dropConnectionsThrough(peer);
     }
-    if (calls_.anyThrough(peer)) {
+    if (missed == kMaxMissedStatuses) {
+      losePeer(peer, "it does not answer");
+    }
+    if (missed >= kMaxMissedStatuses) {
+      // A node that stands still may go on, as a server may.
+      moveSilentCalls([&](const http::ConnectionPath& path) { return path.proxy == peer; },
+                      settings_.maxServerSilence, kPathLost);
+    }
+    const bool used = calls_.anyThrough(peer);
+    if (used) {
       usedAt = monotonicNow();
+    } else if (missed >= kMaxMissedStatuses) {
+      break;
     }
   }
   watched_.erase(peer);
-  if (missed == kMaxMissedStatuses) {
-    losePeer(peer, "it does not answer");
-  } else {
-    context_.client.dropConnectionsThrough(peer);
-  }
+  context_.client.dropConnectionsThrough(peer);
 }
 
 void ServerPaths::losePeer(const Endpoint& peer, std::string_view cause) {
@@ -365,8 +372,6 @@
              {{"peer", peer.toString()}, {"cause", std::string(cause)}});
   peers_->recordFailed(peer, now);
   context_.client.dropConnectionsThrough(peer);
-  moveSilentCalls([&](const http::ConnectionPath& path) { return path.proxy == peer; },
-                  settings_.suspectSilence, kPathLost);
 }
 
 }  // namespace calicodrift::server_paths
