Soak: the plot of silences, a first form: servers that stand still, answers without a frame, changes of the configuration, kills, stops and signals

Each request is judged by itself: whole, refused, or ended for a reason that is seen from outside. A run again is judged against what the first server had written.

--- a/tests/gateway_soak/calm_store.cc
+++ b/tests/gateway_soak/calm_store.cc
@@ -54,6 +54,9 @@
   if (plot_ == SoakPlot::kReturns) {
     addIdleRoutes(routes);
   }
+  if (plot_ == SoakPlot::kSilences) {
+    changeForSilences(made);
+  }
   return made;
 }
 
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -77,6 +77,8 @@
       return "returns";
     case SoakPlot::kPartitions:
       return "partitions";
+    case SoakPlot::kSilences:
+      return "silences";
     case SoakPlot::kVersions:
       break;
   }
@@ -119,12 +121,16 @@
   added->version = version;
   added->behaviour = behaviour;
   added->server = std::make_unique<ServerStandIn>(context_, id, service, model, version);
+  if (plot_ == SoakPlot::kSilences) {
+    addStoppable(*added);
+  }
   added->proxy = makeProxy(added->server->endpoint());
   added->hasModel = !model.empty();
   Server& server = *added;
   added->server->setBehaviour(
       [this, &server](const http::Request& request, http::ResponseWriter& writer) {
-        return runServerRequest(server, request, writer);
+        return plot_ == SoakPlot::kSilences ? runWithSilences(server, request, writer)
+                                            : runServerRequest(server, request, writer);
       });
   added->server->loadTime = between(30, 800);
   added->server->onLoaded([this, &server] {
@@ -137,7 +143,9 @@
 
 json::value GatewaySoak::entryOf(const Server& server) const {
   json::value entry = server.server->entry(server.state);
-  entry.as_object()["address"] = server.proxy.endpoint.toString();
+  if (!server.stoppable) {
+    entry.as_object()["address"] = server.proxy.endpoint.toString();
+  }
   return entry;
 }
 
@@ -472,7 +480,8 @@
       context_,
       [this]() -> awaitable<void> {
         co_await recover();
-        asio::co_spawn(context_, callers(), asio::detached);
+        asio::co_spawn(context_, plot_ == SoakPlot::kSilences ? callersBesideSilences() : callers(),
+                       asio::detached);
         asio::co_spawn(context_, watchOrders(), asio::detached);
         if (plot_ == SoakPlot::kRollouts) {
           co_await stormWithRollouts();
@@ -486,6 +495,8 @@
           co_await stormWithPartitions();
         } else if (plot_ == SoakPlot::kVersions) {
           co_await stormWithVersions();
+        } else if (plot_ == SoakPlot::kSilences) {
+          co_await stormWithSilences();
         } else if (plot_ == SoakPlot::kReturns) {
           co_await stormWithReturns();
         } else if (plot_ == SoakPlot::kCrashes || plot_ == SoakPlot::kCrashingParts) {
@@ -517,6 +528,10 @@
   for (const std::string& late : weightsCheck_.violations()) {
     violate(late);
   }
+  for (const std::string& needless : silences_.needlessRuns()) {
+    violate(needless);
+  }
+  findings_.silences = silences_.summary();
   if (!foreign_.arrivals().empty()) {
     violate(std::to_string(foreign_.arrivals().size()) + " requests came where a bad entry says");
   }
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -20,7 +20,9 @@
 #include "rollout_check.h"
 #include "run_record.h"
 #include "server_stand_in.h"
+#include "silences_check.h"
 #include "sim/fault_proxy.h"
+#include "stoppable_server.h"
 #include "store_stand_in.h"
 #include "support/process.h"
 #include "weights_check.h"
@@ -65,6 +67,8 @@
   std::size_t returns = 0;
   std::size_t returnsThatWentOn = 0;
   std::string rollouts;
+  /// How the calls beside silent servers ended.
+  std::string silences;
 };
 
 /// What a run holds beside the faults.
@@ -89,6 +93,8 @@
   kPartitions,
   /// As kWeights, with servers of several software versions that are replaced one by one.
   kVersions,
+  /// Servers that stand still, beside changes of the configuration and signals to nodes.
+  kSilences,
 };
 
 std::string_view nameOf(SoakPlot plot);
@@ -117,6 +123,9 @@
     for (int number = 4; plot == SoakPlot::kRestarts && number <= 6; ++number) {
       addServer("llm-" + std::to_string(number), "llm", "m", "v1", Behaviour());
     }
+    for (int number = 1; plot == SoakPlot::kSilences && number <= 2; ++number) {
+      addServer("app2-" + std::to_string(number), "app2", "", "v1", Behaviour());
+    }
     for (std::size_t number = 0; number < nodes; ++number) {
       addNode("n" + std::to_string(number));
     }
@@ -183,6 +192,11 @@
     std::multiset<std::string> running;
     bool stopped = false;
     Proxy proxy;
+    /// In place of the stand-in's own listener and the proxy.
+    std::unique_ptr<StoppableServer> stoppable;
+    /// Of the last time that it stood still.
+    MonotonicTime stopBegin{};
+    MonotonicTime stopEnd{};
     bool hasModel = false;
     /// Requests that come wait for some seconds before they begin.
     bool letsWait = false;
@@ -273,6 +287,20 @@
   const Node* judgedSender(const std::string& request, MonotonicTime since) const;
   void judgeLeaving(const Server& server, MonotonicTime begin);
   void judgeRests(const Server& server, MonotonicTime begin, Milliseconds rest);
+  void addStoppable(Server& server);
+  bool standStill(Server& server, Milliseconds time);
+  Body standStillInSeries(Server& server, MonotonicTime end, Draws draws);
+  MonotonicTime soonestSend(const Server& server, const std::string& request) const;
+  Body runWithSilences(Server& server, const http::Request& request, http::ResponseWriter& writer);
+  Body endServersInSeries(MonotonicTime end, Draws draws);
+  void changeForSilences(boost::json::value& configuration) const;
+  Body changeInSeries(MonotonicTime end, Draws draws);
+  Body strikeNodesInSeries(MonotonicTime end, Draws draws);
+  Body callBesideSilences(std::string kind);
+  static Body readAnswer(http::ResponseStream& answer, SilencesCall& call);
+  void judgeBesideSilences(const SilencesCall& call);
+  Body callersBesideSilences();
+  Body stormWithSilences();
   Body faults(MonotonicTime end, MonotonicTime withdrawal);
   Body calmStore(MonotonicTime end);
   Body injectOne();
@@ -390,6 +418,12 @@
   RolloutCheck rolloutCheck_{rolloutBounds_};
   /// The weights of the runs under each scope of cache.
   std::map<std::string, std::uint64_t> scopeWeights_;
+  SilencesCheck silences_;
+  Milliseconds routeTimeout_{5000};
+  std::uint64_t appWeight_ = 5;
+  bool hasFleetingRoute_ = true;
+  MonotonicTime fleetingChangedAt_ = monotonicNow();
+  bool limitIsLow_ = false;
   /// Where and when the soak sent each request.
   std::map<std::string, Sending> sendings_;
 };
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -129,6 +129,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_silences)
+
+/// Guards against answers of sound servers that are lost because their servers stood still, beside
+/// changes of the configuration, kills, stops and signals. Fresh seeds and longer runs by SOAK_SEED
+/// and SOAK_SECONDS.
+BOOST_AUTO_TEST_CASE(answersOfSilentServersAreNotLost) {
+  constexpr std::uint64_t kLength = 10;
+  const std::uint64_t seed = parameter("SOAK_SEED", 1);
+  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", kLength)), 5,
+                   SoakPlot::kSilences);
+  const SoakFindings findings = soak.run();
+  BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
+                             << findings.served << " served; " << findings.silences);
+  for (const auto& [fault, count] : findings.faults) {
+    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
+  }
+  tellViolations(seed, findings, soak.recordFolder());
+  BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
+  BOOST_TEST(findings.faults.contains("server stands still"), "no server stood still");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_versions)
 
 /// Servers of several software versions beside kills, stops, pauses and a store that misbehaves.
--- a/tests/gateway_soak/nodes.cc
+++ b/tests/gateway_soak/nodes.cc
@@ -1,5 +1,6 @@
 // The gateway processes: their start, the signals that strike them, and their recovery.
 
+#include <cstdlib>
 #include <fstream>
 
 #include "gateway_soak.h"
@@ -13,6 +14,15 @@
 /// After the last fault, until every node is ready.
 constexpr Milliseconds kRecovery{12'000};
 
+/// Nodes with odd numbers run the gateway of the folder SOAK_OTHER_BIN, if it is given, so that the
+/// fleet is one of two builds.
+std::string programOf(const std::string& node) {
+  const std::string program = "calicodrift-gateway";
+  const char* other = std::getenv("SOAK_OTHER_BIN");
+  const bool odd = (node.back() - '0') % 2 == 1;
+  return other != nullptr && odd ? std::string(other) + "/" + program : program;
+}
+
 }  // namespace
 
 void GatewaySoak::addNode(const std::string& name) {
@@ -49,7 +59,7 @@
 
 void GatewaySoak::startNode(Node& node) {
   record_.note("starts " + node.name);
-  node.process = std::make_unique<Process>("calicodrift-gateway",
+  node.process = std::make_unique<Process>(programOf(node.name),
                                            std::vector<std::string>{"--settings", node.settings},
                                            record_.logOf(node.name));
   node.stopping = false;
@@ -85,6 +95,7 @@
 /// A process that has ended before is told, as it would else be taken for killed.
 void GatewaySoak::killNode(Node& node) {
   if (node.process->running()) {
+    silences_.nodeKilled(node.name, monotonicNow());
     node.process->killAtOnce();
   } else if (!node.told) {
     violate(node.name + " ended by itself with code " + std::to_string(node.process->wait()));
--- a/tests/platform/server_stand_in.cc
+++ b/tests/platform/server_stand_in.cc
@@ -55,11 +55,24 @@
   endpoint_ = server_->listen(endpoint).value();
 }
 
+void ServerStandIn::moveBehind(const Endpoint& endpoint) {
+  server_.reset();
+  endpoint_ = endpoint;
+}
+
+http::Handler ServerStandIn::handler() {
+  return [this](http::Request& request, http::ResponseWriter& writer) {
+    return handle(request, writer);
+  };
+}
+
 void ServerStandIn::restart(const Restart& restart) {
   for (http::ResponseWriter* writer : *running_) {
     writer->abort();
   }
-  server_->closeIdle();
+  if (server_) {
+    server_->closeIdle();
+  }
   if (restart.moves) {
     listen({"127.0.0.1", 0});
   }
--- a/tests/platform/server_stand_in.h
+++ b/tests/platform/server_stand_in.h
@@ -46,6 +46,9 @@
   /// The process ends: what runs is cut without an answer, and nothing listens at its address.
   void crash();
   bool crashed() const { return server_ == nullptr; }
+  /// From now on another listener, at `endpoint`, hands it what comes by handler().
+  void moveBehind(const Endpoint& endpoint);
+  http::Handler handler();
   /// Unix milliseconds of the start, as the entry and the report tell it; nothing: a server of a
   /// deployment that doesn't tell it.
   std::optional<std::uint64_t> born;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -92,7 +92,11 @@
     ::close_range(kFirstOther, std::numeric_limits<unsigned>::max(), CLOSE_RANGE_CLOEXEC);
   }
 
+  /// A program with a path of its own is another build's.
   static std::string pathOf(const std::string& program) {
+    if (program.starts_with("/")) {
+      return program;
+    }
     const char* folder = std::getenv("CALICODRIFT_BIN");
     return std::string(folder == nullptr ? "build/bin" : folder) + "/" + program;
   }
