--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -132,13 +132,14 @@
 BOOST_AUTO_TEST_SUITE(gateway_soak_silences)
 
 /// Guards against answers of sound servers that are lost because their servers stood still, beside
-/// changes of the configuration, kills, stops and signals. Fresh seeds and longer runs by SOAK_SEED
-/// and SOAK_SECONDS.
+/// changes of the configuration, kills, stops and signals. Fresh seeds, longer and larger runs by
+/// SOAK_SEED, SOAK_SECONDS and SOAK_NODES.
 BOOST_AUTO_TEST_CASE(answersOfSilentServersAreNotLost) {
   constexpr std::uint64_t kLength = 10;
+  constexpr std::uint64_t kNodes = 5;
   const std::uint64_t seed = parameter("SOAK_SEED", 1);
-  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", kLength)), 5,
-                   SoakPlot::kSilences);
+  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+                   parameter("SOAK_NODES", kNodes), SoakPlot::kSilences);
   const SoakFindings findings = soak.run();
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served; " << findings.silences);
--- a/tests/gateway_soak/silences.cc
+++ b/tests/gateway_soak/silences.cc
@@ -40,12 +40,21 @@
   return kind.starts_with("stream");
 }
 
+std::string pieceOf(const std::string& kind, const std::string& id, unsigned number) {
+  std::ostringstream piece;
+  if (isStream(kind)) {
+    piece << "id: " << number << "\ndata: " << number << "\n\n";
+  } else {
+    piece << "part " << number << " of " << id << "\n";
+  }
+  return piece.str();
+}
+
 std::vector<std::string> piecesOf(const std::string& kind, const std::string& id) {
   std::vector<std::string> pieces;
+  pieces.reserve(kPieces);
   for (unsigned number = 1; number <= kPieces; ++number) {
-    const std::string text = std::to_string(number);
-    pieces.push_back(isStream(kind) ? "id: " + text + "\ndata: " + text + "\n\n"
-                                    : "part " + text + " of " + id + "\n");
+    pieces.push_back(pieceOf(kind, id, number));
   }
   return pieces;
 }
