Failing test: drawn schedules of servers and nodes that stand still and go on

Sound servers stand still for 0.3 to 1.5 s at drawn moments (before a connection or the head, within an answer, before and after its end, when asked for their report), answers with a length, chunks or neither, all kinds of routes, direct and through a tunnel, beside changes of the configuration; the same where the nodes that carry tunnels stand still; and where some servers end or stay silent for good. 100 requests at once over 108 servers.

--- a/tests/platform/unframed_server.h
+++ b/tests/platform/unframed_server.h
@@ -54,10 +54,15 @@
   const std::string& id() const { return id_; }
   /// Unix milliseconds of its start.
   std::uint64_t born = 1'000;
+  /// Called when a question for its report has come.
+  std::function<void()> onQuestion;
 
  private:
   ScriptedAnswer answer(const http::Request& request) {
     if (request.path() == platform::kReportPath) {
+      if (onQuestion) {
+        onQuestion();
+      }
       const std::string report =
           boost::json::serialize(boost::json::object{{"stage", "combined"},
                                                      {"models", entry().at("models")},
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -63,6 +63,8 @@
   /// Reads, writes and accepts nothing for so long, as a process that does not run; its kernel goes
   /// on.
   void stopFor(Milliseconds time) { state_->stopFor(time); }
+  /// The end of the last stop that has begun.
+  MonotonicTime stoppedUntil() const { return state_->stoppedUntil; }
   /// Resets each new connection for so long, as a server that has enough of them.
   void resetConnectionsFor(Milliseconds time) { state_->resetUntil = monotonicNow() + time; }
   /// Listens at the same address again after a crash.
