forward: an answer that has begun is given as long a silence as the events of a stream

What callers saw: nothing; their servers ran a safe request, or a resumable stream before its first event, again though the first server, silent for 1.5 s, had begun to answer it. With the retry budget used up for that, other requests go without.

Cause: the patience before the head, 3.5 times the route's target (1.4 s for 400 ms), held for the body of a whole answer and for a stream's first event, too; it may be shorter than what a sound server may be silent.

Change: after the head, the patience is the longer one of the two: that before the head and kMaxServerSilence. Nothing is given up sooner than before.

--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -483,6 +483,8 @@
   bounds.startPatience = Milliseconds(static_cast<std::int64_t>(
       settings_.failoverTargets * static_cast<double>(job.grant.route->targetLatency.count())));
   bounds.bodyPatience = settings_.maxServerSilence;
+  // An answer that has begun is not given up sooner than a stream between its events.
+  bounds.begunPatience = std::max(bounds.startPatience, bounds.bodyPatience);
   return bounds;
 }
 
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -82,7 +82,7 @@
   http::Response response = endToEnd(stream.head());
   const bool keep = response.status >= kFirstServerErrorStatus && failureUse == FailureUse::kKeep;
   while (!bodyEnd_) {
-    Result<http::BodyPiece> piece = co_await read(stream, bounds.startPatience);
+    Result<http::BodyPiece> piece = co_await read(stream, bounds.begunPatience);
     if (!piece) {
       co_return piece.error();
     }
@@ -149,7 +149,7 @@
 awaitable<Result<void>> ServerAttempt::relayEvents(http::ResponseStream& stream,
                                                    const fleet::Server& server,
                                                    const AttemptBounds& bounds) {
-  Result<http::BodyPiece> first = co_await read(stream, bounds.startPatience);
+  Result<http::BodyPiece> first = co_await read(stream, bounds.begunPatience);
   if (!first) {
     co_return first.error();
   }
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -18,10 +18,12 @@
   Milliseconds unacknowledgedTimeout{0};
   /// The attempt ends then in any case.
   MonotonicTime deadline{};
-  /// How long the server may be silent before the request goes to another one, if it may: until the
-  /// first bytes of a stream's body or any bytes of another answer; and between the events of a
-  /// stream, or after the last byte until it is known that the answer is whole.
+  /// How long the server may be silent before the request goes to another one, if it may: before
+  /// the head; from there to the first bytes of a stream's body, or to the end of another answer;
+  /// and between the events of a stream, or after the last byte until it is known that the answer
+  /// is whole.
   Milliseconds startPatience{0};
+  Milliseconds begunPatience{0};
   Milliseconds bodyPatience{0};
   /// An answer that is not a stream is held until it is whole, so that another server can still
   /// give it; a longer one is passed on as it arrives.
