forward: a stream that has left a silent server stays one though the next server may not be left

What callers saw: a resumable stream that ends in the middle. Its first server was silent for 1.6 s and was left; the next one was silent, too, could not be left because the retry budget was used up, and then refused the request unrun.

Cause: each question whether a server may be left wrote its outcome into leftSilentServer, so a 'no' undid the earlier 'yes', and waitForAnotherServer did not wait.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -277,7 +277,7 @@
     return false;
   }
   job.failoverGranted = retryBudgetOf(job.service).tryTake(monotonicNow());
-  job.leftSilentServer = job.failoverGranted;
+  job.leftSilentServer = job.leftSilentServer || job.failoverGranted;
   return job.failoverGranted;
 }
 
