--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -150,6 +150,10 @@
         co_return;
       }
       co_await state->untilRunning();
+      if (!socket->is_open()) {
+        // The process ended while it stood still.
+        co_return;
+      }
       http::Request request;
       request.method = std::string(message.method_string());
       request.target = std::string(message.target());
@@ -164,6 +168,9 @@
       }
       stopIfDue(*state, answer, answer.pieces.size());
       co_await state->untilRunning();
+      if (!socket->is_open()) {
+        co_return;
+      }
       if (answer.end != ConnectionEnd::kKeep) {
         co_await end(*state, answer, *socket);
         co_return;
