--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -63,6 +63,8 @@
   /// Reads, writes and accepts nothing for so long, as a process that does not run; its kernel goes
   /// on.
   void stopFor(Milliseconds time) { state_->stopFor(time); }
+  /// The end of the last stop that has begun.
+  MonotonicTime stoppedUntil() const { return state_->stoppedUntil; }
   /// Resets each new connection for so long, as a server that has enough of them.
   void resetConnectionsFor(Milliseconds time) { state_->resetUntil = monotonicNow() + time; }
   /// Listens at the same address again after a crash.
@@ -148,6 +150,10 @@
         co_return;
       }
       co_await state->untilRunning();
+      if (!socket->is_open()) {
+        // The process ended while it stood still.
+        co_return;
+      }
       http::Request request;
       request.method = std::string(message.method_string());
       request.target = std::string(message.target());
@@ -162,6 +168,9 @@
       }
       stopIfDue(*state, answer, answer.pieces.size());
       co_await state->untilRunning();
+      if (!socket->is_open()) {
+        co_return;
+      }
       if (answer.end != ConnectionEnd::kKeep) {
         co_await end(*state, answer, *socket);
         co_return;
