Tests: servers whose bytes are no answer and never end

ScriptedServer writes a piece again and again until the other side closes, and counts the bytes that were taken.

--- /dev/null
+++ b/tests/platform/endless_answers_test.cc
@@ -0,0 +1,208 @@
+// Guards against callers that are kept, and memory that is filled, by a server whose bytes are no
+// answer and come without end: in a head or in a body, until the other side closes.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway_fixture.h"
+#include "unframed_server.h"
+
+namespace calicodrift::testing {
+namespace {
+
+using boost::asio::awaitable;
+
+/// What a node and the kernels on the way take before the connection closes.
+constexpr std::size_t kMostBytesTaken = 12'000'000;
+/// Far below the deadline of the requests, 4 s.
+constexpr Milliseconds kSoon{1000};
+constexpr Milliseconds kDeadline{4000};
+constexpr Milliseconds kSlack{1000};
+constexpr Milliseconds kDrip{5};
+constexpr std::size_t kPieceBytes = 16'384;
+
+std::string repeated(const std::string& text) {
+  std::string whole;
+  while (whole.size() < kPieceBytes) {
+    whole += text;
+  }
+  return whole;
+}
+
+ScriptedAnswer endless(std::string begin, std::string repeatedText,
+                       Milliseconds gap = Milliseconds(0)) {
+  ScriptedAnswer answer;
+  answer.pieces = {std::move(begin)};
+  answer.pieceGap = gap;
+  answer.endless = std::move(repeatedText);
+  return answer;
+}
+
+struct Fixture : GatewayFixture {
+  Fixture() {
+    // A second try for each broken answer.
+    settings.retryFloor = 10;
+    store.put("config", "main", configuration(1));
+    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
+  }
+  UnframedServer& addUnframed(const std::string& id, const std::string& service) {
+    unframed.push_back(std::make_unique<UnframedServer>(context, id, service));
+    store.put("servers", id, unframed.back()->entry());
+    return *unframed.back();
+  }
+  void addTwoOfEachService() {
+    addUnframed("app-1", "app");
+    addUnframed("app-2", "app");
+    addUnframed("llm-1", "llm");
+    addUnframed("llm-2", "llm");
+  }
+  static bool isStream(std::string_view path) { return path.starts_with("/stream"); }
+  static std::string wholeBody(const std::string& path) {
+    return isStream(path) ? events(1, 4) : "a whole answer";
+  }
+  static ScriptedAnswer framed(const http::Request& request, const std::string& body,
+                               const std::string& type = "text/event-stream") {
+    return {{ScriptedServer::head("X-Request-Id: " + request.headers.get(platform::kRequestId) +
+                                  "\r\nX-Response-Seal: seal\r\nContent-Type: " + type +
+                                  "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n") +
+             body}};
+  }
+  /// The first run, at any server, is answered as given, and all later ones soundly.
+  void answerFirst(const UnframedServer::Body& body) {
+    const auto first = std::make_shared<bool>(true);
+    for (const auto& server : unframed) {
+      server->setBody([first, body](const http::Request& request) -> ScriptedAnswer {
+        if (std::exchange(*first, false)) {
+          return body(request);
+        }
+        const std::string after = request.headers.get(platform::kLastEventId);
+        const unsigned next = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
+        return framed(request, isStream(request.path()) ? events(next, 4) : "a whole answer");
+      });
+    }
+  }
+  void answerFirst(const ScriptedAnswer& answer) {
+    answerFirst([answer](const http::Request&) { return answer; });
+  }
+  std::size_t runs() const {
+    std::size_t sum = 0;
+    for (const auto& server : unframed) {
+      sum += server->runs();
+    }
+    return sum;
+  }
+  std::size_t bytesTaken() const {
+    std::size_t sum = 0;
+    for (const auto& server : unframed) {
+      sum += server->server().endlessBytes();
+    }
+    return sum;
+  }
+
+  /// What a caller saw.
+  struct Seen {
+    unsigned status = 0;
+    std::string body;
+    std::size_t runs = 0;
+    std::size_t bytesTaken = 0;
+    MonotonicTime::duration time{};
+  };
+  awaitable<Seen> ask(std::string path) {
+    const std::size_t runsBefore = runs();
+    const std::size_t bytesBefore = bytesTaken();
+    const MonotonicTime begin = monotonicNow();
+    http::Request message = isStream(path) ? modelRequest(path) : request(path);
+    const Result<http::Response> answer = co_await call(std::move(message));
+    Seen seen;
+    if (answer) {
+      seen.status = answer.value().status;
+      seen.body = answer.value().body;
+    }
+    seen.time = monotonicNow() - begin;
+    seen.runs = runs() - runsBefore;
+    seen.bytesTaken = bytesTaken() - bytesBefore;
+    co_return seen;
+  }
+  /// The other server answers, soon.
+  static void checkAnsweredElsewhere(const std::string& path, const Seen& seen) {
+    BOOST_TEST_CONTEXT(path) {
+      BOOST_TEST(seen.status == 200U);
+      BOOST_TEST((seen.body == wholeBody(path)));
+      BOOST_TEST(seen.runs == 2U);
+      BOOST_CHECK(seen.time < kSoon);
+      BOOST_TEST(seen.bytesTaken < kMostBytesTaken);
+    }
+  }
+  /// The request may not be sent again: it is refused, or its answer breaks off (status 0).
+  static void checkEnds(const std::string& path, const Seen& seen, unsigned status) {
+    BOOST_TEST_CONTEXT(path) {
+      BOOST_TEST(seen.status == status);
+      BOOST_TEST(seen.runs == 1U);
+      BOOST_CHECK(seen.time < kSoon);
+      BOOST_TEST(seen.bytesTaken < kMostBytesTaken);
+    }
+  }
+  awaitable<void> pause(Milliseconds time) {
+    boost::asio::steady_timer timer(context, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  std::vector<std::unique_ptr<UnframedServer>> unframed;
+};
+
+BOOST_FIXTURE_TEST_SUITE(platform_endless_answers, Fixture)
+
+BOOST_AUTO_TEST_CASE(aHeadWithoutEndIsLeftForAnotherServer) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    for (const std::string path : {"/safe/a", "/open/a", "/stream/a"}) {
+      answerFirst(endless("HTTP/1.1 200 OK\r\n", repeated("X-A: a\r\n")));
+      checkAnsweredElsewhere(path, co_await ask(path));
+    }
+    for (const std::string path : {"/once/a", "/stream-once/a"}) {
+      answerFirst(endless("HTTP/1.1 200 OK\r\n", repeated("X-A: a\r\n")));
+      checkEnds(path, co_await ask(path), 502);
+    }
+  });
+}
+
+/// Such an answer may be a long one, which no other server can go on with: it breaks off.
+BOOST_AUTO_TEST_CASE(aBodyWithoutEndNeverLooksWhole) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    for (const std::string path : {"/safe/a", "/once/a"}) {
+      answerFirst(endless("begin", repeated("a")));
+      const Seen seen = co_await ask(path);
+      BOOST_TEST(seen.status == 0U);
+      BOOST_TEST(seen.runs == 1U);
+      BOOST_CHECK(seen.time < kDeadline + kSlack);
+    }
+    answerFirst(endless("begin", "a", kDrip));
+    const Seen dripped = co_await ask("/once/a");
+    BOOST_TEST(dripped.status == 504U);
+    BOOST_CHECK(dripped.time < kDeadline + kSlack);
+  });
+}
+
+/// Nor is more of it held than its caller reads.
+BOOST_AUTO_TEST_CASE(aBodyWithoutEndStopsWhileItsCallerReadsNothing) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    http::Client slow(context.get_executor());
+    answerFirst(endless("begin", repeated("a")));
+    http::Request message = request("/safe/a");
+    const http::ExchangeOptions options;
+    const auto answer = co_await slow.open(node->endpoint(), std::move(message), options);
+    BOOST_REQUIRE(answer.has_value());
+    co_await pause(Milliseconds(1000));
+    const std::size_t before = bytesTaken();
+    co_await pause(Milliseconds(1000));
+    BOOST_TEST(bytesTaken() == before);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace calicodrift::testing
--- a/tests/platform/unframed_server.h
+++ b/tests/platform/unframed_server.h
@@ -32,6 +32,9 @@
         server_(context, [this](const auto& request) { return answer(request); }) {}
 
   void setBody(Body body) { body_ = std::move(body); }
+  /// How questions for its report or its health are answered from now on; empty: as by a sound
+  /// server.
+  void setQuestions(Body questions) { questions_ = std::move(questions); }
   std::size_t runs() const { return runs_; }
   ScriptedServer& server() { return server_; }
   boost::json::value entry() const {
@@ -57,6 +60,10 @@
 
  private:
   ScriptedAnswer answer(const http::Request& request) {
+    const bool question = request.path() == platform::kReportPath || request.path() == "/health";
+    if (question && questions_) {
+      return questions_(request);
+    }
     if (request.path() == platform::kReportPath) {
       const std::string report =
           boost::json::serialize(boost::json::object{{"stage", "combined"},
@@ -85,6 +92,7 @@
   std::string id_;
   std::string service_;
   Body body_;
+  Body questions_;
   std::size_t runs_ = 0;
   ScriptedServer server_;
 };
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -39,6 +40,9 @@
   /// it ends the connection, and at one more after that.
   std::size_t stopBefore = 0;
   Milliseconds stopTime{0};
+  /// If not empty, written after the pieces again and again until the other side closes. After
+  /// kMostEndlessBytes the server falls silent, to spare the memory of a reader that holds them.
+  std::string endless{};
 };
 
 /// An HTTP server whose answers are written byte by byte as a test says, framed or not, and ended
@@ -58,6 +62,14 @@
   Endpoint endpoint() const { return {"127.0.0.1", port_}; }
   void setScript(Script script) { state_->script = std::move(script); }
   const std::vector<http::Request>& requests() const { return state_->requests; }
+  /// How many bytes of endless pieces the other sides and their kernels took.
+  std::size_t endlessBytes() const { return state_->endlessBytes; }
+  /// Connections that are open now.
+  std::size_t openConnections() const {
+    return static_cast<std::size_t>(
+        std::count_if(state_->sockets.begin(), state_->sockets.end(),
+                      [](const auto& socket) { return !socket.expired(); }));
+  }
   /// See ConnectionEnd::kCrash.
   void crash() { state_->crash(); }
   /// Reads, writes and accepts nothing for so long, as a process that does not run; its kernel goes
@@ -105,6 +117,7 @@
     Tcp::acceptor acceptor;
     std::vector<std::weak_ptr<Tcp::socket>> sockets;
     std::vector<http::Request> requests;
+    std::size_t endlessBytes = 0;
   };
 
   void listen(std::uint16_t port) {
@@ -190,9 +203,31 @@
         co_await pause(socket, answer.pieceGap);
       }
     }
+    if (!answer.endless.empty()) {
+      co_await writeEndless(state, answer, socket);
+      co_return false;
+    }
     co_return true;
   }
 
+  static boost::asio::awaitable<void> writeEndless(State& state, const ScriptedAnswer& answer,
+                                                   Tcp::socket& socket) {
+    socket.set_option(boost::asio::socket_base::send_buffer_size(kSendBufferBytes));
+    while (state.endlessBytes < kMostEndlessBytes) {
+      auto [code, count] =
+          co_await boost::asio::async_write(socket, boost::asio::buffer(answer.endless),
+                                            boost::asio::as_tuple(boost::asio::use_awaitable));
+      state.endlessBytes += count;
+      if (code) {
+        co_return;
+      }
+      if (answer.pieceGap.count() > 0) {
+        co_await pause(socket, answer.pieceGap);
+      }
+    }
+    co_await pause(socket, kSilence);
+  }
+
   static boost::asio::awaitable<void> end(State& state, const ScriptedAnswer& answer,
                                           Tcp::socket& socket) {
     boost::system::error_code ignored;
@@ -225,6 +260,9 @@
   /// The other side reads the end meanwhile.
   static constexpr Milliseconds kLinger{50};
   static constexpr Milliseconds kSilence{20'000};
+  /// Small, so that the bytes that were written are about those that the other side took.
+  static constexpr int kSendBufferBytes = 65'536;
+  static constexpr std::size_t kMostEndlessBytes = 128'000'000;
 
   std::shared_ptr<State> state_;
   std::uint16_t port_ = 0;
