http: an answer's unparsed bytes are bounded

Callers: the memory of a node grew for as long as a server sent a chunk's extension, or trailers, without end: the parser takes both as a whole, and the buffer before it had no limit. The buffer holds 64 KiB at most, then the read fails as a broken body. Heads have their own limit, 8 KiB, and bodies leave the buffer piece by piece.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -30,6 +30,9 @@
 /// Of a connection that was not used after all: no answer has said how long the server keeps it.
 constexpr Milliseconds kUnusedLifetime{1000};
 constexpr std::size_t kBodyPieceBytes = 16'384;
+/// Of bytes that are not parsed yet. More than the longest head that the parser takes; also bounds
+/// the extension of a chunk and the trailers, which it parses as a whole.
+constexpr std::size_t kMaxUnparsedBytes = 65'536;
 /// A connection is not used so shortly before the other side closes it: the request would cross the
 /// close.
 constexpr Milliseconds kCloseMargin{500};
@@ -268,7 +271,7 @@
   ExchangeOptions options_;
   bool headOnly_;
   std::optional<Parser> parser_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::array<char, kBodyPieceBytes> piece_{};
   Response head_;
   bool finished_ = false;
--- a/tests/http/endless_bytes_test.cc
+++ b/tests/http/endless_bytes_test.cc
@@ -130,6 +130,17 @@
   });
 }
 
+/// Guards against a chunk's extension that fills the memory.
+BOOST_AUTO_TEST_CASE(aChunkExtensionWithoutEndEndsTheExchange) {
+  checkFails(endless(ScriptedServer::head(kChunked) + "5;a=", repeated("a", 16'384)));
+}
+
+/// Guards against trailers that fill the memory.
+BOOST_AUTO_TEST_CASE(trailersWithoutEndEndTheExchange) {
+  checkFails(endless(ScriptedServer::head(kChunked) + "5\r\nwhole\r\n0\r\n",
+                     repeated("X-A: a\r\n", 16'384)));
+}
+
 BOOST_AUTO_TEST_CASE(trailersThatDripEndTheExchange) {
   checkFails(endless(ScriptedServer::head(kChunked) + "5\r\nwhole\r\n0\r\n", "X-A: a\r\n", kDrip));
 }
