http: interim heads without end are no answer

Callers: a server that sent 1xx heads without end kept its request until the deadline (504, or 1.4 s until another server was asked) and the event loop busy for all of that time. headerTimeout did not end it: the stream's timer is started again by each read, and a read that finds bytes completes before the expired timer is looked at. Now 1,000 of them are read, which a sound server does not reach, and the call fails as one without an answer: recorded at the server, and sent elsewhere where that is allowed.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -33,6 +33,9 @@
 /// Of bytes that are not parsed yet. More than the longest head that the parser takes; also bounds
 /// the extension of a chunk and the trailers, which it parses as a whole.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
+/// Heads that may come before the final one. Time does not bound them: the stream notices a timeout
+/// only while it waits for bytes.
+constexpr std::size_t kMaxInterimHeads = 1000;
 /// A connection is not used so shortly before the other side closes it: the request would cross the
 /// close.
 constexpr Milliseconds kCloseMargin{500};
@@ -164,7 +167,12 @@
 
   awaitable<Result<void>> readHead() {
     beast::error_code code;
+    std::size_t heads = 0;
     do {
+      if (++heads > kMaxInterimHeads) {
+        co_return fail(ErrorKind::kOutcomeUnknown,
+                       "no answer from " + name() + ": too many interim responses");
+      }
       resetParser();
       std::tie(code, std::ignore) =
           co_await bhttp::async_read_header(stream_, buffer_, *parser_, kAwait);
--- a/tests/http/endless_bytes_test.cc
+++ b/tests/http/endless_bytes_test.cc
@@ -116,6 +116,12 @@
   checkFails(endless("HTTP/1.1 200 OK\r\n", "X-A: a\r\n", kDrip));
 }
 
+/// Guards against a reader that reads interim heads for ever, past its time limit.
+BOOST_AUTO_TEST_CASE(interimHeadsWithoutEndEndTheExchange) {
+  checkFails(
+      endless("HTTP/1.1 100 Continue\r\n\r\n", repeated("HTTP/1.1 100 Continue\r\n\r\n", 16'384)));
+}
+
 BOOST_AUTO_TEST_CASE(interimHeadsThatDripEndTheExchange) {
   checkFails(endless("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", kDrip));
 }
--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -167,6 +167,22 @@
   });
 }
 
+/// Guards against interim heads that are read for as long as they come.
+BOOST_AUTO_TEST_CASE(interimHeadsWithoutEndAreLeftForAnotherServer) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string path : {"/safe/a", "/open/a", "/stream/a"}) {
+      answerFirst(endless(interim, repeated(interim)));
+      checkAnsweredElsewhere(path, co_await ask(path));
+    }
+    for (const std::string path : {"/once/a", "/stream-once/a"}) {
+      answerFirst(endless(interim, repeated(interim)));
+      checkEnds(path, co_await ask(path), 502);
+    }
+  });
+}
+
 /// Such an answer may be a long one, which no other server can go on with: it breaks off.
 BOOST_AUTO_TEST_CASE(aBodyWithoutEndNeverLooksWhole) {
   addTwoOfEachService();
