--- a/src/forward/answer_end_check.cc
+++ b/src/forward/answer_end_check.cc
@@ -46,7 +46,6 @@
 
 awaitable<Result<void>> AnswerEndCheck::confirm(const fleet::Server& server, http::BodyEnd end,
                                                 std::optional<http::Tunnel> tunnel,
-                                                MonotonicTime deadline,
                                                 http::ExchangeCanceller& canceller) {
   if (end == http::BodyEnd::kFramed) {
     metrics_.countAnswerEnd("framed");
@@ -59,7 +58,7 @@
     }
   });
   if (!inquiry->over) {
-    inquiry->finished.expires_at(deadline);
+    inquiry->finished.expires_at(MonotonicTime::max());
     asio::co_spawn(executor_, askUntilDecided(inquiry), asio::detached);
     co_await inquiry->finished.async_wait(asio::as_tuple(asio::use_awaitable));
     inquiry->over = true;
--- a/src/forward/answer_end_check.h
+++ b/src/forward/answer_end_check.h
@@ -32,11 +32,10 @@
       : executor_(std::move(executor)), crashCheck_(crashCheck), calls_(calls), metrics_(metrics) {}
 
   /// Succeeds if the body is whole, at once for BodyEnd::kFramed. Fails with kStreamBroken if it is
-  /// not, or if that is still unknown at the deadline or when the exchange is cancelled.
+  /// not, or if that is still unknown when the exchange is cancelled, as it is at its deadline.
   /// @param tunnel the tunnel that the answer came through; empty: a direct connection.
   boost::asio::awaitable<Result<void>> confirm(const fleet::Server& server, http::BodyEnd end,
                                                std::optional<http::Tunnel> tunnel,
-                                               MonotonicTime deadline,
                                                http::ExchangeCanceller& canceller);
   /// The error for a stream that ended inside an event.
   Error partialEventError(const fleet::Server& server);
--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -35,9 +35,14 @@
 awaitable<void> CrashCheck::runProbes(fleet::Server server) {
   const RunKey run{server.id, fleet::incarnationOf(server)};
   std::shared_ptr<Probe> probe = std::exchange(next_[run], nullptr);
+  asio::steady_timer timer(executor_);
   while (probe) {
+    timer.expires_after(kMinInterval);
     probe->state = co_await checkReport(server);
     probe->answered.cancel();
+    if (probe->state == RunState::kSilent) {
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     probe = std::exchange(next_[run], nullptr);
   }
   next_.erase(run);
--- a/src/forward/crash_check.h
+++ b/src/forward/crash_check.h
@@ -45,6 +45,8 @@
   /// kAnswerTimeout.
   boost::asio::awaitable<RunState> stateOf(fleet::Server server);
 
+  /// Least time between two questions for a run that were not answered.
+  static constexpr Milliseconds kMinInterval{50};
   /// Several round trips, also between regions, where 100 ms is a long one.
   static constexpr Milliseconds kAnswerTimeout{200};
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -38,7 +38,8 @@
 /// Whether a dispatch with this failure was not sent, or certainly has not run.
 bool certainlyNotRun(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
-         failure == ErrorKind::kOverloaded || failure == ErrorKind::kStreamVersionGone;
+         failure == ErrorKind::kOverloaded || failure == ErrorKind::kNoConfiguration ||
+         failure == ErrorKind::kStreamVersionGone;
 }
 
 }  // namespace
@@ -291,17 +292,25 @@
 awaitable<bool> Forwarder::waitForAnotherServer(Job& job, ErrorKind failure) {
   constexpr Milliseconds kPause{50};
   const RetryDecision decision = mayRetry(*job.grant.route, failure, job.attempts);
-  const bool timeHelps = decision != RetryDecision::kNo || wasNotSent(failure);
-  if (!timeHelps || !job.gaveUpServer || !job.relay.begun()) {
+  // A refusal does not use up the servers that the stream may run on.
+  const bool timeHelps =
+      decision != RetryDecision::kNo || provesNotRun(failure) || wasNotSent(failure);
+  const bool mayGoOn = settings_.retries && !job.relay.opaque();
+  if (!timeHelps || !mayGoOn || !job.gaveUpServer) {
     co_return false;
   }
+  const bool budgeted = decision == RetryDecision::kBudgeted || provesNotRun(failure);
+  Milliseconds pause = kPause;
+  if (provesNotRun(failure)) {
+    // Better than the server that was given up, which stays avoided.
+    std::erase(job.routeRequest.avoided, job.lastServer);
+    pause = std::max(pause, settings_.refusalPause);
+  }
   asio::steady_timer timer(context_.executor);
   while (!job.expired && !job.writer.callerGone()) {
-    timer.expires_after(kPause);
+    timer.expires_after(pause);
     co_await timer.async_wait(asio::use_awaitable);
-    const bool granted =
-        decision != RetryDecision::kBudgeted || retryBudgetOf(job.service).tryTake(monotonicNow());
-    if (granted) {
+    if (!budgeted || retryBudgetOf(job.service).tryTake(monotonicNow())) {
       co_return !job.expired && !job.writer.callerGone();
     }
   }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -201,8 +201,8 @@
   /// the path to it is silent. Consumes from the retry budget for the next dispatch.
   bool grantFailover(Job& job);
   ServerAttempt::Permissions permissionsOf(Job& job);
-  /// For a begun stream whose server this node gave up: waits until another one may be tried. False
-  /// at once if time does not help, and if the request has ended meanwhile.
+  /// For a request whose server this node gave up: waits until another one may be tried. False at
+  /// once if time does not help, and if the request has ended meanwhile.
   boost::asio::awaitable<bool> waitForAnotherServer(Job& job, ErrorKind failure);
   /// @param rttMs round-trip time to the server, in milliseconds.
   AttemptBounds boundsOf(const Job& job, double rttMs) const;
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -8,6 +8,9 @@
 
 using boost::asio::awaitable;
 constexpr unsigned kFirstServerErrorStatus = 500;
+constexpr Milliseconds kRefusalBodyTimeout{50};
+/// The deadline's own timer ends the attempt before the timeouts of its connection do.
+constexpr Milliseconds kDeadlineMargin{20};
 
 /// Copies the server's head without hop-by-hop headers.
 http::Response endToEnd(const http::Response& head) {
@@ -37,7 +40,7 @@
                                            FailureUse failureUse) {
   http::ExchangeOptions options;
   options.connectTimeout = bounds.connectTimeout;
-  options.headerTimeout = remainingTime(bounds.deadline);
+  options.headerTimeout = remainingTime(bounds.deadline) + kDeadlineMargin;
   options.bodyTimeout = options.headerTimeout;
   options.unacknowledgedTimeout = bounds.unacknowledgedTimeout;
   options.canceller = &canceller_;
@@ -57,7 +60,8 @@
   weights_ = protocol_.weightsOf(stream.head());
   fromOtherServer_ = protocol_.namesOtherServer(dispatch.server, stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
-    // Drains the body, so that the connection can be reused.
+    // Drains the body, so that the connection can be reused. The head has said all.
+    stream.setBodyTimeout(kRefusalBodyTimeout);
     const Result<http::BodyPiece> rest = co_await stream.read();
     if (rest && !rest.value().end) {
       const Result<http::BodyPiece> end = co_await stream.read();
@@ -205,12 +209,25 @@
                                                   const fleet::Server& server,
                                                   const AttemptBounds& bounds) {
   silence_.begin(bounds.bodyPatience);
-  Result<void> whole =
-      co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), bounds.deadline, canceller_);
+  Result<void> whole = co_await endCheck_.confirm(server, *bodyEnd_, stream.tunnel(), canceller_);
   silence_.end();
+  if (!whole && leftPath_) {
+    whole.error().reason = server_paths::kPathLost;
+  }
   co_return whole;
 }
 
+server_paths::MovePermission ServerAttempt::recordingGrant(
+    server_paths::MovePermission permission) {
+  if (!permission) {
+    return permission;
+  }
+  return [this, permission = std::move(permission)] {
+    leftPath_ = permission();
+    return leftPath_;
+  };
+}
+
 void ServerAttempt::notifyFirstBytes() {
   if (firstBytesListener_) {
     const auto listener = std::exchange(firstBytesListener_, nullptr);
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -54,7 +54,7 @@
         endCheck_(endCheck),
         relay_(relay),
         purpose_(purpose),
-        leavePath_(std::move(permissions.leavePath)),
+        leavePath_(recordingGrant(std::move(permissions.leavePath))),
         silence_(executor, std::move(permissions.leaveSilentServer), [this] { cancel(); }) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
@@ -113,6 +113,8 @@
   boost::asio::awaitable<Result<void>> confirmEnd(http::ResponseStream& stream,
                                                   const fleet::Server& server,
                                                   const AttemptBounds& bounds);
+  /// The permission, which sets leftPath_ when it is granted.
+  server_paths::MovePermission recordingGrant(server_paths::MovePermission permission);
   void notifyFirstBytes();
 
   ServerCalls& calls_;
@@ -120,6 +122,7 @@
   AnswerEndCheck& endCheck_;
   AnswerRelay& relay_;
   CallPurpose purpose_;
+  bool leftPath_ = false;
   server_paths::MovePermission leavePath_;
   SilenceWatch silence_;
   http::ExchangeCanceller canceller_;
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -289,7 +289,9 @@
   const Result<TunnelEnd> end =
       co_await peer::callPeer<TunnelEnd>(context_.client, std::move(tunnel.proxy), kTunnelEndPath,
                                          query, kStatusTimeout, kStatusTimeout);
-  if (!end && end.error().reason == peer::kUnknownPath) {
+  const bool knowsNothing = !end && (end.error().reason == peer::kUnknownPath ||
+                                     end.error().reason == http::kConnectionRefused);
+  if (knowsNothing) {
     co_return false;
   }
   co_return end ? std::optional(end.value().endedByServer) : std::nullopt;
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -125,7 +125,7 @@
   Error explainFailure(const CallInFlight& call, Error error);
 
   /// Asks the node that carried the tunnel whether the server has ended it. Empty without an answer
-  /// in time; false from a node that does not know how its tunnels end.
+  /// in time; false if that node has ended, or does not know how its tunnels end.
   boost::asio::awaitable<std::optional<bool>> serverEndedTunnel(http::Tunnel tunnel);
 
   bool isLost(const Endpoint& server) const { return table_.isLost(server); }
--- a/tests/platform/silent_servers_test.cc
+++ b/tests/platform/silent_servers_test.cc
@@ -71,11 +71,12 @@
   static ScriptedAnswer slowAnswer() {
     return {{"a whole ", "answer"}, ConnectionEnd::kClose, Milliseconds(100)};
   }
-  static ScriptedAnswer refusalWithRest(const http::Request& request) {
-    const std::string fields =
-        "Content-Length: 0\r\nRetry-After: 0.7\r\nX-Not-Executed: 1\r\nX-Request-Id: ";
+  static ScriptedAnswer refusal(const http::Request& request, const std::string& fields,
+                                const std::string& length = "Content-Length: 0\r\n") {
     const std::string id = request.headers.get(platform::kRequestId);
-    return {{ScriptedServer::head(fields + id + "\r\n", "503 Service Unavailable")}};
+    return {
+        {ScriptedServer::head(length + fields + "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\n",
+                              "503 Service Unavailable")}};
   }
   awaitable<Result<http::Response>> ask(std::string path) {
     http::Request message = isStream(path) ? modelRequest(path) : request(path);
@@ -138,7 +139,7 @@
   UnframedServer& app = addUnframed("app-1", "app");
   run([&]() -> awaitable<void> {
     app.setBody([](const http::Request& request) {
-      return request.path() == "/safe/a" ? refusalWithRest(request) : slowAnswer();
+      return request.path() == "/safe/a" ? refusal(request, "Retry-After: 0.7\r\n") : slowAnswer();
     });
     bool delivered = false;
     boost::asio::co_spawn(
@@ -224,6 +225,84 @@
   });
 }
 
+/// Guards against begun streams that break off because the servers that could take them over refuse
+/// them for a while.
+BOOST_AUTO_TEST_CASE(streamsThatHaveLeftASilentServerOutlastRefusals) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    const MonotonicTime begin = monotonicNow();
+    for (const auto& server : unframed) {
+      server->setBody([begin](const http::Request& request) -> ScriptedAnswer {
+        if (request.headers.get(platform::kLastEventId).empty()) {
+          ScriptedAnswer first{{events(1, 2), events(3, 4)}, ConnectionEnd::kClose};
+          first.stopBefore = kWithinBody;
+          first.stopTime = Milliseconds(60'000);
+          return first;
+        }
+        if (monotonicNow() - begin < Milliseconds(2800)) {
+          return refusal(request, "");
+        }
+        return {{events(3, 4)}, ConnectionEnd::kClose};
+      });
+    }
+    const Result<http::Response> answer = co_await ask("/stream/a");
+    BOOST_TEST((answer && answer.value().body == events(1, 4)));
+  });
+}
+
+/// Guards against requests that are held to their deadline by a refusal whose body does not come.
+BOOST_AUTO_TEST_CASE(refusalWithoutItsBodyHoldsNoRequest) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    const auto first = std::make_shared<bool>(true);
+    for (const auto& server : unframed) {
+      server->setBody([first](const http::Request& request) -> ScriptedAnswer {
+        if (std::exchange(*first, false)) {
+          ScriptedAnswer partial = refusal(request, "", "Content-Length: 10\r\n");
+          partial.pieces.emplace_back("ab");
+          partial.end = ConnectionEnd::kSilence;
+          return partial;
+        }
+        return {{"a whole answer"}, ConnectionEnd::kClose};
+      });
+    }
+    const MonotonicTime begin = monotonicNow();
+    const Result<http::Response> answer = co_await ask("/once/a");
+    BOOST_TEST((answer && answer.value().body == "a whole answer"));
+    BOOST_CHECK(monotonicNow() - begin < kSlack);
+  });
+}
+
+/// Guards against further runs for an answer of which the caller has a part that no other server
+/// can go on with.
+BOOST_AUTO_TEST_CASE(brokenLongAnswerIsNotRunAgain) {
+  settings.heldAnswerKb = 16;
+  boost::json::value configured = configuration(2);
+  for (boost::json::value& route : configured.at("routes").as_array()) {
+    route.at("max_attempts") = 3;
+  }
+  store.put("config", "main", std::move(configured));
+  addUnframed("app-1", "app");
+  addUnframed("app-2", "app");
+  addUnframed("app-3", "app");
+  run([this]() -> awaitable<void> {
+    const auto first = std::make_shared<bool>(true);
+    for (const auto& server : unframed) {
+      server->setBody([first](const http::Request&) -> ScriptedAnswer {
+        ScriptedAnswer answer{{std::string(200'000, 'a')}, ConnectionEnd::kReset};
+        if (std::exchange(*first, false)) {
+          answer.stopTime = Milliseconds(60'000);
+        }
+        answer.pieceGap = Milliseconds(20);
+        return answer;
+      });
+    }
+    const Result<http::Response> answer = co_await ask("/safe/a");
+    BOOST_TEST(!answer);
+    BOOST_TEST(runs() == 2U);
+  });
+}
+
 /// A server that never says anything again proves nothing: what it sent does not pass for whole.
 BOOST_AUTO_TEST_CASE(answersOfServersThatStaySilentEndAtTheDeadlineAsBroken) {
   addTwoOfEachService();
@@ -237,6 +316,8 @@
       BOOST_TEST_INFO(path);
       BOOST_TEST(!(answer && answer.value().status == 200U));
       BOOST_TEST_INFO(path);
+      BOOST_CHECK(monotonicNow() - begin > Milliseconds(1400));
+      BOOST_TEST_INFO(path);
       BOOST_CHECK(monotonicNow() - begin < Milliseconds(1500) + kSlack);
     }
   });
