forward: an event without end is left, and searched once

Callers: a stream whose bytes never complete an event was held up to the body's limit, 64 MiB, and searched from its front with each piece, which kept the event loop busy until the deadline. The resumable stream then broke off, though another server could have gone on. A sound answer that has no events, 3 MB of JSON, was lost in the same way; a sound first event of 900 kB took 3 s. Content of another type is passed on beyond that, and then not given to another server. Only new bytes are searched.

--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -1,6 +1,7 @@
 #include "forward/answer_relay.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace calicodrift::forward {
@@ -41,6 +42,9 @@
     co_return fail(ErrorKind::kProtocolViolation,
                    "the event numbers of the server's stream do not increase");
   }
+  if (events.empty() && splitter_.rest().size() > kMaxEventBytes) {
+    co_return co_await passLongRest();
+  }
   if (events.empty()) {
     co_return boost::outcome_v2::success();
   }
@@ -66,6 +70,18 @@
   co_return co_await writer_.writeChunk(events);
 }
 
+awaitable<Result<void>> AnswerRelay::passLongRest() {
+  if (hasEvents_) {
+    dropPartialEvent();
+    co_return fail(ErrorKind::kProtocolViolation,
+                   "an event of the server's stream has no end within " +
+                       std::to_string(kMaxEventBytes) + " bytes");
+  }
+  opaque_ = true;
+  const std::string rest = splitter_.takeRest();
+  co_return co_await writer_.writeChunk(rest);
+}
+
 awaitable<Result<void>> AnswerRelay::beginOpaque(http::Response head) {
   begun_ = true;
   opaque_ = true;
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -51,14 +51,17 @@
   /// Starts relaying a server's stream: sends the head, unless one was sent before, and resets the
   /// event timing.
   boost::asio::awaitable<Result<void>> begin(http::Response head);
+  /// Most bytes of one event, which are held until it is whole. Far more than a token's event or a
+  /// whole answer in a single one takes; a stream that exceeds it sends no events.
+  static constexpr std::size_t kMaxEventBytes = 1'048'576;
   /// Relays bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation if the
-  /// event numbers don't follow the earlier ones.
+  /// event numbers don't follow the earlier ones or an event is longer than kMaxEventBytes.
   boost::asio::awaitable<Result<void>> relayBytes(std::string_view bytes);
   /// Starts to pass on the bytes of an answer that is not a stream, under the server's head. If it
   /// breaks off, no other server can go on with it.
   boost::asio::awaitable<Result<void>> beginOpaque(http::Response head);
   boost::asio::awaitable<Result<void>> relayOpaque(std::string_view bytes);
-  /// Whether the answer was begun by beginOpaque().
+  /// Whether bytes that are not whole events were passed on, so that no other server can go on.
   bool opaque() const { return opaque_; }
   /// Whether bytes of an event have arrived without its end; never for an answer that does not
   /// consist of events.
@@ -72,6 +75,9 @@
   void abort() { writer_.abort(); }
 
  private:
+  /// What follows the last whole event has become too long to be held.
+  boost::asio::awaitable<Result<void>> passLongRest();
+
   http::ResponseWriter& writer_;
   EventSplitter splitter_;
   EventTiming timing_;
--- a/src/forward/event_stream.cc
+++ b/src/forward/event_stream.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace calicodrift::forward {
 namespace {
@@ -41,16 +42,26 @@
 }  // namespace
 
 std::string EventSplitter::takeWholeEvents() {
-  const std::size_t end = endOfWholeEvents(buffer_);
-  if (end == 0) {
+  // An end may have begun within the bytes that were searched before.
+  const std::size_t from = searched_ - std::min(searched_, kEventEndCrLf.size() - 1);
+  const std::size_t found = endOfWholeEvents(std::string_view(buffer_).substr(from));
+  if (found == 0) {
+    searched_ = buffer_.size();
     return {};
   }
+  const std::size_t end = from + found;
   std::string events = buffer_.substr(0, end);
   buffer_.erase(0, end);
+  searched_ = buffer_.size();
   recordEventNumbers(events);
   return events;
 }
 
+std::string EventSplitter::takeRest() {
+  searched_ = 0;
+  return std::exchange(buffer_, {});
+}
+
 void EventSplitter::recordEventNumbers(std::string_view events) {
   while (!events.empty()) {
     const std::size_t end = std::min(events.find('\n'), events.size() - 1);
--- a/src/forward/event_stream.h
+++ b/src/forward/event_stream.h
@@ -18,6 +18,8 @@
   std::string takeWholeEvents();
   /// Bytes after the last whole event.
   const std::string& rest() const { return buffer_; }
+  /// Removes and returns them.
+  std::string takeRest();
   /// Number of the last event that was returned.
   std::optional<EventNumber> lastEvent() const { return lastEvent_; }
   /// Count of events that were returned.
@@ -31,6 +33,8 @@
   void recordEventNumbers(std::string_view events);
 
   std::string buffer_;
+  /// Bytes at the front of the buffer in which no event ends.
+  std::size_t searched_ = 0;
   std::optional<EventNumber> lastEvent_;
   std::size_t events_ = 0;
   bool inOrder_ = true;
--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -183,6 +183,52 @@
   });
 }
 
+/// Guards against a stream whose bytes never complete an event and are all held.
+BOOST_AUTO_TEST_CASE(anEventWithoutEndIsLeftForAnotherServer) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    for (const std::string& begin : {std::string(), events(1, 2)}) {
+      answerFirst(endless(begin + "id: 3\ndata: ", repeated("a")));
+      checkAnsweredElsewhere("/stream/a", co_await ask("/stream/a"));
+      answerFirst(endless(begin + "id: 3\ndata: ", repeated("a")));
+      checkEnds("/stream-once/a", co_await ask("/stream-once/a"), 0);
+    }
+  });
+}
+
+/// The bound of an event costs no sound answer.
+BOOST_AUTO_TEST_CASE(aVeryLongFirstEventArrives) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    constexpr std::size_t kLength = 900'000;
+    const std::string text = "id: 1\ndata: " + std::string(kLength, 'a') + "\n\n" + events(2, 4);
+    for (const std::string path : {"/stream/a", "/stream-once/a"}) {
+      answerFirst(ScriptedAnswer{{text}, ConnectionEnd::kClose});
+      const Seen seen = co_await ask(path);
+      BOOST_TEST(seen.status == 200U);
+      BOOST_TEST((seen.body == text));
+      BOOST_TEST(seen.runs == 1U);
+    }
+  });
+}
+
+/// Nor one that does not consist of events, however long it is.
+BOOST_AUTO_TEST_CASE(aLongAnswerWithoutEventsArrives) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    const std::string text(3'000'000, 'a');
+    for (const std::string path : {"/stream/a", "/stream-once/a"}) {
+      answerFirst([&text](const http::Request& request) {
+        return framed(request, text, "application/json");
+      });
+      const Seen seen = co_await ask(path);
+      BOOST_TEST(seen.status == 200U);
+      BOOST_TEST((seen.body == text));
+      BOOST_TEST(seen.runs == 1U);
+    }
+  });
+}
+
 /// Such an answer may be a long one, which no other server can go on with: it breaks off.
 BOOST_AUTO_TEST_CASE(aBodyWithoutEndNeverLooksWhole) {
   addTwoOfEachService();
