forward: a refusal's body is waited for 50 ms at most

Callers: a server that refused a request and did not end the refusal's body kept the caller until the deadline (504), or until the node had taken all bytes of it; the request had certainly not run and another server was free. Before: aRefusalWhoseBodyDoesNotEndIsLeftForAnotherServer, 503 != 200 with 128,008,192 bytes taken (a chunk's extension in a flood), 504 != 200 (a body that does not come), over 1 s (one that drips). The body is read only so that the connection can be used again, which is not worth a longer wait.

--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -8,6 +8,8 @@
 
 using boost::asio::awaitable;
 constexpr unsigned kFirstServerErrorStatus = 500;
+/// Time for the body of a refusal, while which the caller waits.
+constexpr Milliseconds kRefusalBodyTimeout{50};
 
 /// Copies the server's head without hop-by-hop headers.
 http::Response endToEnd(const http::Response& head) {
@@ -58,6 +60,7 @@
   fromOtherServer_ = protocol_.namesOtherServer(dispatch.server, stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
     // Drains the body, so that the connection can be reused.
+    stream.setBodyTimeout(kRefusalBodyTimeout);
     const Result<http::BodyPiece> rest = co_await stream.read();
     if (rest && !rest.value().end) {
       const Result<http::BodyPiece> end = co_await stream.read();
--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -264,6 +264,33 @@
   });
 }
 
+/// Guards against a refusal whose body keeps the caller from another server.
+BOOST_AUTO_TEST_CASE(aRefusalWhoseBodyDoesNotEndIsLeftForAnotherServer) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<ScriptedAnswer> bodies{
+        endless(chunked, "400\r\n" + std::string(0x400, 'a') + "\r\n"),
+        endless(chunked + "\r\n5;a=", repeated("a")), endless(chunked + "\r\n5;a=", "a", kDrip),
+        ScriptedAnswer{{"Content-Length: 9\r\n"}, ConnectionEnd::kSilence}};
+    for (const ScriptedAnswer& body : bodies) {
+      answerFirst([&body](const http::Request& request) {
+        ScriptedAnswer refusal = body;
+        const std::string& begin = body.pieces.front();
+        const std::size_t fieldsEnd = begin.find("\r\n") + 2;
+        refusal.pieces.front() =
+            ScriptedServer::head(
+                "X-Not-Executed: 1\r\nX-Request-Id: " + request.headers.get(platform::kRequestId) +
+                    "\r\n" + begin.substr(0, fieldsEnd),
+                "503 Service Unavailable") +
+            (begin.size() > fieldsEnd ? begin.substr(fieldsEnd + 2) : std::string());
+        return refusal;
+      });
+      checkAnsweredElsewhere("/once/a", co_await ask("/once/a"));
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
