http: a whole answer has a time limit that does not start anew with each byte

Callers: whoever reads a whole body was kept for as long as bytes came, as only a pause ended the wait. A server that broke off an answer and answered the question for its report without end kept the request: neither an answer nor a refusal, past the deadline. The same at a health question kept a server out for good, at one report kept all servers from newer weights, and a store of kept cache counted as alive. ExchangeOptions::wholeTimeout ends the body at a fixed time; exchange() takes the sum of its two limits by default. Questions of a node to servers take 1 MiB at most as well.

--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -107,6 +107,7 @@
                                                         http::Request request,
                                                         http::ExchangeOptions options,
                                                         CallPurpose purpose) {
+  http::boundToShortAnswer(options);
   auto opened = co_await open(server, std::move(request), options, purpose);
   if (!opened) {
     co_return opened.error();
--- a/src/gateway/cache_stores.cc
+++ b/src/gateway/cache_stores.cc
@@ -130,6 +130,7 @@
   http::ExchangeOptions options;
   options.headerTimeout = kWait + kCallTimeout;
   options.bodyTimeout = kCallTimeout;
+  http::boundToShortAnswer(options);
   server_paths::PathOptions path;
   path.connectTimeout = kCallTimeout;
   path.unacknowledgedTimeout = kCallTimeout;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -36,6 +36,7 @@
 /// Heads that may come before the final one. Time does not bound them: the stream notices a timeout
 /// only while it waits for bytes.
 constexpr std::size_t kMaxInterimHeads = 1000;
+constexpr std::size_t kMaxShortAnswerBytes = 1'048'576;
 /// A connection is not used so shortly before the other side closes it: the request would cross the
 /// close.
 constexpr Milliseconds kCloseMargin{500};
@@ -155,6 +156,7 @@
         connection_(std::move(connection)),
         stream_(connection_->stream),
         options_(options),
+        wholeEnd_(endOf(options.wholeTimeout)),
         headOnly_(headOnly) {}
 
   ~StreamImpl() override {
@@ -198,7 +200,12 @@
     while (!parser_->is_done()) {
       parser_->get().body().data = piece_.data();
       parser_->get().body().size = piece_.size();
-      stream_.expires_after(options_.bodyTimeout);
+      const MonotonicTime now = monotonicNow();
+      if (now >= wholeEnd_) {
+        co_return fail(ErrorKind::kDeadlineExceeded,
+                       "the answer of " + name() + " did not end in time");
+      }
+      stream_.expires_at(std::min(now + options_.bodyTimeout, wholeEnd_));
       auto [code, bytes] = co_await bhttp::async_read_some(stream_, buffer_, *parser_, kAwait);
       if (code == beast::error::timeout) {
         co_return fail(ErrorKind::kDeadlineExceeded,
@@ -230,6 +237,10 @@
  private:
   using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
+  static MonotonicTime endOf(Milliseconds timeout) {
+    return timeout.count() > 0 ? monotonicNow() + timeout : MonotonicTime::max();
+  }
+
   /// Each head needs a parser of its own.
   void resetParser() {
     parser_.emplace();
@@ -277,6 +288,7 @@
   ConnectionPointer connection_;
   beast::tcp_stream& stream_;
   ExchangeOptions options_;
+  MonotonicTime wholeEnd_;
   bool headOnly_;
   std::optional<Parser> parser_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
@@ -428,6 +440,11 @@
   return end == BodyEnd::kFramed ? "framed" : "connection";
 }
 
+void boundToShortAnswer(ExchangeOptions& options) {
+  options.wholeTimeout = options.headerTimeout + options.bodyTimeout;
+  options.maxBodyBytes = kMaxShortAnswerBytes;
+}
+
 void ExchangeCanceller::cancel() {
   cancelled_ = true;
   if (close_) {
@@ -551,6 +568,9 @@
 
 awaitable<Result<Response>> Client::exchange(Endpoint endpoint, Request request,
                                              ExchangeOptions options) {
+  if (options.wholeTimeout.count() == 0) {
+    options.wholeTimeout = options.headerTimeout + options.bodyTimeout;
+  }
   auto opened = co_await open(std::move(endpoint), std::move(request), options);
   if (!opened) {
     co_return opened.error();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -65,6 +65,9 @@
   Milliseconds headerTimeout{60000};
   /// Between two pieces of the body.
   Milliseconds bodyTimeout{60000};
+  /// For the whole response, from when the request was sent: its pieces may come one by one without
+  /// end. 0: exchange() takes the sum of the two limits above, a ResponseStream none.
+  Milliseconds wholeTimeout{0};
   std::size_t maxBodyBytes = 67'108'864;
   /// For exchange(); readers of a ResponseStream see how its body ended.
   UnframedBody unframedBody = UnframedBody::kReject;
@@ -80,6 +83,10 @@
   MonotonicTime* lastBytesAt = nullptr;
 };
 
+/// Bounds the answer to a question of which only the head or a short document is used, so that an
+/// answerer that sends bytes without end keeps the asker neither long nor busy.
+void boundToShortAnswer(ExchangeOptions& options);
+
 struct ConnectOptions {
   ConnectionUse use = ConnectionUse::kPooled;
   /// Until the connection is open; with a proxy, until its tunnel is.
@@ -113,8 +120,9 @@
   /// Status and headers; the body is empty.
   virtual const Response& head() const = 0;
   /// The next piece of the body; after the last one it is returned again. A connection that breaks
-  /// before the end fails with kStreamBroken, a pause longer than bodyTimeout with
-  /// kDeadlineExceeded. A FIN is no break where nothing but the connection frames the body.
+  /// before the end fails with kStreamBroken, a pause longer than bodyTimeout and a body longer
+  /// than wholeTimeout with kDeadlineExceeded. A FIN is no break where nothing but the connection
+  /// frames the body.
   virtual boost::asio::awaitable<Result<BodyPiece>> read() = 0;
   /// The tunnel that the response comes through; empty if its connection is direct.
   virtual std::optional<Tunnel> tunnel() const = 0;
--- a/src/peer/http_call.h
+++ b/src/peer/http_call.h
@@ -13,6 +13,8 @@
 
 /// Reason of a failed callPeer(): the peer has no handler for the path, as a build from before it.
 inline constexpr std::string_view kUnknownPath = "unknown_path";
+/// Time for the body of an answer, which may hold a large view and come over a slow link.
+inline constexpr Milliseconds kLongestAnswerBody{30'000};
 
 /// Sends `message` and reads the answer. `timeout` holds for the connect, for each piece of the
 /// body and for bytes that are not acknowledged; `headerTimeout` for the time until the answer
@@ -26,6 +28,7 @@
   options.connectTimeout = timeout;
   options.headerTimeout = headerTimeout;
   options.bodyTimeout = timeout;
+  options.wholeTimeout = headerTimeout + kLongestAnswerBody;
   options.unacknowledgedTimeout = timeout;
   http::Request request;
   request.method = "POST";
--- a/src/router/service_handler.cc
+++ b/src/router/service_handler.cc
@@ -144,6 +144,7 @@
   options.connectTimeout = std::min(context_.settings.connectTimeout, bounded);
   options.headerTimeout = bounded;
   options.bodyTimeout = bounded;
+  options.wholeTimeout = bounded;
   const OutstandingGuard outstanding(context_.backends, backend.id, 1);
   const std::string dispatchId = makeDispatchId(attempt);
   http::Request forwarded = toServiceRequest(caller, request, dispatchId);
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -180,6 +180,7 @@
   http::ExchangeOptions options;
   options.headerTimeout = settings_.checkTimeout;
   options.bodyTimeout = settings_.checkTimeout;
+  http::boundToShortAnswer(options);
   auto opened = co_await context_.client.send(std::move(connection), std::move(*query), options);
   if (!opened) {
     co_return false;
--- a/tests/http/endless_bytes_test.cc
+++ b/tests/http/endless_bytes_test.cc
@@ -161,6 +161,15 @@
   });
 }
 
+/// Guards against a reader of a whole body that is kept for as long as bytes come.
+BOOST_AUTO_TEST_CASE(aBodyThatDripsWithoutEndEndsTheExchange) {
+  checkFails(endless(ScriptedServer::head("Connection: close\r\n"), "a", kDrip));
+}
+
+BOOST_AUTO_TEST_CASE(chunksThatDripWithoutEndEndTheExchange) {
+  checkFails(endless(ScriptedServer::head(kChunked), "1\r\na\r\n", kDrip));
+}
+
 /// Nothing of what follows an answer is taken for the next one, or held.
 BOOST_AUTO_TEST_CASE(bytesAfterAWholeAnswerAreNotTakenForTheNextAnswer) {
   const std::string answer = ScriptedServer::head("Content-Length: 5\r\n") + "whole";
--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -5,7 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "forward/cache_moves.h"
+#include "gateway/cache_stores.h"
 #include "gateway_fixture.h"
+#include "support/direct_paths.h"
 #include "unframed_server.h"
 
 namespace calicodrift::testing {
@@ -39,6 +42,10 @@
   return answer;
 }
 
+ScriptedAnswer drippingBody() {
+  return endless(ScriptedServer::head("Connection: close\r\n"), " ", kDrip);
+}
+
 struct Fixture : GatewayFixture {
   Fixture() {
     // A second try for each broken answer.
@@ -291,7 +298,93 @@
   });
 }
 
+/// Guards against a caller that waits for a report without end about the server that broke off.
+BOOST_AUTO_TEST_CASE(aReportWithoutEndDoesNotKeepTheCallerOfABrokenAnswer) {
+  addTwoOfEachService();
+  run([this]() -> awaitable<void> {
+    for (const auto& server : unframed) {
+      server->setQuestions([](const http::Request&) { return drippingBody(); });
+    }
+    answerFirst(ScriptedAnswer{{"a sho"}, ConnectionEnd::kReset});
+    checkEnds("/once/a", co_await ask("/once/a"), 502);
+    answerFirst(ScriptedAnswer{{"a sho"}, ConnectionEnd::kReset});
+    checkAnsweredElsewhere("/safe/a", co_await ask("/safe/a"));
+  });
+}
+
+/// Guards against a server that is never used again because a question for its health never ends.
+BOOST_AUTO_TEST_CASE(aHealthAnswerWithoutEndDoesNotKeepAServerOutForGood) {
+  UnframedServer& app = addUnframed("app-1", "app");
+  run([&]() -> awaitable<void> {
+    answerFirst(ScriptedAnswer{{"a whole answer"}, ConnectionEnd::kClose});
+    app.server().crash();
+    const Seen refused = co_await ask("/safe/a");
+    BOOST_TEST(refused.status == 503U);
+    bool asked = false;
+    app.setQuestions([&asked](const http::Request&) {
+      asked = true;
+      return drippingBody();
+    });
+    app.server().restart();
+    co_await waitUntil([&asked] { return asked; });
+    app.setQuestions(nullptr);
+    unsigned status = 0;
+    const MonotonicTime end = monotonicNow() + std::chrono::seconds(5);
+    while (status != 200 && monotonicNow() < end) {
+      status = (co_await ask("/safe/a")).status;
+      co_await pause(Milliseconds(100));
+    }
+    BOOST_TEST(status == 200U);
+  });
+}
+
+/// Guards against a report without end that keeps all other servers from newer weights.
+BOOST_AUTO_TEST_CASE(aReportWithoutEndDoesNotKeepOtherServersFromNewWeights) {
+  addUnframed("llm-1", "llm").setQuestions([](const http::Request&) { return drippingBody(); });
+  ServerStandIn& sound = addServer("llm-2", "llm", "m");
+  bool loaded = false;
+  sound.onLoaded([this, &sound, &loaded] {
+    loaded = true;
+    store.put("servers", sound.id(), sound.entry());
+  });
+  run([&]() -> awaitable<void> {
+    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 2}});
+    co_await waitUntil([&loaded] { return loaded; });
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a store of kept cache that counts as alive for as long as its bytes come.
+BOOST_AUTO_TEST_CASE(aCacheStoreWhoseAnswerDoesNotEndIsLost) {
+  boost::asio::io_context context;
+  bool sound = true;
+  ScriptedServer server(context, [&sound](const http::Request&) {
+    return sound ? ScriptedAnswer{{ScriptedServer::head("Content-Length: 2\r\n") + "{}"}}
+                 : drippingBody();
+  });
+  http::Client client(context.get_executor());
+  DirectPaths directPaths(context.get_executor(), client);
+  platform::OperatorServers protocol;
+  routes::RouteTableContent content;
+  content.version = ConfigVersion(1);
+  routes::Service service;
+  service.name = "kept-cache";
+  service.cacheStore = routes::CacheStore{server.endpoint(), ZoneId("z1")};
+  content.services.push_back(service);
+  auto table = std::make_shared<const routes::RouteTable>(std::move(content));
+  std::size_t losses = 0;
+  gateway::CacheStores stores(
+      context.get_executor(), directPaths.paths, protocol, [&table] { return table; },
+      [] { return true; }, [&losses](const Endpoint&) { ++losses; });
+  stores.start();
+  context.run_for(Milliseconds(200));
+  BOOST_TEST(stores.storeFor(1).has_value());
+  sound = false;
+  context.run_for(std::chrono::seconds(4));
+  BOOST_TEST(!stores.storeFor(1).has_value());
+  BOOST_TEST(losses == 1U);
+}
+
 }  // namespace
 }  // namespace calicodrift::testing
