--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -8,6 +8,7 @@
 
 using boost::asio::awaitable;
 constexpr unsigned kFirstServerErrorStatus = 500;
+/// Time for the body of a refusal, while which the caller waits.
 constexpr Milliseconds kRefusalBodyTimeout{50};
 /// The deadline's own timer ends the attempt before the timeouts of its connection do.
 constexpr Milliseconds kDeadlineMargin{20};
@@ -60,7 +61,7 @@
   weights_ = protocol_.weightsOf(stream.head());
   fromOtherServer_ = protocol_.namesOtherServer(dispatch.server, stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
-    // Drains the body, so that the connection can be reused. The head has said all.
+    // Drains the body, so that the connection can be reused.
     stream.setBodyTimeout(kRefusalBodyTimeout);
     const Result<http::BodyPiece> rest = co_await stream.read();
     if (rest && !rest.value().end) {
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -265,6 +265,7 @@
   http::ExchangeOptions options;
   options.headerTimeout = timeout;
   options.bodyTimeout = timeout;
+  http::boundToShortAnswer(options);
   auto opened = co_await context_.client.send(std::move(connection), std::move(*query), options);
   if (!opened) {
     co_return false;
