--- a/tests/platform/limit_changes_test.cc
+++ b/tests/platform/limit_changes_test.cc
@@ -138,6 +138,47 @@
   });
 }
 
+/// Guards against requests under way that are ended by a change of their route.
+BOOST_AUTO_TEST_CASE(requestsUnderWayKeepTheRouteThatTheyWereGranted) {
+  constexpr Milliseconds kWork{1500};
+  const auto work = [this, kWork](const http::Request& message,
+                                  http::ResponseWriter& writer) -> awaitable<void> {
+    co_await pause(kWork);
+    co_await http::respond(writer, ServerStandIn::sealed(message, 200, "done"));
+  };
+  servers[0]->setBehaviour(work);
+  run([this]() -> awaitable<void> {
+    std::size_t served = 0;
+    std::size_t ended = 0;
+    for (const std::string path : {"/once/a", "/safe/a", "/open/a"}) {
+      boost::asio::co_spawn(
+          context,
+          [this, path, &served, &ended]() -> awaitable<void> {
+            http::Request message = request(path);
+            const Result<http::Response> answer = co_await call(std::move(message));
+            served += answer && answer.value().body == "done" ? 1 : 0;
+            ++ended;
+          },
+          boost::asio::detached);
+    }
+    co_await pause(Milliseconds(100));
+    boost::json::value lower = configuration(2);
+    for (boost::json::value& route : lower.at("routes").as_array()) {
+      route.at("timeout_ms") = 300;
+    }
+    store.put("config", "main", std::move(lower));
+    co_await pause(Milliseconds(500));
+    boost::json::value without = configuration(3);
+    without.at("routes").as_array().resize(1);
+    without.at("routes").at(0).at("path_prefix") = "/another/";
+    store.put("config", "main", std::move(without));
+    co_await waitUntil([&ended] { return ended == 3; });
+    BOOST_TEST(served == 3U);
+    const Result<http::Response> late = co_await call(request("/safe/b"));
+    BOOST_TEST((late && late.value().status == 404U));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
