--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -8,7 +8,7 @@
 
 using boost::asio::awaitable;
 constexpr unsigned kFirstServerErrorStatus = 500;
-/// Time for the body of a refusal, while which the caller waits.
+/// Time for the body of a refusal: its caller waits meanwhile, and the head has said all.
 constexpr Milliseconds kRefusalBodyTimeout{50};
 /// The deadline's own timer ends the attempt before the timeouts of its connection do.
 constexpr Milliseconds kDeadlineMargin{20};
--- a/src/forward/silence_watch.cc
+++ b/src/forward/silence_watch.cc
@@ -50,7 +50,7 @@
   std::optional<MonotonicTime> silentUntil;
 };
 
-SilenceWatch::SilenceWatch(asio::any_io_executor executor, Permission mayMove,
+SilenceWatch::SilenceWatch(const asio::any_io_executor& executor, Permission mayMove,
                            std::function<void()> onMove)
     : state_(std::make_shared<State>(executor, std::move(mayMove), std::move(onMove))) {}
 
--- a/src/forward/silence_watch.h
+++ b/src/forward/silence_watch.h
@@ -18,7 +18,7 @@
 
   /// @param mayMove empty: the watch does nothing.
   /// @param onMove called at most once, after a permission.
-  SilenceWatch(boost::asio::any_io_executor executor, Permission mayMove,
+  SilenceWatch(const boost::asio::any_io_executor& executor, Permission mayMove,
                std::function<void()> onMove);
   ~SilenceWatch();
   SilenceWatch(const SilenceWatch&) = delete;
