gateway_soak_silences: a head that nobody could read is no begun answer

50.638 n3 sends s380 (safe, target 400 ms) to app-1, which stands still 52.034 app-1 wakes and reads it 52.038 n3 leaves app-1: 3.5 targets have passed without a head, and app-3 may take the request over 52.041 app-1 writes its head to the connection that n3 has closed ("nobody reads it") 53.520 n3 sends s380 to app-3: the tenant's limit had been lowered, and the units came 1.48 s later

So the server had begun nothing that its node could see. A request whose head has not come within 3.5 targets may go to another server (docs/design/silent-servers.md), and the wait for units after that is the row of docs/OPEN.md. The check allows 100 ms from a head to the next run, which covered this case except where the next dispatch waits.

The stand-in now waits until it runs, looks whether the node has left, and only then counts its head as written; a node that leaves after the head is still found. The bounds are unchanged.

--- a/tests/gateway_soak/silences.cc
+++ b/tests/gateway_soak/silences.cc
@@ -149,9 +149,14 @@
   stopIfDue(0);
   http::Response head = ServerStandIn::sealed(request, 200, "");
   head.headers.set("Content-Type", isStream(kind) ? "text/event-stream" : "text/plain");
+  co_await server.stoppable->untilRunning();
+  // A head that is written after its node has left the server shows it no beginning.
+  const bool left = writer.callerGone();
   static_cast<void>(co_await writer.startStream(std::move(head)));
-  run.headAt = monotonicNow();
-  run.wrote(*run.headAt);
+  run.wrote(monotonicNow());
+  if (!left) {
+    run.headAt = run.lastWriteAt;
+  }
   for (std::size_t number = first; number < pieces.size() && lives(); ++number) {
     stopIfDue(1 + number);
     const std::size_t half = draws.pick(4) == 0 ? draws.pick(pieces[number].size()) : 0;
--- a/tests/gateway_soak/silences_check.h
+++ b/tests/gateway_soak/silences_check.h
@@ -19,6 +19,7 @@
   std::string server;
   /// The request came at this time at the latest; sooner where the server stood still.
   MonotonicTime sentAt;
+  /// Empty too if the node had left before the head was written.
   std::optional<MonotonicTime> headAt;
   MonotonicTime lastWriteAt;
   /// Between two writes; the first counts from the beginning.
--- a/tests/gateway_soak/stoppable_server.cc
+++ b/tests/gateway_soak/stoppable_server.cc
@@ -172,6 +172,10 @@
   return monotonicNow() < state_->stoppedUntil;
 }
 
+awaitable<void> StoppableServer::untilRunning() {
+  return state_->untilRunning();
+}
+
 std::vector<std::string> StoppableServer::crash() {
   boost::system::error_code ignored;
   state_->acceptor.close(ignored);
--- a/tests/gateway_soak/stoppable_server.h
+++ b/tests/gateway_soak/stoppable_server.h
@@ -28,6 +28,8 @@
   Endpoint listen();
   void standStill(Milliseconds time);
   bool standsStill() const;
+  /// Until it does not stand still, as the handler's next write waits.
+  boost::asio::awaitable<void> untilRunning();
   /// The process ends: nothing listens, and all connections send FIN. Returns the ids of the
   /// requests that it had not read, as it stood still.
   std::vector<std::string> crash();
