answer_relay: events out of order leave the position of the last event that was passed on

A server whose event numbers ran backwards fails its attempt, but the relay kept the wrong number and the mark of disorder: the next server was asked to go on after an event that the caller had not got, and its first bytes failed as well, so that the stream broke off. The relay now goes back to the last event that it passed on.

--- a/src/forward/answer_relay.cc
+++ b/src/forward/answer_relay.cc
@@ -35,10 +35,12 @@
 }
 
 awaitable<Result<void>> AnswerRelay::relayBytes(std::string_view bytes) {
+  const std::optional<EventNumber> lastPassed = splitter_.lastEvent();
   splitter_.feed(bytes);
   const std::size_t before = splitter_.events();
   const std::string events = splitter_.takeWholeEvents();
   if (!splitter_.inOrder()) {
+    continueAfter(lastPassed);
     co_return fail(ErrorKind::kProtocolViolation,
                    "the event numbers of the server's stream do not increase");
   }
@@ -109,8 +111,12 @@
 }
 
 void AnswerRelay::dropPartialEvent() {
+  continueAfter(splitter_.lastEvent());
+}
+
+void AnswerRelay::continueAfter(std::optional<EventNumber> number) {
   EventSplitter next;
-  next.startAfter(splitter_.lastEvent());
+  next.startAfter(number);
   splitter_ = std::move(next);
 }
 
--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -75,6 +75,8 @@
   void abort() { writer_.abort(); }
 
  private:
+  /// Forgets all bytes that were not passed on; the next event follows `number`.
+  void continueAfter(std::optional<EventNumber> number);
   /// What follows the last whole event has become too long to be held.
   boost::asio::awaitable<Result<void>> passLongRest();
 
