forwarder: a caller who leaves a waiting request is no broken answer, and a look for a server no retry

While a request whose server was given up waits for another one, each turn of 50 ms without a server counted and logged a retry (11 in 1.3 s of the test), and a caller who left meanwhile was counted and logged as request_broken with the cause of the earlier failure. Now only a dispatch that was sent is followed by request_retried, and the caller's leaving is caller_gone.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -42,6 +42,10 @@
          failure == ErrorKind::kStreamVersionGone;
 }
 
+Error callerGoneError() {
+  return fail(ErrorKind::kCallerGone, "the caller disconnected");
+}
+
 }  // namespace
 
 Forwarder::Forwarder(ForwardContext context, ForwardSettings settings, GateSettings gate,
@@ -201,13 +205,16 @@
     if (!allowed && co_await waitForAnotherServer(job, allowed.error().kind)) {
       continue;
     }
+    if (!allowed && job.writer.callerGone()) {
+      co_return callerGoneError();
+    }
     if (!allowed) {
       // If another dispatch is not allowed, the failure of the previous one is reported.
       co_return job.attempts.sent == 0 ? allowed : outcome;
     }
     if (job.writer.callerGone()) {
       job.limitUse.giveBack(context_.quota);
-      co_return fail(ErrorKind::kCallerGone, "the caller disconnected");
+      co_return callerGoneError();
     }
     outcome = co_await dispatchOnce(job);
     if (outcome) {
@@ -221,16 +228,18 @@
       co_return outcome;
     }
     if (job.writer.callerGone()) {
-      co_return fail(ErrorKind::kCallerGone, "the caller disconnected");
+      co_return callerGoneError();
     }
     if (job.expired) {
       co_return fail(ErrorKind::kDeadlineExceeded, "the deadline of the request has passed");
     }
     if (!takeRetry(job, failure) && !co_await waitForAnotherServer(job, failure)) {
-      co_return outcome;
+      co_return job.writer.callerGone() ? callerGoneError() : outcome;
+    }
+    if (!wasNotSent(failure)) {
+      context_.metrics.countRetry(errorRow(failure).name);
+      logRetried(job.request.id, job.lastServer, outcome.error());
     }
-    context_.metrics.countRetry(errorRow(failure).name);
-    logRetried(job.request.id, job.lastServer, outcome.error());
   }
 }
 
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -34,6 +34,13 @@
     }
   }
 
+  /// Of all nodes that have not started yet.
+  void changeSettings(const std::function<void(gateway::GatewaySettings&)>& change) {
+    for (Node& node : nodes_) {
+      change(node.settings);
+    }
+  }
+
   /// Starts all nodes, waits until they are ready and know each other, and runs the body.
   void run(std::function<boost::asio::awaitable<void>()> body) {
     for (std::size_t number = 0; number < nodes_.size(); ++number) {
--- a/tests/platform/left_streams_test.cc
+++ b/tests/platform/left_streams_test.cc
@@ -1,7 +1,7 @@
 // Guards against begun streams that are lost after they have left a silent server, because their
 // next dispatch is refused for the moment.
 
-#include "gateway_fixture.h"
+#include "gateway_fleet.h"
 #include "unframed_server.h"
 
 namespace calicodrift::testing {
@@ -196,5 +196,52 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(platform_left_streams_metrics)
+
+/// Guards against metrics that count a caller who leaves while its request waits as a broken
+/// answer, and each look for a server as a retry.
+BOOST_AUTO_TEST_CASE(aCallerWhoLeavesAWaitingStreamIsNoBrokenAnswer) {
+  GatewayFleet fleet(1, 0);
+  fleet.changeSettings([](gateway::GatewaySettings& settings) { settings.retryFloor = 10; });
+  UnframedServer first(fleet.context, "llm-1", "llm");
+  UnframedServer second(fleet.context, "llm-2", "llm");
+  std::size_t runs = 0;
+  for (UnframedServer* server : {&first, &second}) {
+    server->setBody([&runs](const http::Request& request) -> ScriptedAnswer {
+      if (++runs == 1) {
+        return {{events(1, 2)}, ConnectionEnd::kSilence};
+      }
+      return {
+          {ScriptedServer::head("Content-Length: 0\r\nX-Not-Executed: 1\r\nRetry-After: "
+                                "5\r\nX-Request-Id: " +
+                                    request.headers.get(platform::kRequestId) + "\r\n",
+                                "503 Service Unavailable")}};
+    });
+    fleet.store.put("servers", server->id(), server->entry());
+  }
+  fleet.run([&]() -> awaitable<void> {
+    http::Client caller(fleet.context.get_executor());
+    http::ExchangeOptions options;
+    options.bodyTimeout = Milliseconds(2500);
+    http::Request stream = GatewayFleet::modelRequest("/stream/a", "prompt");
+    stream.headers.set(platform::kDeadline, std::to_string(kDeadline.count()));
+    const Result<http::Response> answer =
+        co_await caller.exchange(fleet.node(0).endpoint(), std::move(stream), options);
+    BOOST_TEST(!answer);
+    BOOST_TEST(runs >= 2U, "it did not leave the silent server");
+    co_await fleet.pause(kSlack);
+    const std::string page = co_await fleet.askNode(0, "GET", "/metrics");
+    const auto has = [&page](const std::string& line) {
+      return page.find(line) != std::string::npos;
+    };
+    BOOST_TEST(has("calicodrift_forward_unfinished_answers_total{cause=\"caller_gone\"} 1\n"));
+    BOOST_TEST(has("calicodrift_forward_retries_total{cause=\"deadline_exceeded\"} 1\n"));
+    BOOST_TEST(!has("calicodrift_forward_retries_total{cause=\"overloaded\"}"));
+    BOOST_TEST(!has("calicodrift_forward_retries_total{cause=\"no_backend\"}"));
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace calicodrift::testing
