A planned stop answers the requests that it can't finish

At drain-timeout-ms a node closed the connections of requests that still waited for their server, for a silent server's word, or for another server: their callers got neither an answer nor a refusal. 200 ms before the end the node now answers all requests whose callers have got nothing: 503 with kDraining if no server may have run them, else 502. Begun answers go on until the end. Such an end is no evidence about a server or a version on trial. The line "stopped" tells ended_requests. The test failed before: the process ended without an answer.

--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -93,6 +93,8 @@
   MonotonicTime end;
   boost::asio::steady_timer timer;
   bool expired = false;
+  /// Whether it expired because this node stops.
+  bool endedByStop = false;
   AttemptCount attempts;
   std::shared_ptr<ServerAttempt> attempt;
   /// A server's 5xx answer, delivered if no other server succeeds.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -46,6 +46,10 @@
   return fail(ErrorKind::kCallerGone, "the caller disconnected");
 }
 
+Error stopError() {
+  return fail(ErrorKind::kDraining, "this node stops");
+}
+
 }  // namespace
 
 Forwarder::Forwarder(ForwardContext context, ForwardSettings settings, GateSettings gate,
@@ -109,7 +113,26 @@
   }
   auto job = std::make_shared<Job>(std::move(request.value()), std::move(grant.value()), writer,
                                    context_.executor);
-  co_await serve(std::move(job));
+  jobs_.insert(job);
+  co_await serve(job);
+  jobs_.erase(job);
+}
+
+std::size_t Forwarder::answerBeforeStop() {
+  // Cancelling may resume a request, which ends and leaves the set.
+  const std::vector<std::weak_ptr<Job>> jobs(jobs_.begin(), jobs_.end());
+  std::size_t ended = 0;
+  for (const std::weak_ptr<Job>& weak : jobs) {
+    const std::shared_ptr<Job> job = weak.lock();
+    if (!job || job->relay.begun() || job->expired) {
+      continue;
+    }
+    job->expired = true;
+    job->endedByStop = true;
+    job->cancelAttempt();
+    ++ended;
+  }
+  return ended;
 }
 
 awaitable<void> Forwarder::serve(std::shared_ptr<Job> job) {
@@ -216,6 +239,10 @@
       job.limitUse.giveBack(context_.quota);
       co_return callerGoneError();
     }
+    if (job.endedByStop) {
+      job.limitUse.giveBack(context_.quota);
+      co_return stopError();
+    }
     outcome = co_await dispatchOnce(job);
     if (outcome) {
       co_return outcome;
@@ -230,6 +257,9 @@
     if (job.writer.callerGone()) {
       co_return callerGoneError();
     }
+    if (job.endedByStop) {
+      co_return stopError();
+    }
     if (job.expired) {
       co_return fail(ErrorKind::kDeadlineExceeded, "the deadline of the request has passed");
     }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -92,6 +93,10 @@
   /// Cancels dispatches that servers have not begun on weights below `least`; the requests are
   /// retried elsewhere or end.
   void recallWaiting(const ModelId& model, WeightsVersion least);
+  /// Answers all requests whose callers have got nothing yet, as this node is about to stop: an
+  /// answer that tells what is known of their runs is worth more than a closed connection. Begun
+  /// answers go on. Returns the number of requests.
+  std::size_t answerBeforeStop();
   /// Locations of cached prefixes, exchanged with other nodes.
   CacheMoves& cacheMoves() { return cacheMoves_; }
 
@@ -227,6 +232,8 @@
   CrashCheck crashCheck_;
   CrashFollowUp crashFollowUp_;
   AnswerEndCheck answerEndCheck_;
+  /// Requests that are being served.
+  std::set<std::weak_ptr<Job>, std::owner_less<>> jobs_;
   MonotonicTime startedAt_ = monotonicNow();
   std::mt19937_64 random_;
 };
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -201,8 +201,8 @@
   }
   const bool gaveUpConnecting = attempt->leftSilentServer() && notSent;
   // A connection that this node closed, or a path that was lost, is no evidence about the server.
-  const bool aboutServer =
-      !attempt->recalled() && !gaveUpConnecting && !job.writer.callerGone() && !isPathLost(outcome);
+  const bool aboutServer = !attempt->recalled() && !gaveUpConnecting && !job.endedByStop &&
+                           !job.writer.callerGone() && !isPathLost(outcome);
   if (aboutServer) {
     observe(job, dispatch, chosen, classifyEnd(*attempt, outcome, job.streaming(), job.expired),
             startMs);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -540,6 +540,8 @@
 awaitable<void> GatewayNode::finishDrain() {
   constexpr Milliseconds kCheckInterval{20};
   constexpr Milliseconds kQuiet{100};
+  /// Before the end, for answers to requests that can't be served in time.
+  constexpr Milliseconds kLastAnswers{200};
   const MonotonicTime begin = monotonicNow();
   const MonotonicTime end = begin + settings_.drainTimeout;
   asio::steady_timer timer(context_);
@@ -549,15 +551,20 @@
   front_.closeIdle();
   front_.stopAccepting();
   MonotonicTime busyAt = monotonicNow();
+  std::size_t endedRequests = 0;
   while (monotonicNow() < end && monotonicNow() - busyAt < kQuiet) {
     timer.expires_after(kCheckInterval);
     co_await timer.async_wait(asio::use_awaitable);
     if (front_.busyConnections() > 0 || tunnels_.open() > 0) {
       busyAt = monotonicNow();
     }
+    if (monotonicNow() >= end - kLastAnswers) {
+      endedRequests += forwarder_.answerBeforeStop();
+    }
   }
   log::write(log::Level::kInfo, "stopped",
-             {{"cut_requests", std::to_string(front_.busyConnections())},
+             {{"ended_requests", std::to_string(endedRequests)},
+              {"cut_requests", std::to_string(front_.busyConnections())},
               {"cut_tunnels", std::to_string(tunnels_.open())}});
   context_.stop();
 }
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -471,6 +471,33 @@
   });
 }
 
+/// Guards against requests that a planned stop ends without an answer, as their servers are silent
+/// for longer than the stop may last.
+BOOST_AUTO_TEST_CASE(stopAnswersRequestsThatCannotBeServedInTime) {
+  store.put("config", "main", configuration(1));
+  addServer("i-1", "app")
+      .setBehaviour([&](const http::Request&, http::ResponseWriter&) -> awaitable<void> {
+        asio::steady_timer timer(context, std::chrono::seconds(20));
+        co_await timer.async_wait(asio::use_awaitable);
+      });
+  settings.drainTimeout = Milliseconds(1000);
+  run([&]() -> awaitable<void> {
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+          asio::steady_timer timer(context, Milliseconds(100));
+          co_await timer.async_wait(asio::use_awaitable);
+          node->drain();
+        },
+        asio::detached);
+    http::Request once = request("/once/a");
+    const Result<http::Response> answer = co_await call(std::move(once));
+    BOOST_REQUIRE(static_cast<bool>(answer));
+    BOOST_TEST(answer.value().status == 502U);
+    BOOST_TEST(!answer.value().headers.find(platform::kNotExecuted));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(stopClosesIdleConnections) {
   store.put("config", "main", configuration(1));
   addServer("i-1", "app");
