--- a/tests/forward/silence_watch_test.cc
+++ b/tests/forward/silence_watch_test.cc
@@ -65,6 +65,18 @@
   BOOST_TEST(moved == 1);
 }
 
+/// Guards against answers that are given up though their server keeps sending: the timer of an
+/// earlier wait is still set while a later one has just begun.
+BOOST_AUTO_TEST_CASE(timerOfAnEarlierWaitEndsNoLaterOne) {
+  watch.begin(kPatience);
+  pass(kPatience / 2);
+  watch.end();
+  watch.begin(10 * kPatience);
+  pass(3 * kPatience);
+  BOOST_TEST(asked == 0);
+  BOOST_TEST(moved == 0);
+}
+
 BOOST_AUTO_TEST_CASE(watchMayEndBeforeItsTimer) {
   {
     SilenceWatch shorter(
--- a/tests/platform/unframed_answers_test.cc
+++ b/tests/platform/unframed_answers_test.cc
@@ -1,7 +1,11 @@
 // Guards against short answers that reach their callers framed as whole: servers may answer with
 // neither a length nor chunks, and the end of such an answer looks like the end of its server.
 
+#include <map>
+
 #include "gateway_fleet.h"
+#include "sim/fault_proxy.h"
+#include "support/hanging_listener.h"
 #include "unframed_server.h"
 
 namespace calicodrift::testing {
@@ -213,6 +217,64 @@
   });
 }
 
+/// Guards against answers that count as whole although the node that carried them has never said
+/// who ended them: it may have done so itself.
+BOOST_AUTO_TEST_CASE(answerWhoseCarryingNodeStaysSilentIsNotDeliveredAsWhole) {
+  GatewayFleet fleet(3, 0);
+  UnframedServer app(fleet.context, "unframed-app", "app");
+  fleet.store.remove("servers", "app");
+  fleet.store.put("servers", app.id(), app.entry());
+  HangingListener unreachable(fleet.context);
+  std::map<Endpoint, std::unique_ptr<sim::FaultProxy>> proxies;
+  std::map<Endpoint, Endpoint> proxyOf;
+  bool reachable = true;
+  fleet.addressOf = [&](std::size_t node, const Endpoint& endpoint) {
+    if (node != 0 || endpoint == fleet.store.endpoint()) {
+      return endpoint;
+    }
+    if (endpoint == app.server().endpoint()) {
+      return reachable ? endpoint : unreachable.endpoint();
+    }
+    const auto found = proxyOf.find(endpoint);
+    if (found != proxyOf.end()) {
+      return found->second;
+    }
+    auto& proxy = proxies[endpoint];
+    proxy = std::make_unique<sim::FaultProxy>(fleet.context, endpoint);
+    return proxyOf[endpoint] = proxy->listen({"127.0.0.1", 0}).value();
+  };
+  bool swallow = false;
+  app.setBody([&](const http::Request&) -> ScriptedAnswer {
+    if (swallow) {
+      // The answer still comes through the other node; what is asked of that one later does not.
+      sim::ProxyFaults faults;
+      faults.swallowRequests = true;
+      for (const auto& [endpoint, proxy] : proxies) {
+        proxy->apply(faults);
+      }
+      reachable = true;
+    }
+    return {{"a whole ", "answer"}, ConnectionEnd::kClose, Milliseconds(2)};
+  });
+  fleet.run([&]() -> awaitable<void> {
+    reachable = false;
+    http::Request first = GatewayFixture::request("/safe/a");
+    const Result<http::Response> carried = co_await fleet.exchange(0, std::move(first));
+    BOOST_TEST((carried && carried.value().body == "a whole answer"));
+    const std::string metrics = co_await fleet.askNode(0, "GET", "/metrics");
+    BOOST_TEST(metrics.find("calicodrift_forward_answer_ends_total{end=\"confirmed\"} 1") !=
+               std::string::npos);
+    swallow = true;
+    http::Request request = GatewayFixture::request("/once/a");
+    request.headers.set(platform::kDeadline, "2500");
+    const Result<http::Response> answer = co_await fleet.exchange(0, std::move(request));
+    BOOST_TEST((!answer || answer.value().status != 200U));
+    const std::string after = co_await fleet.askNode(0, "GET", "/metrics");
+    BOOST_TEST(after.find("calicodrift_forward_answer_ends_total{end=\"tunnel_silent\"} 1") !=
+               std::string::npos);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
