A connection that began before its server's last answer proves no loss of the server

44.72 n1-57 begins to connect to the service's only server; the connection hangs 45.00 n1-64 and n1-78 have their answers from it, through another node 45.019 n1-57's connection fails after 300 ms: the server is out of use, n1-57 is refused (503) 45.165 n1-71, begun at 44.86, fails in the same way: "lost" a second time, so held off for 0.5 s 45.08 to 45.89 n1 refuses everything, though the server had answered throughout

A failed connection tells of the time since it was begun; an answer that came later is the newer evidence. The pool now keeps the time of a server's last answer, and such a failure changes nothing: the request is sent again as before. Cost where the server has really gone in between: one more failed connection. Silent servers that accept late meet the same rule.

Tests: platform_silent_connections failed before (503 and 503 instead of 200); connectionThatBeganBeforeAnAnswerProvesNoLoss is of the new functions.

--- a/src/fleet/server_pool.cc
+++ b/src/fleet/server_pool.cc
@@ -104,6 +104,20 @@
   }
 }
 
+void ServerPool::recordFailedConnect(const BackendId& id, MonotonicTime begunAt,
+                                     MonotonicTime now) {
+  const Entry* entry = entryOf(id);
+  if (entry != nullptr && entry->heardAt <= begunAt) {
+    markUnreachable(id, now);
+  }
+}
+
+void ServerPool::recordHeard(const BackendId& id, MonotonicTime now) {
+  if (Entry* entry = entryOf(id)) {
+    entry->heardAt = now;
+  }
+}
+
 void ServerPool::probeSucceeded(const BackendId& id, MonotonicTime now) {
   if (Entry* entry = entryOf(id)) {
     entry->health.probeSucceeded(now);
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -119,6 +119,11 @@
 
   /// Excludes the server, to which nothing could be sent, until probeSucceeded().
   void markUnreachable(const BackendId& id, MonotonicTime now);
+  /// The same after a connection that was begun at `begunAt` has failed, unless the server was
+  /// heard since then: it stood still for a while, or has been reached on another path.
+  void recordFailedConnect(const BackendId& id, MonotonicTime begunAt, MonotonicTime now);
+  /// Records that the head of an answer of the server has arrived.
+  void recordHeard(const BackendId& id, MonotonicTime now);
   void probeSucceeded(const BackendId& id, MonotonicTime now);
   /// Deprioritizes a server that refused a request without running it: until `until` it is used
   /// only if no other is left.
@@ -272,6 +277,8 @@
 
     Server server;
     BackendHealth health;
+    /// When the head of its last answer arrived.
+    MonotonicTime heardAt{};
     MonotonicTime pausedUntil{};
     std::size_t outstanding = 0;
     std::size_t outstandingTokens = 0;
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -110,6 +110,8 @@
   /// Whether the last dispatch ended with a server's 5xx answer, which was kept.
   bool ranToServerError = false;
   BackendId lastServer;
+  /// When the present dispatch began.
+  MonotonicTime dispatchedAt{};
   /// When the first bytes of the present dispatch's answer arrived.
   std::optional<MonotonicTime> begunAt;
   /// Whether that answer has gone on for long enough to show that the prompt does not crash
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -152,6 +152,7 @@
       chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest,
       permissionsOf(job));
   job.attempt = attempt;
+  job.dispatchedAt = sent;
   job.failoverGranted = false;
   job.begunAt.reset();
   job.sustained = false;
@@ -434,6 +435,8 @@
   }
   switch (outcome.error().kind) {
     case ErrorKind::kConnectFailed:
+      context_.pool.recordFailedConnect(server.id, job.dispatchedAt, now);
+      break;
     case ErrorKind::kFenced:
       context_.pool.markUnreachable(server.id, now);
       break;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -142,6 +142,7 @@
   if (!context_.protocol.isFromServer(server, head)) {
     return;
   }
+  context_.pool.recordHeard(server.id, monotonicNow());
   const ServerNotices notices = context_.protocol.noticesOf(head);
   context_.limits.recordAnswerHead(server, sent.limit, notices.requestLimit);
   if (!notices.unreadable.empty()) {
--- a/tests/fleet/server_pool_test.cc
+++ b/tests/fleet/server_pool_test.cc
@@ -43,6 +43,19 @@
   BOOST_TEST((losses == std::vector{ServerLoss::kDraining, ServerLoss::kRemoved}));
 }
 
+/// Guards against a server that answers and gets no work, because connections that were begun
+/// before fail only now.
+BOOST_AUTO_TEST_CASE(connectionThatBeganBeforeAnAnswerProvesNoLoss) {
+  constexpr Milliseconds kStep{10};
+  pool.apply(makeServer("a", 1), kStart);
+  pool.recordHeard(BackendId("a"), kStart + kStep);
+  pool.recordFailedConnect(BackendId("a"), kStart, kStart + 2 * kStep);
+  BOOST_TEST(usable(kStart + 2 * kStep) == 1U);
+  pool.recordFailedConnect(BackendId("a"), kStart + 2 * kStep, kStart + 3 * kStep);
+  BOOST_TEST(usable(kStart + 3 * kStep) == 0U);
+  BOOST_TEST((losses == std::vector{ServerLoss::kUnreachable}));
+}
+
 /// An address may be given to another server while the former one is still listed.
 BOOST_AUTO_TEST_CASE(serverIsFoundByTheAddressThatItHasNow) {
   Server server = makeServer("a", 1);
--- a/tests/platform/silent_servers_test.cc
+++ b/tests/platform/silent_servers_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "gateway_fleet.h"
+#include "support/hanging_listener.h"
 #include "unframed_server.h"
 
 namespace calicodrift::testing {
@@ -325,5 +326,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(platform_silent_connections)
+
+/// Guards against callers who are refused because one connection to their service's only server
+/// hung, though the server has answered others since.
+BOOST_AUTO_TEST_CASE(aConnectionThatHangsTakesNoAnsweringServerOutOfUse) {
+  GatewayFleet fleet(1, 0);
+  HangingListener hanging(fleet.context);
+  const Endpoint server = fleet.servers.front()->endpoint();
+  bool hangNext = false;
+  fleet.addressOf = [&](std::size_t, const Endpoint& endpoint) {
+    return endpoint == server && std::exchange(hangNext, false) ? hanging.endpoint() : endpoint;
+  };
+  fleet.run([&]() -> awaitable<void> {
+    constexpr Milliseconds kBeforeTheFailure{100};
+    hangNext = true;
+    std::optional<unsigned> first;
+    boost::asio::co_spawn(
+        fleet.context,
+        [&]() -> awaitable<void> {
+          http::Request once = GatewayFixture::request("/once/a");
+          first = co_await fleet.call(0, std::move(once));
+        },
+        boost::asio::detached);
+    co_await fleet.pause(kBeforeTheFailure);
+    BOOST_TEST(!hangNext, "no connection hung");
+    while (!first) {
+      http::Request once = GatewayFixture::request("/once/a");
+      BOOST_TEST(co_await fleet.call(0, std::move(once)) == 200U);
+    }
+    BOOST_TEST(*first == 200U);
+    http::Request last = GatewayFixture::request("/once/a");
+    BOOST_TEST(co_await fleet.call(0, std::move(last)) == 200U);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace calicodrift::testing
