--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -9,7 +9,7 @@
 #include "gateway/cache_stores.h"
 #include "gateway_fixture.h"
 #include "support/direct_paths.h"
-#include "unframed_server.h"
+#include "unframed_fixture.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -46,28 +46,7 @@
   return endless(ScriptedServer::head("Connection: close\r\n"), " ", kDrip);
 }
 
-struct Fixture : GatewayFixture {
-  Fixture() {
-    // A second try for each broken answer.
-    settings.retryFloor = 10;
-    store.put("config", "main", configuration(1));
-    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
-  }
-  UnframedServer& addUnframed(const std::string& id, const std::string& service) {
-    unframed.push_back(std::make_unique<UnframedServer>(context, id, service));
-    store.put("servers", id, unframed.back()->entry());
-    return *unframed.back();
-  }
-  void addTwoOfEachService() {
-    addUnframed("app-1", "app");
-    addUnframed("app-2", "app");
-    addUnframed("llm-1", "llm");
-    addUnframed("llm-2", "llm");
-  }
-  static bool isStream(std::string_view path) { return path.starts_with("/stream"); }
-  static std::string wholeBody(const std::string& path) {
-    return isStream(path) ? events(1, 4) : "a whole answer";
-  }
+struct Fixture : UnframedFixture {
   static ScriptedAnswer framed(const http::Request& request, const std::string& body,
                                const std::string& type = "text/event-stream") {
     return {{ScriptedServer::head("X-Request-Id: " + request.headers.get(platform::kRequestId) +
@@ -150,12 +129,6 @@
       BOOST_TEST(seen.bytesTaken < kMostBytesTaken);
     }
   }
-  awaitable<void> pause(Milliseconds time) {
-    boost::asio::steady_timer timer(context, time);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-  }
-
-  std::vector<std::unique_ptr<UnframedServer>> unframed;
 };
 
 BOOST_FIXTURE_TEST_SUITE(platform_endless_answers, Fixture)
--- a/tests/platform/silent_servers_test.cc
+++ b/tests/platform/silent_servers_test.cc
@@ -6,7 +6,7 @@
 
 #include "gateway_fleet.h"
 #include "support/hanging_listener.h"
-#include "unframed_server.h"
+#include "unframed_fixture.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -23,24 +23,7 @@
 constexpr std::size_t kBeforeEnd = 3;
 constexpr std::size_t kAfterEnd = 4;
 
-struct Fixture : GatewayFixture {
-  Fixture() {
-    // A second try for each answer that is taken for lost.
-    settings.retryFloor = 10;
-    store.put("config", "main", configuration(1));
-    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
-  }
-  void addTwoOfEachService() {
-    addUnframed("app-1", "app");
-    addUnframed("app-2", "app");
-    addUnframed("llm-1", "llm");
-    addUnframed("llm-2", "llm");
-  }
-  UnframedServer& addUnframed(const std::string& id, const std::string& service) {
-    unframed.push_back(std::make_unique<UnframedServer>(context, id, service));
-    store.put("servers", id, unframed.back()->entry());
-    return *unframed.back();
-  }
+struct Fixture : UnframedFixture {
   std::size_t runs() const {
     std::size_t sum = 0;
     for (const auto& server : unframed) {
@@ -48,10 +31,6 @@
     }
     return sum;
   }
-  static bool isStream(std::string_view path) { return path.starts_with("/stream"); }
-  static std::string wholeBody(const std::string& path) {
-    return isStream(path) ? events(1, 4) : "a whole answer";
-  }
   /// Whole answers without a length; each server stops at the given moment of it.
   void answerWithStops(std::size_t moment, Milliseconds time) {
     for (const auto& server : unframed) {
@@ -83,12 +62,6 @@
     http::Request message = isStream(path) ? modelRequest(path) : request(path);
     co_return co_await call(std::move(message));
   }
-  awaitable<void> pause(Milliseconds time) {
-    boost::asio::steady_timer timer(context, time);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-  }
-
-  std::vector<std::unique_ptr<UnframedServer>> unframed;
 };
 
 BOOST_FIXTURE_TEST_SUITE(platform_silent_servers, Fixture)
--- a/tests/platform/unframed_answers_test.cc
+++ b/tests/platform/unframed_answers_test.cc
@@ -6,25 +6,14 @@
 #include "gateway_fleet.h"
 #include "sim/fault_proxy.h"
 #include "support/hanging_listener.h"
-#include "unframed_server.h"
+#include "unframed_fixture.h"
 
 namespace calicodrift::testing {
 namespace {
 
 using boost::asio::awaitable;
 
-struct Fixture : GatewayFixture {
-  Fixture() {
-    // A second try for each broken answer.
-    settings.retryFloor = 10;
-    store.put("config", "main", configuration(1));
-    store.put("versions", "m", boost::json::object{{"model", "m"}, {"version", 1}});
-  }
-  UnframedServer& addUnframed(const std::string& id, const std::string& service) {
-    unframed.push_back(std::make_unique<UnframedServer>(context, id, service));
-    store.put("servers", id, unframed.back()->entry());
-    return *unframed.back();
-  }
+struct Fixture : UnframedFixture {
   /// Ends the first run as given, and answers all later ones whole.
   static UnframedServer::Body firstRunEnds(const std::shared_ptr<bool>& first, std::string body,
                                            ConnectionEnd end) {
@@ -47,8 +36,6 @@
     http::Request message = modelRequest(path);
     co_return co_await call(std::move(message));
   }
-
-  std::vector<std::unique_ptr<UnframedServer>> unframed;
 };
 
 BOOST_FIXTURE_TEST_SUITE(platform_unframed_answers, Fixture)
