--- a/src/forward/answer_relay.h
+++ b/src/forward/answer_relay.h
@@ -51,8 +51,8 @@
   /// Starts relaying a server's stream: sends the head, unless one was sent before, and resets the
   /// event timing.
   boost::asio::awaitable<Result<void>> begin(http::Response head);
-  /// Most bytes of one event, which are held until it is whole. Far more than a token's event or a
-  /// whole answer in a single one takes; a stream that exceeds it sends no events.
+  /// Most bytes of one event, which are held until it is whole; a stream that exceeds it sends no
+  /// events.
   static constexpr std::size_t kMaxEventBytes = 1'048'576;
   /// Relays bytes of a server's stream. Fails with kCallerGone, or with kProtocolViolation if the
   /// event numbers don't follow the earlier ones or an event is longer than kMaxEventBytes.
--- a/src/server_paths/path_checks.cc
+++ b/src/server_paths/path_checks.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t kProbesPerTick = 16;
 /// Losses within this time after a sweep has begun do not begin another one.
 constexpr Milliseconds kSweepInterval{1000};
-/// A direct question stays outstanding for so long: longer than it takes to ask a few other nodes.
+/// A direct question stays outstanding for so long, as other nodes are asked meanwhile.
 constexpr Milliseconds kDirectQuestionTime{1000};
 /// What was asked first may be answered so long after what was asked later.
 constexpr Milliseconds kAnswerOrderGrace{50};
