--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -161,10 +161,10 @@
         if method == "DELETE":
             await self.put(kind, name, gone=True)
             return json_answer(200, {})
-        if parts[-1] == "status" and len(parts) == 3:
-            entry = await self.put(kind, name, status=value.get("status"))
-        else:
-            entry = await self.put(kind, name, value.get("spec"))
+        part = "status" if parts[-1] == "status" and len(parts) == 3 else "spec"
+        if value.get(part) != entry[part]:
+            # One that changes nothing raises no revision and no event.
+            entry = await self.put(kind, name, **{part: value.get(part)})
         return json_answer(200, self.view(name, entry))
 
     async def serve(self, reader, writer):
@@ -386,6 +386,7 @@
         self.runs.append({"id": ident, "at": time.monotonic()})
         self.record(f"server {self.name} of {self.service} runs {ident}")
         await asyncio.sleep(self.work_s)
+        self.record(f"server {self.name} answers 200 to {ident}")
         return message(200, same + [("X-Response-Seal", "seal." + ident)], ident.encode())
 
     async def serve(self, reader, writer):
@@ -423,6 +424,7 @@
     lines = [f"POST {path} HTTP/1.1", "Host: h.example", f"X-Request-Id: {ident}",
              f"X-Deadline-Ms: {deadline_ms}", f"X-Key: {key}", "Content-Length: 2", "", "{}"]
     status = 0
+    record(f"client sends {ident} to {node.name}")
     try:
         reader, writer = await connect(node.front)
         writer.write("\r\n".join(lines).encode())
@@ -455,7 +457,7 @@
         settings = {
             "node-id": name, "zone": "z1", "listen": ports["front"],
             "ready-listen": ports["ready"], "metrics-listen": ports["metrics"],
-            "store": store.address, "weights-bound-ms": "10000", "revocation-bound-ms": "5000",
+            "store": store.address, "weights-bound-ms": "8000", "revocation-bound-ms": "5000",
             "config-bound-ms": "2000", "drain-bound-ms": "2000", "stop-bound-s": "8",
             "lease-bound-ms": "3000", "first-start": "true", "link-mbps": "1000.0",
             "relay-group": "r1", "relay-groups": "r1", "zone-regions": "z1=r1",
