--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,67 +1,83 @@
-"""WALL: a tenant becomes isolated by a change of the configuration, and parts that its requests
-made before go on to serve the requests of others."""
+"""WALL: a configuration isolates a tenant. What its requests left in the servers' memory before stays
+under the salt that all other tenants share, and their requests go on to use it."""
 
 import asyncio
+import collections
 import os
+import random
 import sys
 import time
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "standins"))
-import platform_standins as p  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+from platform_standins import (Deployment, ask, configuration, engine_service, route, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CONFIG_APPLY_S, CONTACT_S = 2.0, 3.0
-PROMPTS = 12
+SEED = int(os.environ.get("SEED", "1"))
+NODES, SERVERS, RATE = 3, 4, 30.0
+BEFORE_S, AFTER_S = 6.0, 14.0
+# config_apply_ms of the site, and as much again for what was sent before.
+SETTLED_S = 4.0
 
 
 def tenants(isolated):
-    return [{"name": "ten1", "api_keys": ["key1"], "priority": 1, "isolated": isolated},
-            {"name": "ten2", "api_keys": ["key2"], "priority": 1, "isolated": False}]
-
-
-def prompt(number, own):
-    return [(f"{number:04x}a", 2000), (f"{number:04x}b", 800), (own, 150)]
+    return [{"name": "alpha", "api_keys": ["ka"], "priority": 1, "isolated": False},
+            {"name": "beta", "api_keys": ["kb"], "priority": 1, "isolated": isolated}]
 
 
 async def main(record):
-    async with p.Deployment(record, 1) as place:
-        config = lambda version, isolated: p.configuration(
-            version, [p.route("r-gen", "/gen/", "llm")], [p.engine_service("llm", "m1")],
-            tenants(isolated))
-        await place.store.put("config", "main", config(3, False))
-        await place.store.put("versions", "m1", {"model": "m1", "version": 1})
-        await place.add_servers(4, "llm", "m1")
-        await place.add_nodes(3)
-        sent = 0
+    random_ = random.Random(SEED)
+    statuses, sent = collections.Counter(), {}
+    async with Deployment(record, SEED) as all_:
+        routes = [route("hint", "/hint/", "oracolo", timeout_ms=5000, priority=0)]
+        services = [engine_service("oracolo", "m0")]
+        await all_.store.put("config", "main", configuration(1, routes, services, tenants(False)))
+        await all_.store.put("versions", "m0", {"model": "m0", "version": 1})
+        await all_.add_servers(SERVERS, "oracolo", "m0")
+        await all_.add_nodes(NODES)
+        calls, number, named_at = set(), 0, None
 
-        async def all_prompts(key):
-            nonlocal sent
-            statuses = []
-            for number in range(PROMPTS):
-                sent += 1
-                node = place.nodes[sent % len(place.nodes)]
-                statuses.append((await p.ask(node, f"q{sent}", "/gen/1", key, "m1",
-                                             prompt(number, f"{sent:06x}"), 4000, record))[0])
-            return statuses
+        async def one(ident, key):
+            prompt = [(f"a{random_.randrange(12):x}", 400), (f"c{ident}", 200)]
+            sent[ident] = time.monotonic()
+            status, _ = await ask(random_.choice(all_.nodes), ident, "/hint/x", key, "m0", prompt,
+                                  5000, record, usage_out=11)
+            statuses[status] += 1
 
-        first = await all_prompts("key1")
-        acknowledged = None
-        if TROUBLE:
-            await place.store.put("config", "main", config(7, True))
-            acknowledged = time.monotonic()
-            record("operator: version 7 is acknowledged; ten1 is isolated from here on")
-        await asyncio.sleep(CONFIG_APPLY_S + CONTACT_S + 1)
-        second = await all_prompts("key2")
-        if not place.alive() or first.count(200) < PROMPTS // 2 or second.count(200) < PROMPTS // 2:
-            record(f"could not run: {first} {second}")
+        begin = time.monotonic()
+        while (now := time.monotonic()) < begin + BEFORE_S + AFTER_S:
+            if named_at is None and now >= begin + BEFORE_S:
+                await all_.store.put("config", "main",
+                                     configuration(2, routes, services, tenants(TROUBLE)))
+                named_at = time.monotonic()
+                record(f"operator: version 2 is accepted, beta isolated={TROUBLE}")
+            number += 1
+            task = asyncio.create_task(one(f"{number:x}", random_.choice(["ka", "kb"])))
+            calls.add(task)
+            task.add_done_callback(calls.discard)
+            await asyncio.sleep(random_.expovariate(RATE))
+        await asyncio.gather(*calls)
+        if not all_.alive():
+            print("a node has ended")
             return 2
-        broken = [run for server in place.servers for run in server.runs
-                  if acknowledged and run["at"] > acknowledged + CONFIG_APPLY_S
-                  for maker in set(run["makers"]) if maker != run["tenant"]
-                  and "ten1" in (maker, run["tenant"])]
-        record(f"{len(broken)} requests used memory of another tenant, one of the two isolated")
-        return 1 if broken else 0
+    broken = []
+    for server in all_.servers:
+        for run in server.runs:
+            late = sent[run["id"]] > named_at + SETTLED_S
+            others = {maker for maker in run["makers"] if maker != run["tenant"]}
+            if TROUBLE and late and (("beta" in others) or (run["tenant"] == "beta" and others)):
+                broken.append(run["id"])
+                record(f"WALL: {run['id']} of {run['tenant']} was sent "
+                       f"{sent[run['id']] - named_at:.1f} s after beta was isolated, and ran at "
+                       f"{server.name} under salt {run['salt']} on {run['kept']} "
+                       f"tokens made by {sorted(others)}")
+    text = (f"statuses {dict(statuses)}, sent {SETTLED_S} s or more after the change "
+            f"{sum(at > named_at + SETTLED_S for at in sent.values())}, of these on memory beyond the "
+            f"wall {len(broken)}")
+    record(text)
+    print(text)
+    if statuses[200] < 0.9 * sum(statuses.values()):
+        return 2
+    return 1 if broken else 0
 
 
-p.run_case(main, os.path.join(HERE, "record.txt"))
+run_case(main, os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
