forward: what is known of the caller when a server is about to get its request

Cause: no line or counter tells whether a caller was still there when its request was sent, how old the checks were, or how old a unit of the server's limit was, so that the hypotheses of docs/incidents/requests-sent-for-callers-that-had-left.md can't be told apart. Change: ServerCalls asks its caller right before the first byte (SendCheck, which always agrees for now); request_sent and calicodrift_forward_departures_before_send_total{wait} tell what it found. ResponseWriter::callerHasClosed() looks at the socket itself, as the event loop may be late. No decision changes.

--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -8,6 +8,7 @@
 
 #include "common/hashing.h"
 #include "forward/answer_relay.h"
+#include "forward/dispatch_wait.h"
 #include "forward/forwarder.h"
 #include "forward/prompt_blocks.h"
 #include "forward/server_attempt.h"
@@ -101,6 +102,11 @@
   std::optional<http::Response> keptFailure;
   std::optional<quarantine::RequestFingerprint> cachedFingerprint;
   std::vector<quarantine::PartFingerprint> cachedParts;
+  /// What the job waits for now, and what it waited for when its caller's close was reported.
+  DispatchWait wait = DispatchWait::kNone;
+  std::optional<DispatchWait> callerLeftIn;
+  /// When it was last checked that the request may be sent.
+  MonotonicTime checkedAt{};
   /// Quarantine permission for the next dispatch or the one in progress.
   quarantine::Trial trial;
   /// Whether a retry was granted before the present dispatch was given up.
@@ -142,6 +148,8 @@
   bool latencyRepresentative = false;
   /// Whether the dispatch consumed a unit of the server's request limit.
   bool usedLimitUnit = false;
+  /// When that unit was asked for.
+  MonotonicTime unitAskedAt{};
   /// Servers that were chosen before this one and had no unit left.
   std::size_t atLimitCount = 0;
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -148,6 +148,7 @@
   });
   job->writer.onCallerGone([weak = std::weak_ptr(job)] {
     if (const auto held = weak.lock()) {
+      held->callerLeftIn = held->wait;
       held->cancelAttempt();
     }
   });
@@ -178,6 +179,7 @@
     co_return boost::outcome_v2::success();
   }
   const bool attemptNamed = job.request.resumes.has_value();
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kStreamVersion);
   const stream_versions::Resolution found =
       co_await context_.streamVersions.resolve(job.streamKey(), job.service, attemptNamed);
   logStreamVersion(job.request, found);
@@ -282,6 +284,7 @@
     co_return boost::outcome_v2::success();
   }
   const auto left = std::chrono::ceil<Milliseconds>(job.end - monotonicNow());
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kAdmission);
   Result<quarantine::Trial> trial = co_await context_.quarantine.admit(
       traits, trialServerRuns(job), std::max(left, Milliseconds(1)));
   if (!trial) {
@@ -292,11 +295,13 @@
 }
 
 awaitable<Result<void>> Forwarder::claimDispatch(Job& job) {
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kTenantLimit);
   Result<void> claimed = co_await job.limitUse.claim(context_.quota);
   if (!claimed) {
     co_return claimed;
   }
   const MonotonicTime now = monotonicNow();
+  job.checkedAt = now;
   Result<void> sendable = gate_.mayBeSent(job.request, job.grant, context_.configuration(), now);
   if (sendable && now >= job.end) {
     // Receiving the body, or the claim, took all of the time.
@@ -345,6 +350,7 @@
     std::erase(job.routeRequest.avoided, job.lastServer);
     pause = std::max(pause, settings_.refusalPause);
   }
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kAnotherServer);
   asio::steady_timer timer(context_.executor);
   while (!job.expired && !job.writer.callerGone()) {
     timer.expires_after(pause);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -143,6 +143,9 @@
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
                                                   const ChosenServer& chosen,
                                                   fleet::LoadGuard& load);
+  /// Records what is known of the caller and of the dispatch's permissions when a server is about
+  /// to get the request.
+  void recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen);
   /// Reports the dispatch as evidence about its server's version.
   /// @param startMs milliseconds from sending the request to the first bytes of the answer's body.
   void observe(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen,
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -42,9 +42,12 @@
       choice = atLimitsError(job, soonest);
       break;
     }
+    const MonotonicTime askedAt = monotonicNow();
+    const DispatchWaitGuard waiting(job.wait, DispatchWait::kServerLimit);
     const server_limits::UnitResult unit = co_await limits.take(server);
     if (unit.granted) {
       choice.value().usedLimitUnit = unit.usedLimitUnit;
+      choice.value().unitAskedAt = askedAt;
       choice.value().atLimitCount = avoided.size() - static_cast<std::size_t>(triedBefore);
       break;
     }
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -150,7 +150,10 @@
   auto attempt = std::make_shared<ServerAttempt>(
       context_.executor, context_.calls, context_.servers, answerEndCheck_, job.relay,
       chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest,
-      permissionsOf(job));
+      permissionsOf(job), [this, &job, &dispatch, &chosen]() -> Result<void> {
+        recordSend(job, dispatch, chosen);
+        return boost::outcome_v2::success();
+      });
   job.attempt = attempt;
   job.dispatchedAt = sent;
   job.failoverGranted = false;
@@ -180,8 +183,10 @@
   });
   const AttemptBounds bounds = boundsOf(job, rttMs);
   const FailureUse failureUse = job.mayFailOver() ? FailureUse::kKeep : FailureUse::kDeliver;
+  job.wait = DispatchWait::kConnection;
   Result<void> outcome =
       co_await attempt->run(job.request, dispatch, bounds, job.streaming(), failureUse);
+  job.wait = DispatchWait::kNone;
   attempt->onFirstBytes(nullptr);
   job.relay.onFirstEvent(nullptr);
   job.relay.onSustained(nullptr);
@@ -214,6 +219,22 @@
   co_return outcome;
 }
 
+void Forwarder::recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen) {
+  const MonotonicTime now = monotonicNow();
+  SendFacts facts{job.request.id, dispatch.server.id};
+  facts.sinceCheck = std::chrono::floor<Milliseconds>(now - job.checkedAt);
+  facts.sinceDispatch = std::chrono::floor<Milliseconds>(now - job.dispatchedAt);
+  if (chosen.usedLimitUnit) {
+    facts.unitAge = std::chrono::floor<Milliseconds>(now - chosen.unitAskedAt);
+  }
+  const bool callerLeft = job.writer.callerHasClosed();
+  if (callerLeft) {
+    facts.callerLeftIn = job.callerLeftIn ? toString(*job.callerLeftIn) : kUnreportedClose;
+    context_.metrics.countDepartureBeforeSend(facts.callerLeftIn);
+  }
+  logSent(facts);
+}
+
 std::optional<WeightsVersion> Forwarder::recordAttemptEnd(Job& job, const Dispatch& dispatch,
                                                           ServerAttempt& attempt,
                                                           Result<void>& outcome) const {
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -36,6 +36,9 @@
                        "servers that stopped getting work, by cause")),
       notices_(counters(registry, "calicodrift_forward_server_notices_total",
                         "heads of servers' answers that said something of the server, by what")),
+      departuresBeforeSend_(counters(registry, "calicodrift_forward_departures_before_send_total",
+                                     "requests that a server was about to get when their callers "
+                                     "had left already, by the wait in which they left")),
       outdatedStarts_(counters(registry, "calicodrift_forward_outdated_begins_total",
                                "requests that began on weights that were not the newest, by "
                                "whether that was later than the deployment allows")),
@@ -116,6 +119,10 @@
   notices_.Add({{"notice", std::string(notice)}}).Increment();
 }
 
+void ForwardMetrics::countDepartureBeforeSend(std::string_view wait) {
+  departuresBeforeSend_.Add({{"wait", std::string(wait)}}).Increment();
+}
+
 void ForwardMetrics::countServerLoss(std::string_view cause) {
   losses_.Add({{"cause", std::string(cause)}}).Increment();
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -27,6 +27,9 @@
   /// Counts a call that was not sent because its server left, or asked for rest, after it was
   /// chosen.
   void countWithdrawn() { withdrawn_.Increment(); }
+  /// Counts a request that a server was about to get when its caller had left already, by the wait
+  /// in which it left.
+  void countDepartureBeforeSend(std::string_view wait);
   /// Counts a request that a server began on weights that are not the newest.
   /// @param beyondBound whether newer ones were named longer ago than the deployment allows.
   void countOutdatedStart(bool beyondBound);
@@ -54,6 +57,7 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& losses_;
   prometheus::Family<prometheus::Counter>& notices_;
+  prometheus::Family<prometheus::Counter>& departuresBeforeSend_;
   prometheus::Family<prometheus::Counter>& outdatedStarts_;
   prometheus::Family<prometheus::Counter>& answerEnds_;
   prometheus::Family<prometheus::Counter>& crashFollowUps_;
--- a/src/forward/request_log.cc
+++ b/src/forward/request_log.cc
@@ -48,6 +48,23 @@
        {"fetch", source ? source->toString() : ""}});
 }
 
+void logSent(const SendFacts& facts) {
+  /// More than a round trip between two zones, and a connection.
+  constexpr Milliseconds kNotableWait{50};
+  const bool waited = facts.sinceCheck >= kNotableWait;
+  if (facts.callerLeftIn.empty() && !waited && !facts.unitAge) {
+    return;
+  }
+  log::write(log::Level::kInfo, "request_sent",
+             {{"id", facts.id.value()},
+              {"server", facts.server.value()},
+              {"caller", facts.callerLeftIn.empty() ? "present" : "left"},
+              {"left_in", std::string(facts.callerLeftIn)},
+              {"checked_ms", std::to_string(facts.sinceCheck.count())},
+              {"chosen_ms", std::to_string(facts.sinceDispatch.count())},
+              {"unit_ms", textOf(facts.unitAge)}});
+}
+
 void logStreamVersion(const Request& request, const stream_versions::Resolution& found) {
   log::write(log::Level::kInfo, "stream_version",
              {{"id", request.id.value()},
--- a/src/forward/request_log.h
+++ b/src/forward/request_log.h
@@ -52,6 +52,23 @@
 };
 
 void logDispatched(const DispatchFacts& facts);
+/// Wait in which a caller left if the event loop has not reported its close yet.
+inline constexpr std::string_view kUnreportedClose = "unreported";
+/// Fields of the log event for a request that its server is about to get.
+struct SendFacts {
+  const RequestId& id;
+  const BackendId& server;
+  /// The wait in which the caller left; empty if it is there.
+  std::string_view callerLeftIn{};
+  /// Time since it was last checked that the request may be sent, and since its server was chosen.
+  Milliseconds sinceCheck{0};
+  Milliseconds sinceDispatch{0};
+  /// Time since its unit of the server's limit was asked for; empty if it needs none.
+  std::optional<Milliseconds> unitAge{};
+};
+/// Logs a request whose caller has left, whose checks are old, or that uses a server's unit; the
+/// event for the dispatch says enough of the others.
+void logSent(const SendFacts& facts);
 /// Logs how the version of a stream that a caller takes up was found.
 void logStreamVersion(const Request& request, const stream_versions::Resolution& found);
 void logRetried(const RequestId& id, const BackendId& server, const Error& cause);
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -48,8 +48,8 @@
   options.connectTime = &connectTime_;
   http::Request message = protocol_.encode(request, dispatch);
   silence_.begin(bounds.startPatience);
-  auto opened =
-      co_await calls_.open(dispatch.server, std::move(message), options, purpose_, leavePath_);
+  auto opened = co_await calls_.open(dispatch.server, std::move(message), options, purpose_,
+                                     leavePath_, mayBeSent_);
   silence_.end();
   if (!opened) {
     co_return opened.error();
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -48,14 +48,15 @@
   /// @param purpose a request with a unit of the server's limit, or without one.
   ServerAttempt(const boost::asio::any_io_executor& executor, ServerCalls& calls,
                 const ServerProtocol& protocol, AnswerEndCheck& endCheck, AnswerRelay& relay,
-                CallPurpose purpose, Permissions permissions)
+                CallPurpose purpose, Permissions permissions, SendCheck mayBeSent)
       : calls_(calls),
         protocol_(protocol),
         endCheck_(endCheck),
         relay_(relay),
         purpose_(purpose),
         leavePath_(recordingGrant(std::move(permissions.leavePath))),
-        silence_(executor, std::move(permissions.leaveSilentServer), [this] { cancel(); }) {}
+        silence_(executor, std::move(permissions.leaveSilentServer), [this] { cancel(); }),
+        mayBeSent_(std::move(mayBeSent)) {}
 
   /// Succeeds once the caller has the whole answer. kConnectFailed, kBackendRefused and kFenced
   /// mean that this server has not run the request, kServerWithdrawn that it did not receive it,
@@ -125,6 +126,7 @@
   bool leftPath_ = false;
   server_paths::MovePermission leavePath_;
   SilenceWatch silence_;
+  SendCheck mayBeSent_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
   std::optional<WeightsVersion> weights_;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -69,7 +69,7 @@
 
 awaitable<Result<std::unique_ptr<http::ResponseStream>>> ServerCalls::open(
     const fleet::Server& server, http::Request request, http::ExchangeOptions options,
-    CallPurpose purpose, server_paths::MovePermission mayMove) {
+    CallPurpose purpose, server_paths::MovePermission mayMove, SendCheck mayBeSent) {
   // No connection is made for a call that may not begin.
   if (const Result<void> allowed = mayBegin(server, purpose); !allowed) {
     context_.metrics.countWithdrawn();
@@ -89,6 +89,11 @@
     context_.client.release(connection.value());
     co_return allowed.error();
   }
+  if (const Result<void> allowed = mayBeSent ? mayBeSent() : boost::outcome_v2::success();
+      !allowed) {
+    context_.client.release(connection.value());
+    co_return allowed.error();
+  }
   const SendState sent{context_.limits.versionOf(server), monotonicNow()};
   context_.pool.recordSent(server.id, sent.at);
   auto call = context_.paths.beginCall(path, std::move(mayMove), options.canceller);
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -27,6 +28,11 @@
   kQuery,
 };
 
+/// Asked when a call has its connection, right before its first byte is written: whether what the
+/// caller of open() found out before it waited for the connection still holds. An error is passed
+/// on to that caller, and nothing is sent.
+using SendCheck = std::function<Result<void>()>;
+
 /// Dependencies of ServerCalls. All of them outlive it and run on its thread.
 struct ServerCallContext {
   http::Client& client;
@@ -53,7 +59,7 @@
   /// path was lost fails with the reason server_paths::kPathLost. The server must outlive the call.
   boost::asio::awaitable<Result<std::unique_ptr<http::ResponseStream>>> open(
       const fleet::Server& server, http::Request request, http::ExchangeOptions options,
-      CallPurpose purpose, server_paths::MovePermission mayMove = {});
+      CallPurpose purpose, server_paths::MovePermission mayMove = {}, SendCheck mayBeSent = {});
   /// Like open(), but returns the whole answer.
   boost::asio::awaitable<Result<http::Response>> exchange(const fleet::Server& server,
                                                           http::Request request,
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -75,6 +75,8 @@
   /// once if it already has.
   virtual void onCallerGone(std::function<void()> callback) = 0;
   virtual bool callerGone() const = 0;
+  /// Whether the caller has closed its side by now, even if the event loop has not reported it yet.
+  virtual bool callerHasClosed() { return callerGone(); }
   virtual bool streamStarted() const = 0;
 };
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "http/open_connection.h"
+#include "http/peer_close.h"
 #include "http/tunnel.h"
 #include "log/log.h"
 
@@ -187,6 +188,10 @@
   }
 }
 
+bool Connection::callerHasClosed() {
+  return gone_ || peerHasClosed(stream_.socket().native_handle());
+}
+
 bool Connection::keepsAlive() {
   keepAlive_ = keepAlive_ && !server_->closing;
   return keepAlive_;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -108,6 +108,7 @@
   void abort() override;
   void onCallerGone(std::function<void()> callback) override;
   bool callerGone() const override { return gone_; }
+  bool callerHasClosed() override;
   bool streamStarted() const override { return streamStarted_; }
 
  private:
--- a/src/http/writer_decorator.h
+++ b/src/http/writer_decorator.h
@@ -31,6 +31,7 @@
     writer_.onCallerGone(std::move(callback));
   }
   bool callerGone() const override { return writer_.callerGone(); }
+  bool callerHasClosed() override { return writer_.callerHasClosed(); }
   bool streamStarted() const override { return writer_.streamStarted(); }
 
  private:
