--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -24,11 +24,19 @@
 /// Accepts requests of host "h"; those to /model/ have a prompt with a long common prefix.
 class TestCallerProtocol : public CallerProtocol {
  public:
+  /// Headers with the caller's patience, in milliseconds, and its key.
+  static constexpr std::string_view kPatience = "X-Patience-Ms";
+  static constexpr std::string_view kApiKey = "X-Key";
+
   Result<Request> read(http::Request&& message) const override {
     Request request;
     request.id = RequestId("r");
     request.host = "h";
     request.received = monotonicNow();
+    request.apiKey = message.headers.get(kApiKey);
+    if (const auto patience = message.headers.find(kPatience)) {
+      request.patience = Milliseconds(std::stoi(*patience));
+    }
     if (message.target.starts_with("/model/")) {
       request.model = kModel;
       request.prompt = {{"common", 4096}, {"own", 100}};
@@ -51,9 +59,16 @@
   static constexpr std::string_view kLeaving = "X-Leaving";
   /// Header that asks for a rest, in milliseconds.
   static constexpr std::string_view kRest = "X-Rest-Ms";
+  /// Header of a server that names a limit, in requests a second.
+  static constexpr std::string_view kLimit = "X-Limit";
+  /// Header with the weights that a request expects.
+  static constexpr std::string_view kWeights = "X-Weights";
 
   http::Request encode(const Request& request, const Dispatch& dispatch) const override {
     http::Request message = request.message;
+    if (dispatch.weights) {
+      message.headers.set(kWeights, std::to_string(dispatch.weights->value()));
+    }
     if (dispatch.fetchCacheFrom) {
       message.headers.set(kFetchFrom, dispatch.fetchCacheFrom->toString());
     }
@@ -75,6 +90,9 @@
     if (const auto rest = head.headers.find(kRest)) {
       notices.rest = Milliseconds(std::stoi(*rest));
     }
+    if (const auto limit = head.headers.find(kLimit)) {
+      notices.requestLimit = std::optional(std::stod(*limit));
+    }
     return notices;
   }
   bool isFromServer(const fleet::Server& /*server*/,
@@ -241,11 +259,15 @@
     callWith(writer, target);
     return writer.status;
   }
-  /// Sends a request whose answer goes to the writer, and waits for its end.
-  void callWith(http::ResponseWriter& writer, const std::string& target) {
+  /// Makes the forwarder with what the test has set; called before the first request at the latest.
+  void makeForwarder() {
     if (!forwarder) {
       forwarder = std::make_unique<Forwarder>(forwardContext(), settings, GateSettings{}, 1);
     }
+  }
+  /// Sends a request whose answer goes to the writer, and waits for its end.
+  void callWith(http::ResponseWriter& writer, const std::string& target) {
+    makeForwarder();
     http::Request message;
     message.target = target;
     bool done = false;
@@ -273,6 +295,11 @@
   std::unique_ptr<Forwarder> forwarder;
   Rule rule;
   std::function<bool()> budget = [] { return true; };
+  /// Roots that give out the units of servers' limits; empty: the node gives them out itself.
+  std::vector<Endpoint> limitRoots;
+  /// The configuration in force; empty: public routes.
+  std::shared_ptr<const routes::RouteTable> configuration;
+  std::function<void()> removeExpiredWeights = [] {};
   /// The epoch of the clock means that the named weights were not read.
   MonotonicTime weightsProvenAt = monotonicNow();
   /// Number of budget queries, and the dispatches and observations that were reported.
@@ -280,7 +307,6 @@
   std::map<Track, std::size_t> sent;
   std::vector<service_rollout::AnswerObservation> answers;
 
- private:
   static routes::Route route(const std::string& name, routes::RouteKind kind,
                              const std::string& service) {
     routes::Route made;
@@ -296,6 +322,7 @@
     return made;
   }
 
+ private:
   /// Position of a node that belongs to no relay tree.
   static relay::TreePosition standaloneTreePosition() {
     return {{},
@@ -305,12 +332,14 @@
             [] { return false; },
             [] { return true; }};
   }
-  /// Context of a node that belongs to no relay tree.
+  /// Context of a node that belongs to no relay tree, unless the test names roots.
   server_limits::ServerLimitContext standaloneLimitContext() {
+    relay::TreePosition tree = standaloneTreePosition();
+    tree.isAlone = [this] { return limitRoots.empty(); };
     return {context.get_executor(),
             client_,
-            standaloneTreePosition(),
-            [] { return std::vector<Endpoint>(); },
+            std::move(tree),
+            [this] { return limitRoots; },
             [] { return true; },
             [] { return MonotonicTime(); },
             pool,
@@ -341,8 +370,8 @@
             callers_,
             serverProtocol_,
             metrics_,
-            [table] {
-              return ConfigurationView{table, monotonicNow()};
+            [this, table] {
+              return ConfigurationView{configuration ? configuration : table, monotonicNow()};
             },
             [this](const ModelId&, WeightsVersion) {
               return WeightsView{std::nullopt, weightsProvenAt};
@@ -352,7 +381,7 @@
             quarantine_,
             serverLimits_,
             streamVersions_,
-            [] {},
+            [this] { removeExpiredWeights(); },
             hooks};
   }
 
