http: a caller's close is seen behind more early bytes than a head may have

Callers: one that sends on behind its request (40 KB in the test) and closes was taken to be there until its answer was written; its server worked on, and the node held the request. Cause: takeEarlyBytes() ended the watch once the buffer held maxHeaderBytes, as unread bytes make the socket readable all the time. Change: from then on the socket is looked at every 50 ms for a close behind the bytes (POLLRDHUP). Evidence: departed_callers/closeBehindManyEarlyBytesIsSeen failed before (held after 100 ms, FIN and reset), passes now.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -23,6 +23,8 @@
 constexpr Milliseconds kLingerTime{1000};
 constexpr std::size_t kLingerBytes = 67'108'864;
 constexpr std::size_t kLingerPieceBytes = 65'536;
+/// Interval between looks for a close that the event loop does not report.
+constexpr Milliseconds kCloseCheckInterval{50};
 using RequestParser = bhttp::request_parser<bhttp::string_body>;
 
 Error writeError(beast::error_code code) {
@@ -78,7 +80,8 @@
     : stream_(std::move(socket)),
       server_(std::move(server)),
       limits_(server_->limits),
-      readTimer_(stream_.get_executor()) {
+      readTimer_(stream_.get_executor()),
+      closeCheckTimer_(stream_.get_executor()) {
   beast::error_code ignored;
   stream_.socket().set_option(Tcp::no_delay(true), ignored);
 }
@@ -344,6 +347,7 @@
 void Connection::stopWatching() {
   ++watchNumber_;
   disconnectWatch_.emit(asio::cancellation_type::terminal);
+  closeCheckTimer_.cancel();
 }
 
 void Connection::watchForDisconnect() {
@@ -360,6 +364,7 @@
 
 void Connection::takeEarlyBytes() {
   if (buffer_.size() >= limits_.maxHeaderBytes) {
+    watchBehindEarlyBytes();
     return;
   }
   const auto space = buffer_.prepare(kFirstReadBytes);
@@ -374,6 +379,21 @@
   watchForDisconnect();
 }
 
+void Connection::watchBehindEarlyBytes() {
+  closeCheckTimer_.expires_after(kCloseCheckInterval);
+  closeCheckTimer_.async_wait(
+      [self = shared_from_this(), number = watchNumber_](beast::error_code code) {
+        if (code || number != self->watchNumber_) {
+          return;
+        }
+        if (self->callerHasClosed()) {
+          self->markGone();
+        } else {
+          self->watchBehindEarlyBytes();
+        }
+      });
+}
+
 void Connection::markGone() {
   if (gone_) {
     return;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -135,8 +135,11 @@
   void watchForDisconnect();
   void stopWatching();
   /// Readable without a byte means that the caller has closed. Bytes are of a pipelined request
-  /// and are kept for it; the watch ends when they are more than a header may have.
+  /// and are kept for it, as many as a header may have.
   void takeEarlyBytes();
+  /// Watches for the caller's close behind bytes that stay unread, which make the socket readable
+  /// all the time.
+  void watchBehindEarlyBytes();
   void markGone();
   Result<void> outcomeOfWrite(boost::beast::error_code code);
 
@@ -145,6 +148,7 @@
   const std::shared_ptr<ServerState> server_;
   const ServerLimits& limits_;
   boost::asio::steady_timer readTimer_;
+  boost::asio::steady_timer closeCheckTimer_;
   boost::asio::cancellation_signal disconnectWatch_;
   std::uint64_t watchNumber_ = 0;
   /// Requests that were read.
