forward: what was checked before a wait is checked again at the send

Callers and servers: requests reached servers after their callers had left, and ran to their end, as nobody cancelled them any more; the same after the deadline, a stop of the node, the revocation of the key and the end of the weights, whenever that came while the request waited for a unit of a server's limit, its tenant's units, permission as a suspect, or a connection. A unit that was given out long ago was used. Cause: decisions rested on facts read before a suspension. dispatchUntilDone() looked at the caller and then waited in chooseWithinLimits(), 120 ms for each root that is gone; the caller's callback found no attempt to cancel and was used up. With a late loop no wait was needed: the close lay in the socket behind the request. Change: maySendTo() is asked with no suspension before the first byte: caller (by its socket), deadline, stop, key and configuration, weights, age of the unit (150 ms; 300 ms between trees). What it withholds gives back unit, quota, trial and load, counts as not sent, and is no evidence about the server. Waits end when the request does (waitUnlessOver); what is granted later is given back. LIMIT: a unit that is 600 ms old is given back and another one asked (unitThatHasBecomeOldIsNotUsed); whether that was the users' case is not known.

--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "common/hashing.h"
+#include "forward/abandonable_wait.h"
 #include "forward/answer_relay.h"
 #include "forward/dispatch_wait.h"
 #include "forward/forwarder.h"
@@ -21,7 +22,7 @@
 
 /// One request across its dispatches. Shared with the timer and the caller's connection, either of
 /// which may end it.
-struct Forwarder::Job {
+struct Forwarder::Job : std::enable_shared_from_this<Job> {
   Job(Request givenRequest, Grant givenGrant, http::ResponseWriter& writer,
       const boost::asio::any_io_executor& executor)
       : request(std::move(givenRequest)),
@@ -75,12 +76,15 @@
     return cachedParts;
   }
   quarantine::RequestTraits traits() { return {fingerprint(), parts()}; }
-  /// Cancels the dispatch in progress.
-  void cancelAttempt() {
+  /// Ends the dispatch in progress, or what the request waits for.
+  void interrupt() {
+    waits.interrupt();
     if (attempt) {
       attempt->cancel();
     }
   }
+  /// Whether nobody waits for the answer any more, so that no server should get the request.
+  bool isOver() const { return expired || writer.callerGone(); }
 
   Request request;
   Grant grant;
@@ -96,7 +100,10 @@
   bool expired = false;
   /// Whether it expired because this node stops.
   bool endedByStop = false;
+  WaitInterrupter waits;
   AttemptCount attempts;
+  /// Whether the last dispatch was sent, in part at least.
+  bool handedOver = false;
   std::shared_ptr<ServerAttempt> attempt;
   /// A server's 5xx answer, delivered if no other server succeeds.
   std::optional<http::Response> keptFailure;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -129,7 +129,7 @@
     }
     job->expired = true;
     job->endedByStop = true;
-    job->cancelAttempt();
+    job->interrupt();
     ++ended;
   }
   return ended;
@@ -143,13 +143,13 @@
   job->timer.async_wait([job](boost::system::error_code code) {
     if (!code) {
       job->expired = true;
-      job->cancelAttempt();
+      job->interrupt();
     }
   });
   job->writer.onCallerGone([weak = std::weak_ptr(job)] {
     if (const auto held = weak.lock()) {
       held->callerLeftIn = held->wait;
-      held->cancelAttempt();
+      held->interrupt();
     }
   });
   Result<void> done = co_await findStreamVersion(*job);
@@ -230,40 +230,28 @@
     if (!allowed && co_await waitForAnotherServer(job, allowed.error().kind)) {
       continue;
     }
-    if (!allowed && job.writer.callerGone()) {
-      co_return callerGoneError();
+    if (!allowed && (job.endedByStop || job.writer.callerGone())) {
+      co_return endOf(job);
     }
     if (!allowed) {
       // If another dispatch is not allowed, the failure of the previous one is reported.
-      co_return job.attempts.sent == 0 ? allowed : outcome;
-    }
-    if (job.writer.callerGone()) {
-      job.limitUse.giveBack(context_.quota);
-      co_return callerGoneError();
-    }
-    if (job.endedByStop) {
-      job.limitUse.giveBack(context_.quota);
-      co_return stopError();
+      const bool isFirst = job.attempts.sent == 0;
+      co_return isFirst || allowed.error().kind == ErrorKind::kCallerGone ? allowed : outcome;
     }
+    job.handedOver = false;
     outcome = co_await dispatchOnce(job);
     if (outcome) {
       co_return outcome;
     }
     const ErrorKind failure = outcome.error().kind;
-    if (certainlyNotRun(failure)) {
+    if (certainlyNotRun(failure) || !job.handedOver) {
       job.limitUse.giveBack(context_.quota);
     }
     if (failure == ErrorKind::kCallerGone) {
       co_return outcome;
     }
-    if (job.writer.callerGone()) {
-      co_return callerGoneError();
-    }
-    if (job.endedByStop) {
-      co_return stopError();
-    }
-    if (job.expired) {
-      co_return fail(ErrorKind::kDeadlineExceeded, "the deadline of the request has passed");
+    if (job.isOver()) {
+      co_return endOf(job);
     }
     if (!takeRetry(job, failure) && !co_await waitForAnotherServer(job, failure)) {
       co_return job.writer.callerGone() ? callerGoneError() : outcome;
@@ -284,35 +272,82 @@
     co_return boost::outcome_v2::success();
   }
   const auto left = std::chrono::ceil<Milliseconds>(job.end - monotonicNow());
-  const DispatchWaitGuard waiting(job.wait, DispatchWait::kAdmission);
-  Result<quarantine::Trial> trial = co_await context_.quarantine.admit(
-      traits, trialServerRuns(job), std::max(left, Milliseconds(1)));
+  using Admission = Result<quarantine::Trial>;
+  std::function<awaitable<Admission>()> admit = [this, traits, servers = trialServerRuns(job),
+                                                 term = std::max(left, Milliseconds(1))] {
+    return context_.quarantine.admit(traits, servers, term);
+  };
+  // A trial that comes late ends where it is dropped.
+  std::optional<Admission> trial = co_await waitFor<Admission>(
+      job, DispatchWait::kAdmission, std::move(admit), [](const Admission&) {});
   if (!trial) {
-    co_return trial.error();
+    co_return endOf(job);
+  }
+  if (!*trial) {
+    co_return trial->error();
   }
-  job.trial = std::move(trial.value());
+  job.trial = std::move(trial->value());
   co_return boost::outcome_v2::success();
 }
 
+template <typename Value>
+awaitable<std::optional<Value>> Forwarder::waitFor(Job& job, DispatchWait wait,
+                                                   std::function<awaitable<Value>()> operation,
+                                                   std::function<void(Value)> onLate) {
+  const DispatchWaitGuard waiting(job.wait, wait);
+  co_return co_await waitUnlessOver<Value>(
+      context_.executor, job.waits, std::move(operation), [&job] { return job.isOver(); },
+      std::move(onLate));
+}
+
 awaitable<Result<void>> Forwarder::claimDispatch(Job& job) {
-  const DispatchWaitGuard waiting(job.wait, DispatchWait::kTenantLimit);
-  Result<void> claimed = co_await job.limitUse.claim(context_.quota);
-  if (!claimed) {
-    co_return claimed;
-  }
-  const MonotonicTime now = monotonicNow();
-  job.checkedAt = now;
-  Result<void> sendable = gate_.mayBeSent(job.request, job.grant, context_.configuration(), now);
-  if (sendable && now >= job.end) {
-    // Receiving the body, or the claim, took all of the time.
-    sendable = fail(ErrorKind::kDeadlineExceeded, "the deadline of the request has passed");
+  if (job.limitUse.needsClaim()) {
+    std::function<awaitable<Result<void>>()> claim = [this, held = job.shared_from_this()] {
+      return held->limitUse.claim(context_.quota);
+    };
+    const auto giveBack = [this, held = job.shared_from_this()](const Result<void>& late) {
+      if (late) {
+        held->limitUse.giveBack(context_.quota);
+      }
+    };
+    const std::optional<Result<void>> claimed =
+        co_await waitFor<Result<void>>(job, DispatchWait::kTenantLimit, std::move(claim), giveBack);
+    if (!claimed) {
+      co_return endOf(job);
+    }
+    if (!*claimed) {
+      co_return *claimed;
+    }
   }
+  Result<void> sendable = maySend(job);
   if (!sendable) {
     job.limitUse.giveBack(context_.quota);
   }
   co_return sendable;
 }
 
+Result<void> Forwarder::maySend(Job& job) {
+  const MonotonicTime now = monotonicNow();
+  job.checkedAt = now;
+  if (job.isOver() || now >= job.end) {
+    return endOf(job);
+  }
+  if (job.writer.callerHasClosed()) {
+    return callerGoneError();
+  }
+  return gate_.mayBeSent(job.request, job.grant, context_.configuration(), now);
+}
+
+Error Forwarder::endOf(const Job& job) {
+  if (job.writer.callerGone()) {
+    return callerGoneError();
+  }
+  if (job.endedByStop) {
+    return stopError();
+  }
+  return fail(ErrorKind::kDeadlineExceeded, "the deadline of the request has passed");
+}
+
 bool Forwarder::grantFailover(Job& job) {
   if (job.failoverGranted) {
     return true;
@@ -350,18 +385,23 @@
     std::erase(job.routeRequest.avoided, job.lastServer);
     pause = std::max(pause, settings_.refusalPause);
   }
-  const DispatchWaitGuard waiting(job.wait, DispatchWait::kAnotherServer);
-  asio::steady_timer timer(context_.executor);
-  while (!job.expired && !job.writer.callerGone()) {
-    timer.expires_after(pause);
-    co_await timer.async_wait(asio::use_awaitable);
-    if (!budgeted || retryBudgetOf(job.service).tryTake(monotonicNow())) {
-      co_return !job.expired && !job.writer.callerGone();
+  while (!job.isOver()) {
+    co_await pauseFor(job, pause);
+    if (!job.isOver() && (!budgeted || retryBudgetOf(job.service).tryTake(monotonicNow()))) {
+      co_return true;
     }
   }
   co_return false;
 }
 
+awaitable<void> Forwarder::pauseFor(Job& job, Milliseconds time) {
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kAnotherServer);
+  asio::steady_timer timer(context_.executor, time);
+  job.waits.onInterrupt([&timer] { timer.cancel(); });
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  job.waits.onInterrupt(nullptr);
+}
+
 bool Forwarder::takeRetry(Job& job, ErrorKind failure) {
   if (!settings_.retries || job.relay.opaque()) {
     return false;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include "forward/cache_moves.h"
 #include "forward/crash_check.h"
 #include "forward/crash_follow_up.h"
+#include "forward/dispatch_wait.h"
 #include "forward/forward_settings.h"
 #include "forward/metrics.h"
 #include "forward/protocol.h"
@@ -114,8 +115,19 @@
   boost::asio::awaitable<Result<void>> findStreamVersion(Job& job);
   /// The stream's first event has arrived from the server.
   void beginStream(Job& job, const fleet::Server& server);
-  /// Claims units of the tenant's limit, and checks the API key and the deadline again.
+  /// Claims units of the tenant's limit, and checks whether the request may still be sent.
   boost::asio::awaitable<Result<void>> claimDispatch(Job& job);
+  /// Why the request must not be sent any more although nothing has failed: its caller has left,
+  /// its time is over, this node stops, or the configuration no longer allows it. Asked before each
+  /// wait and right before the first byte goes to a server, as any of it may change in a wait.
+  Result<void> maySend(Job& job);
+  /// Why a request that is over gets no server.
+  static Error endOf(const Job& job);
+  /// Waits for the operation until the request is over; see waitUnlessOver().
+  template <typename Value>
+  boost::asio::awaitable<std::optional<Value>> waitFor(
+      Job& job, DispatchWait wait, std::function<boost::asio::awaitable<Value>()> operation,
+      std::function<void(Value)> onLate);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
   AllowedServers serversFor(const Job& job, bool mayBeCanary, MonotonicTime now);
   /// Servers that the job may be sent to if quarantine admits it as a suspect.
@@ -125,6 +137,9 @@
   /// Chooses a server that accepts one more request now: a server with a limit has granted a unit.
   /// Fails like chooseServer(), and with kOverloaded if all servers are at their limits.
   boost::asio::awaitable<Result<ChosenServer>> chooseWithinLimits(Job& job);
+  /// Takes a unit of the server's limit, if it names one; empty if the request ended first.
+  boost::asio::awaitable<std::optional<server_limits::UnitResult>> takeUnit(Job& job,
+                                                                            fleet::Server server);
   /// @param wait time until the first of the service's servers may accept a request again.
   Error atLimitsError(const Job& job, Milliseconds wait);
   /// The error if no server may get the job: kOverloaded with a retry time if servers are excluded
@@ -143,9 +158,15 @@
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
                                                   const ChosenServer& chosen,
                                                   fleet::LoadGuard& load);
-  /// Records what is known of the caller and of the dispatch's permissions when a server is about
-  /// to get the request.
-  void recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen);
+  /// maySend(), and whether what the dispatch was granted for this server still holds. Asked with
+  /// no suspension before the first byte.
+  Result<void> maySendTo(Job& job, const Dispatch& dispatch, const ChosenServer& chosen);
+  /// Fails with kServerWithdrawn if the weights or the unit that the dispatch relies on have run
+  /// out.
+  Result<void> grantsHold(const Job& job, const Dispatch& dispatch,
+                          const ChosenServer& chosen) const;
+  /// Records what was known of the caller and of the dispatch's grants right before the first byte.
+  void recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen) const;
   /// Reports the dispatch as evidence about its server's version.
   /// @param startMs milliseconds from sending the request to the first bytes of the answer's body.
   void observe(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen,
@@ -212,6 +233,8 @@
   /// For a request whose server this node gave up: waits until another one may be tried. False at
   /// once if time does not help, and if the request has ended meanwhile.
   boost::asio::awaitable<bool> waitForAnotherServer(Job& job, ErrorKind failure);
+  /// Waits, and no longer than until the request is over.
+  boost::asio::awaitable<void> pauseFor(Job& job, Milliseconds time);
   /// @param rttMs round-trip time to the server, in milliseconds.
   AttemptBounds boundsOf(const Job& job, double rttMs) const;
   boost::asio::awaitable<void> answerError(Job& job, Error error);
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -43,8 +43,12 @@
       break;
     }
     const MonotonicTime askedAt = monotonicNow();
-    const DispatchWaitGuard waiting(job.wait, DispatchWait::kServerLimit);
-    const server_limits::UnitResult unit = co_await limits.take(server);
+    const std::optional<server_limits::UnitResult> taken = co_await takeUnit(job, server);
+    if (!taken) {
+      choice = endOf(job);
+      break;
+    }
+    const server_limits::UnitResult& unit = *taken;
     if (unit.granted) {
       choice.value().usedLimitUnit = unit.usedLimitUnit;
       choice.value().unitAskedAt = askedAt;
@@ -61,6 +65,26 @@
   co_return choice;
 }
 
+boost::asio::awaitable<std::optional<server_limits::UnitResult>> Forwarder::takeUnit(
+    Job& job, fleet::Server server) {
+  using server_limits::UnitResult;
+  server_limits::ServerLimitNode& limits = context_.serverLimits;
+  if (!limits.isLimited(server)) {
+    co_return UnitResult{};
+  }
+  std::function<boost::asio::awaitable<UnitResult>()> take = [&limits, server] {
+    return limits.take(server);
+  };
+  const auto giveBack = [&limits, server](const UnitResult& late) {
+    if (late.usedLimitUnit) {
+      limits.giveBack(server);
+    }
+  };
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kServerLimit);
+  co_return co_await waitUnlessOver<UnitResult>(
+      context_.executor, job.waits, std::move(take), [&job] { return job.isOver(); }, giveBack);
+}
+
 Error Forwarder::atLimitsError(const Job& job, Milliseconds wait) {
   Error error = fail(ErrorKind::kOverloaded,
                      "all servers of '" + job.service + "' have reached their request limits");
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -150,10 +150,8 @@
   auto attempt = std::make_shared<ServerAttempt>(
       context_.executor, context_.calls, context_.servers, answerEndCheck_, job.relay,
       chosen.usedLimitUnit ? CallPurpose::kRequestWithUnit : CallPurpose::kRequest,
-      permissionsOf(job), [this, &job, &dispatch, &chosen]() -> Result<void> {
-        recordSend(job, dispatch, chosen);
-        return boost::outcome_v2::success();
-      });
+      permissionsOf(job),
+      [this, &job, &dispatch, &chosen] { return maySendTo(job, dispatch, chosen); });
   job.attempt = attempt;
   job.dispatchedAt = sent;
   job.failoverGranted = false;
@@ -192,9 +190,8 @@
   job.relay.onSustained(nullptr);
   job.attempt.reset();
   waiting.reset();
-  const bool notSent = !outcome && (outcome.error().kind == ErrorKind::kConnectFailed ||
-                                    outcome.error().kind == ErrorKind::kServerWithdrawn);
-  if (chosen.usedLimitUnit && notSent) {
+  job.handedOver = attempt->handedOver();
+  if (chosen.usedLimitUnit && !job.handedOver) {
     context_.serverLimits.giveBack(dispatch.server);
   }
   if (!outcome && outcome.error().kind == ErrorKind::kServerWithdrawn) {
@@ -205,10 +202,11 @@
   if (const auto connected = attempt->connectTime()) {
     context_.pool.observeConnect(dispatch.server.id, toMilliseconds(*connected), monotonicNow());
   }
-  const bool gaveUpConnecting = attempt->leftSilentServer() && notSent;
-  // A connection that this node closed, or a path that was lost, is no evidence about the server.
-  const bool aboutServer = !attempt->recalled() && !gaveUpConnecting && !job.endedByStop &&
-                           !job.writer.callerGone() && !isPathLost(outcome);
+  const bool gaveUpConnecting = attempt->leftSilentServer() && !job.handedOver;
+  // A connection that this node closed, or did not use, or a path that was lost, is no evidence
+  // about the server.
+  const bool aboutServer = !attempt->recalled() && !attempt->withheld() && !gaveUpConnecting &&
+                           !job.endedByStop && !job.writer.callerGone() && !isPathLost(outcome);
   if (aboutServer) {
     observe(job, dispatch, chosen, classifyEnd(*attempt, outcome, job.streaming(), job.expired),
             startMs);
@@ -219,7 +217,35 @@
   co_return outcome;
 }
 
-void Forwarder::recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen) {
+Result<void> Forwarder::maySendTo(Job& job, const Dispatch& dispatch, const ChosenServer& chosen) {
+  recordSend(job, dispatch, chosen);
+  BOOST_OUTCOME_TRY(maySend(job));
+  context_.removeExpiredWeights();
+  Result<void> held = grantsHold(job, dispatch, chosen);
+  if (!held) {
+    // The server itself is as good as before.
+    std::erase(job.routeRequest.avoided, dispatch.server.id);
+  }
+  return held;
+}
+
+Result<void> Forwarder::grantsHold(const Job& job, const Dispatch& dispatch,
+                                   const ChosenServer& chosen) const {
+  const BackendId& id = dispatch.server.id;
+  if (dispatch.weights && !isKnownToHaveWeights(id, job.request.model, *dispatch.weights)) {
+    return fail(ErrorKind::kServerWithdrawn,
+                "server '" + id.value() + "' has other weights than it was chosen for");
+  }
+  const auto unitAge = monotonicNow() - chosen.unitAskedAt;
+  if (chosen.usedLimitUnit && unitAge > context_.serverLimits.unitTerm()) {
+    return fail(ErrorKind::kServerWithdrawn,
+                "the unit of the limit of server '" + id.value() + "' has run out");
+  }
+  return boost::outcome_v2::success();
+}
+
+void Forwarder::recordSend(const Job& job, const Dispatch& dispatch,
+                           const ChosenServer& chosen) const {
   const MonotonicTime now = monotonicNow();
   SendFacts facts{job.request.id, dispatch.server.id};
   facts.sinceCheck = std::chrono::floor<Milliseconds>(now - job.checkedAt);
@@ -254,7 +280,7 @@
                    "server '" + dispatch.server.id.value() + "' was silent for too long");
     outcome.error().reason = server_paths::kServerSilent;
   }
-  if (!outcome && !provesNotRun(outcome.error().kind)) {
+  if (!outcome && attempt.handedOver() && !provesNotRun(outcome.error().kind)) {
     ++job.attempts.mayHaveRun;
   }
   std::optional<WeightsVersion> weights = attempt.weights();
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -49,7 +49,7 @@
   http::Request message = protocol_.encode(request, dispatch);
   silence_.begin(bounds.startPatience);
   auto opened = co_await calls_.open(dispatch.server, std::move(message), options, purpose_,
-                                     leavePath_, mayBeSent_);
+                                     leavePath_, recordingCheck());
   silence_.end();
   if (!opened) {
     co_return opened.error();
@@ -80,6 +80,15 @@
   co_return co_await relayWhole(stream, dispatch.server, bounds, failureUse);
 }
 
+SendCheck ServerAttempt::recordingCheck() {
+  return [this]() -> Result<void> {
+    Result<void> allowed = mayBeSent_();
+    handedOver_ = allowed.has_value();
+    withheld_ = !allowed;
+    return allowed;
+  };
+}
+
 awaitable<Result<void>> ServerAttempt::relayWhole(http::ResponseStream& stream,
                                                   const fleet::Server& server,
                                                   const AttemptBounds& bounds,
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -73,6 +73,10 @@
     cancel();
   }
   bool recalled() const { return recalled_; }
+  /// Whether the request was sent, in part at least.
+  bool handedOver() const { return handedOver_; }
+  /// Whether it was not sent because the check right before the first byte failed.
+  bool withheld() const { return withheld_; }
   /// Whether the server was left for its silence.
   bool leftSilentServer() const { return silence_.moved(); }
   /// The listener is called once, when the first bytes of the answer's body arrive.
@@ -114,6 +118,8 @@
   boost::asio::awaitable<Result<void>> confirmEnd(http::ResponseStream& stream,
                                                   const fleet::Server& server,
                                                   const AttemptBounds& bounds);
+  /// The check before the first byte, whose result is recorded.
+  SendCheck recordingCheck();
   /// The permission, which sets leftPath_ when it is granted.
   server_paths::MovePermission recordingGrant(server_paths::MovePermission permission);
   void notifyFirstBytes();
@@ -137,6 +143,8 @@
   bool answered_ = false;
   bool fromOtherServer_ = false;
   bool recalled_ = false;
+  bool handedOver_ = false;
+  bool withheld_ = false;
 };
 
 }  // namespace calicodrift::forward
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -91,6 +91,9 @@
   }
   if (const Result<void> allowed = mayBeSent ? mayBeSent() : boost::outcome_v2::success();
       !allowed) {
+    if (allowed.error().kind == ErrorKind::kServerWithdrawn) {
+      context_.metrics.countWithdrawn();
+    }
     context_.client.release(connection.value());
     co_return allowed.error();
   }
@@ -111,9 +114,10 @@
 awaitable<Result<http::Response>> ServerCalls::exchange(const fleet::Server& server,
                                                         http::Request request,
                                                         http::ExchangeOptions options,
-                                                        CallPurpose purpose) {
+                                                        CallPurpose purpose, SendCheck mayBeSent) {
   http::boundToShortAnswer(options);
-  auto opened = co_await open(server, std::move(request), options, purpose);
+  auto opened =
+      co_await open(server, std::move(request), options, purpose, {}, std::move(mayBeSent));
   if (!opened) {
     co_return opened.error();
   }
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -64,7 +64,8 @@
   boost::asio::awaitable<Result<http::Response>> exchange(const fleet::Server& server,
                                                           http::Request request,
                                                           http::ExchangeOptions options,
-                                                          CallPurpose purpose);
+                                                          CallPurpose purpose,
+                                                          SendCheck mayBeSent = {});
   /// Whether the server, and not the node that carries the tunnel, has ended it. Empty without an
   /// answer of that node in time.
   boost::asio::awaitable<std::optional<bool>> serverEndedTunnel(http::Tunnel tunnel) {
--- a/src/forward/tenant_limit.h
+++ b/src/forward/tenant_limit.h
@@ -17,6 +17,8 @@
   /// not.
   TenantLimitUse(const Request& request, const routes::Tenant* tenant);
 
+  /// Whether the tenant has a limit; if not, claim() succeeds at once.
+  bool needsClaim() const { return units_ > 0; }
   /// Fails immediately with kRateLimited and a retry time if the tenant is over its limit.
   boost::asio::awaitable<Result<void>> claim(quota::QuotaNode& quota) const;
   void giveBack(quota::QuotaNode& quota) const;
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -141,6 +141,10 @@
   return context_.trees.size() > 1 ? kCrossTreeUnitTimeout : kUnitTimeout;
 }
 
+Milliseconds ServerLimitNode::unitTerm() const {
+  return context_.trees.size() > 1 ? kCrossTreeUnitTerm : kUnitTerm;
+}
+
 awaitable<UnitResult> ServerLimitNode::take(fleet::Server server) {
   const fleet::ServerKey key = fleet::keyOf(server);
   const LimitRecord* known = table_.find(key);
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -89,6 +89,9 @@
   /// Takes a unit for a request that is sent immediately afterwards. Always grants if the server
   /// has no limit.
   boost::asio::awaitable<UnitResult> take(fleet::Server server);
+  /// For how long after it was asked for a unit may be used. Units that are used later than others
+  /// add to theirs at the server.
+  Milliseconds unitTerm() const;
   /// Returns the unit of a request that did not reach the server.
   void giveBack(const fleet::Server& server);
   /// Records the head of an answer.
@@ -111,6 +114,9 @@
   static constexpr Milliseconds kUnitTimeout{120};
   /// The same if the unit may come from another tree: several RTTs between regions.
   static constexpr Milliseconds kCrossTreeUnitTimeout{600};
+  /// Terms of units that come from the own tree, and that may come from another one.
+  static constexpr Milliseconds kUnitTerm{150};
+  static constexpr Milliseconds kCrossTreeUnitTerm{300};
   /// A server that got no request for this long is probed, as it announces changes only in its
   /// answers.
   static constexpr Milliseconds kProbeAfter{1000};
--- a/tests/forward/departed_callers_test.cc
+++ b/tests/forward/departed_callers_test.cc
@@ -243,6 +243,7 @@
     BOOST_REQUIRE(answer.has_value());
     BOOST_TEST(answer.value().status == 401U);
     BOOST_TEST(!reached("1"));
+    co_await pause(kMaxWorkAfterClose);
     BOOST_TEST(unitsReturned == 1U);
   });
 }
--- a/tests/forward/server_calls_test.cc
+++ b/tests/forward/server_calls_test.cc
@@ -18,14 +18,15 @@
   }
 
   /// Starts a call; `outcome` holds its answer once the context has run.
-  void begin(CallPurpose purpose) {
+  void begin(CallPurpose purpose, SendCheck mayBeSent = {}) {
     outcome.reset();
     boost::asio::co_spawn(
         context,
-        [this, purpose]() -> awaitable<void> {
+        [this, purpose, mayBeSent = std::move(mayBeSent)]() -> awaitable<void> {
           const http::ExchangeOptions options;
           http::Request request;
-          outcome = co_await calls().exchange(server, std::move(request), options, purpose);
+          outcome =
+              co_await calls().exchange(server, std::move(request), options, purpose, mayBeSent);
         },
         boost::asio::detached);
   }
@@ -90,6 +91,28 @@
   BOOST_TEST(requestsReceived() == 0U);
 }
 
+/// Guards against an order that is sent although its lease ended while it waited for its
+/// connection.
+BOOST_AUTO_TEST_CASE(callWhoseOwnCheckFailsAfterTheWaitForItsConnectionIsNotSent) {
+  bool holdsLease = true;
+  begin(CallPurpose::kOrder, [&holdsLease]() -> Result<void> {
+    if (!holdsLease) {
+      return fail(ErrorKind::kServerWithdrawn, "the lease has ended");
+    }
+    return boost::outcome_v2::success();
+  });
+  context.restart();
+  context.poll_one();
+  holdsLease = false;
+  finish();
+  BOOST_TEST(wasWithdrawn());
+  BOOST_TEST(requestsReceived() == 0U);
+  // The connection, on which nothing was sent, serves the next call.
+  call(CallPurpose::kOrder);
+  BOOST_TEST(requestsReceived() == 1U);
+  BOOST_TEST(servers.front()->http->openConnections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(leavingNoticeIsReadFromAnswersOfAnyStatusAndPurpose) {
   for (const unsigned status : {200U, 404U, 500U, 503U}) {
     for (const CallPurpose purpose :
