weights: an order is not sent once its lease has ended in the wait for its connection

Servers: an order whose sender had lost the lease in the up to 250 ms of its connect, by time or by a planned stop, reached the server beside those of the next holder. Cause: the token was compared before the connect (docs/OPEN.md, by reading), the same class as requests sent for callers that had left. Change: the token is compared again right before the first byte, as the check of the call. That two holders ordered one server was never seen.

--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -436,8 +436,14 @@
   message.expectedOrders = *expected;
   http::Request request = protocol_.encodeOrder(message);
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
-  Result<http::Response> answer =
-      co_await calls_.exchange(server, std::move(request), options, forward::CallPurpose::kOrder);
+  const auto holdsLease = [this, token]() -> Result<void> {
+    if (lease_.token() == token) {
+      return boost::outcome_v2::success();
+    }
+    return fail(ErrorKind::kServerWithdrawn, "the lease of this order has ended");
+  };
+  Result<http::Response> answer = co_await calls_.exchange(
+      server, std::move(request), options, forward::CallPurpose::kOrder, holdsLease);
   std::string outcome = "lost";
   OrderAnswer orderAnswer = OrderAnswer::kLost;
   if (answer) {
