stream_versions: versions of streams outlast the loss of all nodes

Cause of (b): the servers' starts prove that a version was there, not that no other one was. Nodes ask the roots beside the keepers; a root that has not read the archive does not answer yet, and a node that has just started asks again for 500 ms. A version counts as the only one where a node has followed the list for the life of a stream, or a root knows the time before from the archive.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -179,9 +179,17 @@
     co_return boost::outcome_v2::success();
   }
   const bool attemptNamed = job.request.resumes.has_value();
-  const DispatchWaitGuard waiting(job.wait, DispatchWait::kStreamVersion);
-  const stream_versions::Resolution found =
-      co_await context_.streamVersions.resolve(job.streamKey(), job.service, attemptNamed);
+  using stream_versions::Resolution;
+  std::function<awaitable<Resolution>()> resolve = [this, key = job.streamKey(),
+                                                    service = job.service, attemptNamed] {
+    return context_.streamVersions.resolve(key, service, attemptNamed);
+  };
+  const std::optional<Resolution> resolved = co_await waitFor<Resolution>(
+      job, DispatchWait::kStreamVersion, std::move(resolve), [](const Resolution&) {});
+  if (!resolved) {
+    co_return endOf(job);
+  }
+  const Resolution& found = *resolved;
   logStreamVersion(job.request, found);
   if (!found.known()) {
     co_return fail(ErrorKind::kStreamVersionGone,
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kLeaseKind = "calicodrift-leases";
 constexpr std::string_view kWeightsLease = "weights";
 constexpr std::string_view kQuarantineKind = "calicodrift-quarantine";
+constexpr std::string_view kStreamVersionsKind = "calicodrift-stream-versions";
 /// Of the metrics server, for operators.
 constexpr std::string_view kQuarantinePath = "/quarantine";
 constexpr std::string_view kServerLimitsPath = "/server-limits";
@@ -335,7 +336,9 @@
           streamVersionMetrics_,
           treePosition(),
           [this] { return versionListing(); },
-          [this] { return views_.serversProvenAt(); }};
+          [this] { return views_.serversProvenAt(); },
+          ports_.store,
+          std::string(kStreamVersionsKind)};
 }
 
 stream_versions::VersionListing GatewayNode::versionListing() const {
--- a/src/stream_versions/metrics.cc
+++ b/src/stream_versions/metrics.cc
@@ -26,6 +26,12 @@
       shed_(counters(registry, "calicodrift_stream_versions_shed_total",
                      "Records that were dropped before their time, as the table was full")
                 .Add({})),
+      archiveWrites_(counters(registry, "calicodrift_stream_versions_archive_writes_total",
+                              "Writes of records to the store, by result")
+                         .Add({{"result", "written"}})),
+      failedArchiveWrites_(counters(registry, "calicodrift_stream_versions_archive_writes_total",
+                                    "Writes of records to the store, by result")
+                               .Add({{"result", "failed"}})),
       unreadable_(counters(registry, "calicodrift_stream_versions_unreadable_total",
                            "Messages that could not be read")
                       .Add({})),
--- a/src/stream_versions/metrics.h
+++ b/src/stream_versions/metrics.h
@@ -17,6 +17,10 @@
   void countKept() { kept_.Increment(); }
   /// Counts a record that was dropped before its time for want of room.
   void countShed() { shed_.Increment(); }
+  /// Counts a write to the store of records that must outlive all nodes.
+  void countArchiveWrite(bool written) {
+    (written ? archiveWrites_ : failedArchiveWrites_).Increment();
+  }
   void countUnreadable() { unreadable_.Increment(); }
   /// Counts a caller's return to a stream, by how its version was known.
   void countResolved(std::string_view source);
@@ -27,6 +31,8 @@
   prometheus::Counter& recorded_;
   prometheus::Counter& kept_;
   prometheus::Counter& shed_;
+  prometheus::Counter& archiveWrites_;
+  prometheus::Counter& failedArchiveWrites_;
   prometheus::Counter& unreadable_;
   prometheus::Family<prometheus::Counter>& resolved_;
   prometheus::Gauge& records_;
--- a/src/stream_versions/stream_version_node.cc
+++ b/src/stream_versions/stream_version_node.cc
@@ -24,6 +24,19 @@
   return !code && !address.is_unspecified() && endpoint.port != 0;
 }
 
+/// Whether the same versions are listed and have left; when they left is told once.
+bool isSameHistory(const ArchivedHistory& left, const ArchivedHistory& right) {
+  const auto sameVersion = [](const auto& one, const auto& other) {
+    return one.first == other.first && one.second.has_value() == other.second.has_value();
+  };
+  const auto sameService = [&](const auto& one, const auto& other) {
+    return one.first == other.first &&
+           std::equal(one.second.begin(), one.second.end(), other.second.begin(),
+                      other.second.end(), sameVersion);
+  };
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(), sameService);
+}
+
 /// A question that a coroutine waits for.
 struct Waiter {
   explicit Waiter(const asio::any_io_executor& executor) : answered(executor) {
@@ -40,10 +53,16 @@
     : context_(std::move(context)),
       transport_(context_.io),
       core_(std::move(settings), transport_, context_.metrics, [] { return monotonicNow(); }),
-      tickTimer_(context_.io) {}
+      archive_({context_.io.get_executor(), context_.store, context_.archiveKind, context_.metrics,
+                [this] { return archiveWriter(); }}),
+      tickTimer_(context_.io) {
+  core_.setArchive(
+      [this](StreamKey stream, const SoftwareVersion& version) { archive_.add(stream, version); });
+}
 
 Result<void> StreamVersionNode::start() {
   if (context_.tree.endpoint.port == 0) {
+    asio::co_spawn(context_.io, readArchiveAlone(), asio::detached);
     return boost::outcome_v2::success();
   }
   BOOST_OUTCOME_TRY(transport_.listen(context_.tree.endpoint));
@@ -53,6 +72,7 @@
 
 void StreamVersionNode::onServersChanged() {
   core_.applyListing(context_.listing(), context_.listingProvenAt());
+  archiveHistory();
 }
 
 void StreamVersionNode::begin(StreamKey stream, const std::string& service,
@@ -63,6 +83,23 @@
 
 awaitable<Resolution> StreamVersionNode::resolve(StreamKey stream, std::string service,
                                                  bool attemptNamed) {
+  constexpr Milliseconds kPause{50};
+  const MonotonicTime begun = monotonicNow();
+  asio::steady_timer timer(context_.io);
+  for (;;) {
+    const Resolution found = co_await resolveOnce(stream, service, attemptNamed);
+    const MonotonicTime now = monotonicNow();
+    const bool starting = now - startedAt_ < kStartupTime && now - begun < kStartupPatience;
+    if (found.known() || found.final || !starting) {
+      co_return found;
+    }
+    timer.expires_after(kPause);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<Resolution> StreamVersionNode::resolveOnce(StreamKey stream, const std::string& service,
+                                                     bool attemptNamed) {
   core_.setListingProvenAt(context_.listingProvenAt());
   auto waiter = std::make_shared<Waiter>(context_.io.get_executor());
   const auto answer = [waiter](const Resolution& resolution) {
@@ -99,12 +136,72 @@
   asio::steady_timer timer(context_.io);
   for (;;) {
     co_await learnOnce();
+    core_.setRoots(allRoots());
+    co_await readArchive();
     core_.renewRecords();
     timer.expires_after(core_.keepers().empty() ? kFirstKeepersInterval : kKeepersInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
+std::vector<Endpoint> StreamVersionNode::allRoots() const {
+  std::vector<Endpoint> roots = context_.tree.roots();
+  if (context_.tree.isRoot()) {
+    roots.push_back(context_.tree.endpoint);
+  }
+  std::sort(roots.begin(), roots.end());
+  roots.erase(std::unique(roots.begin(), roots.end()), roots.end());
+  return roots;
+}
+
+std::size_t StreamVersionNode::archiveWriter() const {
+  const std::vector<Endpoint> roots = allRoots();
+  const auto own = std::find(roots.begin(), roots.end(), context_.tree.endpoint);
+  return static_cast<std::size_t>(own - roots.begin()) % kArchiveWriters;
+}
+
+bool StreamVersionNode::archives() const {
+  return context_.tree.isRoot() || context_.tree.endpoint.port == 0;
+}
+
+awaitable<void> StreamVersionNode::readArchiveAlone() {
+  core_.setRoots({context_.tree.endpoint});
+  asio::steady_timer timer(context_.io);
+  while (!archive_.hasRead()) {
+    co_await readArchive();
+    timer.expires_after(kArchiveRetryInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> StreamVersionNode::readArchive() {
+  const MonotonicTime now = monotonicNow();
+  const bool due = now - archiveTriedAt_ >= kArchiveRetryInterval;
+  if (!archives() || archive_.hasRead() || !due) {
+    co_return;
+  }
+  archiveTriedAt_ = now;
+  const Result<Archived> archived = co_await archive_.read();
+  if (!archived) {
+    log::write(log::Level::kWarning, "stream_versions_not_read",
+               {{"cause", archived.error().detail}});
+    co_return;
+  }
+  core_.applyArchive(archived.value(), wallNow());
+  archiveHistory();
+}
+
+void StreamVersionNode::archiveHistory() {
+  if (!archives() || !archive_.hasRead()) {
+    return;
+  }
+  ArchivedHistory history = core_.history().archived(monotonicNow(), wallNow());
+  if (!isSameHistory(history, archivedHistory_)) {
+    archivedHistory_ = history;
+    archive_.setHistory(std::move(history));
+  }
+}
+
 awaitable<void> StreamVersionNode::learnOnce() {
   core_.setListingProvenAt(context_.listingProvenAt());
   std::vector<Endpoint> keepers = ownKeepers();
--- a/src/stream_versions/stream_version_node.h
+++ b/src/stream_versions/stream_version_node.h
@@ -12,6 +12,8 @@
 #include "http/server.h"
 #include "peer/udp_transport.h"
 #include "relay/tree_position.h"
+#include "store/object_store.h"
+#include "stream_versions/stream_archive.h"
 #include "stream_versions/version_core.h"
 
 namespace calicodrift::stream_versions {
@@ -26,11 +28,17 @@
   /// The listed servers' versions, and until when the list is known to have been the newest.
   std::function<VersionListing()> listing;
   std::function<MonotonicTime()> listingProvenAt;
+  /// Where records are kept that must outlive all nodes, and the kind of their objects.
+  store::ObjectStore& store;
+  std::string archiveKind;
 };
 
 /// Carries out what VersionCore decides: messages over UDP, and the list of the nodes that keep
 /// records.
 ///
+/// Roots keep records in the store, too, and read them when they have started: a node that finds a
+/// record nowhere else asks them.
+///
 /// The roots of the relay tree and their children keep the records of all nodes of the tree, so
 /// that the number of nodes that one has to know does not grow with the fleet. The list goes down
 /// the tree: each node asks its parent.
@@ -58,9 +66,28 @@
   static constexpr Milliseconds kKeepersInterval{2000};
   /// Until the first list has come.
   static constexpr Milliseconds kFirstKeepersInterval{100};
+  /// A root that cannot read the archive tries again after this time.
+  static constexpr Milliseconds kArchiveRetryInterval{500};
+  /// A node that has just started asks again for a version that others could not tell yet, within
+  /// this time of its start, and for so long.
+  static constexpr Milliseconds kStartupTime{3000};
+  static constexpr Milliseconds kStartupPatience{500};
 
  private:
+  boost::asio::awaitable<Resolution> resolveOnce(StreamKey stream, const std::string& service,
+                                                 bool attemptNamed);
   boost::asio::awaitable<void> learnKeepers();
+  /// Whether this node writes records to the store: a root, or a node without others.
+  bool archives() const;
+  boost::asio::awaitable<void> readArchiveAlone();
+  /// Reads the archive if this node writes it and has not read it.
+  boost::asio::awaitable<void> readArchive();
+  /// Archives which versions services have had lately, if this node is a root and that has changed.
+  void archiveHistory();
+  /// The roots of the tree, including this node if it is one.
+  std::vector<Endpoint> allRoots() const;
+  /// Number of this node among the roots.
+  std::size_t archiveWriter() const;
   boost::asio::awaitable<void> learnOnce();
   boost::asio::awaitable<std::vector<Endpoint>> askForKeepers(Endpoint node);
   /// This node and its children, if it is a root.
@@ -71,6 +98,10 @@
   StreamVersionContext context_;
   peer::UdpTransport transport_;
   VersionCore core_;
+  StreamArchive archive_;
+  MonotonicTime startedAt_ = monotonicNow();
+  MonotonicTime archiveTriedAt_{};
+  ArchivedHistory archivedHistory_;
   boost::asio::steady_timer tickTimer_;
 };
 
--- a/src/stream_versions/version_core.cc
+++ b/src/stream_versions/version_core.cc
@@ -7,6 +7,13 @@
 #include "stream_versions/keeper_ranking.h"
 
 namespace calicodrift::stream_versions {
+namespace {
+
+bool contains(const std::vector<Endpoint>& endpoints, const Endpoint& endpoint) {
+  return std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end();
+}
+
+}  // namespace
 
 std::string_view toString(VersionSource source) {
   switch (source) {
@@ -52,12 +59,16 @@
   }
 }
 
+bool VersionCore::isListCurrent() const {
+  return clock_() - listingProvenAt_ <= settings_.maxListAge;
+}
+
 std::optional<SoftwareVersion> VersionCore::onlyVersion(const std::string& service) const {
-  const MonotonicTime now = clock_();
-  if (now - listingProvenAt_ > settings_.maxListAge) {
-    return std::nullopt;
-  }
-  return history_.onlyVersion(service, now);
+  return isListCurrent() ? history_.onlyVersion(service, clock_()) : std::nullopt;
+}
+
+std::optional<SoftwareVersion> VersionCore::provenOnlyVersion(const std::string& service) const {
+  return isListCurrent() ? history_.provenOnlyVersion(service, clock_()) : std::nullopt;
 }
 
 std::vector<Endpoint> VersionCore::othersFor(StreamKey stream, std::size_t count) const {
@@ -116,9 +127,51 @@
   if (records_.put(stream, open.version, now)) {
     metrics_.countShed();
   }
-  for (const Endpoint& keeper : othersFor(stream, kCopies)) {
-    send(keeper, VersionRecord{stream, open.version.value()});
+  std::vector<Endpoint> receivers = othersFor(stream, kCopies);
+  const std::optional<Endpoint> archivist = archivistOf(stream);
+  if (archivist && *archivist != settings_.endpoint && !contains(receivers, *archivist)) {
+    receivers.push_back(*archivist);
+  }
+  for (const Endpoint& receiver : receivers) {
+    send(receiver, VersionRecord{stream, open.version.value()});
   }
+  archive(stream, open.version);
+}
+
+bool VersionCore::isRoot() const {
+  return contains(roots_, settings_.endpoint);
+}
+
+std::optional<Endpoint> VersionCore::archivistOf(StreamKey stream) const {
+  const std::vector<Endpoint> first = rankedKeepers(roots_, stream, 1);
+  return first.empty() ? std::nullopt : std::optional(first.front());
+}
+
+void VersionCore::archive(StreamKey stream, const SoftwareVersion& version) {
+  if (archive_ && archivistOf(stream) == settings_.endpoint) {
+    archive_(stream, version);
+  }
+}
+
+void VersionCore::applyArchive(const Archived& archived, WallTime wallNow) {
+  const MonotonicTime now = clock_();
+  history_.applyArchived(archived.history, now, wallNow);
+  for (const ArchivedRecord& record : archived.records) {
+    if (!records_.find(record.stream, now)) {
+      static_cast<void>(records_.put(record.stream, record.version, now));
+    }
+  }
+  hasArchive_ = true;
+}
+
+std::vector<Endpoint> VersionCore::askedFor(StreamKey stream) const {
+  std::vector<Endpoint> asked = othersFor(stream, kAskedKeepers);
+  for (const Endpoint& root : roots_) {
+    if (root != settings_.endpoint && !contains(asked, root)) {
+      asked.push_back(root);
+    }
+  }
+  return asked;
 }
 
 void VersionCore::renewRecords() {
@@ -147,7 +200,7 @@
                     std::move(listener),
                     now,
                     now + settings_.resendAfter,
-                    othersFor(stream, kAskedKeepers),
+                    askedFor(stream),
                     {}};
   const auto place = questions_.emplace(id, std::move(question)).first;
   if (place->second.unanswered.empty()) {
@@ -197,9 +250,11 @@
 
 void VersionCore::handle(const Endpoint& /*from*/, const VersionRecord& record) {
   metrics_.countKept();
-  if (records_.put(record.stream, SoftwareVersion(record.version), clock_())) {
+  const SoftwareVersion version(record.version);
+  if (records_.put(record.stream, version, clock_())) {
     metrics_.countShed();
   }
+  archive(record.stream, version);
 }
 
 void VersionCore::handle(const Endpoint& from, const VersionQuery& query) {
@@ -209,7 +264,10 @@
   if (const auto found = records_.find(query.stream, now)) {
     reply.knowledge = Knowledge::kRecord;
     reply.version = found->version.value();
-  } else if (const auto only = onlyVersion(query.service)) {
+  } else if (awaitsArchive()) {
+    // The question comes again.
+    return;
+  } else if (const auto only = provenOnlyVersion(query.service)) {
     reply.knowledge = Knowledge::kOnlyVersion;
     reply.version = only->value();
   } else if (history_.hasSeveral(query.service, now)) {
@@ -238,9 +296,17 @@
 }
 
 Resolution VersionCore::withoutRecord(const Question& question) const {
+  Resolution resolution = withoutRecordNow(question);
+  const bool asksOthers = settings_.endpoint.port != 0;
+  const bool allAnswered = question.unanswered.empty() && !keepers_.empty();
+  resolution.final = (allAnswered || !asksOthers) && !awaitsArchive();
+  return resolution;
+}
+
+Resolution VersionCore::withoutRecordNow(const Question& question) const {
   // The versions that this node and the keepers take for the only one.
   std::set<SoftwareVersion> only;
-  if (const auto own = onlyVersion(question.service)) {
+  if (const auto own = provenOnlyVersion(question.service)) {
     only.insert(*own);
   }
   for (const VersionReply& reply : question.replies) {
--- a/src/stream_versions/version_core.h
+++ b/src/stream_versions/version_core.h
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "common/endpoint.h"
 #include "peer/transport.h"
+#include "stream_versions/archive_segment.h"
 #include "stream_versions/messages.h"
 #include "stream_versions/metrics.h"
 #include "stream_versions/record_table.h"
@@ -54,6 +55,9 @@
   SoftwareVersion version;
   /// Age of the record, if this node has kept it.
   std::optional<Milliseconds> age;
+  /// Whether all nodes that may have a record have answered, so that the same question has the same
+  /// answer.
+  bool final = true;
 
   bool known() const { return source != VersionSource::kUnknown; }
 };
@@ -63,15 +67,20 @@
 ///
 /// A stream is recorded when its first event arrives, before the caller gets it, at this node and
 /// at kCopies others that its key selects, so that any node finds the record after this node has
-/// gone. Nothing is recorded while the service can only have had one version; once a second one is
-/// listed, the streams that are under way or have broken off lately are recorded.
+/// gone. One root of the relay tree also gets each record for the store's archive, as no node's
+/// memory survives a loss of all nodes. Nothing is recorded while the service can only have had one
+/// version; once a second one is listed, the streams that are under way or have broken off lately
+/// are recorded.
 ///
 /// Invariant: no version is reported that another version may be in place of: a record holds the
 /// version of the server that sent the event, and without one the version must have been the only
-/// one since the stream can have begun, for this node and for all keepers that know.
+/// one since the stream can have begun, for this node and for all keepers that know. A node knows
+/// that of the time in which it has followed the list, and a root of the time before from the
+/// archive.
 class VersionCore {
  public:
   using Listener = std::function<void(const Resolution&)>;
+  using Archive = std::function<void(StreamKey, const SoftwareVersion&)>;
 
   /// The transport and the metrics outlive the core.
   VersionCore(VersionCoreSettings settings, peer::Transport& transport,
@@ -80,6 +89,14 @@
   /// Sets the nodes that keep records, as far as known.
   void setKeepers(std::vector<Endpoint> keepers);
   const std::vector<Endpoint>& keepers() const { return keepers_; }
+  /// Sets the roots of the relay tree, including this node if it is one; one of them archives each
+  /// record, and all know what was archived before they started.
+  void setRoots(std::vector<Endpoint> roots) { roots_ = std::move(roots); }
+  /// Sets what keeps records in the store; called for those that this node, as a root, archives.
+  void setArchive(Archive archive) { archive_ = std::move(archive); }
+  /// Takes in records that were archived before this node started. Until then this node, if it is a
+  /// root, does not answer for streams that it does not know.
+  void applyArchive(const Archived& archived, WallTime wallNow);
   /// @param provenAt until when the listing is known to have been the newest.
   void applyListing(const VersionListing& listing, MonotonicTime provenAt);
   /// The listing has not changed, and was proven to be the newest again.
@@ -135,6 +152,7 @@
     std::optional<MonotonicTime> brokeOffAt;
   };
 
+  bool isRoot() const;
   /// Records the stream, unless its service can only have had this version.
   void record(StreamKey stream, OpenStream& open);
   void forgetBrokenStreams();
@@ -146,11 +164,22 @@
   void ask(std::uint64_t id, const Question& question);
   /// The other keepers that rank first for the stream.
   std::vector<Endpoint> othersFor(StreamKey stream, std::size_t count) const;
+  /// The root that archives the stream's record; empty if none is known.
+  std::optional<Endpoint> archivistOf(StreamKey stream) const;
+  /// The other nodes that may know a record of the stream.
+  std::vector<Endpoint> askedFor(StreamKey stream) const;
+  void archive(StreamKey stream, const SoftwareVersion& version);
   void finish(Questions::iterator question, const Resolution& resolution);
-  /// What is known without a record.
+  /// What is known without a record, and whether more could still be learnt.
   Resolution withoutRecord(const Question& question) const;
-  /// See VersionHistory::onlyVersion(); empty if the listing is too old to tell.
+  Resolution withoutRecordNow(const Question& question) const;
+  /// Whether this node, as a root, has not read the archive yet.
+  bool awaitsArchive() const { return archive_ && !hasArchive_ && isRoot(); }
+  /// See VersionHistory::onlyVersion() and provenOnlyVersion(); empty if the listing is too old to
+  /// tell.
   std::optional<SoftwareVersion> onlyVersion(const std::string& service) const;
+  std::optional<SoftwareVersion> provenOnlyVersion(const std::string& service) const;
+  bool isListCurrent() const;
 
   VersionCoreSettings settings_;
   peer::Transport& transport_;
@@ -163,6 +192,9 @@
   /// Streams that have broken off, in this order.
   std::deque<StreamKey> brokenOff_;
   std::vector<Endpoint> keepers_;
+  std::vector<Endpoint> roots_;
+  Archive archive_;
+  bool hasArchive_ = false;
   std::uint64_t nextQuestion_ = 0;
   Questions questions_;
 };
--- a/src/stream_versions/version_history.cc
+++ b/src/stream_versions/version_history.cc
@@ -72,6 +72,52 @@
   return versions.size() == 1 ? std::optional(versions.begin()->first) : std::nullopt;
 }
 
+std::optional<SoftwareVersion> VersionHistory::provenOnlyVersion(const std::string& service,
+                                                                 MonotonicTime now) const {
+  const std::optional<SoftwareVersion> only = onlyVersion(service, now);
+  if (!only || hasArchive_) {
+    return only;
+  }
+  const Presence& presence = services_.at(service).at(*only);
+  return now - presence.firstSeen >= life_ ? only : std::nullopt;
+}
+
+ArchivedHistory VersionHistory::archived(MonotonicTime now, WallTime wallNow) const {
+  ArchivedHistory history;
+  for (const auto& [service, presences] : services_) {
+    if (!hasSeveral(service, now)) {
+      continue;
+    }
+    ArchivedVersions& versions = history[service];
+    for (const auto& [version, presence] : presences) {
+      std::optional<WallTime>& leftAt = versions[version];
+      if (!presence.listed) {
+        leftAt = wallNow - std::chrono::duration_cast<WallTime::duration>(now - presence.lastSeen);
+      }
+    }
+  }
+  return history;
+}
+
+void VersionHistory::applyArchived(const ArchivedHistory& history, MonotonicTime now,
+                                   WallTime wallNow) {
+  hasArchive_ = true;
+  for (const auto& [service, versions] : history) {
+    for (const auto& [version, leftAt] : versions) {
+      const auto sinceThen =
+          leftAt ? std::chrono::duration_cast<Milliseconds>(wallNow - *leftAt) : Milliseconds(0);
+      const Milliseconds age = std::max(sinceThen - kClockTolerance, Milliseconds(0));
+      if (age > life_ + kListLag) {
+        continue;
+      }
+      const MonotonicTime seen = now - age;
+      const auto [place, added] =
+          services_[service].try_emplace(version, Presence{seen, seen, false, seen});
+      place->second.lastSeen = std::max(place->second.lastSeen, seen);
+    }
+  }
+}
+
 bool VersionHistory::hasSeveral(const std::string& service, MonotonicTime now) const {
   return present(service, now).size() > 1;
 }
--- a/src/stream_versions/version_history.h
+++ b/src/stream_versions/version_history.h
@@ -8,6 +8,7 @@
 
 #include "common/clock.h"
 #include "common/ids.h"
+#include "stream_versions/archive_segment.h"
 
 namespace calicodrift::stream_versions {
 
@@ -32,9 +33,18 @@
   explicit VersionHistory(Milliseconds life) : life_(life) {}
 
   void apply(const VersionListing& listing, MonotonicTime now);
-  /// The only version that the service can have had in the last `life`; empty if it may have had
-  /// several, or if this node has not seen enough of the past to know.
+  /// The only version that the service seems to have had in the last `life`; empty if it may have
+  /// had several, or if neither this node nor the starts of the listed servers tell of all that
+  /// time.
   std::optional<SoftwareVersion> onlyVersion(const std::string& service, MonotonicTime now) const;
+  /// The same where it is certain: another version may have left the list before this node started,
+  /// unless the archive tells of that time.
+  std::optional<SoftwareVersion> provenOnlyVersion(const std::string& service,
+                                                   MonotonicTime now) const;
+  /// What nodes that start later have to know.
+  ArchivedHistory archived(MonotonicTime now, WallTime wallNow) const;
+  /// Takes in what was known before this node started.
+  void applyArchived(const ArchivedHistory& history, MonotonicTime now, WallTime wallNow);
   /// The only version that this node has seen of the service in the last `life`, however short a
   /// part of it that is; empty if there are none or several.
   std::optional<SoftwareVersion> onlySeenVersion(const std::string& service,
@@ -45,6 +55,8 @@
   bool isListed(const std::string& service, const SoftwareVersion& version) const;
 
   static constexpr Milliseconds kListLag{5000};
+  /// Clocks of nodes differ, and may jump for a while.
+  static constexpr Milliseconds kClockTolerance{10'000};
 
  private:
   struct Presence {
@@ -62,6 +74,7 @@
 
   Milliseconds life_;
   std::map<std::string, Presences> services_;
+  bool hasArchive_ = false;
 };
 
 }  // namespace calicodrift::stream_versions
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -396,7 +396,8 @@
   stream_versions::StreamVersionMetrics streamVersionMetrics_{registry_};
   stream_versions::StreamVersionNode streamVersions_{
       {context, client_, streamVersionMetrics_, standaloneTreePosition(),
-       [] { return stream_versions::VersionListing(); }, [] { return monotonicNow(); }},
+       [] { return stream_versions::VersionListing(); }, [] { return monotonicNow(); },
+       failingStore_, "stream-versions"},
       {}};
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
   server_limits::ServerLimitNode serverLimits_{standaloneLimitContext(), serverLimitMetrics_};
--- a/tests/platform/stream_versions_test.cc
+++ b/tests/platform/stream_versions_test.cc
@@ -182,6 +182,95 @@
   });
 }
 
+/// A stream whose caller stops reading after two events, as at a node that dies. @return its
+/// attempt.
+awaitable<std::string> beginStream(GatewayFleet& fleet, VersionedStreams& streams, std::size_t node,
+                                   unsigned number) {
+  http::Request first = streamRequest(number);
+  const std::string attempt = first.headers.get(platform::kRequestId);
+  streams.breaksFirstRuns = false;
+  static_cast<void>(co_await fleet.exchange(node, std::move(first)));
+  co_return attempt;
+}
+
+/// The status of the answer to a caller who takes the stream up after its second event.
+awaitable<unsigned> takeUp(GatewayFleet& fleet, std::size_t node, unsigned number,
+                           std::string attempt) {
+  http::Request second = streamRequest(number);
+  second.headers.set("Resumes", attempt);
+  second.headers.set(platform::kLastEventId, "2");
+  // Otherwise its home would be the server that began it.
+  second.headers.set(platform::kPromptPrefix, "c" + std::to_string(number) + ":900");
+  co_return co_await fleet.call(node, std::move(second));
+}
+
+/// Guards against returns that go on nowhere, although servers of their version serve, as all nodes
+/// that kept their records were lost at once.
+BOOST_AUTO_TEST_CASE(returnsGoOnAtTheirVersionAfterAllNodesWereLost) {
+  GatewayFleet fleet(5, 0);
+  VersionedStreams streams;
+  for (const std::string version : {"v1", "v1.1"}) {
+    for (const std::string name : {"-a", "-b"}) {
+      ServerStandIn& server = fleet.addServer(version + name, "llm", "m", version);
+      server.setBehaviour(streams.behaviourOf(version));
+    }
+  }
+  fleet.run([&]() -> awaitable<void> {
+    constexpr unsigned kStreams = 40;
+    std::vector<std::string> attempts;
+    for (unsigned number = 0; number < kStreams; ++number) {
+      attempts.push_back(co_await beginStream(fleet, streams, number % 5, number));
+    }
+    co_await fleet.pause(Milliseconds(150));
+    // They know of the nodes before them what the store tells.
+    const std::size_t first = fleet.size();
+    co_await fleet.startMore(3, "z2");
+    co_await fleet.pause(Milliseconds(500));
+    unsigned wentOn = 0;
+    for (unsigned number = 0; number < kStreams; ++number) {
+      const std::size_t node = first + number % 3;
+      wentOn += co_await takeUp(fleet, node, number, attempts[number]) == 200U ? 1 : 0;
+    }
+    BOOST_TEST(streams.mixed() == 0U);
+    BOOST_TEST(wentOn >= kStreams * 95 / 100);
+  });
+}
+
+/// Guards against streams that are joined from two versions: the servers of the one that began them
+/// have left, and nodes that have just started see servers of another one that have run for long.
+BOOST_AUTO_TEST_CASE(streamsOfAVersionThatLeftBeforeAllNodesStartedGoOnNowhere) {
+  GatewayFleet fleet(3, 0);
+  VersionedStreams streams;
+  for (const std::string version : {"v1", "v1.1"}) {
+    ServerStandIn& server = fleet.addServer(version, "llm", "m", version);
+    server.setBehaviour(streams.behaviourOf(version));
+    server.born = *server.born - 3'600'000;
+    fleet.store.put("servers", version, server.entry());
+  }
+  fleet.run([&]() -> awaitable<void> {
+    constexpr unsigned kStreams = 12;
+    std::vector<std::string> attempts;
+    for (unsigned number = 0; number < kStreams; ++number) {
+      attempts.push_back(co_await beginStream(fleet, streams, number % 3, number));
+    }
+    fleet.store.remove("servers", "v1");
+    co_await fleet.pause(Milliseconds(500));
+    const std::size_t first = fleet.size();
+    co_await fleet.startMore(3, "z2");
+    co_await fleet.pause(Milliseconds(500));
+    unsigned wentOn = 0;
+    for (unsigned number = 0; number < kStreams; ++number) {
+      const std::size_t node = first + number % 3;
+      wentOn += co_await takeUp(fleet, node, number, attempts[number]) == 200U ? 1 : 0;
+      // Of this one no record is left.
+      streams.versions["stream " + std::to_string(100 + number)] = {"v1"};
+      BOOST_TEST(co_await takeUp(fleet, node, 100 + number, "lost") == 503U);
+    }
+    BOOST_TEST(streams.mixed() == 0U);
+    BOOST_TEST(wentOn > 0U, "those of the version that serves go on");
+  });
+}
+
 /// Guards against refusals where there is nothing to mix.
 BOOST_AUTO_TEST_CASE(returnsOfUnknownAttemptsGoOnWhereAllServersHaveOneVersion) {
   GatewayFleet fleet(3, 0);
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -37,6 +37,8 @@
     nodes.resize(count);
     for (std::size_t number = 0; number < count; ++number) {
       start(number);
+      // The fleet has had one version only before.
+      nodes[number].core->applyArchive({}, {});
     }
   }
 
@@ -51,6 +53,21 @@
     node.core->setKeepers(keepers);
   }
   void kill(std::size_t number) { nodes[number] = {}; }
+  /// These nodes are the roots of the tree, as all know.
+  void makeRoots(const std::vector<std::size_t>& numbers) {
+    std::vector<Endpoint> roots;
+    for (const std::size_t number : numbers) {
+      roots.push_back(endpointOf(number));
+    }
+    for (Node& node : nodes) {
+      node.core->setRoots(roots);
+    }
+  }
+  /// The node, the only root, reads the archive.
+  void readArchive(std::size_t number, ArchivedHistory history, WallTime wall = {}) {
+    makeRoots({number});
+    nodes[number].core->applyArchive({{}, std::move(history)}, wall);
+  }
 
   /// The same list at all nodes.
   void list(const std::vector<ListedVersion>& servers) {
@@ -195,10 +212,16 @@
   BOOST_TEST(!resolve(0).known());
 }
 
-/// All nodes have started again, and the servers tell that they have run for long.
+/// All nodes have started again, and the servers tell that they have run for long; the archive,
+/// that there was no other version.
 BOOST_AUTO_TEST_CASE(theStartsOfServersShowTheOnlyVersionWhereNoNodeHasRunForLong) {
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    start(number);
+  }
+  readArchive(1, {});
   list({server(kOld), server(kOld, Milliseconds(500))});
   BOOST_TEST((resolve(0).version == kOld));
+  BOOST_TEST((resolve(1).version == kOld));
   for (std::size_t number = 0; number < nodes.size(); ++number) {
     start(number);
   }
@@ -206,6 +229,72 @@
   BOOST_TEST(!resolve(0).known());
 }
 
+/// Guards against streams that are joined from two versions after all nodes were lost: the servers
+/// of the one that began them left just before, and those that are listed have run for long.
+BOOST_AUTO_TEST_CASE(aVersionThatLeftBeforeAllNodesStartedIsNotTakenForNone) {
+  const WallTime wall{Milliseconds(1'700'000'000'000)};
+  list({server(kOld), server(kNew)});
+  network.run(Milliseconds(1000));
+  list({server(kNew)});
+  const ArchivedHistory history = nodes[0].core->history().archived(network.now(), wall);
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    start(number);
+  }
+  list({server(kNew)});
+  BOOST_TEST(!resolve(0).known(), "without an archive, the past is unknown");
+  readArchive(1, history, wall + Milliseconds(2000));
+  list({server(kNew)});
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    BOOST_TEST(!resolve(number).known());
+  }
+}
+
+/// Guards against refusals for ever of what an earlier version began.
+BOOST_AUTO_TEST_CASE(aVersionOfTheArchiveCountsUntilItsStreamsHaveEnded) {
+  const WallTime wall{Milliseconds(1'700'000'000'000)};
+  readArchive(0, {{kService, {{kOld, wall - Milliseconds(46'000)}, {kNew, std::nullopt}}}}, wall);
+  list({server(kNew)});
+  BOOST_TEST((resolve(0).version == kNew));
+}
+
+/// Guards against returns that go on nowhere as all keepers of their records were lost at once.
+BOOST_AUTO_TEST_CASE(archivedRecordsAreFoundAfterAllNodesStartedAgain) {
+  std::vector<ArchivedRecord> archive;
+  makeRoots({0, 1});
+  for (const std::size_t root : {0, 1}) {
+    nodes[root].core->setArchive([&archive](StreamKey stream, const SoftwareVersion& version) {
+      archive.push_back({stream, version});
+    });
+  }
+  list({server(kOld), server(kNew)});
+  for (std::uint64_t stream = 1; stream <= 50; ++stream) {
+    const SoftwareVersion& version = stream % 2 == 0 ? kOld : kNew;
+    nodes[stream % nodes.size()].core->begin(StreamKey(stream), kService, version);
+  }
+  network.run(Milliseconds(20));
+  // One root for each.
+  BOOST_TEST(archive.size() == 50U);
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    start(number);
+  }
+  list({server(kOld), server(kNew)});
+  makeRoots({2, 3});
+  nodes[2].core->setArchive([](StreamKey, const SoftwareVersion&) {});
+  nodes[3].core->setArchive([](StreamKey, const SoftwareVersion&) {});
+  const Resolution early = resolve(0, StreamKey(1));
+  BOOST_TEST(!early.known());
+  BOOST_TEST(!early.final, "the roots have not read the archive yet");
+  nodes[2].core->applyArchive({archive, {}}, {});
+  nodes[3].core->applyArchive({archive, {}}, {});
+  for (std::uint64_t stream = 1; stream <= 50; ++stream) {
+    const Resolution found = resolve(stream % nodes.size(), StreamKey(stream));
+    BOOST_TEST((found.known() && found.version == (stream % 2 == 0 ? kOld : kNew)));
+  }
+  const Resolution unknown = resolve(0, StreamKey(51));
+  BOOST_TEST(!unknown.known());
+  BOOST_TEST(unknown.final);
+}
+
 /// Guards against refusals after all nodes have started again, where servers tell no start and
 /// callers name no attempt: there is no sign of a second version.
 BOOST_AUTO_TEST_CASE(callersThatNameNoAttemptGoOnWhereNoNodeHasSeenASecondVersion) {
