Soak: callers that leave, beside servers that name limits and herds of nodes that are killed

Real processes in real time, as in the users' run: 7 nodes (SOAK_NODES), callers that leave after 0 to 300 ms (FIN, reset, with 20 KB behind the request or without), model servers that take 15 a second each, herds of 60 in 100 of the nodes killed every 3 to 6 s, nodes that stand still for 50 to 500 ms. Judged: arrivals and work more than 500 ms after a close at nodes free of faults for 3 s, and the limits in any 4 s.

--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -79,6 +79,8 @@
       return "partitions";
     case SoakPlot::kSilences:
       return "silences";
+    case SoakPlot::kDepartures:
+      return "departures";
     case SoakPlot::kVersions:
       break;
   }
@@ -129,6 +131,9 @@
   Server& server = *added;
   added->server->setBehaviour(
       [this, &server](const http::Request& request, http::ResponseWriter& writer) {
+        if (plot_ == SoakPlot::kDepartures) {
+          return runForLeavingCaller(server, request, writer);
+        }
         return plot_ == SoakPlot::kSilences ? runWithSilences(server, request, writer)
                                             : runServerRequest(server, request, writer);
       });
@@ -480,8 +485,13 @@
       context_,
       [this]() -> awaitable<void> {
         co_await recover();
-        asio::co_spawn(context_, plot_ == SoakPlot::kSilences ? callersBesideSilences() : callers(),
-                       asio::detached);
+        if (plot_ == SoakPlot::kDepartures) {
+          asio::co_spawn(context_, callersThatLeave(), asio::detached);
+        } else if (plot_ == SoakPlot::kSilences) {
+          asio::co_spawn(context_, callersBesideSilences(), asio::detached);
+        } else {
+          asio::co_spawn(context_, callers(), asio::detached);
+        }
         asio::co_spawn(context_, watchOrders(), asio::detached);
         if (plot_ == SoakPlot::kRollouts) {
           co_await stormWithRollouts();
@@ -497,6 +507,8 @@
           co_await stormWithVersions();
         } else if (plot_ == SoakPlot::kSilences) {
           co_await stormWithSilences();
+        } else if (plot_ == SoakPlot::kDepartures) {
+          co_await stormWithDepartures();
         } else if (plot_ == SoakPlot::kReturns) {
           co_await stormWithReturns();
         } else if (plot_ == SoakPlot::kCrashes || plot_ == SoakPlot::kCrashingParts) {
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -69,6 +69,11 @@
   std::string rollouts;
   /// How the calls beside silent servers ended.
   std::string silences;
+  /// Requests that reached servers after their callers had left, within the time that nodes aim at
+  /// and later; and runs during which callers left.
+  std::size_t promptArrivals = 0;
+  std::size_t lateArrivals = 0;
+  std::size_t judgedDepartures = 0;
 };
 
 /// What a run holds beside the faults.
@@ -95,6 +100,8 @@
   kVersions,
   /// Servers that stand still, beside changes of the configuration and signals to nodes.
   kSilences,
+  /// Callers that leave, beside servers that name limits and herds of nodes that are killed.
+  kDepartures,
 };
 
 std::string_view nameOf(SoakPlot plot);
@@ -301,6 +308,16 @@
   void judgeBesideSilences(const SilencesCall& call);
   Body callersBesideSilences();
   Body stormWithSilences();
+  Body runForLeavingCaller(Server& server, const http::Request& request,
+                           http::ResponseWriter& writer);
+  Body callAndLeave(std::string kind, bool leaves);
+  boost::asio::awaitable<bool> awaitSuccess(boost::asio::ip::tcp::socket& socket);
+  Body callersThatLeave();
+  Body watchTurns();
+  Body killHerds(MonotonicTime end, Draws draws);
+  Body killOne(Node& node, Milliseconds away);
+  Body pauseNodes(MonotonicTime end, Draws draws);
+  Body stormWithDepartures();
   Body faults(MonotonicTime end, MonotonicTime withdrawal);
   Body calmStore(MonotonicTime end);
   Body injectOne();
@@ -419,6 +436,9 @@
   /// The weights of the runs under each scope of cache.
   std::map<std::string, std::uint64_t> scopeWeights_;
   SilencesCheck silences_;
+  /// When callers left, by the ids of their requests.
+  std::map<std::string, MonotonicTime> departures_;
+  Milliseconds longestTurn_{0};
   Milliseconds routeTimeout_{5000};
   std::uint64_t appWeight_ = 5;
   bool hasFleetingRoute_ = true;
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -153,6 +153,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_departures)
+
+/// Guards against requests that are sent, and servers that work, for callers who left while a root
+/// that gives out units was gone or their node stood still. Fresh seeds, longer and larger runs by
+/// SOAK_SEED, SOAK_SECONDS and SOAK_NODES.
+BOOST_AUTO_TEST_CASE(noServerWorksForCallersThatHaveLeft) {
+  constexpr std::uint64_t kLength = 15;
+  constexpr std::uint64_t kNodes = 7;
+  const std::uint64_t seed = parameter("SOAK_SEED", 1);
+  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+                   parameter("SOAK_NODES", kNodes), SoakPlot::kDepartures);
+  const SoakFindings findings = soak.run();
+  BOOST_TEST_MESSAGE(
+      "seed " << seed << ": " << findings.requests << " requests, " << findings.served
+              << " served; after the close " << findings.promptArrivals << " arrived in time, "
+              << findings.lateArrivals << " late; judged runs " << findings.judgedDepartures);
+  for (const auto& [fault, count] : findings.faults) {
+    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
+  }
+  tellViolations(seed, findings, soak.recordFolder());
+  BOOST_TEST(findings.served > 0U, "too little was served to judge");
+  BOOST_TEST(findings.judgedDepartures >= 100U, "too few callers left to judge");
+  BOOST_TEST(findings.faults.contains("herd killed"), "no herd was killed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_versions)
 
 /// Servers of several software versions beside kills, stops, pauses and a store that misbehaves.
