http: a node that carries a tunnel passes nothing on for a sender that has closed

Cause: the piece was written to the server before the next read showed the close. Change: the tunnel looks at the sender's socket before it writes. Senders close only when they have their answer, or want none. Evidence: tunnel_service/requestWhoseSenderHasClosedIsNotPassedOn failed before (1 request reached the server), passes now.

--- a/src/http/tunnel.cc
+++ b/src/http/tunnel.cc
@@ -6,6 +6,8 @@
 #include <boost/asio.hpp>
 #include <memory>
 
+#include "http/peer_close.h"
+
 namespace calicodrift::http {
 namespace {
 
@@ -43,8 +45,8 @@
   }
 
   awaitable<void> passRequests(std::string early) {
-    bool open = true;
-    if (!early.empty()) {
+    bool open = !callerHasClosed();
+    if (open && !early.empty()) {
       open = co_await write(server_, early.data(), early.size());
       totals_.fromCaller += early.size();
     }
@@ -91,11 +93,15 @@
   const TunnelTotals& totals() const { return totals_; }
 
  private:
+  /// What a caller has sent before it closed must not begin work any more. Callers close only when
+  /// they have their answers, or want none.
+  bool callerHasClosed() { return peerHasClosed(caller_.native_handle()); }
+
   awaitable<void> passRequestPieces() {
     std::array<char, kPieceBytes> piece{};
     for (;;) {
       auto [code, count] = co_await caller_.async_read_some(asio::buffer(piece), kAwait);
-      if (code) {
+      if (code || callerHasClosed()) {
         co_return;
       }
       noteBytes();
--- a/tests/server_paths/tunnel_service_test.cc
+++ b/tests/server_paths/tunnel_service_test.cc
@@ -26,6 +26,7 @@
   }
 
   awaitable<void> answer(http::Request& request, http::ResponseWriter& writer) {
+    ++requestsReceived;
     if (request.path() == "/wait") {
       writer.onCallerGone([this] { goneAt = monotonicNow(); });
       asio::steady_timer timer(context, std::chrono::seconds(2));
@@ -100,6 +101,7 @@
     BOOST_TEST(finished);
   }
 
+  std::size_t requestsReceived = 0;
   asio::io_context context;
   prometheus::Registry registry;
   ServerPathMetrics metrics{registry};
@@ -128,6 +130,29 @@
 
 BOOST_FIXTURE_TEST_SUITE(tunnel_service, Fixture)
 
+/// Guards against a request that a carrying node passes on although its sender has given it up
+/// meanwhile: the node stood still, and finds the request and the close together.
+BOOST_AUTO_TEST_CASE(requestWhoseSenderHasClosedIsNotPassedOn) {
+  run([](Fixture& fixture) -> awaitable<void> {
+    Tcp::socket sender(fixture.context);
+    const auto address = asio::ip::make_address(fixture.peerEndpoint.address);
+    co_await sender.async_connect({address, fixture.peerEndpoint.port}, asio::use_awaitable);
+    const std::string server = fixture.serverEndpoint.toString();
+    const std::string ask = "CONNECT " + server + " HTTP/1.1\r\nHost: " + server + "\r\n\r\n";
+    co_await asio::async_write(sender, asio::buffer(ask), asio::use_awaitable);
+    std::string head;
+    co_await asio::async_read_until(sender, asio::dynamic_buffer(head), "\r\n\r\n",
+                                    asio::use_awaitable);
+    BOOST_TEST(head.starts_with("HTTP/1.1 200"));
+    // Within one turn of the loop that both nodes share.
+    asio::write(sender, asio::buffer(std::string("GET /late HTTP/1.1\r\nHost: h\r\n\r\n")));
+    sender.close();
+    co_await fixture.pause(Milliseconds(100));
+    BOOST_TEST(fixture.requestsReceived == 0U);
+    BOOST_TEST(fixture.server.openConnections() == 0U);
+  }(*this));
+}
+
 BOOST_AUTO_TEST_CASE(largeBodiesPassUnchangedAndTheTunnelIsUsedAgain) {
   run([](Fixture& fixture) -> awaitable<void> {
     const std::string body(1'000'000, 'x');
