--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -1,5 +1,6 @@
 #include "forward/server_attempt.h"
 
+#include "common/hashing.h"
 #include "forward/remaining_time.h"
 #include "http/status.h"
 
@@ -45,6 +46,7 @@
   options.bodyTimeout = options.headerTimeout;
   options.unacknowledgedTimeout = bounds.unacknowledgedTimeout;
   options.canceller = &canceller_;
+  options.request = http::RequestKey(hashBytes(request.id.value()));
   options.connectTime = &connectTime_;
   http::Request message = protocol_.encode(request, dispatch);
   silence_.begin(bounds.startPatience);
@@ -61,6 +63,7 @@
   weights_ = protocol_.weightsOf(stream.head());
   fromOtherServer_ = protocol_.namesOtherServer(dispatch.server, stream.head());
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kAnotherServer) {
+    stream.noteRefusal();
     // Drains the body, so that the connection can be reused.
     stream.setBodyTimeout(kRefusalBodyTimeout);
     const Result<http::BodyPiece> rest = co_await stream.read();
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -38,6 +38,7 @@
   }
   std::optional<http::Tunnel> tunnel() const override { return stream_->tunnel(); }
   void setBodyTimeout(Milliseconds timeout) override { stream_->setBodyTimeout(timeout); }
+  void noteRefusal() override { stream_->noteRefusal(); }
   void cancel() override { stream_->cancel(); }
 
  private:
@@ -63,6 +64,7 @@
   path.connectTimeout = options.connectTimeout;
   path.unacknowledgedTimeout = options.unacknowledgedTimeout;
   path.rttMs = context_.pool.rttMsTo(server, monotonicNow());
+  path.request = options.request;
   path.canceller = options.canceller;
   return path;
 }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -30,6 +31,8 @@
 /// Of a connection that was not used after all: no answer has said how long the server keeps it.
 constexpr Milliseconds kUnusedLifetime{1000};
 constexpr std::size_t kBodyPieceBytes = 16'384;
+/// Refusals that a connection remembers; it is closed after more.
+constexpr std::size_t kMaxRefusals = 64;
 /// Of bytes that are not parsed yet. More than the longest head that the parser takes; also bounds
 /// the extension of a chunk and the trailers, which it parses as a whole.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
@@ -79,17 +82,23 @@
   ClientState(asio::any_io_executor executor, ClientSettings settings)
       : executor(std::move(executor)), settings(std::move(settings)) {}
 
-  ConnectionPointer takeIdle(const ConnectionPath& path, MonotonicTime usedSince) {
+  ConnectionPointer takeIdle(const ConnectionPath& path, MonotonicTime usedSince,
+                             RequestKey request) {
     const auto found = idle.find(path);
-    return found == idle.end() ? nullptr : takeFrom(found->second, usedSince);
+    return found == idle.end() ? nullptr : takeFrom(found->second, usedSince, request);
   }
 
   static ConnectionPointer takeFrom(std::vector<IdleConnection>& connections,
-                                    MonotonicTime usedSince) {
+                                    MonotonicTime usedSince, RequestKey request) {
     // Connections are returned at the end, so that all before an old one are older.
-    while (!connections.empty() && connections.back().usedAt >= usedSince) {
-      const IdleConnection taken = std::move(connections.back());
-      connections.pop_back();
+    std::size_t next = connections.size();
+    while (next > 0 && connections[next - 1].usedAt >= usedSince) {
+      --next;
+      if (hasRefused(*connections[next].connection, request)) {
+        continue;
+      }
+      const IdleConnection taken = std::move(connections[next]);
+      connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(next));
       const bool fresh = monotonicNow() < taken.usableUntil;
       if (fresh && stillUsable(taken.connection->stream.socket())) {
         taken.connection->connectTime.reset();
@@ -99,8 +108,15 @@
     return nullptr;
   }
 
+  static bool hasRefused(const OpenConnection& connection, RequestKey request) {
+    return request != RequestKey() &&
+           std::find(connection.refused.begin(), connection.refused.end(), request) !=
+               connection.refused.end();
+  }
+
   void giveBack(const ConnectionPointer& connection, Milliseconds lifetime) {
-    if (connection->generation != generationOf(connection->path)) {
+    const bool dropped = connection->generation != generationOf(connection->path);
+    if (dropped || connection->refused.size() > kMaxRefusals) {
       connection->stream.close();
       return;
     }
@@ -232,6 +248,12 @@
 
   void setBodyTimeout(Milliseconds timeout) override { options_.bodyTimeout = timeout; }
 
+  void noteRefusal() override {
+    if (options_.request != RequestKey()) {
+      connection_->refused.push_back(options_.request);
+    }
+  }
+
   void cancel() override { stream_.close(); }
 
  private:
@@ -271,6 +293,9 @@
       return;
     }
     finished_ = true;
+    if (options_.canceller != nullptr) {
+      options_.canceller->detach();
+    }
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
     const bool reusable =
@@ -475,7 +500,7 @@
 awaitable<Result<ClientConnection>> Client::connect(ConnectionPath path, ConnectOptions options) {
   const std::shared_ptr<ClientState> state = state_;
   if (options.use == ConnectionUse::kPooled) {
-    if (ConnectionPointer idle = state->takeIdle(path, options.usedSince)) {
+    if (ConnectionPointer idle = state->takeIdle(path, options.usedSince, options.request)) {
       idle->generation = state->generationOf(path);
       attachTo(options.canceller, idle);
       co_return ClientConnection(std::move(idle));
@@ -521,6 +546,7 @@
   connecting.timeout = options.connectTimeout;
   connecting.unacknowledgedTimeout = options.unacknowledgedTimeout;
   connecting.canceller = options.canceller;
+  connecting.request = options.request;
   Result<ClientConnection> connected =
       co_await connect(ConnectionPath(std::move(endpoint)), connecting);
   if (!connected) {
@@ -534,13 +560,13 @@
 
 std::optional<ClientConnection> Client::takeIdle(
     const Endpoint& endpoint, const std::function<bool(const ConnectionPath&)>& usable,
-    MonotonicTime usedSince) {
+    MonotonicTime usedSince, RequestKey request) {
   auto found = state_->idle.lower_bound(ConnectionPath(endpoint));
   for (; found != state_->idle.end() && found->first.endpoint == endpoint; ++found) {
     if (!usable(found->first)) {
       continue;
     }
-    if (ConnectionPointer idle = ClientState::takeFrom(found->second, usedSince)) {
+    if (ConnectionPointer idle = ClientState::takeFrom(found->second, usedSince, request)) {
       idle->generation = state_->generationOf(idle->path);
       return ClientConnection(std::move(idle));
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -52,6 +52,8 @@
   bool cancelled() const { return cancelled_; }
   /// For the client: how to close the connection now in use.
   void attach(std::function<void()> close);
+  /// For the client: the exchange has ended, and its connection may serve another one.
+  void detach() { close_ = nullptr; }
 
  private:
   std::function<void()> close_;
@@ -77,6 +79,8 @@
   /// A plain pointer, as g++ 12 mishandles temporaries of aggregates with destructors in
   /// coroutines.
   ExchangeCanceller* canceller = nullptr;
+  /// See ConnectOptions::request.
+  RequestKey request;
   /// Set to how long the connection took where a new one was made. Must outlive the call.
   std::optional<Microseconds>* connectTime = nullptr;
   /// Set to when bytes of a successful response (2xx) last arrived. Must outlive the call.
@@ -95,6 +99,10 @@
   Milliseconds unacknowledgedTimeout{0};
   /// A pooled connection is taken only if it was in use at this time or later.
   MonotonicTime usedSince{};
+  /// The request that is to be sent. A connection on which it was refused before is not taken: a
+  /// late copy of that refusal would pass for the answer, as nothing but the connection and the
+  /// order on it tells which sending an answer is for.
+  RequestKey request;
   ExchangeCanceller* canceller = nullptr;
 };
 
@@ -117,6 +125,8 @@
 class ResponseStream {
  public:
   virtual ~ResponseStream() = default;
+  /// The head is a refusal of the request, which may be sent again; see ConnectOptions::request.
+  virtual void noteRefusal() {}
   /// Status and headers; the body is empty.
   virtual const Response& head() const = 0;
   /// The next piece of the body; after the last one it is returned again. A connection that breaks
@@ -165,10 +175,10 @@
                                                                        Request request,
                                                                        ExchangeOptions options);
   /// Takes an idle connection of any path to the endpoint that satisfies `usable`; see
-  /// ConnectOptions::usedSince.
+  /// ConnectOptions::usedSince and ConnectOptions::request.
   std::optional<ClientConnection> takeIdle(const Endpoint& endpoint,
                                            const std::function<bool(const ConnectionPath&)>& usable,
-                                           MonotonicTime usedSince);
+                                           MonotonicTime usedSince, RequestKey request = {});
   /// Returns a connection on which nothing was sent to the pool.
   void release(const ClientConnection& connection);
 
--- a/src/http/connection_path.h
+++ b/src/http/connection_path.h
@@ -13,6 +13,9 @@
 /// Chosen at random by the node that asks for a tunnel.
 using TunnelId = StrongType<struct TunnelIdTag, std::uint64_t>;
 
+/// Identifies a request over all of its exchanges; 0: one that is sent once only.
+using RequestKey = StrongType<struct RequestKeyTag, std::uint64_t>;
+
 /// One tunnel, as its proxy knows it.
 struct Tunnel {
   Endpoint proxy;
--- a/src/http/open_connection.h
+++ b/src/http/open_connection.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "http/connection_path.h"
 
@@ -23,6 +24,8 @@
   TunnelId tunnelId;
   /// How long it took to open; empty if it was used before.
   std::optional<Microseconds> connectTime;
+  /// Requests that were refused on it.
+  std::vector<RequestKey> refused;
 };
 
 }  // namespace calicodrift::http
--- a/src/server_paths/server_paths.cc
+++ b/src/server_paths/server_paths.cc
@@ -51,6 +51,7 @@
   connecting.use = options.use;
   connecting.timeout = options.connectTimeout;
   connecting.unacknowledgedTimeout = options.unacknowledgedTimeout;
+  connecting.request = options.request;
   connecting.canceller = options.canceller;
   return connecting;
 }
@@ -74,7 +75,7 @@
     const auto direct = [](const http::ConnectionPath& path) { return path.direct(); };
     const MonotonicTime usedSince =
         table_.suspectSince(monotonicNow()).value_or(MonotonicTime::min());
-    if (auto idle = context_.client.takeIdle(server, direct, usedSince)) {
+    if (auto idle = context_.client.takeIdle(server, direct, usedSince, options.request)) {
       co_return std::move(*idle);
     }
   }
@@ -176,7 +177,8 @@
     const auto usable = [this, now](const http::ConnectionPath& path) {
       return !path.direct() && peers_->isUsable(*path.proxy, now);
     };
-    if (auto idle = context_.client.takeIdle(server, usable, MonotonicTime::min())) {
+    if (auto idle =
+            context_.client.takeIdle(server, usable, MonotonicTime::min(), options.request)) {
       co_return std::move(*idle);
     }
   }
--- a/src/server_paths/server_paths.h
+++ b/src/server_paths/server_paths.h
@@ -84,6 +84,8 @@
   Milliseconds unacknowledgedTimeout{0};
   /// Round-trip time to the server; 0 if unknown.
   double rttMs = 0;
+  /// See http::ConnectOptions::request.
+  http::RequestKey request;
   http::ExchangeCanceller* canceller = nullptr;
 };
 
