--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -31,6 +31,8 @@
 struct WeightedService {
   std::string service;
   std::uint32_t weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 struct Route {
--- a/tests/forward/forward_test.cc
+++ b/tests/forward/forward_test.cc
@@ -132,6 +132,37 @@
   BOOST_TEST(counts["b"] == 2);
 }
 
+/// Guards against turns that are left over from former weights and outweigh the new ones.
+BOOST_AUTO_TEST_CASE(sharesFollowNewWeightsFromTheirFirstRequestsOn) {
+  for (std::size_t first = 0; first < 50; ++first) {
+    routes::Route route = makeRoute(routes::RouteKind::kSafe, false, 1);
+    route.services = {{"a", 9000}, {"b", 1000}};
+    WeightedChoice choice;
+    const auto countOf = [&](const std::string& service, int requests) {
+      int count = 0;
+      for (int number = 0; number < requests; ++number) {
+        count += choice.choose(route) == service ? 1 : 0;
+      }
+      return count;
+    };
+    static_cast<void>(countOf("b", static_cast<int>(first)));
+    route.services = {{"a", 9}, {"b", 1}};
+    const int ofB = countOf("b", 60);
+    BOOST_TEST((ofB >= 5 && ofB <= 7), ofB << " of 60 after " << first);
+    // Taken out, put back, alone, and behind a third one.
+    route.services = {{"a", 1}, {"b", 0}};
+    BOOST_TEST(countOf("b", 20) == 0);
+    route.services = {{"a", 0}, {"b", 1}};
+    BOOST_TEST(countOf("b", 20) == 20);
+    route.services = {{"a", 1}, {"b", 1}};
+    const int half = countOf("b", 20);
+    BOOST_TEST((half >= 9 && half <= 11), half << " of 20 after " << first);
+    route.services = {{"a", 500}, {"b", 500}, {"c", 9000}};
+    const int ofC = countOf("c", 40);
+    BOOST_TEST((ofC >= 35 && ofC <= 37), ofC << " of 40 after " << first);
+  }
+}
+
 CacheMoveQuery settledQuery() {
   CacheMoveQuery query;
   query.serverWeights = WeightsVersion(2);
