An empty list of tenants lets nobody in

Cause: keys were asked for where the list held a tenant, so that removing the last one opened all routes. Change: a list that is there, empty or not, asks for keys; a configuration without a list does not.

--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -124,6 +124,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   std::vector<Tenant> tenants;
+  /// Whether the configuration has a list of tenants, even if it is empty: then nobody has a key.
+  bool hasTenantList = false;
   CallerLimits limits;
 };
 
@@ -140,7 +142,7 @@
   const Tenant* findTenant(std::string_view apiKey) const;
   const Service* findService(std::string_view name) const;
   /// Whether requests to routes that aren't public need a key.
-  bool needsKeys() const { return !content_.tenants.empty(); }
+  bool needsKeys() const { return content_.hasTenantList || !content_.tenants.empty(); }
   const CallerLimits& limits() const { return content_.limits; }
   const std::vector<Service>& services() const { return content_.services; }
   const std::vector<Tenant>& tenants() const { return content_.tenants; }
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -46,6 +46,35 @@
   });
 }
 
+/// Guards against revoked and unknown keys that are served once the last tenant has been removed.
+BOOST_AUTO_TEST_CASE(emptyListOfTenantsLetsNobodyIn) {
+  json::value withoutTenants = configuration(1);
+  withoutTenants.as_object()["tenants"] = json::array();
+  store.put("config", "main", std::move(withoutTenants));
+  ServerStandIn& server = addServer("i-1", "app");
+  run([&]() -> awaitable<void> {
+    for (const std::string key : {"k1", "never", ""}) {
+      http::Request message = request("/safe/a", key);
+      const Result<http::Response> answer = co_await call(std::move(message));
+      BOOST_TEST(answer.value().status == 401U);
+    }
+    http::Request message = request("/open/a", "");
+    const Result<http::Response> open = co_await call(std::move(message));
+    BOOST_TEST(open.value().status == 200U);
+    BOOST_TEST(server.arrivals().size() == 1U);
+    // Without a list, no route asks for keys.
+    json::value withoutList = configuration(2);
+    withoutList.as_object().erase("tenants");
+    store.put("config", "main", std::move(withoutList));
+    co_await waitUntil([this] { return node->ready(); });
+    asio::steady_timer timer(context, Milliseconds(300));
+    co_await timer.async_wait(asio::use_awaitable);
+    http::Request last = request("/safe/a", "never");
+    const Result<http::Response> answer = co_await call(std::move(last));
+    BOOST_TEST(answer.value().status == 200U);
+  });
+}
+
 /// Guards against a node that ends under a request whose headers it cannot read.
 BOOST_AUTO_TEST_CASE(malformedHeadersAreRefusedWithoutHarmToOthers) {
   store.put("config", "main", configuration(1));
