--- a/src/forward/cache_scope.h
+++ b/src/forward/cache_scope.h
@@ -8,9 +8,13 @@
 namespace calicodrift::forward {
 
 /// Identifies the cached prompt parts that a request may use on a server. Contains the weights
-/// version, and the tenant if it is isolated: requests with different scopes never share cache.
+/// version, and the tenant if it is isolated, else which tenants are: requests with different
+/// scopes never share cache, and no request shares what a tenant that is isolated now has made.
 std::string cacheScope(const Grant& grant, WeightsVersion weights);
 
+/// See routes::RouteTable::isolationKey().
+std::uint64_t isolationKeyOf(const Grant& grant);
+
 /// Identifies the prompt's common prefix within a cache scope; 0 if the prompt has none.
 std::uint64_t sharedKeyOf(const routing::RouteRequest& request, const std::string& scope);
 
--- a/src/forward/prompt_blocks.cc
+++ b/src/forward/prompt_blocks.cc
@@ -1,6 +1,7 @@
 #include "forward/prompt_blocks.h"
 
 #include "common/hashing.h"
+#include "forward/cache_scope.h"
 
 namespace calicodrift::forward {
 namespace {
@@ -48,7 +49,7 @@
   }
   route.model = request.model;
   route.priority = toPriority(grant.priority());
-  const std::uint64_t seed = isolated ? hashBytes(grant.tenant->id.value()) : 0;
+  const std::uint64_t seed = isolated ? hashBytes(grant.tenant->id.value()) : isolationKeyOf(grant);
   chainPrompt(request.prompt, seed, route);
   route.promptTokens = request.promptTokens;
   route.outputTokens = request.outputTokens;
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -1,8 +1,28 @@
 #include "routes/route_table.h"
 
 #include <algorithm>
+#include <set>
+
+#include "common/hashing.h"
 
 namespace calicodrift::routes {
+namespace {
+
+std::uint64_t isolationKeyOf(const std::vector<Tenant>& tenants) {
+  std::set<std::string_view> isolated;
+  for (const Tenant& tenant : tenants) {
+    if (tenant.isolated) {
+      isolated.insert(tenant.id.value());
+    }
+  }
+  std::uint64_t key = 0;
+  for (const std::string_view tenant : isolated) {
+    key = hashPair(key, hashBytes(tenant));
+  }
+  return key;
+}
+
+}  // namespace
 
 RouteTable::RouteTable(RouteTableContent content) : content_(std::move(content)) {
   for (const Route& route : content_.routes) {
@@ -16,6 +36,7 @@
   for (const Service& service : content_.services) {
     servicesByName_[service.name] = &service;
   }
+  isolationKey_ = isolationKeyOf(content_.tenants);
 }
 
 const Route* RouteTable::findRoute(std::string_view host, std::string_view path) const {
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -143,6 +143,10 @@
   const Service* findService(std::string_view name) const;
   /// Whether requests to routes that aren't public need a key.
   bool needsKeys() const { return content_.hasTenantList || !content_.tenants.empty(); }
+  /// Identifies the set of isolated tenants; 0 if there are none. What was cached for the others
+  /// under one key was made by tenants that are not isolated under it, so that a tenant which
+  /// becomes isolated leaves nothing behind that others use.
+  std::uint64_t isolationKey() const { return isolationKey_; }
   const CallerLimits& limits() const { return content_.limits; }
   const std::vector<Service>& services() const { return content_.services; }
   const std::vector<Tenant>& tenants() const { return content_.tenants; }
@@ -164,6 +168,7 @@
   using TextMap = std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
 
   RouteTableContent content_;
+  std::uint64_t isolationKey_ = 0;
   /// The routes of each host by path prefix.
   TextMap<TextMap<const Route*>> routesByHost_;
   TextMap<const Tenant*> tenantsByKey_;
--- a/tests/forward/forward_test.cc
+++ b/tests/forward/forward_test.cc
@@ -1,7 +1,9 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 #include "forward/cache_moves.h"
+#include "forward/cache_scope.h"
 #include "forward/event_stream.h"
 #include "forward/prompt_blocks.h"
 #include "forward/request_gate.h"
@@ -273,6 +275,54 @@
   BOOST_TEST(moves.takeSaves().empty());
 }
 
+/// Guards against memory that a tenant's requests made before it became isolated, and that others
+/// go on to share.
+BOOST_AUTO_TEST_CASE(whatAnIsolatedTenantMadeBeforeIsSharedNoMore) {
+  const auto grantOf = [](const std::set<std::string>& isolated, std::size_t tenant) {
+    routes::RouteTableContent content;
+    content.routes = {makeRoute(routes::RouteKind::kStreaming, true, 2)};
+    for (const std::string name : {"alpha", "beta", "gamma"}) {
+      routes::Tenant made;
+      made.id = TenantId(name);
+      made.isolated = isolated.contains(name);
+      content.tenants.push_back(made);
+    }
+    Grant grant;
+    grant.table = std::make_shared<const routes::RouteTable>(std::move(content));
+    grant.route = grant.table->findRoute("h", "/a/x");
+    grant.tenant = &grant.table->tenants()[tenant];
+    return grant;
+  };
+  const WeightsVersion weights(1);
+  Request request;
+  request.prompt = {{"aa", 600}, {"bb", 300}, {"cc", 100}};
+  const auto firstBlock = [&request](const Grant& grant) {
+    return toRouteRequest(request, grant).blocks.front();
+  };
+  // By which tenants each scope was used, as they become isolated and shared again.
+  std::map<std::string, std::set<std::size_t>> users;
+  const std::vector<std::set<std::string>> steps = {
+      {}, {"beta"}, {}, {"beta", "gamma"}, {"gamma"}, {"beta"}, {"alpha", "beta", "gamma"}, {}};
+  for (const std::set<std::string>& isolated : steps) {
+    for (std::size_t tenant = 0; tenant < 3; ++tenant) {
+      const Grant grant = grantOf(isolated, tenant);
+      const std::string scope = cacheScope(grant, weights);
+      users[scope].insert(tenant);
+      for (const std::size_t other : users[scope]) {
+        const bool shares = other != tenant;
+        BOOST_TEST((!shares || !grant.tenant->isolated));
+        BOOST_TEST((!shares || !grant.table->tenants()[other].isolated));
+        const Grant otherGrant = grantOf(isolated, other);
+        const bool sharesScope = cacheScope(otherGrant, weights) == scope;
+        const bool sharesBlocks = firstBlock(otherGrant) == firstBlock(grant);
+        BOOST_TEST(sharesScope == sharesBlocks);
+      }
+    }
+  }
+  // Where nobody is isolated, the scope is that of earlier builds.
+  BOOST_TEST(cacheScope(grantOf({}, 0), weights) == "w1");
+}
+
 BOOST_AUTO_TEST_CASE(isolatedTenantsShareNoBlocks) {
   const routes::Route route = makeRoute(routes::RouteKind::kStreaming, true, 2);
   routes::Tenant open;
