forward: a server is told the time that is left at the send, not at the choice

Servers: a request told its server the time that its caller had left when the server was chosen; a connection that took 0.2 s to a second (through other nodes, on machines that just started) was on top. The class is that of requests sent for callers that had left. Change: the request is written as part of the check right before the first byte.

--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -126,7 +126,6 @@
 Dispatch Forwarder::makeDispatch(const Job& job, const fleet::Server& server,
                                  const routing::Candidate& candidate) const {
   Dispatch dispatch(server);
-  dispatch.timeLeft = remainingTime(job.end);
   dispatch.tenant = job.grant.tenant;
   dispatch.priority = job.grant.priority();
   dispatch.resumeAfter = job.relay.lastEvent();
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -23,7 +23,7 @@
   explicit Dispatch(const fleet::Server& target) : server(target) {}
 
   const fleet::Server& server;
-  /// Remaining time until the caller's deadline, computed for this dispatch.
+  /// Remaining time until the caller's deadline, as of the send.
   Milliseconds timeLeft{0};
   const routes::Tenant* tenant = nullptr;
   unsigned priority = 0;
--- a/src/forward/server_attempt.cc
+++ b/src/forward/server_attempt.cc
@@ -48,10 +48,11 @@
   options.canceller = &canceller_;
   options.request = http::RequestKey(hashBytes(request.id.value()));
   options.connectTime = &connectTime_;
-  http::Request message = protocol_.encode(request, dispatch);
+  SendCheck check = recordingCheck(request, dispatch, bounds.deadline);
+  http::Request message;
   silence_.begin(bounds.startPatience);
   auto opened = co_await calls_.open(dispatch.server, std::move(message), options, purpose_,
-                                     leavePath_, recordingCheck());
+                                     leavePath_, std::move(check));
   silence_.end();
   if (!opened) {
     co_return opened.error();
@@ -83,11 +84,17 @@
   co_return co_await relayWhole(stream, dispatch.server, bounds, failureUse);
 }
 
-SendCheck ServerAttempt::recordingCheck() {
-  return [this]() -> Result<void> {
+SendCheck ServerAttempt::recordingCheck(const Request& request, const Dispatch& dispatch,
+                                        MonotonicTime deadline) {
+  return [this, &request, &dispatch, deadline](http::Request& message) -> Result<void> {
     Result<void> allowed = mayBeSent_();
     handedOver_ = allowed.has_value();
     withheld_ = !allowed;
+    if (allowed) {
+      Dispatch now = dispatch;
+      now.timeLeft = remainingTime(deadline);
+      message = protocol_.encode(request, now);
+    }
     return allowed;
   };
 }
--- a/src/forward/server_attempt.h
+++ b/src/forward/server_attempt.h
@@ -48,7 +48,8 @@
   /// @param purpose a request with a unit of the server's limit, or without one.
   ServerAttempt(const boost::asio::any_io_executor& executor, ServerCalls& calls,
                 const ServerProtocol& protocol, AnswerEndCheck& endCheck, AnswerRelay& relay,
-                CallPurpose purpose, Permissions permissions, SendCheck mayBeSent)
+                CallPurpose purpose, Permissions permissions,
+                std::function<Result<void>()> mayBeSent)
       : calls_(calls),
         protocol_(protocol),
         endCheck_(endCheck),
@@ -118,8 +119,10 @@
   boost::asio::awaitable<Result<void>> confirmEnd(http::ResponseStream& stream,
                                                   const fleet::Server& server,
                                                   const AttemptBounds& bounds);
-  /// The check before the first byte, whose result is recorded.
-  SendCheck recordingCheck();
+  /// The check before the first byte, whose result is recorded. Writes the request as of the time
+  /// that is left then.
+  SendCheck recordingCheck(const Request& request, const Dispatch& dispatch,
+                           MonotonicTime deadline);
   /// The permission, which sets leftPath_ when it is granted.
   server_paths::MovePermission recordingGrant(server_paths::MovePermission permission);
   void notifyFirstBytes();
@@ -132,7 +135,7 @@
   bool leftPath_ = false;
   server_paths::MovePermission leavePath_;
   SilenceWatch silence_;
-  SendCheck mayBeSent_;
+  std::function<Result<void>()> mayBeSent_;
   http::ExchangeCanceller canceller_;
   std::function<void()> firstBytesListener_;
   std::optional<WeightsVersion> weights_;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -91,7 +91,7 @@
     context_.client.release(connection.value());
     co_return allowed.error();
   }
-  if (const Result<void> allowed = mayBeSent ? mayBeSent() : boost::outcome_v2::success();
+  if (const Result<void> allowed = mayBeSent ? mayBeSent(request) : boost::outcome_v2::success();
       !allowed) {
     if (allowed.error().kind == ErrorKind::kServerWithdrawn) {
       context_.metrics.countWithdrawn();
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -30,8 +30,8 @@
 
 /// Asked when a call has its connection, right before its first byte is written: whether what the
 /// caller of open() found out before it waited for the connection still holds. An error is passed
-/// on to that caller, and nothing is sent.
-using SendCheck = std::function<Result<void>()>;
+/// on to that caller, and nothing is sent. May fill in what depends on the time of the send.
+using SendCheck = std::function<Result<void>(http::Request& request)>;
 
 /// Dependencies of ServerCalls. All of them outlive it and run on its thread.
 struct ServerCallContext {
--- a/src/weights/weights_loader.cc
+++ b/src/weights/weights_loader.cc
@@ -436,7 +436,7 @@
   message.expectedOrders = *expected;
   http::Request request = protocol_.encodeOrder(message);
   const http::ExchangeOptions options = callOptions(settings_.callTimeout);
-  const auto holdsLease = [this, token]() -> Result<void> {
+  const auto holdsLease = [this, token](http::Request&) -> Result<void> {
     if (lease_.token() == token) {
       return boost::outcome_v2::success();
     }
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -61,11 +61,20 @@
   static constexpr std::string_view kRest = "X-Rest-Ms";
   /// Header of a server that names a limit, in requests a second.
   static constexpr std::string_view kLimit = "X-Limit";
+  /// Header with the time that the caller has left, in milliseconds.
+  static constexpr std::string_view kTimeLeft = "X-Time-Left-Ms";
   /// Header with the weights that a request expects.
   static constexpr std::string_view kWeights = "X-Weights";
 
+  /// Called with each request right before its first byte is sent.
+  std::function<void(const http::Request&)> onSend;
+
   http::Request encode(const Request& request, const Dispatch& dispatch) const override {
     http::Request message = request.message;
+    message.headers.set(kTimeLeft, std::to_string(dispatch.timeLeft.count()));
+    if (onSend) {
+      onSend(message);
+    }
     if (dispatch.weights) {
       message.headers.set(kWeights, std::to_string(dispatch.weights->value()));
     }
@@ -279,6 +288,7 @@
     BOOST_TEST(done);
   }
   ServerCalls& calls() { return serverCalls_; }
+  TestServerProtocol& serverProtocol() { return serverProtocol_; }
   std::size_t sentTo(Track track) const {
     const auto found = sent.find(track);
     return found == sent.end() ? 0 : found->second;
