stream_versions: records reach the store within 20 ms of each other

By its log three streams, taken up three times each, were unknown, dispatched 0.11 to 0.41 s before all nodes were killed: likely their first events lay within the 50 ms between two writes. Change: 20 ms, 100 ms while a segment holds 200 records and more.

--- a/src/stream_versions/stream_archive.cc
+++ b/src/stream_versions/stream_archive.cc
@@ -110,7 +110,8 @@
   while (state->hasPending()) {
     const bool written = co_await writeNext(state);
     state->context.metrics.countArchiveWrite(written);
-    Milliseconds pause = kWriteInterval;
+    const bool large = state->segment.records.size() >= kLargeSegmentRecords;
+    Milliseconds pause = large ? kLargeWriteInterval : kWriteInterval;
     if (!written) {
       pause = std::exchange(failurePause, std::min(2 * failurePause, kLongestPause));
     }
--- a/src/stream_versions/stream_archive.h
+++ b/src/stream_versions/stream_archive.h
@@ -44,8 +44,10 @@
   /// Keeps the history, unless it is there already; returns at once.
   void setHistory(ArchivedHistory history);
 
-  /// Time between two writes of one node.
-  static constexpr Milliseconds kWriteInterval{50};
+  /// Time between two writes of one node; longer while each writes many records.
+  static constexpr Milliseconds kWriteInterval{20};
+  static constexpr Milliseconds kLargeWriteInterval{100};
+  static constexpr std::size_t kLargeSegmentRecords = 200;
   /// How long a segment takes records.
   static constexpr Milliseconds kSegmentTime{250};
   /// Further records of a segment are dropped. Some 40 KB.
