stream_versions: nothing is archived while all services have one version

Change: records go to the archive only while a service has several versions. In return the archived history holds all services, one write for each change: what it tells and what is listed is all that there was, however short servers have run, also where a version came while no node was there to see it (theOnlyVersionOfTheArchiveAndTheListIsTheOnlyOne).

--- a/src/stream_versions/archive_segment.h
+++ b/src/stream_versions/archive_segment.h
@@ -34,7 +34,7 @@
 /// Versions that a service has had lately, each with the time at which its servers left the list;
 /// empty while they are listed.
 using ArchivedVersions = std::map<SoftwareVersion, std::optional<WallTime>>;
-/// Of services that have had several versions lately.
+/// Of all services that have had servers lately.
 using ArchivedHistory = std::map<std::string, ArchivedVersions>;
 
 /// All that is archived.
--- a/src/stream_versions/version_core.cc
+++ b/src/stream_versions/version_core.cc
@@ -128,7 +128,8 @@
     metrics_.countShed();
   }
   std::vector<Endpoint> receivers = othersFor(stream, kCopies);
-  const std::optional<Endpoint> archivist = archivistOf(stream);
+  const bool archives = history_.hasSeveral(open.service, now);
+  const std::optional<Endpoint> archivist = archives ? archivistOf(stream) : std::nullopt;
   if (archivist && *archivist != settings_.endpoint && !contains(receivers, *archivist)) {
     receivers.push_back(*archivist);
   }
@@ -148,7 +149,9 @@
 }
 
 void VersionCore::archive(StreamKey stream, const SoftwareVersion& version) {
-  if (archive_ && archivistOf(stream) == settings_.endpoint) {
+  // While all services have one version, the archived history tells enough.
+  const bool needed = history_.anyHasSeveral(clock_());
+  if (archive_ && needed && archivistOf(stream) == settings_.endpoint) {
     archive_(stream, version);
   }
 }
--- a/src/stream_versions/version_history.cc
+++ b/src/stream_versions/version_history.cc
@@ -74,6 +74,9 @@
 
 std::optional<SoftwareVersion> VersionHistory::provenOnlyVersion(const std::string& service,
                                                                  MonotonicTime now) const {
+  if (archivedServices_.contains(service)) {
+    return onlySeenVersion(service, now);
+  }
   const std::optional<SoftwareVersion> only = onlyVersion(service, now);
   if (!only || hasArchive_) {
     return only;
@@ -82,10 +85,15 @@
   return now - presence.firstSeen >= life_ ? only : std::nullopt;
 }
 
+bool VersionHistory::anyHasSeveral(MonotonicTime now) const {
+  return std::any_of(services_.begin(), services_.end(),
+                     [&](const auto& service) { return hasSeveral(service.first, now); });
+}
+
 ArchivedHistory VersionHistory::archived(MonotonicTime now, WallTime wallNow) const {
   ArchivedHistory history;
   for (const auto& [service, presences] : services_) {
-    if (!hasSeveral(service, now)) {
+    if (present(service, now).empty()) {
       continue;
     }
     ArchivedVersions& versions = history[service];
@@ -103,6 +111,7 @@
                                    WallTime wallNow) {
   hasArchive_ = true;
   for (const auto& [service, versions] : history) {
+    archivedServices_.insert(service);
     for (const auto& [version, leftAt] : versions) {
       const auto sinceThen =
           leftAt ? std::chrono::duration_cast<Milliseconds>(wallNow - *leftAt) : Milliseconds(0);
--- a/src/stream_versions/version_history.h
+++ b/src/stream_versions/version_history.h
@@ -38,7 +38,8 @@
   /// time.
   std::optional<SoftwareVersion> onlyVersion(const std::string& service, MonotonicTime now) const;
   /// The same where it is certain: another version may have left the list before this node started,
-  /// unless the archive tells of that time.
+  /// unless the archive tells of that time. Where it tells of the service, what it tells and what
+  /// is listed is all that there was.
   std::optional<SoftwareVersion> provenOnlyVersion(const std::string& service,
                                                    MonotonicTime now) const;
   /// What nodes that start later have to know.
@@ -51,6 +52,8 @@
                                                  MonotonicTime now) const;
   /// Whether the service has had several versions in the last `life`.
   bool hasSeveral(const std::string& service, MonotonicTime now) const;
+  /// Whether any service has.
+  bool anyHasSeveral(MonotonicTime now) const;
   /// Whether servers of the version are listed now.
   bool isListed(const std::string& service, const SoftwareVersion& version) const;
 
@@ -75,6 +78,8 @@
   Milliseconds life_;
   std::map<std::string, Presences> services_;
   bool hasArchive_ = false;
+  /// Services of which the archive told.
+  std::set<std::string> archivedServices_;
 };
 
 }  // namespace calicodrift::stream_versions
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -249,6 +249,36 @@
   }
 }
 
+/// Guards against calls of the store for streams of services with one version, as long as its
+/// servers have not run for long.
+BOOST_AUTO_TEST_CASE(nothingIsArchivedWhileAllServicesHaveOneVersion) {
+  std::size_t archived = 0;
+  makeRoots({0});
+  nodes[0].core->setArchive([&archived](StreamKey, const SoftwareVersion&) { ++archived; });
+  list({server(kOld, Milliseconds(0))});
+  for (std::uint64_t stream = 1; stream <= 20; ++stream) {
+    nodes[stream % nodes.size()].core->begin(StreamKey(stream), kService, kOld);
+  }
+  network.run(Milliseconds(20));
+  BOOST_TEST(archived == 0U);
+}
+
+/// Guards against refusals after all nodes have started again beside servers that have not run for
+/// long, and against a version that came while no node was there to see it.
+BOOST_AUTO_TEST_CASE(theOnlyVersionOfTheArchiveAndTheListIsTheOnlyOne) {
+  const ListedVersion young = server(kOld, Milliseconds(500));
+  list({young});
+  const ArchivedHistory history = nodes[0].core->history().archived(network.now(), {});
+  for (std::size_t number = 0; number < nodes.size(); ++number) {
+    start(number);
+  }
+  readArchive(1, history);
+  list({young});
+  BOOST_TEST((resolve(0).version == kOld));
+  list({server(kNew, Milliseconds(500))});
+  BOOST_TEST(!resolve(0).known());
+}
+
 /// Guards against refusals for ever of what an earlier version began.
 BOOST_AUTO_TEST_CASE(aVersionOfTheArchiveCountsUntilItsStreamsHaveEnded) {
   const WallTime wall{Milliseconds(1'700'000'000'000)};
