--- a/src/forward/abandonable_wait.h
+++ b/src/forward/abandonable_wait.h
@@ -61,8 +61,8 @@
           state->value.emplace(std::move(value));
         }
       },
-      [state](std::exception_ptr failure) {
-        state->failure = std::move(failure);
+      [state](const std::exception_ptr& failure) {
+        state->failure = failure;
         state->ended.cancel();
       });
   interrupter.onInterrupt([state] { state->ended.cancel(); });
--- a/src/stream_versions/version_history.cc
+++ b/src/stream_versions/version_history.cc
@@ -77,7 +77,7 @@
   if (archivedServices_.contains(service)) {
     return onlySeenVersion(service, now);
   }
-  const std::optional<SoftwareVersion> only = onlyVersion(service, now);
+  std::optional<SoftwareVersion> only = onlyVersion(service, now);
   if (!only || hasArchive_) {
     return only;
   }
--- a/tests/http/cut_heads_test.cc
+++ b/tests/http/cut_heads_test.cc
@@ -38,7 +38,7 @@
     co_return co_await exchange("GET");
   }
   ScriptedAnswer next() {
-    const ScriptedAnswer answer = answers.front();
+    ScriptedAnswer answer = answers.front();
     answers.erase(answers.begin());
     return answer;
   }
@@ -69,8 +69,8 @@
           std::string("Transfer-Encoding: chunked\r\n"), std::string("Connection: close\r\n"),
           std::string("Keep-Alive: timeout=5\r\n")}) {
       for (const std::string& before : {std::string(), kInterim}) {
-        const std::string head =
-            before + ScriptedServer::head("X-Response-Seal: seal\r\n" + framing);
+        std::string head = before;
+        head += ScriptedServer::head("X-Response-Seal: seal\r\n" + framing);
         for (std::size_t count = 0; count < head.size(); ++count) {
           for (const ConnectionEnd end : {ConnectionEnd::kClose, ConnectionEnd::kReset}) {
             for (const char* method : {"GET", "HEAD"}) {
--- a/tests/platform/drawn_entries_test.cc
+++ b/tests/platform/drawn_entries_test.cc
@@ -146,10 +146,9 @@
       readable += isGood && schema.readServer(object) && schema.readServer(relayed) ? 1 : 0;
     }
     BOOST_TEST(readable == 2U, "lost beside: " << odd.substr(0, 200));
-    const std::string change = R"({"gone":false,"object":)";
-    const Result<platform::ChangesRead> changes =
-        platform::readChanges(R"({"events":[)" + change + objectText("odd", odd) + "}," + change +
-                              objectText("i-2", good) + R"(}],"at":9})");
+    std::string events = R"({"events":[{"gone":false,"object":)" + objectText("odd", odd);
+    events += R"(},{"gone":false,"object":)" + objectText("i-2", good) + R"(}],"at":9})";
+    const Result<platform::ChangesRead> changes = platform::readChanges(events);
     BOOST_REQUIRE(changes.has_value());
     const auto& read = changes.value().batch.changes;
     BOOST_TEST((!read.empty() && read.back().object.name == "i-2" &&
@@ -189,7 +188,8 @@
       co_await fleet.waitUntil([&] { return fleet.node(node).ready(); });
       for (int count = 0; count < 40 && added.arrivals().size() == before; ++count) {
         http::Request message = GatewayFixture::request("/safe/a");
-        BOOST_TEST(co_await fleet.call(node, std::move(message)) == 200U);
+        const unsigned status = co_await fleet.call(node, std::move(message));
+        BOOST_TEST(status == 200U);
         co_await fleet.pause(Milliseconds(50));
       }
       BOOST_TEST(added.arrivals().size() > before, "the node does not follow the list");
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -56,6 +56,7 @@
   /// These nodes are the roots of the tree, as all know.
   void makeRoots(const std::vector<std::size_t>& numbers) {
     std::vector<Endpoint> roots;
+    roots.reserve(numbers.size());
     for (const std::size_t number : numbers) {
       roots.push_back(endpointOf(number));
     }
