--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -42,10 +42,6 @@
          failure == ErrorKind::kStreamVersionGone;
 }
 
-Error callerGoneError() {
-  return fail(ErrorKind::kCallerGone, "the caller disconnected");
-}
-
 Error stopError() {
   return fail(ErrorKind::kDraining, "this node stops");
 }
@@ -340,12 +336,13 @@
   if (job.isOver() || now >= job.end) {
     return endOf(job);
   }
-  if (job.writer.callerHasClosed()) {
-    return callerGoneError();
-  }
   return gate_.mayBeSent(job.request, job.grant, context_.configuration(), now);
 }
 
+Error Forwarder::callerGoneError() {
+  return fail(ErrorKind::kCallerGone, "the caller disconnected");
+}
+
 Error Forwarder::endOf(const Job& job) {
   if (job.writer.callerGone()) {
     return callerGoneError();
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -118,9 +118,11 @@
   /// Claims units of the tenant's limit, and checks whether the request may still be sent.
   boost::asio::awaitable<Result<void>> claimDispatch(Job& job);
   /// Why the request must not be sent any more although nothing has failed: its caller has left,
-  /// its time is over, this node stops, or the configuration no longer allows it. Asked before each
-  /// wait and right before the first byte goes to a server, as any of it may change in a wait.
+  /// its time is over, this node stops, or the configuration no longer allows it. Asked before a
+  /// server is chosen and right before the first byte goes to it, as any of it may change in a
+  /// wait.
   Result<void> maySend(Job& job);
+  static Error callerGoneError();
   /// Why a request that is over gets no server.
   static Error endOf(const Job& job);
   /// Waits for the operation until the request is over; see waitUnlessOver().
@@ -158,15 +160,16 @@
   boost::asio::awaitable<Result<void>> runAttempt(Job& job, const Dispatch& dispatch,
                                                   const ChosenServer& chosen,
                                                   fleet::LoadGuard& load);
-  /// maySend(), and whether what the dispatch was granted for this server still holds. Asked with
-  /// no suspension before the first byte.
+  /// maySend(), by a look at the caller's socket as well, and whether what the dispatch was granted
+  /// for this server still holds. Asked with no suspension before the first byte.
   Result<void> maySendTo(Job& job, const Dispatch& dispatch, const ChosenServer& chosen);
   /// Fails with kServerWithdrawn if the weights or the unit that the dispatch relies on have run
   /// out.
   Result<void> grantsHold(const Job& job, const Dispatch& dispatch,
                           const ChosenServer& chosen) const;
   /// Records what was known of the caller and of the dispatch's grants right before the first byte.
-  void recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen) const;
+  void recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen,
+                  bool callerLeft) const;
   /// Reports the dispatch as evidence about its server's version.
   /// @param startMs milliseconds from sending the request to the first bytes of the answer's body.
   void observe(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen,
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -217,7 +217,12 @@
 }
 
 Result<void> Forwarder::maySendTo(Job& job, const Dispatch& dispatch, const ChosenServer& chosen) {
-  recordSend(job, dispatch, chosen);
+  // The event loop may not have reported the close yet.
+  const bool callerLeft = job.writer.callerHasClosed();
+  recordSend(job, dispatch, chosen, callerLeft);
+  if (callerLeft) {
+    return callerGoneError();
+  }
   BOOST_OUTCOME_TRY(maySend(job));
   context_.removeExpiredWeights();
   Result<void> held = grantsHold(job, dispatch, chosen);
@@ -243,8 +248,8 @@
   return boost::outcome_v2::success();
 }
 
-void Forwarder::recordSend(const Job& job, const Dispatch& dispatch,
-                           const ChosenServer& chosen) const {
+void Forwarder::recordSend(const Job& job, const Dispatch& dispatch, const ChosenServer& chosen,
+                           bool callerLeft) const {
   const MonotonicTime now = monotonicNow();
   SendFacts facts{job.request.id, dispatch.server.id};
   facts.sinceCheck = std::chrono::floor<Milliseconds>(now - job.checkedAt);
@@ -252,7 +257,6 @@
   if (chosen.usedLimitUnit) {
     facts.unitAge = std::chrono::floor<Milliseconds>(now - chosen.unitAskedAt);
   }
-  const bool callerLeft = job.writer.callerHasClosed();
   if (callerLeft) {
     facts.callerLeftIn = job.callerLeftIn ? toString(*job.callerLeftIn) : kUnreportedClose;
     context_.metrics.countDepartureBeforeSend(facts.callerLeftIn);
