--- a/src/stream_versions/stream_archive.cc
+++ b/src/stream_versions/stream_archive.cc
@@ -20,8 +20,8 @@
 StreamArchive::StreamArchive(StreamArchiveContext context)
     : state_(std::make_shared<State>(std::move(context))) {}
 
-void StreamArchive::take(State& state, const store::Object& object,
-                         std::vector<ArchivedRecord>* records) {
+void StreamArchive::applyStored(State& state, const store::Object& object,
+                                std::vector<ArchivedRecord>* records) {
   state.revisions[object.name] = object.revision;
   const boost::json::value spec = store::parsed(object).spec;
   if (object.name == kHistoryName) {
@@ -52,7 +52,7 @@
   }
   Archived archived;
   for (const store::Object& object : listing.value().objects) {
-    take(*state, object, &archived.records);
+    applyStored(*state, object, &archived.records);
   }
   archived.history = state->storedHistory;
   if (state->history.empty()) {
@@ -144,7 +144,7 @@
   }
   const Result<store::Object> there = co_await state->context.store.get(kind, name);
   if (there) {
-    take(*state, there.value(), nullptr);
+    applyStored(*state, there.value(), nullptr);
   } else if (there.error().kind == ErrorKind::kNotFound) {
     state->revisions.erase(name);
   }
--- a/src/stream_versions/stream_archive.h
+++ b/src/stream_versions/stream_archive.h
@@ -90,7 +90,8 @@
                                                   store::Object object);
   static void beginSegment(State& state, MonotonicTime now);
   /// Notes what is stored, and adds its records to those given, if any.
-  static void take(State& state, const store::Object& object, std::vector<ArchivedRecord>* records);
+  static void applyStored(State& state, const store::Object& object,
+                          std::vector<ArchivedRecord>* records);
   void startWriting();
 
   std::shared_ptr<State> state_;
