http: an ended exchange leaves its connection alone without a reference to its canceller

Cause: let an ended exchange call its canceller, which must outlive the opening only, and is gone there when the answer ends. Change: a connection counts its ended exchanges, and a canceller closes it only within the exchange that it was attached for.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -293,9 +293,9 @@
       return;
     }
     finished_ = true;
-    if (options_.canceller != nullptr) {
-      options_.canceller->detach();
-    }
+    // From now on the connection may serve another exchange, which this one's canceller must not
+    // end.
+    ++connection_->exchanges;
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
     const bool reusable =
@@ -324,8 +324,9 @@
 
 void attachTo(ExchangeCanceller* canceller, const ConnectionPointer& connection) {
   if (canceller != nullptr) {
-    canceller->attach([weak = std::weak_ptr(connection)] {
-      if (const ConnectionPointer open = weak.lock()) {
+    canceller->attach([weak = std::weak_ptr(connection), exchange = connection->exchanges] {
+      const ConnectionPointer open = weak.lock();
+      if (open && open->exchanges == exchange) {
         open->stream.close();
       }
     });
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -52,8 +52,6 @@
   bool cancelled() const { return cancelled_; }
   /// For the client: how to close the connection now in use.
   void attach(std::function<void()> close);
-  /// For the client: the exchange has ended, and its connection may serve another one.
-  void detach() { close_ = nullptr; }
 
  private:
   std::function<void()> close_;
--- a/src/http/open_connection.h
+++ b/src/http/open_connection.h
@@ -24,6 +24,8 @@
   TunnelId tunnelId;
   /// How long it took to open; empty if it was used before.
   std::optional<Microseconds> connectTime;
+  /// Exchanges that have ended on it.
+  std::uint64_t exchanges = 0;
   /// Requests that were refused on it.
   std::vector<RequestKey> refused;
 };
--- a/tests/http/client_connections_test.cc
+++ b/tests/http/client_connections_test.cc
@@ -1,5 +1,6 @@
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -71,6 +72,48 @@
   }(*this));
 }
 
+/// Guards against a caller who leaves after its answer was read and thereby closes the connection
+/// that another request has taken meanwhile; and against a canceller that has gone when the answer
+/// ends.
+BOOST_AUTO_TEST_CASE(cancellerOfAnEndedExchangeLeavesTheConnectionToTheNextOne) {
+  run([](ClientFixture& fixture) -> awaitable<void> {
+    auto canceller = std::make_unique<ExchangeCanceller>();
+    ExchangeOptions options;
+    options.canceller = canceller.get();
+    Request first;
+    first.target = "/a";
+    auto opened = co_await fixture.client.open(fixture.endpoint, std::move(first), options);
+    BOOST_REQUIRE(opened.has_value());
+    const Result<Response> whole = co_await readWhole(*opened.value(), UnframedBody::kReject);
+    BOOST_TEST(whole.has_value());
+    bool served = false;
+    asio::co_spawn(
+        fixture.context,
+        [&]() -> awaitable<void> {
+          co_await fixture.get("/slow");
+          served = true;
+        },
+        asio::detached);
+    co_await fixture.settle();
+    BOOST_TEST(fixture.server.openConnections() == 1U);
+    canceller->cancel();
+    fixture.released.cancel();
+    co_await fixture.settle();
+    BOOST_TEST(served);
+    BOOST_TEST(fixture.server.openConnections() == 1U);
+    // It need not outlive the answer.
+    auto shortLived = std::make_unique<ExchangeCanceller>();
+    options.canceller = shortLived.get();
+    Request last;
+    last.target = "/b";
+    auto second = co_await fixture.client.open(fixture.endpoint, std::move(last), options);
+    BOOST_REQUIRE(second.has_value());
+    shortLived.reset();
+    const Result<Response> rest = co_await readWhole(*second.value(), UnframedBody::kReject);
+    BOOST_TEST(rest.has_value());
+  }(*this));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
