--- a/src/common/error.cc
+++ b/src/common/error.cc
@@ -53,6 +53,8 @@
      "the server may get no requests any more, and got none; try again after Retry-After"},
     {kStreamVersionGone, "stream_version_gone", 503, kNoRun, kNever,
      "the stream can't go on: begin it anew, without Last-Event-Id"},
+    {kStreamVersionUnproven, "stream_version_unproven", 503, kNoRun, kLater,
+     "this router can't tell for now where the stream goes on; try again after Retry-After"},
     {kIdempotencyKeyInvalid, "idempotency_key_invalid", 400, kNoRun, kNever,
      "send a UUIDv7 made now as Idempotency-Key"},
     {kIdempotencyKeyTooOld, "idempotency_key_too_old", 409, kMayRun, kNever,
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -35,6 +35,7 @@
   kOtherWeights,
   kServerWithdrawn,
   kStreamVersionGone,
+  kStreamVersionUnproven,
   kIdempotencyKeyInvalid,
   kIdempotencyKeyTooOld,
   kDuplicateRequest,
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 
 #include "forward/forward_job.h"
+#include "limits/return_time.h"
 
 namespace calicodrift::forward {
 namespace {
@@ -11,6 +12,10 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 
+/// When a caller whose stream's version could not be told is to come back; roots are replaced and
+/// lists read again within it, mostly.
+constexpr Milliseconds kUnprovenVersionDelay{500};
+
 std::string_view nameOf(routes::RouteKind kind) {
   switch (kind) {
     case routes::RouteKind::kSafe:
@@ -39,7 +44,7 @@
 bool certainlyNotRun(ErrorKind failure) {
   return provesNotRun(failure) || failure == ErrorKind::kNoBackend ||
          failure == ErrorKind::kOverloaded || failure == ErrorKind::kNoConfiguration ||
-         failure == ErrorKind::kStreamVersionGone;
+         failure == ErrorKind::kStreamVersionGone || failure == ErrorKind::kStreamVersionUnproven;
 }
 
 Error stopError() {
@@ -188,14 +193,26 @@
   const Resolution& found = *resolved;
   logStreamVersion(job.request, found);
   if (!found.known()) {
-    co_return fail(ErrorKind::kStreamVersionGone,
-                   "the software version that began the stream is unknown, and the servers of '" +
-                       job.service + "' have had several");
+    co_return unknownVersionError(job, found);
   }
   job.streamVersion = found.version;
   co_return boost::outcome_v2::success();
 }
 
+Error Forwarder::unknownVersionError(const Job& job, const stream_versions::Resolution& found) {
+  if (found.final) {
+    return fail(ErrorKind::kStreamVersionGone,
+                "the software version that began the stream is unknown, and the servers of '" +
+                    job.service + "' have had several");
+  }
+  // Another node may know, and this one after its next read of the list.
+  Error error = fail(ErrorKind::kStreamVersionUnproven,
+                     "the software version that began the stream is unknown, and not all nodes "
+                     "that may know it, or the store, have answered");
+  error.retryAfter = limits::spreadReturn(kUnprovenVersionDelay, random_);
+  return error;
+}
+
 void Forwarder::beginStream(Job& job, const fleet::Server& server) {
   if (!job.isResumable()) {
     return;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -111,8 +111,9 @@
   /// Succeeds once the caller has its answer; otherwise returns why no server gave one.
   boost::asio::awaitable<Result<void>> dispatchUntilDone(Job& job);
   /// Finds out which version a stream that the caller takes up has to go on at. Fails with
-  /// kStreamVersionGone if that is unknown.
+  /// kStreamVersionGone if nobody knows, and with kStreamVersionUnproven if others may.
   boost::asio::awaitable<Result<void>> findStreamVersion(Job& job);
+  Error unknownVersionError(const Job& job, const stream_versions::Resolution& found);
   /// The stream's first event has arrived from the server.
   void beginStream(Job& job, const fleet::Server& server);
   /// Claims units of the tenant's limit, and checks whether the request may still be sent.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -19,6 +19,8 @@
 constexpr std::string_view kWeightsLease = "weights";
 constexpr std::string_view kQuarantineKind = "calicodrift-quarantine";
 constexpr std::string_view kStreamVersionsKind = "calicodrift-stream-versions";
+/// How long the store may be silent when the list of servers is read for a stream that goes on.
+constexpr Milliseconds kProofSilence{200};
 /// Of the metrics server, for operators.
 constexpr std::string_view kQuarantinePath = "/quarantine";
 constexpr std::string_view kServerLimitsPath = "/server-limits";
@@ -114,7 +116,12 @@
               [this] {
                 serviceRollouts_.onServersChanged();
                 streamVersions_.onServersChanged();
-              }}),
+              },
+              [this](const fleet::Server& server) {
+                streamVersions_.onServerEntry(server.service, server.version);
+              },
+              [this] { streamVersions_.onServersMissed(); },
+              [this] { streamVersions_.onServersProven(); }}),
       weightsFloor_(
           {context.get_executor(), ports_.store, ports_.schema, targets_,
            [this]() -> const std::map<ModelId, StoredWeights>& { return views_.storedWeights(); },
@@ -337,6 +344,10 @@
           treePosition(),
           [this] { return versionListing(); },
           [this] { return views_.serversProvenAt(); },
+          [this] {
+            return relay_.store().refresh(ports_.schema.serverKind(), kProofSilence,
+                                          relay::RelayedStore::Listings::kShort);
+          },
           ports_.store,
           std::string(kStreamVersionsKind)};
 }
--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -93,9 +93,16 @@
   listener.onChanges = [this](const store::ChangeBatch& batch) {
     for (const store::Change& change : batch.changes) {
       servers_.applyChange(change, monotonicNow());
+      if (const fleet::Server* server = pool_.find(BackendId(change.object.name))) {
+        listeners_.onServerEntry(*server);
+      }
+    }
+    if (!batch.complete) {
+      listeners_.onServersMissed();
     }
     listeners_.onServers();
   };
+  listener.onProven = [this] { listeners_.onServersProven(); };
   listener.onReachable = reachableLogger(schema_.serverKind());
   return listener;
 }
@@ -153,6 +160,7 @@
     }
   }
   servers_.endListing(listing.revision, monotonicNow());
+  listeners_.onServersMissed();
   listeners_.onServers();
 }
 
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -29,6 +29,14 @@
   std::function<void(const ModelId&, WeightsVersion least)> onLeastWaiting;
   /// The list of servers has changed.
   std::function<void()> onServers;
+  /// A server is listed anew or has another entry, which a later change of the same batch may have
+  /// replaced; called before onServers.
+  std::function<void(const fleet::Server&)> onServerEntry = [](const fleet::Server&) {};
+  /// Servers may have come and gone unseen, as the list was read as a whole; called before
+  /// onServers.
+  std::function<void()> onServersMissed = [] {};
+  /// serversProvenAt() may have risen.
+  std::function<void()> onServersProven = [] {};
 };
 
 /// What a node knows from the store: the configuration in force, the list of servers and the
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -127,6 +127,8 @@
   /// When the reply was known to be current, in milliseconds after the arrival of the query.
   /// Negative if that was before the arrival.
   std::int64_t provenAfterMs = 0;
+  /// See store::ChangeBatch. Only PatchedViewReply carries it.
+  bool complete = true;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -151,8 +153,18 @@
   std::vector<SpecUpdate> updates;
 
   template <typename Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
+    archive(view, updates, view.complete);
+  }
+  /// Builds before the last field do not tell whether changes are missing.
+  template <typename Archive>
+  void load(Archive& archive) {
     archive(view, updates);
+    try {
+      archive(view.complete);
+    } catch (const cereal::Exception&) {
+      view.complete = true;
+    }
   }
 };
 
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -110,6 +110,7 @@
   store::ChangeBatch batch;
   batch.revision = store::Revision(reply.value().revision);
   batch.provenAfterAsked = Milliseconds(reply.value().provenAfterMs);
+  batch.complete = reply.value().complete;
   for (const ViewObject& object : reply.value().objects) {
     batch.changes.push_back({toObjectOrUnreadable(object), object.removed});
   }
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -175,6 +175,7 @@
     return reply;
   }
   reply.revision = changes.value().revision.value();
+  reply.complete = changes.value().complete;
   for (const store::Change& change : changes.value().changes) {
     reply.objects.push_back(toMessage(change.object, change.removed));
   }
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -74,6 +74,7 @@
 store::ChangeBatch WatchCache::differenceTo(const store::Listing& listing) const {
   store::ChangeBatch difference;
   difference.revision = listing.revision;
+  difference.complete = listing.revision == revision_;
   std::set<std::string_view> listed;
   for (const store::Object& object : listing.objects) {
     listed.insert(object.name);
@@ -92,12 +93,12 @@
 }
 
 void WatchCache::appendHistory(store::ChangeBatch batch) {
-  if (!batch.changes.empty()) {
-    historyChanges_ += batch.changes.size();
+  if (weightOf(batch) > 0) {
+    historyChanges_ += weightOf(batch);
     history_.push_back(std::move(batch));
   }
   while (historyChanges_ > maxHistoryChanges()) {
-    historyChanges_ -= history_.front().changes.size();
+    historyChanges_ -= weightOf(history_.front());
     historyStart_ = history_.front().revision;
     history_.pop_front();
   }
@@ -106,6 +107,7 @@
 void WatchCache::applyChanges(const store::ChangeBatch& batch, MonotonicTime provenAt) {
   store::ChangeBatch news;
   news.revision = batch.revision;
+  news.complete = batch.complete || batch.revision <= revision_;
   for (const store::Change& received : batch.changes) {
     if (isKnown(received, batch.revision)) {
       continue;
@@ -182,6 +184,7 @@
       history_.begin(), history_.end(),
       [since](const store::ChangeBatch& step) { return step.revision <= since; });
   for (auto step = first; step != history_.end(); ++step) {
+    changes.complete = changes.complete && step->complete;
     for (const store::Change& change : step->changes) {
       if (change.removed || change.object.revision > since) {
         changes.changes.push_back(change);
--- a/src/relay/watch_cache.h
+++ b/src/relay/watch_cache.h
@@ -34,7 +34,8 @@
   explicit WatchCache(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
   /// Replaces the state by a listing that was known to be current at `provenAt`. Followers that
-  /// know an earlier state are sent what differs, as long as both are of the same era.
+  /// know an earlier state are sent what differs, as an incomplete batch, as long as both are of
+  /// the same era.
   void applyListing(const store::Listing& listing, MonotonicTime provenAt);
   /// Applies a batch that was known to be current at `provenAt`. Changes that the state already has
   /// are skipped, so a batch that was read concurrently with a newer one reverts nothing.
@@ -73,6 +74,10 @@
   store::ChangeBatch differenceTo(const store::Listing& listing) const;
   /// Appends a batch of which the state has nothing, and drops the oldest changes.
   void appendHistory(store::ChangeBatch batch);
+  /// The share of a batch in historyChanges_.
+  static std::size_t weightOf(const store::ChangeBatch& batch) {
+    return batch.changes.size() + (batch.complete ? 0 : 1);
+  }
   /// Whether the state already has a change from a batch that leads to `reached`.
   bool isKnown(const store::Change& change, store::Revision reached) const;
   /// Applies the change unless a newer version of the object is known.
--- a/src/store/kind_watcher.cc
+++ b/src/store/kind_watcher.cc
@@ -54,6 +54,9 @@
     reportReachability(static_cast<bool>(done), done ? "" : done.error().detail);
     if (done) {
       failures_ = 0;
+      if (listener_.onProven) {
+        listener_.onProven();
+      }
     } else {
       pause_ = backoffAfterFailure(done.error());
     }
@@ -109,7 +112,7 @@
   for (Change& change : batch.value().changes) {
     parseSpec(change.object);
   }
-  if (!batch.value().changes.empty()) {
+  if (!batch.value().changes.empty() || !batch.value().complete) {
     listener_.onChanges(batch.value());
     pause_ = settings_.changePause;
   }
--- a/src/store/kind_watcher.h
+++ b/src/store/kind_watcher.h
@@ -42,6 +42,8 @@
   /// If set, used instead of onListing: applies a long listing in steps between which others run.
   /// The listing outlives the call, and nothing is read until it has ended.
   std::function<boost::asio::awaitable<void>(const Listing&)> onLongListing = {};
+  /// If set, called after each successful read: provenAt() may have risen.
+  std::function<void()> onProven = {};
 };
 
 /// Keeps a view of one kind up to date: a listing, then watches, and another listing if the store
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -61,6 +61,9 @@
 struct ChangeBatch {
   std::vector<Change> changes;
   Revision revision;
+  /// False if changes may be missing, as where the store no longer has the history in between:
+  /// objects may have come and gone unseen.
+  bool complete = true;
   /// As in Listing; set if the source knows it more precisely than provenAt().
   std::optional<Milliseconds> provenAfterAsked;
 };
--- a/src/stream_versions/messages.h
+++ b/src/stream_versions/messages.h
@@ -48,12 +48,16 @@
 enum class Knowledge : std::uint8_t {
   /// The version is that of the stream's record.
   kRecord,
-  /// There is no record, and the service can only have had this version since the stream began.
+  /// There is no record, and as far as the keeper's list tells, which may be outdated, the service
+  /// can only have had this version since the stream began.
   kOnlyVersion,
   /// There is no record, and the service has had several versions.
   kSeveralVersions,
   /// The keeper has not seen enough of the past to know.
   kNothing,
+  /// Told by a root after one of the above, which earlier builds understand: its list is proven to
+  /// be newer than the question, and the service can only have had this version.
+  kProvenOnlyVersion,
 };
 
 struct VersionReply {
--- a/src/stream_versions/metrics.cc
+++ b/src/stream_versions/metrics.cc
@@ -32,6 +32,15 @@
       failedArchiveWrites_(counters(registry, "calicodrift_stream_versions_archive_writes_total",
                                     "Writes of records to the store, by result")
                                .Add({{"result", "failed"}})),
+      proofs_(counters(registry, "calicodrift_stream_versions_proofs_total",
+                       "Reads of the list of servers for returns without a record, by result")
+                  .Add({{"result", "read"}})),
+      failedProofs_(counters(registry, "calicodrift_stream_versions_proofs_total",
+                             "Reads of the list of servers for returns without a record, by result")
+                        .Add({{"result", "failed"}})),
+      missedChanges_(counters(registry, "calicodrift_stream_versions_missed_changes_total",
+                              "Times at which servers may have come and gone unseen")
+                         .Add({})),
       unreadable_(counters(registry, "calicodrift_stream_versions_unreadable_total",
                            "Messages that could not be read")
                       .Add({})),
--- a/src/stream_versions/metrics.h
+++ b/src/stream_versions/metrics.h
@@ -21,6 +21,10 @@
   void countArchiveWrite(bool written) {
     (written ? archiveWrites_ : failedArchiveWrites_).Increment();
   }
+  /// Counts a read of the list of servers for a return without a record.
+  void countProof(bool read) { (read ? proofs_ : failedProofs_).Increment(); }
+  /// Counts a time at which servers may have come and gone unseen.
+  void countMissedChanges() { missedChanges_.Increment(); }
   void countUnreadable() { unreadable_.Increment(); }
   /// Counts a caller's return to a stream, by how its version was known.
   void countResolved(std::string_view source);
@@ -33,6 +37,9 @@
   prometheus::Counter& shed_;
   prometheus::Counter& archiveWrites_;
   prometheus::Counter& failedArchiveWrites_;
+  prometheus::Counter& proofs_;
+  prometheus::Counter& failedProofs_;
+  prometheus::Counter& missedChanges_;
   prometheus::Counter& unreadable_;
   prometheus::Family<prometheus::Counter>& resolved_;
   prometheus::Gauge& records_;
--- a/src/stream_versions/stream_version_node.cc
+++ b/src/stream_versions/stream_version_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <memory>
+#include <utility>
 
 #include "log/log.h"
 #include "peer/http_call.h"
@@ -58,6 +59,7 @@
       tickTimer_(context_.io) {
   core_.setArchive(
       [this](StreamKey stream, const SoftwareVersion& version) { archive_.add(stream, version); });
+  core_.setProofRequest([this] { requestProof(); });
 }
 
 Result<void> StreamVersionNode::start() {
@@ -75,6 +77,38 @@
   archiveHistory();
 }
 
+void StreamVersionNode::onServersMissed() {
+  context_.metrics.countMissedChanges();
+  core_.noteMissedChanges();
+}
+
+void StreamVersionNode::onServersProven() {
+  core_.setListingProvenAt(context_.listingProvenAt());
+}
+
+void StreamVersionNode::requestProof() {
+  if (!std::exchange(readingProofs_, true)) {
+    asio::co_spawn(context_.io, readProofs(), asio::detached);
+  }
+}
+
+awaitable<void> StreamVersionNode::readProofs() {
+  asio::steady_timer timer(context_.io);
+  Milliseconds pause = kProofDelay;
+  for (;;) {
+    timer.expires_after(pause);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!core_.needsProof()) {
+      break;
+    }
+    const Result<void> read = co_await context_.proveListing();
+    context_.metrics.countProof(read.has_value());
+    // The list's reader takes the result in after this call.
+    pause = read ? kProofInterval : kProofRetryInterval;
+  }
+  readingProofs_ = false;
+}
+
 void StreamVersionNode::begin(StreamKey stream, const std::string& service,
                               const SoftwareVersion& version) {
   core_.setListingProvenAt(context_.listingProvenAt());
@@ -177,7 +211,9 @@
 awaitable<void> StreamVersionNode::readArchive() {
   const MonotonicTime now = monotonicNow();
   const bool due = now - archiveTriedAt_ >= kArchiveRetryInterval;
-  if (!archives() || archive_.hasRead() || !due) {
+  // What came and went before the first listing is in the archive only if that is read after it.
+  const bool hasListing = core_.history().hasListing();
+  if (!archives() || archive_.hasRead() || !due || !hasListing) {
     co_return;
   }
   archiveTriedAt_ = now;
--- a/src/stream_versions/stream_version_node.h
+++ b/src/stream_versions/stream_version_node.h
@@ -28,6 +28,8 @@
   /// The listed servers' versions, and until when the list is known to have been the newest.
   std::function<VersionListing()> listing;
   std::function<MonotonicTime()> listingProvenAt;
+  /// Reads what has changed of the list from the store, whatever this node's usual source is.
+  std::function<boost::asio::awaitable<Result<void>>()> proveListing;
   /// Where records are kept that must outlive all nodes, and the kind of their objects.
   store::ObjectStore& store;
   std::string archiveKind;
@@ -50,6 +52,13 @@
   Result<void> start();
   /// The list of servers has changed.
   void onServersChanged();
+  /// See VersionCore::noteListed() and noteMissedChanges(); followed by onServersChanged().
+  void onServerEntry(const std::string& service, const SoftwareVersion& version) {
+    core_.noteListed(service, version);
+  }
+  void onServersMissed();
+  /// The list was proven to be the newest again.
+  void onServersProven();
   /// See VersionCore::begin() and end().
   void begin(StreamKey stream, const std::string& service, const SoftwareVersion& version);
   void end(StreamKey stream, bool whole) { core_.end(stream, whole); }
@@ -72,6 +81,11 @@
   /// this time of its start, and for so long.
   static constexpr Milliseconds kStartupTime{3000};
   static constexpr Milliseconds kStartupPatience{500};
+  /// Least time between two reads for proofs, so that many returns share one.
+  static constexpr Milliseconds kProofInterval{20};
+  /// Before the first of them: proofs are told in whole milliseconds, rounded down.
+  static constexpr Milliseconds kProofDelay{2};
+  static constexpr Milliseconds kProofRetryInterval{50};
 
  private:
   boost::asio::awaitable<Resolution> resolveOnce(StreamKey stream, const std::string& service,
@@ -94,6 +108,10 @@
   std::vector<Endpoint> ownKeepers() const;
   void adopt(std::vector<Endpoint> keepers);
   void scheduleTick();
+  /// Starts readProofs() unless it runs.
+  void requestProof();
+  /// Reads the list from the store until no question waits for a proof.
+  boost::asio::awaitable<void> readProofs();
 
   StreamVersionContext context_;
   peer::UdpTransport transport_;
@@ -102,6 +120,7 @@
   MonotonicTime startedAt_ = monotonicNow();
   MonotonicTime archiveTriedAt_{};
   ArchivedHistory archivedHistory_;
+  bool readingProofs_ = false;
   boost::asio::steady_timer tickTimer_;
 };
 
--- a/src/stream_versions/version_core.cc
+++ b/src/stream_versions/version_core.cc
@@ -1,7 +1,6 @@
 #include "stream_versions/version_core.h"
 
 #include <algorithm>
-#include <set>
 
 #include "peer/codec.h"
 #include "stream_versions/keeper_ranking.h"
@@ -49,7 +48,6 @@
 }
 
 void VersionCore::applyListing(const VersionListing& listing, MonotonicTime provenAt) {
-  listingProvenAt_ = provenAt;
   history_.apply(listing, clock_());
   forgetBrokenStreams();
   for (auto& [stream, open] : open_) {
@@ -57,6 +55,18 @@
       record(stream, open);
     }
   }
+  setListingProvenAt(provenAt);
+}
+
+void VersionCore::setListingProvenAt(MonotonicTime provenAt) {
+  if (provenAt <= listingProvenAt_) {
+    return;
+  }
+  listingProvenAt_ = provenAt;
+  answerProven();
+  for (auto next = questions_.begin(); next != questions_.end();) {
+    advance(next++);
+  }
 }
 
 bool VersionCore::isListCurrent() const {
@@ -188,29 +198,45 @@
   }
 }
 
+std::optional<RecordTable::Found> VersionCore::findOwn(StreamKey stream, MonotonicTime now) {
+  if (const auto served = open_.find(stream); served != open_.end()) {
+    return RecordTable::Found{served->second.version, Milliseconds(0)};
+  }
+  return records_.find(stream, now);
+}
+
+VersionCore::Question VersionCore::makeQuestion(StreamKey stream, const std::string& service,
+                                                Listener listener, bool attemptNamed) const {
+  const MonotonicTime now = clock_();
+  Question question;
+  question.stream = stream;
+  question.service = service;
+  question.attemptNamed = attemptNamed;
+  question.listener = std::move(listener);
+  question.askedAt = now;
+  question.resendAt = now + settings_.resendAfter;
+  const bool rootsProve = !roots_.empty() && !isRoot();
+  question.proofDueAt = rootsProve ? now + settings_.ownProofAfter : now;
+  question.answersEnd = now + settings_.giveUpAfter;
+  question.end = now + settings_.proofTimeout;
+  question.unanswered = askedFor(stream);
+  question.dueAt = question.nextDue(now);
+  return question;
+}
+
 void VersionCore::resolve(StreamKey stream, const std::string& service, Listener listener,
                           bool attemptNamed) {
-  const MonotonicTime now = clock_();
-  if (const auto own = records_.find(stream, now)) {
+  if (const auto own = findOwn(stream, clock_())) {
     metrics_.countResolved(toString(VersionSource::kOwnRecord));
     listener({VersionSource::kOwnRecord, own->version, own->age});
     return;
   }
   const std::uint64_t id = nextQuestion_++;
-  Question question{stream,
-                    service,
-                    attemptNamed,
-                    std::move(listener),
-                    now,
-                    now + settings_.resendAfter,
-                    askedFor(stream),
-                    {}};
-  const auto place = questions_.emplace(id, std::move(question)).first;
-  if (place->second.unanswered.empty()) {
-    finish(place, withoutRecord(place->second));
-    return;
-  }
+  const auto place =
+      questions_.emplace(id, makeQuestion(stream, service, std::move(listener), attemptNamed))
+          .first;
   ask(id, place->second);
+  advance(place);
 }
 
 void VersionCore::ask(std::uint64_t id, const Question& question) {
@@ -223,25 +249,116 @@
   const MonotonicTime now = clock_();
   for (auto next = questions_.begin(); next != questions_.end();) {
     const auto place = next++;
-    Question& question = place->second;
-    if (now - question.askedAt >= settings_.giveUpAfter) {
-      finish(place, withoutRecord(question));
-    } else if (now >= question.resendAt) {
-      question.resendAt = now + settings_.resendAfter;
-      ask(place->first, question);
-    }
+    postponeIfLate(place->first, place->second, now);
+    advance(place);
+  }
+}
+
+void VersionCore::postponeIfLate(std::uint64_t id, Question& question, MonotonicTime now) {
+  if (question.postponed || now - question.dueAt < settings_.giveUpAfter) {
+    return;
   }
+  // The process stood still, and what has arrived since may not have been read yet.
+  question.postponed = true;
+  question.resendAt = now + settings_.resendAfter;
+  question.answersEnd = now + settings_.giveUpAfter;
+  question.end = now + settings_.proofTimeout;
+  ask(id, question);
+}
+
+void VersionCore::advance(Questions::iterator place) {
+  Question& question = place->second;
+  const MonotonicTime now = clock_();
+  if (now >= question.resendAt) {
+    question.resendAt = now + settings_.resendAfter;
+    ask(place->first, question);
+  }
+  const bool allAnswered = question.unanswered.empty() || now >= question.answersEnd;
+  const bool proofDue = now >= question.proofDueAt || (allAnswered && question.unproven.empty());
+  if (proofDue && !question.proofRequested && couldProve(question)) {
+    question.proofRequested = true;
+    requestProof_();
+  }
+  const Resolution resolution = withoutRecord(question);
+  if (allAnswered && (resolution.known() || !awaitsProof(question) || now >= question.end)) {
+    finish(place, resolution);
+    return;
+  }
+  question.dueAt = question.nextDue(now);
+}
+
+MonotonicTime VersionCore::Question::nextDue(MonotonicTime now) const {
+  MonotonicTime due = end;
+  const bool awaitsAnswers = !unanswered.empty() && now < answersEnd;
+  if (awaitsAnswers) {
+    due = std::min({due, resendAt, answersEnd});
+  }
+  if (!proofRequested && proofDueAt > now) {
+    due = std::min(due, proofDueAt);
+  }
+  return due;
 }
 
 std::optional<MonotonicTime> VersionCore::nextTick() const {
   std::optional<MonotonicTime> next;
   for (const auto& [id, question] : questions_) {
-    const MonotonicTime due = std::min(question.resendAt, question.askedAt + settings_.giveUpAfter);
-    next = std::min(next.value_or(due), due);
+    next = std::min(next.value_or(question.dueAt), question.dueAt);
   }
   return next;
 }
 
+bool VersionCore::needsProof() const {
+  const auto waits = [this](const auto& item) {
+    return item.second.proofRequested && item.second.askedAt > listingProvenAt_;
+  };
+  return !proofQuestions_.empty() || std::any_of(questions_.begin(), questions_.end(), waits);
+}
+
+bool VersionCore::couldProve(const Question& question) const {
+  return requestProof_ && question.attemptNamed && listingProvenAt_ < question.askedAt &&
+         !anySawSeveral(question) &&
+         history_.provenOnlyVersion(question.service, clock_()).has_value();
+}
+
+bool VersionCore::awaitsProof(const Question& question) const {
+  return question.attemptNamed && !anySawSeveral(question) &&
+         (!question.unproven.empty() || couldProve(question));
+}
+
+void VersionCore::promiseProof(const Endpoint& from, const VersionQuery& query) {
+  const MonotonicTime now = clock_();
+  std::erase_if(proofQuestions_, [&](const ProofQuestion& question) {
+    return now - question.arrivedAt > settings_.proofTimeout;
+  });
+  if (requestProof_ && isRoot() && proofQuestions_.size() < kMaxProofQuestions) {
+    proofQuestions_.push_back({from, query.id, query.service, now});
+    requestProof_();
+  }
+}
+
+void VersionCore::answerProven() {
+  std::erase_if(proofQuestions_, [this](const ProofQuestion& question) {
+    const bool proven = question.arrivedAt <= listingProvenAt_;
+    if (proven) {
+      send(question.from, provenReply(question));
+    }
+    return proven;
+  });
+}
+
+VersionReply VersionCore::provenReply(const ProofQuestion& question) const {
+  const MonotonicTime now = clock_();
+  VersionReply reply;
+  reply.id = question.id;
+  if (const auto only = history_.provenOnlyVersion(question.service, now)) {
+    reply.knowledge = Knowledge::kProvenOnlyVersion;
+    reply.version = only->value();
+  } else if (history_.hasSeveral(question.service, now)) {
+    reply.knowledge = Knowledge::kSeveralVersions;
+  }
+  return reply;
+}
+
 void VersionCore::receive(const Endpoint& from, std::string_view payload) {
   const Result<Message> message = peer::decode<Message>(payload);
   if (!message) {
@@ -264,7 +381,7 @@
   const MonotonicTime now = clock_();
   VersionReply reply;
   reply.id = query.id;
-  if (const auto found = records_.find(query.stream, now)) {
+  if (const auto found = findOwn(query.stream, now)) {
     reply.knowledge = Knowledge::kRecord;
     reply.version = found->version.value();
   } else if (awaitsArchive()) {
@@ -273,6 +390,7 @@
   } else if (const auto only = provenOnlyVersion(query.service)) {
     reply.knowledge = Knowledge::kOnlyVersion;
     reply.version = only->value();
+    promiseProof(from, query);
   } else if (history_.hasSeveral(query.service, now)) {
     reply.knowledge = Knowledge::kSeveralVersions;
   }
@@ -285,49 +403,87 @@
     return;
   }
   Question& question = place->second;
-  if (std::erase(question.unanswered, from) == 0) {
+  const bool wasAwaited =
+      std::erase(question.unanswered, from) + std::erase(question.unproven, from) > 0;
+  if (!wasAwaited) {
     return;
   }
   if (reply.knowledge == Knowledge::kRecord) {
     finish(place, {VersionSource::kKeeper, SoftwareVersion(reply.version), std::nullopt});
     return;
   }
-  question.replies.push_back(reply);
-  if (question.unanswered.empty()) {
-    finish(place, withoutRecord(question));
+  if (reply.knowledge == Knowledge::kOnlyVersion && contains(roots_, from)) {
+    question.unproven.push_back(from);
   }
+  question.replies.push_back(reply);
+  advance(place);
 }
 
 Resolution VersionCore::withoutRecord(const Question& question) const {
   Resolution resolution = withoutRecordNow(question);
   const bool asksOthers = settings_.endpoint.port != 0;
   const bool allAnswered = question.unanswered.empty() && !keepers_.empty();
-  resolution.final = (allAnswered || !asksOthers) && !awaitsArchive();
+  resolution.final = (allAnswered || !asksOthers) && !awaitsArchive() && !awaitsProof(question);
   return resolution;
 }
 
 Resolution VersionCore::withoutRecordNow(const Question& question) const {
-  // The versions that this node and the keepers take for the only one.
+  if (anySawSeveral(question)) {
+    return {};
+  }
+  if (!question.attemptNamed) {
+    return unprovenResolution(question);
+  }
+  const std::set<SoftwareVersion> only = provenVersions(question);
+  if (only.size() != 1) {
+    return {};
+  }
+  return {VersionSource::kOnlyVersion, *only.begin(), std::nullopt};
+}
+
+bool VersionCore::anySawSeveral(const Question& question) const {
+  return history_.hasSeveral(question.service, clock_()) ||
+         std::any_of(question.replies.begin(), question.replies.end(),
+                     [](const VersionReply& reply) {
+                       return reply.knowledge == Knowledge::kSeveralVersions;
+                     });
+}
+
+std::set<SoftwareVersion> VersionCore::provenVersions(const Question& question) const {
+  std::set<SoftwareVersion> only;
+  if (listingProvenAt_ >= question.askedAt) {
+    if (const auto own = history_.provenOnlyVersion(question.service, clock_())) {
+      only.insert(*own);
+    }
+  }
+  for (const VersionReply& reply : question.replies) {
+    if (reply.knowledge == Knowledge::kProvenOnlyVersion) {
+      only.insert(SoftwareVersion(reply.version));
+    }
+  }
+  return only;
+}
+
+Resolution VersionCore::unprovenResolution(const Question& question) const {
   std::set<SoftwareVersion> only;
   if (const auto own = provenOnlyVersion(question.service)) {
     only.insert(*own);
   }
   for (const VersionReply& reply : question.replies) {
-    if (reply.knowledge == Knowledge::kSeveralVersions) {
-      return {};
-    }
-    if (reply.knowledge == Knowledge::kOnlyVersion) {
+    const bool tells = reply.knowledge == Knowledge::kOnlyVersion ||
+                       reply.knowledge == Knowledge::kProvenOnlyVersion;
+    if (tells) {
       only.insert(SoftwareVersion(reply.version));
     }
   }
-  if (only.size() == 1) {
-    return {VersionSource::kOnlyVersion, *only.begin(), std::nullopt};
-  }
   const auto seen = history_.onlySeenVersion(question.service, clock_());
-  if (only.empty() && seen && !question.attemptNamed) {
-    return {VersionSource::kOnlySeenVersion, *seen, std::nullopt};
+  if (only.empty() && seen) {
+    only.insert(*seen);
+  }
+  if (only.size() != 1) {
+    return {};
   }
-  return {};
+  return {VersionSource::kOnlySeenVersion, *only.begin(), std::nullopt};
 }
 
 void VersionCore::finish(Questions::iterator question, const Resolution& resolution) {
--- a/src/stream_versions/version_history.cc
+++ b/src/stream_versions/version_history.cc
@@ -21,6 +21,7 @@
 }  // namespace
 
 void VersionHistory::apply(const VersionListing& listing, MonotonicTime now) {
+  hasListing_ = true;
   for (auto& [service, presences] : services_) {
     for (auto& [version, presence] : presences) {
       if (std::exchange(presence.listed, false)) {
@@ -44,6 +45,19 @@
   }
 }
 
+void VersionHistory::noteListed(const std::string& service, const SoftwareVersion& version,
+                                MonotonicTime now) {
+  const auto place = services_[service].try_emplace(version, Presence{now, now, false, now}).first;
+  place->second.lastSeen = now;
+}
+
+void VersionHistory::noteMissedChanges(MonotonicTime now) {
+  // What was before the first listing is unknown by firstSeen.
+  if (hasListing_) {
+    missedAt_ = now;
+  }
+}
+
 std::map<SoftwareVersion, MonotonicTime> VersionHistory::present(const std::string& service,
                                                                  MonotonicTime now) const {
   std::map<SoftwareVersion, MonotonicTime> versions;
@@ -62,7 +76,8 @@
 std::optional<SoftwareVersion> VersionHistory::onlyVersion(const std::string& service,
                                                            MonotonicTime now) const {
   const std::map<SoftwareVersion, MonotonicTime> versions = present(service, now);
-  const bool only = versions.size() == 1 && now - versions.begin()->second >= life_;
+  const bool only =
+      versions.size() == 1 && hasSeenAll(now) && now - versions.begin()->second >= life_;
   return only ? std::optional(versions.begin()->first) : std::nullopt;
 }
 
@@ -75,7 +90,7 @@
 std::optional<SoftwareVersion> VersionHistory::provenOnlyVersion(const std::string& service,
                                                                  MonotonicTime now) const {
   if (archivedServices_.contains(service)) {
-    return onlySeenVersion(service, now);
+    return hasSeenAll(now) ? onlySeenVersion(service, now) : std::nullopt;
   }
   std::optional<SoftwareVersion> only = onlyVersion(service, now);
   if (!only || hasArchive_) {
--- a/src/stream_versions/version_history.h
+++ b/src/stream_versions/version_history.h
@@ -33,9 +33,15 @@
   explicit VersionHistory(Milliseconds life) : life_(life) {}
 
   void apply(const VersionListing& listing, MonotonicTime now);
+  /// A server of this version was listed, however short. It counts as having left until the next
+  /// apply().
+  void noteListed(const std::string& service, const SoftwareVersion& version, MonotonicTime now);
+  /// Servers may have come and gone unseen since the last apply(): nothing is certain of the
+  /// streams that may have begun at them.
+  void noteMissedChanges(MonotonicTime now);
   /// The only version that the service seems to have had in the last `life`; empty if it may have
-  /// had several, or if neither this node nor the starts of the listed servers tell of all that
-  /// time.
+  /// had several, if changes were missed, or if neither this node nor the starts of the listed
+  /// servers tell of all that time.
   std::optional<SoftwareVersion> onlyVersion(const std::string& service, MonotonicTime now) const;
   /// The same where it is certain: another version may have left the list before this node started,
   /// unless the archive tells of that time. Where it tells of the service, what it tells and what
@@ -54,6 +60,8 @@
   bool hasSeveral(const std::string& service, MonotonicTime now) const;
   /// Whether any service has.
   bool anyHasSeveral(MonotonicTime now) const;
+  /// Whether a listing has been applied.
+  bool hasListing() const { return hasListing_; }
   /// Whether servers of the version are listed now.
   bool isListed(const std::string& service, const SoftwareVersion& version) const;
 
@@ -71,12 +79,19 @@
   };
   using Presences = std::map<SoftwareVersion, Presence>;
 
+  /// Whether a version that came and went unseen has no streams any more.
+  bool hasSeenAll(MonotonicTime now) const {
+    return !missedAt_ || now - *missedAt_ > life_ + kListLag;
+  }
   /// The versions that count at `now`, each with the time since when it has been known to serve.
   std::map<SoftwareVersion, MonotonicTime> present(const std::string& service,
                                                    MonotonicTime now) const;
 
   Milliseconds life_;
   std::map<std::string, Presences> services_;
+  bool hasListing_ = false;
+  /// When changes were last missed.
+  std::optional<MonotonicTime> missedAt_;
   bool hasArchive_ = false;
   /// Services of which the archive told.
   std::set<std::string> archivedServices_;
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -407,6 +407,7 @@
   stream_versions::StreamVersionNode streamVersions_{
       {context, client_, streamVersionMetrics_, standaloneTreePosition(),
        [] { return stream_versions::VersionListing(); }, [] { return monotonicNow(); },
+       []() -> boost::asio::awaitable<Result<void>> { co_return boost::outcome_v2::success(); },
        failingStore_, "stream-versions"},
       {}};
   server_limits::ServerLimitMetrics serverLimitMetrics_{registry_};
--- a/tests/gateway/store_views_test.cc
+++ b/tests/gateway/store_views_test.cc
@@ -24,6 +24,9 @@
   Result<fleet::Server> readServer(const store::Object& object) const override {
     fleet::Server server;
     server.id = BackendId(object.name);
+    if (object.spec.is_string()) {
+      server.version = SoftwareVersion(std::string(object.spec.as_string()));
+    }
     return server;
   }
 };
@@ -54,7 +57,14 @@
       pool,
       targets,
       unreadable,
-      {[](const routes::RouteTable&) {}, [](const ModelId&, WeightsVersion) {}, [] {}}};
+      {[](const routes::RouteTable&) {}, [](const ModelId&, WeightsVersion) {}, [] {},
+       [this](const fleet::Server& server) { entries.push_back(server.version.value()); },
+       [this] { ++missed; }, [this] { ++proofs; }}};
+  /// Software versions of the entries that changed, and how often changes were missed and the list
+  /// was proven.
+  std::vector<std::string> entries;
+  std::size_t missed = 0;
+  std::size_t proofs = 0;
   void runFor(Milliseconds time) { context.run_for(time); }
 };
 
@@ -141,6 +151,26 @@
   BOOST_TEST(node.views.storedWeights().empty());
 }
 
+/// Guards against software versions of which nobody knows, as their servers came and went, or
+/// changed their version, within one batch of changes.
+BOOST_AUTO_TEST_CASE(versionsThatCameAndWentWithinABatchAreTold) {
+  Views node;
+  node.store.set("servers", "a", "v1");
+  node.views.start();
+  node.runFor(Milliseconds(50));
+  BOOST_TEST(node.missed == 1U, "by the first listing");
+  node.store.set("servers", "b", "v1.1");
+  node.store.remove("servers", "b");
+  node.store.set("servers", "a", "v1.2");
+  node.store.set("servers", "a", "v1");
+  node.runFor(Milliseconds(100));
+  // The store tells the states of a listed server, and of one that has left that it has.
+  BOOST_TEST((std::find(node.entries.begin(), node.entries.end(), "v1.2") != node.entries.end()));
+  BOOST_TEST((std::find(node.entries.begin(), node.entries.end(), "v1.1") != node.entries.end()));
+  BOOST_TEST(node.missed == 1U);
+  BOOST_TEST(node.proofs >= 2U);
+}
+
 /// The largest number of servers that one handler of the event loop adds to the pool while a
 /// listing of this many is applied.
 std::size_t mostServersInAHandler(std::size_t servers) {
--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -81,6 +81,8 @@
       return "silences";
     case SoakPlot::kDepartures:
       return "departures";
+    case SoakPlot::kOutOfStep:
+      return "out_of_step";
     case SoakPlot::kVersions:
       break;
   }
@@ -167,7 +169,7 @@
   const std::string id = request.headers.get(platform::kRequestId);
   const MonotonicTime arrival = monotonicNow();
   // Beside orders, only versions that these name may run requests.
-  if (plot_ != SoakPlot::kVersions) {
+  if (plot_ != SoakPlot::kVersions && plot_ != SoakPlot::kOutOfStep) {
     rolloutCheck_.onArrival(server.service, server.version, arrival, sentCalmly(id));
   }
   judgeArrival(server, id);
@@ -505,6 +507,8 @@
           co_await stormWithPartitions();
         } else if (plot_ == SoakPlot::kVersions) {
           co_await stormWithVersions();
+        } else if (plot_ == SoakPlot::kOutOfStep) {
+          co_await stormOutOfStep();
         } else if (plot_ == SoakPlot::kSilences) {
           co_await stormWithSilences();
         } else if (plot_ == SoakPlot::kDepartures) {
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -102,6 +102,8 @@
   kSilences,
   /// Callers that leave, beside servers that name limits and herds of nodes that are killed.
   kDepartures,
+  /// Nodes that stand still or lose the store while servers of a new software version join.
+  kOutOfStep,
 };
 
 std::string_view nameOf(SoakPlot plot);
@@ -252,6 +254,7 @@
   boost::asio::awaitable<std::string> rollOut(std::string service, std::string target);
   Body stormWithRollouts();
   std::string exposureShare() const;
+  Milliseconds streamLife() const;
   Body callers();
   Body call(std::string kind, std::string key);
   void judge(const std::string& kind, const std::string& id, const Result<http::Response>& answer);
@@ -287,6 +290,11 @@
   void addVersion(const std::string& version);
   Body releaseInSeries(MonotonicTime end, Draws draws);
   Body stormWithVersions();
+  Body stormOutOfStep();
+  Body releaseBesideNodesOutOfStep(MonotonicTime end, Draws draws);
+  Body leaveAll(std::vector<Server*> leaving, bool drains);
+  Body putOutOfStep(Node& node, Draws draws);
+  Body killSomeBesideReleases(MonotonicTime end, Draws draws);
   Body stormWithNotices();
   Body noticesInSeries(std::string service, MonotonicTime end, Draws draws);
   Body leaveAndReturn(Server& server, Draws draws);
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -200,6 +200,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_out_of_step)
+
+/// Guards against streams that go on at another version at a node that stood still or lost the
+/// store while servers of that version joined. Fresh seeds, longer and larger runs by SOAK_SEED,
+/// SOAK_SECONDS and SOAK_NODES.
+BOOST_AUTO_TEST_CASE(streamsHoldOneVersionBesideNodesOutOfStep) {
+  constexpr std::uint64_t kLength = 20;
+  constexpr std::uint64_t kNodes = 7;
+  const std::uint64_t seed = parameter("SOAK_SEED", 1);
+  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+                   parameter("SOAK_NODES", kNodes), SoakPlot::kOutOfStep);
+  const SoakFindings findings = soak.run();
+  BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
+                             << findings.served << " served; " << findings.returns << " returns, "
+                             << findings.returnsThatWentOn << " went on");
+  for (const auto& [fault, count] : findings.faults) {
+    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
+  }
+  tellViolations(seed, findings, soak.recordFolder());
+  BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
+  BOOST_TEST(findings.returns >= 12U, "too few callers came back to judge");
+  BOOST_TEST(findings.faults.contains("version joins"), "no version joined");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_returns)
 
 /// A large configuration and a store that returns from copies beside kills, stops, cuts and a store
--- a/tests/gateway_soak/nodes.cc
+++ b/tests/gateway_soak/nodes.cc
@@ -44,6 +44,7 @@
                    {"limit-window-s", "4"},
                    {"limit-overshoot", "0.1"},
                    {"limit-slack", "30000"},
+                   {"stream-life-ms", std::to_string(streamLife().count())},
                    {"weights-bound-ms", std::to_string(weightsBound().count())},
                    {"rollout-exposure-share", exposureShare()},
                    {"rollout-exposure-slack", std::to_string(rolloutBounds_.exposureSlack)},
@@ -52,6 +53,11 @@
   nodes_.push_back(std::move(node));
 }
 
+/// Short where spells with one version alternate with releases.
+Milliseconds GatewaySoak::streamLife() const {
+  return plot_ == SoakPlot::kOutOfStep ? Milliseconds(4500) : Milliseconds(30'000);
+}
+
 /// 0 where the run holds no orders, as versions are then not told apart.
 std::string GatewaySoak::exposureShare() const {
   return plot_ == SoakPlot::kRollouts ? std::to_string(rolloutBounds_.exposureShare) : "0";
--- a/tests/relay/listing_snapshot_test.cc
+++ b/tests/relay/listing_snapshot_test.cc
@@ -290,6 +290,23 @@
   }
 }
 
+/// Guards against views of earlier builds that cannot be read, and against gaps that are not told.
+BOOST_AUTO_TEST_CASE(viewsTellWhetherChangesAreMissingAndThoseOfEarlierBuildsAreRead) {
+  PatchedViewReply reply;
+  reply.view.outcome = ViewOutcome::kServed;
+  reply.view.revision = 7;
+  reply.view.complete = false;
+  const std::string encoded = peer::encode(reply);
+  const auto read = peer::decode<PatchedViewReply>(encoded);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(!read.value().view.complete);
+  // Earlier builds end before the flag.
+  const auto earlier = peer::decode<PatchedViewReply>(encoded.substr(0, encoded.size() - 1));
+  BOOST_REQUIRE(earlier);
+  BOOST_TEST(earlier.value().view.revision == 7U);
+  BOOST_TEST(earlier.value().view.complete);
+}
+
 // A request of a build without the field is one byte sequence shorter.
 BOOST_AUTO_TEST_CASE(joinRequestsOfEarlierBuildsAreRead) {
   JoinRequest request{"n", {"10.0.0.1", 7}, "z", true, 12};
--- a/tests/relay/relayed_store_test.cc
+++ b/tests/relay/relayed_store_test.cc
@@ -242,6 +242,7 @@
   BOOST_REQUIRE(watched->value().changes.size() == 1U);
   BOOST_TEST(watched->value().changes.front().object.name == "b");
   BOOST_TEST((watched->value().revision > since));
+  BOOST_TEST(!watched->value().complete, "objects may have come and gone in between");
 }
 
 BOOST_AUTO_TEST_CASE(refreshDoesNotCountAsProofOfTheSource) {
--- a/tests/relay/watch_cache_test.cc
+++ b/tests/relay/watch_cache_test.cc
@@ -72,6 +72,32 @@
   BOOST_TEST((changes.error().kind == ErrorKind::kVersionConflict));
 }
 
+/// Guards against followers that take a listing which their relay has read for all that was in
+/// between.
+BOOST_AUTO_TEST_CASE(changesAcrossAListingAreIncomplete) {
+  store::Listing listing = cache.listing();
+  cache.applyListing(listing, begin);
+  BOOST_TEST(cache.changesSince(store::Revision(10)).value().complete, "nothing has happened");
+  listing.revision = store::Revision(15);
+  cache.applyListing(listing, begin);
+  cache.applyChanges(batchOf({{objectAt("c", 16), false}}, 16), begin);
+  const auto across = cache.changesSince(store::Revision(10));
+  BOOST_REQUIRE(across);
+  BOOST_TEST(!across.value().complete);
+  BOOST_TEST(across.value().changes.size() == 1U);
+  BOOST_TEST(cache.changesSince(store::Revision(15)).value().complete);
+}
+
+BOOST_AUTO_TEST_CASE(anIncompleteBatchIsPassedOnAsSuch) {
+  store::ChangeBatch batch = batchOf({}, 12);
+  batch.complete = false;
+  cache.applyChanges(batch, begin);
+  BOOST_TEST(!cache.changesSince(store::Revision(10)).value().complete);
+  // What the state has already is no gap.
+  cache.applyChanges(batch, begin);
+  BOOST_TEST(cache.changesSince(store::Revision(12)).value().complete);
+}
+
 BOOST_AUTO_TEST_CASE(historyIsBounded) {
   for (std::uint64_t revision = 11; revision <= 2010; ++revision) {
     cache.applyChanges(batchOf({{objectAt("a", revision), false}}, revision), begin);
--- a/tests/store/kind_watcher_test.cc
+++ b/tests/store/kind_watcher_test.cc
@@ -130,6 +130,15 @@
   BOOST_TEST(changes == 1U);
 }
 
+/// Guards against readers that take two states in a row for all that was in between.
+BOOST_AUTO_TEST_CASE(aBatchThatMayLackChangesIsToldThoughItHasNone) {
+  ChangeBatch incomplete = batchAt(25, 0);
+  incomplete.complete = false;
+  store.answers = {batchAt(12, 0), incomplete};
+  const auto watcher = run(Milliseconds(200));
+  BOOST_TEST(changes == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(unreadableChangesLeadToAListingInsteadOfTheSameWatch) {
   store.answers = {unreadable(kUnreadableAnswer, "no JSON"), batchAt(25, 1)};
   const auto watcher = run(Milliseconds(200));
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -5,104 +5,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "stream_versions/keeper_ranking.h"
-#include "support/simulated_network.h"
+#include "stream_versions/simulated_nodes.h"
 
 namespace calicodrift::stream_versions {
 namespace {
 
-using testing::SimulatedNetwork;
-
-const std::string kService = "llm";
-const SoftwareVersion kOld("v1");
-const SoftwareVersion kNew("v1.1");
-const StreamKey kStream(42);
-constexpr Milliseconds kHour{3'600'000};
-
-Endpoint endpointOf(std::size_t node) {
-  return {"10.0.0." + std::to_string(node + 1), 7000};
-}
-
-/// Nodes that all know each other, in virtual time.
-struct Fixture {
-  struct Node {
-    std::unique_ptr<peer::Transport> transport;
-    std::unique_ptr<VersionCore> core;
-  };
-
-  explicit Fixture(std::size_t count = 6) {
-    network.run(kHour);
-    for (std::size_t number = 0; number < count; ++number) {
-      keepers.push_back(endpointOf(number));
-    }
-    nodes.resize(count);
-    for (std::size_t number = 0; number < count; ++number) {
-      start(number);
-      // The fleet has had one version only before.
-      nodes[number].core->applyArchive({}, {});
-    }
-  }
-
-  void start(std::size_t number) {
-    VersionCoreSettings settings;
-    settings.endpoint = endpointOf(number);
-    Node& node = nodes[number];
-    node.core.reset();
-    node.transport = network.attach(settings.endpoint);
-    node.core = std::make_unique<VersionCore>(settings, *node.transport, metrics,
-                                              [this] { return network.now(); });
-    node.core->setKeepers(keepers);
-  }
-  void kill(std::size_t number) { nodes[number] = {}; }
-  /// These nodes are the roots of the tree, as all know.
-  void makeRoots(const std::vector<std::size_t>& numbers) {
-    std::vector<Endpoint> roots;
-    roots.reserve(numbers.size());
-    for (const std::size_t number : numbers) {
-      roots.push_back(endpointOf(number));
-    }
-    for (Node& node : nodes) {
-      node.core->setRoots(roots);
-    }
-  }
-  /// The node, the only root, reads the archive.
-  void readArchive(std::size_t number, ArchivedHistory history, WallTime wall = {}) {
-    makeRoots({number});
-    nodes[number].core->applyArchive({{}, std::move(history)}, wall);
-  }
-
-  /// The same list at all nodes.
-  void list(const std::vector<ListedVersion>& servers) {
-    for (Node& node : nodes) {
-      if (node.core) {
-        node.core->applyListing({{kService, servers}}, network.now());
-      }
-    }
-  }
-  static ListedVersion server(const SoftwareVersion& version, Milliseconds running = kHour) {
-    return {version, running};
-  }
-
-  Resolution resolve(std::size_t number, StreamKey stream = kStream, bool attemptNamed = true) {
-    std::optional<Resolution> resolution;
-    VersionCore& core = *nodes[number].core;
-    core.resolve(
-        stream, kService, [&](const Resolution& found) { resolution = found; }, attemptNamed);
-    for (int step = 0; step < 20 && !resolution; ++step) {
-      network.run(Milliseconds(5));
-      core.tick();
-    }
-    BOOST_REQUIRE(resolution.has_value());
-    return *resolution;
-  }
-
-  SimulatedNetwork network{7};
-  prometheus::Registry registry;
-  StreamVersionMetrics metrics{registry};
-  std::vector<Endpoint> keepers;
-  std::vector<Node> nodes;
-};
-
-BOOST_FIXTURE_TEST_SUITE(version_core, Fixture)
+BOOST_FIXTURE_TEST_SUITE(version_core, SimulatedNodes)
 
 BOOST_AUTO_TEST_CASE(nothingIsRecordedWhileAServiceHasOneVersion) {
   list({server(kOld), server(kOld)});
@@ -111,6 +19,9 @@
   for (const Node& node : nodes) {
     BOOST_TEST(node.core->recordCount() == 0U);
   }
+  // As long as it lives, the node that served the stream knows.
+  BOOST_TEST((resolve(1).version == kOld));
+  kill(0);
   const Resolution found = resolve(1);
   BOOST_TEST((found.source == VersionSource::kOnlyVersion));
   BOOST_TEST((found.version == kOld));
@@ -343,6 +254,7 @@
 /// Its list may lack a version that other nodes know.
 BOOST_AUTO_TEST_CASE(aNodeWithAnOldListAndNoOtherNodesDoesNotKnow) {
   list({server(kOld)});
+  nodes[0].reachesStore = false;
   network.run(Milliseconds(6000));
   for (std::size_t number = 1; number < nodes.size(); ++number) {
     kill(number);
@@ -352,10 +264,10 @@
 
 BOOST_AUTO_TEST_CASE(aNodeWithAnOldListLearnsTheOnlyVersionFromOthers) {
   list({server(kOld)});
+  makeRoots({1, 2});
+  nodes[0].reachesStore = false;
   network.run(Milliseconds(6000));
-  for (std::size_t number = 1; number < nodes.size(); ++number) {
-    nodes[number].core->applyListing({{kService, {server(kOld)}}}, network.now());
-  }
+  list({server(kOld)});
   BOOST_TEST((resolve(0).version == kOld));
 }
 
--- a/tests/stream_versions/version_schedules_test.cc
+++ b/tests/stream_versions/version_schedules_test.cc
@@ -1,6 +1,6 @@
 // Guards against streams of two software versions whatever happens between a break and the caller's
-// return: drawn schedules in virtual time with kills, cuts, lists that lag and versions that come
-// and go.
+// return: drawn schedules in virtual time with kills, cuts, lists that lag, nodes that are out of
+// step and versions that come and go.
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -21,6 +21,8 @@
 constexpr int kLatestReturnMs = 3000;
 /// A node counts as in touch so long after its start.
 constexpr Milliseconds kContact{3000};
+/// Servers that have left the list serve on so long.
+constexpr Milliseconds kServesOn{4000};
 
 struct Server {
   SoftwareVersion version;
@@ -29,9 +31,21 @@
 };
 using Servers = std::map<std::size_t, Server>;
 
+/// What happens beside releases.
+struct Troubles {
+  bool killsAndCuts = true;
+  /// Nodes get no list for a while, or stand still.
+  bool outOfStep = false;
+  /// Servers of other versions join and leave, some for a moment only.
+  bool releases = true;
+};
+
 /// What the schedules have found.
 struct Findings {
   std::size_t returns = 0;
+  /// Returns at nodes that get no list or have stood still just before, without releases.
+  std::size_t outOfStep = 0;
+  std::size_t outOfStepWentOn = 0;
   /// Returns while two servers of their version served, at nodes that are not cut off.
   std::size_t judged = 0;
   std::size_t wentOn = 0;
@@ -42,8 +56,9 @@
 /// A fleet of nodes before the servers of one service, all of it drawn from one seed.
 class World {
  public:
-  World(std::uint64_t seed, std::size_t nodes, std::size_t keepers, Findings& findings)
-      : network_(seed), random_(network_.random()), findings_(findings) {
+  World(std::uint64_t seed, std::size_t nodes, std::size_t keepers, Findings& findings,
+        Troubles troubles = {})
+      : network_(seed), random_(network_.random()), findings_(findings), troubles_(troubles) {
     network_.setFaults({0.01, 0.01, Milliseconds(1), Milliseconds(5)});
     network_.run(Milliseconds(3'600'000));
     for (std::size_t number = 0; number < 12; ++number) {
@@ -65,13 +80,17 @@
     for (std::size_t number = 0; number < streams; ++number) {
       network_.schedule(draw(0, 40'000), [this] { beginStream(); });
     }
-    network_.schedule(draw(5'000, 15'000), [this] { upgradeInTurn(1); });
-    if (pick(2) == 0) {
-      network_.schedule(draw(20'000, 30'000), [this] { upgradeInTurn(2); });
+    if (troubles_.releases) {
+      scheduleReleases();
     }
     // Each node is struck once or twice.
     for (std::size_t fault = 0; fault < nodes_.size() * 3 / 2; ++fault) {
-      network_.schedule(draw(0, 40'000), [this] { strikeNode(); });
+      if (troubles_.killsAndCuts) {
+        network_.schedule(draw(0, 40'000), [this] { strikeNode(); });
+      }
+      if (troubles_.outOfStep) {
+        network_.schedule(draw(0, 40'000), [this] { putOutOfStep(); });
+      }
     }
     network_.run(Milliseconds(60'000));
   }
@@ -91,6 +110,13 @@
     /// The list that it sees is this old.
     Milliseconds lag{0};
     Servers seen;
+    /// The number of the list that it sees.
+    std::size_t seenList = 0;
+    /// No list reaches it.
+    bool cutFromStore = false;
+    bool paused = false;
+    /// When it was last out of step.
+    MonotonicTime outOfStepAt{};
     /// Cut off all other nodes; callers, servers and the store reach it.
     bool cut = false;
     std::size_t starts = 0;
@@ -108,6 +134,7 @@
   }
 
   void noteServers() {
+    lists_.push_back(servers_);
     for (std::size_t number = 0; number < nodes_.size(); ++number) {
       scheduleView(number);
     }
@@ -115,21 +142,46 @@
   /// The node sees the present list after its lag.
   void scheduleView(std::size_t number) {
     const std::size_t starts = nodes_[number].starts;
-    network_.schedule(nodes_[number].lag, [this, number, starts, view = servers_] {
+    network_.schedule(nodes_[number].lag, [this, number, starts, list = lists_.size() - 1] {
       Node& node = nodes_[number];
-      if (node.core && node.starts == starts) {
-        node.seen = view;
-        apply(node);
+      if (node.starts == starts && reachesStore(node)) {
+        seeList(node, list, network_.now() - node.lag);
       }
     });
   }
-  void apply(Node& node) {
+  static bool reachesStore(const Node& node) {
+    return node.core && !node.paused && !node.cutFromStore;
+  }
+  /// The node takes in the changes up to the list.
+  void seeList(Node& node, std::size_t list, MonotonicTime provenAt) {
+    for (std::size_t next = node.seenList + 1; next <= list; ++next) {
+      for (const auto& [id, server] : lists_[next]) {
+        node.core->noteListed(kService, server.version);
+      }
+    }
+    if (list > node.seenList) {
+      node.seenList = list;
+      node.seen = lists_[list];
+    }
+    apply(node, provenAt);
+  }
+  void apply(Node& node, MonotonicTime provenAt) {
     VersionListing listing;
     for (const auto& [id, server] : node.seen) {
       listing[kService].push_back({server.version, std::chrono::duration_cast<Milliseconds>(
                                                        network_.now() - server.started)});
     }
-    node.core->applyListing(listing, network_.now() - node.lag);
+    node.core->applyListing(listing, provenAt);
+  }
+  /// Reads the newest list for a proof.
+  void readStore(std::size_t number) {
+    const MonotonicTime asked = network_.now();
+    network_.schedule(draw(4, 20), [this, number, asked, starts = nodes_[number].starts] {
+      Node& node = nodes_[number];
+      if (node.starts == starts && reachesStore(node)) {
+        seeList(node, lists_.size() - 1, asked);
+      }
+    });
   }
 
   std::vector<Endpoint> keepers() const {
@@ -143,6 +195,12 @@
     }
     return keepers;
   }
+  /// The first two keepers.
+  std::vector<Endpoint> roots() const {
+    std::vector<Endpoint> roots = keepers();
+    roots.resize(std::min<std::size_t>(roots.size(), 2));
+    return roots;
+  }
   void start(std::size_t number) {
     Node& node = nodes_[number];
     ++node.starts;
@@ -153,8 +211,12 @@
     settings.endpoint = node.endpoint;
     node.core = std::make_unique<VersionCore>(settings, *node.transport, metrics_,
                                               [this] { return network_.now(); });
+    node.core->setProofRequest([this, number] { readStore(number); });
     node.seen = servers_;
-    apply(node);
+    node.seenList = lists_.size() - 1;
+    node.paused = false;
+    network_.resume(node.endpoint);
+    apply(node, network_.now() - node.lag);
     network_.schedule(draw(100, 400),
                       [this, number, starts = node.starts] { learnKeepers(number, starts); });
   }
@@ -163,11 +225,16 @@
     if (!node.core || node.starts != starts) {
       return;
     }
-    if (!node.cut || node.core->keepers().empty()) {
-      node.core->setKeepers(keepers());
+    if (!node.paused) {
+      if (!node.cut || node.core->keepers().empty()) {
+        node.core->setKeepers(keepers());
+        node.core->setRoots(roots());
+      }
+      if (!node.cutFromStore) {
+        node.core->setListingProvenAt(network_.now() - node.lag);
+      }
+      node.core->renewRecords();
     }
-    node.core->setListingProvenAt(network_.now() - node.lag);
-    node.core->renewRecords();
     network_.schedule(draw(1500, 2500), [this, number, starts] { learnKeepers(number, starts); });
   }
   void kill(std::size_t number) {
@@ -200,6 +267,67 @@
     }
   }
 
+  /// A node gets no list for a while, or stands still, and is in step again.
+  void putOutOfStep() {
+    const std::size_t number = pick(nodes_.size());
+    Node& node = nodes_[number];
+    if (!node.core || node.paused || node.cutFromStore) {
+      return;
+    }
+    const bool pauses = pick(2) == 0;
+    (pauses ? node.paused : node.cutFromStore) = true;
+    if (pauses) {
+      network_.pause(node.endpoint);
+    }
+    network_.schedule(pauses ? draw(200, 6000) : draw(200, 10'000),
+                      [this, number, pauses, starts = node.starts] {
+                        if (nodes_[number].starts == starts && nodes_[number].core) {
+                          putInStep(nodes_[number], pauses);
+                        }
+                      });
+  }
+  void putInStep(Node& node, bool paused) {
+    node.outOfStepAt = network_.now();
+    if (paused) {
+      node.paused = false;
+      node.core->tick();
+      network_.resume(node.endpoint, draw(0, 5));
+      return;
+    }
+    node.cutFromStore = false;
+    // The store may have forgotten what was in between.
+    if (pick(3) == 0) {
+      node.core->noteMissedChanges();
+      node.seenList = lists_.size() - 1;
+      node.seen = servers_;
+    }
+    network_.schedule(draw(1, 400), [this, &node, starts = node.starts] {
+      if (node.starts == starts && reachesStore(node)) {
+        seeList(node, lists_.size() - 1, network_.now());
+      }
+    });
+  }
+  void scheduleReleases() {
+    network_.schedule(draw(5'000, 15'000), [this] { upgradeInTurn(1); });
+    if (pick(2) == 0) {
+      network_.schedule(draw(20'000, 30'000), [this] { upgradeInTurn(2); });
+    }
+    for (int visit = 0; troubles_.outOfStep && visit < 3; ++visit) {
+      network_.schedule(draw(0, 40'000), [this, visit] { visitShortly(visit); });
+    }
+  }
+  /// A server of another version joins and leaves soon.
+  void visitShortly(int visit) {
+    const std::size_t id = 100 + static_cast<std::size_t>(visit);
+    servers_[id] = {SoftwareVersion("v2." + std::to_string(visit)), network_.now()};
+    noteServers();
+    network_.schedule(draw(200, 3000), [this, id] {
+      servers_.erase(id);
+      leftAt_[id] = network_.now();
+      noteServers();
+    });
+  }
+
   /// Servers start again one after the other, each with the next version; a few keep the old one.
   void upgradeInTurn(int minor) {
     int step = 0;
@@ -214,16 +342,25 @@
     }
   }
 
+  /// Whether the server is there at this version: it is listed, or serves on after it has left.
+  bool serves(std::size_t id, const SoftwareVersion& version) const {
+    const auto listed = servers_.find(id);
+    if (listed != servers_.end()) {
+      return listed->second.version == version;
+    }
+    const auto left = leftAt_.find(id);
+    return left != leftAt_.end() && network_.now() - left->second < kServesOn;
+  }
   void beginStream() {
     const std::size_t number = pick(nodes_.size());
     Node& node = nodes_[number];
-    if (!node.core || node.seen.empty()) {
+    if (!node.core || node.paused || node.seen.empty()) {
       return;
     }
     auto place = node.seen.begin();
     std::advance(place, pick(node.seen.size()));
     // A server that has started again answers that it is not the one that was meant.
-    if (!(servers_[place->first] == place->second)) {
+    if (!serves(place->first, place->second.version)) {
       return;
     }
     Stream stream{StreamKey(nextStream_++), place->second.version, place->first, number,
@@ -232,8 +369,15 @@
   }
   void firstEvent(const Stream& stream) {
     Node& node = nodes_[stream.node];
-    if (!node.core || node.starts != stream.nodeStart ||
-        servers_[stream.server].version != stream.version) {
+    if (!node.core || node.starts != stream.nodeStart) {
+      return;
+    }
+    if (node.paused) {
+      // The node reads what the server has sent when it goes on.
+      network_.schedule(draw(50, 200), [this, stream] { firstEvent(stream); });
+      return;
+    }
+    if (!serves(stream.server, stream.version)) {
       return;
     }
     node.core->begin(stream.key, kService, stream.version);
@@ -261,6 +405,19 @@
     if (!node.core) {
       return;
     }
+    if (node.paused) {
+      // The node reads the return when it goes on.
+      network_.schedule(draw(50, 200),
+                        [this, stream, nodeDied, number] { comeBackTo(number, stream, nodeDied); });
+      return;
+    }
+    comeBackTo(number, stream, nodeDied);
+  }
+  void comeBackTo(std::size_t number, const Stream& stream, bool nodeDied) {
+    Node& node = nodes_[number];
+    if (!node.core || node.paused) {
+      return;
+    }
     ++findings_.returns;
     findings_.keptByDeadNodes += nodeDied ? 1 : 0;
     const auto serving = std::count_if(servers_.begin(), servers_.end(), [&](const auto& item) {
@@ -268,21 +425,29 @@
     });
     const bool inTouch =
         !node.cut && !nodes_[stream.node].cut && network_.now() - node.startedAt > kContact;
-    const bool judged = serving >= 2 && inTouch;
+    const bool inStep = !node.cutFromStore && network_.now() - node.outOfStepAt > kContact;
+    const bool judged = serving >= 2 && inTouch && inStep;
+    const bool outOfStep = !inStep && !troubles_.releases;
     findings_.judged += judged ? 1 : 0;
-    node.core->resolve(stream.key, kService, [this, stream, judged](const Resolution& found) {
+    findings_.outOfStep += outOfStep ? 1 : 0;
+    const auto listener = [this, stream, judged, outOfStep](const Resolution& found) {
       findings_.wentOn += judged && found.known() ? 1 : 0;
+      findings_.outOfStepWentOn += outOfStep && found.known() ? 1 : 0;
       findings_.mixed += found.known() && found.version != stream.version ? 1 : 0;
-    });
-    tickUntilDone(number, node.starts, 20);
+    };
+    node.core->resolve(stream.key, kService, listener);
+    tickUntilDone(number, node.starts, 100);
   }
+
   void tickUntilDone(std::size_t number, std::size_t starts, int left) {
     network_.schedule(Milliseconds(5), [this, number, starts, left] {
       Node& node = nodes_[number];
       if (!node.core || node.starts != starts || left == 0) {
         return;
       }
-      node.core->tick();
+      if (!node.paused) {
+        node.core->tick();
+      }
       tickUntilDone(number, starts, left - 1);
     });
   }
@@ -290,9 +455,13 @@
   SimulatedNetwork network_;
   std::mt19937_64& random_;
   Findings& findings_;
+  Troubles troubles_;
   prometheus::Registry registry_;
   StreamVersionMetrics metrics_{registry_};
   Servers servers_;
+  /// All lists of the store, in order.
+  std::vector<Servers> lists_;
+  std::map<std::size_t, MonotonicTime> leftAt_;
   std::vector<Node> nodes_;
   std::size_t keeperCount_ = 0;
   std::size_t cuts_ = 0;
@@ -300,11 +469,13 @@
 };
 
 void check(const Findings& findings, std::size_t leastReturns) {
-  BOOST_TEST_MESSAGE(findings.returns << " returns, " << findings.keptByDeadNodes
-                                      << " after the node that served them died; "
-                                      << findings.judged << " judged, " << findings.wentOn
-                                      << " of these went on, " << findings.mixed
-                                      << " at another version");
+  BOOST_TEST_MESSAGE(findings.returns
+                     << " returns, " << findings.keptByDeadNodes
+                     << " after the node that served them died; " << findings.judged << " judged, "
+                     << findings.wentOn << " of these went on, " << findings.mixed
+                     << " at another version; " << findings.outOfStep
+                     << " at nodes out of step beside one version, " << findings.outOfStepWentOn
+                     << " of these went on");
   BOOST_TEST(findings.returns >= leastReturns);
   BOOST_TEST(findings.mixed == 0U);
   BOOST_TEST(findings.wentOn * 100 >= findings.judged * 95);
@@ -321,6 +492,40 @@
   check(findings, 10'000);
 }
 
+/// In half of the schedules nodes are killed and cut off, too.
+Troubles outOfStepTroubles(std::uint64_t seed) {
+  return {seed % 2 == 0, true, true};
+}
+
+/// Guards against a return at a node that does not know of a version which has joined meanwhile.
+BOOST_AUTO_TEST_CASE(noReturnGoesOnAtAnotherVersionBesideSevenNodesOutOfStep) {
+  Findings findings;
+  for (std::uint64_t seed = 1; seed <= 160; ++seed) {
+    World world(1000 + seed, 7, 7, findings, outOfStepTroubles(seed));
+    world.run(200);
+  }
+  check(findings, 10'000);
+}
+
+BOOST_AUTO_TEST_CASE(noReturnGoesOnAtAnotherVersionBesideThreeHundredNodesOutOfStep) {
+  Findings findings;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    World world(1000 + seed, 300, 34, findings, outOfStepTroubles(seed));
+    world.run(3500);
+  }
+  check(findings, 10'000);
+}
+
+/// Guards against refusals of returns that other nodes or the store could tell about.
+BOOST_AUTO_TEST_CASE(returnsBesideOneVersionGoOnThoughNodesAreOutOfStep) {
+  Findings findings;
+  for (std::uint64_t seed = 1; seed <= 160; ++seed) {
+    World world(2000 + seed, 7, 7, findings, {seed % 2 == 0, true, false});
+    world.run(200);
+  }
+  check(findings, 10'000);
+}
+
 /// The roots of the tree and their children keep the records.
 BOOST_AUTO_TEST_CASE(noReturnGoesOnAtAnotherVersionAtThreeHundredNodes) {
   Findings findings;
--- a/tests/support/simulated_network.h
+++ b/tests/support/simulated_network.h
@@ -35,6 +35,10 @@
   /// Cuts messages from `from` to `to`; cut both ways for a whole cut.
   void cut(const Endpoint& from, const Endpoint& to) { cuts_.insert({from, to}); }
   void healAll() { cuts_.clear(); }
+  /// The node's process stands still: what arrives waits until resume().
+  void pause(const Endpoint& endpoint) { waiting_[endpoint]; }
+  /// Delivers what has arrived meanwhile, after `delay`.
+  void resume(const Endpoint& endpoint, Milliseconds delay = Milliseconds(0));
   /// A stopped node receives nothing, and messages to it are lost.
   void detach(const Endpoint& endpoint) { attached_.erase(endpoint); }
   /// The transport of the node at `endpoint`. Attaching anew replaces the old one (a restart).
@@ -60,6 +64,8 @@
 
   void transmit(const Endpoint& from, const Endpoint& to, peer::Channel channel,
                 const std::string& payload);
+  void deliver(const Endpoint& from, const Endpoint& to, peer::Channel channel,
+               const std::string& payload);
   bool happens(double probability) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
   }
@@ -70,6 +76,8 @@
   NetworkFaults faults_;
   std::set<std::pair<Endpoint, Endpoint>> cuts_;
   std::map<Endpoint, Port*> attached_;
+  /// Deliveries to paused nodes.
+  std::map<Endpoint, std::vector<std::function<void()>>> waiting_;
   std::priority_queue<Event> events_;
 };
 
@@ -123,12 +131,31 @@
     }
     std::uniform_int_distribution<std::int64_t> delay(faults_.shortestDelay.count(),
                                                       faults_.longestDelay.count());
-    schedule(Milliseconds(delay(random_)), [this, from, to, channel, payload] {
-      const auto found = attached_.find(to);
-      if (found != attached_.end()) {
-        found->second->receive(from, channel, payload);
-      }
-    });
+    schedule(Milliseconds(delay(random_)),
+             [this, from, to, channel, payload] { deliver(from, to, channel, payload); });
+  }
+}
+
+inline void SimulatedNetwork::deliver(const Endpoint& from, const Endpoint& to,
+                                      peer::Channel channel, const std::string& payload) {
+  if (const auto paused = waiting_.find(to); paused != waiting_.end()) {
+    paused->second.emplace_back(
+        [this, from, to, channel, payload] { deliver(from, to, channel, payload); });
+    return;
+  }
+  const auto found = attached_.find(to);
+  if (found != attached_.end()) {
+    found->second->receive(from, channel, payload);
+  }
+}
+
+inline void SimulatedNetwork::resume(const Endpoint& endpoint, Milliseconds delay) {
+  auto paused = waiting_.extract(endpoint);
+  if (paused.empty()) {
+    return;
+  }
+  for (std::function<void()>& delivery : paused.mapped()) {
+    schedule(delay, std::move(delivery));
   }
 }
 
