--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -65,6 +65,9 @@
                           "calls that were not sent, as their server had left or asked for rest "
                           "since it was chosen")
                      .Add({})),
+      surplusAnswers_(counters(registry, "calicodrift_forward_surplus_answers_total",
+                               "copies of answers to earlier requests that were skipped")
+                          .Add({})),
       firstByte_(histogram(registry, "calicodrift_forward_first_byte_seconds",
                            "from the request to the first byte of the answer")),
       answerTime_(histogram(registry, "calicodrift_forward_whole_seconds",
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -27,6 +27,8 @@
   /// Counts a call that was not sent because its server left, or asked for rest, after it was
   /// chosen.
   void countWithdrawn() { withdrawn_.Increment(); }
+  /// Counts a copy of an answer to an earlier request that came before the answer that was due.
+  void countSurplusAnswer() { surplusAnswers_.Increment(); }
   /// Counts a request that a server was about to get when its caller had left already, by the wait
   /// in which it left.
   void countDepartureBeforeSend(std::string_view wait);
@@ -66,6 +68,7 @@
   prometheus::Counter& retriesDenied_;
   prometheus::Counter& recalls_;
   prometheus::Counter& withdrawn_;
+  prometheus::Counter& surplusAnswers_;
   prometheus::Histogram& firstByte_;
   prometheus::Histogram& answerTime_;
   prometheus::Histogram& pause_;
--- a/src/forward/protocol.h
+++ b/src/forward/protocol.h
@@ -104,6 +104,8 @@
   virtual ~ServerProtocol() = default;
   virtual http::Request encode(const Request& request, const Dispatch& dispatch) const = 0;
   virtual AnswerKind classify(const Request& request, const http::Response& head) const = 0;
+  /// The id of the request that the answer says it is for; empty if it names none.
+  virtual std::string requestIdOf(const http::Response& head) const = 0;
   /// Weights that produced the answer, if it says so.
   virtual std::optional<WeightsVersion> weightsOf(const http::Response& head) const = 0;
   /// Notices of the server in the head.
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "common/hashing.h"
 #include "http/status.h"
 #include "log/log.h"
 
@@ -17,6 +18,8 @@
 /// Bounds of the pause of a server that fails if it has to refuse many requests.
 constexpr Milliseconds kShortestFullPause{150};
 constexpr Milliseconds kLongestFullPause{2000};
+/// Surplus answers before the own one; more look like a server that has lost its order.
+constexpr std::size_t kMaxSurplusAnswers = 4;
 /// Limits the memory for servers that were already logged; beyond it, servers are logged again.
 constexpr std::size_t kMaxLoggedRuns = 4096;
 
@@ -28,6 +31,10 @@
       : stream_(std::move(stream)), call_(std::move(call)), paths_(paths) {}
 
   const http::Response& head() const override { return stream_->head(); }
+  bool hasAnswered(http::RequestKey request) const override {
+    return stream_->hasAnswered(request);
+  }
+  awaitable<Result<void>> skipAnswer() override { return stream_->skipAnswer(); }
   awaitable<Result<http::BodyPiece>> read() override {
     Result<http::BodyPiece> piece = co_await stream_->read();
     if (!piece) {
@@ -108,11 +115,37 @@
     co_return context_.paths.explainFailure(*call, opened.error());
   }
   context_.paths.recordBytes(*call);
+  if (const Result<void> own =
+          co_await skipSurplusAnswers(server, *opened.value(), options.request);
+      !own) {
+    co_return context_.paths.explainFailure(*call, own.error());
+  }
   processHead(server, sent, opened.value()->head());
   co_return std::make_unique<TrackedStream>(std::move(opened.value()), std::move(call),
                                             context_.paths);
 }
 
+awaitable<Result<void>> ServerCalls::skipSurplusAnswers(const fleet::Server& server,
+                                                        http::ResponseStream& stream,
+                                                        http::RequestKey own) {
+  for (std::size_t skipped = 0; skipped < kMaxSurplusAnswers; ++skipped) {
+    const std::string id = context_.protocol.requestIdOf(stream.head());
+    const http::RequestKey answered(hashBytes(id));
+    const bool surplus = !id.empty() && answered != own && stream.hasAnswered(answered);
+    if (!surplus) {
+      break;
+    }
+    context_.metrics.countSurplusAnswer();
+    log::write(log::Level::kInfo, "surplus_answer_skipped",
+               {{"server", server.id.value()}, {"of_request", id}});
+    Result<void> next = co_await stream.skipAnswer();
+    if (!next) {
+      co_return next;
+    }
+  }
+  co_return boost::outcome_v2::success();
+}
+
 awaitable<Result<http::Response>> ServerCalls::exchange(const fleet::Server& server,
                                                         http::Request request,
                                                         http::ExchangeOptions options,
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -85,6 +85,11 @@
     MonotonicTime at{};
   };
 
+  /// Skips copies of answers to other requests that the connection served before, as servers may
+  /// repeat their answers late.
+  boost::asio::awaitable<Result<void>> skipSurplusAnswers(const fleet::Server& server,
+                                                          http::ResponseStream& stream,
+                                                          http::RequestKey own);
   void processHead(const fleet::Server& server, const SendState& sent, const http::Response& head);
   void handleLeaving(const fleet::Server& server, const http::Response& head);
   void handleRest(const fleet::Server& server, Milliseconds rest, const http::Response& head);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -33,6 +33,8 @@
 constexpr std::size_t kBodyPieceBytes = 16'384;
 /// Refusals that a connection remembers; it is closed after more.
 constexpr std::size_t kMaxRefusals = 64;
+/// Answered requests that a connection remembers.
+constexpr std::size_t kMaxAnswered = 16;
 /// Of bytes that are not parsed yet. More than the longest head that the parser takes; also bounds
 /// the extension of a chunk and the trailers, which it parses as a whole.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
@@ -172,6 +174,7 @@
         connection_(std::move(connection)),
         stream_(connection_->stream),
         options_(options),
+        headEnd_(endOf(options.headerTimeout)),
         wholeEnd_(endOf(options.wholeTimeout)),
         headOnly_(headOnly) {}
 
@@ -212,7 +215,64 @@
 
   const Response& head() const override { return head_; }
 
+  bool hasAnswered(RequestKey request) const override {
+    const std::deque<RequestKey>& answered = connection_->answered;
+    return request != RequestKey() &&
+           std::find(answered.begin(), answered.end(), request) != answered.end();
+  }
+
+  awaitable<Result<void>> skipAnswer() override {
+    surplus_ = true;
+    if (bodyEnd() == BodyEnd::kConnection) {
+      co_return fail(ErrorKind::kOutcomeUnknown,
+                     "a surplus answer of " + name() + " has no length");
+    }
+    for (;;) {
+      const Result<std::string> piece = co_await readPiece();
+      if (!piece) {
+        co_return piece.error();
+      }
+      if (piece.value().empty()) {
+        break;
+      }
+    }
+    head_ = {};
+    stream_.expires_at(headEnd_);
+    co_return co_await readHead();
+  }
+
   awaitable<Result<BodyPiece>> read() override {
+    Result<std::string> piece = co_await readPiece();
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (!piece.value().empty()) {
+      co_return BodyPiece{std::move(piece.value()), std::nullopt};
+    }
+    finish();
+    co_return BodyPiece{{}, bodyEnd()};
+  }
+
+  std::optional<Tunnel> tunnel() const override {
+    const ConnectionPath& path = connection_->path;
+    return path.direct() ? std::nullopt : std::optional(Tunnel{*path.proxy, connection_->tunnelId});
+  }
+
+  void setBodyTimeout(Milliseconds timeout) override { options_.bodyTimeout = timeout; }
+
+  void noteRefusal() override {
+    if (options_.request != RequestKey()) {
+      connection_->refused.push_back(options_.request);
+    }
+  }
+
+  void cancel() override { stream_.close(); }
+
+ private:
+  using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
+  /// The next bytes of the body; empty at its end. Fails as read() does.
+  awaitable<Result<std::string>> readPiece() {
     while (!parser_->is_done()) {
       parser_->get().body().data = piece_.data();
       parser_->get().body().size = piece_.size();
@@ -234,31 +294,12 @@
       const std::size_t length = piece_.size() - parser_->get().body().size;
       if (length > 0) {
         noteBytes();
-        co_return BodyPiece{std::string(piece_.data(), length), std::nullopt};
+        co_return std::string(piece_.data(), length);
       }
     }
-    finish();
-    co_return BodyPiece{{}, bodyEnd()};
+    co_return std::string();
   }
 
-  std::optional<Tunnel> tunnel() const override {
-    const ConnectionPath& path = connection_->path;
-    return path.direct() ? std::nullopt : std::optional(Tunnel{*path.proxy, connection_->tunnelId});
-  }
-
-  void setBodyTimeout(Milliseconds timeout) override { options_.bodyTimeout = timeout; }
-
-  void noteRefusal() override {
-    if (options_.request != RequestKey()) {
-      connection_->refused.push_back(options_.request);
-    }
-  }
-
-  void cancel() override { stream_.close(); }
-
- private:
-  using Parser = bhttp::response_parser<bhttp::buffer_body>;
-
   static MonotonicTime endOf(Milliseconds timeout) {
     return timeout.count() > 0 ? monotonicNow() + timeout : MonotonicTime::max();
   }
@@ -296,10 +337,16 @@
     // From now on the connection may serve another exchange, which this one's canceller must not
     // end.
     ++connection_->exchanges;
+    if (options_.request != RequestKey()) {
+      connection_->answered.push_back(options_.request);
+    }
+    if (connection_->answered.size() > kMaxAnswered) {
+      connection_->answered.pop_front();
+    }
     // A caller that asks for fresh connections only would fill the pool and never take from it.
     const bool pooled = options_.connection == ConnectionUse::kPooled;
-    const bool reusable =
-        parser_->get().keep_alive() && buffer_.size() == 0 && bodyEnd() == BodyEnd::kFramed;
+    const bool reusable = parser_->get().keep_alive() && buffer_.size() == 0 &&
+                          bodyEnd() == BodyEnd::kFramed && !surplus_;
     if (pooled && reusable) {
       state_->giveBack(connection_, idleLifetime(head_.headers.get("Keep-Alive")));
     } else {
@@ -313,6 +360,7 @@
   ConnectionPointer connection_;
   beast::tcp_stream& stream_;
   ExchangeOptions options_;
+  MonotonicTime headEnd_;
   MonotonicTime wholeEnd_;
   bool headOnly_;
   std::optional<Parser> parser_;
@@ -320,6 +368,8 @@
   std::array<char, kBodyPieceBytes> piece_{};
   Response head_;
   bool finished_ = false;
+  /// A surplus answer has come on the connection; others may be on their way.
+  bool surplus_ = false;
 };
 
 void attachTo(ExchangeCanceller* canceller, const ConnectionPointer& connection) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -125,6 +125,13 @@
   virtual ~ResponseStream() = default;
   /// The head is a refusal of the request, which may be sent again; see ConnectOptions::request.
   virtual void noteRefusal() {}
+  /// Whether an earlier exchange of this connection was for the request: an answer to it that comes
+  /// now is a surplus copy.
+  virtual bool hasAnswered(RequestKey /*request*/) const { return false; }
+  /// Reads the surplus answer that head() belongs to up to its end, and the next head. The
+  /// connection serves no further exchange then. Fails as Client::send() and read() do, and with
+  /// kOutcomeUnknown if nothing but the connection frames the surplus answer.
+  virtual boost::asio::awaitable<Result<void>> skipAnswer() = 0;
   /// Status and headers; the body is empty.
   virtual const Response& head() const = 0;
   /// The next piece of the body; after the last one it is returned again. A connection that breaks
--- a/src/http/open_connection.h
+++ b/src/http/open_connection.h
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core.hpp>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,6 +29,8 @@
   std::uint64_t exchanges = 0;
   /// Requests that were refused on it.
   std::vector<RequestKey> refused;
+  /// The newest requests whose answers have been read on it, the oldest first.
+  std::deque<RequestKey> answered;
 };
 
 }  // namespace calicodrift::http
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -90,6 +90,7 @@
     }
     return head.headers.find(kSeal) ? AnswerKind::kAnswered : AnswerKind::kUnverified;
   }
+  std::string requestIdOf(const http::Response& /*head*/) const override { return {}; }
   std::optional<WeightsVersion> weightsOf(const http::Response& /*head*/) const override {
     return std::nullopt;
   }
--- a/tests/platform/repeated_refusals_test.cc
+++ b/tests/platform/repeated_refusals_test.cc
@@ -1,3 +1,7 @@
+#include <map>
+#include <optional>
+#include <utility>
+
 #include "unframed_fixture.h"
 
 namespace calicodrift::testing {
@@ -63,6 +67,41 @@
   });
 }
 
+/// Guards against a request that ends with 502, as a late copy of another request's answer comes in
+/// the place of its own, although the ids tell the two apart.
+BOOST_AUTO_TEST_CASE(aLateCopyOfAnotherRequestsAnswerIsSkipped) {
+  constexpr unsigned kRequests = 40;
+  std::map<std::string, std::size_t> runs;
+  unsigned served = 0;
+  unsigned copies = 0;
+  std::map<std::string, std::optional<std::string>> lastAnswers;
+  for (const char* id : {"llm-1", "llm-2"}) {
+    addUnframed(id, "llm").setBody([&, id](const http::Request& request) -> ScriptedAnswer {
+      ++runs[request.headers.get(platform::kRequestId)];
+      // Each second answer on a connection has a copy of the first one before it.
+      std::optional<std::string>& last = lastAnswers[id];
+      if (!last) {
+        last = success(request);
+        return {{*last}};
+      }
+      ++copies;
+      return {{*std::exchange(last, std::nullopt), success(request)}};
+    });
+  }
+  run([&]() -> awaitable<void> {
+    for (unsigned number = 0; number < kRequests; ++number) {
+      http::Request message = modelRequest("/stream-once/a");
+      const Result<http::Response> answer = co_await call(std::move(message));
+      served += answer && answer.value().status == 200U && answer.value().body == events(1, 4);
+    }
+    BOOST_TEST(copies >= kRequests / 4);
+    BOOST_TEST(served == kRequests);
+    for (const auto& [request, count] : runs) {
+      BOOST_TEST(count == 1U, request << " ran " << count << " times");
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
