stream_versions: the first listing misses nothing, also where a configuration came before it

Returns right after a start of all nodes were refused: a configuration that is adopted before the first listing applied an empty one, so that the first listing counted as a gap. Found by platform_stream_versions (returnsOfUnknownAttemptsGoOnWhereAllServersHaveOneVersion: 503 in place of 200), which passes now. Only listings after the first one miss changes (StoreViews); the archive is read once the list has been. `ChangeBatch::complete` stands last, as tests name the fields before it by place.

--- a/src/gateway/store_views.cc
+++ b/src/gateway/store_views.cc
@@ -160,7 +160,9 @@
     }
   }
   servers_.endListing(listing.revision, monotonicNow());
-  listeners_.onServersMissed();
+  if (serverWatcher_.synchronized()) {
+    listeners_.onServersMissed();
+  }
   listeners_.onServers();
 }
 
--- a/src/gateway/store_views.h
+++ b/src/gateway/store_views.h
@@ -32,8 +32,8 @@
   /// A server is listed anew or has another entry, which a later change of the same batch may have
   /// replaced; called before onServers.
   std::function<void(const fleet::Server&)> onServerEntry = [](const fleet::Server&) {};
-  /// Servers may have come and gone unseen, as the list was read as a whole; called before
-  /// onServers.
+  /// Servers may have come and gone unseen, as the list was read as a whole once more; called
+  /// before onServers.
   std::function<void()> onServersMissed = [] {};
   /// serversProvenAt() may have risen.
   std::function<void()> onServersProven = [] {};
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -61,11 +61,11 @@
 struct ChangeBatch {
   std::vector<Change> changes;
   Revision revision;
+  /// As in Listing; set if the source knows it more precisely than provenAt().
+  std::optional<Milliseconds> provenAfterAsked;
   /// False if changes may be missing, as where the store no longer has the history in between:
   /// objects may have come and gone unseen.
   bool complete = true;
-  /// As in Listing; set if the source knows it more precisely than provenAt().
-  std::optional<Milliseconds> provenAfterAsked;
 };
 
 /// Latest time at which the state reached by `batch` was known to be current. A watch without
--- a/src/stream_versions/stream_version_node.cc
+++ b/src/stream_versions/stream_version_node.cc
@@ -212,7 +212,7 @@
   const MonotonicTime now = monotonicNow();
   const bool due = now - archiveTriedAt_ >= kArchiveRetryInterval;
   // What came and went before the first listing is in the archive only if that is read after it.
-  const bool hasListing = core_.history().hasListing();
+  const bool hasListing = context_.listingProvenAt() != MonotonicTime{};
   if (!archives() || archive_.hasRead() || !due || !hasListing) {
     co_return;
   }
--- a/tests/relay/fake_store.h
+++ b/tests/relay/fake_store.h
@@ -62,6 +62,10 @@
       if (down) {
         co_return fail(ErrorKind::kStoreUnavailable, "down");
       }
+      if (kind == forgottenKind) {
+        forgottenKind.clear();
+        co_return fail(ErrorKind::kVersionConflict, "the history is gone");
+      }
       store::ChangeBatch batch = changesSince(kind, since);
       if (!batch.changes.empty() || monotonicNow() >= end) {
         co_return batch;
@@ -113,6 +117,8 @@
   }
 
   bool down = false;
+  /// The next watch of this kind finds that its history is gone.
+  std::string forgottenKind;
   /// Delay before a listing is answered.
   Milliseconds listDelay{0};
   std::size_t calls = 0;
