--- a/src/forward/cache_scope.h
+++ b/src/forward/cache_scope.h
@@ -12,8 +12,11 @@
 /// scopes never share cache, and no request shares what a tenant that is isolated now has made.
 std::string cacheScope(const Grant& grant, WeightsVersion weights);
 
-/// See routes::RouteTable::isolationKey().
-std::uint64_t isolationKeyOf(const Grant& grant);
+CacheIsolation isolationOf(const Grant& grant);
+/// The same by another configuration, as of the request's tenant there. Empty if it names that
+/// tenant no more.
+std::optional<CacheIsolation> isolationIn(const routes::RouteTable& table, const Grant& grant,
+                                          const Request& request);
 
 /// Identifies the prompt's common prefix within a cache scope; 0 if the prompt has none.
 std::uint64_t sharedKeyOf(const routing::RouteRequest& request, const std::string& scope);
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -9,6 +9,7 @@
 #include "common/hashing.h"
 #include "forward/abandonable_wait.h"
 #include "forward/answer_relay.h"
+#include "forward/cache_scope.h"
 #include "forward/dispatch_wait.h"
 #include "forward/forwarder.h"
 #include "forward/prompt_blocks.h"
@@ -66,8 +67,7 @@
   /// Fingerprints of the prompt's parts, computed on the first call only.
   const std::vector<quarantine::PartFingerprint>& parts() {
     if (cachedParts.empty()) {
-      const bool isolated = grant.tenant != nullptr && grant.tenant->isolated;
-      const TenantId isolatedTenant = isolated ? grant.tenant->id : TenantId();
+      const TenantId isolatedTenant = isolationOf(grant).tenant;
       for (const PromptPart& part : request.prompt) {
         cachedParts.push_back(quarantine::fingerprintOf(
             quarantine::PartIdentity{isolatedTenant, request.model, part.id}));
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -132,6 +132,9 @@
       Job& job, DispatchWait wait, std::function<boost::asio::awaitable<Value>()> operation,
       std::function<void(Value)> onLate);
   boost::asio::awaitable<Result<void>> dispatchOnce(Job& job);
+  /// What a tenant that has become isolated made before is not for a request that has waited
+  /// meanwhile, nor the other way round.
+  void applyNewestIsolation(Job& job);
   AllowedServers serversFor(const Job& job, bool mayBeCanary, MonotonicTime now);
   /// Servers that the job may be sent to if quarantine admits it as a suspect.
   std::vector<quarantine::ServerRun> trialServerRuns(Job& job);
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -79,8 +79,24 @@
 
 }  // namespace
 
+void Forwarder::applyNewestIsolation(Job& job) {
+  const ConfigurationView view = context_.configuration();
+  if (view.table == nullptr || view.table == job.grant.table) {
+    return;
+  }
+  const std::optional<CacheIsolation> newest = isolationIn(*view.table, job.grant, job.request);
+  if (!newest || *newest == isolationOf(job.grant)) {
+    return;
+  }
+  job.grant.isolation = newest;
+  std::vector<BackendId> avoided = std::move(job.routeRequest.avoided);
+  job.routeRequest = toRouteRequest(job.request, job.grant);
+  job.routeRequest.avoided = std::move(avoided);
+}
+
 awaitable<Result<void>> Forwarder::dispatchOnce(Job& job) {
   context_.removeExpiredWeights();
+  applyNewestIsolation(job);
   if (!knowsWeights(job)) {
     co_return fail(ErrorKind::kNoConfiguration, "the named weights have not been read yet");
   }
@@ -99,6 +115,8 @@
   fleet::LoadGuard load(context_.pool, chosen.server.id,
                         {job.request.promptTokens + job.request.outputTokens, chosen.uncachedTokens,
                          fleet::incarnationOf(chosen.server)});
+  // The choice may have waited.
+  applyNewestIsolation(job);
   Dispatch dispatch = makeDispatch(job, chosen.server, chosen.candidate);
   const std::uint64_t sharedKey = sharedKeyOf(job.routeRequest, dispatch.cacheScope);
   if (!job.request.model.value().empty()) {
--- a/src/forward/prompt_blocks.cc
+++ b/src/forward/prompt_blocks.cc
@@ -43,13 +43,14 @@
 
 routing::RouteRequest toRouteRequest(const Request& request, const Grant& grant) {
   routing::RouteRequest route;
-  const bool isolated = grant.tenant != nullptr && grant.tenant->isolated;
   if (grant.tenant != nullptr) {
     route.tenant = grant.tenant->id;
   }
   route.model = request.model;
   route.priority = toPriority(grant.priority());
-  const std::uint64_t seed = isolated ? hashBytes(grant.tenant->id.value()) : isolationKeyOf(grant);
+  const CacheIsolation isolation = isolationOf(grant);
+  const bool isolated = !isolation.tenant.value().empty();
+  const std::uint64_t seed = isolated ? hashBytes(isolation.tenant.value()) : isolation.sharedKey;
   chainPrompt(request.prompt, seed, route);
   route.promptTokens = request.promptTokens;
   route.outputTokens = request.outputTokens;
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -47,12 +47,25 @@
   std::optional<RequestId> resumes;
 };
 
+/// With whom a request shares cached parts of prompts.
+struct CacheIsolation {
+  /// Set for an isolated tenant, which shares them with nobody.
+  TenantId tenant;
+  /// Otherwise, which tenants it doesn't share them with; see routes::RouteTable::isolationKey().
+  std::uint64_t sharedKey = 0;
+
+  bool operator==(const CacheIsolation&) const = default;
+};
+
 /// The configuration's entries that apply to a request.
 struct Grant {
   std::shared_ptr<const routes::RouteTable> table;
   const routes::Route* route = nullptr;
   /// Null for public routes and configurations without tenants.
   const routes::Tenant* tenant = nullptr;
+  /// If set, goes before what the table tells: by a newer configuration, or by a key that a request
+  /// to a public route carries.
+  std::optional<CacheIsolation> isolation = std::nullopt;
 
   unsigned priority() const {
     return tenant != nullptr ? tenant->priority.value_or(route->priority) : route->priority;
--- a/src/forward/request_gate.cc
+++ b/src/forward/request_gate.cc
@@ -1,5 +1,7 @@
 #include "forward/request_gate.h"
 
+#include "forward/cache_scope.h"
+
 namespace calicodrift::forward {
 namespace {
 
@@ -35,6 +37,7 @@
     return absence(view, now, ErrorKind::kUnknownRoute, "no route for this host and path");
   }
   if (grant.route->isPublic || !view.table->needsKeys()) {
+    grant.isolation = isolationIn(*view.table, grant, request);
     return grant;
   }
   if (!servesKeys(view, now)) {
--- a/tests/forward/forwarding_fixture.h
+++ b/tests/forward/forwarding_fixture.h
@@ -65,6 +65,8 @@
   static constexpr std::string_view kTimeLeft = "X-Time-Left-Ms";
   /// Header with the weights that a request expects.
   static constexpr std::string_view kWeights = "X-Weights";
+  /// Header with the scope of cached parts that a request may use.
+  static constexpr std::string_view kScope = "X-Scope";
 
   /// Called with each request right before its first byte is sent.
   std::function<void(const http::Request&)> onSend;
@@ -78,6 +80,7 @@
     if (dispatch.weights) {
       message.headers.set(kWeights, std::to_string(dispatch.weights->value()));
     }
+    message.headers.set(kScope, dispatch.cacheScope);
     if (dispatch.fetchCacheFrom) {
       message.headers.set(kFetchFrom, dispatch.fetchCacheFrom->toString());
     }
