queue_admission: targets of earlier configurations refuse nobody (CONFIG, related state)

Callers: after a configuration had removed an urgent route, or given it more time, requests of less urgent routes went on to be refused by that route's former target, for as long as the process lived. Cause: the shortest target of each rank was kept over all requests so far. Change: a newer configuration starts it anew. Evidence: targetsOfAnEarlierConfigurationDoNotCount, 2 checks failed without the change.

--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -192,6 +192,9 @@
   const double waitMs = routing::expectedWaitMs(candidate) + candidate.rttMs;
   const Milliseconds wait(static_cast<std::int64_t>(waitMs));
   const auto known = admissions_.try_emplace({job.service, track}, settings_.admission).first;
+  if (job.grant.table != nullptr) {
+    known->second.applyConfiguration(job.grant.table->version());
+  }
   const std::optional<Milliseconds> retryAfter =
       known->second.refuse(wait, job.grant.route->targetLatency, job.grant.priority(), now);
   if (!retryAfter) {
--- a/src/forward/queue_admission.cc
+++ b/src/forward/queue_admission.cc
@@ -4,6 +4,13 @@
 
 namespace calicodrift::forward {
 
+void QueueAdmission::applyConfiguration(ConfigVersion version) {
+  if (version > configuration_) {
+    configuration_ = version;
+    targets_.clear();
+  }
+}
+
 std::optional<Milliseconds> QueueAdmission::refuse(Milliseconds wait, Milliseconds target,
                                                    unsigned rank, MonotonicTime now) {
   /// The queues count as short again below this fraction of the steady limit.
--- a/src/forward/queue_admission.h
+++ b/src/forward/queue_admission.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "common/clock.h"
+#include "common/ids.h"
 
 namespace calicodrift::forward {
 
@@ -30,6 +31,8 @@
  public:
   explicit QueueAdmission(QueueAdmissionSettings settings) : settings_(settings) {}
 
+  /// Requests are allowed by this configuration: targets of earlier ones no longer count.
+  void applyConfiguration(ConfigVersion version);
   /// @param wait time until the chosen server begins the request; the request's own prefill does
   /// not count, so that long prompts are admitted like short ones.
   /// @param rank rank of the request's priority; 0 is the most urgent.
@@ -45,7 +48,8 @@
   Milliseconds shortestTarget(Milliseconds target, unsigned rank);
 
   QueueAdmissionSettings settings_;
-  /// Shortest target by rank, of the requests so far.
+  ConfigVersion configuration_;
+  /// Shortest target by rank, of the requests under this configuration so far.
   std::map<unsigned, Milliseconds> targets_;
   /// When the waits began to exceed the steady limit.
   std::optional<MonotonicTime> congestedSince_;
--- a/tests/forward/queue_admission_test.cc
+++ b/tests/forward/queue_admission_test.cc
@@ -49,6 +49,24 @@
   BOOST_TEST(refused(1000, 0, 3500));
 }
 
+/// Guards against refusals by the target of a route that a later configuration has removed or given
+/// more time.
+BOOST_AUTO_TEST_CASE(targetsOfAnEarlierConfigurationDoNotCount) {
+  constexpr Milliseconds kShort{100};
+  constexpr Milliseconds kLong{3000};
+  const auto refusedAt = [this](int at) {
+    return admission.refuse(Milliseconds(500), kLong, 1, after(at)).has_value();
+  };
+  admission.applyConfiguration(ConfigVersion(3));
+  BOOST_TEST(!admission.refuse(Milliseconds(10), kShort, 0, after(0)));
+  BOOST_TEST(refusedAt(0), "the urgent requests would wait behind it");
+  admission.applyConfiguration(ConfigVersion(5));
+  BOOST_TEST(!refusedAt(10));
+  // A request that was let in under the earlier one brings nothing back.
+  admission.applyConfiguration(ConfigVersion(3));
+  BOOST_TEST(!refusedAt(20));
+}
+
 BOOST_AUTO_TEST_CASE(lowerPriorityIsRefusedFirst) {
   BOOST_TEST(!refused(1000, 0, 0));
   BOOST_TEST(!refused(400, 0, 2000));
