--- a/tests/forward/queue_admission_test.cc
+++ b/tests/forward/queue_admission_test.cc
@@ -9,6 +9,8 @@
 
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
 constexpr Milliseconds kTarget{600};
+constexpr Milliseconds kShortTarget{100};
+constexpr Milliseconds kLongTarget{3000};
 
 MonotonicTime after(int milliseconds) {
   return kStart + Milliseconds(milliseconds);
@@ -52,13 +54,11 @@
 /// Guards against refusals by the target of a route that a later configuration has removed or given
 /// more time.
 BOOST_AUTO_TEST_CASE(targetsOfAnEarlierConfigurationDoNotCount) {
-  constexpr Milliseconds kShort{100};
-  constexpr Milliseconds kLong{3000};
   const auto refusedAt = [this](int at) {
-    return admission.refuse(Milliseconds(500), kLong, 1, after(at)).has_value();
+    return admission.refuse(Milliseconds(500), kLongTarget, 1, after(at)).has_value();
   };
   admission.applyConfiguration(ConfigVersion(3));
-  BOOST_TEST(!admission.refuse(Milliseconds(10), kShort, 0, after(0)));
+  BOOST_TEST(!admission.refuse(Milliseconds(10), kShortTarget, 0, after(0)));
   BOOST_TEST(refusedAt(0), "the urgent requests would wait behind it");
   admission.applyConfiguration(ConfigVersion(5));
   BOOST_TEST(!refusedAt(10));
