stream_versions: lists are read only for returns that name their attempt, and not after all have given up

A root read the list for each question without a record, also for callers that name no attempt, which no proof is needed for: one call of the store for each such return. And while the store was away a root went on to read it every 50 ms for questions whose nodes had given them up long before. Change: questions say whether they want a proof (a field at the end, which earlier builds neither send nor read); a question that is older than the time in which its node gives it up is forgotten. Questions are not sent again once their answers are no longer waited for, and a list that has been applied counts as proven for the records that it makes necessary, as before. Evidence: onlyReturnsThatNameTheirAttemptAreProven, aProofThatDoesNotComeIsGivenUp, questionsOfEarlierBuildsAreRead.

--- a/src/stream_versions/messages.h
+++ b/src/stream_versions/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cereal/cereal.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -37,10 +38,22 @@
   std::uint64_t id = 0;
   StreamKey stream;
   std::string service;
+  /// Whether a root is to prove that there is one version only. Builds before this field neither
+  /// send nor read it.
+  bool wantsProof = false;
 
   template <typename Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
+    archive(id, stream, service, wantsProof);
+  }
+  template <typename Archive>
+  void load(Archive& archive) {
     archive(id, stream, service);
+    try {
+      archive(wantsProof);
+    } catch (const cereal::Exception&) {
+      wantsProof = false;
+    }
   }
 };
 
--- a/src/stream_versions/version_core.cc
+++ b/src/stream_versions/version_core.cc
@@ -48,6 +48,7 @@
 }
 
 void VersionCore::applyListing(const VersionListing& listing, MonotonicTime provenAt) {
+  listingProvenAt_ = std::max(listingProvenAt_, provenAt);
   history_.apply(listing, clock_());
   forgetBrokenStreams();
   for (auto& [stream, open] : open_) {
@@ -55,15 +56,24 @@
       record(stream, open);
     }
   }
-  setListingProvenAt(provenAt);
+  answerProven();
 }
 
 void VersionCore::setListingProvenAt(MonotonicTime provenAt) {
-  if (provenAt <= listingProvenAt_) {
-    return;
+  if (provenAt > listingProvenAt_) {
+    listingProvenAt_ = provenAt;
+    answerProven();
   }
-  listingProvenAt_ = provenAt;
-  answerProven();
+}
+
+void VersionCore::answerProven() {
+  std::erase_if(proofQuestions_, [this](const ProofQuestion& question) {
+    const bool proven = question.arrivedAt <= listingProvenAt_;
+    if (proven) {
+      send(question.from, provenReply(question));
+    }
+    return proven;
+  });
   for (auto next = questions_.begin(); next != questions_.end();) {
     advance(next++);
   }
@@ -241,7 +251,7 @@
 
 void VersionCore::ask(std::uint64_t id, const Question& question) {
   for (const Endpoint& keeper : question.unanswered) {
-    send(keeper, VersionQuery{id, question.stream, question.service});
+    send(keeper, VersionQuery{id, question.stream, question.service, question.attemptNamed});
   }
 }
 
@@ -269,7 +279,7 @@
 void VersionCore::advance(Questions::iterator place) {
   Question& question = place->second;
   const MonotonicTime now = clock_();
-  if (now >= question.resendAt) {
+  if (now >= question.resendAt && now < question.answersEnd) {
     question.resendAt = now + settings_.resendAfter;
     ask(place->first, question);
   }
@@ -307,7 +317,8 @@
   return next;
 }
 
-bool VersionCore::needsProof() const {
+bool VersionCore::needsProof() {
+  forgetProofQuestions();
   const auto waits = [this](const auto& item) {
     return item.second.proofRequested && item.second.askedAt > listingProvenAt_;
   };
@@ -326,23 +337,16 @@
 }
 
 void VersionCore::promiseProof(const Endpoint& from, const VersionQuery& query) {
-  const MonotonicTime now = clock_();
-  std::erase_if(proofQuestions_, [&](const ProofQuestion& question) {
-    return now - question.arrivedAt > settings_.proofTimeout;
-  });
+  forgetProofQuestions();
   if (requestProof_ && isRoot() && proofQuestions_.size() < kMaxProofQuestions) {
-    proofQuestions_.push_back({from, query.id, query.service, now});
+    proofQuestions_.push_back({from, query.id, query.service, clock_()});
     requestProof_();
   }
 }
 
-void VersionCore::answerProven() {
-  std::erase_if(proofQuestions_, [this](const ProofQuestion& question) {
-    const bool proven = question.arrivedAt <= listingProvenAt_;
-    if (proven) {
-      send(question.from, provenReply(question));
-    }
-    return proven;
+void VersionCore::forgetProofQuestions() {
+  std::erase_if(proofQuestions_, [now = clock_(), this](const ProofQuestion& question) {
+    return now - question.arrivedAt > settings_.proofTimeout;
   });
 }
 
@@ -390,7 +394,9 @@
   } else if (const auto only = provenOnlyVersion(query.service)) {
     reply.knowledge = Knowledge::kOnlyVersion;
     reply.version = only->value();
-    promiseProof(from, query);
+    if (query.wantsProof) {
+      promiseProof(from, query);
+    }
   } else if (history_.hasSeveral(query.service, now)) {
     reply.knowledge = Knowledge::kSeveralVersions;
   }
--- a/src/stream_versions/version_core.h
+++ b/src/stream_versions/version_core.h
@@ -109,7 +109,7 @@
   /// applyListing() or setListingProvenAt().
   void setProofRequest(ProofRequest request) { requestProof_ = std::move(request); }
   /// Whether a question waits for a newer proof of the listing.
-  bool needsProof() const;
+  bool needsProof();
   /// @param provenAt until when the listing is known to have been the newest.
   void applyListing(const VersionListing& listing, MonotonicTime provenAt);
   /// The listing has not changed, and was proven to be the newest again.
@@ -216,7 +216,9 @@
   bool couldProve(const Question& question) const;
   /// Tells another node what this node's list tells once it is proven.
   void promiseProof(const Endpoint& from, const VersionQuery& query);
-  /// Answers the questions that are older than the proof of the list.
+  /// Those whose node has given them up.
+  void forgetProofQuestions();
+  /// Answers the questions that are older than the proof of the list, other nodes' and own ones.
   void answerProven();
   VersionReply provenReply(const ProofQuestion& question) const;
   /// The other keepers that rank first for the stream.
--- a/tests/stream_versions/out_of_step_test.cc
+++ b/tests/stream_versions/out_of_step_test.cc
@@ -220,6 +220,30 @@
   BOOST_TEST((resolve(0, StreamKey(44)).version == kOld), "proven by its own read of the store");
 }
 
+/// Guards against reads of the store that no one needs.
+BOOST_AUTO_TEST_CASE(onlyReturnsThatNameTheirAttemptAreProven) {
+  makeRoots({2, 3});
+  BOOST_TEST((resolve(0, kStream, false).version == kOld));
+  BOOST_TEST(reads == 0U);
+  BOOST_TEST((resolve(0).version == kOld));
+  BOOST_TEST(reads > 0U);
+}
+
+/// Guards against reads of a store that is away which go on after all that asked have given up.
+BOOST_AUTO_TEST_CASE(aProofThatDoesNotComeIsGivenUp) {
+  makeRoots({2, 3});
+  for (Node& node : nodes) {
+    node.reachesStore = false;
+  }
+  network.run(Milliseconds(10));
+  BOOST_TEST(!resolve(0).known());
+  BOOST_TEST(reads > 0U);
+  network.run(Milliseconds(400));
+  for (Node& node : nodes) {
+    BOOST_TEST(!node.core->needsProof());
+  }
+}
+
 /// The node that served a stream knows its version, whatever its list tells.
 BOOST_AUTO_TEST_CASE(theNodeThatServedAStreamKnowsItsVersion) {
   nodes[1].core->begin(kStream, kService, kOld);
--- a/tests/stream_versions/version_core_test.cc
+++ b/tests/stream_versions/version_core_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "peer/codec.h"
 #include "stream_versions/keeper_ranking.h"
 #include "stream_versions/simulated_nodes.h"
 
@@ -285,6 +286,21 @@
   BOOST_TEST(table.size() == 0U);
 }
 
+/// Guards against questions of builds before the last field that cannot be read, and theirs of
+/// ours.
+BOOST_AUTO_TEST_CASE(questionsOfEarlierBuildsAreRead) {
+  const Message question = VersionQuery{7, kStream, kService, true};
+  const std::string encoded = peer::encode(question);
+  const auto read = peer::decode<Message>(encoded);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(std::get<VersionQuery>(read.value()).wantsProof);
+  const auto earlier = peer::decode<Message>(encoded.substr(0, encoded.size() - 1));
+  BOOST_REQUIRE(earlier);
+  BOOST_TEST(std::get<VersionQuery>(earlier.value()).id == 7U);
+  BOOST_TEST(std::get<VersionQuery>(earlier.value()).service == kService);
+  BOOST_TEST(!std::get<VersionQuery>(earlier.value()).wantsProof);
+}
+
 BOOST_AUTO_TEST_CASE(messagesThatCannotBeReadHaveNoEffect) {
   list({server(kOld), server(kNew)});
   const auto stranger = network.attach({"10.0.1.1", 7000});
