--- a/tests/gateway/store_views_test.cc
+++ b/tests/gateway/store_views_test.cc
@@ -66,6 +66,13 @@
   std::size_t missed = 0;
   std::size_t proofs = 0;
   void runFor(Milliseconds time) { context.run_for(time); }
+  /// The first listing, with one server of the software version, misses nothing.
+  void startWithServer(const std::string& id, const std::string& version) {
+    store.set("servers", id, version);
+    views.start();
+    runFor(Milliseconds(50));
+    BOOST_TEST(missed == 0U);
+  }
 };
 
 /// A node whose parent in the tree has gone finds another one within a second. What was named
@@ -155,10 +162,7 @@
 /// changed their version, within one batch of changes.
 BOOST_AUTO_TEST_CASE(versionsThatCameAndWentWithinABatchAreTold) {
   Views node;
-  node.store.set("servers", "a", "v1");
-  node.views.start();
-  node.runFor(Milliseconds(50));
-  BOOST_TEST(node.missed == 0U);
+  node.startWithServer("a", "v1");
   node.store.set("servers", "b", "v1.1");
   node.store.remove("servers", "b");
   node.store.set("servers", "a", "v1.2");
@@ -174,10 +178,7 @@
 /// Guards against a second listing that is taken for all that was since the first one.
 BOOST_AUTO_TEST_CASE(aListingAfterTheFirstOneMayLackWhatCameAndWent) {
   Views node;
-  node.store.set("servers", "a", "v1");
-  node.views.start();
-  node.runFor(Milliseconds(50));
-  BOOST_TEST(node.missed == 0U);
+  node.startWithServer("a", "v1");
   node.store.forgottenKind = "servers";
   node.runFor(Milliseconds(800));
   BOOST_TEST(node.missed == 1U);
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -14,6 +14,12 @@
   return given == nullptr ? absent : std::stoull(given);
 }
 
+void tellFaults(const SoakFindings& findings) {
+  for (const auto& [fault, count] : findings.faults) {
+    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
+  }
+}
+
 /// All are errors; of many the first ones tell enough.
 void tellViolations(std::uint64_t seed, const SoakFindings& findings,
                     const std::filesystem::path& record) {
@@ -36,9 +42,7 @@
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served");
   BOOST_TEST_MESSAGE("  " << findings.weights);
-  for (const auto& [fault, count] : findings.faults) {
-    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
-  }
+  tellFaults(findings);
   tellViolations(seed, findings, soak.recordFolder());
   BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
   BOOST_TEST(findings.faults.size() >= 5U, "too few faults were injected to judge");
@@ -143,9 +147,7 @@
   const SoakFindings findings = soak.run();
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served; " << findings.silences);
-  for (const auto& [fault, count] : findings.faults) {
-    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
-  }
+  tellFaults(findings);
   tellViolations(seed, findings, soak.recordFolder());
   BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
   BOOST_TEST(findings.faults.contains("server stands still"), "no server stood still");
@@ -169,9 +171,7 @@
       "seed " << seed << ": " << findings.requests << " requests, " << findings.served
               << " served; after the close " << findings.promptArrivals << " arrived in time, "
               << findings.lateArrivals << " late; judged runs " << findings.judgedDepartures);
-  for (const auto& [fault, count] : findings.faults) {
-    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
-  }
+  tellFaults(findings);
   tellViolations(seed, findings, soak.recordFolder());
   BOOST_TEST(findings.served > 0U, "too little was served to judge");
   BOOST_TEST(findings.judgedDepartures >= 100U, "too few callers left to judge");
@@ -215,9 +215,7 @@
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served; " << findings.returns << " returns, "
                              << findings.returnsThatWentOn << " went on");
-  for (const auto& [fault, count] : findings.faults) {
-    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
-  }
+  tellFaults(findings);
   tellViolations(seed, findings, soak.recordFolder());
   BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
   BOOST_TEST(findings.returns >= 12U, "too few callers came back to judge");
@@ -299,9 +297,7 @@
   BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
                              << findings.served << " served; " << findings.rollouts);
   tellViolations(seed, findings, soak.recordFolder());
-  for (const auto& [fault, count] : findings.faults) {
-    BOOST_TEST_MESSAGE("  " << count << " x " << fault);
-  }
+  tellFaults(findings);
   BOOST_TEST(findings.served * 4 > findings.requests, "too little was served to judge");
   BOOST_TEST(findings.judgedOrders >= 2U, "too few orders were given to judge");
 }
--- a/tests/stream_versions/version_schedules_test.cc
+++ b/tests/stream_versions/version_schedules_test.cc
@@ -492,38 +492,40 @@
   check(findings, 10'000);
 }
 
-/// In half of the schedules nodes are killed and cut off, too.
-Troubles outOfStepTroubles(std::uint64_t seed) {
-  return {seed % 2 == 0, true, true};
-}
+/// Schedules beside nodes out of step, from the first seed on; in half of them nodes are killed and
+/// cut off, too.
+struct Schedules {
+  std::uint64_t firstSeed = 0;
+  std::uint64_t count = 0;
+  std::size_t nodes = 0;
+  std::size_t keepers = 0;
+  std::size_t streams = 0;
+  bool releases = true;
+};
 
-/// Guards against a return at a node that does not know of a version which has joined meanwhile.
-BOOST_AUTO_TEST_CASE(noReturnGoesOnAtAnotherVersionBesideSevenNodesOutOfStep) {
+void runOutOfStep(const Schedules& schedules) {
   Findings findings;
-  for (std::uint64_t seed = 1; seed <= 160; ++seed) {
-    World world(1000 + seed, 7, 7, findings, outOfStepTroubles(seed));
-    world.run(200);
+  const std::uint64_t end = schedules.firstSeed + schedules.count;
+  for (std::uint64_t seed = schedules.firstSeed; seed < end; ++seed) {
+    World world(seed, schedules.nodes, schedules.keepers, findings,
+                {seed % 2 == 0, true, schedules.releases});
+    world.run(schedules.streams);
   }
   check(findings, 10'000);
 }
 
+/// Guards against a return at a node that does not know of a version which has joined meanwhile.
+BOOST_AUTO_TEST_CASE(noReturnGoesOnAtAnotherVersionBesideSevenNodesOutOfStep) {
+  runOutOfStep({1001, 160, 7, 7, 200});
+}
+
 BOOST_AUTO_TEST_CASE(noReturnGoesOnAtAnotherVersionBesideThreeHundredNodesOutOfStep) {
-  Findings findings;
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    World world(1000 + seed, 300, 34, findings, outOfStepTroubles(seed));
-    world.run(3500);
-  }
-  check(findings, 10'000);
+  runOutOfStep({1001, 10, 300, 34, 3500});
 }
 
 /// Guards against refusals of returns that other nodes or the store could tell about.
 BOOST_AUTO_TEST_CASE(returnsBesideOneVersionGoOnThoughNodesAreOutOfStep) {
-  Findings findings;
-  for (std::uint64_t seed = 1; seed <= 160; ++seed) {
-    World world(2000 + seed, 7, 7, findings, {seed % 2 == 0, true, false});
-    world.run(200);
-  }
-  check(findings, 10'000);
+  runOutOfStep({2001, 160, 7, 7, 200, false});
 }
 
 /// The roots of the tree and their children keep the records.
