Refusals of full servers: each is counted and logged with what its node knew

The log held one line a pause, without the load that was believed, its age, or whether the request was the trial after a pause, so that three hypotheses could not be told apart. No decision changes.

--- a/src/fleet/full_servers.h
+++ b/src/fleet/full_servers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +24,8 @@
   bool add(ServerKey server, MonotonicTime until, MonotonicTime now);
   /// Number of pauses ever added.
   std::uint64_t changes() const { return changes_; }
+  /// When the server's pause in force was added; empty if there is none.
+  std::optional<MonotonicTime> addedAt(ServerKey server, MonotonicTime now) const;
   /// Pauses that were added after changes() had the value `change` and have not ended.
   std::vector<FullServer> addedSince(std::uint64_t change, MonotonicTime now) const;
 
@@ -32,6 +35,7 @@
  private:
   struct Entry {
     MonotonicTime until{};
+    MonotonicTime addedAt{};
     /// Value of changes() when the pause was added.
     std::uint64_t recordedAt = 0;
   };
--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -57,6 +57,17 @@
   std::optional<MonotonicTime> firstEnd;
 };
 
+/// Load of a server as this node knows it.
+struct KnownLoad {
+  /// Requests in flight from this node, and from the others as they last reported it.
+  std::size_t own = 0;
+  std::size_t others = 0;
+  /// When the others' load was last reported; empty if it never was.
+  std::optional<MonotonicTime> reportedAt;
+
+  std::size_t requests() const { return own + others; }
+};
+
 /// Servers of a service by whether they can be reached.
 struct ServiceReach {
   std::size_t listed = 0;
@@ -146,8 +157,8 @@
   /// Records that the server asked this node to send nothing until `until`.
   void recordBackoff(const BackendId& id, MonotonicTime until, MonotonicTime now);
   /// Records the start of a call. A server whose backoff has ended gets no other call until this
-  /// one is answered.
-  void recordSent(const BackendId& id, MonotonicTime now);
+  /// one is answered. Returns whether the call is such a trial.
+  bool recordSent(const BackendId& id, MonotonicTime now);
   /// Records an answer without a backoff request to a call sent at `sentAt`.
   void recordAnswered(const BackendId& id, MonotonicTime sentAt, MonotonicTime now);
   const ServerBackoffs& backoffs() const { return backoffs_; }
@@ -226,6 +237,8 @@
   void setPeerLoads(const ServerLoads& loads, MonotonicTime now);
   /// When the load of the other nodes was last set; empty before the first time.
   std::optional<MonotonicTime> peerLoadsAt() const { return peerLoadsAt_; }
+  /// Load of the server; zero if it is not listed.
+  KnownLoad knownLoad(const BackendId& id) const;
   /// Sets the KV cache capacity, in tokens, of each server of a service; 0: unknown.
   void setMemoryTokens(const std::string& service, std::size_t tokens, MonotonicTime now);
 
--- a/src/fleet/server_pool_loads.cc
+++ b/src/fleet/server_pool_loads.cc
@@ -39,6 +39,17 @@
   }
 }
 
+KnownLoad ServerPool::knownLoad(const BackendId& id) const {
+  KnownLoad load;
+  load.reportedAt = peerLoadsAt_;
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    load.own = found->second.outstanding;
+    load.others = found->second.peers.requests;
+  }
+  return load;
+}
+
 void ServerPool::announceLoads(const std::map<BackendId, WeightsVersion>& loads,
                                MonotonicTime now) {
   std::map<Entry*, WeightsVersion> announced;
--- a/src/fleet/server_pool_notices.cc
+++ b/src/fleet/server_pool_notices.cc
@@ -48,9 +48,9 @@
   return true;
 }
 
-void ServerPool::recordSent(const BackendId& id, MonotonicTime now) {
+bool ServerPool::recordSent(const BackendId& id, MonotonicTime now) {
   if (backoffs_.empty()) {
-    return;
+    return false;
   }
   const std::optional<MonotonicTime> until = backoffs_.recordSent(id, now);
   Entry* entry = entryOf(id);
@@ -58,6 +58,7 @@
     pauseExpiries_.emplace(*until, id);
     refresh(*entry, now);
   }
+  return until.has_value();
 }
 
 void ServerPool::recordAnswered(const BackendId& id, MonotonicTime sentAt, MonotonicTime now) {
--- a/src/forward/metrics.cc
+++ b/src/forward/metrics.cc
@@ -36,6 +36,9 @@
                        "servers that stopped getting work, by cause")),
       notices_(counters(registry, "calicodrift_forward_server_notices_total",
                         "heads of servers' answers that said something of the server, by what")),
+      refusalsOfFull_(counters(registry, "calicodrift_forward_refusals_of_full_servers_total",
+                               "refusals of servers that fail if they have to refuse many, by what "
+                               "was known of the server when the request was sent")),
       departuresBeforeSend_(counters(registry, "calicodrift_forward_departures_before_send_total",
                                      "requests that a server was about to get when their callers "
                                      "had left already, by the wait in which they left")),
@@ -122,6 +125,10 @@
   notices_.Add({{"notice", std::string(notice)}}).Increment();
 }
 
+void ForwardMetrics::countRefusalOfFull(std::string_view cause) {
+  refusalsOfFull_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void ForwardMetrics::countDepartureBeforeSend(std::string_view wait) {
   departuresBeforeSend_.Add({{"wait", std::string(wait)}}).Increment();
 }
--- a/src/forward/metrics.h
+++ b/src/forward/metrics.h
@@ -24,6 +24,10 @@
   void countServerLoss(std::string_view cause);
   /// Counts a notice in the head of a server's answer: "leaving", "rest" or "unreadable".
   void countNotice(std::string_view notice);
+  /// Counts a refusal of a server that fails if it has to refuse many, by what this node knew when
+  /// it sent the request: "trial" for the first one after a pause, "refusal_heard_late" if another
+  /// refusal became known after it was sent, "load_unknown", or "room_unknown".
+  void countRefusalOfFull(std::string_view cause);
   /// Counts a call that was not sent because its server left, or asked for rest, after it was
   /// chosen.
   void countWithdrawn() { withdrawn_.Increment(); }
@@ -59,6 +63,7 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& losses_;
   prometheus::Family<prometheus::Counter>& notices_;
+  prometheus::Family<prometheus::Counter>& refusalsOfFull_;
   prometheus::Family<prometheus::Counter>& departuresBeforeSend_;
   prometheus::Family<prometheus::Counter>& outdatedStarts_;
   prometheus::Family<prometheus::Counter>& answerEnds_;
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -106,8 +106,9 @@
     context_.client.release(connection.value());
     co_return allowed.error();
   }
-  const SendState sent{context_.limits.versionOf(server), monotonicNow()};
-  context_.pool.recordSent(server.id, sent.at);
+  SendState sent{context_.limits.versionOf(server), monotonicNow()};
+  sent.load = context_.pool.knownLoad(server.id);
+  sent.isTrial = context_.pool.recordSent(server.id, sent.at);
   auto call = context_.paths.beginCall(path, std::move(mayMove), options.canceller);
   auto opened =
       co_await context_.client.send(std::move(connection.value()), std::move(request), options);
@@ -198,7 +199,7 @@
   const bool refused =
       head.status == http::kStatusUnavailable || head.status == http::kStatusTooManyRequests;
   if (notices.refusalLimit && refused && !notices.rest) {
-    handleFull(server, *notices.refusalLimit, head);
+    handleFull(server, *notices.refusalLimit, sent, head);
   } else if (notices.rest) {
     handleRest(server, *notices.rest, head);
   } else {
@@ -230,9 +231,38 @@
               {"ms", std::to_string(rest.count())}});
 }
 
-void ServerCalls::handleFull(const fleet::Server& server, double refusalLimit,
+void ServerCalls::reportFull(const fleet::Server& server, const SendState& sent,
                              const http::Response& head) {
+  const MonotonicTime now = monotonicNow();
+  const auto ageOf = [now](std::optional<MonotonicTime> since) {
+    return since ? std::to_string(std::chrono::floor<Milliseconds>(now - *since).count()) : "";
+  };
+  const std::optional<MonotonicTime> refusalHeardAt =
+      context_.pool.full().addedAt(fleet::keyOf(server), now);
+  std::string_view cause = "room_unknown";
+  if (sent.isTrial) {
+    cause = "trial";
+  } else if (refusalHeardAt && *refusalHeardAt > sent.at) {
+    cause = "refusal_heard_late";
+  } else if (!sent.load.reportedAt) {
+    cause = "load_unknown";
+  }
+  context_.metrics.countRefusalOfFull(cause);
+  log::write(log::Level::kInfo, "server_refused_when_full",
+             {{"server", server.id.value()},
+              {"status", std::to_string(head.status)},
+              {"cause", std::string(cause)},
+              {"sent_ms", ageOf(sent.at)},
+              {"own_load", std::to_string(sent.load.own)},
+              {"others_load", std::to_string(sent.load.others)},
+              {"load_age_ms", ageOf(sent.load.reportedAt)},
+              {"refusal_heard_ms", ageOf(refusalHeardAt)}});
+}
+
+void ServerCalls::handleFull(const fleet::Server& server, double refusalLimit,
+                             const SendState& sent, const http::Response& head) {
   context_.metrics.countNotice("full");
+  reportFull(server, sent, head);
   // One node or so tries the server after each pause; the rest of what it bears is for requests
   // that are on their way when it refuses.
   constexpr double kMsPerSecond = 1000;
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -83,6 +83,9 @@
   struct SendState {
     server_limits::LimitVersion limit;
     MonotonicTime at{};
+    /// The first call to the server after a pause.
+    bool isTrial = false;
+    fleet::KnownLoad load{};
   };
 
   /// Skips copies of answers to other requests that the connection served before, as servers may
@@ -93,7 +96,10 @@
   void processHead(const fleet::Server& server, const SendState& sent, const http::Response& head);
   void handleLeaving(const fleet::Server& server, const http::Response& head);
   void handleRest(const fleet::Server& server, Milliseconds rest, const http::Response& head);
-  void handleFull(const fleet::Server& server, double refusalLimit, const http::Response& head);
+  void handleFull(const fleet::Server& server, double refusalLimit, const SendState& sent,
+                  const http::Response& head);
+  /// Counts and logs what this node knew of the server when it sent the refused call.
+  void reportFull(const fleet::Server& server, const SendState& sent, const http::Response& head);
   void handleUnreadable(const fleet::Server& server, const std::vector<Error>& errors);
 
   ServerCallContext context_;
