server_limits: permits for requests to servers that bear few refusals (LIMIT)

Cause: each refusal paused the server at all nodes, and each node then tried it by itself: a capacity that all nodes spend, which each checked for itself. Of 260 refusals 224 were such trials.

A request that such a server may refuse now holds a permit while it is in flight: the root that issues units of limits keeps a semaphore for each such server, of the slots that it lists, fewer after a refusal, regained by single tries with a backoff. Refusals of the last second and permits whose outcome is open stay within N. No permit is needed while server and service have been far from full for 10 s. All nodes are told which servers name N; a run that has not answered is presumed like the others of its service. Nodes of earlier builds answer a request for a permit with a grant: then the pause of before holds.

--- a/src/fleet/server_pool.h
+++ b/src/fleet/server_pool.h
@@ -150,6 +150,10 @@
   /// node sends it any until `until`, and this one for up to `spread` longer, so that not all
   /// return at once. Returns whether that is new.
   bool recordFull(ServerKey run, MonotonicTime until, Milliseconds spread, MonotonicTime now);
+  /// Records the same without excluding the server. Returns whether that is new.
+  bool noteFull(ServerKey run, MonotonicTime until, MonotonicTime now) {
+    return full_.add(run, until, now);
+  }
   const FullServers& full() const { return full_; }
   /// Removes leaving runs that are gone and backoffs that ended long ago; see
   /// LeavingServers::removeUnlisted().
--- a/src/forward/forward_job.h
+++ b/src/forward/forward_job.h
@@ -157,7 +157,11 @@
   bool usedLimitUnit = false;
   /// When that unit was asked for.
   MonotonicTime unitAskedAt{};
-  /// Servers that were chosen before this one and had no unit left.
+  /// Whether the dispatch may go to a server that needs permits, and its permit; see
+  /// server_limits::PermitResult.
+  bool permitted = false;
+  std::optional<std::uint64_t> permit;
+  /// Servers that were chosen before this one and had no unit or permit left.
   std::size_t atLimitCount = 0;
 
   /// Prompt tokens queued on the server, including the request's own.
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -146,6 +146,11 @@
   /// Takes a unit of the server's limit, if it names one; empty if the request ended first.
   boost::asio::awaitable<std::optional<server_limits::UnitResult>> takeUnit(Job& job,
                                                                             fleet::Server server);
+  /// Acquires a permit for the server, if it needs one; empty if the request ended first.
+  boost::asio::awaitable<std::optional<server_limits::PermitResult>> takePermit(
+      Job& job, fleet::Server server);
+  /// Ends the dispatch's permit, and tells a refusal of one that had none.
+  void endPermit(const Job& job, const ChosenServer& chosen, const Result<void>& outcome);
   /// @param wait time until the first of the service's servers may accept a request again.
   Error atLimitsError(const Job& job, Milliseconds wait);
   /// The error if no server may get the job: kOverloaded with a retry time if servers are excluded
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -12,6 +12,14 @@
 
 using service_rollout::Track;
 
+namespace {
+
+/// Servers whose permits a request asks for, one after the other, before it is refused. Each takes
+/// a round trip, and a caller who cannot be served is told at once.
+constexpr std::size_t kMaxPermitsAsked = 6;
+
+}  // namespace
+
 AllowedServers Forwarder::serversFor(const Job& job, bool mayBeCanary, MonotonicTime now) {
   const ServerQuery query{job.service, job.request.model, job.routeKey(), job.routeRequest.avoided,
                           mayBeCanary, job.streamVersion};
@@ -36,8 +44,9 @@
   std::vector<BackendId>& avoided = job.routeRequest.avoided;
   const auto triedBefore = static_cast<std::ptrdiff_t>(avoided.size());
   Milliseconds soonest = Milliseconds::max();
-  while (choice && limits.any()) {
-    const fleet::Server& server = choice.value().server;
+  std::size_t permitsAsked = 0;
+  while (choice && limits.restrictsAny()) {
+    const fleet::Server server = choice.value().server;
     if (std::find(avoided.begin() + triedBefore, avoided.end(), server.id) != avoided.end()) {
       choice = atLimitsError(job, soonest);
       break;
@@ -49,15 +58,34 @@
       break;
     }
     const server_limits::UnitResult& unit = *taken;
+    Milliseconds wait = unit.wait;
     if (unit.granted) {
-      choice.value().usedLimitUnit = unit.usedLimitUnit;
-      choice.value().unitAskedAt = askedAt;
-      choice.value().atLimitCount = avoided.size() - static_cast<std::size_t>(triedBefore);
-      break;
+      const std::optional<server_limits::PermitResult> permit = co_await takePermit(job, server);
+      if (permit && permit->granted) {
+        choice.value().usedLimitUnit = unit.usedLimitUnit;
+        choice.value().unitAskedAt = askedAt;
+        choice.value().permitted = permit->asked;
+        choice.value().permit = permit->number;
+        choice.value().atLimitCount = avoided.size() - static_cast<std::size_t>(triedBefore);
+        break;
+      }
+      if (unit.usedLimitUnit) {
+        limits.giveBack(server);
+      }
+      if (!permit) {
+        choice = endOf(job);
+        break;
+      }
+      wait = permit->wait;
+      permitsAsked += permit->asked ? 1 : 0;
     }
     const MonotonicTime now = monotonicNow();
-    context_.pool.pause(server.id, now + std::min(unit.wait, limits.kMaxRefusalTime), now);
-    soonest = std::min(soonest, unit.wait);
+    context_.pool.pause(server.id, now + std::min(wait, limits.kMaxRefusalTime), now);
+    soonest = std::min(soonest, wait);
+    if (permitsAsked >= kMaxPermitsAsked) {
+      choice = atLimitsError(job, soonest);
+      break;
+    }
     avoided.push_back(server.id);
     choice = chooseServer(job, false, now);
   }
@@ -85,6 +113,44 @@
       context_.executor, job.waits, std::move(take), [&job] { return job.isOver(); }, giveBack);
 }
 
+boost::asio::awaitable<std::optional<server_limits::PermitResult>> Forwarder::takePermit(
+    Job& job, fleet::Server server) {
+  using server_limits::PermitResult;
+  server_limits::ServerLimitNode& limits = context_.serverLimits;
+  if (!limits.needsPermit(server)) {
+    co_return PermitResult{};
+  }
+  std::function<boost::asio::awaitable<PermitResult>()> acquire = [&limits, server] {
+    return limits.acquirePermit(server);
+  };
+  const auto giveBack = [&limits, server](const PermitResult& late) {
+    if (late.number) {
+      limits.endPermit(server, *late.number, server_limits::PermitEnd::kReturned);
+    }
+  };
+  const DispatchWaitGuard waiting(job.wait, DispatchWait::kServerLimit);
+  co_return co_await waitUnlessOver<PermitResult>(
+      context_.executor, job.waits, std::move(acquire), [&job] { return job.isOver(); }, giveBack);
+}
+
+void Forwarder::endPermit(const Job& job, const ChosenServer& chosen, const Result<void>& outcome) {
+  using server_limits::PermitEnd;
+  server_limits::ServerLimitNode& limits = context_.serverLimits;
+  const fleet::Server& server = chosen.server;
+  const bool refused = !outcome && outcome.error().kind == ErrorKind::kBackendRefused &&
+                       !context_.pool.backoffs().excludedUntil(server.id, monotonicNow());
+  if (!chosen.permit) {
+    if (refused && limits.isSpared(server)) {
+      limits.reportRefusal(server);
+    }
+    return;
+  }
+  const bool notRun = !job.handedOver || (!outcome && provesNotRun(outcome.error().kind));
+  PermitEnd end = notRun ? PermitEnd::kReturned : PermitEnd::kEnded;
+  end = refused ? PermitEnd::kRefused : end;
+  limits.endPermit(server, *chosen.permit, end);
+}
+
 Error Forwarder::atLimitsError(const Job& job, Milliseconds wait) {
   Error error = fail(ErrorKind::kOverloaded,
                      "all servers of '" + job.service + "' have reached their request limits");
--- a/src/forward/forwarder_dispatch.cc
+++ b/src/forward/forwarder_dispatch.cc
@@ -211,6 +211,7 @@
   if (chosen.usedLimitUnit && !job.handedOver) {
     context_.serverLimits.giveBack(dispatch.server);
   }
+  endPermit(job, chosen, outcome);
   if (!outcome && outcome.error().kind == ErrorKind::kServerWithdrawn) {
     // No server received the request, so the next dispatch counts as the first one.
     --job.attempts.sent;
@@ -258,6 +259,10 @@
     return fail(ErrorKind::kServerWithdrawn,
                 "server '" + id.value() + "' has other weights than it was chosen for");
   }
+  if (!chosen.permitted && context_.serverLimits.needsPermit(dispatch.server, true)) {
+    return fail(ErrorKind::kServerWithdrawn,
+                "server '" + id.value() + "' has come to need a permit since it was chosen");
+  }
   const auto unitAge = monotonicNow() - chosen.unitAskedAt;
   if (chosen.usedLimitUnit && unitAge > context_.serverLimits.unitTerm()) {
     return fail(ErrorKind::kServerWithdrawn,
--- a/src/forward/server_calls.cc
+++ b/src/forward/server_calls.cc
@@ -106,7 +106,8 @@
     context_.client.release(connection.value());
     co_return allowed.error();
   }
-  SendState sent{context_.limits.versionOf(server), monotonicNow()};
+  SendState sent{context_.limits.versionOf(server), context_.limits.refusalVersionOf(server),
+                 monotonicNow()};
   sent.load = context_.pool.knownLoad(server.id);
   sent.isTrial = context_.pool.recordSent(server.id, sent.at);
   auto call = context_.paths.beginCall(path, std::move(mayMove), options.canceller);
@@ -190,6 +191,7 @@
   context_.pool.recordHeard(server.id, monotonicNow());
   const ServerNotices notices = context_.protocol.noticesOf(head);
   context_.limits.recordAnswerHead(server, sent.limit, notices.requestLimit);
+  context_.limits.recordRefusalLimit(server, sent.refusalLimit, notices.refusalLimit);
   if (!notices.unreadable.empty()) {
     handleUnreadable(server, notices.unreadable);
   }
@@ -198,8 +200,9 @@
   }
   const bool refused =
       head.status == http::kStatusUnavailable || head.status == http::kStatusTooManyRequests;
-  if (notices.refusalLimit && refused && !notices.rest) {
-    handleFull(server, *notices.refusalLimit, sent, head);
+  const bool isSpared = notices.refusalLimit && notices.refusalLimit.value();
+  if (isSpared && refused && !notices.rest) {
+    handleFull(server, *notices.refusalLimit.value(), sent, head);
   } else if (notices.rest) {
     handleRest(server, *notices.rest, head);
   } else {
@@ -263,24 +266,19 @@
                              const SendState& sent, const http::Response& head) {
   context_.metrics.countNotice("full");
   reportFull(server, sent, head);
-  // One node or so tries the server after each pause; the rest of what it bears is for requests
-  // that are on their way when it refuses.
+  // For nodes that know no permits: one or so tries the server after each pause.
   constexpr double kMsPerSecond = 1000;
   constexpr double kTriesPerLimit = 0.75;
   const double pauseMs = kMsPerSecond / std::max(kTriesPerLimit * refusalLimit, 1e-3);
   const Milliseconds pause = std::clamp(Milliseconds(std::llround(std::min(pauseMs, 1e6))),
                                         kShortestFullPause, kLongestFullPause);
-  std::uniform_int_distribution<std::int64_t> spread(0, pause.count());
-  const MonotonicTime now = monotonicNow();
-  if (!context_.pool.recordFull(fleet::keyOf(server), now + pause, Milliseconds(spread(random_)),
-                                now)) {
+  if (!context_.limits.recordFull(server, pause)) {
     return;
   }
   log::write(log::Level::kInfo, "server_full",
              {{"server", server.id.value()},
               {"status", std::to_string(head.status)},
               {"pause_ms", std::to_string(pause.count())}});
-  context_.limits.announceFull();
 }
 
 void ServerCalls::handleUnreadable(const fleet::Server& server, const std::vector<Error>& errors) {
--- a/src/forward/server_calls.h
+++ b/src/forward/server_calls.h
@@ -82,6 +82,7 @@
   /// State at the time a call was sent.
   struct SendState {
     server_limits::LimitVersion limit;
+    server_limits::LimitVersion refusalLimit;
     MonotonicTime at{};
     /// The first call to the server after a pause.
     bool isTrial = false;
--- a/src/forward/server_notices.h
+++ b/src/forward/server_notices.h
@@ -19,8 +19,8 @@
   /// empty if it names no limit. Fails with kProtocolViolation if it can't be parsed.
   Result<std::optional<double>> requestLimit = std::optional<double>();
   /// Requests per second that the server may refuse for lack of capacity, over all nodes; it fails
-  /// if it has to refuse more. Empty if it names no such limit.
-  std::optional<double> refusalLimit;
+  /// if it has to refuse more. Empty if it names no such limit. Fails like requestLimit.
+  Result<std::optional<double>> refusalLimit = std::optional<double>();
   /// Why other notices in the head can't be parsed; those have no effect.
   std::vector<Error> unreadable;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -173,6 +173,8 @@
                   }) {
   pool_.setDistances(distances_);
   prober_.onAsk([this](fleet::Server server) { return mayProbe(std::move(server)); });
+  prober_.onAsked(
+      [this](const fleet::Server& server, bool answered) { onProbed(server, answered); });
   for (const std::string_view path : {relay::kViewPath, relay::kPatchedViewPath,
                                       relay::kSnapshotPath, relay::kJoinPath, relay::kRootsPath}) {
     peerPaths_.add(std::string(path), [this](http::Request& request, http::ResponseWriter& writer) {
@@ -404,8 +406,29 @@
   if (!serverCalls_.mayBegin(server, forward::CallPurpose::kQuery)) {
     co_return false;
   }
-  const server_limits::UnitResult unit = co_await serverLimits_.take(std::move(server));
-  co_return unit.granted;
+  const server_limits::UnitResult unit = co_await serverLimits_.take(server);
+  if (!unit.granted) {
+    co_return false;
+  }
+  // A probe takes a slot as well.
+  const server_limits::PermitResult permit = co_await serverLimits_.acquirePermit(server);
+  if (permit.number) {
+    probePermits_[server.id] = *permit.number;
+  } else if (!permit.granted && unit.usedLimitUnit) {
+    serverLimits_.giveBack(server);
+  }
+  co_return permit.granted;
+}
+
+void GatewayNode::onProbed(const fleet::Server& server, bool answered) {
+  const auto permit = probePermits_.find(server.id);
+  if (permit == probePermits_.end()) {
+    return;
+  }
+  using server_limits::PermitEnd;
+  serverLimits_.endPermit(server, permit->second,
+                          answered ? PermitEnd::kEnded : PermitEnd::kReturned);
+  probePermits_.erase(permit);
 }
 
 quota::QuotaRoleShare GatewayNode::quotaRole() {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 
 #include "exchange/node_exchange.h"
@@ -82,6 +83,7 @@
   boost::asio::awaitable<void> askForNotices(fleet::Server server);
   /// Takes a unit for a health probe if the server names a limit.
   boost::asio::awaitable<bool> mayProbe(fleet::Server server);
+  void onProbed(const fleet::Server& server, bool answered);
   /// Role and share of this node in the tree that enforces the tenants' limits.
   quota::QuotaRoleShare quotaRole();
   void onTable(const routes::RouteTable& table);
@@ -116,6 +118,8 @@
   quota::QuotaNode quota_;
   server_limits::ServerLimitMetrics serverLimitMetrics_;
   server_limits::ServerLimitNode serverLimits_;
+  /// Permits of probes under way.
+  std::map<BackendId, std::uint64_t> probePermits_;
   forward::ServerCalls serverCalls_;
   quarantine::QuarantineMetrics quarantineMetrics_;
   quarantine::QuarantineNode quarantine_;
--- a/src/gateway/server_prober.cc
+++ b/src/gateway/server_prober.cc
@@ -48,6 +48,9 @@
   const bool allowed = !permit_ || co_await permit_(server);
   if (allowed) {
     const Result<http::Response> answer = co_await ask(server);
+    if (done_) {
+      done_(server, static_cast<bool>(answer));
+    }
     const bool healthy = answer && protocol_.isHealthy(server, answer.value());
     if (healthy && pool_.isCurrent(server)) {
       pool_.probeSucceeded(server.id, monotonicNow());
--- a/src/gateway/server_prober.h
+++ b/src/gateway/server_prober.h
@@ -24,6 +24,9 @@
   /// Whether a server may be asked now; empty: always.
   using Permit = std::function<boost::asio::awaitable<bool>(fleet::Server)>;
   void onAsk(Permit permit) { permit_ = std::move(permit); }
+  /// Called after a server that was permitted to be asked, with whether it answered.
+  using Done = std::function<void(const fleet::Server&, bool answered)>;
+  void onAsked(Done done) { done_ = std::move(done); }
   /// Asks the server for its health. Gives its answer, healthy or not; fails where none came from
   /// the server itself.
   boost::asio::awaitable<Result<http::Response>> ask(fleet::Server server);
@@ -38,6 +41,7 @@
   fleet::ServerPool& pool_;
   TableSource table_;
   Permit permit_;
+  Done done_;
   /// Servers whose probe is under way.
   std::set<BackendId> probing_;
 };
--- a/src/server_limits/metrics.cc
+++ b/src/server_limits/metrics.cc
@@ -23,6 +23,13 @@
                        "Units that requests of this node asked for", {{"granted", "true"}})),
       refused_(
           counter(registry, "calicodrift_server_limits_units_total", "", {{"granted", "false"}})),
+      issuedPermits_(counter(registry, "calicodrift_server_limits_permits_total",
+                             "Permits that requests of this node asked for, by the answer",
+                             {{"answer", "issued"}})),
+      refusedPermits_(counter(registry, "calicodrift_server_limits_permits_total", "",
+                              {{"answer", "refused"}})),
+      undecidedPermits_(
+          counter(registry, "calicodrift_server_limits_permits_total", "", {{"answer", "none"}})),
       undecided_(counter(registry, "calicodrift_server_limits_undecided_total",
                          "Units asked for while no node that may give them out answered")),
       takenReports_(counter(registry, "calicodrift_server_limits_reports_total",
@@ -41,6 +48,11 @@
                    .Help("Servers with a limit in force")
                    .Register(registry)
                    .Add({})),
+      spared_(prometheus::BuildGauge()
+                  .Name("calicodrift_server_limits_spared_servers")
+                  .Help("Servers that say that they fail if they have to refuse many requests")
+                  .Register(registry)
+                  .Add({})),
       wait_(prometheus::BuildHistogram()
                 .Name("calicodrift_server_limits_wait_seconds")
                 .Help("How long a request waited for the answer about a unit")
--- a/src/server_limits/metrics.h
+++ b/src/server_limits/metrics.h
@@ -17,6 +17,9 @@
   void countUnreadable() { unreadable_.Increment(); }
   /// A unit requested by this node was granted or refused.
   void countUnit(bool granted) { (granted ? granted_ : refused_).Increment(); }
+  /// A permit requested by this node was issued, refused, or could not be decided on.
+  void countPermit(bool issued) { (issued ? issuedPermits_ : refusedPermits_).Increment(); }
+  void countUndecidedPermit() { undecidedPermits_.Increment(); }
   /// No node that may issue units answered.
   void countUndecided() { undecided_.Increment(); }
   /// A report to a neighbour was accepted or failed.
@@ -28,6 +31,7 @@
   /// This node probed a limited server that had received no requests.
   void countProbe() { probes_.Increment(); }
   void observeWait(double seconds) { wait_.Observe(seconds); }
+  void setSpared(std::size_t servers) { spared_.Set(static_cast<double>(servers)); }
   void setLimited(std::size_t servers) { limited_.Set(static_cast<double>(servers)); }
 
  private:
@@ -36,6 +40,9 @@
   prometheus::Counter& unreadable_;
   prometheus::Counter& granted_;
   prometheus::Counter& refused_;
+  prometheus::Counter& issuedPermits_;
+  prometheus::Counter& refusedPermits_;
+  prometheus::Counter& undecidedPermits_;
   prometheus::Counter& undecided_;
   prometheus::Counter& takenReports_;
   prometheus::Counter& failedReports_;
@@ -43,6 +50,7 @@
   prometheus::Counter& fullLearnt_;
   prometheus::Counter& probes_;
   prometheus::Gauge& limited_;
+  prometheus::Gauge& spared_;
   prometheus::Histogram& wait_;
 };
 
--- a/src/server_limits/notice_exchange.cc
+++ b/src/server_limits/notice_exchange.cc
@@ -4,7 +4,6 @@
 #include <boost/asio.hpp>
 #include <utility>
 
-#include "common/hashing.h"
 #include "log/log.h"
 #include "peer/http_call.h"
 
@@ -21,9 +20,10 @@
 }  // namespace
 
 NoticeExchange::NoticeExchange(NoticeExchangeContext context, LimitTable& limits,
-                               ServerLimitMetrics& metrics)
+                               RefusalLimits& refusalLimits, ServerLimitMetrics& metrics)
     : context_(std::move(context)),
       limits_(limits),
+      refusalLimits_(refusalLimits),
       metrics_(metrics),
       limitBroadcaster_(treeBroadcastContext([this] { return limits_.changes(); },
                                              [this](std::uint64_t since) {
@@ -44,7 +44,13 @@
                                               report.full = fullSince(since);
                                               return report;
                                             })),
-      random_(hashBytes(context_.tree.endpoint.toString())) {}
+      refusalLimitBroadcaster_(
+          treeBroadcastContext([this] { return refusalLimits_.table().changes(); },
+                               [this](std::uint64_t since) {
+                                 LimitReport report;
+                                 report.refusalLimits = refusalLimits_.table().changedSince(since);
+                                 return report;
+                               })) {}
 
 relay::TreeBroadcastContext NoticeExchange::treeBroadcastContext(
     std::function<std::uint64_t()> version,
@@ -62,9 +68,11 @@
   limitBroadcaster_.pruneNeighbours();
   leavingBroadcaster_.pruneNeighbours();
   fullBroadcaster_.pruneNeighbours();
+  refusalLimitBroadcaster_.pruneNeighbours();
   limitBroadcaster_.broadcastAsync();
   leavingBroadcaster_.broadcastAsync();
   fullBroadcaster_.broadcastAsync();
+  refusalLimitBroadcaster_.broadcastAsync();
 }
 
 awaitable<void> NoticeExchange::findOtherTrees() {
@@ -108,7 +116,9 @@
   report.fresh = true;
   report.records = limits_.changedSince(0);
   report.leaving = context_.pool.leaving().addedSince(0);
+  report.refusalLimits = refusalLimits_.table().changedSince(0);
   const std::uint64_t sentLimits = limits_.changes();
+  const std::uint64_t sentRefusalLimits = refusalLimits_.table().changes();
   const std::uint64_t sentLeaving = context_.pool.leaving().changes();
   const Result<LimitReport> answer =
       co_await send(neighbour, std::move(report), relay::TreeBroadcaster::kBroadcastTimeout);
@@ -121,6 +131,7 @@
   settled_ = settled_ || context_.tree.parent() == neighbour;
   if (answer) {
     limitBroadcaster_.setAcknowledged(neighbour.toString(), sentLimits);
+    refusalLimitBroadcaster_.setAcknowledged(neighbour.toString(), sentRefusalLimits);
     leavingBroadcaster_.setAcknowledged(neighbour.toString(), sentLeaving);
     // Pauses are short: a new neighbour is told of those that begin from now on.
     fullBroadcaster_.setAcknowledged(neighbour.toString(), context_.pool.full().changes());
@@ -152,12 +163,15 @@
   const std::uint64_t limitsBefore = limits_.changes();
   const std::uint64_t leavingBefore = leaving.changes();
   const std::uint64_t fullBefore = context_.pool.full().changes();
+  const std::uint64_t refusalLimitsBefore = refusalLimits_.table().changes();
   merge(report);
   LimitReport answer;
   answer.sender = context_.tree.endpoint.toString();
   if (report.fresh) {
     answer.records = limits_.changedSince(0);
     answer.leaving = leaving.addedSince(0);
+    answer.refusalLimits = refusalLimits_.table().changedSince(0);
+    refusalLimitBroadcaster_.setAcknowledged(report.sender, refusalLimits_.table().changes());
     limitBroadcaster_.setAcknowledged(report.sender, limits_.changes());
     leavingBroadcaster_.setAcknowledged(report.sender, leaving.changes());
     fullBroadcaster_.setAcknowledged(report.sender, context_.pool.full().changes());
@@ -170,11 +184,15 @@
       }
     }
     limitBroadcaster_.onUpdateFrom(report.sender, limitsBefore);
+    refusalLimitBroadcaster_.onUpdateFrom(report.sender, refusalLimitsBefore);
     leavingBroadcaster_.onUpdateFrom(report.sender, leavingBefore);
     fullBroadcaster_.onUpdateFrom(report.sender, fullBefore);
   }
   const Milliseconds wait =
       std::min(Milliseconds(report.waitMs), relay::TreeBroadcaster::kBroadcastTimeout);
+  if (refusalLimits_.table().changes() != refusalLimitsBefore) {
+    co_await refusalLimitBroadcaster_.broadcast(wait, report.sender);
+  }
   if (limits_.changes() != limitsBefore) {
     co_await limitBroadcaster_.broadcast(wait, report.sender);
   }
@@ -190,6 +208,8 @@
 void NoticeExchange::merge(const LimitReport& report) {
   mergeLimits(report.records);
   mergeLeaving(report.leaving);
+  // First the limits: a refusal counts only at a server that has one.
+  mergeRefusalLimits(report.refusalLimits);
   mergeFull(report.full);
 }
 
@@ -205,16 +225,20 @@
 
 void NoticeExchange::mergeFull(const std::vector<FullServerRecord>& records) {
   for (const FullServerRecord& record : records) {
-    const MonotonicTime now = monotonicNow();
     const Milliseconds remaining = std::min(Milliseconds(record.remainingMs), kLongestFullPause);
-    std::uniform_int_distribution<std::int64_t> spread(0, remaining.count());
-    if (context_.pool.recordFull(record.server, now + remaining, Milliseconds(spread(random_)),
-                                 now)) {
+    if (context_.onFullLearnt(record.server, remaining)) {
       metrics_.countFullLearnt();
     }
   }
 }
 
+void NoticeExchange::mergeRefusalLimits(const std::vector<LimitRecord>& records) {
+  const MonotonicTime now = monotonicNow();
+  for (const LimitRecord& record : records) {
+    refusalLimits_.merge(record, context_.pool.findRun(record.server), now);
+  }
+}
+
 void NoticeExchange::mergeLimits(const std::vector<LimitRecord>& records) {
   for (const LimitRecord& record : records) {
     if (limits_.merge(record)) {
--- a/src/server_limits/notice_exchange.h
+++ b/src/server_limits/notice_exchange.h
@@ -3,7 +3,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +15,7 @@
 #include "server_limits/limit_table.h"
 #include "server_limits/messages.h"
 #include "server_limits/metrics.h"
+#include "server_limits/refusal_limits.h"
 
 namespace calicodrift::server_limits {
 
@@ -33,6 +33,10 @@
   std::function<boost::asio::awaitable<std::vector<Endpoint>>(std::string tree)> rootsOfTree;
   /// Called when another node has reported a changed limit.
   std::function<void(const LimitRecord&)> onLimitLearnt;
+  /// Called when another node has reported that a server refused a request for lack of capacity.
+  /// @param pause time for which nodes without permits send the server nothing.
+  /// @return whether that is new.
+  std::function<bool(fleet::ServerKey server, Milliseconds pause)> onFullLearnt;
 };
 
 /// Distributes to all nodes what servers announce about themselves: their limits, and that they are
@@ -40,13 +44,15 @@
 /// state is exchanged.
 class NoticeExchange {
  public:
-  NoticeExchange(NoticeExchangeContext context, LimitTable& limits, ServerLimitMetrics& metrics);
+  NoticeExchange(NoticeExchangeContext context, LimitTable& limits, RefusalLimits& refusalLimits,
+                 ServerLimitMetrics& metrics);
 
   /// Synchronizes new neighbours and sends pending news to the others. Called at short intervals.
   boost::asio::awaitable<void> update();
   void announceLimits() { limitBroadcaster_.broadcastAsync(); }
   void announceLeaving() { leavingBroadcaster_.broadcastAsync(); }
   void announceFull() { fullBroadcaster_.broadcastAsync(); }
+  void announceRefusalLimits() { refusalLimitBroadcaster_.broadcastAsync(); }
   /// Merges limits into the table, and reports those that changed to onLimitLearnt.
   void mergeLimits(const std::vector<LimitRecord>& records);
   /// Handles another node's report; returns the answer once this node's neighbours have been
@@ -61,7 +67,9 @@
       std::function<LimitReport(std::uint64_t since)> changesSince);
   std::vector<Endpoint> neighbours() const;
   boost::asio::awaitable<void> findOtherTrees();
-  std::uint64_t changes() const { return limits_.changes() + context_.pool.leaving().changes(); }
+  std::uint64_t changes() const {
+    return limits_.changes() + refusalLimits_.table().changes() + context_.pool.leaving().changes();
+  }
   void synchronizeNewNeighbours();
   boost::asio::awaitable<void> synchronizeWith(Endpoint neighbour);
   boost::asio::awaitable<bool> push(Endpoint neighbour, LimitReport report, Milliseconds wait,
@@ -71,15 +79,17 @@
   void merge(const LimitReport& report);
   void mergeLeaving(const std::vector<fleet::ServerKey>& runs);
   void mergeFull(const std::vector<FullServerRecord>& records);
+  void mergeRefusalLimits(const std::vector<LimitRecord>& records);
   std::vector<FullServerRecord> fullSince(std::uint64_t change) const;
 
   NoticeExchangeContext context_;
   LimitTable& limits_;
+  RefusalLimits& refusalLimits_;
   ServerLimitMetrics& metrics_;
   relay::TreeBroadcaster limitBroadcaster_;
   relay::TreeBroadcaster leavingBroadcaster_;
   relay::TreeBroadcaster fullBroadcaster_;
-  std::mt19937_64 random_;
+  relay::TreeBroadcaster refusalLimitBroadcaster_;
   std::set<Endpoint> synchronized_;
   std::set<Endpoint> synchronizing_;
   /// Roots of the other trees.
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -41,13 +41,21 @@
 ServerLimitNode::ServerLimitNode(ServerLimitContext context, ServerLimitMetrics& metrics)
     : context_(std::move(context)),
       metrics_(metrics),
-      notices_(exchangeContext(), table_, metrics) {}
+      notices_(exchangeContext(), table_, refusalLimits_, metrics),
+      random_(std::random_device{}()),
+      holder_(random_()) {}
 
 NoticeExchangeContext ServerLimitNode::exchangeContext() {
-  return {context_.executor,    context_.client,
-          context_.tree,        context_.pool,
-          context_.trees,       context_.ownTree,
-          context_.rootsOfTree, [this](const LimitRecord& record) { onLimitLearnt(record); }};
+  return {
+      context_.executor,
+      context_.client,
+      context_.tree,
+      context_.pool,
+      context_.trees,
+      context_.ownTree,
+      context_.rootsOfTree,
+      [this](const LimitRecord& record) { onLimitLearnt(record); },
+      [this](fleet::ServerKey server, Milliseconds pause) { return onFullLearnt(server, pause); }};
 }
 
 std::optional<fleet::Server> ServerLimitNode::serverOf(fleet::ServerKey run) const {
@@ -66,6 +74,7 @@
     co_await notices_.update();
     removeUnlisted(monotonicNow());
     maintainIssuedServers();
+    maintainPermits();
     timer.expires_after(synchronized() ? kInterval : kStartInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -201,7 +210,7 @@
 
 awaitable<UnitReply> ServerLimitNode::ask(UnitRequest request) {
   if (context_.tree.isAlone() && treeFor(request.limit.server) == context_.ownTree) {
-    co_return issueUnit(request);
+    co_return issue(request);
   }
   for (const Endpoint& root : rankedRoots(request.limit.server)) {
     UnitReply reply;
@@ -226,7 +235,9 @@
     co_return undecidedReply(request);
   }
   rootSilence_.noteAnswer(root);
-  notices_.mergeLimits({reply.value().limit});
+  if (request.permit.operation == PermitOperation::kNone) {
+    notices_.mergeLimits({reply.value().limit});
+  }
   co_return reply.value();
 }
 
@@ -243,10 +254,13 @@
 }
 
 awaitable<UnitReply> ServerLimitNode::decide(UnitRequest request) {
-  notices_.mergeLimits({request.limit});
+  const bool isAboutUnit = request.permit.operation == PermitOperation::kNone;
+  if (isAboutUnit) {
+    notices_.mergeLimits({request.limit});
+  }
   const fleet::ServerKey server = request.limit.server;
   UnitReply reply = undecidedReply(request);
-  if (!reply.limit.limited) {
+  if (isAboutUnit && !reply.limit.limited) {
     reply.decided = true;
     reply.granted = true;
     co_return reply;
@@ -272,7 +286,12 @@
       co_return reply;
     }
   }
-  co_return issuesUnitsFor(server) ? issueUnit(request) : reply;
+  co_return issuesUnitsFor(server) ? issue(request) : reply;
+}
+
+UnitReply ServerLimitNode::issue(const UnitRequest& request) {
+  return request.permit.operation == PermitOperation::kNone ? issueUnit(request)
+                                                            : issuePermit(request);
 }
 
 UnitReply ServerLimitNode::issueUnit(const UnitRequest& request) {
@@ -317,6 +336,7 @@
 
 void ServerLimitNode::stopIssuing(fleet::ServerKey server) {
   issuer_.forget(server);
+  permits_.forget(server);
   probedAt_.erase(server);
 }
 
@@ -330,9 +350,10 @@
   const auto sinceLast = std::chrono::floor<Milliseconds>(now - lastExpiryAt_);
   lastExpiryAt_ = now;
   context_.pool.expireNotices(listWasFresh && listIsFresh_ ? sinceLast : Milliseconds(0), now);
-  table_.removeUnlisted([this](fleet::ServerKey server) { return serverOf(server).has_value(); });
-  std::erase_if(unreadable_,
-                [this](fleet::ServerKey server) { return !serverOf(server).has_value(); });
+  const auto isListed = [this](fleet::ServerKey server) { return serverOf(server).has_value(); };
+  table_.removeUnlisted(isListed);
+  refusalLimits_.removeUnlisted(isListed, now);
+  std::erase_if(unreadable_, [&isListed](fleet::ServerKey server) { return !isListed(server); });
 }
 
 void ServerLimitNode::maintainIssuedServers() {
@@ -418,8 +439,10 @@
                             {"version", record.version.value()},
                             {"units_given_here", issuer_.issuesUnitsFor(record.server)}});
   }
-  const boost::json::object document{
-      {"servers", list}, {"leaving", leavingList()}, {"resting", backoffList()}};
+  const boost::json::object document{{"servers", list},
+                                     {"leaving", leavingList()},
+                                     {"resting", backoffList()},
+                                     {"spared", sparedList()}};
   const std::string text = boost::json::serialize(document);
   co_await http::respond(writer, http::jsonResponse(http::kStatusOk, text));
 }
--- a/src/server_limits/server_limit_node.h
+++ b/src/server_limits/server_limit_node.h
@@ -5,6 +5,7 @@
 #include <boost/json/array.hpp>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -15,10 +16,13 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "relay/tree_position.h"
+#include "server_limits/held_permits.h"
 #include "server_limits/limit_table.h"
 #include "server_limits/messages.h"
 #include "server_limits/metrics.h"
 #include "server_limits/notice_exchange.h"
+#include "server_limits/permit_issuer.h"
+#include "server_limits/refusal_limits.h"
 #include "server_limits/root_silence.h"
 #include "server_limits/unit_issuer.h"
 
@@ -60,6 +64,27 @@
   Milliseconds wait{0};
 };
 
+/// Permission to have one request in flight at a server.
+struct PermitResult {
+  bool granted = true;
+  /// Number of the permit; empty if the request got none, because it needs none or its issuer does
+  /// not know permits.
+  std::optional<std::uint64_t> number;
+  /// If refused: when to ask again, and whether an issuer was asked for it now.
+  Milliseconds wait{0};
+  bool asked = false;
+};
+
+/// How a request that held a permit ended.
+enum class PermitEnd {
+  /// The server accepted it.
+  kEnded,
+  /// The server refused it for lack of capacity.
+  kRefused,
+  /// No server got it, or it says nothing about the server's capacity.
+  kReturned,
+};
+
 /// Enforces, together with the other nodes, the limits that servers name.
 ///
 /// The limit in the head of an answer is sent to all nodes at once, along the relay tree. Each
@@ -71,6 +96,10 @@
 /// The list of roots determines that root. While it is being replaced, nobody issues units. If it
 /// is silent but stays listed, as the store is unavailable too, the next root takes over after
 /// RootSilence::kTakeoverDelay.
+///
+/// The same root issues permits for servers that fail if they have to refuse many requests: each
+/// request that such a server might refuse holds one while it is in flight. Without an issuer, such
+/// a server gets none of these requests.
 class ServerLimitNode {
  public:
   ServerLimitNode(ServerLimitContext context, ServerLimitMetrics& metrics);
@@ -100,15 +129,41 @@
   /// Informs all other nodes of a server that announced to this node that it is leaving; the pool
   /// already knows.
   void announceLeaving() { notices_.announceLeaving(); }
-  /// Informs all other nodes of a server without capacity; the pool has recorded it.
-  void announceFull() { notices_.announceFull(); }
+  /// Whether requests may need units or permits; if not, they need no look-up.
+  bool restrictsAny() const { return any() || refusalLimits_.any(monotonicNow()); }
+  /// Whether the server fails if it has to refuse many requests.
+  bool isSpared(const fleet::Server& server) const {
+    const MonotonicTime now = monotonicNow();
+    return refusalLimits_.any(now) && refusalLimits_.limitOf(server, now).has_value();
+  }
+  /// Whether a request to the server needs a permit now.
+  /// @param counted whether this node's load on the server contains the request already.
+  bool needsPermit(const fleet::Server& server, bool counted = false);
+  /// Acquires a permit, to be returned with endPermit(). Always grants if the server needs none.
+  boost::asio::awaitable<PermitResult> acquirePermit(fleet::Server server);
+  /// Ends the permit of a request.
+  void endPermit(const fleet::Server& server, std::uint64_t number, PermitEnd end);
+  /// Tells the issuer of a refusal of a request that had no permit.
+  void reportRefusal(const fleet::Server& server);
+  /// Like versionOf() and recordAnswerHead(), for the refusals per second that a server bears.
+  LimitVersion refusalVersionOf(const fleet::Server& server) const {
+    return refusalLimits_.versionOf(fleet::keyOf(server));
+  }
+  void recordRefusalLimit(const fleet::Server& server, LimitVersion seen, const NamedLimit& named);
+  /// Records that a server has refused a request for lack of capacity, and informs all other nodes.
+  /// @param pause time for which nodes without permits send the server nothing.
+  /// @return whether that is new.
+  bool recordFull(const fleet::Server& server, Milliseconds pause);
   /// Serves other nodes at kReportPath and kUnitPath.
   boost::asio::awaitable<void> handle(http::Request& request, http::ResponseWriter& writer);
   /// Serves operators the limits in force, and the servers that are leaving or in backoff.
   boost::asio::awaitable<void> answerOperator(http::ResponseWriter& writer) const;
   /// Whether this node has the state of the other nodes, or has stopped waiting for it.
   bool synchronized() const;
-  void showMetrics() { metrics_.setLimited(table_.countLimited()); }
+  void showMetrics() {
+    metrics_.setLimited(table_.countLimited());
+    metrics_.setSpared(refusalLimits_.table().countLimited());
+  }
 
   /// Timeout for a root's answer to a unit request: many times the RTT between two zones.
   static constexpr Milliseconds kUnitTimeout{120};
@@ -143,14 +198,24 @@
   boost::asio::awaitable<UnitReply> forwardToTree(std::string tree, UnitRequest request);
   /// Handles a unit request as a root.
   boost::asio::awaitable<UnitReply> decide(UnitRequest request);
-  /// Handles a unit request as the root that issues the server's units.
+  /// Handles a request as the root that issues the server's units and permits.
+  UnitReply issue(const UnitRequest& request);
   UnitReply issueUnit(const UnitRequest& request);
+  UnitReply issuePermit(const UnitRequest& request);
   UnitReply undecidedReply(const UnitRequest& request) const;
   /// Roots that take precedence over this node in issuing the server's units.
   std::vector<Endpoint> precedingRoots(fleet::ServerKey server) const;
   /// Whether this node issues the server's units.
   bool issuesUnitsFor(fleet::ServerKey server) const;
   void stopIssuing(fleet::ServerKey server);
+  ServerCapacity capacityOf(const UnitRequest& request) const;
+  UnitRequest permitRequest(const fleet::Server& server, PermitOperation operation,
+                            std::uint64_t number) const;
+  void sendPermitRequest(UnitRequest request);
+  bool onFullLearnt(fleet::ServerKey server, Milliseconds pause);
+  void updateServiceLoads(MonotonicTime now);
+  /// Renews this node's permits, and drops those that it no longer issues.
+  void maintainPermits();
   /// Drops servers whose units this node no longer issues, and probes those that got no request for
   /// a while.
   void maintainIssuedServers();
@@ -161,13 +226,25 @@
   /// Listed servers that are leaving, and servers in backoff at this node, for operators.
   boost::json::array leavingList() const;
   boost::json::array backoffList() const;
+  boost::json::array sparedList() const;
   Milliseconds unitTimeout() const;
 
   ServerLimitContext context_;
   ServerLimitMetrics& metrics_;
   LimitTable table_;
+  RefusalLimits refusalLimits_;
   UnitIssuer issuer_;
+  PermitIssuer permits_;
+  HeldPermits heldPermits_;
   NoticeExchange notices_;
+  std::mt19937_64 random_;
+  /// Identifies this process among the holders of permits.
+  std::uint64_t holder_;
+  std::uint64_t lastPermit_ = 0;
+  /// Time before which no permit is available, as told by the issuing root.
+  std::unordered_map<fleet::ServerKey, MonotonicTime> noPermitUntil_;
+  /// Whether the last answer about a permit came from a build without permits.
+  bool issuerIsOlder_ = false;
   /// When this node last probed the server, or started to issue its units.
   std::unordered_map<fleet::ServerKey, MonotonicTime> probedAt_;
   /// Time before which no unit is available, as told by the issuing root.
