Soak: servers that bear few refusals fall no more often than allowed (real processes)

gateway_soak_brittle_servers: spells of 1 to 10 refusals borne, room that shrinks 4 s later to the slots and 0 to 2 more, three times the demand, 60 in 100 and all nodes killed; a server that refuses more falls and comes back empty.

--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -83,6 +83,8 @@
       return "departures";
     case SoakPlot::kOutOfStep:
       return "out_of_step";
+    case SoakPlot::kBrittleServers:
+      return "brittle_servers";
     case SoakPlot::kVersions:
       break;
   }
@@ -95,7 +97,7 @@
 Endpoint GatewaySoak::freeEndpoint() {
   constexpr unsigned kFirstPort = 10'000;
   constexpr unsigned kPorts = 20'000;
-  constexpr unsigned kPortsOfASoak = 64;
+  constexpr unsigned kPortsOfASoak = 256;
   for (;;) {
     const unsigned offset = static_cast<unsigned>(::getpid()) * kPortsOfASoak + nextPort_++;
     const auto port = static_cast<std::uint16_t>(kFirstPort + offset % kPorts);
@@ -136,6 +138,9 @@
         if (plot_ == SoakPlot::kDepartures) {
           return runForLeavingCaller(server, request, writer);
         }
+        if (plot_ == SoakPlot::kBrittleServers) {
+          return runForFixedTime(server, request, writer);
+        }
         return plot_ == SoakPlot::kSilences ? runWithSilences(server, request, writer)
                                             : runServerRequest(server, request, writer);
       });
@@ -489,6 +494,8 @@
         co_await recover();
         if (plot_ == SoakPlot::kDepartures) {
           asio::co_spawn(context_, callersThatLeave(), asio::detached);
+        } else if (plot_ == SoakPlot::kBrittleServers) {
+          asio::co_spawn(context_, callersBesideBrittleServers(), asio::detached);
         } else if (plot_ == SoakPlot::kSilences) {
           asio::co_spawn(context_, callersBesideSilences(), asio::detached);
         } else {
@@ -513,6 +520,8 @@
           co_await stormWithSilences();
         } else if (plot_ == SoakPlot::kDepartures) {
           co_await stormWithDepartures();
+        } else if (plot_ == SoakPlot::kBrittleServers) {
+          co_await stormWithBrittleServers();
         } else if (plot_ == SoakPlot::kReturns) {
           co_await stormWithReturns();
         } else if (plot_ == SoakPlot::kCrashes || plot_ == SoakPlot::kCrashingParts) {
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -74,6 +74,8 @@
   std::size_t promptArrivals = 0;
   std::size_t lateArrivals = 0;
   std::size_t judgedDepartures = 0;
+  /// Times in which servers bore few refusals.
+  std::size_t judgedSpells = 0;
 };
 
 /// What a run holds beside the faults.
@@ -104,6 +106,8 @@
   kDepartures,
   /// Nodes that stand still or lose the store while servers of a new software version join.
   kOutOfStep,
+  /// Servers that bear few refusals, beside herds of nodes that are killed.
+  kBrittleServers,
 };
 
 std::string_view nameOf(SoakPlot plot);
@@ -132,6 +136,9 @@
     for (int number = 4; plot == SoakPlot::kRestarts && number <= 6; ++number) {
       addServer("llm-" + std::to_string(number), "llm", "m", "v1", Behaviour());
     }
+    for (int number = 4; plot == SoakPlot::kBrittleServers && number <= 7; ++number) {
+      addServer("app-" + std::to_string(number), "app", "", "v1", Behaviour());
+    }
     for (int number = 1; plot == SoakPlot::kSilences && number <= 2; ++number) {
       addServer("app2-" + std::to_string(number), "app2", "", "v1", Behaviour());
     }
@@ -325,6 +332,13 @@
   Body killHerds(MonotonicTime end, Draws draws);
   Body killOne(Node& node, Milliseconds away);
   Body pauseNodes(MonotonicTime end, Draws draws);
+  Body runForFixedTime(Server& server, const http::Request& request, http::ResponseWriter& writer);
+  Body callOnce();
+  Body callersBesideBrittleServers();
+  Body fallWhenRefusing(Server& server, std::size_t bears, Draws draws);
+  Body brittleSpell(Draws draws);
+  Body killAllNodes(MonotonicTime end, Draws draws);
+  Body stormWithBrittleServers();
   Body stormWithDepartures();
   Body faults(MonotonicTime end, MonotonicTime withdrawal);
   Body calmStore(MonotonicTime end);
@@ -447,6 +461,9 @@
   /// When callers left, by the ids of their requests.
   std::map<std::string, MonotonicTime> departures_;
   Milliseconds longestTurn_{0};
+  /// Number of times in which servers bore few refusals began or ended, and falls in the last one.
+  unsigned spell_ = 0;
+  std::size_t falls_ = 0;
   Milliseconds routeTimeout_{5000};
   std::uint64_t appWeight_ = 5;
   bool hasFleetingRoute_ = true;
--- a/tests/gateway_soak/gateway_soak_test.cc
+++ b/tests/gateway_soak/gateway_soak_test.cc
@@ -180,6 +180,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_soak_brittle_servers)
+
+/// Guards against servers that fall as nodes together send them more than they have room for. Fresh
+/// seeds, longer and larger runs by SOAK_SEED, SOAK_SECONDS and SOAK_NODES.
+BOOST_AUTO_TEST_CASE(brittleServersFallNoMoreOftenThanAllowed) {
+  constexpr std::uint64_t kLength = 20;
+  constexpr std::uint64_t kNodes = 7;
+  const std::uint64_t seed = parameter("SOAK_SEED", 1);
+  GatewaySoak soak(seed, std::chrono::seconds(parameter("SOAK_SECONDS", kLength)),
+                   parameter("SOAK_NODES", kNodes), SoakPlot::kBrittleServers);
+  const SoakFindings findings = soak.run();
+  BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.requests << " requests, "
+                             << findings.served << " served; spells " << findings.judgedSpells);
+  tellFaults(findings);
+  tellViolations(seed, findings, soak.recordFolder());
+  BOOST_TEST(findings.served * 10 > findings.requests, "too little was served to judge");
+  BOOST_TEST(findings.judgedSpells > 0U, "no spell was judged");
+  BOOST_TEST(findings.faults.contains("herd killed"), "no herd was killed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_soak_versions)
 
 /// Servers of several software versions beside kills, stops, pauses and a store that misbehaves.
--- a/tests/platform/server_stand_in.cc
+++ b/tests/platform/server_stand_in.cc
@@ -107,7 +107,7 @@
                      {"address", endpoint_.toString()},
                      {"zone", "z1"},
                      {"version", version_},
-                     {"slots", 8},
+                     {"slots", slots},
                      {"state", state},
                      {"cold_remaining_ms", 0},
                      {"models", models},
--- a/tests/platform/server_stand_in.h
+++ b/tests/platform/server_stand_in.h
@@ -77,6 +77,8 @@
   std::vector<std::string> leavingNotices;
   /// The refusals in a second that it bears, in the heads of all answers, as written here.
   std::optional<std::string> namedBrittleness;
+  /// Slots that its entry tells.
+  std::size_t slots = 8;
   /// Requests that it runs at a time; others get 503 without being run. 0: any number.
   std::size_t room = 0;
   /// When it turned requests away for want of room.
