--- a/src/server_limits/permit_issuer.cc
+++ b/src/server_limits/permit_issuer.cc
@@ -144,7 +144,7 @@
   state.waiting[holder] = now;
   std::erase_if(state.waiting, [now](const auto& item) { return now - item.second > kMaxWait; });
   // A freed place should not wait long for the next holder, nor should many ask in vain.
-  constexpr double kAsksPerHoldTime = 20;
+  constexpr double kAsksPerHoldTime = 30;
   const auto room = static_cast<double>(std::max<std::size_t>(state.room, 1));
   const double endsPerSecond = std::max(static_cast<double>(state.ends.size()), room);
   const double asksPerSecond = endsPerSecond * (1 + kAsksPerHoldTime / room);
