--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -104,6 +104,11 @@
  private:
   struct Job;
   struct ChosenServer;
+  /// What a server's limits allow; see server_limits.
+  struct Grants {
+    server_limits::UnitResult unit;
+    server_limits::PermitResult permit;
+  };
 
   boost::asio::awaitable<void> serve(std::shared_ptr<Job> job);
   /// Counts and logs the end of the request.
@@ -143,6 +148,9 @@
   /// Chooses a server that accepts one more request now: a server with a limit has granted a unit.
   /// Fails like chooseServer(), and with kOverloaded if all servers are at their limits.
   boost::asio::awaitable<Result<ChosenServer>> chooseWithinLimits(Job& job);
+  /// Takes a unit and a permit, as far as the server needs them; no unit is kept without a permit.
+  /// Empty if the request ended first.
+  boost::asio::awaitable<std::optional<Grants>> takeGrants(Job& job, fleet::Server server);
   /// Takes a unit of the server's limit, if it names one; empty if the request ended first.
   boost::asio::awaitable<std::optional<server_limits::UnitResult>> takeUnit(Job& job,
                                                                             fleet::Server server);
--- a/src/forward/forwarder_choice.cc
+++ b/src/forward/forwarder_choice.cc
@@ -52,33 +52,22 @@
       break;
     }
     const MonotonicTime askedAt = monotonicNow();
-    const std::optional<server_limits::UnitResult> taken = co_await takeUnit(job, server);
+    const std::optional<Grants> taken = co_await takeGrants(job, server);
     if (!taken) {
       choice = endOf(job);
       break;
     }
-    const server_limits::UnitResult& unit = *taken;
-    Milliseconds wait = unit.wait;
-    if (unit.granted) {
-      const std::optional<server_limits::PermitResult> permit = co_await takePermit(job, server);
-      if (permit && permit->granted) {
-        choice.value().usedLimitUnit = unit.usedLimitUnit;
-        choice.value().unitAskedAt = askedAt;
-        choice.value().permitted = permit->asked;
-        choice.value().permit = permit->number;
-        choice.value().atLimitCount = avoided.size() - static_cast<std::size_t>(triedBefore);
-        break;
-      }
-      if (unit.usedLimitUnit) {
-        limits.giveBack(server);
-      }
-      if (!permit) {
-        choice = endOf(job);
-        break;
-      }
-      wait = permit->wait;
-      permitsAsked += permit->asked ? 1 : 0;
+    const auto& [unit, permit] = *taken;
+    if (unit.granted && permit.granted) {
+      choice.value().usedLimitUnit = unit.usedLimitUnit;
+      choice.value().unitAskedAt = askedAt;
+      choice.value().permitted = permit.asked;
+      choice.value().permit = permit.number;
+      choice.value().atLimitCount = avoided.size() - static_cast<std::size_t>(triedBefore);
+      break;
     }
+    const Milliseconds wait = unit.granted ? permit.wait : unit.wait;
+    permitsAsked += permit.asked ? 1 : 0;
     const MonotonicTime now = monotonicNow();
     context_.pool.pause(server.id, now + std::min(wait, limits.kMaxRefusalTime), now);
     soonest = std::min(soonest, wait);
@@ -93,6 +82,27 @@
   co_return choice;
 }
 
+boost::asio::awaitable<std::optional<Forwarder::Grants>> Forwarder::takeGrants(
+    Job& job, fleet::Server server) {
+  const std::optional<server_limits::UnitResult> unit = co_await takeUnit(job, server);
+  if (!unit) {
+    co_return std::nullopt;
+  }
+  Grants grants{*unit, {}};
+  if (!unit->granted) {
+    co_return grants;
+  }
+  const std::optional<server_limits::PermitResult> permit = co_await takePermit(job, server);
+  if (unit->usedLimitUnit && !(permit && permit->granted)) {
+    context_.serverLimits.giveBack(server);
+  }
+  if (!permit) {
+    co_return std::nullopt;
+  }
+  grants.permit = *permit;
+  co_return grants;
+}
+
 boost::asio::awaitable<std::optional<server_limits::UnitResult>> Forwarder::takeUnit(
     Job& job, fleet::Server server) {
   using server_limits::UnitResult;
