--- a/src/server_limits/permit_issuer.cc
+++ b/src/server_limits/permit_issuer.cc
@@ -274,6 +274,7 @@
 
 std::vector<fleet::ServerKey> PermitIssuer::servers() const {
   std::vector<fleet::ServerKey> keys;
+  keys.reserve(servers_.size());
   for (const auto& [server, state] : servers_) {
     keys.push_back(server);
   }
--- a/src/server_limits/refusal_limits.cc
+++ b/src/server_limits/refusal_limits.cc
@@ -65,6 +65,7 @@
 
 std::vector<std::string> RefusalLimits::services() const {
   std::vector<std::string> names;
+  names.reserve(services_.size());
   for (const auto& [name, limit] : services_) {
     names.push_back(name);
   }
--- a/src/server_limits/server_limit_node.cc
+++ b/src/server_limits/server_limit_node.cc
@@ -87,7 +87,7 @@
 awaitable<void> ServerLimitNode::handle(http::Request& request, http::ResponseWriter& writer) {
   if (request.path() == kUnitPath) {
     co_await peer::answerPeer<UnitRequest, UnitReply>(
-        request, writer, [this](UnitRequest asked) { return decide(asked); });
+        request, writer, [this](UnitRequest asked) { return decide(std::move(asked)); });
     co_return;
   }
   co_await peer::answerPeer<LimitReport, LimitReport>(request, writer, [this](LimitReport report) {
--- a/tests/server_limits/simulated_servers.h
+++ b/tests/server_limits/simulated_servers.h
@@ -132,7 +132,8 @@
   std::size_t asked() const { return asked_; }
   /// What the servers can run in that time.
   double capacity(Milliseconds duration) const {
-    return static_cast<double>(load_.servers * load_.slots) * (duration / load_.work);
+    return static_cast<double>(load_.servers * load_.slots) * toMilliseconds(duration) /
+           toMilliseconds(load_.work);
   }
 
  private:
@@ -354,7 +355,8 @@
   }
   /// Sends a message about a permit; `answer` gets the decision on kAcquire.
   void send(std::size_t number, fleet::ServerKey key, PermitOperation operation,
-            std::uint64_t permit, std::function<void(std::optional<PermitDecision>)> answer) {
+            std::uint64_t permit,
+            const std::function<void(std::optional<PermitDecision>)>& answer) {
     const std::uint64_t holder = number * 1'000'000 + nodes_[number]->start;
     const std::vector<std::uint64_t> held = nodes_[number]->held.numbersFor(key);
     schedule(messageDelay(), [=, this] {
