--- a/tests/server_limits/messages_test.cc
+++ b/tests/server_limits/messages_test.cc
@@ -27,6 +27,24 @@
   BOOST_TEST(unit.value().isReturn);
 }
 
+/// Earlier builds send neither permits nor refusal limits, and read neither.
+BOOST_AUTO_TEST_CASE(messagesOfBuildsWithoutPermitsAreRead) {
+  UnitRequest asked;
+  asked.form = kFormWithPermits - 1;
+  asked.limit = kRecord;
+  asked.permit.operation = PermitOperation::kAcquire;
+  const Result<UnitRequest> unit = peer::decode<UnitRequest>(peer::encode(asked));
+  BOOST_REQUIRE(static_cast<bool>(unit));
+  BOOST_TEST((unit.value().limit == kRecord));
+  BOOST_TEST((unit.value().permit.operation == PermitOperation::kNone));
+  LimitReport report;
+  report.form = kFormWithPermits - 1;
+  report.refusalLimits = {kRecord};
+  const Result<LimitReport> read = peer::decode<LimitReport>(peer::encode(report));
+  BOOST_REQUIRE(static_cast<bool>(read));
+  BOOST_TEST(read.value().refusalLimits.empty());
+}
+
 BOOST_AUTO_TEST_CASE(truncatedMessagesAreRejected) {
   LimitReport report;
   report.records = {kRecord};
