--- a/src/server_limits/notice_exchange.cc
+++ b/src/server_limits/notice_exchange.cc
@@ -208,7 +208,6 @@
 void NoticeExchange::merge(const LimitReport& report) {
   mergeLimits(report.records);
   mergeLeaving(report.leaving);
-  // First the limits: a refusal counts only at a server that has one.
   mergeRefusalLimits(report.refusalLimits);
   mergeFull(report.full);
 }
--- a/src/server_limits/permit_issuer.h
+++ b/src/server_limits/permit_issuer.h
@@ -66,7 +66,6 @@
   std::vector<fleet::ServerKey> servers() const;
   /// Forgets servers that nobody has asked for since kRetention.
   void expire(MonotonicTime now);
-  bool issuesPermitsFor(fleet::ServerKey server) const { return servers_.contains(server); }
   /// Requests that the server is presumed to have room for, and permits in use; 0 if unknown.
   std::size_t roomOf(fleet::ServerKey server) const;
   std::size_t issuedFor(fleet::ServerKey server) const;
--- a/src/server_limits/server_limit_permits.cc
+++ b/src/server_limits/server_limit_permits.cc
@@ -181,7 +181,7 @@
     case PermitOperation::kRefused:
       permits_.recordRefusal(capacity, asked.permit, now);
       log::write(log::Level::kInfo, "server_room_learnt",
-                 {{"server", std::to_string(server.value())},
+                 {{"server", serverOf(server).value_or(fleet::Server()).id.value()},
                   {"room", std::to_string(permits_.roomOf(server))},
                   {"permits", std::to_string(permits_.issuedFor(server))}});
       break;
