relay: two changes of a large object in one batch keep their specs apart

Cause: a node that reads two changes of one large object in one batch passes both on. /view-patches replaces the newest text by an update; the receiver looked up the object by name, filled in the first of the two and kept the newest without a spec, as null, for its own children.

--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -31,20 +31,29 @@
   return fail(ErrorKind::kStoreUnavailable, "the relay does not serve this node");
 }
 
+bool lacksSpec(const ViewObject& object) {
+  return !object.removed && object.spec.empty();
+}
+
 /// Fills in the specs that came as updates of held texts.
 Result<ViewReply> applyUpdates(PatchedViewReply reply, const HeldTexts& held) {
+  std::vector<ViewObject>& objects = reply.view.objects;
   for (const SpecUpdate& update : reply.updates) {
-    const auto object =
-        std::find_if(reply.view.objects.begin(), reply.view.objects.end(),
-                     [&update](const ViewObject& one) { return one.name == update.name; });
+    // Earlier builds may send several changes of an object, some of them with their specs.
+    const auto object = std::find_if(objects.begin(), objects.end(), [&](const ViewObject& one) {
+      return one.name == update.name && lacksSpec(one);
+    });
     const auto base = held.find(update.name);
     const bool known = update.base == 0 || base != held.end();
-    if (object == reply.view.objects.end() || !known) {
+    if (object == objects.end() || !known) {
       return fail(ErrorKind::kProtocolViolation, "a relay sent an update of another object");
     }
     const std::string_view text = update.base == 0 ? std::string_view() : *base->second;
     BOOST_OUTCOME_TRY(object->spec, applyUpdate(text, update));
   }
+  if (std::any_of(objects.begin(), objects.end(), lacksSpec)) {
+    return fail(ErrorKind::kProtocolViolation, "a relay sent an object without its spec");
+  }
   return std::move(reply.view);
 }
 
--- a/src/relay/watch_cache.cc
+++ b/src/relay/watch_cache.cc
@@ -19,6 +19,12 @@
 constexpr std::size_t kMinHistoryChanges = 1000;
 constexpr std::size_t kHistoryDivisor = 4;
 
+/// @return number of changes that were removed.
+std::size_t eraseChangesOf(store::ChangeBatch& batch, const std::string& name) {
+  return std::erase_if(batch.changes,
+                       [&name](const store::Change& change) { return change.object.name == name; });
+}
+
 store::Object withSpecText(store::Object object) {
   if (!object.specText) {
     object.specText = std::make_shared<const std::string>(boost::json::serialize(object.spec));
@@ -116,6 +122,7 @@
     applyChange(change);
     if (store::hasLargeSpec(change.object)) {
       forgetEarlierChanges(change.object.name);
+      eraseChangesOf(news, change.object.name);
     }
     news.changes.push_back(std::move(change));
   }
@@ -159,8 +166,7 @@
 
 void WatchCache::forgetEarlierChanges(const std::string& name) {
   for (store::ChangeBatch& batch : history_) {
-    historyChanges_ -= std::erase_if(
-        batch.changes, [&name](const store::Change& change) { return change.object.name == name; });
+    historyChanges_ -= eraseChangesOf(batch, name);
   }
 }
 
--- a/tests/relay/large_objects_test.cc
+++ b/tests/relay/large_objects_test.cc
@@ -231,6 +231,20 @@
   }
 }
 
+/// Guards against nodes that pass on a configuration without its content after two changes in a
+/// row, so that nodes which start below them serve nobody.
+BOOST_FIXTURE_TEST_CASE(twoChangesInOneBatchLeaveTheNewerOneWhole, SlowLinksFixture) {
+  BOOST_REQUIRE(timeUntilAllHave(1, Milliseconds(20'000)));
+  shared.setSpec(kKind, "main", configuration(2));
+  shared.setSpec(kKind, "main", configuration(3));
+  BOOST_REQUIRE(timeUntilAllHave(3, Milliseconds(20'000)));
+  for (const auto& node : nodes) {
+    const store::Listing passedOn = node->relay.store().cache(kKind)->listing();
+    BOOST_REQUIRE(passedOn.objects.size() == 1U);
+    BOOST_TEST((store::parsed(passedOn.objects.front()).spec == configuration(3)));
+  }
+}
+
 // Nodes of a build without patches send whole objects, and their children understand them.
 BOOST_FIXTURE_TEST_CASE(relaysOfAnEarlierBuildSendWholeObjects, SlowLinksFixture) {
   for (std::size_t number = 0; number < kNodes; number += 2) {
--- a/tests/relay/watch_cache_test.cc
+++ b/tests/relay/watch_cache_test.cc
@@ -22,6 +22,12 @@
   return batch;
 }
 
+store::Object largeObjectAt(const std::string& name, std::uint64_t revision, char content) {
+  store::Object object = objectAt(name, revision);
+  object.specText = std::make_shared<const std::string>(store::kLargeSpecBytes, content);
+  return object;
+}
+
 struct CacheFixture {
   asio::io_context context;
   WatchCache cache{context.get_executor()};
@@ -66,6 +72,21 @@
   BOOST_TEST(changes.value().changes[0].object.name == "d");
 }
 
+/// Guards against followers that are sent two texts of a large spec, of which only the newer one is
+/// kept to compute updates from.
+BOOST_AUTO_TEST_CASE(ofTwoChangesOfALargeSpecInOneBatchOnlyTheNewerIsKept) {
+  const store::Object newer = largeObjectAt("a", 13, 'n');
+  cache.applyChanges(
+      batchOf({{largeObjectAt("a", 11, 'o'), false}, {objectAt("b", 12), false}, {newer, false}},
+              13),
+      begin);
+  const auto changes = cache.changesSince(store::Revision(10));
+  BOOST_REQUIRE(changes);
+  BOOST_REQUIRE(changes.value().changes.size() == 2U);
+  BOOST_TEST(changes.value().changes.front().object.name == "b");
+  BOOST_TEST((changes.value().changes.back().object.specText == newer.specText));
+}
+
 BOOST_AUTO_TEST_CASE(droppedHistoryIsReported) {
   const auto changes = cache.changesSince(store::Revision(9));
   BOOST_REQUIRE(!changes);
