Tests: ports of fleets and soaks are reserved for as long as they run

platform_brittle_servers_of_many_nodes failed once as another program had got a node's port between the look whether it was free and the node's listen; soaks whose process ids are 78 or 79 apart drew the same ports, too, which were free while a node was being restarted.

ReservedPorts holds each port by a bound socket that does not listen; three copies of the former search are gone. Ranges and places in them are as they were; the slow callers' test now takes its ports there, too.

--- a/tests/gateway_soak/gateway_soak.cc
+++ b/tests/gateway_soak/gateway_soak.cc
@@ -91,26 +91,6 @@
   return "versions";
 }
 
-/// A port below those that the system gives out, as a node that starts anew needs the one it had,
-/// and another test's socket must not have got it meanwhile. Soaks that run side by side begin at
-/// different ones.
-Endpoint GatewaySoak::freeEndpoint() {
-  constexpr unsigned kFirstPort = 10'000;
-  constexpr unsigned kPorts = 20'000;
-  constexpr unsigned kPortsOfASoak = 256;
-  for (;;) {
-    const unsigned offset = static_cast<unsigned>(::getpid()) * kPortsOfASoak + nextPort_++;
-    const auto port = static_cast<std::uint16_t>(kFirstPort + offset % kPorts);
-    asio::ip::tcp::acceptor acceptor(context_);
-    acceptor.open(asio::ip::tcp::v4());
-    boost::system::error_code code;
-    acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, code);
-    if (!code) {
-      return {"127.0.0.1", port};
-    }
-  }
-}
-
 GatewaySoak::Proxy GatewaySoak::makeProxy(const Endpoint& target) {
   Proxy made;
   made.proxy = std::make_unique<sim::FaultProxy>(context_, target);
--- a/tests/gateway_soak/gateway_soak.h
+++ b/tests/gateway_soak/gateway_soak.h
@@ -25,6 +25,7 @@
 #include "stoppable_server.h"
 #include "store_stand_in.h"
 #include "support/process.h"
+#include "support/reserved_ports.h"
 #include "weights_check.h"
 
 namespace calicodrift::testing {
@@ -395,7 +396,6 @@
   void checkOrders();
   void checkLimit();
   void checkRuns();
-  Endpoint freeEndpoint();
   std::size_t pick(std::size_t count) { return random_.pick(count); }
   Milliseconds between(int least, int most) { return random_.between(least, most); }
   /// Counts and records a fault. `target` names what it strikes.
@@ -422,10 +422,10 @@
   /// Only bad entries name it.
   ServerStandIn foreign_{context_, "foreign", "app"};
   std::vector<std::unique_ptr<Server>> servers_;
+  ReservedPorts ports_{context_.get_executor(), kSoakPorts};
   std::vector<std::unique_ptr<Node>> nodes_;
   SoakFindings findings_;
   bool ended_ = false;
-  unsigned nextPort_ = 0;
   std::size_t outstanding_ = 0;
   std::uint64_t nextRequest_ = 0;
   std::size_t nextServer_ = 0;
--- a/tests/gateway_soak/nodes.cc
+++ b/tests/gateway_soak/nodes.cc
@@ -28,8 +28,8 @@
 void GatewaySoak::addNode(const std::string& name) {
   auto node = std::make_unique<Node>();
   node->name = name;
-  node->listen = freeEndpoint();
-  node->ready = freeEndpoint();
+  node->listen = ports_.reserve();
+  node->ready = ports_.reserve();
   constexpr std::size_t kFirstSource = 11;
   node->source = "127.0.0." + std::to_string(kFirstSource + nodes_.size());
   node->store = makeProxy(store_.endpoint());
@@ -39,7 +39,7 @@
                    {"zone", "z1"},
                    {"listen", node->listen.toString()},
                    {"ready-listen", node->ready.toString()},
-                   {"relay-listen", freeEndpoint().toString()},
+                   {"relay-listen", ports_.reserve().toString()},
                    {"source-address", node->source},
                    {"limit-window-s", "4"},
                    {"limit-overshoot", "0.1"},
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <memory>
 #include <set>
@@ -9,6 +7,7 @@
 #include <vector>
 
 #include "gateway_fixture.h"
+#include "support/reserved_ports.h"
 
 namespace calicodrift::testing {
 
@@ -201,25 +200,6 @@
     static_cast<void>(finished);
   }
 
-  /// A port below those that the system gives out: another node's connection could else have got it
-  /// before its own node listens there. Fleets that run side by side begin at different ones.
-  Endpoint freeEndpoint() {
-    constexpr unsigned kFirstPort = 30'000;
-    constexpr unsigned kPorts = 2'700;
-    constexpr unsigned kPortsOfAFleet = 64;
-    for (;;) {
-      const unsigned offset = static_cast<unsigned>(::getpid()) * kPortsOfAFleet + nextPort_++;
-      const auto port = static_cast<std::uint16_t>(kFirstPort + offset % kPorts);
-      boost::asio::ip::tcp::acceptor acceptor(context);
-      acceptor.open(boost::asio::ip::tcp::v4());
-      boost::system::error_code code;
-      acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, code);
-      if (!code) {
-        return {"127.0.0.1", port};
-      }
-    }
-  }
-
   void addNode(const std::string& name, const std::string& group) {
     Node node;
     node.settings = settings::defaultSettings(gateway::gatewaySettingsTable());
@@ -227,10 +207,10 @@
     node.settings.nodeId = name;
     node.settings.zone = "z1";
     node.settings.relayGroup = group;
-    node.settings.metricsListen = freeEndpoint();
+    node.settings.metricsListen = ports_.reserve();
     node.settings.listen = {"127.0.0.1", 0};
     node.settings.readyListen = {"127.0.0.1", 0};
-    node.settings.relayListen = freeEndpoint();
+    node.settings.relayListen = ports_.reserve();
     node.settings.store = store.endpoint();
     const std::size_t number = nodes_.size();
     http::ClientSettings client;
@@ -250,7 +230,7 @@
     BOOST_REQUIRE(node.gateway->start());
   }
 
-  unsigned nextPort_ = 0;
+  ReservedPorts ports_{context.get_executor(), kFleetPorts};
   std::vector<Node> nodes_;
   http::Client caller_{context.get_executor()};
   platform::OperatorSchema schema_;
--- a/tests/platform/slow_callers_test.cc
+++ b/tests/platform/slow_callers_test.cc
@@ -13,6 +13,7 @@
 #include "support/blocking_client.h"
 #include "support/process.h"
 #include "support/raw_connection.h"
+#include "support/reserved_ports.h"
 
 namespace calicodrift::testing {
 namespace {
@@ -51,8 +52,8 @@
     });
     store_.put("config", "main", GatewayFixture::configuration(1));
     store_.put("servers", server_.id(), server_.entry());
-    listen_ = freeEndpoint();
-    const Endpoint ready = freeEndpoint();
+    listen_ = ports_.reserve();
+    const Endpoint ready = ports_.reserve();
     settings_ = std::filesystem::temp_directory_path() /
                 ("slow-callers-" + std::to_string(::getpid()) + ".json");
     std::ofstream(settings_) << json::serialize(
@@ -85,13 +86,8 @@
   std::size_t residentKbOfGateway() const { return residentKb(gateway_->id()); }
 
  private:
-  Endpoint freeEndpoint() {
-    asio::ip::tcp::acceptor acceptor(
-        context_, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
   asio::io_context context_;
+  ReservedPorts ports_{context_.get_executor(), kFleetPorts};
   StoreStandIn store_{context_};
   ServerStandIn server_{context_, "s1", "app"};
   Endpoint listen_;
