--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -3,6 +3,7 @@
 gateways are processes of their own, started with the command of deploy/system.toml."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -18,6 +19,12 @@
 LOOP = "127.0.0.1"
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 _taken = set()
+_libc = ctypes.CDLL(None)
+
+
+def end_with_parent():
+    """The kernel ends a gateway whose case was killed (PR_SET_PDEATHSIG)."""
+    _libc.prctl(1, signal.SIGKILL)
 
 
 def free_port():
@@ -506,6 +513,7 @@
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""),
                        "LANG": os.environ.get("LANG", "C.UTF-8"), "CALICODRIFT_CONFIG": self.path}
         self.process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, env=environment, start_new_session=True,
+                                                            preexec_fn=end_with_parent,
                                                             stdout=open(self.log, "ab"), stderr=asyncio.subprocess.STDOUT)
         self.record(f"{self.name} started, process {self.process.pid}")
 
