--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -651,10 +651,10 @@
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 
 
-def run_case(main, seconds=118):
+def run_case(main, record_name, seconds=118):
     """Runs the case: exit 1 where the rule was broken, 0 where it held, 2 where it could not run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(os.path.join(folder, record_name))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def bounded():
