--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import ast, pathlib, sys
 if sys.version_info < (3, 9):
     sys.exit("python3 is older than 3.9")
-for path in sorted(pathlib.Path(".").glob("*/*.py")):
+for path in sorted(pathlib.Path(".").glob("**/*.py")):
     ast.parse(path.read_text(), str(path))
 PY
 echo "review: stand-ins checked"
--- a/review/8/case.py
+++ b/review/further-2/endless-trailer/case.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins-2"))
 from bystanders import *  # noqa: E402,F403
 
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r1"}
--- a/review/standins-2/bystanders.py
+++ b/review/standins-2/bystanders.py
@@ -1,4 +1,4 @@
-"""Other tenants' clients beside a request that costs a node its memory: what cases 7 and 8 share."""
+"""Other tenants' clients beside a request that costs a node its memory: what the two scripts in further-2/ share."""
 
 from standins import *  # noqa: F403
 
